Add the design page, shared types, peer frames and the build

Cause: nothing exists yet; the modules need one set of types, one message framing and one build before they can be written side by side. Ruled out: xxhash-wasm for hashing, because it loads with a top-level await, which a CommonJS single-executable bundle does not support; js-xxhash instead.

--- /dev/null
+++ b/packages/model/clock.ts
@@ -0,0 +1,41 @@
+/** Time as the decisions see it. */
+export interface Clock {
+  /** Monotonic time in milliseconds from an arbitrary origin. */
+  now(): number;
+  /** Wall-clock time in milliseconds since the Unix epoch. */
+  epoch(): number;
+}
+
+/** The process's own clock. */
+export class SystemClock implements Clock {
+  now(): number {
+    return performance.now();
+  }
+
+  epoch(): number {
+    return Date.now();
+  }
+}
+
+/** A clock that moves only when it is told to; for tests and benches. */
+export class ManualClock implements Clock {
+  #now: number;
+  readonly #origin: number;
+
+  constructor(now = 0, origin = 1_750_000_000_000) {
+    this.#now = now;
+    this.#origin = origin;
+  }
+
+  now(): number {
+    return this.#now;
+  }
+
+  epoch(): number {
+    return this.#origin + this.#now;
+  }
+
+  advance(milliseconds: number): void {
+    this.#now += milliseconds;
+  }
+}
--- /dev/null
+++ b/packages/model/document.ts
@@ -0,0 +1,114 @@
+import type { BackendServerId } from "./backend_servers.ts";
+import type { DataCentre, FormerView, View } from "./hosts.ts";
+
+/** Urgent work is served ahead of patient work. */
+export type Priority = "urgent" | "patient";
+
+/** How requests of one kind are served. */
+export interface RequestClass {
+  readonly name: string;
+  readonly priority: Priority;
+  /** Time from arrival to the answer, unless the caller asks for less. */
+  readonly deadlineMs: number;
+  /** False for requests that run at most once (bookings, orders). */
+  readonly repeatable: boolean;
+}
+
+/** Maps requests to a class; the first route that matches counts. */
+export interface Route {
+  /** Any method if absent. */
+  readonly method?: string;
+  /** A prefix of the path. */
+  readonly path: string;
+  readonly class: string;
+}
+
+/** One service as the document describes it. */
+export interface Service {
+  readonly name: string;
+  /** Share of the service's slots that measuring may take, in percent. */
+  readonly measuringBudgetPercent: number;
+  /** Retries and hedges as a share of calls, in percent. */
+  readonly retryBudgetPercent: number;
+  /** Share of capacity that may be ejected as outliers, in percent. */
+  readonly ejectionMaxPercent: number;
+  /** Longest graceful drain of a planned stop before it counts as overdue. */
+  readonly drainLimitS: number;
+  /** Time over which a new server is ramped up to its full slots. */
+  readonly coldStartMs: number;
+  /** Calls that may wait for a slot, over all entries. */
+  readonly queueLength: number;
+  /** Used where an announcement names no slots. */
+  readonly slotsPerServer: number;
+  /** Used where an announcement names no connections. */
+  readonly connectionsPerServer: number;
+  readonly classes: readonly RequestClass[];
+  readonly routes: readonly Route[];
+}
+
+/** A stop of backend servers that the operators planned. */
+export interface PlannedStop {
+  readonly name: string;
+  readonly service: string;
+  /** All servers of the service in this data centre. */
+  readonly dataCentre?: DataCentre;
+  /** Or these servers. */
+  readonly servers?: readonly BackendServerId[];
+  /** Milliseconds since the Unix epoch. */
+  readonly at: number;
+  /** Stops that must be done before this one starts. */
+  readonly after: readonly string[];
+}
+
+/** A group of operators with its own credential. */
+export interface Team {
+  readonly name: string;
+  /** SHA-256 of the credential, in hexadecimal. */
+  readonly credential: string;
+}
+
+/** The merged sections: the whole statement of intent. */
+export interface Document {
+  /** Grows with each accepted change; 0 before the first. */
+  readonly revision: number;
+  /** Data centres by region. */
+  readonly regions: Readonly<Record<string, readonly DataCentre[]>>;
+  readonly teams: readonly Team[];
+  /** Owning team by section name. */
+  readonly owners: Readonly<Record<string, string>>;
+  readonly services: readonly Service[];
+  readonly stops: readonly PlannedStop[];
+}
+
+export const EMPTY_DOCUMENT: Document = {
+  revision: 0,
+  regions: {},
+  teams: [],
+  owners: {},
+  services: [],
+  stops: [],
+};
+
+export type StopPhase = "pending" | "draining" | "done" | "overdue";
+
+/** How far a planned stop has come. */
+export interface StopProgress {
+  readonly stop: string;
+  readonly phase: StopPhase;
+  /** Milliseconds since the Unix epoch at which the phase began. */
+  readonly since: number;
+}
+
+/** What control gives to entries: all that is in force. */
+export interface Configuration {
+  readonly document: Document;
+  readonly view: View;
+  /** The views that ended within the last 11 minutes, oldest first. */
+  readonly formerViews: readonly FormerView[];
+  readonly stops: readonly StopProgress[];
+  /**
+   * Grows with every change of document, view or stop progress; entries refuse
+   * a lower one from anybody.
+   */
+  readonly version: number;
+}
--- /dev/null
+++ b/packages/model/headers.ts
@@ -0,0 +1,20 @@
+/** Names of the HTTP headers of the published protocols, in lower case. */
+export const HEADERS = {
+  service: "mangobank-service",
+  deadline: "mangobank-deadline-ms",
+  key: "idempotency-key",
+  depth: "mangobank-depth",
+  retries: "mangobank-retries",
+  outcome: "mangobank-outcome",
+  requestId: "mangobank-request-id",
+  error: "mangobank-error",
+  retryAfter: "retry-after",
+  retryAfterMs: "mangobank-retry-after-ms",
+  inFlight: "mangobank-in-flight",
+  serverState: "mangobank-server-state",
+  notStarted: "mangobank-not-started",
+  changeId: "mangobank-change-id",
+} as const;
+
+/** Prefix of the paths that mangobank answers itself. */
+export const OWN_PATH = "/.mangobank/";
--- /dev/null
+++ b/packages/model/rendezvous_test.ts
@@ -0,0 +1,32 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { rendezvousOrder } from "./rendezvous.ts";
+
+const CANDIDATES = ["a", "b", "c", "d", "e"].map((id) => ({ id }));
+
+test("the order does not depend on how candidates are listed", () => {
+  const forward = rendezvousOrder("alloc", CANDIDATES);
+  const backward = rendezvousOrder("alloc", [...CANDIDATES].reverse());
+  assert.deepEqual(forward, backward);
+});
+
+test("a lost candidate moves only its own keys", () => {
+  const rest = CANDIDATES.filter(({ id }) => id !== "c");
+  for (let key = 0; key < 200; key++) {
+    const before = rendezvousOrder(`key-${key}`, CANDIDATES);
+    const after = rendezvousOrder(`key-${key}`, rest);
+    assert.deepEqual(
+      after,
+      before.filter(({ id }) => id !== "c"),
+    );
+  }
+});
+
+test("keys spread over all candidates", () => {
+  const counts = new Map<string, number>();
+  for (let key = 0; key < 1_000; key++) {
+    const first = rendezvousOrder(`key-${key}`, CANDIDATES)[0]?.id ?? "";
+    counts.set(first, (counts.get(first) ?? 0) + 1);
+  }
+  for (const { id } of CANDIDATES) assert.ok((counts.get(id) ?? 0) > 120);
+});
--- /dev/null
+++ b/packages/wire/frames.ts
@@ -0,0 +1,97 @@
+import { Decoder, Encoder } from "cbor-x";
+import { err, ok, type Result } from "neverthrow";
+
+/** Largest frame accepted or sent, in bytes without the length prefix. */
+export const MAX_FRAME_BYTES = 1024 * 1024;
+
+const LENGTH_BYTES = 4;
+
+/** Why a byte stream is not a sequence of frames. */
+export type FrameFault =
+  | { readonly type: "frame_too_long"; readonly bytes: number }
+  | { readonly type: "frame_malformed"; readonly detail: string };
+
+/** One message on the wire. */
+export interface Frame {
+  readonly kind: string;
+  readonly payload: unknown;
+}
+
+// Records are off: they need state shared by both sides of a connection.
+const encoder = new Encoder({ useRecords: false });
+const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
+
+/** Encodes a value as CBOR without framing. */
+export function encodeValue(value: unknown): Buffer {
+  return Buffer.from(encoder.encode(value));
+}
+
+/** Decodes one CBOR value without framing. */
+export function decodeValue(bytes: Uint8Array): Result<unknown, FrameFault> {
+  try {
+    return ok(decoder.decode(bytes as Buffer));
+  } catch (cause) {
+    return err({ type: "frame_malformed", detail: String(cause) });
+  }
+}
+
+/** Encodes a message with its length prefix. */
+export function encodeFrame(
+  kind: string,
+  payload: unknown,
+): Result<Buffer, FrameFault> {
+  const body = encoder.encode([kind, payload]);
+  if (body.length > MAX_FRAME_BYTES) {
+    return err({ type: "frame_too_long", bytes: body.length });
+  }
+  const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
+  frame.writeUInt32BE(body.length, 0);
+  body.copy(frame, LENGTH_BYTES);
+  return ok(frame);
+}
+
+/** Cuts a byte stream into frames; keeps at most one partial frame. */
+export class FrameReader {
+  #pending: Buffer[] = [];
+  #length = 0;
+
+  /** Takes received bytes and returns the frames that they complete. */
+  push(chunk: Buffer): Result<Frame[], FrameFault> {
+    this.#pending.push(chunk);
+    this.#length += chunk.length;
+    if (this.#length < LENGTH_BYTES) return ok([]);
+    const bytes =
+      this.#pending.length === 1 ? chunk : Buffer.concat(this.#pending);
+    const frames: Frame[] = [];
+    let offset = 0;
+    while (bytes.length - offset >= LENGTH_BYTES) {
+      const length = bytes.readUInt32BE(offset);
+      if (length > MAX_FRAME_BYTES) {
+        return err({ type: "frame_too_long", bytes: length });
+      }
+      const end = offset + LENGTH_BYTES + length;
+      if (end > bytes.length) break;
+      const frame = decodeFrame(bytes.subarray(offset + LENGTH_BYTES, end));
+      if (frame.isErr()) return err(frame.error);
+      frames.push(frame.value);
+      offset = end;
+    }
+    const rest = bytes.subarray(offset);
+    this.#pending = rest.length > 0 ? [rest] : [];
+    this.#length = rest.length;
+    return ok(frames);
+  }
+}
+
+function decodeFrame(body: Buffer): Result<Frame, FrameFault> {
+  return decodeValue(body).andThen((item): Result<Frame, FrameFault> => {
+    if (!Array.isArray(item) || item.length !== 2) {
+      return err({ type: "frame_malformed", detail: "not a pair" });
+    }
+    const [kind, payload] = item;
+    if (typeof kind !== "string") {
+      return err({ type: "frame_malformed", detail: "kind is not a string" });
+    }
+    return ok({ kind, payload });
+  });
+}
--- /dev/null
+++ b/packages/wire/index.ts
@@ -0,0 +1,10 @@
+/**
+ * Messages between the system's own processes: length-prefixed CBOR frames
+ * over TCP, with typed message maps.
+ *
+ * @module
+ */
+export * from "./frames.ts";
+export type { LinkFault, Traffic } from "./link.ts";
+export * from "./messages.ts";
+export * from "./network.ts";
