Add the router's interface with a local choice of servers

Ruled out: an interface without effects; decisions must stay pure. Conclusion: a base to compare the dispatcher with.

--- /dev/null
+++ b/packages/admission/heap.ts
@@ -0,0 +1,91 @@
+/** A binary heap whose items can be moved or removed by reference. */
+export class Heap<T extends { heapIndex: number }> {
+  readonly #items: T[] = [];
+  readonly #before: (a: T, b: T) => boolean;
+
+  /** `heapIndex` of an item is -1 while it is in no heap. */
+  constructor(before: (a: T, b: T) => boolean) {
+    this.#before = before;
+  }
+
+  get size(): number {
+    return this.#items.length;
+  }
+
+  peek(): T | undefined {
+    return this.#items[0];
+  }
+
+  /** An item without any after it; one of the last in order. */
+  leaf(): T | undefined {
+    return this.#items[this.#items.length - 1];
+  }
+
+  items(): readonly T[] {
+    return this.#items;
+  }
+
+  push(item: T): void {
+    item.heapIndex = this.#items.length;
+    this.#items.push(item);
+    this.#up(item.heapIndex);
+  }
+
+  pop(): T | undefined {
+    const first = this.#items[0];
+    if (first) this.remove(first);
+    return first;
+  }
+
+  remove(item: T): boolean {
+    const index = item.heapIndex;
+    if (index < 0 || this.#items[index] !== item) return false;
+    const last = this.#items.pop() as T;
+    item.heapIndex = -1;
+    if (last === item) return true;
+    this.#items[index] = last;
+    last.heapIndex = index;
+    this.update(last);
+    return true;
+  }
+
+  /** Restores the order after an item's rank has changed. */
+  update(item: T): void {
+    this.#up(item.heapIndex);
+    this.#down(item.heapIndex);
+  }
+
+  #up(start: number): void {
+    let index = start;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!this.#swapIfBefore(index, parent)) return;
+      index = parent;
+    }
+  }
+
+  #down(start: number): void {
+    let index = start;
+    for (;;) {
+      const left = 2 * index + 1;
+      const right = left + 1;
+      if (left >= this.#items.length) return;
+      const a = this.#items[left] as T;
+      const b = this.#items[right];
+      const child = b !== undefined && this.#before(b, a) ? right : left;
+      if (!this.#swapIfBefore(child, index)) return;
+      index = child;
+    }
+  }
+
+  #swapIfBefore(lower: number, upper: number): boolean {
+    const a = this.#items[lower] as T;
+    const b = this.#items[upper] as T;
+    if (!this.#before(a, b)) return false;
+    this.#items[upper] = a;
+    this.#items[lower] = b;
+    a.heapIndex = upper;
+    b.heapIndex = lower;
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/admission/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Admission control: which calls wait, in which order, and which are rejected.
+ *
+ * @module
+ */
+export * from "./class_queue.ts";
--- /dev/null
+++ b/packages/routing/effects.ts
@@ -0,0 +1,58 @@
+import type { BackendServer, CallFault, HostId } from "#model";
+import type { Message } from "#wire";
+import type { DispatchMessages } from "./messages.ts";
+
+/** What became of an assigned call. */
+export interface CallResult {
+  readonly kind: CallResultKind;
+  /** Time from the assignment to the end of the answer, in milliseconds. */
+  readonly serviceMs: number;
+  /** The server's own report, in requests; may lag or mislead. */
+  readonly inFlight?: number | undefined;
+  /** The server announced in its answer that it is leaving. */
+  readonly leaving?: boolean | undefined;
+}
+
+/**
+ * `answered`: complete answer; `failed`: error answer; `not_started`: the
+ * server proved that it did not start the call (shed); `lost`: connection
+ * broken or timed out; `cancelled`: given up by the caller.
+ */
+export type CallResultKind =
+  | "answered"
+  | "failed"
+  | "not_started"
+  | "lost"
+  | "cancelled";
+
+/** A probe's answer. */
+export type ProbeResult =
+  | {
+      readonly kind: "answered";
+      readonly inFlight: number;
+      /** Round trip, in milliseconds. */
+      readonly ms: number;
+      readonly leaving?: boolean | undefined;
+    }
+  | { readonly kind: "failed" };
+
+/** What the composition root does for the router. */
+export type RoutingEffect =
+  | {
+      readonly type: "assign";
+      readonly callId: string;
+      readonly server: BackendServer;
+    }
+  | {
+      readonly type: "reject";
+      readonly callId: string;
+      readonly fault: CallFault;
+    }
+  | { readonly type: "probe"; readonly server: BackendServer }
+  | SendEffect;
+
+/** A message to another entry. */
+export type SendEffect = {
+  readonly type: "send";
+  readonly to: HostId;
+} & Message<DispatchMessages>;
--- /dev/null
+++ b/packages/routing/index.ts
@@ -0,0 +1,8 @@
+/**
+ * Server selection for the calls of one entry.
+ *
+ * @module
+ */
+export * from "./effects.ts";
+export * from "./messages.ts";
+export * from "./router.ts";
--- /dev/null
+++ b/packages/routing/local_choice.ts
@@ -0,0 +1,50 @@
+import type { DataCentre, Randomness } from "#model";
+import type { SampleSet } from "./sample_set.ts";
+import type { ServerState } from "./server_state.ts";
+
+/** Draws per choice; more only help when most servers are excluded. */
+const DRAWS = 8;
+/** Extra cost of a server in another data centre, as a share of its load. */
+const REMOTE_PENALTY = 0.25;
+
+export interface ChoiceOptions {
+  readonly exclude: ReadonlySet<string>;
+  readonly dataCentre: DataCentre;
+  readonly random: Randomness;
+  readonly now: number;
+}
+
+/**
+ * Two choices: of two random servers the one with less expected work, by own
+ * calls in flight plus the last reported load, times the average service time.
+ */
+export function chooseLocally(
+  servers: SampleSet<ServerState>,
+  options: ChoiceOptions,
+): ServerState | undefined {
+  let best: ServerState | undefined;
+  let found = 0;
+  for (let draw = 0; draw < DRAWS && found < 2; draw++) {
+    const server = servers.at(options.random.below(servers.size));
+    if (!server || options.exclude.has(server.record.id)) continue;
+    if (server === best) continue;
+    found += 1;
+    if (!best || cost(server, options) < cost(best, options)) best = server;
+  }
+  return best ?? firstAllowed(servers, options.exclude);
+}
+
+function cost(server: ServerState, options: ChoiceOptions): number {
+  const calls = server.inFlight + server.others(options.now) + 1;
+  const load = calls / server.limit;
+  const remote = server.record.dataCentre !== options.dataCentre;
+  return (load + (remote ? REMOTE_PENALTY : 0)) * (server.latencyMs || 1);
+}
+
+/** Finds the server that random draws missed among mostly excluded ones. */
+function firstAllowed(
+  servers: SampleSet<ServerState>,
+  exclude: ReadonlySet<string>,
+): ServerState | undefined {
+  return servers.items().find((server) => !exclude.has(server.record.id));
+}
--- /dev/null
+++ b/packages/routing/messages.ts
@@ -0,0 +1,2 @@
+/** Messages between an entry and the dispatchers of its services. */
+export type DispatchMessages = Record<never, never>;
--- /dev/null
+++ b/packages/routing/server_state.ts
@@ -0,0 +1,82 @@
+import type { BackendServer, Service } from "#model";
+
+/** Weight of a new sample in the average of service times. */
+const LATENCY_WEIGHT = 0.1;
+/** Age at which a reported load no longer counts. */
+const REPORT_TTL_MS = 250;
+
+/** What one entry knows of a backend server from its own calls. */
+export class ServerState {
+  record: BackendServer;
+  /** Calls of this entry that run on the server. */
+  inFlight = 0;
+  /** Calls that this entry gives it at the same time. */
+  limit = 1;
+  /** The server announced that it is leaving; final within an incarnation. */
+  leaving = false;
+  /** Time of the last result or probe answer. */
+  lastHeard = Number.NEGATIVE_INFINITY;
+  /** Moving average of service times, in milliseconds; 0 if unknown. */
+  latencyMs = 0;
+  /** Start of the server's incarnation on this entry's clock. */
+  started: number;
+  #others = 0;
+  #reportedAt = Number.NEGATIVE_INFINITY;
+
+  constructor(record: BackendServer, now: number) {
+    this.record = record;
+    this.started = now - record.startedMsAgo;
+  }
+
+  /** Takes over a newer announcement. */
+  announce(record: BackendServer, now: number): void {
+    if (record.incarnation !== this.record.incarnation) {
+      this.leaving = false;
+      this.latencyMs = 0;
+      this.started = now - record.startedMsAgo;
+    }
+    if (record.sequence !== this.record.sequence) {
+      this.report(record.inFlight, now);
+    }
+    this.record = record;
+    if (record.state === "leaving") this.leaving = true;
+  }
+
+  /** Takes over a load report; a lie can hide at most the others' calls. */
+  report(inFlight: number, now: number): void {
+    const bound = 2 * this.record.slots;
+    this.#others = Math.min(Math.max(0, inFlight - this.inFlight), bound);
+    this.#reportedAt = now;
+  }
+
+  /** Adds a service time to the average. */
+  sample(serviceMs: number): void {
+    this.latencyMs =
+      this.latencyMs === 0
+        ? serviceMs
+        : this.latencyMs + LATENCY_WEIGHT * (serviceMs - this.latencyMs);
+  }
+
+  /** Calls of other entries there, as far as a recent report tells. */
+  others(now: number): number {
+    const age = now - this.#reportedAt;
+    if (age >= REPORT_TTL_MS) return 0;
+    return this.#others * (1 - age / REPORT_TTL_MS);
+  }
+
+  get ready(): boolean {
+    return !this.leaving && this.record.state === "ready";
+  }
+}
+
+/** Slots that a server has by its age; a cold server starts with one. */
+export function warmSlots(
+  server: Pick<ServerState, "record" | "started">,
+  service: Service,
+  now: number,
+): number {
+  const { slots } = server.record;
+  const age = now - server.started;
+  if (age >= service.coldStartMs) return slots;
+  return Math.max(1, Math.floor((slots * age) / service.coldStartMs));
+}
