Add logs and metrics

Cause: every process needs structured logs and metrics behind ports before the composition roots are written. Label values are bounded to the document's names and series of removed services are dropped. Ruled out: setting gauges on each call; values by service are read at scrape time, so they cost nothing in between. An event-loop gauge of our own: prom-client's default metrics already have one.

--- /dev/null
+++ b/packages/telemetry/index.ts
@@ -0,0 +1,7 @@
+/**
+ * Logs with consola and metrics with prom-client.
+ *
+ * @module
+ */
+export * from "./logger.ts";
+export * from "./metrics.ts";
--- /dev/null
+++ b/packages/telemetry/metrics_test.ts
@@ -0,0 +1,81 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Service } from "#model";
+import { Metrics } from "./metrics.ts";
+
+function service(name: string, classes: string[]): Service {
+  return {
+    name,
+    measuringBudgetPercent: 1,
+    retryBudgetPercent: 10,
+    ejectionMaxPercent: 30,
+    drainLimitS: 600,
+    coldStartMs: 0,
+    queueLength: 10,
+    slotsPerServer: 1,
+    connectionsPerServer: 1,
+    classes: classes.map((className) => ({
+      name: className,
+      priority: "urgent",
+      deadlineMs: 1_000,
+      repeatable: true,
+    })),
+    routes: [],
+  };
+}
+
+test("calls, waiting and probes are counted by service and class", async () => {
+  const metrics = new Metrics({ configurationVersion: () => 12 });
+  metrics.configure([service("alloc", ["booking"])]);
+  const call = { service: "alloc", class: "booking", ms: 4 };
+  metrics.finished({ ...call, outcome: "answered" });
+  metrics.finished({ ...call, outcome: "not-run", code: "queue_full" });
+  metrics.waited(call);
+  metrics.probed("alloc", 6);
+  const text = await metrics.text();
+  for (const line of [
+    'mangobank_call_duration_seconds_count{service="alloc",class="booking"} 2',
+    'mangobank_call_waiting_seconds_count{service="alloc",class="booking"} 1',
+    'outcome="not-run",code="queue_full"} 1',
+    'mangobank_probe_slot_seconds_total{service="alloc"} 0.006',
+    "mangobank_configuration_version 12",
+    "nodejs_eventloop_lag_p99_seconds",
+  ]) {
+    assert.ok(text.includes(line), line);
+  }
+});
+
+test("names that the document lacks make no new series", async () => {
+  const metrics = new Metrics({
+    queueLength: () => [
+      ["x", 1],
+      ["y", 2],
+    ],
+  });
+  for (let i = 0; i < 50; i++) {
+    const call = { service: `s${i}`, class: `c${i}`, ms: 1 };
+    metrics.finished({ ...call, outcome: "answered" });
+    metrics.probed(call.service, 1);
+  }
+  const text = await metrics.text();
+  assert.equal(text.match(/^mangobank_calls_total\{/gm)?.length, 1);
+  assert.match(text, /mangobank_queue_length\{service="other"\} 3/);
+});
+
+test("series of a removed service are dropped", async () => {
+  const metrics = new Metrics();
+  metrics.configure([service("alloc", ["booking"])]);
+  const call = { service: "alloc", class: "booking", ms: 1 };
+  metrics.finished({ ...call, outcome: "answered" });
+  metrics.configure([service("report", ["export"])]);
+  assert.ok(!(await metrics.text()).includes("alloc"));
+});
+
+test("peer bytes are totals however often they are scraped", async () => {
+  const traffic = { sentBytes: 10, receivedBytes: 20 };
+  const metrics = new Metrics({ peerTraffic: () => traffic });
+  await metrics.text();
+  traffic.sentBytes = 15;
+  const text = await metrics.text();
+  assert.match(text, /mangobank_peer_bytes_total\{direction="sent"\} 15/);
+});
