Parse and check the document and the settings

Cause: every other package builds on the typed document and the roles' settings. Ruled out: a key schema on mappings, because an invalid key would hide the errors in its value; z.int(), because its failure aborts the checks of the mapping around it; a per-class retry key, because the model has no such field and the key would have no effect.

--- /dev/null
+++ b/packages/document/checks.ts
@@ -0,0 +1,114 @@
+import type { z } from "zod";
+import { oneOf } from "./fields.ts";
+import type { LocalFault } from "./source.ts";
+
+/**
+ * Measuring and retries together take at most this share, so that first
+ * attempts keep at least half of a service's capacity.
+ */
+export const MAX_BUDGETS_PERCENT = 50;
+
+interface RouteFacts {
+  readonly method?: string | undefined;
+  readonly path: string;
+  readonly class: string;
+}
+
+interface ServiceFacts {
+  readonly measuring_budget_percent: number;
+  readonly retry_budget_percent?: number | undefined;
+  readonly slots_per_server: number;
+  readonly connections_per_server: number;
+  readonly classes: Readonly<Record<string, { readonly repeatable: boolean }>>;
+  readonly routes: readonly RouteFacts[];
+}
+
+type Context = z.core.$RefinementCtx;
+
+function report(
+  context: Context,
+  path: PropertyKey[],
+  fault: LocalFault & { readonly expected: string },
+): void {
+  const { expected: message, ...params } = fault;
+  context.addIssue({ code: "custom", path, message, params });
+}
+
+/** Checks what the keys of a service cannot express one by one. */
+export function checkService(service: ServiceFacts, context: Context): void {
+  const classes = Object.values(service.classes);
+  if (classes.length === 0) {
+    const expected = "at least one class";
+    report(context, ["classes"], { type: "missing_key", expected });
+  }
+  const measuring = service.measuring_budget_percent;
+  const retries = service.retry_budget_percent ?? 0;
+  if (measuring + retries > MAX_BUDGETS_PERCENT) {
+    report(context, ["retry_budget_percent"], {
+      type: "budget_exceeded",
+      expected: `at most ${MAX_BUDGETS_PERCENT} together with measuring_budget_percent`,
+      found: measuring + retries,
+    });
+  }
+  const mayRetry = classes.some(({ repeatable }) => repeatable);
+  if (retries > 0 && classes.length > 0 && !mayRetry) {
+    report(context, ["retry_budget_percent"], {
+      type: "retry_forbidden",
+      expected: "0, because no class of the service is repeatable",
+      found: retries,
+    });
+  }
+  const { slots_per_server: slots, connections_per_server: found } = service;
+  if (found < slots) {
+    report(context, ["connections_per_server"], {
+      type: "budget_exceeded",
+      expected: `at least slots_per_server (${slots}), because each running call holds a connection`,
+      found,
+    });
+  }
+  service.routes.forEach((_, index) => {
+    checkRoute(service, { index, context });
+  });
+}
+
+function checkRoute(
+  service: ServiceFacts,
+  { index, context }: { index: number; context: Context },
+): void {
+  const route = service.routes[index];
+  if (route === undefined) return;
+  if (!Object.hasOwn(service.classes, route.class)) {
+    report(context, ["routes", index, "class"], {
+      type: "unknown_class",
+      expected: oneOf(Object.keys(service.classes), "class"),
+      found: route.class,
+    });
+  }
+  const earlier = service.routes.findIndex((other) => covers(other, route));
+  if (earlier < index) {
+    report(context, ["routes", index], {
+      type: "unreachable_route",
+      expected: `requests that routes.${earlier} does not match already`,
+      found: route.path,
+    });
+  }
+}
+
+function covers(earlier: RouteFacts, later: RouteFacts): boolean {
+  const method =
+    earlier.method === undefined || earlier.method === later.method;
+  return method && later.path.startsWith(earlier.path);
+}
+
+/** Checks that a stop names its servers in one way. */
+export function checkStop(
+  stop: {
+    readonly data_centre?: string | undefined;
+    readonly servers?: readonly string[] | undefined;
+  },
+  context: Context,
+): void {
+  if ((stop.data_centre === undefined) !== (stop.servers === undefined)) return;
+  const expected = "exactly one of data_centre and servers";
+  report(context, [], { type: "invalid_value", expected });
+}
--- /dev/null
+++ b/packages/document/index.ts
@@ -0,0 +1,13 @@
+/**
+ * The operators' document: YAML sections, their schema and the checks that
+ * concern all sections together.
+ *
+ * @module
+ */
+export { MAX_BUDGETS_PERCENT } from "./checks.ts";
+export * from "./faults.ts";
+export * from "./fields.ts";
+export * from "./merge.ts";
+export * from "./schema.ts";
+export * from "./section.ts";
+export * from "./source.ts";
