--- /dev/null
+++ b/packages/claims/claims_test.ts
@@ -0,0 +1,83 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type Entry, SeededRandomness } from "#model";
+import { Claims } from "./claims.ts";
+import { holdersOf } from "./holders.ts";
+
+const EPOCH = 1_780_000_000_000;
+const AT = { now: 0, epoch: EPOCH };
+const KEY = keyAt(EPOCH);
+
+function keyAt(epoch: number): string {
+  const hex = epoch.toString(16).padStart(12, "0");
+  return `${hex.slice(0, 8)}-${hex.slice(8)}-7000-8000-000000000001`;
+}
+
+function entry(id: string, dataCentre: string): Entry {
+  const address = { host: "127.0.0.1", port: 1 };
+  const addresses = { http: address, peer: address };
+  return { id, incarnation: 1, dataCentre, ...addresses, state: "ready" };
+}
+
+function cluster(count: number) {
+  const entries = Array.from({ length: count }, (_, i) =>
+    entry(`e${i}`, `dc${i % 4}`),
+  );
+  const view = { epoch: 1, entries, began: 0 };
+  const all = new Map(
+    entries.map(({ id, incarnation }, seed) => {
+      const randomness = new SeededRandomness(seed);
+      return [id, new Claims({ self: id, incarnation, randomness })];
+    }),
+  );
+  const log: string[] = [];
+  const run = (at: string, effects: ReturnType<Claims["tick"]>) => {
+    for (const effect of effects) {
+      if (effect.type === "send") {
+        run(effect.to, all.get(effect.to)?.receive(at, effect, AT) ?? []);
+      } else if (effect.type === "denied") {
+        log.push(`${effect.callId} ${effect.fault.code}`);
+      } else log.push(`${effect.callId} ${effect.type}`);
+    }
+  };
+  for (const [id, claims] of all) {
+    run(id, claims.configure({ view, formerViews: [] }, AT));
+  }
+  const claim = (id: string, callId: string) => {
+    const call = { callId, key: KEY, fingerprint: 1, waitMs: 1_000 };
+    run(id, all.get(id)?.claim(call, AT) ?? []);
+  };
+  return { all, claim, log, run, view };
+}
+
+for (const count of [1, 2, 3, 16]) {
+  test(`a resend gets the stored answer with ${count} entries`, () => {
+    const { all, claim, log, run } = cluster(count);
+    claim("e0", "first");
+    const answer = { status: 201, headers: [], body: new Uint8Array([1]) };
+    const first = all.get("e0");
+    run("e0", first?.settle("first", { type: "ran", answer }, AT) ?? []);
+    claim(`e${count - 1}`, "resend");
+    assert.deepEqual(log, ["first granted", "resend replayed"]);
+  });
+
+  test(`a call proved not started frees its key with ${count} entries`, () => {
+    const { all, claim, log, run } = cluster(count);
+    claim("e0", "first");
+    const first = all.get("e0");
+    run("e0", first?.settle("first", { type: "not_started" }, AT) ?? []);
+    claim(`e${count - 1}`, "resend");
+    assert.deepEqual(log, ["first granted", "resend granted"]);
+  });
+}
+
+test("holders are in different data centres", () => {
+  const { view } = cluster(16);
+  for (let key = 0; key < 100; key++) {
+    const { holders } = holdersOf(`key-${key}`, view);
+    const centres = holders.map(
+      ({ id }) => view.entries.find((e) => e.id === id)?.dataCentre,
+    );
+    assert.equal(new Set(centres).size, 3);
+  }
+});
