Add the registry, control's replicated state machine

Cause: sections, the view of entries and the progress of planned stops must be the same on each control host, also after re-sent and raced changes. Ruled out: deciding about the system credential inside the registry, because replicas may have different settings; resetting a stop by any change of the document, because its servers would get work in between; ending a stop while an entry that was lost may still carry calls. Change: Registry applies puts with compare-and-set, kept first answers and owners, view changes with epochs, and stop phases that only go forward; dueStops plans the leader's next commands.

--- /dev/null
+++ b/packages/registry/index.ts
@@ -0,0 +1,18 @@
+/**
+ * The replicated state machine of control: sections with their history, change
+ * ids, the view of entries and the progress of planned stops.
+ *
+ * @module
+ */
+export { ANSWER_LIFETIME_MS, MAX_ANSWERS } from "./answers.ts";
+export * from "./commands.ts";
+export { FORMER_VIEWS_MS } from "./membership.ts";
+export * from "./planner.ts";
+export { MAX_FAULTS, Registry } from "./registry.ts";
+export {
+  HISTORY_CHARACTERS,
+  HISTORY_REVISIONS,
+  type SectionRevision,
+} from "./sections.ts";
+export { SNAPSHOT_FORMAT, type SnapshotFault } from "./snapshot.ts";
+export type { StopRun } from "./stops.ts";
--- /dev/null
+++ b/packages/registry/membership.ts
@@ -0,0 +1,126 @@
+import {
+  EMPTY_VIEW,
+  type Entry,
+  type FormerView,
+  type HostId,
+  type View,
+} from "#model";
+import type { StaleReason } from "./commands.ts";
+
+/** Time for which former views are kept: the claim window plus a minute. */
+export const FORMER_VIEWS_MS = 11 * 60_000;
+
+export type MembershipChange = "done" | "unchanged" | StaleReason;
+
+/** The agreed view of entries and the views before it. */
+export class Membership {
+  #view: View = EMPTY_VIEW;
+  #former: readonly FormerView[] = [];
+
+  get view(): View {
+    return this.#view;
+  }
+
+  /** The views that ended within the last 11 minutes, oldest first. */
+  get former(): readonly FormerView[] {
+    return this.#former;
+  }
+
+  /** Adds an entry, or replaces its former incarnation. */
+  join(entry: Entry, now: number): MembershipChange {
+    const present = this.#find(entry.id);
+    if (present !== undefined && isSame(present, entry)) return "unchanged";
+    if (entry.incarnation < this.#lastIncarnation(entry.id)) {
+      return "older_incarnation";
+    }
+    if (present?.incarnation === entry.incarnation) {
+      return this.change(entry, now);
+    }
+    this.#replace(entry, now);
+    return "done";
+  }
+
+  /** Changes an entry within its incarnation. */
+  change(entry: Entry, now: number): MembershipChange {
+    const present = this.#find(entry.id);
+    if (present === undefined) return "unknown_entry";
+    if (present.incarnation !== entry.incarnation) {
+      return entry.incarnation < present.incarnation
+        ? "older_incarnation"
+        : "unknown_entry";
+    }
+    if (isSame(present, entry)) return "unchanged";
+    // Callers and peers were already told to leave it.
+    if (present.state === "stopping" && entry.state === "ready") {
+      return "no_way_back";
+    }
+    this.#replace(entry, now);
+    return "done";
+  }
+
+  /** Takes an entry out. */
+  leave(
+    entry: { readonly id: HostId; readonly incarnation: number },
+    now: number,
+  ): MembershipChange {
+    const present = this.#find(entry.id);
+    if (present === undefined) return "unchanged";
+    if (present.incarnation !== entry.incarnation) return "older_incarnation";
+    this.#begin(
+      this.#view.entries.filter(({ id }) => id !== entry.id),
+      now,
+    );
+    return "done";
+  }
+
+  /** Drops former views that are too old to matter. */
+  prune(now: number): void {
+    const oldest = now - FORMER_VIEWS_MS;
+    this.#former = this.#former.filter(({ ended }) => ended > oldest);
+  }
+
+  /** Takes over the views of a snapshot. */
+  restore(view: View, former: readonly FormerView[]): void {
+    this.#view = view;
+    this.#former = former;
+  }
+
+  #find(id: HostId): Entry | undefined {
+    return this.#view.entries.find((entry) => entry.id === id);
+  }
+
+  #lastIncarnation(id: HostId): number {
+    return [...this.#former, this.#view]
+      .flatMap(({ entries }) => entries.filter((entry) => entry.id === id))
+      .reduce((last, { incarnation }) => Math.max(last, incarnation), 0);
+  }
+
+  #replace(entry: Entry, now: number): void {
+    const others = this.#view.entries.filter(({ id }) => id !== entry.id);
+    this.#begin([...others, entry], now);
+  }
+
+  #begin(entries: readonly Entry[], now: number): void {
+    // No claim can have been made in a view without entries.
+    if (this.#view.entries.length > 0) {
+      this.#former = [...this.#former, { ...this.#view, ended: now }];
+    }
+    this.#view = {
+      epoch: this.#view.epoch + 1,
+      entries: [...entries].sort((a, b) => (a.id < b.id ? -1 : 1)),
+      began: now,
+    };
+  }
+}
+
+function isSame(a: Entry, b: Entry): boolean {
+  return (
+    a.incarnation === b.incarnation &&
+    a.dataCentre === b.dataCentre &&
+    a.state === b.state &&
+    a.http.host === b.http.host &&
+    a.http.port === b.http.port &&
+    a.peer.host === b.peer.host &&
+    a.peer.port === b.peer.port
+  );
+}
--- /dev/null
+++ b/packages/registry/snapshot.ts
@@ -0,0 +1,139 @@
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import type { DocumentFault } from "#document";
+import { type Entry, hash32 } from "#model";
+import type { PutReply } from "./commands.ts";
+
+/** Version of the snapshot format that this build writes. */
+export const SNAPSHOT_FORMAT = 1;
+
+/** Why a snapshot cannot be taken over. */
+export type SnapshotFault =
+  | { readonly type: "snapshot_malformed"; readonly detail: string }
+  | { readonly type: "snapshot_checksum_wrong" }
+  | { readonly type: "snapshot_format_unknown"; readonly format: number }
+  | {
+      readonly type: "snapshot_document_invalid";
+      readonly faults: readonly DocumentFault[];
+    };
+
+/** Turns the state of one format into that of the next. */
+export type Migration = (state: unknown) => unknown;
+
+/**
+ * Migrations by the format that they read: entry 1 turns format 1 into 2. A
+ * change of the document's schema that rejects texts accepted before needs one
+ * too, because snapshots hold the texts.
+ */
+export const MIGRATIONS: Readonly<Record<number, Migration>> = {};
+
+const number = z.number();
+const address = z.object({ host: z.string(), port: number });
+const entry: z.ZodType<Entry> = z.object({
+  id: z.string(),
+  incarnation: number,
+  dataCentre: z.string(),
+  http: address,
+  peer: address,
+  state: z.enum(["ready", "stopping"]),
+});
+const view = z.object({
+  epoch: number,
+  entries: z.array(entry),
+  began: number,
+});
+const reply = z.custom<PutReply>(
+  (value) =>
+    typeof value === "object" &&
+    value !== null &&
+    "type" in value &&
+    typeof value.type === "string",
+);
+const STATE_SCHEMA = z.object({
+  version: number,
+  documentRevision: number,
+  now: number,
+  sections: z.array(
+    z.object({
+      section: z.string(),
+      revision: number,
+      documentRevision: number,
+      text: z.string(),
+      team: z.string(),
+      changeId: z.string(),
+      at: number,
+    }),
+  ),
+  answers: z.array(
+    z.object({ key: z.string(), content: z.string(), at: number, reply }),
+  ),
+  view,
+  formerViews: z.array(view.extend({ ended: number })),
+  stops: z.array(
+    z.object({
+      stop: z.string(),
+      phase: z.enum(["pending", "draining", "done", "overdue"]),
+      since: number,
+      version: number,
+      definition: z.string(),
+    }),
+  ),
+});
+
+/** All that the registry keeps. */
+export type RegistryState = z.infer<typeof STATE_SCHEMA>;
+
+const ENVELOPE_SCHEMA = z.object({
+  format: z.int(),
+  checksum: z.int(),
+  state: z.string(),
+});
+
+/** Encodes a state as UTF-8 JSON with its format and checksum. */
+export function encodeSnapshot(state: RegistryState): Uint8Array {
+  const text = JSON.stringify(state);
+  const checksum = hash32(text);
+  const envelope = { format: SNAPSHOT_FORMAT, checksum, state: text };
+  return new TextEncoder().encode(JSON.stringify(envelope));
+}
+
+/** Decodes a snapshot of this format or of an older one. */
+export function decodeSnapshot(
+  bytes: Uint8Array,
+  options: {
+    readonly format?: number;
+    readonly migrations?: Readonly<Record<number, Migration>>;
+  } = {},
+): Result<RegistryState, SnapshotFault> {
+  const { format = SNAPSHOT_FORMAT, migrations = MIGRATIONS } = options;
+  const envelope = ENVELOPE_SCHEMA.safeParse(parseJson(bytes));
+  if (!envelope.success) {
+    const detail = z.prettifyError(envelope.error);
+    return err({ type: "snapshot_malformed", detail });
+  }
+  const { checksum, state: text } = envelope.data;
+  if (hash32(text) !== checksum) {
+    return err({ type: "snapshot_checksum_wrong" });
+  }
+  let state: unknown = JSON.parse(text);
+  for (let from = envelope.data.format; from !== format; from++) {
+    const migration = migrations[from];
+    if (from > format || migration === undefined) {
+      const { format: found } = envelope.data;
+      return err({ type: "snapshot_format_unknown", format: found });
+    }
+    state = migration(state);
+  }
+  const checked = STATE_SCHEMA.safeParse(state);
+  if (checked.success) return ok(checked.data);
+  const detail = z.prettifyError(checked.error);
+  return err({ type: "snapshot_malformed", detail });
+}
+
+function parseJson(bytes: Uint8Array): unknown {
+  try {
+    return JSON.parse(new TextDecoder("utf-8", { fatal: true }).decode(bytes));
+  } catch {
+    return undefined;
+  }
+}
