Add the spread of the configuration and the entry's request path

Cause: entries need the accepted configuration, a rule for serving without control, and a path from a caller's request to a backend server. Ruled out: a strict lease (loss of control would stop all service); serving on without a check (a cut-off entry would serve an old configuration). Change: packages/configuration holds differences between versions, the table of heartbeats, the freshness rule of entries and the acceptance rule of control: a majority of the present view holds the change and every earlier view has a majority that knows its successor. The entry gets its HTTP server, connection pool, body handling and claims; control gets the publisher and the leader's duties.

--- /dev/null
+++ b/packages/configuration/change.ts
@@ -0,0 +1,208 @@
+import {
+  type Configuration,
+  EMPTY_DOCUMENT,
+  EMPTY_VIEW,
+  type Entry,
+  type FormerView,
+  type PlannedStop,
+  type Service,
+  type StopProgress,
+  type View,
+} from "#model";
+
+/** Items of a keyed list that differ between two versions. */
+export interface ListChange<T> {
+  readonly changed: readonly T[];
+  readonly removed: readonly string[];
+}
+
+/** One step back from a view to the view before it. */
+export interface ViewStep {
+  readonly epoch: number;
+  readonly began: number;
+  readonly ended: number;
+  readonly entries: ListChange<Entry>;
+}
+
+/** The difference between two versions of the configuration. */
+export interface ConfigurationChange {
+  /** The version that the change applies to; 0 for a complete one. */
+  readonly from: number;
+  readonly to: number;
+  readonly revision: number;
+  readonly regions?: Configuration["document"]["regions"];
+  readonly services: ListChange<Service>;
+  readonly plannedStops: ListChange<PlannedStop>;
+  readonly stops: ListChange<StopProgress>;
+  readonly view?: {
+    readonly epoch: number;
+    readonly began: number;
+    readonly entries: ListChange<Entry>;
+    /** Newest first; absent if the receiver's own view is the only new one. */
+    readonly former?: readonly ViewStep[];
+  };
+}
+
+export const EMPTY_CONFIGURATION: Configuration = {
+  document: EMPTY_DOCUMENT,
+  view: EMPTY_VIEW,
+  formerViews: [],
+  stops: [],
+  version: 0,
+};
+
+/** Former views are kept for the claim window and a margin for clock skew. */
+const FORMER_VIEW_KEPT_MS = 11 * 60_000;
+
+/**
+ * The configuration without what only control needs (credentials of teams and
+ * ownership of sections).
+ */
+export function withoutCredentials(
+  configuration: Configuration,
+): Configuration {
+  const document = { ...configuration.document, teams: [], owners: {} };
+  return { ...configuration, document };
+}
+
+/** Computes what a process at `from` lacks to be at `to`. */
+export function diffConfigurations(
+  from: Configuration,
+  to: Configuration,
+): ConfigurationChange {
+  const regionsDiffer = !same(from.document.regions, to.document.regions);
+  return {
+    from: from.version,
+    to: to.version,
+    revision: to.document.revision,
+    ...(regionsDiffer && { regions: to.document.regions }),
+    services: diffList(from.document.services, to.document.services, byName),
+    plannedStops: diffList(from.document.stops, to.document.stops, byName),
+    stops: diffList(from.stops, to.stops, byStop),
+    ...(from.view.epoch !== to.view.epoch && { view: diffViews(from, to) }),
+  };
+}
+
+/** Applies a change; undefined if it does not start at this version. */
+export function applyChange(
+  configuration: Configuration,
+  change: ConfigurationChange,
+): Configuration | undefined {
+  const base = change.from === 0 ? EMPTY_CONFIGURATION : configuration;
+  if (base.version !== change.from) return undefined;
+  const { document } = base;
+  return {
+    version: change.to,
+    document: {
+      ...document,
+      revision: change.revision,
+      regions: change.regions ?? document.regions,
+      services: applyList(document.services, change.services, byName),
+      stops: applyList(document.stops, change.plannedStops, byName),
+    },
+    stops: applyList(base.stops, change.stops, byStop),
+    ...applyView(base, change.view),
+  };
+}
+
+function diffViews(from: Configuration, to: Configuration) {
+  const { epoch, began } = to.view;
+  const entries = diffList(from.view.entries, to.view.entries, byId);
+  if (from.version > 0 && epoch === from.view.epoch + 1) {
+    return { epoch, began, entries };
+  }
+  return { epoch, began, entries, former: stepsBack(to) };
+}
+
+function stepsBack(configuration: Configuration): ViewStep[] {
+  let later: View = configuration.view;
+  return configuration.formerViews.toReversed().map((view) => {
+    const entries = diffList(later.entries, view.entries, byId);
+    later = view;
+    return {
+      epoch: view.epoch,
+      began: view.began,
+      ended: view.ended,
+      entries,
+    };
+  });
+}
+
+function applyView(
+  base: Configuration,
+  change: ConfigurationChange["view"],
+): Pick<Configuration, "view" | "formerViews"> {
+  if (change === undefined) {
+    return { view: base.view, formerViews: base.formerViews };
+  }
+  const view: View = {
+    epoch: change.epoch,
+    began: change.began,
+    entries: applyList(base.view.entries, change.entries, byId),
+  };
+  if (change.former) {
+    return { view, formerViews: walkBack(view, change.former) };
+  }
+  const ended: FormerView = { ...base.view, ended: change.began };
+  const oldest = change.began - FORMER_VIEW_KEPT_MS;
+  const formerViews = [...base.formerViews, ended].filter(
+    (former) => former.ended >= oldest && former.epoch > 0,
+  );
+  return { view, formerViews };
+}
+
+function walkBack(view: View, steps: readonly ViewStep[]): FormerView[] {
+  let later = view;
+  const views = steps.map((step) => {
+    const entries = applyList(later.entries, step.entries, byId);
+    const { epoch, began, ended } = step;
+    const former: FormerView = { epoch, began, ended, entries };
+    later = former;
+    return former;
+  });
+  return views.reverse();
+}
+
+function diffList<T>(
+  from: readonly T[],
+  to: readonly T[],
+  key: (item: T) => string,
+): ListChange<T> {
+  const before = new Map(from.map((item) => [key(item), item]));
+  const after = new Set(to.map(key));
+  return {
+    changed: to.filter((item) => !same(before.get(key(item)), item)),
+    removed: from.map(key).filter((name) => !after.has(name)),
+  };
+}
+
+function applyList<T>(
+  list: readonly T[],
+  change: ListChange<T>,
+  key: (item: T) => string,
+): readonly T[] {
+  if (change.changed.length === 0 && change.removed.length === 0) return list;
+  const items = new Map(list.map((item) => [key(item), item]));
+  for (const name of change.removed) items.delete(name);
+  for (const item of change.changed) items.set(key(item), item);
+  // The order is part of no decision, but must be the same on every host.
+  return [...items.entries()]
+    .sort(([a], [b]) => (a < b ? -1 : 1))
+    .map(([, item]) => item);
+}
+
+function same(a: unknown, b: unknown): boolean {
+  return a === b || JSON.stringify(a) === JSON.stringify(b);
+}
+
+function byName(item: { readonly name: string }): string {
+  return item.name;
+}
+
+function byId(item: { readonly id: string }): string {
+  return item.id;
+}
+
+function byStop(item: StopProgress): string {
+  return item.stop;
+}
--- /dev/null
+++ b/packages/configuration/change_test.ts
@@ -0,0 +1,127 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  type Configuration,
+  type Entry,
+  type FormerView,
+  SeededRandomness,
+  type Service,
+} from "#model";
+import {
+  applyChange,
+  diffConfigurations,
+  EMPTY_CONFIGURATION,
+} from "./change.ts";
+
+const ADDRESS = { host: "127.0.0.1", port: 1 };
+
+function entry(id: string, incarnation: number): Entry {
+  return {
+    id,
+    incarnation,
+    dataCentre: "riga-a",
+    http: ADDRESS,
+    peer: ADDRESS,
+    state: "ready",
+  };
+}
+
+function service(name: string, queueLength: number): Service {
+  return {
+    name,
+    measuringBudgetPercent: 1,
+    retryBudgetPercent: 10,
+    ejectionMaxPercent: 30,
+    drainLimitS: 600,
+    coldStartMs: 10_000,
+    queueLength,
+    slotsPerServer: 6,
+    connectionsPerServer: 300,
+    classes: [],
+    routes: [],
+  };
+}
+
+/** A history of versions, each with one random step from the one before. */
+function history(seed: number, length: number): Configuration[] {
+  const random = new SeededRandomness(seed);
+  const versions = [EMPTY_CONFIGURATION];
+  for (let version = 1; version <= length; version++) {
+    const last = versions.at(-1) ?? EMPTY_CONFIGURATION;
+    const name = `s${random.below(4)}`;
+    const id = `e${random.below(5)}`;
+    const step = random.below(3);
+    versions.push({
+      ...last,
+      version,
+      ...(step === 0 && { document: putService(last, { name, version }) }),
+      ...(step === 1 && { stops: putStop(last, { name, version }) }),
+      ...(step === 2 && changeView(last, { id, version })),
+    });
+  }
+  return versions;
+}
+
+function putService(
+  { document }: Configuration,
+  { name, version }: { name: string; version: number },
+) {
+  const others = document.services.filter((s) => s.name !== name);
+  const services =
+    version % 3 === 0 ? others : [...others, service(name, version)];
+  services.sort((a, b) => (a.name < b.name ? -1 : 1));
+  return { ...document, revision: version, services };
+}
+
+function putStop(
+  { stops }: Configuration,
+  { name, version }: { name: string; version: number },
+) {
+  const others = stops.filter((s) => s.stop !== name);
+  const stop = { stop: name, phase: "draining", since: version } as const;
+  return [...others, stop].sort((a, b) => (a.stop < b.stop ? -1 : 1));
+}
+
+function changeView(
+  { view, formerViews }: Configuration,
+  { id, version }: { id: string; version: number },
+) {
+  const others = view.entries.filter((e) => e.id !== id);
+  const entries = version % 4 === 0 ? others : [...others, entry(id, version)];
+  entries.sort((a, b) => (a.id < b.id ? -1 : 1));
+  const ended: FormerView = { ...view, ended: version };
+  return {
+    view: { epoch: view.epoch + 1, began: version, entries },
+    formerViews: view.epoch > 0 ? [...formerViews, ended] : formerViews,
+  };
+}
+
+test("a change from any version leads to exactly the later version", () => {
+  for (let seed = 0; seed < 30; seed++) {
+    const versions = history(seed, 20);
+    for (const from of versions) {
+      for (const to of versions.slice(from.version)) {
+        const change = diffConfigurations(from, to);
+        const wire = JSON.parse(JSON.stringify(change));
+        assert.deepEqual(applyChange(from, wire), to, `seed ${seed}`);
+      }
+    }
+  }
+});
+
+test("a complete change applies over anything", () => {
+  const versions = history(1, 20);
+  const [, old] = versions;
+  const last = versions.at(-1);
+  assert.ok(old && last);
+  const change = diffConfigurations(EMPTY_CONFIGURATION, last);
+  assert.deepEqual(applyChange(old, change), last);
+});
+
+test("a change is refused by a configuration that it does not start from", () => {
+  const versions = history(2, 5);
+  const [, first, second, third] = versions;
+  assert.ok(first && second && third);
+  const change = diffConfigurations(second, third);
+  assert.equal(applyChange(first, change), undefined);
+});
--- /dev/null
+++ b/packages/configuration/freshness_test.ts
@@ -0,0 +1,138 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Entry, View } from "#model";
+import { CONFIRMED_FOR_MS, Freshness } from "./freshness.ts";
+
+const ADDRESS = { host: "127.0.0.1", port: 1 };
+
+function entry(id: string, incarnation = 1): Entry {
+  return {
+    id,
+    incarnation,
+    dataCentre: "riga-a",
+    http: ADDRESS,
+    peer: ADDRESS,
+    state: "ready",
+  };
+}
+
+const VIEW: View = {
+  epoch: 3,
+  began: 0,
+  entries: ["a", "b", "c", "d"].map((id) => entry(id)),
+};
+const SELF = entry("a");
+
+function askPeers(freshness: Freshness, now: number): number {
+  return freshness.askPeers({ view: VIEW, version: 7, self: SELF, now });
+}
+
+test("an entry that was never confirmed takes no work", () => {
+  assert.equal(new Freshness().fresh(0), false);
+});
+
+test("a slow answer does not stretch the confirmation", () => {
+  const freshness = new Freshness();
+  const sequence = freshness.ask(1_000);
+  // The answer arrives 2.9 s after the question.
+  freshness.answered({ sequence, version: 7, ownVersion: 7 });
+  assert.equal(freshness.fresh(1_000 + CONFIRMED_FOR_MS), true);
+  assert.equal(freshness.fresh(1_001 + CONFIRMED_FOR_MS), false);
+});
+
+test("an answer to no question confirms nothing", () => {
+  const freshness = new Freshness();
+  const sequence = freshness.ask(0);
+  freshness.answered({ sequence: sequence + 1, version: 7, ownVersion: 7 });
+  assert.equal(freshness.fresh(0), false);
+});
+
+test("an entry behind control's version is not confirmed", () => {
+  const freshness = new Freshness();
+  const sequence = freshness.ask(0);
+  freshness.answered({ sequence, version: 8, ownVersion: 7 });
+  assert.equal(freshness.fresh(0), false);
+});
+
+const ROUNDS: {
+  name: string;
+  answers: { id: string; incarnation?: number; version: number }[];
+  fresh: boolean;
+}[] = [
+  {
+    name: "half of the view is no majority",
+    answers: [{ id: "b", version: 7 }],
+    fresh: false,
+  },
+  {
+    name: "a majority at the same version confirms",
+    answers: [
+      { id: "b", version: 7 },
+      { id: "c", version: 7 },
+    ],
+    fresh: true,
+  },
+  {
+    name: "peers that lag behind still confirm",
+    answers: [
+      { id: "b", version: 6 },
+      { id: "c", version: 2 },
+    ],
+    fresh: true,
+  },
+  {
+    name: "one peer with a higher version forbids it",
+    answers: [
+      { id: "b", version: 8 },
+      { id: "c", version: 7 },
+      { id: "d", version: 7 },
+    ],
+    fresh: false,
+  },
+  {
+    name: "a duplicated answer counts once",
+    answers: [
+      { id: "b", version: 7 },
+      { id: "b", version: 7 },
+    ],
+    fresh: false,
+  },
+  {
+    name: "a restarted peer is not the member of the view",
+    answers: [
+      { id: "b", version: 7 },
+      { id: "c", incarnation: 2, version: 7 },
+    ],
+    fresh: false,
+  },
+  {
+    name: "an entry outside the view has no vote",
+    answers: [
+      { id: "b", version: 7 },
+      { id: "x", version: 7 },
+    ],
+    fresh: false,
+  },
+];
+
+for (const { name, answers, fresh } of ROUNDS) {
+  test(`without control, ${name}`, () => {
+    const freshness = new Freshness();
+    const round = askPeers(freshness, 0);
+    for (const { id, incarnation = 1, version } of answers) {
+      freshness.peerAnswered({ peer: { id, incarnation }, round, version });
+    }
+    assert.equal(freshness.fresh(0), fresh);
+  });
+}
+
+test("answers of an earlier round do not count for a later one", () => {
+  const freshness = new Freshness();
+  const first = askPeers(freshness, 0);
+  askPeers(freshness, 5_000);
+  for (const id of ["b", "c", "d"]) {
+    const peer = { id, incarnation: 1 };
+    freshness.peerAnswered({ peer, round: first, version: 7 });
+  }
+  assert.equal(freshness.fresh(5_000), false);
+});
--- /dev/null
+++ b/packages/configuration/messages.ts
@@ -0,0 +1,55 @@
+import type { Entry, HostId } from "#model";
+import type { ConfigurationChange } from "./change.ts";
+
+/** Calls in flight at one entry on the servers of a planned stop. */
+export interface StopReport {
+  readonly stop: string;
+  readonly inFlight: number;
+}
+
+/** An entry's heartbeat: what it has in force, and that it asks for more. */
+export interface Confirmation {
+  readonly entry: Entry;
+  /** The configuration version that the entry has in force. */
+  readonly version: number;
+  /** Matches the answer to this heartbeat. */
+  readonly sequence: number;
+  readonly stops: readonly StopReport[];
+}
+
+/** Control's answer, or a push if there is no sequence. */
+export interface ConfigurationState {
+  /** The version in force at a read confirmed by a majority. */
+  readonly version: number;
+  readonly sequence?: number;
+  /** Absent if the entry has that version. */
+  readonly change?: ConfigurationChange;
+}
+
+/** What a control host last heard from an entry. */
+export interface Sighting {
+  readonly id: HostId;
+  readonly incarnation: number;
+  readonly version: number;
+  /** Time since the heartbeat, on the sender's clock. */
+  readonly ageMs: number;
+  readonly stops: readonly StopReport[];
+  /** Present if the agreed view does not hold exactly this record. */
+  readonly entry?: Entry;
+}
+
+/** Messages that spread and confirm the configuration. */
+export interface ConfigurationMessages {
+  /** Entry to control. */
+  confirm: Confirmation;
+  /** Control to entry. */
+  state: ConfigurationState;
+  /** Control to control. */
+  entries_seen: { readonly entries: readonly Sighting[] };
+  /** Entry to entry: asks for the version in force there. */
+  version_ask: { readonly version: number; readonly round: number };
+  /** Entry to entry. */
+  version_answer: { readonly version: number; readonly round: number };
+  /** Entry to entry: what a peer with a lower version lacks. */
+  version_push: { readonly change: ConfigurationChange };
+}
--- /dev/null
+++ b/packages/control/leader_duties.ts
@@ -0,0 +1,89 @@
+import { ENTRY_LEASE_MS, type EntryTable, sameEntry } from "#configuration";
+import type { Clock } from "#model";
+import {
+  dueStops,
+  type InFlightReport,
+  type RegistryCommand,
+  type RegistryConfiguration,
+} from "#registry";
+
+/**
+ * Grace after a host became leader: it may not have heard yet from entries
+ * whose heartbeats go to other control hosts.
+ */
+const NEW_LEADER_GRACE_MS = ENTRY_LEASE_MS;
+
+/** What a leader has to submit so that the agreed state follows events. */
+export class LeaderDuties {
+  readonly #clock: Clock;
+  readonly #table: EntryTable;
+  #leaderSince: number | undefined;
+
+  constructor(options: { clock: Clock; table: EntryTable }) {
+    this.#clock = options.clock;
+    this.#table = options.table;
+  }
+
+  /** Commands that are due; none on a host that does not lead. */
+  due(
+    leading: boolean,
+    configuration: RegistryConfiguration,
+  ): RegistryCommand[] {
+    const now = this.#clock.now();
+    if (!leading) {
+      this.#leaderSince = undefined;
+      return [];
+    }
+    this.#leaderSince ??= now;
+    const at = Math.floor(this.#clock.epoch());
+    const departures =
+      now - this.#leaderSince >= NEW_LEADER_GRACE_MS
+        ? this.#departures(configuration, { now, at })
+        : [];
+    return [
+      ...this.#arrivals(configuration, { now, at }),
+      ...departures,
+      ...dueStops(configuration, at, this.#reports()),
+    ];
+  }
+
+  #arrivals(
+    { view }: RegistryConfiguration,
+    time: { now: number; at: number },
+  ): RegistryCommand[] {
+    const present = new Map(view.entries.map((entry) => [entry.id, entry]));
+    return this.#table.live(time.now).flatMap(({ entry }) => {
+      if (!entry) return [];
+      const known = present.get(entry.id);
+      if (known && known.incarnation > entry.incarnation) return [];
+      if (sameEntry(known, entry)) return [];
+      const type =
+        known?.incarnation === entry.incarnation
+          ? "entry_changed"
+          : "entry_joined";
+      return [{ type, entry, at: time.at }];
+    });
+  }
+
+  #departures(
+    { view }: RegistryConfiguration,
+    time: { now: number; at: number },
+  ): RegistryCommand[] {
+    return view.entries.flatMap(({ id, incarnation }) => {
+      const status = this.#table.get(id);
+      if (status && time.now - status.seenAt <= ENTRY_LEASE_MS) return [];
+      return [{ type: "entry_left", id, incarnation, at: time.at }];
+    });
+  }
+
+  #reports(): InFlightReport[] {
+    return this.#table.all().map((status) => ({
+      entry: status.id,
+      incarnation: status.incarnation,
+      version: status.version,
+      inFlight: Object.fromEntries(
+        status.stops.map(({ stop, inFlight }) => [stop, inFlight]),
+      ),
+    }));
+  }
+}
--- /dev/null
+++ b/packages/entry/assignments.ts
@@ -0,0 +1,105 @@
+import { err, ok, type Result } from "neverthrow";
+import type { BackendServer, Call, CallFault, Clock, HostId } from "#model";
+import type {
+  CallResult,
+  DispatchMessages,
+  ProbeResult,
+  Router,
+  RoutingEffect,
+} from "#routing";
+import type { Network } from "#wire";
+
+/** How often queues, timeouts and probes are looked at. */
+export const ROUTER_TICK_MS = 10;
+
+export interface AssignmentsOptions {
+  readonly router: Router;
+  readonly clock: Clock;
+  readonly network: Network<DispatchMessages>;
+  readonly probe: (server: BackendServer) => Promise<ProbeResult>;
+}
+
+type DecisionEffect = { readonly type: "assign" | "reject" | "probe" };
+
+interface PeerMessage {
+  readonly to: HostId;
+  readonly kind: keyof DispatchMessages & string;
+  readonly payload: DispatchMessages[keyof DispatchMessages];
+}
+
+type Decision = Result<BackendServer, CallFault>;
+
+/** Carries out the router's effects and hands each call its decision. */
+export class Assignments {
+  readonly #options: AssignmentsOptions;
+  readonly #pending = new Map<string, (decision: Decision) => void>();
+
+  constructor(options: AssignmentsOptions) {
+    this.#options = options;
+  }
+
+  /** Asks for a backend server; resolves at once if a slot is free. */
+  submit(
+    call: Call,
+    exclude: ReadonlySet<string>,
+    decided: (decision: Decision) => void,
+  ): void {
+    const { router, clock } = this.#options;
+    this.#pending.set(call.id, decided);
+    this.carryOut(router.submit(call, { exclude, now: clock.now() }));
+  }
+
+  /** Reports what became of an assigned call. */
+  finish(callId: string, result: CallResult): void {
+    const { router, clock } = this.#options;
+    this.carryOut(router.finish(callId, result, clock.now()));
+  }
+
+  /** Gives up a call that waits for a server. */
+  cancel(callId: string): void {
+    const { router, clock } = this.#options;
+    if (!this.#pending.delete(callId)) return;
+    this.carryOut(router.cancel(callId, clock.now()));
+  }
+
+  tick(): void {
+    this.carryOut(this.#options.router.tick(this.#options.clock.now()));
+  }
+
+  carryOut(effects: readonly RoutingEffect[]): void {
+    for (const effect of effects) this.#carryOut(effect);
+  }
+
+  #carryOut(effect: RoutingEffect): void {
+    switch (effect.type) {
+      case "assign":
+        this.#decide(effect.callId, ok(effect.server));
+        return;
+      case "reject":
+        this.#decide(effect.callId, err(effect.fault));
+        return;
+      case "probe":
+        void this.#probe(effect.server);
+        return;
+      default:
+        this.#send(effect);
+    }
+  }
+
+  #decide(callId: string, decision: Decision): void {
+    const decided = this.#pending.get(callId);
+    this.#pending.delete(callId);
+    decided?.(decision);
+  }
+
+  #send(effect: Exclude<RoutingEffect, DecisionEffect>): void {
+    const { to, kind, payload } = effect as PeerMessage;
+    this.#options.network.send(to, kind, payload);
+  }
+
+  async #probe(server: BackendServer): Promise<void> {
+    const { router, clock, probe } = this.#options;
+    const result = await probe(server);
+    this.carryOut(router.probed(server, result, clock.now()));
+  }
+}
--- /dev/null
+++ b/packages/entry/backend_client.ts
@@ -0,0 +1,230 @@
+import { Agent, request as httpRequest, type IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
+import {
+  type BackendServer,
+  backendServerKey,
+  type Clock,
+  HEADERS,
+} from "#model";
+import type { RequestBody } from "./request_body.ts";
+
+/** Answers up to this size are checked to be whole before they are passed on. */
+export const BUFFERED_ANSWER_BYTES = 64 * 1024;
+/** Idle connections close before servers usually close theirs (5 s). */
+const IDLE_CONNECTION_MS = 4_000;
+
+/** What is sent to a backend server. */
+export interface BackendRequest {
+  readonly method: string;
+  readonly path: string;
+  /** Node's flat list of header names and values. */
+  readonly headers: string[];
+  readonly body: RequestBody;
+  readonly connectTimeoutMs: number;
+}
+
+/** A server's answer: whole if it is short, else still arriving. */
+export type BackendAnswer = WholeAnswer | StreamedAnswer;
+
+interface AnswerHead {
+  readonly status: number;
+  readonly rawHeaders: readonly string[];
+  readonly inFlight: number | undefined;
+  readonly leaving: boolean;
+  readonly notStarted: boolean;
+}
+
+interface WholeAnswer extends AnswerHead {
+  readonly body: Buffer;
+  readonly stream?: undefined;
+}
+
+interface StreamedAnswer extends AnswerHead {
+  readonly body?: undefined;
+  readonly stream: IncomingMessage;
+}
+
+/** How an attempt went wrong; `sent` says whether any byte may have left. */
+export type AttemptFault =
+  | { readonly type: "not_connected"; readonly detail: string }
+  | { readonly type: "connection_lost"; readonly detail: string }
+  | { readonly type: "answer_cut"; readonly detail: string }
+  | { readonly type: "cancelled"; readonly sent: boolean };
+
+export type AttemptEnd =
+  | { readonly type: "answer"; readonly answer: BackendAnswer }
+  | { readonly type: "fault"; readonly fault: AttemptFault };
+
+/** One request under way at a backend server. */
+export interface Attempt {
+  readonly end: Promise<AttemptEnd>;
+  /** Closes the connection, which cancels the request at the server. */
+  cancel(): void;
+}
+
+/** Sends requests to backend servers over pooled connections. */
+export class BackendClient {
+  readonly #clock: Clock;
+  readonly #agents = new Map<string, { agent: Agent; incarnation: number }>();
+
+  constructor(options: { clock: Clock }) {
+    this.#clock = options.clock;
+  }
+
+  send(server: BackendServer, request: BackendRequest): Attempt {
+    const { address } = server;
+    const outgoing = httpRequest({
+      host: address.host,
+      port: address.port,
+      method: request.method,
+      path: request.path,
+      headers: request.headers,
+      agent: this.#agent(server),
+      setHost: false,
+    });
+    let connected = false;
+    let settled = false;
+    const end = new Promise<AttemptEnd>((resolve) => {
+      const settle = (result: AttemptEnd) => {
+        if (settled) return;
+        settled = true;
+        resolve(result);
+      };
+      const fail = (detail: string) => {
+        // Errors after the response has begun are the response's own.
+        const type = connected ? "connection_lost" : "not_connected";
+        settle({ type: "fault", fault: { type, detail } });
+      };
+      outgoing.once("socket", (socket) => {
+        connected = !socket.connecting;
+        if (connected) return;
+        const timeoutMs = request.connectTimeoutMs;
+        limitConnect(socket, { timeoutMs, request: outgoing });
+        socket.once("connect", () => {
+          connected = true;
+        });
+      });
+      let responded = false;
+      outgoing.once("error", (error) => fail(error.message));
+      outgoing.once("close", () => {
+        if (!responded) fail("connection closed");
+      });
+      outgoing.once("response", (response) => {
+        responded = true;
+        void collect(response).then(settle);
+      });
+    });
+    sendBody(outgoing, request.body);
+    return {
+      end,
+      cancel: () => {
+        outgoing.destroy();
+      },
+    };
+  }
+
+  /** Closes pooled connections to servers that are gone. */
+  retain(servers: ReadonlySet<string>): void {
+    for (const [key, { agent }] of this.#agents) {
+      if (servers.has(key)) continue;
+      agent.destroy();
+      this.#agents.delete(key);
+    }
+  }
+
+  close(): void {
+    this.retain(new Set());
+  }
+
+  /** The clock that stamps attempts. */
+  get clock(): Clock {
+    return this.#clock;
+  }
+
+  #agent(server: BackendServer): Agent {
+    const key = backendServerKey(server);
+    const pooled = this.#agents.get(key);
+    if (pooled?.incarnation === server.incarnation) return pooled.agent;
+    pooled?.agent.destroy();
+    const agent = new Agent({
+      keepAlive: true,
+      maxSockets: Number.POSITIVE_INFINITY,
+      maxFreeSockets: server.slots,
+      timeout: IDLE_CONNECTION_MS,
+      scheduling: "lifo",
+    });
+    this.#agents.set(key, { agent, incarnation: server.incarnation });
+    return agent;
+  }
+}
+
+type Outgoing = ReturnType<typeof httpRequest>;
+
+function limitConnect(
+  socket: Socket,
+  options: { timeoutMs: number; request: Outgoing },
+): void {
+  const timer = setTimeout(() => {
+    options.request.destroy(
+      new Error(`no connection within ${options.timeoutMs} ms`),
+    );
+  }, options.timeoutMs);
+  const stop = () => clearTimeout(timer);
+  socket.once("connect", stop);
+  socket.once("close", stop);
+}
+
+function sendBody(outgoing: Outgoing, body: RequestBody): void {
+  if (!body.rest) {
+    outgoing.end(body.head.length > 0 ? body.head : undefined);
+    return;
+  }
+  outgoing.write(body.head);
+  body.rest.pipe(outgoing);
+}
+
+/** Waits for a short body to be whole; a long one is passed on as it comes. */
+function collect(response: IncomingMessage): Promise<AttemptEnd> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    const onData = (chunk: Buffer) => {
+      chunks.push(chunk);
+      length += chunk.length;
+      if (length <= BUFFERED_ANSWER_BYTES) return;
+      response.pause();
+      response.off("data", onData);
+      response.off("end", onEnd);
+      response.unshift(Buffer.concat(chunks));
+      const answer = { ...describe(response), stream: response };
+      resolve({ type: "answer", answer });
+    };
+    const onEnd = () => {
+      const answer = { ...describe(response), body: Buffer.concat(chunks) };
+      resolve({ type: "answer", answer });
+    };
+    response.on("data", onData);
+    response.once("end", onEnd);
+    const cut = (detail: string) => {
+      resolve({ type: "fault", fault: { type: "answer_cut", detail } });
+    };
+    response.once("error", (error) => cut(error.message));
+    response.once("close", () => cut("connection closed"));
+  });
+}
+
+function describe(response: IncomingMessage): AnswerHead {
+  const { headers } = response;
+  const inFlight = Number(headers[HEADERS.inFlight]);
+  return {
+    status: response.statusCode ?? 502,
+    rawHeaders: response.rawHeaders,
+    inFlight:
+      headers[HEADERS.inFlight] !== undefined && Number.isFinite(inFlight)
+        ? inFlight
+        : undefined,
+    leaving: headers[HEADERS.serverState] === "leaving",
+    notStarted:
+      response.statusCode === 503 && headers[HEADERS.notStarted] === "true",
+  };
+}
--- /dev/null
+++ b/packages/entry/configuration_follower.ts
@@ -0,0 +1,144 @@
+import {
+  applyChange,
+  type ConfigurationChange,
+  type ConfigurationMessages,
+  diffConfigurations,
+  EMPTY_CONFIGURATION,
+  Freshness,
+  type StopReport,
+} from "#configuration";
+import type { Clock, Configuration, Entry, HostId } from "#model";
+import type { Logger } from "#telemetry";
+import type { Hello, Network } from "#wire";
+
+/** Heartbeats to control. */
+export const CONFIRM_EVERY_MS = 1_000;
+/**
+ * Age of the last confirmation from which an entry turns to the next control
+ * host and to its peers; above the heartbeat's period with room for jitter.
+ */
+const OVERDUE_AFTER_MS = 1_500;
+
+export interface FollowerOptions {
+  readonly network: Network<ConfigurationMessages>;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly self: () => Entry;
+  /** Control hosts with an open connection. */
+  readonly controls: () => readonly HostId[];
+  readonly stopReports: () => readonly StopReport[];
+  readonly changed: (configuration: Configuration) => void;
+}
+
+/** Keeps an entry's configuration at the newest accepted version. */
+export class ConfigurationFollower {
+  readonly #options: FollowerOptions;
+  readonly #freshness = new Freshness();
+  #configuration: Configuration = EMPTY_CONFIGURATION;
+  #control: HostId | undefined;
+  #turn = 0;
+
+  constructor(options: FollowerOptions) {
+    this.#options = options;
+    const { network } = options;
+    network.handle("state", (state, from) => {
+      if (state.change) this.#apply(state.change, from);
+      if (state.sequence === undefined) return;
+      this.#freshness.answered({
+        sequence: state.sequence,
+        version: state.version,
+        ownVersion: this.version,
+      });
+    });
+    network.handle("version_ask", (ask, from) => this.#answerPeer(ask, from));
+    network.handle("version_answer", (answer, from) => {
+      const { round, version } = answer;
+      this.#freshness.peerAnswered({ peer: from, round, version });
+    });
+    network.handle("version_push", ({ change }, from) =>
+      this.#apply(change, from),
+    );
+  }
+
+  get configuration(): Configuration {
+    return this.#configuration;
+  }
+
+  get version(): number {
+    return this.#configuration.version;
+  }
+
+  /** Whether new work may be taken. */
+  fresh(): boolean {
+    return this.version > 0 && this.#freshness.fresh(this.#options.clock.now());
+  }
+
+  /** Time since the version was last confirmed, in milliseconds. */
+  confirmationAge(): number {
+    return this.#freshness.age(this.#options.clock.now());
+  }
+
+  /** Sends a heartbeat; called every `CONFIRM_EVERY_MS` and on changes. */
+  confirm(): void {
+    const { clock, network, self, stopReports } = this.#options;
+    const now = clock.now();
+    const age = this.#freshness.age(now);
+    // A control host that does not answer is left for the next one.
+    if (age > OVERDUE_AFTER_MS) this.#turn += 1;
+    this.#control = this.#chooseControl();
+    if (this.#control !== undefined) {
+      network.send(this.#control, "confirm", {
+        entry: self(),
+        version: this.version,
+        sequence: this.#freshness.ask(now),
+        stops: stopReports(),
+      });
+    }
+    if (age > OVERDUE_AFTER_MS && this.version > 0) this.#askPeers(now);
+  }
+
+  #chooseControl(): HostId | undefined {
+    const controls = this.#options.controls();
+    if (this.#control !== undefined && controls.includes(this.#control)) {
+      if (this.confirmationAge() <= OVERDUE_AFTER_MS) {
+        return this.#control;
+      }
+    }
+    return controls[this.#turn % Math.max(1, controls.length)];
+  }
+
+  #askPeers(now: number): void {
+    const { network, self } = this.#options;
+    const { view, version } = this.#configuration;
+    const own = self();
+    const round = this.#freshness.askPeers({ view, version, self: own, now });
+    for (const { id } of view.entries) {
+      if (id !== own.id) network.send(id, "version_ask", { version, round });
+    }
+  }
+
+  #answerPeer(ask: { version: number; round: number }, from: Hello): void {
+    const { network } = this.#options;
+    const { version } = this;
+    network.send(from.id, "version_answer", { version, round: ask.round });
+    if (ask.version >= version) return;
+    const change = diffConfigurations(EMPTY_CONFIGURATION, this.#configuration);
+    network.send(from.id, "version_push", { change });
+  }
+
+  #apply(change: ConfigurationChange, from: Hello): void {
+    // Never back: an older version is ignored, whoever sends it.
+    if (change.to <= this.version) return;
+    const next = applyChange(this.#configuration, change);
+    // A change to another base: the next heartbeat tells the version held here.
+    if (!next) return;
+    this.#configuration = next;
+    this.#options.logger.debug("configuration in force", {
+      version: next.version,
+      revision: next.document.revision,
+      from: from.id,
+    });
+    this.#options.changed(next);
+    this.confirm();
+  }
+}
--- /dev/null
+++ b/packages/entry/key_claims.ts
@@ -0,0 +1,129 @@
+import {
+  Claimant,
+  type ClaimEffect,
+  ClaimHolder,
+  type ClaimMessage,
+  type ClaimMessages,
+  type Instant,
+  type KeyedCall,
+  type Settlement,
+  type StoredAnswer,
+} from "#claims";
+import type {
+  CallFault,
+  Clock,
+  Configuration,
+  HostId,
+  Randomness,
+} from "#model";
+import type { Network } from "#wire";
+
+/** How often waiting claims are looked at. */
+export const CLAIM_TICK_MS = 10;
+
+/** Whether a call that must not be repeated may run. */
+export type ClaimDecision =
+  | { readonly type: "granted" }
+  | { readonly type: "denied"; readonly fault: CallFault }
+  | { readonly type: "replayed"; readonly answer: StoredAnswer };
+
+const KINDS = [
+  "claim.request",
+  "claim.reply",
+  "claim.settle",
+  "claim.release",
+  "claim.inquiry",
+] as const satisfies readonly (keyof ClaimMessages)[];
+
+/** Carries out the claims of this entry's calls, and those that it holds. */
+export class KeyClaims {
+  readonly #self: HostId;
+  readonly #clock: Clock;
+  readonly #network: Network<ClaimMessages>;
+  readonly #claimant: Claimant;
+  readonly #holder: ClaimHolder;
+  readonly #waiting = new Map<string, (decision: ClaimDecision) => void>();
+
+  constructor(options: {
+    self: HostId;
+    incarnation: number;
+    clock: Clock;
+    randomness: Randomness;
+    network: Network<ClaimMessages>;
+  }) {
+    const { self, incarnation, clock, randomness, network } = options;
+    this.#self = self;
+    this.#clock = clock;
+    this.#network = network;
+    this.#claimant = new Claimant({ self, incarnation, randomness });
+    this.#holder = new ClaimHolder({ incarnation });
+    for (const kind of KINDS) {
+      network.handle(kind, (payload, from) => {
+        this.#receive(from.id, { kind, payload } as ClaimMessage);
+      });
+    }
+  }
+
+  configure({ view, formerViews }: Configuration): void {
+    this.#holder.configure(view);
+    this.#carryOut(this.#claimant.configure({ view, formerViews }, this.#at()));
+  }
+
+  /** Claims a call's key; resolves with exactly one decision. */
+  claim(call: KeyedCall): Promise<ClaimDecision> {
+    return new Promise((resolve) => {
+      this.#waiting.set(call.callId, resolve);
+      this.#carryOut(this.#claimant.claim(call, this.#at()));
+    });
+  }
+
+  /** Gives up a claim that is not decided yet. */
+  cancel(callId: string): void {
+    if (!this.#waiting.delete(callId)) return;
+    this.#carryOut(this.#claimant.cancel(callId, this.#at()));
+  }
+
+  /** Tells how a granted call ended. */
+  settle(callId: string, settlement: Settlement): void {
+    this.#carryOut(this.#claimant.settle(callId, settlement, this.#at()));
+  }
+
+  tick(): void {
+    const at = this.#at();
+    this.#carryOut(this.#claimant.tick(at));
+    this.#holder.tick(at.now);
+  }
+
+  /** Keys held here for all entries. */
+  get held(): number {
+    return this.#holder.size;
+  }
+
+  #receive(from: HostId, message: ClaimMessage): void {
+    const at = this.#at();
+    this.#carryOut(this.#holder.receive(from, message, at));
+    this.#carryOut(this.#claimant.receive(from, message, at));
+  }
+
+  #carryOut(effects: readonly ClaimEffect[]): void {
+    for (const effect of effects) {
+      if (effect.type !== "send") this.#decide(effect);
+      else if (effect.to === this.#self) this.#receive(this.#self, effect);
+      else this.#network.send(effect.to, effect.kind, effect.payload);
+    }
+  }
+
+  #decide(effect: Exclude<ClaimEffect, { type: "send" }>): void {
+    const waiting = this.#waiting.get(effect.callId);
+    this.#waiting.delete(effect.callId);
+    if (waiting) waiting(effect);
+    // The caller has gone meanwhile, and nothing was sent to a server.
+    else if (effect.type === "granted") {
+      this.settle(effect.callId, { type: "not_started" });
+    }
+  }
+
+  #at(): Instant {
+    return { now: this.#clock.now(), epoch: this.#clock.epoch() };
+  }
+}
--- /dev/null
+++ b/packages/entry/reply.ts
@@ -0,0 +1,121 @@
+import type { ServerResponse } from "node:http";
+import { CALL_FAULTS, type CallFault, HEADERS, type Outcome } from "#model";
+
+/** Answers a call with a typed fault. */
+export function replyFault(
+  response: ServerResponse,
+  options: { fault: CallFault; requestId: string },
+): void {
+  const { fault, requestId } = options;
+  if (response.headersSent || response.destroyed) {
+    // Part of an answer is out: closing is the only way to say it is not whole.
+    response.destroy();
+    return;
+  }
+  const body = JSON.stringify({
+    error: fault.code,
+    outcome: fault.outcome,
+    ...(fault.detail !== undefined && { detail: fault.detail }),
+    ...(fault.retryAfterMs !== undefined && {
+      retry_after_ms: Math.ceil(fault.retryAfterMs),
+    }),
+  });
+  const headers: Record<string, string | number> = {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(body),
+    [HEADERS.error]: fault.code,
+    [HEADERS.outcome]: fault.outcome,
+    [HEADERS.requestId]: requestId,
+  };
+  if (fault.retryAfterMs !== undefined) {
+    const ms = Math.max(1, Math.ceil(fault.retryAfterMs));
+    headers[HEADERS.retryAfterMs] = ms;
+    headers[HEADERS.retryAfter] = Math.ceil(ms / 1_000);
+  }
+  if (fault.code === "request_timeout" || fault.code === "body_too_large") {
+    // The rest of the request will not be read.
+    headers.connection = "close";
+  }
+  response.writeHead(CALL_FAULTS[fault.code].status, headers);
+  response.end(body);
+}
+
+/** Answers one of mangobank's own paths with JSON. */
+export function replyJson(
+  response: ServerResponse,
+  options: { status: number; body?: unknown },
+): void {
+  if (options.body === undefined) {
+    response.writeHead(options.status).end();
+    return;
+  }
+  const body = JSON.stringify(options.body);
+  response.writeHead(options.status, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(body),
+  });
+  response.end(body);
+}
+
+/** Headers that belong to one connection and are not passed on (RFC 9110). */
+const HOP_BY_HOP = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** Raw headers that may be passed on, as Node's flat list of pairs. */
+export function endToEndHeaders(
+  raw: readonly string[],
+  dropped: ReadonlySet<string>,
+): string[] {
+  const named = connectionTokens(raw);
+  const kept: string[] = [];
+  for (let i = 0; i < raw.length; i += 2) {
+    const name = raw[i] ?? "";
+    const lower = name.toLowerCase();
+    if (HOP_BY_HOP.has(lower) || dropped.has(lower) || named.has(lower)) {
+      continue;
+    }
+    kept.push(name, raw[i + 1] ?? "");
+  }
+  return kept;
+}
+
+function connectionTokens(raw: readonly string[]): Set<string> {
+  const tokens = new Set<string>();
+  for (let i = 0; i < raw.length; i += 2) {
+    if (raw[i]?.toLowerCase() !== "connection") continue;
+    for (const token of (raw[i + 1] ?? "").split(",")) {
+      tokens.add(token.trim().toLowerCase());
+    }
+  }
+  return tokens;
+}
+
+/** Headers of a server's answer for the caller. */
+export function answerHeaders(options: {
+  raw: readonly string[];
+  outcome: Outcome;
+  requestId: string;
+}): string[] {
+  const kept = endToEndHeaders(options.raw, SERVER_ONLY);
+  kept.push(HEADERS.outcome, options.outcome);
+  kept.push(HEADERS.requestId, options.requestId);
+  return kept;
+}
+
+const SERVER_ONLY: ReadonlySet<string> = new Set([
+  HEADERS.outcome,
+  HEADERS.requestId,
+  HEADERS.inFlight,
+  HEADERS.serverState,
+  HEADERS.notStarted,
+  HEADERS.error,
+]);
--- /dev/null
+++ b/packages/entry/request_body.ts
@@ -0,0 +1,73 @@
+import type { IncomingMessage } from "node:http";
+import { err, ok, type Result } from "neverthrow";
+import { type CallFault, callFault } from "#model";
+
+/** Body bytes kept for retries, fingerprints and the at-most-once check. */
+export const BUFFERED_BODY_BYTES = 64 * 1024;
+
+/** A request body: its first part in memory, the rest still arriving. */
+export interface RequestBody {
+  readonly head: Buffer;
+  /** The rest, if the body is longer than what is kept. */
+  readonly rest: IncomingMessage | undefined;
+}
+
+export interface BodyLimits {
+  readonly maxBytes: number;
+  /** Longest time for the part that is kept to arrive. */
+  readonly timeoutMs: number;
+}
+
+const EMPTY: RequestBody = { head: Buffer.alloc(0), rest: undefined };
+
+/**
+ * Reads the first part of a body before a slot is taken, so that a slow caller
+ * holds no backend server's slot while its small request arrives.
+ */
+export function readBody(
+  request: IncomingMessage,
+  limits: BodyLimits,
+): Promise<Result<RequestBody, CallFault>> {
+  const { headers } = request;
+  const declared = Number(headers["content-length"] ?? 0);
+  if (declared > limits.maxBytes) {
+    const detail = `body has ${declared} bytes, at most ${limits.maxBytes} are accepted`;
+    return Promise.resolve(err(callFault("body_too_large", { detail })));
+  }
+  if (declared === 0 && headers["transfer-encoding"] === undefined) {
+    request.resume();
+    return Promise.resolve(ok(EMPTY));
+  }
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    const finish = (result: Result<RequestBody, CallFault>) => {
+      clearTimeout(timer);
+      request.off("data", onData);
+      request.off("end", onEnd);
+      request.off("close", onClose);
+      resolve(result);
+    };
+    const onData = (chunk: Buffer) => {
+      chunks.push(chunk);
+      length += chunk.length;
+      if (length <= BUFFERED_BODY_BYTES) return;
+      request.pause();
+      finish(ok({ head: Buffer.concat(chunks), rest: request }));
+    };
+    const onEnd = () =>
+      finish(ok({ head: Buffer.concat(chunks), rest: undefined }));
+    const onClose = () => {
+      const detail = "the caller closed the connection";
+      finish(err(callFault("request_timeout", { detail })));
+    };
+    const timer = setTimeout(() => {
+      request.pause();
+      const detail = `body did not arrive within ${limits.timeoutMs} ms`;
+      finish(err(callFault("request_timeout", { detail })));
+    }, limits.timeoutMs);
+    request.on("data", onData);
+    request.once("end", onEnd);
+    request.once("close", onClose);
+  });
+}
