Add the consensus core and the replicated log over memory storage

Ruled out: the adapter inside packages/agreement, because that package is pure and may import model only; it lives in packages/storage, which may import both. Conclusion: a first version; three members in one process take commands and confirm reads at every member.

--- /dev/null
+++ b/packages/agreement/index.ts
@@ -0,0 +1,19 @@
+/**
+ * Consensus among the control hosts: a pure, Raft-like core and the ports that
+ * its adapters implement.
+ *
+ * @module
+ */
+export * from "./agreement.ts";
+export * from "./effects.ts";
+export type { Entry, Snapshot } from "./entry_log.ts";
+export {
+  type AgreementLimits,
+  DEFAULT_LIMITS,
+  ELECTION_TIMEOUT_MS,
+  HEARTBEAT_MS,
+  MAX_COMMAND_BYTES,
+} from "./member_state.ts";
+export * from "./members.ts";
+export * from "./messages.ts";
+export * from "./ports.ts";
--- /dev/null
+++ b/packages/storage/index.ts
@@ -0,0 +1,8 @@
+/**
+ * Durable state of a control host under one data folder, and the replicated
+ * log that runs the consensus core over it.
+ *
+ * @module
+ */
+export * from "./memory_storage.ts";
+export * from "./replicated_log.ts";
--- /dev/null
+++ b/packages/storage/memory_storage.ts
@@ -0,0 +1,66 @@
+import { err, ok, type Result } from "neverthrow";
+import type {
+  AgreementStorage,
+  StorageFault,
+  StoredState,
+  Write,
+} from "#agreement";
+import { StoredLog } from "./stored_log.ts";
+
+/** A disk for tests: what is not synced may be lost at a crash. */
+export class MemoryDisk {
+  #synced: StoredLog;
+  #staged: Write[] = [];
+
+  constructor(identity: string) {
+    this.#synced = new StoredLog(identity);
+  }
+
+  stage(writes: readonly Write[]): void {
+    this.#staged.push(...writes);
+  }
+
+  sync(): void {
+    for (const write of this.#staged) this.#synced.apply(write);
+    this.#staged = [];
+  }
+
+  /** Loses the staged writes but for the first `kept`, as a disk may. */
+  crash(kept = 0): void {
+    this.#staged = this.#staged.slice(0, kept);
+    this.sync();
+  }
+
+  get stagedWrites(): number {
+    return this.#staged.length;
+  }
+
+  state(): StoredState {
+    return this.#synced.copy().state();
+  }
+}
+
+/** Storage in memory, with faults that tests switch on. */
+export class MemoryStorage implements AgreementStorage {
+  readonly disk: MemoryDisk;
+  /** The next write fails with this fault. */
+  failure: StorageFault | undefined;
+
+  constructor(disk: MemoryDisk) {
+    this.disk = disk;
+  }
+
+  async load(): Promise<Result<StoredState, StorageFault>> {
+    return ok(this.disk.state());
+  }
+
+  async write(writes: readonly Write[]): Promise<Result<void, StorageFault>> {
+    if (this.failure) return err(this.failure);
+    this.disk.stage(writes);
+    await Promise.resolve();
+    this.disk.sync();
+    return ok(undefined);
+  }
+
+  async close(): Promise<void> {}
+}
--- /dev/null
+++ b/packages/storage/replicated_log.ts
@@ -0,0 +1,306 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { err, ok, type Result } from "neverthrow";
+import {
+  AGREEMENT_KINDS,
+  Agreement,
+  type AgreementLimits,
+  type AgreementMessage,
+  type AgreementNetwork,
+  type AgreementStatus,
+  type AgreementStorage,
+  type ChangeFault,
+  type Effect,
+  type Entry,
+  hostOf,
+  type Logger,
+  type MemberChange,
+  type ReadFault,
+  type ReplicatedLog,
+  type StateMachine,
+  type StorageFault,
+  type SubmitFault,
+} from "#agreement";
+import type { Clock, HostId, Randomness } from "#model";
+import { decodeCommand, encodeCommand } from "./codec.ts";
+
+/** An election timeout has ten of these; an idle member does little else. */
+const TICK_MS = 100;
+const REPLACE_RETRY_MS = 100;
+/** Longest wait for a learner's state transfer in `replaceMember`. */
+const REPLACE_TIMEOUT_MS = 120_000;
+
+export interface ReplicatedLogOptions<Command, Reply> {
+  readonly self: HostId;
+  /** The hosts that form the cluster at its first start. */
+  readonly founders: readonly HostId[];
+  /** Other control hosts, to which an empty folder announces itself. */
+  readonly peers?: readonly HostId[];
+  readonly network: AgreementNetwork;
+  readonly storage: AgreementStorage;
+  readonly machine: StateMachine<Command, Reply>;
+  readonly clock: Clock;
+  readonly randomness: Randomness;
+  readonly logger: Logger;
+  readonly limits?: Partial<AgreementLimits>;
+}
+
+/** Reads the folder and starts a member of the replicated log. */
+export async function openReplicatedLog<Command, Reply>(
+  options: ReplicatedLogOptions<Command, Reply>,
+): Promise<Result<ReplicatedLog<Command, Reply>, StorageFault>> {
+  const stored = await options.storage.load();
+  return stored.map((state) => {
+    const core = new Agreement({
+      host: options.self,
+      founders: options.founders,
+      peers: options.peers,
+      stored: state,
+      randomness: options.randomness,
+      limits: options.limits,
+      now: options.clock.now(),
+    });
+    return new StoredReplicatedLog(core, options);
+  });
+}
+
+interface Pending {
+  readonly settle: (outcome: Result<unknown, ChangeFault>) => void;
+  /** The answer if this member stops first. */
+  readonly ifStopped: ChangeFault;
+}
+
+/** Runs the core: one batch of effects at a time, writes synced first. */
+class StoredReplicatedLog<Command, Reply>
+  implements ReplicatedLog<Command, Reply>
+{
+  readonly stopped: Promise<StorageFault | undefined>;
+  readonly #core: Agreement;
+  readonly #options: ReplicatedLogOptions<Command, Reply>;
+  readonly #pending = new Map<string, Pending>();
+  readonly #idPrefix: string;
+  readonly #timer: NodeJS.Timeout;
+  #sequence = 0;
+  #isScheduled = false;
+  #isRunning = false;
+  #isStopped = false;
+  #resolveStopped: (fault: StorageFault | undefined) => void = () => undefined;
+
+  constructor(core: Agreement, options: ReplicatedLogOptions<Command, Reply>) {
+    this.#core = core;
+    this.#options = options;
+    const { randomness, network } = options;
+    const part = () => randomness.below(2 ** 32).toString(36);
+    this.#idPrefix = `${part()}${part()}`;
+    this.stopped = new Promise((resolve) => {
+      this.#resolveStopped = resolve;
+    });
+    for (const kind of AGREEMENT_KINDS) {
+      network.handle(kind, (payload, from) => {
+        this.#receive(from.id, { kind, payload } as AgreementMessage);
+      });
+    }
+    this.#timer = setInterval(() => this.#tick(), TICK_MS);
+    this.#tick();
+  }
+
+  submit(command: Command): Promise<Result<Reply, SubmitFault>> {
+    return this.#request((id) => {
+      this.#core.propose(id, encodeCommand(command), this.#now());
+    }) as Promise<Result<Reply, SubmitFault>>;
+  }
+
+  confirm(): Promise<Result<number, ReadFault>> {
+    return this.#request((id) => this.#core.read(id, this.#now()), {
+      type: "closed",
+    }) as Promise<Result<number, ReadFault>>;
+  }
+
+  changeMembers(change: MemberChange): Promise<Result<number, ChangeFault>> {
+    return this.#request((id) => {
+      this.#core.changeMembers(id, change, this.#now());
+    }) as Promise<Result<number, ChangeFault>>;
+  }
+
+  async replaceMember(host: HostId): Promise<Result<number, ChangeFault>> {
+    const added = await this.changeMembers({ type: "add", host });
+    if (added.isErr() && added.error.type !== "already_member") return added;
+    const deadline = this.#now() + REPLACE_TIMEOUT_MS;
+    for (;;) {
+      const { membership } = this.status();
+      const member = membership.learners.findLast((m) => hostOf(m) === host);
+      if (!member) return err({ type: "host_not_announced", host });
+      const promoted = await this.changeMembers({ type: "promote", member });
+      if (promoted.isOk()) return promoted;
+      const fault = promoted.error;
+      if (fault.type === "former_identity_votes") {
+        const former = fault.member;
+        const removed = await this.changeMembers({
+          type: "remove",
+          member: former,
+        });
+        if (removed.isErr() && !isTransient(removed.error)) return removed;
+        continue;
+      }
+      if (!isTransient(fault) || this.#now() > deadline) return promoted;
+      await delay(REPLACE_RETRY_MS);
+    }
+  }
+
+  status(): AgreementStatus {
+    return this.#core.status(this.#now());
+  }
+
+  async close(): Promise<void> {
+    if (this.#isStopped) return;
+    this.#stop(undefined);
+    await this.#options.storage.close();
+  }
+
+  #now(): number {
+    return this.#options.clock.now();
+  }
+
+  #request(
+    start: (id: string) => void,
+    // A pending command may already be on other members' disks.
+    ifStopped: ChangeFault = { type: "result_unknown" },
+  ): Promise<Result<unknown, ChangeFault>> {
+    if (this.#isStopped) return Promise.resolve(err({ type: "closed" }));
+    return new Promise((resolve) => {
+      const id = `${this.#idPrefix}.${++this.#sequence}`;
+      this.#pending.set(id, { settle: resolve, ifStopped });
+      start(id);
+      this.#schedule();
+    });
+  }
+
+  #receive(from: HostId, message: AgreementMessage): void {
+    if (this.#isStopped) return;
+    this.#core.receive(from, message, this.#now());
+    this.#schedule();
+  }
+
+  #tick(): void {
+    if (this.#isStopped) return;
+    this.#core.tick(this.#now());
+    this.#schedule();
+  }
+
+  /** Inputs of one turn of the event loop share a batch. */
+  #schedule(): void {
+    if (this.#isScheduled || this.#isRunning) return;
+    this.#isScheduled = true;
+    setImmediate(() => {
+      this.#isScheduled = false;
+      void this.#run();
+    });
+  }
+
+  async #run(): Promise<void> {
+    if (this.#isRunning) return;
+    this.#isRunning = true;
+    try {
+      while (!this.#isStopped) {
+        const effects = this.#core.flush(this.#now());
+        if (effects.length === 0) break;
+        await this.#carryOut(effects);
+      }
+    } catch (cause) {
+      // The state machine failed, so this replica can no longer follow.
+      const detail = String(cause instanceof Error ? cause.stack : cause);
+      this.#stop({
+        type: "write_failed",
+        operation: "apply",
+        code: "STATE_MACHINE",
+        detail,
+      });
+    } finally {
+      this.#isRunning = false;
+    }
+  }
+
+  async #carryOut(effects: readonly Effect[]): Promise<void> {
+    const writes = effects.flatMap((e) =>
+      e.type === "persist" ? e.write : [],
+    );
+    if (writes.length > 0) {
+      const written = await this.#options.storage.write(writes);
+      if (this.#isStopped) return;
+      if (written.isErr()) {
+        this.#stop(written.error);
+        return;
+      }
+    }
+    for (const effect of effects) this.#carryOutOne(effect);
+    const last = writes.findLast((write) => write.type === "entries");
+    const entry = last?.type === "entries" ? last.entries.at(-1) : undefined;
+    if (entry) this.#core.persisted(entry.index, entry.term);
+  }
+
+  #carryOutOne(effect: Effect): void {
+    const { machine, network, logger } = this.#options;
+    switch (effect.type) {
+      case "persist":
+        return;
+      case "send":
+        if (network.send(effect.to, effect.kind, effect.payload as never))
+          return;
+        this.#core.notDelivered(effect);
+        return;
+      case "restore":
+        machine.restore(effect.snapshot.bytes);
+        return;
+      case "apply":
+        for (const entry of effect.entries) this.#apply(entry);
+        return;
+      case "snapshot":
+        this.#core.snapshotTaken(effect, machine.snapshot());
+        return;
+      case "read":
+        this.#settle(effect.id, ok(effect.index));
+        return;
+      case "failed":
+        this.#settle(effect.id, err(effect.fault));
+        return;
+      case "notice":
+        logger.info("control log", effect.notice);
+        return;
+    }
+  }
+
+  #apply({ index, id, command, membership }: Entry): void {
+    if (command) {
+      const decoded = decodeCommand(command) as Command;
+      const reply = this.#options.machine.apply(index, decoded);
+      if (id !== undefined) this.#settle(id, ok(reply));
+    } else if (membership && id !== undefined) this.#settle(id, ok(index));
+  }
+
+  #settle(id: string, outcome: Result<unknown, ChangeFault>): void {
+    const pending = this.#pending.get(id);
+    if (!pending) return;
+    this.#pending.delete(id);
+    pending.settle(outcome);
+  }
+
+  #stop(fault: StorageFault | undefined): void {
+    if (this.#isStopped) return;
+    this.#isStopped = true;
+    clearInterval(this.#timer);
+    if (fault) this.#options.logger.error("control log stopped", fault);
+    for (const { settle, ifStopped } of this.#pending.values()) {
+      settle(err(ifStopped));
+    }
+    this.#pending.clear();
+    this.#resolveStopped(fault);
+  }
+}
+
+function isTransient({ type }: ChangeFault): boolean {
+  return (
+    type === "not_caught_up" ||
+    type === "change_in_progress" ||
+    type === "leader_not_ready" ||
+    type === "unknown_member"
+  );
+}
--- /dev/null
+++ b/packages/storage/test_hosts.ts
@@ -0,0 +1,99 @@
+import type {
+  AgreementMessages,
+  AgreementNetwork,
+  AgreementStorage,
+  Logger,
+  ReplicatedLog,
+  StateMachine,
+} from "#agreement";
+import { SystemClock, SystemRandomness } from "#model";
+import { openReplicatedLog } from "./replicated_log.ts";
+
+type Handler = (payload: unknown, from: { id: string }) => void;
+
+/** Connects replicated logs within one process, for tests. */
+export class TestSwitch {
+  readonly #handlers = new Map<string, Map<string, Handler>>();
+  readonly #cut = new Set<string>();
+
+  network(self: string): AgreementNetwork {
+    const handlers = new Map<string, Handler>();
+    this.#handlers.set(self, handlers);
+    return {
+      send: (to, kind, payload) => this.#send(self, to, { kind, payload }),
+      handle: <K extends keyof AgreementMessages>(
+        kind: K,
+        handler: (payload: AgreementMessages[K], from: { id: string }) => void,
+      ) => handlers.set(kind, handler as Handler),
+    };
+  }
+
+  /** Silently drops all messages from and to a host. */
+  cut(host: string): void {
+    this.#cut.add(host);
+  }
+
+  heal(host: string): void {
+    this.#cut.delete(host);
+  }
+
+  #send(
+    from: string,
+    to: string,
+    message: { kind: string; payload: unknown },
+  ): boolean {
+    if (!this.#handlers.has(to)) return false;
+    if (this.#cut.has(from) || this.#cut.has(to)) return true;
+    const payload = structuredClone(message.payload);
+    setImmediate(() => {
+      this.#handlers.get(to)?.get(message.kind)?.(payload, { id: from });
+    });
+    return true;
+  }
+}
+
+/** A state machine that lists its commands and answers with their count. */
+export class ListMachine implements StateMachine<string, number> {
+  commands: string[] = [];
+
+  apply(_index: number, command: string): number {
+    return this.commands.push(command);
+  }
+
+  snapshot(): Uint8Array {
+    return Buffer.from(JSON.stringify(this.commands));
+  }
+
+  restore(bytes: Uint8Array): void {
+    this.commands = JSON.parse(Buffer.from(bytes).toString());
+  }
+}
+
+export const SILENT_LOGGER: Logger = {
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
+
+export interface TestHost {
+  readonly log: ReplicatedLog<string, number>;
+  readonly machine: ListMachine;
+}
+
+/** Starts a member with a `ListMachine`. */
+export async function openTestHost(options: {
+  self: string;
+  founders: readonly string[];
+  network: AgreementNetwork;
+  storage: AgreementStorage;
+}): Promise<TestHost> {
+  const machine = new ListMachine();
+  const log = await openReplicatedLog({
+    ...options,
+    machine,
+    clock: new SystemClock(),
+    randomness: new SystemRandomness(),
+    logger: SILENT_LOGGER,
+  });
+  return { log: log._unsafeUnwrap(), machine };
+}
