Compose the control role and the entry's request path

Cause: the decisions need processes that carry their effects out. Ruled out: finishing an attempt at the response head (the slot of a long answer would count as free); cancelling a request that must not be repeated when its caller goes away (the resend would get an unknown outcome, not the answer). Change: ControlProcess over the replicated log; CallEngine and CallExecution with claims, buffering of short answers and streaming of long ones; the callers' and the admin server; registrations; probes; planned stops.

--- /dev/null
+++ b/packages/control/control_process.ts
@@ -0,0 +1,290 @@
+import { err, ok, type Result } from "neverthrow";
+import type {
+  AgreementMessages,
+  AgreementStatus,
+  AgreementStorage,
+  MemberChange,
+  ReplicatedLog,
+  StorageFault,
+  SubmitFault,
+} from "#agreement";
+import {
+  Acceptance,
+  type ConfigurationMessages,
+  EntryTable,
+} from "#configuration";
+import type { Clock, Configuration, HostId, Randomness } from "#model";
+import { Registry, type RegistryCommand, type RegistryReply } from "#registry";
+import type { ControlSettings } from "#settings";
+import { openReplicatedLog } from "#storage";
+import type { Logger } from "#telemetry";
+import { type ListenFault, PROTOCOL_VERSION, TcpNetwork } from "#wire";
+import { LeaderDuties } from "./leader_duties.ts";
+import { Publisher } from "./publisher.ts";
+
+type ControlMessages = AgreementMessages & ConfigurationMessages;
+
+/** How often heartbeats are relayed and the leader looks at what is due. */
+const DUTIES_EVERY_MS = 250;
+/** Time after which a silent entry is no longer listed. */
+const FORGET_ENTRY_MS = 3_600_000;
+/** How often a change is checked for being in force at enough entries. */
+const ACCEPTANCE_CHECK_MS = 10;
+/** Time for a majority of entries to have a change in force. */
+const ACCEPTANCE_TIMEOUT_MS = 8_000;
+
+export type ControlFault = ListenFault | StorageFault;
+
+/** Why a change has no answer yet; the same change id asks again. */
+export type ChangeFault =
+  | SubmitFault
+  | {
+      /** Durable, but entries that may still serve do not have it. */
+      readonly type: "not_in_force";
+      readonly version: number;
+      /** Entries that hold it up: silent, and not known to have stopped. */
+      readonly silent: readonly HostId[];
+    };
+
+export interface ControlOptions {
+  readonly settings: ControlSettings;
+  readonly storage: AgreementStorage;
+  readonly logger: Logger;
+  readonly clock: Clock;
+  readonly randomness: Randomness;
+}
+
+/** The control role: the agreed state and its spread to entries. */
+export class ControlProcess {
+  readonly #options: ControlOptions;
+  readonly #network: TcpNetwork<ControlMessages>;
+  readonly #registry: Registry;
+  readonly #log: ReplicatedLog<RegistryCommand, RegistryReply>;
+  readonly #table: EntryTable;
+  readonly #acceptance: Acceptance;
+  readonly #publisher: Publisher;
+  readonly #duties: LeaderDuties;
+  readonly #timer: NodeJS.Timeout;
+  #submitting = false;
+
+  private constructor(options: ControlOptions, parts: Parts) {
+    this.#options = options;
+    const { network, registry, log, table, acceptance, publisher } = parts;
+    this.#network = network;
+    this.#registry = registry;
+    this.#log = log;
+    this.#table = table;
+    this.#acceptance = acceptance;
+    this.#publisher = publisher;
+    this.#duties = new LeaderDuties({ clock: options.clock, table });
+    this.#timer = setInterval(() => this.#tick(), DUTIES_EVERY_MS);
+  }
+
+  /** Reads the data folder, connects to the other members and serves. */
+  static async open(
+    options: ControlOptions,
+  ): Promise<Result<ControlProcess, ControlFault>> {
+    const { settings, storage, clock, randomness, logger } = options;
+    const registry = new Registry();
+    const table = new EntryTable();
+    const acceptance = new Acceptance();
+    const others = settings.members.filter(({ id }) => id !== settings.id);
+    const network = openNetwork(options, (id) => publisher.disconnected(id));
+    const publisher: Publisher = new Publisher({
+      network,
+      clock,
+      table,
+      confirm: async () => (await log?.confirm())?.isOk() ?? false,
+      others: () => others.map(({ id }) => id),
+    });
+    const publish = () => {
+      const configuration = registry.configuration();
+      acceptance.advance(configuration);
+      publisher.publish(configuration);
+    };
+    let log: ReplicatedLog<RegistryCommand, RegistryReply> | undefined;
+    const opened = await openReplicatedLog<RegistryCommand, RegistryReply>({
+      self: settings.id,
+      founders: settings.members.map(({ id }) => id),
+      peers: others.map(({ id }) => id),
+      network,
+      storage,
+      clock,
+      randomness,
+      logger,
+      machine: {
+        apply: (_index, command) => {
+          const reply = registry.apply(command);
+          publish();
+          return reply;
+        },
+        snapshot: () => registry.snapshot(),
+        restore: (bytes) => {
+          const restored = registry.restore(bytes);
+          if (restored.isErr()) throw new Error(JSON.stringify(restored.error));
+          publish();
+        },
+      },
+    });
+    if (opened.isErr()) {
+      network.close();
+      return err(opened.error);
+    }
+    log = opened.value;
+    const listening = await network.listen(settings.peer);
+    if (listening.isErr()) {
+      await log.close();
+      network.close();
+      return err(listening.error);
+    }
+    network.connect(others.map(({ id, peer }) => ({ id, address: peer })));
+    const parts = { network, registry, log, table, acceptance, publisher };
+    return ok(new ControlProcess(options, parts));
+  }
+
+  get registry(): Registry {
+    return this.#registry;
+  }
+
+  get table(): EntryTable {
+    return this.#table;
+  }
+
+  get configuration(): Configuration {
+    return this.#registry.configuration();
+  }
+
+  /** Bytes to and from other processes. */
+  get traffic() {
+    return this.#network.traffic;
+  }
+
+  /** Settles when the log has stopped; with the fault that stopped it. */
+  get stopped(): Promise<StorageFault | undefined> {
+    return this.#log.stopped;
+  }
+
+  status(): AgreementStatus {
+    return this.#log.status();
+  }
+
+  /** Whether a majority of control hosts confirms this host's state. */
+  async confirm(): Promise<boolean> {
+    return (await this.#log.confirm()).isOk();
+  }
+
+  /** Changes the membership of the control hosts. */
+  changeMembers(change: MemberChange) {
+    return this.#log.changeMembers(change);
+  }
+
+  /** Replaces a control host that lost its disk. */
+  replaceMember(host: HostId) {
+    return this.#log.replaceMember(host);
+  }
+
+  /**
+   * Submits a command; a change of a section is answered as accepted only when
+   * no entry can go on serving without it for longer than a confirmation lasts.
+   */
+  async submit(
+    command: RegistryCommand,
+  ): Promise<Result<RegistryReply, ChangeFault>> {
+    const replied = await this.#log.submit(command);
+    if (replied.isErr()) return err(replied.error);
+    const reply = replied.value;
+    if (reply.type !== "accepted") return ok(reply);
+    const { version } = reply;
+    if (await this.#inForce(version)) return ok(reply);
+    const silent = this.#silentEntries(version);
+    return err({ type: "not_in_force", version, silent });
+  }
+
+  async close(): Promise<void> {
+    clearInterval(this.#timer);
+    await this.#log.close();
+    this.#network.close();
+  }
+
+  async #inForce(version: number): Promise<boolean> {
+    const { clock } = this.#options;
+    const deadline = clock.now() + ACCEPTANCE_TIMEOUT_MS;
+    while (!this.#acceptance.accepted(version, this.#table)) {
+      if (clock.now() >= deadline) return false;
+      await new Promise((resolve) => setTimeout(resolve, ACCEPTANCE_CHECK_MS));
+    }
+    return true;
+  }
+
+  #silentEntries(version: number): HostId[] {
+    const views = this.#acceptance.unsettledViews(this.#table);
+    const entries = [this.configuration.view, ...views].flatMap(
+      (view) => view.entries,
+    );
+    const lagging = entries.filter(({ id, incarnation }) => {
+      const status = this.#table.get(id);
+      if (status === undefined) return true;
+      return status.incarnation === incarnation && status.version < version;
+    });
+    return [...new Set(lagging.map(({ id }) => id))];
+  }
+
+  #tick(): void {
+    const { clock } = this.#options;
+    this.#publisher.relaySightings();
+    this.#table.forget(FORGET_ENTRY_MS, clock.now());
+    void this.#lead();
+  }
+
+  async #lead(): Promise<void> {
+    if (this.#submitting) return;
+    this.#submitting = true;
+    const leading = this.#log.status().role === "leader";
+    const commands = this.#duties.due(leading, this.#registry.configuration());
+    const answers = await Promise.all(
+      commands.map((command) => this.#log.submit(command)),
+    );
+    answers.forEach((answer, index) => {
+      if (answer.isOk()) return;
+      const command = commands[index]?.type;
+      this.#options.logger.warn("command of the leader not confirmed", {
+        command,
+        fault: answer.error.type,
+      });
+    });
+    this.#submitting = false;
+  }
+}
+
+interface Parts {
+  readonly network: TcpNetwork<ControlMessages>;
+  readonly registry: Registry;
+  readonly log: ReplicatedLog<RegistryCommand, RegistryReply>;
+  readonly table: EntryTable;
+  readonly acceptance: Acceptance;
+  readonly publisher: Publisher;
+}
+
+function openNetwork(
+  options: ControlOptions,
+  disconnected: (id: HostId) => void,
+): TcpNetwork<ControlMessages> {
+  const { settings, clock, logger } = options;
+  return new TcpNetwork<ControlMessages>({
+    self: {
+      id: settings.id,
+      role: "control",
+      incarnation: Math.floor(clock.epoch()),
+      cluster: settings.cluster,
+      version: PROTOCOL_VERSION,
+    },
+    clock,
+    observer: {
+      down: ({ id }) => disconnected(id),
+      fault: (fault, peer) => {
+        if (fault.type === "link_closed") return;
+        logger.warn("connection closed", { peer: peer?.id, fault });
+      },
+    },
+  });
+}
--- /dev/null
+++ b/packages/control/index.ts
@@ -0,0 +1,9 @@
+/**
+ * Composition of the control role: the agreed state, its spread to entries and
+ * the duties of the leader.
+ *
+ * @module
+ */
+export * from "./control_process.ts";
+export { LeaderDuties } from "./leader_duties.ts";
+export { Publisher } from "./publisher.ts";
--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -1,11 +1,6 @@
 import { Agent, request as httpRequest, type IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
-import {
-  type BackendServer,
-  backendServerKey,
-  type Clock,
-  HEADERS,
-} from "#model";
+import { type BackendServer, backendServerKey, HEADERS } from "#model";
 import type { RequestBody } from "./request_body.ts";
 
 /** Answers up to this size are checked to be whole before they are passed on. */
@@ -64,13 +59,8 @@
 
 /** Sends requests to backend servers over pooled connections. */
 export class BackendClient {
-  readonly #clock: Clock;
   readonly #agents = new Map<string, { agent: Agent; incarnation: number }>();
 
-  constructor(options: { clock: Clock }) {
-    this.#clock = options.clock;
-  }
-
   send(server: BackendServer, request: BackendRequest): Attempt {
     const { address } = server;
     const outgoing = httpRequest({
@@ -136,11 +126,6 @@
     this.retain(new Set());
   }
 
-  /** The clock that stamps attempts. */
-  get clock(): Clock {
-    return this.#clock;
-  }
-
   #agent(server: BackendServer): Agent {
     const key = backendServerKey(server);
     const pooled = this.#agents.get(key);
--- a/packages/entry/call_engine.ts
+++ b/packages/entry/call_engine.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Clock } from "#model";
+import type { BackendServer, Clock } from "#model";
 import type { Logger, Metrics } from "#telemetry";
 import type { Assignments } from "./assignments.ts";
 import type { BackendClient } from "./backend_client.ts";
@@ -19,11 +19,7 @@
   readonly ready: () => boolean;
   readonly bodyLimits: BodyLimits;
   /** A server said in its answer that it is leaving. */
-  readonly serverLeaving: (server: {
-    service: string;
-    id: string;
-    incarnation: number;
-  }) => void;
+  readonly serverLeaving: (server: BackendServer) => void;
 }
 
 /** Carries calls from callers to backend servers and back. */
@@ -69,11 +65,21 @@
   }
 
   /** Calls in flight at the servers that match. */
-  inFlightAt(matches: (server: string) => boolean): number {
+  inFlightAt(matches: (server: BackendServer) => boolean): number {
     let count = 0;
-    for (const { serverKey } of this.#running.values()) {
-      if (serverKey !== undefined && matches(serverKey)) count += 1;
+    for (const { server } of this.#running.values()) {
+      if (server && matches(server)) count += 1;
     }
     return count;
   }
+
+  /** Calls in flight by service. */
+  inFlight(): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const { server } of this.#running.values()) {
+      if (!server) continue;
+      counts.set(server.service, (counts.get(server.service) ?? 0) + 1);
+    }
+    return counts;
+  }
 }
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -2,7 +2,6 @@
 import { err, ok, type Result } from "neverthrow";
 import {
   type BackendServer,
-  backendServerKey,
   type Call,
   type CallFault,
   callFault,
@@ -57,8 +56,8 @@
   }
 
   /** The server that runs the call now. */
-  get serverKey(): string | undefined {
-    return this.#server && backendServerKey(this.#server);
+  get server(): BackendServer | undefined {
+    return this.#server;
   }
 
   async run(): Promise<void> {
--- /dev/null
+++ b/packages/entry/entry_process.ts
@@ -0,0 +1,380 @@
+import { err, ok, type Result } from "neverthrow";
+import type { ClaimMessages } from "#claims";
+import type { ConfigurationMessages } from "#configuration";
+import {
+  type BackendServer,
+  backendServerKey,
+  type Clock,
+  type Configuration,
+  type Entry,
+  type EntryState,
+  type HostId,
+  type Randomness,
+} from "#model";
+import {
+  AddressLookup,
+  Presence,
+  type PresenceMessages,
+  SERVE_AFTER_STOPPING_MS,
+  TICK_MS,
+} from "#presence";
+import { type DispatchMessages, Router } from "#routing";
+import type { EntrySettings } from "#settings";
+import { type Logger, Metrics } from "#telemetry";
+import {
+  type Hello,
+  type ListenFault,
+  PROTOCOL_VERSION,
+  TcpNetwork,
+} from "#wire";
+import { AdminServer } from "./admin_server.ts";
+import { Assignments, ROUTER_TICK_MS } from "./assignments.ts";
+import { BackendClient } from "./backend_client.ts";
+import { CallEngine } from "./call_engine.ts";
+import { CallerServer } from "./caller_server.ts";
+import {
+  CONFIRM_EVERY_MS,
+  ConfigurationFollower,
+} from "./configuration_follower.ts";
+import { EventLoopLoad } from "./event_loop_load.ts";
+import { Classifier } from "./incoming_call.ts";
+import { CLAIM_TICK_MS, KeyClaims } from "./key_claims.ts";
+import { OwnPaths } from "./own_paths.ts";
+import { PlannedStops } from "./planned_stops.ts";
+import { Prober } from "./prober.ts";
+import { Registrations } from "./registrations.ts";
+
+type EntryMessages = ConfigurationMessages &
+  PresenceMessages &
+  ClaimMessages &
+  DispatchMessages;
+
+/** How often the entry's own load is measured and told to the others. */
+const LOAD_EVERY_MS = 1_000;
+
+export interface EntryOptions {
+  readonly settings: EntrySettings;
+  readonly clock: Clock;
+  readonly randomness: Randomness;
+  readonly logger: Logger;
+}
+
+/** The entry role: carries calls, spreads presence, holds claims. */
+export class EntryProcess {
+  readonly #options: EntryOptions;
+  readonly #incarnation: number;
+  readonly #network: TcpNetwork<EntryMessages>;
+  readonly #registrations: Registrations;
+  readonly #lookup: AddressLookup;
+  readonly #router: Router;
+  readonly #assignments: Assignments;
+  readonly #claims: KeyClaims;
+  readonly #client: BackendClient;
+  readonly #engine: CallEngine;
+  readonly #follower: ConfigurationFollower;
+  readonly #stops = new PlannedStops();
+  readonly #metrics: Metrics;
+  readonly #callers: CallerServer;
+  readonly #admin: AdminServer;
+  readonly #load = new EventLoopLoad();
+  readonly #timers: NodeJS.Timeout[] = [];
+  #classifier = new Classifier([]);
+  #state: EntryState = "ready";
+
+  constructor(options: EntryOptions) {
+    this.#options = options;
+    const { settings, clock, randomness, logger } = options;
+    this.#incarnation = Math.floor(clock.epoch());
+    const network = this.#openNetwork();
+    this.#network = network;
+    this.#metrics = new Metrics({
+      configurationVersion: () => this.#follower.version,
+      callsInFlight: () => this.#engine.inFlight(),
+      peerTraffic: () => network.traffic,
+    });
+    this.#client = new BackendClient();
+    this.#router = new Router({
+      self: settings.id,
+      dataCentre: settings.dataCentre,
+      random: randomness,
+    });
+    const prober = new Prober({ clock, metrics: this.#metrics });
+    this.#assignments = new Assignments({
+      router: this.#router,
+      clock,
+      network,
+      probe: (server) => prober.probe(server),
+    });
+    this.#registrations = new Registrations({
+      presence: new Presence({
+        id: settings.id,
+        incarnation: this.#incarnation,
+        dataCentre: settings.dataCentre,
+        randomness,
+      }),
+      clock,
+      network,
+      changed: (service, servers) => this.#serversChanged(service, servers),
+      gone: (server, reason) => {
+        logger.info("backend server gone", {
+          server: backendServerKey(server),
+          incarnation: server.incarnation,
+          reason,
+        });
+      },
+    });
+    this.#lookup = new AddressLookup(randomness);
+    this.#claims = new KeyClaims({
+      self: settings.id,
+      incarnation: this.#incarnation,
+      clock,
+      randomness,
+      network,
+    });
+    this.#follower = new ConfigurationFollower({
+      network,
+      clock,
+      logger,
+      self: () => this.#record(),
+      controls: () => this.#connectedControls(),
+      stopReports: () =>
+        this.#stops.reports((matches) => this.#engine.inFlightAt(matches)),
+      changed: (configuration) => this.#configure(configuration),
+    });
+    this.#engine = new CallEngine({
+      entry: settings.id,
+      clock,
+      logger,
+      metrics: this.#metrics,
+      assignments: this.#assignments,
+      client: this.#client,
+      claims: this.#claims,
+      classifier: () => this.#classifier,
+      ready: () => this.#follower.fresh(),
+      bodyLimits: {
+        maxBytes: settings.limits.bodyMaxBytes,
+        timeoutMs: settings.limits.bodyTimeoutMs,
+      },
+      serverLeaving: (server) => this.#registrations.observeLeaving(server),
+    });
+    const own = new OwnPaths({
+      clock,
+      registrations: this.#registrations,
+      service: (name) => this.#classifier.service(name),
+      addresses: (dataCentre) => this.#addresses(dataCentre),
+      ready: () => this.#follower.fresh(),
+    });
+    this.#callers = new CallerServer({
+      limits: settings.limits,
+      own: (request, response) => void own.serve(request, response),
+      call: (request, response) => this.#engine.serve(request, response),
+    });
+    this.#admin = new AdminServer({
+      metrics: this.#metrics,
+      notReady: () => this.#notReady(),
+      status: () => this.#status(),
+    });
+  }
+
+  /** Listens and starts to ask control for the configuration. */
+  async start(): Promise<Result<void, ListenFault>> {
+    const { settings, logger } = this.#options;
+    for (const listening of [
+      await this.#network.listen(settings.peer),
+      await this.#admin.listen(settings.metrics),
+      await this.#callers.listen(settings.http),
+    ]) {
+      if (listening.isErr()) {
+        this.close();
+        return err(listening.error);
+      }
+    }
+    this.#connect();
+    this.#every(CONFIRM_EVERY_MS, () => this.#follower.confirm());
+    this.#every(ROUTER_TICK_MS, () => this.#assignments.tick());
+    this.#every(CLAIM_TICK_MS, () => this.#claims.tick());
+    this.#every(TICK_MS, () => this.#registrations.tick());
+    this.#every(LOAD_EVERY_MS, () => this.#report());
+    logger.info("entry started", {
+      id: settings.id,
+      http: settings.http,
+      peer: settings.peer,
+      metrics: settings.metrics,
+    });
+    return ok(undefined);
+  }
+
+  /**
+   * Stops gracefully: tells callers and peers, goes on serving until answers
+   * that name this entry have run out, then ends when no call is under way.
+   */
+  async stop(): Promise<void> {
+    if (this.#state === "stopping") return;
+    this.#state = "stopping";
+    const { logger, clock } = this.#options;
+    logger.info("entry stops", { serveForMs: SERVE_AFTER_STOPPING_MS });
+    this.#report();
+    this.#follower.confirm();
+    const until = clock.now() + SERVE_AFTER_STOPPING_MS;
+    while (clock.now() < until) await delay(100);
+    await this.#callers.drain();
+    while (this.#engine.running > 0) await delay(20);
+    this.close();
+    logger.info("entry stopped");
+  }
+
+  /** Ends at once; calls under way are cut. */
+  close(): void {
+    for (const timer of this.#timers) clearInterval(timer);
+    this.#callers.destroy();
+    this.#admin.close();
+    this.#client.close();
+    this.#network.close();
+  }
+
+  #every(ms: number, run: () => void): void {
+    this.#timers.push(setInterval(run, ms));
+  }
+
+  #openNetwork(): TcpNetwork<EntryMessages> {
+    const { settings, clock, logger } = this.#options;
+    return new TcpNetwork<EntryMessages>({
+      self: {
+        id: settings.id,
+        role: "entry",
+        incarnation: this.#incarnation,
+        cluster: settings.cluster,
+        version: PROTOCOL_VERSION,
+      },
+      clock,
+      observer: {
+        up: (peer) => this.#peerUp(peer),
+        down: (peer) => this.#peerDown(peer),
+        fault: (fault, peer) => {
+          if (fault.type === "link_closed") return;
+          logger.warn("connection closed", { peer: peer?.id, fault });
+        },
+      },
+    });
+  }
+
+  #peerUp(peer: Hello): void {
+    if (peer.role === "control") this.#follower.confirm();
+    else this.#registrations.peerUp(peer.id);
+  }
+
+  #peerDown(peer: Hello): void {
+    if (peer.role !== "entry") return;
+    this.#registrations.peerDown(peer.id);
+    const now = this.#options.clock.now();
+    this.#assignments.carryOut(this.#router.peerDown(peer.id, now));
+  }
+
+  #connect(): void {
+    const { settings } = this.#options;
+    const controls = settings.control.map((address) => ({ address }));
+    const { entries } = this.#follower.configuration.view;
+    // One connection for each pair: the entry with the lower id opens it.
+    const peers = entries
+      .filter(({ id }) => id > settings.id)
+      .map(({ id, peer }) => ({ id, address: peer }));
+    this.#network.connect([...controls, ...peers]);
+  }
+
+  #connectedControls(): HostId[] {
+    return this.#network
+      .connected()
+      .filter(({ role }) => role === "control")
+      .map(({ id }) => id);
+  }
+
+  #record(): Entry {
+    const { settings } = this.#options;
+    return {
+      id: settings.id,
+      incarnation: this.#incarnation,
+      dataCentre: settings.dataCentre,
+      http: settings.http,
+      peer: settings.peer,
+      state: this.#state,
+    };
+  }
+
+  #configure(configuration: Configuration): void {
+    const now = this.#options.clock.now();
+    const { document, view } = configuration;
+    const { services } = document;
+    this.#classifier = new Classifier(services);
+    this.#metrics.configure(services);
+    this.#stops.configure(configuration);
+    this.#claims.configure(configuration);
+    this.#assignments.carryOut(this.#router.configure(services, view, now));
+    const names = services.map(({ name }) => name);
+    this.#registrations.carryOut(
+      this.#registrations.presence.configure({ services: names, view }, now),
+    );
+    // Stops that began or ended change the servers that take work.
+    for (const name of names) {
+      const servers = this.#registrations.presence.servers(name, now);
+      this.#serversChanged(name, servers);
+    }
+    this.#connect();
+  }
+
+  #serversChanged(service: string, servers: readonly BackendServer[]): void {
+    const now = this.#options.clock.now();
+    const usable = servers.filter(
+      (server) => server.state === "ready" && !this.#stops.covers(server),
+    );
+    this.#assignments.carryOut(this.#router.setServers(service, usable, now));
+  }
+
+  #addresses(dataCentre: string | undefined) {
+    const { presence } = this.#registrations;
+    const { view, document } = this.#follower.configuration;
+    return this.#lookup.answer(dataCentre === undefined ? {} : { dataCentre }, {
+      view,
+      loads: presence.entryLoads(this.#options.clock.now()),
+      regions: document.regions,
+    });
+  }
+
+  #report(): void {
+    const now = this.#options.clock.now();
+    const stopping = this.#state === "stopping";
+    const load = this.#load.percent();
+    const { presence } = this.#registrations;
+    this.#registrations.carryOut(presence.report({ load, stopping }, now));
+  }
+
+  #notReady(): string[] {
+    const reasons: string[] = [];
+    if (!this.#follower.fresh()) reasons.push("configuration not confirmed");
+    if (!this.#registrations.presence.ready) reasons.push("joining");
+    if (this.#state === "stopping") reasons.push("stopping");
+    return reasons;
+  }
+
+  #status() {
+    const { configuration } = this.#follower;
+    const { presence } = this.#registrations;
+    const now = this.#options.clock.now();
+    return {
+      version: configuration.version,
+      revision: configuration.document.revision,
+      epoch: configuration.view.epoch,
+      confirmed_ms_ago: Math.round(this.#follower.confirmationAge()),
+      calls: this.#engine.running,
+      claims_held: this.#claims.held,
+      servers: Object.fromEntries(
+        presence
+          .services()
+          .map((name) => [name, presence.servers(name, now).length]),
+      ),
+    };
+  }
+}
+
+function delay(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/entry/registrations.ts
@@ -0,0 +1,109 @@
+import type { BackendServer, Clock, HostId, Service } from "#model";
+import type {
+  AnnouncementFault,
+  Presence,
+  PresenceEffect,
+  PresenceMessage,
+  PresenceMessages,
+} from "#presence";
+import type { Network } from "#wire";
+
+const KINDS = [
+  "presence_changes",
+  "presence_summaries",
+  "presence_ask",
+  "presence_state",
+] as const satisfies readonly (keyof PresenceMessages)[];
+
+export interface RegistrationsOptions {
+  readonly presence: Presence;
+  readonly clock: Clock;
+  readonly network: Network<PresenceMessages>;
+  /** The servers of a service differ from before. */
+  readonly changed: (
+    service: string,
+    servers: readonly BackendServer[],
+  ) => void;
+  /** An incarnation of a server is no longer there. */
+  readonly gone: (
+    server: BackendServer,
+    reason: Extract<PresenceEffect, { type: "gone" }>["reason"],
+  ) => void;
+}
+
+/** Carries out the effects of service registration. */
+export class Registrations {
+  readonly #options: RegistrationsOptions;
+
+  constructor(options: RegistrationsOptions) {
+    this.#options = options;
+    for (const kind of KINDS) {
+      options.network.handle(kind, (payload, from) => {
+        const message = { kind, payload } as PresenceMessage;
+        const now = options.clock.now();
+        this.carryOut(options.presence.receive(from.id, message, now));
+      });
+    }
+  }
+
+  get presence(): Presence {
+    return this.#options.presence;
+  }
+
+  carryOut(effects: readonly PresenceEffect[]): void {
+    const { network, presence, clock, changed, gone } = this.#options;
+    for (const effect of effects) {
+      switch (effect.type) {
+        case "send":
+          network.send(effect.to, effect.kind, effect.payload);
+          break;
+        case "changed":
+          changed(
+            effect.service,
+            presence.servers(effect.service, clock.now()),
+          );
+          break;
+        case "gone":
+          gone(effect.server, effect.reason);
+      }
+    }
+  }
+
+  peerUp(id: HostId): void {
+    const { presence, clock } = this.#options;
+    this.carryOut(presence.peerUp(id, clock.now()));
+  }
+
+  peerDown(id: HostId): void {
+    const { presence, clock } = this.#options;
+    this.carryOut(presence.peerDown(id, clock.now()));
+  }
+
+  tick(): void {
+    const { presence, clock } = this.#options;
+    this.carryOut(presence.tick(clock.now()));
+  }
+
+  /** A server said in a reply that it is leaving. */
+  observeLeaving(
+    server: Pick<BackendServer, "service" | "id" | "incarnation">,
+  ): void {
+    const { presence, clock } = this.#options;
+    this.carryOut(presence.observeLeaving(server, clock.now()));
+  }
+}
+
+/** What a service's document gives to announcements that name no sizes. */
+export function announcementDefaults(service: Service | undefined) {
+  if (!service) return {};
+  return {
+    slots: service.slotsPerServer,
+    connections: service.connectionsPerServer,
+  };
+}
+
+/** The JSON body of a refused announcement. */
+export function announcementFaultBody(fault: AnnouncementFault) {
+  const { type, ...details } = fault;
+  return { error: type, ...details };
+}
