--- /dev/null
+++ b/packages/presence/announcements.ts
@@ -0,0 +1,122 @@
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import type { BackendServer, BackendServerId } from "#model";
+
+/** Why an announcement or a leave was not accepted. */
+export type AnnouncementFault =
+  | { readonly type: "malformed"; readonly problems: readonly string[] }
+  | { readonly type: "unknown_service"; readonly service: string }
+  | { readonly type: "unknown_server"; readonly id: BackendServerId }
+  | { readonly type: "older_incarnation"; readonly known: number }
+  | { readonly type: "older_sequence"; readonly known: number }
+  | { readonly type: "already_leaving"; readonly incarnation: number }
+  | { readonly type: "too_many_servers"; readonly limit: number }
+  | { readonly type: "not_ready" };
+
+/** HTTP status of each fault. */
+export const ANNOUNCEMENT_STATUS = {
+  malformed: 400,
+  unknown_service: 404,
+  unknown_server: 404,
+  older_incarnation: 409,
+  older_sequence: 409,
+  already_leaving: 410,
+  too_many_servers: 503,
+  not_ready: 503,
+} as const satisfies Record<AnnouncementFault["type"], number>;
+
+/** The answer to an accepted announcement. */
+export interface LeaseAnswer {
+  readonly lease_ms: number;
+  readonly renew_ms: number;
+}
+
+/** A server that announces that it is leaving. */
+export interface Leave {
+  readonly id: BackendServerId;
+  /** Found by the id where it is absent. */
+  readonly service?: string;
+  readonly incarnation: number;
+}
+
+/** Letters that need no escaping in a path, a key or a log line. */
+const NAME = z
+  .string()
+  .regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$/, "must match [A-Za-z0-9._-]");
+/** A host name or an IP number. */
+const HOST = z.string().regex(/^[A-Za-z0-9:.-]{1,253}$/, "must be a host");
+const COUNT = z.number().int().nonnegative();
+
+const ANNOUNCEMENT = z.object({
+  service: NAME,
+  host: HOST,
+  port: z.number().int().min(1).max(65_535),
+  data_centre: NAME,
+  incarnation: COUNT,
+  sequence: COUNT,
+  state: z.enum(["ready", "unhealthy", "leaving"]),
+  slots: z.number().int().min(1).max(100_000),
+  connections: z.number().int().min(1).max(1_000_000),
+  in_flight: COUNT,
+  started_ms_ago: z.number().nonnegative(),
+});
+
+/** What a service's document gives to announcements that name no sizes. */
+export interface AnnouncementDefaults {
+  readonly slots?: number;
+  readonly connections?: number;
+}
+
+/** Reads the body of `PUT /.mangobank/servers/{id}`. */
+export function parseAnnouncement(
+  id: string,
+  body: unknown,
+  defaults: AnnouncementDefaults = {},
+): Result<BackendServer, AnnouncementFault> {
+  const given =
+    typeof body === "object" && body !== null ? { ...defaults, ...body } : body;
+  const parsed = ANNOUNCEMENT.safeParse(given);
+  const parsedId = NAME.safeParse(id);
+  if (!parsed.success || !parsedId.success) {
+    const issues = [
+      ...(parsedId.error?.issues ?? []).map((i) => `id: ${i.message}`),
+      ...(parsed.error?.issues ?? []).map(
+        (i) => `${i.path.join(".")}: ${i.message}`,
+      ),
+    ];
+    return err({ type: "malformed", problems: issues });
+  }
+  const a = parsed.data;
+  return ok({
+    id,
+    service: a.service,
+    address: { host: a.host, port: a.port },
+    dataCentre: a.data_centre,
+    incarnation: a.incarnation,
+    sequence: a.sequence,
+    state: a.state,
+    slots: a.slots,
+    connections: a.connections,
+    inFlight: a.in_flight,
+    startedMsAgo: Math.round(a.started_ms_ago),
+  });
+}
+
+/** Reads `DELETE /.mangobank/servers/{id}?incarnation=N[&service=S]`. */
+export function parseLeave(
+  id: string,
+  query: URLSearchParams,
+): Result<Leave, AnnouncementFault> {
+  const problems: string[] = [];
+  const incarnation = query.get("incarnation") ?? "";
+  const service = query.get("service") ?? undefined;
+  if (!NAME.safeParse(id).success) problems.push("id: must be a name");
+  if (!/^\d{1,15}$/.test(incarnation)) {
+    problems.push("incarnation: must be a whole number");
+  }
+  if (service !== undefined && !NAME.safeParse(service).success) {
+    problems.push("service: must be a name");
+  }
+  if (problems.length > 0) return err({ type: "malformed", problems });
+  return ok({ id, service, incarnation: Number(incarnation) });
+}
--- /dev/null
+++ b/packages/presence/effects.ts
@@ -0,0 +1,65 @@
+import type { BackendServer, HostId } from "#model";
+import type { PresenceMessages } from "./messages.ts";
+
+/** A message for another entry. */
+export type PresenceSend = {
+  [K in keyof PresenceMessages]: {
+    readonly type: "send";
+    readonly to: HostId;
+    readonly kind: K;
+    readonly payload: PresenceMessages[K];
+  };
+}[keyof PresenceMessages];
+
+/** Why a server's incarnation is no longer in the view. */
+export type GoneReason = "left" | "expired" | "restarted";
+
+/** What the composition root carries out. */
+export type PresenceEffect =
+  | {
+      readonly type: "changed";
+      readonly service: string;
+      /** True where only the servers' reported load differs. */
+      readonly loadOnly: boolean;
+    }
+  | {
+      readonly type: "gone";
+      readonly server: BackendServer;
+      readonly reason: GoneReason;
+    }
+  | PresenceSend;
+
+/** Collects the effects of one method; each service changes at most once. */
+export class Effects {
+  readonly #changed = new Map<string, boolean>();
+  readonly #others: PresenceEffect[] = [];
+
+  changed(service: string): void {
+    this.#changed.set(service, false);
+  }
+
+  loadChanged(service: string): void {
+    if (!this.#changed.has(service)) this.#changed.set(service, true);
+  }
+
+  gone(server: BackendServer, reason: GoneReason): void {
+    this.#others.push({ type: "gone", server, reason });
+  }
+
+  send(to: readonly HostId[], message: Omit<PresenceSend, "type" | "to">) {
+    for (const id of to) {
+      this.#others.push({ type: "send", to: id, ...message } as PresenceSend);
+    }
+  }
+
+  list(): PresenceEffect[] {
+    const changes = [...this.#changed].map(
+      ([service, loadOnly]): PresenceEffect => ({
+        type: "changed",
+        service,
+        loadOnly,
+      }),
+    );
+    return [...changes, ...this.#others];
+  }
+}
--- /dev/null
+++ b/packages/presence/replication.ts
@@ -0,0 +1,261 @@
+import type { HostId, Randomness } from "#model";
+import type { Effects } from "./effects.ts";
+import {
+  AGE_UNIT_MS,
+  type ChangesMessage,
+  ENDED,
+  type Operation,
+  type Position,
+  RECORDS_PER_MESSAGE,
+  type StateMessage,
+  type SummaryMessage,
+} from "./messages.ts";
+import { OwnerList } from "./owner_list.ts";
+import { listName, type ServerTable } from "./server_table.ts";
+import { ASK_EVERY_MS, LEASE_MS, SILENT_MS, SUMMARY_MS } from "./timings.ts";
+
+/** Silence after which a list is forgotten: all its leases have long ended. */
+const FORGET_MS = 60_000;
+
+/** Where a message came from, and where its effects go. */
+export interface Receipt {
+  readonly from: HostId;
+  readonly now: number;
+  readonly effects: Effects;
+}
+
+/** The replicas of the other entries' lists. */
+export class Replication {
+  readonly #self: HostId;
+  readonly #table: ServerTable;
+  readonly #randomness: Randomness;
+  readonly #lists = new Map<string, OwnerList>();
+  /** The newest incarnation's list of each owner. */
+  readonly #newest = new Map<HostId, OwnerList>();
+  #askedAt = Number.NEGATIVE_INFINITY;
+
+  constructor(options: {
+    self: HostId;
+    table: ServerTable;
+    randomness: Randomness;
+  }) {
+    this.#self = options.self;
+    this.#table = options.table;
+    this.#randomness = options.randomness;
+  }
+
+  newest(owner: HostId): OwnerList | undefined {
+    return this.#newest.get(owner);
+  }
+
+  owners(): Iterable<OwnerList> {
+    return this.#newest.values();
+  }
+
+  /** Applies changes; false if they bring nothing new. */
+  changes(message: ChangesMessage, receipt: Receipt): boolean {
+    const [owner, incarnation, from, operations] = message;
+    const list = this.#list(owner, incarnation);
+    if (!list || list.version >= from + operations.length) return false;
+    if (list.version < from) {
+      this.#gap(list, receipt);
+      return false;
+    }
+    this.#apply(list, {
+      operations: operations.slice(list.version - from),
+      ...receipt,
+    });
+    list.version = from + operations.length;
+    return true;
+  }
+
+  /** Renews the records of a list; false if it brings nothing new. */
+  summary(message: SummaryMessage, receipt: Receipt): boolean {
+    const [owner, incarnation, version, round, load, stopping, ages, inFlight] =
+      message;
+    const list = this.#list(owner, incarnation);
+    if (!list || version < list.version) return false;
+    if (version > list.version || ages.length !== list.copies.size) {
+      this.#gap(list, receipt);
+      return false;
+    }
+    if (round <= list.round) return false;
+    this.#renew(list, { ages, inFlight, ...receipt });
+    Object.assign(list, { round, load, stopping, heardAt: receipt.now });
+    list.behind = false;
+    return true;
+  }
+
+  /** Takes a part of a whole list. */
+  state(message: StateMessage, receipt: Receipt): void {
+    const [owner, incarnation, version, round, load, stopping] = message;
+    const list = this.#list(owner, incarnation);
+    if (!list || !isAfter([owner, incarnation, version, round], list)) return;
+    const operations = list.assemble(message);
+    if (!operations) return;
+    const name = listName(owner, incarnation);
+    const before = [...list.copies.keys()];
+    list.copies.clear();
+    for (const key of before) this.#table.remove(name, key);
+    this.#apply(list, { operations, ...receipt });
+    for (const key of before) this.#table.refresh(key, receipt);
+    Object.assign(list, { version, round, load, stopping });
+    list.heardAt = receipt.now;
+    list.behind = false;
+  }
+
+  /** Answers a question about any list. */
+  answer(
+    ask: readonly Position[],
+    { own, receipt }: { own: OwnerList; receipt: Receipt },
+  ): void {
+    for (const position of ask) {
+      const [owner] = position;
+      const list = owner === this.#self ? own : this.#newest.get(owner);
+      if (!list || list.behind || !list.isAhead(position)) continue;
+      for (const payload of list.state(receipt.now, RECORDS_PER_MESSAGE)) {
+        const message = { kind: "presence_state", payload } as const;
+        receipt.effects.send([receipt.from], message);
+      }
+    }
+  }
+
+  /** Asks for the lists that are silent or known to be incomplete. */
+  ask(options: {
+    expected: Iterable<HostId>;
+    peers: readonly HostId[];
+    now: number;
+    effects: Effects;
+  }): void {
+    const { peers, now, effects } = options;
+    if (now - this.#askedAt < ASK_EVERY_MS || peers.length === 0) return;
+    const wanted = this.#incomplete(options.expected, now);
+    if (wanted.length === 0) return;
+    this.#askedAt = now;
+    // The owner itself may be reachable even if its relays are not.
+    for (const position of wanted) {
+      if (!peers.includes(position[0])) continue;
+      effects.send([position[0]], {
+        kind: "presence_ask",
+        payload: [position],
+      });
+    }
+    const helper = peers[this.#randomness.below(peers.length)] ?? "";
+    effects.send([helper], { kind: "presence_ask", payload: wanted });
+  }
+
+  /** Whether the list of an entry is complete. */
+  isComplete(owner: HostId): boolean {
+    const list = this.#newest.get(owner);
+    return list !== undefined && !list.behind && list.round >= 0;
+  }
+
+  /** Forgets the lists of entries that have been silent for long. */
+  prune(now: number): void {
+    for (const [name, list] of this.#lists) {
+      list.prune(now);
+      if (list.heardAt === Number.NEGATIVE_INFINITY) list.heardAt = now;
+      if (now - list.heardAt < FORGET_MS) continue;
+      for (const key of list.copies.keys()) this.#table.remove(name, key);
+      this.#lists.delete(name);
+      if (this.#newest.get(list.owner) === list) {
+        this.#newest.delete(list.owner);
+      }
+    }
+  }
+
+  #incomplete(expected: Iterable<HostId>, now: number): Position[] {
+    const owners = new Set(expected);
+    for (const { owner, behind } of this.#newest.values()) {
+      if (behind) owners.add(owner);
+    }
+    owners.delete(this.#self);
+    const wanted: Position[] = [];
+    for (const owner of owners) {
+      const list = this.#newest.get(owner);
+      if (list && !list.behind && now - list.heardAt < SILENT_MS) continue;
+      wanted.push(list?.position ?? [owner, 0, 0, -1]);
+    }
+    return wanted;
+  }
+
+  /** The list of an owner's incarnation; none for this entry's own. */
+  #list(owner: HostId, incarnation: number): OwnerList | undefined {
+    if (owner === this.#self) return undefined;
+    const name = listName(owner, incarnation);
+    const known = this.#lists.get(name);
+    if (known) return known;
+    const newest = this.#newest.get(owner);
+    if (newest && newest.incarnation > incarnation) return undefined;
+    // An earlier incarnation's list stays until its leases have ended: the
+    // servers run on while their entry restarts.
+    const list = new OwnerList(owner, incarnation);
+    this.#lists.set(name, list);
+    this.#newest.set(owner, list);
+    return list;
+  }
+
+  #gap(list: OwnerList, { from, now, effects }: Receipt): void {
+    list.behind = true;
+    if (now - list.askedAt < ASK_EVERY_MS) return;
+    list.askedAt = now;
+    const payload = [list.position];
+    effects.send([from], { kind: "presence_ask", payload });
+  }
+
+  #apply(
+    list: OwnerList,
+    options: {
+      operations: readonly Operation[];
+      now: number;
+      effects: Effects;
+    },
+  ): void {
+    const { operations, now, effects } = options;
+    const name = listName(list.owner, list.incarnation);
+    for (const operation of operations) {
+      const key = list.apply(operation, now);
+      const copy = list.copies.get(key);
+      if (copy) this.#table.put(name, copy);
+      else this.#table.remove(name, key);
+      const tomb = list.leaves.get(key);
+      if (operation[0] === 2 && tomb) this.#table.bury(tomb);
+      this.#table.refresh(key, { now, effects });
+    }
+  }
+
+  #renew(
+    list: OwnerList,
+    options: {
+      ages: Uint8Array;
+      inFlight: Uint8Array;
+      now: number;
+      effects: Effects;
+    },
+  ): void {
+    const { ages, inFlight, now } = options;
+    let index = 0;
+    for (const [key, copy] of list.copies) {
+      const age = ages[index] ?? ENDED;
+      const load = inFlight[index] ?? 0;
+      index++;
+      const ended = copy.expires <= now;
+      copy.expires = age === ENDED ? now : now + LEASE_MS - age * AGE_UNIT_MS;
+      const changed = load !== copy.server.inFlight;
+      if (changed) copy.server = { ...copy.server, inFlight: load };
+      if (changed || ended || copy.expires <= now) {
+        this.#table.refresh(key, options);
+      }
+    }
+  }
+}
+
+function isAfter(position: Position, list: OwnerList): boolean {
+  const [, incarnation, version, round] = position;
+  if (incarnation !== list.incarnation) return incarnation > list.incarnation;
+  if (version !== list.version) return version > list.version;
+  return round > list.round;
+}
+
+/** An entry whose summaries have stopped for this long counts as lost. */
+export const LOST_MS = 3 * SUMMARY_MS + 1_000;
--- /dev/null
+++ b/packages/presence/timings.ts
@@ -0,0 +1,51 @@
+/** Durations in milliseconds and bounds that every entry shares. */
+
+/** Time after its last announcement at which a server's record ends. */
+export const LEASE_MS = 9_000;
+
+/** Time between announcements that servers are told; two may be lost. */
+export const RENEW_MS = 3_000;
+
+/** How often the composition root calls `tick`, at least. */
+export const TICK_MS = 100;
+
+/** Changes of this time are sent together; leaves are sent at once. */
+export const BATCH_MS = 200;
+
+/**
+ * Time between the summaries of an entry. A renewal is at most `RENEW_MS` old
+ * when it is summarised, so a lost summary leaves 2 s of a 9 s lease.
+ */
+export const SUMMARY_MS = 2_000;
+
+/** Silence of an entry after which its records are asked of others. */
+export const SILENT_MS = 2_500;
+
+/** Time between two questions about the same entry's records. */
+export const ASK_EVERY_MS = 500;
+
+/** Time after which an entry counts as joined even if some peer is silent. */
+export const JOIN_TIMEOUT_MS = 3_000;
+
+/** Time between two searches for records whose lease has ended. */
+export const EXPIRY_SCAN_MS = 250;
+
+/**
+ * How long a leave is remembered. An older announcement can be as old as a
+ * lease and the time for which a process was frozen with it in its buffers.
+ */
+export const TOMBSTONE_MS = 600_000;
+
+/** Bounds on what servers can make an entry remember. */
+export interface PresenceLimits {
+  readonly servers: number;
+  readonly serversPerService: number;
+  readonly tombstones: number;
+}
+
+/** Room for twice the target of 8,600 servers, and for replacing them all. */
+export const DEFAULT_LIMITS: PresenceLimits = {
+  servers: 20_000,
+  serversPerService: 2_000,
+  tombstones: 40_000,
+};
