--- /dev/null
+++ b/packages/registry/snapshot_test.ts
@@ -0,0 +1,135 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { hash32 } from "#model";
+import type { RegistryCommand } from "./commands.ts";
+import { ALLOC_ACTOR, entry, put, SYSTEM_ACTOR } from "./fixtures.ts";
+import { Registry } from "./registry.ts";
+import { decodeSnapshot } from "./snapshot.ts";
+
+const COMMANDS: fc.Arbitrary<RegistryCommand> = fc.oneof(
+  fc.record({
+    type: fc.constant("entry_joined" as const),
+    entry: fc
+      .tuple(fc.constantFrom("e1", "e2"), fc.nat(3))
+      .map(([id, incarnation]) => entry(id, { incarnation })),
+    at: fc.nat(2_000_000),
+  }),
+  fc.record({
+    type: fc.constant("entry_left" as const),
+    id: fc.constantFrom("e1", "e2"),
+    incarnation: fc.nat(3),
+    at: fc.nat(2_000_000),
+  }),
+  fc
+    .tuple(fc.nat(3), fc.nat(5), fc.nat(2_000_000))
+    .map(([baseRevision, id, at]) =>
+      put("alloc", {
+        actor: ALLOC_ACTOR,
+        baseRevision,
+        changeId: `c${id}`,
+        at,
+      }),
+    ),
+);
+
+test("a restored registry answers as the one that never stopped", () => {
+  fc.assert(
+    fc.property(fc.array(COMMANDS), fc.array(COMMANDS), (before, after) => {
+      const kept = new Registry();
+      kept.apply(put("system", { actor: SYSTEM_ACTOR }));
+      let version = 0;
+      for (const command of before) {
+        kept.apply(command);
+        const next = kept.configuration().version;
+        assert.ok(next >= version);
+        version = next;
+      }
+      const restored = new Registry();
+      assert.ok(restored.restore(kept.snapshot()).isOk());
+      for (const command of after) {
+        assert.deepEqual(restored.apply(command), kept.apply(command));
+      }
+      assert.deepEqual(restored.configuration(), kept.configuration());
+      assert.deepEqual(restored.snapshot(), kept.snapshot());
+    }),
+    { seed: 20_261_203, numRuns: 200 },
+  );
+});
+
+function sealed(state: unknown, format = 1): Uint8Array {
+  const text = JSON.stringify(state);
+  const envelope = { format, checksum: hash32(text), state: text };
+  return new TextEncoder().encode(JSON.stringify(envelope));
+}
+
+function snapshot(): Uint8Array {
+  const registry = new Registry();
+  registry.apply(put("system", { actor: SYSTEM_ACTOR }));
+  registry.apply(put("alloc", { actor: ALLOC_ACTOR }));
+  return registry.snapshot();
+}
+
+function stateOf(bytes: Uint8Array) {
+  return JSON.parse(JSON.parse(new TextDecoder().decode(bytes)).state);
+}
+
+function edited(edit: (text: string) => string): Uint8Array {
+  return new TextEncoder().encode(edit(new TextDecoder().decode(snapshot())));
+}
+
+const CORRUPTIONS: Record<string, { bytes: Uint8Array; type: string }> = {
+  "no bytes": { bytes: new Uint8Array(), type: "snapshot_malformed" },
+  "a torn end": {
+    bytes: snapshot().subarray(0, -20),
+    type: "snapshot_malformed",
+  },
+  "bytes that are not UTF-8": {
+    bytes: Uint8Array.from([0xff, 0xfe]),
+    type: "snapshot_malformed",
+  },
+  "another text inside": {
+    bytes: edited((text) => text.replace("riga-b", "riga-c")),
+    type: "snapshot_checksum_wrong",
+  },
+  "a later format": {
+    bytes: sealed(stateOf(snapshot()), 2),
+    type: "snapshot_format_unknown",
+  },
+  "a missing field": {
+    bytes: sealed({ ...stateOf(snapshot()), view: undefined }),
+    type: "snapshot_malformed",
+  },
+  "a document that contradicts itself": {
+    bytes: sealed({
+      ...stateOf(snapshot()),
+      sections: stateOf(snapshot()).sections.slice(1),
+    }),
+    type: "snapshot_document_invalid",
+  },
+};
+
+for (const [name, { bytes, type }] of Object.entries(CORRUPTIONS)) {
+  test(`a snapshot with ${name} is refused and changes nothing`, () => {
+    const registry = new Registry();
+    registry.apply(put("system", { actor: SYSTEM_ACTOR }));
+    const before = registry.snapshot();
+    assert.equal(registry.restore(bytes)._unsafeUnwrapErr().type, type);
+    assert.deepEqual(registry.snapshot(), before);
+  });
+}
+
+test("migrations run in order from the snapshot's format", () => {
+  const { now, ...first } = stateOf(snapshot());
+  const migrations = {
+    1: (state: unknown) => ({ ...(state as object), time: now }),
+    2: (state: unknown) => ({
+      ...(state as object),
+      now: (state as { time: number }).time,
+    }),
+  };
+  const decoded = decodeSnapshot(sealed(first), { format: 3, migrations });
+  assert.equal(decoded._unsafeUnwrap().now, now);
+  const old = decodeSnapshot(sealed(first, 0), { format: 3, migrations });
+  assert.equal(old._unsafeUnwrapErr().type, "snapshot_format_unknown");
+});
