--- /dev/null
+++ b/packages/demo/local_site.ts
@@ -0,0 +1,192 @@
+import { createHash } from "node:crypto";
+import { createServer } from "node:net";
+import { v4 as uuid } from "uuid";
+import { ControlProcess } from "#control";
+import { EntryProcess } from "#entry";
+import {
+  type Address,
+  type Clock,
+  SystemClock,
+  SystemRandomness,
+} from "#model";
+import type { RegistryReply } from "#registry";
+import { parseControlSettings, parseEntrySettings } from "#settings";
+import { type StandinOptions, StandinServer } from "#standin";
+import { MemoryDisk, MemoryStorage } from "#storage";
+import { type Logger, SilentLogger } from "#telemetry";
+
+const CREDENTIAL_SHA256 = createHash("sha256")
+  .update("local-site")
+  .digest("hex");
+const HOST = "127.0.0.1";
+
+/** A section `system` with one team that owns the sections named. */
+export function systemSection(
+  dataCentres: readonly string[],
+  sections: readonly string[],
+): string {
+  return JSON.stringify({
+    regions: { local: dataCentres },
+    teams: { local: { credential_sha256: CREDENTIAL_SHA256 } },
+    sections: Object.fromEntries(sections.map((name) => [name, "local"])),
+  });
+}
+
+/** Finds TCP ports that are free at this moment. */
+export async function freePorts(count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer());
+  const ports = await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise<number>((resolve, reject) => {
+          server.once("error", reject);
+          server.listen(0, HOST, () => {
+            const bound = server.address();
+            resolve(typeof bound === "object" && bound ? bound.port : 0);
+          });
+        }),
+    ),
+  );
+  await Promise.all(
+    servers.map(
+      (server) => new Promise<void>((resolve) => server.close(() => resolve())),
+    ),
+  );
+  return ports;
+}
+
+export interface LocalSiteOptions {
+  readonly controls?: number;
+  readonly entries?: number;
+  readonly dataCentres?: readonly string[];
+  /** Added to the entries' settings. */
+  readonly entryLimits?: Readonly<Record<string, number>>;
+  readonly logger?: Logger;
+}
+
+/** Control, entries and stand-ins in this process, over real connections. */
+export class LocalSite {
+  readonly controls: ControlProcess[] = [];
+  readonly entries: EntryProcess[] = [];
+  readonly servers: StandinServer[] = [];
+  /** Callers' addresses of the entries. */
+  readonly addresses: Address[] = [];
+  readonly #clock: Clock = new SystemClock();
+
+  static async start(options: LocalSiteOptions = {}): Promise<LocalSite> {
+    const site = new LocalSite();
+    await site.#start(options);
+    return site;
+  }
+
+  /** Puts the text of a section with the system's credential. */
+  async put(
+    section: string,
+    text: string,
+    baseRevision = 0,
+  ): Promise<RegistryReply> {
+    const [control] = this.controls;
+    if (!control) throw new Error("the site has no control process");
+    const put = await control.submit({
+      type: "put_section",
+      section,
+      text,
+      baseRevision,
+      changeId: uuid(),
+      actor:
+        section === "system"
+          ? { type: "system" }
+          : { type: "team", credentialSha256: CREDENTIAL_SHA256 },
+      at: this.#clock.epoch(),
+    });
+    if (put.isErr()) throw new Error(JSON.stringify(put.error));
+    return put.value;
+  }
+
+  /** Starts a stand-in that announces itself to all entries in turn. */
+  async addServer(
+    options: Omit<StandinOptions, "entries">,
+  ): Promise<StandinServer> {
+    const entries = () => this.addresses;
+    const server = new StandinServer({ ...options, entries });
+    await server.start();
+    this.servers.push(server);
+    return server;
+  }
+
+  async close(): Promise<void> {
+    for (const server of this.servers) await server.crash();
+    for (const entry of this.entries) entry.close();
+    for (const control of this.controls) await control.close();
+  }
+
+  async #start(options: LocalSiteOptions): Promise<void> {
+    const { controls = 1, entries = 2, dataCentres = ["riga-a"] } = options;
+    const logger = options.logger ?? new SilentLogger();
+    const ports = await freePorts(controls * 2 + entries * 3);
+    const next = () => ports.pop() ?? 0;
+    const members = Array.from({ length: controls }, (_, index) => ({
+      id: `control-${index + 1}`,
+      peer: next(),
+      http: next(),
+    }));
+    const common = { logger, clock: this.#clock };
+    for (const { id, peer, http } of members) {
+      const settings = parseControlSettings(
+        id,
+        JSON.stringify({
+          id,
+          cluster: "local",
+          data_centre: "riga-a",
+          data_folder: "unused",
+          http: { host: HOST, port: http },
+          peer: { host: HOST, port: peer },
+          members: members.map((m) => ({ id: m.id, host: HOST, port: m.peer })),
+          system_credential_sha256: CREDENTIAL_SHA256,
+        }),
+      )._unsafeUnwrap();
+      const opened = await ControlProcess.open({
+        ...common,
+        settings,
+        storage: new MemoryStorage(new MemoryDisk(uuid())),
+        randomness: new SystemRandomness(),
+      });
+      this.controls.push(opened._unsafeUnwrap());
+    }
+    for (let index = 0; index < entries; index++) {
+      const http = { host: HOST, port: next() };
+      const settings = parseEntrySettings(
+        `entry-${index + 1}`,
+        JSON.stringify({
+          id: `entry-${index + 1}`,
+          cluster: "local",
+          data_centre: dataCentres[index % dataCentres.length],
+          http,
+          peer: { host: HOST, port: next() },
+          metrics: { host: HOST, port: next() },
+          control: members.map(({ peer }) => ({ host: HOST, port: peer })),
+          limits: options.entryLimits ?? {},
+        }),
+      )._unsafeUnwrap();
+      const randomness = new SystemRandomness();
+      const entry = new EntryProcess({ ...common, settings, randomness });
+      (await entry.start())._unsafeUnwrap();
+      this.entries.push(entry);
+      this.addresses.push(http);
+    }
+  }
+}
+
+/** Waits until a condition holds; fails after the time given. */
+export async function until(
+  holds: () => boolean | Promise<boolean>,
+  options: { what: string; withinMs?: number },
+): Promise<void> {
+  const deadline = performance.now() + (options.withinMs ?? 20_000);
+  while (!(await holds())) {
+    if (performance.now() > deadline) {
+      throw new Error(`not within the time given: ${options.what}`);
+    }
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+}
--- a/packages/entry/call_engine.ts
+++ b/packages/entry/call_engine.ts
@@ -5,6 +5,7 @@
 import type { BackendClient } from "./backend_client.ts";
 import { CallExecution } from "./call_execution.ts";
 import type { Classifier } from "./incoming_call.ts";
+import type { KeyClaims } from "./key_claims.ts";
 import type { BodyLimits } from "./request_body.ts";
 
 export interface CallEngineOptions {
@@ -14,6 +15,7 @@
   readonly metrics: Metrics;
   readonly assignments: Assignments;
   readonly client: BackendClient;
+  readonly claims: KeyClaims;
   readonly classifier: () => Classifier;
   /** Whether the configuration is confirmed, so that work may be taken. */
   readonly ready: () => boolean;
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -1,18 +1,26 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { err, ok, type Result } from "neverthrow";
+import type { Settlement, StoredAnswer } from "#claims";
 import {
   type BackendServer,
   type Call,
   type CallFault,
   callFault,
   HEADERS,
+  hash32,
   type Outcome,
 } from "#model";
 import type { CallResultKind } from "#routing";
 import type { Attempt, AttemptEnd, BackendAnswer } from "./backend_client.ts";
 import type { CallEngineOptions } from "./call_engine.ts";
 import type { Classified } from "./incoming_call.ts";
-import { answerHeaders, endToEndHeaders, replyFault } from "./reply.ts";
+import type { ClaimDecision } from "./key_claims.ts";
+import {
+  answerHeaders,
+  endToEndHeaders,
+  replyFault,
+  SERVER_ONLY,
+} from "./reply.ts";
 import { type RequestBody, readBody } from "./request_body.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -30,6 +38,11 @@
   HEADERS.requestId,
 ]);
 
+/** How a call ended, before the caller is told. */
+type CallEnd =
+  | { readonly type: "answer"; readonly answer: BackendAnswer }
+  | { readonly type: "fault"; readonly fault: CallFault };
+
 interface Exchange {
   readonly id: string;
   readonly request: IncomingMessage;
@@ -85,12 +98,15 @@
       return;
     }
     this.#startDeadline(call.value);
-    await this.#attempts(call.value, body.value);
+    if (call.value.repeatable) {
+      this.#reply(await this.#attempts(call.value, body.value));
+    } else {
+      await this.#runOnce(call.value, body.value);
+    }
   }
 
   /** The caller's connection is gone, or its answer is out. */
   callerClosed(): void {
-    clearTimeout(this.#deadlineTimer);
     if (this.#exchange.response.writableFinished) return;
     this.#stop("caller_closed");
   }
@@ -128,27 +144,73 @@
     this.#deadlineTimer = setTimeout(() => this.#stop("expired"), ms);
   }
 
-  async #attempts(call: Call, body: RequestBody): Promise<void> {
+  /** Runs a request that must not be repeated, if its key is granted. */
+  async #runOnce(call: Call, body: RequestBody): Promise<void> {
+    const key = this.#exchange.request.headers[HEADERS.key];
+    if (typeof key !== "string") {
+      const detail = `class ${call.class} needs the header ${HEADERS.key}`;
+      this.#fail(callFault("key_required", { detail }));
+      return;
+    }
+    const decision = await this.#claim(call, { key, body });
+    if (decision.type === "denied") {
+      this.#fail(decision.fault);
+      return;
+    }
+    if (decision.type === "replayed") {
+      this.#replay(decision.answer);
+      return;
+    }
+    const { claims } = this.#options;
+    if (this.#stopped) {
+      claims.settle(call.id, { type: "not_started" });
+      this.#fail(callFault("deadline_expired"));
+      return;
+    }
+    let settlement: Settlement = { type: "ran" };
+    try {
+      const end = await this.#attempts(call, body);
+      settlement = settlementOf(end);
+      this.#reply(end);
+    } finally {
+      // After an error of the entry itself, the request may have run.
+      claims.settle(call.id, settlement);
+    }
+  }
+
+  #claim(
+    call: Call,
+    options: { key: string; body: RequestBody },
+  ): Promise<ClaimDecision> {
+    const { claims, clock } = this.#options;
+    const { method, url } = this.#exchange.request;
+    const { key, body } = options;
+    const head = body.head.toString("latin1");
+    this.#stopWaiting = () => claims.cancel(call.id);
+    return claims
+      .claim({
+        callId: call.id,
+        key,
+        fingerprint: hash32(`${call.service} ${method} ${url}\n${head}`),
+        waitMs: call.deadline - clock.now(),
+      })
+      .finally(() => {
+        this.#stopWaiting = undefined;
+      });
+  }
+
+  async #attempts(call: Call, body: RequestBody): Promise<CallEnd> {
     const exclude = new Set<string>();
     for (let attempt = 1; ; attempt++) {
       const server = await this.#assign(call, exclude);
-      if (server.isErr()) {
-        this.#fail(server.error);
-        return;
-      }
+      if (server.isErr()) return { type: "fault", fault: server.error };
       const end = await this.#send(server.value, { call, body });
-      if (end.type === "answer" && !end.answer.notStarted) {
-        this.#answer(end.answer);
-        return;
-      }
+      if (end.type === "answer" && !end.answer.notStarted) return end;
       const outcome = attemptOutcome(end);
       const mayRepeat = outcome === "not-run" || call.repeatable;
       const again =
         mayRepeat && !this.#stopped && !body.rest && attempt < MAX_ATTEMPTS;
-      if (!again) {
-        this.#fail(this.#fault(end, outcome));
-        return;
-      }
+      if (!again) return { type: "fault", fault: this.#fault(end, outcome) };
       exclude.add(server.value.id);
     }
   }
@@ -222,9 +284,34 @@
     });
   }
 
+  #reply(end: CallEnd): void {
+    if (end.type === "answer") this.#answer(end.answer);
+    else this.#fail(end.fault);
+  }
+
+  /** Sends the answer that an earlier run of the same key got. */
+  #replay({ status, headers, body }: StoredAnswer): void {
+    const { response, id } = this.#exchange;
+    clearTimeout(this.#deadlineTimer);
+    response.writeHead(status, [
+      ...headers.flat(),
+      HEADERS.outcome,
+      "answered",
+      HEADERS.requestId,
+      id,
+    ]);
+    response.end(body);
+    this.#record("answered");
+  }
+
   #answer(answer: BackendAnswer): void {
     clearTimeout(this.#deadlineTimer);
     const { response, id } = this.#exchange;
+    if (response.destroyed) {
+      answer.stream?.destroy();
+      this.#record("answered");
+      return;
+    }
     const headers = answerHeaders({
       raw: answer.rawHeaders,
       outcome: "answered",
@@ -273,12 +360,19 @@
   }
 
   #stop(reason: "expired" | "caller_closed"): void {
+    // A request that must not be repeated runs on when its caller is gone, so
+    // that a resend gets the stored answer and not an unknown outcome.
+    if (reason === "caller_closed" && this.#attempt && this.#runsOnce) return;
     this.#stopped ??= reason;
     this.#stopWaiting?.();
     this.#stopWaiting = undefined;
     this.#attempt?.cancel();
   }
 
+  get #runsOnce(): boolean {
+    return this.#classified?.class.repeatable === false;
+  }
+
   #record(outcome: Outcome, fault?: CallFault): void {
     if (this.#recorded) return;
     this.#recorded = true;
@@ -293,6 +387,22 @@
   }
 }
 
+function settlementOf(end: CallEnd): Settlement {
+  if (end.type === "fault") {
+    const notRun = end.fault.outcome === "not-run";
+    return { type: notRun ? "not_started" : "ran" };
+  }
+  const { status, rawHeaders, body } = end.answer;
+  // A streamed answer is too long to be kept.
+  if (!body) return { type: "ran" };
+  const kept = endToEndHeaders(rawHeaders, SERVER_ONLY);
+  const headers: [string, string][] = [];
+  for (let i = 0; i < kept.length; i += 2) {
+    headers.push([kept[i] ?? "", kept[i + 1] ?? ""]);
+  }
+  return { type: "ran", answer: { status, headers, body } };
+}
+
 function attemptOutcome(end: AttemptEnd): Outcome {
   if (end.type === "answer") {
     return end.answer.notStarted ? "not-run" : "answered";
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -223,6 +223,22 @@
     logger.info("entry stopped");
   }
 
+  /** Whether new work is taken. */
+  get ready(): boolean {
+    return this.#notReady().length === 0;
+  }
+
+  /** The configuration version in force here. */
+  get version(): number {
+    return this.#follower.version;
+  }
+
+  /** Backend servers of a service that are known here. */
+  serverCount(service: string): number {
+    const now = this.#options.clock.now();
+    return this.#registrations.presence.servers(service, now).length;
+  }
+
   /** Ends at once; calls under way are cut. */
   close(): void {
     for (const timer of this.#timers) clearInterval(timer);
--- a/packages/entry/reply.ts
+++ b/packages/entry/reply.ts
@@ -111,7 +111,8 @@
   return kept;
 }
 
-const SERVER_ONLY: ReadonlySet<string> = new Set([
+/** Headers between mangobank and servers, which callers do not get. */
+export const SERVER_ONLY: ReadonlySet<string> = new Set([
   HEADERS.outcome,
   HEADERS.requestId,
   HEADERS.inFlight,
