--- /dev/null
+++ b/packages/storage/file_system.ts
@@ -0,0 +1,119 @@
+import { constants } from "node:fs";
+import {
+  type FileHandle,
+  mkdir,
+  open,
+  readdir,
+  readFile,
+  rename,
+  rm,
+  truncate,
+} from "node:fs/promises";
+
+/** A file open for appending. */
+export interface AppendFile {
+  write(bytes: Uint8Array): Promise<void>;
+  /** Resolves once all that was written is durable. */
+  sync(): Promise<void>;
+  close(): Promise<void>;
+}
+
+/** The file operations that storage uses; each rejects on failure. */
+export interface FileSystem {
+  makeFolder(path: string): Promise<void>;
+  /** Names of the files in a folder. */
+  list(path: string): Promise<string[]>;
+  read(path: string): Promise<Buffer>;
+  /** Opens a file for appending and creates it if it is missing. */
+  append(path: string): Promise<AppendFile>;
+  truncate(path: string, length: number): Promise<void>;
+  rename(from: string, to: string): Promise<void>;
+  remove(path: string): Promise<void>;
+  /** Makes created, renamed and removed names durable. */
+  syncFolder(path: string): Promise<void>;
+}
+
+/** The process's own file system. */
+export class NodeFileSystem implements FileSystem {
+  async makeFolder(path: string): Promise<void> {
+    await mkdir(path, { recursive: true });
+  }
+
+  list(path: string): Promise<string[]> {
+    return readdir(path);
+  }
+
+  read(path: string): Promise<Buffer> {
+    return readFile(path);
+  }
+
+  async append(path: string): Promise<AppendFile> {
+    return new NodeAppendFile(await open(path, "a"));
+  }
+
+  truncate(path: string, length: number): Promise<void> {
+    return truncate(path, length);
+  }
+
+  rename(from: string, to: string): Promise<void> {
+    return rename(from, to);
+  }
+
+  remove(path: string): Promise<void> {
+    return rm(path, { force: true });
+  }
+
+  async syncFolder(path: string): Promise<void> {
+    const handle = await open(path, constants.O_RDONLY);
+    try {
+      await handle.sync();
+    } finally {
+      await handle.close();
+    }
+  }
+}
+
+class NodeAppendFile implements AppendFile {
+  readonly #handle: FileHandle;
+
+  constructor(handle: FileHandle) {
+    this.#handle = handle;
+  }
+
+  async write(bytes: Uint8Array): Promise<void> {
+    let offset = 0;
+    while (offset < bytes.length) {
+      const { bytesWritten } = await this.#handle.write(bytes, offset);
+      offset += bytesWritten;
+    }
+  }
+
+  sync(): Promise<void> {
+    return this.#handle.datasync();
+  }
+
+  close(): Promise<void> {
+    return this.#handle.close();
+  }
+}
+
+/** Writes a file so that it has either its old content or all of the new. */
+export async function replaceFile(
+  fileSystem: FileSystem,
+  options: { folder: string; name: string; parts: readonly Uint8Array[] },
+): Promise<void> {
+  const path = `${options.folder}/${options.name}`;
+  const temporary = `${path}${TEMPORARY_SUFFIX}`;
+  await fileSystem.remove(temporary);
+  const file = await fileSystem.append(temporary);
+  try {
+    for (const part of options.parts) await file.write(part);
+    await file.sync();
+  } finally {
+    await file.close();
+  }
+  await fileSystem.rename(temporary, path);
+  await fileSystem.syncFolder(options.folder);
+}
+
+export const TEMPORARY_SUFFIX = ".tmp";
--- a/packages/storage/index.ts
+++ b/packages/storage/index.ts
@@ -4,5 +4,8 @@
  *
  * @module
  */
+export * from "./file_storage.ts";
+export * from "./file_system.ts";
+export type { Migration } from "./identity.ts";
 export * from "./memory_storage.ts";
 export * from "./replicated_log.ts";
--- /dev/null
+++ b/packages/storage/recovery.ts
@@ -0,0 +1,146 @@
+import type { Snapshot } from "#agreement";
+import { corrupt } from "./faults.ts";
+import { type FileSystem, TEMPORARY_SUFFIX } from "./file_system.ts";
+import { encodeSeal } from "./records.ts";
+import {
+  type LoggedWrite,
+  type NextSegment,
+  readSegment,
+  type SegmentContent,
+  segmentName,
+  segmentSequences,
+} from "./segments.ts";
+import { readSnapshot } from "./snapshot_files.ts";
+import { StoredLog } from "./stored_log.ts";
+
+/** A segment with the highest entry index that it holds. */
+export interface SegmentSummary {
+  readonly sequence: number;
+  maxIndex: number;
+}
+
+export interface Recovered {
+  readonly log: StoredLog;
+  readonly segments: SegmentSummary[];
+  /** Length of the last segment, in bytes. */
+  readonly length: number;
+}
+
+/** Removes files whose writing was cut off before they got their name. */
+export async function removeTemporaries(
+  fileSystem: FileSystem,
+  folder: string,
+): Promise<void> {
+  for (const name of await fileSystem.list(folder)) {
+    if (!name.endsWith(TEMPORARY_SUFFIX)) continue;
+    await fileSystem.remove(`${folder}/${name}`);
+  }
+}
+
+/** Rebuilds the state of a folder; throws a `StorageError`. */
+export async function recover(
+  fileSystem: FileSystem,
+  options: { folder: string; identity: string },
+): Promise<Recovered> {
+  const { folder, identity } = options;
+  const contents = await readSegments(fileSystem, folder);
+  await repairEnds(fileSystem, { folder, contents });
+  const log = new StoredLog(identity);
+  const first = contents[0];
+  if (!first) throw corrupt(folder, 0, "the log is missing");
+  log.founding = first.checkpoint.founding;
+  log.term = first.checkpoint.term;
+  log.vote = first.checkpoint.vote;
+  if (first.checkpoint.snapshotIndex > 0) {
+    log.apply(placeholder({ index: first.checkpoint.snapshotIndex }));
+  }
+  for (const { name, writes } of contents) {
+    for (const write of writes) {
+      const isNext = log.apply(
+        write.type === "snapshot" ? placeholder(write) : write,
+      );
+      if (!isNext) throw corrupt(name, 0, "entries are missing");
+    }
+  }
+  if (log.snapshot) {
+    const { index } = log.snapshot;
+    log.snapshot = await readSnapshot(fileSystem, { folder, index });
+  }
+  const { entries, snapshot } = log.state();
+  const expected = (snapshot?.index ?? 0) + 1;
+  if ((entries[0]?.index ?? expected) !== expected) {
+    throw corrupt(first.name, 0, `entry ${expected} is missing`);
+  }
+  return {
+    log,
+    segments: contents.map(({ sequence, writes }) => ({
+      sequence,
+      maxIndex: maxIndexOf(writes),
+    })),
+    length: contents.at(-1)?.length ?? 0,
+  };
+}
+
+/** The highest entry index in some writes; 0 without entries. */
+export function maxIndexOf(writes: readonly LoggedWrite[]): number {
+  const indices = writes.map((write) =>
+    write.type === "entries" ? (write.entries.at(-1)?.index ?? 0) : 0,
+  );
+  return indices.reduce((a, b) => Math.max(a, b), 0);
+}
+
+async function readSegments(
+  fileSystem: FileSystem,
+  folder: string,
+): Promise<SegmentContent[]> {
+  const sequences = segmentSequences(await fileSystem.list(folder));
+  const contents: SegmentContent[] = [];
+  let next: NextSegment = "none";
+  for (const [at, sequence] of [...sequences.entries()].reverse()) {
+    const name = segmentName(sequence);
+    const following = sequences[at + 1];
+    if (following !== undefined && following !== sequence + 1) {
+      throw corrupt(segmentName(sequence + 1), 0, "file is missing");
+    }
+    const file = await fileSystem.read(`${folder}/${name}`);
+    const content = readSegment(file, { sequence, next });
+    contents.unshift(content);
+    next = next === "none" && content.isEmpty ? "empty" : "used";
+  }
+  return contents;
+}
+
+/**
+ * Cuts off a torn tail and completes a change of segments that a crash cut
+ * off. What was read may not be durable yet after a crash of the process, and
+ * the core relies on it from now on, so the last segments are synced.
+ */
+async function repairEnds(
+  fileSystem: FileSystem,
+  { folder, contents }: { folder: string; contents: SegmentContent[] },
+): Promise<void> {
+  for (const content of contents.slice(-2)) {
+    const path = `${folder}/${content.name}`;
+    const isLast = content === contents.at(-1);
+    const { length, fileLength } = content;
+    if (length < fileLength) await fileSystem.truncate(path, length);
+    const file = await fileSystem.append(path);
+    try {
+      if (!isLast && !content.isContinued) {
+        await file.write(encodeSeal(length, true));
+      }
+      await file.sync();
+    } finally {
+      await file.close();
+    }
+  }
+  await fileSystem.syncFolder(folder);
+}
+
+/** Stands for a snapshot whose file is read only if it is the newest. */
+function placeholder(write: Partial<Snapshot> & { keepLog?: boolean }) {
+  const { index = 0, term = 0, keepLog = true } = write;
+  const membership = write.membership ?? { voters: [], learners: [] };
+  const snapshot = { index, term, membership, bytes: new Uint8Array() };
+  return { type: "snapshot" as const, snapshot, keepLog };
+}
