--- a/packages/presence/messages.ts
+++ b/packages/presence/messages.ts
@@ -13,6 +13,8 @@
   readonly presence_summaries: readonly SummaryMessage[];
   /** The newest positions known to the sender, which asks for newer ones. */
   readonly presence_ask: readonly Position[];
+  /** Leaves that the receiver's list contradicts. */
+  readonly presence_leaves: readonly LeaveOperation[];
   /** One part of a whole list. */
   readonly presence_state: StateMessage;
 }
--- a/packages/presence/presence.ts
+++ b/packages/presence/presence.ts
@@ -11,16 +11,13 @@
 import { AnnouncementChecks } from "./announcement_checks.ts";
 import type { AnnouncementFault, LeaseAnswer, Leave } from "./announcements.ts";
 import { Effects, type PresenceEffect } from "./effects.ts";
-import {
-  decodePut,
-  type Operation,
-  type PresenceMessages,
-  type Tombstone,
-} from "./messages.ts";
-import { OwnList } from "./own_list.ts";
+import type { PresenceMessages } from "./messages.ts";
+import { OwnServers } from "./own_servers.ts";
+import { Publisher } from "./publisher.ts";
 import { LOST_MS, type Receipt, Replication } from "./replication.ts";
-import { ServerTable, sameContent } from "./server_table.ts";
+import { ServerTable } from "./server_table.ts";
 import { MeshSpread, type Spread, type Topology } from "./spread.ts";
+import { Stalls } from "./stalls.ts";
 import {
   DEFAULT_LIMITS,
   EXPIRY_SCAN_MS,
@@ -69,9 +66,10 @@
   readonly #spread: Spread;
   readonly #table = new ServerTable();
   readonly #checks: AnnouncementChecks;
-  readonly #own: OwnList;
+  readonly #own: OwnServers;
   readonly #others: Replication;
   readonly #connected = new Set<HostId>();
+  readonly #stalls = new Stalls();
   #view: View = EMPTY_VIEW;
   #topology: Topology;
   #configuredAt: number | undefined;
@@ -81,11 +79,21 @@
     const { id, incarnation, randomness, dataCentre } = options;
     this.#options = options;
     this.#spread = options.spread ?? new MeshSpread();
-    this.#own = new OwnList({ id, incarnation, randomness });
     const table = this.#table;
     const { limits = DEFAULT_LIMITS } = options;
+    this.#own = new OwnServers({
+      publisher: new Publisher({ id, incarnation, randomness }),
+      table,
+      changeTargets: () => this.#spread.changes(this.#topology),
+      connected: this.#connected,
+    });
     this.#checks = new AnnouncementChecks(table, limits);
-    this.#others = new Replication({ self: id, table, randomness });
+    this.#others = new Replication({
+      self: id,
+      incarnation,
+      table,
+      randomness,
+    });
     this.#topology = { self: { id, dataCentre }, peers: [] };
   }
 
@@ -117,9 +125,9 @@
       const buried = this.#bury(server, { now, effects });
       if (buried) return { result: err(buried), effects: [] };
     } else {
-      this.#accept(server, { key, now, effects });
+      this.#own.accept(server, { key, now, effects });
     }
-    const expires = this.#own.copies.get(key)?.expires ?? now;
+    const expires = this.#own.publisher.list.copies.get(key)?.expires ?? now;
     const lease = server.state === "leaving" ? LEASE_MS : expires - now;
     const answer = {
       lease_ms: Math.max(0, Math.floor(lease)),
@@ -160,7 +168,9 @@
     now: number,
   ): PresenceEffect[] {
     const effects = new Effects();
-    const receipt = { from, now, effects };
+    this.#stalls.active(now, this.#connected);
+    const receivedAt = this.#stalls.receivedAt(now, from);
+    const receipt = { from, now, receivedAt, effects };
     switch (message.kind) {
       case "presence_changes":
         this.#receiveChanges(message.payload, receipt);
@@ -169,15 +179,27 @@
         for (const summary of message.payload) {
           if (!this.#others.summary(summary, receipt)) continue;
           const to = this.#forward(summary[0], from);
-          if (to.length > 0) this.#own.forward(summary, to);
+          if (to.length > 0) this.#own.publisher.forward(summary, to);
         }
         break;
       case "presence_ask":
-        this.#others.answer(message.payload, { own: this.#own.list, receipt });
+        this.#others.answer(message.payload, {
+          own: this.#own.publisher.list,
+          receipt,
+        });
+        break;
+      case "presence_leaves":
+        for (const [, service, id, incarnation, keepMs] of message.payload) {
+          const tomb = { service, id, incarnation, until: now + keepMs };
+          if (this.#table.bury(tomb)) this.#own.tell(tomb, receipt);
+        }
         break;
       case "presence_state":
         this.#others.state(message.payload, receipt);
-        this.#learn(message.payload[8], receipt);
+        this.#own.learn(
+          { owner: message.payload[0], operations: message.payload[8] },
+          receipt,
+        );
         break;
     }
     this.#join(now);
@@ -187,9 +209,16 @@
   /** A connection to an entry has opened. */
   peerUp(id: HostId, now: number): PresenceEffect[] {
     const effects = new Effects();
+    this.#stalls.active(now, this.#connected);
+    this.#stalls.connected(id);
     this.#connected.add(id);
     this.#arrange();
-    this.#own.greet(id, { now, effects });
+    this.#own.publisher.greet(id, { now, effects });
+    if (!this.ready) {
+      // The peer may still have this entry's list from before its restart.
+      const payload = [[this.#options.id, 0, 0, -1]] as const;
+      effects.send([id], { kind: "presence_ask", payload });
+    }
     return effects.list();
   }
 
@@ -205,23 +234,24 @@
     { load, stopping }: { load: number; stopping: boolean },
     now: number,
   ): PresenceEffect[] {
-    const { list } = this.#own;
+    const { list } = this.#own.publisher;
     const began = stopping && !list.stopping;
     list.load = Math.min(255, Math.max(0, Math.round(load)));
     list.stopping = stopping;
     if (!began) return [];
     const effects = new Effects();
     const { changes } = this.#targets();
-    this.#own.summarise(changes, { now, effects });
+    this.#own.publisher.summarise(changes, { now, effects });
     return effects.list();
   }
 
   /** Does what is due; called at least every `TICK_MS`. */
   tick(now: number): PresenceEffect[] {
     const effects = new Effects();
+    this.#stalls.active(now, this.#connected);
     this.#join(now);
-    for (const key of this.#own.expire(now)) this.#sync(key, { now, effects });
-    this.#own.tick(this.#targets(), { now, effects });
+    this.#own.expire({ now, effects });
+    this.#own.publisher.tick(this.#targets(), { now, effects });
     this.#others.ask({
       expected: this.#view.entries.map(({ id }) => id),
       peers: [...this.#connected],
@@ -231,7 +261,7 @@
     if (now - this.#scannedAt >= EXPIRY_SCAN_MS) {
       this.#scannedAt = now;
       this.#others.prune(now);
-      this.#own.list.prune(now);
+      this.#own.publisher.list.prune(now);
       this.#table.expire(now, effects);
     }
     return effects.list();
@@ -253,31 +283,10 @@
     for (const { owner, load, stopping, heardAt } of this.#others.owners()) {
       loads.set(owner, { load, stopping, heard: now - heardAt < LOST_MS });
     }
-    const { load, stopping } = this.#own.list;
+    const { load, stopping } = this.#own.publisher.list;
     return loads.set(this.#options.id, { load, stopping, heard: true });
   }
 
-  #accept(
-    server: BackendServer,
-    context: { key: string; now: number; effects: Effects },
-  ): void {
-    const { key, now } = context;
-    const own = this.#own.copies.get(key);
-    const repeated =
-      own?.server.incarnation === server.incarnation &&
-      own.server.sequence === server.sequence;
-    // A repeated announcement may be an old duplicate: it renews nothing.
-    if (own && repeated && own.expires > now) return;
-    // Another entry's news of this server is overridden only by a change.
-    const isBest = own !== undefined && this.#table.best(key) === own;
-    if (isBest && sameContent(own.server, server)) {
-      this.#own.renew(own, { server, now });
-    } else {
-      this.#own.put(server, now);
-    }
-    this.#sync(key, context);
-  }
-
   #bury(
     server: Pick<BackendServer, "service" | "id" | "incarnation">,
     context: { now: number; effects: Effects },
@@ -290,26 +299,10 @@
     const fault = known ? undefined : this.#checks.tombstoneRefusal();
     if (fault) return fault;
     const until = now + TOMBSTONE_MS;
-    this.#tell({ service, id, incarnation, until }, context);
+    this.#own.tell({ service, id, incarnation, until }, context);
     return undefined;
   }
 
-  /** Puts a leave into the own list and sends it at once. */
-  #tell(tomb: Tombstone, context: { now: number; effects: Effects }): void {
-    this.#own.bury(tomb, context.now);
-    this.#table.bury(tomb);
-    this.#sync(backendServerKey(tomb), context);
-    this.#own.flush(this.#targets().changes, context);
-  }
-
-  /** Brings the view up to date with the own list. */
-  #sync(key: string, context: { now: number; effects: Effects }): void {
-    const copy = this.#own.copies.get(key);
-    if (copy) this.#table.put(this.#own.name, copy);
-    else this.#table.remove(this.#own.name, key);
-    this.#table.refresh(key, context);
-  }
-
   #receiveChanges(
     message: PresenceMessages["presence_changes"],
     receipt: Receipt,
@@ -318,27 +311,7 @@
     if (!this.#others.changes(message, receipt)) return;
     const to = this.#forward(owner, receipt.from);
     receipt.effects.send(to, { kind: "presence_changes", payload: message });
-    this.#learn(operations, receipt);
-  }
-
-  /** Corrects the own list after news of servers that are in it. */
-  #learn(operations: readonly Operation[], context: Receipt): void {
-    for (const operation of operations) {
-      const key = backendServerKey({ service: operation[1], id: operation[2] });
-      const own = this.#own.copies.get(key);
-      if (!own) continue;
-      const tomb = this.#table.tombstone(key);
-      if (tomb && tomb.incarnation >= own.server.incarnation) {
-        this.#tell(tomb, context);
-        continue;
-      }
-      if (operation[0] !== 0 || this.#table.best(key) !== own) continue;
-      const theirs = decodePut(operation, context.now).server;
-      if (sameContent(own.server, theirs)) continue;
-      // The other entry accepted an announcement that had been overtaken.
-      this.#own.put(own.server, context.now, own);
-      this.#sync(key, context);
-    }
+    this.#own.learn({ owner, operations }, receipt);
   }
 
   #targets() {
--- a/packages/presence/own_list.ts
+++ b/packages/presence/publisher.ts
@@ -22,12 +22,11 @@
   readonly effects: Effects;
 }
 
-/** The list of this entry, with the changes that are still to be sent. */
-export class OwnList {
+/** This entry's own list, and the sending of its changes and summaries. */
+export class Publisher {
   readonly list: OwnerList;
   readonly #randomness: Randomness;
-  #pending: Operation[] = [];
-  #pendingSince = 0;
+  #pending: { readonly operation: Operation; readonly at: number }[] = [];
   #nextSummary: number | undefined;
   #forwards = new Map<HostId, SummaryMessage[]>();
 
@@ -82,10 +81,12 @@
   }
 
   /** Sends the pending changes. */
-  flush(to: readonly HostId[], { effects }: Context): void {
+  flush(to: readonly HostId[], { now, effects }: Context): void {
     if (this.#pending.length === 0) return;
     const { owner, incarnation, version } = this.list;
-    const operations = this.#pending;
+    const operations = this.#pending.map(({ operation, at }) =>
+      aged(operation, now - at),
+    );
     const from = version - operations.length;
     this.#pending = [];
     const payload = [owner, incarnation, from, operations] as const;
@@ -127,7 +128,8 @@
     // Entries that start together must not send in step.
     this.#nextSummary ??= now + this.#randomness.next() * SUMMARY_MS;
     const due = now >= this.#nextSummary;
-    if (due || now - this.#pendingSince >= BATCH_MS) {
+    const since = this.#pending[0]?.at ?? now;
+    if (due || now - since >= BATCH_MS) {
       this.flush(targets.changes, context);
     }
     if (due) {
@@ -143,9 +145,17 @@
   }
 
   #change(operation: Operation, now: number): string {
-    if (this.#pending.length === 0) this.#pendingSince = now;
-    this.#pending.push(operation);
+    this.#pending.push({ operation, at: now });
     this.list.version++;
     return this.list.apply(operation, now);
   }
 }
+
+/** The operation with the time that it has waited added to its ages. */
+function aged(operation: Operation, ms: number): Operation {
+  if (operation[0] !== 0) return operation;
+  const [started, age] = [operation[12], operation[13]];
+  return operation
+    .with(12, Math.round(started + ms))
+    .with(13, Math.ceil(age + ms)) as unknown as Operation;
+}
--- a/packages/presence/replication.ts
+++ b/packages/presence/replication.ts
@@ -21,12 +21,15 @@
 export interface Receipt {
   readonly from: HostId;
   readonly now: number;
+  /** Earlier than now if the message may have waited in a buffer. */
+  readonly receivedAt: number;
   readonly effects: Effects;
 }
 
 /** The replicas of the other entries' lists. */
 export class Replication {
   readonly #self: HostId;
+  readonly #incarnation: number;
   readonly #table: ServerTable;
   readonly #randomness: Randomness;
   readonly #lists = new Map<string, OwnerList>();
@@ -36,10 +39,12 @@
 
   constructor(options: {
     self: HostId;
+    incarnation: number;
     table: ServerTable;
     randomness: Randomness;
   }) {
     this.#self = options.self;
+    this.#incarnation = options.incarnation;
     this.#table = options.table;
     this.#randomness = options.randomness;
   }
@@ -89,7 +94,7 @@
   /** Takes a part of a whole list. */
   state(message: StateMessage, receipt: Receipt): void {
     const [owner, incarnation, version, round, load, stopping] = message;
-    const list = this.#list(owner, incarnation);
+    const list = this.#list(owner, incarnation, { former: true });
     if (!list || !isAfter([owner, incarnation, version, round], list)) return;
     const operations = list.assemble(message);
     if (!operations) return;
@@ -110,12 +115,15 @@
     { own, receipt }: { own: OwnerList; receipt: Receipt },
   ): void {
     for (const position of ask) {
-      const [owner] = position;
-      const list = owner === this.#self ? own : this.#newest.get(owner);
-      if (!list || list.behind || !list.isAhead(position)) continue;
-      for (const payload of list.state(receipt.now, RECORDS_PER_MESSAGE)) {
-        const message = { kind: "presence_state", payload } as const;
-        receipt.effects.send([receipt.from], message);
+      const held = [...this.#lists.values(), own].filter(
+        (list) => list.owner === position[0] && !list.behind,
+      );
+      for (const list of held) {
+        if (!list.isAhead(position)) continue;
+        for (const payload of list.state(receipt.now, RECORDS_PER_MESSAGE)) {
+          const message = { kind: "presence_state", payload } as const;
+          receipt.effects.send([receipt.from], message);
+        }
       }
     }
   }
@@ -179,19 +187,27 @@
     return wanted;
   }
 
-  /** The list of an owner's incarnation; none for this entry's own. */
-  #list(owner: HostId, incarnation: number): OwnerList | undefined {
-    if (owner === this.#self) return undefined;
+  /**
+   * The list of an owner's incarnation; none for the own one. A list of a
+   * former incarnation stays until its leases have ended, because servers run
+   * on while their entry restarts; it starts only with a whole state.
+   */
+  #list(
+    owner: HostId,
+    incarnation: number,
+    { former = false } = {},
+  ): OwnerList | undefined {
     const name = listName(owner, incarnation);
     const known = this.#lists.get(name);
     if (known) return known;
-    const newest = this.#newest.get(owner);
-    if (newest && newest.incarnation > incarnation) return undefined;
-    // An earlier incarnation's list stays until its leases have ended: the
-    // servers run on while their entry restarts.
+    const isOwn = owner === this.#self;
+    const newest = isOwn ? this.#incarnation : this.newest(owner)?.incarnation;
+    if (newest === incarnation) return undefined;
+    const isFormer = newest !== undefined && newest > incarnation;
+    if (isOwn ? !isFormer : isFormer && !former) return undefined;
     const list = new OwnerList(owner, incarnation);
     this.#lists.set(name, list);
-    this.#newest.set(owner, list);
+    if (!isFormer) this.#newest.set(owner, list);
     return list;
   }
 
@@ -208,13 +224,14 @@
     options: {
       operations: readonly Operation[];
       now: number;
+      receivedAt: number;
       effects: Effects;
     },
   ): void {
-    const { operations, now, effects } = options;
+    const { operations, now, receivedAt, effects } = options;
     const name = listName(list.owner, list.incarnation);
     for (const operation of operations) {
-      const key = list.apply(operation, now);
+      const key = list.apply(operation, receivedAt);
       const copy = list.copies.get(key);
       if (copy) this.#table.put(name, copy);
       else this.#table.remove(name, key);
@@ -230,17 +247,19 @@
       ages: Uint8Array;
       inFlight: Uint8Array;
       now: number;
+      receivedAt: number;
       effects: Effects;
     },
   ): void {
-    const { ages, inFlight, now } = options;
+    const { ages, inFlight, now, receivedAt } = options;
     let index = 0;
     for (const [key, copy] of list.copies) {
       const age = ages[index] ?? ENDED;
       const load = inFlight[index] ?? 0;
       index++;
       const ended = copy.expires <= now;
-      copy.expires = age === ENDED ? now : now + LEASE_MS - age * AGE_UNIT_MS;
+      copy.expires =
+        age === ENDED ? now : receivedAt + LEASE_MS - age * AGE_UNIT_MS;
       const changed = load !== copy.server.inFlight;
       if (changed) copy.server = { ...copy.server, inFlight: load };
       if (changed || ended || copy.expires <= now) {
--- a/packages/presence/spread.ts
+++ b/packages/presence/spread.ts
@@ -50,12 +50,17 @@
  * summaries take turns, so that a frozen relay costs every second one.
  */
 export class RelaySpread implements Spread {
+  /** A topology is replaced when it changes, so that its relays are kept. */
+  readonly #relays = new WeakMap<Topology, HostId[][]>();
+
   changes(topology: Topology): readonly HostId[] {
-    return [...near(topology), ...relays(topology).flat()];
+    return [...near(topology), ...this.#relaysOf(topology).flat()];
   }
 
   summary(topology: Topology, round: number): readonly HostId[] {
-    const far = relays(topology).map((ids) => ids[round % ids.length] ?? "");
+    const far = this.#relaysOf(topology).map(
+      (ids) => ids[round % ids.length] ?? "",
+    );
     return [...near(topology), ...far];
   }
 
@@ -69,6 +74,14 @@
     if (!owner || owner.dataCentre === self.dataCentre) return [];
     return near(topology);
   }
+
+  #relaysOf(topology: Topology): HostId[][] {
+    const known = this.#relays.get(topology);
+    if (known) return known;
+    const found = relays(topology);
+    this.#relays.set(topology, found);
+    return found;
+  }
 }
 
 function near({ self, peers }: Topology): HostId[] {
--- a/packages/presence/timings.ts
+++ b/packages/presence/timings.ts
@@ -27,6 +27,15 @@
 /** Time after which an entry counts as joined even if some peer is silent. */
 export const JOIN_TIMEOUT_MS = 3_000;
 
+/** Time without a tick after which the process counts as having stood still. */
+export const STALL_MS = 500;
+
+/**
+ * Time after a stall in which messages may come from buffers. Links that were
+ * silent for 3.5 s are closed at wake-up and take 250 ms to be renewed.
+ */
+export const CATCH_UP_MS = 200;
+
 /** Time between two searches for records whose lease has ended. */
 export const EXPIRY_SCAN_MS = 250;
 
