--- a/packages/claims/claimant.ts
+++ b/packages/claims/claimant.ts
@@ -15,7 +15,6 @@
   type ClaimSend,
   type Instant,
   MAX_ANSWER_BYTES,
-  type StoredAnswer,
 } from "./messages.ts";
 import { Outcomes } from "./outcomes.ts";
 import {
