--- a/packages/admission/index.ts
+++ b/packages/admission/index.ts
@@ -4,3 +4,4 @@
  * @module
  */
 export * from "./class_queue.ts";
+export * from "./heap.ts";
--- /dev/null
+++ b/packages/bench/decisions.ts
@@ -0,0 +1,139 @@
+import { OraclePolicy, RandomPolicy, TwoChoicesPolicy } from "./baselines.ts";
+import { Figures, quantile } from "./figures.ts";
+import { RouterPolicy } from "./router_policy.ts";
+import {
+  type FaultCase,
+  type Policy,
+  type RunOptions,
+  Simulation,
+} from "./simulation.ts";
+import { ALLOC, COUNTER_APP, type Site } from "./sites.ts";
+
+/** The policies compared; the first is the product's. */
+const POLICIES: Record<string, (simulation: Simulation) => Policy> = {
+  mangobank: (simulation) => new RouterPolicy(simulation),
+  random: (simulation) => new RandomPolicy(simulation),
+  "two-choices": (simulation) => new TwoChoicesPolicy(simulation),
+  oracle: (simulation) => new OraclePolicy(simulation),
+};
+
+interface Plan {
+  readonly sites: readonly Site[];
+  readonly faults: readonly FaultCase[];
+  readonly loads: readonly number[];
+  readonly policies: readonly string[];
+  readonly seeds: readonly number[];
+  readonly durationMs: number;
+  readonly classes: RunOptions["classes"];
+}
+
+const SHORT: Plan = {
+  sites: [ALLOC, COUNTER_APP],
+  faults: ["none", "straggler+fail-fast"],
+  loads: [0.3, 0.8, 0.95],
+  policies: Object.keys(POLICIES),
+  seeds: [1, 2],
+  durationMs: 10_000,
+  classes: "two",
+};
+
+const FULL: Plan = {
+  ...SHORT,
+  faults: ["none", "straggler", "fail-fast", "straggler+fail-fast"],
+  loads: [0.3, 0.5, 0.8, 0.9, 0.95, 1.2],
+  seeds: [1, 2, 3, 4, 5],
+  durationMs: 20_000,
+};
+
+/** Compares the selection of servers with baselines, on simulated time. */
+export function decisions(args: readonly string[]): void {
+  const plan = restrict(args.includes("--full") ? FULL : SHORT, args);
+  for (const site of plan.sites) {
+    for (const fault of plan.faults) {
+      console.log(`\n${site.name}, fault: ${fault}`);
+      printHead();
+      for (const load of plan.loads) {
+        for (const policy of plan.policies) {
+          const figures = new Figures();
+          for (const seed of plan.seeds) {
+            const { durationMs, classes } = plan;
+            const options = { site, load, fault, seed, durationMs, classes };
+            figures.add(runOnce(policy, options));
+          }
+          printRow(load, policy, figures);
+        }
+      }
+    }
+  }
+}
+
+function runOnce(policy: string, options: RunOptions): Figures {
+  const make = POLICIES[policy];
+  if (!make) throw new Error(`unknown policy ${policy}`);
+  return new Simulation(options).run(make);
+}
+
+/** Narrows a plan by options such as `--site=alloc --loads=80,95`. */
+function restrict(plan: Plan, args: readonly string[]): Plan {
+  const option = (name: string) => {
+    const prefix = `--${name}=`;
+    const found = args.find((arg) => arg.startsWith(prefix));
+    return found?.slice(prefix.length).split(",");
+  };
+  const names = option("site");
+  return {
+    ...plan,
+    sites: plan.sites.filter((site) => names?.includes(site.name) ?? true),
+    faults: (option("faults") as FaultCase[] | undefined) ?? plan.faults,
+    loads: option("loads")?.map((load) => Number(load) / 100) ?? plan.loads,
+    policies: option("policies") ?? plan.policies,
+    seeds: option("seeds")?.map(Number) ?? plan.seeds,
+    classes: (option("classes")?.[0] as Plan["classes"]) ?? plan.classes,
+    durationMs: Number(option("ms")?.[0] ?? plan.durationMs),
+  };
+}
+
+const COLUMNS = [
+  ["load", 5],
+  ["policy", 12],
+  ["latency p50/p99/p99.9", 22],
+  ["waiting p50/p99/p99.9", 22],
+  ["urgent waiting", 21],
+  ["patient waiting", 21],
+  ["rejected%", 10],
+  ["failed%", 8],
+  ["probe%", 7],
+  ["asked%", 7],
+  ["msg/call", 9],
+  ["waiting p99 by seed", 1],
+] as const;
+
+function printHead(): void {
+  console.log(COLUMNS.map(([name, width]) => name.padEnd(width)).join(" "));
+}
+
+function printRow(load: number, policy: string, figures: Figures): void {
+  const { byPriority, offered } = figures;
+  const percent = (count: number) => ((100 * count) / offered).toFixed(2);
+  const cells = [
+    `${Math.round(load * 100)}%`,
+    policy,
+    percentiles(figures.latency),
+    percentiles(figures.waiting),
+    percentiles(byPriority.urgent),
+    percentiles(byPriority.patient),
+    percent(figures.rejected),
+    percent(figures.failed),
+    ((100 * figures.probeMs) / figures.capacityMs).toFixed(3),
+    percent(figures.asked),
+    (figures.messages / offered).toFixed(2),
+    figures.p99s.map((p99) => p99.toFixed(1)).join(" "),
+  ];
+  console.log(
+    cells.map((cell, i) => cell.padEnd(COLUMNS[i]?.[1] ?? 1)).join(" "),
+  );
+}
+
+function percentiles(from: Figures["latency"]): string {
+  return [50, 99, 99.9].map((p) => quantile(from, p).toFixed(1)).join("/");
+}
--- /dev/null
+++ b/packages/bench/router_policy.ts
@@ -0,0 +1,121 @@
+import { type Entry, SeededRandomness, type View } from "#model";
+import {
+  type CallResult,
+  Router,
+  type RoutingEffect,
+  type SendEffect,
+} from "#routing";
+import type { Policy, SimulatedCall, Simulation } from "./simulation.ts";
+import { dataCentreOf, ENTRIES, latencyMs, type Site } from "./sites.ts";
+
+const TICK_MS = 5;
+
+/** The routers of all entries, with message delays between them. */
+export class RouterPolicy implements Policy {
+  readonly #simulation: Simulation;
+  readonly #routers: Router[] = [];
+  readonly #calls = new Map<string, SimulatedCall>();
+  #submitting: string | undefined;
+
+  constructor(simulation: Simulation) {
+    this.#simulation = simulation;
+    const { site, seed } = simulation.options;
+    const now = simulation.events.now();
+    const view = makeView(site);
+    for (const [index, entry] of view.entries.entries()) {
+      const random = new SeededRandomness(seed * 1_000 + index);
+      const { id: self, dataCentre } = entry;
+      this.#routers.push(new Router({ self, dataCentre, random }));
+    }
+    for (const [index, router] of this.#routers.entries()) {
+      this.#apply(index, router.configure([site.service], view, now));
+      const servers = simulation.records;
+      this.#apply(index, router.setServers(site.service.name, servers, now));
+      // Entries do not tick in step.
+      simulation.events.after((TICK_MS * index) / ENTRIES, () =>
+        simulation.events.every(TICK_MS, () => {
+          this.#apply(index, router.tick(simulation.events.now()));
+        }),
+      );
+    }
+  }
+
+  submit(call: SimulatedCall): void {
+    const { id } = call.call;
+    this.#calls.set(id, call);
+    this.#submitting = id;
+    const now = this.#simulation.events.now();
+    const exclude = new Set(call.exclude);
+    const router = this.#routers[call.entry];
+    this.#apply(call.entry, router?.submit(call.call, { exclude, now }) ?? []);
+    const waits = this.#submitting === id;
+    this.#submitting = undefined;
+    if (waits && call.measured && call.attempts === 0) {
+      this.#simulation.figures.asked += 1;
+    }
+  }
+
+  finish(call: SimulatedCall, result: CallResult): void {
+    const router = this.#routers[call.entry];
+    const now = this.#simulation.events.now();
+    this.#apply(call.entry, router?.finish(call.call.id, result, now) ?? []);
+  }
+
+  #apply(entry: number, effects: RoutingEffect[]): void {
+    for (const effect of effects) {
+      if (effect.type === "send") this.#send(entry, effect as SendEffect);
+      else if (effect.type === "probe") {
+        this.#probe(entry, Number(effect.server.id.slice(1)));
+      } else this.#decide(effect);
+    }
+  }
+
+  #decide(effect: Extract<RoutingEffect, { type: "assign" | "reject" }>): void {
+    const call = this.#calls.get(effect.callId);
+    if (!call) throw new Error(`unexpected effect for ${effect.callId}`);
+    if (this.#submitting === effect.callId) this.#submitting = undefined;
+    this.#calls.delete(effect.callId);
+    if (effect.type === "reject") this.#simulation.reject(call);
+    else this.#simulation.assign(call, Number(effect.server.id.slice(1)));
+  }
+
+  #send(from: number, message: SendEffect): void {
+    const to = Number(message.to.slice(1));
+    const { events, figures, options } = this.#simulation;
+    figures.messages += 1;
+    events.after(latencyMs(options.site, from, to), () => {
+      const router = this.#routers[to];
+      const now = events.now();
+      this.#apply(to, router?.receive(`e${from}`, message, now) ?? []);
+    });
+  }
+
+  #probe(entry: number, server: number): void {
+    const record = this.#simulation.records[server];
+    if (!record) return;
+    this.#simulation.probe({ entry, server }, (ms, inFlight, failed) => {
+      const result = failed
+        ? ({ kind: "failed" } as const)
+        : ({ kind: "answered", inFlight, ms } as const);
+      const now = this.#simulation.events.now();
+      const router = this.#routers[entry];
+      this.#apply(entry, router?.probed(record, result, now) ?? []);
+    });
+  }
+}
+
+function makeView(site: Site): View {
+  const entries: Entry[] = [];
+  for (let index = 0; index < ENTRIES; index++) {
+    const address = { host: "127.0.0.1", port: 1 + index };
+    entries.push({
+      id: `e${index}`,
+      incarnation: 1,
+      dataCentre: dataCentreOf(site, index),
+      http: address,
+      peer: address,
+      state: "ready",
+    });
+  }
+  return { epoch: 1, entries, began: 0 };
+}
--- /dev/null
+++ b/packages/routing/credits.ts
@@ -0,0 +1,133 @@
+import type { BackendServerId, HostId } from "#model";
+import type { DispatchEntry } from "./dispatch_entry.ts";
+import type { ServerSlots, SlotTable } from "./slots.ts";
+
+/** Share of free slots above which slots are granted ahead of need. */
+const START_SHARE = 0.4;
+/** Share of free slots below which these grants are revoked. */
+const STOP_SHARE = 0.2;
+/** Round trip that credits must cover, in milliseconds. */
+const ROUND_TRIP_MS = 2.5;
+const MIN_CREDITS = 2;
+const CREDITS_PER_CALL = 6;
+/** Below this rate an entry has no recent calls; about 2 s after one. */
+const IDLE_CALLS_PER_MS = 1e-7;
+
+/**
+ * Decides which slots entries may take without asking. A credit reserves
+ * nothing: a slot that fills up is revoked, and a crossing take only crowds a
+ * server by one call for a moment.
+ */
+export class CreditPolicy {
+  readonly #slots: SlotTable;
+  #ample = false;
+
+  constructor(slots: SlotTable) {
+    this.#slots = slots;
+  }
+
+  /**
+   * Gives credits to the entries that have just called, or to all where slots
+   * have become ample; revokes all where they no longer are. Returns the
+   * entries that must be told.
+   */
+  balance(
+    entries: ReadonlyMap<HostId, DispatchEntry>,
+    state: {
+      waiting: number;
+      touched: ReadonlySet<DispatchEntry>;
+      now: number;
+    },
+  ): DispatchEntry[] {
+    const share = this.#slots.free / Math.max(1, this.#slots.limit);
+    const bound = this.#ample ? STOP_SHARE : START_SHARE;
+    const ample = state.waiting === 0 && share > bound;
+    const told: DispatchEntry[] = [];
+    if (!ample && this.#ample) {
+      for (const entry of entries.values()) {
+        if (this.#revokeAll(entry)) told.push(entry);
+      }
+    }
+    const due = this.#ample ? state.touched : entries.values();
+    this.#ample = ample;
+    if (!ample) return told;
+    for (const entry of due) {
+      if (this.#topUp(entry, state.now)) told.push(entry);
+    }
+    return told;
+  }
+
+  /** Revokes the credits for a server that is full or out. */
+  revokeServer(
+    server: ServerSlots,
+    entries: ReadonlyMap<HostId, DispatchEntry>,
+  ): DispatchEntry[] {
+    const told: DispatchEntry[] = [];
+    if (server.credits === 0) return told;
+    for (const entry of entries.values()) {
+      let held = false;
+      while (entry.dropCredit(server)) {
+        entry.draft.revoked.push(server.record.id);
+        this.#slots.credit(server, -1);
+        held = true;
+      }
+      if (held) told.push(entry);
+    }
+    return told;
+  }
+
+  /** Revokes credits for servers that are gone. */
+  revokeStale(entry: DispatchEntry): void {
+    for (const server of [...entry.credits]) {
+      if (this.#slots.get(server.record.id) === server) continue;
+      entry.dropCredit(server);
+      entry.draft.revoked.push(server.record.id);
+    }
+  }
+
+  /** Takes over the credits that an entry says it holds. */
+  adopt(entry: DispatchEntry, held: readonly BackendServerId[]): void {
+    this.forget(entry);
+    for (const id of held) {
+      const server = this.#slots.get(id);
+      if (!server || server.free === 0 || server.spare) {
+        entry.draft.revoked.push(id);
+        continue;
+      }
+      entry.credits.push(server);
+      this.#slots.credit(server, 1);
+    }
+  }
+
+  forget(entry: DispatchEntry): void {
+    for (const server of entry.credits.splice(0)) {
+      this.#slots.credit(server, -1);
+    }
+  }
+
+  #revokeAll(entry: DispatchEntry): boolean {
+    if (entry.credits.length === 0) return false;
+    for (const server of entry.credits) {
+      entry.draft.revoked.push(server.record.id);
+    }
+    this.forget(entry);
+    return true;
+  }
+
+  #topUp(entry: DispatchEntry, now: number): boolean {
+    const rate = entry.callsPerMs(now);
+    if (rate < IDLE_CALLS_PER_MS) return false;
+    const calls = rate * ROUND_TRIP_MS;
+    const wanted = MIN_CREDITS + Math.floor(CREDITS_PER_CALL * calls);
+    let given = false;
+    while (entry.credits.length < wanted) {
+      const server = this.#slots.pick(entry.dataCentre);
+      if (!server) break;
+      entry.credits.push(server);
+      entry.draft.credits.push(server.record.id);
+      this.#slots.credit(server, 1);
+      given = true;
+    }
+    return given;
+  }
+}
--- /dev/null
+++ b/packages/routing/dispatch_entry.ts
@@ -0,0 +1,97 @@
+import type { Waiting } from "#admission";
+import type { BackendServerId, DataCentre, HostId, Priority } from "#model";
+import type { DispatchGrant } from "./messages.ts";
+import type { Numbers } from "./numbers.ts";
+import type { ServerSlots } from "./slots.ts";
+
+/** Time constant of an entry's call rate, in milliseconds. */
+const RATE_MS = 200;
+
+/** A call of an entry that waits at the dispatcher. */
+export interface Want extends Waiting {
+  readonly ticket: number;
+  readonly priority: Priority;
+  readonly class: string;
+  readonly exclude: readonly BackendServerId[] | undefined;
+  readonly entry: DispatchEntry;
+}
+
+/** A slot in use by a call of an entry. */
+export interface Grant {
+  readonly server: ServerSlots;
+  readonly class: string;
+  /** Assignment, in milliseconds of the dispatcher's clock. */
+  readonly at: number;
+  /** Calls that had to finish there first, as a share of its slots. */
+  readonly crowding: number;
+  /** No later than the message that carried it; 0 if the entry took it. */
+  readonly sequence: number;
+}
+
+type Draft = {
+  -readonly [K in "grants" | "rejects" | "credits" | "revoked"]: [
+    ...DispatchGrant[K],
+  ];
+};
+
+/** What a dispatcher knows of one entry that uses it. */
+export class DispatchEntry {
+  readonly id: HostId;
+  readonly dataCentre: DataCentre;
+  /** The newest message of the entry. */
+  received = 0;
+  lastHeard: number;
+  readonly grants = new Map<number, Grant>();
+  readonly wants = new Map<number, Want>();
+  /** Credits that the entry holds, as far as is known. */
+  readonly credits: ServerSlots[] = [];
+  draft: Draft = emptyDraft();
+  answerDue = false;
+  #rate = 0;
+  #rateAt: number;
+
+  constructor(id: HostId, dataCentre: DataCentre, now: number) {
+    this.id = id;
+    this.dataCentre = dataCentre;
+    this.lastHeard = now;
+    this.#rateAt = now;
+  }
+
+  /** Counts a call. */
+  countCall(now: number): void {
+    this.#rate = this.callsPerMs(now) + 1 / RATE_MS;
+    this.#rateAt = now;
+  }
+
+  callsPerMs(now: number): number {
+    return this.#rate * Math.exp((this.#rateAt - now) / RATE_MS);
+  }
+
+  /** Forgets a credit; false if the entry held none for the server. */
+  dropCredit(server: ServerSlots): boolean {
+    const index = this.credits.indexOf(server);
+    if (index < 0) return false;
+    this.credits.splice(index, 1);
+    return true;
+  }
+
+  /** Empties the draft into a message, if there is anything to say. */
+  takeDraft(
+    header: Pick<DispatchGrant, "service" | "epoch">,
+    numbers: Numbers,
+  ): DispatchGrant | undefined {
+    const { grants, rejects, credits, revoked } = this.draft;
+    const items =
+      grants.length + rejects.length + credits.length + revoked.length;
+    if (items === 0 && !this.answerDue) return undefined;
+    const { draft } = this;
+    this.draft = emptyDraft();
+    this.answerDue = false;
+    const acknowledged = this.received;
+    return { ...header, sequence: numbers.next(), acknowledged, ...draft };
+  }
+}
+
+function emptyDraft(): Draft {
+  return { grants: [], rejects: [], credits: [], revoked: [] };
+}
--- /dev/null
+++ b/packages/routing/dispatch_link.ts
@@ -0,0 +1,239 @@
+import type { BackendServerId, HostId } from "#model";
+import type { SendEffect } from "./effects.ts";
+import type {
+  DispatchGrant,
+  DispatchReport,
+  Released,
+  Taken,
+  Wanted,
+} from "./messages.ts";
+import type { Numbers } from "./numbers.ts";
+
+/** Silence of the dispatcher after which an entry chooses locally. */
+export const FALLBACK_MS = 30;
+/** Interval of attempts to join the dispatcher. */
+const JOIN_EVERY_MS = 100;
+/** A joining entry chooses locally anyway, so it can wait longer. */
+const JOIN_TIMEOUT_MS = 60;
+/** Silence after which an entry with waiting calls asks for an answer. */
+const PING_AFTER_MS = 10;
+/** Interval of full reports, which repair lost messages. */
+const REPORT_EVERY_MS = 500;
+/** An entry without calls leaves; earlier than the dispatcher forgets it. */
+const LEAVE_AFTER_MS = 1_500;
+
+export type LinkState = "detached" | "joining" | "attached";
+
+/** What an entry tells in a report. */
+export type EntryState = Pick<DispatchReport, "taken" | "wanted">;
+
+/** An entry's side of the conversation with one service's dispatcher. */
+export class DispatchLink {
+  readonly #service: string;
+  readonly #numbers: Numbers;
+  #state: LinkState = "detached";
+  #dispatcher: HostId | undefined;
+  #epoch = 0;
+  #seen = 0;
+  /** The newest message that the dispatcher must answer. */
+  #asked = 0;
+  #awaitingSince: number | undefined;
+  #lastReceived = 0;
+  #lastReport = Number.NEGATIVE_INFINITY;
+  #lastUsed = Number.NEGATIVE_INFINITY;
+  #joinAt = 0;
+  /** Messages were sent since the last report. */
+  #changed = false;
+  #credits: BackendServerId[] = [];
+  #wanted: Wanted[] = [];
+  #taken: Taken[] = [];
+  #released: Released[] = [];
+  #cancelled: number[] = [];
+
+  constructor(service: string, numbers: Numbers) {
+    this.#service = service;
+    this.#numbers = numbers;
+  }
+
+  get state(): LinkState {
+    return this.#state;
+  }
+
+  get dispatcher(): HostId | undefined {
+    return this.#dispatcher;
+  }
+
+  /** Whether the dispatcher must be told of changes. */
+  get streaming(): boolean {
+    return this.#state !== "detached";
+  }
+
+  get hasCredits(): boolean {
+    return this.#credits.length > 0;
+  }
+
+  /** Takes over the dispatcher of a view; the entry joins it anew. */
+  configure(dispatcher: HostId | undefined, epoch: number): void {
+    if (epoch === this.#epoch && dispatcher === this.#dispatcher) return;
+    if (dispatcher !== this.#dispatcher) this.#seen = 0;
+    this.#dispatcher = dispatcher;
+    this.#epoch = epoch;
+    this.#joinAt = 0;
+    this.#clear();
+  }
+
+  /** The connection to the dispatcher is lost. */
+  lost(now: number): void {
+    this.#seen = 0;
+    this.detach(now);
+  }
+
+  detach(now: number): void {
+    this.#clear();
+    this.#joinAt = now + JOIN_EVERY_MS;
+  }
+
+  /** Whether the entry should join now. */
+  joinDue(now: number): boolean {
+    return (
+      this.#state === "detached" &&
+      this.#dispatcher !== undefined &&
+      now >= this.#joinAt
+    );
+  }
+
+  /** Whether the dispatcher has not answered in time. */
+  overdue(now: number): boolean {
+    if (this.#awaitingSince === undefined) return false;
+    const limit = this.#state === "joining" ? JOIN_TIMEOUT_MS : FALLBACK_MS;
+    return now - this.#awaitingSince > limit;
+  }
+
+  reportDue(now: number): boolean {
+    if (this.#state !== "attached") return false;
+    return this.#changed && now - this.#lastReport >= REPORT_EVERY_MS;
+  }
+
+  idle(now: number): boolean {
+    return this.streaming && now - this.#lastUsed > LEAVE_AFTER_MS;
+  }
+
+  /** Sends everything that the dispatcher should know; joins if detached. */
+  report(state: EntryState, now: number): SendEffect[] {
+    if (this.#dispatcher === undefined) return [];
+    if (this.#state === "detached") this.#state = "joining";
+    this.#dropBuffer();
+    this.#lastReport = now;
+    this.#lastUsed = now;
+    this.#changed = state.taken.length > 0 || state.wanted.length > 0;
+    const sequence = this.#ask(now);
+    const payload: DispatchReport = {
+      service: this.#service,
+      epoch: this.#epoch,
+      sequence,
+      seen: this.#seen,
+      credits: [...this.#credits],
+      ...state,
+    };
+    const to = this.#dispatcher;
+    return [{ type: "send", to, kind: "dispatch_report", payload }];
+  }
+
+  want(wanted: Wanted): void {
+    this.#wanted.push(wanted);
+  }
+
+  take(taken: Taken): void {
+    this.#taken.push(taken);
+  }
+
+  release(released: Released): void {
+    this.#released.push(released);
+  }
+
+  cancel(ticket: number): void {
+    this.#cancelled.push(ticket);
+  }
+
+  /** Takes a credit for a server that `usable` accepts. */
+  useCredit(
+    usable: (server: BackendServerId) => boolean,
+  ): BackendServerId | undefined {
+    const index = this.#credits.findIndex(usable);
+    return index < 0 ? undefined : this.#credits.splice(index, 1)[0];
+  }
+
+  /** Sends what has changed; `ping` asks for an answer. */
+  flush(now: number, ping = false): SendEffect[] {
+    const changes =
+      this.#wanted.length +
+      this.#taken.length +
+      this.#released.length +
+      this.#cancelled.length;
+    if (!this.streaming || this.#dispatcher === undefined) {
+      this.#dropBuffer();
+      return [];
+    }
+    if (changes === 0 && !ping) return [];
+    const asks = ping || this.#wanted.length > 0;
+    const sequence = asks ? this.#ask(now) : this.#numbers.next();
+    this.#changed = true;
+    this.#lastUsed = now;
+    const payload = {
+      service: this.#service,
+      epoch: this.#epoch,
+      sequence,
+      wanted: this.#wanted,
+      taken: this.#taken,
+      released: this.#released,
+      cancelled: this.#cancelled,
+      ping,
+    };
+    this.#dropBuffer();
+    const to = this.#dispatcher;
+    return [{ type: "send", to, kind: "dispatch_update", payload }];
+  }
+
+  pingDue(now: number): boolean {
+    return (
+      this.#state === "attached" &&
+      this.#awaitingSince === undefined &&
+      now - this.#lastReceived >= PING_AFTER_MS
+    );
+  }
+
+  /** Takes in an answer; false if it is old, foreign or a duplicate. */
+  accept(from: HostId, grant: DispatchGrant, now: number): boolean {
+    if (from !== this.#dispatcher || grant.epoch !== this.#epoch) return false;
+    if (grant.sequence <= this.#seen) return false;
+    this.#seen = grant.sequence;
+    if (this.#state === "detached") return false;
+    this.#state = "attached";
+    this.#lastReceived = now;
+    const answered = grant.acknowledged >= this.#asked;
+    this.#awaitingSince = answered ? undefined : now;
+    for (const server of grant.revoked) this.useCredit((id) => id === server);
+    this.#credits.push(...grant.credits);
+    return true;
+  }
+
+  #ask(now: number): number {
+    this.#asked = this.#numbers.next();
+    this.#awaitingSince ??= now;
+    return this.#asked;
+  }
+
+  #clear(): void {
+    this.#state = "detached";
+    this.#awaitingSince = undefined;
+    this.#credits = [];
+    this.#dropBuffer();
+  }
+
+  #dropBuffer(): void {
+    this.#wanted = [];
+    this.#taken = [];
+    this.#released = [];
+    this.#cancelled = [];
+  }
+}
--- /dev/null
+++ b/packages/routing/local_servers.ts
@@ -0,0 +1,160 @@
+import type {
+  BackendServer,
+  BackendServerId,
+  DataCentre,
+  Randomness,
+  Service,
+} from "#model";
+import type { CallResult } from "./effects.ts";
+import { chooseLocally } from "./local_choice.ts";
+import { Outliers } from "./outliers.ts";
+import { SampleSet } from "./sample_set.ts";
+import { ServerState, warmSlots } from "./server_state.ts";
+
+/** Pause of a server that shed a call. */
+const SHED_PAUSE_MS = 50;
+
+/** The servers of one service as one entry sees them from its own calls. */
+export class LocalServers {
+  #service: Service;
+  readonly #dataCentre: DataCentre;
+  readonly #random: Randomness;
+  readonly #servers = new Map<BackendServerId, ServerState>();
+  readonly #outliers: Outliers;
+  /** Ready servers on which this entry does not use every slot. */
+  readonly #free = new SampleSet<ServerState>();
+  #ready = 0;
+
+  constructor(
+    service: Service,
+    options: { dataCentre: DataCentre; random: Randomness },
+  ) {
+    this.#service = service;
+    this.#dataCentre = options.dataCentre;
+    this.#random = options.random;
+    this.#outliers = new Outliers(service);
+  }
+
+  /** Whether any server takes calls at all, now or later. */
+  get anyReady(): boolean {
+    return this.#ready > 0;
+  }
+
+  get anyFree(): boolean {
+    return this.#free.size > 0;
+  }
+
+  /** Mean service time of all classes, in milliseconds. */
+  get meanMs(): number {
+    return this.#outliers.meanMs();
+  }
+
+  /** Slots of the servers that take calls. */
+  get slots(): number {
+    return this.#ready * this.#service.slotsPerServer;
+  }
+
+  configure(service: Service): void {
+    this.#service = service;
+    this.#outliers.configure(service);
+  }
+
+  get(id: BackendServerId): ServerState | undefined {
+    return this.#servers.get(id);
+  }
+
+  servers(): IterableIterator<ServerState> {
+    return this.#servers.values();
+  }
+
+  setServers(records: readonly BackendServer[], now: number): void {
+    const present = new Set(records.map((record) => record.id));
+    for (const [id, server] of this.#servers) {
+      if (present.has(id)) continue;
+      this.#servers.delete(id);
+      this.#outliers.remove(id);
+      this.#free.delete(server);
+    }
+    for (const record of records) this.#announce(record, now);
+    this.tick(now);
+  }
+
+  choose(
+    exclude: ReadonlySet<BackendServerId>,
+    now: number,
+  ): ServerState | undefined {
+    const dataCentre = this.#dataCentre;
+    const random = this.#random;
+    const all = exclude.size >= this.#servers.size;
+    const options = { exclude: all ? NONE : exclude, dataCentre, random, now };
+    return chooseLocally(this.#free, options);
+  }
+
+  started(server: ServerState, now: number): void {
+    server.inFlight += 1;
+    this.#refresh(server, now);
+  }
+
+  finished(
+    server: ServerState,
+    result: CallResult & { class: string },
+    now: number,
+  ): void {
+    const { kind, serviceMs } = result;
+    const others = server.others(now);
+    server.inFlight -= 1;
+    server.lastHeard = now;
+    if (kind === "answered") server.sample(serviceMs);
+    if (kind === "not_started") server.pausedUntil = now + SHED_PAUSE_MS;
+    if (result.inFlight !== undefined) server.report(result.inFlight, now);
+    if (result.leaving) server.leaving = true;
+    const { slots } = server.record;
+    const ahead = Math.max(0, server.inFlight + 1 + others - slots);
+    const crowding = Math.min(2, ahead / slots);
+    const seen = { kind, serviceMs, class: result.class, crowding };
+    this.#outliers.observe(server.record.id, seen, now);
+    this.#refresh(server, now);
+  }
+
+  /** Takes up ended ejections, pauses and cold starts. */
+  tick(now: number): void {
+    this.#outliers.tick(now);
+    this.#ready = 0;
+    for (const server of this.#servers.values()) {
+      this.#refresh(server, now);
+      if (server.ready) this.#ready += 1;
+    }
+  }
+
+  #announce(record: BackendServer, now: number): void {
+    const known = this.#servers.get(record.id);
+    if (known) {
+      if (known.record.incarnation !== record.incarnation) {
+        this.#outliers.add(record.id, record.slots);
+      }
+      known.announce(record, now);
+      return;
+    }
+    this.#outliers.add(record.id, record.slots);
+    this.#servers.set(record.id, new ServerState(record, now));
+  }
+
+  #refresh(server: ServerState, now: number): void {
+    server.limit = this.#limit(server, now);
+    const known = this.#servers.get(server.record.id) === server;
+    const free = server.inFlight < server.limit;
+    if (known && server.ready && free) this.#free.add(server);
+    else this.#free.delete(server);
+  }
+
+  #limit(server: ServerState, now: number): number {
+    const health = this.#outliers.get(server.record.id);
+    if (!health || now < server.pausedUntil) return 0;
+    if (health.standing === "ejected") return 0;
+    if (health.standing === "trial") return 1;
+    const warm = warmSlots(server, this.#service, now) * health.allowance(now);
+    return Math.max(1, Math.floor(warm));
+  }
+}
+
+const NONE: ReadonlySet<BackendServerId> = new Set();
--- a/packages/routing/messages.ts
+++ b/packages/routing/messages.ts
@@ -1,2 +1,86 @@
-/** Messages between an entry and the dispatchers of its services. */
-export type DispatchMessages = Record<never, never>;
+import type { BackendServerId, CallFaultCode, Priority } from "#model";
+import type { CallResultKind } from "./effects.ts";
+
+/**
+ * Messages between an entry and the dispatchers of its services. Numbers named
+ * `sequence` grow with each message of a sender about a service, so that
+ * duplicates are recognised. A ticket numbers an entry's requests for a slot.
+ */
+export interface DispatchMessages {
+  readonly dispatch_report: DispatchReport;
+  readonly dispatch_update: DispatchUpdate;
+  readonly dispatch_grant: DispatchGrant;
+}
+
+interface DispatchHeader {
+  readonly service: string;
+  /** Epoch of the sender's view; another one's messages are dropped. */
+  readonly epoch: number;
+  readonly sequence: number;
+}
+
+/** A call that waits for a slot. */
+export interface Wanted {
+  readonly ticket: number;
+  readonly priority: Priority;
+  readonly class: string;
+  /** Time left until the call must start, in milliseconds. */
+  readonly remainingMs: number;
+  readonly exclude?: readonly BackendServerId[] | undefined;
+}
+
+/** A slot that the entry took without asking, by a credit or locally. */
+export interface Taken {
+  readonly ticket: number;
+  readonly class: string;
+  readonly server: BackendServerId;
+  /** Time since the call was assigned, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** A slot that the entry no longer uses. */
+export interface Released {
+  readonly ticket: number;
+  /** `unused`: the entry never gave it to a call. */
+  readonly kind: CallResultKind | "unused";
+  readonly serviceMs: number;
+  readonly leaving?: boolean | undefined;
+}
+
+/** The whole state of an entry; replaces what the dispatcher knew of it. */
+export interface DispatchReport extends DispatchHeader {
+  /** The newest grant message that the entry has seen. */
+  readonly seen: number;
+  readonly taken: readonly Taken[];
+  readonly wanted: readonly Wanted[];
+  readonly credits: readonly BackendServerId[];
+}
+
+/** Changes since the entry's last message. */
+export interface DispatchUpdate extends DispatchHeader {
+  readonly wanted: readonly Wanted[];
+  readonly taken: readonly Taken[];
+  readonly released: readonly Released[];
+  /** Tickets that are no longer wanted. */
+  readonly cancelled: readonly number[];
+  /** Asks for an answer even if nothing else does. */
+  readonly ping: boolean;
+}
+
+/** The dispatcher's answer. */
+export interface DispatchGrant extends DispatchHeader {
+  /** The newest message of the entry that the dispatcher has seen. */
+  readonly acknowledged: number;
+  readonly grants: readonly {
+    readonly ticket: number;
+    readonly server: BackendServerId;
+  }[];
+  readonly rejects: readonly {
+    readonly ticket: number;
+    readonly code: CallFaultCode;
+    readonly retryAfterMs: number;
+  }[];
+  /** Slots that the entry may take without asking, until revoked. */
+  readonly credits: readonly BackendServerId[];
+  readonly revoked: readonly BackendServerId[];
+}
--- /dev/null
+++ b/packages/routing/outliers.ts
@@ -0,0 +1,290 @@
+import type { BackendServerId, Service } from "#model";
+import type { CallResultKind } from "./effects.ts";
+
+/** Evidence for "three times slower" (log likelihood) that convicts. */
+const SLOW_THRESHOLD = 12;
+/** Assumed slowdown of a straggler in the sequential test. */
+const SLOW_FACTOR = 3;
+/** A single call counts for at most this many mean service times. */
+const RATIO_CAP = 5;
+/** A convicted server must be this much slower than the median one. */
+const SLOW_VERSUS_MEDIAN = 2;
+/** Evidence of normal speed that clears a straggler. */
+const CLEAR_THRESHOLD = 3;
+/** Failures in a row that eject a server. */
+const FAIL_THRESHOLD = 3;
+const SUCCESS_STEP = 0.5;
+/** Ejected only below this share of the median success rate. */
+const SUCCESS_VERSUS_MEDIAN = 0.9;
+/** First ejection; doubles with each failed trial. */
+const EJECT_MS = 1_000;
+const EJECT_MAX_MS = 30_000;
+/** Successes in trial that end an ejection. */
+const TRIAL_SUCCESSES = 5;
+/** Time from reinstatement to all slots. */
+const REINSTATE_MS = 5_000;
+/** Interval of trial calls to a straggler. */
+const SLOW_TRIAL_MS = 1_000;
+/** The same once a trial call was fast. */
+const SLOW_RETRIAL_MS = 100;
+const SAMPLE_WEIGHT = 1 / 16;
+const MEAN_WEIGHT = 1 / 256;
+
+export type Standing = "good" | "slow" | "ejected" | "trial";
+
+/** What became of a call on a server. */
+export interface Observation {
+  readonly kind: CallResultKind;
+  readonly class: string;
+  readonly serviceMs: number;
+  /** Calls that had to finish there first, as a share of its slots. */
+  readonly crowding: number;
+}
+
+/** Evidence about one server. */
+export class ServerHealth {
+  readonly id: BackendServerId;
+  slots: number;
+  standing: Standing = "good";
+  /** Moving average of service time over the expected one. */
+  ratio = 1;
+  /** Moving share of calls that did not fail. */
+  success = 1;
+  slowEvidence = 0;
+  clearEvidence = 0;
+  failEvidence = 0;
+  samples = 0;
+  successesInTrial = 0;
+  ejectMs = EJECT_MS;
+  /** End of the ejection, or time of the next trial of a straggler. */
+  until = 0;
+  reinstatedAt = Number.NEGATIVE_INFINITY;
+
+  constructor(id: BackendServerId, slots: number) {
+    this.id = id;
+    this.slots = slots;
+  }
+
+  /** Share of its slots that the server may use, from 0 to 1. */
+  allowance(now: number): number {
+    const age = now - this.reinstatedAt;
+    return age >= REINSTATE_MS ? 1 : Math.max(0.1, age / REINSTATE_MS);
+  }
+}
+
+/**
+ * Detects stragglers and failing servers of one service from outcomes. A
+ * straggler shows in service time at equal crowding, by a sequential test; a
+ * failing server in its success rate, however quick it is. Both are relative
+ * to the median server, so that a fault of all is blamed on none.
+ */
+export class Outliers {
+  #service: Service;
+  readonly #servers = new Map<BackendServerId, ServerHealth>();
+  readonly #means = new Map<string, { ms: number; samples: number }>();
+  #slots = 0;
+  #outSlots = 0;
+
+  constructor(service: Service) {
+    this.#service = service;
+  }
+
+  configure(service: Service): void {
+    this.#service = service;
+  }
+
+  get(id: BackendServerId): ServerHealth | undefined {
+    return this.#servers.get(id);
+  }
+
+  add(id: BackendServerId, slots: number): ServerHealth {
+    this.remove(id);
+    const health = new ServerHealth(id, slots);
+    this.#servers.set(id, health);
+    this.#slots += slots;
+    return health;
+  }
+
+  remove(id: BackendServerId): void {
+    const health = this.#servers.get(id);
+    if (!health) return;
+    this.#servers.delete(id);
+    this.#slots -= health.slots;
+    if (health.standing !== "good") this.#outSlots -= health.slots;
+  }
+
+  /** Mean service time of a class, or of all, in milliseconds; 0: unknown. */
+  meanMs(name = ""): number {
+    return this.#means.get(name)?.ms ?? 0;
+  }
+
+  /** Takes in an outcome; true if the server's standing has changed. */
+  observe(id: BackendServerId, seen: Observation, now: number): boolean {
+    const health = this.#servers.get(id);
+    if (!health) return false;
+    const before = health.standing;
+    if (seen.kind === "answered") this.#answered(health, seen, now);
+    else if (seen.kind === "failed" || seen.kind === "lost") {
+      this.#failed(health, now);
+    }
+    return health.standing !== before;
+  }
+
+  /** Weighs calls that still run; true if the server is found slow. */
+  weighRunning(
+    id: BackendServerId,
+    calls: readonly Pick<Observation, "class" | "serviceMs" | "crowding">[],
+    now: number,
+  ): boolean {
+    const health = this.#servers.get(id);
+    if (health?.standing !== "good") return false;
+    let evidence = health.slowEvidence;
+    let ratios = health.ratio;
+    for (const call of calls) {
+      const ratio = this.#ratio(call);
+      evidence += slowExposure(ratio);
+      if (ratio > ratios) ratios += SAMPLE_WEIGHT * (ratio - ratios);
+    }
+    if (evidence < SLOW_THRESHOLD) return false;
+    return this.#convict(health, ratios, now);
+  }
+
+  /** Lets ended ejections go into trial; true if any standing changed. */
+  tick(now: number): boolean {
+    let changed = false;
+    if (this.#outSlots === 0) return changed;
+    for (const health of this.#servers.values()) {
+      if (health.standing !== "ejected" || now < health.until) continue;
+      health.standing = "trial";
+      health.successesInTrial = 0;
+      changed = true;
+    }
+    return changed;
+  }
+
+  /** Whether a straggler is due a call that tries it. */
+  trialDue(id: BackendServerId, now: number): boolean {
+    const health = this.#servers.get(id);
+    return health?.standing === "slow" && now >= health.until;
+  }
+
+  trialStarted(id: BackendServerId, now: number): void {
+    const health = this.#servers.get(id);
+    if (!health) return;
+    const fast = health.clearEvidence > 0;
+    health.until = now + (fast ? SLOW_RETRIAL_MS : SLOW_TRIAL_MS);
+  }
+
+  #answered(health: ServerHealth, seen: Observation, now: number): void {
+    const ratio = this.#ratio(seen);
+    health.samples += 1;
+    health.ratio += SAMPLE_WEIGHT * (ratio - health.ratio);
+    health.success += SAMPLE_WEIGHT * (1 - health.success);
+    health.failEvidence = Math.max(0, health.failEvidence - SUCCESS_STEP);
+    const evidence = slowExposure(ratio) - Math.log(SLOW_FACTOR);
+    health.slowEvidence = Math.max(0, health.slowEvidence + evidence);
+    if (health.standing === "slow") this.#maybeClear(health, evidence, now);
+    else if (health.standing === "trial") this.#trialSucceeded(health, now);
+    else {
+      this.#measure(seen);
+      if (health.slowEvidence >= SLOW_THRESHOLD) {
+        this.#convict(health, health.ratio, now);
+      }
+    }
+  }
+
+  #failed(health: ServerHealth, now: number): void {
+    health.success -= SAMPLE_WEIGHT * health.success;
+    health.failEvidence += 1;
+    if (health.standing === "trial") {
+      health.ejectMs = Math.min(EJECT_MAX_MS, 2 * health.ejectMs);
+      this.#eject(health, now);
+      return;
+    }
+    if (health.standing === "ejected") return;
+    if (health.failEvidence < FAIL_THRESHOLD) return;
+    const usual = median([...this.#servers.values()].map((s) => s.success));
+    if (health.success >= SUCCESS_VERSUS_MEDIAN * usual) return;
+    if (health.standing === "slow" || this.#mayTakeOut(health)) {
+      this.#eject(health, now);
+    }
+  }
+
+  #eject(health: ServerHealth, now: number): void {
+    if (health.standing === "good") this.#outSlots += health.slots;
+    health.standing = "ejected";
+    health.until = now + health.ejectMs;
+  }
+
+  #convict(health: ServerHealth, ratio: number, now: number): boolean {
+    const usual = median([...this.#servers.values()].map((s) => s.ratio));
+    if (ratio < SLOW_VERSUS_MEDIAN * usual) return false;
+    if (!this.#mayTakeOut(health)) return false;
+    this.#outSlots += health.slots;
+    health.ratio = ratio;
+    health.standing = "slow";
+    health.clearEvidence = 0;
+    health.until = now + SLOW_TRIAL_MS;
+    return true;
+  }
+
+  #maybeClear(health: ServerHealth, evidence: number, now: number): void {
+    health.clearEvidence = Math.max(0, health.clearEvidence - evidence);
+    if (health.clearEvidence > 0) {
+      health.until = Math.min(health.until, now + SLOW_RETRIAL_MS);
+    }
+    if (health.clearEvidence < CLEAR_THRESHOLD) return;
+    health.ratio = 1;
+    this.#reinstate(health, now);
+  }
+
+  #trialSucceeded(health: ServerHealth, now: number): void {
+    health.successesInTrial += 1;
+    if (health.successesInTrial < TRIAL_SUCCESSES) return;
+    health.success = 1;
+    health.ejectMs = EJECT_MS;
+    this.#reinstate(health, now);
+  }
+
+  #reinstate(health: ServerHealth, now: number): void {
+    health.standing = "good";
+    health.slowEvidence = 0;
+    health.failEvidence = 0;
+    health.reinstatedAt = now;
+    this.#outSlots -= health.slots;
+  }
+
+  #mayTakeOut(health: ServerHealth): boolean {
+    const limit = (this.#slots * this.#service.ejectionMaxPercent) / 100;
+    return this.#outSlots + health.slots <= limit;
+  }
+
+  #ratio(seen: Pick<Observation, "class" | "serviceMs" | "crowding">): number {
+    const mean = this.meanMs(seen.class);
+    if (mean === 0) return 1;
+    const expected = mean * (1 + seen.crowding);
+    return Math.min(RATIO_CAP, seen.serviceMs / expected);
+  }
+
+  #measure(seen: Observation): void {
+    const bareMs = seen.serviceMs / (1 + seen.crowding);
+    for (const name of [seen.class, ""]) {
+      const mean = this.#means.get(name) ?? { ms: 0, samples: 0 };
+      this.#means.set(name, mean);
+      mean.samples += 1;
+      const weight = Math.max(MEAN_WEIGHT, 1 / mean.samples);
+      const capMs = mean.samples > 1 ? RATIO_CAP * mean.ms : bareMs;
+      mean.ms += weight * (Math.min(bareMs, capMs) - mean.ms);
+    }
+  }
+}
+
+/** Evidence of a running time, before the call's end is known. */
+function slowExposure(ratio: number): number {
+  return ratio * (1 - 1 / SLOW_FACTOR);
+}
+
+function median(values: number[]): number {
+  values.sort((a, b) => a - b);
+  return values[Math.floor((values.length - 1) / 2)] ?? 1;
+}
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -4,14 +4,18 @@
   type Call,
   callFault,
   type DataCentre,
+  EMPTY_VIEW,
   type HostId,
   type Randomness,
+  rendezvousOrder,
   type Service,
   type View,
 } from "#model";
 import type { Message } from "#wire";
+import { Dispatcher } from "./dispatcher.ts";
 import type { CallResult, ProbeResult, RoutingEffect } from "./effects.ts";
 import type { DispatchMessages } from "./messages.ts";
+import { Numbers } from "./numbers.ts";
 import { ServiceRouter } from "./service_router.ts";
 
 const NONE: ReadonlySet<BackendServerId> = new Set();
@@ -29,10 +33,14 @@
  */
 export class Router {
   readonly #options: RouterOptions;
+  readonly #numbers = new Numbers();
   readonly #services = new Map<string, ServiceRouter>();
+  readonly #records = new Map<string, readonly BackendServer[]>();
+  readonly #dispatchers = new Map<string, Dispatcher>();
   /** The service of each call that is waiting or assigned. */
   readonly #calls = new Map<string, ServiceRouter>();
   readonly #active = new Set<ServiceRouter>();
+  #view: View = EMPTY_VIEW;
 
   constructor(options: RouterOptions) {
     this.#options = options;
@@ -41,18 +49,28 @@
   /** Takes over the services of the document and the view in force. */
   configure(
     services: readonly Service[],
-    _view: View,
-    _now: number,
+    view: View,
+    now: number,
   ): RoutingEffect[] {
+    this.#view = view;
+    const effects: RoutingEffect[] = [];
+    const present = new Set(services.map((service) => service.name));
+    for (const [name, router] of this.#services) {
+      if (present.has(name) || !router.idle) continue;
+      this.#services.delete(name);
+      this.#dispatchers.delete(name);
+    }
+    const candidates = view.entries.filter(({ state }) => state === "ready");
+    const members = new Map(view.entries.map((e) => [e.id, e.dataCentre]));
+    const inView = members.has(this.#options.self);
     for (const service of services) {
-      const known = this.#services.get(service.name);
-      if (known) known.configure(service);
-      else {
-        const router = new ServiceRouter(service, this.#options);
-        this.#services.set(service.name, router);
-      }
+      const router = this.#serviceRouter(service);
+      const [first] = rendezvousOrder(service.name, candidates);
+      const dispatcher = inView ? first?.id : undefined;
+      effects.push(...this.#dispatch(service, dispatcher, { members, now }));
+      effects.push(...router.setDispatcher(dispatcher, view.epoch, now));
     }
-    return [];
+    return this.#settle(effects, now);
   }
 
   /** Sets the servers of a service; calls on removed ones stay assigned. */
@@ -61,7 +79,13 @@
     servers: readonly BackendServer[],
     now: number,
   ): RoutingEffect[] {
-    return this.#services.get(service)?.setServers(servers, now) ?? [];
+    this.#records.set(service, servers);
+    const effects: RoutingEffect[] = [];
+    const dispatcher = this.#dispatchers.get(service);
+    if (dispatcher) effects.push(...dispatcher.setServers(servers, now));
+    const router = this.#services.get(service);
+    if (router) effects.push(...router.setServers(servers, now));
+    return this.#settle(effects, now);
   }
 
   /**
@@ -81,7 +105,7 @@
     const { exclude = NONE, now } = options;
     this.#calls.set(call.id, router);
     this.#active.add(router);
-    return this.#settle(router.submit(call, { exclude, now }));
+    return this.#settle(router.submit(call, { exclude, now }), now);
   }
 
   /** Reports the end of an assigned call and frees its slot. */
@@ -89,7 +113,7 @@
     const router = this.#calls.get(callId);
     if (!router) return [];
     this.#calls.delete(callId);
-    return this.#settle(router.finish(callId, result, now));
+    return this.#settle(router.finish(callId, result, now), now);
   }
 
   /** Gives up a call, waiting or assigned; no effect for it follows. */
@@ -97,7 +121,7 @@
     const router = this.#calls.get(callId);
     if (!router) return [];
     this.#calls.delete(callId);
-    return this.#settle(router.cancel(callId, now));
+    return this.#settle(router.cancel(callId, now), now);
   }
 
   /** Reports the answer of a probe. */
@@ -111,32 +135,110 @@
 
   /** Takes a message of another entry. */
   receive(
-    _from: HostId,
-    _message: Message<DispatchMessages>,
-    _now: number,
+    from: HostId,
+    message: Message<DispatchMessages>,
+    now: number,
   ): RoutingEffect[] {
-    return [];
+    return this.#settle(this.#handle(from, message, now), now);
   }
 
   /** The connection to another entry is lost. */
-  peerDown(_id: HostId, _now: number): RoutingEffect[] {
-    return [];
+  peerDown(id: HostId, now: number): RoutingEffect[] {
+    const effects: RoutingEffect[] = [];
+    for (const dispatcher of this.#dispatchers.values()) {
+      effects.push(...dispatcher.entryDown(id, now));
+    }
+    for (const router of this.#active) {
+      effects.push(...router.peerDown(id, now));
+    }
+    return this.#settle(effects, now);
   }
 
-  /** Advances time: expired calls, retries, probes. */
+  /** Advances time: expired calls, fallback, reports, probes. */
   tick(now: number): RoutingEffect[] {
     const effects: RoutingEffect[] = [];
+    for (const dispatcher of this.#dispatchers.values()) {
+      if (!dispatcher.idle) effects.push(...dispatcher.tick(now));
+    }
     for (const router of this.#active) {
       effects.push(...router.tick(now));
       if (router.idle) this.#active.delete(router);
     }
-    return this.#settle(effects);
+    return this.#settle(effects, now);
+  }
+
+  /** The dispatcher of a service, if it is here; for metrics. */
+  dispatcher(service: string): Dispatcher | undefined {
+    return this.#dispatchers.get(service);
+  }
+
+  #serviceRouter(service: Service): ServiceRouter {
+    const known = this.#services.get(service.name);
+    if (known) {
+      known.configure(service);
+      return known;
+    }
+    const numbers = this.#numbers;
+    const router = new ServiceRouter(service, { ...this.#options, numbers });
+    this.#services.set(service.name, router);
+    return router;
   }
 
-  #settle(effects: RoutingEffect[]): RoutingEffect[] {
+  /** Starts, keeps or stops the dispatcher of a service here. */
+  #dispatch(
+    service: Service,
+    host: HostId | undefined,
+    options: { members: ReadonlyMap<HostId, DataCentre>; now: number },
+  ): RoutingEffect[] {
+    const { members, now } = options;
+    const { epoch } = this.#view;
+    const known = this.#dispatchers.get(service.name);
+    if (host !== this.#options.self) {
+      this.#dispatchers.delete(service.name);
+      return [];
+    }
+    if (known) return known.configure(service, { epoch, members }, now);
+    const numbers = this.#numbers;
+    const made = new Dispatcher({ service, epoch, members, numbers, now });
+    this.#dispatchers.set(service.name, made);
+    return made.setServers(this.#records.get(service.name) ?? [], now);
+  }
+
+  #handle(
+    from: HostId,
+    message: Message<DispatchMessages>,
+    now: number,
+  ): RoutingEffect[] {
+    const { service } = message.payload;
+    switch (message.kind) {
+      case "dispatch_grant": {
+        const router = this.#services.get(service);
+        return router?.receive(from, message.payload, now) ?? [];
+      }
+      case "dispatch_report": {
+        const dispatcher = this.#dispatchers.get(service);
+        return dispatcher?.report(from, message.payload, now) ?? [];
+      }
+      case "dispatch_update": {
+        const dispatcher = this.#dispatchers.get(service);
+        return dispatcher?.update(from, message.payload, now) ?? [];
+      }
+    }
+  }
+
+  /** Delivers messages to this entry itself and forgets rejected calls. */
+  #settle(effects: RoutingEffect[], now: number): RoutingEffect[] {
+    const { self } = this.#options;
+    const settled: RoutingEffect[] = [];
+    // Answers to own messages are appended while the list is walked.
     for (const effect of effects) {
+      if (effect.type === "send" && effect.to === self) {
+        effects.push(...this.#handle(self, effect, now));
+        continue;
+      }
       if (effect.type === "reject") this.#calls.delete(effect.callId);
+      settled.push(effect);
     }
-    return effects;
+    return settled;
   }
 }
--- a/packages/routing/server_state.ts
+++ b/packages/routing/server_state.ts
@@ -12,6 +12,8 @@
   inFlight = 0;
   /** Calls that this entry gives it at the same time. */
   limit = 1;
+  /** The server shed a call and gets none until then. */
+  pausedUntil = 0;
   /** The server announced that it is leaving; final within an incarnation. */
   leaving = false;
   /** Time of the last result or probe answer. */
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -1,194 +1,342 @@
 import { ClassQueue } from "#admission";
 import {
   type BackendServer,
+  type BackendServerId,
   type Call,
+  type CallFaultCode,
   callFault,
   type DataCentre,
+  type HostId,
   type Randomness,
   type Service,
 } from "#model";
+import { DispatchLink, type EntryState } from "./dispatch_link.ts";
 import type { CallResult, RoutingEffect } from "./effects.ts";
-import { chooseLocally } from "./local_choice.ts";
-import { SampleSet } from "./sample_set.ts";
-import { ServerState, warmSlots } from "./server_state.ts";
+import { LocalServers } from "./local_servers.ts";
+import type { DispatchGrant, Taken, Wanted } from "./messages.ts";
+import type { Numbers } from "./numbers.ts";
+import type { ServerState } from "./server_state.ts";
 
-/** Weight of a new sample in the average time between completions. */
-const RATE_WEIGHT = 0.05;
+/** Interval in which ejections and cold starts are followed. */
+const REFRESH_MS = 50;
+const MIN_RETRY_MS = 10;
+/** When to come back to a service without servers. */
+const NO_SERVER_RETRY_MS = 1_000;
 
 interface OpenCall {
   readonly id: string;
-  readonly call: Call;
+  readonly class: string;
   readonly priority: Call["priority"];
+  /** Latest useful start, in milliseconds of `Clock.now()`. */
   readonly deadline: number;
-  readonly exclude: ReadonlySet<string>;
+  readonly ticket: number;
+  readonly exclude: Set<BackendServerId>;
   server: ServerState | undefined;
+  assignedAt: number;
 }
 
 export interface ServiceRouterOptions {
   readonly dataCentre: DataCentre;
   readonly random: Randomness;
+  readonly numbers: Numbers;
 }
 
-/** One entry's choice of servers for one service. */
+/** One entry's selection of servers for one service. */
 export class ServiceRouter {
+  readonly link: DispatchLink;
   #service: Service;
-  readonly #options: ServiceRouterOptions;
-  readonly #servers = new Map<string, ServerState>();
-  /** Ready servers on which this entry does not use every slot. */
-  readonly #free = new SampleSet<ServerState>();
+  readonly #numbers: Numbers;
+  readonly #servers: LocalServers;
   readonly #calls = new Map<string, OpenCall>();
+  readonly #tickets = new Map<number, OpenCall>();
+  /** Calls that wait, for a grant or for a server of the local choice. */
   readonly #queue: ClassQueue<OpenCall>;
-  #betweenFinishesMs = 0;
-  #lastFinish = Number.NEGATIVE_INFINITY;
+  #refreshAt = 0;
 
   constructor(service: Service, options: ServiceRouterOptions) {
     this.#service = service;
-    this.#options = options;
+    this.#numbers = options.numbers;
+    this.#servers = new LocalServers(service, options);
     this.#queue = new ClassQueue(service.queueLength);
+    this.link = new DispatchLink(service.name, options.numbers);
   }
 
+  get service(): Service {
+    return this.#service;
+  }
+
+  /** Whether time changes nothing here. */
   get idle(): boolean {
-    return this.#calls.size === 0;
+    return this.#calls.size === 0 && !this.link.streaming;
+  }
+
+  get servers(): LocalServers {
+    return this.#servers;
   }
 
   configure(service: Service): void {
     this.#service = service;
     this.#queue.setLimit(service.queueLength);
+    this.#servers.configure(service);
+  }
+
+  /** Takes over the dispatcher of a view; joins it if there are calls. */
+  setDispatcher(
+    dispatcher: HostId | undefined,
+    epoch: number,
+    now: number,
+  ): RoutingEffect[] {
+    const used = this.link.streaming || this.#calls.size > 0;
+    this.link.configure(dispatcher, epoch);
+    return used ? [...this.#join(now), ...this.#drain(now)] : [];
   }
 
   setServers(records: readonly BackendServer[], now: number): RoutingEffect[] {
-    const present = new Set(records.map((record) => record.id));
-    for (const [id, server] of this.#servers) {
-      if (present.has(id)) continue;
-      this.#servers.delete(id);
-      this.#free.delete(server);
-    }
-    for (const record of records) {
-      const server = this.#servers.get(record.id);
-      if (server) server.announce(record, now);
-      else this.#servers.set(record.id, new ServerState(record, now));
-    }
-    for (const server of this.#servers.values()) this.#refresh(server, now);
+    this.#servers.setServers(records, now);
     return this.#drain(now);
   }
 
   submit(
     call: Call,
-    options: { exclude: ReadonlySet<string>; now: number },
+    options: { exclude: ReadonlySet<BackendServerId>; now: number },
   ): RoutingEffect[] {
-    const { exclude, now } = options;
-    if (this.#calls.has(call.id)) return [];
+    const { now } = options;
     const { id, priority, deadline } = call;
+    if (this.#calls.has(id)) return [];
     if (deadline <= now) return [reject(id, "deadline_expired")];
-    if (!this.#anyReady()) return [reject(id, "no_server", 1_000)];
-    const open = { id, call, priority, deadline, exclude, server: undefined };
+    if (!this.#servers.anyReady) {
+      return [reject(id, "no_server", NO_SERVER_RETRY_MS)];
+    }
+    const reserveMs = Math.min(this.#servers.meanMs, (deadline - now) / 2);
+    const open: OpenCall = {
+      id,
+      class: call.class,
+      priority,
+      deadline: deadline - reserveMs,
+      ticket: this.#numbers.next(),
+      exclude: new Set(options.exclude),
+      server: undefined,
+      assignedAt: 0,
+    };
     this.#calls.set(id, open);
-    const effect = this.#queue.length === 0 && this.#assign(open, now);
-    return effect ? [effect] : this.#wait(open, now);
+    this.#tickets.set(open.ticket, open);
+    const effects = this.#place(open, now);
+    if (this.link.joinDue(now)) effects.push(...this.#join(now));
+    return effects;
   }
 
   finish(callId: string, result: CallResult, now: number): RoutingEffect[] {
     const open = this.#calls.get(callId);
     if (!open?.server) return [];
-    this.#calls.delete(callId);
-    const { server } = open;
-    server.inFlight -= 1;
-    server.lastHeard = now;
-    if (result.kind === "answered") server.sample(result.serviceMs);
-    if (result.inFlight !== undefined) server.report(result.inFlight, now);
-    if (result.leaving) server.leaving = true;
-    this.#refresh(server, now);
-    this.#measureRate(now);
-    return this.#drain(now);
+    const { ticket, server } = open;
+    this.#close(open);
+    this.#servers.finished(server, { ...result, class: open.class }, now);
+    const { kind, serviceMs, leaving } = result;
+    if (this.link.streaming) {
+      this.link.release({ ticket, kind, serviceMs, leaving });
+    }
+    // With credits left nobody waits, so the release can go with the next call.
+    const sent = this.link.hasCredits ? [] : this.link.flush(now);
+    return [...sent, ...this.#drain(now)];
   }
 
   cancel(callId: string, now: number): RoutingEffect[] {
     const open = this.#calls.get(callId);
     if (!open) return [];
     if (open.server) {
-      return this.finish(callId, { kind: "cancelled", serviceMs: 0 }, now);
+      const serviceMs = now - open.assignedAt;
+      return this.finish(callId, { kind: "cancelled", serviceMs }, now);
     }
-    this.#calls.delete(callId);
     this.#queue.remove(callId);
-    return [];
+    this.#close(open);
+    this.link.cancel(open.ticket);
+    return this.link.flush(now);
+  }
+
+  receive(from: HostId, grant: DispatchGrant, now: number): RoutingEffect[] {
+    if (!this.link.accept(from, grant, now)) return [];
+    const effects: RoutingEffect[] = [];
+    for (const { ticket, server } of grant.grants) {
+      effects.push(...this.#granted(ticket, server, now));
+    }
+    for (const { ticket, code, retryAfterMs } of grant.rejects) {
+      const open = this.#tickets.get(ticket);
+      if (!open || open.server) continue;
+      this.#queue.remove(open.id);
+      this.#close(open);
+      effects.push(reject(open.id, code, retryAfterMs));
+    }
+    effects.push(...this.link.flush(now));
+    return effects;
+  }
+
+  /** The connection to a peer is lost. */
+  peerDown(id: HostId, now: number): RoutingEffect[] {
+    if (id !== this.link.dispatcher) return [];
+    this.link.lost(now);
+    return this.#drain(now);
   }
 
   tick(now: number): RoutingEffect[] {
-    const expired = this.#queue.expire(now).map((open) => {
-      this.#calls.delete(open.id);
-      return reject(open.id, "deadline_expired", this.#retryAfter());
-    });
-    return [...expired, ...this.#drain(now)];
+    if (now >= this.#refreshAt) {
+      this.#servers.tick(now);
+      this.#refreshAt = now + REFRESH_MS;
+    }
+    const effects: RoutingEffect[] = this.#expire(now);
+    if (this.link.overdue(now)) this.link.detach(now);
+    if (this.link.joinDue(now) && this.#calls.size > 0) {
+      effects.push(...this.#join(now));
+    } else if (this.link.reportDue(now)) {
+      effects.push(...this.link.report(this.#state(now), now));
+    }
+    const ping = this.#queue.length > 0 && this.link.pingDue(now);
+    effects.push(...this.link.flush(now, ping));
+    if (this.link.idle(now) && this.#calls.size === 0) this.link.detach(now);
+    effects.push(...this.#drain(now));
+    return effects;
   }
 
-  #anyReady(): boolean {
-    if (this.#free.size > 0) return true;
-    for (const server of this.#servers.values()) {
-      if (server.ready) return true;
+  /** Assigns a new call or lets it wait. */
+  #place(open: OpenCall, now: number): RoutingEffect[] {
+    if (this.link.state === "attached") {
+      const id = this.link.useCredit((server) => this.#usable(open, server));
+      const server = id === undefined ? undefined : this.#servers.get(id);
+      if (server) return this.#assign(open, server, now);
+      const offered = this.#offer(open, now);
+      return [...offered, ...this.link.flush(now)];
     }
-    return false;
+    const server =
+      this.#queue.length === 0
+        ? this.#servers.choose(open.exclude, now)
+        : undefined;
+    if (server) return this.#assign(open, server, now);
+    const waitMs = this.#waitMs(this.#queue.ahead(open.priority));
+    if (now + waitMs > open.deadline) {
+      this.#close(open);
+      return [reject(open.id, "queue_full", this.#retryMs())];
+    }
+    return [...this.#offer(open, now), ...this.link.flush(now)];
   }
 
-  #assign(open: OpenCall, now: number): RoutingEffect | undefined {
-    const { dataCentre, random } = this.#options;
-    const { exclude } = open;
-    const choice = { exclude, dataCentre, random, now };
-    const server = chooseLocally(this.#free, choice);
-    if (!server) return undefined;
-    open.server = server;
-    server.inFlight += 1;
-    this.#refresh(server, now);
-    return { type: "assign", callId: open.id, server: server.record };
+  #usable(open: OpenCall, id: BackendServerId): boolean {
+    return !open.exclude.has(id) && this.#servers.get(id)?.ready === true;
   }
 
-  #wait(open: OpenCall, now: number): RoutingEffect[] {
-    const waitMs = this.#betweenFinishesMs * this.#queue.ahead(open.priority);
-    if (now + waitMs >= open.deadline) {
-      this.#calls.delete(open.id);
-      return [reject(open.id, "queue_full", this.#retryAfter())];
-    }
+  #offer(open: OpenCall, now: number): RoutingEffect[] {
     const offer = this.#queue.offer(open);
+    if (offer.type !== "full" && this.link.streaming) {
+      this.link.want(this.#wanted(open, now));
+    }
     if (offer.type === "queued") return [];
     const loser = offer.type === "full" ? open : offer.evicted;
-    this.#calls.delete(loser.id);
-    return [reject(loser.id, "queue_full", this.#retryAfter())];
+    this.#close(loser);
+    if (loser !== open) this.link.cancel(loser.ticket);
+    return [reject(loser.id, "queue_full", this.#retryMs())];
+  }
+
+  #assign(open: OpenCall, server: ServerState, now: number): RoutingEffect[] {
+    const effect = this.#start(open, server, now);
+    if (!this.link.streaming) return [effect];
+    this.link.take(taken(open, server, now));
+    return [effect, ...this.link.flush(now)];
+  }
+
+  #start(open: OpenCall, server: ServerState, now: number): RoutingEffect {
+    open.server = server;
+    open.assignedAt = now;
+    this.#servers.started(server, now);
+    return { type: "assign", callId: open.id, server: server.record };
+  }
+
+  #granted(ticket: number, id: BackendServerId, now: number): RoutingEffect[] {
+    const open = this.#tickets.get(ticket);
+    if (open?.server) return [];
+    const server = this.#servers.get(id);
+    if (open && server?.ready) {
+      this.#queue.remove(open.id);
+      return [this.#start(open, server, now)];
+    }
+    const leaving = open !== undefined && server?.ready !== true;
+    this.link.release({ ticket, kind: "unused", serviceMs: 0, leaving });
+    if (!open) return [];
+    // The dispatcher does not know yet that this server takes no calls.
+    open.exclude.add(id);
+    this.link.want(this.#wanted(open, now));
+    return [];
   }
 
-  /** Assigns waiting calls while there are free slots. */
+  /** Assigns waiting calls by local choice, unless the dispatcher does. */
   #drain(now: number): RoutingEffect[] {
     const effects: RoutingEffect[] = [];
-    for (;;) {
-      const open = this.#free.size > 0 ? this.#queue.peek() : undefined;
-      const effect = open && this.#assign(open, now);
-      if (!open || !effect) return effects;
-      this.#queue.remove(open.id);
-      effects.push(effect);
+    if (this.link.state === "attached") return effects;
+    while (this.#servers.anyFree) {
+      const open = this.#queue.peek();
+      const server = open && this.#servers.choose(open.exclude, now);
+      if (!server) break;
+      this.#queue.take();
+      effects.push(...this.#assign(open, server, now));
     }
+    return effects;
+  }
+
+  #expire(now: number): RoutingEffect[] {
+    return this.#queue.expire(now).map((open) => {
+      this.#close(open);
+      this.link.cancel(open.ticket);
+      return reject(open.id, "deadline_expired", this.#retryMs());
+    });
   }
 
-  #refresh(server: ServerState, now: number): void {
-    server.limit = warmSlots(server, this.#service, now);
-    const known = this.#servers.get(server.record.id) === server;
-    const free = server.inFlight < server.limit;
-    if (known && server.ready && free) this.#free.add(server);
-    else this.#free.delete(server);
+  #join(now: number): RoutingEffect[] {
+    return this.link.report(this.#state(now), now);
+  }
+
+  #state(now: number): EntryState {
+    const state: { taken: Taken[]; wanted: Wanted[] } = {
+      taken: [],
+      wanted: [],
+    };
+    for (const open of this.#calls.values()) {
+      if (open.server) state.taken.push(taken(open, open.server, now));
+      else state.wanted.push(this.#wanted(open, now));
+    }
+    return state;
   }
 
-  #measureRate(now: number): void {
-    const gap = Math.min(now - this.#lastFinish, 1_000);
-    this.#lastFinish = now;
-    this.#betweenFinishesMs += RATE_WEIGHT * (gap - this.#betweenFinishesMs);
+  #wanted(open: OpenCall, now: number): Wanted {
+    return {
+      ticket: open.ticket,
+      priority: open.priority,
+      class: open.class,
+      remainingMs: open.deadline - now,
+      exclude: open.exclude.size > 0 ? [...open.exclude] : undefined,
+    };
   }
 
-  #retryAfter(): number {
-    const waitMs = this.#betweenFinishesMs * (this.#queue.length + 1);
-    return Math.max(1, Math.ceil(waitMs));
+  #close(open: OpenCall): void {
+    this.#calls.delete(open.id);
+    this.#tickets.delete(open.ticket);
   }
+
+  #waitMs(calls: number): number {
+    return (calls * this.#servers.meanMs) / Math.max(1, this.#servers.slots);
+  }
+
+  #retryMs(): number {
+    const waitMs = this.#waitMs(this.#queue.length + 1);
+    return Math.max(MIN_RETRY_MS, Math.ceil(waitMs));
+  }
+}
+
+function taken(open: OpenCall, server: ServerState, now: number): Taken {
+  const { ticket, class: name, assignedAt } = open;
+  const ageMs = now - assignedAt;
+  return { ticket, class: name, server: server.record.id, ageMs };
 }
 
 function reject(
   callId: string,
-  code: "deadline_expired" | "no_server" | "queue_full",
+  code: CallFaultCode,
   retryAfterMs?: number,
 ): RoutingEffect {
   return { type: "reject", callId, fault: callFault(code, { retryAfterMs }) };
--- /dev/null
+++ b/packages/routing/slots.ts
@@ -0,0 +1,262 @@
+import { Heap } from "#admission";
+import type {
+  BackendServer,
+  BackendServerId,
+  DataCentre,
+  Service,
+} from "#model";
+import type { Outliers, ServerHealth } from "./outliers.ts";
+import { warmSlots } from "./server_state.ts";
+
+/** Extra load that a near server may have over a far one, as a share. */
+const NEAR_MARGIN = 0.5;
+/** Weight of a slot that an entry may take but does not use yet. */
+const CREDIT_WEIGHT = 0.5;
+/** Pause of a server that sheds; doubles while it goes on. */
+const SHED_PAUSE_MS = 25;
+const SHED_PAUSE_MAX_MS = 1_000;
+/** Time in which a server that shed gets one more slot back. */
+const SHED_RECOVERY_MS = 200;
+
+/** What a dispatcher knows of a server's slots. */
+export class ServerSlots {
+  record: BackendServer;
+  readonly health: ServerHealth;
+  readonly started: number;
+  heapIndex = -1;
+  /** Slots in use by calls of any entry. */
+  inUse = 0;
+  /** Credits that entries hold for it. */
+  credits = 0;
+  /** Slots that may be in use now; 0 takes the server out. */
+  limit = 0;
+  /** What the table's sums contain of this server. */
+  countedFree = 0;
+  countedLimit = 0;
+  lastHeard: number;
+  leaving = false;
+  shedLimit = Number.POSITIVE_INFINITY;
+  shedPauseMs = SHED_PAUSE_MS;
+  pausedUntil = 0;
+  #shedAt = 0;
+
+  constructor(record: BackendServer, health: ServerHealth, now: number) {
+    this.record = record;
+    this.health = health;
+    this.started = now - record.startedMsAgo;
+    this.lastHeard = now;
+  }
+
+  get free(): number {
+    return Math.max(0, this.limit - this.inUse);
+  }
+
+  /** Whether a straggler, kept for when waiting costs more. */
+  get spare(): boolean {
+    return this.health.standing === "slow";
+  }
+
+  rank(): number {
+    if (this.limit === 0) return Number.POSITIVE_INFINITY;
+    return (this.inUse + CREDIT_WEIGHT * this.credits) / this.limit;
+  }
+
+  /** The server refused a call without starting it. */
+  shed(now: number): void {
+    this.shedLimit = Math.max(1, Math.min(this.inUse, this.record.slots) - 1);
+    this.pausedUntil = now + this.shedPauseMs;
+    this.shedPauseMs = Math.min(SHED_PAUSE_MAX_MS, 2 * this.shedPauseMs);
+    this.#shedAt = now;
+  }
+
+  answered(): void {
+    this.shedPauseMs = SHED_PAUSE_MS;
+  }
+
+  refreshLimit(service: Service, now: number): void {
+    const { record, health } = this;
+    const out = this.leaving || record.state !== "ready";
+    if (out || health.standing === "ejected" || now < this.pausedUntil) {
+      this.limit = 0;
+      return;
+    }
+    if (health.standing === "trial") {
+      this.limit = 1;
+      return;
+    }
+    if (now - this.#shedAt >= SHED_RECOVERY_MS) {
+      this.shedLimit += 1;
+      this.#shedAt = now;
+    }
+    const warm = warmSlots(this, service, now) * health.allowance(now);
+    this.limit = Math.max(1, Math.floor(Math.min(warm, this.shedLimit)));
+  }
+}
+
+/** The slots of a service's servers, ordered for the next grant. */
+export class SlotTable {
+  #service: Service;
+  readonly #outliers: Outliers;
+  readonly #servers = new Map<BackendServerId, ServerSlots>();
+  readonly #heaps = new Map<DataCentre, Heap<ServerSlots>>();
+  readonly #spare = new Set<ServerSlots>();
+  #free = 0;
+  #limit = 0;
+
+  constructor(service: Service, outliers: Outliers) {
+    this.#service = service;
+    this.#outliers = outliers;
+  }
+
+  /** Free slots of servers in good standing. */
+  get free(): number {
+    return this.#free;
+  }
+
+  /** Usable slots of servers in good standing. */
+  get limit(): number {
+    return this.#limit;
+  }
+
+  get size(): number {
+    return this.#servers.size;
+  }
+
+  configure(service: Service): void {
+    this.#service = service;
+  }
+
+  get(id: BackendServerId): ServerSlots | undefined {
+    return this.#servers.get(id);
+  }
+
+  servers(): IterableIterator<ServerSlots> {
+    return this.#servers.values();
+  }
+
+  setServers(records: readonly BackendServer[], now: number): void {
+    const present = new Set(records.map((record) => record.id));
+    for (const [id, server] of this.#servers) {
+      if (!present.has(id)) this.#remove(server);
+    }
+    for (const record of records) {
+      const known = this.#servers.get(record.id);
+      if (known && known.record.incarnation === record.incarnation) {
+        known.record = record;
+        this.refresh(known, now);
+        continue;
+      }
+      if (known) this.#remove(known);
+      const health = this.#outliers.add(record.id, record.slots);
+      const server = new ServerSlots(record, health, now);
+      this.#servers.set(record.id, server);
+      this.refresh(server, now);
+    }
+  }
+
+  /** Counts a slot as used or free again. */
+  use(server: ServerSlots, count: 1 | -1): void {
+    server.inUse = Math.max(0, server.inUse + count);
+    this.#count(server);
+    this.#reorder(server);
+  }
+
+  /** Counts a credit as given or gone. */
+  credit(server: ServerSlots, count: 1 | -1): void {
+    server.credits = Math.max(0, server.credits + count);
+    this.#reorder(server);
+  }
+
+  /** Computes a server's limit anew after time or its standing changed. */
+  refresh(server: ServerSlots, now: number): void {
+    if (this.#servers.get(server.record.id) !== server) return;
+    server.refreshLimit(this.#service, now);
+    this.#count(server);
+    if (server.spare) this.#spare.add(server);
+    else this.#spare.delete(server);
+    const heap = this.#heap(server);
+    const usable = server.limit > 0 && !server.spare;
+    if (usable && server.heapIndex < 0) heap.push(server);
+    else if (!usable && server.heapIndex >= 0) heap.remove(server);
+    this.#reorder(server);
+  }
+
+  /** The best server with fewer than `limit + over` calls, near ones first. */
+  pick(
+    near: DataCentre,
+    options: { over?: number; exclude?: readonly BackendServerId[] } = {},
+  ): ServerSlots | undefined {
+    const { over = 0, exclude } = options;
+    let best: ServerSlots | undefined;
+    let bestRank = Number.POSITIVE_INFINITY;
+    for (const [dataCentre, heap] of this.#heaps) {
+      const top = exclude?.length ? allowed(heap, exclude) : heap.peek();
+      if (!top || top.inUse >= top.limit + over) continue;
+      // A trial or a ramp must not get calls on top of its slots.
+      if (top.inUse >= top.limit && top.limit < top.record.slots) continue;
+      const margin = dataCentre === near && over === 0 ? NEAR_MARGIN : 0;
+      const rank = top.rank() - margin;
+      if (rank >= bestRank) continue;
+      best = top;
+      bestRank = rank;
+    }
+    return best;
+  }
+
+  /** A free slot of a straggler, cheapest first. */
+  pickSpare(exclude?: readonly BackendServerId[]): ServerSlots | undefined {
+    let best: ServerSlots | undefined;
+    for (const server of this.#spare) {
+      if (server.free === 0 || exclude?.includes(server.record.id)) continue;
+      if (!best || server.health.ratio < best.health.ratio) best = server;
+    }
+    return best;
+  }
+
+  #remove(server: ServerSlots): void {
+    const { id } = server.record;
+    this.#heap(server).remove(server);
+    this.#spare.delete(server);
+    this.#servers.delete(id);
+    this.#count(server);
+    this.#outliers.remove(id);
+  }
+
+  #count(server: ServerSlots): void {
+    const present = this.#servers.get(server.record.id) === server;
+    const counts = present && !server.spare;
+    const free = counts ? server.free : 0;
+    const limit = counts ? server.limit : 0;
+    this.#free += free - server.countedFree;
+    this.#limit += limit - server.countedLimit;
+    server.countedFree = free;
+    server.countedLimit = limit;
+  }
+
+  #reorder(server: ServerSlots): void {
+    if (server.heapIndex >= 0) this.#heap(server).update(server);
+  }
+
+  #heap(server: ServerSlots): Heap<ServerSlots> {
+    const { dataCentre } = server.record;
+    let heap = this.#heaps.get(dataCentre);
+    if (!heap) {
+      heap = new Heap((a, b) => a.rank() < b.rank());
+      this.#heaps.set(dataCentre, heap);
+    }
+    return heap;
+  }
+}
+
+/** The best server that a repeated call may use; linear, but rare. */
+function allowed(
+  heap: Heap<ServerSlots>,
+  exclude: readonly BackendServerId[],
+): ServerSlots | undefined {
+  let best: ServerSlots | undefined;
+  for (const server of heap.items()) {
+    if (exclude.includes(server.record.id)) continue;
+    if (!best || server.rank() < best.rank()) best = server;
+  }
+  return best;
+}
