--- a/packages/cli/main.ts
+++ b/packages/cli/main.ts
@@ -1,11 +1,10 @@
-import { Builtins, Cli } from "clipanion";
-import { VERSION } from "./version.ts";
+import { Cli } from "clipanion";
+import { SystemClock } from "#model";
+import { createProgram } from "./program.ts";
+import { ROLES } from "./roles.ts";
 
-const cli = new Cli({
-  binaryName: "mangobank",
-  binaryLabel: "mangobank load balancer",
-  binaryVersion: VERSION,
+void createProgram().runExit(process.argv.slice(2), {
+  ...Cli.defaultContext,
+  roles: ROLES,
+  clock: new SystemClock(),
 });
-cli.register(Builtins.HelpCommand);
-cli.register(Builtins.VersionCommand);
-void cli.runExit(process.argv.slice(2));
--- /dev/null
+++ b/packages/cli/program.ts
@@ -0,0 +1,49 @@
+import { Builtins, Cli } from "clipanion";
+import { CheckCommand } from "./commands/check.ts";
+import {
+  AddMemberCommand,
+  MembersCommand,
+  RemoveMemberCommand,
+} from "./commands/members.ts";
+import {
+  DocumentCommand,
+  HostsCommand,
+  ServersCommand,
+  StatusCommand,
+  StopsCommand,
+} from "./commands/observe.ts";
+import { ControlCommand, EntryCommand } from "./commands/run.ts";
+import { GetCommand, HistoryCommand, PutCommand } from "./commands/sections.ts";
+import type { CliContext } from "./context.ts";
+import { VERSION } from "./version.ts";
+
+/** All subcommands of `mangobank`. */
+export const COMMANDS = [
+  CheckCommand,
+  PutCommand,
+  GetCommand,
+  HistoryCommand,
+  DocumentCommand,
+  StatusCommand,
+  HostsCommand,
+  ServersCommand,
+  StopsCommand,
+  MembersCommand,
+  AddMemberCommand,
+  RemoveMemberCommand,
+  EntryCommand,
+  ControlCommand,
+] as const;
+
+/** Makes the command line. */
+export function createProgram(): Cli<CliContext> {
+  const cli = new Cli<CliContext>({
+    binaryName: "mangobank",
+    binaryLabel: "mangobank load balancer",
+    binaryVersion: VERSION,
+  });
+  for (const command of COMMANDS) cli.register(command);
+  cli.register(Builtins.HelpCommand);
+  cli.register(Builtins.VersionCommand);
+  return cli;
+}
--- /dev/null
+++ b/packages/cli/program_test.ts
@@ -0,0 +1,183 @@
+import assert from "node:assert/strict";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { Writable } from "node:stream";
+import { test } from "node:test";
+import { Cli } from "clipanion";
+import { formatAddress, SystemClock } from "#model";
+import { CHANGE_ID, Host, SYSTEM } from "../operators/fixtures.ts";
+import { COMMANDS, createProgram } from "./program.ts";
+
+const folder = mkdtempSync(join(tmpdir(), "mangobank-cli-"));
+
+function file(name: string, text: string): string {
+  const path = join(folder, name);
+  writeFileSync(path, text);
+  return path;
+}
+
+const SYSTEM_KEY = file("system.key", "system-secret\n");
+const SYSTEM_FILE = file("system.yaml", SYSTEM);
+
+class Sink extends Writable {
+  text = "";
+
+  override _write(chunk: Buffer, _: string, done: () => void) {
+    this.text += chunk.toString();
+    done();
+  }
+}
+
+async function run(...args: string[]) {
+  const [stdout, stderr] = [new Sink(), new Sink()];
+  const started: string[] = [];
+  const code = await createProgram().run(args, {
+    ...Cli.defaultContext,
+    colorDepth: 1,
+    stdout,
+    stderr,
+    clock: new SystemClock(),
+    roles: {
+      entry: async ({ id }) => started.push(`entry ${id}`) - 1,
+      control: async ({ id }) => started.push(`control ${id}`) - 1,
+    },
+  });
+  return { code, out: stdout.text, log: stderr.text, started };
+}
+
+async function remote(host: Host, key = SYSTEM_KEY) {
+  const control = formatAddress(await host.listen());
+  return ["--control", control, "--credential-file", key, "--timeout-s", "1"];
+}
+
+test("each subcommand has a help text", () => {
+  for (const { usage, paths } of COMMANDS) {
+    const name = paths[0]?.join(" ");
+    assert.ok(usage.description && usage.category, name);
+    assert.match(usage.details ?? "", /[Ee]xit codes/i, name);
+  }
+});
+
+test("check prints each error with its file and line", async () => {
+  const bad = file("alloc.yaml", "services: 1\nother: 2\n");
+  const { code, out } = await run("check", SYSTEM_FILE, bad);
+  assert.equal(code, 2);
+  assert.deepEqual(out.split("\n"), [
+    `${bad}:1: services: invalid_value: expected a mapping of at most 2000 names, found 1`,
+    `${bad}:2: other: unknown_key: expected a mapping with keys among services, stops`,
+    "",
+  ]);
+});
+
+test("check compares the sections when system is among them", async () => {
+  const stray = file(
+    "stray.yaml",
+    "stops: { a: { service: x, servers: [y], at: 2026-12-04T02:00:00Z } }",
+  );
+  assert.equal((await run("check", stray)).code, 0);
+  const { code, out } = await run("check", "--json", stray, SYSTEM_FILE);
+  assert.equal(code, 2);
+  const { faults } = JSON.parse(out);
+  assert.deepEqual(
+    faults.map(({ type }: { type: string }) => type),
+    ["section_without_owner", "unknown_service"],
+  );
+});
+
+test("a section is put, read again and listed", async () => {
+  const options = await remote(new Host());
+  const put = ["put", "system", SYSTEM_FILE, "--revision", "0"];
+  const { code, out } = await run(...put, ...options);
+  assert.equal(code, 0);
+  assert.match(out, /^accepted: system is at revision 1/);
+  const got = await run("get", "system", ...options);
+  assert.equal(got.out, SYSTEM);
+  assert.match(got.log, /system is at revision 1/);
+  const history = await run("history", "system", ...options);
+  assert.match(history.out, /^REVISION.*\n1 {9}1 /);
+  const document = await run("document", "--json", ...options);
+  assert.equal(JSON.parse(document.out).document.revision, 1);
+});
+
+test("status names the hosts that lag and since when", async () => {
+  const options = await remote(new Host());
+  await run("put", "system", SYSTEM_FILE, "--revision", "0", ...options);
+  const { code, out } = await run("status", ...options);
+  assert.equal(code, 0);
+  assert.match(out, /in force +not everywhere/);
+  assert.match(out, /\ne1 +- +0 +2026-12-04T02:00:00.000Z\n/);
+});
+
+const FAILURES = [
+  {
+    name: "a conflict",
+    args: ["put", "system", SYSTEM_FILE, "--revision", "7"],
+    code: 3,
+  },
+  {
+    name: "another team's credential",
+    args: ["status"],
+    key: file("wrong.key", "guess"),
+    code: 4,
+  },
+  { name: "a missing section", args: ["get", "alloc"], code: 7 },
+  { name: "a failure of the host", args: ["servers"], code: 1 },
+  {
+    name: "a wrong revision",
+    args: ["put", "a", SYSTEM_FILE, "--revision", "x"],
+    code: 1,
+  },
+  {
+    name: "a missing file",
+    args: ["put", "a", "/nowhere", "--revision", "0"],
+    code: 1,
+  },
+  { name: "a wrong address", args: ["members", "add", "c2", "c2"], code: 1 },
+];
+
+for (const { name, args, key, code } of FAILURES) {
+  test(`the exit code is ${code} for ${name}`, async () => {
+    const result = await run(...args, ...(await remote(new Host(), key)));
+    assert.equal(result.code, code);
+  });
+}
+
+test("an unknown result gives the change id for another try", async () => {
+  const host = new Host();
+  host.submitFault = { type: "result_unknown" };
+  const options = await remote(host);
+  const put = ["put", "system", SYSTEM_FILE, "--revision", "0"];
+  const id = ["--change-id", CHANGE_ID];
+  const { code, log } = await run(...put, ...id, ...options);
+  assert.equal(code, 6);
+  assert.match(log, new RegExp(`--change-id ${CHANGE_ID}`));
+});
+
+test("without a majority nothing was done", async () => {
+  const host = new Host();
+  host.readFault = { type: "no_quorum" };
+  const options = await remote(host);
+  assert.equal((await run("status", ...options)).code, 5);
+  assert.equal((await run("status", "--stale", ...options)).code, 0);
+});
+
+test("members are listed, added and removed", async () => {
+  const options = await remote(new Host());
+  const added = await run("members", "add", "c2", "127.0.0.1:9", ...options);
+  assert.match(added.out, /\nc2 +learner +127\.0\.0\.1:9\n/);
+  await run("members", "remove", "c2", ...options);
+  const listed = await run("members", ...options);
+  assert.doesNotMatch(listed.out, /c2/);
+});
+
+test("a role starts with valid settings only", async () => {
+  const bad = file("bad.yaml", "id: e1\n");
+  const refused = await run("entry", "--settings", bad);
+  assert.equal(refused.code, 2);
+  assert.deepEqual(refused.started, []);
+  assert.match(refused.log, /bad\.yaml:1: cluster: missing_key/);
+  const good = "examples/daugava/settings/entry-01.yaml";
+  const run1 = await run("entry", "--settings", good);
+  assert.deepEqual(run1.started, ["entry entry-01"]);
+});
--- a/packages/document/faults.ts
+++ b/packages/document/faults.ts
@@ -45,12 +45,16 @@
   return `${place}: ${key}${fault.type}: expected ${fault.expected}${found}`;
 }
 
-const FOUND_LENGTH = 60;
+const FOUND_LENGTH = 80;
 
-/** Shortens a value for an error message. */
+/** Describes a value for an error message. */
 export function describeFound(value: unknown): string | undefined {
   if (value === undefined) return undefined;
-  const text = JSON.stringify(value) ?? String(value);
+  return shorten(JSON.stringify(value) ?? String(value));
+}
+
+/** Cuts a text that may hold a whole section to what a message can carry. */
+export function shorten(text: string): string {
   return text.length > FOUND_LENGTH
     ? `${text.slice(0, FOUND_LENGTH)}...`
     : text;
--- a/packages/document/fields.ts
+++ b/packages/document/fields.ts
@@ -101,7 +101,8 @@
   return z
     .record(z.string(), value, { error })
     .superRefine(checkKeys, { when: ({ value }) => isObject(value) })
-    .refine((entries) => Object.keys(entries).length <= options.max, { error });
+    .refine((entries) => Object.keys(entries).length <= options.max, { error })
+    .meta({ expected: error });
 }
 
 function isObject(value: unknown): value is object {
--- a/packages/document/index.ts
+++ b/packages/document/index.ts
@@ -8,6 +8,7 @@
 export * from "./faults.ts";
 export * from "./fields.ts";
 export * from "./merge.ts";
+export * from "./reference.ts";
 export * from "./schema.ts";
 export * from "./section.ts";
 export * from "./source.ts";
--- a/packages/document/schema.ts
+++ b/packages/document/schema.ts
@@ -100,6 +100,8 @@
   }),
 }).superRefine(checkService);
 
+const TIME_EXPECTED = "a time such as 2026-12-04T02:00:00Z, with a time zone";
+
 /** Schema of a planned stop. */
 export const STOP_SCHEMA = mapping({
   service: name("Service whose servers stop."),
@@ -115,12 +117,11 @@
       description: "Stops these servers; exclusive with data_centre.",
     })
     .optional(),
-  at: z.iso
-    .datetime({
-      offset: true,
-      error: "a time such as 2026-12-04T02:00:00Z, with a time zone",
-    })
-    .meta({ unit: "ISO 8601", description: "Start of the stop." }),
+  at: z.iso.datetime({ offset: true, error: TIME_EXPECTED }).meta({
+    unit: "ISO 8601",
+    description: "Start of the stop.",
+    expected: TIME_EXPECTED,
+  }),
   after: list(name("Name of a stop."), { min: 0, max: 100 })
     .meta({
       description: "Stops that must be done before this one starts.",
--- a/packages/document/source.ts
+++ b/packages/document/source.ts
@@ -9,7 +9,12 @@
   type Document as YamlDocument,
 } from "yaml";
 import type { z } from "zod";
-import { type DocumentFault, describeFound, formatFault } from "./faults.ts";
+import {
+  type DocumentFault,
+  describeFound,
+  formatFault,
+  shorten,
+} from "./faults.ts";
 
 /**
  * Longest text of one section or settings file. A change must fit in a peer
@@ -113,7 +118,7 @@
     line: Math.max(1, lines.linePos(error.pos[0]).line),
     key: "",
     expected: "valid YAML 1.2 with unique keys",
-    found: error.message,
+    found: shorten(error.message),
   }));
   visit(yaml, {
     Pair(_, { key }) {
--- /dev/null
+++ b/packages/operators/fixtures.ts
@@ -0,0 +1,104 @@
+import type { Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { after } from "node:test";
+import { err, ok } from "neverthrow";
+import { type Address, ManualClock } from "#model";
+import { Registry } from "#registry";
+import { OperatorApi } from "./api.ts";
+import { hashCredential } from "./authentication.ts";
+import type { LogFault, Member, MemberFault } from "./ports.ts";
+import { createOperatorServer } from "./server.ts";
+
+/** A section `system` with two teams. */
+export const SYSTEM = `regions: { lv-central: [riga-a] }
+teams:
+  alloc-team: { credential_sha256: "${hashCredential("alloc-secret")}" }
+  report-team: { credential_sha256: "${hashCredential("report-secret")}" }
+sections: { alloc: alloc-team, report: report-team }
+`;
+/** A change id in the right form. */
+export const CHANGE_ID = "0190c9a4-7b6e-7cc3-98c4-dc0c0c07398f";
+
+/** A control host over a registry that applies at once. */
+export class Host {
+  readonly registry: Registry;
+  submitFault: LogFault | undefined;
+  readFault: LogFault | undefined;
+  /** The command is applied although the answer says that nobody knows. */
+  loseAnswer = false;
+  inForce = true;
+  submitted = 0;
+  memberFault: MemberFault | undefined;
+  members: Member[] = [
+    { id: "c1", peer: { host: "127.0.0.1", port: 1 }, role: "voter" },
+  ];
+  readonly failures: unknown[] = [];
+  readonly server: Server;
+
+  constructor(registry = new Registry()) {
+    this.registry = registry;
+    const api = new OperatorApi({
+      log: {
+        submit: async (command) => {
+          this.submitted++;
+          if (this.submitFault !== undefined) return err(this.submitFault);
+          const reply = registry.apply(command);
+          return this.loseAnswer ? err({ type: "result_unknown" }) : ok(reply);
+        },
+        confirm: async () => {
+          return this.readFault === undefined ? ok(1) : err(this.readFault);
+        },
+      },
+      registry,
+      live: {
+        hosts: async () => [
+          {
+            id: "e1",
+            role: "entry",
+            peer: { host: "127.0.0.1", port: 2 },
+            state: "ready",
+            version: 0,
+            laggingSince: Date.parse("2026-12-04T02:00:00Z"),
+          },
+        ],
+        servers: () => Promise.reject(new Error("planted")),
+        leader: () => "c1",
+      },
+      rollout: { inForce: async () => this.inForce },
+      members: {
+        list: () => this.members,
+        change: async (change) => {
+          if (this.memberFault !== undefined) return err(this.memberFault);
+          const others = this.members.filter(({ id }) => id !== change.id);
+          const { id } = change;
+          this.members =
+            change.type === "remove"
+              ? others
+              : [...others, { id, peer: change.peer, role: "learner" }];
+          return ok(undefined);
+        },
+      },
+      clock: new ManualClock(),
+      systemCredentialSha256: hashCredential("system-secret"),
+      bodyMaxBytes: 2_048,
+      onFailure: (error) => this.failures.push(error),
+    });
+    this.server = createOperatorServer(api, {
+      headerMaxBytes: 2_048,
+      requestTimeoutMs: 300,
+      connectionsMax: 16,
+    });
+    after(() => {
+      this.server.close();
+      this.server.closeAllConnections();
+    });
+  }
+
+  async listen(): Promise<Address> {
+    await new Promise<void>((done) => {
+      this.server.listen(0, "127.0.0.1", done);
+    });
+    const { port } = this.server.address() as AddressInfo;
+    return { host: "127.0.0.1", port };
+  }
+}
