Bound the time and size of hostile sections

Cause: a section with 30,000 unknown keys took 10 s to reject in a trial, longer than an election; nesting could exhaust the stack in the registry; aliases could make a document that no peer frame carries. Ruled out: the YAML parser's own check for repeated keys, which is quadratic; limits on tokens, because the verdict on deep nesting is the same without them. Change: a linear check of keys, an index of the lines of keys, one guard around the parser, a bound of the merged document (786,432 characters as JSON) and of the faults in one answer; the registry stops on an unknown command.

--- a/packages/document/index.ts
+++ b/packages/document/index.ts
@@ -12,3 +12,4 @@
 export * from "./schema.ts";
 export * from "./section.ts";
 export * from "./source.ts";
+export type { SourceMap } from "./source_map.ts";
--- a/packages/document/merge.ts
+++ b/packages/document/merge.ts
@@ -10,6 +10,13 @@
 } from "./section.ts";
 import { findCycles } from "./stop_order.ts";
 
+/**
+ * Size of a merged document as JSON, which is longer than CBOR. An entry gets
+ * it in one peer frame of 1 MiB together with views and stops; 860 services
+ * with two classes and two routes each take 396,527.
+ */
+export const MAX_DOCUMENT_CHARACTERS = 768 * 1024;
+
 /**
  * Merges all sections of a document and checks them against each other. The
  * revision of the result is 0; whoever accepts the document numbers it.
@@ -32,14 +39,19 @@
     ...checkStops(teams, system),
   ];
   if (faults.length > 0) return err(faults);
-  return ok({
+  const document: Document = {
     revision: 0,
     regions: system.regions,
     teams: system.teams,
     owners: system.owners,
     services: teams.flatMap(({ services }) => services).sort(byName),
     stops: teams.flatMap(({ stops }) => stops).sort(byName),
-  });
+  };
+  const size = JSON.stringify(document).length;
+  if (size <= MAX_DOCUMENT_CHARACTERS) return ok(document);
+  const expected = `a document of at most ${MAX_DOCUMENT_CHARACTERS} characters as JSON, with defaults`;
+  const about = { expected, found: size };
+  return err([system.source.fault("document_too_large", [], about)]);
 }
 
 /** The order of names, so that the order of sections changes nothing. */
--- a/packages/document/merge_test.ts
+++ b/packages/document/merge_test.ts
@@ -139,6 +139,19 @@
   assert.deepEqual(forward._unsafeUnwrap(), backward._unsafeUnwrap());
 });
 
+test("aliases cannot make a document that no peer frame can carry", () => {
+  const first = `  a0: &a
+    slots_per_server: 6
+    connections_per_server: 300
+    classes: { lookup: { priority: patient, deadline_ms: 9, repeatable: true } }
+    routes: [${Array.from({ length: 250 }, (_, i) => `{ path: /${i + 1_000}, class: lookup }`).join(", ")}]
+`;
+  const others = Array.from({ length: 89 }, (_, i) => `  a${i + 1}: *a\n`);
+  const alloc = `services:\n${first}${others.join("")}`;
+  const faults = merge({ system: SYSTEM, alloc })._unsafeUnwrapErr();
+  assert.equal(faults[0]?.type, "document_too_large");
+});
+
 test("a section emptied of services needs no owner", () => {
   assert.ok(merge({ system: SYSTEM, old: "services: {}" }).isOk());
 });
--- a/packages/document/section.ts
+++ b/packages/document/section.ts
@@ -7,7 +7,8 @@
   SYSTEM_SECTION_SCHEMA,
   TEAM_SECTION_SCHEMA,
 } from "./schema.ts";
-import { parseText, type SourceMap } from "./source.ts";
+import { parseText } from "./source.ts";
+import type { SourceMap } from "./source_map.ts";
 
 /** Name of the section that holds regions, teams and owners. */
 export const SYSTEM_SECTION = "system";
--- a/packages/document/section_test.ts
+++ b/packages/document/section_test.ts
@@ -18,7 +18,7 @@
   "a key given twice": {
     text: `${SERVICE}services: {}\n`,
     errors: [
-      "alloc:9: yaml_syntax: expected valid YAML 1.2 with unique keys, found Map keys must be unique",
+      "alloc:9: services: duplicate_key: expected a key that its mapping does not have already",
     ],
   },
   "a list instead of a mapping": {
@@ -29,7 +29,9 @@
   },
   "a key that schemas skip in silence": {
     text: "stops:\n  __proto__: 1\n",
-    errors: ["alloc:2: __proto__: invalid_key: expected another key"],
+    errors: [
+      "alloc:2: __proto__: invalid_key: expected a key that is plain text, other than __proto__",
+    ],
   },
   "several keys at once, each with its line": {
     text: SERVICE.replace("slots_per_server: 6", "slots_per_server: 0")
@@ -128,6 +130,22 @@
   assert.equal(fault?.type, "yaml_syntax");
 });
 
+const HOSTILE = {
+  "deep lists": "- ".repeat(200_000),
+  "deep brackets": "[".repeat(200_000),
+  "30,000 unknown keys": Array.from({ length: 30_000 }, (_, i) => `a${i}: 1\n`),
+};
+
+for (const [name, text] of Object.entries(HOSTILE)) {
+  test(`${name} are rejected before they hold up the process`, () => {
+    const started = performance.now();
+    const lines = Array.isArray(text) ? text.join("") : text;
+    assert.ok(parseSection({ name: "alloc", text: lines }).isErr());
+    // Without care the keys take 10 s, longer than an election.
+    assert.ok(performance.now() - started < 3_000);
+  });
+}
+
 test("a text beyond the limit is not parsed", () => {
   const text = "#".repeat(MAX_TEXT_BYTES + 1);
   const [fault] = parseSection({ name: "alloc", text })._unsafeUnwrapErr();
--- a/packages/document/source.ts
+++ b/packages/document/source.ts
@@ -1,20 +1,14 @@
 import { err, ok, type Result } from "neverthrow";
 import {
-  isMap,
   isScalar,
-  isSeq,
   LineCounter,
   parseDocument,
   visit,
   type Document as YamlDocument,
 } from "yaml";
 import type { z } from "zod";
-import {
-  type DocumentFault,
-  describeFound,
-  formatFault,
-  shorten,
-} from "./faults.ts";
+import { type DocumentFault, formatFault, shorten } from "./faults.ts";
+import { rangeStart, SourceMap } from "./source_map.ts";
 
 /**
  * Longest text of one section or settings file. A change must fit in a peer
@@ -22,78 +16,20 @@
  */
 export const MAX_TEXT_BYTES = 512 * 1024;
 
-type Path = readonly PropertyKey[];
-
-/** Where the keys of a parsed text stand. */
-export class SourceMap {
-  readonly #yaml: YamlDocument;
-  readonly #lines: LineCounter;
-  readonly file: string;
-
-  constructor(options: {
-    file: string;
-    yaml: YamlDocument;
-    lines: LineCounter;
-  }) {
-    this.file = options.file;
-    this.#yaml = options.yaml;
-    this.#lines = options.lines;
-  }
-
-  /** Line of a key, or of the nearest key above it that exists. */
-  line(path: Path): number {
-    let node: unknown = this.#yaml.contents;
-    let offset = rangeStart(node) ?? 0;
-    for (const step of path) {
-      if (isMap(node)) {
-        const pair = node.items.find(
-          ({ key }) => isScalar(key) && String(key.value) === String(step),
-        );
-        if (pair === undefined) break;
-        offset = rangeStart(pair.key) ?? offset;
-        node = pair.value;
-      } else if (isSeq(node)) {
-        const item = node.items[Number(step)];
-        if (item === undefined) break;
-        offset = rangeStart(item) ?? offset;
-        node = item;
-      } else break;
-    }
-    return Math.max(1, this.#lines.linePos(offset).line);
-  }
-
-  /** Makes a fault at a key. */
-  fault(
-    type: DocumentFault["type"],
-    path: Path,
-    about: { expected: string; found?: unknown },
-  ): DocumentFault {
-    const found = describeFound(about.found);
-    return {
-      type,
-      file: this.file,
-      line: this.line(path),
-      key: path.map(String).join("."),
-      expected: about.expected,
-      ...(found === undefined ? {} : { found }),
-    };
-  }
-}
-
-function rangeStart(node: unknown): number | undefined {
-  const { range } = (node ?? {}) as { range?: readonly number[] | null };
-  return range?.[0];
-}
-
 /** A text that follows its schema. */
 export interface Parsed<T> {
   readonly value: T;
   readonly source: SourceMap;
 }
 
+interface Input {
+  readonly file: string;
+  readonly text: string;
+}
+
 /** Reads YAML text by a schema and reports all errors at once. */
 export function parseText<T>(
-  input: { readonly file: string; readonly text: string },
+  input: Input,
   schema: z.ZodType<T>,
 ): Result<Parsed<T>, DocumentFault[]> {
   const { file, text } = input;
@@ -104,51 +40,81 @@
     const place = { file, line: 1, key: "" };
     return err([{ type: "text_too_long", ...place, expected, found }]);
   }
-  const lines = new LineCounter();
-  const yaml = parseDocument(text, {
-    lineCounter: lines,
-    prettyErrors: false,
-    logLevel: "silent",
+  return readYaml(input).andThen(({ value, source }) => {
+    const result = schema.safeParse(value ?? {}, { reportInput: true });
+    if (result.success) return ok({ value: result.data, source });
+    const { issues } = result.error;
+    const faults = issues.flatMap((issue) => toFaults(issue, source));
+    return err(withoutRepeats(faults));
   });
-  const source = new SourceMap({ file, yaml, lines });
-  const problems = [...yaml.errors, ...yaml.warnings];
-  const syntax: DocumentFault[] = problems.map((error) => ({
+}
+
+function readYaml(input: Input): Result<Parsed<unknown>, DocumentFault[]> {
+  const { file, text } = input;
+  try {
+    const lines = new LineCounter();
+    const yaml = parseDocument(text, {
+      lineCounter: lines,
+      prettyErrors: false,
+      logLevel: "silent",
+      // The parser's own check is quadratic: 6 s for 30,000 keys.
+      uniqueKeys: false,
+    });
+    const problems = [...yaml.errors, ...yaml.warnings];
+    const faults = problems.map(({ pos, message }) =>
+      syntaxFault(file, { line: lines.linePos(pos[0]).line, found: message }),
+    );
+    faults.push(...checkKeys(yaml, { file, lines }));
+    if (faults.length > 0) return err(withoutRepeats(faults));
+    // Aliases may multiply a text; no section needs many of them.
+    const value: unknown = yaml.toJS({ maxAliasCount: 100 });
+    return ok({ value, source: new SourceMap({ file, yaml, lines }) });
+  } catch (error) {
+    // Too many aliases, or too many levels for the stack.
+    const found = error instanceof Error ? error.message : String(error);
+    return err([syntaxFault(file, { line: 1, found })]);
+  }
+}
+
+function syntaxFault(
+  file: string,
+  { line, found }: { line: number; found: string },
+): DocumentFault {
+  return {
     type: "yaml_syntax",
     file,
-    line: Math.max(1, lines.linePos(error.pos[0]).line),
+    line: Math.max(1, line),
     key: "",
-    expected: "valid YAML 1.2 with unique keys",
-    found: shorten(error.message),
-  }));
+    expected: "valid YAML 1.2 without excessive nesting or aliases",
+    found: shorten(found),
+  };
+}
+
+function checkKeys(
+  yaml: YamlDocument,
+  { file, lines }: { file: string; lines: LineCounter },
+): DocumentFault[] {
+  const faults: DocumentFault[] = [];
   visit(yaml, {
-    Pair(_, { key }) {
-      if (!isScalar(key) || key.value !== "__proto__") return;
-      const line = lines.linePos(rangeStart(key) ?? 0).line;
-      // Schemas of mappings skip this key in silence.
-      const fault = { type: "invalid_key" as const, file, line };
-      syntax.push({ ...fault, key: "__proto__", expected: "another key" });
+    Map(_, { items }) {
+      const seen = new Set<string>();
+      for (const { key } of items) {
+        const name = isScalar(key) ? String(key.value) : "";
+        const line = lines.linePos(rangeStart(key) ?? 0).line;
+        const fault = { file, line, key: shorten(name) };
+        if (!isScalar(key) || name === "__proto__") {
+          // Schemas of mappings skip __proto__ in silence.
+          const expected = "a key that is plain text, other than __proto__";
+          faults.push({ ...fault, type: "invalid_key", expected });
+        } else if (seen.has(name)) {
+          const expected = "a key that its mapping does not have already";
+          faults.push({ ...fault, type: "duplicate_key", expected });
+        }
+        seen.add(name);
+      }
     },
   });
-  if (syntax.length > 0) return err(withoutRepeats(syntax));
-  const plain = toPlain(yaml);
-  if (plain.isErr()) {
-    const about = { expected: "no excessive aliases", found: plain.error };
-    return err([source.fault("yaml_syntax", [], about)]);
-  }
-  const result = schema.safeParse(plain.value ?? {}, { reportInput: true });
-  if (result.success) return ok({ value: result.data, source });
-  const faults = result.error.issues.flatMap((issue) =>
-    toFaults(issue, source),
-  );
-  return err(withoutRepeats(faults));
-}
-
-function toPlain(yaml: YamlDocument): Result<unknown, string> {
-  try {
-    return ok(yaml.toJS({ maxAliasCount: 100 }));
-  } catch (error) {
-    return err(error instanceof Error ? error.message : String(error));
-  }
+  return faults;
 }
 
 function toFaults(issue: z.core.$ZodIssue, source: SourceMap): DocumentFault[] {
--- a/packages/operators/api.ts
+++ b/packages/operators/api.ts
@@ -51,6 +51,9 @@
   readonly onFailure?: (error: unknown) => void;
 }
 
+/** Faults in one answer; a text of 512 KiB may have tens of thousands. */
+const MAX_LISTED_FAULTS = 1_000;
+
 type Answer = Promise<Result<object, OperatorError>>;
 
 /** The HTTP interface for operators; errors have typed codes. */
@@ -307,7 +310,9 @@
   omitted: number,
 ): OperatorError {
   const message = "the document is invalid";
-  const details = { faults, omitted };
+  const listed = faults.slice(0, MAX_LISTED_FAULTS);
+  const others = omitted + faults.length - listed.length;
+  const details = { faults: listed, omitted: others };
   return operatorError("invalid_document", message, { details });
 }
 
--- a/packages/operators/ports.ts
+++ b/packages/operators/ports.ts
@@ -68,7 +68,8 @@
 export interface Rollout {
   /**
    * Resolves to true once a majority of the view's entries has the version in
-   * force, and to false if that takes too long.
+   * force, and to false if that takes longer than 5 s; the client gives an
+   * attempt 6 s.
    */
   inForce(version: number): Promise<boolean>;
 }
--- a/packages/registry/registry.ts
+++ b/packages/registry/registry.ts
@@ -36,7 +36,9 @@
 /**
  * The replicated state machine: sections, change ids, the view of entries and
  * the progress of planned stops. Replicas that apply the same commands in the
- * same order are equal; it uses no clock of its own.
+ * same order are equal; it uses no clock of its own. They must also have the
+ * same schema of the document, because it decides what is accepted: a build
+ * with another one replaces all control hosts before the change is used.
  */
 export class Registry {
   #texts = new SectionTexts();
@@ -67,6 +69,9 @@
         return this.#noteChange(this.#membership.leave(command, this.#now));
       case "stop_advanced":
         return this.#noteChange(this.#advance(command));
+      default:
+        // A replica that skipped a command would differ from the others.
+        throw new Error(`unknown command ${JSON.stringify(command)}`);
     }
   }
 
