Run both example sites end to end in the demo

Cause: the demo could leave processes behind when one of its two sites failed to start, and their ports then failed the next run. Ruled out: other free ports per run (the examples state their addresses).

--- a/packages/demo/main.ts
+++ b/packages/demo/main.ts
@@ -25,27 +25,29 @@
   alias: { "cbor-extract": "./scripts/empty.cjs" },
   logLevel: "warning",
 });
+process.setMaxListeners(100);
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+  process.once(signal, () => process.exit(1));
+}
+const ended = await Promise.allSettled(
+  DEPLOYMENTS.map((deployment) =>
+    runDemo({
+      deployment,
+      example: join("examples", deployment.name),
+      folder: join(folder, deployment.name),
+      command: [process.execPath, join(folder, "mangobank.cjs")],
+      standinProgram: join(folder, "standin.cjs"),
+      seconds: LOAD_SECONDS,
+      say: (text) => consola.info(text),
+    }),
+  ),
+);
 const results: DemoResult[] = [];
-try {
-  results.push(
-    ...(await Promise.all(
-      DEPLOYMENTS.map((deployment) =>
-        runDemo({
-          deployment,
-          example: join("examples", deployment.name),
-          folder: join(folder, deployment.name),
-          command: [process.execPath, join(folder, "mangobank.cjs")],
-          standinProgram: join(folder, "standin.cjs"),
-          seconds: LOAD_SECONDS,
-          say: (text) => consola.info(text),
-        }),
-      ),
-    )),
-  );
-} catch (error) {
-  consola.error(error, `logs are in ${folder}`);
-  process.exit(1);
+for (const end of ended) {
+  if (end.status === "fulfilled") results.push(end.value);
+  else consola.error(end.reason, `logs are in ${folder}`);
 }
+if (results.length < DEPLOYMENTS.length) process.exit(1);
 const faults = results.flatMap(({ faults: found }) => found);
 print(results);
 for (const fault of faults.slice(0, 20)) consola.error(fault);
--- a/packages/demo/site_processes.ts
+++ b/packages/demo/site_processes.ts
@@ -66,6 +66,7 @@
       createWriteStream(join(folder, `${id}.log`), { flags: "a" }),
     );
     this.#running.set(id, child);
+    process.once("exit", () => child.kill("SIGKILL"));
   }
 
   /** Sends a signal to a process. */
