--- a/packages/agreement/agreement.ts
+++ b/packages/agreement/agreement.ts
@@ -12,9 +12,13 @@
 import { hostOf, type MemberChange } from "./members.ts";
 import type { AgreementMessage, Header, Propose } from "./messages.ts";
 import type { StoredState } from "./ports.ts";
+import { RecentIds } from "./recent_ids.ts";
 import { Replication } from "./replication.ts";
 import { Requests } from "./requests.ts";
 
+/** Far longer than a message can be under way. */
+const ANSWERED_KEPT_MS = 30_000;
+
 type StepDownReason = Extract<Notice, { type: "stepped_down" }>["reason"];
 
 /**
@@ -32,6 +36,9 @@
   readonly #replication: Replication;
   readonly #requests: Requests;
   #leadership: Leadership | undefined;
+  /** Forwarded proposals that were appended or refused here. */
+  readonly #answered: RecentIds;
+  readonly #termAtStart: number;
   #bytesSinceSnapshot = 0;
   #isSnapshotAsked = false;
 
@@ -55,6 +62,8 @@
     this.#election = new Election(this.#state, now);
     this.#replication = new Replication(this.#state);
     this.#requests = new Requests(this.#state);
+    this.#termAtStart = stored.term;
+    this.#answered = new RecentIds(ANSWERED_KEPT_MS, now);
   }
 
   /** Asks for a command to be agreed on; settled by `apply` or `failed`. */
@@ -103,9 +112,9 @@
   }
 
   /** A proposal could not be sent, because there is no connection. */
-  notDelivered(message: AgreementMessage): void {
+  notDelivered(message: AgreementMessage, now: number): void {
     if (message.kind !== "agreement.propose") return;
-    this.#requests.notDelivered(message.payload.id);
+    this.#requests.notDelivered(message.payload.id, now);
   }
 
   /** The log is synced up to this entry. */
@@ -232,11 +241,9 @@
       case "agreement.propose":
         this.#forwarded(message.payload, now);
         return;
-      case "agreement.propose_refused": {
-        const { id, fault } = message.payload;
-        this.#requests.refused(id, fault);
+      case "agreement.propose_refused":
+        this.#requests.refused(message.payload);
         return;
-      }
       case "agreement.read":
         if (isStale) return;
         this.#leadership?.read(message.payload.from, message.payload.ids);
@@ -272,6 +279,13 @@
   }
 
   #forwarded({ from, id, body, term }: Propose, now: number): void {
+    // Each copy must get the same answer: a refusal tells the sender that the
+    // proposal has no effect.
+    const copy = `${term} ${id}`;
+    if (this.#answered.has(copy)) return;
+    // Before a restart this member may have led the term and accepted a copy.
+    if (term <= this.#termAtStart) return;
+    this.#answered.add(copy, now);
     const isLeader = this.#leadership && term === this.#state.term;
     const fault = isLeader
       ? this.#leadership?.propose(
@@ -279,8 +293,9 @@
           { announced: this.#founders.announced(now), now },
         )
       : ({ type: "not_leader" } as const);
-    if (fault)
-      this.#state.send(from, "agreement.propose_refused", { id, fault });
+    if (!fault) return;
+    const refusal = { id, fault, proposedTerm: term };
+    this.#state.send(from, "agreement.propose_refused", refusal);
   }
 
   /** Gives the requests made here to the present leader. */
@@ -301,7 +316,10 @@
     for (const proposal of proposals) {
       const announced = this.#founders.announced(now);
       const fault = this.#leadership.propose(proposal, { announced, now });
-      if (fault) this.#requests.refused(proposal.id, fault);
+      if (!fault) continue;
+      const { id } = proposal;
+      const proposedTerm = this.#state.term;
+      this.#requests.refused({ id, fault, proposedTerm });
     }
     if (reads.length > 0) this.#leadership.read(self, reads);
   }
--- a/packages/agreement/election.ts
+++ b/packages/agreement/election.ts
@@ -32,7 +32,7 @@
   tick(now: number): void {
     if (now < this.#runAt) return;
     this.#state.leader = undefined;
-    if (!this.#state.isVoter) return;
+    if (!this.#state.mayLead) return;
     this.#run("pre_vote", now);
   }
 
--- a/packages/agreement/entry_log.ts
+++ b/packages/agreement/entry_log.ts
@@ -33,7 +33,6 @@
   #entries: Entry[] = [];
   /** Indices of the entries that carry a membership, ascending. */
   #memberships: number[] = [];
-  readonly #ids = new Set<string>();
 
   constructor(base: Partial<Base> = {}) {
     this.#base = {
@@ -80,11 +79,6 @@
     return this.get(index)?.term;
   }
 
-  /** Whether a request already has an entry. */
-  holds(id: string): boolean {
-    return this.#ids.has(id);
-  }
-
   /** Entries of a range, cut at about `maxBytes` but never empty for it. */
   range(from: number, to: number, maxBytes = Number.POSITIVE_INFINITY) {
     const entries: Entry[] = [];
@@ -102,15 +96,12 @@
   append(entry: Entry): void {
     this.#entries.push(entry);
     if (entry.membership) this.#memberships.push(entry.index);
-    if (entry.id !== undefined) this.#ids.add(entry.id);
   }
 
   /** Removes the entries from an index on. */
   truncate(from: number): void {
     const kept = Math.max(0, from - this.#base.index - 1);
-    for (const { id } of this.#entries.splice(kept)) {
-      if (id !== undefined) this.#ids.delete(id);
-    }
+    this.#entries.length = Math.min(this.#entries.length, kept);
     this.#memberships = this.#memberships.filter((index) => index < from);
   }
 
@@ -119,9 +110,7 @@
     const term = this.term(to);
     if (term === undefined || to <= this.#base.index) return;
     const membership = this.membershipAt(to);
-    for (const { id } of this.#entries.splice(0, to - this.#base.index)) {
-      if (id !== undefined) this.#ids.delete(id);
-    }
+    this.#entries.splice(0, to - this.#base.index);
     this.#memberships = this.#memberships.filter((index) => index > to);
     this.#base = { index: to, term, membership };
   }
@@ -131,6 +120,5 @@
     this.#base = base;
     this.#entries = [];
     this.#memberships = [];
-    this.#ids.clear();
   }
 }
--- a/packages/agreement/leadership.ts
+++ b/packages/agreement/leadership.ts
@@ -69,7 +69,6 @@
     const { log, term, commit } = this.#state;
     const { id, body } = request;
     const { announced, now } = context;
-    if (log.holds(id)) return undefined;
     const index = log.lastIndex + 1;
     if (body.type === "command") {
       this.#state.appendEntries([{ index, term, id, command: body.bytes }]);
--- a/packages/agreement/member_state.ts
+++ b/packages/agreement/member_state.ts
@@ -100,6 +100,18 @@
     return this.log.membership.voters.includes(this.self);
   }
 
+  /**
+   * Whether this member may run for leader. One that is being removed still
+   * may until that is committed, because the others may need its entries.
+   */
+  get mayLead(): boolean {
+    if (this.isVoter) return true;
+    const { membershipIndex } = this.log;
+    if (membershipIndex <= this.commit) return false;
+    const former = this.log.membershipAt(membershipIndex - 1);
+    return former.voters.includes(this.self);
+  }
+
   /** The members of the newest membership but this one. */
   others(): MemberKey[] {
     const { voters, learners } = this.log.membership;
--- a/packages/agreement/messages.ts
+++ b/packages/agreement/messages.ts
@@ -76,6 +76,8 @@
 
 export interface ProposeRefused extends Header {
   readonly id: string;
+  /** The term that the proposal named. */
+  readonly proposedTerm: number;
   readonly fault: ChangeRefusal | { readonly type: "not_leader" };
 }
 
--- a/packages/agreement/requests.ts
+++ b/packages/agreement/requests.ts
@@ -5,12 +5,19 @@
 
 /** A lost read request or answer is repeated after this time. */
 const REPEAT_READ_MS = 500;
+/** Wait before a proposal that found no connection is tried again. */
+const RECONNECT_MS = 100;
+
+type Refusal = Pick<ProposeRefused, "id" | "fault" | "proposedTerm">;
 
 interface Proposal {
   readonly body: ProposalBody;
   readonly since: number;
   /** When it was handed to a leader; until then it has no effect. */
   handedAt: number | undefined;
+  /** The term of that leader; it gets the proposal at most once. */
+  handedTerm: number | undefined;
+  retryAt: number;
 }
 
 interface Read {
@@ -30,7 +37,13 @@
   }
 
   addProposal(id: string, body: ProposalBody, now: number): void {
-    this.#proposals.set(id, { body, since: now, handedAt: undefined });
+    this.#proposals.set(id, {
+      body,
+      since: now,
+      handedAt: undefined,
+      handedTerm: undefined,
+      retryAt: now,
+    });
   }
 
   addRead(id: string, now: number): void {
@@ -41,8 +54,11 @@
   takeProposals(now: number): { id: string; body: ProposalBody }[] {
     const taken = [];
     for (const [id, proposal] of this.#proposals) {
-      if (proposal.handedAt !== undefined) continue;
+      const { handedAt, handedTerm, retryAt } = proposal;
+      if (handedAt !== undefined || now < retryAt) continue;
+      if (handedTerm === this.#state.term) continue;
       proposal.handedAt = now;
+      proposal.handedTerm = this.#state.term;
       taken.push({ id, body: proposal.body });
     }
     return taken;
@@ -61,14 +77,21 @@
     return ids;
   }
 
-  /** A proposal did not reach the leader, so it may be handed over again. */
-  notDelivered(id: string): void {
+  /** A proposal was not sent, so it may be handed over again. */
+  notDelivered(id: string, now: number): void {
     const proposal = this.#proposals.get(id);
-    if (proposal) proposal.handedAt = undefined;
+    if (!proposal) return;
+    proposal.handedAt = undefined;
+    proposal.handedTerm = undefined;
+    proposal.retryAt = now + RECONNECT_MS;
   }
 
-  refused(id: string, fault: ProposeRefused["fault"]): void {
-    if (fault.type === "not_leader") this.notDelivered(id);
+  /** The leader of a term refused a proposal, which so has no effect. */
+  refused({ id, fault, proposedTerm }: Refusal): void {
+    const proposal = this.#proposals.get(id);
+    // A late copy of a refusal must not count for a later leader.
+    if (proposal?.handedTerm !== proposedTerm) return;
+    if (fault.type === "not_leader") proposal.handedAt = undefined;
     else this.#fail(id, fault);
   }
 
--- a/packages/storage/replicated_log.ts
+++ b/packages/storage/replicated_log.ts
@@ -245,7 +245,7 @@
       case "send":
         if (network.send(effect.to, effect.kind, effect.payload as never))
           return;
-        this.#core.notDelivered(effect);
+        this.#core.notDelivered(effect, this.#now());
         return;
       case "restore":
         machine.restore(effect.snapshot.bytes);
