--- a/packages/storage/test_simulation.ts
+++ b/packages/storage/test_simulation.ts
@@ -228,9 +228,7 @@
   }
 
   #form(): void {
-    const members = this.hosts.map(
-      ({ id, disk }) => `${id}/${disk.state().identity}`,
-    );
+    const members = this.hosts.map((host) => this.keyOf(host));
     const convener = members[0] ?? "";
     const cluster = "formed";
     const formed = { cluster, convener, attempt: 1, members, formed: true };
@@ -342,9 +340,14 @@
       .join("\n");
   }
 
+  /** The member that a host's folder holds. */
+  keyOf(host: SimulatedHost | undefined): string {
+    return host ? `${host.id}/${host.disk.state().identity}` : "";
+  }
+
   /** Whether a member's folder is lost for good. */
   isLost(member: string): boolean {
     const host = this.hosts.find(({ id }) => id === hostOf(member));
-    return !host || `${host.id}/${host.disk.state().identity}` !== member;
+    return this.keyOf(host) !== member;
   }
 }
