--- a/packages/storage/simulation_test.ts
+++ b/packages/storage/simulation_test.ts
@@ -2,8 +2,10 @@
 import { test } from "node:test";
 import { type SimulatedHost, Simulation } from "./test_simulation.ts";
 
-// MANGOBANK_SCHEDULES raises the count, MANGOBANK_SEED repeats one schedule.
+// MANGOBANK_SCHEDULES raises the count, MANGOBANK_FIRST_SEED moves the range, and
+// MANGOBANK_SEED repeats one schedule.
 const SCHEDULES = Number(process.env.MANGOBANK_SCHEDULES ?? 2_000);
+const FIRST_SEED = Number(process.env.MANGOBANK_FIRST_SEED ?? 1);
 const ONLY_SEED = process.env.MANGOBANK_SEED;
 
 const FAULTY_MS = 6_000;
@@ -121,7 +123,7 @@
     return;
   }
   let acknowledged = 0;
-  for (let seed = 1; seed <= SCHEDULES; seed++) {
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + SCHEDULES; seed++) {
     try {
       acknowledged += runSchedule(seed).history.acknowledged.size;
     } catch (cause) {
