--- /dev/null
+++ b/packages/bench/process_bench.ts
@@ -0,0 +1,210 @@
+import { fork } from "node:child_process";
+import { mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { Agent } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { build } from "esbuild";
+import { build as buildHistogram, type Histogram } from "hdr-histogram-js";
+import { v7 as uuidv7 } from "uuid";
+import { type Address, HEADERS } from "#model";
+import { exchange } from "../demo/caller.ts";
+import { SiteProcesses } from "../demo/site_processes.ts";
+import { StandinHandle } from "../demo/standin_handle.ts";
+import { until } from "../demo/until.ts";
+
+const RATE = 1_500;
+const ROUND_S = 4;
+const ROUNDS = 3;
+const RELAY: Address = { host: "127.0.0.1", port: 21_990 };
+/** Kernel clock ticks of `/proc/PID/stat`, in a second. */
+const TICKS_PER_S = 100;
+
+interface Target {
+  readonly name: string;
+  readonly address: Address;
+  readonly pid: number;
+  readonly keyed: boolean;
+}
+
+interface Round {
+  readonly calls: number;
+  readonly failed: number;
+  readonly cpuMs: number;
+  readonly latencyUs: Histogram;
+}
+
+/** Compares an entry with a bare relay, in turn and at the same rate. */
+export async function processBench(): Promise<void> {
+  const folder = mkdtempSync(join(tmpdir(), "mangobank-bench-"));
+  await bundle(folder);
+  const site = new SiteProcesses({
+    example: "examples/daugava",
+    folder: join(folder, "site"),
+    command: [process.execPath, join(folder, "mangobank.cjs")],
+    entries: 3,
+  });
+  const standins = new StandinHandle(join(folder, "standin.cjs"), {
+    service: "alloc",
+    dataCentres: ["riga-a"],
+    count: 12,
+    slots: 6,
+    connections: 300,
+    serviceMs: 1,
+    entries: site.seeds,
+  });
+  const [entry] = site.entries;
+  if (!entry) throw new Error("the example has no entry");
+  try {
+    await site.start();
+    await standins.start();
+    const servers = await serverAddresses(site);
+    const relay = fork(
+      join(folder, "relay.cjs"),
+      [String(RELAY.port), ...servers],
+      { stdio: ["ignore", "ignore", "inherit", "ipc"] },
+    );
+    await new Promise((resolve) => relay.once("message", resolve));
+    const entryPid = site.pid(entry.id) ?? 0;
+    await compare([
+      { name: "bare relay", address: RELAY, pid: relay.pid ?? 0, keyed: false },
+      { name: "entry", address: entry.http, pid: entryPid, keyed: false },
+      { name: "entry, keyed", address: entry.http, pid: entryPid, keyed: true },
+    ]);
+    relay.kill("SIGKILL");
+  } finally {
+    standins.close();
+    await site.close();
+    rmSync(folder, { recursive: true, force: true });
+  }
+}
+
+function bundle(folder: string) {
+  return build({
+    entryPoints: {
+      mangobank: "packages/cli/main.ts",
+      standin: "packages/demo/standin_process.ts",
+      relay: "packages/bench/bare_relay.ts",
+    },
+    outdir: folder,
+    outExtension: { ".js": ".cjs" },
+    bundle: true,
+    platform: "node",
+    format: "cjs",
+    target: "node20",
+    alias: { "cbor-extract": "./scripts/empty.cjs" },
+    logLevel: "warning",
+  });
+}
+
+/** Waits until the servers are known and returns their addresses. */
+async function serverAddresses(site: SiteProcesses): Promise<string[]> {
+  const operator = site.operator("system");
+  let addresses: string[] = [];
+  await until(
+    async () => {
+      const read = await operator.read(["servers"]);
+      if (read.isErr()) return false;
+      const { servers } = read.value as {
+        servers: { address: Address }[];
+      };
+      addresses = servers.map(
+        ({ address }) => `${address.host}:${address.port}`,
+      );
+      return addresses.length === 12;
+    },
+    { what: "12 servers are known" },
+  );
+  return addresses;
+}
+
+async function compare(targets: readonly Target[]): Promise<void> {
+  const results = new Map<string, Round[]>();
+  for (const target of targets) await runRound(target, 1);
+  for (let round = 0; round < ROUNDS; round++) {
+    for (const target of targets) {
+      const rounds = results.get(target.name) ?? [];
+      rounds.push(await runRound(target, ROUND_S));
+      results.set(target.name, rounds);
+    }
+  }
+  console.log(
+    `${RATE} calls/s, ${ROUNDS} rounds of ${ROUND_S} s in turn, servers 1 ms`,
+  );
+  const base = medianCpu(results.get("bare relay") ?? []);
+  for (const [name, rounds] of results) {
+    const cpu = medianCpu(rounds);
+    const p = (q: number) =>
+      median(rounds.map((r) => r.latencyUs.getValueAtPercentile(q) / 1_000));
+    const failed = rounds.reduce((sum, r) => sum + r.failed, 0);
+    console.log(
+      `${name.padEnd(14)} CPU ${cpu.toFixed(3)} ms/call ` +
+        `(${(cpu / base).toFixed(2)}x)  p50 ${p(50).toFixed(2)} ms  ` +
+        `p99 ${p(99).toFixed(2)} ms  failed ${failed}`,
+    );
+  }
+}
+
+function medianCpu(rounds: readonly Round[]): number {
+  return median(rounds.map(({ cpuMs, calls }) => cpuMs / calls));
+}
+
+function median(values: readonly number[]): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.floor(sorted.length / 2)] ?? 0;
+}
+
+async function runRound(target: Target, seconds: number): Promise<Round> {
+  const agent = new Agent({ keepAlive: true });
+  const latencyUs = buildHistogram({ highestTrackableValue: 60_000_000 });
+  const total = RATE * seconds;
+  const cpuBefore = cpuMs(target.pid);
+  const started = performance.now();
+  let failed = 0;
+  const pending: Promise<void>[] = [];
+  for (let sent = 0; sent < total; sent++) {
+    const wait = started + (sent * 1_000) / RATE - performance.now();
+    if (wait > 1) await new Promise((resolve) => setTimeout(resolve, wait));
+    pending.push(
+      callOnce(target, agent).then((us) => {
+        if (us === undefined) failed += 1;
+        else latencyUs.recordValue(us);
+      }),
+    );
+  }
+  await Promise.all(pending);
+  const spent = cpuMs(target.pid) - cpuBefore;
+  agent.destroy();
+  return { calls: total, failed, cpuMs: spent, latencyUs };
+}
+
+async function callOnce(
+  { address, keyed }: Target,
+  agent: Agent,
+): Promise<number | undefined> {
+  const started = performance.now();
+  try {
+    const { status } = await exchange({
+      ...address,
+      agent,
+      method: keyed ? "POST" : "GET",
+      path: keyed ? "/bookings" : "/timesheets/7",
+      headers: {
+        [HEADERS.service]: "alloc",
+        ...(keyed && { [HEADERS.key]: uuidv7() }),
+      },
+      ...(keyed && { body: '{"grant":7}' }),
+    });
+    if (status !== 200) return undefined;
+    return Math.round((performance.now() - started) * 1_000);
+  } catch {
+    return undefined;
+  }
+}
+
+/** Processor time that a process has used, in milliseconds. */
+function cpuMs(pid: number): number {
+  const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
+  const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
+  const ticks = Number(fields[11]) + Number(fields[12]);
+  return (ticks * 1_000) / TICKS_PER_S;
+}
