Add contract tests of the callers' interface and write answers in one piece

Cause: bad input had no proof, and a small answer took two writes to the socket. Change: a table of malformed requests, bytes and frames over real connections, each followed by a good call; small answers are passed on as one string; header names of Connection are looked for only where it has any.

--- a/packages/bench/process_bench.ts
+++ b/packages/bench/process_bench.ts
@@ -41,7 +41,7 @@
     example: "examples/daugava",
     folder: join(folder, "site"),
     command: [process.execPath, join(folder, "mangobank.cjs")],
-    entries: 3,
+    entries: Number(process.env.BENCH_ENTRIES ?? 3),
   });
   const standins = new StandinHandle(join(folder, "standin.cjs"), {
     service: "alloc",
--- a/packages/demo/local_site.ts
+++ b/packages/demo/local_site.ts
@@ -71,6 +71,8 @@
   readonly servers: StandinServer[] = [];
   /** Callers' addresses of the entries. */
   readonly addresses: Address[] = [];
+  /** Peer addresses of the entries. */
+  readonly peers: Address[] = [];
   readonly #clock: Clock = new SystemClock();
 
   static async start(options: LocalSiteOptions = {}): Promise<LocalSite> {
@@ -79,6 +81,12 @@
     return site;
   }
 
+  /** Whether the first control process can confirm its state. */
+  async hasLeader(): Promise<boolean> {
+    const confirmed = await this.controls[0]?.confirm();
+    return confirmed?.isOk() ?? false;
+  }
+
   /** Puts the text of a section with the system's credential. */
   async put(
     section: string,
@@ -175,6 +183,7 @@
       (await entry.start())._unsafeUnwrap();
       this.entries.push(entry);
       this.addresses.push(http);
+      this.peers.push(settings.peer);
     }
   }
 }
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -326,7 +326,8 @@
       headers.push("content-length", String(answer.body.length));
     }
     response.writeHead(answer.status, headers);
-    response.end(answer.body);
+    // Node sends the header and a string body in one write, a buffer in two.
+    response.end(answer.body.toString("latin1"), "latin1");
     this.#record("answered");
   }
 
--- /dev/null
+++ b/packages/entry/caller_contract_test.ts
@@ -0,0 +1,325 @@
+import assert from "node:assert/strict";
+import { Agent } from "node:http";
+import { connect } from "node:net";
+import { after, before, test } from "node:test";
+import { v4 as uuidv4, v7 as uuidv7 } from "uuid";
+import { HEADERS } from "#model";
+import { exchange } from "../demo/caller.ts";
+import { LocalSite, systemSection } from "../demo/local_site.ts";
+import { until } from "../demo/until.ts";
+
+const ALLOC = JSON.stringify({
+  services: {
+    alloc: {
+      slots_per_server: 6,
+      connections_per_server: 300,
+      classes: {
+        booking: { priority: "urgent", deadline_ms: 5000, repeatable: false },
+        lookup: { priority: "patient", deadline_ms: 3000, repeatable: true },
+      },
+      routes: [
+        { method: "POST", path: "/bookings", class: "booking" },
+        { path: "/timesheets", class: "lookup" },
+      ],
+    },
+  },
+});
+
+let site: LocalSite;
+const agent = new Agent({ keepAlive: true });
+
+before(async () => {
+  site = await LocalSite.start({
+    entries: 2,
+    entryLimits: {
+      header_max_bytes: 4_096,
+      body_max_bytes: 100_000,
+      header_timeout_ms: 600,
+      body_timeout_ms: 400,
+    },
+  });
+  await until(() => site.hasLeader(), { what: "control has a leader" });
+  await site.put("system", systemSection(["riga-a"], ["alloc"]));
+  await site.put("alloc", ALLOC);
+  await until(() => site.entries.every((e) => e.ready), { what: "ready" });
+  await site.addServer({ id: "w1", service: "alloc", dataCentre: "riga-a" });
+  await until(() => site.entries.every((e) => e.serverCount("alloc") === 1), {
+    what: "the server is known",
+  });
+});
+
+after(async () => {
+  agent.destroy();
+  await site.close();
+});
+
+function call(options: {
+  method?: string;
+  path?: string;
+  headers?: Record<string, string>;
+  body?: string;
+}) {
+  const [address] = site.addresses;
+  assert.ok(address);
+  return exchange({
+    ...address,
+    agent,
+    method: options.method ?? "GET",
+    path: options.path ?? "/timesheets/7",
+    headers: { [HEADERS.service]: "alloc", ...options.headers },
+    ...(options.body !== undefined && { body: options.body }),
+  });
+}
+
+/** Sends bytes and returns what comes back until the entry closes. */
+function raw(bytes: string, port = site.addresses[0]?.port): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const socket = connect({ host: "127.0.0.1", port: port ?? 0 });
+    let answer = "";
+    socket.on("data", (chunk) => {
+      answer += chunk.toString("latin1");
+    });
+    socket.on("close", () => resolve(answer));
+    socket.on("error", (error: NodeJS.ErrnoException) => {
+      if (error.code !== "ECONNRESET" && error.code !== "EPIPE") reject(error);
+    });
+    socket.write(bytes);
+  });
+}
+
+async function servesOthers(): Promise<void> {
+  const { status, headers } = await call({});
+  assert.equal(status, 200);
+  assert.equal(headers[HEADERS.outcome], "answered");
+}
+
+const OLD_KEY = uuidv7({ msecs: Date.now() - 3_600_000 });
+const FUTURE_KEY = uuidv7({ msecs: Date.now() + 3_600_000 });
+
+const BAD_REQUESTS: {
+  name: string;
+  request: Parameters<typeof call>[0];
+  status: number;
+  code: string;
+  outcome?: string;
+}[] = [
+  {
+    name: "an unknown service",
+    request: { headers: { [HEADERS.service]: "payroll" } },
+    status: 404,
+    code: "unknown_service",
+  },
+  {
+    name: "a path that no route matches",
+    request: { path: "/nowhere" },
+    status: 400,
+    code: "invalid_request",
+  },
+  {
+    name: "a deadline that is no number",
+    request: { headers: { [HEADERS.deadline]: "soon" } },
+    status: 400,
+    code: "invalid_request",
+  },
+  {
+    name: "a deadline that has expired",
+    request: { headers: { [HEADERS.deadline]: "0" } },
+    status: 504,
+    code: "deadline_expired",
+  },
+  {
+    name: "a chain of calls that is too deep",
+    request: { headers: { [HEADERS.depth]: "33" } },
+    status: 508,
+    code: "depth_exceeded",
+  },
+  {
+    name: "a header above the limit",
+    request: { headers: { cookie: "x".repeat(5_000) } },
+    status: 431,
+    code: "header_too_large",
+  },
+  {
+    name: "a body above the limit",
+    request: {
+      method: "POST",
+      body: "x".repeat(100_001),
+      headers: { "content-length": "100001" },
+    },
+    status: 413,
+    code: "body_too_large",
+  },
+  {
+    name: "a booking without a key",
+    request: { method: "POST", path: "/bookings", body: "{}" },
+    status: 400,
+    code: "key_required",
+  },
+  {
+    name: "a key that carries no time",
+    request: {
+      method: "POST",
+      path: "/bookings",
+      headers: { [HEADERS.key]: uuidv4() },
+    },
+    status: 400,
+    code: "invalid_request",
+  },
+  {
+    name: "a key that is too old",
+    request: {
+      method: "POST",
+      path: "/bookings",
+      headers: { [HEADERS.key]: OLD_KEY },
+    },
+    status: 409,
+    code: "key_too_old",
+    outcome: "unknown",
+  },
+  {
+    name: "a key that is too far ahead",
+    request: {
+      method: "POST",
+      path: "/bookings",
+      headers: { [HEADERS.key]: FUTURE_KEY },
+    },
+    status: 400,
+    code: "invalid_request",
+  },
+];
+
+for (const bad of BAD_REQUESTS) {
+  const { name, request, status, code, outcome = "not-run" } = bad;
+  test(`a caller gets a typed error for ${name}`, async () => {
+    const runs = site.servers[0]?.ledger.executions.length;
+    const answer = await call(request);
+    assert.equal(answer.headers[HEADERS.error], code);
+    assert.equal(answer.status, status);
+    assert.equal(answer.headers[HEADERS.outcome], outcome);
+    assert.equal(JSON.parse(answer.body).error, code);
+    assert.equal(site.servers[0]?.ledger.executions.length, runs);
+    await servesOthers();
+  });
+}
+
+const BAD_BYTES: { name: string; bytes: string; code: string }[] = [
+  { name: "no HTTP at all", bytes: "\x16\x03\x01\r\n\r\n", code: "400" },
+  {
+    name: "two lengths of the body",
+    bytes:
+      "POST /timesheets HTTP/1.1\r\nhost: alloc\r\n" +
+      "content-length: 3\r\ntransfer-encoding: chunked\r\n\r\nabc",
+    code: "400",
+  },
+  {
+    name: "a malformed chunk",
+    bytes:
+      "POST /timesheets HTTP/1.1\r\nhost: alloc\r\n" +
+      "transfer-encoding: chunked\r\n\r\nzz\r\n",
+    code: "",
+  },
+  {
+    name: "a tunnel",
+    bytes: "CONNECT alloc:80 HTTP/1.1\r\nhost: alloc\r\n\r\n",
+    code: "400",
+  },
+  {
+    name: "a header that never ends",
+    bytes: "GET /timesheets HTTP/1.1\r\nhost: alloc\r\nx-a: ",
+    code: "408",
+  },
+  {
+    name: "a body that never comes",
+    bytes:
+      "POST /timesheets HTTP/1.1\r\nhost: alloc\r\n" +
+      "content-length: 10\r\n\r\nabc",
+    code: "408",
+  },
+];
+
+for (const { name, bytes, code } of BAD_BYTES) {
+  test(`an entry survives ${name}`, async () => {
+    const answer = await raw(bytes);
+    if (code) assert.match(answer, new RegExp(`^HTTP/1.1 ${code} `));
+    await servesOthers();
+  });
+}
+
+const BAD_FRAMES: { name: string; bytes: string }[] = [
+  { name: "an over-long frame", bytes: "\xff\xff\xff\xff" },
+  { name: "garbage in a frame", bytes: "\x00\x00\x00\x02\xff\xff" },
+  {
+    name: "a message before the hello",
+    bytes: "\x00\x00\x00\x07\x82\x64ping\xf6",
+  },
+  { name: "HTTP on the peer port", bytes: "GET / HTTP/1.1\r\n\r\n" },
+];
+
+for (const { name, bytes } of BAD_FRAMES) {
+  test(`the peer port closes after ${name}`, async () => {
+    const { port } = site.peers[0] ?? { port: 0 };
+    await raw(bytes, port);
+    await servesOthers();
+  });
+}
+
+test("each of many calls on shared connections gets its own answer", async () => {
+  const paths = Array.from({ length: 200 }, (_, i) => `/timesheets/${i}`);
+  const answers = await Promise.all(paths.map((path) => call({ path })));
+  answers.forEach(({ body, headers }, index) => {
+    const answer = JSON.parse(body);
+    assert.equal(answer.path, paths[index]);
+    assert.equal(answer.request_id, headers[HEADERS.requestId]);
+  });
+});
+
+test("a resend through another entry gets the stored answer", async () => {
+  const key = uuidv7();
+  const [first, second] = site.addresses;
+  assert.ok(first && second);
+  const book = (address: { host: string; port: number }) =>
+    exchange({
+      ...address,
+      agent,
+      method: "POST",
+      path: "/bookings",
+      headers: { [HEADERS.service]: "alloc", [HEADERS.key]: key },
+      body: '{"hours":3}',
+    });
+  const booked = await book(first);
+  const resent = await book(second);
+  assert.equal(booked.status, 200);
+  assert.equal(resent.status, 200);
+  assert.equal(resent.body, booked.body);
+  assert.equal(site.servers[0]?.ledger.ofKey(key).length, 1);
+});
+
+test("two entries that get the same key at once run it once", async () => {
+  const key = uuidv7();
+  const answers = await Promise.all(
+    site.addresses.map((address) =>
+      exchange({
+        ...address,
+        agent,
+        method: "POST",
+        path: "/bookings",
+        headers: { [HEADERS.service]: "alloc", [HEADERS.key]: key },
+        body: '{"hours":3}',
+      }),
+    ),
+  );
+  assert.equal(site.servers[0]?.ledger.ofKey(key).length, 1);
+  for (const { headers } of answers) {
+    assert.notEqual(headers[HEADERS.outcome], "not-run");
+  }
+});
+
+test("an address lookup names each entry and how long to keep it", async () => {
+  const answer = await call({
+    path: "/.mangobank/addresses?service=alloc&data_centre=riga-a",
+  });
+  const { addresses, keep_ms } = JSON.parse(answer.body);
+  const ports = addresses.map(({ port }: { port: number }) => port).sort();
+  assert.deepEqual(ports, site.addresses.map(({ port }) => port).sort());
+  assert.ok(keep_ms > 0);
+});
--- a/packages/entry/reply.ts
+++ b/packages/entry/reply.ts
@@ -75,28 +75,36 @@
   raw: readonly string[],
   dropped: ReadonlySet<string>,
 ): string[] {
-  const named = connectionTokens(raw);
   const kept: string[] = [];
+  let named: Set<string> | undefined;
   for (let i = 0; i < raw.length; i += 2) {
     const name = raw[i] ?? "";
+    const value = raw[i + 1] ?? "";
     const lower = name.toLowerCase();
-    if (HOP_BY_HOP.has(lower) || dropped.has(lower) || named.has(lower)) {
-      continue;
+    if (lower === "connection" && !PLAIN_CONNECTION.has(value)) {
+      named = connectionTokens(value, named);
     }
-    kept.push(name, raw[i + 1] ?? "");
+    if (HOP_BY_HOP.has(lower) || dropped.has(lower)) continue;
+    kept.push(name, value);
   }
-  return kept;
+  return named ? withoutNames(kept, named) : kept;
 }
 
-function connectionTokens(raw: readonly string[]): Set<string> {
-  const tokens = new Set<string>();
-  for (let i = 0; i < raw.length; i += 2) {
-    if (raw[i]?.toLowerCase() !== "connection") continue;
-    for (const token of (raw[i + 1] ?? "").split(",")) {
-      tokens.add(token.trim().toLowerCase());
-    }
-  }
-  return tokens;
+/** Values of `Connection` that name no further header. */
+const PLAIN_CONNECTION: ReadonlySet<string> = new Set(["keep-alive", "close"]);
+
+function connectionTokens(value: string, known = new Set<string>()) {
+  for (const token of value.split(",")) known.add(token.trim().toLowerCase());
+  return known;
+}
+
+function withoutNames(
+  headers: readonly string[],
+  names: ReadonlySet<string>,
+): string[] {
+  return headers.filter(
+    (_, i) => !names.has(headers[i - (i % 2)]?.toLowerCase() ?? ""),
+  );
 }
 
 /** Headers of a server's answer for the caller. */
