Probe quiet servers within a share of the budget

Cause: a server without calls is unknown; entries that know different views must not exceed the budget together. Ruled out: dividing by the present view only, which exceeds the budget while a grown or shrunk view spreads. Change: one share per entry of the greatest view of the last 5 s, a new entry waits 5 s; credits weigh 0.3 of a used slot; the ledger of slots is split off the dispatcher.

--- a/packages/routing/dispatch_entry.ts
+++ b/packages/routing/dispatch_entry.ts
@@ -1,5 +1,11 @@
 import type { Waiting } from "#admission";
-import type { BackendServerId, DataCentre, HostId, Priority } from "#model";
+import type {
+  BackendServerId,
+  DataCentre,
+  Entry,
+  HostId,
+  Priority,
+} from "#model";
 import type { DispatchGrant } from "./messages.ts";
 import type { Numbers } from "./numbers.ts";
 import type { ServerSlots } from "./slots.ts";
@@ -39,6 +45,7 @@
 /** What a dispatcher knows of one entry that uses it. */
 export class DispatchEntry {
   readonly id: HostId;
+  readonly incarnation: number;
   readonly dataCentre: DataCentre;
   /** The newest message of the entry. */
   received = 0;
@@ -52,9 +59,10 @@
   #rate = 0;
   #rateAt: number;
 
-  constructor(id: HostId, dataCentre: DataCentre, now: number) {
-    this.id = id;
-    this.dataCentre = dataCentre;
+  constructor(member: Entry, now: number) {
+    this.id = member.id;
+    this.incarnation = member.incarnation;
+    this.dataCentre = member.dataCentre;
     this.lastHeard = now;
     this.#rateAt = now;
   }
--- a/packages/routing/dispatch_link.ts
+++ b/packages/routing/dispatch_link.ts
@@ -1,4 +1,4 @@
-import type { BackendServerId, HostId, Priority } from "#model";
+import type { BackendServerId, Entry, HostId, Priority } from "#model";
 import type { SendEffect } from "./effects.ts";
 import type {
   DispatchGrant,
@@ -36,6 +36,7 @@
   readonly #numbers: Numbers;
   #state: LinkState = "detached";
   #dispatcher: HostId | undefined;
+  #incarnation = 0;
   #epoch = 0;
   #seen = 0;
   /** The newest message that the dispatcher must answer. */
@@ -78,10 +79,16 @@
   }
 
   /** Takes over the dispatcher of a view; the entry joins it anew. */
-  configure(dispatcher: HostId | undefined, epoch: number): void {
-    if (epoch === this.#epoch && dispatcher === this.#dispatcher) return;
-    if (dispatcher !== this.#dispatcher) this.#seen = 0;
-    this.#dispatcher = dispatcher;
+  configure(
+    dispatcher: Pick<Entry, "id" | "incarnation"> | undefined,
+    epoch: number,
+  ): void {
+    const { id, incarnation = 0 } = dispatcher ?? {};
+    const same = id === this.#dispatcher && incarnation === this.#incarnation;
+    if (epoch === this.#epoch && same) return;
+    if (!same) this.#seen = 0;
+    this.#dispatcher = id;
+    this.#incarnation = incarnation;
     this.#epoch = epoch;
     this.#joinAt = 0;
     this.#clear();
--- a/packages/routing/dispatcher.ts
+++ b/packages/routing/dispatcher.ts
@@ -1,65 +1,53 @@
 import { ClassQueue } from "#admission";
-import type { BackendServer, DataCentre, HostId, Service } from "#model";
-import { CreditPolicy } from "./credits.ts";
-import { DispatchEntry, type Grant, type Want } from "./dispatch_entry.ts";
+import type { BackendServer, Entry, HostId, Priority, Service } from "#model";
+import type { DispatchEntry, Want } from "./dispatch_entry.ts";
 import type { SendEffect } from "./effects.ts";
-import type {
-  DispatchReport,
-  DispatchUpdate,
-  Released,
-  Taken,
-  Wanted,
-} from "./messages.ts";
+import { Ledger } from "./ledger.ts";
+import type { DispatchReport, DispatchUpdate, Wanted } from "./messages.ts";
 import type { Numbers } from "./numbers.ts";
-import { Outliers } from "./outliers.ts";
-import { type ServerSlots, SlotTable } from "./slots.ts";
+import type { ServerSlots, SlotTable } from "./slots.ts";
 
 /** Time in which a new dispatcher only collects reports. */
 const REBUILD_MS = 15;
 /** Slots of an entry that is silent for so long count as free. */
 const ENTRY_LEASE_MS = 2_500;
-/** Interval of the tests for stragglers among running calls. */
-const WEIGH_MS = 20;
 /** Calls that a server may get above its slots. */
 const OVER_GRANT = 1;
-/** Calls of a repeat that may be passed over because of their exclusions. */
+/** Waiting calls that may be passed over because of their exclusions. */
 const MAX_SET_ASIDE = 8;
+/** Entries expire their own calls; this only removes what they forgot. */
+const EXPIRE_AFTER_MS = 500;
 const MIN_RETRY_MS = 10;
 
+/** The view as a dispatcher uses it. */
+export interface Membership {
+  readonly epoch: number;
+  readonly members: ReadonlyMap<HostId, Entry>;
+}
+
 /**
  * Grants the slots of one service to all entries. Holds the service's queue
  * and is rebuilt from the entries' reports wherever it is started.
  */
 export class Dispatcher {
   #service: Service;
-  #epoch: number;
+  #view: Membership;
   readonly #numbers: Numbers;
-  readonly #outliers: Outliers;
-  readonly #slots: SlotTable;
-  readonly #credits: CreditPolicy;
+  readonly #ledger: Ledger;
   readonly #queue: ClassQueue<Want>;
-  readonly #entries = new Map<HostId, DispatchEntry>();
-  #members: ReadonlyMap<HostId, DataCentre>;
-  #openAt: number;
-  #weighAt = 0;
-  /** Entries whose draft is not empty. */
-  readonly #drafted = new Set<DispatchEntry>();
+  readonly #openAt: number;
 
   constructor(options: {
     service: Service;
-    epoch: number;
-    members: ReadonlyMap<HostId, DataCentre>;
+    view: Membership;
     numbers: Numbers;
     now: number;
   }) {
     this.#service = options.service;
+    this.#view = options.view;
     this.#numbers = options.numbers;
-    this.#epoch = options.epoch;
-    this.#members = options.members;
     this.#openAt = options.now + REBUILD_MS;
-    this.#outliers = new Outliers(options.service);
-    this.#slots = new SlotTable(options.service, this.#outliers);
-    this.#credits = new CreditPolicy(this.#slots);
+    this.#ledger = new Ledger(options.service);
     this.#queue = new ClassQueue(options.service.queueLength);
   }
 
@@ -68,57 +56,36 @@
     return this.#queue.length;
   }
 
+  /** Whether no entry uses this dispatcher. */
   get idle(): boolean {
-    return this.#entries.size === 0;
-  }
-
-  /** Slots in use and credits given, by server; for tests and metrics. */
-  usage(): { server: string; inUse: number; credits: number }[] {
-    return [...this.#slots.servers()].map(({ record, inUse, credits }) => ({
-      server: record.id,
-      inUse,
-      credits,
-    }));
+    return this.#ledger.entries.size === 0;
   }
 
   get slots(): SlotTable {
-    return this.#slots;
-  }
-
-  get outliers(): Outliers {
-    return this.#outliers;
+    return this.#ledger.slots;
   }
 
   /** Goes on in a new view; entries that left it lose their slots. */
-  configure(
-    service: Service,
-    view: { epoch: number; members: ReadonlyMap<HostId, DataCentre> },
-    now: number,
-  ): SendEffect[] {
+  configure(service: Service, view: Membership, now: number): SendEffect[] {
     this.#service = service;
-    this.#epoch = view.epoch;
-    this.#members = view.members;
+    this.#view = view;
     this.#queue.setLimit(service.queueLength);
-    this.#outliers.configure(service);
-    this.#slots.configure(service);
-    for (const entry of this.#entries.values()) {
-      if (!view.members.has(entry.id)) this.#forget(entry);
+    this.#ledger.configure(service);
+    for (const entry of this.#ledger.entries.values()) {
+      const member = view.members.get(entry.id);
+      if (member?.incarnation !== entry.incarnation) this.#forget(entry);
     }
     return this.#advance(now);
   }
 
   setServers(records: readonly BackendServer[], now: number): SendEffect[] {
-    this.#slots.setServers(records, now);
-    for (const entry of this.#entries.values()) {
-      this.#credits.revokeStale(entry);
-      this.#drafted.add(entry);
-    }
+    this.#ledger.setServers(records, now);
     return this.#advance(now);
   }
 
-  /** The connection to an entry is lost, or it has been silent for long. */
+  /** The connection to an entry is lost. */
   entryDown(id: HostId, now: number): SendEffect[] {
-    const entry = this.#entries.get(id);
+    const entry = this.#ledger.entries.get(id);
     if (!entry) return [];
     this.#forget(entry);
     return this.#advance(now);
@@ -131,15 +98,19 @@
     for (const [ticket, grant] of entry.grants) {
       // A grant that the report could not know of yet stays.
       if (listed.has(ticket) || grant.sequence > report.seen) continue;
-      this.#free(entry, ticket);
+      this.#ledger.free(entry, ticket);
+    }
+    for (const taken of report.taken) {
+      this.#unwant(entry, taken.ticket);
+      this.#ledger.take(entry, taken, now);
     }
-    for (const taken of report.taken) this.#take(entry, taken, now);
     const wanted = new Set(report.wanted.map((want) => want.ticket));
-    for (const ticket of entry.wants.keys()) {
+    for (const ticket of [...entry.wants.keys()]) {
       if (!wanted.has(ticket)) this.#unwant(entry, ticket);
     }
     for (const want of report.wanted) this.#want(entry, want, now);
-    this.#credits.adopt(entry, report.credits);
+    if (report.taken.length > 0) entry.countCall(now);
+    this.#ledger.credits.adopt(entry, report.credits);
     entry.answerDue = true;
     return this.#advance(now);
   }
@@ -150,10 +121,12 @@
     for (const ticket of update.cancelled) this.#unwant(entry, ticket);
     for (const taken of update.taken) {
       entry.countCall(now);
-      this.#take(entry, taken, now);
+      this.#unwant(entry, taken.ticket);
+      this.#ledger.take(entry, taken, now);
     }
     for (const released of update.released) {
-      this.#release(entry, released, now);
+      this.#unwant(entry, released.ticket);
+      this.#ledger.release(entry, released, now);
     }
     for (const want of update.wanted) {
       entry.countCall(now);
@@ -163,15 +136,26 @@
     return this.#advance(now);
   }
 
+  /** Takes in the answer of a probe that this entry sent. */
+  probed(
+    id: string,
+    result: { failed: boolean; leaving: boolean },
+    now: number,
+  ): SendEffect[] {
+    const server = this.#ledger.slots.get(id);
+    if (!server) return [];
+    this.#ledger.probed(server, result, now);
+    return this.#advance(now);
+  }
+
   tick(now: number): SendEffect[] {
-    for (const entry of this.#entries.values()) {
+    for (const entry of this.#ledger.entries.values()) {
       if (now - entry.lastHeard > ENTRY_LEASE_MS) this.#forget(entry);
     }
-    this.#outliers.tick(now);
-    if (now >= this.#weighAt) this.#weighRunning(now);
-    for (const server of this.#slots.servers()) {
-      this.#slots.refresh(server, now);
+    for (const want of this.#queue.expire(now - EXPIRE_AFTER_MS)) {
+      want.entry.wants.delete(want.ticket);
     }
+    this.#ledger.tick(now);
     return this.#advance(now);
   }
 
@@ -180,78 +164,19 @@
     message: { epoch: number; sequence: number },
     options: { now: number; create: boolean },
   ): DispatchEntry | undefined {
-    const dataCentre = this.#members.get(from);
-    if (message.epoch !== this.#epoch || dataCentre === undefined) {
-      return undefined;
-    }
-    let entry = this.#entries.get(from);
-    if (!entry && options.create) {
-      entry = new DispatchEntry(from, dataCentre, options.now);
-      this.#entries.set(from, entry);
-    }
-    if (!entry || message.sequence <= entry.received) return undefined;
+    const member = this.#view.members.get(from);
+    if (message.epoch !== this.#view.epoch || !member) return undefined;
+    const { now, create } = options;
+    const known = this.#ledger.entries.get(from);
+    if (!known && !create) return undefined;
+    const entry = known ?? this.#ledger.addEntry(member, now);
+    if (message.sequence <= entry.received) return undefined;
     entry.received = message.sequence;
-    entry.lastHeard = options.now;
-    this.#drafted.add(entry);
+    entry.lastHeard = now;
+    this.#ledger.drafted.add(entry);
     return entry;
   }
 
-  #take(entry: DispatchEntry, taken: Taken, now: number): void {
-    if (entry.grants.has(taken.ticket)) return;
-    this.#unwant(entry, taken.ticket);
-    const server = this.#slots.get(taken.server);
-    if (!server) return;
-    if (entry.dropCredit(server)) this.#slots.credit(server, -1);
-    this.#use(entry, {
-      ticket: taken.ticket,
-      class: taken.class,
-      server,
-      at: now - taken.ageMs,
-      sequence: 0,
-    });
-  }
-
-  #use(
-    entry: DispatchEntry,
-    grant: Omit<Grant, "crowding"> & { ticket: number },
-  ): void {
-    const { server } = grant;
-    const over = server.inUse + 1 - server.record.slots;
-    const crowding = Math.max(0, over) / server.record.slots;
-    entry.grants.set(grant.ticket, { ...grant, crowding });
-    this.#slots.use(server, 1);
-    if (server.free === 0 && server.credits > 0) this.#revoke(server);
-  }
-
-  #free(entry: DispatchEntry, ticket: number): Grant | undefined {
-    const grant = entry.grants.get(ticket);
-    if (!grant) return undefined;
-    entry.grants.delete(ticket);
-    this.#slots.use(grant.server, -1);
-    return grant;
-  }
-
-  #release(entry: DispatchEntry, released: Released, now: number): void {
-    this.#unwant(entry, released.ticket);
-    const grant = this.#free(entry, released.ticket);
-    if (!grant) return;
-    const { server } = grant;
-    if (released.leaving) server.leaving = true;
-    if (released.kind === "unused") {
-      this.#slots.refresh(server, now);
-      return;
-    }
-    server.lastHeard = now;
-    if (released.kind === "not_started") server.shed(now);
-    if (released.kind === "answered") server.answered();
-    const { kind, serviceMs } = released;
-    const { crowding } = grant;
-    const seen = { kind, serviceMs, crowding, class: grant.class };
-    this.#outliers.observe(server.record.id, seen, now);
-    this.#slots.refresh(server, now);
-    if (server.limit === 0 || server.spare) this.#revoke(server);
-  }
-
   #want(entry: DispatchEntry, wanted: Wanted, now: number): void {
     const { ticket } = wanted;
     if (entry.wants.has(ticket) || entry.grants.has(ticket)) return;
@@ -265,10 +190,8 @@
       entry,
       since: now - wanted.waitedMs,
     };
-    const waitMs = this.#waitMs(
-      process.env.OQ ? this.#queue.ahead(want.priority) : this.#queue.length,
-    );
-    if (this.#slots.free === 0 && now + waitMs > want.deadline) {
+    const waitMs = this.#waitMs(this.#queue.ahead(want.priority));
+    if (this.slots.free === 0 && now + waitMs > want.deadline) {
       this.#reject(want);
       return;
     }
@@ -286,95 +209,55 @@
   }
 
   #reject(want: Want): void {
-    want.entry.wants.delete(want.ticket);
-    want.entry.draft.rejects.push({
-      ticket: want.ticket,
-      code: "queue_full",
-      retryAfterMs: Math.max(
-        MIN_RETRY_MS,
-        Math.ceil(this.#waitMs(this.#queue.length + 1)),
-      ),
-    });
-    this.#drafted.add(want.entry);
+    const { entry, ticket } = want;
+    entry.wants.delete(ticket);
+    const waitMs = this.#waitMs(this.#queue.length + 1);
+    const retryAfterMs = Math.max(MIN_RETRY_MS, Math.ceil(waitMs));
+    entry.draft.rejects.push({ ticket, code: "queue_full", retryAfterMs });
+    this.#ledger.drafted.add(entry);
   }
 
   /** Time in which so many waiting calls start, in milliseconds. */
   #waitMs(calls: number): number {
-    const limit = Math.max(1, this.#slots.limit);
-    return (calls * this.#outliers.meanMs()) / limit;
+    const limit = Math.max(1, this.slots.limit);
+    return (calls * this.#ledger.outliers.meanMs()) / limit;
   }
 
   #forget(entry: DispatchEntry): void {
-    for (const ticket of [...entry.grants.keys()]) this.#free(entry, ticket);
     for (const ticket of [...entry.wants.keys()]) this.#unwant(entry, ticket);
-    this.#credits.forget(entry);
-    this.#entries.delete(entry.id);
-    this.#drafted.delete(entry);
-  }
-
-  #revoke(server: ServerSlots): void {
-    for (const entry of this.#credits.revokeServer(server, this.#entries)) {
-      this.#drafted.add(entry);
-    }
-  }
-
-  #weighRunning(now: number): void {
-    this.#weighAt = now + WEIGH_MS;
-    const running = new Map<
-      ServerSlots,
-      { class: string; serviceMs: number; crowding: number }[]
-    >();
-    for (const entry of this.#entries.values()) {
-      for (const grant of entry.grants.values()) {
-        const { server, crowding } = grant;
-        const call = {
-          class: grant.class,
-          serviceMs: now - grant.at,
-          crowding,
-        };
-        const calls = running.get(server);
-        if (calls) calls.push(call);
-        else running.set(server, [call]);
-      }
-    }
-    for (const [server, calls] of running) {
-      const { id } = server.record;
-      if (!this.#outliers.weighRunning(id, calls, now)) continue;
-      this.#slots.refresh(server, now);
-      this.#revoke(server);
-    }
+    this.#ledger.forget(entry);
   }
 
   /** Grants what can be granted and sends what there is to say. */
   #advance(now: number): SendEffect[] {
-    if (now < this.#openAt) return [];
+    // Without servers or reports, silence lets the entries choose locally.
+    if (now < this.#openAt || this.slots.size === 0) return [];
     this.#grantWaiting(now);
-    const waiting = this.#queue.length;
-    const state = { waiting, touched: this.#drafted, now };
-    for (const entry of this.#credits.balance(this.#entries, state)) {
-      this.#drafted.add(entry);
-    }
+    const { drafted, entries, credits } = this.#ledger;
+    const state = { waiting: this.#queue.length, touched: drafted, now };
+    for (const entry of credits.balance(entries, state)) drafted.add(entry);
+    if (drafted.size === 0) return [];
     const effects: SendEffect[] = [];
     const header = {
       service: this.#service.name,
-      epoch: this.#epoch,
+      epoch: this.#view.epoch,
       waitedMs: {
-        urgent: this.#waited("urgent", now),
-        patient: this.#waited("patient", now),
+        urgent: this.#waitedMs("urgent", now),
+        patient: this.#waitedMs("patient", now),
       },
-      avoid: this.#slots.avoided(),
+      avoid: this.slots.avoided(),
     };
-    for (const entry of this.#drafted) {
+    for (const entry of drafted) {
       const payload = entry.takeDraft(header, this.#numbers);
       if (!payload) continue;
       const kind = "dispatch_grant";
       effects.push({ type: "send", to: entry.id, kind, payload });
     }
-    this.#drafted.clear();
+    drafted.clear();
     return effects;
   }
 
-  #waited(priority: "urgent" | "patient", now: number): number {
+  #waitedMs(priority: Priority, now: number): number {
     const first = this.#queue.first(priority);
     return first ? now - first.since : -1;
   }
@@ -394,36 +277,42 @@
   }
 
   #choose(want: Want, now: number): ServerSlots | undefined {
-    const { exclude } = want;
+    const { outliers } = this.#ledger;
     const near = want.entry.dataCentre;
-    const everyServerExcluded = (exclude?.length ?? 0) >= this.#slots.size;
-    const options = { exclude: everyServerExcluded ? undefined : exclude };
-    const free = this.#slots.pick(near, options);
+    const all = (want.exclude?.length ?? 0) >= this.slots.size;
+    const exclude = all ? undefined : want.exclude;
+    const free = this.slots.pick(near, { exclude });
     if (free) return free;
-    const spare = this.#slots.pickSpare(options.exclude);
     const waitMs = this.#waitMs(this.#queue.length);
+    const spare = this.slots.pickSpare(exclude);
     if (spare) {
       const { id } = spare.record;
-      const excessMs = (spare.health.ratio - 1) * this.#outliers.meanMs();
+      // A straggler pays only once the queue costs more than its slowness.
+      const excessMs = (spare.health.ratio - 1) * outliers.meanMs();
       if (waitMs > excessMs) return spare;
-      if (this.#outliers.trialDue(id, now) && want.priority === "patient") {
-        this.#outliers.trialStarted(id, now);
+      if (want.priority === "patient" && outliers.trialDue(id, now)) {
+        outliers.trialStarted(id, now);
         return spare;
       }
     }
-    const over = this.#slots.pick(near, { ...options, over: OVER_GRANT });
+    const over = this.slots.pick(near, { exclude, over: OVER_GRANT });
     if (!over) return undefined;
     // Waiting at one server is worth it only when the queue takes as long.
-    return waitMs >= this.#outliers.meanMs() / over.limit ? over : undefined;
+    return waitMs >= outliers.meanMs() / over.limit ? over : undefined;
   }
 
   #grant(want: Want, server: ServerSlots, now: number): void {
-    const { entry, ticket } = want;
+    const { entry, ticket, class: name } = want;
     entry.wants.delete(ticket);
     const sequence = this.#numbers.last + 1;
-    const { class: name } = want;
-    this.#use(entry, { ticket, class: name, server, at: now, sequence });
+    this.#ledger.use(entry, {
+      ticket,
+      class: name,
+      server,
+      at: now,
+      sequence,
+    });
     entry.draft.grants.push({ ticket, server: server.record.id });
-    this.#drafted.add(entry);
+    this.#ledger.drafted.add(entry);
   }
 }
--- /dev/null
+++ b/packages/routing/ledger.ts
@@ -0,0 +1,161 @@
+import type { BackendServer, Entry, HostId, Service } from "#model";
+import { CreditPolicy } from "./credits.ts";
+import { DispatchEntry, type Grant } from "./dispatch_entry.ts";
+import type { Released, Taken } from "./messages.ts";
+import { type Observation, Outliers } from "./outliers.ts";
+import { type ServerSlots, SlotTable } from "./slots.ts";
+
+/** Interval of the tests for stragglers among running calls. */
+const WEIGH_MS = 20;
+
+/** A call that still runs. */
+type RunningCall = Pick<Observation, "class" | "serviceMs" | "crowding">;
+
+/** Which entry uses which slot of a service, and how the servers do. */
+export class Ledger {
+  readonly outliers: Outliers;
+  readonly slots: SlotTable;
+  readonly credits: CreditPolicy;
+  readonly entries = new Map<HostId, DispatchEntry>();
+  /** Entries whose draft may have something to say. */
+  readonly drafted = new Set<DispatchEntry>();
+  #weighAt = 0;
+
+  constructor(service: Service) {
+    this.outliers = new Outliers(service);
+    this.slots = new SlotTable(service, this.outliers);
+    this.credits = new CreditPolicy(this.slots);
+  }
+
+  configure(service: Service): void {
+    this.outliers.configure(service);
+    this.slots.configure(service);
+  }
+
+  setServers(records: readonly BackendServer[], now: number): void {
+    this.slots.setServers(records, now);
+    for (const entry of this.entries.values()) {
+      this.credits.revokeStale(entry);
+      this.drafted.add(entry);
+    }
+  }
+
+  addEntry(member: Entry, now: number): DispatchEntry {
+    const entry = new DispatchEntry(member, now);
+    this.entries.set(member.id, entry);
+    return entry;
+  }
+
+  /** Counts a slot that an entry took without asking. */
+  take(entry: DispatchEntry, taken: Taken, now: number): void {
+    if (entry.grants.has(taken.ticket)) return;
+    const server = this.slots.get(taken.server);
+    if (!server) return;
+    if (entry.dropCredit(server)) this.slots.credit(server, -1);
+    const { ticket, class: name } = taken;
+    const at = now - taken.ageMs;
+    this.use(entry, { ticket, class: name, server, at, sequence: 0 });
+  }
+
+  use(
+    entry: DispatchEntry,
+    grant: Omit<Grant, "crowding"> & { ticket: number },
+  ): void {
+    const { server } = grant;
+    const { slots } = server.record;
+    const crowding = Math.max(0, server.inUse + 1 - slots) / slots;
+    entry.grants.set(grant.ticket, { ...grant, crowding });
+    this.slots.use(server, 1);
+    if (server.free === 0) this.revoke(server);
+  }
+
+  free(entry: DispatchEntry, ticket: number): Grant | undefined {
+    const grant = entry.grants.get(ticket);
+    if (!grant) return undefined;
+    entry.grants.delete(ticket);
+    this.slots.use(grant.server, -1);
+    return grant;
+  }
+
+  /** Frees a slot and learns from what became of its call. */
+  release(entry: DispatchEntry, released: Released, now: number): void {
+    const grant = this.free(entry, released.ticket);
+    if (!grant) return;
+    const { server, crowding } = grant;
+    const { kind, serviceMs } = released;
+    if (released.leaving) server.leaving = true;
+    if (kind !== "unused") {
+      server.lastHeard = now;
+      if (kind === "not_started") server.shed(now);
+      if (kind === "answered") server.answered();
+      const seen = { kind, serviceMs, crowding, class: grant.class };
+      this.outliers.observe(server.record.id, seen, now);
+    }
+    this.slots.refresh(server, now);
+    if (server.limit === 0 || server.spare) this.revoke(server);
+  }
+
+  /** Forgets an entry with all that it holds. */
+  forget(entry: DispatchEntry): void {
+    for (const ticket of [...entry.grants.keys()]) this.free(entry, ticket);
+    this.credits.forget(entry);
+    this.entries.delete(entry.id);
+    this.drafted.delete(entry);
+  }
+
+  /** Takes in a probe's answer. */
+  probed(
+    server: ServerSlots,
+    result: { failed: boolean; leaving: boolean },
+    now: number,
+  ): void {
+    server.lastHeard = now;
+    if (result.leaving) server.leaving = true;
+    if (result.failed) {
+      const seen = { kind: "lost", serviceMs: 0, crowding: 0, class: "" };
+      this.outliers.observe(server.record.id, seen as Observation, now);
+    }
+    this.slots.refresh(server, now);
+    if (server.limit === 0) this.revoke(server);
+  }
+
+  tick(now: number): void {
+    this.outliers.tick(now);
+    if (now >= this.#weighAt) this.#weighRunning(now);
+    for (const server of this.slots.servers()) {
+      this.slots.refresh(server, now);
+    }
+  }
+
+  /** Revokes all credits for a server. */
+  revoke(server: ServerSlots): void {
+    if (server.credits === 0) return;
+    for (const entry of this.credits.revokeServer(server, this.entries)) {
+      this.drafted.add(entry);
+    }
+  }
+
+  #weighRunning(now: number): void {
+    this.#weighAt = now + WEIGH_MS;
+    const running = new Map<ServerSlots, RunningCall[]>();
+    for (const entry of this.entries.values()) {
+      for (const {
+        server,
+        crowding,
+        at,
+        class: name,
+      } of entry.grants.values()) {
+        const call = { class: name, serviceMs: now - at, crowding };
+        const calls = running.get(server);
+        if (calls) calls.push(call);
+        else running.set(server, [call]);
+      }
+    }
+    for (const [server, calls] of running) {
+      const { id } = server.record;
+      if (!this.outliers.weighRunning(id, calls, now)) continue;
+      this.slots.refresh(server, now);
+      this.revoke(server);
+    }
+  }
+}
--- a/packages/routing/local_servers.ts
+++ b/packages/routing/local_servers.ts
@@ -5,9 +5,9 @@
   Randomness,
   Service,
 } from "#model";
-import type { CallResult } from "./effects.ts";
+import type { CallResult, ProbeResult } from "./effects.ts";
 import { chooseLocally } from "./local_choice.ts";
-import { Outliers } from "./outliers.ts";
+import { type Observation, Outliers } from "./outliers.ts";
 import { SampleSet } from "./sample_set.ts";
 import { ServerState, warmSlots } from "./server_state.ts";
 
@@ -116,6 +116,21 @@
     this.#refresh(server, now);
   }
 
+  /** Takes in the answer of a probe. */
+  probed(id: BackendServerId, result: ProbeResult, now: number): void {
+    const server = this.#servers.get(id);
+    if (!server) return;
+    server.lastHeard = now;
+    if (result.kind === "answered") {
+      server.report(result.inFlight, now);
+      if (result.leaving) server.leaving = true;
+    } else {
+      const seen = { kind: "lost", serviceMs: 0, class: "", crowding: 0 };
+      this.#outliers.observe(id, seen as Observation, now);
+    }
+    this.#refresh(server, now);
+  }
+
   /** Takes up ended ejections, pauses and cold starts. */
   tick(now: number): void {
     this.#outliers.tick(now);
--- /dev/null
+++ b/packages/routing/probing.ts
@@ -0,0 +1,109 @@
+import type { BackendServerId, HostId, Service, View } from "#model";
+
+/** Slot time of a probe that has not been measured, in milliseconds. */
+const PROBE_COST_MS = 6;
+const COST_WEIGHT = 0.1;
+/** A server without results for so long is probed. */
+const PROBE_AFTER_MS = 2_000;
+/** Unanswered probes are given up after this time. */
+const PROBE_TIMEOUT_MS = 5_000;
+/** Time in which a view reaches all entries, with a margin. */
+const SETTLE_MS = 5_000;
+
+/**
+ * An entry's share of the probe budget. The shares of all entries add up to at
+ * most one, also while they know different views: an entry keeps to the
+ * greatest view of the last seconds, and a new one waits until all others have
+ * counted it in.
+ */
+export class ProbeShare {
+  readonly #self: HostId;
+  #views: { size: number; until: number }[] = [];
+  #startAt = Number.POSITIVE_INFINITY;
+  #incarnation: number | undefined;
+
+  constructor(self: HostId) {
+    this.#self = self;
+  }
+
+  configure(view: View, now: number): void {
+    const own = view.entries.find((entry) => entry.id === this.#self);
+    if (own?.incarnation !== this.#incarnation) {
+      this.#incarnation = own?.incarnation;
+      this.#startAt = own ? now + SETTLE_MS : Number.POSITIVE_INFINITY;
+    }
+    const last = this.#views.at(-1);
+    if (last) last.until = now + SETTLE_MS;
+    const until = Number.POSITIVE_INFINITY;
+    this.#views.push({ size: view.entries.length, until });
+  }
+
+  /** The share at this time, from 0 to 1. */
+  share(now: number): number {
+    this.#views = this.#views.filter((view) => view.until > now);
+    if (now < this.#startAt) return 0;
+    const sizes = this.#views.map((view) => view.size);
+    return 1 / Math.max(1, ...sizes);
+  }
+}
+
+/** Probes the quiet servers of one service within an entry's share. */
+export class Prober {
+  #tokens = 0;
+  #filledAt: number;
+  #costMs = PROBE_COST_MS;
+  readonly #running = new Map<BackendServerId, number>();
+
+  constructor(now: number) {
+    this.#filledAt = now;
+  }
+
+  /** Picks servers to probe now. */
+  pick(
+    servers: Iterable<{
+      readonly record: { readonly id: BackendServerId; readonly slots: number };
+      readonly lastHeard: number;
+    }>,
+    options: { service: Service; share: number; now: number },
+  ): BackendServerId[] {
+    const { service, share, now } = options;
+    let slots = 0;
+    const quiet: { id: BackendServerId; lastHeard: number }[] = [];
+    for (const { record, lastHeard } of servers) {
+      slots += record.slots;
+      const recent = now - lastHeard < PROBE_AFTER_MS;
+      if (!recent && !this.#runs(record.id, now)) {
+        quiet.push({ id: record.id, lastHeard });
+      }
+    }
+    const budget = (slots * service.measuringBudgetPercent) / 100;
+    this.#fill((budget * share) / this.#costMs, now);
+    quiet.sort((a, b) => a.lastHeard - b.lastHeard);
+    const picked = quiet.slice(0, Math.floor(this.#tokens));
+    this.#tokens -= picked.length;
+    for (const { id } of picked) this.#running.set(id, now);
+    return picked.map(({ id }) => id);
+  }
+
+  /** Takes in the time that a probe took. */
+  answered(id: BackendServerId, ms: number): void {
+    this.#running.delete(id);
+    this.#costMs += COST_WEIGHT * (ms - this.#costMs);
+    this.#costMs = Math.max(PROBE_COST_MS, this.#costMs);
+  }
+
+  failed(id: BackendServerId): void {
+    this.#running.delete(id);
+  }
+
+  /** Adds probes at a rate per millisecond; at most one is saved up. */
+  #fill(rate: number, now: number): void {
+    this.#tokens = Math.min(1, this.#tokens + rate * (now - this.#filledAt));
+    this.#filledAt = now;
+  }
+
+  #runs(id: BackendServerId, now: number): boolean {
+    const since = this.#running.get(id);
+    return since !== undefined && now - since < PROBE_TIMEOUT_MS;
+  }
+}
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -5,6 +5,7 @@
   callFault,
   type DataCentre,
   EMPTY_VIEW,
+  type Entry,
   type HostId,
   type Randomness,
   rendezvousOrder,
@@ -12,12 +13,16 @@
   type View,
 } from "#model";
 import type { Message } from "#wire";
+import type { LinkState } from "./dispatch_link.ts";
 import { Dispatcher } from "./dispatcher.ts";
 import type { CallResult, ProbeResult, RoutingEffect } from "./effects.ts";
 import type { DispatchMessages } from "./messages.ts";
 import { Numbers } from "./numbers.ts";
+import { Prober, ProbeShare } from "./probing.ts";
 import { ServiceRouter } from "./service_router.ts";
 
+/** Interval in which the need for probes is looked at. */
+const PROBE_EVERY_MS = 50;
 const NONE: ReadonlySet<BackendServerId> = new Set();
 
 export interface RouterOptions {
@@ -40,10 +45,14 @@
   /** The service of each call that is waiting or assigned. */
   readonly #calls = new Map<string, ServiceRouter>();
   readonly #active = new Set<ServiceRouter>();
+  readonly #probers = new Map<string, Prober>();
+  readonly #share: ProbeShare;
   #view: View = EMPTY_VIEW;
+  #probeAt = 0;
 
   constructor(options: RouterOptions) {
     this.#options = options;
+    this.#share = new ProbeShare(options.self);
   }
 
   /** Takes over the services of the document and the view in force. */
@@ -53,6 +62,7 @@
     now: number,
   ): RoutingEffect[] {
     this.#view = view;
+    this.#share.configure(view, now);
     const effects: RoutingEffect[] = [];
     const present = new Set(services.map((service) => service.name));
     for (const [name, router] of this.#services) {
@@ -61,13 +71,14 @@
       this.#dispatchers.delete(name);
     }
     const candidates = view.entries.filter(({ state }) => state === "ready");
-    const members = new Map(view.entries.map((e) => [e.id, e.dataCentre]));
+    const members = new Map(view.entries.map((entry) => [entry.id, entry]));
     const inView = members.has(this.#options.self);
     for (const service of services) {
       const router = this.#serviceRouter(service);
       const [first] = rendezvousOrder(service.name, candidates);
-      const dispatcher = inView ? first?.id : undefined;
-      effects.push(...this.#dispatch(service, dispatcher, { members, now }));
+      const dispatcher = inView ? first : undefined;
+      const host = dispatcher?.id;
+      effects.push(...this.#dispatch(service, { host, members, now }));
       effects.push(...router.setDispatcher(dispatcher, view.epoch, now));
     }
     return this.#settle(effects, now);
@@ -126,11 +137,20 @@
 
   /** Reports the answer of a probe. */
   probed(
-    _server: Pick<BackendServer, "service" | "id">,
-    _result: ProbeResult,
-    _now: number,
+    server: Pick<BackendServer, "service" | "id">,
+    result: ProbeResult,
+    now: number,
   ): RoutingEffect[] {
-    return [];
+    const { service, id } = server;
+    const prober = this.#probers.get(service);
+    const failed = result.kind === "failed";
+    if (failed) prober?.failed(id);
+    else prober?.answered(id, result.ms);
+    this.#services.get(service)?.servers.probed(id, result, now);
+    const leaving = !failed && result.leaving === true;
+    const dispatcher = this.#dispatchers.get(service);
+    const effects = dispatcher?.probed(id, { failed, leaving }, now) ?? [];
+    return this.#settle([...effects], now);
   }
 
   /** Takes a message of another entry. */
@@ -164,9 +184,15 @@
       effects.push(...router.tick(now));
       if (router.idle) this.#active.delete(router);
     }
+    effects.push(...this.#probe(now));
     return this.#settle(effects, now);
   }
 
+  /** How this entry stands with a service's dispatcher; for metrics. */
+  dispatching(service: string): LinkState {
+    return this.#services.get(service)?.link.state ?? "detached";
+  }
+
   /** The dispatcher of a service, if it is here; for metrics. */
   dispatcher(service: string): Dispatcher | undefined {
     return this.#dispatchers.get(service);
@@ -187,23 +213,56 @@
   /** Starts, keeps or stops the dispatcher of a service here. */
   #dispatch(
     service: Service,
-    host: HostId | undefined,
-    options: { members: ReadonlyMap<HostId, DataCentre>; now: number },
+    options: {
+      host: HostId | undefined;
+      members: ReadonlyMap<HostId, Entry>;
+      now: number;
+    },
   ): RoutingEffect[] {
-    const { members, now } = options;
-    const { epoch } = this.#view;
+    const { host, members, now } = options;
+    const view = { epoch: this.#view.epoch, members };
     const known = this.#dispatchers.get(service.name);
     if (host !== this.#options.self) {
       this.#dispatchers.delete(service.name);
       return [];
     }
-    if (known) return known.configure(service, { epoch, members }, now);
+    if (known) return known.configure(service, view, now);
     const numbers = this.#numbers;
-    const made = new Dispatcher({ service, epoch, members, numbers, now });
+    const made = new Dispatcher({ service, view, numbers, now });
     this.#dispatchers.set(service.name, made);
     return made.setServers(this.#records.get(service.name) ?? [], now);
   }
 
+  /** Probes quiet servers of the services that are dispatched or used here. */
+  #probe(now: number): RoutingEffect[] {
+    if (now < this.#probeAt) return [];
+    this.#probeAt = now + PROBE_EVERY_MS;
+    const share = this.#share.share(now);
+    if (share === 0) return [];
+    const effects: RoutingEffect[] = [];
+    for (const router of this.#services.values()) {
+      const { name } = router.service;
+      const dispatcher = this.#dispatchers.get(name);
+      const here = dispatcher !== undefined && !dispatcher.idle;
+      const alone = this.#active.has(router) && !router.link.streaming;
+      if (!here && !alone) continue;
+      let prober = this.#probers.get(name);
+      if (!prober) {
+        prober = new Prober(now);
+        this.#probers.set(name, prober);
+      }
+      const servers = here
+        ? dispatcher.slots.servers()
+        : router.servers.servers();
+      const { service } = router;
+      for (const id of prober.pick(servers, { service, share, now })) {
+        const server = router.servers.get(id)?.record;
+        if (server) effects.push({ type: "probe", server });
+      }
+    }
+    return effects;
+  }
+
   #handle(
     from: HostId,
     message: Message<DispatchMessages>,
--- a/packages/routing/server_state.ts
+++ b/packages/routing/server_state.ts
@@ -17,7 +17,7 @@
   /** The server announced that it is leaving; final within an incarnation. */
   leaving = false;
   /** Time of the last result or probe answer. */
-  lastHeard = Number.NEGATIVE_INFINITY;
+  lastHeard: number;
   /** Moving average of service times, in milliseconds; 0 if unknown. */
   latencyMs = 0;
   /** Start of the server's incarnation on this entry's clock. */
@@ -27,6 +27,7 @@
 
   constructor(record: BackendServer, now: number) {
     this.record = record;
+    this.lastHeard = now;
     this.started = now - record.startedMsAgo;
   }
 
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -6,6 +6,7 @@
   type CallFaultCode,
   callFault,
   type DataCentre,
+  type Entry,
   type HostId,
   type Randomness,
   type Service,
@@ -20,6 +21,8 @@
 /** Interval in which ejections and cold starts are followed. */
 const REFRESH_MS = 50;
 const MIN_RETRY_MS = 10;
+/** Waiting calls that may be passed over because of their exclusions. */
+const MAX_SET_ASIDE = 8;
 /** When to come back to a service without servers. */
 const NO_SERVER_RETRY_MS = 1_000;
 
@@ -84,7 +87,7 @@
 
   /** Takes over the dispatcher of a view; joins it if there are calls. */
   setDispatcher(
-    dispatcher: HostId | undefined,
+    dispatcher: Entry | undefined,
     epoch: number,
     now: number,
   ): RoutingEffect[] {
@@ -300,7 +303,7 @@
       this.#queue.remove(open.id);
       return [this.#start(open, server, now)];
     }
-    const leaving = server?.ready !== true;
+    const leaving = server?.leaving === true;
     this.link.release({ ticket, kind: "unused", serviceMs: 0, leaving });
     if (!open) return server ? this.#useLeftOver(server, now) : [];
     // The dispatcher does not know yet that this server takes no calls.
@@ -313,12 +316,16 @@
   #drain(now: number): RoutingEffect[] {
     const effects: RoutingEffect[] = [];
     if (this.link.state === "attached") return effects;
-    while (this.#servers.anyFree) {
+    const aside: OpenCall[] = [];
+    while (this.#servers.anyFree && aside.length < MAX_SET_ASIDE) {
       const open = this.#queue.peek();
-      const server = open && this.#servers.choose(open.exclude, now);
-      if (!server) break;
-      effects.push(...this.#startUnasked(open, server, now));
+      if (!open) break;
+      const server = this.#servers.choose(open.exclude, now);
+      if (server) effects.push(...this.#startUnasked(open, server, now));
+      else aside.push(open);
+      this.#queue.remove(open.id);
     }
+    for (const open of aside) this.#queue.offer(open);
     effects.push(...this.link.flush(now));
     return effects;
   }
--- a/packages/routing/slots.ts
+++ b/packages/routing/slots.ts
@@ -11,7 +11,7 @@
 /** Extra load that a near server may have over a far one, as a share. */
 const NEAR_MARGIN = 0.5;
 /** Weight of a slot that an entry may take but does not use yet. */
-const CREDIT_WEIGHT = 0.5;
+const CREDIT_WEIGHT = 0.3;
 /** Pause of a server that sheds; doubles while it goes on. */
 const SHED_PAUSE_MS = 25;
 const SHED_PAUSE_MAX_MS = 1_000;
