Test fault cases of dispatching and of servers

Ruled out: testing the dispatcher alone; most faults lie between entries. Change: a cluster of routers on the injected clock with a faulty network; fixes of what the cases found: servers announced before their service was configured were lost, an unknown service time over-granted at once, an entry rejected a burst that the dispatcher had slots for, and freed slots used again could starve patient calls of other entries.

--- a/packages/admission/class_queue.ts
+++ b/packages/admission/class_queue.ts
@@ -93,12 +93,22 @@
   }
 
   take(): T | undefined {
-    const slot = this.#next()?.pop();
-    if (!slot) return undefined;
-    this.#slots.delete(slot.item.id);
-    const passed = slot.item.priority === "urgent" && this.#patientWaits();
+    const slot = this.#next()?.peek();
+    return slot && this.takeItem(slot.item.id);
+  }
+
+  /** Takes a call out of turn; it counts as if it had been the next one. */
+  takeItem(id: string): T | undefined {
+    const item = this.remove(id);
+    if (!item) return undefined;
+    const passed = item.priority === "urgent" && this.#patientWaits();
     this.#urgentTaken = passed ? this.#urgentTaken + 1 : 0;
-    return slot.item;
+    return item;
+  }
+
+  /** Whether a patient call goes next although urgent ones may wait. */
+  get patientDue(): boolean {
+    return this.#urgentTaken >= PATIENT_TURN - 1 && this.#patientWaits();
   }
 
   remove(id: string): T | undefined {
@@ -135,10 +145,7 @@
 
   #next(): Heap<Slot<T>> | undefined {
     const { urgent, patient } = this.#heaps;
-    const patientTurn = this.#urgentTaken >= PATIENT_TURN - 1;
-    if (urgent.size > 0 && !(patientTurn && this.#patientWaits())) {
-      return urgent;
-    }
+    if (urgent.size > 0 && !this.patientDue) return urgent;
     return this.#patientWaits() ? patient : undefined;
   }
 }
--- a/packages/routing/dispatch_entry.ts
+++ b/packages/routing/dispatch_entry.ts
@@ -87,7 +87,10 @@
 
   /** Empties the draft into a message, if there is anything to say. */
   takeDraft(
-    header: Pick<DispatchGrant, "service" | "epoch" | "waitedMs" | "avoid">,
+    header: Pick<
+      DispatchGrant,
+      "service" | "epoch" | "waitedMs" | "patientDue" | "avoid"
+    >,
     numbers: Numbers,
   ): DispatchGrant | undefined {
     const { grants, rejects, credits, revoked } = this.draft;
--- a/packages/routing/dispatch_link.ts
+++ b/packages/routing/dispatch_link.ts
@@ -50,6 +50,7 @@
   #changed = false;
   #credits: BackendServerId[] = [];
   #heads: DispatchGrant["waitedMs"] = { urgent: -1, patient: -1 };
+  #patientDue = false;
   #avoid: readonly BackendServerId[] = [];
   #wanted: Wanted[] = [];
   #taken: Taken[] = [];
@@ -227,6 +228,7 @@
     for (const server of grant.revoked) this.useCredit((id) => id === server);
     this.#credits.push(...grant.credits);
     this.#heads = grant.waitedMs;
+    this.#patientDue = grant.patientDue;
     this.#avoid = grant.avoid;
     return true;
   }
@@ -239,7 +241,7 @@
     server: BackendServerId,
     call: { priority: Priority; waitedMs: number },
   ): boolean {
-    if (this.#avoid.includes(server)) return false;
+    if (this.#patientDue || this.#avoid.includes(server)) return false;
     const { urgent, patient } = this.#heads;
     if (call.priority === "patient" && urgent >= 0) return false;
     const first = call.priority === "urgent" ? urgent : patient;
--- a/packages/routing/dispatcher.ts
+++ b/packages/routing/dispatcher.ts
@@ -120,8 +120,8 @@
     if (!entry) return [];
     for (const ticket of update.cancelled) this.#unwant(entry, ticket);
     for (const taken of update.taken) {
-      entry.countCall(now);
-      this.#unwant(entry, taken.ticket);
+      if (taken.instead === undefined) entry.countCall(now);
+      else this.#takeWant(entry, taken.instead);
       this.#ledger.take(entry, taken, now);
     }
     for (const released of update.released) {
@@ -208,6 +208,14 @@
     this.#queue.remove(want.id);
   }
 
+  /** A waiting call got a slot that its entry used again. */
+  #takeWant(entry: DispatchEntry, ticket: number): void {
+    const want = entry.wants.get(ticket);
+    if (!want) return;
+    entry.wants.delete(ticket);
+    this.#queue.takeItem(want.id);
+  }
+
   #reject(want: Want): void {
     const { entry, ticket } = want;
     entry.wants.delete(ticket);
@@ -245,6 +253,7 @@
         urgent: this.#waitedMs("urgent", now),
         patient: this.#waitedMs("patient", now),
       },
+      patientDue: this.#queue.patientDue,
       avoid: this.slots.avoided(),
     };
     for (const entry of drafted) {
@@ -298,7 +307,8 @@
     const over = this.slots.pick(near, { exclude, over: OVER_GRANT });
     if (!over) return undefined;
     // Waiting at one server is worth it only when the queue takes as long.
-    return waitMs >= outliers.meanMs() / over.limit ? over : undefined;
+    const meanMs = outliers.meanMs();
+    return meanMs > 0 && waitMs >= meanMs / over.limit ? over : undefined;
   }
 
   #grant(want: Want, server: ServerSlots, now: number): void {
--- a/packages/routing/messages.ts
+++ b/packages/routing/messages.ts
@@ -38,6 +38,8 @@
   readonly server: BackendServerId;
   /** Time since the call was assigned, in milliseconds. */
   readonly ageMs: number;
+  /** The ticket under which the call waited. */
+  readonly instead?: number | undefined;
 }
 
 /** A slot that the entry no longer uses. */
@@ -87,6 +89,8 @@
   readonly revoked: readonly BackendServerId[];
   /** Time that the first call of each class has waited; -1 if none waits. */
   readonly waitedMs: Readonly<Record<Priority, number>>;
+  /** A patient call is due the next slot, so entries must not use it again. */
+  readonly patientDue: boolean;
   /** Servers whose slots the entry must not use again by itself. */
   readonly avoid: readonly BackendServerId[];
 }
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -74,12 +74,12 @@
     const members = new Map(view.entries.map((entry) => [entry.id, entry]));
     const inView = members.has(this.#options.self);
     for (const service of services) {
-      const router = this.#serviceRouter(service);
+      const router = this.#serviceRouter(service, now);
       const [first] = rendezvousOrder(service.name, candidates);
       const dispatcher = inView ? first : undefined;
       const host = dispatcher?.id;
       effects.push(...this.#dispatch(service, { host, members, now }));
-      effects.push(...router.setDispatcher(dispatcher, view.epoch, now));
+      effects.push(...router.setDispatcher(dispatcher, view, now));
     }
     return this.#settle(effects, now);
   }
@@ -198,7 +198,7 @@
     return this.#dispatchers.get(service);
   }
 
-  #serviceRouter(service: Service): ServiceRouter {
+  #serviceRouter(service: Service, now: number): ServiceRouter {
     const known = this.#services.get(service.name);
     if (known) {
       known.configure(service);
@@ -207,6 +207,8 @@
     const numbers = this.#numbers;
     const router = new ServiceRouter(service, { ...this.#options, numbers });
     this.#services.set(service.name, router);
+    // Servers may be announced before their service is configured.
+    router.setServers(this.#records.get(service.name) ?? [], now);
     return router;
   }
 
--- /dev/null
+++ b/packages/routing/server_faults_test.ts
@@ -0,0 +1,218 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type BackendServer, SeededRandomness } from "#model";
+import type { CallResultKind } from "./index.ts";
+import { makeServer, TestCluster } from "./test_cluster.ts";
+
+interface Behaviour {
+  readonly kind?: CallResultKind;
+  readonly meanMs?: number;
+  readonly inFlight?: number;
+}
+
+/** Calls given to each server while calls arrive at a rate. */
+function drive(
+  cluster: TestCluster,
+  options: {
+    ms: number;
+    callsPerMs: number;
+    seed?: number;
+    behaviour: (server: string) => Behaviour;
+    entries?: readonly string[];
+  },
+): { counts: Record<string, number>; greatest: Record<string, number> } {
+  const random = new SeededRandomness(options.seed ?? 1);
+  const ids = options.entries ?? [...cluster.routers.keys()];
+  const counts: Record<string, number> = {};
+  const greatest: Record<string, number> = {};
+  const ends = new Map<string, { at: number; started: number }>();
+  for (let ms = 0; ms < options.ms; ms++) {
+    if (random.next() < options.callsPerMs) {
+      const priority = random.next() < 0.5 ? "urgent" : "patient";
+      cluster.submit(ids[random.below(ids.length)] ?? "", { priority });
+    }
+    cluster.advance(1);
+    const inFlight: Record<string, number> = {};
+    for (const [call, { server }] of [...cluster.running]) {
+      inFlight[server] = (inFlight[server] ?? 0) + 1;
+      const seen = inFlight[server] ?? 0;
+      greatest[server] = Math.max(greatest[server] ?? 0, seen);
+      const behaviour = options.behaviour(server);
+      const known = ends.get(call);
+      if (!known) {
+        counts[server] = (counts[server] ?? 0) + 1;
+        const mean = behaviour.meanMs ?? 20;
+        const ms = -Math.log(1 - random.next()) * mean;
+        ends.set(call, { at: cluster.now + ms, started: cluster.now });
+      } else if (known.at <= cluster.now) {
+        const serviceMs = cluster.now - known.started;
+        const { kind = "answered", inFlight: load } = behaviour;
+        cluster.finish(call, { kind, serviceMs, inFlight: load });
+      }
+    }
+  }
+  return { counts, greatest };
+}
+
+function servers(count: number, options: Partial<BackendServer> = {}) {
+  return Array.from({ length: count }, (_, n) => makeServer(`s${n}`, options));
+}
+
+/** Cuts the dispatcher off, so that the entries choose locally. */
+function cutDispatcher(cluster: TestCluster): string[] {
+  const { dispatcher } = cluster;
+  cluster.kill(dispatcher);
+  return [...cluster.routers.keys()];
+}
+
+function share(counts: Record<string, number>, server: string): number {
+  const all = Object.values(counts).reduce((a, b) => a + b, 0);
+  return (counts[server] ?? 0) / all;
+}
+
+for (const mode of ["dispatched", "local"] as const) {
+  test(`a server that fails fast attracts no work (${mode})`, () => {
+    const cluster = new TestCluster({ servers: servers(10) });
+    cluster.join();
+    const entries = mode === "local" ? cutDispatcher(cluster) : undefined;
+    const { counts } = drive(cluster, {
+      ms: 3_000,
+      callsPerMs: 0.5,
+      entries,
+      behaviour: (server) =>
+        server === "s0" ? { kind: "failed", meanMs: 1 } : {},
+    });
+    assert.ok(share(counts, "s0") < 0.02, `${share(counts, "s0")}`);
+  });
+
+  test(`a server that sheds everything attracts no work (${mode})`, () => {
+    const cluster = new TestCluster({ servers: servers(10) });
+    cluster.join();
+    const entries = mode === "local" ? cutDispatcher(cluster) : undefined;
+    const { counts } = drive(cluster, {
+      ms: 3_000,
+      callsPerMs: 0.5,
+      entries,
+      behaviour: (server) =>
+        server === "s0" ? { kind: "not_started", meanMs: 1 } : {},
+    });
+    assert.ok(share(counts, "s0") < 0.1, `${share(counts, "s0")}`);
+  });
+
+  test(`a lying load report neither floods nor buries a server (${mode})`, () => {
+    const cluster = new TestCluster({ servers: servers(4) });
+    cluster.join();
+    const entries = mode === "local" ? cutDispatcher(cluster) : undefined;
+    const { counts, greatest } = drive(cluster, {
+      ms: 4_000,
+      callsPerMs: 0.2,
+      entries,
+      behaviour: (server) => {
+        if (server === "s0") return { inFlight: 0 };
+        return server === "s1" ? { inFlight: 1e9 } : { inFlight: 1 };
+      },
+    });
+    assert.ok(share(counts, "s0") < 0.5, `flooded: ${share(counts, "s0")}`);
+    assert.ok(share(counts, "s1") > 0.05, `buried: ${share(counts, "s1")}`);
+    const bound = mode === "local" ? 4 : 3;
+    assert.ok((greatest.s0 ?? 0) <= bound, `${greatest.s0} at once`);
+  });
+}
+
+test("a straggler is avoided, and used again once it is fast", () => {
+  const cluster = new TestCluster({ servers: servers(10) });
+  cluster.join();
+  const run = (ms: number, meanMs: number) =>
+    drive(cluster, {
+      ms,
+      callsPerMs: 0.7,
+      behaviour: (server) => (server === "s0" ? { meanMs } : {}),
+    });
+  run(2_000, 100);
+  const slow = run(2_000, 100);
+  assert.ok(share(slow.counts, "s0") < 0.02, `${share(slow.counts, "s0")}`);
+  run(12_000, 20);
+  const fast = run(2_000, 20);
+  assert.ok(share(fast.counts, "s0") > 0.05, `${share(fast.counts, "s0")}`);
+});
+
+test("a slowness of all servers ejects none", () => {
+  const cluster = new TestCluster({ servers: servers(5) });
+  cluster.join();
+  drive(cluster, { ms: 1_000, callsPerMs: 0.1, behaviour: () => ({}) });
+  const { counts } = drive(cluster, {
+    ms: 4_000,
+    callsPerMs: 0.06,
+    behaviour: () => ({ meanMs: 100 }),
+  });
+  for (let n = 0; n < 5; n++) {
+    assert.ok(share(counts, `s${n}`) > 0.1, `s${n}: ${JSON.stringify(counts)}`);
+  }
+});
+
+test("ejection never takes out more than its share of capacity", () => {
+  const cluster = new TestCluster({ servers: servers(10) });
+  cluster.join();
+  const failing = new Set(["s0", "s1", "s2", "s3", "s4"]);
+  drive(cluster, {
+    ms: 2_000,
+    callsPerMs: 0.5,
+    behaviour: (server) => (failing.has(server) ? { kind: "failed" } : {}),
+  });
+  const { dispatcher } = cluster;
+  const { slots } = cluster.router(dispatcher).dispatcher("alloc") ?? {};
+  const out = [...(slots?.servers() ?? [])].filter(({ limit }) => limit === 0);
+  assert.ok(out.length > 0, "nothing ejected");
+  assert.ok(out.length <= 3, `${out.length} of 10 ejected, cap is 30%`);
+});
+
+test("a cold server gets few calls until it is warm", () => {
+  const cold = makeServer("s0", { slots: 6, startedMsAgo: 0 });
+  const warm = [1, 2, 3].map((n) => makeServer(`s${n}`, { slots: 6 }));
+  const cluster = new TestCluster({ servers: [cold, ...warm] });
+  cluster.join();
+  const options = { callsPerMs: 0.8, behaviour: () => ({}) };
+  const first = drive(cluster, { ...options, ms: 1_500 });
+  assert.ok((first.greatest.s0 ?? 0) <= 2, `${first.greatest.s0} at once`);
+  drive(cluster, { ...options, ms: 9_000 });
+  const later = drive(cluster, { ...options, ms: 1_500 });
+  assert.ok((later.greatest.s0 ?? 0) >= 4, `${later.greatest.s0} at once`);
+});
+
+test("near servers are preferred, and far ones used before near ones fill", () => {
+  const near = servers(2, { dataCentre: "riga-a" });
+  const far = [2, 3].map((n) => makeServer(`s${n}`, { dataCentre: "jelgava" }));
+  const run = (callsPerMs: number) => {
+    const cluster = new TestCluster({ servers: [...near, ...far] });
+    cluster.join();
+    const behaviour = () => ({});
+    const { counts } = drive(cluster, { ms: 3_000, callsPerMs, behaviour });
+    return share(counts, "s0") + share(counts, "s1");
+  };
+  const idle = run(0.02);
+  const busy = run(0.3);
+  assert.ok(idle > 0.8, `near share when idle: ${idle}`);
+  assert.ok(busy < 0.6, `near share when busy: ${busy}`);
+});
+
+test("a lost data centre does not bury the others", () => {
+  const kept = servers(4, { dataCentre: "riga-a" });
+  const lost = [4, 5].map((n) =>
+    makeServer(`s${n}`, { dataCentre: "jelgava" }),
+  );
+  const cluster = new TestCluster({
+    servers: [...kept, ...lost],
+    service: { queueLength: 10 },
+  });
+  cluster.join();
+  const { greatest } = drive(cluster, {
+    ms: 3_000,
+    callsPerMs: 0.5,
+    behaviour: (server) =>
+      server === "s4" || server === "s5" ? { meanMs: 1e9 } : {},
+  });
+  for (let n = 0; n < 6; n++) {
+    // Two slots, one over-granted, one taken by a credit that crossed.
+    assert.ok((greatest[`s${n}`] ?? 0) <= 4, JSON.stringify(greatest));
+  }
+});
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -1,21 +1,21 @@
 import { ClassQueue } from "#admission";
-import {
-  type BackendServer,
-  type BackendServerId,
-  type Call,
-  type CallFaultCode,
-  callFault,
-  type DataCentre,
-  type Entry,
-  type HostId,
-  type Randomness,
-  type Service,
+import type {
+  BackendServer,
+  BackendServerId,
+  Call,
+  DataCentre,
+  Entry,
+  HostId,
+  Randomness,
+  Service,
+  View,
 } from "#model";
 import { DispatchLink, type EntryState } from "./dispatch_link.ts";
 import type { CallResult, RoutingEffect } from "./effects.ts";
 import { LocalServers } from "./local_servers.ts";
 import type { DispatchGrant, Taken, Wanted } from "./messages.ts";
 import type { Numbers } from "./numbers.ts";
+import { type OpenCall, reject, taken } from "./open_call.ts";
 import type { ServerState } from "./server_state.ts";
 
 /** Interval in which ejections and cold starts are followed. */
@@ -26,20 +26,6 @@
 /** When to come back to a service without servers. */
 const NO_SERVER_RETRY_MS = 1_000;
 
-interface OpenCall {
-  readonly id: string;
-  readonly class: string;
-  readonly priority: Call["priority"];
-  /** Latest useful start, in milliseconds of `Clock.now()`. */
-  readonly deadline: number;
-  /** A new one whenever the call starts without the dispatcher's grant. */
-  ticket: number;
-  readonly arrival: number;
-  readonly exclude: Set<BackendServerId>;
-  server: ServerState | undefined;
-  assignedAt: number;
-}
-
 export interface ServiceRouterOptions {
   readonly dataCentre: DataCentre;
   readonly random: Randomness;
@@ -57,6 +43,8 @@
   /** Calls that wait, for a grant or for a server of the local choice. */
   readonly #queue: ClassQueue<OpenCall>;
   #refreshAt = 0;
+  /** Entries of the view. */
+  #entries = 1;
 
   constructor(service: Service, options: ServiceRouterOptions) {
     this.#service = service;
@@ -81,18 +69,18 @@
 
   configure(service: Service): void {
     this.#service = service;
-    this.#queue.setLimit(service.queueLength);
     this.#servers.configure(service);
   }
 
   /** Takes over the dispatcher of a view; joins it if there are calls. */
   setDispatcher(
     dispatcher: Entry | undefined,
-    epoch: number,
+    view: View,
     now: number,
   ): RoutingEffect[] {
+    this.#entries = view.entries.length;
     const used = this.link.streaming || this.#calls.size > 0;
-    this.link.configure(dispatcher, epoch);
+    this.link.configure(dispatcher, view.epoch);
     return used ? [...this.#join(now), ...this.#drain(now)] : [];
   }
 
@@ -230,6 +218,7 @@
   }
 
   #offer(open: OpenCall, now: number): RoutingEffect[] {
+    this.#queue.setLimit(this.#limit());
     const offer = this.#queue.offer(open);
     if (offer.type !== "full" && this.link.streaming) {
       this.link.want(this.#wanted(open, now));
@@ -241,6 +230,17 @@
     return [reject(loser.id, "queue_full", this.#retryMs())];
   }
 
+  /**
+   * Calls that may wait here. With a dispatcher, which holds the service's
+   * queue, more cannot be granted at once; without, each entry has its part.
+   */
+  #limit(): number {
+    const { queueLength } = this.#service;
+    if (this.link.state === "attached")
+      return queueLength + this.#servers.slots;
+    return Math.ceil(queueLength / Math.max(1, this.#entries));
+  }
+
   #assign(open: OpenCall, server: ServerState, now: number): RoutingEffect[] {
     const effect = this.#start(open, server, now);
     if (!this.link.streaming) return [effect];
@@ -273,12 +273,14 @@
     server: ServerState,
     now: number,
   ): RoutingEffect[] {
-    this.#queue.remove(open.id);
+    this.#queue.takeItem(open.id);
     // A grant for the old ticket may be under way; it must not count as this.
-    this.link.cancel(open.ticket);
+    const instead = open.ticket;
     this.#renewTicket(open);
     const effect = this.#start(open, server, now);
-    if (this.link.streaming) this.link.take(taken(open, server, now));
+    if (this.link.streaming) {
+      this.link.take({ ...taken(open, server, now), instead });
+    }
     return [effect];
   }
 
@@ -379,17 +381,3 @@
     return Math.max(MIN_RETRY_MS, Math.ceil(waitMs));
   }
 }
-
-function taken(open: OpenCall, server: ServerState, now: number): Taken {
-  const { ticket, class: name, assignedAt } = open;
-  const ageMs = now - assignedAt;
-  return { ticket, class: name, server: server.record.id, ageMs };
-}
-
-function reject(
-  callId: string,
-  code: CallFaultCode,
-  retryAfterMs?: number,
-): RoutingEffect {
-  return { type: "reject", callId, fault: callFault(code, { retryAfterMs }) };
-}
--- /dev/null
+++ b/packages/routing/test_cluster.ts
@@ -0,0 +1,283 @@
+import {
+  type BackendServer,
+  type Call,
+  type Entry,
+  ManualClock,
+  rendezvousOrder,
+  SeededRandomness,
+  type Service,
+  type View,
+} from "#model";
+import {
+  type CallResult,
+  Router,
+  type RoutingEffect,
+  type SendEffect,
+} from "./index.ts";
+
+export const SERVICE: Service = {
+  name: "alloc",
+  measuringBudgetPercent: 1,
+  retryBudgetPercent: 10,
+  ejectionMaxPercent: 30,
+  drainLimitS: 600,
+  coldStartMs: 10_000,
+  queueLength: 400,
+  slotsPerServer: 2,
+  connectionsPerServer: 300,
+  classes: [],
+  routes: [],
+};
+
+export function makeServer(
+  id: string,
+  options: Partial<BackendServer> = {},
+): BackendServer {
+  return {
+    id,
+    service: "alloc",
+    address: { host: "127.0.0.1", port: 1 },
+    dataCentre: "riga-a",
+    incarnation: 1,
+    sequence: 1,
+    state: "ready",
+    slots: 2,
+    connections: 300,
+    inFlight: 0,
+    startedMsAgo: 60_000,
+    ...options,
+  };
+}
+
+export function makeView(ids: readonly string[], epoch = 1): View {
+  const address = { host: "127.0.0.1", port: 1 };
+  const entries = ids.map(
+    (id): Entry => ({
+      id,
+      incarnation: 1,
+      dataCentre: "riga-a",
+      http: address,
+      peer: address,
+      state: "ready",
+    }),
+  );
+  return { epoch, entries, began: 0 };
+}
+
+type Decided = Extract<RoutingEffect, { type: "assign" | "reject" }>;
+type Delivery = { at: number; from: string; message: SendEffect };
+
+/** What the network does with messages: deliver, drop, or keep for later. */
+type Fate = "deliver" | "drop" | "hold" | "duplicate";
+
+/** Routers of several entries on one clock, with a faulty network. */
+export class TestCluster {
+  readonly clock = new ManualClock();
+  readonly routers = new Map<string, Router>();
+  /** Decisions by call id. */
+  readonly decisions = new Map<string, Decided[]>();
+  readonly running = new Map<string, { entry: string; server: string }>();
+  readonly probes: { entry: string; at: number }[] = [];
+  /** Decides the fate of each message. */
+  fate: (from: string, message: SendEffect) => Fate = () => "deliver";
+  readonly held: Delivery[] = [];
+  readonly frozen = new Set<string>();
+  #deliveries: Delivery[] = [];
+  #calls = 0;
+  view: View;
+
+  constructor(
+    options: {
+      entries?: number;
+      servers?: readonly BackendServer[];
+      service?: Partial<Service>;
+    } = {},
+  ) {
+    const { entries = 3, servers = ["s1", "s2"].map((id) => makeServer(id)) } =
+      options;
+    const ids = Array.from({ length: entries }, (_, index) => `e${index}`);
+    this.view = makeView(ids);
+    this.service = { ...SERVICE, ...options.service };
+    for (const [index, self] of ids.entries()) {
+      const random = new SeededRandomness(index + 1);
+      const router = new Router({ self, dataCentre: "riga-a", random });
+      this.routers.set(self, router);
+    }
+    this.setServers(servers);
+    this.setView(this.view);
+  }
+
+  readonly service: Service;
+
+  get now(): number {
+    return this.clock.now();
+  }
+
+  get dispatcher(): string {
+    const [first] = rendezvousOrder("alloc", this.view.entries);
+    return first?.id ?? "";
+  }
+
+  /** An entry that is not the dispatcher. */
+  get other(): string {
+    const [, second] = rendezvousOrder("alloc", this.view.entries);
+    return second?.id ?? "";
+  }
+
+  router(id: string): Router {
+    const router = this.routers.get(id);
+    if (!router) throw new Error(`no router ${id}`);
+    return router;
+  }
+
+  setView(view: View): void {
+    this.view = view;
+    for (const [id, router] of this.routers) {
+      this.apply(id, router.configure([this.service], view, this.now));
+    }
+  }
+
+  setServers(servers: readonly BackendServer[]): void {
+    for (const [id, router] of this.routers) {
+      this.apply(id, router.setServers("alloc", servers, this.now));
+    }
+  }
+
+  /** Submits a call; returns its id. */
+  submit(
+    entry: string,
+    options: Partial<Call> & { exclude?: ReadonlySet<string> } = {},
+  ): string {
+    const { exclude, ...rest } = options;
+    const call: Call = {
+      id: `c${this.#calls++}`,
+      service: "alloc",
+      class: "booking",
+      priority: "urgent",
+      repeatable: false,
+      arrival: this.now,
+      deadline: this.now + 5_000,
+      depth: 0,
+      retries: 0,
+      ...rest,
+    };
+    this.decisions.set(call.id, []);
+    const { now } = this;
+    this.apply(entry, this.router(entry).submit(call, { exclude, now }));
+    return call.id;
+  }
+
+  finish(call: string, result: Partial<CallResult> = {}): void {
+    const run = this.running.get(call);
+    if (!run) throw new Error(`${call} does not run`);
+    this.running.delete(call);
+    const full: CallResult = { kind: "answered", serviceMs: 20, ...result };
+    const router = this.routers.get(run.entry);
+    if (router) this.apply(run.entry, router.finish(call, full, this.now));
+  }
+
+  cancel(entry: string, call: string): void {
+    this.running.delete(call);
+    this.apply(entry, this.router(entry).cancel(call, this.now));
+  }
+
+  /** The server that a call was assigned to. */
+  serverOf(call: string): string | undefined {
+    const decision = this.decisions.get(call)?.[0];
+    return decision?.type === "assign" ? decision.server.id : undefined;
+  }
+
+  /** Makes a process disappear; the others lose their connection to it. */
+  kill(id: string): void {
+    this.routers.delete(id);
+    for (const [call, run] of this.running) {
+      if (run.entry === id) this.running.delete(call);
+    }
+    for (const [other, router] of this.routers) {
+      this.apply(other, router.peerDown(id, this.now));
+    }
+  }
+
+  /** Advances time in steps of a millisecond, with a tick every five. */
+  advance(ms: number): void {
+    for (let step = 0; step < ms; step++) {
+      this.clock.advance(1);
+      this.#deliver();
+      if (this.now % 5 !== 0) continue;
+      for (const [id, router] of this.routers) {
+        if (!this.frozen.has(id)) this.apply(id, router.tick(this.now));
+      }
+    }
+  }
+
+  /** Starts and ends a call at each entry, so that all know the dispatcher. */
+  join(): void {
+    for (const id of this.routers.keys()) this.submit(id);
+    this.advance(30);
+    for (const call of [...this.running.keys()]) this.finish(call);
+    this.advance(10);
+  }
+
+  /** Slots in use at the dispatcher, by server. */
+  usage(host = this.dispatcher): Record<string, number> {
+    const dispatcher = this.router(host).dispatcher("alloc");
+    const usage: Record<string, number> = {};
+    for (const { record, inUse } of dispatcher?.slots.servers() ?? []) {
+      usage[record.id] = inUse;
+    }
+    return usage;
+  }
+
+  used(host = this.dispatcher): number {
+    return Object.values(this.usage(host)).reduce((a, b) => a + b, 0);
+  }
+
+  apply(entry: string, effects: readonly RoutingEffect[]): void {
+    for (const effect of effects) {
+      if (effect.type === "probe") {
+        this.probes.push({ entry, at: this.now });
+      } else if (effect.type === "send") {
+        this.#send(entry, effect as SendEffect);
+      } else this.#decide(entry, effect);
+    }
+  }
+
+  /** Delivers the messages that were held back. */
+  release(): void {
+    for (const { from, message } of this.held.splice(0)) {
+      this.#receive(from, message);
+    }
+  }
+
+  #decide(entry: string, effect: Decided): void {
+    this.decisions.get(effect.callId)?.push(effect);
+    if (effect.type === "reject") return;
+    this.running.set(effect.callId, { entry, server: effect.server.id });
+  }
+
+  #send(from: string, message: SendEffect): void {
+    const fate = this.fate(from, message);
+    const delivery = { at: this.now + 1, from, message };
+    if (fate === "hold") this.held.push(delivery);
+    if (fate === "deliver" || fate === "duplicate") {
+      this.#deliveries.push(delivery);
+    }
+    if (fate === "duplicate") this.#deliveries.push(delivery);
+  }
+
+  #deliver(): void {
+    const due = this.#deliveries.filter(({ at }) => at <= this.now);
+    this.#deliveries = this.#deliveries.filter(({ at }) => at > this.now);
+    for (const { from, message } of due) this.#receive(from, message);
+  }
+
+  #receive(from: string, message: SendEffect): void {
+    if (this.frozen.has(message.to)) {
+      this.held.push({ at: this.now, from, message });
+      return;
+    }
+    const router = this.routers.get(message.to);
+    if (!router) return;
+    this.apply(message.to, router.receive(from, message, this.now));
+  }
+}
