--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -36,7 +36,7 @@
 export class ServiceRouter {
   readonly link: DispatchLink;
   #service: Service;
-  readonly #numbers: Numbers;
+  readonly #options: ServiceRouterOptions;
   readonly #servers: LocalServers;
   readonly #calls = new Map<string, OpenCall>();
   readonly #tickets = new Map<number, OpenCall>();
@@ -48,7 +48,7 @@
 
   constructor(service: Service, options: ServiceRouterOptions) {
     this.#service = service;
-    this.#numbers = options.numbers;
+    this.#options = options;
     this.#servers = new LocalServers(service, options);
     this.#queue = new ClassQueue(service.queueLength);
     this.link = new DispatchLink(service.name, options.numbers);
@@ -106,7 +106,7 @@
       class: call.class,
       priority,
       deadline: deadline - reserveMs,
-      ticket: this.#numbers.next(),
+      ticket: this.#options.numbers.next(),
       arrival: now,
       exclude: new Set(options.exclude),
       server: undefined,
@@ -194,7 +194,9 @@
   /** Assigns a new call or lets it wait. */
   #place(open: OpenCall, now: number): RoutingEffect[] {
     if (this.link.state === "attached") {
-      const id = this.link.useCredit((server) => this.#usable(open, server));
+      const id =
+        this.link.useCredit((it) => this.#usable(open, it) && this.#near(it)) ??
+        this.link.useCredit((it) => this.#usable(open, it));
       const server = id === undefined ? undefined : this.#servers.get(id);
       if (server) return this.#assign(open, server, now);
       const offered = this.#offer(open, now);
@@ -217,6 +219,11 @@
     return !open.exclude.has(id) && this.#servers.get(id)?.ready === true;
   }
 
+  #near(id: BackendServerId): boolean {
+    const { dataCentre } = this.#options;
+    return this.#servers.get(id)?.record.dataCentre === dataCentre;
+  }
+
   #offer(open: OpenCall, now: number): RoutingEffect[] {
     this.#queue.setLimit(this.#limit());
     const offer = this.#queue.offer(open);
@@ -286,7 +293,7 @@
 
   #renewTicket(open: OpenCall): void {
     this.#tickets.delete(open.ticket);
-    open.ticket = this.#numbers.next();
+    open.ticket = this.#options.numbers.next();
     this.#tickets.set(open.ticket, open);
   }
 
