--- a/packages/routing/dispatch_link.ts
+++ b/packages/routing/dispatch_link.ts
@@ -1,4 +1,4 @@
-import type { BackendServerId, HostId, Priority } from "#model";
+import type { BackendServerId, Entry, HostId, Priority } from "#model";
 import type { SendEffect } from "./effects.ts";
 import type {
   DispatchGrant,
@@ -36,6 +36,7 @@
   readonly #numbers: Numbers;
   #state: LinkState = "detached";
   #dispatcher: HostId | undefined;
+  #incarnation = 0;
   #epoch = 0;
   #seen = 0;
   /** The newest message that the dispatcher must answer. */
@@ -49,6 +50,7 @@
   #changed = false;
   #credits: BackendServerId[] = [];
   #heads: DispatchGrant["waitedMs"] = { urgent: -1, patient: -1 };
+  #patientDue = false;
   #avoid: readonly BackendServerId[] = [];
   #wanted: Wanted[] = [];
   #taken: Taken[] = [];
@@ -78,10 +80,16 @@
   }
 
   /** Takes over the dispatcher of a view; the entry joins it anew. */
-  configure(dispatcher: HostId | undefined, epoch: number): void {
-    if (epoch === this.#epoch && dispatcher === this.#dispatcher) return;
-    if (dispatcher !== this.#dispatcher) this.#seen = 0;
-    this.#dispatcher = dispatcher;
+  configure(
+    dispatcher: Pick<Entry, "id" | "incarnation"> | undefined,
+    epoch: number,
+  ): void {
+    const { id, incarnation = 0 } = dispatcher ?? {};
+    const same = id === this.#dispatcher && incarnation === this.#incarnation;
+    if (epoch === this.#epoch && same) return;
+    if (!same) this.#seen = 0;
+    this.#dispatcher = id;
+    this.#incarnation = incarnation;
     this.#epoch = epoch;
     this.#joinAt = 0;
     this.#clear();
@@ -220,6 +228,7 @@
     for (const server of grant.revoked) this.useCredit((id) => id === server);
     this.#credits.push(...grant.credits);
     this.#heads = grant.waitedMs;
+    this.#patientDue = grant.patientDue;
     this.#avoid = grant.avoid;
     return true;
   }
@@ -232,7 +241,7 @@
     server: BackendServerId,
     call: { priority: Priority; waitedMs: number },
   ): boolean {
-    if (this.#avoid.includes(server)) return false;
+    if (this.#patientDue || this.#avoid.includes(server)) return false;
     const { urgent, patient } = this.#heads;
     if (call.priority === "patient" && urgent >= 0) return false;
     const first = call.priority === "urgent" ? urgent : patient;
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -1,42 +1,31 @@
 import { ClassQueue } from "#admission";
-import {
-  type BackendServer,
-  type BackendServerId,
-  type Call,
-  type CallFaultCode,
-  callFault,
-  type DataCentre,
-  type HostId,
-  type Randomness,
-  type Service,
+import type {
+  BackendServer,
+  BackendServerId,
+  Call,
+  DataCentre,
+  Entry,
+  HostId,
+  Randomness,
+  Service,
+  View,
 } from "#model";
 import { DispatchLink, type EntryState } from "./dispatch_link.ts";
 import type { CallResult, RoutingEffect } from "./effects.ts";
 import { LocalServers } from "./local_servers.ts";
 import type { DispatchGrant, Taken, Wanted } from "./messages.ts";
 import type { Numbers } from "./numbers.ts";
+import { type OpenCall, reject, taken } from "./open_call.ts";
 import type { ServerState } from "./server_state.ts";
 
 /** Interval in which ejections and cold starts are followed. */
 const REFRESH_MS = 50;
 const MIN_RETRY_MS = 10;
+/** Waiting calls that may be passed over because of their exclusions. */
+const MAX_SET_ASIDE = 8;
 /** When to come back to a service without servers. */
 const NO_SERVER_RETRY_MS = 1_000;
 
-interface OpenCall {
-  readonly id: string;
-  readonly class: string;
-  readonly priority: Call["priority"];
-  /** Latest useful start, in milliseconds of `Clock.now()`. */
-  readonly deadline: number;
-  /** A new one whenever the call starts without the dispatcher's grant. */
-  ticket: number;
-  readonly arrival: number;
-  readonly exclude: Set<BackendServerId>;
-  server: ServerState | undefined;
-  assignedAt: number;
-}
-
 export interface ServiceRouterOptions {
   readonly dataCentre: DataCentre;
   readonly random: Randomness;
@@ -47,17 +36,19 @@
 export class ServiceRouter {
   readonly link: DispatchLink;
   #service: Service;
-  readonly #numbers: Numbers;
+  readonly #options: ServiceRouterOptions;
   readonly #servers: LocalServers;
   readonly #calls = new Map<string, OpenCall>();
   readonly #tickets = new Map<number, OpenCall>();
   /** Calls that wait, for a grant or for a server of the local choice. */
   readonly #queue: ClassQueue<OpenCall>;
   #refreshAt = 0;
+  /** Entries of the view. */
+  #entries = 1;
 
   constructor(service: Service, options: ServiceRouterOptions) {
     this.#service = service;
-    this.#numbers = options.numbers;
+    this.#options = options;
     this.#servers = new LocalServers(service, options);
     this.#queue = new ClassQueue(service.queueLength);
     this.link = new DispatchLink(service.name, options.numbers);
@@ -78,18 +69,18 @@
 
   configure(service: Service): void {
     this.#service = service;
-    this.#queue.setLimit(service.queueLength);
     this.#servers.configure(service);
   }
 
   /** Takes over the dispatcher of a view; joins it if there are calls. */
   setDispatcher(
-    dispatcher: HostId | undefined,
-    epoch: number,
+    dispatcher: Entry | undefined,
+    view: View,
     now: number,
   ): RoutingEffect[] {
+    this.#entries = view.entries.length;
     const used = this.link.streaming || this.#calls.size > 0;
-    this.link.configure(dispatcher, epoch);
+    this.link.configure(dispatcher, view.epoch);
     return used ? [...this.#join(now), ...this.#drain(now)] : [];
   }
 
@@ -115,7 +106,7 @@
       class: call.class,
       priority,
       deadline: deadline - reserveMs,
-      ticket: this.#numbers.next(),
+      ticket: this.#options.numbers.next(),
       arrival: now,
       exclude: new Set(options.exclude),
       server: undefined,
@@ -203,7 +194,9 @@
   /** Assigns a new call or lets it wait. */
   #place(open: OpenCall, now: number): RoutingEffect[] {
     if (this.link.state === "attached") {
-      const id = this.link.useCredit((server) => this.#usable(open, server));
+      const id =
+        this.link.useCredit((it) => this.#usable(open, it) && this.#near(it)) ??
+        this.link.useCredit((it) => this.#usable(open, it));
       const server = id === undefined ? undefined : this.#servers.get(id);
       if (server) return this.#assign(open, server, now);
       const offered = this.#offer(open, now);
@@ -226,7 +219,13 @@
     return !open.exclude.has(id) && this.#servers.get(id)?.ready === true;
   }
 
+  #near(id: BackendServerId): boolean {
+    const { dataCentre } = this.#options;
+    return this.#servers.get(id)?.record.dataCentre === dataCentre;
+  }
+
   #offer(open: OpenCall, now: number): RoutingEffect[] {
+    this.#queue.setLimit(this.#limit());
     const offer = this.#queue.offer(open);
     if (offer.type !== "full" && this.link.streaming) {
       this.link.want(this.#wanted(open, now));
@@ -238,6 +237,17 @@
     return [reject(loser.id, "queue_full", this.#retryMs())];
   }
 
+  /**
+   * Calls that may wait here. With a dispatcher, which holds the service's
+   * queue, more cannot be granted at once; without, each entry has its part.
+   */
+  #limit(): number {
+    const { queueLength } = this.#service;
+    if (this.link.state === "attached")
+      return queueLength + this.#servers.slots;
+    return Math.ceil(queueLength / Math.max(1, this.#entries));
+  }
+
   #assign(open: OpenCall, server: ServerState, now: number): RoutingEffect[] {
     const effect = this.#start(open, server, now);
     if (!this.link.streaming) return [effect];
@@ -270,18 +280,20 @@
     server: ServerState,
     now: number,
   ): RoutingEffect[] {
-    this.#queue.remove(open.id);
+    this.#queue.takeItem(open.id);
     // A grant for the old ticket may be under way; it must not count as this.
-    this.link.cancel(open.ticket);
+    const instead = open.ticket;
     this.#renewTicket(open);
     const effect = this.#start(open, server, now);
-    if (this.link.streaming) this.link.take(taken(open, server, now));
+    if (this.link.streaming) {
+      this.link.take({ ...taken(open, server, now), instead });
+    }
     return [effect];
   }
 
   #renewTicket(open: OpenCall): void {
     this.#tickets.delete(open.ticket);
-    open.ticket = this.#numbers.next();
+    open.ticket = this.#options.numbers.next();
     this.#tickets.set(open.ticket, open);
   }
 
@@ -300,7 +312,7 @@
       this.#queue.remove(open.id);
       return [this.#start(open, server, now)];
     }
-    const leaving = server?.ready !== true;
+    const leaving = server?.leaving === true;
     this.link.release({ ticket, kind: "unused", serviceMs: 0, leaving });
     if (!open) return server ? this.#useLeftOver(server, now) : [];
     // The dispatcher does not know yet that this server takes no calls.
@@ -313,12 +325,16 @@
   #drain(now: number): RoutingEffect[] {
     const effects: RoutingEffect[] = [];
     if (this.link.state === "attached") return effects;
-    while (this.#servers.anyFree) {
+    const aside: OpenCall[] = [];
+    while (this.#servers.anyFree && aside.length < MAX_SET_ASIDE) {
       const open = this.#queue.peek();
-      const server = open && this.#servers.choose(open.exclude, now);
-      if (!server) break;
-      effects.push(...this.#startUnasked(open, server, now));
+      if (!open) break;
+      const server = this.#servers.choose(open.exclude, now);
+      if (server) effects.push(...this.#startUnasked(open, server, now));
+      else aside.push(open);
+      this.#queue.remove(open.id);
     }
+    for (const open of aside) this.#queue.offer(open);
     effects.push(...this.link.flush(now));
     return effects;
   }
@@ -372,17 +388,3 @@
     return Math.max(MIN_RETRY_MS, Math.ceil(waitMs));
   }
 }
-
-function taken(open: OpenCall, server: ServerState, now: number): Taken {
-  const { ticket, class: name, assignedAt } = open;
-  const ageMs = now - assignedAt;
-  return { ticket, class: name, server: server.record.id, ageMs };
-}
-
-function reject(
-  callId: string,
-  code: CallFaultCode,
-  retryAfterMs?: number,
-): RoutingEffect {
-  return { type: "reject", callId, fault: callFault(code, { retryAfterMs }) };
-}
