--- a/packages/bench/main.ts
+++ b/packages/bench/main.ts
@@ -1,9 +1,10 @@
+import { decisionTime } from "./decision_time.ts";
 import { decisions } from "./decisions.ts";
 import { processBench } from "./process_bench.ts";
 
 /** The parts of the bench by name. */
 const PARTS: Record<string, (args: readonly string[]) => void | Promise<void>> =
-  { decisions, process: processBench };
+  { decisions, "decision-time": decisionTime, process: processBench };
 
 const [first, ...rest] = process.argv.slice(2);
 if (first === undefined || first.startsWith("--")) {
