--- a/packages/storage/members_test.ts
+++ b/packages/storage/members_test.ts
@@ -85,11 +85,13 @@
     if (way === "cannot send") s.partition(others, true);
     else s.partition([former.id], way === "cannot receive");
     const late = s.submit(former);
+    const read = s.read(former);
     const isLeader = () => statusOf(s, former).role === "leader";
     assert.ok(s.runUntil(() => !isLeader(), 5_000));
     // One tick of 100 ms and a heartbeat under way come on top.
     assert.ok(s.now - cutAt <= 1_200, `took ${s.now - cutAt} ms`);
     assert.equal(settled(s, late)?.type, "result_unknown");
+    assert.equal(settled(s, read)?.type, "no_quorum");
     if (way === "cannot send") return;
     assert.ok(s.runUntil(() => s.leader() !== undefined, 4_000));
     assert.notEqual(leaderOf(s), former);
@@ -113,6 +115,32 @@
   assert.equal(statusOf(s, leader).term, term);
 });
 
+// Guards against a member with one bad link that deposes a good leader.
+test("a follower that does not hear the leader does not replace it", () => {
+  const s = formed(3);
+  const leader = leaderOf(s);
+  const { term } = statusOf(s, leader);
+  const [follower] = othersOf(s, leader);
+  s.blocked.add(`${leader.id}>${follower?.id}`);
+  s.run(10_000);
+  assert.equal(leaderOf(s), leader);
+  assert.equal(statusOf(s, leader).term, term);
+});
+
+// Guards against a deadlock: the leader's entry that removes it is not
+// committed, and the other member needs its vote but has the shorter log.
+test("a leader that crashes during its removal is elected again", () => {
+  const s = formed(2);
+  const leader = leaderOf(s);
+  s.partition([leader.id]);
+  s.change(leader, { type: "remove", member: s.keyOf(leader) });
+  s.run(200);
+  for (const host of s.hosts) s.crash(host);
+  s.blocked.clear();
+  for (const host of s.hosts) s.start(host);
+  assert.ok(s.runUntil(() => s.leader() !== undefined, 8_000));
+});
+
 test("a lost disk is replaced, and then a second host may be lost", () => {
   const s = formed(3);
   const leader = leaderOf(s);
