Cap what slow start holds back at the ejection share

Cause: in a new site every server is cold, so the ramp left one slot per server and 200 calls took 1.4 s where the servers' slots allow 0.2 s. Ruled out: no ramp for the first servers (a rack that restarts would get full load cold); a ramp by latency (needs calls first). Change: the slots held back by age are capped, over the service, at ejection_max_percent; each cold server keeps its part. Conclusion: a single cold server is still ramped as before.

--- a/packages/routing/ledger.ts
+++ b/packages/routing/ledger.ts
@@ -122,6 +122,7 @@
   tick(now: number): void {
     this.outliers.tick(now);
     if (now >= this.#weighAt) this.#weighRunning(now);
+    this.slots.updateWarmUp(now);
     for (const server of this.slots.servers()) {
       this.slots.refresh(server, now);
     }
--- a/packages/routing/local_servers.ts
+++ b/packages/routing/local_servers.ts
@@ -9,7 +9,8 @@
 import { chooseLocally } from "./local_choice.ts";
 import { type Observation, Outliers } from "./outliers.ts";
 import { SampleSet } from "./sample_set.ts";
-import { ServerState, warmSlots } from "./server_state.ts";
+import { ServerState } from "./server_state.ts";
+import { WarmUp } from "./warm_up.ts";
 
 /** Pause of a server that shed a call. */
 const SHED_PAUSE_MS = 50;
@@ -17,6 +18,7 @@
 /** The servers of one service as one entry sees them from its own calls. */
 export class LocalServers {
   #service: Service;
+  readonly #warmUp: WarmUp;
   readonly #dataCentre: DataCentre;
   readonly #random: Randomness;
   readonly #servers = new Map<BackendServerId, ServerState>();
@@ -33,6 +35,7 @@
     this.#dataCentre = options.dataCentre;
     this.#random = options.random;
     this.#outliers = new Outliers(service);
+    this.#warmUp = new WarmUp(service);
   }
 
   /** Whether any server takes calls at all, now or later. */
@@ -57,6 +60,7 @@
   configure(service: Service): void {
     this.#service = service;
     this.#outliers.configure(service);
+    this.#warmUp.configure(service);
   }
 
   get(id: BackendServerId): ServerState | undefined {
@@ -135,6 +139,7 @@
   tick(now: number): void {
     this.#outliers.tick(now);
     this.#ready = 0;
+    this.#warmUp.update(this.#servers.values(), now);
     for (const server of this.#servers.values()) {
       this.#refresh(server, now);
       if (server.ready) this.#ready += 1;
@@ -167,7 +172,7 @@
     if (!health || now < server.pausedUntil) return 0;
     if (health.standing === "ejected") return 0;
     if (health.standing === "trial") return 1;
-    const warm = warmSlots(server, this.#service, now) * health.allowance(now);
+    const warm = this.#warmUp.slots(server, now) * health.allowance(now);
     return Math.max(1, Math.floor(warm));
   }
 }
--- a/packages/routing/server_faults_test.ts
+++ b/packages/routing/server_faults_test.ts
@@ -179,6 +179,18 @@
   assert.ok((later.greatest.s0 ?? 0) >= 4, `${later.greatest.s0} at once`);
 });
 
+test("a service whose servers are all new keeps most of its slots", () => {
+  const cold = [0, 1, 2, 3].map((n) =>
+    makeServer(`s${n}`, { slots: 6, startedMsAgo: 0 }),
+  );
+  const cluster = new TestCluster({ servers: cold });
+  cluster.join();
+  const { dispatcher } = cluster;
+  const { slots } = cluster.router(dispatcher).dispatcher("alloc") ?? {};
+  // 30% of 24 slots may be held back, and each server's limit is a whole slot.
+  assert.ok((slots?.limit ?? 0) >= 16, `${slots?.limit} of 24 slots`);
+});
+
 test("near servers are preferred, and far ones used before near ones fill", () => {
   const near = servers(2, { dataCentre: "riga-a" });
   const far = [2, 3].map((n) => makeServer(`s${n}`, { dataCentre: "jelgava" }));
--- a/packages/routing/server_state.ts
+++ b/packages/routing/server_state.ts
@@ -1,4 +1,4 @@
-import type { BackendServer, Service } from "#model";
+import type { BackendServer } from "#model";
 
 /** Weight of a new sample in the average of service times. */
 const LATENCY_WEIGHT = 0.1;
@@ -71,15 +71,3 @@
     return !this.leaving && this.record.state === "ready";
   }
 }
-
-/** Slots that a server has by its age; a cold server starts with one. */
-export function warmSlots(
-  server: Pick<ServerState, "record" | "started">,
-  service: Service,
-  now: number,
-): number {
-  const { slots } = server.record;
-  const age = now - server.started;
-  if (age >= service.coldStartMs) return slots;
-  return Math.max(1, Math.floor((slots * age) / service.coldStartMs));
-}
--- a/packages/routing/slots.ts
+++ b/packages/routing/slots.ts
@@ -6,7 +6,7 @@
   Service,
 } from "#model";
 import type { Outliers, ServerHealth } from "./outliers.ts";
-import { warmSlots } from "./server_state.ts";
+import { WarmUp } from "./warm_up.ts";
 
 /** Extra load that a near server may have over a far one, as a share. */
 const NEAR_MARGIN = 0.5;
@@ -73,7 +73,7 @@
     this.shedPauseMs = SHED_PAUSE_MS;
   }
 
-  refreshLimit(service: Service, now: number): void {
+  refreshLimit(warmUp: WarmUp, now: number): void {
     const { record, health } = this;
     const out = this.leaving || record.state !== "ready";
     if (out || health.standing === "ejected" || now < this.pausedUntil) {
@@ -88,14 +88,14 @@
       this.shedLimit += 1;
       this.#shedAt = now;
     }
-    const warm = warmSlots(this, service, now) * health.allowance(now);
+    const warm = warmUp.slots(this, now) * health.allowance(now);
     this.limit = Math.max(1, Math.floor(Math.min(warm, this.shedLimit)));
   }
 }
 
 /** The slots of a service's servers, ordered for the next grant. */
 export class SlotTable {
-  #service: Service;
+  readonly #warmUp: WarmUp;
   readonly #outliers: Outliers;
   readonly #servers = new Map<BackendServerId, ServerSlots>();
   readonly #heaps = new Map<DataCentre, Heap<ServerSlots>>();
@@ -104,7 +104,7 @@
   #limit = 0;
 
   constructor(service: Service, outliers: Outliers) {
-    this.#service = service;
+    this.#warmUp = new WarmUp(service);
     this.#outliers = outliers;
   }
 
@@ -123,7 +123,7 @@
   }
 
   configure(service: Service): void {
-    this.#service = service;
+    this.#warmUp.configure(service);
   }
 
   get(id: BackendServerId): ServerSlots | undefined {
@@ -143,15 +143,20 @@
       const known = this.#servers.get(record.id);
       if (known && known.record.incarnation === record.incarnation) {
         known.record = record;
-        this.refresh(known, now);
         continue;
       }
       if (known) this.#remove(known);
       const health = this.#outliers.add(record.id, record.slots);
       const server = new ServerSlots(record, health, now);
       this.#servers.set(record.id, server);
-      this.refresh(server, now);
     }
+    this.updateWarmUp(now);
+    for (const server of this.#servers.values()) this.refresh(server, now);
+  }
+
+  /** Takes up the ages of all servers; their limits follow by `refresh`. */
+  updateWarmUp(now: number): void {
+    this.#warmUp.update(this.#servers.values(), now);
   }
 
   /** Servers that are out or get fewer calls than their slots. */
@@ -180,7 +185,7 @@
   /** Computes a server's limit anew after time or its standing changed. */
   refresh(server: ServerSlots, now: number): void {
     if (this.#servers.get(server.record.id) !== server) return;
-    server.refreshLimit(this.#service, now);
+    server.refreshLimit(this.#warmUp, now);
     this.#count(server);
     if (server.spare) this.#spare.add(server);
     else this.#spare.delete(server);
--- /dev/null
+++ b/packages/routing/warm_up.ts
@@ -0,0 +1,52 @@
+import type { BackendServer, Service } from "#model";
+
+interface StartedServer {
+  readonly record: Pick<BackendServer, "slots">;
+  /** `Clock.now()` at the start of its incarnation. */
+  readonly started: number;
+}
+
+/**
+ * Slow start of cold servers. The slots that it holds back are capped at the
+ * share that outlier ejection may take: when most servers of a service are new,
+ * holding all of them back would reject calls that cold servers can run.
+ */
+export class WarmUp {
+  #service: Service;
+  /** Part of the slots to hold back that the cap allows, from 0 to 1. */
+  #share = 1;
+
+  constructor(service: Service) {
+    this.#service = service;
+  }
+
+  configure(service: Service): void {
+    this.#service = service;
+  }
+
+  /** Takes all servers of the service into account. */
+  update(servers: Iterable<StartedServer>, now: number): void {
+    let total = 0;
+    let held = 0;
+    for (const server of servers) {
+      total += server.record.slots;
+      held += this.#held(server, now);
+    }
+    const cap = (total * this.#service.ejectionMaxPercent) / 100;
+    this.#share = held > cap ? cap / held : 1;
+  }
+
+  /** Slots that a server has by its age; at least one. */
+  slots(server: StartedServer, now: number): number {
+    const { slots } = server.record;
+    const held = this.#held(server, now) * this.#share;
+    return Math.max(1, Math.floor(slots - held));
+  }
+
+  #held(server: StartedServer, now: number): number {
+    const age = now - server.started;
+    const { coldStartMs } = this.#service;
+    if (age >= coldStartMs) return 0;
+    return server.record.slots * (1 - Math.max(0, age) / coldStartMs);
+  }
+}
