Let one failing server of a small service be ejected

Cause: with three servers each has 33% of the slots, above the default cap of 30%, so a server that failed every request at once got 73 of 200 calls. Change: the first server may go if half of the slots stay and the cap is not 0. Conclusion: services of two and three servers are covered.

--- a/packages/document/schema.ts
+++ b/packages/document/schema.ts
@@ -57,7 +57,7 @@
     50,
   ).optional(),
   ejection_max_percent: percent(
-    "Share of capacity that may be ejected as outliers.",
+    "Share of capacity that may be ejected as outliers. One server may always go if half of the slots stay; 0 ejects none.",
     90,
   ).default(30),
   drain_limit_s: integer({
--- a/packages/routing/outliers.ts
+++ b/packages/routing/outliers.ts
@@ -254,8 +254,15 @@
     this.#outSlots -= health.slots;
   }
 
+  /**
+   * Keeps to the cap, but lets one server go that leaves half of the slots:
+   * of three servers, each has more than the default cap of 30%.
+   */
   #mayTakeOut(health: ServerHealth): boolean {
-    const limit = (this.#slots * this.#service.ejectionMaxPercent) / 100;
+    const { ejectionMaxPercent } = this.#service;
+    const first = ejectionMaxPercent > 0 && this.#outSlots === 0;
+    if (first && 2 * health.slots <= this.#slots) return true;
+    const limit = (this.#slots * ejectionMaxPercent) / 100;
     return this.#outSlots + health.slots <= limit;
   }
 
