Keep an unknown outcome unknown over further attempts

Cause: a repeatable call whose first attempt broke off and whose next one was refused was answered not-run, though the first may have run; found on reading. A keyed call whose caller went away while its claim was open never ended. Ruled out: no retry after an unknown attempt (lookups may be repeated). Change: CallAttempts remembers that an attempt may have run; the execution of a call is split into attempts, reply and admission; a cancelled claim resolves.

--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -39,12 +39,11 @@
   readonly stream: IncomingMessage;
 }
 
-/** How an attempt went wrong; `sent` says whether any byte may have left. */
+/** How an attempt went wrong; only `not_connected` proves that it never ran. */
 export type AttemptFault =
   | { readonly type: "not_connected"; readonly detail: string }
   | { readonly type: "connection_lost"; readonly detail: string }
-  | { readonly type: "answer_cut"; readonly detail: string }
-  | { readonly type: "cancelled"; readonly sent: boolean };
+  | { readonly type: "answer_cut"; readonly detail: string };
 
 export type AttemptEnd =
   | { readonly type: "answer"; readonly answer: BackendAnswer }
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { err, ok, type Result } from "neverthrow";
-import type { Settlement, StoredAnswer } from "#claims";
+import type { Settlement } from "#claims";
 import {
   type BackendServer,
   type Call,
@@ -10,39 +10,21 @@
   hash32,
   type Outcome,
 } from "#model";
-import type { CallResultKind } from "#routing";
-import type { Attempt, AttemptEnd, BackendAnswer } from "./backend_client.ts";
+import {
+  CallAttempts,
+  type CallEnd,
+  type StopReason,
+} from "./call_attempts.ts";
 import type { CallEngineOptions } from "./call_engine.ts";
+import { CallReply } from "./call_reply.ts";
 import type { Classified } from "./incoming_call.ts";
 import type { ClaimDecision } from "./key_claims.ts";
-import {
-  answerHeaders,
-  endToEndHeaders,
-  replyFault,
-  SERVER_ONLY,
-} from "./reply.ts";
+import { endToEndHeaders, SERVER_ONLY } from "./reply.ts";
 import { type RequestBody, readBody } from "./request_body.ts";
 
-const CONNECT_TIMEOUT_MS = 1_000;
-/** Attempts of a call, the first one included. */
-const MAX_ATTEMPTS = 3;
 /** When a caller may come back to an entry that is not ready. */
 const NOT_READY_RETRY_MS = 1_000;
 
-/** Headers that are replaced on the way to a server. */
-const REPLACED: ReadonlySet<string> = new Set([
-  HEADERS.service,
-  HEADERS.deadline,
-  HEADERS.depth,
-  HEADERS.retries,
-  HEADERS.requestId,
-]);
-
-/** How a call ended, before the caller is told. */
-type CallEnd =
-  | { readonly type: "answer"; readonly answer: BackendAnswer }
-  | { readonly type: "fault"; readonly fault: CallFault };
-
 interface Exchange {
   readonly id: string;
   readonly request: IncomingMessage;
@@ -53,55 +35,52 @@
 export class CallExecution {
   readonly #options: CallEngineOptions;
   readonly #exchange: Exchange;
+  readonly #reply: CallReply;
   readonly #arrival: number;
   #classified: Classified | undefined;
-  #attempt: Attempt | undefined;
-  #server: BackendServer | undefined;
+  #attempts: CallAttempts | undefined;
   #deadlineTimer: NodeJS.Timeout | undefined;
-  #stopped: "expired" | "caller_closed" | undefined;
-  #stopWaiting: (() => void) | undefined;
-  #recorded = false;
+  #stopped: StopReason | undefined;
+  #cancelClaim: (() => void) | undefined;
 
   constructor(options: CallEngineOptions, exchange: Exchange) {
     this.#options = options;
     this.#exchange = exchange;
     this.#arrival = options.clock.now();
+    this.#reply = new CallReply({
+      response: exchange.response,
+      method: exchange.request.method ?? "GET",
+      requestId: exchange.id,
+      ended: (outcome, fault) => this.#record(outcome, fault),
+    });
   }
 
   /** The server that runs the call now. */
   get server(): BackendServer | undefined {
-    return this.#server;
+    return this.#attempts?.server;
   }
 
   async run(): Promise<void> {
-    const { request } = this.#exchange;
-    const { ready, classifier, bodyLimits } = this.#options;
-    if (!ready()) {
-      const retryAfterMs = NOT_READY_RETRY_MS;
-      this.#fail(callFault("not_ready", { retryAfterMs }));
-      return;
-    }
-    const classified = classifier().classify(request);
-    if (classified.isErr()) {
-      this.#fail(classified.error);
-      return;
-    }
-    this.#classified = classified.value;
-    const call = this.#describe(classified.value);
+    const call = this.#admit();
     if (call.isErr()) {
-      this.#fail(call.error);
+      this.#reply.fail(call.error);
       return;
     }
-    const body = await readBody(request, bodyLimits);
+    const { bodyLimits } = this.#options;
+    const body = await readBody(this.#exchange.request, bodyLimits);
     if (body.isErr()) {
-      this.#fail(body.error);
+      this.#reply.fail(body.error);
       return;
     }
     this.#startDeadline(call.value);
-    if (call.value.repeatable) {
-      this.#reply(await this.#attempts(call.value, body.value));
-    } else {
-      await this.#runOnce(call.value, body.value);
+    try {
+      if (call.value.repeatable) {
+        this.#conclude(await this.#attempt(call.value, body.value));
+      } else {
+        await this.#runOnce(call.value, body.value);
+      }
+    } finally {
+      clearTimeout(this.#deadlineTimer);
     }
   }
 
@@ -117,6 +96,20 @@
     this.#exchange.response.destroy();
   }
 
+  #admit(): Result<Call, CallFault> {
+    const { ready, classifier } = this.#options;
+    if (!ready()) {
+      const retryAfterMs = NOT_READY_RETRY_MS;
+      return err(callFault("not_ready", { retryAfterMs }));
+    }
+    return classifier()
+      .classify(this.#exchange.request)
+      .andThen((classified) => {
+        this.#classified = classified;
+        return this.#describe(classified);
+      });
+  }
+
   #describe({ service, class: kind }: Classified): Result<Call, CallFault> {
     const { headers } = this.#exchange.request;
     const asked = headers[HEADERS.deadline];
@@ -144,37 +137,41 @@
     this.#deadlineTimer = setTimeout(() => this.#stop("expired"), ms);
   }
 
+  async #attempt(call: Call, body: RequestBody): Promise<CallEnd> {
+    const { request } = this.#exchange;
+    const attempts = new CallAttempts(this.#options, { call, request, body });
+    this.#attempts = attempts;
+    if (this.#stopped) {
+      return { type: "fault", fault: callFault("deadline_expired") };
+    }
+    return attempts.run();
+  }
+
   /** Runs a request that must not be repeated, if its key is granted. */
   async #runOnce(call: Call, body: RequestBody): Promise<void> {
     const key = this.#exchange.request.headers[HEADERS.key];
     if (typeof key !== "string") {
       const detail = `class ${call.class} needs the header ${HEADERS.key}`;
-      this.#fail(callFault("key_required", { detail }));
+      this.#reply.fail(callFault("key_required", { detail }));
       return;
     }
     const decision = await this.#claim(call, { key, body });
     if (decision.type === "denied") {
-      this.#fail(decision.fault);
+      this.#reply.fail(decision.fault);
       return;
     }
     if (decision.type === "replayed") {
-      this.#replay(decision.answer);
-      return;
-    }
-    const { claims } = this.#options;
-    if (this.#stopped) {
-      claims.settle(call.id, { type: "not_started" });
-      this.#fail(callFault("deadline_expired"));
+      this.#reply.replay(decision.answer);
       return;
     }
+    // After an error of the entry itself, the request may have run.
     let settlement: Settlement = { type: "ran" };
     try {
-      const end = await this.#attempts(call, body);
+      const end = await this.#attempt(call, body);
       settlement = settlementOf(end);
-      this.#reply(end);
+      this.#conclude(end);
     } finally {
-      // After an error of the entry itself, the request may have run.
-      claims.settle(call.id, settlement);
+      this.#options.claims.settle(call.id, settlement);
     }
   }
 
@@ -186,197 +183,35 @@
     const { method, url } = this.#exchange.request;
     const { key, body } = options;
     const head = body.head.toString("latin1");
-    this.#stopWaiting = () => claims.cancel(call.id);
-    return claims
-      .claim({
-        callId: call.id,
-        key,
-        fingerprint: hash32(`${call.service} ${method} ${url}\n${head}`),
-        waitMs: call.deadline - clock.now(),
-      })
-      .finally(() => {
-        this.#stopWaiting = undefined;
-      });
-  }
-
-  async #attempts(call: Call, body: RequestBody): Promise<CallEnd> {
-    const exclude = new Set<string>();
-    for (let attempt = 1; ; attempt++) {
-      const server = await this.#assign(call, exclude);
-      if (server.isErr()) return { type: "fault", fault: server.error };
-      const end = await this.#send(server.value, { call, body });
-      if (end.type === "answer" && !end.answer.notStarted) return end;
-      const outcome = attemptOutcome(end);
-      const mayRepeat = outcome === "not-run" || call.repeatable;
-      const again =
-        mayRepeat && !this.#stopped && !body.rest && attempt < MAX_ATTEMPTS;
-      if (!again) return { type: "fault", fault: this.#fault(end, outcome) };
-      exclude.add(server.value.id);
-    }
-  }
-
-  #assign(
-    call: Call,
-    exclude: ReadonlySet<string>,
-  ): Promise<Result<BackendServer, CallFault>> {
-    const { assignments, clock, metrics } = this.#options;
-    const asked = clock.now();
-    return new Promise((resolve) => {
-      this.#stopWaiting = () => {
-        assignments.cancel(call.id);
-        resolve(err(callFault("deadline_expired", { outcome: "not-run" })));
-      };
-      assignments.submit(call, exclude, (decision) => {
-        this.#stopWaiting = undefined;
-        const ms = clock.now() - asked;
-        metrics.waited({ service: call.service, class: call.class, ms });
-        resolve(decision);
-      });
+    const claimed = claims.claim({
+      callId: call.id,
+      key,
+      fingerprint: hash32(`${call.service} ${method} ${url}\n${head}`),
+      waitMs: call.deadline - clock.now(),
     });
-  }
-
-  async #send(
-    server: BackendServer,
-    options: { call: Call; body: RequestBody },
-  ): Promise<AttemptEnd> {
-    const { client, clock, serverLeaving } = this.#options;
-    const { call, body } = options;
-    const started = clock.now();
-    const { request } = this.#exchange;
-    const headers = endToEndHeaders(request.rawHeaders, REPLACED);
-    const remaining = Math.max(1, Math.floor(call.deadline - started));
-    headers.push(HEADERS.deadline, String(remaining));
-    headers.push(HEADERS.requestId, call.id);
-    headers.push(HEADERS.depth, String(call.depth + 1));
-    headers.push(HEADERS.retries, String(call.retries));
-    this.#server = server;
-    this.#attempt = client.send(server, {
-      method: request.method ?? "GET",
-      path: request.url ?? "/",
-      headers,
-      body,
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
-    });
-    const end = await this.#attempt.end;
-    const finish = () => this.#finishAttempt(call, { end, started });
-    const stream = end.type === "answer" ? end.answer.stream : undefined;
-    // A long answer keeps its slot until its last byte.
-    if (stream) stream.once("close", finish);
-    else finish();
-    if (end.type === "answer" && end.answer.leaving) serverLeaving(server);
-    return end;
-  }
-
-  #finishAttempt(
-    call: Call,
-    options: { end: AttemptEnd; started: number },
-  ): void {
-    const { assignments, clock } = this.#options;
-    const { end, started } = options;
-    this.#attempt = undefined;
-    this.#server = undefined;
-    const answer = end.type === "answer" ? end.answer : undefined;
-    assignments.finish(call.id, {
-      kind: resultKind(end, this.#stopped),
-      serviceMs: clock.now() - started,
-      inFlight: answer?.inFlight,
-      leaving: answer?.leaving,
-    });
-  }
-
-  #reply(end: CallEnd): void {
-    if (end.type === "answer") this.#answer(end.answer);
-    else this.#fail(end.fault);
-  }
-
-  /** Sends the answer that an earlier run of the same key got. */
-  #replay({ status, headers, body }: StoredAnswer): void {
-    const { response, id } = this.#exchange;
-    clearTimeout(this.#deadlineTimer);
-    response.writeHead(status, [
-      ...headers.flat(),
-      HEADERS.outcome,
-      "answered",
-      HEADERS.requestId,
-      id,
-    ]);
-    response.end(body);
-    this.#record("answered");
-  }
-
-  #answer(answer: BackendAnswer): void {
-    clearTimeout(this.#deadlineTimer);
-    const { response, id } = this.#exchange;
-    if (response.destroyed) {
-      answer.stream?.destroy();
-      this.#record("answered");
-      return;
-    }
-    const headers = answerHeaders({
-      raw: answer.rawHeaders,
-      outcome: "answered",
-      requestId: id,
-    });
-    if (answer.stream) {
-      response.writeHead(answer.status, headers);
-      this.#pipe(answer.stream);
-      return;
-    }
-    if (!hasHeader(headers, "content-length") && answer.status !== 204) {
-      headers.push("content-length", String(answer.body.length));
-    }
-    response.writeHead(answer.status, headers);
-    // Node sends the header and a string body in one write, a buffer in two.
-    response.end(answer.body.toString("latin1"), "latin1");
-    this.#record("answered");
-  }
-
-  /** Passes a long answer on; one that is cut never looks whole. */
-  #pipe(body: IncomingMessage): void {
-    const { response } = this.#exchange;
-    body.pipe(response);
-    body.once("end", () => this.#record("answered"));
-    body.once("error", () => response.destroy());
-    body.once("close", () => {
-      if (body.complete) return;
-      this.#record("unknown");
-      response.destroy();
+    this.#cancelClaim = () => claims.cancel(call.id);
+    return claimed.finally(() => {
+      this.#cancelClaim = undefined;
     });
-    response.once("close", () => body.destroy());
   }
 
-  #fail(fault: CallFault): void {
-    clearTimeout(this.#deadlineTimer);
-    const { response, id } = this.#exchange;
-    this.#record(fault.outcome, fault);
-    replyFault(response, { fault, requestId: id });
+  #conclude(end: CallEnd): void {
+    if (end.type === "answer") this.#reply.answer(end.answer);
+    else this.#reply.fail(end.fault);
   }
 
-  #fault(end: AttemptEnd, outcome: Outcome): CallFault {
-    if (this.#stopped === "expired") {
-      return callFault("deadline_expired", { outcome });
-    }
-    const detail = end.type === "fault" ? faultDetail(end) : "not started";
-    return callFault("server_failed", { outcome, detail });
-  }
-
-  #stop(reason: "expired" | "caller_closed"): void {
+  #stop(reason: StopReason): void {
     // A request that must not be repeated runs on when its caller is gone, so
     // that a resend gets the stored answer and not an unknown outcome.
-    if (reason === "caller_closed" && this.#attempt && this.#runsOnce) return;
+    const runsOnce = this.#classified?.class.repeatable === false;
+    if (reason === "caller_closed" && runsOnce && this.server) return;
     this.#stopped ??= reason;
-    this.#stopWaiting?.();
-    this.#stopWaiting = undefined;
-    this.#attempt?.cancel();
-  }
-
-  get #runsOnce(): boolean {
-    return this.#classified?.class.repeatable === false;
+    // At the deadline the claim is decided anyway, with what is known of it.
+    if (reason === "caller_closed") this.#cancelClaim?.();
+    this.#attempts?.stop(reason);
   }
 
   #record(outcome: Outcome, fault?: CallFault): void {
-    if (this.#recorded) return;
-    this.#recorded = true;
     const { metrics, clock } = this.#options;
     metrics.finished({
       service: this.#classified?.service.name ?? "none",
@@ -403,30 +238,3 @@
   }
   return { type: "ran", answer: { status, headers, body } };
 }
-
-function attemptOutcome(end: AttemptEnd): Outcome {
-  if (end.type === "answer") {
-    return end.answer.notStarted ? "not-run" : "answered";
-  }
-  return end.fault.type === "not_connected" ? "not-run" : "unknown";
-}
-
-function resultKind(
-  end: AttemptEnd,
-  stopped: "expired" | "caller_closed" | undefined,
-): CallResultKind {
-  if (end.type === "answer") {
-    if (end.answer.notStarted) return "not_started";
-    return end.answer.status >= 500 ? "failed" : "answered";
-  }
-  return stopped === "caller_closed" ? "cancelled" : "lost";
-}
-
-function faultDetail(end: Extract<AttemptEnd, { type: "fault" }>): string {
-  const { fault } = end;
-  return fault.type === "cancelled" ? "cancelled" : fault.detail;
-}
-
-function hasHeader(headers: readonly string[], name: string): boolean {
-  return headers.some((h, i) => i % 2 === 0 && h.toLowerCase() === name);
-}
--- /dev/null
+++ b/packages/entry/call_reply.ts
@@ -0,0 +1,98 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { StoredAnswer } from "#claims";
+import { type CallFault, HEADERS, type Outcome } from "#model";
+import type { BackendAnswer } from "./backend_client.ts";
+import { answerHeaders, replyFault } from "./reply.ts";
+
+/** Statuses whose answers have no body, and so no length to add. */
+const BODILESS: ReadonlySet<number> = new Set([204, 304]);
+
+export interface CallReplyOptions {
+  readonly response: ServerResponse;
+  readonly method: string;
+  readonly requestId: string;
+  /** The call has its final outcome; called once. */
+  readonly ended: (outcome: Outcome, fault?: CallFault) => void;
+}
+
+/** Sends a caller the one final answer of its call. */
+export class CallReply {
+  readonly #options: CallReplyOptions;
+  #ended = false;
+
+  constructor(options: CallReplyOptions) {
+    this.#options = options;
+  }
+
+  /** Passes a server's answer on. */
+  answer(answer: BackendAnswer): void {
+    const { response, requestId, method } = this.#options;
+    if (response.destroyed) {
+      answer.stream?.destroy();
+      this.#end("answered");
+      return;
+    }
+    const headers = answerHeaders({
+      raw: answer.rawHeaders,
+      outcome: "answered",
+      requestId,
+    });
+    if (answer.stream) {
+      response.writeHead(answer.status, headers);
+      this.#pipe(answer.stream);
+      return;
+    }
+    const bodiless = method === "HEAD" || BODILESS.has(answer.status);
+    if (!bodiless && !hasHeader(headers, "content-length")) {
+      headers.push("content-length", String(answer.body.length));
+    }
+    response.writeHead(answer.status, headers);
+    // Node sends the header and a string body in one write, a buffer in two.
+    response.end(answer.body.toString("latin1"), "latin1");
+    this.#end("answered");
+  }
+
+  /** Sends the answer that an earlier run of the same key got. */
+  replay({ status, headers, body }: StoredAnswer): void {
+    const { response, requestId } = this.#options;
+    response.writeHead(status, [
+      ...headers.flat(),
+      HEADERS.outcome,
+      "answered",
+      HEADERS.requestId,
+      requestId,
+    ]);
+    response.end(body);
+    this.#end("answered");
+  }
+
+  fail(fault: CallFault): void {
+    const { response, requestId } = this.#options;
+    this.#end(fault.outcome, fault);
+    replyFault(response, { fault, requestId });
+  }
+
+  /** Passes a long answer on; one that is cut never looks whole. */
+  #pipe(body: IncomingMessage): void {
+    const { response } = this.#options;
+    body.pipe(response);
+    body.once("end", () => this.#end("answered"));
+    body.once("error", () => response.destroy());
+    body.once("close", () => {
+      if (body.complete) return;
+      this.#end("unknown");
+      response.destroy();
+    });
+    response.once("close", () => body.destroy());
+  }
+
+  #end(outcome: Outcome, fault?: CallFault): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.#options.ended(outcome, fault);
+  }
+}
+
+function hasHeader(headers: readonly string[], name: string): boolean {
+  return headers.some((h, i) => i % 2 === 0 && h.toLowerCase() === name);
+}
--- a/packages/entry/key_claims.ts
+++ b/packages/entry/key_claims.ts
@@ -9,12 +9,13 @@
   type Settlement,
   type StoredAnswer,
 } from "#claims";
-import type {
-  CallFault,
-  Clock,
-  Configuration,
-  HostId,
-  Randomness,
+import {
+  type CallFault,
+  type Clock,
+  type Configuration,
+  callFault,
+  type HostId,
+  type Randomness,
 } from "#model";
 import type { Network } from "#wire";
 
@@ -77,10 +78,15 @@
     });
   }
 
-  /** Gives up a claim that is not decided yet. */
+  /** Gives up a claim that is not decided yet; it resolves as denied. */
   cancel(callId: string): void {
-    if (!this.#waiting.delete(callId)) return;
+    const waiting = this.#waiting.get(callId);
+    if (!waiting) return;
+    this.#waiting.delete(callId);
     this.#carryOut(this.#claimant.cancel(callId, this.#at()));
+    // Another entry may have run the request before.
+    const fault = callFault("claim_unavailable", { outcome: "unknown" });
+    waiting({ type: "denied", fault });
   }
 
   /** Tells how a granted call ended. */
--- a/packages/entry/server_faults_test.ts
+++ b/packages/entry/server_faults_test.ts
@@ -133,6 +133,22 @@
   });
 }
 
+test("a later refusal does not hide that an earlier attempt may have run", async () => {
+  const { service, servers } = await startService(1);
+  const [server] = servers;
+  assert.ok(server);
+  server.behave({
+    resetMidBody: true,
+    serviceMs: () => {
+      server.behave({ shedding: true });
+      return 1;
+    },
+  });
+  const seen = await call(service);
+  assert.equal(server.counts.started, 1);
+  assert.equal(seen.outcome, "unknown", seen.code);
+});
+
 const BOOKING_FAULTS: {
   name: string;
   fault: (server: StandinServer) => unknown;
