Add retry budgets, call chains, hedging and attempt outcomes

Cause: a retry of work that may have run repeats bookings, and retries at each layer of a chain multiply. Ruled out: a reset on a reused connection as proof of not run (bytes handed to the socket may have arrived); counting attempts that did not start against the retry budget (a drain would use up the retries of its service). Change: RetryBudget, CallChain, AttemptOutcome with judgeAttempt, Hedging with HedgedCall; hdr-histogram-js keeps the latencies.

--- /dev/null
+++ b/packages/admission/call_chain_test.ts
@@ -0,0 +1,155 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ManualClock } from "#model";
+import {
+  CallChain,
+  chainCallFault,
+  type RequestHeaders,
+} from "./call_chain.ts";
+import {
+  type AttemptEnd,
+  AttemptOutcome,
+  judgeAttempt,
+} from "./call_chain_attempts.ts";
+import { RetryBudget } from "./retry_budget.ts";
+
+const OPTIONS = { now: 100, classDeadlineMs: 5_000 };
+
+function parse(headers: RequestHeaders) {
+  return CallChain.parse(headers, OPTIONS);
+}
+
+const REFUSED: [headers: RequestHeaders, code: string][] = [
+  [{ "mangobank-deadline-ms": "soon" }, "invalid_request"],
+  [{ "mangobank-deadline-ms": "-1" }, "invalid_request"],
+  [{ "mangobank-deadline-ms": "1.5" }, "invalid_request"],
+  [{ "mangobank-deadline-ms": "" }, "invalid_request"],
+  [{ "mangobank-deadline-ms": "1e3" }, "invalid_request"],
+  [{ "mangobank-deadline-ms": "99999999999999999999" }, "invalid_request"],
+  [{ "mangobank-depth": ["1", "2"] }, "invalid_request"],
+  [{ "mangobank-retries": "many" }, "invalid_request"],
+  [{ "mangobank-deadline-ms": "0" }, "deadline_expired"],
+  [{ "mangobank-depth": "32" }, "depth_exceeded"],
+];
+
+for (const [headers, code] of REFUSED) {
+  test(`${JSON.stringify(headers)} is refused`, () => {
+    const fault = chainCallFault(parse(headers)._unsafeUnwrapErr());
+    assert.deepEqual([fault.code, fault.outcome], [code, "not-run"]);
+  });
+}
+
+test("a chain ends after 32 calls, and time only shrinks", () => {
+  let now = 0;
+  let headers: RequestHeaders = { "mangobank-deadline-ms": "9000" };
+  let calls = 0;
+  for (; calls < 100; calls++) {
+    const chain = CallChain.parse(headers, { now, classDeadlineMs: 5_000 });
+    if (chain.isErr()) break;
+    assert.equal(chain.value.remainingMs(now), 5_000 - calls * 10);
+    // Each process has a clock with an origin of its own.
+    headers = chain.value.headers(now + 9.5);
+    now = calls * 7_777;
+  }
+  assert.equal(calls, 32);
+});
+
+test("an allowance from a caller is bounded", () => {
+  const chain = parse({ "mangobank-retries": "1000000" })._unsafeUnwrap();
+  assert.equal(chain.retries, 10);
+});
+
+const PROVED = ["not-run true", "not-run true"];
+const ENDS: [name: string, end: AttemptEnd, verdicts: string[]][] = [
+  ["an answer", { type: "answered" }, ["answered false", "answered false"]],
+  ["no connection", { type: "never_connected" }, PROVED],
+  ["a refused connection", { type: "connection_refused" }, PROVED],
+  ["a reset before the first byte", { type: "reset", written: false }, PROVED],
+  ["a proof of not started", { type: "not_started" }, PROVED],
+  [
+    "a reset after the first byte",
+    { type: "reset", written: true },
+    ["unknown true", "unknown false"],
+  ],
+  [
+    "a reset in a body that the caller has in part",
+    { type: "reset_in_body", forwarded: true },
+    ["unknown false", "unknown false"],
+  ],
+  [
+    "a reset in a body that the caller has not seen",
+    { type: "reset_in_body", forwarded: false },
+    ["unknown true", "unknown false"],
+  ],
+  ["a timeout before writing", { type: "timeout", written: false }, PROVED],
+  [
+    "a timeout after writing",
+    { type: "timeout", written: true },
+    ["unknown true", "unknown false"],
+  ],
+  [
+    "a cancellation before writing",
+    { type: "cancelled", written: false },
+    ["not-run false", "not-run false"],
+  ],
+  [
+    "a cancellation after writing",
+    { type: "cancelled", written: true },
+    ["unknown false", "unknown false"],
+  ],
+];
+
+for (const [name, end, verdicts] of ENDS) {
+  test(`${name} proves no more than it does`, () => {
+    const found = [true, false].map((repeatable) => {
+      const verdict = judgeAttempt(end, { repeatable });
+      return `${verdict.outcome} ${verdict.repeatable}`;
+    });
+    assert.deepEqual(found, verdicts);
+  });
+}
+
+function attempts(repeatable: boolean) {
+  const clock = new ManualClock();
+  const budget = new RetryBudget({ percent: 10, clock });
+  const chain = parse({ "mangobank-retries": "1" })._unsafeUnwrap();
+  const outcome = new AttemptOutcome({ repeatable, chain });
+  const next = (end: AttemptEnd, now = 200) =>
+    outcome.next(end, { now, budget });
+  return { budget, next, outcome };
+}
+
+test("an unknown attempt stays unknown after one that did not start", () => {
+  const { next, outcome } = attempts(true);
+  assert.equal(next({ type: "reset", written: true }), true);
+  next({ type: "connection_refused" });
+  assert.equal(outcome.outcome, "unknown");
+});
+
+test("a booking is not repeated after its first byte was written", () => {
+  const { next, outcome } = attempts(false);
+  assert.equal(next({ type: "not_started" }), true);
+  assert.equal(outcome.outcome, "not-run");
+  assert.equal(next({ type: "reset", written: true }), false);
+  assert.equal(outcome.outcome, "unknown");
+});
+
+test("retries end with the allowance, the budget and the deadline", () => {
+  const reset = { type: "reset", written: true } as const;
+  const allowance = attempts(true);
+  assert.deepEqual(
+    [1, 2].map(() => allowance.next(reset)),
+    [true, false],
+  );
+  const budget = attempts(true);
+  while (budget.budget.tryTake());
+  assert.equal(budget.next(reset), false);
+  assert.equal(attempts(true).next(reset, 5_100), false);
+});
+
+test("servers that start nothing are not tried without end", () => {
+  const { budget, next } = attempts(false);
+  const tries = Array.from({ length: 9 }, () => next({ type: "not_started" }));
+  assert.equal(tries.filter(Boolean).length, 4);
+  assert.equal(budget.available, 5);
+});
--- /dev/null
+++ b/packages/admission/hedging.ts
@@ -0,0 +1,108 @@
+import { build, type Histogram } from "hdr-histogram-js";
+import type { RetryBudget } from "./retry_budget.ts";
+
+/** Share of calls that are answered before a hedge is considered. */
+const QUANTILE_PERCENT = 95;
+/** Latencies that a quantile needs. */
+const FEWEST_SAMPLES = 40;
+/** The quantile covers one to two of these. */
+const PERIOD_MS = 15_000;
+/** Units of the histogram per millisecond. */
+const UNITS_PER_MS = 100;
+/** A hedge sooner than this would cost more than it saves. */
+const SOONEST_MS = 1;
+
+/** Decides when a repeatable call gets a second attempt; one per class. */
+export class Hedging {
+  #present = newHistogram();
+  #previous = newHistogram();
+  #periodEnds: number | undefined;
+
+  /** Takes the latency of an answered attempt, in milliseconds. */
+  observe(latencyMs: number, now: number): void {
+    this.#rotate(now);
+    this.#present.recordValue(
+      Math.max(1, Math.round(latencyMs * UNITS_PER_MS)),
+    );
+  }
+
+  /** Wait before a hedge in milliseconds; undefined while too little is known. */
+  delayMs(now: number): number | undefined {
+    this.#rotate(now);
+    const full = this.#previous.totalCount >= FEWEST_SAMPLES;
+    const histogram = full ? this.#previous : this.#present;
+    if (histogram.totalCount < FEWEST_SAMPLES) return undefined;
+    const value = histogram.getValueAtPercentile(QUANTILE_PERCENT);
+    return Math.max(SOONEST_MS, value / UNITS_PER_MS);
+  }
+
+  /** When to hedge an attempt that starts now, as `Clock.now()`. */
+  plan(
+    call: { readonly repeatable: boolean; readonly deadline: number },
+    now: number,
+  ): number | undefined {
+    if (!call.repeatable) return undefined;
+    const delay = this.delayMs(now);
+    if (delay === undefined || now + 2 * delay > call.deadline)
+      return undefined;
+    return now + delay;
+  }
+
+  #rotate(now: number): void {
+    this.#periodEnds ??= now + PERIOD_MS;
+    if (now < this.#periodEnds) return;
+    const missed = now >= this.#periodEnds + PERIOD_MS;
+    this.#periodEnds = now + PERIOD_MS;
+    const empty = this.#previous;
+    empty.reset();
+    if (missed) this.#present.reset();
+    this.#previous = this.#present;
+    this.#present = empty;
+  }
+}
+
+/** The attempts of one call that run at the same time. */
+export class HedgedCall {
+  readonly #running = new Set<string>();
+  #won = false;
+
+  /** Adds the first attempt. */
+  start(attempt: string): void {
+    this.#running.add(attempt);
+  }
+
+  /** Adds a hedge at its time, if the call still runs and the budget has one. */
+  tryHedge(attempt: string, budget: RetryBudget): boolean {
+    if (this.#won || this.#running.size !== 1 || !budget.tryTake())
+      return false;
+    this.#running.add(attempt);
+    return true;
+  }
+
+  /**
+   * Ends an attempt. The first answer wins and the others are to be cancelled;
+   * a failure is the call's only if no other attempt runs.
+   */
+  end(
+    attempt: string,
+    answered: boolean,
+  ): { readonly final: boolean; readonly cancel: readonly string[] } {
+    const known = this.#running.delete(attempt);
+    if (!known || this.#won) return { final: false, cancel: [] };
+    if (!answered) return { final: this.#running.size === 0, cancel: [] };
+    this.#won = true;
+    const cancel = [...this.#running];
+    this.#running.clear();
+    return { final: true, cancel };
+  }
+}
+
+// One digit: latencies within 10%, 2 KiB per histogram.
+function newHistogram(): Histogram {
+  return build({
+    bitBucketSize: 32,
+    autoResize: true,
+    numberOfSignificantValueDigits: 1,
+    useWebAssembly: false,
+  });
+}
--- /dev/null
+++ b/packages/admission/hedging_test.ts
@@ -0,0 +1,89 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ManualClock } from "#model";
+import { HedgedCall, Hedging } from "./hedging.ts";
+import { RetryBudget } from "./retry_budget.ts";
+
+function budgetOf(percent: number, clock = new ManualClock()) {
+  return new RetryBudget({ percent, clock });
+}
+
+test("retries stay within their share of calls", () => {
+  const budget = budgetOf(10);
+  let retries = 0;
+  for (let call = 0; call < 10_000; call++) {
+    budget.countCall();
+    while (budget.tryTake()) retries++;
+  }
+  assert.ok(retries >= 999 && retries <= 1_005, `${retries}`);
+});
+
+test("a quiet service may retry, a share of 0 never earns a retry", () => {
+  for (const [percent, earned] of [
+    [10, 5],
+    [0, 0],
+  ] as const) {
+    const clock = new ManualClock();
+    const budget = budgetOf(percent, clock);
+    while (budget.tryTake());
+    clock.advance(60_000);
+    assert.equal(budget.available, earned);
+  }
+});
+
+test("a busy hour does not pay for a storm of retries", () => {
+  const budget = budgetOf(10);
+  for (let call = 0; call < 100_000; call++) budget.countCall();
+  assert.equal(budget.available, 50);
+});
+
+function hedging(latencies: number) {
+  const own = new Hedging();
+  for (let n = 1; n <= latencies; n++) own.observe(n, 0);
+  return own;
+}
+
+test("a hedge waits for the quantile and forgets old latencies", () => {
+  const own = hedging(100);
+  const delay = own.delayMs(1) ?? 0;
+  assert.ok(delay >= 90 && delay <= 105, `${delay}`);
+  assert.ok(own.delayMs(15_001));
+  assert.equal(own.delayMs(60_000), undefined);
+});
+
+const CALL = { repeatable: true, deadline: 1_000 };
+test("no hedge for bookings, near the deadline or on few latencies", () => {
+  const own = hedging(100);
+  assert.ok(own.plan(CALL, 1));
+  assert.equal(own.plan({ ...CALL, repeatable: false }, 1), undefined);
+  assert.equal(own.plan({ ...CALL, deadline: 100 }, 1), undefined);
+  assert.equal(hedging(39).plan(CALL, 1), undefined);
+});
+
+test("the first answer wins and the loser is cancelled", () => {
+  const call = new HedgedCall();
+  call.start("first");
+  assert.equal(call.tryHedge("hedge", budgetOf(10)), true);
+  assert.equal(call.tryHedge("third", budgetOf(10)), false);
+  assert.deepEqual(call.end("hedge", true), { final: true, cancel: ["first"] });
+  // Two answers for one caller.
+  assert.deepEqual(call.end("first", true), { final: false, cancel: [] });
+});
+
+test("a failed attempt leaves the call to the other one", () => {
+  const call = new HedgedCall();
+  call.start("first");
+  call.tryHedge("hedge", budgetOf(10));
+  assert.deepEqual(call.end("first", false), { final: false, cancel: [] });
+  assert.deepEqual(call.end("hedge", false), { final: true, cancel: [] });
+});
+
+test("no hedge without budget or after the answer", () => {
+  const spent = budgetOf(10);
+  while (spent.tryTake());
+  const call = new HedgedCall();
+  call.start("first");
+  assert.equal(call.tryHedge("hedge", spent), false);
+  call.end("first", true);
+  assert.equal(call.tryHedge("hedge", budgetOf(10)), false);
+});
--- /dev/null
+++ b/packages/admission/outcomes.ts
@@ -0,0 +1,5 @@
+/** Retries, call chains, hedging and what an attempt's end proves. */
+export * from "./call_chain.ts";
+export * from "./call_chain_attempts.ts";
+export * from "./hedging.ts";
+export * from "./retry_budget.ts";
--- /dev/null
+++ b/packages/admission/retry_budget.ts
@@ -0,0 +1,54 @@
+import type { Clock } from "#model";
+
+/** Retries that a service without calls may save up. */
+const RESERVE = 5;
+/** Refill of the reserve, so that a quiet service can retry at all. */
+const RESERVE_PER_S = 0.5;
+/** Retries saved up at most, so that a busy hour does not pay for a storm. */
+const MOST_SAVED = 50;
+
+/** Bounds retries and hedges of a service to a share of its calls. */
+export class RetryBudget {
+  readonly #clock: Clock;
+  #share: number;
+  #tokens = RESERVE;
+  #refilledAt: number;
+
+  constructor(options: { percent: number; clock: Clock }) {
+    this.#clock = options.clock;
+    this.#share = options.percent / 100;
+    this.#refilledAt = options.clock.now();
+  }
+
+  /** Retries that may be made at once. */
+  get available(): number {
+    this.#refill();
+    return Math.floor(this.#tokens);
+  }
+
+  /** Takes a changed share from the document. */
+  configure(percent: number): void {
+    this.#share = percent / 100;
+  }
+
+  /** Counts a first attempt. */
+  countCall(): void {
+    this.#tokens = Math.min(MOST_SAVED, this.#tokens + this.#share);
+  }
+
+  /** Takes one retry or hedge from the budget, if there is one. */
+  tryTake(): boolean {
+    this.#refill();
+    if (this.#tokens < 1) return false;
+    this.#tokens--;
+    return true;
+  }
+
+  #refill(): void {
+    const now = this.#clock.now();
+    const earned = ((now - this.#refilledAt) / 1_000) * RESERVE_PER_S;
+    this.#refilledAt = now;
+    if (this.#share === 0 || this.#tokens >= RESERVE) return;
+    this.#tokens = Math.min(RESERVE, this.#tokens + earned);
+  }
+}
