--- a/packages/admission/index.ts
+++ b/packages/admission/index.ts
@@ -1,7 +1,8 @@
 /**
- * Admission control: which calls wait, in which order, and which are rejected.
+ * Admission control: which calls wait, in which order, which are rejected, and
+ * which may be tried again.
  *
  * @module
  */
 export * from "./class_queue.ts";
-export * from "./heap.ts";
+export * from "./outcomes.ts";
