--- a/packages/admission/index.ts
+++ b/packages/admission/index.ts
@@ -5,4 +5,5 @@
  * @module
  */
 export * from "./class_queue.ts";
+export * from "./heap.ts";
 export * from "./outcomes.ts";
