Integrate retries, call chains, hedging and quarantine into calls

Cause: calls had a fixed number of attempts, no depth limit, no retry budget and no memory of requests that crash servers. Change: ServerAttempt carries one attempt (admission by quarantine, a server, the request), CallAttempts retries and hedges within the service's budget, and CallChain reads and passes on deadline, depth and allowance. A broken connection counts as a lost server only if the server accepts no other one. Ruled out: counting each reset as a loss (servers close idle connections).

--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -40,18 +40,18 @@
 }
 
 /** How an attempt went wrong; only `not_connected` proves that it never ran. */
-export type AttemptFault =
+export type ClientFault =
   | { readonly type: "not_connected"; readonly detail: string }
   | { readonly type: "connection_lost"; readonly detail: string }
   | { readonly type: "answer_cut"; readonly detail: string };
 
-export type AttemptEnd =
+export type ClientEnd =
   | { readonly type: "answer"; readonly answer: BackendAnswer }
-  | { readonly type: "fault"; readonly fault: AttemptFault };
+  | { readonly type: "fault"; readonly fault: ClientFault };
 
 /** One request under way at a backend server. */
 export interface Attempt {
-  readonly end: Promise<AttemptEnd>;
+  readonly end: Promise<ClientEnd>;
   /** Closes the connection, which cancels the request at the server. */
   cancel(): void;
 }
@@ -73,8 +73,8 @@
     });
     let connected = false;
     let settled = false;
-    const end = new Promise<AttemptEnd>((resolve) => {
-      const settle = (result: AttemptEnd) => {
+    const end = new Promise<ClientEnd>((resolve) => {
+      const settle = (result: ClientEnd) => {
         if (settled) return;
         settled = true;
         resolve(result);
@@ -168,7 +168,7 @@
 }
 
 /** Waits for a short body to be whole; a long one is passed on as it comes. */
-function collect(response: IncomingMessage): Promise<AttemptEnd> {
+function collect(response: IncomingMessage): Promise<ClientEnd> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let length = 0;
--- a/packages/entry/call_attempts.ts
+++ b/packages/entry/call_attempts.ts
@@ -1,163 +1,152 @@
-import type { IncomingMessage } from "node:http";
-import { err, type Result } from "neverthrow";
 import {
-  type BackendServer,
-  type Call,
-  type CallFault,
-  callFault,
-  HEADERS,
-  type Outcome,
-} from "#model";
-import type { CallResultKind } from "#routing";
-import type { Attempt, AttemptEnd, BackendAnswer } from "./backend_client.ts";
+  AttemptOutcome,
+  type CallChain,
+  HedgedCall,
+  judgeAttempt,
+  RetryBudget,
+} from "#admission";
+import { type BackendServer, type CallFault, callFault } from "#model";
+import type { BackendAnswer } from "./backend_client.ts";
 import type { CallEngineOptions } from "./call_engine.ts";
-import { endToEndHeaders } from "./reply.ts";
-import type { RequestBody } from "./request_body.ts";
-
-const CONNECT_TIMEOUT_MS = 1_000;
-/** Attempts of a call, the first one included. */
-const MAX_ATTEMPTS = 3;
-
-/** Headers that are replaced on the way to a server. */
-const REPLACED: ReadonlySet<string> = new Set([
-  HEADERS.service,
-  HEADERS.deadline,
-  HEADERS.depth,
-  HEADERS.retries,
-  HEADERS.requestId,
-]);
+import {
+  type AttemptWork,
+  ServerAttempt,
+  type ServerAttemptEnd,
+  type StopReason,
+} from "./server_attempt.ts";
 
 /** How a call ended, before the caller is told. */
 export type CallEnd =
   | { readonly type: "answer"; readonly answer: BackendAnswer }
   | { readonly type: "fault"; readonly fault: CallFault };
 
-export type StopReason = "expired" | "caller_closed";
-
-/** The attempts of one call on backend servers, one after the other. */
+/** The attempts of one call: retries one after the other, and one hedge. */
 export class CallAttempts {
   readonly #options: CallEngineOptions;
-  readonly #call: Call;
-  readonly #request: IncomingMessage;
-  readonly #body: RequestBody;
+  readonly #work: AttemptWork;
+  readonly #outcome: AttemptOutcome;
+  readonly #budget: RetryBudget;
   readonly #exclude = new Set<string>();
-  #attempt: Attempt | undefined;
-  #server: BackendServer | undefined;
+  readonly #running = new Map<string, ServerAttempt>();
+  #hedgeTimer: NodeJS.Timeout | undefined;
   #stopped: StopReason | undefined;
-  #stopWaiting: (() => void) | undefined;
   /** An attempt ended without proof that the server did not run it. */
   #mayHaveRun = false;
+  #attempts = 0;
 
   constructor(
     options: CallEngineOptions,
-    work: { call: Call; request: IncomingMessage; body: RequestBody },
+    work: AttemptWork & { readonly chain: CallChain },
   ) {
     this.#options = options;
-    this.#call = work.call;
-    this.#request = work.request;
-    this.#body = work.body;
+    this.#work = work;
+    const { repeatable, service } = work.call;
+    this.#outcome = new AttemptOutcome({ repeatable, chain: work.chain });
+    const { policies, clock } = options;
+    // A service that has just left the document has no retries.
+    this.#budget =
+      policies.budget(service) ?? new RetryBudget({ percent: 0, clock });
+    this.#budget.countCall();
   }
 
-  /** The server that runs the call now. */
-  get server(): BackendServer | undefined {
-    return this.#server;
+  /** The servers that run the call now. */
+  get servers(): BackendServer[] {
+    return [...this.#running.values()].flatMap(({ server }) => server ?? []);
   }
 
-  /** Ends the wait for a server, or cancels the request there. */
+  /** Ends the wait for a server, or cancels the request where it runs. */
   stop(reason: StopReason): void {
     this.#stopped ??= reason;
-    this.#stopWaiting?.();
-    this.#stopWaiting = undefined;
-    this.#attempt?.cancel();
+    clearTimeout(this.#hedgeTimer);
+    for (const attempt of this.#running.values()) attempt.stop(reason);
   }
 
   /** Tries servers until one answers or no further attempt is allowed. */
   async run(): Promise<CallEnd> {
-    for (let attempt = 1; ; attempt++) {
-      const server = await this.#assign();
-      if (server.isErr()) return this.#failed(server.error);
-      const end = await this.#send(server.value);
-      if (end.type === "answer" && !end.answer.notStarted) return end;
-      const outcome = attemptOutcome(end);
-      if (outcome === "unknown") this.#mayHaveRun = true;
-      if (attempt === MAX_ATTEMPTS || !this.#mayRepeat(outcome)) {
-        return this.#failed(this.#fault(end));
+    for (;;) {
+      const ended = await this.#race();
+      if (ended.type === "rejected") return this.#failed(ended.fault);
+      const { end, answer } = ended;
+      if (end.type === "answered" && answer) return { type: "answer", answer };
+      const { clock } = this.#options;
+      const now = clock.now();
+      const again = this.#outcome.next(end, { now, budget: this.#budget });
+      if (!again || this.#stopped || this.#work.body.rest) {
+        return this.#failed(this.#fault(ended.detail));
       }
-      this.#exclude.add(server.value.id);
+      this.#exclude.add(ended.server.id);
     }
   }
 
-  #mayRepeat(outcome: Outcome): boolean {
-    if (this.#stopped || this.#body.rest) return false;
-    return outcome === "not-run" || this.#call.repeatable;
-  }
-
-  #assign(): Promise<Result<BackendServer, CallFault>> {
-    const { assignments, clock, metrics } = this.#options;
-    const call = this.#call;
-    const asked = clock.now();
-    return new Promise((resolve) => {
-      this.#stopWaiting = () => {
-        assignments.cancel(call.id);
-        resolve(err(callFault("deadline_expired")));
+  /** Runs one attempt, and a hedge if it takes long; the first answer wins. */
+  #race(): Promise<ServerAttemptEnd> {
+    return new Promise((resolve, reject) => {
+      const hedged = new HedgedCall();
+      const first = this.#attemptId();
+      const ended = (id: string, end: ServerAttemptEnd) => {
+        this.#running.delete(id);
+        this.#note(end);
+        const answered = end.type === "ended" && end.answer !== undefined;
+        const { final, cancel } = hedged.end(id, answered);
+        for (const other of cancel) this.#running.get(other)?.stop("outrun");
+        if (!final) return;
+        clearTimeout(this.#hedgeTimer);
+        resolve(end);
+      };
+      const start = (id: string, sent: () => void) => {
+        const attempt = new ServerAttempt(this.#options, {
+          id,
+          work: this.#work,
+          chain: this.#outcome.chain,
+          exclude: this.#exclude,
+        });
+        this.#running.set(id, attempt);
+        attempt.run(sent).then((end) => ended(id, end), reject);
       };
-      assignments.submit(call, this.#exclude, (decision) => {
-        this.#stopWaiting = undefined;
-        const ms = clock.now() - asked;
-        metrics.waited({ service: call.service, class: call.class, ms });
-        resolve(decision);
-      });
+      const hedge = () => {
+        const id = this.#attemptId();
+        if (!hedged.tryHedge(id, this.#budget)) return;
+        const running = this.#running.get(first)?.server;
+        if (running) this.#exclude.add(running.id);
+        start(id, () => undefined);
+      };
+      hedged.start(first);
+      start(first, () => this.#planHedge(hedge));
     });
   }
 
-  async #send(server: BackendServer): Promise<AttemptEnd> {
-    const { client, clock, serverLeaving } = this.#options;
-    const started = clock.now();
-    this.#server = server;
-    this.#attempt = client.send(server, {
-      method: this.#request.method ?? "GET",
-      path: this.#request.url ?? "/",
-      headers: this.#headers(started),
-      body: this.#body,
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
-    });
-    const end = await this.#attempt.end;
-    const finish = () => this.#finish(end, started);
-    const stream = end.type === "answer" ? end.answer.stream : undefined;
-    // A long answer keeps its slot until its last byte.
-    if (stream) stream.once("close", finish);
-    else finish();
-    if (end.type === "answer" && end.answer.leaving) serverLeaving(server);
-    return end;
+  /** The first attempt keeps the call's id; later ones get their own. */
+  #attemptId(): string {
+    this.#attempts += 1;
+    const { id } = this.#work.call;
+    return this.#attempts === 1 ? id : `${id}.${this.#attempts}`;
   }
 
-  #headers(now: number): string[] {
-    const { id, deadline, depth, retries } = this.#call;
-    const headers = endToEndHeaders(this.#request.rawHeaders, REPLACED);
-    const remaining = Math.max(1, Math.floor(deadline - now));
-    headers.push(HEADERS.deadline, String(remaining));
-    headers.push(HEADERS.requestId, id);
-    headers.push(HEADERS.depth, String(depth + 1));
-    headers.push(HEADERS.retries, String(retries));
-    return headers;
+  #planHedge(hedge: () => void): void {
+    const { policies, clock } = this.#options;
+    const { call, body } = this.#work;
+    if (body.rest || this.#stopped) return;
+    const now = clock.now();
+    const due = policies.hedging(call.service, call.class)?.plan(call, now);
+    if (due === undefined) return;
+    this.#hedgeTimer = setTimeout(hedge, due - now);
   }
 
-  #finish(end: AttemptEnd, started: number): void {
-    const { assignments, clock } = this.#options;
-    this.#attempt = undefined;
-    this.#server = undefined;
-    const answer = end.type === "answer" ? end.answer : undefined;
-    assignments.finish(this.#call.id, {
-      kind: resultKind(end, this.#stopped),
-      serviceMs: clock.now() - started,
-      inFlight: answer?.inFlight,
-      leaving: answer?.leaving,
-    });
+  #note(ended: ServerAttemptEnd): void {
+    if (ended.type === "rejected") return;
+    const { policies, clock } = this.#options;
+    const { service, class: name, repeatable } = this.#work.call;
+    if (ended.end.type === "answered") {
+      const hedging = policies.hedging(service, name);
+      hedging?.observe(ended.runningMs, clock.now());
+      return;
+    }
+    const { outcome } = judgeAttempt(ended.end, { repeatable });
+    if (outcome === "unknown") this.#mayHaveRun = true;
   }
 
-  #fault(end: AttemptEnd): CallFault {
+  #fault(detail: string): CallFault {
     if (this.#stopped === "expired") return callFault("deadline_expired");
-    const detail = end.type === "fault" ? end.fault.detail : "not started";
     return callFault("server_failed", { outcome: "not-run", detail });
   }
 
@@ -167,21 +156,3 @@
     return { type: "fault", fault: { ...fault, outcome: "unknown" } };
   }
 }
-
-function attemptOutcome(end: AttemptEnd): Outcome {
-  if (end.type === "answer") {
-    return end.answer.notStarted ? "not-run" : "answered";
-  }
-  return end.fault.type === "not_connected" ? "not-run" : "unknown";
-}
-
-function resultKind(
-  end: AttemptEnd,
-  stopped: StopReason | undefined,
-): CallResultKind {
-  if (end.type === "answer") {
-    if (end.answer.notStarted) return "not_started";
-    return end.answer.status >= 500 ? "failed" : "answered";
-  }
-  return stopped === "caller_closed" ? "cancelled" : "lost";
-}
--- a/packages/entry/call_engine.ts
+++ b/packages/entry/call_engine.ts
@@ -7,6 +7,8 @@
 import type { Classifier } from "./incoming_call.ts";
 import type { KeyClaims } from "./key_claims.ts";
 import type { BodyLimits } from "./request_body.ts";
+import type { ServicePolicies } from "./service_policies.ts";
+import type { Suspects } from "./suspects.ts";
 
 export interface CallEngineOptions {
   readonly entry: string;
@@ -16,6 +18,13 @@
   readonly assignments: Assignments;
   readonly client: BackendClient;
   readonly claims: KeyClaims;
+  readonly suspects: Suspects;
+  readonly policies: ServicePolicies;
+  /** Servers that a suspected request should not run on. */
+  readonly serversToAvoid: (
+    service: string,
+    dataCentres: readonly string[],
+  ) => readonly string[];
   readonly classifier: () => Classifier;
   /** Whether the configuration is confirmed, so that work may be taken. */
   readonly ready: () => boolean;
@@ -69,8 +78,8 @@
   /** Calls in flight at the servers that match. */
   inFlightAt(matches: (server: BackendServer) => boolean): number {
     let count = 0;
-    for (const { server } of this.#running.values()) {
-      if (server && matches(server)) count += 1;
+    for (const { servers } of this.#running.values()) {
+      count += servers.filter(matches).length;
     }
     return count;
   }
@@ -78,9 +87,10 @@
   /** Calls in flight by service. */
   inFlight(): Map<string, number> {
     const counts = new Map<string, number>();
-    for (const { server } of this.#running.values()) {
-      if (!server) continue;
-      counts.set(server.service, (counts.get(server.service) ?? 0) + 1);
+    for (const { servers } of this.#running.values()) {
+      for (const { service } of servers) {
+        counts.set(service, (counts.get(service) ?? 0) + 1);
+      }
     }
     return counts;
   }
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { err, ok, type Result } from "neverthrow";
+import { err, type Result } from "neverthrow";
+import { CallChain, chainCallFault } from "#admission";
 import type { Settlement } from "#claims";
 import {
   type BackendServer,
@@ -10,21 +11,25 @@
   hash32,
   type Outcome,
 } from "#model";
-import {
-  CallAttempts,
-  type CallEnd,
-  type StopReason,
-} from "./call_attempts.ts";
+import { fingerprintOf } from "#quarantine";
+import { CallAttempts, type CallEnd } from "./call_attempts.ts";
 import type { CallEngineOptions } from "./call_engine.ts";
 import { CallReply } from "./call_reply.ts";
 import type { Classified } from "./incoming_call.ts";
 import type { ClaimDecision } from "./key_claims.ts";
 import { endToEndHeaders, SERVER_ONLY } from "./reply.ts";
 import { type RequestBody, readBody } from "./request_body.ts";
+import type { StopReason } from "./server_attempt.ts";
 
 /** When a caller may come back to an entry that is not ready. */
 const NOT_READY_RETRY_MS = 1_000;
 
+interface Work {
+  readonly call: Call;
+  readonly chain: CallChain;
+  readonly body: RequestBody;
+}
+
 interface Exchange {
   readonly id: string;
   readonly request: IncomingMessage;
@@ -55,30 +60,29 @@
     });
   }
 
-  /** The server that runs the call now. */
-  get server(): BackendServer | undefined {
-    return this.#attempts?.server;
+  /** The servers that run the call now. */
+  get servers(): readonly BackendServer[] {
+    return this.#attempts?.servers ?? [];
   }
 
   async run(): Promise<void> {
-    const call = this.#admit();
-    if (call.isErr()) {
-      this.#reply.fail(call.error);
+    const admitted = this.#admit();
+    if (admitted.isErr()) {
+      this.#reply.fail(admitted.error);
       return;
     }
+    const { call, chain } = admitted.value;
     const { bodyLimits } = this.#options;
     const body = await readBody(this.#exchange.request, bodyLimits);
     if (body.isErr()) {
       this.#reply.fail(body.error);
       return;
     }
-    this.#startDeadline(call.value);
+    this.#startDeadline(call);
+    const work = { call, chain, body: body.value };
     try {
-      if (call.value.repeatable) {
-        this.#conclude(await this.#attempt(call.value, body.value));
-      } else {
-        await this.#runOnce(call.value, body.value);
-      }
+      if (call.repeatable) this.#conclude(await this.#attempt(work));
+      else await this.#runOnce(work);
     } finally {
       clearTimeout(this.#deadlineTimer);
     }
@@ -96,7 +100,7 @@
     this.#exchange.response.destroy();
   }
 
-  #admit(): Result<Call, CallFault> {
+  #admit(): Result<{ call: Call; chain: CallChain }, CallFault> {
     const { ready, classifier } = this.#options;
     if (!ready()) {
       const retryAfterMs = NOT_READY_RETRY_MS;
@@ -110,26 +114,27 @@
       });
   }
 
-  #describe({ service, class: kind }: Classified): Result<Call, CallFault> {
+  #describe({ service, class: kind }: Classified) {
     const { headers } = this.#exchange.request;
-    const asked = headers[HEADERS.deadline];
-    const deadlineMs = asked === undefined ? kind.deadlineMs : Number(asked);
-    if (!Number.isFinite(deadlineMs)) {
-      const detail = `${HEADERS.deadline} is not a number of milliseconds`;
-      return err(callFault("invalid_request", { detail }));
-    }
-    if (deadlineMs <= 0) return err(callFault("deadline_expired"));
-    return ok({
-      id: this.#exchange.id,
-      service: service.name,
-      class: kind.name,
-      priority: kind.priority,
-      repeatable: kind.repeatable,
-      arrival: this.#arrival,
-      deadline: this.#arrival + Math.min(deadlineMs, kind.deadlineMs),
-      depth: 0,
-      retries: 0,
-    });
+    const classDeadlineMs = kind.deadlineMs;
+    const now = this.#arrival;
+    return CallChain.parse(headers, { now, classDeadlineMs })
+      .mapErr(chainCallFault)
+      .map((chain) => {
+        const { deadline, depth, retries } = chain;
+        const call: Call = {
+          id: this.#exchange.id,
+          service: service.name,
+          class: kind.name,
+          priority: kind.priority,
+          repeatable: kind.repeatable,
+          arrival: now,
+          deadline,
+          depth,
+          retries,
+        };
+        return { call, chain };
+      });
   }
 
   #startDeadline(call: Call): void {
@@ -137,9 +142,14 @@
     this.#deadlineTimer = setTimeout(() => this.#stop("expired"), ms);
   }
 
-  async #attempt(call: Call, body: RequestBody): Promise<CallEnd> {
+  async #attempt(work: Work): Promise<CallEnd> {
     const { request } = this.#exchange;
-    const attempts = new CallAttempts(this.#options, { call, request, body });
+    const fingerprint = this.#fingerprint(work);
+    const attempts = new CallAttempts(this.#options, {
+      ...work,
+      request,
+      fingerprint,
+    });
     this.#attempts = attempts;
     if (this.#stopped) {
       return { type: "fault", fault: callFault("deadline_expired") };
@@ -148,7 +158,8 @@
   }
 
   /** Runs a request that must not be repeated, if its key is granted. */
-  async #runOnce(call: Call, body: RequestBody): Promise<void> {
+  async #runOnce(work: Work): Promise<void> {
+    const { call, body } = work;
     const key = this.#exchange.request.headers[HEADERS.key];
     if (typeof key !== "string") {
       const detail = `class ${call.class} needs the header ${HEADERS.key}`;
@@ -167,7 +178,7 @@
     // After an error of the entry itself, the request may have run.
     let settlement: Settlement = { type: "ran" };
     try {
-      const end = await this.#attempt(call, body);
+      const end = await this.#attempt(work);
       settlement = settlementOf(end);
       this.#conclude(end);
     } finally {
@@ -175,6 +186,19 @@
     }
   }
 
+  /** Identifies the request over resends, to find those that crash servers. */
+  #fingerprint({ call, body }: Work): string | undefined {
+    const { method = "GET", url = "/", headers } = this.#exchange.request;
+    const key = headers[HEADERS.key];
+    return fingerprintOf({
+      service: call.service,
+      method,
+      path: url,
+      key: typeof key === "string" ? key : undefined,
+      body: body.rest ? undefined : body.head,
+    });
+  }
+
   #claim(
     call: Call,
     options: { key: string; body: RequestBody },
@@ -204,7 +228,8 @@
     // A request that must not be repeated runs on when its caller is gone, so
     // that a resend gets the stored answer and not an unknown outcome.
     const runsOnce = this.#classified?.class.repeatable === false;
-    if (reason === "caller_closed" && runsOnce && this.server) return;
+    const runs = this.servers.length > 0;
+    if (reason === "caller_closed" && runsOnce && runs) return;
     this.#stopped ??= reason;
     // At the deadline the claim is decided anyway, with what is known of it.
     if (reason === "caller_closed") this.#cancelClaim?.();
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -18,6 +18,7 @@
   SERVE_AFTER_STOPPING_MS,
   TICK_MS,
 } from "#presence";
+import type { QuarantineMessages } from "#quarantine";
 import { type DispatchMessages, Router } from "#routing";
 import type { EntrySettings } from "#settings";
 import { type Logger, Metrics } from "#telemetry";
@@ -43,8 +44,11 @@
 import { PlannedStops } from "./planned_stops.ts";
 import { Prober } from "./prober.ts";
 import { Registrations } from "./registrations.ts";
+import { ServicePolicies } from "./service_policies.ts";
+import { QUARANTINE_TICK_MS, Suspects } from "./suspects.ts";
 
 type EntryMessages = ConfigurationMessages &
+  QuarantineMessages &
   InventoryMessages &
   PresenceMessages &
   ClaimMessages &
@@ -74,6 +78,8 @@
   readonly #assignments: Assignments;
   readonly #claims: KeyClaims;
   readonly #client: BackendClient;
+  readonly #suspects: Suspects;
+  readonly #policies: ServicePolicies;
   readonly #engine: CallEngine;
   readonly #follower: ConfigurationFollower;
   readonly #stops = new PlannedStops();
@@ -128,9 +134,12 @@
           incarnation: server.incarnation,
           reason,
         });
+        if (reason === "restarted") this.#suspects.serverLost(server);
       },
     });
     this.#lookup = new AddressLookup(randomness);
+    this.#suspects = new Suspects({ clock, logger, network });
+    this.#policies = new ServicePolicies(clock);
     this.#claims = new KeyClaims({
       self: settings.id,
       incarnation: this.#incarnation,
@@ -156,6 +165,9 @@
       assignments: this.#assignments,
       client: this.#client,
       claims: this.#claims,
+      suspects: this.#suspects,
+      policies: this.#policies,
+      serversToAvoid: (service, centres) => this.#busyServers(service, centres),
       classifier: () => this.#classifier,
       ready: () => this.#follower.fresh(),
       bodyLimits: {
@@ -201,6 +213,7 @@
     this.#every(ROUTER_TICK_MS, () => this.#assignments.tick());
     this.#every(CLAIM_TICK_MS, () => this.#claims.tick());
     this.#every(TICK_MS, () => this.#registrations.tick());
+    this.#every(QUARANTINE_TICK_MS, () => this.#suspects.tick());
     this.#every(LOAD_EVERY_MS, () => this.#report());
     logger.info("entry started", {
       id: settings.id,
@@ -299,13 +312,18 @@
   }
 
   #peerUp(peer: Hello): void {
-    if (peer.role === "control") this.#follower.confirm();
-    else this.#registrations.peerUp(peer.id);
+    if (peer.role === "control") {
+      this.#follower.confirm();
+      return;
+    }
+    this.#registrations.peerUp(peer.id);
+    this.#suspects.peerUp(peer.id);
   }
 
   #peerDown(peer: Hello): void {
     if (peer.role !== "entry") return;
     this.#registrations.peerDown(peer.id);
+    this.#suspects.peerDown(peer.id);
     const now = this.#options.clock.now();
     this.#assignments.carryOut(this.#router.peerDown(peer.id, now));
   }
@@ -346,6 +364,7 @@
     const { services } = document;
     this.#classifier = new Classifier(services);
     this.#metrics.configure(services);
+    this.#policies.configure(services);
     this.#stops.configure(configuration);
     this.#claims.configure(configuration);
     this.#assignments.carryOut(this.#router.configure(services, view, now));
@@ -369,6 +388,21 @@
     this.#assignments.carryOut(this.#router.setServers(service, usable, now));
   }
 
+  /** Servers with work, or in data centres where others were lost. */
+  #busyServers(service: string, centres: readonly string[]): string[] {
+    const now = this.#options.clock.now();
+    const servers = this.#registrations.presence.servers(service, now);
+    const usable = servers.filter((s) => !centres.includes(s.dataCentre));
+    const allowed = usable.length > 0 ? usable : servers;
+    const idle = allowed.filter(
+      ({ id }) =>
+        this.#engine.inFlightAt((s) => s.service === service && s.id === id) ===
+        0,
+    );
+    const kept = new Set((idle.length > 0 ? idle : allowed).map((s) => s.id));
+    return servers.flatMap(({ id }) => (kept.has(id) ? [] : [id]));
+  }
+
   #addresses(dataCentre: string | undefined) {
     const { presence } = this.#registrations;
     const { view, document } = this.#follower.configuration;
--- /dev/null
+++ b/packages/entry/suspects.ts
@@ -0,0 +1,147 @@
+import { connect } from "node:net";
+import {
+  type BackendServer,
+  backendServerKey,
+  type Clock,
+  type HostId,
+} from "#model";
+import {
+  type Admission,
+  type Fingerprint,
+  Quarantine,
+  type QuarantineEffect,
+  type QuarantineMessages,
+  type RunEnd,
+  type ServerRun,
+} from "#quarantine";
+import type { Logger } from "#telemetry";
+import type { Network } from "#wire";
+
+/** How often old evidence is dropped. */
+export const QUARANTINE_TICK_MS = 5_000;
+/** A host that does not even refuse a connection by then counts as lost. */
+const LOSS_CHECK_MS = 100;
+
+/** How a call may run, once nothing has to be waited for. */
+export type RunAdmission = Exclude<Admission, { type: "wait" }>;
+
+/** Keeps requests that crash servers apart; carries out their quarantine. */
+export class Suspects {
+  readonly #clock: Clock;
+  readonly #logger: Logger;
+  readonly #network: Network<QuarantineMessages>;
+  readonly #quarantine = new Quarantine();
+  readonly #waiting = new Map<string, (admission: RunAdmission) => void>();
+
+  constructor(options: {
+    clock: Clock;
+    logger: Logger;
+    network: Network<QuarantineMessages>;
+  }) {
+    const { clock, logger, network } = options;
+    this.#clock = clock;
+    this.#logger = logger;
+    this.#network = network;
+    network.handle("quarantine.evidence", (evidence, from) => {
+      const now = clock.now();
+      this.#carryOut(this.#quarantine.receive(from.id, evidence, now));
+    });
+  }
+
+  /** Decides how an attempt may run; waits behind a suspected request. */
+  admit(
+    fingerprint: Fingerprint,
+    attemptId: string,
+  ): RunAdmission | Promise<RunAdmission> {
+    const now = this.#clock.now();
+    const admission = this.#quarantine.admit(fingerprint, attemptId, now);
+    if (admission.type !== "wait") return admission;
+    return new Promise((resolve) => this.#waiting.set(attemptId, resolve));
+  }
+
+  started(attemptId: string, server: BackendServer): void {
+    const now = this.#clock.now();
+    this.#quarantine.started(attemptId, serverRun(server), now);
+  }
+
+  finished(attemptId: string, end: RunEnd): void {
+    this.#waiting.delete(attemptId);
+    const now = this.#clock.now();
+    this.#carryOut(this.#quarantine.finished(attemptId, end, now));
+  }
+
+  /**
+   * Takes a broken connection as the loss of its server, if the server does not
+   * accept another one: servers also close connections that were idle.
+   */
+  async connectionLost(server: BackendServer): Promise<void> {
+    if (server.state === "leaving") return;
+    if (await acceptsConnections(server)) return;
+    this.serverLost(server);
+  }
+
+  serverLost(server: BackendServer): void {
+    const now = this.#clock.now();
+    this.#carryOut(this.#quarantine.serverLost(serverRun(server), now));
+  }
+
+  peerUp(id: HostId): void {
+    this.#carryOut(this.#quarantine.peerUp(id, this.#clock.now()));
+  }
+
+  peerDown(id: HostId): void {
+    this.#quarantine.peerDown(id);
+  }
+
+  tick(): void {
+    this.#quarantine.tick(this.#clock.now());
+  }
+
+  #carryOut(effects: readonly QuarantineEffect[]): void {
+    for (const effect of effects) {
+      switch (effect.type) {
+        case "send":
+          this.#network.send(effect.to, effect.kind, effect.payload);
+          break;
+        case "resume":
+          this.#resume(effect.callId, effect.admission);
+          break;
+        case "loss_explained":
+          // The server's next incarnation starts with a clean record anyway.
+          this.#logger.warn("server lost to a request in quarantine", {
+            server: effect.loss.server,
+            incarnation: effect.loss.incarnation,
+            fingerprint: effect.fingerprint,
+          });
+      }
+    }
+  }
+
+  #resume(attemptId: string, admission: Admission): void {
+    const resume = this.#waiting.get(attemptId);
+    this.#waiting.delete(attemptId);
+    if (admission.type !== "wait") resume?.(admission);
+  }
+}
+
+function serverRun(server: BackendServer): ServerRun {
+  return {
+    server: backendServerKey(server),
+    incarnation: server.incarnation,
+    dataCentre: server.dataCentre,
+  };
+}
+
+function acceptsConnections({ address }: BackendServer): Promise<boolean> {
+  return new Promise((resolve) => {
+    const socket = connect({ host: address.host, port: address.port });
+    const end = (accepted: boolean) => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(accepted);
+    };
+    const timer = setTimeout(() => end(false), LOSS_CHECK_MS);
+    socket.once("connect", () => end(true));
+    socket.once("error", () => end(false));
+  });
+}
