--- a/packages/presence/messages.ts
+++ b/packages/presence/messages.ts
@@ -42,6 +42,8 @@
   stopping: boolean,
   /** One byte for each record in the order of the list, see `packRecord`. */
   records: Uint8Array,
+  /** Time for which a relay has kept it, in milliseconds. */
+  heldMs: number,
 ];
 
 export type StateMessage = readonly [
--- a/packages/presence/owner_list.ts
+++ b/packages/presence/owner_list.ts
@@ -78,7 +78,7 @@
       records[index] = packRecord(server, expires - now);
       index++;
     }
-    return [...this.position, this.load, this.stopping, records];
+    return [...this.position, this.load, this.stopping, records, 0];
   }
 
   /** The whole list in parts of at most `size` records. */
--- a/packages/presence/presence.ts
+++ b/packages/presence/presence.ts
@@ -26,6 +26,7 @@
   LOST_MS,
   type PresenceLimits,
   RENEW_MS,
+  SILENCE_MARGIN_MS,
   summaryMs,
   TOMBSTONE_MS,
 } from "./timings.ts";
@@ -181,7 +182,7 @@
         for (const summary of message.payload) {
           if (!this.#others.summary(summary, receipt)) continue;
           const to = this.#forward(summary[0], from);
-          if (to.length > 0) this.#own.publisher.forward(summary, to);
+          if (to.length > 0) this.#own.publisher.forward(summary, { to, now });
         }
         break;
       case "presence_ask":
@@ -257,6 +258,7 @@
     this.#others.ask({
       expected: this.#view.entries.map(({ id }) => id),
       peers: [...this.#connected],
+      silentMs: this.#silentMs(),
       now,
       effects,
     });
@@ -321,9 +323,15 @@
       changes: this.#spread.changes(this.#topology),
       summary: (round: number) => this.#spread.summary(this.#topology, round),
       everyMs: summaryMs(this.#table.size),
+      holdMs: this.#spread.holdMs,
     };
   }
 
+  #silentMs(): number {
+    const expected = summaryMs(this.#table.size) + this.#spread.holdMs;
+    return expected + SILENCE_MARGIN_MS;
+  }
+
   #forward(owner: HostId, from: HostId): readonly HostId[] {
     return this.#spread.forward(this.#topology, { owner, from });
   }
--- a/packages/presence/publisher.ts
+++ b/packages/presence/publisher.ts
@@ -28,7 +28,8 @@
   readonly #randomness: Randomness;
   #pending: { readonly operation: Operation; readonly at: number }[] = [];
   #nextSummary: number | undefined;
-  #forwards = new Map<HostId, SummaryMessage[]>();
+  #held = new Map<HostId, { summary: SummaryMessage; at: number }[]>();
+  #heldSince: number | undefined;
 
   constructor(options: {
     id: HostId;
@@ -108,12 +109,16 @@
     effects.send([to], { kind: "presence_summaries", payload });
   }
 
-  /** Keeps a summary to be forwarded with others at the next tick. */
-  forward(summary: SummaryMessage, to: readonly HostId[]): void {
+  /** Keeps a summary to be forwarded together with others. */
+  forward(
+    summary: SummaryMessage,
+    { to, now }: { to: readonly HostId[]; now: number },
+  ): void {
+    this.#heldSince ??= now;
     for (const id of to) {
-      const held = this.#forwards.get(id);
-      if (held) held.push(summary);
-      else this.#forwards.set(id, [summary]);
+      const held = this.#held.get(id);
+      if (held) held.push({ summary, at: now });
+      else this.#held.set(id, [{ summary, at: now }]);
     }
   }
 
@@ -122,10 +127,11 @@
       changes: readonly HostId[];
       summary: (round: number) => readonly HostId[];
       everyMs: number;
+      holdMs: number;
     },
     context: Context,
   ): void {
-    const { now, effects } = context;
+    const { now } = context;
     // Entries that start together must not send in step.
     this.#nextSummary ??= now + this.#randomness.next() * targets.everyMs;
     const due = now >= this.#nextSummary;
@@ -136,13 +142,22 @@
     if (due) {
       this.#nextSummary = Math.max(this.#nextSummary + targets.everyMs, now);
       this.list.round++;
-      const summary = this.list.summary(now);
-      this.forward(summary, targets.summary(this.list.round));
+      const to = targets.summary(this.list.round);
+      this.forward(this.list.summary(now), { to, now });
     }
-    for (const [id, payload] of this.#forwards) {
+    const held = now - (this.#heldSince ?? now);
+    if (due || held >= targets.holdMs) this.#release(context);
+  }
+
+  #release({ now, effects }: Context): void {
+    for (const [id, held] of this.#held) {
+      const payload = held.map(({ summary, at }) =>
+        heldFor(summary, Math.ceil(now - at)),
+      );
       effects.send([id], { kind: "presence_summaries", payload });
     }
-    this.#forwards.clear();
+    this.#held.clear();
+    this.#heldSince = undefined;
   }
 
   #change(operation: Operation, now: number): string {
@@ -160,3 +175,10 @@
     .with(12, Math.round(started + ms))
     .with(13, Math.ceil(age + ms)) as unknown as Operation;
 }
+
+function heldFor(summary: SummaryMessage, ms: number): SummaryMessage {
+  const [owner, incarnation, version, round, load, stopping, records, held] =
+    summary;
+  const position = [owner, incarnation, version, round] as const;
+  return [...position, load, stopping, records, held + ms];
+}
--- a/packages/presence/replication.ts
+++ b/packages/presence/replication.ts
@@ -11,7 +11,7 @@
 import { OwnerList } from "./owner_list.ts";
 import { remainingLease, unpackLoad } from "./packed_records.ts";
 import { listName, type ServerTable } from "./server_table.ts";
-import { ASK_EVERY_MS, silentMs } from "./timings.ts";
+import { ASK_EVERY_MS } from "./timings.ts";
 
 /** Silence after which a list is forgotten: all its leases have long ended. */
 const FORGET_MS = 60_000;
@@ -75,8 +75,8 @@
 
   /** Renews the records of a list; false if it brings nothing new. */
   summary(message: SummaryMessage, receipt: Receipt): boolean {
-    const [owner, incarnation, version, round, load, stopping, records] =
-      message;
+    const [owner, incarnation, version, round, ...rest] = message;
+    const [load, stopping, records, heldMs] = rest;
     const list = this.#list(owner, incarnation);
     if (!list || version < list.version) return false;
     if (version > list.version || records.length !== list.copies.size) {
@@ -84,7 +84,8 @@
       return false;
     }
     if (round <= list.round) return false;
-    this.#renew(list, { records, ...receipt });
+    const receivedAt = receipt.receivedAt - heldMs;
+    this.#renew(list, { ...receipt, records, receivedAt });
     Object.assign(list, { round, load, stopping, heardAt: receipt.now });
     list.behind = false;
     return true;
@@ -131,12 +132,13 @@
   ask(options: {
     expected: Iterable<HostId>;
     peers: readonly HostId[];
+    silentMs: number;
     now: number;
     effects: Effects;
   }): void {
     const { peers, now, effects } = options;
     if (now - this.#askedAt < ASK_EVERY_MS || peers.length === 0) return;
-    const wanted = this.#incomplete(options.expected, now);
+    const wanted = this.#incomplete(options);
     if (wanted.length === 0) return;
     this.#askedAt = now;
     // The owner itself may be reachable even if its relays are not.
@@ -171,17 +173,21 @@
     }
   }
 
-  #incomplete(expected: Iterable<HostId>, now: number): Position[] {
-    const owners = new Set(expected);
+  #incomplete(options: {
+    expected: Iterable<HostId>;
+    silentMs: number;
+    now: number;
+  }): Position[] {
+    const { now, silentMs } = options;
+    const owners = new Set(options.expected);
     for (const { owner, behind } of this.#newest.values()) {
       if (behind) owners.add(owner);
     }
     owners.delete(this.#self);
     const wanted: Position[] = [];
-    const silent = silentMs(this.#table.size);
     for (const owner of owners) {
       const list = this.#newest.get(owner);
-      if (list && !list.behind && now - list.heardAt < silent) continue;
+      if (list && !list.behind && now - list.heardAt < silentMs) continue;
       wanted.push(list?.position ?? [owner, 0, 0, -1]);
     }
     return wanted;
@@ -257,6 +263,7 @@
       index++;
       const ended = copy.expires <= now;
       copy.expires = receivedAt + remainingLease(packed);
+      this.#table.noteEnd(copy.expires);
       const inFlight = unpackLoad(packed, copy.server.slots);
       const changed = inFlight !== copy.server.inFlight;
       if (changed) copy.server = { ...copy.server, inFlight };
--- a/packages/presence/server_table.ts
+++ b/packages/presence/server_table.ts
@@ -12,6 +12,8 @@
   readonly #best = new Map<string, { copy: Copy; server: BackendServer }>();
   readonly #services = new Map<string, Set<string>>();
   readonly #ids = new Map<string, Set<string>>();
+  /** No lease in the view ends before. Saves most searches for ended ones. */
+  #earliest = Number.POSITIVE_INFINITY;
 
   /** Servers in the view. */
   get size(): number {
@@ -82,21 +84,35 @@
     const before = this.#best.get(key);
     const copy = this.#choose(key, now);
     if (before && copy === before.copy && copy.server === before.server) return;
-    if (copy) this.#set(key, copy);
+    const former = before?.server;
+    if (copy) this.noteEnd(copy.expires);
+    if (before && copy) Object.assign(before, { copy, server: copy.server });
+    else if (copy) this.#set(key, copy);
     else if (before) this.#delete(key, before.server);
-    this.#report(key, { before: before?.server, effects });
+    this.#report(key, { before: former, effects });
+  }
+
+  /** Called for each end of a lease in the view. */
+  noteEnd(expires: number): void {
+    if (expires < this.#earliest) this.#earliest = expires;
   }
 
   /** Ends the leases and forgets the leaves that are due. */
   expire(now: number, effects: Effects): void {
-    for (const [key, { copy }] of this.#best) {
-      if (copy.expires <= now) this.refresh(key, { now, effects });
-    }
+    if (now >= this.#earliest) this.#endLeases(now, effects);
     for (const [key, { until }] of this.#tombstones) {
       if (until <= now) this.#tombstones.delete(key);
     }
   }
 
+  #endLeases(now: number, effects: Effects): void {
+    this.#earliest = Number.POSITIVE_INFINITY;
+    for (const [key, { copy }] of this.#best) {
+      if (copy.expires <= now) this.refresh(key, { now, effects });
+      else this.noteEnd(copy.expires);
+    }
+  }
+
   #choose(key: string, now: number): Copy | undefined {
     const left = this.#tombstones.get(key)?.incarnation ?? -1;
     let best: Copy | undefined;
--- a/packages/presence/spread.ts
+++ b/packages/presence/spread.ts
@@ -1,4 +1,4 @@
-import { type DataCentre, type HostId, rendezvousOrder } from "#model";
+import { type DataCentre, type HostId, hash32 } from "#model";
 
 /** An entry as the spread sees it. */
 export interface SpreadEntry {
@@ -14,6 +14,8 @@
 
 /** The port that decides which entries hear of a list from whom. */
 export interface Spread {
+  /** Time for which relays keep summaries to send them together. */
+  readonly holdMs: number;
   /** Where an entry sends the changes of its own list. */
   changes(topology: Topology): readonly HostId[];
   /** Where it sends the summary of this round. */
@@ -27,6 +29,8 @@
 
 /** Every entry sends to every other; suits some tens of entries. */
 export class MeshSpread implements Spread {
+  readonly holdMs = 0;
+
   changes({ peers }: Topology): readonly HostId[] {
     return peers.map(({ id }) => id);
   }
@@ -50,6 +54,8 @@
  * summaries take turns, so that a frozen relay costs every second one.
  */
 export class RelaySpread implements Spread {
+  // At the target size this halves the packets between relays and the rest.
+  readonly holdMs = 500;
   /** A topology is replaced when it changes, so that its relays are kept. */
   readonly #relays = new WeakMap<Topology, HostId[][]>();
 
@@ -90,17 +96,26 @@
     .map(({ id }) => id);
 }
 
+/** Two relays in each other data centre, taken in turn by the owners. */
 function relays({ self, peers }: Topology): HostId[][] {
-  const byDataCentre = new Map<DataCentre, SpreadEntry[]>();
-  for (const peer of peers) {
-    if (peer.dataCentre === self.dataCentre) continue;
-    const list = byDataCentre.get(peer.dataCentre) ?? [];
-    list.push(peer);
-    byDataCentre.set(peer.dataCentre, list);
+  const byDataCentre = new Map<DataCentre, HostId[]>();
+  for (const { id, dataCentre } of peers) {
+    if (dataCentre === self.dataCentre) continue;
+    const list = byDataCentre.get(dataCentre) ?? [];
+    list.push(id);
+    byDataCentre.set(dataCentre, list);
   }
-  return [...byDataCentre.values()].map((list) =>
-    rendezvousOrder(self.id, list)
-      .slice(0, RELAYS)
-      .map(({ id }) => id),
-  );
+  const own = peers.filter((p) => p.dataCentre === self.dataCentre);
+  const rank = own.filter(({ id }) => id < self.id).length;
+  // Without the offset, the first entries of all data centres would share the
+  // same relays.
+  const first = rank + hash32(self.dataCentre);
+  return [...byDataCentre.values()].map((ids) => {
+    const sorted = ids.sort();
+    const chosen = Array.from(
+      { length: Math.min(RELAYS, sorted.length) },
+      (_, i) => sorted[(first + i) % sorted.length] ?? "",
+    );
+    return chosen;
+  });
 }
--- a/packages/presence/timings.ts
+++ b/packages/presence/timings.ts
@@ -25,10 +25,8 @@
   return servers < MANY_SERVERS ? 2_000 : 3_000;
 }
 
-/** Silence of an entry after which its records are asked of others. */
-export function silentMs(servers: number): number {
-  return summaryMs(servers) + 500;
-}
+/** Silence beyond the expected after which an entry's records are asked for. */
+export const SILENCE_MARGIN_MS = 500;
 
 /** An entry that nobody has heard of for this long counts as lost. */
 export const LOST_MS = 7_000;
