Bound the size of presence messages

Cause: a frame above 1 MiB closes the connection. With the longest names, 2,000 records of a state or the registrations of one batch exceed it, and the peers would reconnect and fail again. Change: at most 1,000 records a message; batches are divided. A test registers 1,990 servers with the longest names at once and restarts an entry. Ruled out: shorter bounds on names, which services and data centres share with the document.

--- a/packages/presence/messages.ts
+++ b/packages/presence/messages.ts
@@ -87,8 +87,11 @@
   keepMs: number,
 ];
 
-/** Records in one message; about 100 bytes each against frames of 1 MiB. */
-export const RECORDS_PER_MESSAGE = 2_000;
+/**
+ * Records in one message. With the longest names a record has some 700 bytes,
+ * and a frame of more than 1 MiB closes the connection.
+ */
+export const RECORDS_PER_MESSAGE = 1_000;
 
 /** A server's record at one entry, shared by the list and the view. */
 export interface Copy {
--- a/packages/presence/publisher.ts
+++ b/packages/presence/publisher.ts
@@ -10,6 +10,7 @@
   encodeLeave,
   encodePut,
   type Operation,
+  RECORDS_PER_MESSAGE,
   type SummaryMessage,
   type Tombstone,
 } from "./messages.ts";
@@ -90,8 +91,11 @@
     );
     const from = version - operations.length;
     this.#pending = [];
-    const payload = [owner, incarnation, from, operations] as const;
-    effects.send(to, { kind: "presence_changes", payload });
+    for (let sent = 0; sent < operations.length; sent += RECORDS_PER_MESSAGE) {
+      const some = operations.slice(sent, sent + RECORDS_PER_MESSAGE);
+      const payload = [owner, incarnation, from + sent, some] as const;
+      effects.send(to, { kind: "presence_changes", payload });
+    }
   }
 
   /** Sends a summary out of turn. */
--- a/packages/presence/state_bytes_test.ts
+++ b/packages/presence/state_bytes_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { encodeFrame } from "#wire";
+import { encodeFrame, MAX_FRAME_BYTES } from "#wire";
 import { MeshSpread, RelaySpread, type Spread } from "./spread.ts";
 import { entriesIn, Simulation, server } from "./testing/simulation.ts";
 import { RENEW_MS } from "./timings.ts";
@@ -131,6 +131,29 @@
   assert.ok(relays.most < 1.3 * relays.mean);
 });
 
+test("no message grows into a frame that closes the connection", () => {
+  const entries = entriesIn(2, ["riga-a"]);
+  const service = "s".repeat(128);
+  const sim = new Simulation({ seed: 1, entries, services: [service] });
+  const lengths: number[] = [];
+  sim.sent = (_from, { kind, payload }) => {
+    const frame = encodeFrame(kind, payload);
+    lengths.push(frame.isOk() ? frame.value.length : Number.POSITIVE_INFINITY);
+  };
+  const address = { host: "h".repeat(253), port: 9_000 };
+  for (let i = 0; i < 1_990; i++) {
+    const id = `${i}`.padStart(128, "w");
+    const dataCentre = "d".repeat(128);
+    sim.announce("e1", server(id, { service, address, dataCentre }));
+  }
+  sim.run(300);
+  assert.equal(sim.entry("e2").servers(service, sim.now).length, 1_990);
+  sim.start("e2");
+  sim.run(300);
+  assert.equal(sim.entry("e2").servers(service, sim.now).length, 1_990);
+  assert.ok(Math.max(...lengths) < MAX_FRAME_BYTES);
+});
+
 if (process.env.TARGET) {
   test("state bytes of the target size fit 15 KB/s an entry", (t) => {
     const relays = measure(TARGET, () => new RelaySpread());
