--- a/packages/presence/messages.ts
+++ b/packages/presence/messages.ts
@@ -42,6 +42,8 @@
   stopping: boolean,
   /** One byte for each record in the order of the list, see `packRecord`. */
   records: Uint8Array,
+  /** Time for which a relay has kept it, in milliseconds. */
+  heldMs: number,
 ];
 
 export type StateMessage = readonly [
@@ -85,8 +87,11 @@
   keepMs: number,
 ];
 
-/** Records in one message; about 100 bytes each against frames of 1 MiB. */
-export const RECORDS_PER_MESSAGE = 2_000;
+/**
+ * Records in one message. With the longest names a record has some 700 bytes,
+ * and a frame of more than 1 MiB closes the connection.
+ */
+export const RECORDS_PER_MESSAGE = 1_000;
 
 /** A server's record at one entry, shared by the list and the view. */
 export interface Copy {
