Copy stored answers out of the received chunk; note the change

Cause: a decoded body is a view of its network chunk, so that an answer of a few bytes kept up to 64 KiB and the limit on stored bytes did not hold. Ruled out: counting the chunk's size against the limit, because several answers share one chunk. Change: the holder copies the body; a test covers it, and one more covers latencies that became old without a call in between.

--- a/packages/admission/hedging_test.ts
+++ b/packages/admission/hedging_test.ts
@@ -49,6 +49,8 @@
   assert.ok(delay >= 90 && delay <= 105, `${delay}`);
   assert.ok(own.delayMs(15_001));
   assert.equal(own.delayMs(60_000), undefined);
+  // Without a call in between, too.
+  assert.equal(hedging(100).delayMs(60_000), undefined);
 });
 
 const CALL = { repeatable: true, deadline: 1_000 };
--- a/packages/claims/claim_holder.ts
+++ b/packages/claims/claim_holder.ts
@@ -17,7 +17,7 @@
 
 /** Limits of a holder's memory. */
 export interface HolderLimits {
-  /** Keys; about 0.4 KiB each without the answer. */
+  /** Keys; about 0.3 KiB each without the answer. */
   readonly claims: number;
   /** Bytes of stored answers, over all keys. */
   readonly answerBytes: number;
@@ -200,7 +200,8 @@
     }
     this.#answered.add(key);
     this.#answerBytes += bytes;
-    return answer;
+    // A decoded body is a view that would keep its whole network chunk alive.
+    return { ...answer, body: new Uint8Array(answer.body) };
   }
 
   #release(from: string, release: AttemptName): void {
--- a/packages/claims/claim_holder_test.ts
+++ b/packages/claims/claim_holder_test.ts
@@ -104,6 +104,16 @@
   assert.deepEqual([claims.size, claims.answerBytes], [0, 0]);
 });
 
+test("a stored answer does not keep the received chunk in memory", () => {
+  const { ask, settle } = holder();
+  ask("a", {});
+  const body = new Uint8Array(64 * 1024).subarray(0, 10);
+  settle("a", { answer: { status: 200, headers: [], body } });
+  const verdict = ask("b", {});
+  assert.ok(verdict?.type === "settled");
+  assert.equal(verdict.answer?.body.buffer.byteLength, 10);
+});
+
 test("an answer above 16 KiB is not kept", () => {
   const { ask, claims, settle } = holder();
   ask("a", {});
