Play quarantine tests as schedules and give assertions a message

Cause: a failing assert.ok without a message does not return under tsx (seen when the check "an answer, not any end, clears" was taken out), so that a fault would stop the test run instead of being told. Change: steps as text, in tables; the remaining assertions compare values or carry a message. One more case: the evidence is forgotten in time.

--- a/packages/admission/hedging_test.ts
+++ b/packages/admission/hedging_test.ts
@@ -47,7 +47,7 @@
   const own = hedging(100);
   const delay = own.delayMs(1) ?? 0;
   assert.ok(delay >= 90 && delay <= 105, `${delay}`);
-  assert.ok(own.delayMs(15_001));
+  assert.notEqual(own.delayMs(15_001), undefined);
   assert.equal(own.delayMs(60_000), undefined);
   // Without a call in between, too.
   assert.equal(hedging(100).delayMs(60_000), undefined);
@@ -56,7 +56,7 @@
 const CALL = { repeatable: true, deadline: 1_000 };
 test("no hedge for bookings, near the deadline or on few latencies", () => {
   const own = hedging(100);
-  assert.ok(own.plan(CALL, 1));
+  assert.notEqual(own.plan(CALL, 1), undefined);
   assert.equal(own.plan({ ...CALL, repeatable: false }, 1), undefined);
   assert.equal(own.plan({ ...CALL, deadline: 100 }, 1), undefined);
   assert.equal(hedging(39).plan(CALL, 1), undefined);
--- a/packages/claims/claim_holder_test.ts
+++ b/packages/claims/claim_holder_test.ts
@@ -110,7 +110,7 @@
   const body = new Uint8Array(64 * 1024).subarray(0, 10);
   settle("a", { answer: { status: 200, headers: [], body } });
   const verdict = ask("b", {});
-  assert.ok(verdict?.type === "settled");
+  assert.ok(verdict?.type === "settled", verdict?.type);
   assert.equal(verdict.answer?.body.buffer.byteLength, 10);
 });
 
--- a/packages/quarantine/quarantine_test.ts
+++ b/packages/quarantine/quarantine_test.ts
@@ -3,180 +3,195 @@
 import { SeededRandomness } from "#model";
 import { fingerprintOf } from "./fingerprint.ts";
 import { QUARANTINED_MS, SUSPECTED_MS } from "./losses.ts";
-import type { ServerRun } from "./messages.ts";
 import { Quarantine, type QuarantineEffect } from "./quarantine.ts";
 
-function server(name: string, incarnation = 1): ServerRun {
-  return { server: `alloc/${name}`, incarnation, dataCentre: name[0] ?? "" };
+function server(name: string) {
+  const incarnation = Number(name.split("#")[1] ?? 1);
+  const id = `alloc/${name.split("#")[0]}`;
+  return { server: id, incarnation, dataCentre: name[0] ?? "" };
 }
 
 /** Entries that exchange evidence at once, unless they are cut off. */
-function cluster(...ids: string[]) {
-  const all = new Map(ids.map((id) => [id, new Quarantine()]));
-  const cut = new Set<string>();
-  const log: string[] = [];
-  let calls = 0;
-  const of = (id: string) => all.get(id) as Quarantine;
-  const carryOut = (from: string, effects: QuarantineEffect[], now: number) => {
+class Site {
+  readonly cut = new Set<string>();
+  readonly log: string[] = [];
+  readonly #entries = new Map(
+    ["e", "f", "g"].map((id) => [id, new Quarantine()]),
+  );
+
+  constructor() {
+    this.connect(0);
+  }
+
+  of(id: string): Quarantine {
+    return this.#entries.get(id) as Quarantine;
+  }
+
+  connect(now: number): void {
+    this.cut.clear();
+    for (const [id, quarantine] of this.#entries) {
+      for (const peer of this.#entries.keys()) {
+        if (peer !== id) this.#carryOut(id, quarantine.peerUp(peer, now), now);
+      }
+    }
+  }
+
+  /**
+   * Plays steps of the form `entry verb fingerprint server now expected`. A
+   * call's id is its entry and fingerprint; `crash` starts it and loses its
+   * server 10 ms later.
+   */
+  play(...steps: string[]): void {
+    for (const step of steps) {
+      const [id = "", verb, f = "", on = "", at, expected] = step.split(" ");
+      const now = Number(at);
+      const entry = this.of(id);
+      const callId = `${id}-${f}`;
+      const lose = (then: number) =>
+        this.#carryOut(id, entry.serverLost(server(on), then), then);
+      const finish = (end: "answered" | "ended", then: number) =>
+        this.#carryOut(id, entry.finished(callId, end, then), then);
+      if (verb === "lose") lose(now);
+      else if (verb === "answer") finish("answered", now);
+      else {
+        const { type } = entry.admit(f, callId, now);
+        if (expected) assert.equal(type, expected, step);
+        if (type === "run" || type === "isolate") {
+          entry.started(callId, server(on), now);
+        }
+        if (verb === "crash") lose(now + 10);
+        if (verb !== "start") finish("ended", now + 10);
+      }
+    }
+  }
+
+  #carryOut(from: string, effects: QuarantineEffect[], now: number): void {
     for (const effect of effects) {
       if (effect.type === "loss_explained") {
-        log.push(`${effect.loss.server} explained by ${effect.fingerprint}`);
+        this.log.push(`${effect.loss.server} by ${effect.fingerprint}`);
       } else if (effect.type === "resume") {
-        log.push(`${effect.callId} ${effect.admission.type}`);
-      } else if (!cut.has(from) && !cut.has(effect.to)) {
+        this.log.push(`${effect.callId} ${effect.admission.type}`);
+      } else if (!this.cut.has(from) && !this.cut.has(effect.to)) {
         const { to, payload } = effect;
-        carryOut(to, of(to).receive(from, payload, now), now);
+        this.#carryOut(to, this.of(to).receive(from, payload, now), now);
       }
     }
-  };
-  const start = (id: string, f: string, on: ServerRun, now: number) => {
-    const callId = `call-${++calls}`;
-    const { type } = of(id).admit(f, callId, now);
-    if (type === "run" || type === "isolate") of(id).started(callId, on, now);
-    return { callId, type };
-  };
-  const lose = (id: string, lost: ServerRun, now: number) =>
-    carryOut(id, of(id).serverLost(lost, now), now);
-  const finish = (id: string, callId: string, now: number) =>
-    carryOut(id, of(id).finished(callId, "answered", now), now);
-  /** Runs a request until its server is lost; gives how it was admitted. */
-  const crash = (id: string, f: string, on: ServerRun, now: number) => {
-    const { callId, type } = start(id, f, on, now);
-    if (type === "quarantined") return type;
-    lose(id, on, now + 10);
-    of(id).finished(callId, "ended", now + 10);
-    return type;
-  };
-  const connect = (now: number) => {
-    cut.clear();
-    for (const a of ids) {
-      for (const b of ids) if (a !== b) carryOut(a, of(a).peerUp(b, now), now);
-    }
-  };
-  connect(0);
-  return { connect, crash, cut, finish, lose, log, of, start };
+  }
 }
 
-test("a second loss over entries and resends quarantines a request", () => {
-  const { crash, log, of } = cluster("e", "f", "g");
-  assert.equal(crash("e", "poison", server("a1"), 0), "run");
-  assert.equal(crash("f", "poison", server("b1"), 20), "isolate");
-  assert.equal(crash("g", "poison", server("c1"), 40), "quarantined");
-  assert.equal(of("g").admit("other", "x", 40).type, "run");
-  assert.ok(log.includes("alloc/a1 explained by poison"));
-  assert.ok(log.includes("alloc/b1 explained by poison"));
+const SCHEDULES: [name: string, ...steps: string[]][] = [
+  [
+    "a second loss over entries and resends quarantines a request",
+    "e crash poison a1 0 run",
+    "f crash poison b1 20 isolate",
+    "g crash poison c1 40 quarantined",
+    "g admit other c1 40 run",
+  ],
+  [
+    "a retry in the moment of the loss counts as a second run",
+    "e crash poison a1 0 run",
+    "e crash poison b1 10 isolate",
+    "e admit poison c1 20 quarantined",
+  ],
+  [
+    "runs side by side that one outage ends count once",
+    "e start popular a1 0 run",
+    "f start popular a2 0 run",
+    "e lose - a1 10",
+    "f lose - a2 11",
+    "g admit popular b1 20 isolate",
+  ],
+  [
+    "the same loss seen by two entries counts once",
+    "e crash innocent a1 0 run",
+    "f crash innocent a1 20 isolate",
+    "g admit innocent b1 40 isolate",
+  ],
+  [
+    "a server lost again in a later incarnation counts again",
+    "e crash poison a1#1 0 run",
+    "f crash poison a1#2 20 isolate",
+    "g admit poison b1 40 quarantined",
+  ],
+  [
+    "a loss that an entry notices late keeps the run's own start",
+    "f start poison b1 20 run",
+    "e lose - b1 25",
+    "e crash poison a1 0 run",
+    "f lose - b1 60",
+    "e admit poison c1 70 quarantined",
+  ],
+  [
+    "an answer clears a request that ran on a lost server",
+    "e crash innocent a1 0 run",
+    "f start innocent b1 20 isolate",
+    "f answer innocent b1 30",
+    "e admit innocent a2 40 run",
+  ],
+  [
+    "quarantine ends, and the next loss brings it back at once",
+    "e crash poison a1 0 run",
+    "e crash poison b1 20 isolate",
+    `e admit poison c1 ${29 + QUARANTINED_MS} quarantined`,
+    `e crash poison c1 ${30 + QUARANTINED_MS} isolate`,
+    `e admit poison d1 ${50 + QUARANTINED_MS} quarantined`,
+  ],
+];
+
+for (const [name, ...steps] of SCHEDULES) {
+  test(name, () => new Site().play(...steps));
+}
+
+test("ejection is told of the losses that a request explains", () => {
+  const site = new Site();
+  site.play("e crash poison a1 0", "f crash poison b1 20");
+  const told = new Set(site.log);
+  assert.deepEqual([...told], ["alloc/a1 by poison", "alloc/b1 by poison"]);
 });
 
 test("an isolated run avoids the data centre of the loss", () => {
-  const { crash, of } = cluster("e");
-  crash("e", "poison", server("a1"), 0);
-  const admission = of("e").admit("poison", "again", 20);
+  const site = new Site();
+  site.play("e crash poison a1 0");
+  const admission = site.of("f").admit("poison", "again", 20);
   assert.deepEqual(admission, { type: "isolate", avoid: ["a"] });
 });
 
 test("a refusal in quarantine does not claim that the request never ran", () => {
-  const { crash, of } = cluster("e");
-  crash("e", "poison", server("a1"), 0);
-  crash("e", "poison", server("b1"), 20);
-  const admission = of("e").admit("poison", "again", 40);
-  assert.ok(admission.type === "quarantined");
+  const site = new Site();
+  site.play("e crash poison a1 0", "e crash poison b1 20");
+  const admission = site.of("e").admit("poison", "again", 40);
+  assert.ok(admission.type === "quarantined", admission.type);
   assert.equal(admission.fault.outcome, "unknown");
 });
 
-test("a retry in the moment of the loss counts as a second run", () => {
-  const { crash } = cluster("e");
-  crash("e", "poison", server("a1"), 0);
-  crash("e", "poison", server("b1"), 10);
-  assert.equal(crash("e", "poison", server("c1"), 20), "quarantined");
-});
-
-test("runs side by side that one outage ends count once", () => {
-  const { lose, start, of } = cluster("e", "f");
-  start("e", "popular", server("a1"), 0);
-  start("f", "popular", server("a2"), 0);
-  lose("e", server("a1"), 10);
-  lose("f", server("a2"), 11);
-  assert.equal(of("f").admit("popular", "x", 20).type, "isolate");
-});
-
-test("the same loss seen by two entries counts once", () => {
-  const { lose, start, of } = cluster("e", "f");
-  start("e", "innocent", server("a1"), 0);
-  lose("e", server("a1"), 10);
-  start("f", "innocent", server("a1"), 20);
-  lose("f", server("a1"), 30);
-  assert.equal(of("e").admit("innocent", "x", 40).type, "isolate");
-});
-
-test("a server lost again in a later incarnation counts again", () => {
-  const { crash } = cluster("e", "f");
-  crash("e", "poison", server("a1", 1), 0);
-  crash("f", "poison", server("a1", 2), 20);
-  assert.equal(crash("e", "poison", server("b1"), 40), "quarantined");
-});
-
-test("a loss that an entry notices late keeps the run's own start", () => {
-  const { crash, lose, of, start } = cluster("e", "f");
-  start("f", "poison", server("b1"), 20);
-  lose("e", server("b1"), 25);
-  crash("e", "poison", server("a1"), 0);
-  lose("f", server("b1"), 60);
-  assert.equal(of("e").admit("poison", "x", 70).type, "quarantined");
-});
-
-test("an answer clears a request that ran on a lost server", () => {
-  const { crash, finish, of, start } = cluster("e", "f");
-  crash("e", "innocent", server("a1"), 0);
-  const { callId } = start("f", "innocent", server("b1"), 20);
-  finish("f", callId, 30);
-  assert.equal(of("e").admit("innocent", "x", 40).type, "run");
-});
-
-test("calls behind an isolated run wait and go on when it is answered", () => {
-  const { crash, finish, log, start } = cluster("e");
-  crash("e", "innocent", server("a1"), 0);
-  const first = start("e", "innocent", server("b1"), 20);
-  const second = start("e", "innocent", server("b2"), 21);
-  assert.deepEqual([first.type, second.type], ["isolate", "wait"]);
-  finish("e", first.callId, 30);
-  assert.deepEqual(log, [`${second.callId} run`]);
-});
-
-test("calls behind an isolated run that crashes are refused", () => {
-  const { crash, lose, log, of, start } = cluster("e");
-  crash("e", "poison", server("a1"), 0);
-  const first = start("e", "poison", server("b1"), 20);
-  const second = start("e", "poison", server("c1"), 21);
-  lose("e", server("b1"), 30);
-  const effects = of("e").finished(first.callId, "ended", 30);
-  assert.equal(effects.length, 1);
-  assert.equal(log.length, 2);
-  assert.ok(effects[0]?.type === "resume");
-  assert.equal(effects[0].callId, second.callId);
-  assert.equal(effects[0].admission.type, "quarantined");
-});
+for (const [end, admission] of [
+  ["answer innocent b1 30", "run"],
+  ["crash innocent b1 30", "quarantined"],
+] as const) {
+  test(`calls behind an isolated run get ${admission} after it`, () => {
+    const site = new Site();
+    site.play("e crash innocent a1 0", "e start innocent b1 20 isolate");
+    assert.equal(site.of("e").admit("innocent", "second", 21).type, "wait");
+    site.play(`e ${end}`);
+    assert.deepEqual(site.log.at(-1), `second ${admission}`);
+  });
+}
 
 test("an entry that was cut off learns the evidence when it is back", () => {
-  const { connect, crash, cut, of } = cluster("e", "f", "g");
-  cut.add("g");
-  crash("e", "poison", server("a1"), 0);
-  crash("f", "poison", server("b1"), 20);
-  assert.equal(of("g").admit("poison", "x", 30).type, "run");
-  connect(40);
-  assert.equal(of("g").admit("poison", "y", 40).type, "quarantined");
+  const site = new Site();
+  site.cut.add("g");
+  site.play("e crash poison a1 0", "f crash poison b1 20");
+  site.play("g admit poison c1 30 run");
+  site.connect(40);
+  site.play("g admit poison c1 40 quarantined");
 });
 
-test("quarantine ends, and the next loss brings it back at once", () => {
-  const { crash, of } = cluster("e");
-  crash("e", "poison", server("a1"), 0);
-  crash("e", "poison", server("b1"), 20);
-  const end = 30 + QUARANTINED_MS;
-  assert.equal(of("e").admit("poison", "x", end - 1).type, "quarantined");
-  assert.equal(crash("e", "poison", server("c1"), end), "isolate");
-  assert.equal(of("e").admit("poison", "y", end + 20).type, "quarantined");
-  const forgotten = end + 10 + SUSPECTED_MS;
-  of("e").tick(forgotten);
-  assert.deepEqual(of("e").size, { losses: 0, runs: 0, suspects: 0 });
+test("evidence is forgotten in time", () => {
+  const site = new Site();
+  site.play("e crash poison a1 0");
+  site.of("e").tick(10 + SUSPECTED_MS);
+  const nothing = { losses: 0, runs: 0, suspects: 0 };
+  assert.deepEqual(site.of("e").size, nothing);
 });
 
 test("evidence stays within its limits", () => {
@@ -197,34 +212,28 @@
 test("a lost data centre quarantines no request, a crash request is found", () => {
   for (let seed = 0; seed < 200; seed++) {
     const random = new SeededRandomness(seed);
-    const { crash, lose, of, start } = cluster("e", "f", "g");
+    const site = new Site();
     const entry = () => "efg"[random.below(3)] ?? "e";
-    const fingerprints = Array.from({ length: 60 }, (_, n) => `call-${n}`);
-    let now = 0;
+    const calls = Array.from({ length: 60 }, (_, n) => `call-${n}`);
     // The data centre is lost server by server; calls are retried within it,
     // as if no other had servers.
     for (let n = 0; n < 8; n++) {
-      const lost = server(`a${n}`);
-      const at = entry();
-      for (const f of fingerprints) {
-        if (random.below(2) === 0) start(at, f, lost, now);
-      }
-      lose(at, lost, now + 1 + random.below(100));
-      now += 100;
-    }
-    now += 5_000;
-    for (const f of fingerprints) {
       const id = entry();
-      const { type } = of(id).admit(f, `${f}/x`, now);
-      assert.notEqual(type, "quarantined", `seed ${seed}`);
-      of(id).finished(`${f}/x`, "ended", now);
+      const lost = calls.filter(() => random.below(2) === 0);
+      site.play(...lost.map((f) => `${id} start ${f} a${n} ${n * 100}`));
+      site.play(`${id} lose - a${n} ${n * 100 + 1 + random.below(90)}`);
+      for (const f of lost)
+        site.of(id).finished(`${id}-${f}`, "ended", n * 100);
     }
-    const admitted: string[] = [];
-    for (let n = 0; n < 3; n++, now += 20) {
-      admitted.push(crash(entry(), "poison", server(`b${n}`), now));
+    for (const f of calls) {
+      const { type } = site.of(entry()).admit(f, `${f}/x`, 5_000);
+      assert.notEqual(type, "quarantined", `seed ${seed}`);
     }
-    const expected = ["run", "isolate", "quarantined"];
-    assert.deepEqual(admitted, expected, `seed ${seed}`);
+    site.play(
+      `${entry()} crash poison b1 6000 run`,
+      `${entry()} crash poison b2 6020 isolate`,
+      `${entry()} admit poison b3 6040 quarantined`,
+    );
   }
 });
 
