Choose among credits in one pass

Cause: taking a credit looked every held credit up twice and allocated four lists per message. Ruled out: keeping server objects in the link, which must survive reports. Change: one pass over the credits; empty lists are shared.

--- a/packages/routing/dispatch_link.ts
+++ b/packages/routing/dispatch_link.ts
@@ -168,12 +168,15 @@
     this.#cancelled.push(ticket);
   }
 
-  /** Takes a credit for a server that `usable` accepts. */
-  useCredit(
-    usable: (server: BackendServerId) => boolean,
-  ): BackendServerId | undefined {
-    const index = this.#credits.findIndex(usable);
-    return index < 0 ? undefined : this.#credits.splice(index, 1)[0];
+  /** Servers with a slot that may be taken without asking. */
+  get credits(): readonly BackendServerId[] {
+    return this.#credits;
+  }
+
+  /** Uses up a credit. */
+  useCredit(server: BackendServerId): void {
+    const index = this.#credits.indexOf(server);
+    if (index >= 0) this.#credits.splice(index, 1);
   }
 
   /** Sends what has changed; `ping` asks for an answer. */
@@ -196,10 +199,10 @@
       service: this.#service,
       epoch: this.#epoch,
       sequence,
-      wanted: this.#wanted,
-      taken: this.#taken,
-      released: this.#released,
-      cancelled: this.#cancelled,
+      wanted: orNone(this.#wanted),
+      taken: orNone(this.#taken),
+      released: orNone(this.#released),
+      cancelled: orNone(this.#cancelled),
       ping,
     };
     this.#dropBuffer();
@@ -225,7 +228,7 @@
     this.#lastReceived = now;
     const answered = grant.acknowledged >= this.#asked;
     this.#awaitingSince = answered ? undefined : now;
-    for (const server of grant.revoked) this.useCredit((id) => id === server);
+    for (const server of grant.revoked) this.useCredit(server);
     this.#credits.push(...grant.credits);
     this.#heads = grant.waitedMs;
     this.#patientDue = grant.patientDue;
@@ -261,10 +264,18 @@
     this.#dropBuffer();
   }
 
+  /** Keeps empty lists, which most messages have, instead of new ones. */
   #dropBuffer(): void {
-    this.#wanted = [];
-    this.#taken = [];
-    this.#released = [];
-    this.#cancelled = [];
+    if (this.#wanted.length > 0) this.#wanted = [];
+    if (this.#taken.length > 0) this.#taken = [];
+    if (this.#released.length > 0) this.#released = [];
+    if (this.#cancelled.length > 0) this.#cancelled = [];
   }
 }
+
+const NONE: readonly never[] = [];
+
+/** The list, unless it is empty and will be filled after it was sent. */
+function orNone<T>(list: readonly T[]): readonly T[] {
+  return list.length > 0 ? list : NONE;
+}
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -194,10 +194,7 @@
   /** Assigns a new call or lets it wait. */
   #place(open: OpenCall, now: number): RoutingEffect[] {
     if (this.link.state === "attached") {
-      const id =
-        this.link.useCredit((it) => this.#usable(open, it) && this.#near(it)) ??
-        this.link.useCredit((it) => this.#usable(open, it));
-      const server = id === undefined ? undefined : this.#servers.get(id);
+      const server = this.#useCredit(open);
       if (server) return this.#assign(open, server, now);
       const offered = this.#offer(open, now);
       return [...offered, ...this.link.flush(now)];
@@ -219,9 +216,19 @@
     return !open.exclude.has(id) && this.#servers.get(id)?.ready === true;
   }
 
-  #near(id: BackendServerId): boolean {
-    const { dataCentre } = this.#options;
-    return this.#servers.get(id)?.record.dataCentre === dataCentre;
+  /** Takes a slot that was granted ahead of need, a near one first. */
+  #useCredit(open: OpenCall): ServerState | undefined {
+    let chosen: ServerState | undefined;
+    for (const id of this.link.credits) {
+      const server = this.#servers.get(id);
+      if (!server?.ready || open.exclude.has(id)) continue;
+      chosen ??= server;
+      if (server.record.dataCentre !== this.#options.dataCentre) continue;
+      chosen = server;
+      break;
+    }
+    if (chosen) this.link.useCredit(chosen.record.id);
+    return chosen;
   }
 
   #offer(open: OpenCall, now: number): RoutingEffect[] {
