--- a/packages/bench/decisions.ts
+++ b/packages/bench/decisions.ts
@@ -25,6 +25,7 @@
   readonly seeds: readonly number[];
   readonly durationMs: number;
   readonly classes: RunOptions["classes"];
+  readonly loadOf: RunOptions["loadOf"];
 }
 
 const SHORT: Plan = {
@@ -35,6 +36,7 @@
   seeds: [1, 2],
   durationMs: 10_000,
   classes: "two",
+  loadOf: "all",
 };
 
 const FULL: Plan = {
@@ -56,8 +58,7 @@
         for (const policy of plan.policies) {
           const figures = new Figures();
           for (const seed of plan.seeds) {
-            const { durationMs, classes } = plan;
-            const options = { site, load, fault, seed, durationMs, classes };
+            const options = { ...plan, site, load, fault, seed };
             figures.add(runOnce(policy, options));
           }
           printRow(load, policy, figures);
@@ -67,7 +68,8 @@
   }
 }
 
-function runOnce(policy: string, options: RunOptions): Figures {
+/** Runs one policy once. */
+export function runOnce(policy: string, options: RunOptions): Figures {
   const make = POLICIES[policy];
   if (!make) throw new Error(`unknown policy ${policy}`);
   return new Simulation(options).run(make);
@@ -89,6 +91,7 @@
     policies: option("policies") ?? plan.policies,
     seeds: option("seeds")?.map(Number) ?? plan.seeds,
     classes: (option("classes")?.[0] as Plan["classes"]) ?? plan.classes,
+    loadOf: (option("load-of")?.[0] as Plan["loadOf"]) ?? plan.loadOf,
     durationMs: Number(option("ms")?.[0] ?? plan.durationMs),
   };
 }
--- a/packages/bench/main.ts
+++ b/packages/bench/main.ts
@@ -1,9 +1,11 @@
 import { decisionTime } from "./decision_time.ts";
 import { decisions } from "./decisions.ts";
+import { goals } from "./goals.ts";
 
 /** The parts of the bench by name. */
 const PARTS: Record<string, (args: readonly string[]) => void> = {
   decisions,
+  goals,
   "decision-time": decisionTime,
 };
 
--- a/packages/bench/simulation.ts
+++ b/packages/bench/simulation.ts
@@ -16,6 +16,8 @@
 const MAX_ATTEMPTS = 4;
 const WARM_UP_MS = 2_000;
 const URGENT_SHARE = 0.4;
+/** Slowdown of the straggler. */
+const SLOW_FACTOR = 5;
 
 export type FaultCase =
   | "none"
@@ -25,8 +27,12 @@
 
 export interface RunOptions {
   readonly site: Site;
-  /** Offered load as a share of all slots, faulty ones included. */
   readonly load: number;
+  /**
+   * What the load is a share of: all slots, or the capacity that the faults
+   * leave (a straggler counts a fifth, a fail-fast server nothing).
+   */
+  readonly loadOf: "all" | "working";
   readonly fault: FaultCase;
   readonly seed: number;
   /** Measured time after the warm-up, in milliseconds. */
@@ -172,8 +178,13 @@
   }
 
   #scheduleArrival(): void {
-    const { site, load } = this.options;
-    const slots = site.servers * site.service.slotsPerServer;
+    const { site, load, loadOf, fault } = this.options;
+    let { servers } = site;
+    if (loadOf === "working") {
+      if (fault.includes("straggler")) servers -= 1 - 1 / SLOW_FACTOR;
+      if (fault.includes("fail-fast")) servers -= 1;
+    }
+    const slots = servers * site.service.slotsPerServer;
     const meanMs = SERVICE_MS / (slots * load);
     this.events.after(this.#exponential(meanMs), () => {
       if (this.events.now() >= this.end) return;
@@ -228,7 +239,7 @@
     return {
       slots: site.service.slotsPerServer,
       queue: Math.ceil(site.service.queueLength / site.servers),
-      slow: slow ? [{ ...phase, factor: 5 }] : [],
+      slow: slow ? [{ ...phase, factor: SLOW_FACTOR }] : [],
       failFast: failing ? [phase] : [],
     };
   }
