--- a/packages/bench/main.ts
+++ b/packages/bench/main.ts
@@ -1,10 +1,17 @@
 import { decisionTime } from "./decision_time.ts";
 import { decisions } from "./decisions.ts";
+import { goals } from "./goals.ts";
 import { processBench } from "./process_bench.ts";
 
+type Part = (args: readonly string[]) => void | Promise<void>;
+
 /** The parts of the bench by name. */
-const PARTS: Record<string, (args: readonly string[]) => void | Promise<void>> =
-  { decisions, "decision-time": decisionTime, process: processBench };
+const PARTS: Readonly<Record<string, Part>> = {
+  decisions,
+  goals,
+  "decision-time": decisionTime,
+  process: processBench,
+};
 
 const [first, ...rest] = process.argv.slice(2);
 if (first === undefined || first.startsWith("--")) {
--- a/packages/entry/own_paths.ts
+++ b/packages/entry/own_paths.ts
@@ -2,17 +2,13 @@
 import { type CallFault, type Clock, OWN_PATH, type Service } from "#model";
 import {
   type AddressesAnswer,
-  ANNOUNCEMENT_STATUS,
   type AnnouncementFault,
   type Answer,
   parseAnnouncement,
   parseLeave,
+  refusalAnswer,
 } from "#presence";
-import {
-  announcementDefaults,
-  announcementFaultBody,
-  type Registrations,
-} from "./registrations.ts";
+import { announcementDefaults, type Registrations } from "./registrations.ts";
 import { replyFault, replyJson } from "./reply.ts";
 import { readBody } from "./request_body.ts";
 
@@ -168,8 +164,9 @@
   response: ServerResponse,
   fault: AnnouncementFault,
 ): void {
-  const status = ANNOUNCEMENT_STATUS[fault.type];
-  replyJson(response, { status, body: announcementFaultBody(fault) });
+  const answer = refusalAnswer(fault);
+  if (answer.status === 503) response.setHeader("retry-after", "1");
+  replyJson(response, answer);
 }
 
 function replyBodyFault(response: ServerResponse, fault: CallFault): void {
--- a/packages/entry/registrations.ts
+++ b/packages/entry/registrations.ts
@@ -101,9 +101,3 @@
     connections: service.connectionsPerServer,
   };
 }
-
-/** The JSON body of a refused announcement. */
-export function announcementFaultBody(fault: AnnouncementFault) {
-  const { type, ...details } = fault;
-  return { error: type, ...details };
-}
