Prove the quarantine of crash requests over real connections

Cause: the quarantine was tested alone, not through calls, resends and entries. Change: a test that sends a request which crashes its server again and again through three entries. Conclusion: the first request that crashes servers costs at most three.

--- /dev/null
+++ b/packages/entry/crash_requests_test.ts
@@ -0,0 +1,85 @@
+import assert from "node:assert/strict";
+import { Agent } from "node:http";
+import { after, before, test } from "node:test";
+import { HEADERS } from "#model";
+import { exchange } from "../demo/caller.ts";
+import { LocalSite, systemSection } from "../demo/local_site.ts";
+import { until } from "../demo/until.ts";
+
+const SERVERS = 5;
+let site: LocalSite;
+const agent = new Agent({ keepAlive: true });
+
+before(async () => {
+  site = await LocalSite.start({ entries: 3 });
+  await until(() => site.hasLeader(), { what: "control has a leader" });
+  await site.put("system", systemSection(["riga-a"], ["alloc"]));
+  const service = {
+    slots_per_server: 4,
+    connections_per_server: 300,
+    cold_start_ms: 0,
+    retry_budget_percent: 50,
+    measuring_budget_percent: 0,
+    classes: {
+      lookup: { priority: "patient", deadline_ms: 2_000, repeatable: true },
+    },
+    routes: [{ path: "/", class: "lookup" }],
+  };
+  await site.put("alloc", JSON.stringify({ services: { alloc: service } }));
+  await until(() => site.entries.every((e) => e.ready), { what: "ready" });
+  for (let i = 0; i < SERVERS; i++) {
+    await site.addServer({
+      id: `w${i}`,
+      service: "alloc",
+      dataCentre: "riga-a",
+    });
+  }
+  await until(
+    () => site.entries.every((e) => e.serverCount("alloc") === SERVERS),
+    { what: "servers are known" },
+  );
+});
+
+after(async () => {
+  agent.destroy();
+  await site.close();
+});
+
+async function call(path: string, entry: number) {
+  const address = site.addresses[entry % site.addresses.length];
+  assert.ok(address);
+  const { headers } = await exchange({
+    ...address,
+    agent,
+    method: "GET",
+    path,
+    headers: { [HEADERS.service]: "alloc" },
+  });
+  return {
+    outcome: headers[HEADERS.outcome],
+    code: headers[HEADERS.error],
+  };
+}
+
+function crashes(): number {
+  return site.servers.reduce((sum, { counts }) => sum + counts.crashes, 0);
+}
+
+test("a request that crashes servers is kept from the others", async () => {
+  const poison = "/timesheets/7?crash=1";
+  let seen = await call(poison, 0);
+  // The caller sends it again and again, through entry after entry.
+  for (let resend = 1; resend < 12 && seen.code !== "quarantined"; resend++) {
+    seen = await call(poison, resend);
+  }
+  assert.equal(seen.code, "quarantined");
+  const lost = crashes();
+  assert.ok(lost <= 3, `${lost} of ${SERVERS} servers crashed`);
+  for (let entry = 0; entry < 3; entry++) {
+    assert.equal((await call(poison, entry)).code, "quarantined");
+    // Requests that only look alike are served, by the servers that are left.
+    const alike = await call(`/timesheets/7?crash=0&n=${entry}`, entry);
+    assert.equal(alike.outcome, "answered");
+  }
+  assert.equal(crashes(), lost);
+});
--- a/packages/entry/registrations.ts
+++ b/packages/entry/registrations.ts
@@ -1,6 +1,5 @@
 import type { BackendServer, Clock, HostId, Service } from "#model";
 import type {
-  AnnouncementFault,
   Presence,
   PresenceEffect,
   PresenceMessage,
