Load less in each role, and give control metrics and health paths

Cause: an idle control host took 75 MiB against 64 MB, and had no /metrics. Control hosts serve /metrics, /healthz and /readyz.

--- a/packages/admission/hedging.ts
+++ b/packages/admission/hedging.ts
@@ -1,4 +1,6 @@
-import { build, type Histogram } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+// The package's index loads its WebAssembly build too, which takes 9 MB.
+import int32Module from "hdr-histogram-js/dist/Int32Histogram.js";
 import type { RetryBudget } from "./retry_budget.ts";
 
 /** Share of calls that are answered before a hedge is considered. */
@@ -9,6 +11,8 @@
 const PERIOD_MS = 15_000;
 /** Units of the histogram per millisecond. */
 const UNITS_PER_MS = 100;
+/** The quantile costs a pass over the histogram, too much for each call. */
+const COMPUTE_EVERY_MS = 100;
 /** A hedge sooner than this would cost more than it saves. */
 const SOONEST_MS = 1;
 
@@ -17,6 +21,8 @@
   #present = newHistogram();
   #previous = newHistogram();
   #periodEnds: number | undefined;
+  #computeAt = Number.NEGATIVE_INFINITY;
+  #delayMs: number | undefined;
 
   /** Takes the latency of an answered attempt, in milliseconds. */
   observe(latencyMs: number, now: number): void {
@@ -28,6 +34,14 @@
 
   /** Wait before a hedge in milliseconds; undefined while too little is known. */
   delayMs(now: number): number | undefined {
+    if (now >= this.#computeAt) {
+      this.#computeAt = now + COMPUTE_EVERY_MS;
+      this.#delayMs = this.#quantileMs(now);
+    }
+    return this.#delayMs;
+  }
+
+  #quantileMs(now: number): number | undefined {
     this.#rotate(now);
     const full = this.#previous.totalCount >= FEWEST_SAMPLES;
     const histogram = full ? this.#previous : this.#present;
@@ -97,12 +111,16 @@
   }
 }
 
-// One digit: latencies within 10%, 2 KiB per histogram.
+/** One digit keeps latencies within 10%, in 2 KiB per histogram. */
+const SIGNIFICANT_DIGITS = 1;
+
+// A CommonJS module's default export, as Node and bundlers see it.
+const { default: Int32Histogram } = int32Module as unknown as {
+  default: typeof int32Module;
+};
+
 function newHistogram(): Histogram {
-  return build({
-    bitBucketSize: 32,
-    autoResize: true,
-    numberOfSignificantValueDigits: 1,
-    useWebAssembly: false,
-  });
+  const histogram = new Int32Histogram(1, 2, SIGNIFICANT_DIGITS);
+  histogram.autoResize = true;
+  return histogram;
 }
--- a/packages/cli/roles.ts
+++ b/packages/cli/roles.ts
@@ -1,9 +1,5 @@
-import { ControlHost } from "#control";
-import { EntryProcess } from "#entry";
 import { SystemClock, SystemRandomness } from "#model";
 import type { ControlSettings, EntrySettings } from "#settings";
-import { FileStorage } from "#storage";
-import { ConsolaLogger } from "#telemetry";
 import { EXIT } from "./exit_codes.ts";
 
 /** Runs the processes of the system; each resolves to an exit code. */
@@ -15,7 +11,10 @@
 /** The roles of this build. */
 export const ROLES: Roles = { entry: runEntry, control: runControl };
 
+// Each role loads its own packages only: all of them together take about 15 MB.
 async function runEntry(settings: EntrySettings): Promise<number> {
+  const { ConsolaLogger } = await import("../telemetry/logger.ts");
+  const { EntryProcess } = await import("#entry");
   const logger = new ConsolaLogger({ fields: { host: settings.id } });
   const entry = new EntryProcess({
     settings,
@@ -34,6 +33,9 @@
 }
 
 async function runControl(settings: ControlSettings): Promise<number> {
+  const { ConsolaLogger } = await import("../telemetry/logger.ts");
+  const { ControlHost } = await import("#control");
+  const { FileStorage } = await import("#storage");
   const logger = new ConsolaLogger({ fields: { host: settings.id } });
   const started = await ControlHost.start({
     settings,
--- a/packages/control/control_host.ts
+++ b/packages/control/control_host.ts
@@ -2,12 +2,14 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Address } from "#model";
 import { createOperatorServer, OperatorApi } from "#operators";
+import { ControlMetrics } from "#telemetry";
 import type { ListenFault } from "#wire";
 import {
   type ControlFault,
   type ControlOptions,
   ControlProcess,
 } from "./control_process.ts";
+import { withHealth } from "./health.ts";
 import { ControlMembers, changeLog, LiveHosts } from "./operator_ports.ts";
 
 /** A control process with the operators' HTTP interface. */
@@ -39,7 +41,16 @@
       bodyMaxBytes: settings.limits.bodyMaxBytes,
       onFailure: (cause) => logger.error("operator request failed", { cause }),
     });
-    const server = createOperatorServer(api, settings.limits);
+    const metrics = new ControlMetrics({
+      configurationVersion: () => control.registry.configuration().version,
+      appliedIndex: () => control.status().applied,
+      term: () => control.status().term,
+      leading: () => control.status().role === "leader",
+      liveEntries: () => control.table.live(clock.now()).length,
+      peerTraffic: () => control.traffic,
+    });
+    const handle = withHealth(api.handle, { control, metrics });
+    const server = createOperatorServer(handle, settings.limits);
     const listening = await listen(server, settings.http);
     if (listening.isErr()) {
       await control.close();
--- /dev/null
+++ b/packages/control/health.ts
@@ -0,0 +1,45 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ControlMetrics } from "#telemetry";
+import type { ControlProcess } from "./control_process.ts";
+
+type Handler = (request: IncomingMessage, response: ServerResponse) => void;
+
+/**
+ * Serves `/metrics`, `/healthz` and `/readyz` before the operators' interface.
+ * A control host is ready while a majority confirms its state.
+ */
+export function withHealth(
+  operators: Handler,
+  options: { control: ControlProcess; metrics: ControlMetrics },
+): Handler {
+  const { control, metrics } = options;
+  const paths: Readonly<Record<string, (response: ServerResponse) => unknown>> =
+    {
+      "/healthz": (response) => reply(response, 200, { status: "ok" }),
+      "/readyz": async (response) => {
+        const ready = (await control.confirm()).isOk();
+        const { role, term, applied } = control.status();
+        reply(response, ready ? 200 : 503, { ready, role, term, applied });
+      },
+      "/metrics": async (response) => {
+        const text = await metrics.text();
+        response.writeHead(200, { "content-type": metrics.contentType });
+        response.end(text);
+      },
+    };
+  return (request, response) => {
+    const path = request.url?.split("?")[0] ?? "";
+    const own = request.method === "GET" ? paths[path] : undefined;
+    if (!own) {
+      operators(request, response);
+      return;
+    }
+    request.resume();
+    own(response);
+  };
+}
+
+function reply(response: ServerResponse, status: number, body: object): void {
+  response.writeHead(status, { "content-type": "application/json" });
+  response.end(JSON.stringify(body));
+}
--- a/packages/document/fields.ts
+++ b/packages/document/fields.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Facts about a key that the reference pages show. */
 export interface FieldFacts {
--- a/packages/document/reference.ts
+++ b/packages/document/reference.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** One key as the reference pages show it. */
 export interface ReferenceRow {
--- a/packages/document/schema.ts
+++ b/packages/document/schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { checkService, checkStop } from "./checks.ts";
 import {
   choice,
--- a/packages/operators/client.ts
+++ b/packages/operators/client.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import { type Address, type Clock, formatAddress, HEADERS } from "#model";
 import { RETRYABLE_ERRORS } from "./errors.ts";
 import { type Exchange, exchange, type RawAnswer } from "./exchange.ts";
--- a/packages/operators/fixtures.ts
+++ b/packages/operators/fixtures.ts
@@ -83,7 +83,7 @@
       bodyMaxBytes: 2_048,
       onFailure: (error) => this.failures.push(error),
     });
-    this.server = createOperatorServer(api, {
+    this.server = createOperatorServer(api.handle, {
       headerMaxBytes: 2_048,
       requestTimeoutMs: 300,
       connectionsMax: 16,
--- a/packages/operators/requests.ts
+++ b/packages/operators/requests.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import { validate as isUuid } from "uuid";
-import { z } from "zod";
+import * as z from "zod";
 import { HEADERS } from "#model";
 import { type OperatorError, operatorError } from "./errors.ts";
 
--- a/packages/operators/server.ts
+++ b/packages/operators/server.ts
@@ -1,6 +1,5 @@
-import { createServer, type Server } from "node:http";
+import { createServer, type RequestListener, type Server } from "node:http";
 import type { Duplex } from "node:stream";
-import type { OperatorApi } from "./api.ts";
 import { OPERATOR_ERRORS, type OperatorErrorCode } from "./errors.ts";
 
 /** Limits of the operators' HTTP server. */
@@ -15,7 +14,7 @@
 
 /** Makes the HTTP server of a control host; the caller listens and closes. */
 export function createOperatorServer(
-  api: OperatorApi,
+  handle: RequestListener,
   limits: OperatorServerLimits,
 ): Server {
   const options = {
@@ -27,7 +26,7 @@
       limits.requestTimeoutMs,
     ),
   };
-  const server = createServer(options, api.handle);
+  const server = createServer(options, handle);
   server.maxConnections = limits.connectionsMax;
   server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
     refuse(socket, CLIENT_ERRORS[error.code ?? ""] ?? "invalid_request");
--- a/packages/presence/announcements.ts
+++ b/packages/presence/announcements.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import type { BackendServer, BackendServerId } from "#model";
 
 /** Why an announcement or a leave was not accepted. */
--- a/packages/quarantine/fingerprint.ts
+++ b/packages/quarantine/fingerprint.ts
@@ -13,8 +13,11 @@
   readonly body?: Uint8Array | undefined;
 }
 
+/** Short requests without a body need no hash, which costs several us. */
+const MAX_PLAIN = 128;
+
 /**
- * The fingerprint of a request: its key, else a 64-bit hash of its content, so
+ * The fingerprint of a request: its key, else its content or a 64-bit hash of it, so
  * that requests that only look alike differ. Undefined without either.
  */
 export function fingerprintOf(
@@ -25,6 +28,7 @@
   }
   if (request.body === undefined) return undefined;
   const head = `${request.service}|${request.method}|${request.path}|`;
+  if (request.body.length === 0 && head.length <= MAX_PLAIN) return head;
   return [1, 2]
     .map((seed) => xxHash32(head, hashBody(request.body, seed)))
     .map((half) => half.toString(16).padStart(8, "0"))
--- a/packages/registry/snapshot.ts
+++ b/packages/registry/snapshot.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import type { DocumentFault } from "#document";
 import { type Entry, hash32 } from "#model";
 import type { PutReply } from "./commands.ts";
--- a/packages/telemetry/index.ts
+++ b/packages/telemetry/index.ts
@@ -3,5 +3,6 @@
  *
  * @module
  */
+export * from "./control_metrics.ts";
 export * from "./logger.ts";
 export * from "./metrics.ts";
