Give a straggler's slots to patient calls earlier

A false conviction lasted for seconds. Change: a straggler is used once the queue takes 0.3 of its cost, by patient calls first; trials start at 200 ms and double while slow.

--- a/packages/routing/dispatcher.ts
+++ b/packages/routing/dispatcher.ts
@@ -13,6 +13,11 @@
 const ENTRY_LEASE_MS = 2_500;
 /** Calls that a server may get above its slots. */
 const OVER_GRANT = 1;
+/**
+ * A straggler is used once the queue takes this share of the time that it
+ * costs; its slots shorten the queue for all others too.
+ */
+const SPARE_SHARE = 0.3;
 /** Waiting calls that may be passed over because of their exclusions. */
 const MAX_SET_ASIDE = 8;
 /** Entries expire their own calls; this only removes what they forgot. */
@@ -276,38 +281,52 @@
     while (aside.length < MAX_SET_ASIDE) {
       const want = this.#queue.peek();
       if (!want) break;
-      const server = this.#choose(want, now);
+      const server = this.#choose(want);
       if (!server && !want.exclude?.length) break;
       this.#queue.take();
       if (server) this.#grant(want, server, now);
       else aside.push(want);
     }
     for (const want of aside) this.#queue.offer(want);
+    this.#grantSpare(now);
   }
 
-  #choose(want: Want, now: number): ServerSlots | undefined {
+  /**
+   * Gives a free slot of a straggler to a patient call, when the queue is
+   * long, or to try the straggler again.
+   */
+  #grantSpare(now: number): void {
     const { outliers } = this.#ledger;
-    const near = want.entry.dataCentre;
-    const all = (want.exclude?.length ?? 0) >= this.slots.size;
-    const exclude = all ? undefined : want.exclude;
-    const free = this.slots.pick(near, { exclude });
-    if (free) return free;
-    const waitMs = this.#waitMs(this.#queue.length);
-    const spare = this.slots.pickSpare(exclude);
-    if (spare) {
+    for (;;) {
+      const want = this.#queue.first("patient") ?? this.#queue.first("urgent");
+      if (!want || this.slots.free > 0) return;
+      const spare = this.slots.pickSpare(want.exclude);
+      if (!spare) return;
       const { health } = spare;
-      // A straggler pays only once the queue costs more than its slowness.
       const excessMs = (health.ratio - 1) * outliers.meanMs;
-      if (waitMs > excessMs) return spare;
-      if (want.priority === "patient" && outliers.trialDue(health, now)) {
+      const waitMs = this.#waitMs(this.#queue.length);
+      if (waitMs <= SPARE_SHARE * excessMs) {
+        const tries = want.priority === "patient";
+        if (!tries || !outliers.trialDue(health, now)) return;
         outliers.trialStarted(health, now);
-        return spare;
       }
+      this.#queue.takeItem(want.id);
+      this.#grant(want, spare, now);
     }
+  }
+
+  #choose(want: Want): ServerSlots | undefined {
+    const { outliers } = this.#ledger;
+    const near = want.entry.dataCentre;
+    const all = (want.exclude?.length ?? 0) >= this.slots.size;
+    const exclude = all ? undefined : want.exclude;
+    const free = this.slots.pick(near, { exclude });
+    if (free) return free;
     const over = this.slots.pick(near, { exclude, over: OVER_GRANT });
     if (!over) return undefined;
     // Waiting at one server is worth it only when the queue takes as long.
-    const meanMs = outliers.meanMs;
+    const { meanMs } = outliers;
+    const waitMs = this.#waitMs(this.#queue.length);
     return meanMs > 0 && waitMs >= meanMs / over.limit ? over : undefined;
   }
 
--- a/packages/routing/outliers.ts
+++ b/packages/routing/outliers.ts
@@ -25,8 +25,9 @@
 const TRIAL_SUCCESSES = 5;
 /** Time from reinstatement to all slots. */
 const REINSTATE_MS = 5_000;
-/** Interval of trial calls to a straggler. */
-const SLOW_TRIAL_MS = 1_000;
+/** First interval of trial calls to a straggler; doubles with each slow one. */
+const SLOW_TRIAL_MS = 200;
+const SLOW_TRIAL_MAX_MS = 2_000;
 /** The same once a trial call was fast. */
 const SLOW_RETRIAL_MS = 100;
 const SAMPLE_WEIGHT = 1 / 16;
@@ -60,6 +61,7 @@
   samples = 0;
   successesInTrial = 0;
   ejectMs = EJECT_MS;
+  trialMs = SLOW_TRIAL_MS;
   /** End of the ejection, or time of the next trial of a straggler. */
   until = 0;
   reinstatedAt = Number.NEGATIVE_INFINITY;
@@ -167,7 +169,7 @@
 
   trialStarted(health: ServerHealth, now: number): void {
     const fast = health.clearEvidence > 0;
-    health.until = now + (fast ? SLOW_RETRIAL_MS : SLOW_TRIAL_MS);
+    health.until = now + (fast ? SLOW_RETRIAL_MS : health.trialMs);
   }
 
   #answered(health: ServerHealth, seen: Observation, now: number): void {
@@ -219,13 +221,16 @@
     health.ratio = ratio;
     health.standing = "slow";
     health.clearEvidence = 0;
+    health.trialMs = SLOW_TRIAL_MS;
     health.until = now + SLOW_TRIAL_MS;
     return true;
   }
 
   #maybeClear(health: ServerHealth, evidence: number, now: number): void {
     health.clearEvidence = Math.max(0, health.clearEvidence - evidence);
-    if (health.clearEvidence > 0) {
+    if (health.clearEvidence === 0) {
+      health.trialMs = Math.min(SLOW_TRIAL_MAX_MS, 2 * health.trialMs);
+    } else {
       health.until = Math.min(health.until, now + SLOW_RETRIAL_MS);
     }
     if (health.clearEvidence < CLEAR_THRESHOLD) return;
