Announce bound founders to the convener, type the stop faults

Cause: a late message of a founder's lost identity made the convener start an attempt with that identity, and the present folder, already bound, no longer announced itself; the founding then waited for ever. A state machine that threw was reported as a failed write. Ruled out: forgetting a binding after a time, because the convener may have counted it. Change: bound founders keep asking the convener; StopFault machine_failed; the unused fault folder_in_use is gone; shorter tests.

--- a/packages/agreement/agreement_test.ts
+++ b/packages/agreement/agreement_test.ts
@@ -117,19 +117,13 @@
 });
 
 // Guards against votes of folders that are not bound to the cluster.
-for (const { name, founding, payload } of [
-  { name: "an empty folder", founding: undefined, payload: {} },
-  {
-    name: "a folder of another cluster",
-    founding: { ...FOUNDING, cluster: "other" },
-    payload: {},
-  },
-  {
-    name: "a folder that replaces the addressed one",
-    founding: FOUNDING,
-    payload: { to: "a/0" },
-  },
-]) {
+const OTHER = { ...FOUNDING, cluster: "other" };
+
+for (const [name, { founding, payload }] of Object.entries({
+  "an empty folder": { founding: undefined, payload: {} },
+  "a folder of another cluster": { founding: OTHER, payload: {} },
+  "a folder after a lost one": { founding: FOUNDING, payload: { to: "a/0" } },
+})) {
   test(`${name} gives no vote`, () => {
     const member = new Member({ founding, term: 0 });
     const vote = { lastIndex: 9, lastTerm: 9, term: 5, candidateTerm: 5 };
@@ -142,27 +136,18 @@
 }
 
 // Guards against two clusters that share a founder.
-for (const { name, formed, request, bound } of [
-  { name: "another convener", formed: false, request: {}, bound: false },
-  {
-    name: "the same convener later",
-    formed: false,
-    request: { from: "b/1", attempt: 2 },
-    bound: true,
-  },
-  {
-    name: "the same convener earlier",
+const LATER = { from: "b/1", attempt: 2 };
+
+for (const [name, { formed, request, bound }] of Object.entries({
+  "another convener": { formed: false, request: {}, bound: false },
+  "its convener later": { formed: false, request: LATER, bound: true },
+  "its convener earlier": {
     formed: false,
     request: { from: "b/1", attempt: 0 },
     bound: false,
   },
-  {
-    name: "the same convener after the forming",
-    formed: true,
-    request: { from: "b/1", attempt: 2 },
-    bound: false,
-  },
-]) {
+  "its convener once formed": { formed: true, request: LATER, bound: false },
+})) {
   test(`a bound founder asked by ${name} binds: ${bound}`, () => {
     const convener = "b/1";
     const founding = { ...FOUNDING, convener, formed };
--- a/packages/agreement/founders.ts
+++ b/packages/agreement/founders.ts
@@ -63,12 +63,18 @@
   tick(now: number): void {
     if (this.#state.phase === "formed" || now < this.#nextAsk) return;
     this.#nextAsk = now + ASK_EVERY_MS;
-    if (this.#state.phase === "founding") {
+    const { founding, self } = this.#state;
+    if (founding) {
       this.#requestBindings(false);
+      // The convener may have taken a late message of a former identity of
+      // this host for the present one.
+      const convener = hostOf(founding.convener);
+      if (founding.convener === self) return;
+      this.#state.sendTo(convener, "agreement.inquiry", { from: self });
       return;
     }
     for (const to of this.#asked) {
-      this.#state.sendTo(to, "agreement.inquiry", { from: this.#state.self });
+      this.#state.sendTo(to, "agreement.inquiry", { from: self });
     }
     this.#conveneIfAllEmpty(now);
   }
--- a/packages/agreement/ports.ts
+++ b/packages/agreement/ports.ts
@@ -49,8 +49,13 @@
       readonly type: "unsupported_format";
       readonly file: string;
       readonly version: number;
-    }
-  | { readonly type: "folder_in_use"; readonly detail: string };
+    };
+
+/** Why a member stopped by itself. */
+export type StopFault =
+  | StorageFault
+  /** The state machine threw, so this replica can no longer follow. */
+  | { readonly type: "machine_failed"; readonly detail: string };
 
 /** Durable state of one member. */
 export interface AgreementStorage {
@@ -99,6 +104,6 @@
   replaceMember(host: HostId): Promise<Result<number, ChangeFault>>;
   status(): AgreementStatus;
   /** Settles when the member has stopped; with the fault that stopped it. */
-  readonly stopped: Promise<StorageFault | undefined>;
+  readonly stopped: Promise<StopFault | undefined>;
   close(): Promise<void>;
 }
--- a/packages/storage/file_storage_test.ts
+++ b/packages/storage/file_storage_test.ts
@@ -40,6 +40,10 @@
   return (await open(fileSystem).load())._unsafeUnwrap();
 }
 
+function failing(operation: string, code: string): FailureRule {
+  return (attempted) => (attempted === operation ? code : undefined);
+}
+
 /** A folder with a vote, some batches of entries and maybe a snapshot. */
 async function filled(options: { entries: number; snapshotAt?: number }) {
   const fileSystem = new MemoryFileSystem();
@@ -190,21 +194,11 @@
 });
 
 // Guards against acknowledging what a full or failing disk did not take.
-for (const [name, { fails, writes }] of Object.entries({
-  "full disk": {
-    fails: (op) => (op === "write" ? "ENOSPC" : undefined),
-    writes: [entries(4)],
-  },
-  "failed sync": {
-    fails: (op) => (op === "sync" ? "EIO" : undefined),
-    writes: [entries(4)],
-  },
-  "failed snapshot": {
-    fails: (op, path) =>
-      op === "sync" && path.includes("snapshot") ? "EIO" : undefined,
-    writes: [entries(4), snapshot(3)],
-  },
-} satisfies Record<string, { fails: FailureRule; writes: Write[] }>)) {
+for (const [name, fails, writes] of [
+  ["full disk", failing("write", "ENOSPC"), [entries(4)]],
+  ["failed sync", failing("sync", "EIO"), [entries(4)]],
+  ["failed snapshot", failing("rename", "EIO"), [entries(4), snapshot(3)]],
+] as const) {
   test(`a ${name} ends all writes and loses nothing synced`, async () => {
     const fileSystem = await filled({ entries: 3 });
     const storage = open(fileSystem);
@@ -214,7 +208,7 @@
     const fault = failed._unsafeUnwrapErr();
     assert.equal(fault.type, "write_failed");
     fileSystem.fails = () => undefined;
-    assert.deepEqual((await storage.write([entries(5)])).isErr(), true);
+    assert.ok((await storage.write([entries(5)])).isErr());
     assert.deepEqual(indices(await load(fileSystem)), [1, 2, 3]);
   });
 }
--- a/packages/storage/founding_test.ts
+++ b/packages/storage/founding_test.ts
@@ -77,6 +77,22 @@
   assert.notEqual(clusters(s)[0], former);
 });
 
+// Guards against a founding that waits for an identity that is gone.
+test("a late message of a lost identity does not stop the founding", () => {
+  const s = empty(3);
+  s.weather = { loss: 0, duplication: 0, delay: 400, syncDelay: 3 };
+  const lost = s.host("c");
+  const from = s.keyOf(lost);
+  s.loseDisk(lost);
+  s.start(lost);
+  const isBound = () => lost.core?.status(s.now).phase === "founding";
+  assert.ok(s.runUntil(isBound, 5_000));
+  const convener = s.host("a").core;
+  const message = { kind: "agreement.inquiry", payload: { from } } as const;
+  convener?.receive("c", message, s.now);
+  assert.ok(s.runUntil(() => s.leader() !== undefined, 8_000));
+});
+
 // Guards against two clusters or a stuck founding when a disk is lost at the
 // worst moment. Only a convener (a) that loses its disk may leave it stuck.
 test("a disk lost at any moment of the founding splits nothing", () => {
--- a/packages/storage/members_test.ts
+++ b/packages/storage/members_test.ts
@@ -177,41 +177,22 @@
   assert.ok(s.runUntil(() => s.leader() !== undefined, 8_000));
 });
 
-for (const { name, change, expected } of [
-  {
-    name: "adding a host that has not announced itself",
-    change: () => ({ type: "add", host: "x" }),
-    expected: "host_not_announced",
-  },
-  {
-    name: "adding a member again",
-    change: () => ({ type: "add", host: "b" }),
-    expected: "already_member",
-  },
-  {
-    name: "removing a stranger",
-    change: () => ({ type: "remove", member: "x/1" }),
-    expected: "unknown_member",
-  },
-  {
-    name: "promoting a voter",
-    change: (s, down) => ({ type: "promote", member: s.keyOf(down) }),
-    expected: "already_voter",
-  },
-  {
-    name: "removing a live voter while another is down",
-    change: (s, down) => {
-      const follower = s.hosts.find((h) => h !== s.leader() && h !== down);
-      return { type: "remove", member: s.keyOf(follower) };
+type Refused = [string, (s: Simulation, down: SimulatedHost) => MemberChange];
+
+for (const [expected, change] of [
+  ["host_not_announced", () => ({ type: "add", host: "x" })],
+  ["already_member", () => ({ type: "add", host: "b" })],
+  ["unknown_member", () => ({ type: "remove", member: "x/1" })],
+  ["already_voter", (s, h) => ({ type: "promote", member: s.keyOf(h) })],
+  [
+    "quorum_at_risk",
+    (s, down) => {
+      const live = s.hosts.find((host) => host !== s.leader() && host !== down);
+      return { type: "remove", member: s.keyOf(live) };
     },
-    expected: "quorum_at_risk",
-  },
-] satisfies {
-  name: string;
-  change: (s: Simulation, down: SimulatedHost) => MemberChange;
-  expected: string;
-}[]) {
-  test(`${name} is refused`, () => {
+  ],
+] satisfies Refused[] as Refused[]) {
+  test(`an unsafe change is refused: ${expected}`, () => {
     const s = formed(3);
     const leader = leaderOf(s);
     const [down] = othersOf(s, leader);
--- a/packages/storage/replicated_log.ts
+++ b/packages/storage/replicated_log.ts
@@ -17,6 +17,7 @@
   type ReadFault,
   type ReplicatedLog,
   type StateMachine,
+  type StopFault,
   type StorageFault,
   type SubmitFault,
 } from "#agreement";
@@ -73,7 +74,7 @@
 class StoredReplicatedLog<Command, Reply>
   implements ReplicatedLog<Command, Reply>
 {
-  readonly stopped: Promise<StorageFault | undefined>;
+  readonly stopped: Promise<StopFault | undefined>;
   readonly #core: Agreement;
   readonly #options: ReplicatedLogOptions<Command, Reply>;
   readonly #pending = new Map<string, Pending>();
@@ -83,7 +84,7 @@
   #isScheduled = false;
   #isRunning = false;
   #isStopped = false;
-  #resolveStopped: (fault: StorageFault | undefined) => void = () => undefined;
+  #resolveStopped: (fault: StopFault | undefined) => void = () => undefined;
 
   constructor(core: Agreement, options: ReplicatedLogOptions<Command, Reply>) {
     this.#core = core;
@@ -157,7 +158,6 @@
   }
 
   async close(): Promise<void> {
-    if (this.#isStopped) return;
     this.#stop(undefined);
     await this.#options.storage.close();
   }
@@ -212,14 +212,8 @@
         await this.#carryOut(effects);
       }
     } catch (cause) {
-      // The state machine failed, so this replica can no longer follow.
       const detail = String(cause instanceof Error ? cause.stack : cause);
-      this.#stop({
-        type: "write_failed",
-        operation: "apply",
-        code: "STATE_MACHINE",
-        detail,
-      });
+      this.#stop({ type: "machine_failed", detail });
     } finally {
       this.#isRunning = false;
     }
@@ -289,7 +283,7 @@
     pending.settle(outcome);
   }
 
-  #stop(fault: StorageFault | undefined): void {
+  #stop(fault: StopFault | undefined): void {
     if (this.#isStopped) return;
     this.#isStopped = true;
     clearInterval(this.#timer);
--- a/packages/storage/replicated_log_test.ts
+++ b/packages/storage/replicated_log_test.ts
@@ -3,12 +3,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
-import type {
-  AgreementMessages,
-  AgreementNetwork,
-  AgreementStorage,
-  Write,
-} from "#agreement";
+import type { AgreementMessages, AgreementNetwork } from "#agreement";
 import { SystemClock } from "#model";
 import { PROTOCOL_VERSION, TcpNetwork } from "#wire";
 import { FileStorage } from "./file_storage.ts";
@@ -19,6 +14,7 @@
 
 async function openCluster() {
   const wires = new TestSwitch();
+  const networks = FOUNDERS.map((self) => wires.network(self));
   const storages = FOUNDERS.map(
     (self) => new MemoryStorage(new MemoryDisk(`${self}1`)),
   );
@@ -27,13 +23,13 @@
       openTestHost({
         self,
         founders: FOUNDERS,
-        network: wires.network(self),
+        network: networks[at] as AgreementNetwork,
         storage: storages[at] as MemoryStorage,
       }),
     ),
   );
   await until(() => hosts.every(({ log }) => log.status().leader), "a leader");
-  return { wires, hosts, storages };
+  return { wires, hosts, networks, storages };
 }
 
 async function until(condition: () => unknown, what: string) {
@@ -88,58 +84,39 @@
 // Guards against acknowledging what is not on the disk.
 test("nothing is sent or applied before its write is synced", async () => {
   const steps: string[] = [];
-  const network: AgreementNetwork = {
-    send: (_to, kind) => steps.push(kind) > 0,
-    handle: () => undefined,
-  };
-  const disk = new MemoryDisk("1");
-  const members = ["a/1", "b/1", "c/1"];
-  const founding = {
-    cluster: "k",
-    convener: "a/1",
-    attempt: 1,
-    members,
-    formed: true,
-  };
-  disk.stage([{ type: "founding", founding }]);
-  disk.sync();
-  const storage: AgreementStorage = {
-    load: () => new MemoryStorage(disk).load(),
-    write: async (writes: readonly Write[]) => {
-      steps.push(`write ${writes.map(({ type }) => type)}`);
+  const { hosts, networks, storages } = await openCluster();
+  for (const [at, { machine }] of hosts.entries()) {
+    const { send } = networks[at] as AgreementNetwork;
+    const storage = storages[at] as MemoryStorage;
+    const write = storage.write.bind(storage);
+    const apply = machine.apply.bind(machine);
+    Object.assign(networks[at] as AgreementNetwork, {
+      send: (...message: Parameters<typeof send>) => {
+        steps.push(`${at} effect`);
+        return send(...message);
+      },
+    });
+    machine.apply = (...command) => {
+      steps.push(`${at} effect`);
+      return apply(...command);
+    };
+    storage.write = async (writes) => {
+      steps.push(`${at} write`);
       await new Promise((resolve) => setTimeout(resolve, 50));
-      steps.push("synced");
-      return new MemoryStorage(disk).write(writes);
-    },
-    close: async () => undefined,
-  };
-  const handlers = new Map<string, (payload: never, from: never) => void>();
-  const recording = {
-    ...network,
-    handle: (kind: keyof AgreementMessages, handler: never) => {
-      handlers.set(kind, handler);
-    },
-  };
-  const options = {
-    self: "a",
-    founders: FOUNDERS,
-    network: recording,
-    storage,
-  };
-  const host = await openTestHost(options);
-  const vote = {
-    cluster: "k",
-    from: "b/1",
-    to: "a/1",
-    term: 3,
-    candidateTerm: 3,
-    lastIndex: 0,
-    lastTerm: 0,
-  };
-  handlers.get("agreement.vote")?.(vote as never, { id: "b" } as never);
-  await until(() => steps.includes("agreement.vote_reply"), "reply");
-  assert.deepEqual(steps, ["write vote", "synced", "agreement.vote_reply"]);
-  await host.log.close();
+      steps.push(`${at} synced`);
+      return write(writes);
+    };
+  }
+  for (const { log } of hosts) assert.ok((await log.submit("x")).isOk());
+  await closeAll(hosts);
+  for (const at of hosts.keys()) {
+    const own = steps.filter((step) => step.startsWith(`${at}`));
+    for (const [i, step] of own.entries()) {
+      const next = own[i + 1] ?? `${at} synced`;
+      if (step === `${at} write`) assert.equal(next, `${at} synced`);
+    }
+    assert.ok(own.includes(`${at} write`) && own.includes(`${at} effect`));
+  }
 });
 
 // Guards against a member that goes on with a disk that fails.
@@ -147,13 +124,8 @@
   const { hosts, storages } = await openCluster();
   const leader = leaderOf(hosts);
   const storage = storages[hosts.indexOf(leader)] as MemoryStorage;
-  const detail = "no space left";
-  storage.failure = {
-    type: "write_failed",
-    operation: "write",
-    code: "ENOSPC",
-    detail,
-  };
+  const fault = { operation: "write", code: "ENOSPC", detail: "full" };
+  storage.failure = { type: "write_failed", ...fault };
   const submitted = await leader.log.submit("command");
   assert.equal(submitted._unsafeUnwrapErr().type, "result_unknown");
   assert.deepEqual(await leader.log.stopped, storage.failure);
--- a/packages/storage/test_file_system.ts
+++ b/packages/storage/test_file_system.ts
@@ -36,10 +36,8 @@
 
   async append(path: string): Promise<AppendFile> {
     this.#check("append", path);
-    const file = this.#files.get(path) ?? {
-      data: Buffer.alloc(0),
-      syncedLength: 0,
-    };
+    const empty = { data: Buffer.alloc(0), syncedLength: 0 };
+    const file = this.#files.get(path) ?? empty;
     this.#files.set(path, file);
     return {
       write: async (bytes) => {
--- a/packages/storage/test_history.ts
+++ b/packages/storage/test_history.ts
@@ -55,10 +55,6 @@
     }
   }
 
-  get highestIndex(): number {
-    return this.#order.length - 1;
-  }
-
   #applied(host: SimulatedHost, index: number, id: string | undefined): void {
     assert.equal(index, host.applied + 1, `${host.id} applies in sequence`);
     host.applied = index;
--- a/packages/storage/test_hosts.ts
+++ b/packages/storage/test_hosts.ts
@@ -33,10 +33,6 @@
     this.#cut.add(host);
   }
 
-  heal(host: string): void {
-    this.#cut.delete(host);
-  }
-
   #send(
     from: string,
     to: string,
