Retry refusals that pass by themselves in replaceMember

Cause: on a busy machine replaceMember failed with leader_not_ready while an election was going on, and the failed test left sockets open, so that the test run never ended. With real syncs the same test also failed at load 20, because a sync of more than 1 s on the shared disk made the leader step down. Ruled out: longer timeouts in the test, which would still depend on the disk.

--- a/packages/storage/replicated_log.ts
+++ b/packages/storage/replicated_log.ts
@@ -123,9 +123,9 @@
   }
 
   async replaceMember(host: HostId): Promise<Result<number, ChangeFault>> {
-    const added = await this.changeMembers({ type: "add", host });
-    if (added.isErr() && added.error.type !== "already_member") return added;
     const deadline = this.#now() + REPLACE_TIMEOUT_MS;
+    const added = await this.#retryChange({ type: "add", host }, deadline);
+    if (added.isErr() && added.error.type !== "already_member") return added;
     for (;;) {
       const { membership } = this.status();
       const learners = membership.learners.filter((m) => hostOf(m) === host);
@@ -134,22 +134,16 @@
       const [stale] = learners;
       if (stale !== undefined && stale !== member) {
         // The disk was lost again before the former replacement was complete.
-        await this.changeMembers({ type: "remove", member: stale });
+        await this.#retryChange({ type: "remove", member: stale }, deadline);
       }
-      const promoted = await this.changeMembers({ type: "promote", member });
+      const promote = { type: "promote", member } as const;
+      const promoted = await this.#retryChange(promote, deadline);
       if (promoted.isOk()) return promoted;
       const fault = promoted.error;
-      if (fault.type === "former_identity_votes") {
-        const former = fault.member;
-        const removed = await this.changeMembers({
-          type: "remove",
-          member: former,
-        });
-        if (removed.isErr() && !isTransient(removed.error)) return removed;
-        continue;
-      }
-      if (!isTransient(fault) || this.#now() > deadline) return promoted;
-      await delay(REPLACE_RETRY_MS);
+      if (fault.type !== "former_identity_votes") return promoted;
+      const remove = { type: "remove", member: fault.member } as const;
+      const removed = await this.#retryChange(remove, deadline);
+      if (removed.isErr()) return removed;
     }
   }
 
@@ -162,6 +156,19 @@
     await this.#options.storage.close();
   }
 
+  /** Repeats a change that is refused only for the moment. */
+  async #retryChange(
+    change: MemberChange,
+    deadline: number,
+  ): Promise<Result<number, ChangeFault>> {
+    for (;;) {
+      const result = await this.changeMembers(change);
+      if (result.isOk() || !isTransient(result.error)) return result;
+      if (this.#now() > deadline) return result;
+      await delay(REPLACE_RETRY_MS);
+    }
+  }
+
   #now(): number {
     return this.#options.clock.now();
   }
@@ -296,11 +303,12 @@
   }
 }
 
+/** Passes by itself: an election, a transfer or another change goes on. */
 function isTransient({ type }: ChangeFault): boolean {
   return (
     type === "not_caught_up" ||
     type === "change_in_progress" ||
     type === "leader_not_ready" ||
-    type === "unknown_member"
+    type === "no_quorum"
   );
 }
--- a/packages/storage/test_file_system.ts
+++ b/packages/storage/test_file_system.ts
@@ -1,5 +1,9 @@
 import type { SeededRandomness } from "#model";
-import type { AppendFile, FileSystem } from "./file_system.ts";
+import {
+  type AppendFile,
+  type FileSystem,
+  NodeFileSystem,
+} from "./file_system.ts";
 
 interface MemoryFile {
   data: Buffer;
@@ -12,6 +16,23 @@
   path: string,
 ) => string | undefined;
 
+/**
+ * Real files without waiting for the disk: on a busy disk a sync can take
+ * longer than an election timeout, which would make a test depend on it.
+ */
+export class UnsyncedFileSystem extends NodeFileSystem {
+  override async append(path: string): Promise<AppendFile> {
+    const file = await super.append(path);
+    return {
+      write: (bytes) => file.write(bytes),
+      sync: async () => undefined,
+      close: () => file.close(),
+    };
+  }
+
+  override async syncFolder(): Promise<void> {}
+}
+
 /** Files in memory that lose what was not synced at a crash. */
 export class MemoryFileSystem implements FileSystem {
   fails: FailureRule = () => undefined;
