Relay an entry's new version to the other control hosts at once

Cause: a control host answers an operator once it knows that a majority of entries has the change in force. It learns this of entries that follow another control host from relayed sightings, which went out every 250 ms only. So after the loss of the host that the entries followed, each change took that long. Ruled out: the log (a change commits within some ms on the same run) and the push to entries (the host that they follow answered in 30 to 70 ms). Change: a heartbeat with a newer version is relayed after 10 ms, together with others of that time. Heartbeats without news are relayed as before.

--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -212,6 +212,7 @@
 
   async close(): Promise<void> {
     clearInterval(this.#timer);
+    this.#publisher.close();
     await this.#log.close();
     this.#network.close();
   }
--- a/packages/control/publisher.ts
+++ b/packages/control/publisher.ts
@@ -13,6 +13,8 @@
 const KEPT_VERSIONS = 64;
 /** Heartbeats that arrive within this time share one confirmed read. */
 const READ_BATCH_MS = 20;
+/** Entries that take up a version within this time are relayed together. */
+const RELAY_BATCH_MS = 10;
 
 export interface PublisherOptions {
   readonly network: Network<ConfigurationMessages>;
@@ -40,6 +42,7 @@
   readonly #published = new Map<number, number>();
   #waiting: Waiting[] = [];
   #reading = false;
+  #relayTimer: NodeJS.Timeout | undefined;
 
   constructor(options: PublisherOptions) {
     this.#options = options;
@@ -91,9 +94,24 @@
     }
   }
 
+  /** Ends what is still scheduled. */
+  close(): void {
+    clearTimeout(this.#relayTimer);
+  }
+
+  #relaySoon(): void {
+    this.#relayTimer ??= setTimeout(() => {
+      this.#relayTimer = undefined;
+      this.relaySightings();
+    }, RELAY_BATCH_MS);
+  }
+
   #confirmed(confirmation: Confirmation, from: Hello): void {
     const { table, clock } = this.#options;
+    const known = table.get(from.id)?.version ?? 0;
     table.confirmed(confirmation, clock.now());
+    // Another host may hold an operator's answer back until it hears this.
+    if (confirmation.version > known) this.#relaySoon();
     this.#followers.set(from.id, confirmation.version);
     const { sequence } = confirmation;
     this.#waiting.push({ entry: from.id, sequence });
