Judge members by evidence newer than the operator's request

Cause, three faults of one kind, found with real processes: 1. `members add` of a host with a lost disk answered "done" without doing anything when it came before the host had announced its empty folder. The loss of the next host then left no majority. 2. `members remove` within a second of another host's death was made although the new membership had no live majority, because the leader counts a member as live for a second after its last message. Control then stood still for good. 3. `hosts`, asked at a follower, showed a dead control host as a follower, because only the leader knows who answers. Ruled out: elections and replication (with the member replaced, or the removal refused, the same runs go on without a pause beyond the election). Change: a member counts as lost until it has announced its folder or has been connected for longer than announcements take; a removal waits until evidence of life from before the request has run out; a follower shows a host to which it has no connection as lost. A control host that has just started shows the others as lost in `members` for 1.5 s.

--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -18,7 +18,12 @@
 import type { ControlSettings } from "#settings";
 import { openReplicatedLog } from "#storage";
 import type { Logger } from "#telemetry";
-import { type ListenFault, PROTOCOL_VERSION, TcpNetwork } from "#wire";
+import {
+  type ListenFault,
+  type NetworkObserver,
+  PROTOCOL_VERSION,
+  TcpNetwork,
+} from "#wire";
 import { Inventory } from "./inventory.ts";
 import { LeaderDuties } from "./leader_duties.ts";
 import { Publisher } from "./publisher.ts";
@@ -57,12 +62,14 @@
   readonly #publisher: Publisher;
   readonly #duties: LeaderDuties;
   readonly #inventory: Inventory;
+  readonly #connectedSince: ReadonlyMap<HostId, number>;
   readonly #timer: NodeJS.Timeout;
   #submitting = false;
 
   private constructor(options: ControlOptions, parts: Parts) {
     this.#options = options;
     const { network, registry, log, table, acceptance, publisher } = parts;
+    this.#connectedSince = parts.connectedSince;
     this.#network = network;
     this.#registry = registry;
     this.#log = log;
@@ -83,7 +90,14 @@
     const table = new EntryTable();
     const acceptance = new Acceptance();
     const others = settings.members.filter(({ id }) => id !== settings.id);
-    const network = openNetwork(options, (id) => publisher.disconnected(id));
+    const connectedSince = new Map<HostId, number>();
+    const network = openNetwork(options, {
+      up: ({ id }) => connectedSince.set(id, clock.now()),
+      down: ({ id }) => {
+        connectedSince.delete(id);
+        publisher.disconnected(id);
+      },
+    });
     const publisher: Publisher = new Publisher({
       network,
       clock,
@@ -132,8 +146,17 @@
       return err(listening.error);
     }
     network.connect(others.map(({ id, peer }) => ({ id, address: peer })));
-    const parts = { network, registry, log, table, acceptance, publisher };
-    return ok(new ControlProcess(options, parts));
+    return ok(
+      new ControlProcess(options, {
+        network,
+        registry,
+        log,
+        table,
+        acceptance,
+        publisher,
+        connectedSince,
+      }),
+    );
   }
 
   get registry(): Registry {
@@ -158,6 +181,12 @@
     );
   }
 
+  /** Time for which a process has been connected; undefined if it is not. */
+  connectedForMs(id: HostId): number | undefined {
+    const since = this.#connectedSince.get(id);
+    return since && this.#options.clock.now() - since;
+  }
+
   /** Bytes to and from other processes. */
   get traffic() {
     return this.#network.traffic;
@@ -263,11 +292,12 @@
   readonly table: EntryTable;
   readonly acceptance: Acceptance;
   readonly publisher: Publisher;
+  readonly connectedSince: ReadonlyMap<HostId, number>;
 }
 
 function openNetwork(
   options: ControlOptions,
-  disconnected: (id: HostId) => void,
+  events: Pick<NetworkObserver, "up" | "down">,
 ): TcpNetwork<ControlMessages> {
   const { settings, clock, logger } = options;
   return new TcpNetwork<ControlMessages>({
@@ -280,7 +310,7 @@
     },
     clock,
     observer: {
-      down: ({ id }) => disconnected(id),
+      ...events,
       fault: (fault, peer) => {
         if (fault.type === "link_closed") return;
         logger.warn("connection closed", { peer: peer?.id, fault });
--- a/packages/control/operator_ports.ts
+++ b/packages/control/operator_ports.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from "node:timers/promises";
 import { err, ok, type Result } from "neverthrow";
 import {
   type AgreementStatus,
@@ -6,7 +7,7 @@
   type MemberKey,
 } from "#agreement";
 import { CONFIRMED_FOR_MS, type EntryStatus } from "#configuration";
-import type { Clock, Entry } from "#model";
+import type { Clock, Entry, HostId } from "#model";
 import type {
   ChangeLog,
   HostStatus,
@@ -20,6 +21,16 @@
 import type { ControlSettings } from "#settings";
 import type { ControlProcess } from "./control_process.ts";
 
+/**
+ * Age up to which the leader takes a member for live, and a margin. A host that
+ * was lost less than this before a removal would count as live: the removal
+ * would be made, and leave a membership without a live majority for good.
+ */
+const LIVENESS_WINDOW_MS = 1_200;
+
+/** An empty folder announces itself a few times within this time. */
+const ANNOUNCED_WITHIN_MS = 1_500;
+
 /** The replicated log as the operators' interface sees it. */
 export function changeLog(control: ControlProcess): ChangeLog {
   return {
@@ -71,7 +82,11 @@
     return [...voters, ...learners].flatMap((key) => {
       const id = hostOf(key);
       const peer = listed.get(id) ?? { host: "unlisted", port: 0 };
-      return [{ id, role: "control", peer, state: memberState(status, key) }];
+      const connected =
+        id === this.#settings.id ||
+        this.#control.connectedForMs(id) !== undefined;
+      const state = memberState(status, { member: key, connected });
+      return [{ id, role: "control", peer, state }];
     });
   }
 
@@ -107,12 +122,13 @@
 
 function memberState(
   status: AgreementStatus,
-  member: MemberKey,
+  { member, connected }: { member: MemberKey; connected: boolean },
 ): HostStatus["state"] {
   if (status.membership.learners.includes(member)) return "learner";
   if (status.leader === member) return "leader";
   const peer = status.peers.find((p) => p.member === member);
-  return peer && !peer.live ? "lost" : "follower";
+  // Only the leader hears from all members; others know their connections.
+  return (peer?.live ?? connected) ? "follower" : "lost";
 }
 
 /** The control hosts as the operators' interface changes them. */
@@ -131,7 +147,9 @@
     const member = (key: MemberKey, role: "voter" | "learner"): Member => {
       const id = hostOf(key);
       const peer = listed.get(id);
-      const lost = announced.some((a) => hostOf(a) === id && a !== key);
+      const isReplaced = announced.some((a) => hostOf(a) === id && a !== key);
+      const isKnown = announced.includes(key) || this.#isSettled(id);
+      const lost = isReplaced || !isKnown;
       return { id, ...(peer && { peer }), role: lost ? "lost" : role };
     };
     return [
@@ -140,6 +158,16 @@
     ];
   }
 
+  /**
+   * Whether a host has been connected long enough to announce an empty folder.
+   * Otherwise a host that was just restarted after the loss of its disk would
+   * look like the member that it was.
+   */
+  #isSettled(id: HostId): boolean {
+    if (id === this.#settings.id) return true;
+    return (this.#control.connectedForMs(id) ?? 0) > ANNOUNCED_WITHIN_MS;
+  }
+
   async change(change: MemberChange): Promise<Result<unknown, MemberFault>> {
     if (change.type === "add") {
       const replaced = await this.#control.replaceMember(change.id);
@@ -150,6 +178,7 @@
       (key) => hostOf(key) === change.id,
     );
     if (!member) return ok(undefined);
+    await delay(LIVENESS_WINDOW_MS);
     const removed = await this.#control.changeMembers({
       type: "remove",
       member,
