--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -32,6 +32,11 @@
   ConfigurationMessages &
   InventoryMessages;
 
+/**
+ * Changes between snapshots. A restart replays those after the last one, and
+ * each takes about a millisecond, as its section is parsed and merged again.
+ */
+const SNAPSHOT_EVERY_CHANGES = 1_000;
 /** How often heartbeats are relayed and the leader looks at what is due. */
 const DUTIES_EVERY_MS = 250;
 /** Time after which a silent entry is no longer listed. */
@@ -120,6 +125,7 @@
       clock,
       randomness,
       logger,
+      limits: { snapshotEveryEntries: SNAPSHOT_EVERY_CHANGES },
       machine: {
         apply: (_index, command) => {
           const reply = registry.apply(command);
