--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -19,7 +19,12 @@
 import type { ControlSettings } from "#settings";
 import { openReplicatedLog } from "#storage";
 import type { Logger } from "#telemetry";
-import { type ListenFault, PROTOCOL_VERSION, TcpNetwork } from "#wire";
+import {
+  type ListenFault,
+  type NetworkObserver,
+  PROTOCOL_VERSION,
+  TcpNetwork,
+} from "#wire";
 import { Inventory } from "./inventory.ts";
 import { LeaderDuties } from "./leader_duties.ts";
 import { Publisher } from "./publisher.ts";
@@ -28,6 +33,11 @@
   ConfigurationMessages &
   InventoryMessages;
 
+/**
+ * Changes between snapshots. A restart replays those after the last one, and
+ * each takes about a millisecond, as its section is parsed and merged again.
+ */
+const SNAPSHOT_EVERY_CHANGES = 1_000;
 /** How often heartbeats are relayed and the leader looks at what is due. */
 const DUTIES_EVERY_MS = 250;
 /** Time after which a silent entry is no longer listed. */
@@ -58,12 +68,14 @@
   readonly #publisher: Publisher;
   readonly #duties: LeaderDuties;
   readonly #inventory: Inventory;
+  readonly #connectedSince: ReadonlyMap<HostId, number>;
   readonly #timer: NodeJS.Timeout;
   #submitting = false;
 
   private constructor(options: ControlOptions, parts: Parts) {
     this.#options = options;
     const { network, registry, log, table, acceptance, publisher } = parts;
+    this.#connectedSince = parts.connectedSince;
     this.#network = network;
     this.#registry = registry;
     this.#log = log;
@@ -84,7 +96,14 @@
     const table = new EntryTable();
     const acceptance = new Acceptance();
     const others = settings.members.filter(({ id }) => id !== settings.id);
-    const network = openNetwork(options, (id) => publisher.disconnected(id));
+    const connectedSince = new Map<HostId, number>();
+    const network = openNetwork(options, {
+      up: ({ id }) => connectedSince.set(id, clock.now()),
+      down: ({ id }) => {
+        connectedSince.delete(id);
+        publisher.disconnected(id);
+      },
+    });
     const publisher: Publisher = new Publisher({
       network,
       clock,
@@ -107,6 +126,7 @@
       clock,
       randomness,
       logger,
+      limits: { snapshotEveryEntries: SNAPSHOT_EVERY_CHANGES },
       machine: {
         apply: (_index, command) => {
           const reply = registry.apply(command);
@@ -133,8 +153,17 @@
       return err(listening.error);
     }
     network.connect(others.map(({ id, peer }) => ({ id, address: peer })));
-    const parts = { network, registry, log, table, acceptance, publisher };
-    return ok(new ControlProcess(options, parts));
+    return ok(
+      new ControlProcess(options, {
+        network,
+        registry,
+        log,
+        table,
+        acceptance,
+        publisher,
+        connectedSince,
+      }),
+    );
   }
 
   get registry(): Registry {
@@ -159,6 +188,12 @@
     );
   }
 
+  /** Time for which a process has been connected; undefined if it is not. */
+  connectedForMs(id: HostId): number | undefined {
+    const since = this.#connectedSince.get(id);
+    return since && this.#options.clock.now() - since;
+  }
+
   /** Bytes to and from other processes. */
   get traffic() {
     return this.#network.traffic;
@@ -213,6 +248,7 @@
 
   async close(): Promise<void> {
     clearInterval(this.#timer);
+    this.#publisher.close();
     await this.#log.close();
     this.#network.close();
   }
@@ -263,11 +299,12 @@
   readonly table: EntryTable;
   readonly acceptance: Acceptance;
   readonly publisher: Publisher;
+  readonly connectedSince: ReadonlyMap<HostId, number>;
 }
 
 function openNetwork(
   options: ControlOptions,
-  disconnected: (id: HostId) => void,
+  events: Pick<NetworkObserver, "up" | "down">,
 ): TcpNetwork<ControlMessages> {
   const { settings, clock, logger } = options;
   return new TcpNetwork<ControlMessages>({
@@ -280,7 +317,7 @@
     },
     clock,
     observer: {
-      down: ({ id }) => disconnected(id),
+      ...events,
       fault: (fault, peer) => {
         if (fault.type === "link_closed") return;
         logger.warn("connection closed", { peer: peer?.id, fault });
