Measure shedding, cold servers and a dispatcher that is cut off

Cause: the bench did not exercise these phases of the fake server, nor the loss of a dispatcher. Ruled out: killing an entry with its callers, whose calls no policy answers. Change: three more fault cases for the decisions part.

--- a/packages/bench/router_policy.ts
+++ b/packages/bench/router_policy.ts
@@ -1,4 +1,9 @@
-import { type Entry, SeededRandomness, type View } from "#model";
+import {
+  type Entry,
+  rendezvousOrder,
+  SeededRandomness,
+  type View,
+} from "#model";
 import {
   type CallResult,
   Router,
@@ -9,12 +14,16 @@
 import { dataCentreOf, ENTRIES, latencyMs, type Site } from "./sites.ts";
 
 const TICK_MS = 5;
+/** Time at which the dispatcher is cut off, and for how long. */
+const CUT_AT_MS = 4_000;
+const CUT_MS = 1_000;
 
 /** The routers of all entries, with message delays between them. */
 export class RouterPolicy implements Policy {
   readonly #simulation: Simulation;
   readonly #routers: Router[] = [];
   readonly #calls = new Map<string, SimulatedCall>();
+  readonly #dispatcher: number;
   #submitting: string | undefined;
 
   constructor(simulation: Simulation) {
@@ -22,6 +31,8 @@
     const { site, seed } = simulation.options;
     const now = simulation.events.now();
     const view = makeView(site);
+    const [first] = rendezvousOrder(site.service.name, view.entries);
+    this.#dispatcher = Number(first?.id.slice(1));
     for (const [index, entry] of view.entries.entries()) {
       const random = new SeededRandomness(seed * 1_000 + index);
       const { id: self, dataCentre } = entry;
@@ -83,6 +94,7 @@
     const to = Number(message.to.slice(1));
     const { events, figures, options } = this.#simulation;
     figures.messages += 1;
+    if (this.#isCut(from, to)) return;
     events.after(latencyMs(options.site, from, to), () => {
       const router = this.#routers[to];
       const now = events.now();
@@ -90,6 +102,15 @@
     });
   }
 
+  /** Whether a message between two entries is lost without a trace. */
+  #isCut(from: number, to: number): boolean {
+    const { events, options } = this.#simulation;
+    if (options.fault !== "dispatcher-cut-off") return false;
+    if (from !== this.#dispatcher && to !== this.#dispatcher) return false;
+    const at = events.now() - CUT_AT_MS;
+    return at >= 0 && at < CUT_MS;
+  }
+
   #probe(entry: number, server: number): void {
     const record = this.#simulation.records[server];
     if (!record) return;
--- a/packages/bench/simulation.ts
+++ b/packages/bench/simulation.ts
@@ -15,6 +15,8 @@
 /** Attempts per call; a failed or shed one is repeated on another server. */
 const MAX_ATTEMPTS = 4;
 const WARM_UP_MS = 2_000;
+/** Age of a server that is warm, in milliseconds. */
+const WARM_MS = 3_600_000;
 const URGENT_SHARE = 0.4;
 /** Slowdown of the straggler. */
 const SLOW_FACTOR = 5;
@@ -23,7 +25,10 @@
   | "none"
   | "straggler"
   | "fail-fast"
-  | "straggler+fail-fast";
+  | "straggler+fail-fast"
+  | "shedding"
+  | "cold"
+  | "dispatcher-cut-off";
 
 export interface RunOptions {
   readonly site: Site;
@@ -84,7 +89,8 @@
     for (let index = 0; index < site.servers; index++) {
       const server = new FakeServer(this.events, this.#serverOptions(index));
       this.servers.push(server);
-      this.records.push(record(site, index));
+      const cold = index === 0 && options.fault === "cold";
+      this.records.push(record(site, index, cold ? 0 : WARM_MS));
     }
     // Callers are unequal: the n-th entry gets 1/n of the first one's calls.
     let sum = 0;
@@ -117,7 +123,8 @@
     if (this.events.now() < WARM_UP_MS) return undefined;
     const { fault } = this.options;
     if (server === 0 && fault.includes("straggler")) return "slow";
-    if (server === 1 && fault.includes("fail-fast")) return "failing";
+    const failing = fault.includes("fail-fast") || fault === "shedding";
+    if (server === 1 && failing) return "failing";
     return undefined;
   }
 
@@ -241,11 +248,18 @@
       queue: Math.ceil(site.service.queueLength / site.servers),
       slow: slow ? [{ ...phase, factor: SLOW_FACTOR }] : [],
       failFast: failing ? [phase] : [],
+      shedding: index === 1 && fault === "shedding" ? [phase] : [],
+      startedAt: index === 0 && fault === "cold" ? 0 : undefined,
+      coldStartMs: site.service.coldStartMs,
     };
   }
 }
 
-function record(site: Site, index: number): BackendServer {
+function record(
+  site: Site,
+  index: number,
+  startedMsAgo: number,
+): BackendServer {
   return {
     id: `s${index}`,
     service: site.service.name,
@@ -257,6 +271,6 @@
     slots: site.service.slotsPerServer,
     connections: site.service.connectionsPerServer,
     inFlight: 0,
-    startedMsAgo: 3_600_000,
+    startedMsAgo,
   };
 }
