Do not convict servers on the silence of a cut-off entry

Cause: a dispatcher cut off for 1 s took the grants of the others for calls that never end, convicted three of twelve servers, and the ramp after their reinstatement kept the service short of slots for 5 s. Ruled out: clearing all evidence on return; the capacity is lost before. Change: a running call counts only up to the last message of its entry; a reinstated server is ramped up no longer than it was out.

--- a/packages/routing/ledger.ts
+++ b/packages/routing/ledger.ts
@@ -146,7 +146,10 @@
         at,
         class: name,
       } of entry.grants.values()) {
-        const call = { class: name, serviceMs: now - at, crowding };
+        // An entry that is cut off cannot tell that its calls have ended.
+        const serviceMs = entry.lastHeard - at;
+        if (serviceMs <= 0) continue;
+        const call = { class: name, serviceMs, crowding };
         const calls = running.get(server);
         if (calls) calls.push(call);
         else running.set(server, [call]);
--- a/packages/routing/outliers.ts
+++ b/packages/routing/outliers.ts
@@ -23,8 +23,9 @@
 const EJECT_MAX_MS = 30_000;
 /** Successes in trial that end an ejection. */
 const TRIAL_SUCCESSES = 5;
-/** Time from reinstatement to all slots. */
-const REINSTATE_MS = 5_000;
+/** Longest time from reinstatement to all slots; shorter after a short one. */
+const REINSTATE_MAX_MS = 5_000;
+const REINSTATE_MIN_MS = 500;
 /** First interval of trial calls to a straggler; doubles with each slow one. */
 const SLOW_TRIAL_MS = 200;
 const SLOW_TRIAL_MAX_MS = 2_000;
@@ -64,7 +65,10 @@
   trialMs = SLOW_TRIAL_MS;
   /** End of the ejection, or time of the next trial of a straggler. */
   until = 0;
+  /** Time at which the server was taken out. */
+  outSince = 0;
   reinstatedAt = Number.NEGATIVE_INFINITY;
+  reinstateMs = 0;
 
   constructor(id: BackendServerId, slots: number) {
     this.id = id;
@@ -74,7 +78,8 @@
   /** Share of its slots that the server may use, from 0 to 1. */
   allowance(now: number): number {
     const age = now - this.reinstatedAt;
-    return age >= REINSTATE_MS ? 1 : Math.max(0.1, age / REINSTATE_MS);
+    const { reinstateMs } = this;
+    return age >= reinstateMs ? 1 : Math.max(0.1, age / reinstateMs);
   }
 }
 
@@ -208,7 +213,10 @@
   }
 
   #eject(health: ServerHealth, now: number): void {
-    if (health.standing === "good") this.#outSlots += health.slots;
+    if (health.standing === "good") {
+      this.#outSlots += health.slots;
+      health.outSince = now;
+    }
     health.standing = "ejected";
     health.until = now + health.ejectMs;
   }
@@ -218,6 +226,7 @@
     if (ratio < SLOW_VERSUS_MEDIAN * usual) return false;
     if (!this.#mayTakeOut(health)) return false;
     this.#outSlots += health.slots;
+    health.outSince = now;
     health.ratio = ratio;
     health.standing = "slow";
     health.clearEvidence = 0;
@@ -251,6 +260,8 @@
     health.slowEvidence = 0;
     health.failEvidence = 0;
     health.reinstatedAt = now;
+    const outMs = Math.max(REINSTATE_MIN_MS, now - health.outSince);
+    health.reinstateMs = Math.min(REINSTATE_MAX_MS, outMs);
     this.#outSlots -= health.slots;
   }
 
