Ignore service times of calls that started by local choice

Cause: after a cut-off the reports bring calls whose crowding is unknown; their waits at servers counted as slowness. Ruled out: - Change: such calls count as successes or failures only.

--- a/packages/routing/dispatch_entry.ts
+++ b/packages/routing/dispatch_entry.ts
@@ -30,8 +30,11 @@
   readonly class: string;
   /** Assignment, in milliseconds of the dispatcher's clock. */
   readonly at: number;
-  /** Calls that had to finish there first, as a share of its slots. */
-  readonly crowding: number;
+  /**
+   * Calls that had to finish there first, as a share of its slots; undefined
+   * if the call started without this dispatcher's knowledge.
+   */
+  readonly crowding: number | undefined;
   /** No later than the message that carried it; 0 if the entry took it. */
   readonly sequence: number;
 }
--- a/packages/routing/ledger.ts
+++ b/packages/routing/ledger.ts
@@ -7,6 +7,8 @@
 
 /** Interval of tests of running calls and of changes of limits. */
 const WEIGH_MS = 20;
+/** A slot taken longer ago was taken by local choice. */
+const KNOWN_MS = 2;
 
 /** A call that still runs. */
 type RunningCall = Pick<Observation, "class" | "serviceMs" | "crowding">;
@@ -54,16 +56,20 @@
     if (entry.dropCredit(server)) this.slots.credit(server, -1);
     const { ticket, class: name } = taken;
     const at = now - taken.ageMs;
-    this.use(entry, { ticket, class: name, server, at, sequence: 0 });
+    const known = taken.ageMs < KNOWN_MS;
+    const grant = { ticket, class: name, server, at, sequence: 0 };
+    this.use(entry, grant, { known });
   }
 
   use(
     entry: DispatchEntry,
     grant: Omit<Grant, "crowding"> & { ticket: number },
+    options: { known: boolean } = { known: true },
   ): void {
     const { server } = grant;
     const { slots } = server.record;
-    const crowding = Math.max(0, server.inUse + 1 - slots) / slots;
+    const ahead = Math.max(0, server.inUse + 1 - slots);
+    const crowding = options.known ? ahead / slots : undefined;
     entry.grants.set(grant.ticket, { ...grant, crowding });
     this.slots.use(server, 1);
     if (server.free === 0) this.revoke(server);
@@ -88,8 +94,12 @@
       server.lastHeard = now;
       if (kind === "not_started") server.shed(now);
       if (kind === "answered") server.answered();
-      const seen = { kind, serviceMs, crowding, class: grant.class };
-      this.outliers.observe(server.health, seen, now);
+      // Without the crowding, a long answer says nothing about the server.
+      if (crowding !== undefined || kind !== "answered") {
+        const seen = { kind, serviceMs, class: grant.class };
+        const observation = { ...seen, crowding: crowding ?? 0 };
+        this.outliers.observe(server.health, observation, now);
+      }
     }
     this.slots.refresh(server, now);
     if (server.limit === 0 || server.spare) this.revoke(server);
@@ -148,7 +158,7 @@
       } of entry.grants.values()) {
         // An entry that is cut off cannot tell that its calls have ended.
         const serviceMs = entry.lastHeard - at;
-        if (serviceMs <= 0) continue;
+        if (serviceMs <= 0 || crowding === undefined) continue;
         const call = { class: name, serviceMs, crowding };
         const calls = running.get(server);
         if (calls) calls.push(call);
