Trust old grants only when a report confirms them

Cause: when a cut-off heals, entries talk before their next report, and calls that ended meanwhile looked as if they still ran; up to four servers were convicted. Ruled out: clearing the evidence at each report (stragglers would be found later). Change: a call older than 250 ms is evidence only up to the last report that listed it.

--- a/packages/routing/dispatch_entry.ts
+++ b/packages/routing/dispatch_entry.ts
@@ -35,6 +35,8 @@
    * if the call started without this dispatcher's knowledge.
    */
   readonly crowding: number | undefined;
+  /** Time of the last report that listed the call as running. */
+  confirmedAt: number;
   /** No later than the message that carried it; 0 if the entry took it. */
   readonly sequence: number;
 }
--- a/packages/routing/ledger.ts
+++ b/packages/routing/ledger.ts
@@ -7,6 +7,8 @@
 
 /** Interval of tests of running calls and of changes of limits. */
 const WEIGH_MS = 20;
+/** Age up to which a call counts as running without a report that says so. */
+const UNCONFIRMED_MS = 250;
 /** A slot taken longer ago was taken by local choice. */
 const KNOWN_MS = 2;
 
@@ -50,27 +52,31 @@
 
   /** Counts a slot that an entry took without asking. */
   take(entry: DispatchEntry, taken: Taken, now: number): void {
-    if (entry.grants.has(taken.ticket)) return;
+    const known = entry.grants.get(taken.ticket);
+    if (known) {
+      known.confirmedAt = now;
+      return;
+    }
     const server = this.slots.get(taken.server);
     if (!server) return;
     if (entry.dropCredit(server)) this.slots.credit(server, -1);
     const { ticket, class: name } = taken;
     const at = now - taken.ageMs;
-    const known = taken.ageMs < KNOWN_MS;
     const grant = { ticket, class: name, server, at, sequence: 0 };
-    this.use(entry, grant, { known });
+    this.use(entry, grant, { crowdingKnown: taken.ageMs < KNOWN_MS });
   }
 
   use(
     entry: DispatchEntry,
-    grant: Omit<Grant, "crowding"> & { ticket: number },
-    options: { known: boolean } = { known: true },
+    grant: Omit<Grant, "crowding" | "confirmedAt"> & { ticket: number },
+    options: { crowdingKnown: boolean } = { crowdingKnown: true },
   ): void {
     const { server } = grant;
     const { slots } = server.record;
     const ahead = Math.max(0, server.inUse + 1 - slots);
-    const crowding = options.known ? ahead / slots : undefined;
-    entry.grants.set(grant.ticket, { ...grant, crowding });
+    const crowding = options.crowdingKnown ? ahead / slots : undefined;
+    const confirmedAt = grant.at;
+    entry.grants.set(grant.ticket, { ...grant, crowding, confirmedAt });
     this.slots.use(server, 1);
     if (server.free === 0) this.revoke(server);
   }
@@ -150,16 +156,11 @@
   #weighRunning(now: number): void {
     const running = new Map<ServerSlots, RunningCall[]>();
     for (const entry of this.entries.values()) {
-      for (const {
-        server,
-        crowding,
-        at,
-        class: name,
-      } of entry.grants.values()) {
-        // An entry that is cut off cannot tell that its calls have ended.
-        const serviceMs = entry.lastHeard - at;
+      for (const grant of entry.grants.values()) {
+        const { server, crowding } = grant;
+        const serviceMs = certainMs(entry, grant, now);
         if (serviceMs <= 0 || crowding === undefined) continue;
-        const call = { class: name, serviceMs, crowding };
+        const call = { class: grant.class, serviceMs, crowding };
         const calls = running.get(server);
         if (calls) calls.push(call);
         else running.set(server, [call]);
@@ -173,3 +174,13 @@
     }
   }
 }
+
+/**
+ * Time that a call has certainly run: an entry that was cut off could not
+ * tell that it had ended, so an old call must be confirmed by a report.
+ */
+function certainMs(entry: DispatchEntry, grant: Grant, now: number): number {
+  const recent = now - grant.at < UNCONFIRMED_MS;
+  const until = recent ? entry.lastHeard : grant.confirmedAt;
+  return until - grant.at;
+}
