--- a/packages/routing/dispatch_entry.ts
+++ b/packages/routing/dispatch_entry.ts
@@ -30,8 +30,13 @@
   readonly class: string;
   /** Assignment, in milliseconds of the dispatcher's clock. */
   readonly at: number;
-  /** Calls that had to finish there first, as a share of its slots. */
-  readonly crowding: number;
+  /**
+   * Calls that had to finish there first, as a share of its slots; undefined
+   * if the call started without this dispatcher's knowledge.
+   */
+  readonly crowding: number | undefined;
+  /** Time of the last report that listed the call as running. */
+  confirmedAt: number;
   /** No later than the message that carried it; 0 if the entry took it. */
   readonly sequence: number;
 }
