End a view only when no entry can be using it

Cause: a view was stamped as ended when its successor was proposed. Entries that are cut off from control, a majority of the old view, go on confirming that view among themselves; claims stopped asking its holders 33 s later, so the same key could be granted on both sides. Found by review of the claims package; a trial there ran a key twice. Ruled out: a longer margin (a partition lasts for minutes); refusing to remove entries (a lost entry would never leave the view). Change: a former view stays unsettled until a majority of its entries knows the successor, and ends by a command of its own; the margin for keys is 63 s, as callers' clocks and hosts' clocks may each differ by 30 s; a keyed request that is refused before its key is looked up is answered as unknown. Conclusion: losing a majority of a view at once delays bookings of keys whose holders were lost, until hosts restart; this is stated in the design.

--- a/packages/claims/holders.ts
+++ b/packages/claims/holders.ts
@@ -12,7 +12,7 @@
  * A view counts for a key unless it ended this long before the key's creation:
  * 30 s of clock difference and 3 s for which an entry may use an ended view.
  */
-export const VIEW_MARGIN_MS = 33_000;
+export const VIEW_MARGIN_MS = 63_000;
 
 /** The part of the configuration that claims depend on. */
 export type Views = Pick<Configuration, "view" | "formerViews">;
--- a/packages/claims/keys_test.ts
+++ b/packages/claims/keys_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { groupsFor, holdersOf } from "./holders.ts";
+import { groupsFor, holdersOf, VIEW_MARGIN_MS } from "./holders.ts";
 import { checkAge, parseKey } from "./keys.ts";
 import { EPOCH, entryOf, KEY, viewOf } from "./test_support.ts";
 
@@ -32,7 +32,7 @@
 
 test("views that the configuration no longer lists stop older keys", () => {
   const key = parseKey(KEY)._unsafeUnwrap();
-  const began = EPOCH - 33_000;
+  const began = EPOCH - VIEW_MARGIN_MS;
   const view = viewOf(["x"], { epoch: 5, began });
   assert.equal(groupsFor(key, { view, formerViews: [] }), undefined);
   const later = { ...key, created: key.created + 1 };
--- a/packages/configuration/acceptance.ts
+++ b/packages/configuration/acceptance.ts
@@ -1,4 +1,4 @@
-import type { Configuration, View } from "#model";
+import { type Configuration, UNSETTLED, type View } from "#model";
 import type { EntryTable } from "./entry_table.ts";
 
 /**
@@ -21,9 +21,8 @@
     this.#configuration = configuration;
     const successor = configuration.version;
     if (!before) {
-      // After a restart it is not known which former views were settled.
       for (const view of configuration.formerViews) {
-        this.#unsettled.push({ view, successor });
+        if (view.ended === UNSETTLED) this.#unsettled.push({ view, successor });
       }
       return;
     }
@@ -41,6 +40,14 @@
     );
   }
 
+  /** Epochs of former views that can be declared as ended now. */
+  newlySettled(table: EntryTable): number[] {
+    const open = new Set(this.unsettledViews(table).map(({ epoch }) => epoch));
+    return (this.#configuration?.formerViews ?? [])
+      .filter(({ epoch, ended }) => ended === UNSETTLED && !open.has(epoch))
+      .map(({ epoch }) => epoch);
+  }
+
   /** Views that hold up acceptance: too many of their entries are silent. */
   unsettledViews(table: EntryTable): readonly View[] {
     this.#unsettled = this.#unsettled.filter(
--- a/packages/configuration/change.ts
+++ b/packages/configuration/change.ts
@@ -7,6 +7,7 @@
   type PlannedStop,
   type Service,
   type StopProgress,
+  UNSETTLED,
   type View,
 } from "#model";
 
@@ -34,6 +35,11 @@
   readonly services: ListChange<Service>;
   readonly plannedStops: ListChange<PlannedStop>;
   readonly stops: ListChange<StopProgress>;
+  /** Ends of former views that the receiver holds as unsettled. */
+  readonly settled: readonly {
+    readonly epoch: number;
+    readonly ended: number;
+  }[];
   readonly view?: {
     readonly epoch: number;
     readonly began: number;
@@ -52,7 +58,7 @@
 };
 
 /** Former views are kept for the claim window and a margin for clock skew. */
-const FORMER_VIEW_KEPT_MS = 11 * 60_000;
+const FORMER_VIEW_KEPT_MS = 12 * 60_000;
 
 /**
  * The configuration without what only control needs (credentials of teams and
@@ -79,6 +85,7 @@
     services: diffList(from.document.services, to.document.services, byName),
     plannedStops: diffList(from.document.stops, to.document.stops, byName),
     stops: diffList(from.stops, to.stops, byStop),
+    settled: settledSince(from, to),
     ...(from.view.epoch !== to.view.epoch && { view: diffViews(from, to) }),
   };
 }
@@ -101,7 +108,7 @@
       stops: applyList(document.stops, change.plannedStops, byName),
     },
     stops: applyList(base.stops, change.stops, byStop),
-    ...applyView(base, change.view),
+    ...settle(applyView(base, change.view), change.settled),
   };
 }
 
@@ -114,6 +121,26 @@
   return { epoch, began, entries, former: stepsBack(to) };
 }
 
+function settledSince(from: Configuration, to: Configuration) {
+  const known = new Map(from.formerViews.map((v) => [v.epoch, v.ended]));
+  return to.formerViews
+    .filter(({ epoch, ended }) => ended !== (known.get(epoch) ?? UNSETTLED))
+    .map(({ epoch, ended }) => ({ epoch, ended }));
+}
+
+function settle(
+  views: Pick<Configuration, "view" | "formerViews">,
+  settled: ConfigurationChange["settled"],
+): Pick<Configuration, "view" | "formerViews"> {
+  if (settled.length === 0) return views;
+  const ends = new Map(settled.map(({ epoch, ended }) => [epoch, ended]));
+  const formerViews = views.formerViews.map((view) => {
+    const ended = ends.get(view.epoch);
+    return ended === undefined ? view : { ...view, ended };
+  });
+  return { ...views, formerViews };
+}
+
 function stepsBack(configuration: Configuration): ViewStep[] {
   let later: View = configuration.view;
   return configuration.formerViews.toReversed().map((view) => {
@@ -143,7 +170,7 @@
   if (change.former) {
     return { view, formerViews: walkBack(view, change.former) };
   }
-  const ended: FormerView = { ...base.view, ended: change.began };
+  const ended: FormerView = { ...base.view, ended: UNSETTLED };
   const oldest = change.began - FORMER_VIEW_KEPT_MS;
   const formerViews = [...base.formerViews, ended].filter(
     (former) => former.ended >= oldest && former.epoch > 0,
--- a/packages/configuration/change_test.ts
+++ b/packages/configuration/change_test.ts
@@ -6,6 +6,7 @@
   type FormerView,
   SeededRandomness,
   type Service,
+  UNSETTLED,
 } from "#model";
 import {
   applyChange,
@@ -50,13 +51,14 @@
     const last = versions.at(-1) ?? EMPTY_CONFIGURATION;
     const name = `s${random.below(4)}`;
     const id = `e${random.below(5)}`;
-    const step = random.below(3);
+    const step = random.below(4);
     versions.push({
       ...last,
       version,
       ...(step === 0 && { document: putService(last, { name, version }) }),
       ...(step === 1 && { stops: putStop(last, { name, version }) }),
       ...(step === 2 && changeView(last, { id, version })),
+      ...(step === 3 && settleOne(last, { pick: random.below(3), version })),
     });
   }
   return versions;
@@ -89,13 +91,26 @@
   const others = view.entries.filter((e) => e.id !== id);
   const entries = version % 4 === 0 ? others : [...others, entry(id, version)];
   entries.sort((a, b) => (a.id < b.id ? -1 : 1));
-  const ended: FormerView = { ...view, ended: version };
+  const ended: FormerView = { ...view, ended: UNSETTLED };
   return {
     view: { epoch: view.epoch + 1, began: version, entries },
     formerViews: view.epoch > 0 ? [...formerViews, ended] : formerViews,
   };
 }
 
+function settleOne(
+  { formerViews }: Configuration,
+  { pick, version }: { pick: number; version: number },
+) {
+  return {
+    formerViews: formerViews.map((view, index) =>
+      index === pick && view.ended === UNSETTLED
+        ? { ...view, ended: version }
+        : view,
+    ),
+  };
+}
+
 test("a change from any version leads to exactly the later version", () => {
   for (let seed = 0; seed < 30; seed++) {
     const versions = history(seed, 20);
--- a/packages/configuration/in_force_test.ts
+++ b/packages/configuration/in_force_test.ts
@@ -4,10 +4,15 @@
   type Configuration,
   type Entry,
   SeededRandomness,
+  UNSETTLED,
   type View,
 } from "#model";
 import { Acceptance } from "./acceptance.ts";
-import { EMPTY_CONFIGURATION } from "./change.ts";
+import {
+  applyChange,
+  diffConfigurations,
+  EMPTY_CONFIGURATION,
+} from "./change.ts";
 import { ENTRY_LEASE_MS, EntryTable } from "./entry_table.ts";
 import { CONFIRMED_FOR_MS, Freshness } from "./freshness.ts";
 
@@ -120,8 +125,13 @@
     const after = entries.map((e) => `${e.id}#${e.incarnation}`).join();
     if (before !== after) {
       const epoch = view.epoch + 1;
-      this.#commit({ view: { epoch, began: this.#now, entries } });
+      const former = { ...view, ended: UNSETTLED };
+      this.#commit({
+        view: { epoch, began: this.#now, entries },
+        formerViews: [...this.#latest.formerViews, former],
+      });
     }
+    this.#settleViews();
     if (this.#random.next() < 0.05) {
       this.#commit({});
       this.#submitted.push(this.#latest.version);
@@ -133,6 +143,15 @@
     });
   }
 
+  #settleViews(): void {
+    const epochs = this.#acceptance.newlySettled(this.#table);
+    if (epochs.length === 0) return;
+    const formerViews = this.#latest.formerViews.map((view) =>
+      epochs.includes(view.epoch) ? { ...view, ended: this.#now } : view,
+    );
+    this.#commit({ formerViews });
+  }
+
   #heartbeat(index: number): void {
     const node = this.#nodes[index];
     if (!node || node.frozenUntil > this.#now) return;
@@ -197,10 +216,38 @@
             `${version} was accepted at ${at} ms`,
         );
       }
+      this.#checkView(node, index);
     });
   }
+
+  /** Claims rely on it that an ended view is out of use after 3 s. */
+  #checkView(node: Node, index: number): void {
+    const former = this.#latest.formerViews.find(
+      ({ epoch }) => epoch === node.view.epoch,
+    );
+    if (!former || this.#now <= former.ended + CONFIRMED_FOR_MS) return;
+    assert.fail(
+      `e${index} uses view ${former.epoch} at ${this.#now} ms, ` +
+        `which ended at ${former.ended} ms`,
+    );
+  }
 }
 
+test("a view that has ended comes as an end, not as a new view", () => {
+  const former = { epoch: 1, began: 0, entries: [], ended: UNSETTLED };
+  const view = { epoch: 2, began: 5, entries: [] };
+  const before = { ...EMPTY_CONFIGURATION, version: 2, view };
+  const open = { ...before, formerViews: [former] };
+  const ended = {
+    ...before,
+    version: 3,
+    formerViews: [{ ...former, ended: 9 }],
+  };
+  const change = diffConfigurations(open, ended);
+  assert.equal(change.view, undefined);
+  assert.deepEqual(applyChange(open, change), ended);
+});
+
 test("no entry serves with a configuration older than an accepted one", () => {
   const seeds = ONE_SEED
     ? [Number(ONE_SEED)]
--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -82,7 +82,11 @@
     this.#table = table;
     this.#acceptance = acceptance;
     this.#publisher = publisher;
-    this.#duties = new LeaderDuties({ clock: options.clock, table });
+    this.#duties = new LeaderDuties({
+      clock: options.clock,
+      table,
+      acceptance,
+    });
     this.#inventory = new Inventory(network);
     this.#timer = setInterval(() => this.#tick(), DUTIES_EVERY_MS);
   }
--- a/packages/control/leader_duties.ts
+++ b/packages/control/leader_duties.ts
@@ -1,4 +1,9 @@
-import { ENTRY_LEASE_MS, type EntryTable, sameEntry } from "#configuration";
+import {
+  type Acceptance,
+  ENTRY_LEASE_MS,
+  type EntryTable,
+  sameEntry,
+} from "#configuration";
 import type { Clock } from "#model";
 import {
   dueStops,
@@ -17,11 +22,17 @@
 export class LeaderDuties {
   readonly #clock: Clock;
   readonly #table: EntryTable;
+  readonly #acceptance: Acceptance;
   #leaderSince: number | undefined;
 
-  constructor(options: { clock: Clock; table: EntryTable }) {
+  constructor(options: {
+    clock: Clock;
+    table: EntryTable;
+    acceptance: Acceptance;
+  }) {
     this.#clock = options.clock;
     this.#table = options.table;
+    this.#acceptance = options.acceptance;
   }
 
   /** Commands that are due; none on a host that does not lead. */
@@ -40,7 +51,11 @@
       now - this.#leaderSince >= NEW_LEADER_GRACE_MS
         ? this.#departures(configuration, { now, at })
         : [];
+    const epochs = this.#acceptance.newlySettled(this.#table);
+    const settled: RegistryCommand[] =
+      epochs.length > 0 ? [{ type: "views_settled", epochs, at }] : [];
     return [
+      ...settled,
       ...this.#arrivals(configuration, { now, at }),
       ...departures,
       ...dueStops(configuration, at, this.#reports()),
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -68,14 +68,14 @@
   async run(): Promise<void> {
     const admitted = this.#admit();
     if (admitted.isErr()) {
-      this.#reply.fail(admitted.error);
+      this.#refuse(admitted.error);
       return;
     }
     const { call, chain } = admitted.value;
     const { bodyLimits } = this.#options;
     const body = await readBody(this.#exchange.request, bodyLimits);
     if (body.isErr()) {
-      this.#reply.fail(body.error);
+      this.#refuse(body.error);
       return;
     }
     this.#startDeadline(call);
@@ -100,6 +100,16 @@
     this.#exchange.response.destroy();
   }
 
+  /**
+   * Answers a call that was refused before its key was looked up: an earlier
+   * send of a request that must not be repeated may have run.
+   */
+  #refuse(fault: CallFault): void {
+    const keyed = this.#exchange.request.headers[HEADERS.key] !== undefined;
+    const mayHaveRun = keyed && !this.#classified?.class.repeatable;
+    this.#reply.fail(mayHaveRun ? { ...fault, outcome: "unknown" } : fault);
+  }
+
   #admit(): Result<{ call: Call; chain: CallChain }, CallFault> {
     const { ready, classifier } = this.#options;
     if (!ready()) {
--- a/packages/entry/caller_contract_test.ts
+++ b/packages/entry/caller_contract_test.ts
@@ -294,6 +294,21 @@
   assert.equal(site.servers[0]?.ledger.ofKey(key).length, 1);
 });
 
+test("a resend that is refused early is not told that it never ran", async () => {
+  const key = uuidv7();
+  const book = (headers: Record<string, string>) =>
+    call({
+      method: "POST",
+      path: "/bookings",
+      headers: { [HEADERS.key]: key, ...headers },
+      body: "{}",
+    });
+  assert.equal((await book({})).headers[HEADERS.outcome], "answered");
+  const resent = await book({ [HEADERS.deadline]: "0" });
+  assert.equal(resent.headers[HEADERS.error], "deadline_expired");
+  assert.equal(resent.headers[HEADERS.outcome], "unknown");
+});
+
 test("two entries that get the same key at once run it once", async () => {
   const key = uuidv7();
   const answers = await Promise.all(
--- a/packages/model/document.ts
+++ b/packages/model/document.ts
@@ -103,7 +103,7 @@
 export interface Configuration {
   readonly document: Document;
   readonly view: View;
-  /** The views that ended within the last 11 minutes, oldest first. */
+  /** The views that ended within the last 12 minutes, oldest first. */
   readonly formerViews: readonly FormerView[];
   readonly stops: readonly StopProgress[];
   /**
--- a/packages/model/hosts.ts
+++ b/packages/model/hosts.ts
@@ -42,8 +42,14 @@
 
 /** A view that a later one has replaced. */
 export interface FormerView extends View {
-  /** Milliseconds since the Unix epoch at which the next view began. */
+  /**
+   * Milliseconds since the Unix epoch from which no entry can have its
+   * configuration confirmed with this view, or `UNSETTLED`.
+   */
   readonly ended: number;
 }
 
+/** The end of a view that some entries may still be using. */
+export const UNSETTLED = Number.MAX_SAFE_INTEGER;
+
 export const EMPTY_VIEW: View = { epoch: 0, entries: [], began: 0 };
--- a/packages/registry/commands.ts
+++ b/packages/registry/commands.ts
@@ -50,6 +50,16 @@
   readonly at: number;
 }
 
+/**
+ * Ends former views: a majority of the entries of each knows its successor. It
+ * is a command of its own, because only a time after that is a safe end.
+ */
+export interface ViewsSettled {
+  readonly type: "views_settled";
+  readonly epochs: readonly number[];
+  readonly at: number;
+}
+
 /** Moves a planned stop to its next phase. */
 export interface StopAdvanced {
   readonly type: "stop_advanced";
@@ -65,6 +75,7 @@
   | EntryJoined
   | EntryChanged
   | EntryLeft
+  | ViewsSettled
   | StopAdvanced;
 
 /** Answers to a put. */
--- a/packages/registry/membership.ts
+++ b/packages/registry/membership.ts
@@ -3,6 +3,7 @@
   type Entry,
   type FormerView,
   type HostId,
+  UNSETTLED,
   type View,
 } from "#model";
 import type { StaleReason } from "./commands.ts";
@@ -77,6 +78,17 @@
     return "done";
   }
 
+  /** Ends former views that no entry can use any longer. */
+  settle(epochs: readonly number[], now: number): MembershipChange {
+    const settled = (view: FormerView) =>
+      view.ended === UNSETTLED && epochs.includes(view.epoch);
+    if (!this.#former.some(settled)) return "unchanged";
+    this.#former = this.#former.map((view) =>
+      settled(view) ? { ...view, ended: now } : view,
+    );
+    return "done";
+  }
+
   /** Drops former views that are too old to matter. */
   prune(now: number): void {
     const oldest = now - FORMER_VIEWS_MS;
@@ -107,7 +119,7 @@
   #begin(entries: readonly Entry[], now: number): void {
     // No claim can have been made in a view without entries.
     if (this.#view.entries.length > 0) {
-      this.#former = [...this.#former, { ...this.#view, ended: now }];
+      this.#former = [...this.#former, { ...this.#view, ended: UNSETTLED }];
     }
     this.#view = {
       epoch: this.#view.epoch + 1,
--- a/packages/registry/registry.ts
+++ b/packages/registry/registry.ts
@@ -67,6 +67,10 @@
         );
       case "entry_left":
         return this.#noteChange(this.#membership.leave(command, this.#now));
+      case "views_settled":
+        return this.#noteChange(
+          this.#membership.settle(command.epochs, this.#now),
+        );
       case "stop_advanced":
         return this.#noteChange(this.#advance(command));
       default:
--- a/packages/registry/registry_test.ts
+++ b/packages/registry/registry_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { UNSETTLED } from "#model";
 import { ANSWER_LIFETIME_MS } from "./answers.ts";
 import {
   ALLOC_ACTOR,
@@ -160,9 +161,13 @@
     formerViews.map(({ epoch, began, ended, entries }) => {
       return [epoch, began, ended, entries[0]?.incarnation];
     }),
-    [[1, 1_000, 2_000, 2]],
+    [[1, 1_000, UNSETTLED, 2]],
   );
-  join("e2", 1, 2_000 + FORMER_VIEWS_MS);
+  const settle = { type: "views_settled", epochs: [1, 2], at: 2_500 } as const;
+  assert.equal(registry.apply(settle).type, "done");
+  assert.equal(registry.apply({ ...settle, at: 2_600 }).type, "unchanged");
+  assert.equal(registry.configuration().formerViews[0]?.ended, 2_500);
+  join("e2", 1, 2_500 + FORMER_VIEWS_MS);
   const later = registry.configuration().formerViews;
   assert.deepEqual(
     later.map(({ epoch }) => epoch),
@@ -170,6 +175,22 @@
   );
 });
 
+test("a view that some entry may still use is kept whatever its age", () => {
+  const registry = new Registry();
+  registry.apply({ type: "entry_joined", entry: entry("e1"), at: 1_000 });
+  registry.apply({ type: "entry_joined", entry: entry("e2"), at: 2_000 });
+  const at = 2_000 + 10 * FORMER_VIEWS_MS;
+  registry.apply({ type: "entry_joined", entry: entry("e3"), at });
+  const { formerViews } = registry.configuration();
+  assert.deepEqual(
+    formerViews.map(({ epoch, ended }) => [epoch, ended]),
+    [
+      [1, UNSETTLED],
+      [2, UNSETTLED],
+    ],
+  );
+});
+
 test("an entry that is stopping does not become ready again", () => {
   const registry = new Registry();
   registry.apply({ type: "entry_joined", entry: entry("e1"), at: 1 });
@@ -191,6 +212,7 @@
   const registry = new Registry();
   registry.apply({ type: "entry_joined", entry: entry("e1"), at: 5_000 });
   registry.apply({ type: "entry_joined", entry: entry("e2"), at: 4_000 });
+  registry.apply({ type: "views_settled", epochs: [1], at: 4_500 });
   const { view, formerViews } = registry.configuration();
   assert.equal(view.began, 5_000);
   assert.equal(formerViews[0]?.ended, 5_000);
--- a/packages/registry/stops_test.ts
+++ b/packages/registry/stops_test.ts
@@ -96,7 +96,10 @@
   const site = new Site([FIRST]);
   site.lead(T0);
   const lost = { type: "entry_left", id: "e2", incarnation: 1 } as const;
-  site.registry.apply({ ...lost, at: T0 + 1_000 });
+  site.registry.apply({ ...lost, at: T0 + 500 });
+  const { epoch } = site.registry.configuration().view;
+  const epochs = [epoch - 1];
+  site.registry.apply({ type: "views_settled", epochs, at: T0 + 1_000 });
   const idle = site.reports({ e1: {} });
   assert.deepEqual(site.lead(T0 + 5_999, idle), []);
   assert.deepEqual(site.lead(T0 + 6_000, idle), ["a done"]);
