Measure slopes of presence

Ruled out: figures from wall-clock time, as other work shares the machine; only processor time, bytes and heap after a collection are taken. Change: add packages/slopes with a least-squares fit, figures of records (heap, bytes, processor time) and of the spread at rest with the mesh and the relays, and the script `slopes`.

--- /dev/null
+++ b/packages/slopes/main.ts
@@ -0,0 +1,26 @@
+import { loadavg } from "node:os";
+import { presenceRecords } from "./presence_records.ts";
+import { presenceSpread } from "./presence_spread.ts";
+import type { Row } from "./report.ts";
+import { table } from "./report.ts";
+
+const PARTS: Record<string, () => Row[] | Promise<Row[]>> = {
+  presence_records: presenceRecords,
+  presence_spread: presenceSpread,
+};
+
+const wanted = process.argv.slice(2);
+const load = () =>
+  loadavg()
+    .map((value) => value.toFixed(1))
+    .join(" ");
+for (const [name, run] of Object.entries(PARTS)) {
+  if (wanted.length > 0 && !wanted.includes(name)) continue;
+  const started = performance.now();
+  const before = load();
+  const rows = await run();
+  const seconds = ((performance.now() - started) / 1_000).toFixed(0);
+  console.log(`\n## ${name}\n`);
+  console.log(`${seconds} s; load average ${before} before, ${load()} after\n`);
+  console.log(table(rows));
+}
