--- a/packages/slopes/fit.ts
+++ b/packages/slopes/fit.ts
@@ -27,10 +27,12 @@
   }
   const slope = covariance / variance;
   const intercept = meanValue - slope * meanSize;
+  // A value of zero has no share; the greatest value stands in for it.
+  const greatest = Math.max(...points.map(({ value }) => Math.abs(value)));
   const worst = Math.max(
     ...points.map(({ size, value }) => {
       const distance = Math.abs(value - (intercept + slope * size));
-      return distance === 0 ? 0 : distance / Math.abs(value);
+      return distance === 0 ? 0 : distance / (Math.abs(value) || greatest);
     }),
   );
   const bend = between(points.slice(-2)) / between(points.slice(0, 2));
--- a/packages/slopes/fit_test.ts
+++ b/packages/slopes/fit_test.ts
@@ -33,3 +33,12 @@
   const points = [1, 2, 3].map((size) => ({ size, value: 0 }));
   assert.equal(fitLine(points).worst, 0);
 });
+
+test("a value of zero gives a finite deviation", () => {
+  const points = [
+    { size: 1, value: 0 },
+    { size: 2, value: 10 },
+    { size: 3, value: 0 },
+  ];
+  assert.ok(Math.abs(fitLine(points).worst - 2 / 3) < 1e-9);
+});
--- /dev/null
+++ b/packages/slopes/process_site.ts
@@ -0,0 +1,175 @@
+import {
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+  statSync,
+  writeFileSync,
+} from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { build } from "esbuild";
+import { SiteProcesses } from "../demo/site_processes.ts";
+import { until } from "../demo/until.ts";
+import { type SiteSize, writeSite } from "./site_folder.ts";
+
+/** Reports memory after a collection when it is asked to by a signal. */
+const PRELOAD = `
+const { writeFileSync } = require("node:fs");
+const { join } = require("node:path");
+process.on("SIGUSR2", () => {
+  gc();
+  gc();
+  const file = join(__dirname, "memory-" + process.pid + ".json");
+  writeFileSync(file, JSON.stringify(process.memoryUsage()));
+});
+`;
+
+/** The programs that processes run, bundled into one folder. */
+export class Programs {
+  readonly folder = mkdtempSync(join(tmpdir(), "mangobank-slopes-"));
+  #sites = 0;
+
+  static async build(): Promise<Programs> {
+    const programs = new Programs();
+    await build({
+      entryPoints: {
+        mangobank: "packages/cli/main.ts",
+        standin: "packages/demo/standin_process.ts",
+      },
+      outdir: programs.folder,
+      outExtension: { ".js": ".cjs" },
+      bundle: true,
+      platform: "node",
+      format: "cjs",
+      target: "node20",
+      alias: { "cbor-extract": "./scripts/empty.cjs" },
+      logLevel: "warning",
+    });
+    writeFileSync(join(programs.folder, "memory.cjs"), PRELOAD);
+    return programs;
+  }
+
+  get standin(): string {
+    return join(this.folder, "standin.cjs");
+  }
+
+  /** Starts the processes of a site. */
+  async site(size: SiteSize): Promise<ProcessSite> {
+    const name = join(this.folder, `site-${++this.#sites}`);
+    await writeSite(`${name}-example`, size);
+    const processes = new SiteProcesses({
+      example: `${name}-example`,
+      folder: name,
+      command: [
+        process.execPath,
+        "--expose-gc",
+        "--require",
+        join(this.folder, "memory.cjs"),
+        join(this.folder, "mangobank.cjs"),
+      ],
+    });
+    await processes.start();
+    return new ProcessSite(processes, { programs: this.folder, folder: name });
+  }
+
+  remove(): void {
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+}
+
+/** Processes of a site, with what they use. */
+export class ProcessSite {
+  readonly processes: SiteProcesses;
+  readonly #folders: { programs: string; folder: string };
+
+  constructor(
+    processes: SiteProcesses,
+    folders: { programs: string; folder: string },
+  ) {
+    this.processes = processes;
+    this.#folders = folders;
+  }
+
+  get controls(): number[] {
+    return this.#pids(this.processes.controls);
+  }
+
+  get entries(): number[] {
+    return this.#pids(this.processes.entries);
+  }
+
+  /** Heap and buffers of a process after a collection, in bytes. */
+  async heap(pid: number): Promise<number> {
+    const file = join(this.#folders.programs, `memory-${pid}.json`);
+    rmSync(file, { force: true });
+    process.kill(pid, "SIGUSR2");
+    const read = () => {
+      try {
+        return JSON.parse(readFileSync(file, "utf8")) as NodeJS.MemoryUsage;
+      } catch {
+        return undefined;
+      }
+    };
+    await until(() => read() !== undefined, { what: "memory is reported" });
+    const { heapUsed = 0, external = 0 } = read() ?? {};
+    return heapUsed + external;
+  }
+
+  /** Bytes in the data folders of all control hosts. */
+  dataBytes(): number {
+    const data = join(this.#folders.folder, "data");
+    return readdirSync(data, { recursive: true })
+      .map((file) => statSync(join(data, String(file))))
+      .reduce((sum, stat) => sum + (stat.isFile() ? stat.size : 0), 0);
+  }
+
+  /** Bytes that the entries sent to other processes. */
+  async sentBytes(): Promise<number> {
+    const texts = await Promise.all(
+      this.processes.entries.map(({ metrics }) =>
+        fetch(`http://${metrics.host}:${metrics.port}/metrics`).then((answer) =>
+          answer.text(),
+        ),
+      ),
+    );
+    return texts.reduce((sum, text) => {
+      const line = /^mangobank_peer_bytes_total\{direction="sent"\} (\d+)/m;
+      return sum + Number(line.exec(text)?.[1] ?? Number.NaN);
+    }, 0);
+  }
+
+  close(): Promise<void> {
+    return this.processes.close();
+  }
+
+  #pids(hosts: readonly { id: string }[]): number[] {
+    return hosts.map(({ id }) => this.processes.pid(id) ?? 0);
+  }
+}
+
+/** Processor time that a process has used, in milliseconds. */
+export function cpuMs(pid: number): number {
+  const tasks = `/proc/${pid}/task`;
+  // Finer than the ticks of 10 ms in /proc/PID/stat.
+  return readdirSync(tasks).reduce((sum, task) => {
+    const text = readFileSync(join(tasks, task, "schedstat"), "utf8");
+    return sum + Number(text.split(" ")[0]) / 1e6;
+  }, 0);
+}
+
+/** Resident memory of a process, in bytes. */
+export function residentBytes(pid: number): number {
+  const status = readFileSync(`/proc/${pid}/status`, "utf8");
+  return Number(/^VmRSS:\s+(\d+)/m.exec(status)?.[1]) * 1_024;
+}
+
+/** Processor time that processes use while `run` runs, in milliseconds. */
+export async function cpuDuring(
+  pids: readonly number[],
+  run: () => Promise<unknown>,
+): Promise<number[]> {
+  const before = pids.map(cpuMs);
+  await run();
+  return pids.map((pid, index) => cpuMs(pid) - (before[index] ?? 0));
+}
--- a/packages/slopes/wire_size.ts
+++ b/packages/slopes/wire_size.ts
@@ -18,3 +18,11 @@
   const [read] = new FrameReader().push(bytes)._unsafeUnwrap();
   return { bytes: bytes.length, payload: read?.payload as T };
 }
+
+/** A message that is read from a connection together with other bytes. */
+export function readOf<T>(kind: string, payload: T, together: number): T {
+  const rest = frame("ping", Buffer.alloc(together));
+  const read = Buffer.concat([frame(kind, payload), rest]);
+  const [first] = new FrameReader().push(read)._unsafeUnwrap();
+  return first?.payload as T;
+}
