Make one view of entries that come and go together

Ruled out: leaving views out that lasted for moments only (an entry may have claimed in them). Change: the leader submits all joins, changes and departures of a tick as one command, which begins one view and one version. Conclusion: also keeps a lost rack to one view.

--- a/packages/control/leader_duties.ts
+++ b/packages/control/leader_duties.ts
@@ -7,6 +7,7 @@
 import type { Clock } from "#model";
 import {
   dueStops,
+  type EntriesChanged,
   type InFlightReport,
   type RegistryCommand,
   type RegistryConfiguration,
@@ -18,6 +19,8 @@
  */
 const NEW_LEADER_GRACE_MS = ENTRY_LEASE_MS;
 
+type EntryChange = EntriesChanged["changes"][number];
+
 /** What a leader has to submit so that the agreed state follows events. */
 export class LeaderDuties {
   readonly #clock: Clock;
@@ -54,10 +57,15 @@
     const epochs = this.#acceptance.newlySettled(this.#table);
     const settled: RegistryCommand[] =
       epochs.length > 0 ? [{ type: "views_settled", epochs, at }] : [];
-    return [
-      ...settled,
+    const changes = [
       ...this.#arrivals(configuration, { now, at }),
       ...departures,
+    ];
+    const moves: RegistryCommand[] =
+      changes.length > 0 ? [{ type: "entries_changed", changes, at }] : [];
+    return [
+      ...settled,
+      ...moves,
       ...dueStops(configuration, at, this.#reports()),
     ];
   }
@@ -65,7 +73,7 @@
   #arrivals(
     { view }: RegistryConfiguration,
     time: { now: number; at: number },
-  ): RegistryCommand[] {
+  ): EntryChange[] {
     const present = new Map(view.entries.map((entry) => [entry.id, entry]));
     return this.#table.live(time.now).flatMap(({ entry }) => {
       if (!entry) return [];
@@ -83,7 +91,7 @@
   #departures(
     { view }: RegistryConfiguration,
     time: { now: number; at: number },
-  ): RegistryCommand[] {
+  ): EntryChange[] {
     return view.entries.flatMap(({ id, incarnation }) => {
       const status = this.#table.get(id);
       if (status && time.now - status.seenAt <= ENTRY_LEASE_MS) return [];
--- a/packages/registry/commands.ts
+++ b/packages/registry/commands.ts
@@ -50,6 +50,16 @@
   readonly at: number;
 }
 
+/**
+ * Several changes of entries as one new view. Each view is asked for claims
+ * until it has ended, so a site that starts should not make one per entry.
+ */
+export interface EntriesChanged {
+  readonly type: "entries_changed";
+  readonly changes: readonly (EntryJoined | EntryChanged | EntryLeft)[];
+  readonly at: number;
+}
+
 /**
  * Ends former views: a majority of the entries of each knows its successor. It
  * is a command of its own, because only a time after that is a safe end.
@@ -75,6 +85,7 @@
   | EntryJoined
   | EntryChanged
   | EntryLeft
+  | EntriesChanged
   | ViewsSettled
   | StopAdvanced;
 
--- a/packages/registry/membership.ts
+++ b/packages/registry/membership.ts
@@ -78,6 +78,18 @@
     return "done";
   }
 
+  /** Makes several changes, which together begin at most one view. */
+  together(changes: readonly (() => MembershipChange)[]): MembershipChange {
+    const view = this.#view;
+    const former = this.#former;
+    const outcomes = changes.map((change) => change());
+    if (!outcomes.includes("done")) return outcomes[0] ?? "unchanged";
+    this.#view = { ...this.#view, epoch: view.epoch + 1 };
+    const replaced = { ...view, ended: UNSETTLED };
+    this.#former = view.entries.length > 0 ? [...former, replaced] : former;
+    return "done";
+  }
+
   /** Ends former views that no entry can use any longer. */
   settle(epochs: readonly number[], now: number): MembershipChange {
     const settled = (view: FormerView) =>
--- a/packages/registry/registry.ts
+++ b/packages/registry/registry.ts
@@ -10,6 +10,9 @@
 import { Answers } from "./answers.ts";
 import type {
   Actor,
+  EntryChanged,
+  EntryJoined,
+  EntryLeft,
   PutReply,
   PutSection,
   RegistryCommand,
@@ -58,15 +61,15 @@
       case "put_section":
         return this.#put(command);
       case "entry_joined":
-        return this.#noteChange(
-          this.#membership.join(command.entry, this.#now),
-        );
       case "entry_changed":
-        return this.#noteChange(
-          this.#membership.change(command.entry, this.#now),
-        );
       case "entry_left":
-        return this.#noteChange(this.#membership.leave(command, this.#now));
+        return this.#noteChange(this.#changeEntry(command));
+      case "entries_changed": {
+        const changes = command.changes.map(
+          (change) => () => this.#changeEntry(change),
+        );
+        return this.#noteChange(this.#membership.together(changes));
+      }
       case "views_settled":
         return this.#noteChange(
           this.#membership.settle(command.epochs, this.#now),
@@ -265,6 +268,19 @@
     return this.#stops.advance(command, { at, version: this.#version + 1 });
   }
 
+  #changeEntry(
+    command: EntryJoined | EntryChanged | EntryLeft,
+  ): MembershipChange {
+    switch (command.type) {
+      case "entry_joined":
+        return this.#membership.join(command.entry, this.#now);
+      case "entry_changed":
+        return this.#membership.change(command.entry, this.#now);
+      case "entry_left":
+        return this.#membership.leave(command, this.#now);
+    }
+  }
+
   #noteChange(change: MembershipChange | StopChange): RegistryReply {
     if (change === "done") {
       this.#version++;
--- a/packages/registry/registry_test.ts
+++ b/packages/registry/registry_test.ts
@@ -175,6 +175,32 @@
   );
 });
 
+test("entries that come and go together make one view", () => {
+  const registry = new Registry();
+  registry.apply({ type: "entry_joined", entry: entry("e1"), at: 1_000 });
+  const changed = {
+    type: "entries_changed",
+    changes: [
+      { type: "entry_joined", entry: entry("e2"), at: 2_000 },
+      { type: "entry_joined", entry: entry("e3"), at: 2_000 },
+      { type: "entry_left", id: "e1", incarnation: 1, at: 2_000 },
+    ],
+    at: 2_000,
+  } as const;
+  assert.equal(registry.apply(changed).type, "done");
+  const { view, formerViews, version } = registry.configuration();
+  assert.deepEqual(
+    view.entries.map(({ id }) => id),
+    ["e2", "e3"],
+  );
+  assert.deepEqual([view.epoch, version], [2, 2]);
+  assert.deepEqual(
+    formerViews.map(({ epoch, entries }) => [epoch, entries.length]),
+    [[1, 1]],
+  );
+  assert.equal(registry.apply(changed).type, "unchanged");
+});
+
 test("a view that some entry may still use is kept whatever its age", () => {
   const registry = new Registry();
   registry.apply({ type: "entry_joined", entry: entry("e1"), at: 1_000 });
--- a/packages/slopes/heartbeats.ts
+++ b/packages/slopes/heartbeats.ts
@@ -100,11 +100,11 @@
     const { payload } = passed("entries_seen", { entries });
     other.relayed(payload.entries, 0);
   });
-  const duties = new LeaderDuties({ clock, table });
-  const registry = { ...configuration, stops: [] };
-  const dutiesUs = cpuOf(() => void duties.due(true, registry));
   const acceptance = new Acceptance();
   acceptance.advance({ ...configuration, formerViews: [] });
+  const duties = new LeaderDuties({ clock, table, acceptance });
+  const registry = { ...configuration, stops: [] };
+  const dutiesUs = cpuOf(() => void duties.due(true, registry));
   const acceptUs = cpuOf(() => void acceptance.accepted(version, table));
   return {
     confirmBytes,
