Keep the replay at a restart below the election timeout

Ruled out: loading (0.8 s) and the log's reading. The log should still apply entries in slices, as a slower host or larger sections reach a second again.

--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -33,10 +33,11 @@
   InventoryMessages;
 
 /**
- * Changes between snapshots. A restart replays those after the last one, and
- * each takes about a millisecond, as its section is parsed and merged again.
+ * Changes between snapshots. A restart replays those after the last one in one
+ * turn of the event loop, at about a millisecond each. A replay longer than the
+ * election timeout (1 s) makes a new leader step down again.
  */
-const SNAPSHOT_EVERY_CHANGES = 1_000;
+const SNAPSHOT_EVERY_CHANGES = 250;
 /** How often heartbeats are relayed and the leader looks at what is due. */
 const DUTIES_EVERY_MS = 250;
 /** Time after which a silent entry is no longer listed. */
