--- a/packages/routing/fault_cases_test.ts
+++ b/packages/routing/fault_cases_test.ts
@@ -63,6 +63,45 @@
       assert.ok(cluster.serverOf(waiting));
     },
   },
+  {
+    name: "the dispatcher is cut off while others' calls run",
+    guards: "servers are convicted by calls whose end nobody could tell",
+    run() {
+      const slots = 6;
+      const ids = ["s0", "s1", "s2", "s3", "s4"];
+      const servers = ids.map((id) => makeServer(id, { slots }));
+      const cluster = new TestCluster({ servers });
+      cluster.join();
+      const { other, dispatcher } = cluster;
+      for (let call = 0; call < 30; call++) cluster.submit(other);
+      cluster.advance(10);
+      assert.equal(cluster.running.size, 30);
+      cluster.fate = () => "drop";
+      for (const id of [...cluster.running.keys()]) cluster.finish(id);
+      cluster.advance(400);
+      // Heard again, but before a report.
+      cluster.fate = () => "deliver";
+      cluster.submit(other);
+      cluster.advance(30);
+      const table = cluster.router(dispatcher).dispatcher("alloc")?.slots;
+      for (const { record, health } of table?.servers() ?? []) {
+        assert.equal(health.standing, "good", record.id);
+      }
+    },
+  },
+  {
+    name: "the entries are cut off from a dispatcher with calls of its own",
+    guards: "its calls wait for slots that the others no longer use",
+    run() {
+      const cluster = fullCluster();
+      const { dispatcher } = cluster;
+      cluster.fate = () => "drop";
+      for (const id of [...cluster.running.keys()]) cluster.finish(id);
+      const waiting = cluster.submit(dispatcher);
+      cluster.advance(800);
+      assert.ok(cluster.serverOf(waiting));
+    },
+  },
   {
     name: "messages of an old epoch arrive",
     guards: "a former dispatcher or view changes what is granted",
