Tick the decisions of an idle entry less often; add queue and budget metrics

Cause: two timers of 10 ms ran in entries without calls, and the metrics for queue length and probe budget had no source. Ruled out: one slow tick (the router expects 5 ms, and falls back after 30 ms). Change: ActivityTimer ticks every 5 ms while calls or dispatch messages come, and every 50 ms otherwise.

--- a/packages/entry/assignments.ts
+++ b/packages/entry/assignments.ts
@@ -9,14 +9,13 @@
 } from "#routing";
 import type { Message, Network } from "#wire";
 
-/** How often queues, timeouts and probes are looked at. */
-export const ROUTER_TICK_MS = 10;
-
 export interface AssignmentsOptions {
   readonly router: Router;
   readonly clock: Clock;
   readonly network: Network<DispatchMessages>;
   readonly probe: (server: BackendServer) => Promise<ProbeResult>;
+  /** Another entry's message came, so that ticks are due soon. */
+  readonly active: () => void;
 }
 
 const KINDS = [
@@ -37,6 +36,7 @@
     const { router, clock, network } = options;
     for (const kind of KINDS) {
       network.handle(kind, (payload, from) => {
+        options.active();
         const message = { kind, payload } as Message<DispatchMessages>;
         this.carryOut(router.receive(from.id, message, clock.now()));
       });
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -28,8 +28,9 @@
   PROTOCOL_VERSION,
   TcpNetwork,
 } from "#wire";
+import { ActivityTimer } from "./activity_timer.ts";
 import { AdminServer } from "./admin_server.ts";
-import { Assignments, ROUTER_TICK_MS } from "./assignments.ts";
+import { Assignments } from "./assignments.ts";
 import { BackendClient } from "./backend_client.ts";
 import { CallEngine } from "./call_engine.ts";
 import { CallerServer } from "./caller_server.ts";
@@ -39,7 +40,7 @@
 } from "./configuration_follower.ts";
 import { EventLoopLoad } from "./event_loop_load.ts";
 import { Classifier } from "./incoming_call.ts";
-import { CLAIM_TICK_MS, KeyClaims } from "./key_claims.ts";
+import { KeyClaims } from "./key_claims.ts";
 import { OwnPaths } from "./own_paths.ts";
 import { PlannedStops } from "./planned_stops.ts";
 import { Prober } from "./prober.ts";
@@ -88,6 +89,7 @@
   readonly #admin: AdminServer;
   readonly #load = new EventLoopLoad();
   readonly #timers: NodeJS.Timeout[] = [];
+  readonly #decisions: ActivityTimer;
   #classifier = new Classifier([]);
   #state: EntryState = "ready";
 
@@ -100,11 +102,20 @@
     this.#metrics = new Metrics({
       configurationVersion: () => this.#follower.version,
       callsInFlight: () => this.#engine.inFlight(),
+      queueLength: () => this.#router.queueLengths(),
+      probeBudget: () => this.#probeBudgets(),
       peerTraffic: () => network.traffic,
     });
     network.handle("servers_ask", ({ question }, from) =>
       this.#answerInventory(question, from.id),
     );
+    this.#decisions = new ActivityTimer({
+      clock,
+      task: () => {
+        this.#assignments.tick();
+        this.#claims.tick();
+      },
+    });
     this.#client = new BackendClient();
     this.#router = new Router({
       self: settings.id,
@@ -117,6 +128,7 @@
       clock,
       network,
       probe: (server) => prober.probe(server),
+      active: () => this.#decisions.wake(),
     });
     this.#registrations = new Registrations({
       presence: new Presence({
@@ -191,7 +203,10 @@
     this.#callers = new CallerServer({
       limits: settings.limits,
       own: (request, response) => void own.serve(request, response),
-      call: (request, response) => this.#engine.serve(request, response),
+      call: (request, response) => {
+        this.#decisions.wake();
+        this.#engine.serve(request, response);
+      },
     });
     this.#admin = new AdminServer({
       metrics: this.#metrics,
@@ -215,8 +230,7 @@
     }
     this.#connect();
     this.#every(CONFIRM_EVERY_MS, () => this.#follower.confirm());
-    this.#every(ROUTER_TICK_MS, () => this.#assignments.tick());
-    this.#every(CLAIM_TICK_MS, () => this.#claims.tick());
+    this.#decisions.start();
     this.#every(TICK_MS, () => this.#registrations.tick());
     this.#every(QUARANTINE_TICK_MS, () => this.#suspects.tick());
     this.#every(LOAD_EVERY_MS, () => this.#report());
@@ -284,6 +298,7 @@
   /** Ends at once; calls under way are cut. */
   close(): void {
     for (const timer of this.#timers) clearInterval(timer);
+    this.#decisions.stop();
     this.#callers.destroy();
     this.#admin.close();
     this.#client.close();
@@ -411,6 +426,17 @@
     return servers.flatMap(({ id }) => (kept.has(id) ? [] : [id]));
   }
 
+  /** Slots that probes may take on average, by service. */
+  #probeBudgets(): [string, number][] {
+    const { services } = this.#follower.configuration.document;
+    const now = this.#options.clock.now();
+    return services.map(({ name, measuringBudgetPercent }) => {
+      const servers = this.#registrations.presence.servers(name, now);
+      const slots = servers.reduce((sum, server) => sum + server.slots, 0);
+      return [name, (slots * measuringBudgetPercent) / 100];
+    });
+  }
+
   #addresses(dataCentre: string | undefined) {
     const { presence } = this.#registrations;
     const { view, document } = this.#follower.configuration;
--- a/packages/entry/key_claims.ts
+++ b/packages/entry/key_claims.ts
@@ -19,9 +19,6 @@
 } from "#model";
 import type { Network } from "#wire";
 
-/** How often waiting claims are looked at. */
-export const CLAIM_TICK_MS = 10;
-
 /** Whether a call that must not be repeated may run. */
 export type ClaimDecision =
   | { readonly type: "granted" }
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -54,6 +54,11 @@
     this.#share = new ProbeShare(options.self);
   }
 
+  /** Calls of this entry that wait for a slot, by service. */
+  queueLengths(): [service: string, calls: number][] {
+    return [...this.#services].map(([name, router]) => [name, router.waiting]);
+  }
+
   /** Takes over the services of the document and the view in force. */
   configure(
     services: readonly Service[],
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -58,6 +58,11 @@
     return this.#service;
   }
 
+  /** Calls that wait for a slot. */
+  get waiting(): number {
+    return this.#queue.length;
+  }
+
   /** Whether time changes nothing here. */
   get idle(): boolean {
     return this.#calls.size === 0 && !this.link.streaming;
