--- a/packages/slopes/synthetic.ts
+++ b/packages/slopes/synthetic.ts
@@ -12,8 +12,8 @@
 
 /**
  * Entry processes at the target: each takes 1,040 of 520,000 calls/s, which
- * keeps it below 60% of a core at the 0.42 ms that `calls.ts` measured for a
- * call and 119 ms/s for an entry without calls; see docs/CAPACITY.md.
+ * keeps it below 60% of a core: runs of `calls.ts` gave 0.31 to 0.42 ms for a
+ * call and an intercept of 119 to 195 ms/s for an entry; see docs/CAPACITY.md.
  */
 export const TARGET_ENTRIES = 500;
 
