Let an entry end only when no new key can ask it

Ruled out: handing claims over to the other holders (needs an agreed record of it); a lower quorum for restarted holders (could run a key twice). Change: an entry that stops is a holder in no new view, and goes on until each view in which it was one has ended for longer than the margin; the margin follows clock_skew_ms in the section system (30 s by default, less where clocks are kept closer). KeyClaims uses the Claims class in place of its own delivery. A re-sent member change counts as made only once the member votes. Tests: release of a stopping holder, and that no key after it asks it.

--- a/packages/claims/claim_holder.ts
+++ b/packages/claims/claim_holder.ts
@@ -51,6 +51,7 @@
   readonly #incarnations = new Map<string, number>();
   #answerBytes = 0;
   #epoch = 0;
+  #clockSkewMs: number | undefined;
 
   constructor(options: { incarnation: number; limits?: HolderLimits }) {
     this.#incarnation = options.incarnation;
@@ -68,10 +69,14 @@
   }
 
   /** Takes the present view. */
-  configure(view: {
-    readonly epoch: number;
-    readonly entries: readonly { id: string; incarnation: number }[];
-  }): void {
+  configure(
+    view: {
+      readonly epoch: number;
+      readonly entries: readonly { id: string; incarnation: number }[];
+    },
+    clockSkewMs?: number,
+  ): void {
+    this.#clockSkewMs = clockSkewMs;
     this.#epoch = Math.max(this.#epoch, view.epoch);
     this.#incarnations.clear();
     for (const { id, incarnation } of view.entries) {
@@ -138,7 +143,7 @@
     // A message that was on its way for long must not claim a key whose
     // earlier claim has been forgotten.
     const fresh = parseKey(request.key).andThen((key) =>
-      checkAge(key, at.epoch),
+      checkAge(key, at.epoch, this.#clockSkewMs),
     );
     if (fresh.isErr()) return { type: "key_refused" };
     if (this.#claims.size >= this.#limits.claims) return { type: "full" };
--- a/packages/claims/claimant.ts
+++ b/packages/claims/claimant.ts
@@ -82,7 +82,9 @@
   /** Asks for a key; gives exactly one grant, denial or replay, in time. */
   claim(call: KeyedCall, at: Instant): ClaimEffect[] {
     const { callId } = call;
-    const key = parseKey(call.key).andThen((k) => checkAge(k, at.epoch));
+    const key = parseKey(call.key).andThen((k) =>
+      checkAge(k, at.epoch, this.#views?.clockSkewMs),
+    );
     if (key.isErr()) return [{ type: "denied", callId, fault: key.error }];
     if (this.#pending.size >= MAX_PENDING) {
       return [this.#unavailable(callId, "too many claims are pending")];
--- a/packages/claims/claims.ts
+++ b/packages/claims/claims.ts
@@ -27,7 +27,7 @@
 
   /** Takes the views in force. */
   configure(views: Views, at: Instant): ClaimEffect[] {
-    this.holder.configure(views.view);
+    this.holder.configure(views.view, views.clockSkewMs);
     return this.#deliver(this.claimant.configure(views, at), at);
   }
 
--- a/packages/claims/holders.ts
+++ b/packages/claims/holders.ts
@@ -1,5 +1,6 @@
 import {
   type Configuration,
+  DEFAULT_CLOCK_SKEW_MS,
   type Entry,
   rendezvousOrder,
   type View,
@@ -8,14 +9,22 @@
 
 /** Holders of a key in one view. */
 export const HOLDERS_PER_KEY = 3;
+/** For how long an entry may use a view that has ended. */
+const USED_AFTER_END_MS = 3_000;
+
+/** The part of the configuration that claims depend on. */
+export type Views = Pick<Configuration, "view" | "formerViews"> & {
+  readonly clockSkewMs?: number | undefined;
+};
+
 /**
  * A view counts for a key unless it ended this long before the key's creation:
- * 30 s of clock difference and 3 s for which an entry may use an ended view.
+ * the caller's clock and those of two hosts may differ, and an ended view is
+ * still used for a moment.
  */
-export const VIEW_MARGIN_MS = 63_000;
-
-/** The part of the configuration that claims depend on. */
-export type Views = Pick<Configuration, "view" | "formerViews">;
+export function viewMarginMs({ clockSkewMs }: Pick<Views, "clockSkewMs">) {
+  return 2 * (clockSkewMs ?? DEFAULT_CLOCK_SKEW_MS) + USED_AFTER_END_MS;
+}
 
 /** One process that may hold claims: a restarted one has forgotten them. */
 export interface Holder {
@@ -34,9 +43,13 @@
   return `${holder.id}#${holder.incarnation}`;
 }
 
-/** Picks a key's holders in a view, in different data centres if possible. */
+/**
+ * Picks a key's holders in a view, in different data centres if possible. An
+ * entry that stops holds no further keys, so that it is not missed when it ends.
+ */
 export function holdersOf(key: string, view: View): HolderGroup {
-  const order = rendezvousOrder(key, view.entries);
+  const ready = view.entries.filter(({ state }) => state === "ready");
+  const order = rendezvousOrder(key, ready.length > 0 ? ready : view.entries);
   const centres = new Set<string>();
   const chosen: Entry[] = [];
   for (const entry of order) {
@@ -63,7 +76,7 @@
   views: Views,
 ): HolderGroup[] | undefined {
   if (views.view.entries.length === 0) return undefined;
-  const earliest = key.created - VIEW_MARGIN_MS;
+  const earliest = key.created - viewMarginMs(views);
   const oldest = views.formerViews[0] ?? views.view;
   // A view that the configuration no longer lists ended when the oldest began;
   // the first view of a deployment has epoch 1 and no predecessor.
@@ -76,3 +89,26 @@
   }
   return groups;
 }
+
+/**
+ * Whether a stopping entry may end without being missed as a holder of new
+ * keys: each view in which it was ready ended too long ago to count for them.
+ */
+export function isReleased(
+  holder: Holder,
+  views: Views,
+  epoch: number,
+): boolean {
+  const margin = viewMarginMs(views);
+  const holds = (view: View) =>
+    view.entries.some(
+      ({ id, incarnation, state }) =>
+        state === "ready" &&
+        id === holder.id &&
+        incarnation === holder.incarnation,
+    );
+  if (holds(views.view)) return false;
+  return views.formerViews.every(
+    (former) => !holds(former) || former.ended + margin < epoch,
+  );
+}
--- a/packages/claims/keys.ts
+++ b/packages/claims/keys.ts
@@ -1,14 +1,9 @@
 import { err, ok, type Result } from "neverthrow";
 import { validate, version } from "uuid";
-import { type CallFault, callFault } from "#model";
+import { type CallFault, callFault, DEFAULT_CLOCK_SKEW_MS } from "#model";
 
 /** Age above which a key is refused, in milliseconds. */
 export const KEY_WINDOW_MS = 600_000;
-/**
- * How far ahead of the entry's clock a key may be, in milliseconds; the same
- * as the largest difference assumed between the clocks of callers and hosts.
- */
-export const KEY_AHEAD_MS = 30_000;
 
 /** A checked idempotency key. */
 export interface ClaimKey {
@@ -29,10 +24,14 @@
   return ok({ text: lower, created });
 }
 
-/** Checks a key's age against the wall clock (`epoch`, in milliseconds). */
+/**
+ * Checks a key's age against the wall clock (`epoch`, in milliseconds). A key
+ * may be ahead by the largest difference between clocks.
+ */
 export function checkAge(
   key: ClaimKey,
   epoch: number,
+  clockSkewMs = DEFAULT_CLOCK_SKEW_MS,
 ): Result<ClaimKey, CallFault> {
   if (epoch - key.created > KEY_WINDOW_MS) {
     // An earlier sending may have run and been forgotten since.
@@ -40,10 +39,10 @@
     return err(callFault("key_too_old", { outcome: "unknown", detail }));
   }
   const ahead = key.created - epoch;
-  if (ahead > KEY_AHEAD_MS) {
-    const detail = `key is ${ahead} ms ahead, at most ${KEY_AHEAD_MS} allowed`;
+  if (ahead > clockSkewMs) {
+    const detail = `key is ${ahead} ms ahead, at most ${clockSkewMs} allowed`;
     // Up to twice the limit, an entry with a faster clock may have taken it.
-    const outcome = ahead > 2 * KEY_AHEAD_MS ? "not-run" : "unknown";
+    const outcome = ahead > 2 * clockSkewMs ? "not-run" : "unknown";
     return err(callFault("invalid_request", { outcome, detail }));
   }
   return ok(key);
--- a/packages/claims/keys_test.ts
+++ b/packages/claims/keys_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { groupsFor, holdersOf, VIEW_MARGIN_MS } from "./holders.ts";
+import { UNSETTLED } from "#model";
+import { groupsFor, holdersOf, isReleased, viewMarginMs } from "./holders.ts";
 import { checkAge, parseKey } from "./keys.ts";
 import { EPOCH, entryOf, KEY, viewOf } from "./test_support.ts";
 
@@ -32,7 +33,7 @@
 
 test("views that the configuration no longer lists stop older keys", () => {
   const key = parseKey(KEY)._unsafeUnwrap();
-  const began = EPOCH - VIEW_MARGIN_MS;
+  const began = EPOCH - viewMarginMs({});
   const view = viewOf(["x"], { epoch: 5, began });
   assert.equal(groupsFor(key, { view, formerViews: [] }), undefined);
   const later = { ...key, created: key.created + 1 };
@@ -41,6 +42,37 @@
   assert.equal(groupsFor(key, { view: first, formerViews: [] })?.length, 1);
 });
 
+test("an entry that stops is missed by no new key once it is released", () => {
+  const ids = ["a", "b", "c", "d"];
+  const began = EPOCH;
+  const all = viewOf(ids, { epoch: 1, began });
+  const stopping = (id: string) => ({
+    ...all,
+    epoch: 2,
+    entries: all.entries.map((e) =>
+      e.id === id ? { ...e, state: "stopping" as const } : e,
+    ),
+  });
+  const holder = { id: "a", incarnation: all.entries[0]?.incarnation ?? 0 };
+  const views = (ended: number) => ({
+    view: stopping("a"),
+    formerViews: [{ ...all, ended }],
+  });
+  const ended = EPOCH + 1_000;
+  const at = ended + viewMarginMs({});
+  assert.equal(isReleased(holder, { view: all, formerViews: [] }, at), false);
+  assert.equal(isReleased(holder, views(UNSETTLED), at + 1), false);
+  assert.equal(isReleased(holder, views(ended), at), false);
+  assert.equal(isReleased(holder, views(ended), at + 1), true);
+  // No key that is created after its release asks it.
+  for (let i = 0; i < 100; i++) {
+    const key = { text: `key-${i}`, created: at + 1 };
+    const groups = groupsFor(key, views(ended)) ?? [];
+    assert.ok(groups.length > 0);
+    assert.ok(groups.every((g) => g.holders.every(({ id }) => id !== "a")));
+  }
+});
+
 test("holders are in different data centres", () => {
   const centres = ["a1", "a2", "a3", "b1", "b2", "c1", "c2"];
   const entries = centres.map((id) =>
--- a/packages/configuration/change.ts
+++ b/packages/configuration/change.ts
@@ -31,6 +31,7 @@
   readonly from: number;
   readonly to: number;
   readonly revision: number;
+  readonly clockSkewMs: number;
   readonly regions?: Configuration["document"]["regions"];
   readonly services: ListChange<Service>;
   readonly plannedStops: ListChange<PlannedStop>;
@@ -81,6 +82,7 @@
     from: from.version,
     to: to.version,
     revision: to.document.revision,
+    clockSkewMs: to.document.clockSkewMs,
     ...(regionsDiffer && { regions: to.document.regions }),
     services: diffList(from.document.services, to.document.services, byName),
     plannedStops: diffList(from.document.stops, to.document.stops, byName),
@@ -103,6 +105,7 @@
     document: {
       ...document,
       revision: change.revision,
+      clockSkewMs: change.clockSkewMs,
       regions: change.regions ?? document.regions,
       services: applyList(document.services, change.services, byName),
       stops: applyList(document.stops, change.plannedStops, byName),
--- a/packages/document/merge.ts
+++ b/packages/document/merge.ts
@@ -41,6 +41,7 @@
   if (faults.length > 0) return err(faults);
   const document: Document = {
     revision: 0,
+    clockSkewMs: system.clockSkewMs,
     regions: system.regions,
     teams: system.teams,
     owners: system.owners,
--- a/packages/document/schema.ts
+++ b/packages/document/schema.ts
@@ -1,4 +1,5 @@
 import * as z from "zod";
+import { DEFAULT_CLOCK_SKEW_MS } from "#model";
 import { checkService, checkStop } from "./checks.ts";
 import {
   choice,
@@ -165,6 +166,13 @@
   })
     .meta({ description: "Owning team by section." })
     .default({}),
+  clock_skew_ms: integer({
+    min: 100,
+    max: DEFAULT_CLOCK_SKEW_MS,
+    unit: "milliseconds",
+    description:
+      "Largest difference between the clocks of callers and hosts, and between hosts. A smaller one shortens the stop of an entry.",
+  }).default(DEFAULT_CLOCK_SKEW_MS),
 });
 
 export type ServiceInput = z.output<typeof SERVICE_SCHEMA>;
--- a/packages/document/section.ts
+++ b/packages/document/section.ts
@@ -27,6 +27,7 @@
   readonly regions: Readonly<Record<string, readonly DataCentre[]>>;
   readonly teams: readonly Team[];
   readonly owners: Readonly<Record<string, string>>;
+  readonly clockSkewMs: number;
   readonly source: SourceMap;
 }
 
@@ -66,6 +67,7 @@
       credential: facts.credential_sha256,
     })),
     owners: value.sections,
+    clockSkewMs: value.clock_skew_ms,
     source,
   }));
 }
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
-import type { ClaimMessages } from "#claims";
+import { type ClaimMessages, isReleased } from "#claims";
 import {
   type ConfigurationMessages,
   EMPTY_CONFIGURATION,
@@ -62,6 +62,8 @@
 /** How often the entry's own load is measured and told to the others. */
 const LOAD_EVERY_MS = 1_000;
 
+/** Longest stop of an entry, drain of its calls not included. */
+const MAX_STOPPING_MS = 120_000;
 /** Records in one answer to control; a frame holds at most 1 MiB. */
 const INVENTORY_PART = 2_000;
 
@@ -259,14 +261,29 @@
     logger.info("entry stops", { serveForMs: SERVE_AFTER_STOPPING_MS });
     this.#report();
     this.#follower.confirm();
-    const until = clock.now() + SERVE_AFTER_STOPPING_MS;
-    while (clock.now() < until) await delay(100);
+    const began = clock.now();
+    while (!this.#mayEnd(clock.now() - began)) await delay(100);
     await this.#callers.drain();
     while (this.#engine.running > 0) await delay(20);
     this.close();
     logger.info("entry stopped");
   }
 
+  /** Whether callers and claims have had time to turn to other entries. */
+  #mayEnd(stoppingForMs: number): boolean {
+    if (stoppingForMs < SERVE_AFTER_STOPPING_MS) return false;
+    const { view, formerViews, document } = this.#follower.configuration;
+    const { clockSkewMs } = document;
+    const views = { view, formerViews, clockSkewMs };
+    const holder = {
+      id: this.#options.settings.id,
+      incarnation: this.#incarnation,
+    };
+    if (isReleased(holder, views, this.#options.clock.epoch())) return true;
+    // Without control the view does not change, however long it waits.
+    return stoppingForMs > MAX_STOPPING_MS;
+  }
+
   /** Whether new work is taken. */
   get ready(): boolean {
     return this.#notReady().length === 0;
--- a/packages/entry/key_claims.ts
+++ b/packages/entry/key_claims.ts
@@ -1,9 +1,8 @@
 import {
-  Claimant,
   type ClaimEffect,
-  ClaimHolder,
   type ClaimMessage,
   type ClaimMessages,
+  Claims,
   type Instant,
   type KeyedCall,
   type Settlement,
@@ -35,11 +34,9 @@
 
 /** Carries out the claims of this entry's calls, and those that it holds. */
 export class KeyClaims {
-  readonly #self: HostId;
   readonly #clock: Clock;
   readonly #network: Network<ClaimMessages>;
-  readonly #claimant: Claimant;
-  readonly #holder: ClaimHolder;
+  readonly #claims: Claims;
   readonly #waiting = new Map<string, (decision: ClaimDecision) => void>();
 
   constructor(options: {
@@ -50,28 +47,27 @@
     network: Network<ClaimMessages>;
   }) {
     const { self, incarnation, clock, randomness, network } = options;
-    this.#self = self;
     this.#clock = clock;
     this.#network = network;
-    this.#claimant = new Claimant({ self, incarnation, randomness });
-    this.#holder = new ClaimHolder({ incarnation });
+    this.#claims = new Claims({ self, incarnation, randomness });
     for (const kind of kindsOf(KINDS)) {
       network.handle(kind, (payload, from) => {
-        this.#receive(from.id, { kind, payload } as ClaimMessage);
+        const message = { kind, payload } as ClaimMessage;
+        this.#carryOut(this.#claims.receive(from.id, message, this.#at()));
       });
     }
   }
 
-  configure({ view, formerViews }: Configuration): void {
-    this.#holder.configure(view);
-    this.#carryOut(this.#claimant.configure({ view, formerViews }, this.#at()));
+  configure({ view, formerViews, document }: Configuration): void {
+    const views = { view, formerViews, clockSkewMs: document.clockSkewMs };
+    this.#carryOut(this.#claims.configure(views, this.#at()));
   }
 
   /** Claims a call's key; resolves with exactly one decision. */
   claim(call: KeyedCall): Promise<ClaimDecision> {
     return new Promise((resolve) => {
       this.#waiting.set(call.callId, resolve);
-      this.#carryOut(this.#claimant.claim(call, this.#at()));
+      this.#carryOut(this.#claims.claim(call, this.#at()));
     });
   }
 
@@ -80,7 +76,7 @@
     const waiting = this.#waiting.get(callId);
     if (!waiting) return;
     this.#waiting.delete(callId);
-    this.#carryOut(this.#claimant.cancel(callId, this.#at()));
+    this.#carryOut(this.#claims.cancel(callId, this.#at()));
     // Another entry may have run the request before.
     const fault = callFault("claim_unavailable", { outcome: "unknown" });
     waiting({ type: "denied", fault });
@@ -88,30 +84,21 @@
 
   /** Tells how a granted call ended. */
   settle(callId: string, settlement: Settlement): void {
-    this.#carryOut(this.#claimant.settle(callId, settlement, this.#at()));
+    this.#carryOut(this.#claims.settle(callId, settlement, this.#at()));
   }
 
   tick(): void {
-    const at = this.#at();
-    this.#carryOut(this.#claimant.tick(at));
-    this.#holder.tick(at.now);
+    this.#carryOut(this.#claims.tick(this.#at()));
   }
 
   /** Keys held here for all entries. */
   get held(): number {
-    return this.#holder.size;
-  }
-
-  #receive(from: HostId, message: ClaimMessage): void {
-    const at = this.#at();
-    this.#carryOut(this.#holder.receive(from, message, at));
-    this.#carryOut(this.#claimant.receive(from, message, at));
+    return this.#claims.holder.size;
   }
 
   #carryOut(effects: readonly ClaimEffect[]): void {
     for (const effect of effects) {
       if (effect.type !== "send") this.#decide(effect);
-      else if (effect.to === this.#self) this.#receive(this.#self, effect);
       else this.#network.send(effect.to, effect.kind, effect.payload);
     }
   }
--- a/packages/model/document.ts
+++ b/packages/model/document.ts
@@ -78,9 +78,18 @@
   readonly owners: Readonly<Record<string, string>>;
   readonly services: readonly Service[];
   readonly stops: readonly PlannedStop[];
+  /**
+   * Largest difference between the clocks of callers and hosts, and between
+   * those of hosts, that keys of requests which run at most once rely on.
+   */
+  readonly clockSkewMs: number;
 }
 
+/** Assumed where the section `system` says nothing. */
+export const DEFAULT_CLOCK_SKEW_MS = 30_000;
+
 export const EMPTY_DOCUMENT: Document = {
+  clockSkewMs: DEFAULT_CLOCK_SKEW_MS,
   revision: 0,
   regions: {},
   teams: [],
--- a/packages/operators/api.ts
+++ b/packages/operators/api.ts
@@ -280,7 +280,8 @@
   const member = members.list().find(({ id }) => id === change.id);
   if (change.type === "remove") return member === undefined;
   const { host, port } = change.peer;
-  if (!member || member.role === "lost") return false;
+  // A learner is on the way only; a lost member has to be added again.
+  if (member?.role !== "voter") return false;
   const { peer } = member;
   return !peer || (peer.host === host && peer.port === port);
 }
--- a/packages/operators/api_test.ts
+++ b/packages/operators/api_test.ts
@@ -300,6 +300,13 @@
   assert.equal((first._unsafeUnwrap() as { changed: boolean }).changed, true);
   const again = await operator.addMember("c2", peer);
   assert.equal((again._unsafeUnwrap() as { changed: boolean }).changed, false);
+  // A replacement is complete only when the member votes.
+  host.members = [
+    ...host.members.filter(({ id }) => id !== "c2"),
+    { id: "c2", peer, role: "learner" },
+  ];
+  const third = await operator.addMember("c2", peer);
+  assert.equal((third._unsafeUnwrap() as { changed: boolean }).changed, true);
   host.memberFault = { type: "member_change_refused", reason: "one at a time" };
   const fault = (await operator.removeMember("c1"))._unsafeUnwrapErr();
   assert.ok(fault.type === "refused");
--- a/packages/operators/fixtures.ts
+++ b/packages/operators/fixtures.ts
@@ -74,7 +74,7 @@
           this.members =
             change.type === "remove"
               ? others
-              : [...others, { id, peer: change.peer, role: "learner" }];
+              : [...others, { id, peer: change.peer, role: "voter" }];
           return ok(undefined);
         },
       },
