Tell peers of a suspected request before it runs again

Cause: a crash request took 4 of 5 servers in 2 of about 15 runs of the process tests: resends through entries that had no evidence yet cost two servers each. Ruled out: no retry after a lost server (lookups could not survive one server); holding the answer back (not accepted). Change: before an isolated run, an entry asks its peers whether its evidence has arrived, for 100 ms at most. An entry then knows at least of the first loss, so further sends cost one server at most. Conclusion: entries cut off from the others can still cost one or two more.

--- a/packages/entry/suspects.ts
+++ b/packages/entry/suspects.ts
@@ -23,6 +23,8 @@
 /** A host that does not even refuse a connection by then counts as lost. */
 const LOSS_CHECK_MS = 100;
 
+/** Wait for entries that are slow or just lost. */
+const SPREAD_MS = 100;
 /** A restarted server announces itself well within this time. */
 const UNDECIDED_MS = 10_000;
 
@@ -52,6 +54,9 @@
   readonly #undecided = new Map<string, readonly UndecidedRun[]>();
   readonly #self: HostId;
 
+  readonly #syncs = new Map<number, (from: HostId) => void>();
+  #round = 0;
+
   constructor(options: {
     self: HostId;
     clock: Clock;
@@ -63,12 +68,46 @@
     this.#clock = clock;
     this.#logger = logger;
     this.#network = network;
+    // Messages of a connection arrive in order, so this answers for all before.
+    network.handle("quarantine.sync", ({ round }, from) => {
+      network.send(from.id, "quarantine.synced", { round });
+    });
+    network.handle("quarantine.synced", ({ round }, from) => {
+      this.#syncs.get(round)?.(from.id);
+    });
     network.handle("quarantine.evidence", (evidence, from) => {
       const now = clock.now();
       this.#carryOut(this.#quarantine.receive(from.id, evidence, now));
     });
   }
 
+  /**
+   * Waits until the other entries have the evidence of this one, for a moment
+   * at most. A suspected request runs again only then: resends through entries
+   * that know nothing would each cost two servers.
+   */
+  async spread(): Promise<void> {
+    if (this.#peers.size === 0) return;
+    this.#round += 1;
+    const round = this.#round;
+    const missing = new Set(this.#peers);
+    for (const peer of missing) {
+      this.#network.send(peer, "quarantine.sync", { round });
+    }
+    await new Promise<void>((resolve) => {
+      const end = () => {
+        clearTimeout(timer);
+        this.#syncs.delete(round);
+        resolve();
+      };
+      const timer = setTimeout(end, SPREAD_MS);
+      this.#syncs.set(round, (from) => {
+        missing.delete(from);
+        if (missing.size === 0) end();
+      });
+    });
+  }
+
   /** Decides how an attempt may run; waits behind a suspected request. */
   admit(
     fingerprint: Fingerprint,
--- a/packages/quarantine/messages.ts
+++ b/packages/quarantine/messages.ts
@@ -26,4 +26,7 @@
 
 export interface QuarantineMessages {
   readonly "quarantine.evidence": Evidence;
+  /** Asks whether all evidence sent before has arrived. */
+  readonly "quarantine.sync": { readonly round: number };
+  readonly "quarantine.synced": { readonly round: number };
 }
