Spread presence by relays on large sites

Ruled out: a setting (entries would have to agree on it). Change: AdaptiveSpread uses the mesh up to 40 peers and relays above; entries forward from 20 peers on, since an owner may count more than they do. Tests: fan-out of 17 and 99 peers; the convergence schedules run with it too.

--- a/packages/presence/convergence_test.ts
+++ b/packages/presence/convergence_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { type BackendServer, SeededRandomness } from "#model";
-import { RelaySpread, type Spread } from "./spread.ts";
+import { AdaptiveSpread, RelaySpread, type Spread } from "./spread.ts";
 import { CALM, entriesIn, Simulation, server } from "./testing/simulation.ts";
 import { EXPIRY_SCAN_MS, LEASE_MS, RENEW_MS } from "./timings.ts";
 
@@ -180,6 +180,7 @@
 const SPREADS: readonly [string, (() => Spread) | undefined][] = [
   ["mesh", undefined],
   ["relays", () => new RelaySpread()],
+  ["the spread of small and large sites", () => new AdaptiveSpread()],
 ];
 
 for (const [name, spread] of SPREADS) {
--- a/packages/presence/presence.ts
+++ b/packages/presence/presence.ts
@@ -16,7 +16,7 @@
 import { Publisher } from "./publisher.ts";
 import { type Receipt, Replication } from "./replication.ts";
 import { ServerTable } from "./server_table.ts";
-import { MeshSpread, type Spread, type Topology } from "./spread.ts";
+import { AdaptiveSpread, type Spread, type Topology } from "./spread.ts";
 import { Stalls } from "./stalls.ts";
 import {
   DEFAULT_LIMITS,
@@ -81,7 +81,7 @@
   constructor(options: PresenceOptions) {
     const { id, incarnation, randomness, dataCentre } = options;
     this.#options = options;
-    this.#spread = options.spread ?? new MeshSpread();
+    this.#spread = options.spread ?? new AdaptiveSpread();
     const table = this.#table;
     const { limits = DEFAULT_LIMITS } = options;
     this.#own = new OwnServers({
--- a/packages/presence/server_table_test.ts
+++ b/packages/presence/server_table_test.ts
@@ -3,7 +3,7 @@
 import { Effects } from "./effects.ts";
 import type { Copy } from "./messages.ts";
 import { ServerTable } from "./server_table.ts";
-import { RelaySpread } from "./spread.ts";
+import { AdaptiveSpread, RelaySpread } from "./spread.ts";
 import { server } from "./testing/simulation.ts";
 
 function copy(sequence: number, expires: number): Copy {
@@ -36,3 +36,17 @@
     new RelaySpread().forward(topology, { owner: "c", from });
   assert.deepEqual([to("c"), to("b"), to("d")], [["b"], [], []]);
 });
+
+test("a large site sends by relays, a small one to all", () => {
+  const topologyOf = (count: number) => ({
+    self: { id: "e000", dataCentre: "d0" },
+    peers: Array.from({ length: count }, (_, index) => ({
+      id: `e${String(index + 1).padStart(3, "0")}`,
+      dataCentre: `d${(index + 1) % 10}`,
+    })),
+  });
+  const spread = new AdaptiveSpread();
+  assert.equal(spread.changes(topologyOf(17)).length, 17);
+  // 9 near ones and two relays in each of nine other data centres.
+  assert.equal(spread.changes(topologyOf(99)).length, 27);
+});
--- a/packages/presence/spread.ts
+++ b/packages/presence/spread.ts
@@ -90,6 +90,46 @@
   }
 }
 
+/**
+ * The mesh up to this number of peers, relays above: 17 peers cost 1 KB/s, and
+ * from some tens on the relays send less than the mesh.
+ */
+const MESH_PEERS = 40;
+
+/** The mesh for small sites, relays for large ones. */
+export class AdaptiveSpread implements Spread {
+  readonly #mesh = new MeshSpread();
+  readonly #relays = new RelaySpread();
+  #current: Spread = this.#mesh;
+
+  /** That of the last topology. */
+  get holdMs(): number {
+    return this.#current.holdMs;
+  }
+
+  changes(topology: Topology): readonly HostId[] {
+    return this.#for(topology).changes(topology);
+  }
+
+  summary(topology: Topology, round: number): readonly HostId[] {
+    return this.#for(topology).summary(topology, round);
+  }
+
+  /** Also forwards on a small site: an owner may count more peers. */
+  forward(
+    topology: Topology,
+    news: { readonly owner: HostId; readonly from: HostId },
+  ): readonly HostId[] {
+    const many = topology.peers.length > MESH_PEERS / 2;
+    return many ? this.#relays.forward(topology, news) : [];
+  }
+
+  #for({ peers }: Topology): Spread {
+    this.#current = peers.length > MESH_PEERS ? this.#relays : this.#mesh;
+    return this.#current;
+  }
+}
+
 function near({ self, peers }: Topology): HostId[] {
   return peers
     .filter(({ dataCentre }) => dataCentre === self.dataCentre)
