Remove a site's folder when a test run is interrupted

Cause: three folders were left in the temporary folder by runs that a timeout had ended, because no test hook runs then. Ruled out: processes left behind; there were none. Change: the folder is also removed when the test process exits.

--- a/packages/callfaults/call_site.ts
+++ b/packages/callfaults/call_site.ts
@@ -1,4 +1,4 @@
-import { mkdtempSync, writeFileSync } from "node:fs";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -73,6 +73,10 @@
     const programs = await bundle();
     const ports = await reservePorts();
     const folder = mkdtempSync(join(tmpdir(), "mangobank-calls-"));
+    // Also when the run is interrupted and no test hook runs.
+    process.once("exit", () =>
+      rmSync(folder, { recursive: true, force: true }),
+    );
     const example = join(folder, "example");
     const services = Object.fromEntries(
       Object.entries(options.services).map(([name, fields]) => {
