Split the entry's composition; retire connections of servers that are gone

Ruled out: destroying the agent of a server that is gone (cuts calls that a leaving server still runs). Change: KnownServers and openEntryNetwork hold what they are about; callfaults uses the harness parts of faults; BackendClient.retire closes idle connections and lets the others end with their calls. Tests: a retired server leaves no connection and cuts no call.

--- a/packages/callfaults/call_site.ts
+++ b/packages/callfaults/call_site.ts
@@ -5,12 +5,12 @@
 import { type Address, type HostId, rendezvousOrder } from "#model";
 import { SiteProcesses } from "../demo/site_processes.ts";
 import { until } from "../demo/until.ts";
+import { type PortBlock, reservePorts } from "../faults/ports.ts";
+import { bundle, type Programs } from "../faults/programs.ts";
+import type { RelayPorts } from "../faults/redirect.ts";
+import { Relay } from "../faults/relay.ts";
 import { Backend } from "./backend.ts";
 import type { RecordedRun } from "./backend_process.ts";
-import { type PortBlock, reservePorts } from "./ports.ts";
-import { bundle, type Programs } from "./programs.ts";
-import type { RelayPorts } from "./redirect.ts";
-import { Relay } from "./relay.ts";
 import {
   BASE_SERVICE,
   dataCentre,
@@ -89,7 +89,7 @@
       folder: example,
       controls: 3,
       entries: options.entries,
-      ports: ports.ports,
+      ports,
       services,
     });
     const run = join(folder, "run");
--- a/packages/callfaults/site_files.ts
+++ b/packages/callfaults/site_files.ts
@@ -8,7 +8,8 @@
 } from "node:fs";
 import { join } from "node:path";
 import type { Address, HostId } from "#model";
-import { ROOT } from "./programs.ts";
+import type { PortBlock } from "../faults/ports.ts";
+import { ROOT } from "../faults/programs.ts";
 
 const EXAMPLE = join(ROOT, "examples/daugava");
 const HOST = "127.0.0.1";
@@ -55,16 +56,11 @@
   readonly folder: string;
   readonly controls: number;
   readonly entries: number;
-  readonly ports: readonly number[];
+  readonly ports: PortBlock;
   readonly services: Readonly<Record<string, ServiceFields>>;
 }): HostFile[] {
-  const { folder, services } = options;
-  const ports = [...options.ports];
-  const address = (): Address => {
-    const port = ports.pop();
-    if (port === undefined) throw new Error("the port block is used up");
-    return { host: HOST, port };
-  };
+  const { folder, services, ports } = options;
+  const address = (): Address => ({ host: HOST, port: ports.take() });
   const settings = join(folder, "settings");
   mkdirSync(settings, { recursive: true });
   for (const part of ["sections", "credentials"]) {
--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -112,24 +112,26 @@
     };
   }
 
-  /** Closes pooled connections to servers that are gone. */
-  retain(servers: ReadonlySet<string>): void {
-    for (const [key, { agent }] of this.#agents) {
-      if (servers.has(key)) continue;
-      agent.destroy();
-      this.#agents.delete(key);
-    }
+  /** Closes idle connections to an incarnation that is gone; calls go on. */
+  retire(server: BackendServer): void {
+    const key = backendServerKey(server);
+    const pooled = this.#agents.get(key);
+    if (pooled?.incarnation !== server.incarnation) return;
+    this.#agents.delete(key);
+    closeIdle(pooled.agent);
   }
 
+  /** Breaks all connections. */
   close(): void {
-    this.retain(new Set());
+    for (const { agent } of this.#agents.values()) agent.destroy();
+    this.#agents.clear();
   }
 
   #agent(server: BackendServer): Agent {
     const key = backendServerKey(server);
     const pooled = this.#agents.get(key);
     if (pooled?.incarnation === server.incarnation) return pooled.agent;
-    pooled?.agent.destroy();
+    if (pooled) closeIdle(pooled.agent);
     const agent = new Agent({
       keepAlive: true,
       maxSockets: Number.POSITIVE_INFINITY,
@@ -142,6 +144,14 @@
   }
 }
 
+/** Closes unused connections, and the others once their calls have ended. */
+function closeIdle(agent: Agent): void {
+  agent.maxFreeSockets = 0;
+  for (const sockets of Object.values(agent.freeSockets)) {
+    for (const socket of sockets ?? []) socket.destroy();
+  }
+}
+
 type Outgoing = ReturnType<typeof httpRequest>;
 
 function limitConnect(
--- /dev/null
+++ b/packages/entry/backend_client_test.ts
@@ -0,0 +1,76 @@
+import assert from "node:assert/strict";
+import { createServer, type Server } from "node:http";
+import { after, test } from "node:test";
+import type { BackendServer } from "#model";
+import { until } from "../demo/until.ts";
+import { BackendClient } from "./backend_client.ts";
+
+const servers: Server[] = [];
+
+after(() => {
+  for (const server of servers) {
+    server.close();
+    server.closeAllConnections();
+  }
+});
+
+async function listen(server: Server): Promise<number> {
+  servers.push(server);
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const bound = server.address();
+  return typeof bound === "object" && bound ? bound.port : 0;
+}
+
+function record(port: number, incarnation: number): BackendServer {
+  return {
+    id: "w1",
+    service: "alloc",
+    address: { host: "127.0.0.1", port },
+    dataCentre: "riga-a",
+    incarnation,
+    sequence: 1,
+    state: "ready",
+    slots: 6,
+    connections: 300,
+    inFlight: 0,
+    startedMsAgo: 0,
+  };
+}
+
+const REQUEST = {
+  method: "GET",
+  path: "/",
+  headers: ["host", "w1"],
+  body: { head: Buffer.alloc(0), rest: undefined },
+  connectTimeoutMs: 1_000,
+};
+
+test("a server that is gone leaves no connection, and no call is cut", async () => {
+  let connections = 0;
+  let answer = () => undefined as unknown;
+  const server = createServer((request, response) => {
+    if (request.url === "/") response.end("ok");
+    else answer = () => response.end("late");
+  });
+  server.on("connection", (socket) => {
+    connections += 1;
+    socket.once("close", () => {
+      connections -= 1;
+    });
+  });
+  const target = record(await listen(server), 1);
+  const client = new BackendClient();
+  const late = client.send(target, { ...REQUEST, path: "/late" });
+  const first = await client.send(target, REQUEST).end;
+  assert.equal(first.type, "answer");
+  await until(() => connections === 2, { what: "two connections" });
+  client.retire(target);
+  await until(() => connections === 1, { what: "the idle one is closed" });
+  answer();
+  const end = await late.end;
+  assert.equal(end.type === "answer" && String(end.answer.body), "late");
+  await until(() => connections === 0, { what: "the other one is closed" });
+  client.close();
+});
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -1,10 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
-import { type ClaimMessages, isReleased } from "#claims";
-import {
-  type ConfigurationMessages,
-  EMPTY_CONFIGURATION,
-  type InventoryMessages,
-} from "#configuration";
+import { isReleased } from "#claims";
+import { EMPTY_CONFIGURATION } from "#configuration";
 import {
   type BackendServer,
   backendServerKey,
@@ -18,20 +14,13 @@
 import {
   AddressLookup,
   Presence,
-  type PresenceMessages,
   SERVE_AFTER_STOPPING_MS,
   TICK_MS,
 } from "#presence";
-import type { QuarantineMessages } from "#quarantine";
-import { type DispatchMessages, Router } from "#routing";
+import { Router } from "#routing";
 import type { EntrySettings } from "#settings";
 import { type Logger, Metrics } from "#telemetry";
-import {
-  type Hello,
-  type ListenFault,
-  PROTOCOL_VERSION,
-  TcpNetwork,
-} from "#wire";
+import type { Hello, ListenFault, TcpNetwork } from "#wire";
 import { ActivityTimer } from "./activity_timer.ts";
 import { AdminServer } from "./admin_server.ts";
 import { Assignments } from "./assignments.ts";
@@ -42,9 +31,11 @@
   CONFIRM_EVERY_MS,
   ConfigurationFollower,
 } from "./configuration_follower.ts";
+import { type EntryMessages, openEntryNetwork } from "./entry_network.ts";
 import { EventLoopLoad } from "./event_loop_load.ts";
 import { Classifier } from "./incoming_call.ts";
 import { KeyClaims } from "./key_claims.ts";
+import { KnownServers } from "./known_servers.ts";
 import { OwnPaths } from "./own_paths.ts";
 import { PlannedStops } from "./planned_stops.ts";
 import { Prober } from "./prober.ts";
@@ -52,20 +43,10 @@
 import { ServicePolicies } from "./service_policies.ts";
 import { QUARANTINE_TICK_MS, Suspects } from "./suspects.ts";
 
-type EntryMessages = ConfigurationMessages &
-  QuarantineMessages &
-  InventoryMessages &
-  PresenceMessages &
-  ClaimMessages &
-  DispatchMessages;
-
 /** How often the entry's own load is measured and told to the others. */
 const LOAD_EVERY_MS = 1_000;
-
 /** Longest stop of an entry, drain of its calls not included. */
 const MAX_STOPPING_MS = 120_000;
-/** Records in one answer to control; a frame holds at most 1 MiB. */
-const INVENTORY_PART = 2_000;
 
 export interface EntryOptions {
   readonly settings: EntrySettings;
@@ -80,6 +61,7 @@
   readonly #incarnation: number;
   readonly #network: TcpNetwork<EntryMessages>;
   readonly #registrations: Registrations;
+  readonly #servers: KnownServers;
   readonly #lookup: AddressLookup;
   readonly #router: Router;
   readonly #assignments: Assignments;
@@ -104,18 +86,23 @@
     this.#options = options;
     const { settings, clock, randomness, logger } = options;
     this.#incarnation = Math.floor(clock.epoch());
-    const network = this.#openNetwork();
+    const network = openEntryNetwork({
+      settings,
+      incarnation: this.#incarnation,
+      clock,
+      logger,
+      up: (peer) => this.#peerUp(peer),
+      down: (peer) => this.#peerDown(peer),
+    });
     this.#network = network;
     this.#metrics = new Metrics({
       configurationVersion: () => this.#follower.version,
       callsInFlight: () => this.#engine.inFlight(),
       queueLength: () => this.#router.queueLengths(),
-      probeBudget: () => this.#probeBudgets(),
+      probeBudget: () =>
+        this.#servers.probeBudgets(this.#applied.document.services),
       peerTraffic: () => network.traffic,
     });
-    network.handle("servers_ask", ({ question }, from) =>
-      this.#answerInventory(question, from.id),
-    );
     this.#decisions = new ActivityTimer({
       clock,
       task: () => {
@@ -153,9 +140,15 @@
           incarnation: server.incarnation,
           reason,
         });
+        this.#client.retire(server);
         if (reason === "restarted") this.#suspects.serverLost(server);
       },
     });
+    this.#servers = new KnownServers({
+      presence: this.#registrations.presence,
+      clock,
+      network,
+    });
     this.#lookup = new AddressLookup(randomness);
     this.#suspects = new Suspects({
       self: settings.id,
@@ -191,7 +184,10 @@
       claims: this.#claims,
       suspects: this.#suspects,
       policies: this.#policies,
-      serversToAvoid: (service, centres) => this.#busyServers(service, centres),
+      serversToAvoid: (service, dataCentres) => {
+        const inFlightAt = this.#engine.inFlightAt.bind(this.#engine);
+        return this.#servers.toAvoid(service, { dataCentres, inFlightAt });
+      },
       classifier: () => this.#classifier,
       ready: () => this.#follower.fresh(),
       bodyLimits: {
@@ -296,25 +292,7 @@
 
   /** Backend servers of a service that are known here. */
   serverCount(service: string): number {
-    const now = this.#options.clock.now();
-    return this.#registrations.presence.servers(service, now).length;
-  }
-
-  /** Backend servers of all services that are known here. */
-  #inventory(): BackendServer[] {
-    const { presence } = this.#registrations;
-    const now = this.#options.clock.now();
-    return presence.services().flatMap((name) => presence.servers(name, now));
-  }
-
-  #answerInventory(question: number, from: HostId): void {
-    const all = this.#inventory();
-    for (let start = 0; ; start += INVENTORY_PART) {
-      const servers = all.slice(start, start + INVENTORY_PART);
-      const more = start + INVENTORY_PART < all.length;
-      this.#network.send(from, "servers_answer", { question, servers, more });
-      if (!more) return;
-    }
+    return this.#servers.of(service).length;
   }
 
   /** Ends at once; calls under way are cut. */
@@ -331,28 +309,6 @@
     this.#timers.push(setInterval(run, ms));
   }
 
-  #openNetwork(): TcpNetwork<EntryMessages> {
-    const { settings, clock, logger } = this.#options;
-    return new TcpNetwork<EntryMessages>({
-      self: {
-        id: settings.id,
-        role: "entry",
-        incarnation: this.#incarnation,
-        cluster: settings.cluster,
-        version: PROTOCOL_VERSION,
-      },
-      clock,
-      observer: {
-        up: (peer) => this.#peerUp(peer),
-        down: (peer) => this.#peerDown(peer),
-        fault: (fault, peer) => {
-          if (fault.type === "link_closed") return;
-          logger.warn("connection closed", { peer: peer?.id, fault });
-        },
-      },
-    });
-  }
-
   #peerUp(peer: Hello): void {
     if (peer.role === "control") {
       this.#follower.confirm();
@@ -427,8 +383,7 @@
       this.#stops.configure(configuration);
       // Stops that began or ended change the servers that take work.
       for (const name of names) {
-        const servers = this.#registrations.presence.servers(name, now);
-        this.#serversChanged(name, servers);
+        this.#serversChanged(name, this.#servers.of(name));
       }
     }
     if (before.view !== view) this.#connect();
@@ -442,32 +397,6 @@
     this.#assignments.carryOut(this.#router.setServers(service, usable, now));
   }
 
-  /** Servers with work, or in data centres where others were lost. */
-  #busyServers(service: string, centres: readonly string[]): string[] {
-    const now = this.#options.clock.now();
-    const servers = this.#registrations.presence.servers(service, now);
-    const usable = servers.filter((s) => !centres.includes(s.dataCentre));
-    const allowed = usable.length > 0 ? usable : servers;
-    const idle = allowed.filter(
-      ({ id }) =>
-        this.#engine.inFlightAt((s) => s.service === service && s.id === id) ===
-        0,
-    );
-    const kept = new Set((idle.length > 0 ? idle : allowed).map((s) => s.id));
-    return servers.flatMap(({ id }) => (kept.has(id) ? [] : [id]));
-  }
-
-  /** Slots that probes may take on average, by service. */
-  #probeBudgets(): [string, number][] {
-    const { services } = this.#follower.configuration.document;
-    const now = this.#options.clock.now();
-    return services.map(({ name, measuringBudgetPercent }) => {
-      const servers = this.#registrations.presence.servers(name, now);
-      const slots = servers.reduce((sum, server) => sum + server.slots, 0);
-      return [name, (slots * measuringBudgetPercent) / 100];
-    });
-  }
-
   #addresses(dataCentre: string | undefined) {
     const { presence } = this.#registrations;
     const { view, document } = this.#follower.configuration;
@@ -496,8 +425,6 @@
 
   #status() {
     const { configuration } = this.#follower;
-    const { presence } = this.#registrations;
-    const now = this.#options.clock.now();
     return {
       version: configuration.version,
       revision: configuration.document.revision,
@@ -506,11 +433,7 @@
       confirmed_ms_ago: Math.round(this.#follower.confirmationAge()),
       calls: this.#engine.running,
       claims_held: this.#claims.held,
-      servers: Object.fromEntries(
-        presence
-          .services()
-          .map((name) => [name, presence.servers(name, now).length]),
-      ),
+      servers: this.#servers.counts(),
     };
   }
 }
--- a/packages/faults/programs.ts
+++ b/packages/faults/programs.ts
@@ -13,6 +13,8 @@
   readonly mangobank: string;
   /** Preloaded into processes that connect through relays. */
   readonly redirect: string;
+  /** One stand-in backend server. */
+  readonly backend: string;
 }
 
 let bundled: Promise<Programs> | undefined;
@@ -36,6 +38,7 @@
     entryPoints: {
       mangobank: "packages/cli/main.ts",
       redirect: "packages/faults/redirect.ts",
+      backend: "packages/callfaults/backend_process.ts",
     },
     outdir: folder,
     outExtension: { ".js": ".cjs" },
@@ -50,5 +53,6 @@
     folder,
     mangobank: join(folder, "mangobank.cjs"),
     redirect: join(folder, "redirect.cjs"),
+    backend: join(folder, "backend.cjs"),
   };
 }
