Share the code that binds servers and that bundles programs

Ruled out: one module for both fault harnesses' settings (they differ in what they configure). Change: wire/listen.ts and demo/bundle.ts; no behaviour differs.

--- a/packages/bench/process_bench.ts
+++ b/packages/bench/process_bench.ts
@@ -3,10 +3,10 @@
 import { Agent } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { build } from "esbuild";
 import { build as buildHistogram, type Histogram } from "hdr-histogram-js";
 import { v7 as uuidv7 } from "uuid";
 import { type Address, HEADERS } from "#model";
+import { bundlePrograms } from "../demo/bundle.ts";
 import { exchange } from "../demo/caller.ts";
 import { SiteProcesses } from "../demo/site_processes.ts";
 import { StandinHandle } from "../demo/standin_handle.ts";
@@ -36,14 +36,18 @@
 /** Compares an entry with a bare relay, in turn and at the same rate. */
 export async function processBench(): Promise<void> {
   const folder = mkdtempSync(join(tmpdir(), "mangobank-bench-"));
-  await bundle(folder);
+  const programs = await bundlePrograms(folder, {
+    mangobank: "packages/cli/main.ts",
+    standin: "packages/demo/standin_process.ts",
+    relay: "packages/bench/bare_relay.ts",
+  });
   const site = new SiteProcesses({
     example: "examples/daugava",
     folder: join(folder, "site"),
-    command: [process.execPath, join(folder, "mangobank.cjs")],
+    command: [process.execPath, programs.mangobank],
     entries: Number(process.env.BENCH_ENTRIES ?? 3),
   });
-  const standins = new StandinHandle(join(folder, "standin.cjs"), {
+  const standins = new StandinHandle(programs.standin, {
     service: "alloc",
     dataCentres: ["riga-a"],
     count: 12,
@@ -58,11 +62,9 @@
     await site.start();
     await standins.start();
     const servers = await serverAddresses(site);
-    const relay = fork(
-      join(folder, "relay.cjs"),
-      [String(RELAY.port), ...servers],
-      { stdio: ["ignore", "ignore", "inherit", "ipc"] },
-    );
+    const relay = fork(programs.relay, [String(RELAY.port), ...servers], {
+      stdio: ["ignore", "ignore", "inherit", "ipc"],
+    });
     await new Promise((resolve) => relay.once("message", resolve));
     const entryPid = site.pid(entry.id) ?? 0;
     await compare([
@@ -78,24 +80,6 @@
   }
 }
 
-function bundle(folder: string) {
-  return build({
-    entryPoints: {
-      mangobank: "packages/cli/main.ts",
-      standin: "packages/demo/standin_process.ts",
-      relay: "packages/bench/bare_relay.ts",
-    },
-    outdir: folder,
-    outExtension: { ".js": ".cjs" },
-    bundle: true,
-    platform: "node",
-    format: "cjs",
-    target: "node20",
-    alias: { "cbor-extract": "./scripts/empty.cjs" },
-    logLevel: "warning",
-  });
-}
-
 /** Waits until the servers are known and returns their addresses. */
 async function serverAddresses(site: SiteProcesses): Promise<string[]> {
   const operator = site.operator("system");
--- a/packages/callfaults/site_files.ts
+++ b/packages/callfaults/site_files.ts
@@ -8,8 +8,8 @@
 } from "node:fs";
 import { join } from "node:path";
 import type { Address, HostId } from "#model";
+import { ROOT } from "../demo/bundle.ts";
 import type { PortBlock } from "../faults/ports.ts";
-import { ROOT } from "../faults/programs.ts";
 
 const EXAMPLE = join(ROOT, "examples/daugava");
 const HOST = "127.0.0.1";
--- a/packages/control/control_host.ts
+++ b/packages/control/control_host.ts
@@ -1,9 +1,8 @@
 import type { Server } from "node:http";
 import { err, ok, type Result } from "neverthrow";
-import type { Address } from "#model";
 import { createOperatorServer, OperatorApi } from "#operators";
 import { ControlMetrics } from "#telemetry";
-import type { ListenFault } from "#wire";
+import { listen } from "#wire";
 import {
   type ControlFault,
   type ControlOptions,
@@ -67,16 +66,3 @@
     await this.process.close();
   }
 }
-
-function listen(
-  server: Server,
-  address: Address,
-): Promise<Result<void, ListenFault>> {
-  return new Promise((resolve) => {
-    server.once("error", (error) => {
-      const detail = error.message;
-      resolve(err({ type: "listen_failed", address, detail }));
-    });
-    server.listen(address.port, address.host, () => resolve(ok(undefined)));
-  });
-}
--- a/packages/demo/main.ts
+++ b/packages/demo/main.ts
@@ -2,7 +2,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { consola } from "consola";
-import { build } from "esbuild";
+import { bundlePrograms } from "./bundle.ts";
 import { type DemoResult, runDemo } from "./demo.ts";
 import { DEPLOYMENTS } from "./deployments.ts";
 
@@ -10,20 +10,9 @@
 const LOAD_SECONDS = 12;
 
 const folder = mkdtempSync(join(tmpdir(), "mangobank-demo-"));
-// Bundled, because running 40 processes through tsx takes much longer.
-await build({
-  entryPoints: {
-    mangobank: "packages/cli/main.ts",
-    standin: "packages/demo/standin_process.ts",
-  },
-  outdir: folder,
-  outExtension: { ".js": ".cjs" },
-  bundle: true,
-  platform: "node",
-  format: "cjs",
-  target: "node20",
-  alias: { "cbor-extract": "./scripts/empty.cjs" },
-  logLevel: "warning",
+const programs = await bundlePrograms(folder, {
+  mangobank: "packages/cli/main.ts",
+  standin: "packages/demo/standin_process.ts",
 });
 process.setMaxListeners(100);
 for (const signal of ["SIGINT", "SIGTERM"] as const) {
@@ -35,8 +24,8 @@
       deployment,
       example: join("examples", deployment.name),
       folder: join(folder, deployment.name),
-      command: [process.execPath, join(folder, "mangobank.cjs")],
-      standinProgram: join(folder, "standin.cjs"),
+      command: [process.execPath, programs.mangobank],
+      standinProgram: programs.standin,
       seconds: LOAD_SECONDS,
       say: (text) => consola.info(text),
     }),
--- a/packages/entry/admin_server.ts
+++ b/packages/entry/admin_server.ts
@@ -1,8 +1,8 @@
 import { createServer, type Server } from "node:http";
-import { err, ok, type Result } from "neverthrow";
+import type { Result } from "neverthrow";
 import type { Address } from "#model";
 import type { Metrics } from "#telemetry";
-import type { ListenFault } from "#wire";
+import { type ListenFault, listen } from "#wire";
 import { replyJson } from "./reply.ts";
 
 /** Serves `/metrics`, `/healthz` and `/readyz` on an address of their own. */
@@ -41,15 +41,7 @@
   }
 
   listen(address: Address): Promise<Result<Address, ListenFault>> {
-    return new Promise((resolve) => {
-      this.#server.once("error", (error) => {
-        const detail = error.message;
-        resolve(err({ type: "listen_failed", address, detail }));
-      });
-      this.#server.listen(address.port, address.host, () => {
-        resolve(ok(address));
-      });
-    });
+    return listen(this.#server, address);
   }
 
   close(): void {
--- a/packages/entry/caller_server.ts
+++ b/packages/entry/caller_server.ts
@@ -5,7 +5,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import { err, ok, type Result } from "neverthrow";
+import type { Result } from "neverthrow";
 import {
   type Address,
   CALL_FAULTS,
@@ -14,7 +14,7 @@
   OWN_PATH,
 } from "#model";
 import type { EntryLimits } from "#settings";
-import type { ListenFault } from "#wire";
+import { type ListenFault, listen } from "#wire";
 
 /** How often Node looks for requests that take too long to arrive. */
 const SLOW_CALLER_CHECK_MS = 500;
@@ -67,18 +67,7 @@
   }
 
   listen(address: Address): Promise<Result<Address, ListenFault>> {
-    return new Promise((resolve) => {
-      this.#server.once("error", (error) => {
-        const detail = error.message;
-        resolve(err({ type: "listen_failed", address, detail }));
-      });
-      this.#server.listen(address.port, address.host, () => {
-        const bound = this.#server.address();
-        const port =
-          typeof bound === "object" && bound ? bound.port : address.port;
-        resolve(ok({ host: address.host, port }));
-      });
-    });
+    return listen(this.#server, address);
   }
 
   /** Stops accepting; resolves when every request has its answer. */
--- a/packages/faults/programs.ts
+++ b/packages/faults/programs.ts
@@ -1,11 +1,7 @@
 import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
-import { dirname, join } from "node:path";
-import { fileURLToPath } from "node:url";
-import { build } from "esbuild";
-
-/** Root of the repository. */
-export const ROOT = join(dirname(fileURLToPath(import.meta.url)), "../..");
+import { join } from "node:path";
+import { bundlePrograms } from "../demo/bundle.ts";
 
 /** Bundled programs, because a process starts much slower through tsx. */
 export interface Programs {
@@ -33,26 +29,10 @@
     process.once(signal, () => process.exit(1));
   }
   process.setMaxListeners(100);
-  await build({
-    absWorkingDir: ROOT,
-    entryPoints: {
-      mangobank: "packages/cli/main.ts",
-      redirect: "packages/faults/redirect.ts",
-      backend: "packages/callfaults/backend_process.ts",
-    },
-    outdir: folder,
-    outExtension: { ".js": ".cjs" },
-    bundle: true,
-    platform: "node",
-    format: "cjs",
-    target: "node20",
-    alias: { "cbor-extract": "./scripts/empty.cjs" },
-    logLevel: "warning",
+  const paths = await bundlePrograms(folder, {
+    mangobank: "packages/cli/main.ts",
+    redirect: "packages/faults/redirect.ts",
+    backend: "packages/callfaults/backend_process.ts",
   });
-  return {
-    folder,
-    mangobank: join(folder, "mangobank.cjs"),
-    redirect: join(folder, "redirect.cjs"),
-    backend: join(folder, "backend.cjs"),
-  };
+  return { folder, ...paths };
 }
--- a/packages/slopes/process_site.ts
+++ b/packages/slopes/process_site.ts
@@ -8,7 +8,7 @@
 } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { build } from "esbuild";
+import { bundlePrograms } from "../demo/bundle.ts";
 import { SiteProcesses } from "../demo/site_processes.ts";
 import { until } from "../demo/until.ts";
 import { type SiteSize, writeSite } from "./site_folder.ts";
@@ -32,19 +32,9 @@
 
   static async build(): Promise<Programs> {
     const programs = new Programs();
-    await build({
-      entryPoints: {
-        mangobank: "packages/cli/main.ts",
-        standin: "packages/demo/standin_process.ts",
-      },
-      outdir: programs.folder,
-      outExtension: { ".js": ".cjs" },
-      bundle: true,
-      platform: "node",
-      format: "cjs",
-      target: "node20",
-      alias: { "cbor-extract": "./scripts/empty.cjs" },
-      logLevel: "warning",
+    await bundlePrograms(programs.folder, {
+      mangobank: "packages/cli/main.ts",
+      standin: "packages/demo/standin_process.ts",
     });
     writeFileSync(join(programs.folder, "memory.cjs"), PRELOAD);
     return programs;
--- a/packages/wire/index.ts
+++ b/packages/wire/index.ts
@@ -6,5 +6,6 @@
  */
 export * from "./frames.ts";
 export type { LinkFault, Traffic } from "./link.ts";
+export * from "./listen.ts";
 export * from "./messages.ts";
 export * from "./network.ts";
--- a/packages/wire/network.ts
+++ b/packages/wire/network.ts
@@ -1,8 +1,9 @@
 import { connect, createServer, type Server, type Socket } from "node:net";
-import { err, ok, type Result } from "neverthrow";
+import type { Result } from "neverthrow";
 import type { Address, Clock, HostId } from "#model";
 import { encodeFrame } from "./frames.ts";
 import { Link, type LinkFault, type Traffic } from "./link.ts";
+import { type ListenFault, listen } from "./listen.ts";
 import type { Hello, MessageMap } from "./messages.ts";
 
 const CHECK_EVERY_MS = 250;
@@ -20,12 +21,6 @@
   readonly address: Address;
 }
 
-export type ListenFault = {
-  readonly type: "listen_failed";
-  readonly address: Address;
-  readonly detail: string;
-};
-
 export interface NetworkObserver {
   readonly up?: (peer: Hello) => void;
   readonly down?: (peer: Hello) => void;
@@ -77,20 +72,8 @@
 
   /** Accepts connections at an address. */
   listen(address: Address): Promise<Result<Address, ListenFault>> {
-    return new Promise((resolve) => {
-      const server = createServer((socket) => this.#accept(socket));
-      this.#server = server;
-      server.once("error", (error) => {
-        const detail = error.message;
-        resolve(err({ type: "listen_failed", address, detail }));
-      });
-      server.listen(address.port, address.host, () => {
-        const bound = server.address();
-        const port =
-          typeof bound === "object" && bound ? bound.port : address.port;
-        resolve(ok({ host: address.host, port }));
-      });
-    });
+    this.#server = createServer((socket) => this.#accept(socket));
+    return listen(this.#server, address);
   }
 
   /** Sets the processes to keep a connection to; others are disconnected. */
