Decide the end of a stopping entry in a function of its own

Cause: the rule lay in the entry's composition, where no test reached it. Ruled out: a class for one condition. Change: mayEnd, with a table of cases: addresses, keys, loss of control.

--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -1,5 +1,4 @@
 import { err, ok, type Result } from "neverthrow";
-import { isReleased } from "#claims";
 import { EMPTY_CONFIGURATION } from "#configuration";
 import {
   type BackendServer,
@@ -33,6 +32,7 @@
 } from "./configuration_follower.ts";
 import { type EntryMessages, openEntryNetwork } from "./entry_network.ts";
 import { EventLoopLoad } from "./event_loop_load.ts";
+import { mayEnd } from "./graceful_stop.ts";
 import { Classifier } from "./incoming_call.ts";
 import { KeyClaims } from "./key_claims.ts";
 import { KnownServers } from "./known_servers.ts";
@@ -45,8 +45,6 @@
 
 /** How often the entry's own load is measured and told to the others. */
 const LOAD_EVERY_MS = 1_000;
-/** Longest stop of an entry, drain of its calls not included. */
-const MAX_STOPPING_MS = 120_000;
 
 export interface EntryOptions {
   readonly settings: EntrySettings;
@@ -257,29 +255,24 @@
     logger.info("entry stops", { serveForMs: SERVE_AFTER_STOPPING_MS });
     this.#report();
     this.#follower.confirm();
+    const self = {
+      id: this.#options.settings.id,
+      incarnation: this.#incarnation,
+    };
     const began = clock.now();
-    while (!this.#mayEnd(clock.now() - began)) await delay(100);
+    const ended = () =>
+      mayEnd(self, {
+        configuration: this.#follower.configuration,
+        stoppingForMs: clock.now() - began,
+        epoch: clock.epoch(),
+      });
+    while (!ended()) await delay(100);
     await this.#callers.drain();
     while (this.#engine.running > 0) await delay(20);
     this.close();
     logger.info("entry stopped");
   }
 
-  /** Whether callers and claims have had time to turn to other entries. */
-  #mayEnd(stoppingForMs: number): boolean {
-    if (stoppingForMs < SERVE_AFTER_STOPPING_MS) return false;
-    const { view, formerViews, document } = this.#follower.configuration;
-    const { clockSkewMs } = document;
-    const views = { view, formerViews, clockSkewMs };
-    const holder = {
-      id: this.#options.settings.id,
-      incarnation: this.#incarnation,
-    };
-    if (isReleased(holder, views, this.#options.clock.epoch())) return true;
-    // Without control the view does not change, however long it waits.
-    return stoppingForMs > MAX_STOPPING_MS;
-  }
-
   /** Whether new work is taken. */
   get ready(): boolean {
     return this.#notReady().length === 0;
