--- a/packages/admission/call_chain.ts
+++ b/packages/admission/call_chain.ts
@@ -62,6 +62,22 @@
     );
   }
 
+  /** The chain of a call that begins at a caller outside of the site. */
+  static start(options: {
+    now: number;
+    classDeadlineMs: number;
+    /** As the caller says it. */
+    deadlineMs: number | undefined;
+    retries: number;
+  }): Result<CallChain, ChainFault> {
+    const { now, classDeadlineMs, deadlineMs, retries } = options;
+    if (deadlineMs !== undefined && deadlineMs <= 0) {
+      return err({ type: "deadline_expired" });
+    }
+    const ms = Math.min(deadlineMs ?? classDeadlineMs, classDeadlineMs);
+    return ok(new CallChain(now + ms, 0, retries));
+  }
+
   /** Time left in milliseconds; not below 0. */
   remainingMs(now: number): number {
     return Math.max(0, this.deadline - now);
--- a/packages/admission/call_chain_attempts.ts
+++ b/packages/admission/call_chain_attempts.ts
@@ -1,7 +1,7 @@
 import { match } from "ts-pattern";
 import type { Outcome } from "#model";
 import type { CallChain } from "./call_chain.ts";
-import type { RetryBudget } from "./retry_budget.ts";
+import type { SendBudget } from "./resend_budget.ts";
 
 /**
  * What happened on an attempt. A request counts as written as soon as a byte of
@@ -75,11 +75,18 @@
 /** The outcome of a call over all of its attempts, and when to retry. */
 export class AttemptOutcome {
   readonly #repeatable: boolean;
+  readonly #refusalsCount: boolean;
   #chain: CallChain;
   #outcome: Outcome = "not-run";
   #notStarted = 0;
 
-  constructor(options: { repeatable: boolean; chain: CallChain }) {
+  constructor(options: {
+    repeatable: boolean;
+    chain: CallChain;
+    /** Whether a send that a server refused takes from the budget. */
+    refusalsCount?: boolean;
+  }) {
+    this.#refusalsCount = options.refusalsCount ?? false;
     this.#repeatable = options.repeatable;
     this.#chain = options.chain;
   }
@@ -95,15 +102,16 @@
   }
 
   /** Takes an attempt's end; true if a further attempt is to be made now. */
-  next(
-    end: AttemptEnd,
-    options: { now: number; budget: RetryBudget },
-  ): boolean {
+  next(end: AttemptEnd, options: { now: number; budget: SendBudget }): boolean {
     const verdict = judgeAttempt(end, { repeatable: this.#repeatable });
     this.#merge(verdict.outcome);
     if (!verdict.repeatable || this.#outcome === "answered") return false;
     if (this.#chain.remainingMs(options.now) === 0) return false;
     if (verdict.outcome === "not-run") {
+      const arrived = end.type !== "never_connected";
+      if (this.#refusalsCount && arrived && !options.budget.tryTake()) {
+        return false;
+      }
       // It cost the server no work, so it takes nothing from the budget; a
       // drain must not use up the retries of a service.
       return ++this.#notStarted < MAX_NOT_STARTED;
--- a/packages/admission/hedging.ts
+++ b/packages/admission/hedging.ts
@@ -1,7 +1,7 @@
 import type { Histogram } from "hdr-histogram-js";
 // The package's index loads its WebAssembly build too, which takes 9 MB.
 import int32Module from "hdr-histogram-js/dist/Int32Histogram.js";
-import type { RetryBudget } from "./retry_budget.ts";
+import type { SendBudget } from "./resend_budget.ts";
 
 /** Share of calls that are answered before a hedge is considered. */
 const QUANTILE_PERCENT = 95;
@@ -86,7 +86,7 @@
   }
 
   /** Adds a hedge at its time, if the call still runs and the budget has one. */
-  tryHedge(attempt: string, budget: RetryBudget): boolean {
+  tryHedge(attempt: string, budget: SendBudget): boolean {
     if (this.#won || this.#running.size !== 1 || !budget.tryTake())
       return false;
     this.#running.add(attempt);
--- a/packages/admission/outcomes.ts
+++ b/packages/admission/outcomes.ts
@@ -2,4 +2,5 @@
 export * from "./call_chain.ts";
 export * from "./call_chain_attempts.ts";
 export * from "./hedging.ts";
+export * from "./resend_budget.ts";
 export * from "./retry_budget.ts";
--- a/packages/admission/retry_budget.ts
+++ b/packages/admission/retry_budget.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "#model";
+import type { SendBudget } from "./resend_budget.ts";
 
 /** Retries that a service without calls may save up. */
 const RESERVE = 5;
@@ -8,7 +9,7 @@
 const MOST_SAVED = 50;
 
 /** Bounds retries and hedges of a service to a share of its calls. */
-export class RetryBudget {
+export class RetryBudget implements SendBudget {
   readonly #clock: Clock;
   #share: number;
   #tokens = RESERVE;
--- a/packages/configuration/change.ts
+++ b/packages/configuration/change.ts
@@ -1,10 +1,14 @@
 import {
   type Configuration,
+  type ControlPeer,
   EMPTY_DOCUMENT,
   EMPTY_VIEW,
   type Entry,
   type FormerView,
+  type HostRoute,
+  type LeavingServer,
   type PlannedStop,
+  type RequestLimits,
   type Service,
   type StopProgress,
   UNSETTLED,
@@ -36,6 +40,11 @@
   readonly services: ListChange<Service>;
   readonly plannedStops: ListChange<PlannedStop>;
   readonly stops: ListChange<StopProgress>;
+  readonly hostRoutes: ListChange<HostRoute>;
+  /** Absent if they are as before. */
+  readonly requestLimits?: RequestLimits;
+  readonly leaving: ListChange<LeavingServer>;
+  readonly controls: ListChange<ControlPeer>;
   /** Ends of former views that the receiver holds as unsettled. */
   readonly settled: readonly {
     readonly epoch: number;
@@ -55,6 +64,8 @@
   view: EMPTY_VIEW,
   formerViews: [],
   stops: [],
+  leaving: [],
+  controls: [],
   version: 0,
 };
 
@@ -87,6 +98,16 @@
     services: diffList(from.document.services, to.document.services, byName),
     plannedStops: diffList(from.document.stops, to.document.stops, byName),
     stops: diffList(from.stops, to.stops, byStop),
+    hostRoutes: diffList(
+      from.document.hostRoutes,
+      to.document.hostRoutes,
+      byName,
+    ),
+    ...(!same(from.document.requestLimits, to.document.requestLimits) && {
+      requestLimits: to.document.requestLimits,
+    }),
+    leaving: diffList(from.leaving, to.leaving, byId),
+    controls: diffList(from.controls, to.controls, byId),
     settled: settledSince(from, to),
     ...(from.view.epoch !== to.view.epoch && { view: diffViews(from, to) }),
   };
@@ -109,8 +130,12 @@
       regions: change.regions ?? document.regions,
       services: applyList(document.services, change.services, byName),
       stops: applyList(document.stops, change.plannedStops, byName),
+      hostRoutes: applyList(document.hostRoutes, change.hostRoutes, byName),
+      ...(change.requestLimits && { requestLimits: change.requestLimits }),
     },
     stops: applyList(base.stops, change.stops, byStop),
+    leaving: applyList(base.leaving, change.leaving, byId),
+    controls: applyList(base.controls, change.controls, byId),
     ...settle(applyView(base, change.view), change.settled),
   };
 }
--- a/packages/configuration/freshness.ts
+++ b/packages/configuration/freshness.ts
@@ -23,6 +23,11 @@
   #sequence = 0;
   #round: PeerRound | undefined;
   #confirmedAt = Number.NEGATIVE_INFINITY;
+  readonly #confirmedForMs: number;
+
+  constructor(confirmedForMs = CONFIRMED_FOR_MS) {
+    this.#confirmedForMs = confirmedForMs;
+  }
 
   /** Starts a question to control; returns its sequence number. */
   ask(now: number): number {
@@ -85,7 +90,7 @@
 
   /** Whether new work may be taken. */
   fresh(now: number): boolean {
-    return now - this.#confirmedAt <= CONFIRMED_FOR_MS;
+    return now - this.#confirmedAt <= this.#confirmedForMs;
   }
 
   /** Time since the last confirmation was asked for, in milliseconds. */
--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -1,12 +1,13 @@
 import { err, ok, type Result } from "neverthrow";
-import type {
-  AgreementMessages,
-  AgreementStatus,
-  AgreementStorage,
-  MemberChange,
-  ReplicatedLog,
-  StopFault,
-  StorageFault,
+import {
+  type AgreementMessages,
+  type AgreementStatus,
+  type AgreementStorage,
+  hostOf,
+  type MemberChange,
+  type ReplicatedLog,
+  type StopFault,
+  type StorageFault,
 } from "#agreement";
 import {
   Acceptance,
@@ -14,9 +15,23 @@
   EntryTable,
   type InventoryMessages,
 } from "#configuration";
-import type { BackendServer, Clock, HostId, Randomness } from "#model";
+import type {
+  BackendServer,
+  Clock,
+  Configuration,
+  HostId,
+  Randomness,
+} from "#model";
+import {
+  type Answer,
+  type LeaseAnswer,
+  Presence,
+  type PresenceMessages,
+  TICK_MS,
+} from "#presence";
+import { Registrations } from "#registration";
 import { Registry, type RegistryCommand, type RegistryReply } from "#registry";
-import type { ControlSettings } from "#settings";
+import type { ControlSettings, FoundingMember } from "#settings";
 import { openReplicatedLog } from "#storage";
 import type { Logger } from "#telemetry";
 import {
@@ -25,13 +40,16 @@
   PROTOCOL_VERSION,
   TcpNetwork,
 } from "#wire";
+import { ControlPeers } from "./control_peers.ts";
 import { Inventory } from "./inventory.ts";
 import { LeaderDuties } from "./leader_duties.ts";
+import { MemberAdmission } from "./member_admission.ts";
 import { Publisher } from "./publisher.ts";
 
 type ControlMessages = AgreementMessages &
   ConfigurationMessages &
-  InventoryMessages;
+  InventoryMessages &
+  PresenceMessages;
 
 /**
  * Changes between snapshots. A restart replays those after the last one in one
@@ -70,7 +88,10 @@
   readonly #duties: LeaderDuties;
   readonly #inventory: Inventory;
   readonly #connectedSince: ReadonlyMap<HostId, number>;
-  readonly #timer: NodeJS.Timeout;
+  readonly #registrations: Registrations;
+  readonly #peers: ControlPeers;
+  readonly #admission: MemberAdmission | undefined;
+  readonly #timers: NodeJS.Timeout[];
   #submitting = false;
 
   private constructor(options: ControlOptions, parts: Parts) {
@@ -89,7 +110,19 @@
       acceptance,
     });
     this.#inventory = new Inventory(network);
-    this.#timer = setInterval(() => this.#tick(), DUTIES_EVERY_MS);
+    this.#registrations = parts.registrations;
+    this.#peers = parts.peers;
+    this.#admission =
+      options.settings.discovery &&
+      new MemberAdmission({
+        log,
+        clock: options.clock,
+        logger: options.logger,
+      });
+    this.#timers = [
+      setInterval(() => this.#tick(), DUTIES_EVERY_MS),
+      setInterval(() => this.#registrations.tick(), TICK_MS),
+    ];
   }
 
   /** Reads the data folder, connects to the other members and serves. */
@@ -100,32 +133,64 @@
     const registry = new Registry();
     const table = new EntryTable();
     const acceptance = new Acceptance();
-    const others = settings.members.filter(({ id }) => id !== settings.id);
+    const incarnation = Math.floor(clock.epoch());
     const connectedSince = new Map<HostId, number>();
-    const network = openNetwork(options, {
-      up: ({ id }) => connectedSince.set(id, clock.now()),
-      down: ({ id }) => {
+    const network = openNetwork(options, incarnation, {
+      up: ({ id, role }) => {
+        connectedSince.set(id, clock.now());
+        logger.info("peer connected", { peer: id, role });
+        if (role === "entry") registrations.peerUp(id);
+      },
+      down: ({ id, role }) => {
         connectedSince.delete(id);
+        logger.info("peer lost", { peer: id, role });
         publisher.disconnected(id);
+        if (role === "entry") registrations.peerDown(id);
+      },
+    });
+    const registrations = new Registrations({
+      presence: new Presence({
+        id: settings.id,
+        incarnation,
+        dataCentre: settings.dataCentre,
+        randomness,
+      }),
+      clock,
+      network,
+      changed: () => undefined,
+      gone: (server, reason) => {
+        const { id, service } = server;
+        logger.info("backend server gone", { server: id, service, reason });
       },
     });
+    const peers = new ControlPeers({ settings, network });
     const publisher: Publisher = new Publisher({
       network,
       clock,
       table,
       confirm: async () => (await log?.confirm())?.isOk() ?? false,
-      others: () => others.map(({ id }) => id),
+      others: () => peers.others(),
     });
     const publish = () => {
       const configuration = registry.configuration();
       acceptance.advance(configuration);
       publisher.publish(configuration);
+      peers.configure(configuration);
+      registrations.carryOut(
+        registrations.presence.configure(
+          {
+            services: configuration.document.services.map(({ name }) => name),
+            view: configuration.view,
+          },
+          clock.now(),
+        ),
+      );
     };
     let log: ReplicatedLog<RegistryCommand, RegistryReply> | undefined;
     const opened = await openReplicatedLog<RegistryCommand, RegistryReply>({
       self: settings.id,
-      founders: settings.members.map(({ id }) => id),
-      peers: others.map(({ id }) => id),
+      founders: peers.founders,
+      peers: peers.others(),
       network,
       storage,
       clock,
@@ -157,7 +222,7 @@
       network.close();
       return err(listening.error);
     }
-    network.connect(others.map(({ id, peer }) => ({ id, address: peer })));
+    peers.connect();
     return ok(
       new ControlProcess(options, {
         network,
@@ -167,6 +232,8 @@
         acceptance,
         publisher,
         connectedSince,
+        registrations,
+        peers,
       }),
     );
   }
@@ -213,6 +280,36 @@
     return this.#log.status();
   }
 
+  /** Takes other seeds from changed settings. */
+  setSeeds(seeds: readonly FoundingMember[]): void {
+    this.#peers.setSeeds(seeds);
+  }
+
+  /** Registers a backend server here, for all entries. */
+  announce(server: BackendServer): Answer<LeaseAnswer> {
+    const now = this.#options.clock.now();
+    const answer = this.#registrations.presence.announce(server, now);
+    this.#registrations.carryOut(answer.effects);
+    return answer;
+  }
+
+  /** The newest incarnation that a server announced here. */
+  incarnationOf(id: string): number | undefined {
+    const { presence } = this.#registrations;
+    const now = this.#options.clock.now();
+    return presence
+      .services()
+      .flatMap((service) => presence.servers(service, now))
+      .find((server) => server.id === id)?.incarnation;
+  }
+
+  /** Whether the agreed state has it that this incarnation leaves. */
+  knowsLeaving(id: string, incarnation: number): boolean {
+    const { leaving } = this.#registry.configuration();
+    const known = leaving.find((server) => server.id === id);
+    return known !== undefined && known.incarnation >= incarnation;
+  }
+
   /** Changes the membership of the control hosts. */
   changeMembers(change: MemberChange) {
     return this.#log.changeMembers(change);
@@ -252,7 +349,7 @@
   }
 
   async close(): Promise<void> {
-    clearInterval(this.#timer);
+    for (const timer of this.#timers) clearInterval(timer);
     this.#publisher.close();
     await this.#log.close();
     this.#network.close();
@@ -275,13 +372,31 @@
     this.#publisher.relaySightings();
     this.#table.forget(FORGET_ENTRY_MS, clock.now());
     void this.#lead();
+    void this.#admission?.tick();
+  }
+
+  #controlsChanged(
+    { membership }: AgreementStatus,
+    { controls }: Configuration,
+  ): RegistryCommand[] {
+    if (!this.#options.settings.discovery) return [];
+    const members = [...membership.voters, ...membership.learners];
+    const next = this.#peers.addressesOf(members.map(hostOf));
+    if (JSON.stringify(next) === JSON.stringify(controls)) return [];
+    const at = Math.floor(this.#options.clock.epoch());
+    return [{ type: "controls_changed", controls: next, at }];
   }
 
   async #lead(): Promise<void> {
     if (this.#submitting) return;
     this.#submitting = true;
-    const leading = this.#log.status().role === "leader";
-    const commands = this.#duties.due(leading, this.#registry.configuration());
+    const status = this.#log.status();
+    const leading = status.role === "leader";
+    const configuration = this.#registry.configuration();
+    const commands = [
+      ...this.#duties.due(leading, configuration),
+      ...(leading ? this.#controlsChanged(status, configuration) : []),
+    ];
     const answers = await Promise.all(
       commands.map((command) => this.#log.submit(command)),
     );
@@ -305,10 +420,13 @@
   readonly acceptance: Acceptance;
   readonly publisher: Publisher;
   readonly connectedSince: ReadonlyMap<HostId, number>;
+  readonly registrations: Registrations;
+  readonly peers: ControlPeers;
 }
 
 function openNetwork(
   options: ControlOptions,
+  incarnation: number,
   events: Pick<NetworkObserver, "up" | "down">,
 ): TcpNetwork<ControlMessages> {
   const { settings, clock, logger } = options;
@@ -316,7 +434,7 @@
     self: {
       id: settings.id,
       role: "control",
-      incarnation: Math.floor(clock.epoch()),
+      incarnation,
       cluster: settings.cluster,
       version: PROTOCOL_VERSION,
     },
--- a/packages/document/merge.ts
+++ b/packages/document/merge.ts
@@ -47,6 +47,7 @@
     owners: system.owners,
     services: teams.flatMap(({ services }) => services).sort(byName),
     stops: teams.flatMap(({ stops }) => stops).sort(byName),
+    hostRoutes: [],
   };
   const size = JSON.stringify(document).length;
   if (size <= MAX_DOCUMENT_CHARACTERS) return ok(document);
--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -1,6 +1,7 @@
 import { Agent, request as httpRequest, type IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
-import { type BackendServer, backendServerKey, HEADERS } from "#model";
+import { type BackendServer, backendServerKey } from "#model";
+import type { AnswerReport, CallProtocol } from "./call_protocol.ts";
 import type { RequestBody } from "./request_body.ts";
 
 /** Answers up to this size are checked to be whole before they are passed on. */
@@ -16,17 +17,16 @@
   readonly headers: string[];
   readonly body: RequestBody;
   readonly connectTimeoutMs: number;
+  /** The id that the server's answer names, if it names one. */
+  readonly requestId: string | undefined;
 }
 
 /** A server's answer: whole if it is short, else still arriving. */
 export type BackendAnswer = WholeAnswer | StreamedAnswer;
 
-interface AnswerHead {
+interface AnswerHead extends AnswerReport {
   readonly status: number;
   readonly rawHeaders: readonly string[];
-  readonly inFlight: number | undefined;
-  readonly leaving: boolean;
-  readonly notStarted: boolean;
 }
 
 interface WholeAnswer extends AnswerHead {
@@ -59,6 +59,11 @@
 /** Sends requests to backend servers over pooled connections. */
 export class BackendClient {
   readonly #agents = new Map<string, { agent: Agent; incarnation: number }>();
+  readonly #protocol: CallProtocol;
+
+  constructor(protocol: CallProtocol) {
+    this.#protocol = protocol;
+  }
 
   send(server: BackendServer, request: BackendRequest): Attempt {
     const { address } = server;
@@ -100,7 +105,13 @@
       });
       outgoing.once("response", (response) => {
         responded = true;
-        void collect(response).then(settle);
+        const head = this.#describe(response, request.requestId);
+        if (head.foreign) {
+          fail("the answer is for another request");
+          outgoing.destroy();
+          return;
+        }
+        void collect(response, head).then(settle);
       });
     });
     sendBody(outgoing, request.body);
@@ -127,6 +138,15 @@
     this.#agents.clear();
   }
 
+  #describe(
+    response: IncomingMessage,
+    requestId: string | undefined,
+  ): AnswerHead {
+    const { headers, rawHeaders, statusCode: status = 502 } = response;
+    const report = this.#protocol.report({ status, headers }, requestId);
+    return { ...report, status, rawHeaders };
+  }
+
   #agent(server: BackendServer): Agent {
     const key = backendServerKey(server);
     const pooled = this.#agents.get(key);
@@ -178,7 +198,10 @@
 }
 
 /** Waits for a short body to be whole; a long one is passed on as it comes. */
-function collect(response: IncomingMessage): Promise<ClientEnd> {
+function collect(
+  response: IncomingMessage,
+  head: AnswerHead,
+): Promise<ClientEnd> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let length = 0;
@@ -190,11 +213,11 @@
       response.off("data", onData);
       response.off("end", onEnd);
       response.unshift(Buffer.concat(chunks));
-      const answer = { ...describe(response), stream: response };
+      const answer = { ...head, stream: response };
       resolve({ type: "answer", answer });
     };
     const onEnd = () => {
-      const answer = { ...describe(response), body: Buffer.concat(chunks) };
+      const answer = { ...head, body: Buffer.concat(chunks) };
       resolve({ type: "answer", answer });
     };
     response.on("data", onData);
@@ -206,19 +229,3 @@
     response.once("close", () => cut("connection closed"));
   });
 }
-
-function describe(response: IncomingMessage): AnswerHead {
-  const { headers } = response;
-  const inFlight = Number(headers[HEADERS.inFlight]);
-  return {
-    status: response.statusCode ?? 502,
-    rawHeaders: response.rawHeaders,
-    inFlight:
-      headers[HEADERS.inFlight] !== undefined && Number.isFinite(inFlight)
-        ? inFlight
-        : undefined,
-    leaving: headers[HEADERS.serverState] === "leaving",
-    notStarted:
-      response.statusCode === 503 && headers[HEADERS.notStarted] === "true",
-  };
-}
--- a/packages/entry/backend_client_test.ts
+++ b/packages/entry/backend_client_test.ts
@@ -4,6 +4,7 @@
 import type { BackendServer } from "#model";
 import { until } from "../demo/until.ts";
 import { BackendClient } from "./backend_client.ts";
+import { PublishedProtocol } from "./call_protocol.ts";
 
 const servers: Server[] = [];
 
@@ -44,6 +45,7 @@
   path: "/",
   headers: ["host", "w1"],
   body: { head: Buffer.alloc(0), rest: undefined },
+  requestId: undefined,
   connectTimeoutMs: 1_000,
 };
 
@@ -61,7 +63,7 @@
     });
   });
   const target = record(await listen(server), 1);
-  const client = new BackendClient();
+  const client = new BackendClient(new PublishedProtocol());
   const late = client.send(target, { ...REQUEST, path: "/late" });
   const first = await client.send(target, REQUEST).end;
   assert.equal(first.type, "answer");
--- a/packages/entry/call_attempts.ts
+++ b/packages/entry/call_attempts.ts
@@ -4,6 +4,7 @@
   HedgedCall,
   judgeAttempt,
   RetryBudget,
+  type SendBudget,
 } from "#admission";
 import { type BackendServer, type CallFault, callFault } from "#model";
 import type { BackendAnswer } from "./backend_client.ts";
@@ -20,12 +21,23 @@
   | { readonly type: "answer"; readonly answer: BackendAnswer }
   | { readonly type: "fault"; readonly fault: CallFault };
 
+/** One attempt as the log tells it. */
+export interface AttemptRecord {
+  readonly server?: string;
+  readonly end: string;
+  /** Time until a server was chosen, and from then on, in milliseconds. */
+  readonly waitedMs: number;
+  readonly ranMs: number;
+  readonly status?: number | undefined;
+  readonly detail?: string;
+}
+
 /** The attempts of one call: retries one after the other, and one hedge. */
 export class CallAttempts {
   readonly #options: CallEngineOptions;
   readonly #work: AttemptWork;
   readonly #outcome: AttemptOutcome;
-  readonly #budget: RetryBudget;
+  readonly #budget: SendBudget;
   readonly #exclude = new Set<string>();
   readonly #running = new Map<string, ServerAttempt>();
   #hedgeTimer: NodeJS.Timeout | undefined;
@@ -33,6 +45,9 @@
   /** An attempt ended without proof that the server did not run it. */
   #mayHaveRun = false;
   #attempts = 0;
+  /** Attempts that ran, or may have. */
+  #ran = 0;
+  readonly #trail: AttemptRecord[] = [];
 
   constructor(
     options: CallEngineOptions,
@@ -40,8 +55,13 @@
   ) {
     this.#options = options;
     this.#work = work;
-    const { repeatable, service } = work.call;
-    this.#outcome = new AttemptOutcome({ repeatable, chain: work.chain });
+    const { repeatable, service, attempts } = work.call;
+    const { chain } = work;
+    this.#outcome = new AttemptOutcome({
+      repeatable,
+      chain,
+      refusalsCount: attempts !== undefined,
+    });
     const { policies, clock } = options;
     // A service that has just left the document has no retries.
     this.#budget =
@@ -49,6 +69,11 @@
     this.#budget.countCall();
   }
 
+  /** What became of each attempt, for the log. */
+  get trail(): readonly AttemptRecord[] {
+    return this.#trail;
+  }
+
   /** The servers that run the call now. */
   get servers(): BackendServer[] {
     return [...this.#running.values()].flatMap(({ server }) => server ?? []);
@@ -70,7 +95,9 @@
       if (end.type === "answered" && answer) return { type: "answer", answer };
       const { clock } = this.#options;
       const now = clock.now();
-      const again = this.#outcome.next(end, { now, budget: this.#budget });
+      const again =
+        this.#ran < (this.#work.call.attempts ?? Number.POSITIVE_INFINITY) &&
+        this.#outcome.next(end, { now, budget: this.#budget });
       if (!again || this.#stopped || this.#work.body.rest) {
         return this.#failed(this.#fault(ended.detail));
       }
@@ -104,6 +131,7 @@
         attempt.run(sent).then((end) => ended(id, end), reject);
       };
       const hedge = () => {
+        if (this.#ran + 2 > (this.#work.call.attempts ?? 2)) return;
         const id = this.#attemptId();
         if (!hedged.tryHedge(id, this.#budget)) return;
         const running = this.#running.get(first)?.server;
@@ -133,6 +161,7 @@
   }
 
   #note(ended: ServerAttemptEnd): void {
+    this.#trail.push(recordOf(ended));
     if (ended.type === "rejected") return;
     const { policies, clock } = this.#options;
     const { service, class: name, repeatable } = this.#work.call;
@@ -142,7 +171,9 @@
       return;
     }
     const { outcome } = judgeAttempt(ended.end, { repeatable });
-    if (outcome === "unknown") this.#mayHaveRun = true;
+    if (outcome !== "unknown") return;
+    this.#mayHaveRun = true;
+    this.#ran += 1;
   }
 
   #fault(detail: string): CallFault {
@@ -156,3 +187,20 @@
     return { type: "fault", fault: { ...fault, outcome: "unknown" } };
   }
 }
+
+function recordOf(ended: ServerAttemptEnd): AttemptRecord {
+  const { waitedMs } = ended;
+  if (ended.type === "rejected") {
+    const { code, detail } = ended.fault;
+    return { end: code, waitedMs, ranMs: 0, ...(detail && { detail }) };
+  }
+  const { server, end, answer, runningMs, detail } = ended;
+  return {
+    server: server.id,
+    end: end.type,
+    waitedMs,
+    ranMs: Math.round(runningMs),
+    status: answer?.status,
+    ...(!answer && { detail }),
+  };
+}
--- a/packages/entry/call_engine.ts
+++ b/packages/entry/call_engine.ts
@@ -4,6 +4,7 @@
 import type { Assignments } from "./assignments.ts";
 import type { BackendClient } from "./backend_client.ts";
 import { CallExecution } from "./call_execution.ts";
+import type { CallProtocol } from "./call_protocol.ts";
 import type { Classifier } from "./incoming_call.ts";
 import type { KeyClaims } from "./key_claims.ts";
 import type { BodyLimits } from "./request_body.ts";
@@ -17,6 +18,7 @@
   readonly metrics: Metrics;
   readonly assignments: Assignments;
   readonly client: BackendClient;
+  readonly protocol: CallProtocol;
   readonly claims: KeyClaims;
   readonly suspects: Suspects;
   readonly policies: ServicePolicies;
@@ -28,7 +30,9 @@
   readonly classifier: () => Classifier;
   /** Whether the configuration is confirmed, so that work may be taken. */
   readonly ready: () => boolean;
-  readonly bodyLimits: BodyLimits;
+  readonly bodyLimits: () => BodyLimits;
+  /** The configuration version in force and the age of its confirmation. */
+  readonly configuration: () => { version: number; confirmedMsAgo: number };
   /** A server said in its answer that it is leaving. */
   readonly serverLeaving: (server: BackendServer) => void;
 }
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { err, type Result } from "neverthrow";
-import { CallChain, chainCallFault } from "#admission";
+import { type CallChain, chainCallFault } from "#admission";
 import type { Settlement } from "#claims";
 import {
   type BackendServer,
@@ -14,10 +14,11 @@
 import { fingerprintOf } from "#quarantine";
 import { CallAttempts, type CallEnd } from "./call_attempts.ts";
 import type { CallEngineOptions } from "./call_engine.ts";
+import { SERVER_ONLY } from "./call_protocol.ts";
 import { CallReply } from "./call_reply.ts";
 import type { Classified } from "./incoming_call.ts";
 import type { ClaimDecision } from "./key_claims.ts";
-import { endToEndHeaders, SERVER_ONLY } from "./reply.ts";
+import { endToEndHeaders } from "./reply.ts";
 import { type RequestBody, readBody } from "./request_body.ts";
 import type { StopReason } from "./server_attempt.ts";
 
@@ -55,11 +56,18 @@
     this.#reply = new CallReply({
       response: exchange.response,
       method: exchange.request.method ?? "GET",
-      requestId: exchange.id,
+      requestId: this.#callerId ?? exchange.id,
+      protocol: options.protocol,
       ended: (outcome, fault) => this.#record(outcome, fault),
     });
   }
 
+  /** The id that the caller gave its request. */
+  get #callerId(): string | undefined {
+    const { headers } = this.#exchange.request;
+    return this.#options.protocol.callerRequestId(headers);
+  }
+
   /** The servers that run the call now. */
   get servers(): readonly BackendServer[] {
     return this.#attempts?.servers ?? [];
@@ -73,7 +81,7 @@
     }
     const { call, chain } = admitted.value;
     const { bodyLimits } = this.#options;
-    const body = await readBody(this.#exchange.request, bodyLimits);
+    const body = await readBody(this.#exchange.request, bodyLimits());
     if (body.isErr()) {
       this.#refuse(body.error);
       return;
@@ -81,8 +89,8 @@
     this.#startDeadline(call);
     const work = { call, chain, body: body.value };
     try {
-      if (call.repeatable) this.#conclude(await this.#attempt(work));
-      else await this.#runOnce(work);
+      if (this.#isKeyed) await this.#runOnce(work);
+      else this.#conclude(await this.#attempt(work));
     } finally {
       clearTimeout(this.#deadlineTimer);
     }
@@ -106,10 +114,16 @@
    */
   #refuse(fault: CallFault): void {
     const keyed = this.#exchange.request.headers[HEADERS.key] !== undefined;
-    const mayHaveRun = keyed && !this.#classified?.class.repeatable;
+    const mayHaveRun = keyed && this.#isKeyed;
     this.#reply.fail(mayHaveRun ? { ...fault, outcome: "unknown" } : fault);
   }
 
+  /** Whether a key tells the request from others; so if its class is unknown. */
+  get #isKeyed(): boolean {
+    const found = this.#classified?.class;
+    return !found?.repeatable && found?.identity !== "request";
+  }
+
   #admit(): Result<{ call: Call; chain: CallChain }, CallFault> {
     const { ready, classifier } = this.#options;
     if (!ready()) {
@@ -128,7 +142,8 @@
     const { headers } = this.#exchange.request;
     const classDeadlineMs = kind.deadlineMs;
     const now = this.#arrival;
-    return CallChain.parse(headers, { now, classDeadlineMs })
+    return this.#options.protocol
+      .chain(headers, { now, classDeadlineMs })
       .mapErr(chainCallFault)
       .map((chain) => {
         const { deadline, depth, retries } = chain;
@@ -142,6 +157,8 @@
           deadline,
           depth,
           retries,
+          attempts: kind.attempts,
+          target: now + (kind.targetMs ?? kind.deadlineMs),
         };
         return { call, chain };
       });
@@ -189,7 +206,7 @@
     let settlement: Settlement = { type: "ran" };
     try {
       const end = await this.#attempt(work);
-      settlement = settlementOf(end);
+      settlement = this.#settlementOf(end);
       this.#conclude(end);
     } finally {
       this.#options.claims.settle(call.id, settlement);
@@ -237,7 +254,8 @@
   #stop(reason: StopReason): void {
     // A request that must not be repeated runs on when its caller is gone, so
     // that a resend gets the stored answer and not an unknown outcome.
-    const runsOnce = this.#classified?.class.repeatable === false;
+    const runsOnce =
+      this.#classified?.class.repeatable === false && this.#isKeyed;
     const runs = this.servers.length > 0;
     if (reason === "caller_closed" && runsOnce && runs) return;
     this.#stopped ??= reason;
@@ -247,29 +265,47 @@
   }
 
   #record(outcome: Outcome, fault?: CallFault): void {
-    const { metrics, clock } = this.#options;
+    const { metrics, clock, logger, configuration } = this.#options;
+    const ms = clock.now() - this.#arrival;
+    const service = this.#classified?.service.name ?? "none";
+    const kind = this.#classified?.class.name ?? "none";
     metrics.finished({
-      service: this.#classified?.service.name ?? "none",
-      class: this.#classified?.class.name ?? "none",
+      service,
+      class: kind,
       outcome,
       ...(fault && { code: fault.code }),
-      ms: clock.now() - this.#arrival,
+      ms,
+    });
+    logger.info("call", {
+      requestId: this.#callerId ?? this.#exchange.id,
+      call: this.#exchange.id,
+      service,
+      class: kind,
+      route: this.#classified?.route,
+      outcome,
+      code: fault?.code,
+      detail: fault?.detail,
+      retryAfterMs: fault?.retryAfterMs,
+      stopped: this.#stopped,
+      ms: Math.round(ms),
+      attempts: this.#attempts?.trail,
+      configuration: configuration(),
     });
   }
-}
 
-function settlementOf(end: CallEnd): Settlement {
-  if (end.type === "fault") {
-    const notRun = end.fault.outcome === "not-run";
-    return { type: notRun ? "not_started" : "ran" };
-  }
-  const { status, rawHeaders, body } = end.answer;
-  // A streamed answer is too long to be kept.
-  if (!body) return { type: "ran" };
-  const kept = endToEndHeaders(rawHeaders, SERVER_ONLY);
-  const headers: [string, string][] = [];
-  for (let i = 0; i < kept.length; i += 2) {
-    headers.push([kept[i] ?? "", kept[i + 1] ?? ""]);
+  #settlementOf(end: CallEnd): Settlement {
+    if (end.type === "fault") {
+      const notRun = end.fault.outcome === "not-run";
+      return { type: notRun ? "not_started" : "ran" };
+    }
+    const { status, rawHeaders, body } = end.answer;
+    // A streamed answer is too long to be kept.
+    if (!body) return { type: "ran" };
+    const kept = endToEndHeaders(rawHeaders, SERVER_ONLY);
+    const headers: [string, string][] = [];
+    for (let i = 0; i < kept.length; i += 2) {
+      headers.push([kept[i] ?? "", kept[i + 1] ?? ""]);
+    }
+    return { type: "ran", answer: { status, headers, body } };
   }
-  return { type: "ran", answer: { status, headers, body } };
 }
--- a/packages/entry/call_reply.ts
+++ b/packages/entry/call_reply.ts
@@ -2,7 +2,8 @@
 import type { StoredAnswer } from "#claims";
 import { type CallFault, HEADERS, type Outcome } from "#model";
 import type { BackendAnswer } from "./backend_client.ts";
-import { answerHeaders, replyFault } from "./reply.ts";
+import type { CallProtocol } from "./call_protocol.ts";
+import { replyFault } from "./reply.ts";
 
 /** Statuses whose answers have no body, and so no length to add. */
 const BODILESS: ReadonlySet<number> = new Set([204, 304]);
@@ -11,6 +12,7 @@
   readonly response: ServerResponse;
   readonly method: string;
   readonly requestId: string;
+  readonly protocol: CallProtocol;
   /** The call has its final outcome; called once. */
   readonly ended: (outcome: Outcome, fault?: CallFault) => void;
 }
@@ -26,14 +28,13 @@
 
   /** Passes a server's answer on. */
   answer(answer: BackendAnswer): void {
-    const { response, requestId, method } = this.#options;
+    const { response, requestId, method, protocol } = this.#options;
     if (response.destroyed) {
       answer.stream?.destroy();
       this.#end("answered");
       return;
     }
-    const headers = answerHeaders({
-      raw: answer.rawHeaders,
+    const headers = protocol.answerHeaders(answer.rawHeaders, {
       outcome: "answered",
       requestId,
     });
@@ -67,9 +68,9 @@
   }
 
   fail(fault: CallFault): void {
-    const { response, requestId } = this.#options;
+    const { response, requestId, protocol } = this.#options;
     this.#end(fault.outcome, fault);
-    replyFault(response, { fault, requestId });
+    replyFault(response, fault, protocol.faultAnswer(fault, requestId));
   }
 
   /** Passes a long answer on; one that is cut never looks whole. */
--- a/packages/entry/caller_server.ts
+++ b/packages/entry/caller_server.ts
@@ -29,11 +29,12 @@
   readonly #server: Server;
   /** Connections with a request whose answer is not out yet. */
   readonly #busy = new WeakSet<Socket>();
+  #closing = false;
 
   constructor(options: {
     limits: EntryLimits;
-    /** Paths below `/.mangobank/`. */
-    own: RequestHandler;
+    /** Paths below `/.mangobank/`; calls like any other if absent. */
+    own: RequestHandler | undefined;
     call: RequestHandler;
   }) {
     const { limits, own, call } = options;
@@ -50,7 +51,8 @@
         const { socket } = request;
         this.#busy.add(socket);
         response.once("close", () => this.#busy.delete(socket));
-        if (request.url?.startsWith(OWN_PATH)) own(request, response);
+        if (this.#closing) response.shouldKeepAlive = false;
+        if (own && request.url?.startsWith(OWN_PATH)) own(request, response);
         else call(request, response);
       },
     );
@@ -70,6 +72,16 @@
     return listen(this.#server, address);
   }
 
+  /** Takes the time after which an idle connection is closed. */
+  setIdleConnectionMs(ms: number): void {
+    this.#server.keepAliveTimeout = ms;
+  }
+
+  /** Closes each connection with its next answer, so that callers move on. */
+  sendAway(): void {
+    this.#closing = true;
+  }
+
   /** Stops accepting; resolves when every request has its answer. */
   drain(): Promise<void> {
     const closed = new Promise<void>((resolve) => {
--- a/packages/entry/configuration_follower.ts
+++ b/packages/entry/configuration_follower.ts
@@ -34,12 +34,14 @@
   readonly controls: () => readonly HostId[];
   readonly stopReports: () => readonly StopReport[];
   readonly changed: (configuration: Configuration) => void;
+  /** Age up to which a confirmation counts, if not the usual one. */
+  readonly confirmedForMs?: number | undefined;
 }
 
 /** Keeps an entry's configuration at the newest accepted version. */
 export class ConfigurationFollower {
   readonly #options: FollowerOptions;
-  readonly #freshness = new Freshness();
+  readonly #freshness: Freshness;
   #configuration: Configuration = EMPTY_CONFIGURATION;
   #control: HostId | undefined;
   #turn = 0;
@@ -48,6 +50,7 @@
 
   constructor(options: FollowerOptions) {
     this.#options = options;
+    this.#freshness = new Freshness(options.confirmedForMs);
     const { network } = options;
     network.handle("state", (state, from) => {
       if (state.change) this.#apply(state.change, from);
@@ -159,7 +162,7 @@
     // A change to another base: the next heartbeat tells the version held here.
     if (!next) return;
     this.#configuration = next;
-    this.#options.logger.debug("configuration in force", {
+    this.#options.logger.info("configuration in force", {
       version: next.version,
       revision: next.document.revision,
       from: from.id,
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { EMPTY_CONFIGURATION } from "#configuration";
 import {
+  type Address,
   type BackendServer,
   backendServerKey,
   type Clock,
@@ -11,12 +12,14 @@
   type Randomness,
 } from "#model";
 import {
+  type AddressesAnswer,
   AddressLookup,
   Presence,
   SERVE_AFTER_STOPPING_MS,
   TICK_MS,
 } from "#presence";
-import { Router } from "#routing";
+import { Registrations } from "#registration";
+import { HostRoutes, Router } from "#routing";
 import type { EntrySettings } from "#settings";
 import { type Logger, Metrics } from "#telemetry";
 import type { Hello, ListenFault, TcpNetwork } from "#wire";
@@ -25,6 +28,7 @@
 import { Assignments } from "./assignments.ts";
 import { BackendClient } from "./backend_client.ts";
 import { CallEngine } from "./call_engine.ts";
+import { type CallProtocol, PublishedProtocol } from "./call_protocol.ts";
 import { CallerServer } from "./caller_server.ts";
 import {
   CONFIRM_EVERY_MS,
@@ -39,18 +43,24 @@
 import { OwnPaths } from "./own_paths.ts";
 import { PlannedStops } from "./planned_stops.ts";
 import { Prober } from "./prober.ts";
-import { Registrations } from "./registrations.ts";
 import { ServicePolicies } from "./service_policies.ts";
 import { QUARANTINE_TICK_MS, Suspects } from "./suspects.ts";
 
 /** How often the entry's own load is measured and told to the others. */
 const LOAD_EVERY_MS = 1_000;
+/**
+ * Part of a bounded stop in which new calls are still taken: callers may use an
+ * old answer about addresses, and the last calls need time to end.
+ */
+const SERVE_ON_SHARE = 0.6;
 
 export interface EntryOptions {
   readonly settings: EntrySettings;
   readonly clock: Clock;
   readonly randomness: Randomness;
   readonly logger: Logger;
+  /** How callers and servers are spoken to, if not as mangobank publishes. */
+  readonly protocol?: CallProtocol;
 }
 
 /** The entry role: carries calls, spreads presence, holds claims. */
@@ -76,14 +86,22 @@
   readonly #load = new EventLoopLoad();
   readonly #timers: NodeJS.Timeout[] = [];
   readonly #decisions: ActivityTimer;
-  #classifier = new Classifier([]);
+  readonly #hostRoutes: HostRoutes;
+  #classifier: Classifier;
+  /** Backend servers that said they leave, by id. */
+  #leaving = new Map<string, number>();
   #state: EntryState = "ready";
+  #seeds: readonly Address[];
   #applied: Configuration = EMPTY_CONFIGURATION;
 
   constructor(options: EntryOptions) {
     this.#options = options;
     const { settings, clock, randomness, logger } = options;
     this.#incarnation = Math.floor(clock.epoch());
+    this.#seeds = settings.control;
+    const protocol = options.protocol ?? new PublishedProtocol();
+    this.#hostRoutes = new HostRoutes(randomness);
+    this.#classifier = new Classifier([], this.#hostRoutes);
     const network = openEntryNetwork({
       settings,
       incarnation: this.#incarnation,
@@ -108,7 +126,7 @@
         this.#claims.tick();
       },
     });
-    this.#client = new BackendClient();
+    this.#client = new BackendClient(protocol);
     this.#router = new Router({
       self: settings.id,
       dataCentre: settings.dataCentre,
@@ -147,14 +165,18 @@
       clock,
       network,
     });
-    this.#lookup = new AddressLookup(randomness);
+    this.#lookup = new AddressLookup(randomness, settings.addressKeepMs);
     this.#suspects = new Suspects({
       self: settings.id,
       clock,
       logger,
       network,
     });
-    this.#policies = new ServicePolicies(clock);
+    this.#policies = new ServicePolicies({
+      clock,
+      resendLimit: settings.resendLimit,
+      entries: () => this.#applied.view.entries.length,
+    });
     this.#claims = new KeyClaims({
       self: settings.id,
       incarnation: this.#incarnation,
@@ -171,6 +193,7 @@
       stopReports: () =>
         this.#stops.reports((matches) => this.#engine.inFlightAt(matches)),
       changed: (configuration) => this.#configure(configuration),
+      confirmedForMs: settings.confirmedForMs,
     });
     this.#engine = new CallEngine({
       entry: settings.id,
@@ -179,6 +202,7 @@
       metrics: this.#metrics,
       assignments: this.#assignments,
       client: this.#client,
+      protocol,
       claims: this.#claims,
       suspects: this.#suspects,
       policies: this.#policies,
@@ -187,11 +211,17 @@
         return this.#servers.toAvoid(service, { dataCentres, inFlightAt });
       },
       classifier: () => this.#classifier,
-      ready: () => this.#follower.fresh(),
-      bodyLimits: {
-        maxBytes: settings.limits.bodyMaxBytes,
+      ready: () => this.#mayServe(),
+      bodyLimits: () => ({
+        maxBytes:
+          this.#applied.document.requestLimits?.bodyMaxBytes ??
+          settings.limits.bodyMaxBytes,
         timeoutMs: settings.limits.bodyTimeoutMs,
-      },
+      }),
+      configuration: () => ({
+        version: this.#follower.version,
+        confirmedMsAgo: Math.round(this.#follower.confirmationAge()),
+      }),
       serverLeaving: (server) => this.#registrations.observeLeaving(server),
     });
     const own = new OwnPaths({
@@ -203,7 +233,9 @@
     });
     this.#callers = new CallerServer({
       limits: settings.limits,
-      own: (request, response) => void own.serve(request, response),
+      own: options.protocol
+        ? undefined
+        : (request, response) => void own.serve(request, response),
       call: (request, response) => {
         this.#decisions.wake();
         this.#engine.serve(request, response);
@@ -252,9 +284,18 @@
     if (this.#state === "stopping") return;
     this.#state = "stopping";
     const { logger, clock } = this.#options;
-    logger.info("entry stops", { serveForMs: SERVE_AFTER_STOPPING_MS });
+    const { stopWithinMs } = this.#options.settings;
+    logger.info("entry stops", {
+      serveForMs: SERVE_AFTER_STOPPING_MS,
+      stopWithinMs,
+    });
     this.#report();
     this.#follower.confirm();
+    if (stopWithinMs !== undefined) {
+      await this.#stopWithin(stopWithinMs);
+      logger.info("entry stopped");
+      return;
+    }
     const self = {
       id: this.#options.settings.id,
       incarnation: this.#incarnation,
@@ -273,6 +314,31 @@
     logger.info("entry stopped");
   }
 
+  /** Serves on for a part of the time, then ends the calls under way. */
+  async #stopWithin(ms: number): Promise<void> {
+    const { clock, logger } = this.#options;
+    const end = clock.now() + ms;
+    this.#callers.sendAway();
+    await delay(ms * SERVE_ON_SHARE);
+    void this.#callers.drain();
+    while (this.#engine.running > 0 && clock.now() < end) await delay(20);
+    if (this.#engine.running > 0) {
+      logger.warn("calls cut by the stop", { calls: this.#engine.running });
+    }
+    this.close();
+  }
+
+  /** The entries that a caller in this data centre should use. */
+  addresses(dataCentre: string | undefined): AddressesAnswer {
+    return this.#addresses(dataCentre);
+  }
+
+  /** Takes other addresses of control hosts from changed settings. */
+  setControl(addresses: readonly Address[]): void {
+    this.#seeds = addresses;
+    this.#connect();
+  }
+
   /** Whether new work is taken. */
   get ready(): boolean {
     return this.#notReady().length === 0;
@@ -303,20 +369,28 @@
   }
 
   #peerUp(peer: Hello): void {
+    this.#options.logger.info("peer connected", {
+      peer: peer.id,
+      role: peer.role,
+    });
+    this.#registrations.peerUp(peer.id);
     if (peer.role === "control") {
       this.#follower.confirm();
       return;
     }
-    this.#registrations.peerUp(peer.id);
     this.#suspects.peerUp(peer.id);
   }
 
   #peerDown(peer: Hello): void {
+    this.#options.logger.info("peer lost", {
+      peer: peer.id,
+      role: peer.role,
+    });
+    this.#registrations.peerDown(peer.id);
     if (peer.role === "control") {
       this.#follower.controlDown(peer.id);
       return;
     }
-    this.#registrations.peerDown(peer.id);
     this.#suspects.peerDown(peer.id);
     const now = this.#options.clock.now();
     this.#assignments.carryOut(this.#router.peerDown(peer.id, now));
@@ -324,7 +398,10 @@
 
   #connect(): void {
     const { settings } = this.#options;
-    const controls = settings.control.map((address) => ({ address }));
+    const { controls: agreed } = this.#follower.configuration;
+    const controls = [...this.#seeds, ...agreed.map(({ peer }) => peer)].map(
+      (address) => ({ address }),
+    );
     const { entries } = this.#follower.configuration.view;
     // One connection for each pair: the entry with the lower id opens it.
     const peers = entries
@@ -359,8 +436,15 @@
     const before = this.#applied;
     this.#applied = configuration;
     // A difference keeps the lists that it leaves as they are.
+    if (before.document.hostRoutes !== document.hostRoutes) {
+      this.#hostRoutes.configure(document.hostRoutes);
+    }
+    if (document.requestLimits) {
+      const { idleConnectionMs } = document.requestLimits;
+      this.#callers.setIdleConnectionMs(idleConnectionMs);
+    }
     if (before.document.services !== services) {
-      this.#classifier = new Classifier(services);
+      this.#classifier = new Classifier(services, this.#hostRoutes);
       this.#metrics.configure(services);
       this.#policies.configure(services);
     }
@@ -368,24 +452,40 @@
     this.#assignments.carryOut(this.#router.configure(services, view, now));
     const names = services.map(({ name }) => name);
     this.#registrations.carryOut(
-      this.#registrations.presence.configure({ services: names, view }, now),
+      this.#registrations.presence.configure(
+        {
+          services: names,
+          view,
+          registrars: configuration.controls.map(({ id }) => id),
+        },
+        now,
+      ),
     );
     const sameStops =
       before.stops === stops && before.document.stops === document.stops;
-    if (!sameStops || before.document.services !== services) {
+    const sameLeaving = before.leaving === configuration.leaving;
+    if (!sameStops || !sameLeaving || before.document.services !== services) {
       this.#stops.configure(configuration);
+      this.#leaving = new Map(
+        configuration.leaving.map(({ id, incarnation }) => [id, incarnation]),
+      );
       // Stops that began or ended change the servers that take work.
       for (const name of names) {
         this.#serversChanged(name, this.#servers.of(name));
       }
     }
-    if (before.view !== view) this.#connect();
+    if (before.view !== view || before.controls !== configuration.controls) {
+      this.#connect();
+    }
   }
 
   #serversChanged(service: string, servers: readonly BackendServer[]): void {
     const now = this.#options.clock.now();
     const usable = servers.filter(
-      (server) => server.state === "ready" && !this.#stops.covers(server),
+      (server) =>
+        server.state === "ready" &&
+        !this.#stops.covers(server) &&
+        server.incarnation > (this.#leaving.get(server.id) ?? -1),
     );
     this.#assignments.carryOut(this.#router.setServers(service, usable, now));
   }
@@ -408,9 +508,14 @@
     this.#registrations.carryOut(presence.report({ load, stopping }, now));
   }
 
+  /** Whether a document is in force and recently confirmed. */
+  #mayServe(): boolean {
+    return this.#follower.fresh() && this.#applied.document.revision > 0;
+  }
+
   #notReady(): string[] {
     const reasons: string[] = [];
-    if (!this.#follower.fresh()) reasons.push("configuration not confirmed");
+    if (!this.#mayServe()) reasons.push("configuration not confirmed");
     if (!this.#registrations.presence.ready) reasons.push("joining");
     if (this.#state === "stopping") reasons.push("stopping");
     return reasons;
--- a/packages/entry/index.ts
+++ b/packages/entry/index.ts
@@ -4,4 +4,6 @@
  *
  * @module
  */
+export * from "./call_protocol.ts";
 export * from "./entry_process.ts";
+export { endToEndHeaders } from "./reply.ts";
--- a/packages/entry/own_paths.ts
+++ b/packages/entry/own_paths.ts
@@ -8,13 +8,16 @@
   parseLeave,
   refusalAnswer,
 } from "#presence";
-import { announcementDefaults, type Registrations } from "./registrations.ts";
+import { announcementDefaults, type Registrations } from "#registration";
+import { PublishedProtocol } from "./call_protocol.ts";
 import { replyFault, replyJson } from "./reply.ts";
 import { readBody } from "./request_body.ts";
 
 /** An announcement has about 250 bytes. */
 const ANNOUNCEMENT_LIMITS = { maxBytes: 4_096, timeoutMs: 5_000 };
 
+const PROTOCOL = new PublishedProtocol();
+
 export interface OwnPathsOptions {
   readonly clock: Clock;
   readonly registrations: Registrations;
@@ -170,7 +173,7 @@
 }
 
 function replyBodyFault(response: ServerResponse, fault: CallFault): void {
-  replyFault(response, { fault, requestId: "" });
+  replyFault(response, fault, PROTOCOL.faultAnswer(fault, ""));
 }
 
 function replyMethod(response: ServerResponse, allowed: string): void {
--- a/packages/entry/reply.ts
+++ b/packages/entry/reply.ts
@@ -1,43 +1,28 @@
 import type { ServerResponse } from "node:http";
-import { CALL_FAULTS, type CallFault, HEADERS, type Outcome } from "#model";
+import type { CallFault } from "#model";
+import type { FaultAnswer } from "./call_protocol.ts";
 
 /** Answers a call with a typed fault. */
 export function replyFault(
   response: ServerResponse,
-  options: { fault: CallFault; requestId: string },
+  fault: CallFault,
+  answer: FaultAnswer,
 ): void {
-  const { fault, requestId } = options;
   if (response.headersSent || response.destroyed) {
     // Part of an answer is out: closing is the only way to say it is not whole.
     response.destroy();
     return;
   }
-  const body = JSON.stringify({
-    error: fault.code,
-    outcome: fault.outcome,
-    ...(fault.detail !== undefined && { detail: fault.detail }),
-    ...(fault.retryAfterMs !== undefined && {
-      retry_after_ms: Math.ceil(fault.retryAfterMs),
-    }),
-  });
   const headers: Record<string, string | number> = {
-    "content-type": "application/json",
-    "content-length": Buffer.byteLength(body),
-    [HEADERS.error]: fault.code,
-    [HEADERS.outcome]: fault.outcome,
-    [HEADERS.requestId]: requestId,
+    ...answer.headers,
+    "content-length": Buffer.byteLength(answer.body),
   };
-  if (fault.retryAfterMs !== undefined) {
-    const ms = Math.max(1, Math.ceil(fault.retryAfterMs));
-    headers[HEADERS.retryAfterMs] = ms;
-    headers[HEADERS.retryAfter] = Math.ceil(ms / 1_000);
-  }
   if (fault.code === "request_timeout" || fault.code === "body_too_large") {
     // The rest of the request will not be read.
     headers.connection = "close";
   }
-  response.writeHead(CALL_FAULTS[fault.code].status, headers);
-  response.end(body);
+  response.writeHead(answer.status, headers);
+  response.end(answer.body);
 }
 
 /** Answers one of mangobank's own paths with JSON. */
@@ -106,25 +91,3 @@
     (_, i) => !names.has(headers[i - (i % 2)]?.toLowerCase() ?? ""),
   );
 }
-
-/** Headers of a server's answer for the caller. */
-export function answerHeaders(options: {
-  raw: readonly string[];
-  outcome: Outcome;
-  requestId: string;
-}): string[] {
-  const kept = endToEndHeaders(options.raw, SERVER_ONLY);
-  kept.push(HEADERS.outcome, options.outcome);
-  kept.push(HEADERS.requestId, options.requestId);
-  return kept;
-}
-
-/** Headers between mangobank and servers, which callers do not get. */
-export const SERVER_ONLY: ReadonlySet<string> = new Set([
-  HEADERS.outcome,
-  HEADERS.requestId,
-  HEADERS.inFlight,
-  HEADERS.serverState,
-  HEADERS.notStarted,
-  HEADERS.error,
-]);
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -6,26 +6,15 @@
   type Call,
   type CallFault,
   callFault,
-  HEADERS,
 } from "#model";
 import type { Fingerprint } from "#quarantine";
 import type { CallResultKind } from "#routing";
 import type { Attempt, BackendAnswer, ClientEnd } from "./backend_client.ts";
 import type { CallEngineOptions } from "./call_engine.ts";
-import { endToEndHeaders } from "./reply.ts";
 import type { RequestBody } from "./request_body.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 
-/** Headers that are replaced on the way to a server. */
-const REPLACED: ReadonlySet<string> = new Set([
-  HEADERS.service,
-  HEADERS.deadline,
-  HEADERS.depth,
-  HEADERS.retries,
-  HEADERS.requestId,
-]);
-
 /** Why an attempt is given up from outside. */
 export type StopReason = "expired" | "caller_closed" | "outrun";
 
@@ -39,10 +28,16 @@
 
 export type ServerAttemptEnd =
   /** No server was tried. */
-  | { readonly type: "rejected"; readonly fault: CallFault }
+  | {
+      readonly type: "rejected";
+      readonly fault: CallFault;
+      readonly waitedMs: number;
+    }
   | {
       readonly type: "ended";
       readonly server: BackendServer;
+      /** Until the server was chosen, in milliseconds. */
+      readonly waitedMs: number;
       readonly end: AttemptEnd;
       /** Present if the server answered. */
       readonly answer: BackendAnswer | undefined;
@@ -94,20 +89,27 @@
 
   /** `sent` is called when a server has been chosen. */
   async run(sent: () => void): Promise<ServerAttemptEnd> {
-    const { suspects } = this.#options;
+    const { suspects, clock } = this.#options;
     const { fingerprint } = this.#work;
+    const began = clock.now();
+    const waitedMs = () => Math.round(clock.now() - began);
     const admitted = await this.#admit();
     if (admitted.isErr()) {
       if (fingerprint !== undefined) suspects.finished(this.#id, "ended");
-      return { type: "rejected", fault: admitted.error };
+      return {
+        type: "rejected",
+        fault: admitted.error,
+        waitedMs: waitedMs(),
+      };
     }
     const server = await this.#assign();
     if (server.isErr()) {
       if (fingerprint !== undefined) suspects.finished(this.#id, "ended");
-      return { type: "rejected", fault: server.error };
+      return { type: "rejected", fault: server.error, waitedMs: waitedMs() };
     }
     if (fingerprint !== undefined) suspects.started(this.#id, server.value);
-    const ended = this.#send(server.value);
+    const waited = waitedMs();
+    const ended = this.#send(server.value, waited);
     sent();
     return ended;
   }
@@ -157,15 +159,24 @@
     });
   }
 
-  async #send(server: BackendServer): Promise<ServerAttemptEnd> {
-    const { client, clock, serverLeaving, suspects } = this.#options;
+  async #send(
+    server: BackendServer,
+    waitedMs: number,
+  ): Promise<ServerAttemptEnd> {
+    const { client, clock, protocol, serverLeaving, suspects } = this.#options;
     const { request, body, fingerprint } = this.#work;
     const started = clock.now();
     this.#server = server;
     this.#sent = client.send(server, {
       method: request.method ?? "GET",
       path: request.url ?? "/",
-      headers: this.#headers(started),
+      headers: protocol.serverHeaders(request.rawHeaders, {
+        call: this.#work.call,
+        chain: this.#chain,
+        server,
+        now: started,
+      }),
+      requestId: protocol.callerRequestId(request.headers),
       body,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
     });
@@ -188,16 +199,15 @@
       suspects.finished(this.#id, answered);
     }
     const detail = ended.type === "fault" ? ended.fault.detail : "not started";
-    return { type: "ended", server, end, answer, runningMs, detail };
-  }
-
-  #headers(now: number): string[] {
-    const headers = endToEndHeaders(this.#work.request.rawHeaders, REPLACED);
-    for (const [name, value] of Object.entries(this.#chain.headers(now))) {
-      headers.push(name, value);
-    }
-    headers.push(HEADERS.requestId, this.#work.call.id);
-    return headers;
+    return {
+      type: "ended",
+      server,
+      waitedMs,
+      end,
+      answer,
+      runningMs,
+      detail,
+    };
   }
 
   #letGo(ended: ClientEnd, started: number): void {
@@ -209,7 +219,8 @@
       kind: resultKind(ended, this.#stopped),
       serviceMs: clock.now() - started,
       inFlight: answer?.inFlight,
-      leaving: answer?.leaving,
+      slowdown: answer?.slowdown,
+      leaving: answer?.leaving || answer?.wrongServer,
     });
   }
 }
@@ -219,7 +230,8 @@
   stopped: StopReason | undefined,
 ): AttemptEnd {
   if (ended.type === "answer") {
-    return { type: ended.answer.notStarted ? "not_started" : "answered" };
+    const { notStarted, wrongServer } = ended.answer;
+    return { type: notStarted || wrongServer ? "not_started" : "answered" };
   }
   const written = ended.fault.type !== "not_connected";
   if (stopped === "expired") return { type: "timeout", written };
@@ -235,7 +247,8 @@
   stopped: StopReason | undefined,
 ): CallResultKind {
   if (ended.type === "answer") {
-    if (ended.answer.notStarted) return "not_started";
+    const { notStarted, wrongServer } = ended.answer;
+    if (notStarted || wrongServer) return "not_started";
     return ended.answer.status >= 500 ? "failed" : "answered";
   }
   // A call that ran into its deadline counts against the server.
--- a/packages/entry/service_policies.ts
+++ b/packages/entry/service_policies.ts
@@ -1,8 +1,14 @@
-import { Hedging, RetryBudget } from "#admission";
+import {
+  Hedging,
+  ResendBudget,
+  RetryBudget,
+  type SendBudget,
+} from "#admission";
 import type { Clock, Service } from "#model";
+import type { ResendLimit } from "#settings";
 
 interface Policy {
-  readonly budget: RetryBudget;
+  readonly budget: SendBudget;
   /** By class; hedges suit only classes that may be repeated. */
   readonly hedging: ReadonlyMap<string, Hedging>;
 }
@@ -10,10 +16,19 @@
 /** What each service allows beyond a call's first attempt. */
 export class ServicePolicies {
   readonly #clock: Clock;
+  readonly #resendLimit: ResendLimit | undefined;
+  readonly #entries: () => number;
   #policies = new Map<string, Policy>();
 
-  constructor(clock: Clock) {
-    this.#clock = clock;
+  constructor(options: {
+    clock: Clock;
+    resendLimit?: ResendLimit | undefined;
+    /** Entries that share the bounds. */
+    entries: () => number;
+  }) {
+    this.#clock = options.clock;
+    this.#resendLimit = options.resendLimit;
+    this.#entries = options.entries;
   }
 
   /** Takes the services in force; what was learned of them is kept. */
@@ -23,7 +38,7 @@
     );
   }
 
-  budget(service: string): RetryBudget | undefined {
+  budget(service: string): SendBudget | undefined {
     return this.#policies.get(service)?.budget;
   }
 
@@ -33,10 +48,7 @@
 
   #policy(service: Service): Policy {
     const known = this.#policies.get(service.name);
-    const percent = service.retryBudgetPercent;
-    known?.budget.configure(percent);
-    const budget =
-      known?.budget ?? new RetryBudget({ percent, clock: this.#clock });
+    const budget = this.#budget(service, known?.budget);
     const repeatable = service.classes.filter((c) => c.repeatable);
     const hedging = new Map(
       repeatable.map(({ name }) => [
@@ -46,4 +58,14 @@
     );
     return { budget, hedging };
   }
+
+  #budget(service: Service, known: SendBudget | undefined): SendBudget {
+    const clock = this.#clock;
+    const percent = service.retryBudgetPercent;
+    if (known instanceof RetryBudget) known.configure(percent);
+    if (known) return known;
+    const limit = this.#resendLimit;
+    if (!limit) return new RetryBudget({ percent, clock });
+    return new ResendBudget({ clock, limit, entries: this.#entries });
+  }
 }
--- a/packages/model/calls.ts
+++ b/packages/model/calls.ts
@@ -12,6 +12,10 @@
   readonly arrival: number;
   /** Latest useful answer, in milliseconds of `Clock.now()`. */
   readonly deadline: number;
+  /** Time by which an answer is worth most, in milliseconds of `Clock.now()`. */
+  readonly target?: number;
+  /** Most servers that may run it; bounded by `retries` alone if absent. */
+  readonly attempts?: number | undefined;
   /** Calls above this one in the chain. */
   readonly depth: number;
   /** Retries that the layers below may still make. */
--- a/packages/model/document.ts
+++ b/packages/model/document.ts
@@ -1,5 +1,6 @@
 import type { BackendServerId } from "./backend_servers.ts";
-import type { DataCentre, FormerView, View } from "./hosts.ts";
+import type { HostRoute, LeavingServer, RequestLimits } from "./host_routes.ts";
+import type { Address, DataCentre, FormerView, HostId, View } from "./hosts.ts";
 
 /** Urgent work is served ahead of patient work. */
 export type Priority = "urgent" | "patient";
@@ -12,6 +13,15 @@
   readonly deadlineMs: number;
   /** False for requests that run at most once (bookings, orders). */
   readonly repeatable: boolean;
+  /**
+   * How a request that runs at most once is told from a resend: by its key, or
+   * each request of a caller counts as a new one.
+   */
+  readonly identity?: "key" | "request";
+  /** Latency objective in milliseconds; the deadline if absent. */
+  readonly targetMs?: number;
+  /** Most servers that one request is sent to, refusals included. */
+  readonly attempts?: number;
 }
 
 /** Maps requests to a class; the first route that matches counts. */
@@ -44,6 +54,8 @@
   readonly connectionsPerServer: number;
   readonly classes: readonly RequestClass[];
   readonly routes: readonly Route[];
+  /** Path of the servers' health check, where the service names its own. */
+  readonly healthPath?: string;
 }
 
 /** A stop of backend servers that the operators planned. */
@@ -78,6 +90,10 @@
   readonly owners: Readonly<Record<string, string>>;
   readonly services: readonly Service[];
   readonly stops: readonly PlannedStop[];
+  /** Routes by host and path, from configuration items. */
+  readonly hostRoutes: readonly HostRoute[];
+  /** Absent where each entry's settings decide. */
+  readonly requestLimits?: RequestLimits | undefined;
   /**
    * Largest difference between the clocks of callers and hosts, and between
    * those of hosts, that keys of requests which run at most once rely on.
@@ -96,6 +112,7 @@
   owners: {},
   services: [],
   stops: [],
+  hostRoutes: [],
 };
 
 export type StopPhase = "pending" | "draining" | "done" | "overdue";
@@ -108,6 +125,12 @@
   readonly since: number;
 }
 
+/** A control host as the agreed state knows it. */
+export interface ControlPeer {
+  readonly id: HostId;
+  readonly peer: Address;
+}
+
 /** What control gives to entries: all that is in force. */
 export interface Configuration {
   readonly document: Document;
@@ -115,6 +138,10 @@
   /** The views that ended within the last 12 minutes, oldest first. */
   readonly formerViews: readonly FormerView[];
   readonly stops: readonly StopProgress[];
+  /** Backend servers that have said they leave, by id. */
+  readonly leaving: readonly LeavingServer[];
+  /** The control hosts, where they are found at run time. */
+  readonly controls: readonly ControlPeer[];
   /**
    * Grows with every change of document, view or stop progress; entries refuse
    * a lower one from anybody.
--- a/packages/model/index.ts
+++ b/packages/model/index.ts
@@ -8,6 +8,7 @@
 export * from "./clock.ts";
 export * from "./document.ts";
 export * from "./headers.ts";
+export * from "./host_routes.ts";
 export * from "./hosts.ts";
 export * from "./outcomes.ts";
 export * from "./randomness.ts";
--- a/packages/model/outcomes.ts
+++ b/packages/model/outcomes.ts
@@ -7,6 +7,7 @@
 /** HTTP status of each fault and the outcome that it proves by itself. */
 export const CALL_FAULTS = {
   unknown_service: { status: 404, outcome: "not-run" },
+  unknown_route: { status: 404, outcome: "not-run" },
   invalid_request: { status: 400, outcome: "not-run" },
   header_too_large: { status: 431, outcome: "not-run" },
   body_too_large: { status: 413, outcome: "not-run" },
--- a/packages/presence/address_lookup.ts
+++ b/packages/presence/address_lookup.ts
@@ -67,9 +67,11 @@
 /** Answers callers that ask which entries to use. */
 export class AddressLookup {
   readonly #randomness: Randomness;
+  readonly #keepMs: number;
 
-  constructor(randomness: Randomness) {
+  constructor(randomness: Randomness, keepMs = KEEP_MS) {
     this.#randomness = randomness;
+    this.#keepMs = keepMs;
   }
 
   /** The entries for a caller in this data centre, if it says one. */
@@ -91,7 +93,7 @@
         data_centre: candidate.dataCentre,
         weight: Math.round(weight * 1_000) / 1_000,
       })),
-      keep_ms: KEEP_MS,
+      keep_ms: this.#keepMs,
     };
   }
 
--- a/packages/presence/presence.ts
+++ b/packages/presence/presence.ts
@@ -74,6 +74,8 @@
   readonly #connected = new Set<HostId>();
   readonly #stalls = new Stalls();
   #view: View = EMPTY_VIEW;
+  /** Processes outside the view that hold lists of servers. */
+  #registrars: readonly HostId[] = [];
   #topology: Topology;
   #configuredAt: number | undefined;
   #scannedAt = Number.NEGATIVE_INFINITY;
@@ -107,11 +109,16 @@
 
   /** Sets the services of the document and the agreed entries. */
   configure(
-    { services, view }: { services: Iterable<string>; view: View },
+    about: {
+      services: Iterable<string>;
+      view: View;
+      registrars?: readonly HostId[];
+    },
     now: number,
   ): PresenceEffect[] {
-    this.#checks.services = new Set(services);
-    this.#view = view;
+    this.#checks.services = new Set(about.services);
+    this.#view = about.view;
+    this.#registrars = about.registrars ?? [];
     this.#configuredAt ??= now;
     this.#arrange();
     this.#join(now);
@@ -256,7 +263,7 @@
     this.#own.expire({ now, effects });
     this.#own.publisher.tick(this.#targets(), { now, effects });
     this.#others.ask({
-      expected: this.#view.entries.map(({ id }) => id),
+      expected: this.#owners(),
       peers: [...this.#connected],
       silentMs: this.#silentMs(),
       now,
@@ -351,8 +358,12 @@
     const waited = now - this.#configuredAt >= JOIN_TIMEOUT_MS;
     this.#checks.ready =
       waited ||
-      this.#view.entries.every(
-        ({ id }) => id === this.#options.id || this.#others.isComplete(id),
+      this.#owners().every(
+        (id) => id === this.#options.id || this.#others.isComplete(id),
       );
   }
+
+  #owners(): HostId[] {
+    return [...this.#view.entries.map(({ id }) => id), ...this.#registrars];
+  }
 }
--- /dev/null
+++ b/packages/registration/index.ts
@@ -0,0 +1,7 @@
+/**
+ * Carries out the effects of service registration over the wire, for every
+ * role that takes part in it.
+ *
+ * @module
+ */
+export * from "./registrations.ts";
--- a/packages/registry/commands.ts
+++ b/packages/registry/commands.ts
@@ -1,5 +1,6 @@
 import type { DocumentFault } from "#document";
-import type { Entry, HostId, StopPhase } from "#model";
+import type { ControlPeer, Entry, HostId, StopPhase } from "#model";
+import type { ItemFault, PutItems } from "./items.ts";
 
 /**
  * Who asks for a change. The control host that takes the request compares the
@@ -80,8 +81,28 @@
   readonly at: number;
 }
 
+/** Backend servers said that they leave. */
+export interface ServersLeaving {
+  readonly type: "servers_leaving";
+  readonly servers: readonly {
+    readonly id: string;
+    readonly incarnation: number;
+  }[];
+  readonly at: number;
+}
+
+/** The control hosts differ from those in the agreed state. */
+export interface ControlsChanged {
+  readonly type: "controls_changed";
+  readonly controls: readonly ControlPeer[];
+  readonly at: number;
+}
+
 export type RegistryCommand =
   | PutSection
+  | PutItems
+  | ServersLeaving
+  | ControlsChanged
   | EntryJoined
   | EntryChanged
   | EntryLeft
@@ -121,9 +142,20 @@
     }
   | { readonly type: "change_id_reused"; readonly changeId: string };
 
+/** Answers to a change of items. */
+export type PutItemsReply =
+  | { readonly type: "items_held"; readonly version: number }
+  | {
+      readonly type: "items_invalid";
+      readonly faults: readonly ItemFault[];
+      /** Faults beyond those listed. */
+      readonly omitted: number;
+    };
+
 /** Answers to changes of the view and of stops. */
 export type RegistryReply =
   | PutReply
+  | PutItemsReply
   | { readonly type: "done"; readonly version: number }
   /** Nothing was left to do: a repeated command. */
   | { readonly type: "unchanged"; readonly version: number }
--- a/packages/registry/index.ts
+++ b/packages/registry/index.ts
@@ -6,6 +6,8 @@
  */
 export { ANSWER_LIFETIME_MS, MAX_ANSWERS } from "./answers.ts";
 export * from "./commands.ts";
+export * from "./items.ts";
+export { LEAVING_KEPT_MS } from "./leaving.ts";
 export { FORMER_VIEWS_MS } from "./membership.ts";
 export * from "./planner.ts";
 export { MAX_FAULTS, Registry } from "./registry.ts";
--- /dev/null
+++ b/packages/registry/item_document.ts
@@ -0,0 +1,83 @@
+import type {
+  Document,
+  HostRoute,
+  RequestClass,
+  RequestLimits,
+  Service,
+} from "#model";
+import { requestClassName } from "#model";
+import type { Item, ServiceItem } from "./items.ts";
+
+/** Used for services that are configured by items only. */
+const SERVICE_DEFAULTS = {
+  // Calls carry the servers' load, and a probe would take a slot from them.
+  measuringBudgetPercent: 0,
+  retryBudgetPercent: 10,
+  ejectionMaxPercent: 50,
+  drainLimitS: 60,
+  coldStartMs: 0,
+  queueLength: 1_000,
+  slotsPerServer: 1,
+} as const;
+
+/** The document with what the items say; a section's service goes first. */
+export function withItems(
+  document: Document,
+  items: readonly Item[],
+): Document {
+  if (items.length === 0) return document;
+  const hostRoutes: HostRoute[] = [];
+  const services: ServiceItem[] = [];
+  let requestLimits: RequestLimits | undefined;
+  for (const { content } of items) {
+    if (content.kind === "route") hostRoutes.push(content.route);
+    else if (content.kind === "service") services.push(content.service);
+    else requestLimits = content.limits;
+  }
+  const sectioned = new Set(document.services.map(({ name }) => name));
+  const added = services
+    .filter(({ name }) => !sectioned.has(name))
+    .map((service) => describe(service, hostRoutes));
+  return {
+    ...document,
+    services: [...document.services, ...added].sort((a, b) =>
+      a.name < b.name ? -1 : 1,
+    ),
+    hostRoutes,
+    requestLimits,
+  };
+}
+
+function describe(item: ServiceItem, routes: readonly HostRoute[]): Service {
+  const { name, healthPath, connectionsPerServer } = item;
+  const own = routes.filter(({ targets }) =>
+    targets.some(({ service }) => service === name),
+  );
+  return {
+    ...SERVICE_DEFAULTS,
+    name,
+    healthPath,
+    connectionsPerServer,
+    classes: classesOf(own),
+    routes: [],
+  };
+}
+
+/** One class for all routes that are served alike. */
+function classesOf(routes: readonly HostRoute[]): RequestClass[] {
+  const first = Math.min(...routes.map(({ rank }) => rank));
+  const classes = new Map<string, RequestClass>();
+  for (const route of routes) {
+    const name = requestClassName(route);
+    classes.set(name, {
+      name,
+      priority: route.rank === first ? "urgent" : "patient",
+      deadlineMs: route.timeoutMs,
+      targetMs: route.targetMs,
+      repeatable: route.repeatable,
+      identity: "request",
+      attempts: route.attempts,
+    });
+  }
+  return [...classes.values()].sort((a, b) => (a.name < b.name ? -1 : 1));
+}
--- a/packages/registry/registry.ts
+++ b/packages/registry/registry.ts
@@ -6,19 +6,24 @@
   type Section,
   SYSTEM_SECTION,
 } from "#document";
-import { type Document, EMPTY_DOCUMENT } from "#model";
+import { type ControlPeer, type Document, EMPTY_DOCUMENT } from "#model";
 import { Answers } from "./answers.ts";
 import type {
   Actor,
   EntryChanged,
   EntryJoined,
   EntryLeft,
+  PutItemsReply,
   PutReply,
   PutSection,
   RegistryCommand,
   RegistryReply,
+  ServersLeaving,
   StopAdvanced,
 } from "./commands.ts";
+import { withItems } from "./item_document.ts";
+import { type Item, ItemTable, type PutItems } from "./items.ts";
+import { LeavingServers } from "./leaving.ts";
 import { Membership, type MembershipChange } from "./membership.ts";
 import type { RegistryConfiguration } from "./planner.ts";
 import { type SectionRevision, SectionTexts } from "./sections.ts";
@@ -49,7 +54,13 @@
   #membership = new Membership();
   #stops = new StopRuns();
   #parsed = new Map<string, Section>();
+  #items = new ItemTable();
+  #leaving = new LeavingServers();
+  #controls: readonly ControlPeer[] = [];
+  /** Merged from the sections alone. */
   #document: Document = EMPTY_DOCUMENT;
+  /** The document together with the items. */
+  #merged: Document = EMPTY_DOCUMENT;
   #version = 0;
   /** The newest time of a command, because leaders' clocks may differ. */
   #now = 0;
@@ -60,6 +71,13 @@
     switch (command.type) {
       case "put_section":
         return this.#put(command);
+      case "put_items":
+        return this.#putItems(command);
+      case "servers_leaving":
+        return this.#noteChange(this.#recordLeaving(command));
+      case "controls_changed":
+        this.#controls = command.controls;
+        return this.#noteChange("done");
       case "entry_joined":
       case "entry_changed":
       case "entry_left":
@@ -85,14 +103,21 @@
   /** All that entries get. */
   configuration(): RegistryConfiguration {
     return {
-      document: this.#document,
+      document: this.#merged,
       view: this.#membership.view,
       formerViews: this.#membership.former,
       stops: this.#stops.all(),
+      leaving: this.#leaving.all(),
+      controls: this.#controls,
       version: this.#version,
     };
   }
 
+  /** The configuration items that stand. */
+  items(): Item[] {
+    return this.#items.items();
+  }
+
   /** The present text of a section. */
   section(name: string): SectionRevision | undefined {
     return this.#texts.current(name);
@@ -126,6 +151,9 @@
       view: this.#membership.view as RegistryState["view"],
       formerViews: this.#membership.former as RegistryState["formerViews"],
       stops: this.#stops.kept(),
+      items: this.#items.all() as RegistryState["items"],
+      leaving: this.#leaving.all() as RegistryState["leaving"],
+      controls: this.#controls as RegistryState["controls"],
     });
   }
 
@@ -160,6 +188,12 @@
     this.#membership.restore(state.view, state.formerViews);
     this.#stops = new StopRuns();
     for (const run of state.stops) this.#stops.restore(run);
+    this.#items = new ItemTable();
+    this.#items.restore(state.items);
+    this.#leaving = new LeavingServers();
+    this.#leaving.restore(state.leaving);
+    this.#controls = state.controls;
+    this.#merge();
     this.#version = state.version;
     this.#now = state.now;
     return ok(undefined);
@@ -216,6 +250,7 @@
     });
     this.#parsed.set(section, change.parsed);
     this.#document = { ...change.document, revision: documentRevision };
+    this.#merge();
     this.#stops.plan(this.#document.stops, { at, version: this.#version });
     this.#membership.prune(at);
     return {
@@ -227,6 +262,33 @@
     };
   }
 
+  #putItems(command: PutItems): PutItemsReply {
+    const faults = this.#items.check(command);
+    if (faults.length > 0) {
+      const listed = faults.slice(0, MAX_FAULTS);
+      const omitted = faults.length - listed.length;
+      return { type: "items_invalid", faults: listed, omitted };
+    }
+    if (this.#items.apply(command)) {
+      this.#version++;
+      const revision = this.#document.revision + 1;
+      this.#document = { ...this.#document, revision };
+      this.#merge();
+      this.#membership.prune(this.#now);
+    }
+    return { type: "items_held", version: this.#version };
+  }
+
+  #recordLeaving({ servers }: ServersLeaving): "done" | "unchanged" {
+    const at = this.#now;
+    const added = servers.map((server) => this.#leaving.add({ ...server, at }));
+    return added.includes(true) ? "done" : "unchanged";
+  }
+
+  #merge(): void {
+    this.#merged = withItems(this.#document, this.#items.items());
+  }
+
   /** The team that owns the section, if it is the one that acts. */
   #ownerActing({ section, actor }: PutSection): string | undefined {
     if (section === SYSTEM_SECTION) {
--- a/packages/registry/snapshot.ts
+++ b/packages/registry/snapshot.ts
@@ -3,9 +3,10 @@
 import type { DocumentFault } from "#document";
 import { type Entry, hash32 } from "#model";
 import type { PutReply } from "./commands.ts";
+import type { HeldItem } from "./items.ts";
 
 /** Version of the snapshot format that this build writes. */
-export const SNAPSHOT_FORMAT = 1;
+export const SNAPSHOT_FORMAT = 2;
 
 /** Why a snapshot cannot be taken over. */
 export type SnapshotFault =
@@ -25,7 +26,15 @@
  * change of the document's schema that rejects texts accepted before needs one
  * too, because snapshots hold the texts.
  */
-export const MIGRATIONS: Readonly<Record<number, Migration>> = {};
+export const MIGRATIONS: Readonly<Record<number, Migration>> = {
+  // Format 2 added configuration items, leaving servers and control hosts.
+  1: (state) => ({
+    ...(state as object),
+    items: [],
+    leaving: [],
+    controls: [],
+  }),
+};
 
 const number = z.number();
 const address = z.object({ host: z.string(), port: number });
@@ -49,6 +58,13 @@
     "type" in value &&
     typeof value.type === "string",
 );
+const heldItem = z.custom<HeldItem>(
+  (value) =>
+    typeof value === "object" &&
+    value !== null &&
+    "type" in value &&
+    (value.type === "item" || value.type === "removed"),
+);
 const STATE_SCHEMA = z.object({
   version: number,
   documentRevision: number,
@@ -78,6 +94,11 @@
       definition: z.string(),
     }),
   ),
+  items: z.array(heldItem),
+  leaving: z.array(
+    z.object({ id: z.string(), incarnation: number, at: number }),
+  ),
+  controls: z.array(z.object({ id: z.string(), peer: address })),
 });
 
 /** All that the registry keeps. */
--- a/packages/registry/snapshot_test.ts
+++ b/packages/registry/snapshot_test.ts
@@ -5,7 +5,7 @@
 import type { RegistryCommand } from "./commands.ts";
 import { ALLOC_ACTOR, entry, put, SYSTEM_ACTOR } from "./fixtures.ts";
 import { Registry } from "./registry.ts";
-import { decodeSnapshot } from "./snapshot.ts";
+import { decodeSnapshot, SNAPSHOT_FORMAT } from "./snapshot.ts";
 
 const COMMANDS: fc.Arbitrary<RegistryCommand> = fc.oneof(
   fc.record({
@@ -93,7 +93,7 @@
     type: "snapshot_checksum_wrong",
   },
   "a later format": {
-    bytes: sealed(stateOf(snapshot()), 2),
+    bytes: sealed(stateOf(snapshot()), SNAPSHOT_FORMAT + 1),
     type: "snapshot_format_unknown",
   },
   "a missing field": {
--- a/packages/routing/effects.ts
+++ b/packages/routing/effects.ts
@@ -8,6 +8,8 @@
   readonly serviceMs: number;
   /** The server's own report, in requests; may lag or mislead. */
   readonly inFlight?: number | undefined;
+  /** Time that work takes there now, relative to the usual; from the answer. */
+  readonly slowdown?: number | undefined;
   /** The server announced in its answer that it is leaving. */
   readonly leaving?: boolean | undefined;
 }
--- /dev/null
+++ b/packages/routing/host_routes.ts
@@ -0,0 +1,89 @@
+import {
+  type HostRoute,
+  type Randomness,
+  requestClassName,
+  type WeightedService,
+} from "#model";
+
+/** Where a request goes. */
+export interface RoutedRequest {
+  readonly route: string;
+  readonly service: string;
+  /** Name of the request class at the service. */
+  readonly class: string;
+}
+
+/** Multiples of it, modulo 1, cover an interval more evenly than chance. */
+const GOLDEN_RATIO = (Math.sqrt(5) - 1) / 2;
+
+/**
+ * Finds a request's route by its host and the longest path prefix, and divides
+ * the requests of a route among its services by weight. Each entry starts at
+ * another point of the same even sequence, so that shares hold over all of them
+ * after few requests.
+ */
+export class HostRoutes {
+  readonly #randomness: Randomness;
+  #byHost = new Map<string, HostRoute[]>();
+  #points = new Map<string, number>();
+
+  constructor(randomness: Randomness) {
+    this.#randomness = randomness;
+  }
+
+  get empty(): boolean {
+    return this.#byHost.size === 0;
+  }
+
+  configure(routes: readonly HostRoute[]): void {
+    this.#byHost = new Map();
+    for (const route of routes) {
+      const known = this.#byHost.get(route.host);
+      if (known) known.push(route);
+      else this.#byHost.set(route.host, [route]);
+    }
+    for (const list of this.#byHost.values()) {
+      list.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    }
+    const names = new Set(routes.map(({ name }) => name));
+    for (const name of this.#points.keys()) {
+      if (!names.has(name)) this.#points.delete(name);
+    }
+  }
+
+  /** The service for a request; undefined where no route matches. */
+  choose(host: string, path: string): RoutedRequest | undefined {
+    const routes = this.#byHost.get(hostName(host)) ?? [];
+    const route = routes.find(({ pathPrefix }) => path.startsWith(pathPrefix));
+    if (!route) return undefined;
+    return {
+      route: route.name,
+      service: this.#divide(route),
+      class: requestClassName(route),
+    };
+  }
+
+  #divide({ name, targets }: HostRoute): string {
+    const [only] = targets;
+    if (only && targets.length === 1) return only.service;
+    const last = this.#points.get(name) ?? this.#randomness.next();
+    const point = (last + GOLDEN_RATIO) % 1;
+    this.#points.set(name, point);
+    return pick(targets, point);
+  }
+}
+
+/** The service at a point in [0, 1) of the weights. */
+function pick(targets: readonly WeightedService[], point: number): string {
+  const total = targets.reduce((sum, { weight }) => sum + weight, 0);
+  let rest = point * total;
+  for (const { service, weight } of targets) {
+    rest -= weight;
+    if (rest < 0) return service;
+  }
+  return targets.findLast(({ weight }) => weight > 0)?.service ?? "";
+}
+
+function hostName(host: string): string {
+  return host.replace(/:\d+$/, "").toLowerCase();
+}
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -4,5 +4,6 @@
  * @module
  */
 export * from "./effects.ts";
+export * from "./host_routes.ts";
 export * from "./messages.ts";
 export * from "./router.ts";
--- a/packages/slopes/configuration.ts
+++ b/packages/slopes/configuration.ts
@@ -90,7 +90,8 @@
     },
     services: makeServices(services),
   };
-  return { document, view, formerViews, stops: [], version: 1 };
+  const base = { ...EMPTY_CONFIGURATION, document, view, formerViews };
+  return { ...base, version: 1 };
 }
 
 /** The configuration after the change of one service. */
--- a/packages/telemetry/index.ts
+++ b/packages/telemetry/index.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./bounded_log_stream.ts";
 export * from "./control_metrics.ts";
 export * from "./logger.ts";
 export * from "./metrics.ts";
--- a/packages/telemetry/logger.ts
+++ b/packages/telemetry/logger.ts
@@ -21,7 +21,10 @@
 }
 
 /** Where log lines are written. */
-export type LogStream = NodeJS.WriteStream;
+export interface LogStream {
+  readonly isTTY?: boolean;
+  write(line: string): boolean;
+}
 
 export interface ConsolaLoggerOptions {
   /** Lines below this level are dropped. */
@@ -58,8 +61,8 @@
         ? jsonConsola(stream, options)
         : createConsola({
             level: CONSOLA_LEVELS[options.level ?? "info"],
-            stdout: stream,
-            stderr: stream,
+            stdout: stream as NodeJS.WriteStream,
+            stderr: stream as NodeJS.WriteStream,
           }));
   }
 
--- /dev/null
+++ b/scripts/bundle_platform.mjs
@@ -0,0 +1,17 @@
+// Builds target/mangobank.cjs, the bundle of the roles on the users' platform.
+import { mkdirSync } from "node:fs";
+import { build } from "esbuild";
+
+mkdirSync("target", { recursive: true });
+await build({
+  entryPoints: ["platform/main.ts"],
+  outfile: "target/mangobank.cjs",
+  bundle: true,
+  platform: "node",
+  format: "cjs",
+  target: "node20",
+  keepNames: true,
+  // The optional native add-on cannot be bundled.
+  alias: { "cbor-extract": "./scripts/empty.cjs" },
+  logLevel: "warning",
+});
