Ask servers for their speed before a call is sent

The load figure on answers is older than a spell when it is used.

Ruled out: queues at servers (28% of the slots in use) and the dispatcher's round trip (1 ms).

Idle connections stay open for three quarters of the time that servers state.

--- a/packages/bench/router_policy.ts
+++ b/packages/bench/router_policy.ts
@@ -77,7 +77,8 @@
       if (effect.type === "send") this.#send(entry, effect as SendEffect);
       else if (effect.type === "probe") {
         this.#probe(entry, Number(effect.server.id.slice(1)));
-      } else this.#decide(effect);
+      } else if (effect.type === "check") this.#check(entry, effect);
+      else this.#decide(effect);
     }
   }
 
@@ -111,6 +112,28 @@
     return at >= 0 && at < CUT_MS;
   }
 
+  #check(
+    entry: number,
+    { callId, server }: Extract<RoutingEffect, { type: "check" }>,
+  ): void {
+    const index = Number(server.id.slice(1));
+    this.#simulation.probe({ entry, server: index }, (ms, inFlight, failed) => {
+      const result = failed
+        ? ({ kind: "failed" } as const)
+        : ({
+            kind: "answered",
+            healthy: true,
+            leaving: false,
+            slowdown: undefined,
+            inFlight,
+            ms,
+          } as const);
+      const now = this.#simulation.events.now();
+      const router = this.#routers[entry];
+      this.#apply(entry, router?.checked(callId, result, now) ?? []);
+    });
+  }
+
   #probe(entry: number, server: number): void {
     const record = this.#simulation.records[server];
     if (!record) return;
--- a/packages/entry/assignments.ts
+++ b/packages/entry/assignments.ts
@@ -2,6 +2,7 @@
 import type { BackendServer, Call, CallFault, Clock } from "#model";
 import type {
   CallResult,
+  CheckResult,
   DispatchMessages,
   ProbeResult,
   Router,
@@ -14,6 +15,8 @@
   readonly clock: Clock;
   readonly network: Network<DispatchMessages>;
   readonly probe: (server: BackendServer) => Promise<ProbeResult>;
+  /** Asks a server how fast it is, before a call goes there. */
+  readonly check: (server: BackendServer) => Promise<CheckResult>;
   /** Another entry's message came, so that ticks are due soon. */
   readonly active: () => void;
 }
@@ -86,6 +89,9 @@
       case "probe":
         void this.#probe(effect.server);
         return;
+      case "check":
+        void this.#check(effect.callId, effect.server);
+        return;
       case "send":
         this.#options.network.send(effect.to, effect.kind, effect.payload);
     }
@@ -102,4 +108,10 @@
     const result = await probe(server);
     this.carryOut(router.probed(server, result, clock.now()));
   }
+
+  async #check(callId: string, server: BackendServer): Promise<void> {
+    const { router, clock, check } = this.#options;
+    const result = await check(server);
+    this.carryOut(router.checked(callId, result, clock.now()));
+  }
 }
--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -1,4 +1,10 @@
-import { Agent, request as httpRequest, type IncomingMessage } from "node:http";
+import {
+  Agent,
+  type AgentOptions,
+  request as httpRequest,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+} from "node:http";
 import type { Socket } from "node:net";
 import { type BackendServer, backendServerKey } from "#model";
 import type { AnswerReport, CallProtocol } from "./call_protocol.ts";
@@ -8,6 +14,8 @@
 export const BUFFERED_ANSWER_BYTES = 64 * 1024;
 /** Idle connections close before servers usually close theirs (5 s). */
 const IDLE_CONNECTION_MS = 4_000;
+/** Part of the idle time that a server states; a request may cross its close. */
+const IDLE_SHARE = 0.75;
 
 /** What is sent to a backend server. */
 export interface BackendRequest {
@@ -26,6 +34,7 @@
 
 interface AnswerHead extends AnswerReport {
   readonly status: number;
+  readonly headers: IncomingHttpHeaders;
   readonly rawHeaders: readonly string[];
 }
 
@@ -106,6 +115,7 @@
       outgoing.once("response", (response) => {
         responded = true;
         const head = this.#describe(response, request.requestId);
+        this.#keepIdle(server, response.headers);
         if (head.foreign) {
           fail("the answer is for another request");
           outgoing.destroy();
@@ -144,7 +154,16 @@
   ): AnswerHead {
     const { headers, rawHeaders, statusCode: status = 502 } = response;
     const report = this.#protocol.report({ status, headers }, requestId);
-    return { ...report, status, rawHeaders };
+    return { ...report, status, headers, rawHeaders };
+  }
+
+  /** Keeps idle connections for a part of the time that the server states. */
+  #keepIdle(server: BackendServer, headers: IncomingHttpHeaders): void {
+    const stated = /^timeout=(\d+)/.exec(String(headers["keep-alive"] ?? ""));
+    const pooled = this.#agents.get(backendServerKey(server));
+    if (!stated || !pooled) return;
+    const { options } = pooled.agent as Agent & { options: AgentOptions };
+    options.timeout = Number(stated[1]) * 1_000 * IDLE_SHARE;
   }
 
   #agent(server: BackendServer): Agent {
--- a/packages/entry/call_protocol.ts
+++ b/packages/entry/call_protocol.ts
@@ -8,6 +8,8 @@
   type CallFault,
   HEADERS,
   type Outcome,
+  OWN_PATH,
+  type Service,
 } from "#model";
 import { endToEndHeaders } from "./reply.ts";
 
@@ -27,6 +29,17 @@
   readonly slowdown: number | undefined;
 }
 
+/** What a server says of itself when it is asked. */
+export interface ServerStatement {
+  readonly healthy: boolean;
+  /** It is leaving, or another server answers at its address. */
+  readonly leaving: boolean;
+  /** It refused the question without looking at it. */
+  readonly shed: boolean;
+  readonly inFlight: number | undefined;
+  readonly slowdown: number | undefined;
+}
+
 /** An error answer as it goes to the caller. */
 export interface FaultAnswer {
   readonly status: number;
@@ -55,6 +68,13 @@
     answer: { status: number; headers: IncomingHttpHeaders },
     requestId: string | undefined,
   ): AnswerReport;
+  /** The path at which a server says how it is. */
+  statementPath(service: Service | undefined): string;
+  /** Reads what a server says; undefined if it cannot be read. */
+  statement(
+    answer: { status: number; headers: IncomingHttpHeaders; body: Buffer },
+    server: BackendServer,
+  ): ServerStatement | undefined;
   /** The headers of a server's answer for the caller. */
   answerHeaders(
     raw: readonly string[],
@@ -127,6 +147,15 @@
     };
   }
 
+  statementPath(): string {
+    return `${OWN_PATH}load`;
+  }
+
+  statement({ body }: { body: Buffer }): ServerStatement | undefined {
+    const load = parseLoad(body);
+    return load && { healthy: true, shed: false, slowdown: undefined, ...load };
+  }
+
   answerHeaders(
     raw: readonly string[],
     about: { outcome: Outcome; requestId: string },
@@ -161,3 +190,18 @@
     return { status: CALL_FAULTS[code].status, headers, body };
   }
 }
+
+function parseLoad(
+  body: Buffer,
+): { inFlight: number; leaving: boolean } | undefined {
+  try {
+    const json = JSON.parse(body.toString()) as Record<string, unknown>;
+    const inFlight = json.in_flight;
+    if (typeof inFlight !== "number" || !Number.isFinite(inFlight)) {
+      return undefined;
+    }
+    return { inFlight, leaving: json.state === "leaving" };
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -132,12 +132,19 @@
       dataCentre: settings.dataCentre,
       random: randomness,
     });
-    const prober = new Prober({ clock, metrics: this.#metrics });
+    const prober = new Prober({
+      clock,
+      metrics: this.#metrics,
+      client: this.#client,
+      protocol,
+      service: (name) => this.#classifier.service(name),
+    });
     this.#assignments = new Assignments({
       router: this.#router,
       clock,
       network,
       probe: (server) => prober.probe(server),
+      check: (server) => prober.check(server),
       active: () => this.#decisions.wake(),
     });
     this.#registrations = new Registrations({
--- a/packages/entry/prober.ts
+++ b/packages/entry/prober.ts
@@ -1,75 +1,69 @@
-import { request as httpRequest } from "node:http";
-import { type BackendServer, type Clock, OWN_PATH } from "#model";
-import type { ProbeResult } from "#routing";
+import type { BackendServer, Clock, Service } from "#model";
+import type { CheckResult, ProbeResult } from "#routing";
 import type { Metrics } from "#telemetry";
+import type { BackendClient } from "./backend_client.ts";
+import type { CallProtocol, ServerStatement } from "./call_protocol.ts";
 
 /** A probe that takes longer counts as failed. */
 const PROBE_TIMEOUT_MS = 1_000;
-const MAX_ANSWER_BYTES = 4_096;
+/** A call waits for a check, so that one that takes longer counts as failed. */
+const CHECK_TIMEOUT_MS = 100;
 
-/** Asks backend servers for their load; each probe takes a slot there. */
+export interface ProberOptions {
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly client: BackendClient;
+  readonly protocol: CallProtocol;
+  readonly service: (name: string) => Service | undefined;
+}
+
+/** Asks backend servers how they are; each question takes a slot there. */
 export class Prober {
-  readonly #clock: Clock;
-  readonly #metrics: Metrics;
+  readonly #options: ProberOptions;
 
-  constructor(options: { clock: Clock; metrics: Metrics }) {
-    this.#clock = options.clock;
-    this.#metrics = options.metrics;
+  constructor(options: ProberOptions) {
+    this.#options = options;
   }
 
+  /** Asks a quiet server for its load. */
   async probe(server: BackendServer): Promise<ProbeResult> {
-    const started = this.#clock.now();
-    const answer = await askLoad(server);
-    const ms = this.#clock.now() - started;
-    this.#metrics.probed(server.service, ms);
-    if (!answer) return { kind: "failed" };
-    const { inFlight, leaving } = answer;
+    const { ms, statement } = await this.#ask(server, PROBE_TIMEOUT_MS);
+    if (statement?.inFlight === undefined) return { kind: "failed" };
+    const { inFlight, leaving } = statement;
     return { kind: "answered", inFlight, ms, leaving };
   }
-}
 
-interface Load {
-  readonly inFlight: number;
-  readonly leaving: boolean;
-}
-
-function askLoad({ address }: BackendServer): Promise<Load | undefined> {
-  return new Promise((resolve) => {
-    const outgoing = httpRequest(
-      {
-        host: address.host,
-        port: address.port,
-        path: `${OWN_PATH}load`,
-        timeout: PROBE_TIMEOUT_MS,
-      },
-      (response) => {
-        const chunks: Buffer[] = [];
-        let length = 0;
-        response.on("data", (chunk: Buffer) => {
-          length += chunk.length;
-          if (length > MAX_ANSWER_BYTES) outgoing.destroy();
-          else chunks.push(chunk);
-        });
-        response.once("error", () => resolve(undefined));
-        response.once("end", () => resolve(parseLoad(Buffer.concat(chunks))));
-      },
-    );
-    outgoing.once("timeout", () => outgoing.destroy());
-    outgoing.once("error", () => resolve(undefined));
-    outgoing.once("close", () => resolve(undefined));
-    outgoing.end();
-  });
-}
+  /** Asks a server for its speed before a call goes there. */
+  async check(server: BackendServer): Promise<CheckResult> {
+    const { ms, statement } = await this.#ask(server, CHECK_TIMEOUT_MS);
+    if (!statement) return { kind: "failed" };
+    if (statement.shed) return { kind: "shed" };
+    const { healthy, leaving, slowdown, inFlight } = statement;
+    return { kind: "answered", healthy, leaving, slowdown, inFlight, ms };
+  }
 
-function parseLoad(body: Buffer): Load | undefined {
-  try {
-    const json = JSON.parse(body.toString()) as Record<string, unknown>;
-    const inFlight = json.in_flight;
-    if (typeof inFlight !== "number" || !Number.isFinite(inFlight)) {
-      return undefined;
-    }
-    return { inFlight, leaving: json.state === "leaving" };
-  } catch {
-    return undefined;
+  async #ask(
+    server: BackendServer,
+    timeoutMs: number,
+  ): Promise<{ ms: number; statement: ServerStatement | undefined }> {
+    const { clock, metrics, client, protocol, service } = this.#options;
+    const started = clock.now();
+    const asked = client.send(server, {
+      method: "GET",
+      path: protocol.statementPath(service(server.service)),
+      headers: ["host", `${server.address.host}:${server.address.port}`],
+      body: { head: Buffer.alloc(0), rest: undefined },
+      connectTimeoutMs: timeoutMs,
+      requestId: undefined,
+    });
+    const timer = setTimeout(() => asked.cancel(), timeoutMs);
+    const ended = await asked.end;
+    clearTimeout(timer);
+    const ms = clock.now() - started;
+    metrics.probed(server.service, ms);
+    const answer = ended.type === "answer" ? ended.answer : undefined;
+    answer?.stream?.destroy();
+    if (!answer?.body) return { ms, statement: undefined };
+    return { ms, statement: protocol.statement(answer, server) };
   }
 }
--- a/packages/routing/dispatcher.ts
+++ b/packages/routing/dispatcher.ts
@@ -303,9 +303,11 @@
       const spare = this.slots.pickSpare(want.exclude);
       if (!spare) return;
       const { health } = spare;
-      const excessMs = (health.ratio - 1) * outliers.meanMs;
+      const excessMs = (spare.ratio - 1) * outliers.meanMs;
       const waitMs = this.#waitMs(this.#queue.length);
       if (waitMs <= SPARE_SHARE * excessMs) {
+        // A spell ends by itself, so that there is nothing to try.
+        if (health.standing !== "slow") return;
         const tries = want.priority === "patient";
         if (!tries || !outliers.trialDue(health, now)) return;
         outliers.trialStarted(health, now);
@@ -341,7 +343,12 @@
       at: now,
       sequence,
     });
-    entry.draft.grants.push({ ticket, server: server.record.id });
+    const slowed = server.spare;
+    entry.draft.grants.push({
+      ticket,
+      server: server.record.id,
+      ...(slowed && { slowed }),
+    });
     this.#ledger.drafted.add(entry);
   }
 }
--- a/packages/routing/effects.ts
+++ b/packages/routing/effects.ts
@@ -37,6 +37,23 @@
     }
   | { readonly kind: "failed" };
 
+/** A server's answer to the question how fast it works now. */
+export type CheckResult =
+  | {
+      readonly kind: "answered";
+      /** False where the server says that it should get no work. */
+      readonly healthy: boolean;
+      /** Another server answers there, or it is leaving. */
+      readonly leaving: boolean;
+      readonly slowdown: number | undefined;
+      readonly inFlight: number | undefined;
+      /** Round trip, in milliseconds. */
+      readonly ms: number;
+    }
+  /** It refused the question, as it would a call. */
+  | { readonly kind: "shed" }
+  | { readonly kind: "failed" };
+
 /** What the composition root does for the router. */
 export type RoutingEffect =
   | {
@@ -50,6 +67,12 @@
       readonly fault: CallFault;
     }
   | { readonly type: "probe"; readonly server: BackendServer }
+  /** Ask the server before the call goes there; `checked` takes the answer. */
+  | {
+      readonly type: "check";
+      readonly callId: string;
+      readonly server: BackendServer;
+    }
   | SendEffect;
 
 /** A message to another entry. */
--- a/packages/routing/ledger.ts
+++ b/packages/routing/ledger.ts
@@ -96,6 +96,7 @@
     const { server, crowding } = grant;
     const { kind, serviceMs } = released;
     if (released.leaving) server.leaving = true;
+    server.noteSlowdown(released.slowdown, now);
     if (kind !== "unused") {
       server.lastHeard = now;
       if (kind === "not_started") server.shed(now);
--- a/packages/routing/local_choice.ts
+++ b/packages/routing/local_choice.ts
@@ -38,7 +38,9 @@
   const calls = server.inFlight + server.others(options.now) + 1;
   const load = calls / server.limit;
   const remote = server.record.dataCentre !== options.dataCentre;
-  return (load + (remote ? REMOTE_PENALTY : 0)) * (server.latencyMs || 1);
+  const slowdown = server.slowed(options.now) ? server.slowdown : 1;
+  const share = load + (remote ? REMOTE_PENALTY : 0);
+  return share * (server.latencyMs || 1) * slowdown;
 }
 
 /** Finds the server that random draws missed among mostly excluded ones. */
--- a/packages/routing/local_servers.ts
+++ b/packages/routing/local_servers.ts
@@ -5,7 +5,7 @@
   Randomness,
   Service,
 } from "#model";
-import type { CallResult, ProbeResult } from "./effects.ts";
+import type { CallResult, CheckResult, ProbeResult } from "./effects.ts";
 import { chooseLocally } from "./local_choice.ts";
 import { type Observation, Outliers } from "./outliers.ts";
 import { SampleSet } from "./sample_set.ts";
@@ -112,6 +112,7 @@
     if (kind === "answered") server.sample(serviceMs);
     if (kind === "not_started") server.pausedUntil = now + SHED_PAUSE_MS;
     if (result.inFlight !== undefined) server.report(result.inFlight, now);
+    server.noteSlowdown(result.slowdown, now);
     if (result.leaving) server.leaving = true;
     const { slots } = server.record;
     const ahead = Math.max(0, server.inFlight + 1 + others - slots);
@@ -121,6 +122,28 @@
     this.#refresh(server, now);
   }
 
+  /** A slot that a call had and did not use is free again. */
+  declined(server: ServerState, result: CheckResult, now: number): void {
+    server.inFlight -= 1;
+    this.checked(server, result, now);
+  }
+
+  /** Takes in the answer to a check. */
+  checked(server: ServerState, result: CheckResult, now: number): void {
+    if (result.kind === "answered") {
+      server.lastHeard = now;
+      server.noteSlowdown(result.slowdown, now);
+      if (result.inFlight !== undefined) server.report(result.inFlight, now);
+      if (result.leaving) server.leaving = true;
+    } else if (result.kind === "shed") {
+      server.pausedUntil = now + SHED_PAUSE_MS;
+    } else {
+      const seen = { kind: "lost", serviceMs: 0, class: "", crowding: 0 };
+      this.#outliers.observe(server.health, seen as Observation, now);
+    }
+    this.#refresh(server, now);
+  }
+
   /** Takes in the answer of a probe. */
   probed(id: BackendServerId, result: ProbeResult, now: number): void {
     const server = this.#servers.get(id);
--- a/packages/routing/messages.ts
+++ b/packages/routing/messages.ts
@@ -57,6 +57,8 @@
   readonly kind: CallResultKind | "unused";
   readonly serviceMs: number;
   readonly leaving?: boolean | undefined;
+  /** The server's own figure of how long work takes, relative to the usual. */
+  readonly slowdown?: number | undefined;
 }
 
 /** The whole state of an entry; replaces what the dispatcher knew of it. */
@@ -86,6 +88,8 @@
   readonly grants: readonly {
     readonly ticket: number;
     readonly server: BackendServerId;
+    /** Known to be slow, and still the best choice; not to be declined. */
+    readonly slowed?: boolean;
   }[];
   readonly rejects: readonly {
     readonly ticket: number;
--- a/packages/routing/open_call.ts
+++ b/packages/routing/open_call.ts
@@ -21,6 +21,10 @@
   exclude: ReadonlySet<BackendServerId>;
   server: ServerState | undefined;
   assignedAt: number;
+  /** Servers that were asked for their speed for this call. */
+  checks: number;
+  /** The present server's answer is awaited. */
+  checking: boolean;
 }
 
 /** Tells the dispatcher of a slot that a call took. */
--- /dev/null
+++ b/packages/routing/placement_checks_test.ts
@@ -0,0 +1,109 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { CheckResult } from "./index.ts";
+import { makeServer, TestCluster } from "./test_cluster.ts";
+
+const NORMAL = {
+  kind: "answered",
+  healthy: true,
+  leaving: false,
+  slowdown: 1,
+  inFlight: 0,
+  ms: 6,
+} as const satisfies CheckResult;
+const SLOW: CheckResult = { ...NORMAL, slowdown: 4 };
+
+/** Three servers that have told their speed on earlier answers. */
+function telling(): TestCluster {
+  const servers = ["s1", "s2", "s3"].map((id) => makeServer(id));
+  const cluster = new TestCluster({ servers });
+  for (const id of cluster.routers.keys()) cluster.submit(id);
+  cluster.advance(30);
+  for (const call of [...cluster.running.keys()]) {
+    cluster.finish(call, { slowdown: 1 });
+  }
+  cluster.advance(200);
+  cluster.checks.length = 0;
+  return cluster;
+}
+
+// Without checks, a quarter of the calls ran in spells of four times the work.
+test("calls go past servers that say they are slow", () => {
+  const cluster = telling();
+  cluster.checkResults.set("s1", SLOW);
+  cluster.checkResults.set("s2", SLOW);
+  for (let i = 0; i < 4; i++) {
+    const call = cluster.submit(cluster.other);
+    cluster.advance(20);
+    assert.equal(cluster.serverOf(call), "s3");
+    cluster.finish(call, { slowdown: 1 });
+    cluster.advance(200);
+  }
+});
+
+test("a call is sent although every server is slow", () => {
+  const cluster = telling();
+  for (const id of ["s1", "s2", "s3"]) cluster.checkResults.set(id, SLOW);
+  const call = cluster.submit(cluster.other);
+  cluster.advance(400);
+  assert.notEqual(cluster.serverOf(call), undefined);
+});
+
+test("a call goes past a server that does not answer", () => {
+  const cluster = telling();
+  cluster.checkResults.set("s1", { kind: "failed" });
+  cluster.checkResults.set("s2", { kind: "shed" });
+  const call = cluster.submit(cluster.other);
+  cluster.advance(50);
+  assert.equal(cluster.serverOf(call), "s3");
+});
+
+test("declined slots are free again at the dispatcher", () => {
+  const cluster = telling();
+  cluster.checkResults.set("s1", SLOW);
+  cluster.checkResults.set("s2", SLOW);
+  const call = cluster.submit(cluster.other);
+  cluster.advance(50);
+  cluster.finish(call, { slowdown: 1 });
+  cluster.advance(300);
+  assert.equal(cluster.used(), 0);
+});
+
+test("servers that never tell their speed are not asked", () => {
+  const cluster = new TestCluster();
+  cluster.join();
+  for (let i = 0; i < 3; i++) {
+    const call = cluster.submit(cluster.other);
+    cluster.advance(20);
+    cluster.finish(call);
+  }
+  assert.deepEqual(cluster.checks, []);
+});
+
+test("a fresh answer decides without a check", () => {
+  const cluster = telling();
+  const first = cluster.submit(cluster.dispatcher);
+  cluster.advance(20);
+  const asked = cluster.checks.length;
+  const server = cluster.serverOf(first);
+  cluster.finish(first, { slowdown: 1 });
+  const others = ["s1", "s2", "s3"].filter((id) => id !== server);
+  const second = cluster.submit(cluster.dispatcher, {
+    exclude: new Set(others),
+  });
+  assert.equal(cluster.serverOf(second), server);
+  assert.equal(cluster.checks.length, asked);
+});
+
+test("checks stay within their share of the slots' time", () => {
+  const cluster = telling();
+  const calls = 2_000;
+  for (let i = 0; i < calls; i++) {
+    const call = cluster.submit(cluster.other);
+    cluster.advance(1);
+    if (cluster.running.has(call)) cluster.finish(call, { slowdown: 1 });
+  }
+  const slotMs = 3 * 2 * (calls + 2_300);
+  const bound = (slotMs * 0.02) / 3;
+  assert.ok(cluster.checks.length * 6 <= bound, `${cluster.checks.length}`);
+});
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -14,7 +14,12 @@
 } from "#model";
 import type { LinkState } from "./dispatch_link.ts";
 import { Dispatcher } from "./dispatcher.ts";
-import type { CallResult, ProbeResult, RoutingEffect } from "./effects.ts";
+import type {
+  CallResult,
+  CheckResult,
+  ProbeResult,
+  RoutingEffect,
+} from "./effects.ts";
 import type { DispatchMessage } from "./messages.ts";
 import { Numbers } from "./numbers.ts";
 import { Prober, ProbeShare } from "./probing.ts";
@@ -123,6 +128,13 @@
     return this.#settle(router.submit(call, { exclude, now }), now);
   }
 
+  /** Reports a server's answer to a check of an assigned call. */
+  checked(callId: string, result: CheckResult, now: number): RoutingEffect[] {
+    const router = this.#calls.get(callId);
+    if (!router) return [];
+    return this.#settle(router.checked(callId, result, now), now);
+  }
+
   /** Reports the end of an assigned call and frees its slot. */
   finish(callId: string, result: CallResult, now: number): RoutingEffect[] {
     const router = this.#calls.get(callId);
--- a/packages/routing/server_state.ts
+++ b/packages/routing/server_state.ts
@@ -1,8 +1,11 @@
 import type { BackendServer } from "#model";
 import type { ServerHealth } from "./outliers.ts";
+import { SLOWED } from "./placement_checks.ts";
 
 /** Weight of a new sample in the average of service times. */
 const LATENCY_WEIGHT = 0.1;
+/** Time for which a spell of slowness is assumed to go on. */
+export const SPELL_MEMORY_MS = 100;
 /** Age at which a reported load no longer counts. */
 const REPORT_TTL_MS = 250;
 
@@ -28,6 +31,9 @@
   latencyMs = 0;
   /** Start of the server's incarnation on this entry's clock. */
   started: number;
+  /** The server's own figure of its speed, and when it came. */
+  slowdown = 1;
+  slowdownAt = Number.NEGATIVE_INFINITY;
   #others = 0;
   #reportedAt = Number.NEGATIVE_INFINITY;
 
@@ -59,6 +65,18 @@
     this.#reportedAt = now;
   }
 
+  /** Takes the server's own figure of how long work takes now. */
+  noteSlowdown(slowdown: number | undefined, now: number): void {
+    if (slowdown === undefined) return;
+    this.slowdown = slowdown;
+    this.slowdownAt = now;
+  }
+
+  /** Whether the server said lately that it is slow. */
+  slowed(now: number): boolean {
+    return this.slowdown >= SLOWED && now - this.slowdownAt < SPELL_MEMORY_MS;
+  }
+
   /** Adds a service time to the average. */
   sample(serviceMs: number): void {
     this.latencyMs =
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -11,11 +11,12 @@
   View,
 } from "#model";
 import { DispatchLink, type EntryState } from "./dispatch_link.ts";
-import type { CallResult, RoutingEffect } from "./effects.ts";
+import type { CallResult, CheckResult, RoutingEffect } from "./effects.ts";
 import { LocalServers } from "./local_servers.ts";
 import type { DispatchGrant, Taken, Wanted } from "./messages.ts";
 import type { Numbers } from "./numbers.ts";
 import { type OpenCall, reject, taken } from "./open_call.ts";
+import { PlacementChecks } from "./placement_checks.ts";
 import type { ServerState } from "./server_state.ts";
 
 /** Interval in which ejections and cold starts are followed. */
@@ -23,6 +24,8 @@
 const MIN_RETRY_MS = 10;
 /** Waiting calls that may be passed over because of their exclusions. */
 const MAX_SET_ASIDE = 8;
+/** Assumed of a server that says it should get no work. */
+const UNHEALTHY_SLOWDOWN = 8;
 /** When to come back to a service without servers. */
 const NO_SERVER_RETRY_MS = 1_000;
 
@@ -42,6 +45,7 @@
   readonly #tickets = new Map<number, OpenCall>();
   /** Calls that wait, for a grant or for a server of the local choice. */
   readonly #queue: ClassQueue<OpenCall>;
+  readonly #checks = new PlacementChecks();
   #refreshAt = 0;
   /** Entries of the view. */
   #entries = 1;
@@ -116,6 +120,8 @@
       exclude: options.exclude,
       server: undefined,
       assignedAt: 0,
+      checks: 0,
+      checking: false,
     };
     this.#calls.set(id, open);
     this.#tickets.set(open.ticket, open);
@@ -130,9 +136,10 @@
     const { ticket, server } = open;
     this.#close(open);
     this.#servers.finished(server, { ...result, class: open.class }, now);
-    const { kind, serviceMs, leaving } = result;
+    this.#checks.seen(result.slowdown);
+    const { kind, serviceMs, leaving, slowdown } = result;
     if (this.link.streaming) {
-      this.link.release({ ticket, kind, serviceMs, leaving });
+      this.link.release({ ticket, kind, serviceMs, leaving, slowdown });
     }
     const reused = this.#reuse(server, now);
     // With credits left nobody waits, so the release can go with the next call.
@@ -140,6 +147,42 @@
     return [...reused, ...sent, ...this.#drain(now)];
   }
 
+  /** Takes a server's answer to a check; the call goes there or on. */
+  checked(callId: string, result: CheckResult, now: number): RoutingEffect[] {
+    const open = this.#calls.get(callId);
+    if (!open?.server || !open.checking) return [];
+    const { server } = open;
+    open.checking = false;
+    if (this.#checks.verdict(result, open) === "use") {
+      this.#servers.checked(server, result, now);
+      open.assignedAt = now;
+      return [{ type: "assign", callId, server: server.record }];
+    }
+    return [...this.#decline(open, result, now), ...this.#drain(now)];
+  }
+
+  /** Gives back the slot of a server that should not run the call now. */
+  #decline(open: OpenCall, result: CheckResult, now: number): RoutingEffect[] {
+    const { server, ticket } = open;
+    if (!server) return [];
+    this.#servers.declined(server, result, now);
+    const answered = result.kind === "answered" ? result : undefined;
+    const shed = result.kind === "shed" ? "not_started" : "lost";
+    if (this.link.streaming) {
+      this.link.release({
+        ticket,
+        kind: answered ? "unused" : shed,
+        serviceMs: 0,
+        leaving: answered?.leaving,
+        slowdown: answered?.healthy ? answered.slowdown : UNHEALTHY_SLOWDOWN,
+      });
+    }
+    open.server = undefined;
+    open.exclude = new Set([...open.exclude, server.record.id]);
+    this.#renewTicket(open);
+    return [...this.#place(open, now), ...this.link.flush(now)];
+  }
+
   cancel(callId: string, now: number): RoutingEffect[] {
     const open = this.#calls.get(callId);
     if (!open) return [];
@@ -156,8 +199,8 @@
   receive(from: HostId, grant: DispatchGrant, now: number): RoutingEffect[] {
     if (!this.link.accept(from, grant, now)) return [];
     const effects: RoutingEffect[] = [];
-    for (const { ticket, server } of grant.grants) {
-      effects.push(...this.#granted(ticket, server, now));
+    for (const granted of grant.grants) {
+      effects.push(...this.#granted(granted, now));
     }
     for (const { ticket, code, retryAfterMs } of grant.rejects) {
       const open = this.#tickets.get(ticket);
@@ -267,10 +310,22 @@
     return [effect, ...this.link.flush(now)];
   }
 
-  #start(open: OpenCall, server: ServerState, now: number): RoutingEffect {
+  #start(
+    open: OpenCall,
+    server: ServerState,
+    now: number,
+    { unasked = false } = {},
+  ): RoutingEffect {
     open.server = server;
     open.assignedAt = now;
     this.#servers.started(server, now);
+    const { slots } = this.#servers;
+    const about = { slots, entries: this.#entries, now };
+    if (!unasked && this.#checks.due(open, server, about)) {
+      open.checks += 1;
+      open.checking = true;
+      return { type: "check", callId: open.id, server: server.record };
+    }
     return { type: "assign", callId: open.id, server: server.record };
   }
 
@@ -316,13 +371,17 @@
     return this.#startUnasked(open, server, now);
   }
 
-  #granted(ticket: number, id: BackendServerId, now: number): RoutingEffect[] {
+  #granted(
+    granted: DispatchGrant["grants"][number],
+    now: number,
+  ): RoutingEffect[] {
+    const { ticket, server: id, slowed } = granted;
     const open = this.#tickets.get(ticket);
     if (open?.server) return [];
     const server = this.#servers.get(id);
     if (open && server?.ready) {
       this.#queue.remove(open.id);
-      return [this.#start(open, server, now)];
+      return [this.#start(open, server, now, { unasked: slowed })];
     }
     const leaving = server?.leaving === true;
     this.link.release({ ticket, kind: "unused", serviceMs: 0, leaving });
--- a/packages/routing/slots.ts
+++ b/packages/routing/slots.ts
@@ -6,6 +6,8 @@
   Service,
 } from "#model";
 import type { Outliers, ServerHealth } from "./outliers.ts";
+import { SLOWED } from "./placement_checks.ts";
+import { SPELL_MEMORY_MS } from "./server_state.ts";
 import { WarmUp } from "./warm_up.ts";
 
 /** Extra load that a near server may have over a far one, as a share. */
@@ -38,6 +40,9 @@
   shedLimit = Number.POSITIVE_INFINITY;
   shedPauseMs = SHED_PAUSE_MS;
   pausedUntil = 0;
+  /** The server said that it is slow, as of then. */
+  slowdown = 1;
+  slowedUntil = 0;
   #shedAt = 0;
 
   constructor(record: BackendServer, health: ServerHealth, now: number) {
@@ -51,9 +56,22 @@
     return Math.max(0, this.limit - this.inUse);
   }
 
-  /** Whether a straggler, kept for when waiting costs more. */
+  /** Whether slow, and kept for when waiting costs more. */
   get spare(): boolean {
-    return this.health.standing === "slow";
+    return this.health.standing === "slow" || this.slowedUntil > 0;
+  }
+
+  /** How much longer a call takes here than elsewhere. */
+  get ratio(): number {
+    const slowdown = this.slowedUntil > 0 ? this.slowdown : 1;
+    return Math.max(this.health.ratio, slowdown);
+  }
+
+  /** Takes the server's own figure of how long work takes now. */
+  noteSlowdown(slowdown: number | undefined, now: number): void {
+    if (slowdown === undefined) return;
+    this.slowdown = slowdown;
+    this.slowedUntil = slowdown >= SLOWED ? now + SPELL_MEMORY_MS : 0;
   }
 
   rank(): number {
@@ -75,6 +93,7 @@
 
   refreshLimit(warmUp: WarmUp, now: number): void {
     const { record, health } = this;
+    if (now >= this.slowedUntil) this.slowedUntil = 0;
     const out = this.leaving || record.state !== "ready";
     if (out || health.standing === "ejected" || now < this.pausedUntil) {
       this.limit = 0;
@@ -223,7 +242,7 @@
     let best: ServerSlots | undefined;
     for (const server of this.#spare) {
       if (server.free === 0 || exclude?.includes(server.record.id)) continue;
-      if (!best || server.health.ratio < best.health.ratio) best = server;
+      if (!best || server.ratio < best.ratio) best = server;
     }
     return best;
   }
--- a/packages/routing/test_cluster.ts
+++ b/packages/routing/test_cluster.ts
@@ -10,6 +10,7 @@
 } from "#model";
 import {
   type CallResult,
+  type CheckResult,
   Router,
   type RoutingEffect,
   type SendEffect,
@@ -81,6 +82,9 @@
   readonly decisions = new Map<string, Decided[]>();
   readonly running = new Map<string, { entry: string; server: string }>();
   readonly probes: { entry: string; at: number }[] = [];
+  readonly checks: { callId: string; server: string }[] = [];
+  /** What servers answer to a check; others are at their usual speed. */
+  readonly checkResults = new Map<string, CheckResult>();
   /** Decides the fate of each message. */
   fate: (from: string, message: SendEffect) => Fate = () => "deliver";
   readonly held: Delivery[] = [];
@@ -239,6 +243,8 @@
     for (const effect of effects) {
       if (effect.type === "probe") {
         this.probes.push({ entry, at: this.now });
+      } else if (effect.type === "check") {
+        this.#check(entry, effect);
       } else if (effect.type === "send") {
         this.#send(entry, effect as SendEffect);
       } else this.#decide(entry, effect);
@@ -252,6 +258,24 @@
     }
   }
 
+  /** Servers answer a check at once, with their present speed. */
+  #check(
+    entry: string,
+    { callId, server }: Extract<RoutingEffect, { type: "check" }>,
+  ): void {
+    this.checks.push({ callId, server: server.id });
+    const result = this.checkResults.get(server.id) ?? {
+      kind: "answered",
+      healthy: true,
+      leaving: false,
+      slowdown: 1,
+      inFlight: 0,
+      ms: 6,
+    };
+    const router = this.routers.get(entry);
+    this.apply(entry, router?.checked(callId, result, this.now) ?? []);
+  }
+
   #decide(entry: string, effect: Decided): void {
     this.decisions.get(effect.callId)?.push(effect);
     if (effect.type === "reject") return;
