--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -4,8 +4,10 @@
 import { join } from "node:path";
 
 const wanted = process.argv.slice(2);
-const files = readdirSync("packages", { recursive: true })
-  .map((file) => join("packages", file))
+const files = ["packages", "platform"]
+  .flatMap((folder) =>
+    readdirSync(folder, { recursive: true }).map((file) => join(folder, file)),
+  )
   .filter((file) => file.endsWith("_test.ts"))
   .filter((file) => wanted.length === 0 || wanted.some((w) => file.includes(w)))
   .sort();
