Keep waiting calls on time, servers below their knee, and work near

Change: the queue serves calls that can still meet their objective before late ones; the dispatcher learns at how many calls a server does most work and stops there; services with long work place every call by question instead of slots granted ahead, reused or over-granted; near servers are filled first, because bytes between data centres cost more than the load they even out; a repeatable call that a server answered with an error asks one other server within the budget; attempts log what decided them.

--- a/packages/admission/class_queue.ts
+++ b/packages/admission/class_queue.ts
@@ -10,6 +10,8 @@
   readonly priority: Priority;
   /** Latest useful start, in milliseconds of `Clock.now()`. */
   readonly deadline: number;
+  /** Latest start that meets the latency objective; the deadline if absent. */
+  readonly target?: number | undefined;
 }
 
 /** Result of an offer; `evicted` made place for a more urgent call. */
@@ -21,17 +23,28 @@
 interface Slot<T> {
   readonly item: T;
   readonly order: number;
+  late: boolean;
   heapIndex: number;
 }
 
+type Heaps<T> = Record<Priority, Heap<Slot<T>>>;
+
+const PRIORITIES = ["urgent", "patient"] as const;
+
 /**
- * Calls that wait for a slot: urgent before patient, then by deadline, then by
- * arrival; bounded in length; patient calls get a guaranteed small share.
+ * Calls that wait for a slot: those that can still meet their latency objective
+ * before those that are late, urgent before patient, then by the time by which
+ * they must start, then by arrival; bounded in length; patient calls get a
+ * guaranteed small share. A burst then makes some calls late, and not all.
  */
 export class ClassQueue<T extends Waiting> {
-  readonly #heaps: Record<Priority, Heap<Slot<T>>> = {
-    urgent: new Heap(before),
-    patient: new Heap(before),
+  readonly #timely: Heaps<T> = {
+    urgent: new Heap(beforeByTarget),
+    patient: new Heap(beforeByTarget),
+  };
+  readonly #late: Heaps<T> = {
+    urgent: new Heap(beforeByDeadline),
+    patient: new Heap(beforeByDeadline),
   };
   readonly #slots = new Map<string, Slot<T>>();
   #limit: number;
@@ -53,12 +66,13 @@
   }
 
   lengthOf(priority: Priority): number {
-    return this.#heaps[priority].size;
+    return this.#timely[priority].size + this.#late[priority].size;
   }
 
   /** Calls that go before a new call of this priority. */
   ahead(priority: Priority): number {
-    return priority === "urgent" ? this.lengthOf("urgent") : this.length;
+    const { urgent, patient } = this.#timely;
+    return priority === "urgent" ? urgent.size : urgent.size + patient.size;
   }
 
   has(id: string): boolean {
@@ -75,7 +89,7 @@
       this.#add(item);
       return { type: "queued" };
     }
-    const victim = this.#heaps.patient.leaf();
+    const victim = this.#late.patient.leaf() ?? this.#timely.patient.leaf();
     if (item.priority === "patient" || !victim) return { type: "full" };
     this.remove(victim.item.id);
     this.#add(item);
@@ -84,7 +98,8 @@
 
   /** The first call of a priority. */
   first(priority: Priority): T | undefined {
-    return this.#heaps[priority].peek()?.item;
+    const slot = this.#timely[priority].peek() ?? this.#late[priority].peek();
+    return slot?.item;
   }
 
   /** The call that `take` returns next. */
@@ -115,42 +130,76 @@
     const slot = this.#slots.get(id);
     if (!slot) return undefined;
     this.#slots.delete(id);
-    this.#heaps[slot.item.priority].remove(slot);
+    this.#heapOf(slot).remove(slot);
     return slot.item;
   }
 
+  /** Puts the calls behind that no longer can meet their objective. */
+  advance(now: number): void {
+    for (const priority of PRIORITIES) {
+      const heap = this.#timely[priority];
+      for (;;) {
+        const slot = heap.peek();
+        if (!slot || latestStart(slot.item) >= now) break;
+        if (slot.item.target === undefined) break;
+        heap.remove(slot);
+        slot.late = true;
+        this.#late[priority].push(slot);
+      }
+    }
+  }
+
   /** Removes and returns the calls whose latest start is before `now`. */
   expire(now: number): T[] {
+    this.advance(now);
     const expired: T[] = [];
-    for (const heap of [this.#heaps.urgent, this.#heaps.patient]) {
-      for (;;) {
-        const slot = heap.peek();
-        if (!slot || slot.item.deadline >= now) break;
-        this.remove(slot.item.id);
-        expired.push(slot.item);
+    for (const heaps of [this.#timely, this.#late]) {
+      for (const priority of PRIORITIES) {
+        for (;;) {
+          const slot = heaps[priority].peek();
+          if (!slot || slot.item.deadline >= now) break;
+          this.remove(slot.item.id);
+          expired.push(slot.item);
+        }
       }
     }
     return expired;
   }
 
   #add(item: T): void {
-    const slot = { item, order: this.#order++, heapIndex: -1 };
+    const order = this.#order++;
+    const slot = { item, order, late: false, heapIndex: -1 };
     this.#slots.set(item.id, slot);
-    this.#heaps[item.priority].push(slot);
+    this.#timely[item.priority].push(slot);
+  }
+
+  #heapOf(slot: Slot<T>): Heap<Slot<T>> {
+    return (slot.late ? this.#late : this.#timely)[slot.item.priority];
   }
 
   #patientWaits(): boolean {
-    return this.#heaps.patient.size > 0;
+    return this.#timely.patient.size > 0;
   }
 
   #next(): Heap<Slot<T>> | undefined {
-    const { urgent, patient } = this.#heaps;
+    const { urgent, patient } = this.#timely;
     if (urgent.size > 0 && !this.patientDue) return urgent;
-    return this.#patientWaits() ? patient : undefined;
+    if (patient.size > 0) return patient;
+    if (this.#late.urgent.size > 0) return this.#late.urgent;
+    return this.#late.patient.size > 0 ? this.#late.patient : undefined;
   }
 }
 
-function before<T extends Waiting>(a: Slot<T>, b: Slot<T>): boolean {
+function latestStart({ target, deadline }: Waiting): number {
+  return target ?? deadline;
+}
+
+function beforeByTarget<T extends Waiting>(a: Slot<T>, b: Slot<T>): boolean {
+  const difference = latestStart(a.item) - latestStart(b.item);
+  return difference < 0 || (difference === 0 && a.order < b.order);
+}
+
+function beforeByDeadline<T extends Waiting>(a: Slot<T>, b: Slot<T>): boolean {
   const difference = a.item.deadline - b.item.deadline;
   return difference < 0 || (difference === 0 && a.order < b.order);
 }
--- a/packages/admission/class_queue_test.ts
+++ b/packages/admission/class_queue_test.ts
@@ -80,3 +80,27 @@
     { seed: 20_261_203 },
   );
 });
+
+// In a burst, serving by deadline alone makes every call late.
+test("calls that can meet their objective go before late ones", () => {
+  const queue = new ClassQueue<Waiting>(10);
+  const call = (id: string, target: number, priority = "patient") =>
+    ({ id, priority, deadline: target + 1_000, target }) as Waiting;
+  queue.offer(call("late", 90));
+  queue.offer(call("soon", 120));
+  queue.offer(call("later", 400));
+  queue.offer(call("late-urgent", 95, "urgent"));
+  queue.advance(100);
+  const order = Array.from({ length: 4 }, () => queue.take()?.id);
+  assert.deepEqual(order, ["soon", "later", "late-urgent", "late"]);
+});
+
+test("a late call still ends at its deadline", () => {
+  const queue = new ClassQueue<Waiting>(10);
+  queue.offer({ id: "a", priority: "patient", deadline: 200, target: 50 });
+  assert.deepEqual(queue.expire(150), []);
+  assert.deepEqual(
+    queue.expire(201).map(({ id }) => id),
+    ["a"],
+  );
+});
--- a/packages/entry/assignments.ts
+++ b/packages/entry/assignments.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { BackendServer, Call, CallFault, Clock } from "#model";
 import type {
+  AssignmentBasis,
   CallResult,
   CheckResult,
   DispatchMessages,
@@ -27,7 +28,13 @@
   dispatch_grant: true,
 };
 
-type Decision = Result<BackendServer, CallFault>;
+/** A server for a call, with what decided it. */
+export interface Assignment {
+  readonly server: BackendServer;
+  readonly basis: AssignmentBasis;
+}
+
+type Decision = Result<Assignment, CallFault>;
 
 /** Carries out the router's effects and hands each call its decision. */
 export class Assignments {
@@ -81,7 +88,7 @@
   #carryOut(effect: RoutingEffect): void {
     switch (effect.type) {
       case "assign":
-        this.#decide(effect.callId, ok(effect.server));
+        this.#decide(effect.callId, ok(effect));
         return;
       case "reject":
         this.#decide(effect.callId, err(effect.fault));
--- a/packages/entry/call_attempts.ts
+++ b/packages/entry/call_attempts.ts
@@ -7,6 +7,7 @@
   type SendBudget,
 } from "#admission";
 import { type BackendServer, type CallFault, callFault } from "#model";
+import type { AssignmentBasis } from "#routing";
 import type { BackendAnswer } from "./backend_client.ts";
 import type { CallEngineOptions } from "./call_engine.ts";
 import {
@@ -16,6 +17,9 @@
   type StopReason,
 } from "./server_attempt.ts";
 
+/** Statuses from here on are errors of the server. */
+const FIRST_SERVER_ERROR = 500;
+
 /** How a call ended, before the caller is told. */
 export type CallEnd =
   | { readonly type: "answer"; readonly answer: BackendAnswer }
@@ -25,6 +29,8 @@
 export interface AttemptRecord {
   readonly server?: string;
   readonly end: string;
+  /** What decided on the server. */
+  readonly basis?: AssignmentBasis;
   /** Time until a server was chosen, and from then on, in milliseconds. */
   readonly waitedMs: number;
   readonly ranMs: number;
@@ -48,6 +54,8 @@
   /** Attempts that ran, or may have. */
   #ran = 0;
   readonly #trail: AttemptRecord[] = [];
+  /** A server's error, which is the answer if no other server gives one. */
+  #serverError: BackendAnswer | undefined;
 
   constructor(
     options: CallEngineOptions,
@@ -92,7 +100,14 @@
       const ended = await this.#race();
       if (ended.type === "rejected") return this.#failed(ended.fault);
       const { end, answer } = ended;
-      if (end.type === "answered" && answer) return { type: "answer", answer };
+      if (end.type === "answered" && answer) {
+        if (!this.#mayAskAnother(answer, ended.runningMs)) {
+          return { type: "answer", answer };
+        }
+        this.#serverError = answer;
+        this.#exclude.add(ended.server.id);
+        continue;
+      }
       const { clock } = this.#options;
       const now = clock.now();
       const again =
@@ -176,6 +191,18 @@
     this.#ran += 1;
   }
 
+  /** Whether another server is asked because this one answered an error. */
+  #mayAskAnother(answer: BackendAnswer, runningMs: number): boolean {
+    const { call, body } = this.#work;
+    const { repeatable, attempts = 1 } = call;
+    if (answer.status < FIRST_SERVER_ERROR || answer.stream) return false;
+    if (!repeatable || body.rest || this.#stopped) return false;
+    this.#ran += 1;
+    if (this.#ran >= attempts) return false;
+    const leftMs = this.#outcome.chain.remainingMs(this.#options.clock.now());
+    return leftMs > runningMs && this.#budget.tryTake();
+  }
+
   #fault(detail: string): CallFault {
     if (this.#stopped === "expired") return callFault("deadline_expired");
     return callFault("server_failed", { outcome: "not-run", detail });
@@ -183,6 +210,8 @@
 
   /** A fault that no earlier attempt contradicts. */
   #failed(fault: CallFault): CallEnd {
+    const answer = this.#serverError;
+    if (answer) return { type: "answer", answer };
     if (!this.#mayHaveRun) return { type: "fault", fault };
     return { type: "fault", fault: { ...fault, outcome: "unknown" } };
   }
@@ -194,10 +223,11 @@
     const { code, detail } = ended.fault;
     return { end: code, waitedMs, ranMs: 0, ...(detail && { detail }) };
   }
-  const { server, end, answer, runningMs, detail } = ended;
+  const { server, end, answer, runningMs, detail, basis } = ended;
   return {
     server: server.id,
     end: end.type,
+    basis,
     waitedMs,
     ranMs: Math.round(runningMs),
     status: answer?.status,
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -8,7 +8,8 @@
   callFault,
 } from "#model";
 import type { Fingerprint } from "#quarantine";
-import type { CallResultKind } from "#routing";
+import type { AssignmentBasis, CallResultKind } from "#routing";
+import type { Assignment } from "./assignments.ts";
 import type { Attempt, BackendAnswer, ClientEnd } from "./backend_client.ts";
 import type { CallEngineOptions } from "./call_engine.ts";
 import type { RequestBody } from "./request_body.ts";
@@ -38,6 +39,7 @@
       readonly server: BackendServer;
       /** Until the server was chosen, in milliseconds. */
       readonly waitedMs: number;
+      readonly basis: AssignmentBasis;
       readonly end: AttemptEnd;
       /** Present if the server answered. */
       readonly answer: BackendAnswer | undefined;
@@ -102,14 +104,15 @@
         waitedMs: waitedMs(),
       };
     }
-    const server = await this.#assign();
-    if (server.isErr()) {
+    const assigned = await this.#assign();
+    if (assigned.isErr()) {
       if (fingerprint !== undefined) suspects.finished(this.#id, "ended");
-      return { type: "rejected", fault: server.error, waitedMs: waitedMs() };
+      return { type: "rejected", fault: assigned.error, waitedMs: waitedMs() };
     }
-    if (fingerprint !== undefined) suspects.started(this.#id, server.value);
-    const waited = waitedMs();
-    const ended = this.#send(server.value, waited);
+    const { server, basis } = assigned.value;
+    if (fingerprint !== undefined) suspects.started(this.#id, server);
+    const chosen = { basis, waitedMs: waitedMs() };
+    const ended = this.#send(server, chosen);
     sent();
     return ended;
   }
@@ -138,7 +141,7 @@
     });
   }
 
-  #assign(): Promise<Result<BackendServer, CallFault>> {
+  #assign(): Promise<Result<Assignment, CallFault>> {
     const { assignments, clock, metrics } = this.#options;
     const call = { ...this.#work.call, id: this.#id };
     const asked = clock.now();
@@ -161,7 +164,7 @@
 
   async #send(
     server: BackendServer,
-    waitedMs: number,
+    chosen: { basis: AssignmentBasis; waitedMs: number },
   ): Promise<ServerAttemptEnd> {
     const { client, clock, protocol, serverLeaving, suspects } = this.#options;
     const { request, body, fingerprint } = this.#work;
@@ -202,7 +205,7 @@
     return {
       type: "ended",
       server,
-      waitedMs,
+      ...chosen,
       end,
       answer,
       runningMs,
--- a/packages/routing/credits.ts
+++ b/packages/routing/credits.ts
@@ -1,5 +1,6 @@
 import type { BackendServerId, HostId } from "#model";
 import type { DispatchEntry } from "./dispatch_entry.ts";
+import { isLongWork } from "./long_work.ts";
 import type { ServerSlots, SlotTable } from "./slots.ts";
 
 /** Share of free slots above which slots are granted ahead of need. */
@@ -20,10 +21,12 @@
  */
 export class CreditPolicy {
   readonly #slots: SlotTable;
+  readonly #work: { readonly meanMs: number };
   #ample = false;
 
-  constructor(slots: SlotTable) {
+  constructor(slots: SlotTable, work: { readonly meanMs: number }) {
     this.#slots = slots;
+    this.#work = work;
   }
 
   /**
@@ -41,7 +44,8 @@
   ): DispatchEntry[] {
     const share = this.#slots.free / Math.max(1, this.#slots.limit);
     const bound = this.#ample ? STOP_SHARE : START_SHARE;
-    const ample = state.waiting === 0 && share > bound;
+    const short = !isLongWork(this.#work.meanMs);
+    const ample = short && state.waiting === 0 && share > bound;
     const told: DispatchEntry[] = [];
     if (!ample && this.#ample) {
       for (const entry of entries.values()) {
--- a/packages/routing/dispatch_entry.ts
+++ b/packages/routing/dispatch_entry.ts
@@ -30,6 +30,8 @@
   readonly class: string;
   /** Assignment, in milliseconds of the dispatcher's clock. */
   readonly at: number;
+  /** Calls that ran there when it was assigned, itself included. */
+  readonly running: number;
   /**
    * Calls that had to finish there first, as a share of its slots; undefined
    * if the call started without this dispatcher's knowledge.
--- a/packages/routing/dispatcher.ts
+++ b/packages/routing/dispatcher.ts
@@ -3,6 +3,7 @@
 import type { DispatchEntry, Want } from "./dispatch_entry.ts";
 import type { SendEffect } from "./effects.ts";
 import { Ledger } from "./ledger.ts";
+import { isLongWork } from "./long_work.ts";
 import type { DispatchReport, DispatchUpdate, Wanted } from "./messages.ts";
 import type { Numbers } from "./numbers.ts";
 import type { ServerSlots, SlotTable } from "./slots.ts";
@@ -11,6 +12,8 @@
 const REBUILD_MS = 15;
 /** Slots of an entry that is silent for so long count as free. */
 const ENTRY_LEASE_MS = 700;
+/** Time that a call may take, relative to the usual for its class. */
+const WORK_MARGIN = 1.4;
 /** Calls that a server may get above its slots. */
 const OVER_GRANT = 1;
 /**
@@ -191,6 +194,7 @@
       priority: wanted.priority,
       class: wanted.class,
       deadline: now + wanted.remainingMs,
+      target: this.#latestStart(wanted, now),
       exclude: wanted.exclude,
       entry,
       since: now - wanted.waitedMs,
@@ -206,6 +210,14 @@
     if (offer.type === "queued_instead") this.#reject(offer.evicted);
   }
 
+  /** Latest start that meets a call's objective, as far as work is known. */
+  #latestStart(wanted: Wanted, now: number): number | undefined {
+    const { targetMs, class: name } = wanted;
+    if (targetMs === undefined) return undefined;
+    const usualMs = this.#ledger.knee.usualMs(name) ?? 0;
+    return now + targetMs - WORK_MARGIN * usualMs;
+  }
+
   #unwant(entry: DispatchEntry, ticket: number): void {
     const want = entry.wants.get(ticket);
     if (!want) return;
@@ -278,6 +290,7 @@
 
   #grantWaiting(now: number): void {
     const aside: Want[] = [];
+    this.#queue.advance(now);
     while (aside.length < MAX_SET_ASIDE) {
       const want = this.#queue.peek();
       if (!want) break;
@@ -328,6 +341,7 @@
     if (!over) return undefined;
     // Waiting at one server is worth it only when the queue takes as long.
     const { meanMs } = outliers;
+    if (isLongWork(meanMs)) return undefined;
     const waitMs = this.#waitMs(this.#queue.length);
     return meanMs > 0 && waitMs >= meanMs / over.limit ? over : undefined;
   }
--- a/packages/routing/effects.ts
+++ b/packages/routing/effects.ts
@@ -54,12 +54,25 @@
   | { readonly kind: "shed" }
   | { readonly kind: "failed" };
 
+/** What decided an assignment, to be explained afterwards. */
+export interface AssignmentBasis {
+  /** A slot granted ahead, one that was asked for, or the entry's own choice. */
+  readonly by: "credit" | "grant" | "local";
+  /** Servers that were asked for their speed for this call. */
+  readonly checks: number;
+  /** The server's own figures, and their age in milliseconds. */
+  readonly slowdown?: number;
+  readonly inFlight?: number;
+  readonly ageMs?: number;
+}
+
 /** What the composition root does for the router. */
 export type RoutingEffect =
   | {
       readonly type: "assign";
       readonly callId: string;
       readonly server: BackendServer;
+      readonly basis: AssignmentBasis;
     }
   | {
       readonly type: "reject";
--- a/packages/routing/ledger.ts
+++ b/packages/routing/ledger.ts
@@ -1,6 +1,7 @@
 import type { BackendServer, Entry, HostId, Service } from "#model";
 import { CreditPolicy } from "./credits.ts";
 import { DispatchEntry, type Grant } from "./dispatch_entry.ts";
+import { Knee } from "./knee.ts";
 import type { Released, Taken } from "./messages.ts";
 import { type Observation, Outliers } from "./outliers.ts";
 import { type ServerSlots, SlotTable } from "./slots.ts";
@@ -20,6 +21,7 @@
   readonly outliers: Outliers;
   readonly slots: SlotTable;
   readonly credits: CreditPolicy;
+  readonly knee = new Knee();
   readonly entries = new Map<HostId, DispatchEntry>();
   /** Entries whose draft may have something to say. */
   readonly drafted = new Set<DispatchEntry>();
@@ -27,8 +29,8 @@
 
   constructor(service: Service) {
     this.outliers = new Outliers(service);
-    this.slots = new SlotTable(service, this.outliers);
-    this.credits = new CreditPolicy(this.slots);
+    this.slots = new SlotTable(service, this.outliers, this.knee);
+    this.credits = new CreditPolicy(this.slots, this.outliers);
   }
 
   configure(service: Service): void {
@@ -68,7 +70,9 @@
 
   use(
     entry: DispatchEntry,
-    grant: Omit<Grant, "crowding" | "confirmedAt"> & { ticket: number },
+    grant: Omit<Grant, "crowding" | "running" | "confirmedAt"> & {
+      ticket: number;
+    },
     options: { crowdingKnown: boolean } = { crowdingKnown: true },
   ): void {
     const { server } = grant;
@@ -76,7 +80,9 @@
     const ahead = Math.max(0, server.inUse + 1 - slots);
     const crowding = options.crowdingKnown ? ahead / slots : undefined;
     const confirmedAt = grant.at;
-    entry.grants.set(grant.ticket, { ...grant, crowding, confirmedAt });
+    const running = server.inUse + 1;
+    const used = { ...grant, crowding, running, confirmedAt };
+    entry.grants.set(grant.ticket, used);
     this.slots.use(server, 1);
     if (server.free === 0) this.revoke(server);
   }
@@ -100,7 +106,14 @@
     if (kind !== "unused") {
       server.lastHeard = now;
       if (kind === "not_started") server.shed(now);
-      if (kind === "answered") server.answered();
+      if (kind === "answered") {
+        server.answered();
+        const { running } = grant;
+        const { slots } = server.record;
+        const name = grant.class;
+        const call = { class: name, running, slots, serviceMs };
+        this.knee.observe(call, now);
+      }
       // Without the crowding, a long answer says nothing about the server.
       if (crowding !== undefined || kind !== "answered") {
         const seen = { kind, serviceMs, class: grant.class };
--- a/packages/routing/messages.ts
+++ b/packages/routing/messages.ts
@@ -34,6 +34,8 @@
   readonly class: string;
   /** Time left until the call must start, in milliseconds. */
   readonly remainingMs: number;
+  /** Time left to meet the latency objective, in milliseconds. */
+  readonly targetMs?: number | undefined;
   /** Time that the call has waited, in milliseconds. */
   readonly waitedMs: number;
   readonly exclude?: readonly BackendServerId[] | undefined;
--- a/packages/routing/open_call.ts
+++ b/packages/routing/open_call.ts
@@ -4,7 +4,7 @@
   type CallFaultCode,
   callFault,
 } from "#model";
-import type { RoutingEffect } from "./effects.ts";
+import type { AssignmentBasis, RoutingEffect } from "./effects.ts";
 import type { Taken } from "./messages.ts";
 import type { ServerState } from "./server_state.ts";
 
@@ -15,6 +15,12 @@
   readonly priority: Call["priority"];
   /** Latest useful start, in milliseconds of `Clock.now()`. */
   readonly deadline: number;
+  /** Latest start that meets the latency objective. */
+  readonly target?: number | undefined;
+  /** Time of an answer that meets the objective. */
+  readonly objective?: number | undefined;
+  /** The server's slowdown when the call was sent; 1 if unknown. */
+  slowdown: number;
   /** A new one whenever the call starts without the dispatcher's grant. */
   ticket: number;
   readonly arrival: number;
@@ -25,6 +31,7 @@
   checks: number;
   /** The present server's answer is awaited. */
   checking: boolean;
+  by: AssignmentBasis["by"];
 }
 
 /** Tells the dispatcher of a slot that a call took. */
@@ -34,6 +41,27 @@
   return { ticket, class: name, server: server.record.id, ageMs };
 }
 
+/** Assigns a call to its server, with what is known of it. */
+export function assign(
+  open: OpenCall,
+  server: ServerState,
+  now: number,
+): RoutingEffect {
+  const { by, checks } = open;
+  const ageMs = now - server.slowdownAt;
+  const figures = Number.isFinite(ageMs) && {
+    slowdown: server.slowdown,
+    inFlight: server.reported,
+    ageMs: Math.round(ageMs),
+  };
+  return {
+    type: "assign",
+    callId: open.id,
+    server: server.record,
+    basis: { by, checks, ...figures },
+  };
+}
+
 /** Rejects a call as not run. */
 export function reject(
   callId: string,
--- a/packages/routing/server_state.ts
+++ b/packages/routing/server_state.ts
@@ -34,6 +34,8 @@
   /** The server's own figure of its speed, and when it came. */
   slowdown = 1;
   slowdownAt = Number.NEGATIVE_INFINITY;
+  /** Requests there by its last report, this entry's included. */
+  reported = 0;
   #others = 0;
   #reportedAt = Number.NEGATIVE_INFINITY;
 
@@ -60,6 +62,7 @@
 
   /** Takes over a load report; a lie can hide at most the others' calls. */
   report(inFlight: number, now: number): void {
+    this.reported = inFlight;
     const bound = 2 * this.record.slots;
     this.#others = Math.min(Math.max(0, inFlight - this.inFlight), bound);
     this.#reportedAt = now;
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -13,9 +13,10 @@
 import { DispatchLink, type EntryState } from "./dispatch_link.ts";
 import type { CallResult, CheckResult, RoutingEffect } from "./effects.ts";
 import { LocalServers } from "./local_servers.ts";
+import { isLongWork } from "./long_work.ts";
 import type { DispatchGrant, Taken, Wanted } from "./messages.ts";
 import type { Numbers } from "./numbers.ts";
-import { type OpenCall, reject, taken } from "./open_call.ts";
+import { assign, type OpenCall, reject, taken } from "./open_call.ts";
 import { PlacementChecks } from "./placement_checks.ts";
 import type { ServerState } from "./server_state.ts";
 
@@ -103,7 +104,7 @@
     options: { exclude: ReadonlySet<BackendServerId>; now: number },
   ): RoutingEffect[] {
     const { now } = options;
-    const { id, priority, deadline } = call;
+    const { id, priority, deadline, target } = call;
     if (this.#calls.has(id)) return [];
     if (deadline <= now) return [reject(id, "deadline_expired")];
     if (!this.#servers.anyReady) {
@@ -115,6 +116,9 @@
       class: call.class,
       priority,
       deadline: deadline - reserveMs,
+      target: target && target - reserveMs,
+      objective: target,
+      slowdown: 1,
       ticket: this.#options.numbers.next(),
       arrival: now,
       exclude: options.exclude,
@@ -122,6 +126,7 @@
       assignedAt: 0,
       checks: 0,
       checking: false,
+      by: "local",
     };
     this.#calls.set(id, open);
     this.#tickets.set(open.ticket, open);
@@ -135,9 +140,12 @@
     if (!open?.server) return [];
     const { ticket, server } = open;
     this.#close(open);
-    this.#servers.finished(server, { ...result, class: open.class }, now);
+    // What the server's spell added says nothing about the server itself.
+    const serviceMs = result.serviceMs / Math.max(1, open.slowdown);
+    const usual = { ...result, serviceMs, class: open.class };
+    this.#servers.finished(server, usual, now);
     this.#checks.seen(result.slowdown);
-    const { kind, serviceMs, leaving, slowdown } = result;
+    const { kind, leaving, slowdown } = result;
     if (this.link.streaming) {
       this.link.release({ ticket, kind, serviceMs, leaving, slowdown });
     }
@@ -156,7 +164,8 @@
     if (this.#checks.verdict(result, open) === "use") {
       this.#servers.checked(server, result, now);
       open.assignedAt = now;
-      return [{ type: "assign", callId, server: server.record }];
+      open.slowdown = server.slowdown;
+      return [assign(open, server, now)];
     }
     return [...this.#decline(open, result, now), ...this.#drain(now)];
   }
@@ -243,7 +252,10 @@
   #place(open: OpenCall, now: number): RoutingEffect[] {
     if (this.link.state === "attached") {
       const server = this.#useCredit(open);
-      if (server) return this.#assign(open, server, now);
+      if (server) {
+        open.by = "credit";
+        return this.#assign(open, server, now);
+      }
       const offered = this.#offer(open, now);
       return [...offered, ...this.link.flush(now)];
     }
@@ -326,13 +338,14 @@
       open.checking = true;
       return { type: "check", callId: open.id, server: server.record };
     }
-    return { type: "assign", callId: open.id, server: server.record };
+    return assign(open, server, now);
   }
 
   /** Gives a slot that became free to a waiting call without asking. */
   #reuse(server: ServerState, now: number): RoutingEffect[] {
     const open = this.#queue.peek();
     if (!open || this.link.state !== "attached") return [];
+    if (isLongWork(this.#servers.meanMs)) return [];
     const { id } = server.record;
     const waitedMs = now - open.arrival;
     const { priority } = open;
@@ -380,6 +393,7 @@
     if (open?.server) return [];
     const server = this.#servers.get(id);
     if (open && server?.ready) {
+      open.by = "grant";
       this.#queue.remove(open.id);
       return [this.#start(open, server, now, { unasked: slowed })];
     }
@@ -397,6 +411,7 @@
     const effects: RoutingEffect[] = [];
     if (this.link.state === "attached") return effects;
     const aside: OpenCall[] = [];
+    this.#queue.advance(now);
     while (this.#servers.anyFree && aside.length < MAX_SET_ASIDE) {
       const open = this.#queue.peek();
       if (!open) break;
@@ -440,6 +455,7 @@
       priority: open.priority,
       class: open.class,
       remainingMs: open.deadline - now,
+      targetMs: open.objective && open.objective - now,
       waitedMs: now - open.arrival,
       exclude: open.exclude.size > 0 ? [...open.exclude] : undefined,
     };
--- a/packages/routing/slots.ts
+++ b/packages/routing/slots.ts
@@ -5,6 +5,8 @@
   DataCentre,
   Service,
 } from "#model";
+import type { Knee } from "./knee.ts";
+import { isLongWork } from "./long_work.ts";
 import type { Outliers, ServerHealth } from "./outliers.ts";
 import { SLOWED } from "./placement_checks.ts";
 import { SPELL_MEMORY_MS } from "./server_state.ts";
@@ -12,6 +14,8 @@
 
 /** Extra load that a near server may have over a far one, as a share. */
 const NEAR_MARGIN = 0.5;
+/** The same for long work: what goes between data centres then costs more. */
+const NEAR_MARGIN_LONG_WORK = 1;
 /** Weight of a slot that an entry may take but does not use yet. */
 const CREDIT_WEIGHT = 0.3;
 /** Pause of a server that sheds; doubles while it goes on. */
@@ -91,7 +95,7 @@
     this.shedPauseMs = SHED_PAUSE_MS;
   }
 
-  refreshLimit(warmUp: WarmUp, now: number): void {
+  refreshLimit(warmUp: WarmUp, knee: Knee, now: number): void {
     const { record, health } = this;
     if (now >= this.slowedUntil) this.slowedUntil = 0;
     const out = this.leaving || record.state !== "ready";
@@ -108,7 +112,9 @@
       this.#shedAt = now;
     }
     const warm = warmUp.slots(this, now) * health.allowance(now);
-    this.limit = Math.max(1, Math.floor(Math.min(warm, this.shedLimit)));
+    const useful = knee.limit(record.slots, now);
+    const limit = Math.min(warm, useful, this.shedLimit);
+    this.limit = Math.max(1, Math.floor(limit));
   }
 }
 
@@ -116,13 +122,15 @@
 export class SlotTable {
   readonly #warmUp: WarmUp;
   readonly #outliers: Outliers;
+  readonly #knee: Knee;
   readonly #servers = new Map<BackendServerId, ServerSlots>();
   readonly #heaps = new Map<DataCentre, Heap<ServerSlots>>();
   readonly #spare = new Set<ServerSlots>();
   #free = 0;
   #limit = 0;
 
-  constructor(service: Service, outliers: Outliers) {
+  constructor(service: Service, outliers: Outliers, knee: Knee) {
+    this.#knee = knee;
     this.#warmUp = new WarmUp(service);
     this.#outliers = outliers;
   }
@@ -204,7 +212,7 @@
   /** Computes a server's limit anew after time or its standing changed. */
   refresh(server: ServerSlots, now: number): void {
     if (this.#servers.get(server.record.id) !== server) return;
-    server.refreshLimit(this.#warmUp, now);
+    server.refreshLimit(this.#warmUp, this.#knee, now);
     this.#count(server);
     if (server.spare) this.#spare.add(server);
     else this.#spare.delete(server);
@@ -221,6 +229,9 @@
     options: { over?: number; exclude?: readonly BackendServerId[] } = {},
   ): ServerSlots | undefined {
     const { over = 0, exclude } = options;
+    const nearMargin = isLongWork(this.#outliers.meanMs)
+      ? NEAR_MARGIN_LONG_WORK
+      : NEAR_MARGIN;
     let best: ServerSlots | undefined;
     let bestRank = Number.POSITIVE_INFINITY;
     for (const [dataCentre, heap] of this.#heaps) {
@@ -228,7 +239,7 @@
       if (!top || top.inUse >= top.limit + over) continue;
       // A trial or a ramp must not get calls on top of its slots.
       if (top.inUse >= top.limit && top.limit < top.record.slots) continue;
-      const margin = dataCentre === near && over === 0 ? NEAR_MARGIN : 0;
+      const margin = dataCentre === near && over === 0 ? nearMargin : 0;
       const rank = top.rank() - margin;
       if (rank >= bestRank) continue;
       best = top;
