Notice silent links to control sooner; explain refusals

A link to control that falls silent was noticed after 3.5 s only, later than the two seconds in which a change or a leave must be known.

Change: the first election after a start runs after 0.4 to 0.8 of the timeout (pre-votes keep a live leader); links with control count as dead after 1.4 s; an entry turns to the next control host after 600 ms without an answer; a refusal's log line has the queue that decided it.

Ruled out: reading the log (20 ms) and connecting (0.4 s).

--- a/packages/agreement/election.ts
+++ b/packages/agreement/election.ts
@@ -2,6 +2,12 @@
 import { type MemberKey, majorityOf } from "./members.ts";
 import type { AgreementMessage, VoteRequest } from "./messages.ts";
 
+/**
+ * Wait of a member that has just started, in election timeouts: time to connect
+ * to the others. If they have a leader, they refuse its pre-vote.
+ */
+const FIRST_WAIT_SHARE = 0.4;
+
 interface Candidacy {
   readonly type: "pre_vote" | "vote";
   readonly term: number;
@@ -22,7 +28,8 @@
 
   constructor(state: MemberState, now: number) {
     this.#state = state;
-    this.postpone(now);
+    const share = FIRST_WAIT_SHARE * (1 + state.randomness.next());
+    this.#runAt = now + ELECTION_TIMEOUT_MS * share;
   }
 
   get isRunning(): boolean {
--- a/packages/entry/configuration_follower.ts
+++ b/packages/entry/configuration_follower.ts
@@ -24,6 +24,10 @@
  * host and to its peers; above the heartbeat's period with room for jitter.
  */
 const OVERDUE_AFTER_MS = 1_500;
+/** How often a missing answer is looked for. */
+export const FOLLOW_UP_EVERY_MS = 200;
+/** Time in which a control host answers, a majority's confirmation included. */
+const ANSWER_WITHIN_MS = 600;
 
 export interface FollowerOptions {
   readonly network: Network<ConfigurationMessages>;
@@ -45,6 +49,8 @@
   #configuration: Configuration = EMPTY_CONFIGURATION;
   #control: HostId | undefined;
   #turn = 0;
+  /** When the oldest question without an answer was asked. */
+  #unansweredSince: number | undefined;
   /** The control host that has this entry's record, with its state. */
   #told: { control: HostId; state: Entry["state"] } | undefined;
 
@@ -55,6 +61,7 @@
     network.handle("state", (state, from) => {
       if (state.change) this.#apply(state.change, from);
       if (state.sequence === undefined) return;
+      this.#unansweredSince = undefined;
       this.#freshness.answered({
         sequence: state.sequence,
         version: state.version,
@@ -98,6 +105,7 @@
     if (age > OVERDUE_AFTER_MS) this.#turn += 1;
     this.#control = this.#chooseControl();
     if (this.#control !== undefined) {
+      this.#unansweredSince ??= now;
       network.send(this.#control, "confirm", {
         ...this.#news(this.#control, self()),
         version: this.version,
@@ -108,9 +116,29 @@
     if (age > OVERDUE_AFTER_MS && this.version > 0) this.#askPeers(now);
   }
 
+  /** Turns to the next control host if the last one does not answer. */
+  followUp(): void {
+    const since = this.#unansweredSince;
+    if (since === undefined) return;
+    const { clock, logger } = this.#options;
+    const waitedMs = clock.now() - since;
+    if (waitedMs < ANSWER_WITHIN_MS) return;
+    logger.info("control host does not answer", {
+      control: this.#control,
+      waitedMs: Math.round(waitedMs),
+    });
+    this.#unansweredSince = undefined;
+    this.#turn += 1;
+    this.#control = undefined;
+    this.confirm();
+  }
+
   /** The connection to a control host is lost; it may have restarted. */
   controlDown(id: HostId): void {
     if (this.#told?.control === id) this.#told = undefined;
+    if (this.#control !== id) return;
+    this.#control = undefined;
+    this.confirm();
   }
 
   /** The entry's record, unless the control host has exactly this one. */
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -33,6 +33,7 @@
 import {
   CONFIRM_EVERY_MS,
   ConfigurationFollower,
+  FOLLOW_UP_EVERY_MS,
 } from "./configuration_follower.ts";
 import { type EntryMessages, openEntryNetwork } from "./entry_network.ts";
 import { EventLoopLoad } from "./event_loop_load.ts";
@@ -270,6 +271,7 @@
     }
     this.#connect();
     this.#every(CONFIRM_EVERY_MS, () => this.#follower.confirm());
+    this.#every(FOLLOW_UP_EVERY_MS, () => this.#follower.followUp());
     this.#decisions.start();
     this.#every(TICK_MS, () => this.#registrations.tick());
     this.#every(QUARANTINE_TICK_MS, () => this.#suspects.tick());
--- a/packages/routing/dispatcher.ts
+++ b/packages/routing/dispatcher.ts
@@ -238,7 +238,9 @@
     entry.wants.delete(ticket);
     const waitMs = this.#waitMs(this.#queue.length + 1);
     const retryAfterMs = Math.max(MIN_RETRY_MS, Math.ceil(waitMs));
-    entry.draft.rejects.push({ ticket, code: "queue_full", retryAfterMs });
+    const detail = `${this.#queue.length} calls wait for ${this.slots.limit} usable slots`;
+    const code = "queue_full";
+    entry.draft.rejects.push({ ticket, code, retryAfterMs, detail });
     this.#ledger.drafted.add(entry);
   }
 
--- a/packages/routing/messages.ts
+++ b/packages/routing/messages.ts
@@ -97,6 +97,8 @@
     readonly ticket: number;
     readonly code: CallFaultCode;
     readonly retryAfterMs: number;
+    /** What decided it, for the log. */
+    readonly detail?: string;
   }[];
   /** Slots that the entry may take without asking, until revoked. */
   readonly credits: readonly BackendServerId[];
--- a/packages/routing/open_call.ts
+++ b/packages/routing/open_call.ts
@@ -66,7 +66,7 @@
 export function reject(
   callId: string,
   code: CallFaultCode,
-  retryAfterMs?: number,
+  reason: { retryAfterMs?: number; detail?: string | undefined } = {},
 ): RoutingEffect {
-  return { type: "reject", callId, fault: callFault(code, { retryAfterMs }) };
+  return { type: "reject", callId, fault: callFault(code, reason) };
 }
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -108,7 +108,8 @@
     if (this.#calls.has(id)) return [];
     if (deadline <= now) return [reject(id, "deadline_expired")];
     if (!this.#servers.anyReady) {
-      return [reject(id, "no_server", NO_SERVER_RETRY_MS)];
+      const retryAfterMs = NO_SERVER_RETRY_MS;
+      return [reject(id, "no_server", { retryAfterMs })];
     }
     const reserveMs = Math.min(this.#servers.meanMs, (deadline - now) / 2);
     const open: OpenCall = {
@@ -211,12 +212,12 @@
     for (const granted of grant.grants) {
       effects.push(...this.#granted(granted, now));
     }
-    for (const { ticket, code, retryAfterMs } of grant.rejects) {
+    for (const { ticket, code, ...reason } of grant.rejects) {
       const open = this.#tickets.get(ticket);
       if (!open || open.server) continue;
       this.#queue.remove(open.id);
       this.#close(open);
-      effects.push(reject(open.id, code, retryAfterMs));
+      effects.push(reject(open.id, code, reason));
     }
     effects.push(...this.link.flush(now));
     return effects;
@@ -267,7 +268,7 @@
     const waitMs = this.#waitMs(this.#queue.ahead(open.priority));
     if (now + waitMs > open.deadline) {
       this.#close(open);
-      return [reject(open.id, "queue_full", this.#retryMs())];
+      return [reject(open.id, "queue_full", this.#crowded())];
     }
     return [...this.#offer(open, now), ...this.link.flush(now)];
   }
@@ -301,7 +302,7 @@
     const loser = offer.type === "full" ? open : offer.evicted;
     this.#close(loser);
     if (loser !== open) this.link.cancel(loser.ticket);
-    return [reject(loser.id, "queue_full", this.#retryMs())];
+    return [reject(loser.id, "queue_full", this.#crowded())];
   }
 
   /**
@@ -429,7 +430,7 @@
     return this.#queue.expire(now).map((open) => {
       this.#close(open);
       this.link.cancel(open.ticket);
-      return reject(open.id, "deadline_expired", this.#retryMs());
+      return reject(open.id, "deadline_expired", this.#crowded());
     });
   }
 
@@ -470,6 +471,13 @@
     return (calls * this.#servers.meanMs) / Math.max(1, this.#servers.slots);
   }
 
+  /** When to come back, and what stands in the way. */
+  #crowded(): { retryAfterMs: number; detail: string } {
+    const { state } = this.link;
+    const detail = `${this.#queue.length} calls wait here, dispatcher ${state}`;
+    return { retryAfterMs: this.#retryMs(), detail };
+  }
+
   #retryMs(): number {
     const waitMs = this.#waitMs(this.#queue.length + 1);
     return Math.max(MIN_RETRY_MS, Math.ceil(waitMs));
--- a/packages/wire/link.ts
+++ b/packages/wire/link.ts
@@ -3,10 +3,20 @@
 import { encodeFrame, type FrameFault, FrameReader } from "./frames.ts";
 import { type Hello, PROTOCOL_VERSION } from "./messages.ts";
 
-/** Silence after which an idle link sends a ping. */
-const PING_AFTER_MS = 1_000;
-/** Silence after which a link counts as dead (a silent partition). */
-const DEAD_AFTER_MS = 3_500;
+/** Silence of a link, in milliseconds. */
+interface Patience {
+  /** After it, an idle link sends a ping. */
+  readonly pingAfterMs: number;
+  /** After it, a link counts as dead (a silent partition). */
+  readonly deadAfterMs: number;
+}
+
+const BETWEEN_ENTRIES: Patience = { pingAfterMs: 1_000, deadAfterMs: 3_500 };
+/**
+ * Changes and leaves reach entries over these links, and must do so within two
+ * seconds of their acknowledgement, also after a link fell silent.
+ */
+const WITH_CONTROL: Patience = { pingAfterMs: 400, deadAfterMs: 1_400 };
 /** Unsent bytes above which a peer that does not read is disconnected. */
 const MAX_UNSENT_BYTES = 8 * 1024 * 1024;
 
@@ -94,11 +104,17 @@
     if (!this.#open) return;
     const now = this.#options.clock.now();
     const silence = now - this.#lastReceived;
-    if (silence > DEAD_AFTER_MS) {
+    const { pingAfterMs, deadAfterMs } = this.#patience;
+    if (silence > deadAfterMs) {
       this.close({ type: "link_silent", ms: Math.round(silence) });
       return;
     }
-    if (now - this.#lastSent >= PING_AFTER_MS) this.send("ping", null);
+    if (now - this.#lastSent >= pingAfterMs) this.send("ping", null);
+  }
+
+  get #patience(): Patience {
+    const roles = [this.#options.self.role, this.#peer?.role];
+    return roles.includes("control") ? WITH_CONTROL : BETWEEN_ENTRIES;
   }
 
   close(fault: LinkFault): void {
