Tell a reset from the end of an answer without a length

Node reports a reset as a plain end where it comes with the last bytes (reproduced on loopback, 2 of 4 framings), and ends the answer as complete after an error.

Change: at the end of such an answer the connection's remote address is looked up, which a reset one no longer has; an error counts as a cut. Long answers that are passed on as they come are not ended then.

--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -7,11 +7,14 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { type BackendServer, backendServerKey } from "#model";
-import type { AnswerReport, CallProtocol } from "./call_protocol.ts";
+import type { CallProtocol } from "./call_protocol.ts";
 import type { RequestBody } from "./request_body.ts";
+import {
+  type AnswerHead,
+  type ClientEnd,
+  collectAnswer,
+} from "./server_answer.ts";
 
-/** Answers up to this size are checked to be whole before they are passed on. */
-export const BUFFERED_ANSWER_BYTES = 64 * 1024;
 /** Idle connections close before servers usually close theirs (5 s). */
 const IDLE_CONNECTION_MS = 4_000;
 /** Part of the idle time that a server states; a request may cross its close. */
@@ -29,35 +32,6 @@
   readonly requestId: string | undefined;
 }
 
-/** A server's answer: whole if it is short, else still arriving. */
-export type BackendAnswer = WholeAnswer | StreamedAnswer;
-
-interface AnswerHead extends AnswerReport {
-  readonly status: number;
-  readonly headers: IncomingHttpHeaders;
-  readonly rawHeaders: readonly string[];
-}
-
-interface WholeAnswer extends AnswerHead {
-  readonly body: Buffer;
-  readonly stream?: undefined;
-}
-
-interface StreamedAnswer extends AnswerHead {
-  readonly body?: undefined;
-  readonly stream: IncomingMessage;
-}
-
-/** How an attempt went wrong; only `not_connected` proves that it never ran. */
-export type ClientFault =
-  | { readonly type: "not_connected"; readonly detail: string }
-  | { readonly type: "connection_lost"; readonly detail: string }
-  | { readonly type: "answer_cut"; readonly detail: string };
-
-export type ClientEnd =
-  | { readonly type: "answer"; readonly answer: BackendAnswer }
-  | { readonly type: "fault"; readonly fault: ClientFault };
-
 /** One request under way at a backend server. */
 export interface Attempt {
   readonly end: Promise<ClientEnd>;
@@ -121,7 +95,7 @@
           outgoing.destroy();
           return;
         }
-        void collect(response, head).then(settle);
+        void collectAnswer(response, head).then(settle);
       });
     });
     sendBody(outgoing, request.body);
@@ -215,36 +189,3 @@
   outgoing.write(body.head);
   body.rest.pipe(outgoing);
 }
-
-/** Waits for a short body to be whole; a long one is passed on as it comes. */
-function collect(
-  response: IncomingMessage,
-  head: AnswerHead,
-): Promise<ClientEnd> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    const onData = (chunk: Buffer) => {
-      chunks.push(chunk);
-      length += chunk.length;
-      if (length <= BUFFERED_ANSWER_BYTES) return;
-      response.pause();
-      response.off("data", onData);
-      response.off("end", onEnd);
-      response.unshift(Buffer.concat(chunks));
-      const answer = { ...head, stream: response };
-      resolve({ type: "answer", answer });
-    };
-    const onEnd = () => {
-      const answer = { ...head, body: Buffer.concat(chunks) };
-      resolve({ type: "answer", answer });
-    };
-    response.on("data", onData);
-    response.once("end", onEnd);
-    const cut = (detail: string) => {
-      resolve({ type: "fault", fault: { type: "answer_cut", detail } });
-    };
-    response.once("error", (error) => cut(error.message));
-    response.once("close", () => cut("connection closed"));
-  });
-}
--- a/packages/entry/call_attempts.ts
+++ b/packages/entry/call_attempts.ts
@@ -8,8 +8,8 @@
 } from "#admission";
 import { type BackendServer, type CallFault, callFault } from "#model";
 import type { AssignmentBasis } from "#routing";
-import type { BackendAnswer } from "./backend_client.ts";
 import type { CallEngineOptions } from "./call_engine.ts";
+import type { BackendAnswer } from "./server_answer.ts";
 import {
   type AttemptWork,
   ServerAttempt,
--- a/packages/entry/call_reply.ts
+++ b/packages/entry/call_reply.ts
@@ -1,9 +1,9 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { StoredAnswer } from "#claims";
 import { type CallFault, HEADERS, type Outcome } from "#model";
-import type { BackendAnswer } from "./backend_client.ts";
 import type { CallProtocol } from "./call_protocol.ts";
 import { replyFault } from "./reply.ts";
+import type { BackendAnswer } from "./server_answer.ts";
 
 /** Statuses whose answers have no body, and so no length to add. */
 const BODILESS: ReadonlySet<number> = new Set([204, 304]);
@@ -40,7 +40,7 @@
     });
     if (answer.stream) {
       response.writeHead(answer.status, headers);
-      this.#pipe(answer.stream);
+      this.#pipe(answer.stream, answer.wasCut);
       return;
     }
     const bodiless = method === "HEAD" || BODILESS.has(answer.status);
@@ -74,15 +74,24 @@
   }
 
   /** Passes a long answer on; one that is cut never looks whole. */
-  #pipe(body: IncomingMessage): void {
+  #pipe(body: IncomingMessage, wasCut: () => boolean): void {
     const { response } = this.#options;
-    body.pipe(response);
-    body.once("end", () => this.#end("answered"));
-    body.once("error", () => response.destroy());
-    body.once("close", () => {
-      if (body.complete) return;
+    const cut = () => {
       this.#end("unknown");
       response.destroy();
+    };
+    body.pipe(response, { end: false });
+    body.once("end", () => {
+      if (wasCut()) {
+        cut();
+        return;
+      }
+      response.end();
+      this.#end("answered");
+    });
+    body.once("error", cut);
+    body.once("close", () => {
+      if (!body.complete) cut();
     });
     response.once("close", () => body.destroy());
   }
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -42,10 +42,10 @@
 import { KeyClaims } from "./key_claims.ts";
 import { KnownServers } from "./known_servers.ts";
 import { OwnPaths } from "./own_paths.ts";
-import { PlannedStops } from "./planned_stops.ts";
 import { Prober } from "./prober.ts";
 import { ServicePolicies } from "./service_policies.ts";
 import { QUARANTINE_TICK_MS, Suspects } from "./suspects.ts";
+import { UsableServers } from "./usable_servers.ts";
 
 /** How often the entry's own load is measured and told to the others. */
 const LOAD_EVERY_MS = 1_000;
@@ -80,7 +80,7 @@
   readonly #policies: ServicePolicies;
   readonly #engine: CallEngine;
   readonly #follower: ConfigurationFollower;
-  readonly #stops = new PlannedStops();
+  readonly #usable = new UsableServers();
   readonly #metrics: Metrics;
   readonly #callers: CallerServer;
   readonly #admin: AdminServer;
@@ -89,8 +89,6 @@
   readonly #decisions: ActivityTimer;
   readonly #hostRoutes: HostRoutes;
   #classifier: Classifier;
-  /** Backend servers that said they leave, by id. */
-  #leaving = new Map<string, number>();
   #state: EntryState = "ready";
   #seeds: readonly Address[];
   #applied: Configuration = EMPTY_CONFIGURATION;
@@ -199,7 +197,7 @@
       self: () => this.#record(),
       controls: () => this.#connectedControls(),
       stopReports: () =>
-        this.#stops.reports((matches) => this.#engine.inFlightAt(matches)),
+        this.#usable.stopReports((matches) => this.#engine.inFlightAt(matches)),
       changed: (configuration) => this.#configure(configuration),
       confirmedForMs: settings.confirmedForMs,
     });
@@ -440,7 +438,7 @@
 
   #configure(configuration: Configuration): void {
     const now = this.#options.clock.now();
-    const { document, view, stops } = configuration;
+    const { document, view } = configuration;
     const { services } = document;
     const before = this.#applied;
     this.#applied = configuration;
@@ -470,15 +468,7 @@
         now,
       ),
     );
-    const sameStops =
-      before.stops === stops && before.document.stops === document.stops;
-    const sameLeaving = before.leaving === configuration.leaving;
-    if (!sameStops || !sameLeaving || before.document.services !== services) {
-      this.#stops.configure(configuration);
-      this.#leaving = new Map(
-        configuration.leaving.map(({ id, incarnation }) => [id, incarnation]),
-      );
-      // Stops that began or ended change the servers that take work.
+    if (this.#usable.configure(configuration)) {
       for (const name of names) {
         this.#serversChanged(name, this.#servers.of(name));
       }
@@ -490,12 +480,7 @@
 
   #serversChanged(service: string, servers: readonly BackendServer[]): void {
     const now = this.#options.clock.now();
-    const usable = servers.filter(
-      (server) =>
-        server.state === "ready" &&
-        !this.#stops.covers(server) &&
-        server.incarnation > (this.#leaving.get(server.id) ?? -1),
-    );
+    const usable = this.#usable.of(servers);
     this.#assignments.carryOut(this.#router.setServers(service, usable, now));
   }
 
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -10,9 +10,10 @@
 import type { Fingerprint } from "#quarantine";
 import type { AssignmentBasis, CallResultKind } from "#routing";
 import type { Assignment } from "./assignments.ts";
-import type { Attempt, BackendAnswer, ClientEnd } from "./backend_client.ts";
+import type { Attempt } from "./backend_client.ts";
 import type { CallEngineOptions } from "./call_engine.ts";
 import type { RequestBody } from "./request_body.ts";
+import type { BackendAnswer, ClientEnd } from "./server_answer.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 
