Refuse hopeless calls at once; do not blame servers for late starts

Logs: 686 calls cut at their timeout counted as failures of their servers, servers were ejected, usable slots fell from 28 to 5 (refusals name 5 and 13), and 930 calls waited in the queue until their deadline while few were ahead. Checks before sends stopped at 5.8 a second an entry, as their budget counts round trips.

Change: a call cut at its deadline is evidence of slowness by how long it ran, not a failure; the dispatcher counts the usual work of a class back from the time at which the caller gives up; a call that will not start in time is refused when it comes, a late one as soon as those before it leave no time; checks may take 5% of the slots' time by their round trips.

--- a/packages/admission/class_queue.ts
+++ b/packages/admission/class_queue.ts
@@ -149,6 +149,20 @@
     }
   }
 
+  /** The late calls in the order in which they go, urgent ones first. */
+  late(): T[] {
+    return PRIORITIES.flatMap((priority) =>
+      [...this.#late[priority].items()]
+        .sort((a, b) => (beforeByDeadline(a, b) ? -1 : 1))
+        .map(({ item }) => item),
+    );
+  }
+
+  /** Calls that can still meet their objective. */
+  get timely(): number {
+    return this.#timely.urgent.size + this.#timely.patient.size;
+  }
+
   /** Removes and returns the calls whose latest start is before `now`. */
   expire(now: number): T[] {
     this.advance(now);
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -255,6 +255,6 @@
     if (notStarted || wrongServer) return "not_started";
     return ended.answer.status >= 500 ? "failed" : "answered";
   }
-  // A call that ran into its deadline counts against the server.
-  return stopped === undefined || stopped === "expired" ? "lost" : "cancelled";
+  if (stopped === "expired") return "expired";
+  return stopped === undefined ? "lost" : "cancelled";
 }
--- a/packages/routing/dispatcher.ts
+++ b/packages/routing/dispatcher.ts
@@ -12,6 +12,8 @@
 const REBUILD_MS = 15;
 /** Slots of an entry that is silent for so long count as free. */
 const ENTRY_LEASE_MS = 700;
+/** Part of its time that a late call may be expected to wait. */
+const LATE_WAIT_SHARE = 0.5;
 /** Time that a call may take, relative to the usual for its class. */
 const WORK_MARGIN = 1.4;
 /** Calls that a server may get above its slots. */
@@ -164,6 +166,8 @@
       want.entry.wants.delete(want.ticket);
     }
     this.#ledger.tick(now);
+    this.#queue.advance(now);
+    this.#refuseHopeless(now);
     return this.#advance(now);
   }
 
@@ -193,14 +197,12 @@
       ticket,
       priority: wanted.priority,
       class: wanted.class,
-      deadline: now + wanted.remainingMs,
-      target: this.#latestStart(wanted, now),
+      ...this.#latestStarts(wanted, now),
       exclude: wanted.exclude,
       entry,
       since: now - wanted.waitedMs,
     };
-    const waitMs = this.#waitMs(this.#queue.ahead(want.priority));
-    if (this.slots.free === 0 && now + waitMs > want.deadline) {
+    if (this.slots.free === 0 && !this.#worthWaiting(want, now)) {
       this.#reject(want);
       return;
     }
@@ -210,12 +212,45 @@
     if (offer.type === "queued_instead") this.#reject(offer.evicted);
   }
 
-  /** Latest start that meets a call's objective, as far as work is known. */
-  #latestStart(wanted: Wanted, now: number): number | undefined {
-    const { targetMs, class: name } = wanted;
-    if (targetMs === undefined) return undefined;
-    const usualMs = this.#ledger.knee.usualMs(name) ?? 0;
-    return now + targetMs - WORK_MARGIN * usualMs;
+  /**
+   * Whether a call is likely to start in time, or soon enough after it. One
+   * that would wait for nothing is better told at once when to come back.
+   */
+  #worthWaiting(want: Want, now: number): boolean {
+    const { priority, target, deadline } = want;
+    const startsAt = now + this.#waitMs(this.#queue.ahead(priority));
+    if (startsAt <= (target ?? deadline)) return true;
+    if (target === undefined) return false;
+    const allMs = this.#waitMs(this.#queue.length);
+    return allMs <= LATE_WAIT_SHARE * (deadline - now);
+  }
+
+  /** Refuses late calls that those before them leave no time. */
+  #refuseHopeless(now: number): void {
+    let ahead = this.#queue.timely;
+    for (const want of this.#queue.late()) {
+      if (now + this.#waitMs(ahead) <= want.deadline) {
+        ahead += 1;
+        continue;
+      }
+      this.#queue.remove(want.id);
+      this.#reject(want);
+    }
+  }
+
+  /** Until when a call may start, as far as the work of its class is known. */
+  #latestStarts(
+    wanted: Wanted,
+    now: number,
+  ): Pick<Want, "deadline" | "target"> {
+    const { remainingMs, answerMs, targetMs, class: name } = wanted;
+    const usualMs = this.#ledger.knee.usualMs(name);
+    const workMs = WORK_MARGIN * (usualMs ?? 0);
+    const known = usualMs !== undefined && answerMs !== undefined;
+    return {
+      deadline: now + (known ? answerMs - workMs : remainingMs),
+      target: targetMs === undefined ? undefined : now + targetMs - workMs,
+    };
   }
 
   #unwant(entry: DispatchEntry, ticket: number): void {
--- a/packages/routing/effects.ts
+++ b/packages/routing/effects.ts
@@ -17,13 +17,15 @@
 /**
  * `answered`: complete answer; `failed`: error answer; `not_started`: the
  * server proved that it did not start the call (shed); `lost`: connection
- * broken or timed out; `cancelled`: given up by the caller.
+ * broken; `expired`: cut at the call's deadline; `cancelled`: given up by the
+ * caller.
  */
 export type CallResultKind =
   | "answered"
   | "failed"
   | "not_started"
   | "lost"
+  | "expired"
   | "cancelled";
 
 /** A probe's answer. */
--- a/packages/routing/messages.ts
+++ b/packages/routing/messages.ts
@@ -34,6 +34,8 @@
   readonly class: string;
   /** Time left until the call must start, in milliseconds. */
   readonly remainingMs: number;
+  /** Time left until the caller gives up, in milliseconds. */
+  readonly answerMs?: number | undefined;
   /** Time left to meet the latency objective, in milliseconds. */
   readonly targetMs?: number | undefined;
   /** Time that the call has waited, in milliseconds. */
--- a/packages/routing/open_call.ts
+++ b/packages/routing/open_call.ts
@@ -17,6 +17,8 @@
   readonly deadline: number;
   /** Latest start that meets the latency objective. */
   readonly target?: number | undefined;
+  /** Time at which the caller gives up. */
+  readonly expires: number;
   /** Time of an answer that meets the objective. */
   readonly objective?: number | undefined;
   /** The server's slowdown when the call was sent; 1 if unknown. */
--- a/packages/routing/outliers.ts
+++ b/packages/routing/outliers.ts
@@ -130,6 +130,7 @@
     if (health.removed) return false;
     const before = health.standing;
     if (seen.kind === "answered") this.#answered(health, seen, now);
+    else if (seen.kind === "expired") this.#cutOff(health, seen, now);
     else if (seen.kind === "failed" || seen.kind === "lost") {
       this.#failed(health, now);
     }
@@ -195,6 +196,26 @@
     }
   }
 
+  /**
+   * A call ran until its deadline. Under load a call may start late, so that
+   * this is no failure; how long it ran tells whether the server is slow.
+   */
+  #cutOff(health: ServerHealth, seen: Observation, now: number): void {
+    const ratio = this.#ratio(seen);
+    health.samples += 1;
+    if (ratio > health.ratio) {
+      health.ratio += SAMPLE_WEIGHT * (ratio - health.ratio);
+    }
+    health.slowEvidence += slowExposure(ratio);
+    if (health.standing === "trial") {
+      this.#failed(health, now);
+      return;
+    }
+    if (health.standing !== "good") return;
+    if (health.slowEvidence < SLOW_THRESHOLD) return;
+    this.#convict(health, Math.max(ratio, health.ratio), now);
+  }
+
   #failed(health: ServerHealth, now: number): void {
     health.success -= SAMPLE_WEIGHT * health.success;
     health.failEvidence += 1;
--- a/packages/routing/placement_checks.ts
+++ b/packages/routing/placement_checks.ts
@@ -9,11 +9,14 @@
 export const SLOWED = 1.5;
 /** Servers that are asked for one call before the next is taken unasked. */
 const MAX_CHECKS = 4;
-/** Slot time of a check that has not been measured, in milliseconds. */
+/** Round trip of a check that has not been measured, in milliseconds. */
 const CHECK_COST_MS = 6;
 const COST_WEIGHT = 0.1;
-/** Part of the slots' time that checks may take. */
-const SLOT_SHARE = 0.02;
+/**
+ * Part of the slots' time that checks may take, by their round trips; the slot
+ * itself is busy for less than half of one.
+ */
+const SLOT_SHARE = 0.05;
 /** Time for which unused budget is kept, in milliseconds. */
 const SAVED_MS = 2_000;
 
