--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -22,14 +22,7 @@
   HostId,
   Randomness,
 } from "#model";
-import {
-  type Answer,
-  type LeaseAnswer,
-  Presence,
-  type PresenceMessages,
-  TICK_MS,
-} from "#presence";
-import { Registrations } from "#registration";
+import { type PresenceMessages, TICK_MS } from "#presence";
 import { Registry, type RegistryCommand, type RegistryReply } from "#registry";
 import type { ControlSettings, FoundingMember } from "#settings";
 import { openReplicatedLog } from "#storage";
@@ -45,6 +38,7 @@
 import { LeaderDuties } from "./leader_duties.ts";
 import { MemberAdmission } from "./member_admission.ts";
 import { Publisher } from "./publisher.ts";
+import { ServerRegistrar } from "./server_registrar.ts";
 
 type ControlMessages = AgreementMessages &
   ConfigurationMessages &
@@ -88,7 +82,8 @@
   readonly #duties: LeaderDuties;
   readonly #inventory: Inventory;
   readonly #connectedSince: ReadonlyMap<HostId, number>;
-  readonly #registrations: Registrations;
+  /** Backend servers that announce themselves here. */
+  readonly registrar: ServerRegistrar;
   readonly #peers: ControlPeers;
   readonly #admission: MemberAdmission | undefined;
   readonly #timers: NodeJS.Timeout[];
@@ -110,7 +105,7 @@
       acceptance,
     });
     this.#inventory = new Inventory(network);
-    this.#registrations = parts.registrations;
+    this.registrar = parts.registrar;
     this.#peers = parts.peers;
     this.#admission =
       options.settings.discovery &&
@@ -121,7 +116,7 @@
       });
     this.#timers = [
       setInterval(() => this.#tick(), DUTIES_EVERY_MS),
-      setInterval(() => this.#registrations.tick(), TICK_MS),
+      setInterval(() => this.registrar.tick(), TICK_MS),
     ];
   }
 
@@ -139,29 +134,19 @@
       up: ({ id, role }) => {
         connectedSince.set(id, clock.now());
         logger.info("peer connected", { peer: id, role });
-        if (role === "entry") registrations.peerUp(id);
+        if (role === "entry") registrar.entryUp(id);
       },
       down: ({ id, role }) => {
         connectedSince.delete(id);
         logger.info("peer lost", { peer: id, role });
         publisher.disconnected(id);
-        if (role === "entry") registrations.peerDown(id);
+        if (role === "entry") registrar.entryDown(id);
       },
     });
-    const registrations = new Registrations({
-      presence: new Presence({
-        id: settings.id,
-        incarnation,
-        dataCentre: settings.dataCentre,
-        randomness,
-      }),
-      clock,
+    const registrar = new ServerRegistrar({
+      ...options,
+      incarnation,
       network,
-      changed: () => undefined,
-      gone: (server, reason) => {
-        const { id, service } = server;
-        logger.info("backend server gone", { server: id, service, reason });
-      },
     });
     const peers = new ControlPeers({ settings, network });
     const publisher: Publisher = new Publisher({
@@ -176,15 +161,7 @@
       acceptance.advance(configuration);
       publisher.publish(configuration);
       peers.configure(configuration);
-      registrations.carryOut(
-        registrations.presence.configure(
-          {
-            services: configuration.document.services.map(({ name }) => name),
-            view: configuration.view,
-          },
-          clock.now(),
-        ),
-      );
+      registrar.configure(configuration);
     };
     let log: ReplicatedLog<RegistryCommand, RegistryReply> | undefined;
     const opened = await openReplicatedLog<RegistryCommand, RegistryReply>({
@@ -232,7 +209,7 @@
         acceptance,
         publisher,
         connectedSince,
-        registrations,
+        registrar,
         peers,
       }),
     );
@@ -285,24 +262,6 @@
     this.#peers.setSeeds(seeds);
   }
 
-  /** Registers a backend server here, for all entries. */
-  announce(server: BackendServer): Answer<LeaseAnswer> {
-    const now = this.#options.clock.now();
-    const answer = this.#registrations.presence.announce(server, now);
-    this.#registrations.carryOut(answer.effects);
-    return answer;
-  }
-
-  /** The newest incarnation that a server announced here. */
-  incarnationOf(id: string): number | undefined {
-    const { presence } = this.#registrations;
-    const now = this.#options.clock.now();
-    return presence
-      .services()
-      .flatMap((service) => presence.servers(service, now))
-      .find((server) => server.id === id)?.incarnation;
-  }
-
   /** Whether the agreed state has it that this incarnation leaves. */
   knowsLeaving(id: string, incarnation: number): boolean {
     const { leaving } = this.#registry.configuration();
@@ -420,7 +379,7 @@
   readonly acceptance: Acceptance;
   readonly publisher: Publisher;
   readonly connectedSince: ReadonlyMap<HostId, number>;
-  readonly registrations: Registrations;
+  readonly registrar: ServerRegistrar;
   readonly peers: ControlPeers;
 }
 
--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -94,7 +94,7 @@
       const left = await this.leave(server);
       return left.type === "recorded" ? { type: "accepted" } : left;
     }
-    const { result } = this.#control.announce(server);
+    const { result } = this.#control.registrar.announce(server);
     if (result.isOk()) return { type: "accepted" };
     const { id, service, incarnation, sequence } = server;
     const fault = result.error;
@@ -116,7 +116,9 @@
     const { id } = server;
     // Without a known start, every incarnation up to the present one leaves.
     const incarnation =
-      server.incarnation ?? this.#control.incarnationOf(id) ?? this.#epoch();
+      server.incarnation ??
+      this.#control.registrar.incarnationOf(id) ??
+      this.#epoch();
     if (this.#control.knowsLeaving(id, incarnation)) {
       return { type: "recorded" };
     }
--- a/packages/routing/knee.ts
+++ b/packages/routing/knee.ts
@@ -38,7 +38,7 @@
 
   observe(call: CrowdedCall, now: number): void {
     const { serviceMs, running, slots } = call;
-    const easy = running <= EASY_SHARE * slots;
+    const easy = running <= Math.max(1, EASY_SHARE * slots);
     const usual = this.#usualMs.get(call.class);
     if (easy && usual) add(usual, serviceMs, now);
     else if (easy) {
--- a/packages/routing/local_servers.ts
+++ b/packages/routing/local_servers.ts
@@ -17,7 +17,6 @@
 
 /** The servers of one service as one entry sees them from its own calls. */
 export class LocalServers {
-  #service: Service;
   readonly #warmUp: WarmUp;
   readonly #dataCentre: DataCentre;
   readonly #random: Randomness;
@@ -26,12 +25,12 @@
   /** Ready servers on which this entry does not use every slot. */
   readonly #free = new SampleSet<ServerState>();
   #ready = 0;
+  #readySlots = 0;
 
   constructor(
     service: Service,
     options: { dataCentre: DataCentre; random: Randomness },
   ) {
-    this.#service = service;
     this.#dataCentre = options.dataCentre;
     this.#random = options.random;
     this.#outliers = new Outliers(service);
@@ -54,11 +53,10 @@
 
   /** Slots of the servers that take calls. */
   get slots(): number {
-    return this.#ready * this.#service.slotsPerServer;
+    return this.#readySlots;
   }
 
   configure(service: Service): void {
-    this.#service = service;
     this.#outliers.configure(service);
     this.#warmUp.configure(service);
   }
@@ -163,10 +161,13 @@
   tick(now: number): void {
     this.#outliers.tick(now);
     this.#ready = 0;
+    this.#readySlots = 0;
     this.#warmUp.update(this.#servers.values(), now);
     for (const server of this.#servers.values()) {
       this.#refresh(server, now);
-      if (server.ready) this.#ready += 1;
+      if (!server.ready) continue;
+      this.#ready += 1;
+      this.#readySlots += server.record.slots;
     }
   }
 
--- a/packages/routing/open_call.ts
+++ b/packages/routing/open_call.ts
@@ -5,7 +5,7 @@
   callFault,
 } from "#model";
 import type { AssignmentBasis, RoutingEffect } from "./effects.ts";
-import type { Taken } from "./messages.ts";
+import type { Taken, Wanted } from "./messages.ts";
 import type { ServerState } from "./server_state.ts";
 
 /** A call from its submission to its end. */
@@ -36,6 +36,53 @@
   by: AssignmentBasis["by"];
 }
 
+/** A call as it is submitted, without a server. */
+export function openCall(
+  call: Call,
+  about: {
+    ticket: number;
+    exclude: ReadonlySet<BackendServerId>;
+    /** Time that its work takes, as far as this entry knows. */
+    reserveMs: number;
+    now: number;
+  },
+): OpenCall {
+  const { ticket, exclude, reserveMs, now } = about;
+  const { id, priority, deadline, target } = call;
+  return {
+    id,
+    class: call.class,
+    priority,
+    deadline: deadline - reserveMs,
+    target: target && target - reserveMs,
+    expires: deadline,
+    objective: target,
+    slowdown: 1,
+    ticket,
+    arrival: now,
+    exclude,
+    server: undefined,
+    assignedAt: 0,
+    checks: 0,
+    checking: false,
+    by: "local",
+  };
+}
+
+/** What a dispatcher is told of a call that waits. */
+export function wanted(open: OpenCall, now: number): Wanted {
+  return {
+    ticket: open.ticket,
+    priority: open.priority,
+    class: open.class,
+    remainingMs: open.deadline - now,
+    answerMs: open.expires - now,
+    targetMs: open.objective && open.objective - now,
+    waitedMs: now - open.arrival,
+    exclude: open.exclude.size > 0 ? [...open.exclude] : undefined,
+  };
+}
+
 /** Tells the dispatcher of a slot that a call took. */
 export function taken(open: OpenCall, server: ServerState, now: number): Taken {
   const { ticket, class: name, assignedAt } = open;
--- /dev/null
+++ b/packages/routing/open_calls.ts
@@ -0,0 +1,51 @@
+import { ClassQueue } from "#admission";
+import type { OpenCall } from "./open_call.ts";
+
+/** The calls of one service that are open at one entry. */
+export class OpenCalls {
+  readonly #calls = new Map<string, OpenCall>();
+  readonly #tickets = new Map<number, OpenCall>();
+  /** Those that wait, for a grant or for a server of the local choice. */
+  readonly queue: ClassQueue<OpenCall>;
+  readonly #nextTicket: () => number;
+
+  constructor(options: { queueLength: number; nextTicket: () => number }) {
+    this.queue = new ClassQueue(options.queueLength);
+    this.#nextTicket = options.nextTicket;
+  }
+
+  get size(): number {
+    return this.#calls.size;
+  }
+
+  all(): IterableIterator<OpenCall> {
+    return this.#calls.values();
+  }
+
+  get(id: string): OpenCall | undefined {
+    return this.#calls.get(id);
+  }
+
+  /** The call that holds a ticket now. */
+  holding(ticket: number): OpenCall | undefined {
+    return this.#tickets.get(ticket);
+  }
+
+  open(call: OpenCall): void {
+    this.#calls.set(call.id, call);
+    this.#tickets.set(call.ticket, call);
+  }
+
+  /** Gives a call another ticket, so that a grant for the old one is void. */
+  renewTicket(call: OpenCall): void {
+    this.#tickets.delete(call.ticket);
+    call.ticket = this.#nextTicket();
+    this.#tickets.set(call.ticket, call);
+  }
+
+  close(call: OpenCall): void {
+    this.queue.remove(call.id);
+    this.#calls.delete(call.id);
+    this.#tickets.delete(call.ticket);
+  }
+}
--- /dev/null
+++ b/packages/routing/overload_test.ts
@@ -0,0 +1,121 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { makeServer, TestCluster } from "./test_cluster.ts";
+
+const WORK_MS = 200;
+const OBJECTIVE_MS = 600;
+const TIMEOUT_MS = 2_000;
+
+/** Four servers of one slot whose work is known to take `WORK_MS`. */
+function busy(): TestCluster {
+  const servers = ["s1", "s2", "s3", "s4"].map((id) =>
+    makeServer(id, { slots: 1 }),
+  );
+  const cluster = new TestCluster({ servers });
+  for (let round = 0; round < 10; round++) {
+    const calls = servers.map(() => cluster.submit(cluster.other));
+    cluster.advance(WORK_MS);
+    for (const call of calls) {
+      if (!cluster.running.has(call)) continue;
+      cluster.finish(call, { serviceMs: WORK_MS });
+    }
+    cluster.advance(5);
+  }
+  return cluster;
+}
+
+function submit(cluster: TestCluster): string {
+  return cluster.submit(cluster.other, {
+    target: cluster.now + OBJECTIVE_MS,
+    deadline: cluster.now + TIMEOUT_MS,
+  });
+}
+
+/** Ends calls when their work is done, for some time. */
+function run(cluster: TestCluster, ms: number, each: () => void): void {
+  const started = new Map<string, number>();
+  for (let step = 0; step < ms; step += 5) {
+    each();
+    cluster.advance(5);
+    for (const id of [...cluster.running.keys()]) {
+      const since = started.get(id) ?? cluster.now;
+      started.set(id, since);
+      if (cluster.now - since < WORK_MS) continue;
+      cluster.finish(id, { serviceMs: WORK_MS });
+      started.delete(id);
+    }
+  }
+}
+
+// By deadline alone, a burst made every call of the next seconds late.
+test("at twice the capacity, half of the calls meet their objective", () => {
+  const cluster = busy();
+  const submitted = new Map<string, number>();
+  const placed = new Map<string, number>();
+  let step = 0;
+  run(cluster, 6_000, () => {
+    // Four slots do 20 calls a second; 40 arrive.
+    if (step++ % 5 === 0) submitted.set(submit(cluster), cluster.now);
+    for (const [id] of submitted) {
+      if (!placed.has(id) && cluster.serverOf(id)) placed.set(id, cluster.now);
+    }
+  });
+  const timely = [...placed].filter(
+    ([id, at]) => at - (submitted.get(id) ?? 0) + WORK_MS <= OBJECTIVE_MS,
+  );
+  assert.ok(timely.length >= 0.45 * submitted.size, `${timely.length}`);
+});
+
+test("a call that would wait in vain is refused at once", () => {
+  const cluster = busy();
+  for (let call = 0; call < 60; call++) submit(cluster);
+  cluster.advance(10);
+  const last = submit(cluster);
+  cluster.advance(10);
+  const [decision] = cluster.decisions.get(last) ?? [];
+  assert.equal(decision?.type, "reject");
+  if (decision?.type === "reject") {
+    assert.equal(decision.fault.outcome, "not-run");
+    assert.ok((decision.fault.retryAfterMs ?? 0) > OBJECTIVE_MS);
+  }
+});
+
+// Calls that started late were cut at their timeout; their servers were ejected
+// and the overload grew.
+test("calls cut at their deadline leave their servers in use", () => {
+  const cluster = busy();
+  for (let round = 0; round < 8; round++) {
+    const calls = [1, 2, 3, 4].map(() => submit(cluster));
+    cluster.advance(WORK_MS / 2);
+    for (const call of calls) {
+      if (!cluster.running.has(call)) continue;
+      cluster.finish(call, { kind: "expired", serviceMs: WORK_MS / 2 });
+    }
+    cluster.advance(5);
+  }
+  const { slots } =
+    cluster.router(cluster.dispatcher).dispatcher("alloc") ?? {};
+  assert.equal(slots?.limit, 4);
+});
+
+test("a server on which calls hang is found slow", () => {
+  const cluster = busy();
+  for (let round = 0; round < 6; round++) {
+    const calls = [1, 2, 3, 4].map(() => submit(cluster));
+    cluster.advance(WORK_MS);
+    for (const call of calls) {
+      const server = cluster.running.get(call)?.server;
+      if (!server || server === "s1") continue;
+      cluster.finish(call, { serviceMs: WORK_MS });
+    }
+    cluster.advance(6 * WORK_MS);
+    for (const call of calls) {
+      if (!cluster.running.has(call)) continue;
+      cluster.finish(call, { kind: "expired", serviceMs: 7 * WORK_MS });
+    }
+    cluster.advance(5);
+  }
+  const { slots } =
+    cluster.router(cluster.dispatcher).dispatcher("alloc") ?? {};
+  assert.equal(slots?.get("s1")?.health.standing, "slow");
+});
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -1,4 +1,3 @@
-import { ClassQueue } from "#admission";
 import type {
   BackendServer,
   BackendServerId,
@@ -16,7 +15,15 @@
 import { isLongWork } from "./long_work.ts";
 import type { DispatchGrant, Taken, Wanted } from "./messages.ts";
 import type { Numbers } from "./numbers.ts";
-import { assign, type OpenCall, reject, taken } from "./open_call.ts";
+import {
+  assign,
+  type OpenCall,
+  openCall,
+  reject,
+  taken,
+  wanted,
+} from "./open_call.ts";
+import { OpenCalls } from "./open_calls.ts";
 import { PlacementChecks } from "./placement_checks.ts";
 import type { ServerState } from "./server_state.ts";
 
@@ -42,10 +49,7 @@
   #service: Service;
   readonly #options: ServiceRouterOptions;
   readonly #servers: LocalServers;
-  readonly #calls = new Map<string, OpenCall>();
-  readonly #tickets = new Map<number, OpenCall>();
-  /** Calls that wait, for a grant or for a server of the local choice. */
-  readonly #queue: ClassQueue<OpenCall>;
+  readonly #calls: OpenCalls;
   readonly #checks = new PlacementChecks();
   #refreshAt = 0;
   /** Entries of the view. */
@@ -55,7 +59,10 @@
     this.#service = service;
     this.#options = options;
     this.#servers = new LocalServers(service, options);
-    this.#queue = new ClassQueue(service.queueLength);
+    this.#calls = new OpenCalls({
+      queueLength: service.queueLength,
+      nextTicket: () => options.numbers.next(),
+    });
     this.link = new DispatchLink(service.name, options.numbers);
   }
 
@@ -65,7 +72,7 @@
 
   /** Calls that wait for a slot. */
   get waiting(): number {
-    return this.#queue.length;
+    return this.#calls.queue.length;
   }
 
   /** Whether time changes nothing here. */
@@ -104,34 +111,18 @@
     options: { exclude: ReadonlySet<BackendServerId>; now: number },
   ): RoutingEffect[] {
     const { now } = options;
-    const { id, priority, deadline, target } = call;
-    if (this.#calls.has(id)) return [];
+    const { id, deadline } = call;
+    if (this.#calls.get(id)) return [];
     if (deadline <= now) return [reject(id, "deadline_expired")];
     if (!this.#servers.anyReady) {
       const retryAfterMs = NO_SERVER_RETRY_MS;
       return [reject(id, "no_server", { retryAfterMs })];
     }
     const reserveMs = Math.min(this.#servers.meanMs, (deadline - now) / 2);
-    const open: OpenCall = {
-      id,
-      class: call.class,
-      priority,
-      deadline: deadline - reserveMs,
-      target: target && target - reserveMs,
-      expires: deadline,
-      objective: target,
-      slowdown: 1,
-      ticket: this.#options.numbers.next(),
-      arrival: now,
-      exclude: options.exclude,
-      server: undefined,
-      assignedAt: 0,
-      checks: 0,
-      checking: false,
-      by: "local",
-    };
-    this.#calls.set(id, open);
-    this.#tickets.set(open.ticket, open);
+    const ticket = this.#options.numbers.next();
+    const { exclude } = options;
+    const open = openCall(call, { ticket, exclude, reserveMs, now });
+    this.#calls.open(open);
     const effects = this.#place(open, now);
     if (this.link.joinDue(now)) effects.push(...this.#join(now));
     return effects;
@@ -141,7 +132,7 @@
     const open = this.#calls.get(callId);
     if (!open?.server) return [];
     const { ticket, server } = open;
-    this.#close(open);
+    this.#calls.close(open);
     // What the server's spell added says nothing about the server itself.
     const serviceMs = result.serviceMs / Math.max(1, open.slowdown);
     const usual = { ...result, serviceMs, class: open.class };
@@ -189,8 +180,11 @@
       });
     }
     open.server = undefined;
-    open.exclude = new Set([...open.exclude, server.record.id]);
-    this.#renewTicket(open);
+    // A slow server is known to be so; others may not show why they fail.
+    if (result.kind === "failed" || answered?.healthy === false) {
+      open.exclude = new Set([...open.exclude, server.record.id]);
+    }
+    this.#calls.renewTicket(open);
     return [...this.#place(open, now), ...this.link.flush(now)];
   }
 
@@ -201,8 +195,8 @@
       const serviceMs = now - open.assignedAt;
       return this.finish(callId, { kind: "cancelled", serviceMs }, now);
     }
-    this.#queue.remove(callId);
-    this.#close(open);
+    this.#calls.queue.remove(callId);
+    this.#calls.close(open);
     this.link.cancel(open.ticket);
     return this.link.flush(now);
   }
@@ -214,10 +208,10 @@
       effects.push(...this.#granted(granted, now));
     }
     for (const { ticket, code, ...reason } of grant.rejects) {
-      const open = this.#tickets.get(ticket);
+      const open = this.#calls.holding(ticket);
       if (!open || open.server) continue;
-      this.#queue.remove(open.id);
-      this.#close(open);
+      this.#calls.queue.remove(open.id);
+      this.#calls.close(open);
       effects.push(reject(open.id, code, reason));
     }
     effects.push(...this.link.flush(now));
@@ -243,7 +237,7 @@
     } else if (this.link.reportDue(now)) {
       effects.push(...this.link.report(this.#state(now), now));
     }
-    const ping = this.#queue.length > 0 && this.link.pingDue(now);
+    const ping = this.#calls.queue.length > 0 && this.link.pingDue(now);
     effects.push(...this.link.flush(now, ping));
     if (this.link.idle(now) && this.#calls.size === 0) this.link.detach(now);
     effects.push(...this.#drain(now));
@@ -262,13 +256,13 @@
       return [...offered, ...this.link.flush(now)];
     }
     const server =
-      this.#queue.length === 0
+      this.#calls.queue.length === 0
         ? this.#servers.choose(open.exclude, now)
         : undefined;
     if (server) return this.#assign(open, server, now);
-    const waitMs = this.#waitMs(this.#queue.ahead(open.priority));
+    const waitMs = this.#waitMs(this.#calls.queue.ahead(open.priority));
     if (now + waitMs > open.deadline) {
-      this.#close(open);
+      this.#calls.close(open);
       return [reject(open.id, "queue_full", this.#crowded())];
     }
     return [...this.#offer(open, now), ...this.link.flush(now)];
@@ -294,14 +288,14 @@
   }
 
   #offer(open: OpenCall, now: number): RoutingEffect[] {
-    this.#queue.setLimit(this.#limit());
-    const offer = this.#queue.offer(open);
+    this.#calls.queue.setLimit(this.#limit());
+    const offer = this.#calls.queue.offer(open);
     if (offer.type !== "full" && this.link.streaming) {
-      this.link.want(this.#wanted(open, now));
+      this.link.want(wanted(open, now));
     }
     if (offer.type === "queued") return [];
     const loser = offer.type === "full" ? open : offer.evicted;
-    this.#close(loser);
+    this.#calls.close(loser);
     if (loser !== open) this.link.cancel(loser.ticket);
     return [reject(loser.id, "queue_full", this.#crowded())];
   }
@@ -345,7 +339,7 @@
 
   /** Gives a slot that became free to a waiting call without asking. */
   #reuse(server: ServerState, now: number): RoutingEffect[] {
-    const open = this.#queue.peek();
+    const open = this.#calls.queue.peek();
     if (!open || this.link.state !== "attached") return [];
     if (isLongWork(this.#servers.meanMs)) return [];
     const { id } = server.record;
@@ -362,10 +356,10 @@
     server: ServerState,
     now: number,
   ): RoutingEffect[] {
-    this.#queue.takeItem(open.id);
+    this.#calls.queue.takeItem(open.id);
     // A grant for the old ticket may be under way; it must not count as this.
     const instead = open.ticket;
-    this.#renewTicket(open);
+    this.#calls.renewTicket(open);
     const effect = this.#start(open, server, now);
     if (this.link.streaming) {
       this.link.take({ ...taken(open, server, now), instead });
@@ -373,15 +367,9 @@
     return [effect];
   }
 
-  #renewTicket(open: OpenCall): void {
-    this.#tickets.delete(open.ticket);
-    open.ticket = this.#options.numbers.next();
-    this.#tickets.set(open.ticket, open);
-  }
-
   /** Uses the slot granted for a call that no longer needs it. */
   #useLeftOver(server: ServerState, now: number): RoutingEffect[] {
-    const open = this.#queue.peek();
+    const open = this.#calls.queue.peek();
     if (!open || !this.#usable(open, server.record.id)) return [];
     return this.#startUnasked(open, server, now);
   }
@@ -391,12 +379,12 @@
     now: number,
   ): RoutingEffect[] {
     const { ticket, server: id, slowed } = granted;
-    const open = this.#tickets.get(ticket);
+    const open = this.#calls.holding(ticket);
     if (open?.server) return [];
     const server = this.#servers.get(id);
     if (open && server?.ready) {
       open.by = "grant";
-      this.#queue.remove(open.id);
+      this.#calls.queue.remove(open.id);
       return [this.#start(open, server, now, { unasked: slowed })];
     }
     const leaving = server?.leaving === true;
@@ -404,7 +392,7 @@
     if (!open) return server ? this.#useLeftOver(server, now) : [];
     // The dispatcher does not know yet that this server takes no calls.
     open.exclude = new Set([...open.exclude, id]);
-    this.link.want(this.#wanted(open, now));
+    this.link.want(wanted(open, now));
     return [];
   }
 
@@ -413,23 +401,23 @@
     const effects: RoutingEffect[] = [];
     if (this.link.state === "attached") return effects;
     const aside: OpenCall[] = [];
-    this.#queue.advance(now);
+    this.#calls.queue.advance(now);
     while (this.#servers.anyFree && aside.length < MAX_SET_ASIDE) {
-      const open = this.#queue.peek();
+      const open = this.#calls.queue.peek();
       if (!open) break;
       const server = this.#servers.choose(open.exclude, now);
       if (server) effects.push(...this.#startUnasked(open, server, now));
       else aside.push(open);
-      this.#queue.remove(open.id);
+      this.#calls.queue.remove(open.id);
     }
-    for (const open of aside) this.#queue.offer(open);
+    for (const open of aside) this.#calls.queue.offer(open);
     effects.push(...this.link.flush(now));
     return effects;
   }
 
   #expire(now: number): RoutingEffect[] {
-    return this.#queue.expire(now).map((open) => {
-      this.#close(open);
+    return this.#calls.queue.expire(now).map((open) => {
+      this.#calls.close(open);
       this.link.cancel(open.ticket);
       return reject(open.id, "deadline_expired", this.#crowded());
     });
@@ -444,31 +432,13 @@
       taken: [],
       wanted: [],
     };
-    for (const open of this.#calls.values()) {
+    for (const open of this.#calls.all()) {
       if (open.server) state.taken.push(taken(open, open.server, now));
-      else state.wanted.push(this.#wanted(open, now));
+      else state.wanted.push(wanted(open, now));
     }
     return state;
   }
 
-  #wanted(open: OpenCall, now: number): Wanted {
-    return {
-      ticket: open.ticket,
-      priority: open.priority,
-      class: open.class,
-      remainingMs: open.deadline - now,
-      answerMs: open.expires - now,
-      targetMs: open.objective && open.objective - now,
-      waitedMs: now - open.arrival,
-      exclude: open.exclude.size > 0 ? [...open.exclude] : undefined,
-    };
-  }
-
-  #close(open: OpenCall): void {
-    this.#calls.delete(open.id);
-    this.#tickets.delete(open.ticket);
-  }
-
   #waitMs(calls: number): number {
     return (calls * this.#servers.meanMs) / Math.max(1, this.#servers.slots);
   }
@@ -476,12 +446,12 @@
   /** When to come back, and what stands in the way. */
   #crowded(): { retryAfterMs: number; detail: string } {
     const { state } = this.link;
-    const detail = `${this.#queue.length} calls wait here, dispatcher ${state}`;
+    const detail = `${this.#calls.queue.length} calls wait here, dispatcher ${state}`;
     return { retryAfterMs: this.#retryMs(), detail };
   }
 
   #retryMs(): number {
-    const waitMs = this.#waitMs(this.#queue.length + 1);
+    const waitMs = this.#waitMs(this.#calls.queue.length + 1);
     return Math.max(MIN_RETRY_MS, Math.ceil(waitMs));
   }
 }
