Spend less on messages to dispatchers; tell refusals from fullness

Change: with long work an entry asks after 40 ms and falls back after 120 ms, and grants carry no such list; a refusal by a server with free slots counts as a failure relative to the others, not as fullness.

--- a/packages/routing/dispatch_link.ts
+++ b/packages/routing/dispatch_link.ts
@@ -11,12 +11,15 @@
 
 /** Silence of the dispatcher after which an entry chooses locally. */
 export const FALLBACK_MS = 30;
+/** The same where work is long, so that less is lost by waiting. */
+const FALLBACK_LONG_WORK_MS = 120;
 /** Interval of attempts to join the dispatcher. */
 const JOIN_EVERY_MS = 100;
 /** A joining entry chooses locally anyway, so it can wait longer. */
 const JOIN_TIMEOUT_MS = 60;
 /** Silence after which an entry with waiting calls asks for an answer. */
 const PING_AFTER_MS = 10;
+const PING_AFTER_LONG_WORK_MS = 40;
 /** Interval of full reports, which repair lost messages. */
 const REPORT_EVERY_MS = 200;
 /** An entry without calls leaves; earlier than the dispatcher forgets it. */
@@ -116,9 +119,10 @@
   }
 
   /** Whether the dispatcher has not answered in time. */
-  overdue(now: number): boolean {
+  overdue(now: number, longWork: boolean): boolean {
     if (this.#awaitingSince === undefined) return false;
-    const limit = this.#state === "joining" ? JOIN_TIMEOUT_MS : FALLBACK_MS;
+    const fallbackMs = longWork ? FALLBACK_LONG_WORK_MS : FALLBACK_MS;
+    const limit = this.#state === "joining" ? JOIN_TIMEOUT_MS : fallbackMs;
     return now - this.#awaitingSince > limit;
   }
 
@@ -210,11 +214,12 @@
     return [{ type: "send", to, kind: "dispatch_update", payload }];
   }
 
-  pingDue(now: number): boolean {
+  pingDue(now: number, longWork: boolean): boolean {
+    const afterMs = longWork ? PING_AFTER_LONG_WORK_MS : PING_AFTER_MS;
     return (
       this.#state === "attached" &&
       this.#awaitingSince === undefined &&
-      now - this.#lastReceived >= PING_AFTER_MS
+      now - this.#lastReceived >= afterMs
     );
   }
 
--- a/packages/routing/dispatcher.ts
+++ b/packages/routing/dispatcher.ts
@@ -308,7 +308,10 @@
         patient: this.#waitedMs("patient", now),
       },
       patientDue: this.#queue.patientDue,
-      avoid: this.slots.avoided(),
+      // Only slots of short work are used again without a question.
+      avoid: isLongWork(this.#ledger.outliers.meanMs)
+        ? []
+        : this.slots.avoided(),
     };
     for (const entry of drafted) {
       const payload = entry.takeDraft(header, this.#numbers);
--- a/packages/routing/ledger.ts
+++ b/packages/routing/ledger.ts
@@ -105,7 +105,8 @@
     server.noteSlowdown(released.slowdown, now);
     if (kind !== "unused") {
       server.lastHeard = now;
-      if (kind === "not_started") server.shed(now);
+      const full = grant.running >= server.record.slots;
+      if (kind === "not_started" && full) server.shed(now);
       if (kind === "answered") {
         server.answered();
         const { running } = grant;
@@ -116,7 +117,13 @@
       }
       // Without the crowding, a long answer says nothing about the server.
       if (crowding !== undefined || kind !== "answered") {
-        const seen = { kind, serviceMs, class: grant.class };
+        // A server with free slots that refuses a call fails to do its work.
+        const refused = kind === "not_started" && !full;
+        const seen = {
+          kind: refused ? ("failed" as const) : kind,
+          serviceMs,
+          class: grant.class,
+        };
         const observation = { ...seen, crowding: crowding ?? 0 };
         this.outliers.observe(server.health, observation, now);
       }
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -231,13 +231,15 @@
       this.#refreshAt = now + REFRESH_MS;
     }
     const effects: RoutingEffect[] = this.#expire(now);
-    if (this.link.overdue(now)) this.link.detach(now);
+    const longWork = isLongWork(this.#servers.meanMs);
+    if (this.link.overdue(now, longWork)) this.link.detach(now);
     if (this.link.joinDue(now) && this.#calls.size > 0) {
       effects.push(...this.#join(now));
     } else if (this.link.reportDue(now)) {
       effects.push(...this.link.report(this.#state(now), now));
     }
-    const ping = this.#calls.queue.length > 0 && this.link.pingDue(now);
+    const ping =
+      this.#calls.queue.length > 0 && this.link.pingDue(now, longWork);
     effects.push(...this.link.flush(now, ping));
     if (this.link.idle(now) && this.#calls.size === 0) this.link.detach(now);
     effects.push(...this.#drain(now));
