--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -19,15 +19,11 @@
   TICK_MS,
 } from "#presence";
 import { Registrations } from "#registration";
-import { HostRoutes, Router } from "#routing";
 import type { EntrySettings } from "#settings";
 import { type Logger, Metrics } from "#telemetry";
 import type { Hello, ListenFault, TcpNetwork } from "#wire";
-import { ActivityTimer } from "./activity_timer.ts";
 import { AdminServer } from "./admin_server.ts";
-import { Assignments } from "./assignments.ts";
-import { BackendClient } from "./backend_client.ts";
-import { CallEngine } from "./call_engine.ts";
+import { CallPath } from "./call_path.ts";
 import { type CallProtocol, PublishedProtocol } from "./call_protocol.ts";
 import { CallerServer } from "./caller_server.ts";
 import {
@@ -36,25 +32,14 @@
   FOLLOW_UP_EVERY_MS,
 } from "./configuration_follower.ts";
 import { type EntryMessages, openEntryNetwork } from "./entry_network.ts";
+import { stopWhenReleased, stopWithin } from "./entry_stop.ts";
 import { EventLoopLoad } from "./event_loop_load.ts";
-import { mayEnd } from "./graceful_stop.ts";
-import { Classifier } from "./incoming_call.ts";
-import { KeyClaims } from "./key_claims.ts";
 import { KnownServers } from "./known_servers.ts";
 import { OwnPaths } from "./own_paths.ts";
-import { Prober } from "./prober.ts";
-import { ServicePolicies } from "./service_policies.ts";
-import { QUARANTINE_TICK_MS, Suspects } from "./suspects.ts";
 import { UsableServers } from "./usable_servers.ts";
 
 /** How often the entry's own load is measured and told to the others. */
 const LOAD_EVERY_MS = 1_000;
-/**
- * Part of a bounded stop in which new calls are still taken: callers may use an
- * old answer about addresses, and the last calls need time to end.
- */
-const SERVE_ON_SHARE = 0.6;
-
 export interface EntryOptions {
   readonly settings: EntrySettings;
   readonly clock: Clock;
@@ -72,13 +57,7 @@
   readonly #registrations: Registrations;
   readonly #servers: KnownServers;
   readonly #lookup: AddressLookup;
-  readonly #router: Router;
-  readonly #assignments: Assignments;
-  readonly #claims: KeyClaims;
-  readonly #client: BackendClient;
-  readonly #suspects: Suspects;
-  readonly #policies: ServicePolicies;
-  readonly #engine: CallEngine;
+  readonly #calls: CallPath;
   readonly #follower: ConfigurationFollower;
   readonly #usable = new UsableServers();
   readonly #metrics: Metrics;
@@ -86,9 +65,6 @@
   readonly #admin: AdminServer;
   readonly #load = new EventLoopLoad();
   readonly #timers: NodeJS.Timeout[] = [];
-  readonly #decisions: ActivityTimer;
-  readonly #hostRoutes: HostRoutes;
-  #classifier: Classifier;
   #state: EntryState = "ready";
   #seeds: readonly Address[];
   #applied: Configuration = EMPTY_CONFIGURATION;
@@ -99,8 +75,6 @@
     this.#incarnation = Math.floor(clock.epoch());
     this.#seeds = settings.control;
     const protocol = options.protocol ?? new PublishedProtocol();
-    this.#hostRoutes = new HostRoutes(randomness);
-    this.#classifier = new Classifier([], this.#hostRoutes);
     const network = openEntryNetwork({
       settings,
       incarnation: this.#incarnation,
@@ -112,40 +86,12 @@
     this.#network = network;
     this.#metrics = new Metrics({
       configurationVersion: () => this.#follower.version,
-      callsInFlight: () => this.#engine.inFlight(),
-      queueLength: () => this.#router.queueLengths(),
+      callsInFlight: () => this.#calls.inFlight(),
+      queueLength: () => this.#calls.queueLengths(),
       probeBudget: () =>
         this.#servers.probeBudgets(this.#applied.document.services),
       peerTraffic: () => network.traffic,
     });
-    this.#decisions = new ActivityTimer({
-      clock,
-      task: () => {
-        this.#assignments.tick();
-        this.#claims.tick();
-      },
-    });
-    this.#client = new BackendClient(protocol);
-    this.#router = new Router({
-      self: settings.id,
-      dataCentre: settings.dataCentre,
-      random: randomness,
-    });
-    const prober = new Prober({
-      clock,
-      metrics: this.#metrics,
-      client: this.#client,
-      protocol,
-      service: (name) => this.#classifier.service(name),
-    });
-    this.#assignments = new Assignments({
-      router: this.#router,
-      clock,
-      network,
-      probe: (server) => prober.probe(server),
-      check: (server) => prober.check(server),
-      active: () => this.#decisions.wake(),
-    });
     this.#registrations = new Registrations({
       presence: new Presence({
         id: settings.id,
@@ -162,8 +108,7 @@
           incarnation: server.incarnation,
           reason,
         });
-        this.#client.retire(server);
-        if (reason === "restarted") this.#suspects.serverLost(server);
+        this.#calls.serverGone(server, reason);
       },
     });
     this.#servers = new KnownServers({
@@ -172,24 +117,6 @@
       network,
     });
     this.#lookup = new AddressLookup(randomness, settings.addressKeepMs);
-    this.#suspects = new Suspects({
-      self: settings.id,
-      clock,
-      logger,
-      network,
-    });
-    this.#policies = new ServicePolicies({
-      clock,
-      resendLimit: settings.resendLimit,
-      entries: () => this.#applied.view.entries.length,
-    });
-    this.#claims = new KeyClaims({
-      self: settings.id,
-      incarnation: this.#incarnation,
-      clock,
-      randomness,
-      network,
-    });
     this.#follower = new ConfigurationFollower({
       network,
       clock,
@@ -197,26 +124,17 @@
       self: () => this.#record(),
       controls: () => this.#connectedControls(),
       stopReports: () =>
-        this.#usable.stopReports((matches) => this.#engine.inFlightAt(matches)),
+        this.#usable.stopReports((matches) => this.#calls.inFlightAt(matches)),
       changed: (configuration) => this.#configure(configuration),
       confirmedForMs: settings.confirmedForMs,
     });
-    this.#engine = new CallEngine({
-      entry: settings.id,
-      clock,
-      logger,
-      metrics: this.#metrics,
-      assignments: this.#assignments,
-      client: this.#client,
+    this.#calls = new CallPath({
+      ...options,
       protocol,
-      claims: this.#claims,
-      suspects: this.#suspects,
-      policies: this.#policies,
-      serversToAvoid: (service, dataCentres) => {
-        const inFlightAt = this.#engine.inFlightAt.bind(this.#engine);
-        return this.#servers.toAvoid(service, { dataCentres, inFlightAt });
-      },
-      classifier: () => this.#classifier,
+      incarnation: this.#incarnation,
+      network,
+      metrics: this.#metrics,
+      toAvoid: (service, about) => this.#servers.toAvoid(service, about),
       ready: () => this.#mayServe(),
       bodyLimits: () => ({
         maxBytes:
@@ -233,8 +151,8 @@
     const own = new OwnPaths({
       clock,
       registrations: this.#registrations,
-      service: (name) => this.#classifier.service(name),
-      addresses: (dataCentre) => this.#addresses(dataCentre),
+      service: (name) => this.#calls.service(name),
+      addresses: (dataCentre) => this.addresses(dataCentre),
       ready: () => this.#follower.fresh(),
     });
     this.#callers = new CallerServer({
@@ -242,10 +160,7 @@
       own: options.protocol
         ? undefined
         : (request, response) => void own.serve(request, response),
-      call: (request, response) => {
-        this.#decisions.wake();
-        this.#engine.serve(request, response);
-      },
+      call: (request, response) => this.#calls.serve(request, response),
     });
     this.#admin = new AdminServer({
       metrics: this.#metrics,
@@ -270,9 +185,8 @@
     this.#connect();
     this.#every(CONFIRM_EVERY_MS, () => this.#follower.confirm());
     this.#every(FOLLOW_UP_EVERY_MS, () => this.#follower.followUp());
-    this.#decisions.start();
+    this.#calls.start();
     this.#every(TICK_MS, () => this.#registrations.tick());
-    this.#every(QUARANTINE_TICK_MS, () => this.#suspects.tick());
     this.#every(LOAD_EVERY_MS, () => this.#report());
     logger.info("entry started", {
       id: settings.id,
@@ -298,46 +212,21 @@
     });
     this.#report();
     this.#follower.confirm();
-    if (stopWithinMs !== undefined) {
-      await this.#stopWithin(stopWithinMs);
-      logger.info("entry stopped");
-      return;
-    }
-    const self = {
-      id: this.#options.settings.id,
-      incarnation: this.#incarnation,
+    const parts = {
+      callers: this.#callers,
+      running: () => this.#calls.running,
+      clock,
+      logger,
     };
-    const began = clock.now();
-    const ended = () =>
-      mayEnd(self, {
-        configuration: this.#follower.configuration,
-        stoppingForMs: clock.now() - began,
-        epoch: clock.epoch(),
-      });
-    while (!ended()) await delay(100);
-    await this.#callers.drain();
-    while (this.#engine.running > 0) await delay(20);
-    this.close();
-    logger.info("entry stopped");
-  }
-
-  /** Serves on for a part of the time, then ends the calls under way. */
-  async #stopWithin(ms: number): Promise<void> {
-    const { clock, logger } = this.#options;
-    const end = clock.now() + ms;
-    this.#callers.sendAway();
-    await delay(ms * SERVE_ON_SHARE);
-    void this.#callers.drain();
-    while (this.#engine.running > 0 && clock.now() < end) await delay(20);
-    if (this.#engine.running > 0) {
-      logger.warn("calls cut by the stop", { calls: this.#engine.running });
+    const { id } = this.#options.settings;
+    if (stopWithinMs !== undefined) await stopWithin(stopWithinMs, parts);
+    else {
+      const self = { id, incarnation: this.#incarnation };
+      const configuration = () => this.#follower.configuration;
+      await stopWhenReleased(self, configuration, parts);
     }
     this.close();
-  }
-
-  /** The entries that a caller in this data centre should use. */
-  addresses(dataCentre: string | undefined): AddressesAnswer {
-    return this.#addresses(dataCentre);
+    logger.info("entry stopped");
   }
 
   /** Takes other addresses of control hosts from changed settings. */
@@ -364,10 +253,9 @@
   /** Ends at once; calls under way are cut. */
   close(): void {
     for (const timer of this.#timers) clearInterval(timer);
-    this.#decisions.stop();
     this.#callers.destroy();
     this.#admin.close();
-    this.#client.close();
+    this.#calls.close();
     this.#network.close();
   }
 
@@ -385,7 +273,7 @@
       this.#follower.confirm();
       return;
     }
-    this.#suspects.peerUp(peer.id);
+    this.#calls.entryUp(peer.id);
   }
 
   #peerDown(peer: Hello): void {
@@ -398,9 +286,7 @@
       this.#follower.controlDown(peer.id);
       return;
     }
-    this.#suspects.peerDown(peer.id);
-    const now = this.#options.clock.now();
-    this.#assignments.carryOut(this.#router.peerDown(peer.id, now));
+    this.#calls.entryDown(peer.id);
   }
 
   #connect(): void {
@@ -439,25 +325,14 @@
   #configure(configuration: Configuration): void {
     const now = this.#options.clock.now();
     const { document, view } = configuration;
-    const { services } = document;
     const before = this.#applied;
     this.#applied = configuration;
-    // A difference keeps the lists that it leaves as they are.
-    if (before.document.hostRoutes !== document.hostRoutes) {
-      this.#hostRoutes.configure(document.hostRoutes);
-    }
     if (document.requestLimits) {
       const { idleConnectionMs } = document.requestLimits;
       this.#callers.setIdleConnectionMs(idleConnectionMs);
     }
-    if (before.document.services !== services) {
-      this.#classifier = new Classifier(services, this.#hostRoutes);
-      this.#metrics.configure(services);
-      this.#policies.configure(services);
-    }
-    this.#claims.configure(configuration);
-    this.#assignments.carryOut(this.#router.configure(services, view, now));
-    const names = services.map(({ name }) => name);
+    this.#calls.configure(configuration);
+    const names = document.services.map(({ name }) => name);
     this.#registrations.carryOut(
       this.#registrations.presence.configure(
         {
@@ -479,12 +354,11 @@
   }
 
   #serversChanged(service: string, servers: readonly BackendServer[]): void {
-    const now = this.#options.clock.now();
-    const usable = this.#usable.of(servers);
-    this.#assignments.carryOut(this.#router.setServers(service, usable, now));
+    this.#calls.setServers(service, this.#usable.of(servers));
   }
 
-  #addresses(dataCentre: string | undefined) {
+  /** The entries that a caller in this data centre should use. */
+  addresses(dataCentre: string | undefined): AddressesAnswer {
     const { presence } = this.#registrations;
     const { view, document } = this.#follower.configuration;
     return this.#lookup.answer(dataCentre === undefined ? {} : { dataCentre }, {
@@ -523,13 +397,9 @@
       epoch: configuration.view.epoch,
       entries: configuration.view.entries.length,
       confirmed_ms_ago: Math.round(this.#follower.confirmationAge()),
-      calls: this.#engine.running,
-      claims_held: this.#claims.held,
+      calls: this.#calls.running,
+      claims_held: this.#calls.claimsHeld,
       servers: this.#servers.counts(),
     };
   }
 }
-
-function delay(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/presence/presence.ts
+++ b/packages/presence/presence.ts
@@ -292,7 +292,8 @@
   entryLoads(now: number): ReadonlyMap<HostId, EntryLoad> {
     const loads = new Map<HostId, EntryLoad>();
     for (const { owner, load, stopping, heardAt } of this.#others.owners()) {
-      loads.set(owner, { load, stopping, heard: now - heardAt < LOST_MS });
+      const heard = this.#connected.has(owner) && now - heardAt < LOST_MS;
+      loads.set(owner, { load, stopping, heard });
     }
     const { load, stopping } = this.#own.publisher.list;
     return loads.set(this.#options.id, { load, stopping, heard: true });
