Reserve the ports of test sites

Change: sites in a test's process reserve a block of ports as those of whole processes do, and close what has started when a start fails.

--- a/packages/callfaults/site_files.ts
+++ b/packages/callfaults/site_files.ts
@@ -9,7 +9,7 @@
 import { join } from "node:path";
 import type { Address, HostId } from "#model";
 import { ROOT } from "../demo/bundle.ts";
-import type { PortBlock } from "../faults/ports.ts";
+import type { PortBlock } from "../demo/ports.ts";
 
 const EXAMPLE = join(ROOT, "examples/daugava");
 const HOST = "127.0.0.1";
--- a/packages/demo/local_site.ts
+++ b/packages/demo/local_site.ts
@@ -1,5 +1,4 @@
 import { createHash } from "node:crypto";
-import { createServer } from "node:net";
 import { v4 as uuid } from "uuid";
 import { ControlProcess } from "#control";
 import { EntryProcess } from "#entry";
@@ -14,6 +13,7 @@
 import { type StandinOptions, StandinServer } from "#standin";
 import { MemoryDisk, MemoryStorage } from "#storage";
 import { type Logger, SilentLogger } from "#telemetry";
+import { type PortBlock, reservePorts } from "./ports.ts";
 
 const CREDENTIAL_SHA256 = createHash("sha256")
   .update("local-site")
@@ -32,29 +32,6 @@
   });
 }
 
-/** Finds TCP ports that are free at this moment. */
-export async function freePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const ports = await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise<number>((resolve, reject) => {
-          server.once("error", reject);
-          server.listen(0, HOST, () => {
-            const bound = server.address();
-            resolve(typeof bound === "object" && bound ? bound.port : 0);
-          });
-        }),
-    ),
-  );
-  await Promise.all(
-    servers.map(
-      (server) => new Promise<void>((resolve) => server.close(() => resolve())),
-    ),
-  );
-  return ports;
-}
-
 export interface LocalSiteOptions {
   readonly controls?: number;
   readonly entries?: number;
@@ -74,10 +51,21 @@
   /** Peer addresses of the entries. */
   readonly peers: Address[] = [];
   readonly #clock: Clock = new SystemClock();
+  readonly #ports: PortBlock;
+
+  private constructor(ports: PortBlock) {
+    this.#ports = ports;
+  }
 
   static async start(options: LocalSiteOptions = {}): Promise<LocalSite> {
-    const site = new LocalSite();
-    await site.#start(options);
+    const site = new LocalSite(await reservePorts());
+    try {
+      await site.#start(options);
+    } catch (cause) {
+      // What has started would keep the test's process alive.
+      await site.close();
+      throw cause;
+    }
     return site;
   }
 
@@ -128,13 +116,13 @@
     for (const server of this.servers) await server.crash();
     for (const entry of this.entries) entry.close();
     for (const control of this.controls) await control.close();
+    this.#ports.release();
   }
 
   async #start(options: LocalSiteOptions): Promise<void> {
     const { controls = 1, entries = 2, dataCentres = ["riga-a"] } = options;
     const logger = options.logger ?? new SilentLogger();
-    const ports = await freePorts(controls * 2 + entries * 3);
-    const next = () => ports.pop() ?? 0;
+    const next = () => this.#ports.take();
     const members = Array.from({ length: controls }, (_, index) => ({
       id: `control-${index + 1}`,
       peer: next(),
--- a/packages/faults/ports.ts
+++ b/packages/demo/ports.ts
@@ -66,3 +66,19 @@
     server.listen(port, HOST, () => resolve(server));
   });
 }
+
+/**
+ * Finds TCP ports that are free at this moment, in any number. Another process
+ * may take one before it is used, so that tests reserve a block instead.
+ */
+export async function freePorts(count: number): Promise<number[]> {
+  const servers = await Promise.all(
+    Array.from({ length: count }, () => bind(0)),
+  );
+  const ports = servers.map((server) => {
+    const bound = server?.address();
+    return typeof bound === "object" && bound ? bound.port : 0;
+  });
+  for (const server of servers) server?.close();
+  return ports;
+}
--- a/packages/faults/site_files.ts
+++ b/packages/faults/site_files.ts
@@ -3,7 +3,7 @@
 import { join } from "node:path";
 import type { Address, HostId } from "#model";
 import { ROOT } from "../demo/bundle.ts";
-import type { PortBlock } from "./ports.ts";
+import type { PortBlock } from "../demo/ports.ts";
 
 const EXAMPLE = join(ROOT, "examples/daugava");
 const HOST = "127.0.0.1";
--- a/packages/slopes/site_folder.ts
+++ b/packages/slopes/site_folder.ts
@@ -1,7 +1,7 @@
 import { createHash } from "node:crypto";
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
-import { freePorts } from "../demo/local_site.ts";
+import { freePorts } from "../demo/ports.ts";
 import { dataCentreOf, sectionText, TARGET } from "./synthetic.ts";
 
 const CONTROLS = 3;
