--- a/packages/control/control_host.ts
+++ b/packages/control/control_host.ts
@@ -1,14 +1,13 @@
 import type { Server } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import { createOperatorServer, OperatorApi } from "#operators";
-import { ControlMetrics } from "#telemetry";
 import { listen } from "#wire";
 import {
   type ControlFault,
   type ControlOptions,
   ControlProcess,
 } from "./control_process.ts";
-import { withHealth } from "./health.ts";
+import { controlMetrics, withHealth } from "./health.ts";
 import { ControlMembers, changeLog, LiveHosts } from "./operator_ports.ts";
 
 /** A control process with the operators' HTTP interface. */
@@ -40,14 +39,7 @@
       bodyMaxBytes: settings.limits.bodyMaxBytes,
       onFailure: (cause) => logger.error("operator request failed", { cause }),
     });
-    const metrics = new ControlMetrics({
-      configurationVersion: () => control.registry.configuration().version,
-      appliedIndex: () => control.status().applied,
-      term: () => control.status().term,
-      leading: () => control.status().role === "leader",
-      liveEntries: () => control.table.live(clock.now()).length,
-      peerTraffic: () => control.traffic,
-    });
+    const metrics = controlMetrics(control, clock);
     const handle = withHealth(api.handle, { control, metrics });
     const server = createOperatorServer(handle, settings.limits);
     const listening = await listen(server, settings.http);
--- a/packages/control/health.ts
+++ b/packages/control/health.ts
@@ -1,7 +1,23 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { ControlMetrics } from "#telemetry";
+import type { Clock } from "#model";
+import { ControlMetrics } from "#telemetry";
 import type { ControlProcess } from "./control_process.ts";
 
+/** The metrics of a control process, read at each scrape. */
+export function controlMetrics(
+  control: ControlProcess,
+  clock: Clock,
+): ControlMetrics {
+  return new ControlMetrics({
+    configurationVersion: () => control.registry.configuration().version,
+    appliedIndex: () => control.status().applied,
+    term: () => control.status().term,
+    leading: () => control.status().role === "leader",
+    liveEntries: () => control.table.live(clock.now()).length,
+    peerTraffic: () => control.traffic,
+  });
+}
+
 type Handler = (request: IncomingMessage, response: ServerResponse) => void;
 
 /**
--- a/packages/telemetry/control_metrics.ts
+++ b/packages/telemetry/control_metrics.ts
@@ -1,4 +1,5 @@
-import { Counter, collectDefaultMetrics, Gauge, Registry } from "prom-client";
+import { collectDefaultMetrics, Gauge, Registry } from "prom-client";
+import { type PeerTraffic, registerPeerTraffic } from "./peer_traffic.ts";
 
 /** Values of a control host, read at each scrape. */
 export interface ControlSources {
@@ -8,7 +9,7 @@
   readonly leading: () => boolean;
   /** Entries heard from within their lease, by any control host. */
   readonly liveEntries: () => number;
-  readonly peerTraffic: () => { sentBytes: number; receivedBytes: number };
+  readonly peerTraffic: () => PeerTraffic;
 }
 
 /** Metrics of a control process, in a registry of its own. */
@@ -37,7 +38,7 @@
       help: "Entries heard from within their lease",
       value: sources.liveEntries,
     });
-    this.#peerBytes(sources.peerTraffic);
+    registerPeerTraffic(this.#registry, sources.peerTraffic);
   }
 
   /** The media type of `text`. */
@@ -61,19 +62,4 @@
       },
     });
   }
-
-  #peerBytes(traffic: ControlSources["peerTraffic"]): void {
-    new Counter({
-      name: "mangobank_peer_bytes_total",
-      help: "Bytes exchanged with other processes of the system",
-      labelNames: ["direction"],
-      registers: [this.#registry],
-      collect() {
-        const { sentBytes, receivedBytes } = traffic();
-        this.reset();
-        this.inc({ direction: "sent" }, sentBytes);
-        this.inc({ direction: "received" }, receivedBytes);
-      },
-    });
-  }
 }
--- a/packages/telemetry/index.ts
+++ b/packages/telemetry/index.ts
@@ -7,3 +7,4 @@
 export * from "./control_metrics.ts";
 export * from "./logger.ts";
 export * from "./metrics.ts";
+export * from "./peer_traffic.ts";
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -6,6 +6,7 @@
   Registry,
 } from "prom-client";
 import type { CallFaultCode, Outcome, Service } from "#model";
+import { type PeerTraffic, registerPeerTraffic } from "./peer_traffic.ts";
 import { OTHER, ServiceLabels } from "./service_labels.ts";
 
 /** Upper bounds in seconds; the finest suit the added latency (0.36 ms). */
@@ -24,7 +25,7 @@
   readonly queueLength?: () => ByService;
   /** Slots in use by probes that the agreed budget allows, on average. */
   readonly probeBudget?: () => ByService;
-  readonly peerTraffic?: () => { sentBytes: number; receivedBytes: number };
+  readonly peerTraffic?: () => PeerTraffic;
 }
 
 /** A call that got its final answer. */
@@ -157,19 +158,7 @@
       name: "mangobank_probe_budget_slots",
       help: "Slots that probes may take on average, all entries together",
     });
-    if (!peerTraffic) return;
-    new Counter({
-      name: "mangobank_peer_bytes_total",
-      help: "Bytes exchanged with other processes of the system",
-      labelNames: ["direction"],
-      registers: [this.#registry],
-      collect() {
-        const { sentBytes, receivedBytes } = peerTraffic();
-        this.reset();
-        this.inc({ direction: "sent" }, sentBytes);
-        this.inc({ direction: "received" }, receivedBytes);
-      },
-    });
+    if (peerTraffic) registerPeerTraffic(this.#registry, peerTraffic);
   }
 
   #addByService(
--- a/packages/telemetry/metrics_test.ts
+++ b/packages/telemetry/metrics_test.ts
@@ -72,10 +72,12 @@
 });
 
 test("peer bytes are totals however often they are scraped", async () => {
-  const traffic = { sentBytes: 10, receivedBytes: 20 };
+  const sentByKind = new Map([["confirm", 7]]);
+  const traffic = { sentBytes: 10, receivedBytes: 20, sentByKind };
   const metrics = new Metrics({ peerTraffic: () => traffic });
   await metrics.text();
   traffic.sentBytes = 15;
   const text = await metrics.text();
   assert.match(text, /mangobank_peer_bytes_total\{direction="sent"\} 15/);
+  assert.match(text, /mangobank_peer_sent_bytes_total\{kind="confirm"\} 7/);
 });
--- /dev/null
+++ b/packages/telemetry/peer_traffic.ts
@@ -0,0 +1,40 @@
+import { Counter, type Registry } from "prom-client";
+
+/** Bytes exchanged with other processes of the system. */
+export interface PeerTraffic {
+  readonly sentBytes: number;
+  readonly receivedBytes: number;
+  /** Bytes of the frames sent, by message kind. */
+  readonly sentByKind: ReadonlyMap<string, number>;
+}
+
+/** Registers counters that are read at each scrape. */
+export function registerPeerTraffic(
+  registry: Registry,
+  traffic: () => PeerTraffic,
+): void {
+  new Counter({
+    name: "mangobank_peer_bytes_total",
+    help: "Bytes exchanged with other processes of the system",
+    labelNames: ["direction"],
+    registers: [registry],
+    collect() {
+      const { sentBytes, receivedBytes } = traffic();
+      this.reset();
+      this.inc({ direction: "sent" }, sentBytes);
+      this.inc({ direction: "received" }, receivedBytes);
+    },
+  });
+  new Counter({
+    name: "mangobank_peer_sent_bytes_total",
+    help: "Bytes sent to other processes of the system, by message kind",
+    labelNames: ["kind"],
+    registers: [registry],
+    collect() {
+      this.reset();
+      for (const [kind, bytes] of traffic().sentByKind) {
+        this.inc({ kind }, bytes);
+      }
+    },
+  });
+}
--- a/packages/wire/link.ts
+++ b/packages/wire/link.ts
@@ -39,6 +39,8 @@
 export interface Traffic {
   sentBytes: number;
   receivedBytes: number;
+  /** Bytes of the frames sent, by message kind. */
+  readonly sentByKind: Map<string, number>;
 }
 
 export interface LinkOptions {
@@ -88,12 +90,14 @@
       this.close(frame.error);
       return false;
     }
-    return this.sendFrame(frame.value);
+    return this.sendFrame(kind, frame.value);
   }
 
   /** Queues a message that is encoded already, for several links at once. */
-  sendFrame(frame: Buffer): boolean {
+  sendFrame(kind: string, frame: Buffer): boolean {
     if (!this.#open) return false;
+    const { sentByKind } = this.#options.traffic;
+    sentByKind.set(kind, (sentByKind.get(kind) ?? 0) + frame.length);
     this.#batch.push(frame);
     if (this.#batch.length === 1) setImmediate(() => this.#flush());
     return true;
--- a/packages/wire/network.ts
+++ b/packages/wire/network.ts
@@ -48,7 +48,11 @@
 
 /** Connections to other processes of the system over TCP. */
 export class TcpNetwork<M extends MessageMap> implements Network<M> {
-  readonly traffic: Traffic = { sentBytes: 0, receivedBytes: 0 };
+  readonly traffic: Traffic = {
+    sentBytes: 0,
+    receivedBytes: 0,
+    sentByKind: new Map(),
+  };
   readonly #self: Hello;
   readonly #clock: Clock;
   readonly #observer: NetworkObserver;
@@ -107,7 +111,7 @@
     if (links.length === 0) return;
     encodeFrame(kind, payload).match(
       (frame) => {
-        for (const link of links) link.sendFrame(frame);
+        for (const link of links) link.sendFrame(kind, frame);
       },
       (fault) => this.#observer.fault?.(fault, undefined),
     );
