--- a/packages/routing/dispatch_link.ts
+++ b/packages/routing/dispatch_link.ts
@@ -12,16 +12,17 @@
 /** Silence of the dispatcher after which an entry chooses locally. */
 export const FALLBACK_MS = 30;
 /** The same where work is long, so that less is lost by waiting. */
-const FALLBACK_LONG_WORK_MS = 120;
+const FALLBACK_LONG_WORK_MS = 160;
 /** Interval of attempts to join the dispatcher. */
 const JOIN_EVERY_MS = 100;
 /** A joining entry chooses locally anyway, so it can wait longer. */
 const JOIN_TIMEOUT_MS = 60;
 /** Silence after which an entry with waiting calls asks for an answer. */
 const PING_AFTER_MS = 10;
-const PING_AFTER_LONG_WORK_MS = 40;
+const PING_AFTER_LONG_WORK_MS = 80;
 /** Interval of full reports, which repair lost messages. */
 const REPORT_EVERY_MS = 200;
+const REPORT_EVERY_LONG_WORK_MS = 600;
 /** An entry without calls leaves; earlier than the dispatcher forgets it. */
 const LEAVE_AFTER_MS = 500;
 
@@ -126,9 +127,10 @@
     return now - this.#awaitingSince > limit;
   }
 
-  reportDue(now: number): boolean {
+  reportDue(now: number, longWork: boolean): boolean {
     if (this.#state !== "attached") return false;
-    return this.#changed && now - this.#lastReport >= REPORT_EVERY_MS;
+    const everyMs = longWork ? REPORT_EVERY_LONG_WORK_MS : REPORT_EVERY_MS;
+    return this.#changed && now - this.#lastReport >= everyMs;
   }
 
   idle(now: number): boolean {
--- a/packages/routing/dispatcher.ts
+++ b/packages/routing/dispatcher.ts
@@ -12,6 +12,8 @@
 const REBUILD_MS = 15;
 /** Slots of an entry that is silent for so long count as free. */
 const ENTRY_LEASE_MS = 700;
+/** The same for long work, of which entries report less often. */
+const ENTRY_LEASE_LONG_WORK_MS = 2_000;
 /** Part of its time that a late call may be expected to wait. */
 const LATE_WAIT_SHARE = 0.5;
 /** Time that a call may take, relative to the usual for its class. */
@@ -159,8 +161,11 @@
   }
 
   tick(now: number): SendEffect[] {
+    const leaseMs = isLongWork(this.#ledger.outliers.meanMs)
+      ? ENTRY_LEASE_LONG_WORK_MS
+      : ENTRY_LEASE_MS;
     for (const entry of this.#ledger.entries.values()) {
-      if (now - entry.lastHeard > ENTRY_LEASE_MS) this.#forget(entry);
+      if (now - entry.lastHeard > leaseMs) this.#forget(entry);
     }
     for (const want of this.#queue.expire(now - EXPIRE_AFTER_MS)) {
       want.entry.wants.delete(want.ticket);
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -235,7 +235,7 @@
     if (this.link.overdue(now, longWork)) this.link.detach(now);
     if (this.link.joinDue(now) && this.#calls.size > 0) {
       effects.push(...this.#join(now));
-    } else if (this.link.reportDue(now)) {
+    } else if (this.link.reportDue(now, longWork)) {
       effects.push(...this.link.report(this.#state(now), now));
     }
     const ping =
