--- a/packages/routing/open_calls.ts
+++ b/packages/routing/open_calls.ts
@@ -1,5 +1,7 @@
 import { ClassQueue } from "#admission";
-import type { OpenCall } from "./open_call.ts";
+import type { EntryState } from "./dispatch_link.ts";
+import type { Taken, Wanted } from "./messages.ts";
+import { type OpenCall, taken, wanted } from "./open_call.ts";
 
 /** The calls of one service that are open at one entry. */
 export class OpenCalls {
@@ -18,10 +20,6 @@
     return this.#calls.size;
   }
 
-  all(): IterableIterator<OpenCall> {
-    return this.#calls.values();
-  }
-
   get(id: string): OpenCall | undefined {
     return this.#calls.get(id);
   }
@@ -31,6 +29,19 @@
     return this.#tickets.get(ticket);
   }
 
+  /** What a dispatcher must know of them when an entry joins it. */
+  state(now: number): EntryState {
+    const state: { taken: Taken[]; wanted: Wanted[] } = {
+      taken: [],
+      wanted: [],
+    };
+    for (const call of this.#calls.values()) {
+      if (call.server) state.taken.push(taken(call, call.server, now));
+      else state.wanted.push(wanted(call, now));
+    }
+    return state;
+  }
+
   open(call: OpenCall): void {
     this.#calls.set(call.id, call);
     this.#tickets.set(call.ticket, call);
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -9,11 +9,11 @@
   Service,
   View,
 } from "#model";
-import { DispatchLink, type EntryState } from "./dispatch_link.ts";
+import { DispatchLink } from "./dispatch_link.ts";
 import type { CallResult, CheckResult, RoutingEffect } from "./effects.ts";
 import { LocalServers } from "./local_servers.ts";
 import { isLongWork } from "./long_work.ts";
-import type { DispatchGrant, Taken, Wanted } from "./messages.ts";
+import type { DispatchGrant } from "./messages.ts";
 import type { Numbers } from "./numbers.ts";
 import {
   assign,
@@ -25,11 +25,11 @@
 } from "./open_call.ts";
 import { OpenCalls } from "./open_calls.ts";
 import { PlacementChecks } from "./placement_checks.ts";
+import { Pressure } from "./pressure.ts";
 import type { ServerState } from "./server_state.ts";
 
 /** Interval in which ejections and cold starts are followed. */
 const REFRESH_MS = 50;
-const MIN_RETRY_MS = 10;
 /** Waiting calls that may be passed over because of their exclusions. */
 const MAX_SET_ASIDE = 8;
 /** Assumed of a server that says it should get no work. */
@@ -50,6 +50,7 @@
   readonly #options: ServiceRouterOptions;
   readonly #servers: LocalServers;
   readonly #calls: OpenCalls;
+  readonly #pressure: Pressure;
   readonly #checks = new PlacementChecks();
   #refreshAt = 0;
   /** Entries of the view. */
@@ -63,6 +64,7 @@
       queueLength: service.queueLength,
       nextTicket: () => options.numbers.next(),
     });
+    this.#pressure = new Pressure(this.#calls, this.#servers);
     this.link = new DispatchLink(service.name, options.numbers);
   }
 
@@ -195,7 +197,6 @@
       const serviceMs = now - open.assignedAt;
       return this.finish(callId, { kind: "cancelled", serviceMs }, now);
     }
-    this.#calls.queue.remove(callId);
     this.#calls.close(open);
     this.link.cancel(open.ticket);
     return this.link.flush(now);
@@ -210,7 +211,6 @@
     for (const { ticket, code, ...reason } of grant.rejects) {
       const open = this.#calls.holding(ticket);
       if (!open || open.server) continue;
-      this.#calls.queue.remove(open.id);
       this.#calls.close(open);
       effects.push(reject(open.id, code, reason));
     }
@@ -236,7 +236,7 @@
     if (this.link.joinDue(now) && this.#calls.size > 0) {
       effects.push(...this.#join(now));
     } else if (this.link.reportDue(now, longWork)) {
-      effects.push(...this.link.report(this.#state(now), now));
+      effects.push(...this.link.report(this.#calls.state(now), now));
     }
     const ping =
       this.#calls.queue.length > 0 && this.link.pingDue(now, longWork);
@@ -262,10 +262,14 @@
         ? this.#servers.choose(open.exclude, now)
         : undefined;
     if (server) return this.#assign(open, server, now);
-    const waitMs = this.#waitMs(this.#calls.queue.ahead(open.priority));
+    const waitMs = this.#pressure.waitMs(
+      this.#calls.queue.ahead(open.priority),
+    );
     if (now + waitMs > open.deadline) {
       this.#calls.close(open);
-      return [reject(open.id, "queue_full", this.#crowded())];
+      return [
+        reject(open.id, "queue_full", this.#pressure.refusal(this.link.state)),
+      ];
     }
     return [...this.#offer(open, now), ...this.link.flush(now)];
   }
@@ -276,21 +280,21 @@
 
   /** Takes a slot that was granted ahead of need, a near one first. */
   #useCredit(open: OpenCall): ServerState | undefined {
-    let chosen: ServerState | undefined;
-    for (const id of this.link.credits) {
-      const server = this.#servers.get(id);
-      if (!server?.ready || open.exclude.has(id)) continue;
-      chosen ??= server;
-      if (server.record.dataCentre !== this.#options.dataCentre) continue;
-      chosen = server;
-      break;
-    }
+    const usable = this.link.credits
+      .filter((id) => this.#usable(open, id))
+      .flatMap((id) => this.#servers.get(id) ?? []);
+    const { dataCentre } = this.#options;
+    const near = (server: ServerState) =>
+      server.record.dataCentre === dataCentre;
+    const chosen = usable.find(near) ?? usable[0];
     if (chosen) this.link.useCredit(chosen.record.id);
     return chosen;
   }
 
   #offer(open: OpenCall, now: number): RoutingEffect[] {
-    this.#calls.queue.setLimit(this.#limit());
+    const { queueLength } = this.#service;
+    const about = { state: this.link.state, entries: this.#entries };
+    this.#calls.queue.setLimit(this.#pressure.limit(queueLength, about));
     const offer = this.#calls.queue.offer(open);
     if (offer.type !== "full" && this.link.streaming) {
       this.link.want(wanted(open, now));
@@ -299,18 +303,9 @@
     const loser = offer.type === "full" ? open : offer.evicted;
     this.#calls.close(loser);
     if (loser !== open) this.link.cancel(loser.ticket);
-    return [reject(loser.id, "queue_full", this.#crowded())];
-  }
-
-  /**
-   * Calls that may wait here. With a dispatcher, which holds the service's
-   * queue, more cannot be granted at once; without, each entry has its part.
-   */
-  #limit(): number {
-    const { queueLength } = this.#service;
-    if (this.link.state === "attached")
-      return queueLength + this.#servers.slots;
-    return Math.ceil(queueLength / Math.max(1, this.#entries));
+    return [
+      reject(loser.id, "queue_full", this.#pressure.refusal(this.link.state)),
+    ];
   }
 
   #assign(open: OpenCall, server: ServerState, now: number): RoutingEffect[] {
@@ -421,39 +416,15 @@
     return this.#calls.queue.expire(now).map((open) => {
       this.#calls.close(open);
       this.link.cancel(open.ticket);
-      return reject(open.id, "deadline_expired", this.#crowded());
+      return reject(
+        open.id,
+        "deadline_expired",
+        this.#pressure.refusal(this.link.state),
+      );
     });
   }
 
   #join(now: number): RoutingEffect[] {
-    return this.link.report(this.#state(now), now);
-  }
-
-  #state(now: number): EntryState {
-    const state: { taken: Taken[]; wanted: Wanted[] } = {
-      taken: [],
-      wanted: [],
-    };
-    for (const open of this.#calls.all()) {
-      if (open.server) state.taken.push(taken(open, open.server, now));
-      else state.wanted.push(wanted(open, now));
-    }
-    return state;
-  }
-
-  #waitMs(calls: number): number {
-    return (calls * this.#servers.meanMs) / Math.max(1, this.#servers.slots);
-  }
-
-  /** When to come back, and what stands in the way. */
-  #crowded(): { retryAfterMs: number; detail: string } {
-    const { state } = this.link;
-    const detail = `${this.#calls.queue.length} calls wait here, dispatcher ${state}`;
-    return { retryAfterMs: this.#retryMs(), detail };
-  }
-
-  #retryMs(): number {
-    const waitMs = this.#waitMs(this.#calls.queue.length + 1);
-    return Math.max(MIN_RETRY_MS, Math.ceil(waitMs));
+    return this.link.report(this.#calls.state(now), now);
   }
 }
