--- a/packages/telemetry/bounded_log_stream.ts
+++ b/packages/telemetry/bounded_log_stream.ts
@@ -1,4 +1,5 @@
-import { write, writeSync } from "node:fs";
+import { write } from "node:fs";
+import { setTimeout as delay } from "node:timers/promises";
 import type { Clock } from "#model";
 
 /** Lines that may be written at once, after a quiet time. */
@@ -8,6 +9,10 @@
 /** Bytes that may wait for a reader that is slow. */
 const MAX_WAITING_BYTES = 256 * 1024;
 
+/** Longest wait for a reader at the end of the process. */
+const FLUSH_WITHIN_MS = 200;
+const FLUSH_CHECK_MS = 2;
+
 /**
  * Writes log lines to a descriptor without ever blocking the caller. Lines
  * above the rate, or that a slow reader leaves no room for, are dropped and
@@ -53,16 +58,11 @@
     return true;
   }
 
-  /** Writes what waits, at the end of the process. */
-  flush(): void {
-    const text = this.#waiting.join("");
-    this.#waiting = [];
-    this.#waitingBytes = 0;
-    if (text === "") return;
-    try {
-      writeSync(this.#descriptor, text);
-    } catch {
-      // Without a reader there is nobody to tell.
+  /** Resolves when all lines are written, or a slow reader took too long. */
+  async flush(): Promise<void> {
+    const end = this.#clock.now() + FLUSH_WITHIN_MS;
+    while (this.#writing && this.#clock.now() < end) {
+      await delay(FLUSH_CHECK_MS);
     }
   }
 
--- a/packages/telemetry/bounded_log_stream_test.ts
+++ b/packages/telemetry/bounded_log_stream_test.ts
@@ -13,25 +13,20 @@
 import { BoundedLogStream } from "./bounded_log_stream.ts";
 
 /** Runs against a file and gives the lines that arrived there. */
-function written(run: (stream: BoundedLogStream, clock: ManualClock) => void) {
+async function written(
+  run: (stream: BoundedLogStream, clock: ManualClock) => void,
+): Promise<string[]> {
   const folder = mkdtempSync(join(tmpdir(), "mangobank-log-"));
   const file = join(folder, "log");
   const descriptor = openSync(file, "w");
   const clock = new ManualClock();
   const stream = new BoundedLogStream({ descriptor, clock });
-  // Nothing is flushed in between, so that all lines wait.
   run(stream, clock);
-  return new Promise<string[]>((resolve) => {
-    setImmediate(() => {
-      stream.flush();
-      setTimeout(() => {
-        closeSync(descriptor);
-        const lines = readFileSync(file, "utf8").trimEnd().split("\n");
-        rmSync(folder, { recursive: true });
-        resolve(lines);
-      }, 50);
-    });
-  });
+  await stream.flush();
+  closeSync(descriptor);
+  const lines = readFileSync(file, "utf8").trimEnd().split("\n");
+  rmSync(folder, { recursive: true });
+  return lines;
 }
 
 test("lines above the rate are dropped and counted", async () => {
