Ask one peer for a newer configuration instead of taking it from all

An entry without control's confirmation asks all entries for their version, and each that was ahead pushed its whole configuration, former views included.

Change: peers answer with their version only; the entry asks one that is ahead, and another after 300 ms if nothing came.

--- a/packages/configuration/messages.ts
+++ b/packages/configuration/messages.ts
@@ -65,6 +65,8 @@
   version_ask: { readonly version: number; readonly round: number };
   /** Entry to entry. */
   version_answer: { readonly version: number; readonly round: number };
+  /** Entry to entry: asks for what is missing since this version. */
+  version_want: { readonly version: number };
   /** Entry to entry: what a peer with a lower version lacks. */
   version_push: { readonly change: ConfigurationChange };
 }
--- a/packages/entry/configuration_follower.ts
+++ b/packages/entry/configuration_follower.ts
@@ -29,6 +29,9 @@
 /** Time in which a control host answers, a majority's confirmation included. */
 const ANSWER_WITHIN_MS = 600;
 
+/** Time in which one peer's configuration arrives, before another is asked. */
+const WANT_EVERY_MS = 300;
+
 export interface FollowerOptions {
   readonly network: Network<ConfigurationMessages>;
   readonly clock: Clock;
@@ -51,6 +54,7 @@
   #turn = 0;
   /** When the oldest question without an answer was asked. */
   #unansweredSince: number | undefined;
+  #wantedAt = Number.NEGATIVE_INFINITY;
   /** The control host that has this entry's record, with its state. */
   #told: { control: HostId; state: Entry["state"] } | undefined;
 
@@ -71,8 +75,17 @@
     network.handle("version_ask", (ask, from) => this.#answerPeer(ask, from));
     network.handle("version_answer", (answer, from) => {
       const { round, version } = answer;
+      if (version > this.version) this.#want(from.id);
       this.#freshness.peerAnswered({ peer: from, round, version });
     });
+    network.handle("version_want", ({ version }, from) => {
+      if (version >= this.version) return;
+      const change = diffConfigurations(
+        EMPTY_CONFIGURATION,
+        this.#configuration,
+      );
+      network.send(from.id, "version_push", { change });
+    });
     network.handle("version_push", ({ change }, from) =>
       this.#apply(change, from),
     );
@@ -178,9 +191,18 @@
     const { network } = this.#options;
     const { version } = this;
     network.send(from.id, "version_answer", { version, round: ask.round });
-    if (ask.version >= version) return;
-    const change = diffConfigurations(EMPTY_CONFIGURATION, this.#configuration);
-    network.send(from.id, "version_push", { change });
+  }
+
+  /**
+   * Asks one peer for a newer configuration. All peers answer a question at
+   * once, and a whole configuration from each would fill the links.
+   */
+  #want(peer: HostId): void {
+    const { clock, network } = this.#options;
+    const now = clock.now();
+    if (now - this.#wantedAt < WANT_EVERY_MS) return;
+    this.#wantedAt = now;
+    network.send(peer, "version_want", { version: this.version });
   }
 
   #apply(change: ConfigurationChange, from: Hello): void {
