Start no long work on servers in a slow spell, however long the queue is

Cause: in an overload the dispatcher gave free slots of slow servers to waiting calls once the queue took longer than 0.3 of what the slowness costs. For servers in a spell of some 300 ms that is wrong: the call keeps the slot four times as long, well beyond the spell.

Ruled out: checks that run out of budget (80% of the other calls were checked) and slow servers as such (the spread over servers was even).

Change: for long work, free slots of servers in a spell wait for its end. Stragglers still get calls when the queue is long, but only calls that they could answer in time. Two replay tests, which failed before: 8 calls started in spells (at most 2 now), and a call given to a straggler that needs longer than the call has.

--- a/packages/routing/dispatcher.ts
+++ b/packages/routing/dispatcher.ts
@@ -355,15 +355,15 @@
    */
   #grantSpare(now: number): void {
     const { outliers } = this.#ledger;
+    // A spell is shorter than long work, so waiting for its end costs less.
+    const spells = !isLongWork(outliers.meanMs);
     for (;;) {
       const want = this.#queue.first("patient") ?? this.#queue.first("urgent");
       if (!want || this.slots.free > 0) return;
-      const spare = this.slots.pickSpare(want.exclude);
+      const spare = this.slots.pickSpare({ exclude: want.exclude, spells });
       if (!spare) return;
       const { health } = spare;
-      const excessMs = (spare.ratio - 1) * outliers.meanMs;
-      const waitMs = this.#waitMs(this.#queue.length);
-      if (waitMs <= SPARE_SHARE * excessMs) {
+      if (!this.#gainsAtStraggler(want, spare, now)) {
         // A spell ends by itself, so that there is nothing to try.
         if (health.standing !== "slow") return;
         const tries = want.priority === "patient";
@@ -375,6 +375,16 @@
     }
   }
 
+  /** Whether the queue takes longer than a straggler, and that is in time. */
+  #gainsAtStraggler(want: Want, spare: ServerSlots, now: number): boolean {
+    const { outliers, knee } = this.#ledger;
+    const excess = spare.ratio - 1;
+    const waitMs = this.#waitMs(this.#queue.length);
+    if (waitMs <= SPARE_SHARE * excess * outliers.meanMs) return false;
+    const usualMs = knee.usualMs(want.class) ?? outliers.meanMs;
+    return now + excess * usualMs <= want.deadline;
+  }
+
   #choose(want: Want): ServerSlots | undefined {
     const { outliers } = this.#ledger;
     const near = want.entry.dataCentre;
--- a/packages/routing/overload_test.ts
+++ b/packages/routing/overload_test.ts
@@ -1,7 +1,16 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { CheckResult } from "./index.ts";
 import { makeServer, TestCluster } from "./test_cluster.ts";
 
+const NORMAL = {
+  kind: "answered",
+  healthy: true,
+  leaving: false,
+  slowdown: 1,
+  inFlight: 0,
+  ms: 6,
+} as const satisfies CheckResult;
 const WORK_MS = 200;
 const OBJECTIVE_MS = 600;
 const TIMEOUT_MS = 2_000;
@@ -32,16 +41,22 @@
 }
 
 /** Ends calls when their work is done, for some time. */
-function run(cluster: TestCluster, ms: number, each: () => void): void {
+function run(
+  cluster: TestCluster,
+  ms: number,
+  options: { each: () => void; slowdown?: (server: string) => number },
+): void {
+  const { each, slowdown = () => 1 } = options;
   const started = new Map<string, number>();
   for (let step = 0; step < ms; step += 5) {
     each();
     cluster.advance(5);
-    for (const id of [...cluster.running.keys()]) {
+    for (const [id, { server }] of [...cluster.running]) {
       const since = started.get(id) ?? cluster.now;
       started.set(id, since);
-      if (cluster.now - since < WORK_MS) continue;
-      cluster.finish(id, { serviceMs: WORK_MS });
+      const serviceMs = WORK_MS * slowdown(server);
+      if (cluster.now - since < serviceMs) continue;
+      cluster.finish(id, { serviceMs, slowdown: slowdown(server) });
       started.delete(id);
     }
   }
@@ -53,13 +68,14 @@
   const submitted = new Map<string, number>();
   const placed = new Map<string, number>();
   let step = 0;
-  run(cluster, 6_000, () => {
+  const each = () => {
     // Four slots do 20 calls a second; 40 arrive.
     if (step++ % 5 === 0) submitted.set(submit(cluster), cluster.now);
     for (const [id] of submitted) {
       if (!placed.has(id) && cluster.serverOf(id)) placed.set(id, cluster.now);
     }
-  });
+  };
+  run(cluster, 6_000, { each });
   const timely = [...placed].filter(
     ([id, at]) => at - (submitted.get(id) ?? 0) + WORK_MS <= OBJECTIVE_MS,
   );
@@ -119,3 +135,40 @@
     cluster.router(cluster.dispatcher).dispatcher("alloc") ?? {};
   assert.equal(slots?.get("s1")?.health.standing, "slow");
 });
+
+// In overload, over half of the slots' time went to calls that were started in
+// spells of four times the work, and most of them ended too late.
+test("a long queue does not send long work to servers in a spell", () => {
+  const cluster = busy();
+  for (const id of ["s1", "s2"]) {
+    cluster.checkResults.set(id, { ...NORMAL, slowdown: 4 });
+  }
+  const inSpell = new Map<string, string>();
+  const tell = { s1: 4, s2: 4 } as Record<string, number>;
+  run(cluster, 3_000, {
+    each: () => {
+      if (cluster.now % 25 === 0) submit(cluster);
+      for (const [id, { server }] of cluster.running) {
+        if (server in tell) inSpell.set(id, server);
+      }
+    },
+    slowdown: (server) => tell[server] ?? 1,
+  });
+  // A server is first known to be slow by what a call there or a check tells.
+  assert.ok(inSpell.size <= 2, `${inSpell.size}`);
+});
+
+test("a straggler gets no call that it could not answer in time", () => {
+  const cluster = busy();
+  const dispatcher = cluster.router(cluster.dispatcher).dispatcher("alloc");
+  const straggler = dispatcher?.slots.get("s1");
+  assert.ok(dispatcher && straggler);
+  straggler.health.standing = "slow";
+  straggler.health.ratio = 1 + TIMEOUT_MS / WORK_MS;
+  straggler.health.until = Number.POSITIVE_INFINITY;
+  dispatcher.slots.refresh(straggler, cluster.now);
+  for (let call = 0; call < 30; call++) submit(cluster);
+  cluster.advance(20);
+  assert.equal(cluster.usage().s1, 0);
+  assert.ok(dispatcher.waiting > 0);
+});
--- a/packages/routing/slots.ts
+++ b/packages/routing/slots.ts
@@ -248,11 +248,19 @@
     return best;
   }
 
-  /** A free slot of a straggler, cheapest first. */
-  pickSpare(exclude?: readonly BackendServerId[]): ServerSlots | undefined {
+  /**
+   * A free slot of a straggler, cheapest first; with `spells` also of servers
+   * that are only slow for a moment.
+   */
+  pickSpare(options: {
+    exclude?: readonly BackendServerId[] | undefined;
+    spells: boolean;
+  }): ServerSlots | undefined {
+    const { exclude, spells } = options;
     let best: ServerSlots | undefined;
     for (const server of this.#spare) {
       if (server.free === 0 || exclude?.includes(server.record.id)) continue;
+      if (!spells && server.health.standing !== "slow") continue;
       if (!best || server.ratio < best.ratio) best = server;
     }
     return best;
