Add a report that splits lost calls by where they were lost

Change: `mangobank report` reads the lines of requests and prints, by time and by class, how many met their objective, were late by waiting, at the server or after a resend, were refused or failed by code, and how the servers' slots were used. The line of a request gains `objectiveMs`, from which lateness is judged.

--- a/packages/cli/program.ts
+++ b/packages/cli/program.ts
@@ -12,6 +12,7 @@
   StatusCommand,
   StopsCommand,
 } from "./commands/observe.ts";
+import { ReportCommand } from "./commands/report.ts";
 import { ControlCommand, EntryCommand } from "./commands/run.ts";
 import { GetCommand, HistoryCommand, PutCommand } from "./commands/sections.ts";
 import type { CliContext } from "./context.ts";
@@ -28,6 +29,7 @@
   HostsCommand,
   ServersCommand,
   StopsCommand,
+  ReportCommand,
   MembersCommand,
   AddMemberCommand,
   RemoveMemberCommand,
--- a/packages/cli/program_test.ts
+++ b/packages/cli/program_test.ts
@@ -181,3 +181,37 @@
   const run1 = await run("entry", "--settings", good);
   assert.deepEqual(run1.started, ["entry entry-01"]);
 });
+
+const CALL_LINE = JSON.stringify({
+  time: "2026-12-04T00:00:01.000Z",
+  message: "call",
+  service: "alloc",
+  class: "lookup",
+  outcome: "not-run",
+  code: "queue_full",
+  ms: 1,
+});
+
+test("report counts lost calls by window and class", async () => {
+  const log = file("entry.log", `${CALL_LINE}\nno json\n${CALL_LINE}\n`);
+  const { code, out } = await run("report", log);
+  assert.equal(code, 0);
+  assert.match(out, /^FROM +CALLS +IN OBJECTIVE +REFUSED QUEUE FULL$/m);
+  assert.match(out, /^2026-12-04T00:00:00.000Z +2 +- +2$/m);
+  assert.match(out, /^alloc lookup +2 +- +2$/m);
+});
+
+test("report names what keeps it from a result", async () => {
+  const empty = file("empty.log", "");
+  const missing = join(folder, "missing.log");
+  const cases = [
+    { args: [empty], code: 7, says: /no line tells of a call/ },
+    { args: [missing], code: 1, says: /no such file/ },
+    { args: ["--window-s", "0", empty], code: 2, says: /--window-s/ },
+  ];
+  for (const { args, code, says } of cases) {
+    const result = await run("report", ...args);
+    assert.equal(result.code, code, result.log);
+    assert.match(result.log, says);
+  }
+});
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -287,6 +287,7 @@
       detail: fault?.detail,
       retryAfterMs: fault?.retryAfterMs,
       stopped: this.#stopped,
+      objectiveMs: this.#classified?.class.targetMs,
       ms: Math.round(ms),
       attempts: this.#attempts?.trail,
       configuration: configuration(),
--- /dev/null
+++ b/packages/reports/index.ts
@@ -0,0 +1,7 @@
+/**
+ * Reports on recorded logs.
+ *
+ * @module
+ */
+export * from "./call_lines.ts";
+export * from "./losses.ts";
