Admit a voter again that was removed while it was silent

Cause: with four control hosts, the leader removes a voter after 15 s of silence. A host that came back later with its disk still took itself for a voter: no leader sent it the log, it asked for votes in vain, and a further loss left the log one host short.

Ruled out: emptying the folder of the returning host. Its log and its vote are still valid, and a member that is added again catches up like any learner.

--- a/packages/agreement/effects.ts
+++ b/packages/agreement/effects.ts
@@ -95,7 +95,7 @@
   readonly lastIndex: number;
   readonly snapshotIndex: number;
   readonly membership: Membership;
-  /** Empty folders that announced themselves to this member. */
+  /** Folders that are no members and announced themselves to this one. */
   readonly announced: readonly MemberKey[];
   /** Filled at the leader only. */
   readonly peers: readonly PeerStatus[];
--- a/packages/agreement/founders.ts
+++ b/packages/agreement/founders.ts
@@ -35,7 +35,7 @@
   readonly #bound = new Set<MemberKey>();
   /** Members whose refusal was reported. */
   readonly #refusedBy = new Set<MemberKey>();
-  /** Identities of empty folders that announced themselves, with the time. */
+  /** Identities that announced themselves and are no members, with the time. */
   readonly #announced = new Map<HostId, { identity: string; at: number }>();
   #clusterExistsAt: HostId | undefined;
   #nextAsk = Number.NEGATIVE_INFINITY;
@@ -51,7 +51,7 @@
     this.#asked = [...asked];
   }
 
-  /** Identity by host of the empty folders that can be added. */
+  /** Identity by host of the folders that can be added. */
   announced(now: number): Map<HostId, string> {
     const result = new Map<HostId, string>();
     for (const [host, { identity, at }] of this.#announced) {
@@ -79,9 +79,15 @@
     this.#conveneIfAllEmpty(now);
   }
 
+  /** Notes a member that can be added. */
+  announce(member: MemberKey, now: number): void {
+    const host = hostOf(member);
+    const identity = member.slice(host.length + 1);
+    this.#announced.set(host, { identity, at: now });
+  }
+
   inquiry({ from }: Inquiry, now: number): void {
-    const identity = from.slice(hostOf(from).length + 1);
-    this.#announced.set(hostOf(from), { identity, at: now });
+    this.announce(from, now);
     this.#state.sendTo(hostOf(from), "agreement.inquiry_reply", {
       from: this.#state.self,
       to: from,
--- a/packages/storage/members_test.ts
+++ b/packages/storage/members_test.ts
@@ -260,3 +260,33 @@
   s.run(1_000);
   for (const host of s.hosts) s.history.checkHolds(host);
 });
+
+// A voter that was removed for its silence never voted again after its return,
+// so that a second loss left one host less than a majority needs.
+test("a voter that was removed while it was down is added again", () => {
+  const s = formed(4);
+  const [silent] = othersOf(s, leaderOf(s));
+  assert.ok(silent);
+  const member = statusOf(s, silent).self;
+  submitted(s, leaderOf(s));
+  s.crash(silent);
+  s.run(2_000);
+  const removal = { type: "remove", member } as const;
+  assert.equal(changed(s, leaderOf(s), removal), undefined);
+  for (let count = 0; count < 30; count++) submitted(s, leaderOf(s));
+  s.start(silent);
+  const isAnnounced = () => statusOf(s, leaderOf(s)).announced.includes(member);
+  assert.ok(s.runUntil(isAnnounced, 5_000), "it is announced");
+  const { id: host } = silent;
+  assert.equal(changed(s, leaderOf(s), { type: "add", host }), undefined);
+  s.run(1_000);
+  const promotion = { type: "promote", member } as const;
+  assert.equal(changed(s, leaderOf(s), promotion), undefined);
+  s.run(1_000);
+  assert.ok(statusOf(s, silent).membership.voters.includes(member));
+  s.history.checkHolds(silent);
+  const [other] = othersOf(s, leaderOf(s)).filter((h) => h !== silent);
+  assert.ok(other);
+  s.crash(other);
+  assert.equal(submitted(s, leaderOf(s)), undefined);
+});
