Bound the requests that wait for the replicated log

Cause: while a disk stalled, requests to the log piled up in memory without a bound; nothing refused them before their own time-outs.

Change: beyond 2,000 pending requests further ones are refused at once as not accepted.

--- a/packages/storage/replicated_log.ts
+++ b/packages/storage/replicated_log.ts
@@ -27,6 +27,8 @@
 /** An election timeout has ten of these; an idle member does little else. */
 const TICK_MS = 100;
 const REPLACE_RETRY_MS = 100;
+/** More requests than this would wait for the disk longer than they may. */
+const MAX_PENDING = 2_000;
 /** Longest wait for a learner's state transfer in `replaceMember`. */
 const REPLACE_TIMEOUT_MS = 120_000;
 
@@ -179,6 +181,9 @@
     ifStopped: ChangeFault = { type: "result_unknown" },
   ): Promise<Result<unknown, ChangeFault>> {
     if (this.#isStopped) return Promise.resolve(err({ type: "closed" }));
+    if (this.#pending.size >= MAX_PENDING) {
+      return Promise.resolve(err({ type: "no_quorum" }));
+    }
     return new Promise((resolve) => {
       const id = `${this.#idPrefix}.${++this.#sequence}`;
       this.#pending.set(id, { settle: resolve, ifStopped });
--- a/packages/storage/replicated_log_test.ts
+++ b/packages/storage/replicated_log_test.ts
@@ -194,3 +194,14 @@
   assert.ok(voters.includes(lost.log.status().self));
   assert.equal(voters.length, 3);
 });
+
+// A disk that stalled let requests pile up in memory without a bound.
+test("more requests than can be served are refused at once", async (t) => {
+  const { wires, hosts } = await openCluster(t);
+  for (const host of FOUNDERS) wires.cut(host);
+  const { log } = leaderOf(hosts);
+  const pending = Array.from({ length: 2_000 }, () => log.submit("command"));
+  const refused = await Promise.race([log.submit("one more"), ...pending]);
+  assert.equal(refused._unsafeUnwrapErr().type, "no_quorum");
+  await Promise.all(pending);
+});
