Eject servers only if they fail more than by chance

Ruled out: pauses after a refusal (25 ms to 1 s, over at once after the fault).

Change: a server is ejected if its success rate is also three standard deviations of chance below the median; a trial fails from 1.5 times the failures that are usual elsewhere. Where the others do not fail, nothing changes.

--- a/packages/routing/outliers.ts
+++ b/packages/routing/outliers.ts
@@ -18,6 +18,10 @@
 const SUCCESS_STEP = 0.5;
 /** Ejected only below this share of the median success rate. */
 const SUCCESS_VERSUS_MEDIAN = 0.9;
+/** A lower success rate counts from so many standard deviations of chance. */
+const SUCCESS_DEVIATIONS = 3;
+/** A trial fails from this multiple of the failures that are usual elsewhere. */
+const TRIAL_FAILURES_VERSUS_USUAL = 1.5;
 /** First ejection; doubles with each failed trial. */
 const EJECT_MS = 1_000;
 const EJECT_MAX_MS = 30_000;
@@ -61,6 +65,7 @@
   failEvidence = 0;
   samples = 0;
   successesInTrial = 0;
+  failuresInTrial = 0;
   ejectMs = EJECT_MS;
   trialMs = SLOW_TRIAL_MS;
   /** End of the ejection, or time of the next trial of a straggler. */
@@ -163,6 +168,7 @@
       if (health.standing !== "ejected" || now < health.until) continue;
       health.standing = "trial";
       health.successesInTrial = 0;
+      health.failuresInTrial = 0;
       changed = true;
     }
     return changed;
@@ -219,20 +225,33 @@
   #failed(health: ServerHealth, now: number): void {
     health.success -= SAMPLE_WEIGHT * health.success;
     health.failEvidence += 1;
+    const usual = median([...this.#servers].map((s) => s.success));
     if (health.standing === "trial") {
-      health.ejectMs = Math.min(EJECT_MAX_MS, 2 * health.ejectMs);
-      this.#eject(health, now);
+      this.#trialFailed(health, { usual, now });
       return;
     }
     if (health.standing === "ejected") return;
     if (health.failEvidence < FAIL_THRESHOLD) return;
-    const usual = median([...this.#servers].map((s) => s.success));
-    if (health.success >= SUCCESS_VERSUS_MEDIAN * usual) return;
+    if (health.success >= unusualSuccess(usual)) return;
     if (health.standing === "slow" || this.#mayTakeOut(health)) {
       this.#eject(health, now);
     }
   }
 
+  /** When all servers fail part of their calls, so may one on trial. */
+  #trialFailed(
+    health: ServerHealth,
+    { usual, now }: { usual: number; now: number },
+  ): void {
+    health.failuresInTrial += 1;
+    const calls = health.successesInTrial + health.failuresInTrial;
+    const expected = (1 - usual) * calls;
+    const most = 1 + TRIAL_FAILURES_VERSUS_USUAL * expected;
+    if (health.failuresInTrial < most) return;
+    health.ejectMs = Math.min(EJECT_MAX_MS, 2 * health.ejectMs);
+    this.#eject(health, now);
+  }
+
   #eject(health: ServerHealth, now: number): void {
     if (health.standing === "good") {
       this.#outSlots += health.slots;
@@ -334,6 +353,13 @@
   return ratio * (1 - 1 / SLOW_FACTOR);
 }
 
+/** Success rate below which a server does worse than by chance. */
+function unusualSuccess(usual: number): number {
+  const variance = (usual * (1 - usual) * SAMPLE_WEIGHT) / (2 - SAMPLE_WEIGHT);
+  const byChance = usual - SUCCESS_DEVIATIONS * Math.sqrt(variance);
+  return Math.min(SUCCESS_VERSUS_MEDIAN * usual, byChance);
+}
+
 function median(values: number[]): number {
   values.sort((a, b) => a - b);
   return values[Math.floor((values.length - 1) / 2)] ?? 1;
