Tell callers when to come back after each refusal

Cause: a request that its server had refused, and for which no resend was left, or that waited until its route's timeout, got a 503 without Retry-After.

Change: a fault that proves that the request was not run names a time also where nothing better is known: 100 ms after a refusal, 1 s after a wait in vain. If an earlier attempt may have run, no time is given.

Result: the test of a refused booking failed before (no time) and passes.

--- a/packages/entry/call_attempts.ts
+++ b/packages/entry/call_attempts.ts
@@ -213,7 +213,11 @@
     const answer = this.#serverError;
     if (answer) return { type: "answer", answer };
     if (!this.#mayHaveRun) return { type: "fault", fault };
-    return { type: "fault", fault: { ...fault, outcome: "unknown" } };
+    const { code, detail } = fault;
+    return {
+      type: "fault",
+      fault: callFault(code, { outcome: "unknown", detail }),
+    };
   }
 }
 
--- a/packages/entry/server_faults_test.ts
+++ b/packages/entry/server_faults_test.ts
@@ -74,6 +74,7 @@
   readonly code: string | undefined;
   readonly body: string;
   readonly requestId: string;
+  readonly retryAfterMs: number;
 }
 
 async function call(
@@ -100,6 +101,7 @@
     code: headers[HEADERS.error] as string | undefined,
     body,
     requestId: String(headers[HEADERS.requestId]),
+    retryAfterMs: Number(headers[HEADERS.retryAfterMs]),
   };
 }
 
@@ -209,6 +211,8 @@
   const key = uuidv7();
   const refused = await call(service, { key });
   assert.equal(refused.outcome, "not-run");
+  // Without a time, callers came back at once or not at all.
+  assert.ok(refused.retryAfterMs > 0, `${refused.retryAfterMs}`);
   server.behave({ shedding: false });
   let seen = await call(service, { key, entry: 1 });
   await until(
--- a/packages/model/outcomes.ts
+++ b/packages/model/outcomes.ts
@@ -36,6 +36,16 @@
   readonly detail?: string;
 }
 
+/**
+ * When a request that was not run may come back, in milliseconds, where nothing
+ * better is known: a server that refused has room again after a fraction of a
+ * call, while a call that waited in vain met a longer overload.
+ */
+const USUAL_RETRY_MS: Partial<Record<CallFaultCode, number>> = {
+  server_failed: 100,
+  deadline_expired: 1_000,
+};
+
 /** Makes a fault with the outcome that its code proves, unless told another. */
 export function callFault(
   code: CallFaultCode,
@@ -45,11 +55,13 @@
     detail?: string | undefined;
   } = {},
 ): CallFault {
+  const outcome = options.outcome ?? CALL_FAULTS[code].outcome;
+  const usualMs = outcome === "not-run" ? USUAL_RETRY_MS[code] : undefined;
   return {
     type: "call_fault",
     code,
-    outcome: options.outcome ?? CALL_FAULTS[code].outcome,
-    retryAfterMs: options.retryAfterMs,
+    outcome,
+    retryAfterMs: options.retryAfterMs ?? usualMs,
     detail: options.detail,
   };
 }
