Find the limit of calls a server also in an overload

All hosts had just restarted: a call's usual duration was learned only from servers with free slots, and in an overload there are none. Servers twelve times slower before had also made all levels of crowding look alike.

Ruled out: forgetting alone (half of what was seen in 30 s).

For long work, one server in six tries another limit, from half of the slots to all, for 2 s.

Result: replays of an overload from the start, and of nine seconds with very slow servers, end with a limit of 4 of 6 and failed before.

--- a/packages/routing/knee_test.ts
+++ b/packages/routing/knee_test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { SeededRandomness } from "#model";
 import { Knee } from "./knee.ts";
+import { limitOnTrial } from "./limit_trials.ts";
 
 /** Feeds calls at every level, with the durations of a server. */
 function learn(
@@ -57,3 +59,61 @@
   assert.equal(knee.limit(6, 0), 6);
   assert.equal(Math.round(knee.usualMs("b") ?? 0), 900);
 });
+
+// After a restart of all hosts in an overload, no call started on a server with
+// free slots, nothing was learned, and every server ran all of its slots.
+test("a dispatcher that starts in an overload finds the limit", () => {
+  const random = new SeededRandomness(7);
+  const knee = new Knee();
+  const slots = 6;
+  const msAt = aboveFourFifths(slots, 220);
+  let limit = slots;
+  for (let now = 0; now < 10_000; now += 16) {
+    const id = `s${Math.floor(random.next() * 8)}`;
+    const running = limitOnTrial({ id, slots }, now) ?? limit;
+    const serviceMs = msAt(running) * (0.6 + 0.8 * random.next());
+    knee.observe({ class: "lookup", running, slots, serviceMs }, now);
+    limit = knee.limit(slots, now);
+  }
+  assert.equal(limit, 4);
+});
+
+// A third of the servers twelve times slower for nine seconds made crowding
+// look harmless for the half minute that followed.
+test("a spell of very slow servers does not hide the limit", () => {
+  const random = new SeededRandomness(11);
+  const knee = new Knee();
+  const slots = 6;
+  const msAt = aboveFourFifths(slots, 220);
+  let limit = slots;
+  for (let now = 0; now < 30_000; now += 16) {
+    const id = `s${Math.floor(random.next() * 8)}`;
+    const running = limitOnTrial({ id, slots }, now) ?? limit;
+    const slow = now < 9_000 && random.next() < 0.3 ? 12 : 1;
+    knee.observe(
+      { class: "lookup", running, slots, serviceMs: slow * msAt(running) },
+      now,
+    );
+    limit = knee.limit(slots, now);
+  }
+  assert.equal(limit, 4);
+});
+
+test("one server in six is on trial, each limit from half of the slots", () => {
+  const limits = new Map<number, number>();
+  let trials = 0;
+  for (let turn = 0; turn < 600; turn++) {
+    const limit = limitOnTrial({ id: `s${turn % 7}`, slots: 6 }, turn * 2_000);
+    if (limit === undefined) continue;
+    trials += 1;
+    limits.set(limit, (limits.get(limit) ?? 0) + 1);
+  }
+  assert.deepEqual([...limits.keys()].sort(), [3, 4, 5, 6]);
+  assert.ok(trials > 70 && trials < 130, `${trials}`);
+});
+
+test("a server with one slot is never on trial", () => {
+  for (let now = 0; now < 100_000; now += 500) {
+    assert.equal(limitOnTrial({ id: "s1", slots: 1 }, now), undefined);
+  }
+});
--- a/packages/routing/ledger.ts
+++ b/packages/routing/ledger.ts
@@ -109,11 +109,7 @@
       if (kind === "not_started" && full) server.shed(now);
       if (kind === "answered") {
         server.answered();
-        const { running } = grant;
-        const { slots } = server.record;
-        const name = grant.class;
-        const call = { class: name, running, slots, serviceMs };
-        this.knee.observe(call, now);
+        if (!server.spare) this.#learnCrowding(grant, serviceMs, now);
       }
       // Without the crowding, a long answer says nothing about the server.
       if (crowding !== undefined || kind !== "answered") {
@@ -132,6 +128,12 @@
     if (server.limit === 0 || server.spare) this.revoke(server);
   }
 
+  #learnCrowding(grant: Grant, serviceMs: number, now: number): void {
+    const { class: name, running, server } = grant;
+    const { slots } = server.record;
+    this.knee.observe({ class: name, running, slots, serviceMs }, now);
+  }
+
   /** Forgets an entry with all that it holds. */
   forget(entry: DispatchEntry): void {
     for (const ticket of [...entry.grants.keys()]) this.free(entry, ticket);
--- a/packages/routing/slots.ts
+++ b/packages/routing/slots.ts
@@ -6,6 +6,7 @@
   Service,
 } from "#model";
 import type { Knee } from "./knee.ts";
+import { limitOnTrial } from "./limit_trials.ts";
 import { isLongWork } from "./long_work.ts";
 import type { Outliers, ServerHealth } from "./outliers.ts";
 import { SLOWED } from "./placement_checks.ts";
@@ -95,7 +96,14 @@
     this.shedPauseMs = SHED_PAUSE_MS;
   }
 
-  refreshLimit(warmUp: WarmUp, knee: Knee, now: number): void {
+  refreshLimit(about: {
+    warmUp: WarmUp;
+    knee: Knee;
+    /** A limit that is tried instead of the one that was learned. */
+    trial: number | undefined;
+    now: number;
+  }): void {
+    const { warmUp, knee, trial, now } = about;
     const { record, health } = this;
     if (now >= this.slowedUntil) this.slowedUntil = 0;
     const out = this.leaving || record.state !== "ready";
@@ -112,7 +120,7 @@
       this.#shedAt = now;
     }
     const warm = warmUp.slots(this, now) * health.allowance(now);
-    const useful = knee.limit(record.slots, now);
+    const useful = trial ?? knee.limit(record.slots, now);
     const limit = Math.min(warm, useful, this.shedLimit);
     this.limit = Math.max(1, Math.floor(limit));
   }
@@ -212,7 +220,10 @@
   /** Computes a server's limit anew after time or its standing changed. */
   refresh(server: ServerSlots, now: number): void {
     if (this.#servers.get(server.record.id) !== server) return;
-    server.refreshLimit(this.#warmUp, this.#knee, now);
+    const trial = isLongWork(this.#outliers.meanMs)
+      ? limitOnTrial(server.record, now)
+      : undefined;
+    server.refreshLimit({ warmUp: this.#warmUp, knee: this.#knee, trial, now });
     this.#count(server);
     if (server.spare) this.#spare.add(server);
     else this.#spare.delete(server);
