--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -11,6 +11,7 @@
 } from "#model";
 import { DispatchLink } from "./dispatch_link.ts";
 import type { CallResult, CheckResult, RoutingEffect } from "./effects.ts";
+import { GrantedSlots } from "./granted_slots.ts";
 import { LocalServers } from "./local_servers.ts";
 import { isLongWork } from "./long_work.ts";
 import type { DispatchGrant } from "./messages.ts";
@@ -52,6 +53,7 @@
   readonly #calls: OpenCalls;
   readonly #pressure: Pressure;
   readonly #checks = new PlacementChecks();
+  readonly #slots: GrantedSlots;
   #refreshAt = 0;
   /** Entries of the view. */
   #entries = 1;
@@ -66,6 +68,13 @@
     });
     this.#pressure = new Pressure(this.#calls, this.#servers);
     this.link = new DispatchLink(service.name, options.numbers);
+    this.#slots = new GrantedSlots({
+      calls: this.#calls,
+      link: this.link,
+      servers: this.#servers,
+      usable: this.#usable.bind(this),
+      start: this.#start.bind(this),
+    });
   }
 
   get service(): Service {
@@ -144,7 +153,7 @@
     if (this.link.streaming) {
       this.link.release({ ticket, kind, serviceMs, leaving, slowdown });
     }
-    const reused = this.#reuse(server, now);
+    const reused = this.#slots.reuse(server, now);
     // With credits left nobody waits, so the release can go with the next call.
     const sent = this.link.hasCredits ? [] : this.link.flush(now);
     return [...reused, ...sent, ...this.#drain(now)];
@@ -206,7 +215,7 @@
     if (!this.link.accept(from, grant, now)) return [];
     const effects: RoutingEffect[] = [];
     for (const granted of grant.grants) {
-      effects.push(...this.#granted(granted, now));
+      effects.push(...this.#slots.granted(granted, now));
     }
     for (const { ticket, code, ...reason } of grant.rejects) {
       const open = this.#calls.holding(ticket);
@@ -334,65 +343,6 @@
     return assign(open, server, now);
   }
 
-  /** Gives a slot that became free to a waiting call without asking. */
-  #reuse(server: ServerState, now: number): RoutingEffect[] {
-    const open = this.#calls.queue.peek();
-    if (!open || this.link.state !== "attached") return [];
-    if (isLongWork(this.#servers.meanMs)) return [];
-    const { id } = server.record;
-    const waitedMs = now - open.arrival;
-    const { priority } = open;
-    if (!this.#usable(open, id)) return [];
-    if (!this.link.mayReuse(id, { priority, waitedMs })) return [];
-    return this.#startUnasked(open, server, now);
-  }
-
-  /** Starts a waiting call on a slot that was not granted for it. */
-  #startUnasked(
-    open: OpenCall,
-    server: ServerState,
-    now: number,
-  ): RoutingEffect[] {
-    this.#calls.queue.takeItem(open.id);
-    // A grant for the old ticket may be under way; it must not count as this.
-    const instead = open.ticket;
-    this.#calls.renewTicket(open);
-    const effect = this.#start(open, server, now);
-    if (this.link.streaming) {
-      this.link.take({ ...taken(open, server, now), instead });
-    }
-    return [effect];
-  }
-
-  /** Uses the slot granted for a call that no longer needs it. */
-  #useLeftOver(server: ServerState, now: number): RoutingEffect[] {
-    const open = this.#calls.queue.peek();
-    if (!open || !this.#usable(open, server.record.id)) return [];
-    return this.#startUnasked(open, server, now);
-  }
-
-  #granted(
-    granted: DispatchGrant["grants"][number],
-    now: number,
-  ): RoutingEffect[] {
-    const { ticket, server: id, slowed } = granted;
-    const open = this.#calls.holding(ticket);
-    if (open?.server) return [];
-    const server = this.#servers.get(id);
-    if (open && server?.ready) {
-      open.by = "grant";
-      this.#calls.queue.remove(open.id);
-      return [this.#start(open, server, now, { unasked: slowed })];
-    }
-    const leaving = server?.leaving === true;
-    this.link.release({ ticket, kind: "unused", serviceMs: 0, leaving });
-    if (!open) return server ? this.#useLeftOver(server, now) : [];
-    // The dispatcher does not know yet that this server takes no calls.
-    open.exclude = new Set([...open.exclude, id]);
-    this.link.want(wanted(open, now));
-    return [];
-  }
-
   /** Assigns waiting calls by local choice, unless the dispatcher does. */
   #drain(now: number): RoutingEffect[] {
     const effects: RoutingEffect[] = [];
@@ -403,7 +353,7 @@
       const open = this.#calls.queue.peek();
       if (!open) break;
       const server = this.#servers.choose(open.exclude, now);
-      if (server) effects.push(...this.#startUnasked(open, server, now));
+      if (server) effects.push(...this.#slots.startUnasked(open, server, now));
       else aside.push(open);
       this.#calls.queue.remove(open.id);
     }
