Prefer servers to which an entry holds a connection

Change: among servers that would work at full speed, the dispatcher prefers those that ran a call of the entry in the last 4 s, if they are no farther away.

--- /dev/null
+++ b/packages/routing/connections_test.ts
@@ -0,0 +1,56 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { makeServer, TestCluster } from "./test_cluster.ts";
+
+const WORK_MS = 120;
+
+/** Many servers for few calls, as in a large deployment at rest. */
+function large(): TestCluster {
+  const servers = Array.from({ length: 40 }, (_, n) => makeServer(`s${n}`));
+  const cluster = new TestCluster({ servers });
+  cluster.join();
+  // Long work is placed call by call.
+  for (let round = 0; round < 10; round++) callOnce(cluster);
+  return cluster;
+}
+
+/** A call from start to end; returns its server. */
+function callOnce(cluster: TestCluster): string | undefined {
+  const call = cluster.submit(cluster.other);
+  cluster.advance(WORK_MS);
+  const server = cluster.serverOf(call);
+  if (cluster.running.has(call)) {
+    cluster.finish(call, { serviceMs: WORK_MS, slowdown: 1 });
+  }
+  cluster.advance(10);
+  return server;
+}
+
+// With 121 entries and 266 servers, nearly each call opened a connection.
+test("calls one after the other use the same few servers", () => {
+  const cluster = large();
+  const used = new Set(Array.from({ length: 30 }, () => callOnce(cluster)));
+  assert.ok(used.size <= 3, `${used.size} servers`);
+});
+
+test("a server that an entry knows gets no more than it does at full speed", () => {
+  const cluster = large();
+  const calls = Array.from({ length: 20 }, () => {
+    const call = cluster.submit(cluster.other);
+    cluster.advance(5);
+    return call;
+  });
+  const used = new Set(calls.map((call) => cluster.serverOf(call)));
+  assert.equal(used.size, calls.length);
+});
+
+test("a connection that was idle for long does not count", () => {
+  const cluster = large();
+  const first = callOnce(cluster);
+  const others = new Set<string | undefined>();
+  for (let round = 0; round < 6; round++) {
+    cluster.advance(5_000);
+    others.add(callOnce(cluster));
+  }
+  assert.ok(others.size > 1 || !others.has(first), [...others].join(" "));
+});
--- a/packages/routing/dispatch_entry.ts
+++ b/packages/routing/dispatch_entry.ts
@@ -13,6 +13,11 @@
 /** Time constant of an entry's call rate, in milliseconds. */
 const RATE_MS = 200;
 
+/** Time for which an entry keeps an idle connection at least, in milliseconds. */
+const CONNECTION_KEPT_MS = 4_000;
+/** Servers to which connections are remembered. */
+const MAX_CONNECTED = 8;
+
 /** A call of an entry that waits at the dispatcher. */
 export interface Want extends Waiting {
   readonly ticket: number;
@@ -63,6 +68,8 @@
   readonly credits: ServerSlots[] = [];
   draft: Draft = emptyDraft();
   answerDue = false;
+  /** Servers of the entry's last calls, the latest at the end, by time. */
+  readonly #connected = new Map<ServerSlots, number>();
   #rate = 0;
   #rateAt: number;
 
@@ -84,6 +91,24 @@
     return this.#rate * Math.exp((this.#rateAt - now) / RATE_MS);
   }
 
+  /** A call of the entry ran on a server, so that it holds a connection. */
+  noteConnection(server: ServerSlots, now: number): void {
+    this.#connected.delete(server);
+    this.#connected.set(server, now);
+    if (this.#connected.size <= MAX_CONNECTED) return;
+    const [oldest] = this.#connected.keys();
+    if (oldest) this.#connected.delete(oldest);
+  }
+
+  /** Servers to which the entry is likely to hold an idle connection. */
+  connected(now: number): ServerSlots[] {
+    for (const [server, at] of this.#connected) {
+      if (now - at < CONNECTION_KEPT_MS) break;
+      this.#connected.delete(server);
+    }
+    return [...this.#connected.keys()];
+  }
+
   /** Forgets a credit; false if the entry held none for the server. */
   dropCredit(server: ServerSlots): boolean {
     const index = this.credits.indexOf(server);
--- a/packages/routing/granting.ts
+++ b/packages/routing/granting.ts
@@ -39,7 +39,7 @@
     while (aside.length < MAX_SET_ASIDE) {
       const want = queue.peek();
       if (!want) break;
-      const server = this.#choose(want);
+      const server = this.#choose(want, now);
       if (!server && !want.exclude?.length) break;
       queue.take();
       if (server) this.#grant(want, server, now);
@@ -90,12 +90,13 @@
     return now + excess * usualMs <= want.deadline;
   }
 
-  #choose(want: Want): ServerSlots | undefined {
+  #choose(want: Want, now: number): ServerSlots | undefined {
     const { outliers } = this.#ledger;
     const near = want.entry.dataCentre;
     const all = (want.exclude?.length ?? 0) >= this.#ledger.slots.size;
     const exclude = all ? undefined : want.exclude;
-    const free = this.#ledger.slots.pick(near, { exclude });
+    const connected = want.entry.connected(now);
+    const free = this.#ledger.slots.pick(near, { exclude, connected });
     if (free) return free;
     const over = this.#ledger.slots.pick(near, { exclude, over: OVER_GRANT });
     if (!over) return undefined;
--- a/packages/routing/knee.ts
+++ b/packages/routing/knee.ts
@@ -1,5 +1,5 @@
 /** Share of its slots up to which a server is assumed to work at full speed. */
-const EASY_SHARE = 0.8;
+export const EASY_SHARE = 0.8;
 /** Calls that the assumption of full speed counts for. */
 const ASSUMED_CALLS = { easy: 40, crowded: 2 } as const;
 /** Calls of a class that are remembered for each level of crowding. */
--- a/packages/routing/ledger.ts
+++ b/packages/routing/ledger.ts
@@ -83,6 +83,7 @@
     const running = server.inUse + 1;
     const used = { ...grant, crowding, running, confirmedAt };
     entry.grants.set(grant.ticket, used);
+    entry.noteConnection(server, grant.at);
     this.slots.use(server, 1);
     if (server.free === 0) this.revoke(server);
   }
--- a/packages/routing/slots.ts
+++ b/packages/routing/slots.ts
@@ -5,7 +5,7 @@
   DataCentre,
   Service,
 } from "#model";
-import type { Knee } from "./knee.ts";
+import { EASY_SHARE, type Knee } from "./knee.ts";
 import { limitOnTrial } from "./limit_trials.ts";
 import { isLongWork } from "./long_work.ts";
 import type { Outliers, ServerHealth } from "./outliers.ts";
@@ -61,6 +61,11 @@
     return Math.max(0, this.limit - this.inUse);
   }
 
+  /** Whether one more call would leave the server at full speed. */
+  get isEasy(): boolean {
+    return this.inUse + 1 <= EASY_SHARE * this.record.slots;
+  }
+
   /** Whether slow, and kept for when waiting costs more. */
   get spare(): boolean {
     return this.health.standing === "slow" || this.slowedUntil > 0;
@@ -234,12 +239,19 @@
     this.#reorder(server);
   }
 
-  /** The best server with fewer than `limit + over` calls, near ones first. */
+  /**
+   * The best server with fewer than `limit + over` calls, near ones first. One
+   * to which the caller is connected goes first while it works at full speed.
+   */
   pick(
     near: DataCentre,
-    options: { over?: number; exclude?: readonly BackendServerId[] } = {},
+    options: {
+      over?: number;
+      exclude?: readonly BackendServerId[];
+      connected?: readonly ServerSlots[];
+    } = {},
   ): ServerSlots | undefined {
-    const { over = 0, exclude } = options;
+    const { over = 0, exclude, connected = [] } = options;
     const nearMargin = isLongWork(this.#outliers.meanMs)
       ? NEAR_MARGIN_LONG_WORK
       : NEAR_MARGIN;
@@ -256,7 +268,35 @@
       best = top;
       bestRank = rank;
     }
-    return best;
+    if (!best || over > 0) return best;
+    return this.#pickConnected(best, { near, connected, exclude }) ?? best;
+  }
+
+  /** A connected server that is no farther away and not crowded. */
+  #pickConnected(
+    best: ServerSlots,
+    options: {
+      near: DataCentre;
+      connected: readonly ServerSlots[];
+      exclude?: readonly BackendServerId[] | undefined;
+    },
+  ): ServerSlots | undefined {
+    const { near, connected, exclude } = options;
+    const isFar = best.record.dataCentre !== near;
+    return connected
+      .filter((server) => this.#isUsable(server))
+      .filter((server) => !exclude?.includes(server.record.id))
+      .filter((server) => isFar || server.record.dataCentre === near)
+      .filter((server) => server.isEasy || server.rank() <= best.rank())
+      .sort((a, b) => a.rank() - b.rank())[0];
+  }
+
+  #isUsable(server: ServerSlots): boolean {
+    return (
+      this.#servers.get(server.record.id) === server &&
+      server.heapIndex >= 0 &&
+      server.inUse < server.limit
+    );
   }
 
   /**
