Ask a server before the first call of a new entry

Cause: whether servers tell their speed was learned from the first answer, so that each process placed its first calls of a service blindly.

Change: where the protocol lets servers tell their speed, they are asked until an answer shows that they do not.

Result: two tests (the first call goes past slow servers; servers that turn out not to tell are asked once) failed before.

--- a/packages/entry/call_protocol.ts
+++ b/packages/entry/call_protocol.ts
@@ -52,6 +52,8 @@
  * goes along with a call. It decides nothing.
  */
 export interface CallProtocol {
+  /** Whether servers may tell how fast they are. */
+  readonly speedTold: boolean;
   /** Reads a call's deadline and place in its chain. */
   chain(
     headers: IncomingHttpHeaders,
@@ -104,6 +106,8 @@
 
 /** The protocol that mangobank publishes. */
 export class PublishedProtocol implements CallProtocol {
+  readonly speedTold = false;
+
   chain(
     headers: IncomingHttpHeaders,
     options: { now: number; classDeadlineMs: number },
--- a/packages/routing/placement_checks.ts
+++ b/packages/routing/placement_checks.ts
@@ -31,16 +31,22 @@
  * places.
  */
 export class PlacementChecks {
-  /** Whether the service's servers tell how fast they are. */
-  #told = false;
+  /** Whether the service's servers tell how fast they are, once known. */
+  #told: boolean | undefined;
   #costMs = CHECK_COST_MS;
   /** Slot time that checks may take now, in milliseconds. */
   #budgetMs = 0;
   #filledAt: number | undefined;
 
-  /** A server of the service told how fast it is. */
+  /** With `mayTell`, servers are asked until it is known whether they tell. */
+  constructor(options: { mayTell: boolean }) {
+    this.#told = options.mayTell ? undefined : false;
+  }
+
+  /** A server of the service answered, and may have told how fast it is. */
   seen(slowdown: number | undefined): void {
     if (slowdown !== undefined) this.#told = true;
+    else this.#told ??= false;
   }
 
   /** Whether to ask the server before the call goes there. */
@@ -49,7 +55,9 @@
     server: { readonly slowdownAt: number },
     about: { slots: number; entries: number; now: number },
   ): boolean {
-    if (!this.#told || call.checks >= MAX_CHECKS) return false;
+    // The first call is worth a question: a process that has just started
+    // would otherwise place it blindly.
+    if (this.#told === false || call.checks >= MAX_CHECKS) return false;
     if (about.now - server.slowdownAt <= FRESH_MS) return false;
     this.#fill(about);
     if (this.#budgetMs < this.#costMs) return false;
--- a/packages/routing/placement_checks_test.ts
+++ b/packages/routing/placement_checks_test.ts
@@ -80,6 +80,29 @@
   assert.deepEqual(cluster.checks, []);
 });
 
+// An entry that had just started placed its first calls blindly, and two in
+// five met a slow spell.
+test("the first call of an entry is asked for where servers may tell", () => {
+  const servers = ["s1", "s2", "s3"].map((id) => makeServer(id));
+  const cluster = new TestCluster({ servers, speedTold: true });
+  for (const id of ["s1", "s2"]) cluster.checkResults.set(id, SLOW);
+  const call = cluster.submit(cluster.other);
+  cluster.advance(20);
+  assert.equal(cluster.serverOf(call), "s3");
+});
+
+test("servers that turn out not to tell are not asked again", () => {
+  const cluster = new TestCluster({ speedTold: true });
+  const silent = { ...NORMAL, slowdown: undefined };
+  for (const id of ["s1", "s2"]) cluster.checkResults.set(id, silent);
+  for (let i = 0; i < 5; i++) {
+    const call = cluster.submit(cluster.other);
+    cluster.advance(20);
+    cluster.finish(call);
+  }
+  assert.equal(cluster.checks.length, 1);
+});
+
 test("a fresh answer decides without a check", () => {
   const cluster = telling();
   const first = cluster.submit(cluster.dispatcher);
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -34,6 +34,8 @@
   readonly self: HostId;
   readonly dataCentre: DataCentre;
   readonly random: Randomness;
+  /** Whether servers may tell how fast they are; false if absent. */
+  readonly speedTold?: boolean;
 }
 
 /**
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -42,6 +42,8 @@
   readonly dataCentre: DataCentre;
   readonly random: Randomness;
   readonly numbers: Numbers;
+  /** Whether servers may tell how fast they are. */
+  readonly speedTold?: boolean | undefined;
 }
 
 /** One entry's selection of servers for one service. */
@@ -52,7 +54,7 @@
   readonly #servers: LocalServers;
   readonly #calls: OpenCalls;
   readonly #pressure: Pressure;
-  readonly #checks = new PlacementChecks();
+  readonly #checks: PlacementChecks;
   readonly #slots: GrantedSlots;
   #refreshAt = 0;
   /** Entries of the view. */
@@ -68,6 +70,7 @@
     });
     this.#pressure = new Pressure(this.#calls, this.#servers);
     this.link = new DispatchLink(service.name, options.numbers);
+    this.#checks = new PlacementChecks({ mayTell: options.speedTold ?? false });
     this.#slots = new GrantedSlots({
       calls: this.#calls,
       link: this.link,
@@ -148,8 +151,8 @@
     const serviceMs = result.serviceMs / Math.max(1, open.slowdown);
     const usual = { ...result, serviceMs, class: open.class };
     this.#servers.finished(server, usual, now);
-    this.#checks.seen(result.slowdown);
     const { kind, leaving, slowdown } = result;
+    if (kind === "answered") this.#checks.seen(slowdown);
     if (this.link.streaming) {
       this.link.release({ ticket, kind, serviceMs, leaving, slowdown });
     }
--- a/packages/routing/test_cluster.ts
+++ b/packages/routing/test_cluster.ts
@@ -98,6 +98,7 @@
       entries?: number;
       servers?: readonly BackendServer[];
       service?: Partial<Service>;
+      speedTold?: boolean;
     } = {},
   ) {
     const { entries = 3, servers = ["s1", "s2"].map((id) => makeServer(id)) } =
@@ -107,7 +108,9 @@
     this.service = { ...SERVICE, ...options.service };
     for (const [index, self] of ids.entries()) {
       const random = new SeededRandomness(index + 1);
-      const router = new Router({ self, dataCentre: "riga-a", random });
+      const { speedTold = false } = options;
+      const dataCentre = "riga-a";
+      const router = new Router({ self, dataCentre, random, speedTold });
       this.routers.set(self, router);
     }
     this.setServers(servers);
