Tell the leader of hosts that can be admitted

Cause: a control host that lost its disk asks the seeds and the hosts that it knew when it opened its log; only the leader admits it. If the leader was no seed, the host stayed out for as long as that leader led.

Change: a member that hears of a folder that can be added tells its leader, both for empty folders and for former voters.

--- a/packages/agreement/agreement.ts
+++ b/packages/agreement/agreement.ts
@@ -188,6 +188,7 @@
     switch (message.kind) {
       case "agreement.inquiry":
         this.#founders.inquiry(message.payload, now);
+        this.#tellLeader(message.payload.from);
         return true;
       case "agreement.inquiry_reply":
         this.#founders.inquiryReply(message.payload, now);
@@ -247,6 +248,9 @@
       case "agreement.propose_refused":
         this.#requests.refused(message.payload);
         return;
+      case "agreement.announced":
+        this.#founders.announce(message.payload.member, now);
+        return;
       case "agreement.read":
         if (isStale) return;
         this.#leadership?.read(message.payload.from, message.payload.ids);
@@ -266,6 +270,14 @@
     const { voters, learners } = this.#state.log.membership;
     if (voters.includes(member) || learners.includes(member)) return;
     this.#founders.announce(member, now);
+    this.#tellLeader(member);
+  }
+
+  /** The folder may know other members than the leader, which alone adds it. */
+  #tellLeader(member: MemberKey): void {
+    const { leader, self, phase } = this.#state;
+    if (phase !== "formed" || leader === undefined || leader === self) return;
+    this.#state.send(leader, "agreement.announced", { member });
   }
 
   #fromLeader(
--- a/packages/agreement/messages.ts
+++ b/packages/agreement/messages.ts
@@ -90,6 +90,11 @@
   readonly index: number;
 }
 
+/** Tells the leader of a folder that is no member and may be added. */
+export interface Announced extends Header {
+  readonly member: MemberKey;
+}
+
 /** An empty folder asks whether a cluster exists, and announces itself. */
 export interface Inquiry {
   readonly from: MemberKey;
@@ -133,6 +138,7 @@
   "agreement.propose_refused": ProposeRefused;
   "agreement.read": ReadRequest;
   "agreement.read_reply": ReadReply;
+  "agreement.announced": Announced;
   "agreement.inquiry": Inquiry;
   "agreement.inquiry_reply": InquiryReply;
   "agreement.found": Found;
@@ -163,6 +169,7 @@
   "agreement.propose_refused": true,
   "agreement.read": true,
   "agreement.read_reply": true,
+  "agreement.announced": true,
   "agreement.inquiry": true,
   "agreement.inquiry_reply": true,
   "agreement.found": true,
--- a/packages/storage/members_test.ts
+++ b/packages/storage/members_test.ts
@@ -290,3 +290,18 @@
   s.crash(other);
   assert.equal(submitted(s, leaderOf(s)), undefined);
 });
+
+// The leader was no seed of a host that had lost its disk and asked the seeds
+// only; the host stayed out for as long as that leader led.
+test("a lost disk is announced to a leader that its host does not reach", () => {
+  const s = formed(4);
+  const leader = leaderOf(s);
+  const [lost] = othersOf(s, leader);
+  assert.ok(lost);
+  s.blocked.add(`${lost.id}>${leader.id}`);
+  s.loseDisk(lost);
+  s.start(lost);
+  const member = s.keyOf(lost);
+  const isAnnounced = () => statusOf(s, leader).announced.includes(member);
+  assert.ok(s.runUntil(isAnnounced, 3_000));
+});
