--- a/packages/routing/overload_test.ts
+++ b/packages/routing/overload_test.ts
@@ -1,16 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { CheckResult } from "./index.ts";
-import { makeServer, TestCluster } from "./test_cluster.ts";
+import { makeServer, NORMAL_CHECK, TestCluster } from "./test_cluster.ts";
 
-const NORMAL = {
-  kind: "answered",
-  healthy: true,
-  leaving: false,
-  slowdown: 1,
-  inFlight: 0,
-  ms: 6,
-} as const satisfies CheckResult;
 const WORK_MS = 200;
 const OBJECTIVE_MS = 600;
 const TIMEOUT_MS = 2_000;
@@ -141,7 +132,7 @@
 test("a long queue does not send long work to servers in a spell", () => {
   const cluster = busy();
   for (const id of ["s1", "s2"]) {
-    cluster.checkResults.set(id, { ...NORMAL, slowdown: 4 });
+    cluster.checkResults.set(id, { ...NORMAL_CHECK, slowdown: 4 });
   }
   const inSpell = new Map<string, string>();
   const tell = { s1: 4, s2: 4 } as Record<string, number>;
--- a/packages/routing/placement_checks_test.ts
+++ b/packages/routing/placement_checks_test.ts
@@ -1,17 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { CheckResult } from "./index.ts";
-import { makeServer, TestCluster } from "./test_cluster.ts";
+import { makeServer, NORMAL_CHECK, TestCluster } from "./test_cluster.ts";
 
-const NORMAL = {
-  kind: "answered",
-  healthy: true,
-  leaving: false,
-  slowdown: 1,
-  inFlight: 0,
-  ms: 6,
-} as const satisfies CheckResult;
-const SLOW: CheckResult = { ...NORMAL, slowdown: 4 };
+const SLOW: CheckResult = { ...NORMAL_CHECK, slowdown: 4 };
 
 /** Three servers that have told their speed on earlier answers. */
 function telling(): TestCluster {
@@ -93,7 +85,7 @@
 
 test("servers that turn out not to tell are not asked again", () => {
   const cluster = new TestCluster({ speedTold: true });
-  const silent = { ...NORMAL, slowdown: undefined };
+  const silent = { ...NORMAL_CHECK, slowdown: undefined };
   for (const id of ["s1", "s2"]) cluster.checkResults.set(id, silent);
   for (let i = 0; i < 5; i++) {
     const call = cluster.submit(cluster.other);
--- a/packages/routing/test_cluster.ts
+++ b/packages/routing/test_cluster.ts
@@ -30,6 +30,16 @@
   routes: [],
 };
 
+/** What a server at its usual speed answers to a check. */
+export const NORMAL_CHECK = {
+  kind: "answered",
+  healthy: true,
+  leaving: false,
+  slowdown: 1,
+  inFlight: 0,
+  ms: 6,
+} as const satisfies CheckResult;
+
 export function makeServer(
   id: string,
   options: Partial<BackendServer> = {},
@@ -267,14 +277,7 @@
     { callId, server }: Extract<RoutingEffect, { type: "check" }>,
   ): void {
     this.checks.push({ callId, server: server.id });
-    const result = this.checkResults.get(server.id) ?? {
-      kind: "answered",
-      healthy: true,
-      leaving: false,
-      slowdown: 1,
-      inFlight: 0,
-      ms: 6,
-    };
+    const result = this.checkResults.get(server.id) ?? NORMAL_CHECK;
     const router = this.routers.get(entry);
     this.apply(entry, router?.checked(callId, result, this.now) ?? []);
   }
