Wait for calm entries in the test of address lookups

Change: the test asks again until each entry is named, and checks in every answer that no other address is.

--- a/packages/entry/caller_contract_test.ts
+++ b/packages/entry/caller_contract_test.ts
@@ -329,12 +329,21 @@
   }
 });
 
+// An entry whose event loop is busy for over 95% is not named while another is
+// less busy, as on a machine that other processes fill.
 test("an address lookup names each entry and how long to keep it", async () => {
-  const answer = await call({
-    path: "/.mangobank/addresses?service=alloc&data_centre=riga-a",
-  });
-  const { addresses, keep_ms } = JSON.parse(answer.body);
-  const ports = addresses.map(({ port }: { port: number }) => port).sort();
-  assert.deepEqual(ports, site.addresses.map(({ port }) => port).sort());
-  assert.ok(keep_ms > 0);
+  const expected = site.addresses.map(({ port }) => port).sort();
+  await until(
+    async () => {
+      const answer = await call({
+        path: "/.mangobank/addresses?service=alloc&data_centre=riga-a",
+      });
+      const { addresses, keep_ms } = JSON.parse(answer.body);
+      assert.ok(keep_ms > 0);
+      const ports = addresses.map(({ port }: { port: number }) => port).sort();
+      assert.ok(ports.every((port: number) => expected.includes(port)));
+      return ports.length === expected.length;
+    },
+    { what: "each entry is named" },
+  );
 });
