--- a/packages/demo/site_processes.ts
+++ b/packages/demo/site_processes.ts
@@ -1,5 +1,11 @@
 import { type ChildProcess, spawn } from "node:child_process";
-import { cpSync, createWriteStream, readdirSync, readFileSync } from "node:fs";
+import {
+  cpSync,
+  createWriteStream,
+  mkdirSync,
+  readdirSync,
+  readFileSync,
+} from "node:fs";
 import { join } from "node:path";
 import { v4 as uuid } from "uuid";
 import { parse } from "yaml";
@@ -60,11 +66,12 @@
     const [program = "", ...first] = command;
     const settings = join(folder, "settings", `${id}.yaml`);
     const child = spawn(program, [...first, role, "--settings", settings], {
-      stdio: ["ignore", "ignore", "pipe"],
+      stdio: ["ignore", "pipe", "pipe"],
     });
-    child.stderr.pipe(
-      createWriteStream(join(folder, `${id}.log`), { flags: "a" }),
-    );
+    const log = createWriteStream(join(folder, `${id}.log`), { flags: "a" });
+    child.stdout.pipe(log, { end: false });
+    child.stderr.pipe(log, { end: false });
+    child.once("close", () => log.end());
     this.#running.set(id, child);
     process.once("exit", () => child.kill("SIGKILL"));
   }
@@ -116,6 +123,19 @@
   async close(): Promise<void> {
     for (const child of this.#running.values()) child.kill("SIGKILL");
     await Promise.all([...this.#running.keys()].map((id) => this.ended(id)));
+    this.#keepLogs();
+  }
+
+  /** Copies the logs, so that a failed test can be explained afterwards. */
+  #keepLogs(): void {
+    const kept = process.env.MANGOBANK_KEEP_LOGS;
+    if (!kept) return;
+    const { folder } = this.#options;
+    const to = join(kept, `${process.pid}-${Date.now()}`);
+    mkdirSync(to, { recursive: true });
+    for (const file of readdirSync(folder)) {
+      if (file.endsWith(".log")) cpSync(join(folder, file), join(to, file));
+    }
   }
 
   async #putSections(): Promise<void> {
