Let the founders tell the leader of hosts to admit

Change: Founders notes a folder and tells the leader in one step, for empty folders and for former voters. Behaviour is the same.

--- a/packages/agreement/agreement.ts
+++ b/packages/agreement/agreement.ts
@@ -9,7 +9,7 @@
   MAX_COMMAND_BYTES,
   MemberState,
 } from "./member_state.ts";
-import { hostOf, type MemberChange, type MemberKey } from "./members.ts";
+import { hostOf, type MemberChange } from "./members.ts";
 import type { AgreementMessage, Header, Propose } from "./messages.ts";
 import type { StoredState } from "./ports.ts";
 import { RecentIds } from "./recent_ids.ts";
@@ -188,7 +188,6 @@
     switch (message.kind) {
       case "agreement.inquiry":
         this.#founders.inquiry(message.payload, now);
-        this.#tellLeader(message.payload.from);
         return true;
       case "agreement.inquiry_reply":
         this.#founders.inquiryReply(message.payload, now);
@@ -219,7 +218,7 @@
     const isStale = (message.payload as Header).term < term;
     switch (message.kind) {
       case "agreement.pre_vote":
-        this.#noteFormerMember(message.payload.from, now);
+        this.#founders.heardVoter(message.payload.from, now);
         this.#election.preVote(message.payload, {
           isLeader: this.#leadership !== undefined,
           now,
@@ -261,25 +260,6 @@
     }
   }
 
-  /**
-   * A voter that was removed while it was silent does not learn of that, as
-   * no leader sends it the log any more; it asks for votes when it is back.
-   * With its log and its vote it can be added again as what it was.
-   */
-  #noteFormerMember(member: MemberKey, now: number): void {
-    const { voters, learners } = this.#state.log.membership;
-    if (voters.includes(member) || learners.includes(member)) return;
-    this.#founders.announce(member, now);
-    this.#tellLeader(member);
-  }
-
-  /** The folder may know other members than the leader, which alone adds it. */
-  #tellLeader(member: MemberKey): void {
-    const { leader, self, phase } = this.#state;
-    if (phase !== "formed" || leader === undefined || leader === self) return;
-    this.#state.send(leader, "agreement.announced", { member });
-  }
-
   #fromLeader(
     message: Extract<
       AgreementMessage,
--- a/packages/agreement/founders.ts
+++ b/packages/agreement/founders.ts
@@ -79,15 +79,26 @@
     this.#conveneIfAllEmpty(now);
   }
 
-  /** Notes a member that can be added. */
+  /** Notes a folder that can be added. */
   announce(member: MemberKey, now: number): void {
     const host = hostOf(member);
     const identity = member.slice(host.length + 1);
     this.#announced.set(host, { identity, at: now });
   }
 
+  /**
+   * A voter that was removed while it was silent does not learn of that, as
+   * no leader sends it the log any more; it asks for votes when it is back.
+   * With its log and its vote it can be added again as what it was.
+   */
+  heardVoter(member: MemberKey, now: number): void {
+    const { voters, learners } = this.#state.log.membership;
+    if (voters.includes(member) || learners.includes(member)) return;
+    this.#announceToLeader(member, now);
+  }
+
   inquiry({ from }: Inquiry, now: number): void {
-    this.announce(from, now);
+    this.#announceToLeader(from, now);
     this.#state.sendTo(hostOf(from), "agreement.inquiry_reply", {
       from: this.#state.self,
       to: from,
@@ -155,6 +166,14 @@
     });
   }
 
+  /** The folder may know other members than the leader, which alone adds it. */
+  #announceToLeader(member: MemberKey, now: number): void {
+    this.announce(member, now);
+    const { leader, self, phase } = this.#state;
+    if (phase !== "formed" || leader === undefined || leader === self) return;
+    this.#state.send(leader, "agreement.announced", { member });
+  }
+
   #others(): HostId[] {
     return this.#hosts.filter((host) => host !== this.#state.host);
   }
