Open the network of both roles in one place

Change: `openLoggedNetwork` serves both; which processes an entry connects to (`peersOf`) and how its calls end at a stop (`endCalls`) are out of the process. Behaviour is the same.

--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -27,12 +27,7 @@
 import type { ControlSettings, FoundingMember } from "#settings";
 import { openReplicatedLog } from "#storage";
 import type { Logger } from "#telemetry";
-import {
-  type ListenFault,
-  type NetworkObserver,
-  PROTOCOL_VERSION,
-  TcpNetwork,
-} from "#wire";
+import { type ListenFault, openLoggedNetwork, type TcpNetwork } from "#wire";
 import { ControlPeers } from "./control_peers.ts";
 import { Inventory } from "./inventory.ts";
 import { LeaderDuties } from "./leader_duties.ts";
@@ -130,7 +125,10 @@
     const acceptance = new Acceptance();
     const incarnation = Math.floor(clock.epoch());
     const connectedSince = new Map<HostId, number>();
-    const network = openNetwork(options, incarnation, {
+    const network = openLoggedNetwork<ControlMessages>({
+      ...options,
+      role: "control",
+      incarnation,
       up: ({ id, role }) => {
         connectedSince.set(id, clock.now());
         logger.info("peer connected", { peer: id, role });
@@ -382,28 +380,3 @@
   readonly registrar: ServerRegistrar;
   readonly peers: ControlPeers;
 }
-
-function openNetwork(
-  options: ControlOptions,
-  incarnation: number,
-  events: Pick<NetworkObserver, "up" | "down">,
-): TcpNetwork<ControlMessages> {
-  const { settings, clock, logger } = options;
-  return new TcpNetwork<ControlMessages>({
-    self: {
-      id: settings.id,
-      role: "control",
-      incarnation,
-      cluster: settings.cluster,
-      version: PROTOCOL_VERSION,
-    },
-    clock,
-    observer: {
-      ...events,
-      fault: (fault, peer) => {
-        if (fault.type === "link_closed") return;
-        logger.warn("connection closed", { peer: peer?.id, fault });
-      },
-    },
-  });
-}
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -21,7 +21,12 @@
 import { Registrations } from "#registration";
 import type { EntrySettings } from "#settings";
 import { type Logger, Metrics } from "#telemetry";
-import type { Hello, ListenFault, TcpNetwork } from "#wire";
+import {
+  type Hello,
+  type ListenFault,
+  openLoggedNetwork,
+  type TcpNetwork,
+} from "#wire";
 import { AdminServer } from "./admin_server.ts";
 import { CallPath } from "./call_path.ts";
 import { type CallProtocol, PublishedProtocol } from "./call_protocol.ts";
@@ -31,8 +36,8 @@
   ConfigurationFollower,
   FOLLOW_UP_EVERY_MS,
 } from "./configuration_follower.ts";
-import { type EntryMessages, openEntryNetwork } from "./entry_network.ts";
-import { stopWhenReleased, stopWithin } from "./entry_stop.ts";
+import { type EntryMessages, peersOf } from "./entry_network.ts";
+import { endCalls } from "./entry_stop.ts";
 import { EventLoopLoad } from "./event_loop_load.ts";
 import { KnownServers } from "./known_servers.ts";
 import { OwnPaths } from "./own_paths.ts";
@@ -75,8 +80,9 @@
     this.#incarnation = Math.floor(clock.epoch());
     this.#seeds = settings.control;
     const protocol = options.protocol ?? new PublishedProtocol();
-    const network = openEntryNetwork({
+    const network = openLoggedNetwork<EntryMessages>({
       settings,
+      role: "entry",
       incarnation: this.#incarnation,
       clock,
       logger,
@@ -212,19 +218,15 @@
     });
     this.#report();
     this.#follower.confirm();
-    const parts = {
+    await endCalls({
+      withinMs: stopWithinMs,
+      self: this.#record(),
+      configuration: () => this.#follower.configuration,
       callers: this.#callers,
       running: () => this.#calls.running,
       clock,
       logger,
-    };
-    const { id } = this.#options.settings;
-    if (stopWithinMs !== undefined) await stopWithin(stopWithinMs, parts);
-    else {
-      const self = { id, incarnation: this.#incarnation };
-      const configuration = () => this.#follower.configuration;
-      await stopWhenReleased(self, configuration, parts);
-    }
+    });
     this.close();
     logger.info("entry stopped");
   }
@@ -290,17 +292,10 @@
   }
 
   #connect(): void {
-    const { settings } = this.#options;
-    const { controls: agreed } = this.#follower.configuration;
-    const controls = [...this.#seeds, ...agreed.map(({ peer }) => peer)].map(
-      (address) => ({ address }),
-    );
-    const { entries } = this.#follower.configuration.view;
-    // One connection for each pair: the entry with the lower id opens it.
-    const peers = entries
-      .filter(({ id }) => id > settings.id)
-      .map(({ id, peer }) => ({ id, address: peer }));
-    this.#network.connect([...controls, ...peers]);
+    const { id } = this.#options.settings;
+    const { configuration } = this.#follower;
+    const about = { seeds: this.#seeds, configuration };
+    this.#network.connect(peersOf(id, about));
   }
 
   #connectedControls(): HostId[] {
--- a/packages/entry/entry_stop.ts
+++ b/packages/entry/entry_stop.ts
@@ -15,6 +15,10 @@
 const RELEASE_CHECK_EVERY_MS = 100;
 
 export interface EntryStop {
+  /** Longest time of the stop; without it, as long as callers need. */
+  readonly withinMs: number | undefined;
+  readonly self: { readonly id: string; readonly incarnation: number };
+  readonly configuration: () => Configuration;
   readonly callers: CallerServer;
   /** Calls under way. */
   readonly running: () => number;
@@ -22,8 +26,16 @@
   readonly logger: Logger;
 }
 
+/** Serves on and ends the calls under way, as long as the stop allows. */
+export function endCalls(stop: EntryStop): Promise<void> {
+  const { withinMs } = stop;
+  return withinMs === undefined
+    ? stopWhenReleased(stop)
+    : stopWithin(withinMs, stop);
+}
+
 /** Serves on for a part of the time, then waits for the calls under way. */
-export async function stopWithin(ms: number, stop: EntryStop): Promise<void> {
+async function stopWithin(ms: number, stop: EntryStop): Promise<void> {
   const { callers, running, clock, logger } = stop;
   const end = clock.now() + ms;
   callers.sendAway();
@@ -35,12 +47,8 @@
 }
 
 /** Serves on until answers that name this entry have run out, then drains. */
-export async function stopWhenReleased(
-  self: { readonly id: string; readonly incarnation: number },
-  configuration: () => Configuration,
-  stop: EntryStop,
-): Promise<void> {
-  const { callers, running, clock } = stop;
+async function stopWhenReleased(stop: EntryStop): Promise<void> {
+  const { self, configuration, callers, running, clock } = stop;
   const began = clock.now();
   const ended = () =>
     mayEnd(self, {
--- a/packages/wire/index.ts
+++ b/packages/wire/index.ts
@@ -7,5 +7,6 @@
 export * from "./frames.ts";
 export type { LinkFault, Traffic } from "./link.ts";
 export * from "./listen.ts";
+export * from "./logged_network.ts";
 export * from "./messages.ts";
 export * from "./network.ts";
--- /dev/null
+++ b/packages/wire/logged_network.ts
@@ -0,0 +1,38 @@
+import type { Clock } from "#model";
+import {
+  type Hello,
+  type MessageMap,
+  PROTOCOL_VERSION,
+  type ProcessRole,
+} from "./messages.ts";
+import { type NetworkObserver, TcpNetwork } from "./network.ts";
+
+export interface LoggedNetworkOptions {
+  readonly settings: { readonly id: string; readonly cluster: string };
+  readonly role: ProcessRole;
+  readonly incarnation: number;
+  readonly clock: Clock;
+  readonly logger: { warn(message: string, details?: unknown): void };
+  readonly up: (peer: Hello) => void;
+  readonly down: (peer: Hello) => void;
+}
+
+/**
+ * Opens a process's side of the connections to the others, and logs why one
+ * ended, unless the other side closed it.
+ */
+export function openLoggedNetwork<M extends MessageMap>(
+  options: LoggedNetworkOptions,
+): TcpNetwork<M> {
+  const { settings, role, incarnation, clock, logger, up, down } = options;
+  const fault: NetworkObserver["fault"] = (fault, peer) => {
+    if (fault.type === "link_closed") return;
+    logger.warn("connection closed", { peer: peer?.id, fault });
+  };
+  const { id, cluster } = settings;
+  return new TcpNetwork<M>({
+    self: { id, role, incarnation, cluster, version: PROTOCOL_VERSION },
+    clock,
+    observer: { up, down, fault },
+  });
+}
