Judge slow spells in reports by the router's own figure

Cause: reports repeated the slowdown from which the router avoids a server, and formatted the windows twice.

Change: one exported constant, one function for the windows.

Result: tests of reports and of the command line pass unchanged.

--- a/packages/cli/commands/report.ts
+++ b/packages/cli/commands/report.ts
@@ -92,26 +92,20 @@
 }
 
 function asObject(report: LossReport) {
-  const rows = (list: [string | number, LossRow][], key: string) =>
+  const rows = (list: [string, LossRow][], key: string) =>
     list.map(([value, { calls, losses }]) => {
       return { [key]: value, calls, ...Object.fromEntries(losses) };
     });
-  const windows = report
-    .windows()
-    .map(([start, row]): [string, LossRow] => [isoTime(start), row]);
   return {
-    windows: rows(windows, "from"),
+    windows: rows(windowsOf(report), "from"),
     classes: rows(report.classes(), "class"),
     slots: report.slots().map(([choice, use]) => ({ choice, ...use })),
   };
 }
 
 function asText(report: LossReport): string {
-  const windows = report
-    .windows()
-    .map(([start, row]): [string, LossRow] => [isoTime(start), row]);
   return [
-    formatLosses("FROM", windows),
+    formatLosses("FROM", windowsOf(report)),
     formatLosses("CLASS", report.classes()),
     formatSlots(report.slots()),
   ].join("\n");
@@ -149,6 +143,8 @@
   );
 }
 
-function isoTime(ms: number): string {
-  return new Date(ms).toISOString();
+function windowsOf(report: LossReport): [start: string, row: LossRow][] {
+  return report
+    .windows()
+    .map(([start, row]) => [new Date(start).toISOString(), row]);
 }
--- a/packages/reports/losses.ts
+++ b/packages/reports/losses.ts
@@ -1,9 +1,8 @@
+import { SLOWED } from "#routing";
 import type { AttemptLine, CallLine } from "./call_lines.ts";
 
 /** Part of the objective from which waiting is what made a call late. */
 const LONG_WAIT_SHARE = 0.4;
-/** Slowdown from which a server is in a slow spell. */
-const SLOWED = 1.5;
 
 /** What became of a call, by the place where it was lost. */
 export type Loss =
--- a/packages/routing/placement_checks.ts
+++ b/packages/routing/placement_checks.ts
@@ -5,7 +5,7 @@
  * milliseconds. Spells on shared machines begin and end within a few hundred.
  */
 const FRESH_MS = 5;
-/** From here on another server is likely to answer sooner. */
+/** Slowdown from which another server is likely to answer sooner. */
 export const SLOWED = 1.5;
 /** Servers that are asked for one call before the next is taken unasked. */
 const MAX_CHECKS = 4;
