Judge links only after pending input has been read

Cause: Node runs due timers before it reads from sockets. After a stall of the process (an overloaded machine, a freeze) the keepalive check, the timeout of the hello and that of a connection attempt fired before the messages that had arrived meanwhile were read, so links with pending input were closed as link_silent and hello_missing. Ruled out: both ends dialling (one end dials by id), a hello that is lost beside a former link (each link has its own). Change: these checks run after the poll phase of the same turn.

--- /dev/null
+++ b/packages/wire/after_input.ts
@@ -0,0 +1,8 @@
+/**
+ * Runs a callback after the input that is pending now has been read. Node runs
+ * due timers before it reads from sockets; after a stall of the process, a
+ * timeout would otherwise expire although the awaited message has arrived.
+ */
+export function afterPendingInput(run: () => void): void {
+  setImmediate(run);
+}
--- a/packages/wire/network.ts
+++ b/packages/wire/network.ts
@@ -1,6 +1,7 @@
 import { connect, createServer, type Server, type Socket } from "node:net";
 import type { Result } from "neverthrow";
 import type { Address, Clock, HostId } from "#model";
+import { afterPendingInput } from "./after_input.ts";
 import { encodeFrame } from "./frames.ts";
 import { Link, type LinkFault, type Traffic } from "./link.ts";
 import { type ListenFault, listen } from "./listen.ts";
@@ -75,7 +76,7 @@
     this.#clock = options.clock;
     this.#observer = options.observer ?? {};
     this.#timer = setInterval(
-      () => this.#checkLinks(),
+      () => afterPendingInput(() => this.#checkLinks()),
       KEEPALIVE_CHECK_INTERVAL_MS,
     );
   }
@@ -181,9 +182,13 @@
           this.#handleMessage(from, kind, payload),
       },
     });
-    setTimeout(() => {
+    const closeWithoutHello = () => {
       if (!link.peer) link.close({ type: "hello_missing" });
-    }, HELLO_TIMEOUT_MS).unref();
+    };
+    setTimeout(
+      () => afterPendingInput(closeWithoutHello),
+      HELLO_TIMEOUT_MS,
+    ).unref();
     return link;
   }
 
@@ -255,7 +260,13 @@
     const { host, port } = this.#address;
     const socket = connect({ host, port });
     this.#socket = socket;
-    const timeout = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
+    const giveUp = () => {
+      if (socket.connecting) socket.destroy();
+    };
+    const timeout = setTimeout(
+      () => afterPendingInput(giveUp),
+      CONNECT_TIMEOUT_MS,
+    );
     socket.once("connect", () => {
       clearTimeout(timeout);
       if (!this.#stopped) this.#link = this.#createLink(socket);
--- /dev/null
+++ b/packages/wire/network_test.ts
@@ -0,0 +1,115 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
+import { mock, type TestContext, test } from "node:test";
+import { setImmediate as turn } from "node:timers/promises";
+import type { Clock } from "#model";
+import { encodeFrame } from "./frames.ts";
+import type { LinkFault } from "./link.ts";
+import { type Hello, PROTOCOL_VERSION } from "./messages.ts";
+import { TcpNetwork } from "./network.ts";
+
+/** Longer than every timeout of a link. */
+const STALL_MS = 10_000;
+
+class ManualClock implements Clock {
+  #now = 1_000;
+
+  now(): number {
+    return this.#now;
+  }
+
+  wallTime(): number {
+    return this.#now;
+  }
+
+  advance(ms: number): void {
+    this.#now += ms;
+  }
+}
+
+function hello(id: string): Hello {
+  return {
+    id,
+    role: "entry",
+    incarnation: 1,
+    cluster: "test",
+    version: PROTOCOL_VERSION,
+  };
+}
+
+function frame(kind: string, payload: unknown): Buffer {
+  return encodeFrame(kind, payload)._unsafeUnwrap();
+}
+
+/** A network on the mocked timers, and a plain socket connected to it. */
+async function startNetwork(t: TestContext): Promise<{
+  clock: ManualClock;
+  network: TcpNetwork<Record<string, unknown>>;
+  socket: Socket;
+  faults: LinkFault["type"][];
+}> {
+  const clock = new ManualClock();
+  const faults: LinkFault["type"][] = [];
+  mock.timers.enable({ apis: ["setInterval", "setTimeout"] });
+  const network = new TcpNetwork<Record<string, unknown>>({
+    self: hello("stalled"),
+    clock,
+    observer: { onFault: ({ type }) => faults.push(type) },
+  });
+  const address = (
+    await network.listen({ host: "127.0.0.1", port: 0 })
+  )._unsafeUnwrap();
+  const socket = connect(address);
+  socket.on("error", () => undefined);
+  await once(socket, "connect");
+  // The hello of the network shows that it has accepted the connection.
+  await once(socket, "data");
+  // Leaves the poll phase of the event loop, in which no timer would fire.
+  await turn();
+  t.after(() => {
+    network.close();
+    socket.destroy();
+    mock.timers.reset();
+  });
+  return { clock, network, socket, faults };
+}
+
+async function turns(count: number): Promise<void> {
+  for (let i = 0; i < count; i++) await turn();
+}
+
+/** Lets the timers that fell due in a stall fire before any pending input. */
+function stall(clock: ManualClock): void {
+  clock.advance(STALL_MS);
+  mock.timers.tick(STALL_MS);
+}
+
+// Guards against a stalled process closing links whose messages wait in the
+// buffers of its sockets: timers fire before input is read.
+test("a stalled process reads pending messages before it judges a link", async (t) => {
+  const { clock, network, socket, faults } = await startNetwork(t);
+  socket.write(frame("hello", hello("peer")));
+  await turns(5);
+  assert.ok(network.isConnected("peer"));
+  socket.write(frame("ping", null));
+  stall(clock);
+  await turns(5);
+  assert.deepEqual(faults, []);
+  assert.ok(network.isConnected("peer"));
+  clock.advance(STALL_MS);
+  mock.timers.tick(STALL_MS);
+  await turns(5);
+  assert.deepEqual(faults, ["link_silent"], "a silent link is still closed");
+});
+
+// Guards against links that never open on an overloaded host, where a turn of
+// the event loop takes longer than the timeout of the hello.
+test("a hello that arrived during a stall opens the link", async (t) => {
+  const { clock, network, socket, faults } = await startNetwork(t);
+  socket.write(frame("hello", hello("peer")));
+  stall(clock);
+  await turns(5);
+  assert.deepEqual(faults, []);
+  assert.ok(network.isConnected("peer"));
+});
