Check interrupted servers again before a request runs once more

Cause: a server process that crashes closes its sockets one by one, so the check right after a lost connection can still be accepted. Change: before an attempt, the servers that interrupted the same request are checked again, and those that refuse count as lost. An attempt that ends during the check does not take the isolated run. Before: both new tests fail; after: both pass.

--- a/packages/entry/quarantine_coordinator.ts
+++ b/packages/entry/quarantine_coordinator.ts
@@ -3,6 +3,7 @@
   type BackendServer,
   backendServerKey,
   type Clock,
+  callFault,
   type HostId,
 } from "#model";
 import {
@@ -40,6 +41,12 @@
   readonly interruptedAt: number;
 }
 
+/** A server that interrupted requests and still accepted a connection. */
+interface UnconfirmedServerLoss {
+  readonly server: BackendServer;
+  readonly runs: readonly UnconfirmedLoss[];
+}
+
 /** How an attempt may run, after any wait for an earlier one. */
 export type RunAdmission = Exclude<Admission, { type: "wait" }>;
 
@@ -54,8 +61,10 @@
   readonly #quarantine = new Quarantine();
   readonly #waiting = new Map<string, (admission: RunAdmission) => void>();
   readonly #peers = new Set<HostId>();
-  /** Interrupted requests by server incarnation. */
-  readonly #unconfirmedLosses = new Map<string, readonly UnconfirmedLoss[]>();
+  /** Servers that interrupted requests, by incarnation. */
+  readonly #unconfirmedLosses = new Map<string, UnconfirmedServerLoss>();
+  /** Attempts that wait for a check of servers that may have crashed. */
+  readonly #checking = new Set<string>();
   readonly #self: HostId;
 
   readonly #syncs = new Map<number, (from: HostId) => void>();
@@ -113,10 +122,50 @@
     });
   }
 
-  /** Decides how an attempt may run; queues behind a suspected request. */
+  /**
+   * Decides how an attempt may run; queues behind a suspected request. Servers
+   * that interrupted the same request before are checked again first: a process
+   * that crashes may accept connections until all its sockets are closed.
+   */
   admit(
     fingerprint: Fingerprint,
     attemptId: string,
+  ): RunAdmission | Promise<RunAdmission> {
+    const servers = this.#serversThatInterrupted(fingerprint);
+    if (servers.length === 0) return this.#admit(fingerprint, attemptId);
+    return this.#admitAfterCheck(servers, { fingerprint, attemptId });
+  }
+
+  async #admitAfterCheck(
+    servers: readonly BackendServer[],
+    attempt: { fingerprint: Fingerprint; attemptId: string },
+  ): Promise<RunAdmission> {
+    const { fingerprint, attemptId } = attempt;
+    this.#checking.add(attemptId);
+    const accepting = await Promise.all(servers.map(acceptsConnections));
+    const lost = servers.filter((_, index) => !accepting[index]);
+    for (const server of lost) this.serverLost(server);
+    if (lost.length > 0) await this.#awaitPeerSync();
+    // An attempt that has ended meanwhile must not hold the isolated run.
+    if (!this.#checking.delete(attemptId)) {
+      return { type: "rejected", fault: callFault("deadline_expired") };
+    }
+    return this.#admit(fingerprint, attemptId);
+  }
+
+  #serversThatInterrupted(fingerprint: Fingerprint): BackendServer[] {
+    const servers: BackendServer[] = [];
+    for (const { server, runs } of this.#unconfirmedLosses.values()) {
+      if (runs.some((run) => run.fingerprint === fingerprint)) {
+        servers.push(server);
+      }
+    }
+    return servers;
+  }
+
+  #admit(
+    fingerprint: Fingerprint,
+    attemptId: string,
   ): RunAdmission | Promise<RunAdmission> {
     const now = this.#clock.now();
     const admission = this.#quarantine.admit(fingerprint, attemptId, now);
@@ -131,6 +180,7 @@
 
   finished(attemptId: string, end: RunOutcome): void {
     this.#waiting.delete(attemptId);
+    this.#checking.delete(attemptId);
     const now = this.#clock.now();
     this.#execute(this.#quarantine.finished(attemptId, end, now));
   }
@@ -152,14 +202,17 @@
       return;
     }
     const runId = incarnationKey(server);
-    const runs = this.#unconfirmedLosses.get(runId) ?? [];
-    this.#unconfirmedLosses.set(runId, [...runs, { ...run, interruptedAt }]);
+    const runs = this.#unconfirmedLosses.get(runId)?.runs ?? [];
+    this.#unconfirmedLosses.set(runId, {
+      server,
+      runs: [...runs, { ...run, interruptedAt }],
+    });
   }
 
   serverLost(server: BackendServer): void {
     const now = this.#clock.now();
     this.#execute(this.#quarantine.serverLost(serverIncarnation(server), now));
-    const runs = this.#unconfirmedLosses.get(incarnationKey(server));
+    const runs = this.#unconfirmedLosses.get(incarnationKey(server))?.runs;
     if (!runs) return;
     this.#unconfirmedLosses.delete(incarnationKey(server));
     const losses = runs.map(({ fingerprint, startedAt, interruptedAt }) => ({
@@ -192,12 +245,13 @@
   tick(): void {
     const now = this.#clock.now();
     this.#quarantine.tick(now);
-    for (const [runId, runs] of this.#unconfirmedLosses) {
+    for (const [runId, { server, runs }] of this.#unconfirmedLosses) {
       const kept = runs.filter(
         (run) => now - run.interruptedAt < UNCONFIRMED_LOSS_RETENTION_MS,
       );
-      if (kept.length > 0) this.#unconfirmedLosses.set(runId, kept);
-      else this.#unconfirmedLosses.delete(runId);
+      if (kept.length > 0) {
+        this.#unconfirmedLosses.set(runId, { server, runs: kept });
+      } else this.#unconfirmedLosses.delete(runId);
     }
   }
 
--- /dev/null
+++ b/packages/entry/quarantine_coordinator_test.ts
@@ -0,0 +1,89 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type AddressInfo, createServer } from "node:net";
+import { test } from "node:test";
+import type { BackendServer, Clock } from "#model";
+import type { QuarantineMessages } from "#quarantine";
+import type { Logger } from "#telemetry";
+import type { Network } from "#wire";
+import { QuarantineCoordinator } from "./quarantine_coordinator.ts";
+
+let now = 1_000;
+const clock: Clock = { now: () => now, wallTime: () => now };
+const network: Network<QuarantineMessages> = {
+  send: () => true,
+  broadcast: () => undefined,
+  handle: () => undefined,
+};
+const logger = { warn: () => undefined } as unknown as Logger;
+
+function createCoordinator(): QuarantineCoordinator {
+  return new QuarantineCoordinator({ self: "entry-1", clock, logger, network });
+}
+
+function backendServer(id: string, port: number): BackendServer {
+  return {
+    id,
+    service: "alloc",
+    address: { host: "127.0.0.1", port },
+    dataCentre: "riga-a",
+    incarnation: 1,
+    sequence: 1,
+    state: "ready",
+    slots: 2,
+    connections: 10,
+    inFlight: 0,
+    startedMsAgo: 0,
+  };
+}
+
+/** A listening port, which still accepts connections until it is closed. */
+async function listeningPort() {
+  const listener = createServer();
+  listener.listen(0, "127.0.0.1");
+  await once(listener, "listening");
+  const { port } = listener.address() as AddressInfo;
+  const close = async () => {
+    listener.close();
+    await once(listener, "close");
+  };
+  return { port, close };
+}
+
+async function interruptRun(
+  coordinator: QuarantineCoordinator,
+  { id, attemptId }: { id: string; attemptId: string },
+): Promise<void> {
+  const { port, close } = await listeningPort();
+  const server = backendServer(id, port);
+  await coordinator.admit("poison", attemptId);
+  coordinator.started(attemptId, server);
+  const run = { fingerprint: "poison", startedAt: now };
+  now += 100;
+  await coordinator.connectionLost(server, run);
+  coordinator.finished(attemptId, "ended");
+  await close();
+}
+
+// Guards against a poison request that crashes one server after another because
+// each still accepts a connection while its process ends.
+test("a request that interrupted two crashed servers is quarantined", async () => {
+  const coordinator = createCoordinator();
+  await interruptRun(coordinator, { id: "a", attemptId: "call" });
+  const second = await coordinator.admit("poison", "call.2");
+  assert.equal(second.type, "isolate");
+  coordinator.finished("call.2", "ended");
+  await interruptRun(coordinator, { id: "b", attemptId: "call.3" });
+  const next = await coordinator.admit("poison", "call.4");
+  assert.equal(next.type, "quarantined");
+});
+
+// Guards against an ended call that keeps others waiting for its isolated run.
+test("an attempt that ends during the check holds no isolated run", async () => {
+  const coordinator = createCoordinator();
+  await interruptRun(coordinator, { id: "a", attemptId: "call" });
+  const admission = coordinator.admit("poison", "call.2");
+  coordinator.finished("call.2", "ended");
+  assert.equal((await admission).type, "rejected");
+  assert.equal((await coordinator.admit("poison", "other")).type, "isolate");
+});
