--- a/packages/demo/ports.ts
+++ b/packages/demo/ports.ts
@@ -8,6 +8,8 @@
 
 /** Ports for one site, reserved against other tests on the same machine. */
 export interface PortBlock {
+  /** Differs between blocks that are reserved at the same time; up to 124. */
+  readonly index: number;
   /** The next port of the block. */
   take(): number;
   release(): void;
@@ -21,21 +23,25 @@
 export async function reservePorts(): Promise<PortBlock> {
   const start = process.pid % BLOCK_COUNT;
   for (let attempt = 0; attempt < BLOCK_COUNT; attempt++) {
-    const first = FIRST_PORT + ((start + attempt) % BLOCK_COUNT) * BLOCK_SIZE;
+    const index = (start + attempt) % BLOCK_COUNT;
+    const first = FIRST_PORT + index * BLOCK_SIZE;
     const lock = await bind(first);
     if (!lock) continue;
-    if (await areAllPortsFree(first)) return new LockedBlock(first, lock);
+    if (await areAllPortsFree(first)) return new LockedBlock(index, lock);
     lock.close();
   }
   throw new Error("no block of loopback ports is free");
 }
 
 class LockedBlock implements PortBlock {
+  readonly index: number;
   readonly #endPort: number;
   readonly #lock: Server;
   #lastPort: number;
 
-  constructor(first: number, lock: Server) {
+  constructor(index: number, lock: Server) {
+    const first = FIRST_PORT + index * BLOCK_SIZE;
+    this.index = index;
     this.#lastPort = first;
     this.#endPort = first + BLOCK_SIZE;
     this.#lock = lock;
