Link entries of large sites to relays instead of to each other

Cause: every entry kept a link to every other and to all control hosts, with a keepalive a second and direction on each. In addition each entry's load report went to every other entry. Ruled out: relays over a full mesh (RelayDissemination), which saves reports but no link; control hosts as relays, which would end service registration at an entry while control is lost. Change: above 40 entries (MAX_MESH_ENTRIES) three entries of each data centre, chosen by rendezvous hashing over the view, relay. Entries are linked to these, to the dispatchers and to two control hosts. Loads stay within a data centre; lists with servers reach all. Evidence on crash requests is forwarded. Claims on keys open a link on demand. A full mesh remains up to 40 entries.

--- a/packages/control/server_registrar.ts
+++ b/packages/control/server_registrar.ts
@@ -40,6 +40,7 @@
         incarnation,
         dataCentre: settings.dataCentre,
         randomness,
+        registrarOnly: true,
       }),
       clock,
       network,
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -1,22 +1,26 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type {
-  BackendServer,
-  Clock,
-  Configuration,
-  HostId,
-  Randomness,
-  Service,
+import type { ClaimMessages } from "#claims";
+import {
+  type BackendServer,
+  type Clock,
+  type Configuration,
+  EMPTY_VIEW,
+  type HostId,
+  type Randomness,
+  type Service,
 } from "#model";
+import { selectRelays } from "#presence";
 import { HostRoutes, Router } from "#routing";
 import type { EntrySettings } from "#settings";
 import type { Logger, Metrics } from "#telemetry";
-import type { TcpNetwork } from "#wire";
+import type { Peer, TcpNetwork } from "#wire";
 import { ActivityTimer } from "./activity_timer.ts";
 import { Assignments } from "./assignments.ts";
 import { BackendClient } from "./backend_client.ts";
 import type { CallProtocol } from "./call_protocol.ts";
 import type { EntryMessages } from "./entry_network.ts";
 import { KeyClaims } from "./key_claims.ts";
+import { OnDemandLinks } from "./on_demand_links.ts";
 import { Prober } from "./prober.ts";
 import {
   QUARANTINE_TICK_MS,
@@ -39,6 +43,8 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly protocol: CallProtocol;
+  /** Called when `peersOnDemand` has changed. */
+  readonly onPeersChanged: () => void;
   /** Ids of the servers to which a suspected request should not be sent. */
   readonly serversToAvoid: (
     service: string,
@@ -61,6 +67,7 @@
   readonly #proxy: ReverseProxy;
   readonly #tickTimer: ActivityTimer;
   readonly #hostRoutes: HostRoutes;
+  readonly #claimNetwork: OnDemandLinks<ClaimMessages>;
   #classifier: RequestClassifier;
   #configuration: Configuration | undefined;
   #quarantineTimer: NodeJS.Timeout | undefined;
@@ -112,12 +119,17 @@
       resendLimit: settings.resendLimit,
       entries: () => this.#configuration?.view.entries.length ?? 1,
     });
+    this.#claimNetwork = new OnDemandLinks({
+      network,
+      clock,
+      onPeersChanged: options.onPeersChanged,
+    });
     this.#claims = new KeyClaims({
       self,
       incarnation,
       clock,
       randomness,
-      network,
+      network: this.#claimNetwork,
     });
     this.#proxy = new ReverseProxy({
       ...options,
@@ -137,7 +149,10 @@
 
   start(): void {
     this.#tickTimer.start();
-    const tick = () => this.#quarantine.tick();
+    const tick = () => {
+      this.#quarantine.tick();
+      this.#claimNetwork.tick();
+    };
     this.#quarantineTimer = setInterval(tick, QUARANTINE_TICK_MS);
   }
 
@@ -162,6 +177,9 @@
       this.#policies.configure(services);
     }
     this.#claims.configure(configuration);
+    const linksAreSparse = selectRelays(view) !== undefined;
+    this.#claimNetwork.setView(linksAreSparse ? view : EMPTY_VIEW);
+    this.#quarantine.setForwarding(linksAreSparse);
     const now = this.#options.clock.now();
     this.#assignments.execute(this.#router.configure(services, view, now));
   }
@@ -178,8 +196,14 @@
     if (reason === "restarted") this.#quarantine.serverLost(server);
   }
 
+  /** The entries to which claims need a link at present. */
+  get peersOnDemand(): Peer[] {
+    return this.#claimNetwork.peers;
+  }
+
   peerUp(id: HostId): void {
     this.#quarantine.peerUp(id);
+    this.#claimNetwork.peerUp(id);
   }
 
   peerDown(id: HostId): void {
--- a/packages/entry/entry_network.ts
+++ b/packages/entry/entry_network.ts
@@ -1,9 +1,20 @@
 import type { ClaimMessages } from "#claims";
 import type { ConfigurationMessages, InventoryMessages } from "#configuration";
-import type { Address, Configuration, HostId } from "#model";
-import type { PresenceMessages } from "#presence";
+import {
+  type Address,
+  type Configuration,
+  type Entry,
+  type HostId,
+  rendezvousOrder,
+} from "#model";
+import {
+  isRelay,
+  type PresenceMessages,
+  type Relays,
+  selectRelays,
+} from "#presence";
 import type { QuarantineMessages } from "#quarantine";
-import type { DispatchMessages } from "#routing";
+import { DispatcherChoice, type DispatchMessages } from "#routing";
 import type { Peer } from "#wire";
 
 /** All messages between entries and between entries and control. */
@@ -15,18 +26,87 @@
   DispatchMessages;
 
 /**
- * The processes to which an entry opens connections: all control hosts, and the
- * entries with a higher id, so that each pair of entries has one connection.
+ * Control hosts to which an entry keeps a link at a large site: the one that it
+ * follows and another to switch to.
+ */
+const LINKED_CONTROL_HOSTS = 2;
+
+/**
+ * The processes to which an entry opens connections, so that each pair has one.
+ * At a small site these are all control hosts, and the entries with a higher
+ * id. At a large one only relays are linked to all control hosts, and entries
+ * to the relays of their data centre and the dispatchers of the services.
  */
 export function peersOf(
   self: HostId,
   options: { seeds: readonly Address[]; configuration: Configuration },
 ): Peer[] {
-  const { view, controls } = options.configuration;
+  const { configuration, seeds } = options;
+  const { view, controls, document } = configuration;
   const controlAddresses = controls.map(({ peer }) => peer);
-  const entries = view.entries.filter(({ id }) => id > self);
-  return [
-    ...[...options.seeds, ...controlAddresses].map((address) => ({ address })),
-    ...entries.map(({ id, peer }) => ({ id, address: peer })),
-  ];
+  const allControls = [...seeds, ...controlAddresses].map((address) => ({
+    address,
+  }));
+  const relays = selectRelays(view);
+  const entry = view.entries.find(({ id }) => id === self);
+  if (!relays || !entry) {
+    const entries = relays ? [] : view.entries.filter(({ id }) => id > self);
+    return [...allControls, ...entries.map(toPeer)];
+  }
+  const choice = new DispatcherChoice(view);
+  const dispatchers = new Set(
+    document.services.flatMap(
+      ({ name }) => choice.dispatcherOf(name)?.id ?? [],
+    ),
+  );
+  const links = new SparseLinks({ relays, dispatchers });
+  const entries = view.entries.filter((other) => links.opens(entry, other));
+  const linkedControls = isRelay(relays, entry)
+    ? allControls
+    : nearestControls(self, controls);
+  return [...linkedControls, ...entries.map(toPeer)];
+}
+
+/** Decides which links exist at a large site, and which end opens each. */
+class SparseLinks {
+  readonly #relayIds: ReadonlySet<HostId>;
+  readonly #dispatchers: ReadonlySet<HostId>;
+
+  constructor(options: {
+    relays: Relays;
+    dispatchers: ReadonlySet<HostId>;
+  }) {
+    this.#relayIds = new Set([...options.relays.values()].flat());
+    this.#dispatchers = options.dispatchers;
+  }
+
+  /** Whether `entry` opens the link to `other`. */
+  opens(entry: Entry, other: Entry): boolean {
+    if (entry.id === other.id) return false;
+    const wanted = this.#needs(entry, other);
+    if (!wanted) return false;
+    return !this.#needs(other, entry) || entry.id < other.id;
+  }
+
+  #needs(entry: Entry, other: Entry): boolean {
+    if (this.#dispatchers.has(other.id)) return true;
+    if (!this.#relayIds.has(other.id)) return false;
+    return (
+      this.#relayIds.has(entry.id) || entry.dataCentre === other.dataCentre
+    );
+  }
+}
+
+/** An entry's own order spreads the links over all control hosts. */
+function nearestControls(
+  self: HostId,
+  controls: Configuration["controls"],
+): Peer[] {
+  return rendezvousOrder(self, controls)
+    .slice(0, LINKED_CONTROL_HOSTS)
+    .map(({ peer }) => ({ address: peer }));
+}
+
+function toPeer({ id, peer }: Entry): Peer {
+  return { id, address: peer };
 }
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -163,6 +163,7 @@
         confirmedMsAgo: Math.round(this.#follower.confirmationAge()),
       }),
       onServerLeaving: (server) => this.#registrations.observeLeaving(server),
+      onPeersChanged: () => this.#connect(),
     });
     const own = new EntryApi({
       clock,
@@ -308,7 +309,10 @@
     const { id } = this.#options.settings;
     const { configuration } = this.#follower;
     const options = { seeds: this.#controlAddresses, configuration };
-    this.#network.setPeers(peersOf(id, options));
+    this.#network.setPeers([
+      ...peersOf(id, options),
+      ...this.#callPipeline.peersOnDemand,
+    ]);
   }
 
   #connectedControls(): HostId[] {
@@ -358,7 +362,8 @@
     }
     if (
       previous.view !== view ||
-      previous.controls !== configuration.controls
+      previous.controls !== configuration.controls ||
+      previous.document.services !== document.services
     ) {
       this.#connect();
     }
--- a/packages/entry/quarantine_coordinator.ts
+++ b/packages/entry/quarantine_coordinator.ts
@@ -66,6 +66,7 @@
   /** Attempts that wait for a check of servers that may have crashed. */
   readonly #checking = new Set<string>();
   readonly #self: HostId;
+  #forwardsEvidence = false;
 
   readonly #syncs = new Map<number, (from: HostId) => void>();
   #round = 0;
@@ -91,10 +92,18 @@
     });
     network.handle("quarantine.evidence", (evidence, from) => {
       const now = clock.now();
-      this.#execute(this.#quarantine.receive(from.id, evidence, now));
+      const forward = this.#forwardsEvidence;
+      this.#execute(
+        this.#quarantine.receive(from.id, evidence, { now, forward }),
+      );
     });
   }
 
+  /** Sets whether the peers are only a part of the entries. */
+  setForwarding(forwardsEvidence: boolean): void {
+    this.#forwardsEvidence = forwardsEvidence;
+  }
+
   /**
    * Waits until the other entries have received the evidence of this one, up to
    * a timeout. The call continues only then, since a retry or resend through an
@@ -226,7 +235,8 @@
   /** Adds evidence of this entry and sends it to the other entries. */
   #publishEvidence(evidence: Evidence): void {
     const now = this.#clock.now();
-    this.#execute(this.#quarantine.receive(this.#self, evidence, now));
+    const own = { now, forward: false };
+    this.#execute(this.#quarantine.receive(this.#self, evidence, own));
     for (const peer of this.#peers) {
       this.#network.send(peer, "quarantine.evidence", evidence);
     }
--- a/packages/presence/convergence_test.ts
+++ b/packages/presence/convergence_test.ts
@@ -1,6 +1,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type BackendServer, SeededRandomness } from "#model";
+import {
+  type BackendServer,
+  type HostId,
+  SeededRandomness,
+  type View,
+} from "#model";
 import {
   AdaptiveDissemination,
   type Dissemination,
@@ -8,6 +13,7 @@
 } from "./dissemination.ts";
 import {
   entriesAcross,
+  linkedByRelays,
   RELIABLE_NETWORK,
   Simulation,
   server,
@@ -58,10 +64,11 @@
   #delayedAnnouncements: { at: number; run: () => void }[] = [];
   faultsStopped = false;
 
-  constructor(seed: number, dissemination?: () => Dissemination) {
+  constructor(seed: number, strategy: Strategy) {
     const dataCentres = ["riga-a", "riga-b", "jelgava"];
-    const entries = entriesAcross(7, dataCentres);
-    this.sim = new Simulation({ seed, entries, dissemination });
+    const { count = 7, ...options } = strategy;
+    const entries = entriesAcross(count, dataCentres);
+    this.sim = new Simulation({ seed, entries, ...options });
     this.#random = new SeededRandomness(seed + 1);
     this.#ids = Object.keys(entries);
     this.#servers = Array.from(
@@ -207,17 +214,32 @@
   }
 }
 
-const STRATEGIES: readonly [string, (() => Dissemination) | undefined][] = [
-  ["mesh", undefined],
-  ["relays", () => new RelayDissemination()],
-  ["mesh or relays by size", () => new AdaptiveDissemination()],
+/** Number of entries, how they are linked and what is sent to whom. */
+interface Strategy {
+  readonly count?: number;
+  readonly dissemination?: () => Dissemination;
+  readonly linked?: (view: View, a: HostId, b: HostId) => boolean;
+  readonly maxMeshEntries?: number;
+}
+
+const STRATEGIES: readonly [string, Strategy][] = [
+  ["mesh", {}],
+  ["relays", { dissemination: () => new RelayDissemination() }],
+  [
+    "mesh or relays by size",
+    { dissemination: () => new AdaptiveDissemination() },
+  ],
+  [
+    "links to relays only",
+    { count: 15, linked: linkedByRelays(0), maxMeshEntries: 0 },
+  ],
 ];
 
-for (const [name, dissemination] of STRATEGIES) {
+for (const [name, strategy] of STRATEGIES) {
   test(`${name}: entries converge, drop ended leases and restore no left server`, () => {
     for (const seed of SEEDS) {
       try {
-        const run = new ChaosRun(seed, dissemination);
+        const run = new ChaosRun(seed, strategy);
         run.sim.run(40_000, () => run.step());
         run.stopFaults();
         // A late announcement may be accepted last and lasts for one lease.
--- a/packages/presence/dissemination.ts
+++ b/packages/presence/dissemination.ts
@@ -1,4 +1,6 @@
 import { type DataCentre, type HostId, hash32 } from "#model";
+import type { Relays } from "./relays.ts";
+import { SparseDissemination } from "./sparse_dissemination.ts";
 
 /** What the choice of receivers depends on, for each entry. */
 export interface TopologyEntry {
@@ -6,10 +8,29 @@
   readonly dataCentre: DataCentre;
 }
 
-/** This entry and the peers that it is connected to. */
+/**
+ * The part of a process in the dissemination: an entry, an entry that relays
+ * for its data centre, or another process that registers servers.
+ */
+export type TopologyPosition = "member" | "relay" | "registrar";
+
+/** This process and the entries that it is connected to. */
 export interface Topology {
   readonly self: TopologyEntry;
+  readonly position?: TopologyPosition;
   readonly peers: readonly TopologyEntry[];
+  /** Absent where every entry is linked to every other. */
+  readonly relays?: Relays | undefined;
+}
+
+/** A received change or summary of an owner's list. */
+export interface ListMessage {
+  readonly owner: HostId;
+  readonly from: HostId;
+  /** Round of the summary, or version of the list after the change. */
+  readonly round: number;
+  /** Whether it concerns servers; otherwise it tells only the owner's load. */
+  readonly hasServers: boolean;
 }
 
 /** Decides to which peers an entry sends or forwards messages about lists. */
@@ -19,12 +40,13 @@
   /** Peers that get the changes of this entry's own list. */
   changeTargets(topology: Topology): readonly HostId[];
   /** Peers that get this entry's summary of a round. */
-  summaryTargets(topology: Topology, round: number): readonly HostId[];
-  /** Peers to forward a message about an owner's list to. */
-  forwardTargets(
+  summaryTargets(
     topology: Topology,
-    message: { readonly owner: HostId; readonly from: HostId },
+    round: number,
+    list: { readonly hasServers: boolean },
   ): readonly HostId[];
+  /** Peers to forward a message about an owner's list to. */
+  forwardTargets(topology: Topology, message: ListMessage): readonly HostId[];
 }
 
 /** Sends directly to every peer; suits sites of up to some tens of entries. */
@@ -75,7 +97,7 @@
 
   forwardTargets(
     topology: Topology,
-    message: { readonly owner: HostId; readonly from: HostId },
+    message: Pick<ListMessage, "owner" | "from">,
   ): readonly HostId[] {
     const { self, peers } = topology;
     if (message.owner !== message.from) return [];
@@ -99,10 +121,14 @@
  */
 const MAX_MESH_PEERS = 40;
 
-/** Uses a full mesh at small sites and relays at large ones. */
+/**
+ * Uses a full mesh at small sites and the relays of the view at large ones.
+ * Until the view is known, the number of connected peers decides.
+ */
 export class AdaptiveDissemination implements Dissemination {
   readonly #mesh = new MeshDissemination();
   readonly #relays = new RelayDissemination();
+  readonly #sparse = new SparseDissemination();
   #lastStrategy: Dissemination = this.#mesh;
 
   /** The value for the last topology. */
@@ -114,22 +140,24 @@
     return this.#strategyFor(topology).changeTargets(topology);
   }
 
-  summaryTargets(topology: Topology, round: number): readonly HostId[] {
-    return this.#strategyFor(topology).summaryTargets(topology, round);
+  summaryTargets(
+    topology: Topology,
+    round: number,
+    list: { readonly hasServers: boolean },
+  ): readonly HostId[] {
+    return this.#strategyFor(topology).summaryTargets(topology, round, list);
   }
 
   /** Also forwards below the limit, as the owner may have more peers. */
-  forwardTargets(
-    topology: Topology,
-    message: { readonly owner: HostId; readonly from: HostId },
-  ): readonly HostId[] {
+  forwardTargets(topology: Topology, message: ListMessage): readonly HostId[] {
+    if (topology.relays) return this.#sparse.forwardTargets(topology, message);
     const mayNeedRelays = topology.peers.length > MAX_MESH_PEERS / 2;
     return mayNeedRelays ? this.#relays.forwardTargets(topology, message) : [];
   }
 
-  #strategyFor({ peers }: Topology): Dissemination {
-    this.#lastStrategy =
-      peers.length > MAX_MESH_PEERS ? this.#relays : this.#mesh;
+  #strategyFor({ peers, relays }: Topology): Dissemination {
+    const connected = peers.length > MAX_MESH_PEERS ? this.#relays : this.#mesh;
+    this.#lastStrategy = relays ? this.#sparse : connected;
     return this.#lastStrategy;
   }
 }
--- a/packages/presence/index.ts
+++ b/packages/presence/index.ts
@@ -11,4 +11,5 @@
 export * from "./effects.ts";
 export * from "./messages.ts";
 export * from "./presence.ts";
+export * from "./relays.ts";
 export * from "./timings.ts";
--- a/packages/presence/presence.ts
+++ b/packages/presence/presence.ts
@@ -17,13 +17,16 @@
 import {
   AdaptiveDissemination,
   type Dissemination,
+  type ListMessage,
   type Topology,
+  type TopologyPosition,
 } from "./dissemination.ts";
 import { Effects, type PresenceEffect } from "./effects.ts";
 import { ListReplicas, type MessageContext } from "./list_replicas.ts";
 import { LocalRegistrations } from "./local_registrations.ts";
 import type { PresenceMessages } from "./messages.ts";
 import { Publisher } from "./publisher.ts";
+import { isRelay, type Relays, selectRelays } from "./relays.ts";
 import { ServerTable } from "./server_table.ts";
 import { StallDetector } from "./stall_detector.ts";
 import {
@@ -47,6 +50,10 @@
   readonly dataCentre: DataCentre;
   readonly randomness: Randomness;
   readonly dissemination?: Dissemination;
+  /** True at a process that is no entry but registers servers. */
+  readonly registrarOnly?: boolean;
+  /** Entries above which relays are used, if not the default. */
+  readonly maxMeshEntries?: number | undefined;
   readonly limits?: PresenceLimits;
 }
 
@@ -87,6 +94,8 @@
   readonly #connected = new Set<HostId>();
   readonly #stallDetector = new StallDetector();
   #view: View = EMPTY_VIEW;
+  /** Absent while every entry of the view is linked to every other. */
+  #relays: Relays | undefined;
   /** Processes that are not entries but accept announcements of servers. */
   #registrars: readonly HostId[] = [];
   #topology: Topology;
@@ -130,6 +139,10 @@
     now: number,
   ): PresenceEffect[] {
     this.#checks.services = new Set(configuration.services);
+    if (this.#view !== configuration.view) {
+      const { maxMeshEntries } = this.#options;
+      this.#relays = selectRelays(configuration.view, maxMeshEntries);
+    }
     this.#view = configuration.view;
     this.#registrars = configuration.registrars ?? [];
     this.#firstConfiguredAt ??= now;
@@ -206,7 +219,9 @@
       case "presence_summaries":
         for (const summary of message.payload) {
           if (!this.#replicas.applySummary(summary, context)) continue;
-          const to = this.#forwardTargets(summary[0], from);
+          const [owner, , , round, , , records] = summary;
+          const hasServers = records.length > 0;
+          const to = this.#forwardTargets({ owner, from, round, hasServers });
           if (to.length > 0)
             this.#local.publisher.queueSummary(summary, { to, now });
         }
@@ -323,13 +338,35 @@
       lastHeardAt,
     } of this.#replicas.owners()) {
       const reachable =
-        this.#connected.has(owner) && now - lastHeardAt < LOST_AFTER_MS;
+        this.#mayBeReachable(owner) && now - lastHeardAt < LOST_AFTER_MS;
       loads.set(owner, { load, stopping, reachable });
     }
+    if (this.#relays) this.#addUnreportedLoads(loads);
     const { load, stopping } = this.#local.publisher.list;
     return loads.set(this.#options.id, { load, stopping, reachable: true });
   }
 
+  /** False for an entry whose link to this one is lost. */
+  #mayBeReachable(owner: HostId): boolean {
+    if (this.#connected.has(owner)) return true;
+    if (!this.#relays) return false;
+    const { dataCentre } = this.#options;
+    const isLinked =
+      this.#topology.position === "relay" ||
+      isRelay(this.#relays, { id: owner, dataCentre });
+    return !isLinked;
+  }
+
+  /** Adds the entries of other data centres, whose load is not sent here. */
+  #addUnreportedLoads(loads: Map<HostId, EntryLoad>): void {
+    const { dataCentre } = this.#options;
+    for (const entry of this.#view.entries) {
+      if (entry.dataCentre === dataCentre) continue;
+      const stopping = entry.state === "stopping";
+      loads.set(entry.id, { load: 0, stopping, reachable: true });
+    }
+  }
+
   #recordLeave(
     server: Pick<BackendServer, "service" | "id" | "incarnation">,
     context: { now: number; effects: Effects },
@@ -350,9 +387,10 @@
     message: PresenceMessages["presence_changes"],
     context: MessageContext,
   ): void {
-    const [owner, , , operations] = message;
+    const [owner, , round, operations] = message;
     if (!this.#replicas.applyChanges(message, context)) return;
-    const to = this.#forwardTargets(owner, context.from);
+    const { from } = context;
+    const to = this.#forwardTargets({ owner, from, round, hasServers: true });
     context.effects.send(to, { kind: "presence_changes", payload: message });
     this.#local.reconcile({ owner, operations }, context);
   }
@@ -360,8 +398,8 @@
   #schedule() {
     return {
       changeTargets: this.#dissemination.changeTargets(this.#topology),
-      summaryTargets: (round: number) =>
-        this.#dissemination.summaryTargets(this.#topology, round),
+      summaryTargets: (round: number, list: { hasServers: boolean }) =>
+        this.#dissemination.summaryTargets(this.#topology, round, list),
       summaryIntervalMs: summaryIntervalMs(this.#table.size),
       relayDelayMs: this.#dissemination.relayDelayMs,
     };
@@ -373,8 +411,8 @@
     return expected + SILENCE_MARGIN_MS;
   }
 
-  #forwardTargets(owner: HostId, from: HostId): readonly HostId[] {
-    return this.#dissemination.forwardTargets(this.#topology, { owner, from });
+  #forwardTargets(message: ListMessage): readonly HostId[] {
+    return this.#dissemination.forwardTargets(this.#topology, message);
   }
 
   #updateTopology(): void {
@@ -382,15 +420,29 @@
     const dataCentres = new Map(
       this.#view.entries.map((e) => [e.id, e.dataCentre]),
     );
+    const registrars = new Set(this.#relays ? this.#registrars : []);
     const peers = [...this.#connected]
-      .filter((peer) => peer !== id)
+      .filter((peer) => peer !== id && !registrars.has(peer))
       // The data centre of a joining entry is unknown until the view has it;
       // until then it is assumed to be in this one.
       .map((peer) => ({
         id: peer,
         dataCentre: dataCentres.get(peer) ?? dataCentre,
       }));
-    this.#topology = { self: { id, dataCentre }, peers };
+    this.#topology = {
+      self: { id, dataCentre },
+      position: this.#position(),
+      peers,
+      relays: this.#relays,
+    };
+  }
+
+  #position(): TopologyPosition {
+    const { id, dataCentre, registrarOnly } = this.#options;
+    if (registrarOnly) return "registrar";
+    const isRelaying =
+      this.#relays && isRelay(this.#relays, { id, dataCentre });
+    return isRelaying ? "relay" : "member";
   }
 
   #updateReadiness(now: number): void {
@@ -403,7 +455,16 @@
       );
   }
 
+  /**
+   * The owners whose summaries must arrive regularly. Where relays are used,
+   * lists of other data centres are sent only while they contain servers.
+   */
   #expectedOwners(): HostId[] {
-    return [...this.#view.entries.map(({ id }) => id), ...this.#registrars];
+    const { dataCentre, registrarOnly } = this.#options;
+    if (this.#relays && registrarOnly) return [];
+    const entries = this.#relays
+      ? this.#view.entries.filter((entry) => entry.dataCentre === dataCentre)
+      : this.#view.entries;
+    return [...entries.map(({ id }) => id), ...this.#registrars];
   }
 }
--- a/packages/presence/publisher.ts
+++ b/packages/presence/publisher.ts
@@ -143,7 +143,10 @@
   tick(
     schedule: {
       changeTargets: readonly HostId[];
-      summaryTargets: (round: number) => readonly HostId[];
+      summaryTargets: (
+        round: number,
+        list: { hasServers: boolean },
+      ) => readonly HostId[];
       summaryIntervalMs: number;
       relayDelayMs: number;
     },
@@ -164,7 +167,8 @@
         now,
       );
       this.list.round++;
-      const to = schedule.summaryTargets(this.list.round);
+      const hasServers = this.list.records.size > 0;
+      const to = schedule.summaryTargets(this.list.round, { hasServers });
       this.queueSummary(this.list.encodeSummary(now), { to, now });
     }
     const queuedMs = now - (this.#queuedSince ?? now);
--- a/packages/presence/testing/simulation.ts
+++ b/packages/presence/testing/simulation.ts
@@ -8,6 +8,7 @@
 import type { Dissemination } from "../dissemination.ts";
 import type { PresenceEffect, PresenceSend } from "../effects.ts";
 import { Presence, type PresenceMessage } from "../presence.ts";
+import { MAX_MESH_ENTRIES, selectRelays } from "../relays.ts";
 
 /** Step of simulated time, in milliseconds. */
 const STEP_MS = 50;
@@ -51,7 +52,12 @@
   onOtherEffect: (at: HostId, effect: PresenceEffect) => void = () => undefined;
   readonly #view: View;
   readonly #dissemination: (() => Dissemination) | undefined;
+  readonly #maxMeshEntries: number | undefined;
   readonly #services: readonly string[];
+  /** Data centre of each process that registers servers but is no entry. */
+  readonly #registrars: Readonly<Record<HostId, string>>;
+  /** Pairs of processes that keep a link to each other. */
+  readonly #linkedPairs: readonly (readonly [HostId, HostId])[];
   readonly #incarnations = new Map<HostId, number>();
   readonly #silentLinks = new Set<string>();
   readonly #openLinks = new Set<string>();
@@ -64,7 +70,12 @@
     entries: Readonly<Record<HostId, string>>;
     services?: readonly string[];
     dissemination?: () => Dissemination;
+    registrars?: Readonly<Record<HostId, string>>;
+    /** Whether two processes keep a link; all do if absent. */
+    linked?: (view: View, a: HostId, b: HostId) => boolean;
+    maxMeshEntries?: number;
   }) {
+    this.#maxMeshEntries = options.maxMeshEntries;
     this.randomness = new SeededRandomness(options.seed);
     this.#dissemination = options.dissemination;
     this.#services = options.services ?? ["alloc"];
@@ -79,7 +90,19 @@
       }),
     );
     this.#view = { epoch: 1, entries, began: 0 };
-    for (const { id } of entries) this.start(id);
+    this.#registrars = options.registrars ?? {};
+    const ids = [
+      ...entries.map(({ id }) => id),
+      ...Object.keys(this.#registrars),
+    ];
+    const { linked = () => true } = options;
+    this.#linkedPairs = ids.flatMap((a, index) =>
+      ids
+        .slice(index + 1)
+        .filter((b) => linked(this.#view, a, b))
+        .map((b) => [a, b] as const),
+    );
+    for (const id of ids) this.start(id);
     this.run(1_000);
   }
 
@@ -95,15 +118,23 @@
     const incarnation = (this.#incarnations.get(id) ?? FIRST_INCARNATION) + 1;
     this.#incarnations.set(id, incarnation);
     const entry = this.#view.entries.find((e) => e.id === id);
+    const registrarIn = this.#registrars[id];
     const presence = new Presence({
       id,
       incarnation,
-      dataCentre: entry?.dataCentre ?? "",
+      dataCentre: entry?.dataCentre ?? registrarIn ?? "",
+      maxMeshEntries: this.#maxMeshEntries,
+      registrarOnly: registrarIn !== undefined,
       randomness: this.randomness,
       dissemination: this.#dissemination?.(),
     });
     this.entries.set(id, presence);
-    const configuration = { services: this.#services, view: this.#view };
+    const registrars = registrarIn ? [] : Object.keys(this.#registrars);
+    const configuration = {
+      services: this.#services,
+      view: this.#view,
+      registrars,
+    };
     this.applyEffects(id, presence.configure(configuration, this.now));
   }
 
@@ -236,16 +267,14 @@
   }
 
   #openConnections(): void {
-    const ids = [...this.entries.keys()];
-    for (const [index, a] of ids.entries()) {
-      for (const b of ids.slice(index + 1)) {
-        const link = pair(a, b);
-        if (this.#openLinks.has(link) || this.#silentLinks.has(link)) continue;
-        if (this.#frozen.has(a) || this.#frozen.has(b)) continue;
-        this.#openLinks.add(link);
-        this.applyEffects(a, this.entry(a).peerUp(b, this.now));
-        this.applyEffects(b, this.entry(b).peerUp(a, this.now));
-      }
+    for (const [a, b] of this.#linkedPairs) {
+      if (!this.entries.has(a) || !this.entries.has(b)) continue;
+      const link = pair(a, b);
+      if (this.#openLinks.has(link) || this.#silentLinks.has(link)) continue;
+      if (this.#frozen.has(a) || this.#frozen.has(b)) continue;
+      this.#openLinks.add(link);
+      this.applyEffects(a, this.entry(a).peerUp(b, this.now));
+      this.applyEffects(b, this.entry(b).peerUp(a, this.now));
     }
   }
 
@@ -261,6 +290,38 @@
   }
 }
 
+/**
+ * The links that entries keep at a large site: to the relays of their data
+ * centre. Relays are linked to each other and to all registrars.
+ */
+export function linkedByRelays(
+  maxMeshEntries = MAX_MESH_ENTRIES,
+): (view: View, a: HostId, b: HostId) => boolean {
+  let relays: Set<HostId> | undefined;
+  const dataCentres = new Map<HostId, string>();
+  return (view, a, b) => {
+    if (!relays) {
+      relays = relayIds(view, maxMeshEntries);
+      for (const entry of view.entries) {
+        dataCentres.set(entry.id, entry.dataCentre);
+      }
+    }
+    if (relays.has(a) && relays.has(b)) return true;
+    if (!relays.has(a) && !relays.has(b)) return false;
+    const [first, second] = [dataCentres.get(a), dataCentres.get(b)];
+    return first === undefined || second === undefined || first === second;
+  };
+}
+
+/** The relays of all data centres. */
+export function relayIds(
+  view: View,
+  maxMeshEntries = MAX_MESH_ENTRIES,
+): Set<HostId> {
+  const relays = selectRelays(view, maxMeshEntries);
+  return new Set([...(relays?.values() ?? [])].flat());
+}
+
 function pair(a: HostId, b: HostId): string {
   return a < b ? `${a} ${b}` : `${b} ${a}`;
 }
--- a/packages/quarantine/quarantine.ts
+++ b/packages/quarantine/quarantine.ts
@@ -170,9 +170,23 @@
     return [...this.#merge(evidence, now), ...this.#publish(evidence)];
   }
 
-  /** Merges the evidence of another entry. */
-  receive(_from: HostId, evidence: Evidence, now: number): QuarantineEffect[] {
-    return this.#merge(evidence, now);
+  /**
+   * Merges the evidence of another entry. Where entries are linked to a few
+   * others only, what is new is forwarded to those.
+   */
+  receive(
+    from: HostId,
+    evidence: Evidence,
+    { now, forward }: { now: number; forward: boolean },
+  ): QuarantineEffect[] {
+    const losses = evidence.losses.filter((report) =>
+      this.#losses.isNew(report),
+    );
+    const effects = this.#merge(evidence, now);
+    if (!forward || losses.length === 0) return effects;
+    const to = [...this.#peers].filter((peer) => peer !== from);
+    const payload = { losses, cleared: evidence.cleared };
+    return [...effects, ...to.map((peer) => sendEvidence(peer, payload))];
   }
 
   /** Sends all evidence to an entry that is new or reachable again. */
--- a/packages/quarantine/quarantine_test.ts
+++ b/packages/quarantine/quarantine_test.ts
@@ -81,7 +81,7 @@
         const { to, payload } = effect;
         this.#execute(
           to,
-          this.quarantineOf(to).receive(from, payload, now),
+          this.quarantineOf(to).receive(from, payload, { now, forward: false }),
           now,
         );
       }
@@ -266,3 +266,36 @@
   const again = { ...base, body: body("1") };
   assert.equal(fingerprintOf(again), fingerprintOf(requests[0] ?? again));
 });
+
+// Guards against entries that never learn of a loss, where only the relays are
+// linked to them, and against evidence that is sent around for ever.
+test("evidence reaches entries that are linked through others", () => {
+  const ids = ["a", "b", "c", "d"];
+  const chain = new Map(ids.map((id) => [id, new Quarantine()]));
+  ids.forEach((id, index) => {
+    for (const peer of [ids[index - 1], ids[index + 1]]) {
+      if (peer) chain.get(id)?.peerUp(peer, 0);
+    }
+  });
+  let deliveries = 0;
+  const execute = (from: string, effects: QuarantineEffect[]) => {
+    for (const effect of effects) {
+      if (effect.type !== "send") continue;
+      deliveries += 1;
+      const options = { now: 100, forward: true };
+      const received = chain
+        .get(effect.to)
+        ?.receive(from, effect.payload, options);
+      execute(effect.to, received ?? []);
+    }
+  };
+  const first = chain.get("a");
+  first?.admit("poison", "call", 0);
+  first?.started("call", serverIncarnation("x#1"), 0);
+  execute("a", first?.serverLost(serverIncarnation("x#1"), 100) ?? []);
+  for (const id of ids.slice(1)) {
+    const admission = chain.get(id)?.admit("poison", `call-${id}`, 200);
+    assert.equal(admission?.type, "isolate", id);
+  }
+  assert.equal(deliveries, 3);
+});
--- a/packages/quarantine/server_losses.ts
+++ b/packages/quarantine/server_losses.ts
@@ -67,6 +67,13 @@
     return { losses, runs: this.#runs, requests: this.#requests.size };
   }
 
+  /** Whether a report contains a loss or a run that is not stored. */
+  isNew({ server, incarnation, runs }: LossReport): boolean {
+    const known = this.#losses.get(`${server}#${incarnation}`);
+    if (!known) return true;
+    return runs.some(([fingerprint]) => !known.runs.has(fingerprint));
+  }
+
   /** Merges a report; returns the requests that were added to the loss. */
   add(report: LossReport, now: number): Fingerprint[] {
     const age = Math.max(0, report.ageMs);
--- /dev/null
+++ b/packages/routing/dispatcher_choice.ts
@@ -0,0 +1,15 @@
+import { type Entry, rendezvousFirst, type View } from "#model";
+
+/** Finds the dispatchers of services in a view, equally at all hosts. */
+export class DispatcherChoice {
+  readonly #candidates: readonly Entry[];
+
+  constructor(view: View) {
+    this.#candidates = view.entries.filter(({ state }) => state === "ready");
+  }
+
+  /** The entry that dispatches a service; undefined if none is ready. */
+  dispatcherOf(service: string): Entry | undefined {
+    return rendezvousFirst(service, this.#candidates);
+  }
+}
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./dispatcher_choice.ts";
 export * from "./effects.ts";
 export * from "./host_routes.ts";
 export * from "./messages.ts";
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -8,12 +8,12 @@
   type Entry,
   type HostId,
   type Randomness,
-  rendezvousFirst,
   type Service,
   type View,
 } from "#model";
 import type { LinkState } from "./dispatch_link.ts";
 import { Dispatcher } from "./dispatcher.ts";
+import { DispatcherChoice } from "./dispatcher_choice.ts";
 import type {
   CallResult,
   CheckResult,
@@ -85,13 +85,12 @@
       this.#services.delete(name);
       this.#dispatchers.delete(name);
     }
-    const candidates = view.entries.filter(({ state }) => state === "ready");
+    const choice = new DispatcherChoice(view);
     const members = new Map(view.entries.map((entry) => [entry.id, entry]));
     const inView = members.has(this.#options.self);
     for (const service of services) {
       const router = this.#serviceRouter(service, now);
-      const first = rendezvousFirst(service.name, candidates);
-      const dispatcher = inView ? first : undefined;
+      const dispatcher = inView ? choice.dispatcherOf(service.name) : undefined;
       const host = dispatcher?.id;
       effects.push(
         ...this.#configureDispatcher(service, { host, members, now }),
