Ping only links that carry nothing else, and leave lost control hosts to heartbeats

Ruled out: summaries of presence, which are sent every 2 s on the same links. Change: links with an entry at an end ping after 2.2 s without other data and count as dead after 4.5 s. A lost control host is found by a heartbeat without an answer (1.0 + 0.6 s, checked each 0.2 s) as before 1.4 s by silence.

--- a/packages/presence/testing/simulation.ts
+++ b/packages/presence/testing/simulation.ts
@@ -15,7 +15,7 @@
 /** Incarnations are start times. */
 const FIRST_INCARNATION = 1_764_792_000_000;
 /** Silence after which a connection is closed, as in `wire`. */
-const DISCONNECT_DELAY_MS = 3_500;
+const DISCONNECT_DELAY_MS = 4_500;
 
 /** Simulated faults; a TCP connection by itself has none of them. */
 export interface NetworkConditions {
--- a/packages/presence/timings.ts
+++ b/packages/presence/timings.ts
@@ -46,7 +46,7 @@
 
 /**
  * Time after a stall during which messages may come from socket buffers.
- * Connections that were silent for 3.5 s are closed when the process resumes
+ * Connections that were silent for 4.5 s are closed when the process resumes
  * and take 250 ms to be re-established.
  */
 export const STALL_CATCH_UP_MS = 200;
--- a/packages/wire/link.ts
+++ b/packages/wire/link.ts
@@ -17,15 +17,16 @@
   readonly deadAfterMs: number;
 }
 
-const ENTRY_KEEPALIVE: KeepaliveTimes = {
-  pingAfterMs: 1_000,
-  deadAfterMs: 3_500,
-};
 /**
- * Links to control carry configuration changes and leaves of backend servers.
- * These must reach entries within two seconds of their acknowledgement, also
- * when a silent partition has cut a link, so that a dead link is found sooner.
+ * Links with an entry at either end. Entries exchange summaries every 2 s, so
+ * that a ping is sent only where these are not. A lost control host is found
+ * sooner, by an unanswered heartbeat.
  */
+const ENTRY_KEEPALIVE: KeepaliveTimes = {
+  pingAfterMs: 2_200,
+  deadAfterMs: 4_500,
+};
+/** Links between control hosts, whose loss delays the replicated log. */
 const CONTROL_KEEPALIVE: KeepaliveTimes = {
   pingAfterMs: 400,
   deadAfterMs: 1_400,
@@ -140,7 +141,7 @@
 
   get #keepalive(): KeepaliveTimes {
     const roles = [this.#options.self.role, this.#peer?.role];
-    return roles.includes("control") ? CONTROL_KEEPALIVE : ENTRY_KEEPALIVE;
+    return roles.includes("entry") ? ENTRY_KEEPALIVE : CONTROL_KEEPALIVE;
   }
 
   close(fault: LinkFault): void {
