Wake idle processes less often

Cause: an idle entry of 17 woke 144 times a second (strace): 100 of these by prom-client's default event loop monitor, which samples every 10 ms, the rest by timers. While calls were new, the router's task ran every 5 ms for 200 ms after each event, although all timeouts of long-running services are 80 ms or more. Ruled out: messages of peers, 10 a second. Change: the event loop delay is sampled every 500 ms; the router says how often it needs to run, every 20 ms if all active services are long-running; the idle interval is 100 ms instead of 50.

--- a/packages/entry/activity_timer.ts
+++ b/packages/entry/activity_timer.ts
@@ -1,9 +1,7 @@
 import type { Clock } from "#model";
 
-/** Task interval while there is work, such as queues and timeouts to check. */
-const BUSY_INTERVAL_MS = 5;
 /** Task interval without work; longer, since each wake-up costs CPU time. */
-const IDLE_INTERVAL_MS = 50;
+const IDLE_INTERVAL_MS = 100;
 /** Time after the last activity for which the short interval is kept. */
 const BUSY_HOLD_MS = 200;
 
@@ -11,14 +9,22 @@
 export class ActivityTimer {
   readonly #clock: Clock;
   readonly #task: () => void;
+  readonly #busyIntervalMs: () => number;
   #timer: NodeJS.Timeout | undefined;
+  /** The interval of the scheduled run. */
   #intervalMs = IDLE_INTERVAL_MS;
   #busyUntil = Number.NEGATIVE_INFINITY;
   #stopped = true;
 
-  constructor(options: { clock: Clock; task: () => void }) {
+  constructor(options: {
+    clock: Clock;
+    task: () => void;
+    /** Interval while there is work, such as queues and timeouts to check. */
+    busyIntervalMs: () => number;
+  }) {
     this.#clock = options.clock;
     this.#task = options.task;
+    this.#busyIntervalMs = options.busyIntervalMs;
   }
 
   start(): void {
@@ -29,7 +35,7 @@
   /** Reports that there is work, which switches to the short interval. */
   markActive(): void {
     this.#busyUntil = this.#clock.now() + BUSY_HOLD_MS;
-    if (this.#stopped || this.#intervalMs === BUSY_INTERVAL_MS) return;
+    if (this.#stopped || this.#intervalMs <= this.#busyIntervalMs()) return;
     clearTimeout(this.#timer);
     this.#schedule();
   }
@@ -41,7 +47,7 @@
 
   #schedule(): void {
     const busy = this.#clock.now() < this.#busyUntil;
-    this.#intervalMs = busy ? BUSY_INTERVAL_MS : IDLE_INTERVAL_MS;
+    this.#intervalMs = busy ? this.#busyIntervalMs() : IDLE_INTERVAL_MS;
     this.#timer = setTimeout(() => {
       this.#task();
       if (!this.#stopped) this.#schedule();
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -55,6 +55,9 @@
   ) => readonly string[];
 }
 
+/** How often claims that wait for their holders are checked. */
+const CLAIM_TICK_MS = 5;
+
 /** Wires up the components that take a request from a caller to a server. */
 export class CallPipeline {
   readonly #options: CallPipelineOptions;
@@ -85,6 +88,10 @@
         this.#assignments.tick();
         this.#claims.tick();
       },
+      busyIntervalMs: () =>
+        this.#claims.pending > 0
+          ? CLAIM_TICK_MS
+          : this.#router.tickIntervalMs(),
     });
     this.#router = new Router({
       self: settings.id,
--- a/packages/entry/key_claims.ts
+++ b/packages/entry/key_claims.ts
@@ -94,6 +94,11 @@
     this.#execute(this.#claims.tick(this.#instant()));
   }
 
+  /** Number of this entry's claims that are undecided. */
+  get pending(): number {
+    return this.#pending.size;
+  }
+
   /** Number of keys that this entry holds, for all entries. */
   get held(): number {
     return this.#claims.holder.size;
--- a/packages/routing/dispatcher.ts
+++ b/packages/routing/dispatcher.ts
@@ -55,6 +55,11 @@
     });
   }
 
+  /** Whether calls take long compared with a round trip to an entry. */
+  get isLongRunning(): boolean {
+    return isLongRunning(this.#state.outliers.meanMs);
+  }
+
   /** Number of calls that wait for a slot. */
   get waitingCount(): number {
     return this.#waitingCalls.queue.length;
@@ -169,7 +174,7 @@
   }
 
   tick(now: number): SendEffect[] {
-    const leaseMs = isLongRunning(this.#state.outliers.meanMs)
+    const leaseMs = this.isLongRunning
       ? ENTRY_LEASE_LONG_RUNNING_MS
       : ENTRY_LEASE_MS;
     for (const entry of this.#state.entries.values()) {
@@ -232,9 +237,7 @@
       },
       patientDue: this.#waitingCalls.queue.patientDue,
       // Entries reuse slots without asking only for short calls.
-      avoid: isLongRunning(this.#state.outliers.meanMs)
-        ? []
-        : this.slots.serversToAvoid(),
+      avoid: this.isLongRunning ? [] : this.slots.serversToAvoid(),
     };
     for (const entry of entriesToNotify) {
       const payload = entry.takeMessage(header, this.#sequenceNumbers);
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -20,6 +20,7 @@
   ProbeResult,
   RoutingEffect,
 } from "./effects.ts";
+import { isLongRunning } from "./long_running.ts";
 import type { DispatchMessage } from "./messages.ts";
 import { Prober, ProbeShare } from "./probing.ts";
 import { SequenceNumbers } from "./sequence_numbers.ts";
@@ -27,6 +28,10 @@
 
 /** Interval at which the router looks for servers to probe. */
 const PROBE_INTERVAL_MS = 50;
+/** Interval of `tick` with work; finer than the timeouts of short calls. */
+const TICK_MS = 5;
+/** The same where all calls are long-running, whose timeouts are longer. */
+const TICK_LONG_RUNNING_MS = 20;
 const NO_SERVERS: ReadonlySet<BackendServerId> = new Set();
 
 export interface RouterOptions {
@@ -41,7 +46,7 @@
 /**
  * Selects backend servers for the calls of one entry process, for all services.
  * It does no I/O: its methods return effects for the caller to execute.
- * `tick` must be called every 5 ms.
+ * `tick` must be called at the interval of `tickIntervalMs`.
  */
 export class Router {
   readonly #options: RouterOptions;
@@ -222,6 +227,17 @@
     return this.#deliverToSelf(effects, now);
   }
 
+  /** Interval in milliseconds at which `tick` is needed while there is work. */
+  tickIntervalMs(): number {
+    for (const router of this.#activeServices) {
+      if (!isLongRunning(router.servers.meanMs)) return TICK_MS;
+    }
+    for (const dispatcher of this.#dispatchers.values()) {
+      if (!dispatcher.idle && !dispatcher.isLongRunning) return TICK_MS;
+    }
+    return TICK_LONG_RUNNING_MS;
+  }
+
   /** State of this entry's link to a service's dispatcher, for metrics. */
   dispatcherLinkState(service: string): LinkState {
     return this.#services.get(service)?.link.state ?? "detached";
--- a/packages/telemetry/control_metrics.ts
+++ b/packages/telemetry/control_metrics.ts
@@ -1,5 +1,6 @@
-import { collectDefaultMetrics, Gauge, Registry } from "prom-client";
+import { Gauge, Registry } from "prom-client";
 import { type PeerTraffic, registerPeerTraffic } from "./peer_traffic.ts";
+import { registerProcessMetrics } from "./process_metrics.ts";
 
 /** Functions that read the current values of a control host at each scrape. */
 export interface ControlMetricsSources {
@@ -17,7 +18,7 @@
   readonly #registry = new Registry();
 
   constructor(sources: ControlMetricsSources) {
-    collectDefaultMetrics({ register: this.#registry });
+    registerProcessMetrics(this.#registry);
     this.#registerGauge("mangobank_configuration_version", {
       help: "Configuration version applied here",
       value: sources.configurationVersion,
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -1,12 +1,7 @@
-import {
-  Counter,
-  collectDefaultMetrics,
-  Gauge,
-  Histogram,
-  Registry,
-} from "prom-client";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { CallFaultCode, Outcome, Service } from "#model";
 import { type PeerTraffic, registerPeerTraffic } from "./peer_traffic.ts";
+import { registerProcessMetrics } from "./process_metrics.ts";
 import { OTHER_LABEL, ServiceLabels } from "./service_labels.ts";
 
 /** Upper bounds; the finest ones resolve mangobank's own latency of 0.36 ms. */
@@ -53,8 +48,7 @@
 
   constructor(sources: MetricsSources = {}) {
     const registers = [this.#registry];
-    // Event loop delay, CPU and memory of the process.
-    collectDefaultMetrics({ register: this.#registry });
+    registerProcessMetrics(this.#registry);
     this.#latency = new Histogram({
       name: "mangobank_call_duration_seconds",
       help: "Time from a call's arrival to the end of its answer",
--- /dev/null
+++ b/packages/telemetry/process_metrics_test.ts
@@ -0,0 +1,31 @@
+import assert from "node:assert/strict";
+import perfHooks from "node:perf_hooks";
+import { mock, test } from "node:test";
+import { ControlMetrics, Metrics } from "./index.ts";
+
+/** Few enough that samples do not add to the cost of an idle process. */
+const MAX_SAMPLES_PER_S = 4;
+
+// Guards against metrics that wake an idle process many times a second.
+test("the event loop delay is sampled a few times a second", () => {
+  const monitor = mock.method(perfHooks, "monitorEventLoopDelay");
+  new Metrics();
+  new ControlMetrics({
+    configurationVersion: () => 0,
+    appliedIndex: () => 0,
+    term: () => 0,
+    leading: () => false,
+    liveEntries: () => 0,
+    peerTraffic: () => ({
+      sentBytes: 0,
+      receivedBytes: 0,
+      sentByKind: new Map(),
+    }),
+  });
+  const intervalsMs = monitor.mock.calls.map(
+    ({ arguments: [options] }) => options?.resolution ?? 10,
+  );
+  monitor.mock.restore();
+  assert.equal(intervalsMs.length, 2);
+  for (const ms of intervalsMs) assert.ok(1_000 / ms <= MAX_SAMPLES_PER_S);
+});
