--- a/scripts/bundle_platform.mjs
+++ b/scripts/bundle_platform.mjs
@@ -11,6 +11,9 @@
   format: "cjs",
   target: "node20",
   keepNames: true,
+  // A smaller bundle starts faster; names are kept for stack traces.
+  minifyWhitespace: true,
+  minifySyntax: true,
   // The optional native add-on cannot be bundled.
   alias: { "cbor-extract": "./scripts/empty.cjs" },
   logLevel: "warning",
