Keep entries linked to control when few of its hosts are linked

Change: the two hosts are chosen among the seeds and the list; an entry is linked to all of them until it has been confirmed for 30 s, and again whenever its confirmation is older than 2 s, since both hosts may be lost. Before: the new test of peersOf fails with 0 links; after: all pass.

--- a/packages/entry/entry_network.ts
+++ b/packages/entry/entry_network.ts
@@ -4,6 +4,7 @@
   type Address,
   type Configuration,
   type Entry,
+  formatAddress,
   type HostId,
   rendezvousOrder,
 } from "#model";
@@ -16,6 +17,7 @@
 import type { QuarantineMessages } from "#quarantine";
 import { DispatcherChoice, type DispatchMessages } from "#routing";
 import type { Peer } from "#wire";
+import { LINKED_CONTROL_HOSTS } from "./control_links.ts";
 
 /** All messages between entries and between entries and control. */
 export type EntryMessages = ConfigurationMessages &
@@ -25,11 +27,13 @@
   ClaimMessages &
   DispatchMessages;
 
-/**
- * Control hosts to which an entry keeps a link at a large site: the one that it
- * follows and another to switch to.
- */
-const LINKED_CONTROL_HOSTS = 2;
+/** What the links of an entry depend on. */
+export interface LinkInputs {
+  readonly seeds: readonly Address[];
+  readonly configuration: Configuration;
+  /** Whether to link all control hosts, as relays do, at any size. */
+  readonly allControls: boolean;
+}
 
 /**
  * The processes to which an entry opens connections, so that each pair has one.
@@ -37,21 +41,14 @@
  * id. At a large one only relays are linked to all control hosts, and entries
  * to the relays of their data centre and the dispatchers of the services.
  */
-export function peersOf(
-  self: HostId,
-  options: { seeds: readonly Address[]; configuration: Configuration },
-): Peer[] {
-  const { configuration, seeds } = options;
-  const { view, controls, document } = configuration;
-  const controlAddresses = controls.map(({ peer }) => peer);
-  const allControls = [...seeds, ...controlAddresses].map((address) => ({
-    address,
-  }));
+export function peersOf(self: HostId, inputs: LinkInputs): Peer[] {
+  const { view, document } = inputs.configuration;
+  const controls = controlPeers(inputs);
   const relays = selectRelays(view);
   const entry = view.entries.find(({ id }) => id === self);
   if (!relays || !entry) {
     const entries = relays ? [] : view.entries.filter(({ id }) => id > self);
-    return [...allControls, ...entries.map(toPeer)];
+    return [...controls, ...entries.map(toPeer)];
   }
   const choice = new DispatcherChoice(view);
   const dispatchers = new Set(
@@ -61,9 +58,10 @@
   );
   const links = new SparseLinks({ relays, dispatchers });
   const entries = view.entries.filter((other) => links.opens(entry, other));
-  const linkedControls = isRelay(relays, entry)
-    ? allControls
-    : nearestControls(self, controls);
+  const linkedControls =
+    inputs.allControls || isRelay(relays, entry)
+      ? controls
+      : chooseControls(self, controls);
   return [...linkedControls, ...entries.map(toPeer)];
 }
 
@@ -97,14 +95,25 @@
   }
 }
 
+/** All known control hosts, once each. */
+function controlPeers({ seeds, configuration }: LinkInputs): Peer[] {
+  const { controls } = configuration;
+  const addresses = [...seeds, ...controls.map(({ peer }) => peer)];
+  const byName = new Map(
+    addresses.map((address) => [formatAddress(address), address]),
+  );
+  return [...byName.values()].map((address) => ({ address }));
+}
+
 /** An entry's own order spreads the links over all control hosts. */
-function nearestControls(
-  self: HostId,
-  controls: Configuration["controls"],
-): Peer[] {
-  return rendezvousOrder(self, controls)
+function chooseControls(self: HostId, controls: readonly Peer[]): Peer[] {
+  const candidates = controls.map((peer) => ({
+    id: formatAddress(peer.address),
+    peer,
+  }));
+  return rendezvousOrder(self, candidates)
     .slice(0, LINKED_CONTROL_HOSTS)
-    .map(({ peer }) => ({ address: peer }));
+    .map(({ peer }) => peer);
 }
 
 function toPeer({ id, peer }: Entry): Peer {
--- a/packages/entry/entry_network_test.ts
+++ b/packages/entry/entry_network_test.ts
@@ -37,8 +37,8 @@
 function linksBetweenEntries(configuration: Configuration): string[] {
   const { entries } = configuration.view;
   return entries.flatMap(({ id }) =>
-    peersOf(id, { seeds: [], configuration }).flatMap((peer) =>
-      peer.id === undefined ? [] : [[id, peer.id].sort().join(" ")],
+    peersOf(id, { seeds: [], configuration, allControls: false }).flatMap(
+      (peer) => (peer.id === undefined ? [] : [[id, peer.id].sort().join(" ")]),
     ),
   );
 }
@@ -87,7 +87,7 @@
   );
   const linked = new Map(configuration.controls.map(({ id }) => [id, 0]));
   for (const { id } of configuration.view.entries) {
-    const peers = peersOf(id, { seeds: [], configuration });
+    const peers = peersOf(id, { seeds: [], configuration, allControls: false });
     const controls = peers.filter((peer) => peer.id === undefined);
     assert.equal(controls.length, relays.has(id) ? CONTROLS : 2);
     for (const { address } of controls) {
@@ -104,6 +104,28 @@
 test("an entry that is not in the view yet is linked to control only", () => {
   const configuration = configurationOf(316);
   const seeds = [{ host: "10.1.0.9", port: 82 }];
-  const peers = peersOf("entry-new", { seeds, configuration });
+  const inputs = { seeds, configuration, allControls: false };
+  const peers = peersOf("entry-new", inputs);
   assert.equal(peers.length, CONTROLS + seeds.length);
 });
+
+// Guards against entries that drop their links to control for good: the first
+// configurations of a new site have a view but no list of control hosts.
+test("without a list of control hosts an entry is linked to its seeds", () => {
+  const configuration = { ...configurationOf(316), controls: [] };
+  const seeds = [1, 2, 3].map((n) => ({ host: `10.1.0.${n}`, port: 82 }));
+  for (const { id } of configuration.view.entries) {
+    const inputs = { seeds, configuration, allControls: false };
+    const peers = peersOf(id, inputs).filter((peer) => peer.id === undefined);
+    assert.ok(peers.length >= 2, `${id} has ${peers.length} links to control`);
+  }
+});
+
+test("an entry that needs all control hosts is linked to all of them", () => {
+  const configuration = configurationOf(316);
+  for (const { id } of configuration.view.entries) {
+    const inputs = { seeds: [], configuration, allControls: true };
+    const peers = peersOf(id, inputs).filter((peer) => peer.id === undefined);
+    assert.equal(peers.length, CONTROLS);
+  }
+});
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -37,6 +37,7 @@
   HEARTBEAT_INTERVAL_MS,
   RESPONSE_CHECK_INTERVAL_MS,
 } from "./configuration_follower.ts";
+import { ControlLinks } from "./control_links.ts";
 import { EntryApi } from "./entry_api.ts";
 import { type EntryMessages, peersOf } from "./entry_network.ts";
 import { EventLoopLoad } from "./event_loop_load.ts";
@@ -68,6 +69,7 @@
   readonly #addressLookup: AddressLookup;
   readonly #callPipeline: CallPipeline;
   readonly #follower: ConfigurationFollower;
+  readonly #controlLinks = new ControlLinks();
   readonly #usableServers = new UsableServers();
   readonly #metrics: Metrics;
   readonly #callerServer: CallerServer;
@@ -201,7 +203,10 @@
       }
     }
     this.#connect();
-    this.#runEvery(HEARTBEAT_INTERVAL_MS, () => this.#follower.sendHeartbeat());
+    this.#runEvery(HEARTBEAT_INTERVAL_MS, () => {
+      this.#follower.sendHeartbeat();
+      this.#updateControlLinks();
+    });
     this.#runEvery(RESPONSE_CHECK_INTERVAL_MS, () =>
       this.#follower.checkResponseTimeout(),
     );
@@ -308,13 +313,23 @@
   #connect(): void {
     const { id } = this.#options.settings;
     const { configuration } = this.#follower;
-    const options = { seeds: this.#controlAddresses, configuration };
+    const inputs = {
+      seeds: this.#controlAddresses,
+      configuration,
+      allControls: this.#controlLinks.needsAll,
+    };
     this.#network.setPeers([
-      ...peersOf(id, options),
+      ...peersOf(id, inputs),
       ...this.#callPipeline.peersOnDemand,
     ]);
   }
 
+  #updateControlLinks(): void {
+    const age = this.#follower.confirmationAge();
+    const now = this.#options.clock.now();
+    if (this.#controlLinks.update(age, now)) this.#connect();
+  }
+
   #connectedControls(): HostId[] {
     return this.#network
       .connected()
