Derive the topology of presence in a module of its own

What follows from the view and the open connections (peers, position, expected owners, reachability) is now in TopologyTracker; the behaviour is unchanged and its tests pass as before.

--- a/packages/presence/presence.ts
+++ b/packages/presence/presence.ts
@@ -2,8 +2,6 @@
 import {
   type BackendServer,
   backendServerKey,
-  type DataCentre,
-  EMPTY_VIEW,
   type HostId,
   type Randomness,
   type View,
@@ -18,15 +16,12 @@
   AdaptiveDissemination,
   type Dissemination,
   type ListMessage,
-  type Topology,
-  type TopologyPosition,
 } from "./dissemination.ts";
 import { Effects, type PresenceEffect } from "./effects.ts";
 import { ListReplicas, type MessageContext } from "./list_replicas.ts";
 import { LocalRegistrations } from "./local_registrations.ts";
 import type { PresenceMessages } from "./messages.ts";
 import { Publisher } from "./publisher.ts";
-import { isRelay, type Relays, selectRelays } from "./relays.ts";
 import { ServerTable } from "./server_table.ts";
 import { StallDetector } from "./stall_detector.ts";
 import {
@@ -41,19 +36,16 @@
   summaryIntervalMs,
   TOMBSTONE_TTL_MS,
 } from "./timings.ts";
+import {
+  TopologyTracker,
+  type TopologyTrackerOptions,
+} from "./topology_tracker.ts";
 
-export interface PresenceOptions {
-  /** Id of this entry. */
-  readonly id: HostId;
+export interface PresenceOptions extends TopologyTrackerOptions {
   /** Increases with each start of the entry. */
   readonly incarnation: number;
-  readonly dataCentre: DataCentre;
   readonly randomness: Randomness;
   readonly dissemination?: Dissemination;
-  /** True at a process that is no entry but registers servers. */
-  readonly registrarOnly?: boolean;
-  /** Entries above which relays are used, if not the default. */
-  readonly maxMeshEntries?: number | undefined;
   readonly limits?: PresenceLimits;
 }
 
@@ -91,28 +83,24 @@
   readonly #checks: AnnouncementChecks;
   readonly #local: LocalRegistrations;
   readonly #replicas: ListReplicas;
-  readonly #connected = new Set<HostId>();
+  readonly #topologyTracker: TopologyTracker;
   readonly #stallDetector = new StallDetector();
-  #view: View = EMPTY_VIEW;
-  /** Absent while every entry of the view is linked to every other. */
-  #relays: Relays | undefined;
-  /** Processes that are not entries but accept announcements of servers. */
-  #registrars: readonly HostId[] = [];
-  #topology: Topology;
   #firstConfiguredAt: number | undefined;
   #lastExpiryScanAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: PresenceOptions) {
-    const { id, incarnation, randomness, dataCentre } = options;
+    const { id, incarnation, randomness } = options;
     this.#options = options;
     this.#dissemination = options.dissemination ?? new AdaptiveDissemination();
     const table = this.#table;
+    this.#topologyTracker = new TopologyTracker(options);
     const { limits = DEFAULT_LIMITS } = options;
     this.#local = new LocalRegistrations({
       publisher: new Publisher({ id, incarnation, randomness }),
       table,
-      changeTargets: () => this.#dissemination.changeTargets(this.#topology),
-      connected: this.#connected,
+      changeTargets: () =>
+        this.#dissemination.changeTargets(this.#topologyTracker.topology),
+      connected: this.#topologyTracker.connected,
     });
     this.#checks = new AnnouncementChecks(table, limits);
     this.#replicas = new ListReplicas({
@@ -121,7 +109,6 @@
       table,
       randomness,
     });
-    this.#topology = { self: { id, dataCentre }, peers: [] };
   }
 
   /** Whether enough lists are known to accept announcements. */
@@ -139,14 +126,9 @@
     now: number,
   ): PresenceEffect[] {
     this.#checks.services = new Set(configuration.services);
-    if (this.#view !== configuration.view) {
-      const { maxMeshEntries } = this.#options;
-      this.#relays = selectRelays(configuration.view, maxMeshEntries);
-    }
-    this.#view = configuration.view;
-    this.#registrars = configuration.registrars ?? [];
+    const { view, registrars = [] } = configuration;
+    this.#topologyTracker.configure(view, registrars);
     this.#firstConfiguredAt ??= now;
-    this.#updateTopology();
     this.#updateReadiness(now);
     return [];
   }
@@ -209,7 +191,7 @@
     now: number,
   ): PresenceEffect[] {
     const effects = new Effects();
-    this.#stallDetector.noteActivity(now, this.#connected);
+    this.#stallDetector.noteActivity(now, this.#topologyTracker.connected);
     const receivedAt = this.#stallDetector.earliestReceiptTime(now, from);
     const context = { from, now, receivedAt, effects };
     switch (message.kind) {
@@ -259,10 +241,9 @@
   /** Must be called when the first connection to a peer has opened. */
   peerUp(id: HostId, now: number): PresenceEffect[] {
     const effects = new Effects();
-    this.#stallDetector.noteActivity(now, this.#connected);
+    this.#stallDetector.noteActivity(now, this.#topologyTracker.connected);
     this.#stallDetector.noteConnected(id);
-    this.#connected.add(id);
-    this.#updateTopology();
+    this.#topologyTracker.connect(id);
     this.#local.publisher.sendSummaryTo(id, { now, effects });
     if (!this.ready) {
       // The peer may still have this entry's list from before its restart.
@@ -274,8 +255,7 @@
 
   /** Must be called when the last connection to a peer has closed. */
   peerDown(id: HostId, _now: number): PresenceEffect[] {
-    this.#connected.delete(id);
-    this.#updateTopology();
+    this.#topologyTracker.disconnect(id);
     return [];
   }
 
@@ -298,13 +278,13 @@
   /** Runs work that is due; call at least every `TICK_INTERVAL_MS`. */
   tick(now: number): PresenceEffect[] {
     const effects = new Effects();
-    this.#stallDetector.noteActivity(now, this.#connected);
+    this.#stallDetector.noteActivity(now, this.#topologyTracker.connected);
     this.#updateReadiness(now);
     this.#local.expire({ now, effects });
     this.#local.publisher.tick(this.#schedule(), { now, effects });
     this.#replicas.requestMissingStates({
-      expectedOwners: this.#expectedOwners(),
-      peers: [...this.#connected],
+      expectedOwners: this.#topologyTracker.expectedOwners(),
+      peers: [...this.#topologyTracker.connected],
       silentMs: this.#maxSilenceMs(),
       now,
       effects,
@@ -338,35 +318,18 @@
       lastHeardAt,
     } of this.#replicas.owners()) {
       const reachable =
-        this.#mayBeReachable(owner) && now - lastHeardAt < LOST_AFTER_MS;
+        this.#topologyTracker.mayBeReachable(owner) &&
+        now - lastHeardAt < LOST_AFTER_MS;
       loads.set(owner, { load, stopping, reachable });
     }
-    if (this.#relays) this.#addUnreportedLoads(loads);
+    for (const entry of this.#topologyTracker.entriesWithoutReports()) {
+      const { id, stopping } = entry;
+      loads.set(id, { load: 0, stopping, reachable: true });
+    }
     const { load, stopping } = this.#local.publisher.list;
     return loads.set(this.#options.id, { load, stopping, reachable: true });
   }
 
-  /** False for an entry whose link to this one is lost. */
-  #mayBeReachable(owner: HostId): boolean {
-    if (this.#connected.has(owner)) return true;
-    if (!this.#relays) return false;
-    const { dataCentre } = this.#options;
-    const isLinked =
-      this.#topology.position === "relay" ||
-      isRelay(this.#relays, { id: owner, dataCentre });
-    return !isLinked;
-  }
-
-  /** Adds the entries of other data centres, whose load is not sent here. */
-  #addUnreportedLoads(loads: Map<HostId, EntryLoad>): void {
-    const { dataCentre } = this.#options;
-    for (const entry of this.#view.entries) {
-      if (entry.dataCentre === dataCentre) continue;
-      const stopping = entry.state === "stopping";
-      loads.set(entry.id, { load: 0, stopping, reachable: true });
-    }
-  }
-
   #recordLeave(
     server: Pick<BackendServer, "service" | "id" | "incarnation">,
     context: { now: number; effects: Effects },
@@ -397,9 +360,15 @@
 
   #schedule() {
     return {
-      changeTargets: this.#dissemination.changeTargets(this.#topology),
+      changeTargets: this.#dissemination.changeTargets(
+        this.#topologyTracker.topology,
+      ),
       summaryTargets: (round: number, list: { hasServers: boolean }) =>
-        this.#dissemination.summaryTargets(this.#topology, round, list),
+        this.#dissemination.summaryTargets(
+          this.#topologyTracker.topology,
+          round,
+          list,
+        ),
       summaryIntervalMs: summaryIntervalMs(this.#table.size),
       relayDelayMs: this.#dissemination.relayDelayMs,
     };
@@ -412,37 +381,10 @@
   }
 
   #forwardTargets(message: ListMessage): readonly HostId[] {
-    return this.#dissemination.forwardTargets(this.#topology, message);
-  }
-
-  #updateTopology(): void {
-    const { id, dataCentre } = this.#options;
-    const dataCentres = new Map(
-      this.#view.entries.map((e) => [e.id, e.dataCentre]),
+    return this.#dissemination.forwardTargets(
+      this.#topologyTracker.topology,
+      message,
     );
-    const registrars = new Set(this.#relays ? this.#registrars : []);
-    const peers = [...this.#connected]
-      .filter((peer) => peer !== id && !registrars.has(peer))
-      // The data centre of a joining entry is unknown until the view has it;
-      // until then it is assumed to be in this one.
-      .map((peer) => ({
-        id: peer,
-        dataCentre: dataCentres.get(peer) ?? dataCentre,
-      }));
-    this.#topology = {
-      self: { id, dataCentre },
-      position: this.#position(),
-      peers,
-      relays: this.#relays,
-    };
-  }
-
-  #position(): TopologyPosition {
-    const { id, dataCentre, registrarOnly } = this.#options;
-    if (registrarOnly) return "registrar";
-    const isRelaying =
-      this.#relays && isRelay(this.#relays, { id, dataCentre });
-    return isRelaying ? "relay" : "member";
   }
 
   #updateReadiness(now: number): void {
@@ -450,21 +392,10 @@
     const timedOut = now - this.#firstConfiguredAt >= JOIN_TIMEOUT_MS;
     this.#checks.ready =
       timedOut ||
-      this.#expectedOwners().every(
-        (id) => id === this.#options.id || this.#replicas.isComplete(id),
-      );
-  }
-
-  /**
-   * The owners whose summaries must arrive regularly. Where relays are used,
-   * lists of other data centres are sent only while they contain servers.
-   */
-  #expectedOwners(): HostId[] {
-    const { dataCentre, registrarOnly } = this.#options;
-    if (this.#relays && registrarOnly) return [];
-    const entries = this.#relays
-      ? this.#view.entries.filter((entry) => entry.dataCentre === dataCentre)
-      : this.#view.entries;
-    return [...entries.map(({ id }) => id), ...this.#registrars];
+      this.#topologyTracker
+        .expectedOwners()
+        .every(
+          (id) => id === this.#options.id || this.#replicas.isComplete(id),
+        );
   }
 }
