End test processes without Node's teardown

All exit listeners had run. The file did not end by itself and was killed after 4 minutes. Ruled out: a handle left open by a test (the event loop had ended), a loop in our code (no JavaScript frame; the inspector is no longer served). Change: a preloaded module ends the process once the event loop is empty and all exit listeners have run. Handles left open still keep a test running, and a failing test is still reported (tried with two failing tests: exit code 1).

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -27,7 +27,8 @@
 const run = spawnSync(
   process.execPath,
   [
-    ...["--import", "tsx", "--test"],
+    ...["--import", "tsx", "--import", "./scripts/exit_without_teardown.mjs"],
+    "--test",
     ...["--test-reporter=spec", "--test-reporter-destination=stdout"],
     ...["--test-reporter=tap", `--test-reporter-destination=${reportFile}`],
     ...files,
