Tell in logs and metrics what an entry knows of a server's rate limit

The logs could not tell whether an entry had read the limit that a server names in its answers, nor how many requests of which kind it sent there. New metrics: server requests by kind, servers with a limit, limits that cannot be read. `attempts[].basis` shows the limit that was known. No decision uses it yet. Stand-in servers can name a limit.

--- a/packages/bench/router_policy.ts
+++ b/packages/bench/router_policy.ts
@@ -78,7 +78,9 @@
       else if (effect.type === "probe") {
         this.#probe(entry, Number(effect.server.id.slice(1)));
       } else if (effect.type === "check") this.#check(entry, effect);
-      else this.#assignOrReject(effect);
+      else if (effect.type !== "rate_limit_changed") {
+        this.#assignOrReject(effect);
+      }
     }
   }
 
--- a/packages/entry/assignments.ts
+++ b/packages/entry/assignments.ts
@@ -1,19 +1,28 @@
 import { err, ok, type Result } from "neverthrow";
-import type { BackendServer, Call, CallFault, Clock } from "#model";
+import {
+  type BackendServer,
+  backendServerKey,
+  type Call,
+  type CallFault,
+  type Clock,
+} from "#model";
 import type {
   AssignmentBasis,
   CallResult,
   CheckResult,
   DispatchMessages,
   ProbeResult,
+  RateLimitChange,
   Router,
   RoutingEffect,
 } from "#routing";
+import type { Logger } from "#telemetry";
 import { type Message, messageKinds, type Network } from "#wire";
 
 export interface AssignmentsOptions {
   readonly router: Router;
   readonly clock: Clock;
+  readonly logger: Logger;
   readonly network: Network<DispatchMessages>;
   readonly probe: (server: BackendServer) => Promise<ProbeResult>;
   /** Asks a server for its current speed before a call is assigned to it. */
@@ -104,6 +113,9 @@
       case "check":
         void this.#check(effect.callId, effect.server);
         return;
+      case "rate_limit_changed":
+        this.#logRateLimit(effect);
+        return;
       case "send":
         this.#options.network.send(effect.to, effect.kind, effect.payload);
     }
@@ -115,6 +127,15 @@
     onDecision?.(decision);
   }
 
+  #logRateLimit({ server, perSecond, previous }: RateLimitChange): void {
+    this.#options.logger.info("rate limit of a backend server", {
+      server: backendServerKey(server),
+      incarnation: server.incarnation,
+      perSecond,
+      previous,
+    });
+  }
+
   async #probe(server: BackendServer): Promise<void> {
     const { router, clock, probe } = this.#options;
     const result = await probe(server);
--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -6,7 +6,7 @@
   type IncomingMessage,
 } from "node:http";
 import type { Socket } from "node:net";
-import { type BackendServer, backendServerKey } from "#model";
+import { type BackendServer, backendServerKey, type RateFault } from "#model";
 import {
   collectResponse,
   type RequestResult,
@@ -44,13 +44,20 @@
   cancel(): void;
 }
 
+export interface BackendClientOptions {
+  /** Called for each response whose rate limit cannot be read. */
+  readonly onMalformedRate?: (server: BackendServer, fault: RateFault) => void;
+}
+
 /** HTTP client for backend servers, with a connection pool for each server. */
 export class BackendClient {
   readonly #agents = new Map<string, { agent: Agent; incarnation: number }>();
   readonly #protocol: CallProtocol;
+  readonly #onMalformedRate: BackendClientOptions["onMalformedRate"];
 
-  constructor(protocol: CallProtocol) {
+  constructor(protocol: CallProtocol, options: BackendClientOptions = {}) {
     this.#protocol = protocol;
+    this.#onMalformedRate = options.onMalformedRate;
   }
 
   send(server: BackendServer, request: BackendRequest): SentRequest {
@@ -93,7 +100,7 @@
       });
       outgoing.once("response", (response) => {
         responded = true;
-        const head = this.#parseHead(response, request.requestId);
+        const head = this.#parseHead(server, response, request.requestId);
         this.#applyKeepAliveTimeout(server, response.headers);
         if (head.foreign) {
           fail("the answer is for another request");
@@ -131,12 +138,17 @@
   }
 
   #parseHead(
+    server: BackendServer,
     response: IncomingMessage,
     requestId: string | undefined,
   ): ResponseHead {
     const { headers, rawHeaders, statusCode: status = 502 } = response;
     const report = this.#protocol.parseReport({ status, headers }, requestId);
-    return { ...report, status, headers, rawHeaders };
+    const rateLimit = report.rateLimit.unwrapOr(undefined);
+    if (report.rateLimit.isErr()) {
+      this.#onMalformedRate?.(server, report.rateLimit.error);
+    }
+    return { ...report, rateLimit, status, headers, rawHeaders };
   }
 
   /** Adapts the idle timeout to the server's `Keep-Alive` header. */
--- a/packages/entry/backend_response.ts
+++ b/packages/entry/backend_response.ts
@@ -11,7 +11,9 @@
 export type BackendResponse = BufferedResponse | StreamedResponse;
 
 /** A response without its body. */
-export interface ResponseHead extends ResponseReport {
+export interface ResponseHead extends Omit<ResponseReport, "rateLimit"> {
+  /** Requests a second that the server takes, if it names a limit. */
+  readonly rateLimit: number | undefined;
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
   readonly rawHeaders: readonly string[];
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -2,6 +2,7 @@
 import type { ClaimMessages } from "#claims";
 import {
   type BackendServer,
+  backendServerKey,
   type Clock,
   type Configuration,
   EMPTY_VIEW,
@@ -81,7 +82,15 @@
     const { logger, metrics, protocol } = options;
     this.#hostRoutes = new HostRoutes(randomness);
     this.#classifier = new RequestClassifier([], this.#hostRoutes);
-    this.#client = new BackendClient(protocol);
+    this.#client = new BackendClient(protocol, {
+      onMalformedRate: (server, { text }) => {
+        metrics.recordMalformedRate(server.service);
+        logger.warn("rate limit of a backend server cannot be read", {
+          server: backendServerKey(server),
+          text,
+        });
+      },
+    });
     this.#tickTimer = new ActivityTimer({
       clock,
       task: () => {
@@ -109,6 +118,7 @@
     this.#assignments = new Assignments({
       router: this.#router,
       clock,
+      logger,
       network,
       probe: (server) => prober.probe(server),
       check: (server) => prober.check(server),
@@ -248,6 +258,11 @@
     return this.#router.queueLengths();
   }
 
+  /** Number of servers that limit their request rate, by service. */
+  rateLimitedServers(): [service: string, servers: number][] {
+    return this.#router.rateLimitedServers();
+  }
+
   /** Stops at once and aborts the calls in progress. */
   close(): void {
     clearInterval(this.#quarantineTimer);
--- a/packages/entry/call_protocol.ts
+++ b/packages/entry/call_protocol.ts
@@ -9,6 +9,8 @@
   HEADERS,
   INTERNAL_PATH_ROOT,
   type Outcome,
+  type ParsedRate,
+  parseRate,
   type Service,
 } from "#model";
 import { endToEndHeaders } from "./reply.ts";
@@ -27,6 +29,11 @@
   readonly inFlight: number | undefined;
   /** Current processing time at the server, relative to the usual one. */
   readonly slowdown: number | undefined;
+  /**
+   * Requests a second that the server takes from all entries together, if it
+   * names a limit.
+   */
+  readonly rateLimit: ParsedRate;
 }
 
 /** The response of a server to a probe or check. */
@@ -109,6 +116,7 @@
   HEADERS.inFlight,
   HEADERS.serverState,
   HEADERS.notStarted,
+  HEADERS.rateLimit,
   HEADERS.error,
 ]);
 
@@ -156,6 +164,7 @@
       foreign: false,
       inFlight: known ? inFlight : undefined,
       slowdown: undefined,
+      rateLimit: parseRate(headers[HEADERS.rateLimit]),
     };
   }
 
--- a/packages/entry/prober.ts
+++ b/packages/entry/prober.ts
@@ -26,27 +26,39 @@
 
   /** Requests the load of a server that has sent no recent response. */
   async probe(server: BackendServer): Promise<ProbeResult> {
-    const { ms, healthReport } = await this.#query(server, PROBE_TIMEOUT_MS);
+    const { ms, healthReport, rateLimit } = await this.#query(server, {
+      timeoutMs: PROBE_TIMEOUT_MS,
+      kind: "probe",
+    });
     if (healthReport?.inFlight === undefined) return { kind: "failed" };
     const { inFlight, leaving } = healthReport;
-    return { kind: "answered", inFlight, ms, leaving };
+    return { kind: "answered", inFlight, ms, leaving, rateLimit };
   }
 
   /** Requests the speed of a server before a call is assigned to it. */
   async check(server: BackendServer): Promise<CheckResult> {
-    const { ms, healthReport } = await this.#query(server, CHECK_TIMEOUT_MS);
+    const { ms, healthReport, rateLimit } = await this.#query(server, {
+      timeoutMs: CHECK_TIMEOUT_MS,
+      kind: "check",
+    });
     if (!healthReport) return { kind: "failed" };
-    if (healthReport.shed) return { kind: "shed" };
+    if (healthReport.shed) return { kind: "shed", rateLimit };
     const { healthy, leaving, slowdown, inFlight } = healthReport;
-    return { kind: "answered", healthy, leaving, slowdown, inFlight, ms };
+    const load = { slowdown, inFlight, ms };
+    return { kind: "answered", healthy, leaving, ...load, rateLimit };
   }
 
   async #query(
     server: BackendServer,
-    timeoutMs: number,
-  ): Promise<{ ms: number; healthReport: HealthReport | undefined }> {
+    { timeoutMs, kind }: { timeoutMs: number; kind: "probe" | "check" },
+  ): Promise<{
+    ms: number;
+    healthReport: HealthReport | undefined;
+    rateLimit: number | undefined;
+  }> {
     const { clock, metrics, client, protocol, service } = this.#options;
     const startedAt = clock.now();
+    metrics.recordServerRequest(server.service, kind);
     const sentRequest = client.send(server, {
       method: "GET",
       path: protocol.healthCheckPath(service(server.service)),
@@ -62,7 +74,9 @@
     metrics.recordProbe(server.service, ms);
     const response = result.type === "answer" ? result.response : undefined;
     response?.stream?.destroy();
-    if (!response?.body) return { ms, healthReport: undefined };
-    return { ms, healthReport: protocol.parseHealthReport(response, server) };
+    const rateLimit = response?.rateLimit;
+    if (!response?.body) return { ms, healthReport: undefined, rateLimit };
+    const healthReport = protocol.parseHealthReport(response, server);
+    return { ms, healthReport, rateLimit };
   }
 }
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -177,6 +177,7 @@
       this.#options;
     const { request, body, fingerprint } = this.#input;
     const startedAt = clock.now();
+    this.#options.metrics.recordServerRequest(server.service, "call");
     this.#server = server;
     this.#sentRequest = client.send(server, {
       method: request.method ?? "GET",
@@ -233,6 +234,7 @@
       inFlight: response?.inFlight,
       slowdown: response?.slowdown,
       leaving: response?.leaving || response?.wrongServer,
+      rateLimit: response?.wrongServer ? undefined : response?.rateLimit,
     });
   }
 }
--- a/packages/model/headers.ts
+++ b/packages/model/headers.ts
@@ -13,6 +13,7 @@
   inFlight: "mangobank-in-flight",
   serverState: "mangobank-server-state",
   notStarted: "mangobank-not-started",
+  rateLimit: "mangobank-rate-limit",
   changeId: "mangobank-change-id",
 } as const;
 
--- a/packages/routing/effects.ts
+++ b/packages/routing/effects.ts
@@ -15,6 +15,11 @@
   readonly slowdown?: number | undefined;
   /** The server announced in its answer that it is leaving. */
   readonly leaving?: boolean | undefined;
+  /**
+   * Requests a second that the server takes from all entries together, if its
+   * answer names a limit.
+   */
+  readonly rateLimit?: number | undefined;
 }
 
 /**
@@ -39,6 +44,8 @@
       /** Round trip, in milliseconds. */
       readonly ms: number;
       readonly leaving?: boolean | undefined;
+      /** As in `CallResult`. */
+      readonly rateLimit?: number | undefined;
     }
   | { readonly kind: "failed" };
 
@@ -54,9 +61,11 @@
       readonly inFlight: number | undefined;
       /** Round trip, in milliseconds. */
       readonly ms: number;
+      /** As in `CallResult`. */
+      readonly rateLimit?: number | undefined;
     }
   /** The server refused the check, as it would refuse a call. */
-  | { readonly kind: "shed" }
+  | { readonly kind: "shed"; readonly rateLimit?: number | undefined }
   | { readonly kind: "failed" };
 
 /** The reasons for an assignment, for the log. */
@@ -75,6 +84,16 @@
   readonly slowdown?: number;
   readonly inFlight?: number;
   readonly ageMs?: number;
+  /** The rate limit that the server names, in requests a second. */
+  readonly rateLimit?: number;
+}
+
+/** A change of what an entry knows of a server's rate limit. */
+export interface RateLimitChange {
+  readonly server: BackendServer;
+  /** Requests a second over all entries; undefined without a limit. */
+  readonly perSecond: number | undefined;
+  readonly previous: number | undefined;
 }
 
 /** Actions that the router's owner executes for it. */
@@ -100,6 +119,8 @@
       readonly callId: string;
       readonly server: BackendServer;
     }
+  /** For the log. */
+  | ({ readonly type: "rate_limit_changed" } & RateLimitChange)
   | SendEffect;
 
 /** A message to another entry. */
--- a/packages/routing/local_servers.ts
+++ b/packages/routing/local_servers.ts
@@ -5,7 +5,12 @@
   Randomness,
   Service,
 } from "#model";
-import type { CallResult, CheckResult, ProbeResult } from "./effects.ts";
+import type {
+  CallResult,
+  CheckResult,
+  ProbeResult,
+  RateLimitChange,
+} from "./effects.ts";
 import { chooseLocally } from "./local_choice.ts";
 import { type Observation, OutlierDetector } from "./outlier_detector.ts";
 import { SampleSet } from "./sample_set.ts";
@@ -29,6 +34,7 @@
   readonly #free = new SampleSet<ServerState>();
   #ready = 0;
   #readySlots = 0;
+  #rateLimitChanges: RateLimitChange[] = [];
 
   constructor(
     service: Service,
@@ -120,6 +126,9 @@
     if (result.inFlight !== undefined)
       server.recordInFlight(result.inFlight, now);
     server.recordSlowdown(result.slowdown, now);
+    const { rateLimit } = result;
+    const complete = kind === "answered";
+    this.#recordRateLimit(server, { rateLimit, complete }, now);
     if (result.leaving) server.leaving = true;
     const { slots } = server.record;
     const queued = Math.max(0, server.inFlight + 1 + others - slots);
@@ -137,6 +146,7 @@
 
   /** Records the result of a check. */
   recordCheck(server: ServerState, result: CheckResult, now: number): void {
+    this.#recordReport(server, result, now);
     if (result.kind === "answered") {
       server.lastHeard = now;
       server.recordSlowdown(result.slowdown, now);
@@ -162,6 +172,7 @@
     const server = this.#servers.get(id);
     if (!server) return;
     server.lastHeard = now;
+    this.#recordReport(server, result, now);
     if (result.kind === "answered") {
       server.recordInFlight(result.inFlight, now);
       if (result.leaving) server.leaving = true;
@@ -177,6 +188,23 @@
     this.#refresh(server, now);
   }
 
+  /** Removes and returns the changes of rate limits since the last call. */
+  takeRateLimitChanges(): RateLimitChange[] {
+    if (this.#rateLimitChanges.length === 0) return [];
+    const changes = this.#rateLimitChanges;
+    this.#rateLimitChanges = [];
+    return changes;
+  }
+
+  /** Number of servers that limit their request rate. */
+  get rateLimitedCount(): number {
+    let count = 0;
+    for (const { rateLimit } of this.#servers.values()) {
+      if (rateLimit.perSecond !== undefined) count += 1;
+    }
+    return count;
+  }
+
   /** Reevaluates ejections, pauses and cold starts. */
   tick(now: number): void {
     this.#outliers.tick(now);
@@ -205,6 +233,29 @@
     this.#servers.set(record.id, new ServerState(record, health, now));
   }
 
+  /** Records the rate limit in the answer to a check or a probe. */
+  #recordReport(
+    server: ServerState,
+    result: CheckResult | ProbeResult,
+    now: number,
+  ): void {
+    if (result.kind === "failed") return;
+    const { rateLimit } = result;
+    const complete = result.kind === "answered";
+    this.#recordRateLimit(server, { rateLimit, complete }, now);
+  }
+
+  #recordRateLimit(
+    server: ServerState,
+    answer: { rateLimit: number | undefined; complete: boolean },
+    now: number,
+  ): void {
+    const previous = server.rateLimit.perSecond;
+    if (!server.rateLimit.recordAnswer(answer, now)) return;
+    const { perSecond } = server.rateLimit;
+    this.#rateLimitChanges.push({ server: server.record, perSecond, previous });
+  }
+
   #refresh(server: ServerState, now: number): void {
     server.limit = this.#limit(server, now);
     const free = server.inFlight < server.limit;
--- a/packages/routing/open_call.ts
+++ b/packages/routing/open_call.ts
@@ -119,11 +119,13 @@
     inFlight: server.reportedInFlight,
     ageMs: Math.round(ageMs),
   };
+  const { perSecond } = server.rateLimit;
+  const limited = perSecond !== undefined && { rateLimit: perSecond };
   return {
     type: "assign",
     callId: call.id,
     server: server.record,
-    basis: { by: assignedBy, checks: checkCount, ...reported },
+    basis: { by: assignedBy, checks: checkCount, ...reported, ...limited },
   };
 }
 
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -75,6 +75,14 @@
     ]);
   }
 
+  /** Number of servers that limit their request rate, by service. */
+  rateLimitedServers(): [service: string, servers: number][] {
+    return [...this.#services].map(([name, router]) => [
+      name,
+      router.servers.rateLimitedCount,
+    ]);
+  }
+
   /** Applies the services of the document and the current view. */
   configure(
     services: readonly Service[],
@@ -181,12 +189,14 @@
     const failed = result.kind === "failed";
     if (failed) prober?.failed(id);
     else prober?.answered(id, result.ms);
-    this.#services.get(service)?.servers.recordProbe(id, result, now);
+    const router = this.#services.get(service);
+    router?.servers.recordProbe(id, result, now);
     const leaving = !failed && result.leaving === true;
     const dispatcher = this.#dispatchers.get(service);
     const effects =
       dispatcher?.handleProbeResult(id, { failed, leaving }, now) ?? [];
-    return this.#deliverToSelf([...effects], now);
+    const changes = router?.rateLimitEffects() ?? [];
+    return this.#deliverToSelf([...effects, ...changes], now);
   }
 
   /** Handles a message from another entry. */
--- a/packages/routing/server_state.ts
+++ b/packages/routing/server_state.ts
@@ -1,4 +1,5 @@
 import type { BackendServer } from "#model";
+import { NamedRate } from "./named_rate.ts";
 import type { ServerHealth } from "./outlier_detector.ts";
 import { SLOWDOWN_THRESHOLD } from "./placement_checks.ts";
 
@@ -36,6 +37,8 @@
   slowdownAt = Number.NEGATIVE_INFINITY;
   /** Requests in flight by the server's last report, this entry's included. */
   reportedInFlight = 0;
+  /** The rate limit that this incarnation of the server names. */
+  rateLimit = new NamedRate();
   #othersInFlight = 0;
   #reportedAt = Number.NEGATIVE_INFINITY;
 
@@ -50,6 +53,7 @@
   updateRecord(record: BackendServer, now: number): void {
     if (record.incarnation !== this.record.incarnation) {
       this.leaving = false;
+      this.rateLimit = new NamedRate();
       this.latencyMs = 0;
       this.startedAt = now - record.startedMsAgo;
     }
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -175,7 +175,19 @@
     // While there are credits, no call waits, so the release can be sent with
     // the next call.
     const sent = this.link.hasCredits ? [] : this.link.flush(now);
-    return [...reused, ...sent, ...this.#assignLocally(now)];
+    return [
+      ...reused,
+      ...sent,
+      ...this.#assignLocally(now),
+      ...this.rateLimitEffects(),
+    ];
+  }
+
+  /** The changes of rate limits that were not reported yet. */
+  rateLimitEffects(): RoutingEffect[] {
+    return this.#servers
+      .takeRateLimitChanges()
+      .map((change) => ({ type: "rate_limit_changed", ...change }));
   }
 
   /**
@@ -195,11 +207,12 @@
       this.#servers.recordCheck(server, result, now);
       call.assignedAt = now;
       call.slowdownAtStart = server.slowdown;
-      return [assignEffect(call, server, now)];
+      return [assignEffect(call, server, now), ...this.rateLimitEffects()];
     }
     return [
       ...this.#declineServer(call, result, now),
       ...this.#assignLocally(now),
+      ...this.rateLimitEffects(),
     ];
   }
 
--- a/packages/routing/test_cluster.ts
+++ b/packages/routing/test_cluster.ts
@@ -272,7 +272,9 @@
         this.#check(entry, effect);
       } else if (effect.type === "send") {
         this.#send(entry, effect as SendEffect);
-      } else this.#decide(entry, effect);
+      } else if (effect.type !== "rate_limit_changed") {
+        this.#decide(entry, effect);
+      }
     }
   }
 
--- a/packages/standin/behaviour.ts
+++ b/packages/standin/behaviour.ts
@@ -16,6 +16,8 @@
   readonly resetMidBody: boolean;
   /** Number of requests in flight to report instead of the true one. */
   readonly claimedInFlight: number | undefined;
+  /** Requests a second that the server says it takes from all entries. */
+  readonly rateLimit: number | undefined;
   /** Reports the state `unhealthy` instead of `ready`. */
   readonly unhealthy: boolean;
   /** Time over which a new incarnation warms up, in milliseconds. */
@@ -34,6 +36,7 @@
   shedding: false,
   resetMidBody: false,
   claimedInFlight: undefined,
+  rateLimit: undefined,
   unhealthy: false,
   coldStartMs: 0,
   coldSlowness: 1,
--- a/packages/standin/standin_server.ts
+++ b/packages/standin/standin_server.ts
@@ -371,6 +371,10 @@
     response.statusCode = status;
     response.setHeader("content-type", "application/json");
     response.setHeader(HEADERS.inFlight, String(this.#reportedInFlight()));
+    const { rateLimit } = this.#behaviour;
+    if (rateLimit !== undefined) {
+      response.setHeader(HEADERS.rateLimit, String(rateLimit));
+    }
     if (this.#leaving) response.setHeader(HEADERS.serverState, "leaving");
   }
 
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -10,6 +10,12 @@
   1, 2.5, 5, 10, 30,
 ];
 
+const SERVER_REQUEST_KINDS: readonly ServerRequestKind[] = [
+  "call",
+  "check",
+  "probe",
+];
+
 /** Values by service name. */
 export type ValuesByService = Iterable<
   readonly [service: string, value: number]
@@ -22,9 +28,14 @@
   readonly queueLength?: () => ValuesByService;
   /** Average number of slots that probes may use under the probe budget. */
   readonly probeBudget?: () => ValuesByService;
+  /** Number of servers that limit their request rate. */
+  readonly rateLimitedServers?: () => ValuesByService;
   readonly peerTraffic?: () => PeerTraffic;
 }
 
+/** What a request to a backend server is for. */
+export type ServerRequestKind = "call" | "check" | "probe";
+
 /** A call whose response has ended. */
 export interface FinishedCall {
   readonly service: string;
@@ -45,6 +56,8 @@
   readonly #calls;
   readonly #probeCost;
   readonly #probes;
+  readonly #serverRequests;
+  readonly #malformedRates;
 
   constructor(sources: MetricsSources = {}) {
     const registers = [this.#registry];
@@ -81,6 +94,18 @@
       labelNames: ["service"],
       registers,
     });
+    this.#serverRequests = new Counter({
+      name: "mangobank_server_requests_total",
+      help: "Requests sent to backend servers: calls, checks and probes",
+      labelNames: ["service", "kind"],
+      registers,
+    });
+    this.#malformedRates = new Counter({
+      name: "mangobank_malformed_rate_limits_total",
+      help: "Answers of backend servers whose rate limit cannot be read",
+      labelNames: ["service"],
+      registers,
+    });
     this.#registerGauges(sources);
   }
 
@@ -93,6 +118,10 @@
     for (const service of removed.services) {
       this.#probes.remove({ service });
       this.#probeCost.remove({ service });
+      this.#malformedRates.remove({ service });
+      for (const kind of SERVER_REQUEST_KINDS) {
+        this.#serverRequests.remove({ service, kind });
+      }
     }
     for (const labels of removed.classes) {
       this.#latency.remove(labels);
@@ -124,6 +153,18 @@
     this.#probeCost.inc({ service: label }, ms / 1_000);
   }
 
+  /** Records a request that is sent to a backend server. */
+  recordServerRequest(service: string, kind: ServerRequestKind): void {
+    const label = this.#labels.serviceLabel(service);
+    this.#serverRequests.inc({ service: label, kind });
+  }
+
+  /** Records an answer whose rate limit cannot be read. */
+  recordMalformedRate(service: string): void {
+    const label = this.#labels.serviceLabel(service);
+    this.#malformedRates.inc({ service: label });
+  }
+
   /** Content type of the result of `text`. */
   get contentType(): string {
     return this.#registry.contentType;
@@ -158,6 +199,10 @@
       name: "mangobank_probe_budget_slots",
       help: "Slots that probes may take on average, all entries together",
     });
+    this.#registerServiceGauge(sources.rateLimitedServers, {
+      name: "mangobank_rate_limited_servers",
+      help: "Backend servers that limit their request rate, as known here",
+    });
     if (peerTraffic) registerPeerTraffic(this.#registry, peerTraffic);
   }
 
--- a/packages/telemetry/metrics_test.ts
+++ b/packages/telemetry/metrics_test.ts
@@ -32,12 +32,16 @@
   metrics.recordCall({ ...call, outcome: "not-run", code: "queue_full" });
   metrics.recordWait(call);
   metrics.recordProbe("alloc", 6);
+  metrics.recordServerRequest("alloc", "check");
+  metrics.recordMalformedRate("alloc");
   const text = await metrics.text();
   for (const line of [
     'mangobank_call_duration_seconds_count{service="alloc",class="booking"} 2',
     'mangobank_call_waiting_seconds_count{service="alloc",class="booking"} 1',
     'outcome="not-run",code="queue_full"} 1',
     'mangobank_probe_slot_seconds_total{service="alloc"} 0.006',
+    'mangobank_server_requests_total{service="alloc",kind="check"} 1',
+    'mangobank_malformed_rate_limits_total{service="alloc"} 1',
     "mangobank_configuration_version 12",
     "nodejs_eventloop_lag_p99_seconds",
   ]) {
@@ -67,6 +71,7 @@
   metrics.configure([service("alloc", ["booking"])]);
   const call = { service: "alloc", class: "booking", ms: 1 };
   metrics.recordCall({ ...call, outcome: "answered" });
+  metrics.recordServerRequest("alloc", "probe");
   metrics.configure([service("report", ["export"])]);
   assert.ok(!(await metrics.text()).includes("alloc"));
 });
