--- /dev/null
+++ b/packages/routing/rate_limit_run.ts
@@ -0,0 +1,181 @@
+import { SeededRandomness } from "#model";
+import { makeServer, NORMAL_CHECK, TestCluster } from "./test_cluster.ts";
+
+/** Time from the first answer with a limit in which it need not hold yet. */
+const LEARNING_MS = 3_000;
+/** Time after which an entry that got an answer with the limit must keep it. */
+const TOLD_AFTER_MS = 500;
+const WINDOW_MS = 4_000;
+/** The most requests in a window: this factor times the limit, and the extra. */
+const ALLOWED_FACTOR = 1.5;
+const ALLOWED_EXTRA = 5;
+const CALL_DEADLINE_MS = 2_500;
+
+export interface RateLimitRunOptions {
+  readonly seed: number;
+  readonly entries: number;
+  readonly servers: number;
+  readonly callsPerS: number;
+  readonly serviceMs: number;
+}
+
+interface SentRequest {
+  readonly entry: string;
+  readonly server: string;
+  readonly at: number;
+}
+
+/**
+ * Plays calls of several entries to servers that name rate limits, and counts
+ * the requests of each server: calls, checks and probes.
+ */
+export class RateLimitRun {
+  readonly cluster: TestCluster;
+  readonly requests: SentRequest[] = [];
+  /** Calls that were answered, by entry. */
+  readonly answered = new Map<string, number>();
+  readonly #options: RateLimitRunOptions;
+  readonly #random: SeededRandomness;
+  /** Named limits by server, in requests a second. */
+  readonly #limits = new Map<string, number>();
+  readonly #limitedSince = new Map<string, number>();
+  /** When each entry got its first answer with the limit, by server. */
+  readonly #told = new Map<string, Map<string, number>>();
+  readonly #finishAt = new Map<string, number>();
+  #seen = { assignments: 0, checks: 0, probes: 0 };
+  #nextCallAt = 0;
+
+  constructor(options: RateLimitRunOptions) {
+    this.#options = options;
+    this.#random = new SeededRandomness(options.seed);
+    const ids = Array.from({ length: options.servers }, (_, i) => `s${i}`);
+    this.cluster = new TestCluster({
+      entries: options.entries,
+      servers: ids.map((id) => makeServer(id, { slots: 6 })),
+      serversReportSpeed: true,
+    });
+  }
+
+  /** From now on, the server names this limit in its answers, or none. */
+  setLimit(server: string, perSecond: number | undefined): void {
+    this.#told.delete(server);
+    if (perSecond === undefined) {
+      this.#limits.delete(server);
+      this.cluster.checkResults.delete(server);
+      return;
+    }
+    this.#limits.set(server, perSecond);
+    this.#limitedSince.set(server, this.cluster.now);
+    const answer = { ...NORMAL_CHECK, rateLimit: perSecond };
+    this.cluster.checkResults.set(server, answer);
+  }
+
+  run(ms: number): void {
+    for (let step = 0; step < ms; step++) {
+      this.#submitCalls();
+      this.cluster.advance(1);
+      this.#collectRequests();
+      this.#finishCalls();
+    }
+  }
+
+  /** Requests to a server since a moment. */
+  requestsSince(server: string, since: number): number {
+    return this.requests.filter((r) => r.server === server && r.at >= since)
+      .length;
+  }
+
+  /**
+   * By how many requests the worst window exceeds what the limit allows,
+   * counting only entries that got an answer with it; 0 if none does.
+   */
+  excess(server: string): number {
+    const perSecond = this.#limits.get(server);
+    const since = this.#limitedSince.get(server);
+    if (perSecond === undefined || since === undefined) return 0;
+    const perWindow = (perSecond * WINDOW_MS) / 1_000;
+    const allowed = ALLOWED_FACTOR * perWindow + ALLOWED_EXTRA;
+    const times = this.requests
+      .filter((request) => request.server === server)
+      .filter((request) => request.at >= since + LEARNING_MS)
+      .filter((request) => this.#knew(request))
+      .map((request) => request.at);
+    let first = 0;
+    let worst = 0;
+    for (const [last, at] of times.entries()) {
+      while (at - (times[first] ?? at) >= WINDOW_MS) first += 1;
+      worst = Math.max(worst, last - first + 1);
+    }
+    return Math.max(0, worst - allowed);
+  }
+
+  #knew({ entry, server, at }: SentRequest): boolean {
+    const toldAt = this.#told.get(server)?.get(entry);
+    return toldAt !== undefined && at >= toldAt + TOLD_AFTER_MS;
+  }
+
+  #submitCalls(): void {
+    const { now } = this.cluster;
+    while (this.#nextCallAt <= now) {
+      const meanGapMs = 1_000 / this.#options.callsPerS;
+      this.#nextCallAt += -Math.log(1 - this.#random.next()) * meanGapMs;
+      const entries = [...this.cluster.routers.keys()];
+      const entry = entries[this.#random.below(entries.length)];
+      if (entry === undefined) return;
+      this.cluster.submit(entry, {
+        deadline: now + CALL_DEADLINE_MS,
+        priority: this.#random.next() < 0.3 ? "urgent" : "patient",
+      });
+    }
+  }
+
+  #collectRequests(): void {
+    const { assignments, checks, probes } = this.cluster;
+    for (const sent of assignments.slice(this.#seen.assignments)) {
+      this.requests.push(sent);
+      const { serviceMs } = this.#options;
+      const duration = serviceMs * (0.7 + 0.6 * this.#random.next());
+      this.#finishAt.set(sent.callId, sent.at + duration);
+    }
+    const others = [
+      ...checks.slice(this.#seen.checks),
+      ...probes.slice(this.#seen.probes),
+    ];
+    for (const sent of others) {
+      this.requests.push(sent);
+      this.#tell(sent.entry, sent.server);
+    }
+    this.requests.sort((a, b) => a.at - b.at);
+    this.#seen = {
+      assignments: assignments.length,
+      checks: checks.length,
+      probes: probes.length,
+    };
+  }
+
+  #finishCalls(): void {
+    const { cluster } = this;
+    for (const [call, at] of this.#finishAt) {
+      const run = cluster.running.get(call);
+      if (!run) this.#finishAt.delete(call);
+      if (!run || at > cluster.now) continue;
+      this.#finishAt.delete(call);
+      const rateLimit = this.#limits.get(run.server);
+      if (rateLimit !== undefined) this.#tell(run.entry, run.server);
+      const { serviceMs } = this.#options;
+      cluster.finish(call, { serviceMs, slowdown: 1, rateLimit });
+      const answered = this.answered.get(run.entry) ?? 0;
+      this.answered.set(run.entry, answered + 1);
+    }
+  }
+
+  #tell(entry: string, server: string): void {
+    if (!this.#limits.has(server)) return;
+    let told = this.#told.get(server);
+    if (!told) {
+      told = new Map();
+      this.#told.set(server, told);
+    }
+    if (!told.has(entry)) told.set(entry, this.cluster.now);
+  }
+}
--- a/packages/routing/test_cluster.ts
+++ b/packages/routing/test_cluster.ts
@@ -94,8 +94,20 @@
   /** Decisions by call id. */
   readonly decisions = new Map<string, Decision[]>();
   readonly running = new Map<string, { entry: string; server: string }>();
-  readonly probes: { entry: string; at: number }[] = [];
-  readonly checks: { callId: string; server: string }[] = [];
+  readonly probes: { entry: string; server: string; at: number }[] = [];
+  readonly checks: {
+    callId: string;
+    entry: string;
+    server: string;
+    at: number;
+  }[] = [];
+  /** Every call that was sent to a server, in order. */
+  readonly assignments: {
+    callId: string;
+    entry: string;
+    server: string;
+    at: number;
+  }[] = [];
   /** Results of checks by server; other servers are at their usual speed. */
   readonly checkResults = new Map<string, CheckResult>();
   /** Decides what the network does with each message. */
@@ -267,7 +279,7 @@
   apply(entry: string, effects: readonly RoutingEffect[]): void {
     for (const effect of effects) {
       if (effect.type === "probe") {
-        this.probes.push({ entry, at: this.now });
+        this.probes.push({ entry, server: effect.server.id, at: this.now });
       } else if (effect.type === "check") {
         this.#check(entry, effect);
       } else if (effect.type === "send") {
@@ -290,7 +302,7 @@
     entry: string,
     { callId, server }: Extract<RoutingEffect, { type: "check" }>,
   ): void {
-    this.checks.push({ callId, server: server.id });
+    this.checks.push({ callId, entry, server: server.id, at: this.now });
     const result = this.checkResults.get(server.id) ?? NORMAL_CHECK;
     const router = this.routers.get(entry);
     this.apply(
@@ -302,7 +314,9 @@
   #decide(entry: string, effect: Decision): void {
     this.decisions.get(effect.callId)?.push(effect);
     if (effect.type === "reject") return;
-    this.running.set(effect.callId, { entry, server: effect.server.id });
+    const { callId, server } = effect;
+    this.running.set(callId, { entry, server: server.id });
+    this.assignments.push({ callId, entry, server: server.id, at: this.now });
   }
 
   #send(from: string, message: SendEffect): void {
