--- a/packages/routing/credits.ts
+++ b/packages/routing/credits.ts
@@ -1,7 +1,8 @@
 import type { BackendServerId, HostId } from "#model";
 import type { DispatchEntry } from "./dispatch_entry.ts";
 import { isLongRunning } from "./long_running.ts";
-import type { ServerSlots, SlotTable } from "./slots.ts";
+import type { ServerSlots } from "./server_slots.ts";
+import type { SlotTable } from "./slot_table.ts";
 
 /** Share of free slots above which credits are given. */
 const START_SHARE = 0.4;
--- a/packages/routing/dispatch_entry.ts
+++ b/packages/routing/dispatch_entry.ts
@@ -8,7 +8,7 @@
 } from "#model";
 import type { DispatchGrant } from "./messages.ts";
 import type { SequenceNumbers } from "./sequence_numbers.ts";
-import type { ServerSlots } from "./slots.ts";
+import type { ServerSlots } from "./server_slots.ts";
 
 /** Time constant of the moving average of an entry's call rate. */
 const CALL_RATE_TIME_CONSTANT_MS = 200;
--- a/packages/routing/dispatcher.ts
+++ b/packages/routing/dispatcher.ts
@@ -6,7 +6,7 @@
 import type { DispatchReport, DispatchUpdate } from "./messages.ts";
 import type { SequenceNumbers } from "./sequence_numbers.ts";
 import { SlotScheduler } from "./slot_scheduler.ts";
-import type { SlotTable } from "./slots.ts";
+import type { SlotTable } from "./slot_table.ts";
 import { WaitingCalls } from "./waiting_calls.ts";
 
 /** Time after its start in which a dispatcher only collects reports. */
--- a/packages/routing/dispatcher_state.ts
+++ b/packages/routing/dispatcher_state.ts
@@ -4,7 +4,8 @@
 import { DispatchEntry, type SlotAllocation } from "./dispatch_entry.ts";
 import type { ReleasedSlot, TakenSlot } from "./messages.ts";
 import { type Observation, OutlierDetector } from "./outlier_detector.ts";
-import { type ServerSlots, SlotTable } from "./slots.ts";
+import type { ServerSlots } from "./server_slots.ts";
+import { SlotTable } from "./slot_table.ts";
 
 /** Interval at which running calls are evaluated and limits are refreshed. */
 const EVALUATION_INTERVAL_MS = 20;
--- /dev/null
+++ b/packages/routing/server_slots.ts
@@ -0,0 +1,131 @@
+import type { BackendServer } from "#model";
+import {
+  type ConcurrencyEstimator,
+  FULL_SPEED_SHARE,
+} from "./concurrency_estimator.ts";
+import type { ServerHealth } from "./outlier_detector.ts";
+import { SLOWDOWN_THRESHOLD } from "./placement_checks.ts";
+import { SLOWDOWN_TTL_MS } from "./server_state.ts";
+import type { WarmUp } from "./warm_up.ts";
+
+/** Weight of a credit in a server's load, relative to a slot in use. */
+const CREDIT_WEIGHT = 0.3;
+/**
+ * Pause of a server that sheds a call; doubles with each further one until the
+ * server answers a call.
+ */
+const SHED_PAUSE_MS = 25;
+const SHED_PAUSE_MAX_MS = 1_000;
+/** Time after which a server that shed calls gets one more slot back. */
+const SHED_RECOVERY_MS = 200;
+
+/** A dispatcher's view of one server: its slots, their use, and its health. */
+export class ServerSlots {
+  record: BackendServer;
+  readonly health: ServerHealth;
+  readonly startedAt: number;
+  heapIndex = -1;
+  /** Slots in use by calls of any entry. */
+  inUse = 0;
+  /** Credits that entries hold for this server. */
+  credits = 0;
+  /** Slots that may be in use now; 0 if the server gets no calls. */
+  limit = 0;
+  /** This server's part of the totals in the slot table. */
+  countedFree = 0;
+  countedLimit = 0;
+  lastHeard: number;
+  leaving = false;
+  shedLimit = Number.POSITIVE_INFINITY;
+  shedPauseMs = SHED_PAUSE_MS;
+  pausedUntil = 0;
+  /**
+   * The slowdown that the server reported last; it counts until `slowedUntil`.
+   */
+  slowdown = 1;
+  slowedUntil = 0;
+  #shedAt = 0;
+
+  constructor(record: BackendServer, health: ServerHealth, now: number) {
+    this.record = record;
+    this.health = health;
+    this.startedAt = now - record.startedMsAgo;
+    this.lastHeard = now;
+  }
+
+  get free(): number {
+    return Math.max(0, this.limit - this.inUse);
+  }
+
+  /** Whether the server would run one more call at full speed. */
+  get hasFullSpeedSlot(): boolean {
+    return this.inUse + 1 <= FULL_SPEED_SHARE * this.record.slots;
+  }
+
+  /** Whether the server is slow, and used only when waiting would cost more. */
+  get isSlow(): boolean {
+    return this.health.status === "slow" || this.slowedUntil > 0;
+  }
+
+  /** How many times longer a call takes here than elsewhere. */
+  get serviceTimeRatio(): number {
+    const slowdown = this.slowedUntil > 0 ? this.slowdown : 1;
+    return Math.max(this.health.serviceTimeRatio, slowdown);
+  }
+
+  /** Records the slowdown that the server reports, if it does. */
+  recordSlowdown(slowdown: number | undefined, now: number): void {
+    if (slowdown === undefined) return;
+    this.slowdown = slowdown;
+    this.slowedUntil =
+      slowdown >= SLOWDOWN_THRESHOLD ? now + SLOWDOWN_TTL_MS : 0;
+  }
+
+  relativeLoad(): number {
+    if (this.limit === 0) return Number.POSITIVE_INFINITY;
+    return (this.inUse + CREDIT_WEIGHT * this.credits) / this.limit;
+  }
+
+  /**
+   * Records that the server refused a call without starting it (load shedding).
+   */
+  recordShed(now: number): void {
+    this.shedLimit = Math.max(1, Math.min(this.inUse, this.record.slots) - 1);
+    this.pausedUntil = now + this.shedPauseMs;
+    this.shedPauseMs = Math.min(SHED_PAUSE_MAX_MS, 2 * this.shedPauseMs);
+    this.#shedAt = now;
+  }
+
+  recordAnswer(): void {
+    this.shedPauseMs = SHED_PAUSE_MS;
+  }
+
+  refreshLimit(options: {
+    warmUp: WarmUp;
+    concurrency: ConcurrencyEstimator;
+    /** A limit to explore instead of the estimated one. */
+    exploredLimit: number | undefined;
+    now: number;
+  }): void {
+    const { warmUp, concurrency, exploredLimit, now } = options;
+    const { record, health } = this;
+    if (now >= this.slowedUntil) this.slowedUntil = 0;
+    const unavailable = this.leaving || record.state !== "ready";
+    if (unavailable || health.status === "ejected" || now < this.pausedUntil) {
+      this.limit = 0;
+      return;
+    }
+    if (health.status === "trial") {
+      this.limit = 1;
+      return;
+    }
+    if (now - this.#shedAt >= SHED_RECOVERY_MS) {
+      this.shedLimit += 1;
+      this.#shedAt = now;
+    }
+    const warmLimit = warmUp.slots(this, now) * health.usableShare(now);
+    const bestLimit = exploredLimit ?? concurrency.bestLimit(record.slots, now);
+    const limit = Math.min(warmLimit, bestLimit, this.shedLimit);
+    this.limit = Math.max(1, Math.floor(limit));
+  }
+}
--- a/packages/routing/slot_scheduler.ts
+++ b/packages/routing/slot_scheduler.ts
@@ -2,7 +2,7 @@
 import type { DispatcherState } from "./dispatcher_state.ts";
 import { isLongRunning } from "./long_running.ts";
 import type { SequenceNumbers } from "./sequence_numbers.ts";
-import type { ServerSlots } from "./slots.ts";
+import type { ServerSlots } from "./server_slots.ts";
 import type { WaitingCalls } from "./waiting_calls.ts";
 
 /** Calls that a server may be given above its slots. */
