Keep to the rate limits that servers name, over all entries

Callers saw nothing.

Cause: what a server says in its answers about the requests it wants was not part of any decision, and nothing knew of requests over all entries together: two ways lead past the dispatcher (local choice and credits), and checks and probes count as requests as calls do. Evidence: rates before and after the limit was named are the same (5.8 and 6.5 a second at i-5d8a9d99d5), the source had no such header. Ruled out: a limit kept by each entry alone (no fall after an entry's first answer with it). Confirmed: checks count (11 calls cannot make 30 requests).

The service's dispatcher now spaces the requests to such a server (one token at a time, empty at the start) and marks the grant; an entry that knows of the limit sends there with such a grant only, without a check, and never probes.

--- a/packages/routing/dispatch_entry.ts
+++ b/packages/routing/dispatch_entry.ts
@@ -6,7 +6,7 @@
   HostId,
   Priority,
 } from "#model";
-import type { DispatchGrant } from "./messages.ts";
+import type { DispatchGrant, ServerRateLimit } from "./messages.ts";
 import type { SequenceNumbers } from "./sequence_numbers.ts";
 import type { ServerSlots } from "./server_slots.ts";
 
@@ -51,6 +51,14 @@
    * entry took the slot without one.
    */
   readonly grantSequence: number;
+  /** Whether the call was granted within the server's rate limit. */
+  readonly paced?: boolean;
+}
+
+/** The rate limits of a service's servers, and the version of their list. */
+export interface RateLimits {
+  readonly version: number;
+  list(): readonly ServerRateLimit[];
 }
 
 type Outbox = {
@@ -76,6 +84,8 @@
   readonly credits: ServerSlots[] = [];
   outbox: Outbox = emptyOutbox();
   answerDue = false;
+  /** Version of the rate limits that the entry was told last. */
+  rateLimitVersion = 0;
   /**
    * Servers of the entry's last calls, the latest one last, with the time of
    * the call.
@@ -142,6 +152,7 @@
       "service" | "epoch" | "waitedMs" | "patientDue" | "avoid"
     >,
     sequenceNumbers: SequenceNumbers,
+    rateLimits: RateLimits,
   ): DispatchGrant | undefined {
     const { grants, rejects, credits, revoked } = this.outbox;
     const items =
@@ -151,11 +162,14 @@
     this.outbox = emptyOutbox();
     this.answerDue = false;
     const acknowledged = this.lastSequence;
+    const isTold = this.rateLimitVersion === rateLimits.version;
+    this.rateLimitVersion = rateLimits.version;
     return {
       ...header,
       sequence: sequenceNumbers.next(),
       acknowledged,
       ...outbox,
+      ...(!isTold && { rateLimits: rateLimits.list() }),
     };
   }
 }
--- a/packages/routing/dispatch_link.ts
+++ b/packages/routing/dispatch_link.ts
@@ -4,6 +4,7 @@
   DispatchGrant,
   DispatchReport,
   ReleasedSlot,
+  ServerRateLimit,
   SlotRequest,
   TakenSlot,
 } from "./messages.ts";
@@ -47,7 +48,10 @@
 export type LinkState = "detached" | "joining" | "attached";
 
 /** The calls that an entry lists in a report. */
-export type EntryState = Pick<DispatchReport, "taken" | "wanted">;
+export type EntryState = Pick<
+  DispatchReport,
+  "taken" | "wanted" | "rateLimits"
+>;
 
 /**
  * An entry's side of the exchange with one service's dispatcher. Changes are
@@ -78,6 +82,7 @@
   #taken: TakenSlot[] = [];
   #released: ReleasedSlot[] = [];
   #cancelled: number[] = [];
+  #rateLimits: ServerRateLimit[] = [];
 
   constructor(service: string, sequenceNumbers: SequenceNumbers) {
     this.#service = service;
@@ -198,6 +203,10 @@
     this.#cancelled.push(ticket);
   }
 
+  addRateLimit(limit: ServerRateLimit): void {
+    this.#rateLimits.push(limit);
+  }
+
   /** Servers with a slot that may be taken without asking, one item a slot. */
   get credits(): readonly BackendServerId[] {
     return this.#credits;
@@ -217,7 +226,8 @@
       this.#wanted.length +
       this.#taken.length +
       this.#released.length +
-      this.#cancelled.length;
+      this.#cancelled.length +
+      this.#rateLimits.length;
     if (!this.sendsUpdates || this.#dispatcher === undefined) {
       this.#clearPending();
       return [];
@@ -238,6 +248,7 @@
       released: orSharedEmpty(this.#released),
       cancelled: orSharedEmpty(this.#cancelled),
       ping,
+      ...(this.#rateLimits.length > 0 && { rateLimits: this.#rateLimits }),
     };
     this.#clearPending();
     const to = this.#dispatcher;
@@ -309,6 +320,7 @@
     if (this.#taken.length > 0) this.#taken = [];
     if (this.#released.length > 0) this.#released = [];
     if (this.#cancelled.length > 0) this.#cancelled = [];
+    if (this.#rateLimits.length > 0) this.#rateLimits = [];
   }
 }
 
--- a/packages/routing/dispatcher.ts
+++ b/packages/routing/dispatcher.ts
@@ -117,6 +117,7 @@
         continue;
       this.#state.freeSlot(entry, ticket);
     }
+    this.#state.recordRateLimits(report.rateLimits ?? [], now);
     for (const taken of report.taken) {
       this.#waitingCalls.remove(entry, taken.ticket);
       this.#state.recordTaken(entry, taken, now);
@@ -142,6 +143,7 @@
   ): SendEffect[] {
     const entry = this.#acceptMessage(from, update, { now, create: false });
     if (!entry) return [];
+    this.#state.recordRateLimits(update.rateLimits ?? [], now);
     for (const ticket of update.cancelled)
       this.#waitingCalls.remove(entry, ticket);
     for (const taken of update.taken) {
@@ -239,8 +241,13 @@
       // Entries reuse slots without asking only for short calls.
       avoid: this.isLongRunning ? [] : this.slots.serversToAvoid(),
     };
+    const rateLimits = {
+      version: this.#state.rateLimitVersion,
+      list: () => this.#state.rateLimits(now),
+    };
+    const sequenceNumbers = this.#sequenceNumbers;
     for (const entry of entriesToNotify) {
-      const payload = entry.takeMessage(header, this.#sequenceNumbers);
+      const payload = entry.takeMessage(header, sequenceNumbers, rateLimits);
       if (!payload) continue;
       const kind = "dispatch_grant";
       effects.push({ type: "send", to: entry.id, kind, payload });
--- a/packages/routing/dispatcher_state.ts
+++ b/packages/routing/dispatcher_state.ts
@@ -2,7 +2,7 @@
 import { ConcurrencyEstimator } from "./concurrency_estimator.ts";
 import { CreditPolicy } from "./credits.ts";
 import { DispatchEntry, type SlotAllocation } from "./dispatch_entry.ts";
-import type { ReleasedSlot, TakenSlot } from "./messages.ts";
+import type { ReleasedSlot, ServerRateLimit, TakenSlot } from "./messages.ts";
 import { type Observation, OutlierDetector } from "./outlier_detector.ts";
 import type { ServerSlots } from "./server_slots.ts";
 import { SlotTable } from "./slot_table.ts";
@@ -31,6 +31,8 @@
   readonly entries = new Map<HostId, DispatchEntry>();
   /** Entries whose outbox may have to be sent. */
   readonly entriesToNotify = new Set<DispatchEntry>();
+  /** Grows with each change of a server's rate limit. */
+  rateLimitVersion = 0;
   #nextEvaluationAt = 0;
 
   constructor(service: Service) {
@@ -101,6 +103,7 @@
     const created = { ...allocation, queueRatio, runningAtStart, confirmedAt };
     entry.allocations.set(allocation.ticket, created);
     entry.recordConnection(server, allocation.assignedAt);
+    server.pacer?.take(allocation.assignedAt);
     this.slots.adjustInUse(server, 1);
     if (server.free === 0) this.revokeCredits(server);
   }
@@ -126,6 +129,14 @@
     const { server, queueRatio } = allocation;
     const { kind, serviceMs } = released;
     if (released.leaving) server.leaving = true;
+    const answer = {
+      rateLimit: released.rateLimit,
+      complete: kind === "answered",
+    };
+    if (server.rateLimit.recordAnswer(answer, now)) {
+      this.#updateRateLimit(server, now);
+    }
+    if (kind === "unused" && allocation.paced) server.pacer?.giveBack();
     server.recordSlowdown(released.slowdown, now);
     if (kind !== "unused") {
       server.lastHeard = now;
@@ -176,6 +187,34 @@
     this.entriesToNotify.delete(entry);
   }
 
+  /** Records the rate limits that an entry knows of. */
+  recordRateLimits(limits: readonly ServerRateLimit[], now: number): void {
+    for (const limit of limits) {
+      const server = this.slots.get(limit.server);
+      if (server?.record.incarnation !== limit.incarnation) continue;
+      if (!server.rateLimit.recordNotice(limit, now)) continue;
+      this.#updateRateLimit(server, now);
+    }
+  }
+
+  /** The rate limits of all servers. */
+  rateLimits(now: number): ServerRateLimit[] {
+    const limits: ServerRateLimit[] = [];
+    for (const { record, rateLimit } of this.slots.servers()) {
+      const notice = rateLimit.notice(now);
+      const { id: server, incarnation } = record;
+      if (notice) limits.push({ server, incarnation, ...notice });
+    }
+    return limits;
+  }
+
+  #updateRateLimit(server: ServerSlots, now: number): void {
+    this.rateLimitVersion += 1;
+    server.updatePacer(now);
+    this.slots.refresh(server, now);
+    this.revokeCredits(server);
+  }
+
   /** Records the result of a probe. */
   recordProbe(
     server: ServerSlots,
--- a/packages/routing/granted_slots.ts
+++ b/packages/routing/granted_slots.ts
@@ -1,7 +1,7 @@
 import type { BackendServerId } from "#model";
 import type { DispatchLink } from "./dispatch_link.ts";
 import type { RoutingEffect } from "./effects.ts";
-import type { LocalServers } from "./local_servers.ts";
+import { type LocalServers, rateLimitOf } from "./local_servers.ts";
 import { isLongRunning } from "./long_running.ts";
 import type { DispatchGrant } from "./messages.ts";
 import { type OpenCall, slotRequest, takenSlot } from "./open_call.ts";
@@ -81,15 +81,18 @@
     grant: DispatchGrant["grants"][number],
     now: number,
   ): RoutingEffect[] {
-    const { ticket, server: id, slowed } = grant;
+    const { ticket, server: id, slowed, paced = false } = grant;
     const call = this.#context.calls.byTicket(ticket);
     if (call?.server) return [];
     const server = this.#context.servers.get(id);
-    if (call && server?.ready) {
+    const withinLimit = paced || server?.isRateLimited !== true;
+    if (call && server?.ready && withinLimit) {
       call.assignedBy = "grant";
       this.#context.calls.queue.remove(call.id);
       return [
-        this.#context.startCall(call, server, now, { skipCheck: slowed }),
+        this.#context.startCall(call, server, now, {
+          skipCheck: slowed || paced,
+        }),
       ];
     }
     const leaving = server?.leaving === true;
@@ -99,6 +102,8 @@
       serviceMs: 0,
       leaving,
     });
+    const rateLimit = withinLimit ? undefined : rateLimitOf(server, now);
+    if (rateLimit) this.#context.link.addRateLimit(rateLimit);
     if (!call) return server ? this.#useUnneededGrant(server, now) : [];
     // The dispatcher does not know yet that this server accepts no calls.
     call.exclude = new Set([...call.exclude, id]);
--- a/packages/routing/local_servers.ts
+++ b/packages/routing/local_servers.ts
@@ -12,6 +12,7 @@
   RateLimitChange,
 } from "./effects.ts";
 import { chooseLocally } from "./local_choice.ts";
+import type { ServerRateLimit } from "./messages.ts";
 import { type Observation, OutlierDetector } from "./outlier_detector.ts";
 import { SampleSet } from "./sample_set.ts";
 import { ServerState } from "./server_state.ts";
@@ -34,6 +35,7 @@
   readonly #free = new SampleSet<ServerState>();
   #ready = 0;
   #readySlots = 0;
+  #rateLimited = 0;
   #rateLimitChanges: RateLimitChange[] = [];
 
   constructor(
@@ -198,11 +200,33 @@
 
   /** Number of servers that limit their request rate. */
   get rateLimitedCount(): number {
-    let count = 0;
-    for (const { rateLimit } of this.#servers.values()) {
-      if (rateLimit.perSecond !== undefined) count += 1;
+    return this.#rateLimited;
+  }
+
+  /** The rate limits that this entry knows of. */
+  rateLimits(now: number): ServerRateLimit[] {
+    const limits: ServerRateLimit[] = [];
+    for (const server of this.#servers.values()) {
+      const limit = rateLimitOf(server, now);
+      if (limit) limits.push(limit);
+    }
+    return limits;
+  }
+
+  /** Applies the rate limits that the dispatcher knows of, which are all. */
+  applyRateLimits(limits: readonly ServerRateLimit[], now: number): void {
+    const byServer = new Map(limits.map((limit) => [limit.server, limit]));
+    for (const server of this.#servers.values()) {
+      const { id, incarnation } = server.record;
+      const limit = byServer.get(id);
+      const previous = server.rateLimit.perSecond;
+      const changed =
+        limit?.incarnation === incarnation
+          ? server.rateLimit.recordNotice(limit, now)
+          : server.rateLimit.end(now);
+      if (changed) this.#reportRateLimit(server, previous);
+      if (changed) this.#refresh(server, now);
     }
-    return count;
   }
 
   /** Reevaluates ejections, pauses and cold starts. */
@@ -210,12 +234,14 @@
     this.#outliers.tick(now);
     this.#ready = 0;
     this.#readySlots = 0;
+    this.#rateLimited = 0;
     this.#warmUp.update(this.#servers.values(), now);
     for (const server of this.#servers.values()) {
       this.#refresh(server, now);
+      if (server.isRateLimited) this.#rateLimited += 1;
       if (!server.ready) continue;
       this.#ready += 1;
-      this.#readySlots += server.record.slots;
+      if (!server.isRateLimited) this.#readySlots += server.record.slots;
     }
   }
 
@@ -252,8 +278,14 @@
   ): void {
     const previous = server.rateLimit.perSecond;
     if (!server.rateLimit.recordAnswer(answer, now)) return;
+    this.#reportRateLimit(server, previous);
+  }
+
+  #reportRateLimit(server: ServerState, previous: number | undefined): void {
     const { perSecond } = server.rateLimit;
     this.#rateLimitChanges.push({ server: server.record, perSecond, previous });
+    if (previous === undefined) this.#rateLimited += 1;
+    if (perSecond === undefined) this.#rateLimited -= 1;
   }
 
   #refresh(server: ServerState, now: number): void {
@@ -265,7 +297,7 @@
 
   #limit(server: ServerState, now: number): number {
     const { health } = server;
-    if (now < server.pausedUntil) return 0;
+    if (now < server.pausedUntil || server.isRateLimited) return 0;
     if (health.status === "ejected") return 0;
     if (health.status === "trial") return 1;
     const warmLimit = this.#warmUp.slots(server, now) * health.usableShare(now);
@@ -273,4 +305,14 @@
   }
 }
 
+/** The rate limit of a server, to be told to the dispatcher. */
+export function rateLimitOf(
+  server: ServerState,
+  now: number,
+): ServerRateLimit | undefined {
+  const notice = server.rateLimit.notice(now);
+  const { id, incarnation } = server.record;
+  return notice && { server: id, incarnation, ...notice };
+}
+
 const NO_SERVERS: ReadonlySet<BackendServerId> = new Set();
--- a/packages/routing/messages.ts
+++ b/packages/routing/messages.ts
@@ -1,5 +1,6 @@
 import type { BackendServerId, CallFaultCode, Priority } from "#model";
 import type { CallResultKind } from "./effects.ts";
+import type { RateNotice } from "./named_rate.ts";
 
 /**
  * Messages between an entry and the dispatchers of its services. The `sequence`
@@ -68,6 +69,15 @@
    * Slowdown that the server reports: service time relative to its usual one.
    */
   readonly slowdown?: number | undefined;
+  /** Requests a second that the server names as its limit in its answer. */
+  readonly rateLimit?: number | undefined;
+}
+
+/** A server's rate limit as one entry knows it. */
+export interface ServerRateLimit extends RateNotice {
+  readonly server: BackendServerId;
+  /** The incarnation that named the limit. */
+  readonly incarnation: number;
 }
 
 /** The whole state of an entry, which replaces what the dispatcher knew. */
@@ -79,6 +89,8 @@
   readonly taken: readonly TakenSlot[];
   readonly wanted: readonly SlotRequest[];
   readonly credits: readonly BackendServerId[];
+  /** All rate limits that the entry knows of; absent if there are none. */
+  readonly rateLimits?: readonly ServerRateLimit[];
 }
 
 /** Changes since the entry's last message. */
@@ -88,6 +100,8 @@
   readonly released: readonly ReleasedSlot[];
   /** Tickets that are no longer wanted. */
   readonly cancelled: readonly number[];
+  /** Rate limits that the dispatcher seems not to know. */
+  readonly rateLimits?: readonly ServerRateLimit[];
   /** Asks for an answer even if nothing in the update requires one. */
   readonly ping: boolean;
 }
@@ -107,6 +121,11 @@
      * not decline it.
      */
     readonly slowed?: boolean;
+    /**
+     * The server limits its rate, and this one request is within the limit, so
+     * that the entry must not check the server before.
+     */
+    readonly paced?: boolean;
   }[];
   readonly rejects: readonly {
     readonly ticket: number;
@@ -130,4 +149,9 @@
   readonly patientDue: boolean;
   /** Servers whose slots the entry must not reuse without asking. */
   readonly avoid: readonly BackendServerId[];
+  /**
+   * The rate limits of all servers; absent if the entry was told before. An
+   * entry sends to these servers only with a paced grant.
+   */
+  readonly rateLimits?: readonly ServerRateLimit[];
 }
--- a/packages/routing/rate_limit_run.ts
+++ b/packages/routing/rate_limit_run.ts
@@ -10,6 +10,7 @@
 const ALLOWED_FACTOR = 1.5;
 const ALLOWED_EXTRA = 5;
 const CALL_DEADLINE_MS = 2_500;
+const CALL_OBJECTIVE_MS = 800;
 
 export interface RateLimitRunOptions {
   readonly seed: number;
@@ -19,6 +20,13 @@
   readonly serviceMs: number;
 }
 
+interface Refusal {
+  readonly at: number;
+  readonly code: string;
+  readonly waitedMs: number;
+  readonly retryAfterMs: number;
+}
+
 interface SentRequest {
   readonly entry: string;
   readonly server: string;
@@ -32,8 +40,10 @@
 export class RateLimitRun {
   readonly cluster: TestCluster;
   readonly requests: SentRequest[] = [];
-  /** Calls that were answered, by entry. */
-  readonly answered = new Map<string, number>();
+  /** Calls that were refused. */
+  readonly refusals: Refusal[] = [];
+  /** Number of calls that were answered. */
+  answeredCount = 0;
   readonly #options: RateLimitRunOptions;
   readonly #random: SeededRandomness;
   /** Named limits by server, in requests a second. */
@@ -42,6 +52,7 @@
   /** When each entry got its first answer with the limit, by server. */
   readonly #told = new Map<string, Map<string, number>>();
   readonly #finishAt = new Map<string, number>();
+  readonly #undecided = new Map<string, number>();
   #seen = { assignments: 0, checks: 0, probes: 0 };
   #nextCallAt = 0;
 
@@ -75,6 +86,7 @@
       this.#submitCalls();
       this.cluster.advance(1);
       this.#collectRequests();
+      this.#collectRefusals();
       this.#finishCalls();
     }
   }
@@ -122,10 +134,12 @@
       const entries = [...this.cluster.routers.keys()];
       const entry = entries[this.#random.below(entries.length)];
       if (entry === undefined) return;
-      this.cluster.submit(entry, {
+      const call = this.cluster.submit(entry, {
         deadline: now + CALL_DEADLINE_MS,
+        target: now + CALL_OBJECTIVE_MS,
         priority: this.#random.next() < 0.3 ? "urgent" : "patient",
       });
+      this.#undecided.set(call, now);
     }
   }
 
@@ -153,6 +167,19 @@
     };
   }
 
+  #collectRefusals(): void {
+    const { now } = this.cluster;
+    for (const [call, submittedAt] of this.#undecided) {
+      const [decision] = this.cluster.decisions.get(call) ?? [];
+      if (!decision) continue;
+      this.#undecided.delete(call);
+      if (decision.type !== "reject") continue;
+      const { code, retryAfterMs = 0 } = decision.fault;
+      const waitedMs = now - submittedAt;
+      this.refusals.push({ at: now, code, waitedMs, retryAfterMs });
+    }
+  }
+
   #finishCalls(): void {
     const { cluster } = this;
     for (const [call, at] of this.#finishAt) {
@@ -164,8 +191,7 @@
       if (rateLimit !== undefined) this.#tell(run.entry, run.server);
       const { serviceMs } = this.#options;
       cluster.finish(call, { serviceMs, slowdown: 1, rateLimit });
-      const answered = this.answered.get(run.entry) ?? 0;
-      this.answered.set(run.entry, answered + 1);
+      this.answeredCount += 1;
     }
   }
 
--- a/packages/routing/rate_limits_test.ts
+++ b/packages/routing/rate_limits_test.ts
@@ -1,8 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { RateLimitRun } from "./rate_limit_run.ts";
+import { RateLimitRun, type RateLimitRunOptions } from "./rate_limit_run.ts";
+import { makeServer, makeView } from "./test_cluster.ts";
 
-const SMALL_SITE = {
+const SMALL_SITE: RateLimitRunOptions = {
   seed: 1,
   entries: 17,
   servers: 12,
@@ -10,6 +11,21 @@
   serviceMs: 300,
 };
 
+/** A run in which two servers have named limits for a second. */
+function makeLimitedRun(changes: Partial<RateLimitRunOptions> = {}) {
+  const run = new RateLimitRun({ ...SMALL_SITE, ...changes });
+  run.run(3_000);
+  run.setLimit("s0", 2.3);
+  run.setLimit("s1", 3.6);
+  run.run(1_000);
+  return run;
+}
+
+function assertWithinLimits(run: RateLimitRun, what: string): void {
+  assert.equal(run.excess("s0"), 0, `s0, ${what}`);
+  assert.equal(run.excess("s1"), 0, `s1, ${what}`);
+}
+
 // Guards against servers that name a limit and get requests as before, of all
 // entries together: calls, checks and probes.
 test("servers get no more requests than the rate limits that they name", () => {
@@ -19,7 +35,109 @@
     run.setLimit("s0", 2.3);
     run.setLimit("s1", 3.6);
     run.run(12_000);
-    assert.equal(run.excess("s0"), 0, `s0, seed ${seed}`);
-    assert.equal(run.excess("s1"), 0, `s1, seed ${seed}`);
+    assertWithinLimits(run, `seed ${seed}`);
+  }
+});
+
+// Guards against a server that is shut out because it has named a limit.
+test("a server with a rate limit is used up to it", () => {
+  const run = makeLimitedRun();
+  run.run(2_000);
+  const { now } = run.cluster;
+  run.run(10_000);
+  assert.ok(run.requestsSince("s0", now) >= 0.8 * 23);
+  assert.ok(run.requestsSince("s1", now) >= 0.8 * 36);
+});
+
+// Guards against slots that entries take without asking, for short calls.
+test("rate limits hold for short calls", () => {
+  const run = makeLimitedRun({ callsPerS: 600, serviceMs: 20 });
+  run.run(8_000);
+  assertWithinLimits(run, "short calls");
+});
+
+// Guards against entries that choose servers themselves in the meantime, and
+// against a new dispatcher that allows the whole limit once more.
+test("rate limits hold while the dispatcher is replaced", () => {
+  for (const seed of [1, 2, 3, 4]) {
+    const run = makeLimitedRun({ seed });
+    const { cluster } = run;
+    for (let epoch = 2; epoch <= 3; epoch++) {
+      cluster.kill(cluster.dispatcher);
+      run.run(1_500);
+      cluster.setView(makeView([...cluster.routers.keys()], epoch));
+      run.run(3_000);
+    }
+    assertWithinLimits(run, `seed ${seed}`);
+  }
+});
+
+test("entries cut off from the dispatcher keep to rate limits", () => {
+  const run = makeLimitedRun();
+  const { cluster } = run;
+  run.run(1_000);
+  const cutOff = [...cluster.routers.keys()].slice(0, 9);
+  const { dispatcher } = cluster;
+  cluster.deliveryMode = (from, { to }) =>
+    cutOff.includes(from) !== cutOff.includes(to) &&
+    (from === dispatcher || to === dispatcher)
+      ? "drop"
+      : "deliver";
+  const before = run.answeredCount;
+  run.run(8_000);
+  assertWithinLimits(run, "cut off");
+  assert.ok(run.answeredCount - before > 0.9 * 8 * SMALL_SITE.callsPerS);
+});
+
+// Guards against a restarted server that keeps the limit of its former life.
+test("a new incarnation of a server has no rate limit", () => {
+  const run = makeLimitedRun();
+  run.setLimit("s0", undefined);
+  const servers = Array.from({ length: SMALL_SITE.servers }, (_, i) =>
+    makeServer(`s${i}`, { slots: 6, incarnation: i === 0 ? 2 : 1 }),
+  );
+  run.cluster.setServers(servers);
+  const { now } = run.cluster;
+  run.run(4_000);
+  assert.ok(run.requestsSince("s0", now) > 4 * 4);
+  assertWithinLimits(run, "after the restart of s0");
+});
+
+test("a rate limit ends with answers that name none", () => {
+  const run = makeLimitedRun();
+  run.run(3_000);
+  run.setLimit("s0", undefined);
+  run.run(3_000);
+  const { now } = run.cluster;
+  run.run(4_000);
+  assert.ok(run.requestsSince("s0", now) > 4 * 4);
+});
+
+// Guards against a rate limit that throttles a server below its slots.
+test("a rate limit above the load changes nothing", () => {
+  const run = new RateLimitRun(SMALL_SITE);
+  for (let i = 0; i < SMALL_SITE.servers; i++) run.setLimit(`s${i}`, 100);
+  run.run(8_000);
+  assert.ok(run.answeredCount > 0.95 * 7.5 * SMALL_SITE.callsPerS);
+});
+
+// Guards against calls that wait until their deadline although the servers'
+// limits leave no room for them. Some wait, late, until urgent ones come first.
+test("calls beyond the limits of all servers are refused before their deadline", () => {
+  const run = new RateLimitRun(SMALL_SITE);
+  run.run(2_000);
+  for (let i = 0; i < SMALL_SITE.servers; i++) run.setLimit(`s${i}`, 2);
+  run.run(8_000);
+  const refusals = run.refusals.filter(({ at }) => at > 5_000);
+  assert.ok(refusals.length > 4 * (SMALL_SITE.callsPerS - 24));
+  for (const { code, waitedMs, retryAfterMs } of refusals) {
+    assert.equal(code, "queue_full");
+    assert.ok(waitedMs < 2_000, `refused after ${waitedMs} ms`);
+    assert.ok(retryAfterMs > 0);
+  }
+  const quick = refusals.filter(({ waitedMs }) => waitedMs < 50).length;
+  assert.ok(quick > 0.5 * refusals.length, `${quick} of ${refusals.length}`);
+  for (let i = 0; i < SMALL_SITE.servers; i++) {
+    assert.equal(run.excess(`s${i}`), 0, `s${i}`);
   }
 });
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -20,10 +20,12 @@
   ProbeResult,
   RoutingEffect,
 } from "./effects.ts";
+import type { LocalServers } from "./local_servers.ts";
 import { isLongRunning } from "./long_running.ts";
 import type { DispatchMessage } from "./messages.ts";
 import { Prober, ProbeShare } from "./probing.ts";
 import { SequenceNumbers } from "./sequence_numbers.ts";
+import type { ServerState } from "./server_state.ts";
 import { ServiceRouter } from "./service_router.ts";
 
 /** Interval at which the router looks for servers to probe. */
@@ -326,7 +328,8 @@
         ? dispatcher.slots.servers()
         : router.servers.servers();
       const { service } = router;
-      for (const id of prober.pick(servers, { service, share, now })) {
+      const candidates = withoutRateLimit(servers, router.servers);
+      for (const id of prober.pick(candidates, { service, share, now })) {
         const server = router.servers.get(id)?.record;
         if (server) effects.push({ type: "probe", server });
       }
@@ -376,3 +379,20 @@
     return remaining;
   }
 }
+
+type ProbeCandidate = Pick<ServerState, "record" | "lastHeard" | "rateLimit">;
+
+/**
+ * The servers that may be probed: a probe would use up the rate of a server
+ * that limits it.
+ */
+function* withoutRateLimit(
+  servers: Iterable<ProbeCandidate>,
+  local: LocalServers,
+): Iterable<ProbeCandidate> {
+  for (const server of servers) {
+    const isKnownHere = local.get(server.record.id)?.isRateLimited === true;
+    if (isKnownHere || server.rateLimit.perSecond !== undefined) continue;
+    yield server;
+  }
+}
--- a/packages/routing/server_slots.ts
+++ b/packages/routing/server_slots.ts
@@ -3,8 +3,10 @@
   type ConcurrencyEstimator,
   FULL_SPEED_SHARE,
 } from "./concurrency_estimator.ts";
+import { NamedRate } from "./named_rate.ts";
 import type { ServerHealth } from "./outlier_detector.ts";
 import { SLOWDOWN_THRESHOLD } from "./placement_checks.ts";
+import { RatePacer } from "./rate_pacer.ts";
 import { SLOWDOWN_TTL_MS } from "./server_state.ts";
 import type { WarmUp } from "./warm_up.ts";
 
@@ -19,6 +21,15 @@
 /** Time after which a server that shed calls gets one more slot back. */
 const SHED_RECOVERY_MS = 200;
 
+/** What the number of a server's usable slots depends on. */
+interface LimitOptions {
+  readonly warmUp: WarmUp;
+  readonly concurrency: ConcurrencyEstimator;
+  /** A limit to explore instead of the estimated one. */
+  readonly exploredLimit: number | undefined;
+  readonly now: number;
+}
+
 /** A dispatcher's view of one server: its slots, their use, and its health. */
 export class ServerSlots {
   record: BackendServer;
@@ -31,6 +42,13 @@
   credits = 0;
   /** Slots that may be in use now; 0 if the server gets no calls. */
   limit = 0;
+  /** The rate limit that the server names. */
+  readonly rateLimit = new NamedRate();
+  /**
+   * Slots that may be in use while the server limits its rate. Its `limit` is 0
+   * then, so that it only gets calls that are paced.
+   */
+  pacedLimit = 0;
   /** This server's part of the totals in the slot table. */
   countedFree = 0;
   countedLimit = 0;
@@ -45,6 +63,7 @@
   slowdown = 1;
   slowedUntil = 0;
   #shedAt = 0;
+  #pacer: RatePacer | undefined;
 
   constructor(record: BackendServer, health: ServerHealth, now: number) {
     this.record = record;
@@ -62,6 +81,30 @@
     return this.inUse + 1 <= FULL_SPEED_SHARE * this.record.slots;
   }
 
+  /** Spaces the requests to the server while it limits its rate. */
+  get pacer(): RatePacer | undefined {
+    return this.#pacer;
+  }
+
+  /** Applies a change of the rate limit. */
+  updatePacer(now: number): void {
+    const { perSecond } = this.rateLimit;
+    if (perSecond === undefined) this.#pacer = undefined;
+    else if (this.#pacer) this.#pacer.setRate(perSecond, now);
+    else this.#pacer = new RatePacer(perSecond, now);
+  }
+
+  /** Whether one more call is within the server's rate limit and slots. */
+  hasPacedSlot(now: number): boolean {
+    const isFull = this.inUse >= this.pacedLimit || now < this.slowedUntil;
+    return !isFull && this.#pacer?.isReady(now) === true;
+  }
+
+  /** Load of a server that limits its rate, as `relativeLoad` of others. */
+  pacedLoad(): number {
+    return this.inUse / Math.max(1, this.pacedLimit);
+  }
+
   /** Whether the server is slow, and used only when waiting would cost more. */
   get isSlow(): boolean {
     return this.health.status === "slow" || this.slowedUntil > 0;
@@ -100,25 +143,21 @@
     this.shedPauseMs = SHED_PAUSE_MS;
   }
 
-  refreshLimit(options: {
-    warmUp: WarmUp;
-    concurrency: ConcurrencyEstimator;
-    /** A limit to explore instead of the estimated one. */
-    exploredLimit: number | undefined;
-    now: number;
-  }): void {
+  refreshLimit(options: LimitOptions): void {
+    const usable = this.#usableSlots(options);
+    this.limit = this.#pacer ? 0 : usable;
+    this.pacedLimit = this.#pacer ? usable : 0;
+  }
+
+  #usableSlots(options: LimitOptions): number {
     const { warmUp, concurrency, exploredLimit, now } = options;
     const { record, health } = this;
     if (now >= this.slowedUntil) this.slowedUntil = 0;
     const unavailable = this.leaving || record.state !== "ready";
     if (unavailable || health.status === "ejected" || now < this.pausedUntil) {
-      this.limit = 0;
-      return;
-    }
-    if (health.status === "trial") {
-      this.limit = 1;
-      return;
+      return 0;
     }
+    if (health.status === "trial") return 1;
     if (now - this.#shedAt >= SHED_RECOVERY_MS) {
       this.shedLimit += 1;
       this.#shedAt = now;
@@ -126,6 +165,6 @@
     const warmLimit = warmUp.slots(this, now) * health.usableShare(now);
     const bestLimit = exploredLimit ?? concurrency.bestLimit(record.slots, now);
     const limit = Math.min(warmLimit, bestLimit, this.shedLimit);
-    this.limit = Math.max(1, Math.floor(limit));
+    return Math.max(1, Math.floor(limit));
   }
 }
--- a/packages/routing/server_state.ts
+++ b/packages/routing/server_state.ts
@@ -111,6 +111,11 @@
     return this.#othersInFlight * (1 - age / REPORT_TTL_MS);
   }
 
+  /** Whether the server limits its rate, so that only paced calls may go there. */
+  get isRateLimited(): boolean {
+    return this.rateLimit.perSecond !== undefined;
+  }
+
   get ready(): boolean {
     return !this.leaving && this.record.state === "ready";
   }
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -9,7 +9,7 @@
   Service,
   View,
 } from "#model";
-import { DispatchLink } from "./dispatch_link.ts";
+import { DispatchLink, type EntryState } from "./dispatch_link.ts";
 import type { CallResult, CheckResult, RoutingEffect } from "./effects.ts";
 import { GrantedSlots } from "./granted_slots.ts";
 import { LocalServers } from "./local_servers.ts";
@@ -33,6 +33,8 @@
 const REFRESH_MS = 50;
 /** Waiting calls that may be skipped because of the servers they exclude. */
 const MAX_SKIPPED_CALLS = 8;
+/** Interval of requests for slots of servers that limit their rate. */
+const PACED_REQUEST_INTERVAL_MS = 250;
 /** Slowdown that is assumed of a server that reports itself unhealthy. */
 const UNHEALTHY_SLOWDOWN = 8;
 /** Time after which to retry a call to a service without servers. */
@@ -63,6 +65,7 @@
   #refreshAt = 0;
   /** Number of entries in the view. */
   #entryCount = 1;
+  #slotRequestedAt = Number.NEGATIVE_INFINITY;
 
   constructor(service: Service, options: ServiceRouterOptions) {
     this.#service = service;
@@ -169,7 +172,12 @@
     const { kind, leaving, slowdown } = result;
     if (kind === "answered") this.#placementChecks.recordReport(slowdown);
     if (this.link.sendsUpdates) {
-      this.link.addReleased({ ticket, kind, serviceMs, leaving, slowdown });
+      const { rateLimit } = result;
+      const released = { ticket, kind, serviceMs, leaving, slowdown };
+      this.link.addReleased({
+        ...released,
+        ...(rateLimit !== undefined && { rateLimit }),
+      });
     }
     const reused = this.#grantedSlots.reuseSlot(server, now);
     // While there are credits, no call waits, so the release can be sent with
@@ -230,6 +238,7 @@
     this.#servers.releaseUnused(server, result, now);
     const answered = result.kind === "answered" ? result : undefined;
     const failureKind = result.kind === "shed" ? "not_started" : "lost";
+    const rateLimit = result.kind === "failed" ? undefined : result.rateLimit;
     if (this.link.sendsUpdates) {
       this.link.addReleased({
         ticket,
@@ -237,6 +246,7 @@
         serviceMs: 0,
         leaving: answered?.leaving,
         slowdown: answered?.healthy ? answered.slowdown : UNHEALTHY_SLOWDOWN,
+        ...(rateLimit !== undefined && { rateLimit }),
       });
     }
     call.server = undefined;
@@ -267,7 +277,8 @@
     now: number,
   ): RoutingEffect[] {
     if (!this.link.accept(from, grant, now)) return [];
-    const effects: RoutingEffect[] = [];
+    if (grant.rateLimits) this.#servers.applyRateLimits(grant.rateLimits, now);
+    const effects: RoutingEffect[] = this.rateLimitEffects();
     for (const granted of grant.grants) {
       effects.push(...this.#grantedSlots.handleGrant(granted, now));
     }
@@ -299,7 +310,7 @@
     if (this.link.joinDue(now) && this.#calls.size > 0) {
       effects.push(...this.#joinDispatcher(now));
     } else if (this.link.reportDue(now, longRunning)) {
-      effects.push(...this.link.report(this.#calls.entryState(now), now));
+      effects.push(...this.link.report(this.#entryState(now), now));
     }
     const ping =
       this.#calls.queue.length > 0 && this.link.pingDue(now, longRunning);
@@ -309,10 +320,20 @@
     return effects;
   }
 
+  /**
+   * Whether to ask the dispatcher for a slot although this entry could choose
+   * one: only the dispatcher can use servers that limit their rate.
+   */
+  #asksForPacedSlot(now: number): boolean {
+    const isDue = now - this.#slotRequestedAt >= PACED_REQUEST_INTERVAL_MS;
+    return isDue && this.#servers.rateLimitedCount > 0;
+  }
+
   /** Assigns a call to a server or queues it. */
   #assignOrQueue(call: OpenCall, now: number): RoutingEffect[] {
+    const asks = this.#asksForPacedSlot(now);
     if (this.link.state === "attached") {
-      const server = this.#useCredit(call);
+      const server = asks ? undefined : this.#useCredit(call);
       if (server) {
         call.assignedBy = "credit";
         return this.#assign(call, server, now);
@@ -321,7 +342,7 @@
       return [...rejections, ...this.link.flush(now)];
     }
     const server =
-      this.#calls.queue.length === 0
+      this.#calls.queue.length === 0 && !asks
         ? this.#servers.choose(call.exclude, now)
         : undefined;
     if (server) return this.#assign(call, server, now);
@@ -342,7 +363,9 @@
   }
 
   #isUsable(call: OpenCall, id: BackendServerId): boolean {
-    return !call.exclude.has(id) && this.#servers.get(id)?.ready === true;
+    const server = this.#servers.get(id);
+    if (!server?.ready || server.isRateLimited) return false;
+    return !call.exclude.has(id);
   }
 
   /**
@@ -362,6 +385,7 @@
   }
 
   #enqueue(call: OpenCall, now: number): RoutingEffect[] {
+    this.#slotRequestedAt = now;
     const { queueLength } = this.#service;
     const context = { state: this.link.state, entries: this.#entryCount };
     this.#calls.queue.setLimit(
@@ -448,6 +472,13 @@
   }
 
   #joinDispatcher(now: number): RoutingEffect[] {
-    return this.link.report(this.#calls.entryState(now), now);
+    return this.link.report(this.#entryState(now), now);
+  }
+
+  /** What this entry's reports tell the dispatcher. */
+  #entryState(now: number): EntryState {
+    const rateLimits = this.#servers.rateLimits(now);
+    const state = this.#calls.entryState(now);
+    return rateLimits.length > 0 ? { ...state, rateLimits } : state;
   }
 }
--- a/packages/routing/slot_scheduler.ts
+++ b/packages/routing/slot_scheduler.ts
@@ -108,9 +108,12 @@
     const excludesAll = (call.exclude?.length ?? 0) >= this.#state.slots.size;
     const exclude = excludesAll ? undefined : call.exclude;
     const connected = call.entry.connectedServers(now);
-    const free = this.#state.slots.pick(near, { exclude, connected });
+    const { slots } = this.#state;
+    const free = slots.pick(near, { exclude, connected });
+    const paced = slots.pickPaced(near, { exclude, instead: free, now });
+    if (paced) return paced;
     if (free) return free;
-    const overcommitted = this.#state.slots.pick(near, {
+    const overcommitted = slots.pick(near, {
       exclude,
       overcommit: MAX_OVERCOMMIT,
     });
@@ -131,18 +134,21 @@
     const { entry, ticket, class: className } = call;
     entry.waitingCalls.delete(ticket);
     const sequence = this.#sequenceNumbers.last + 1;
+    const paced = server.pacer !== undefined;
     this.#state.allocate(entry, {
       ticket,
       class: className,
       server,
       assignedAt: now,
       grantSequence: sequence,
+      paced,
     });
     const slowed = server.isSlow;
     entry.outbox.grants.push({
       ticket,
       server: server.record.id,
       ...(slowed && { slowed }),
+      ...(paced && { paced }),
     });
     this.#state.entriesToNotify.add(entry);
   }
--- a/packages/routing/slot_table.ts
+++ b/packages/routing/slot_table.ts
@@ -22,6 +22,11 @@
  * more.
  */
 const NEAR_MARGIN_LONG_RUNNING = 1;
+/**
+ * Time without an answer after which a server that limits its rate goes first:
+ * it is not probed, and only its answers can end the limit.
+ */
+const QUIET_MS = 2_000;
 /** The slots of a service's servers, ordered by load for the next grant. */
 export class SlotTable {
   readonly #warmUp: WarmUp;
@@ -30,6 +35,8 @@
   readonly #servers = new Map<BackendServerId, ServerSlots>();
   readonly #heaps = new Map<DataCentre, Heap<ServerSlots>>();
   readonly #slowServers = new Set<ServerSlots>();
+  /** Usable servers that limit their rate. */
+  readonly #pacedServers = new Set<ServerSlots>();
   #free = 0;
   #limit = 0;
 
@@ -141,6 +148,8 @@
     this.#updateTotals(server);
     if (server.isSlow) this.#slowServers.add(server);
     else this.#slowServers.delete(server);
+    if (server.pacedLimit > 0) this.#pacedServers.add(server);
+    else this.#pacedServers.delete(server);
     const heap = this.#heap(server);
     const usable = server.limit > 0 && !server.isSlow;
     if (usable && server.heapIndex < 0) heap.push(server);
@@ -162,9 +171,7 @@
     } = {},
   ): ServerSlots | undefined {
     const { overcommit = 0, exclude, connected = [] } = options;
-    const nearMargin = isLongRunning(this.#outliers.meanMs)
-      ? NEAR_MARGIN_LONG_RUNNING
-      : NEAR_MARGIN;
+    const nearMargin = this.#nearMargin;
     let best: ServerSlots | undefined;
     let bestLoad = Number.POSITIVE_INFINITY;
     for (const [dataCentre, heap] of this.#heaps) {
@@ -192,6 +199,64 @@
     );
   }
 
+  /**
+   * The least loaded server that limits its rate and may get a request now, if
+   * it has no more load than `instead`.
+   */
+  pickPaced(
+    nearDataCentre: DataCentre,
+    options: {
+      exclude?: readonly BackendServerId[] | undefined;
+      instead?: ServerSlots | undefined;
+      now: number;
+    },
+  ): ServerSlots | undefined {
+    const { exclude, instead, now } = options;
+    const marginOf = ({ record }: ServerSlots) =>
+      record.dataCentre === nearDataCentre ? this.#nearMargin : 0;
+    let best: ServerSlots | undefined;
+    let bestLoad = instead
+      ? instead.relativeLoad() - marginOf(instead)
+      : Number.POSITIVE_INFINITY;
+    for (const server of this.#pacedServers) {
+      if (exclude?.includes(server.record.id)) continue;
+      const isQuiet = now - server.lastHeard >= QUIET_MS;
+      const load = isQuiet
+        ? Number.NEGATIVE_INFINITY
+        : server.pacedLoad() - marginOf(server);
+      if (load > bestLoad || !server.hasPacedSlot(now)) continue;
+      best = server;
+      bestLoad = load;
+    }
+    return best;
+  }
+
+  /**
+   * Calls that servers with a rate limit can run at the same time at most, by
+   * their limits and a mean service time in milliseconds.
+   */
+  pacedConcurrency(meanMs: number): number {
+    let sum = 0;
+    for (const { pacer, pacedLimit } of this.#pacedServers) {
+      const calls = ((pacer?.perSecond ?? 0) * meanMs) / 1_000;
+      sum += Math.min(pacedLimit, calls);
+    }
+    return sum;
+  }
+
+  /**
+   * Milliseconds until the next call may start by the servers' rate limits; 0
+   * if some usable server has none.
+   */
+  pacedWaitMs(now: number): number {
+    if (this.#limit > 0 || this.#pacedServers.size === 0) return 0;
+    let least = Number.POSITIVE_INFINITY;
+    for (const { pacer } of this.#pacedServers) {
+      least = Math.min(least, pacer?.waitMs(now) ?? 0);
+    }
+    return least;
+  }
+
   /**
    * The best server to which the caller has a connection, if it is not farther
    * away than `best` and has a slot at full speed or no more load.
@@ -245,10 +310,17 @@
     return best;
   }
 
+  get #nearMargin(): number {
+    return isLongRunning(this.#outliers.meanMs)
+      ? NEAR_MARGIN_LONG_RUNNING
+      : NEAR_MARGIN;
+  }
+
   #remove(server: ServerSlots): void {
     const { id } = server.record;
     this.#heap(server).remove(server);
     this.#slowServers.delete(server);
+    this.#pacedServers.delete(server);
     this.#servers.delete(id);
     this.#updateTotals(server);
     this.#outliers.remove(server.health);
--- a/packages/routing/waiting_calls.ts
+++ b/packages/routing/waiting_calls.ts
@@ -87,8 +87,16 @@
 
   /** Time until this many waiting calls have started, in milliseconds. */
   estimateWaitMs(calls: number): number {
-    const limit = Math.max(1, this.#state.slots.limit);
-    return (calls * this.#state.outliers.meanMs) / limit;
+    const { slots, outliers } = this.#state;
+    const { meanMs } = outliers;
+    const concurrency = slots.limit + slots.pacedConcurrency(meanMs);
+    return (calls * meanMs) / (concurrency > 0 ? concurrency : 1);
+  }
+
+  /** As `estimateWaitMs`, and until a rate limit allows a start. */
+  #waitMs(calls: number, now: number): number {
+    const pacedMs = this.#state.slots.pacedWaitMs(now);
+    return Math.max(this.estimateWaitMs(calls), pacedMs);
   }
 
   /**
@@ -98,10 +106,10 @@
    */
   #isWorthWaiting(call: WaitingCall, now: number): boolean {
     const { priority, targetStart, latestStart } = call;
-    const startsAt = now + this.estimateWaitMs(this.queue.countAhead(priority));
+    const startsAt = now + this.#waitMs(this.queue.countAhead(priority), now);
     if (startsAt <= (targetStart ?? latestStart)) return true;
     if (targetStart === undefined) return false;
-    const wholeQueueMs = this.estimateWaitMs(this.queue.length);
+    const wholeQueueMs = this.#waitMs(this.queue.length, now);
     return wholeQueueMs <= MAX_LATE_WAIT_SHARE * (latestStart - now);
   }
 
@@ -112,7 +120,7 @@
   #rejectLateCalls(now: number): void {
     let ahead = this.queue.onTimeCount;
     for (const call of this.queue.lateCalls()) {
-      if (now + this.estimateWaitMs(ahead) <= call.latestStart) {
+      if (now + this.#waitMs(ahead, now) <= call.latestStart) {
         ahead += 1;
         continue;
       }
--- a/packages/wire/short_keys.ts
+++ b/packages/wire/short_keys.ts
@@ -57,6 +57,10 @@
   "version",
   "stops",
   "change",
+  "rateLimit",
+  "rateLimits",
+  "perSecond",
+  "paced",
 ] as const;
 
 /** Number of each field name, as cbor-x expects it. */
