Spare servers that limit their rate while others have room

Such a server now gets a call only when the best other one would not run it at full speed, or when nothing was heard of it for 2 s.

Refusals name how many servers limit their rate.

--- a/packages/routing/rate_limit_run.ts
+++ b/packages/routing/rate_limit_run.ts
@@ -1,4 +1,4 @@
-import { SeededRandomness } from "#model";
+import { type Priority, SeededRandomness } from "#model";
 import { makeServer, NORMAL_CHECK, TestCluster } from "./test_cluster.ts";
 
 /** Time from the first answer with a limit in which it need not hold yet. */
@@ -44,6 +44,7 @@
   readonly refusals: Refusal[] = [];
   /** Number of calls that were answered. */
   answeredCount = 0;
+  readonly priorities = new Map<string, Priority>();
   readonly #options: RateLimitRunOptions;
   readonly #random: SeededRandomness;
   /** Named limits by server, in requests a second. */
@@ -134,11 +135,13 @@
       const entries = [...this.cluster.routers.keys()];
       const entry = entries[this.#random.below(entries.length)];
       if (entry === undefined) return;
+      const priority = this.#random.next() < 0.3 ? "urgent" : "patient";
       const call = this.cluster.submit(entry, {
         deadline: now + CALL_DEADLINE_MS,
         target: now + CALL_OBJECTIVE_MS,
-        priority: this.#random.next() < 0.3 ? "urgent" : "patient",
+        priority,
       });
+      this.priorities.set(call, priority);
       this.#undecided.set(call, now);
     }
   }
--- a/packages/routing/slot_table.ts
+++ b/packages/routing/slot_table.ts
@@ -64,6 +64,11 @@
     return this.#servers.size;
   }
 
+  /** Number of usable servers that limit their rate. */
+  get pacedCount(): number {
+    return this.#pacedServers.size;
+  }
+
   configure(service: Service): void {
     this.#warmUp.configure(service);
   }
@@ -201,7 +206,8 @@
 
   /**
    * The least loaded server that limits its rate and may get a request now, if
-   * it has no more load than `instead`.
+   * it has no more load than `instead`. It is spared while `instead` works at
+   * full speed, since its speed cannot be checked before a call either.
    */
   pickPaced(
     nearDataCentre: DataCentre,
@@ -214,6 +220,7 @@
     const { exclude, instead, now } = options;
     const marginOf = ({ record }: ServerSlots) =>
       record.dataCentre === nearDataCentre ? this.#nearMargin : 0;
+    const isSpared = instead?.hasFullSpeedSlot === true;
     let best: ServerSlots | undefined;
     let bestLoad = instead
       ? instead.relativeLoad() - marginOf(instead)
@@ -221,6 +228,7 @@
     for (const server of this.#pacedServers) {
       if (exclude?.includes(server.record.id)) continue;
       const isQuiet = now - server.lastHeard >= QUIET_MS;
+      if (isSpared && !isQuiet) continue;
       const load = isQuiet
         ? Number.NEGATIVE_INFINITY
         : server.pacedLoad() - marginOf(server);
--- a/packages/routing/waiting_calls.ts
+++ b/packages/routing/waiting_calls.ts
@@ -153,7 +153,11 @@
     entry.waitingCalls.delete(ticket);
     const waitMs = this.estimateWaitMs(this.queue.length + 1);
     const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs));
-    const detail = `${this.queue.length} calls wait for ${this.#state.slots.limit} usable slots`;
+    const { limit, pacedCount } = this.#state.slots;
+    const limited = `${pacedCount} servers that limit their rate`;
+    const detail =
+      `${this.queue.length} calls wait for ${limit} usable slots` +
+      (pacedCount > 0 ? ` and ${limited}` : "");
     const code = "queue_full";
     entry.outbox.rejects.push({ ticket, code, retryAfterMs, detail });
     this.#state.entriesToNotify.add(entry);
