Send nothing more to a server whose answers say that it leaves

An answer with `Server-Leaving: 1` was passed on as any other, and entries went on sending there until control acknowledged the leave. The entry that got the answer stops at once.

platform_site "a server that says in its answers that it leaves gets no requests" and platform_protocol "an answer that says that the server leaves is recognised" failed before and pass now; 84 tests of the entry and the adapter pass.

--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -114,6 +114,7 @@
       client: this.#client,
       protocol,
       service: (name) => this.service(name),
+      onServerLeaving: options.onServerLeaving,
     });
     this.#assignments = new Assignments({
       router: this.#router,
--- a/packages/entry/call_protocol.ts
+++ b/packages/entry/call_protocol.ts
@@ -41,6 +41,8 @@
   readonly healthy: boolean;
   /** The server is shutting down, or its address belongs to another server. */
   readonly leaving: boolean;
+  /** The address belongs to another server than the intended one. */
+  readonly otherServer: boolean;
   /** The server shed the request because of its load. */
   readonly shed: boolean;
   readonly inFlight: number | undefined;
@@ -174,7 +176,8 @@
 
   parseHealthReport({ body }: { body: Buffer }): HealthReport | undefined {
     const load = parseLoad(body);
-    return load && { healthy: true, shed: false, slowdown: undefined, ...load };
+    const unknown = { slowdown: undefined, otherServer: false };
+    return load && { healthy: true, shed: false, ...unknown, ...load };
   }
 
   responseHeaders(
--- a/packages/entry/prober.ts
+++ b/packages/entry/prober.ts
@@ -14,6 +14,8 @@
   readonly client: BackendClient;
   readonly protocol: CallProtocol;
   readonly service: (name: string) => Service | undefined;
+  /** Called when a server reports in a response that it is leaving. */
+  readonly onServerLeaving: (server: BackendServer) => void;
 }
 
 /** Requests health reports from backend servers; each uses a slot there. */
@@ -56,7 +58,8 @@
     healthReport: HealthReport | undefined;
     rateLimit: number | undefined;
   }> {
-    const { clock, metrics, client, protocol, service } = this.#options;
+    const { clock, metrics, client, protocol, service, onServerLeaving } =
+      this.#options;
     const startedAt = clock.now();
     metrics.recordServerRequest(server.service, kind);
     const sentRequest = client.send(server, {
@@ -76,7 +79,10 @@
     response?.stream?.destroy();
     const rateLimit = response?.rateLimit;
     if (!response?.body) return { ms, healthReport: undefined, rateLimit };
-    const healthReport = protocol.parseHealthReport(response, server);
+    const parsed = protocol.parseHealthReport(response, server);
+    const leaving = parsed?.leaving || response.leaving;
+    const healthReport = parsed && { ...parsed, leaving };
+    if (response.leaving && !parsed?.otherServer) onServerLeaving(server);
     return { ms, healthReport, rateLimit };
   }
 }
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -202,7 +202,7 @@
     } else {
       this.#releaseSlot(result, startedAt);
     }
-    if (response?.leaving) onServerLeaving(server);
+    if (response?.leaving && !response.wrongServer) onServerLeaving(server);
     const lost = end.type === "reset" || end.type === "reset_in_body";
     if (fingerprint !== undefined) {
       const run = { fingerprint, startedAt };
