Back off from a server for the time that it names in a refusal

Cause: the header was not read; a shed server was paused for 50 ms, then tried again, and after some tries ejected as failing.

The time is decoded on every 503 (calls, checks, probes; the own protocol too) and binds the entry and incarnation: one gate, `ServerState.accepts`, for local choice, credits, reused slots and grants; probes are held back; the dispatcher learns it with the released slot. While all servers back off, calls are refused at once with the time until the first wants requests. Such refusals do not eject.

--- a/packages/bench/router_policy.ts
+++ b/packages/bench/router_policy.ts
@@ -78,7 +78,7 @@
       else if (effect.type === "probe") {
         this.#probe(entry, Number(effect.server.id.slice(1)));
       } else if (effect.type === "check") this.#check(entry, effect);
-      else if (effect.type !== "rate_limit_changed") {
+      else if (effect.type === "assign" || effect.type === "reject") {
         this.#assignOrReject(effect);
       }
     }
--- a/packages/entry/assignments.ts
+++ b/packages/entry/assignments.ts
@@ -8,6 +8,7 @@
 } from "#model";
 import type {
   AssignmentBasis,
+  BackOff,
   CallResult,
   CheckResult,
   DispatchMessages,
@@ -116,6 +117,9 @@
       case "rate_limit_changed":
         this.#logRateLimit(effect);
         return;
+      case "server_backs_off":
+        this.#logBackOff(effect);
+        return;
       case "send":
         this.#options.network.send(effect.to, effect.kind, effect.payload);
     }
@@ -136,6 +140,14 @@
     });
   }
 
+  #logBackOff({ server, ms }: BackOff): void {
+    this.#options.logger.info("backend server asks to back off", {
+      server: backendServerKey(server),
+      incarnation: server.incarnation,
+      ms,
+    });
+  }
+
   async #probe(server: BackendServer): Promise<void> {
     const { router, clock, probe } = this.#options;
     const result = await probe(server);
--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -6,7 +6,12 @@
   type IncomingMessage,
 } from "node:http";
 import type { Socket } from "node:net";
-import { type BackendServer, backendServerKey, type RateFault } from "#model";
+import {
+  type BackendServer,
+  backendServerKey,
+  type HeaderFault,
+  type ParsedNumber,
+} from "#model";
 import {
   collectResponse,
   type RequestResult,
@@ -45,19 +50,22 @@
 }
 
 export interface BackendClientOptions {
-  /** Called for each response whose rate limit cannot be read. */
-  readonly onMalformedRate?: (server: BackendServer, fault: RateFault) => void;
+  /** Called for each header of a response that cannot be read. */
+  readonly onMalformedHeader?: (
+    server: BackendServer,
+    fault: HeaderFault,
+  ) => void;
 }
 
 /** HTTP client for backend servers, with a connection pool for each server. */
 export class BackendClient {
   readonly #agents = new Map<string, { agent: Agent; incarnation: number }>();
   readonly #protocol: CallProtocol;
-  readonly #onMalformedRate: BackendClientOptions["onMalformedRate"];
+  readonly #onMalformedHeader: BackendClientOptions["onMalformedHeader"];
 
   constructor(protocol: CallProtocol, options: BackendClientOptions = {}) {
     this.#protocol = protocol;
-    this.#onMalformedRate = options.onMalformedRate;
+    this.#onMalformedHeader = options.onMalformedHeader;
   }
 
   send(server: BackendServer, request: BackendRequest): SentRequest {
@@ -144,11 +152,14 @@
   ): ResponseHead {
     const { headers, rawHeaders, statusCode: status = 502 } = response;
     const report = this.#protocol.parseReport({ status, headers }, requestId);
-    const rateLimit = report.rateLimit.unwrapOr(undefined);
-    if (report.rateLimit.isErr()) {
-      this.#onMalformedRate?.(server, report.rateLimit.error);
-    }
-    return { ...report, rateLimit, status, headers, rawHeaders };
+    const read = (parsed: ParsedNumber): number | undefined => {
+      if (parsed.isOk()) return parsed.value;
+      this.#onMalformedHeader?.(server, parsed.error);
+      return undefined;
+    };
+    const rateLimit = read(report.rateLimit);
+    const backOffMs = read(report.backOffMs);
+    return { ...report, rateLimit, backOffMs, status, headers, rawHeaders };
   }
 
   /** Adapts the idle timeout to the server's `Keep-Alive` header. */
--- a/packages/entry/backend_response.ts
+++ b/packages/entry/backend_response.ts
@@ -11,9 +11,11 @@
 export type BackendResponse = BufferedResponse | StreamedResponse;
 
 /** A response without its body. */
-export interface ResponseHead extends Omit<ResponseReport, "rateLimit"> {
-  /** Requests a second that the server takes, if it names a limit. */
+export interface ResponseHead
+  extends Omit<ResponseReport, "rateLimit" | "backOffMs"> {
+  /** As in `ResponseReport`; undefined also if it cannot be read. */
   readonly rateLimit: number | undefined;
+  readonly backOffMs: number | undefined;
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
   readonly rawHeaders: readonly string[];
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -83,10 +83,11 @@
     this.#hostRoutes = new HostRoutes(randomness);
     this.#classifier = new RequestClassifier([], this.#hostRoutes);
     this.#client = new BackendClient(protocol, {
-      onMalformedRate: (server, { text }) => {
-        metrics.recordMalformedRate(server.service);
-        logger.warn("rate limit of a backend server cannot be read", {
+      onMalformedHeader: (server, { name, text }) => {
+        metrics.recordMalformedHeader(server.service);
+        logger.warn("header of a backend server cannot be read", {
           server: backendServerKey(server),
+          name,
           text,
         });
       },
@@ -259,6 +260,11 @@
     return this.#router.queueLengths();
   }
 
+  /** Number of servers that want no requests of this entry, by service. */
+  backingOffServers(): [service: string, servers: number][] {
+    return this.#router.backingOffServers();
+  }
+
   /** Number of servers that limit their request rate, by service. */
   rateLimitedServers(): [service: string, servers: number][] {
     return this.#router.rateLimitedServers();
--- a/packages/entry/call_protocol.ts
+++ b/packages/entry/call_protocol.ts
@@ -9,8 +9,9 @@
   HEADERS,
   INTERNAL_PATH_ROOT,
   type Outcome,
-  type ParsedRate,
-  parseRate,
+  type ParsedNumber,
+  parseRateLimit,
+  parseRetryAfterMs,
   type Service,
 } from "#model";
 import { endToEndHeaders } from "./reply.ts";
@@ -33,7 +34,12 @@
    * Requests a second that the server takes from all entries together, if it
    * names a limit.
    */
-  readonly rateLimit: ParsedRate;
+  readonly rateLimit: ParsedNumber;
+  /**
+   * Time for which the server wants no requests from this entry, in
+   * milliseconds, if it refused the request and named one.
+   */
+  readonly backOffMs: ParsedNumber;
 }
 
 /** The response of a server to a probe or check. */
@@ -166,7 +172,10 @@
       foreign: false,
       inFlight: known ? inFlight : undefined,
       slowdown: undefined,
-      rateLimit: parseRate(headers[HEADERS.rateLimit]),
+      rateLimit: parseRateLimit(headers[HEADERS.rateLimit]),
+      backOffMs: parseRetryAfterMs(
+        status === 503 ? headers[HEADERS.retryAfter] : undefined,
+      ),
     };
   }
 
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -100,6 +100,7 @@
       configurationVersion: () => this.#follower.version,
       callsInFlight: () => this.#callPipeline.inFlight(),
       queueLength: () => this.#callPipeline.queueLengths(),
+      backingOffServers: () => this.#callPipeline.backingOffServers(),
       rateLimitedServers: () => this.#callPipeline.rateLimitedServers(),
       probeBudget: () =>
         this.#knownServers.probeBudgets(
--- a/packages/entry/prober.ts
+++ b/packages/entry/prober.ts
@@ -1,8 +1,9 @@
 import type { BackendServer, Clock, Service } from "#model";
-import type { CheckResult, ProbeResult } from "#routing";
+import type { CheckResult, ProbeResult, ServerStatement } from "#routing";
 import type { Metrics } from "#telemetry";
 import type { BackendClient } from "./backend_client.ts";
 import type { CallProtocol, HealthReport } from "./call_protocol.ts";
+import { statementOf } from "./server_attempt.ts";
 
 const PROBE_TIMEOUT_MS = 1_000;
 /** Short, since a call waits for the check. */
@@ -28,26 +29,28 @@
 
   /** Requests the load of a server that has sent no recent response. */
   async probe(server: BackendServer): Promise<ProbeResult> {
-    const { ms, healthReport, rateLimit } = await this.#query(server, {
+    const { ms, healthReport, statement } = await this.#query(server, {
       timeoutMs: PROBE_TIMEOUT_MS,
       kind: "probe",
     });
-    if (healthReport?.inFlight === undefined) return { kind: "failed" };
+    if (healthReport?.inFlight === undefined) {
+      return { kind: "failed", ...statement };
+    }
     const { inFlight, leaving } = healthReport;
-    return { kind: "answered", inFlight, ms, leaving, rateLimit };
+    return { kind: "answered", inFlight, ms, leaving, ...statement };
   }
 
   /** Requests the speed of a server before a call is assigned to it. */
   async check(server: BackendServer): Promise<CheckResult> {
-    const { ms, healthReport, rateLimit } = await this.#query(server, {
+    const { ms, healthReport, statement } = await this.#query(server, {
       timeoutMs: CHECK_TIMEOUT_MS,
       kind: "check",
     });
-    if (!healthReport) return { kind: "failed" };
-    if (healthReport.shed) return { kind: "shed", rateLimit };
+    if (!healthReport) return { kind: "failed", ...statement };
+    if (healthReport.shed) return { kind: "shed", ...statement };
     const { healthy, leaving, slowdown, inFlight } = healthReport;
     const load = { slowdown, inFlight, ms };
-    return { kind: "answered", healthy, leaving, ...load, rateLimit };
+    return { kind: "answered", healthy, leaving, ...load, ...statement };
   }
 
   async #query(
@@ -56,7 +59,7 @@
   ): Promise<{
     ms: number;
     healthReport: HealthReport | undefined;
-    rateLimit: number | undefined;
+    statement: ServerStatement;
   }> {
     const { clock, metrics, client, protocol, service, onServerLeaving } =
       this.#options;
@@ -77,12 +80,16 @@
     metrics.recordProbe(server.service, ms);
     const response = result.type === "answer" ? result.response : undefined;
     response?.stream?.destroy();
-    const rateLimit = response?.rateLimit;
-    if (!response?.body) return { ms, healthReport: undefined, rateLimit };
+    if (!response) return { ms, healthReport: undefined, statement: {} };
+    if (!response.body) {
+      const statement = statementOf(response);
+      return { ms, healthReport: undefined, statement };
+    }
     const parsed = protocol.parseHealthReport(response, server);
     const leaving = parsed?.leaving || response.leaving;
     const healthReport = parsed && { ...parsed, leaving };
     if (response.leaving && !parsed?.otherServer) onServerLeaving(server);
-    return { ms, healthReport, rateLimit };
+    const statement = parsed?.otherServer ? {} : statementOf(response);
+    return { ms, healthReport, statement };
   }
 }
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -8,10 +8,18 @@
   callFault,
 } from "#model";
 import type { Fingerprint } from "#quarantine";
-import type { AssignmentBasis, CallResultKind } from "#routing";
+import type {
+  AssignmentBasis,
+  CallResultKind,
+  ServerStatement,
+} from "#routing";
 import type { Assignment } from "./assignments.ts";
 import type { SentRequest } from "./backend_client.ts";
-import type { BackendResponse, RequestResult } from "./backend_response.ts";
+import type {
+  BackendResponse,
+  RequestResult,
+  ResponseHead,
+} from "./backend_response.ts";
 import type { RequestBody } from "./request_body.ts";
 import type { ReverseProxyOptions } from "./reverse_proxy.ts";
 
@@ -234,11 +242,17 @@
       inFlight: response?.inFlight,
       slowdown: response?.slowdown,
       leaving: response?.leaving || response?.wrongServer,
-      rateLimit: response?.wrongServer ? undefined : response?.rateLimit,
+      ...(response && !response.wrongServer && statementOf(response)),
     });
   }
 }
 
+/** What a response says about the requests that its server wants. */
+export function statementOf(response: ResponseHead): ServerStatement {
+  const { rateLimit, backOffMs } = response;
+  return { rateLimit, backOffMs };
+}
+
 function toAttemptEnd(
   result: RequestResult,
   stopReason: StopReason | undefined,
--- a/packages/model/index.ts
+++ b/packages/model/index.ts
@@ -13,5 +13,5 @@
 export * from "./hosts.ts";
 export * from "./outcomes.ts";
 export * from "./randomness.ts";
-export * from "./rates.ts";
 export * from "./rendezvous.ts";
+export * from "./server_headers.ts";
--- /dev/null
+++ b/packages/routing/back_off_test.ts
@@ -0,0 +1,70 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { RateLimitRun, type RateLimitRunOptions } from "./rate_limit_run.ts";
+
+const SMALL_SITE: RateLimitRunOptions = {
+  seed: 1,
+  entries: 17,
+  servers: 12,
+  callsPerS: 68,
+  serviceMs: 300,
+};
+
+// Guards against entries that go on sending to a server that has refused a call
+// and named a time to wait, be it calls, checks or probes.
+test("an entry sends nothing to a server that asked it to back off", () => {
+  for (const seed of [1, 2, 3]) {
+    for (const serviceMs of [20, 300]) {
+      const run = new RateLimitRun({ ...SMALL_SITE, seed, serviceMs });
+      run.run(3_000);
+      run.setBackOff("s0", 2_500);
+      run.run(9_000);
+      const sent = run.requestsDuringBackOff("s0");
+      assert.equal(sent, 0, `seed ${seed}, ${serviceMs} ms`);
+    }
+  }
+});
+
+// Guards against a server that is lost to all entries because of one refusal,
+// and against one that is lost for good.
+test("a server that asked to back off gets calls again afterwards", () => {
+  const run = new RateLimitRun(SMALL_SITE);
+  run.run(3_000);
+  run.setBackOff("s0", 1_500);
+  run.run(2_000);
+  run.setBackOff("s0", undefined);
+  run.run(3_000);
+  const { now } = run.cluster;
+  run.run(4_000);
+  assert.ok(run.requestsSince("s0", now) > 4 * 4);
+});
+
+test("other servers take the calls while one wants none", () => {
+  const run = new RateLimitRun(SMALL_SITE);
+  run.run(3_000);
+  run.setBackOff("s0", 3_600_000);
+  const before = run.answeredCount;
+  run.run(10_000);
+  assert.ok(run.answeredCount - before > 0.95 * 10 * SMALL_SITE.callsPerS);
+});
+
+// Guards against calls that wait for their deadline, and against slots that are
+// granted and declined without end, when no server wants calls.
+test("calls are refused at once with a time while all servers back off", () => {
+  const run = new RateLimitRun({ ...SMALL_SITE, entries: 3 });
+  run.run(2_000);
+  for (let i = 0; i < SMALL_SITE.servers; i++) run.setBackOff(`s${i}`, 4_000);
+  run.run(1_500);
+  const { now } = run.cluster;
+  run.run(2_000);
+  const refusals = run.refusals.filter(({ at }) => at >= now);
+  assert.ok(refusals.length > 0.9 * 2 * SMALL_SITE.callsPerS);
+  for (const { code, waitedMs, retryAfterMs } of refusals) {
+    assert.equal(code, "no_server");
+    assert.ok(waitedMs < 250, `refused after ${waitedMs} ms`);
+    assert.ok(retryAfterMs > 0 && retryAfterMs < 4_500, `${retryAfterMs}`);
+  }
+  for (let i = 0; i < SMALL_SITE.servers; i++) {
+    assert.equal(run.requestsDuringBackOff(`s${i}`), 0, `s${i}`);
+  }
+});
--- a/packages/routing/dispatch_entry.ts
+++ b/packages/routing/dispatch_entry.ts
@@ -91,6 +91,8 @@
    * the call.
    */
   readonly #connections = new Map<ServerSlots, number>();
+  /** Servers that want no calls of this entry, until a time. */
+  readonly #backOffs = new Map<ServerSlots, number>();
   #rate = 0;
   #rateAt: number;
 
@@ -102,6 +104,20 @@
     this.#rateAt = now;
   }
 
+  /** Records that a server wants no calls of this entry until a time. */
+  recordBackOff(server: ServerSlots, until: number): void {
+    this.#backOffs.set(server, until);
+  }
+
+  /** Ids of the servers that want no calls of this entry now. */
+  serversBackingOff(now: number): BackendServerId[] {
+    if (this.#backOffs.size === 0) return [];
+    for (const [server, until] of this.#backOffs) {
+      if (until <= now) this.#backOffs.delete(server);
+    }
+    return [...this.#backOffs.keys()].map(({ record }) => record.id);
+  }
+
   /** Counts a call in the call rate. */
   recordCall(now: number): void {
     this.#rate = this.callsPerMs(now) + 1 / CALL_RATE_TIME_CONSTANT_MS;
--- a/packages/routing/dispatcher_state.ts
+++ b/packages/routing/dispatcher_state.ts
@@ -138,7 +138,10 @@
     }
     if (kind === "unused" && allocation.paced) server.pacer?.giveBack();
     server.recordSlowdown(released.slowdown, now);
-    if (kind !== "unused") {
+    if (released.backOffMs !== undefined) {
+      entry.recordBackOff(server, now + released.backOffMs);
+      if (kind !== "unused") server.recordShed(now);
+    } else if (kind !== "unused") {
       server.lastHeard = now;
       const wasFull = allocation.runningAtStart >= server.record.slots;
       if (kind === "not_started" && wasFull) server.recordShed(now);
--- a/packages/routing/effects.ts
+++ b/packages/routing/effects.ts
@@ -1,8 +1,22 @@
 import type { BackendServer, CallFault, HostId } from "#model";
 import type { DispatchMessage } from "./messages.ts";
 
+/** What a server says in any answer about the requests that it wants. */
+export interface ServerStatement {
+  /**
+   * Requests a second that the server takes from all entries together, if it
+   * names a limit.
+   */
+  readonly rateLimit?: number | undefined;
+  /**
+   * Time for which the server wants no requests from this entry, in
+   * milliseconds, if it refused the request and named one.
+   */
+  readonly backOffMs?: number | undefined;
+}
+
 /** The outcome of an assigned call. */
-export interface CallResult {
+export interface CallResult extends ServerStatement {
   readonly kind: CallResultKind;
   /** Time from the assignment to the end of the answer, in milliseconds. */
   readonly serviceMs: number;
@@ -15,11 +29,6 @@
   readonly slowdown?: number | undefined;
   /** The server announced in its answer that it is leaving. */
   readonly leaving?: boolean | undefined;
-  /**
-   * Requests a second that the server takes from all entries together, if its
-   * answer names a limit.
-   */
-  readonly rateLimit?: number | undefined;
 }
 
 /**
@@ -37,36 +46,36 @@
   | "cancelled";
 
 /** The result of a probe. */
-export type ProbeResult =
-  | {
-      readonly kind: "answered";
-      readonly inFlight: number;
-      /** Round trip, in milliseconds. */
-      readonly ms: number;
-      readonly leaving?: boolean | undefined;
-      /** As in `CallResult`. */
-      readonly rateLimit?: number | undefined;
-    }
-  | { readonly kind: "failed" };
+export type ProbeResult = ServerStatement &
+  (
+    | {
+        readonly kind: "answered";
+        readonly inFlight: number;
+        /** Round trip, in milliseconds. */
+        readonly ms: number;
+        readonly leaving?: boolean | undefined;
+      }
+    | { readonly kind: "failed" }
+  );
 
 /** The result of a check, which asks a server how fast it works now. */
-export type CheckResult =
-  | {
-      readonly kind: "answered";
-      /** False if the server says that it should get no calls. */
-      readonly healthy: boolean;
-      /** The server is leaving, or another one answers at its address. */
-      readonly leaving: boolean;
-      readonly slowdown: number | undefined;
-      readonly inFlight: number | undefined;
-      /** Round trip, in milliseconds. */
-      readonly ms: number;
-      /** As in `CallResult`. */
-      readonly rateLimit?: number | undefined;
-    }
-  /** The server refused the check, as it would refuse a call. */
-  | { readonly kind: "shed"; readonly rateLimit?: number | undefined }
-  | { readonly kind: "failed" };
+export type CheckResult = ServerStatement &
+  (
+    | {
+        readonly kind: "answered";
+        /** False if the server says that it should get no calls. */
+        readonly healthy: boolean;
+        /** The server is leaving, or another one answers at its address. */
+        readonly leaving: boolean;
+        readonly slowdown: number | undefined;
+        readonly inFlight: number | undefined;
+        /** Round trip, in milliseconds. */
+        readonly ms: number;
+      }
+    /** The server refused the check, as it would refuse a call. */
+    | { readonly kind: "shed" }
+    | { readonly kind: "failed" }
+  );
 
 /** The reasons for an assignment, for the log. */
 export interface AssignmentBasis {
@@ -96,6 +105,13 @@
   readonly previous: number | undefined;
 }
 
+/** A server has asked this entry to send nothing for a time. */
+export interface BackOff {
+  readonly server: BackendServer;
+  /** With jitter, in milliseconds. */
+  readonly ms: number;
+}
+
 /** Actions that the router's owner executes for it. */
 export type RoutingEffect =
   | {
@@ -121,6 +137,7 @@
     }
   /** For the log. */
   | ({ readonly type: "rate_limit_changed" } & RateLimitChange)
+  | ({ readonly type: "server_backs_off" } & BackOff)
   | SendEffect;
 
 /** A message to another entry. */
--- a/packages/routing/granted_slots.ts
+++ b/packages/routing/granted_slots.ts
@@ -1,6 +1,6 @@
 import type { BackendServerId } from "#model";
 import type { DispatchLink } from "./dispatch_link.ts";
-import type { RoutingEffect } from "./effects.ts";
+import type { RoutingEffect, ServerStatement } from "./effects.ts";
 import { type LocalServers, rateLimitOf } from "./local_servers.ts";
 import { isLongRunning } from "./long_running.ts";
 import type { DispatchGrant } from "./messages.ts";
@@ -13,7 +13,11 @@
   readonly calls: OpenCalls;
   readonly link: DispatchLink;
   readonly servers: LocalServers;
-  readonly isUsable: (call: OpenCall, id: BackendServerId) => boolean;
+  readonly isUsable: (
+    call: OpenCall,
+    id: BackendServerId,
+    now: number,
+  ) => boolean;
   readonly startCall: (
     call: OpenCall,
     server: ServerState,
@@ -44,7 +48,7 @@
     const { id } = server.record;
     const waitedMs = now - call.arrival;
     const { priority } = call;
-    if (!this.#context.isUsable(call, id)) return [];
+    if (!this.#context.isUsable(call, id, now)) return [];
     if (!this.#context.link.mayReuse(id, { priority, waitedMs })) return [];
     return this.startWithoutGrant(call, server, now);
   }
@@ -73,7 +77,8 @@
    */
   #useUnneededGrant(server: ServerState, now: number): RoutingEffect[] {
     const call = this.#context.calls.queue.peek();
-    if (!call || !this.#context.isUsable(call, server.record.id)) return [];
+    if (!call || !this.#context.isUsable(call, server.record.id, now))
+      return [];
     return this.startWithoutGrant(call, server, now);
   }
 
@@ -85,8 +90,7 @@
     const call = this.#context.calls.byTicket(ticket);
     if (call?.server) return [];
     const server = this.#context.servers.get(id);
-    const withinLimit = paced || server?.isRateLimited !== true;
-    if (call && server?.ready && withinLimit) {
+    if (call && server?.accepts(now, { paced })) {
       call.assignedBy = "grant";
       this.#context.calls.queue.remove(call.id);
       return [
@@ -101,9 +105,10 @@
       kind: "unused",
       serviceMs: 0,
       leaving,
+      ...declineReason(server, now),
     });
-    const rateLimit = withinLimit ? undefined : rateLimitOf(server, now);
-    if (rateLimit) this.#context.link.addRateLimit(rateLimit);
+    const rateLimit = server && rateLimitOf(server, now);
+    if (rateLimit && !paced) this.#context.link.addRateLimit(rateLimit);
     if (!call) return server ? this.#useUnneededGrant(server, now) : [];
     // The dispatcher does not know yet that this server accepts no calls.
     call.exclude = new Set([...call.exclude, id]);
@@ -111,3 +116,12 @@
     return [];
   }
 }
+
+/** What the dispatcher must know so that it does not grant the server again. */
+function declineReason(
+  server: ServerState | undefined,
+  now: number,
+): ServerStatement {
+  const backOffMs = server?.backOffMs(now) ?? 0;
+  return backOffMs > 0 ? { backOffMs } : {};
+}
--- a/packages/routing/local_servers.ts
+++ b/packages/routing/local_servers.ts
@@ -6,6 +6,7 @@
   Service,
 } from "#model";
 import type {
+  BackOff,
   CallResult,
   CheckResult,
   ProbeResult,
@@ -18,6 +19,12 @@
 import { ServerState } from "./server_state.ts";
 import { WarmUp } from "./warm_up.ts";
 
+/**
+ * Share by which a time to back off is lengthened at most, so that not all
+ * entries return at once, and the most in milliseconds.
+ */
+const JITTER_SHARE = 0.1;
+const MAX_JITTER_MS = 500;
 /** Pause of a server after it shed a call. */
 const SHED_PAUSE_MS = 50;
 
@@ -37,6 +44,8 @@
   #readySlots = 0;
   #rateLimited = 0;
   #rateLimitChanges: RateLimitChange[] = [];
+  #backOffs: BackOff[] = [];
+  readonly #backingOff = new Set<ServerState>();
 
   constructor(
     service: Service,
@@ -87,6 +96,7 @@
       this.#servers.delete(id);
       this.#outliers.remove(server.health);
       server.removed = true;
+      this.#backingOff.delete(server);
       this.#free.delete(server);
     }
     for (const record of records) this.#update(record, now);
@@ -128,15 +138,16 @@
     if (result.inFlight !== undefined)
       server.recordInFlight(result.inFlight, now);
     server.recordSlowdown(result.slowdown, now);
-    const { rateLimit } = result;
-    const complete = kind === "answered";
-    this.#recordRateLimit(server, { rateLimit, complete }, now);
+    this.#recordStatement(server, result, now);
     if (result.leaving) server.leaving = true;
     const { slots } = server.record;
     const queued = Math.max(0, server.inFlight + 1 + others - slots);
     const queueRatio = Math.min(2, queued / slots);
     const observation = { kind, serviceMs, class: result.class, queueRatio };
-    this.#outliers.observe(server.health, observation, now);
+    // A server that names a time to wait is not failing.
+    if (result.backOffMs === undefined) {
+      this.#outliers.observe(server.health, observation, now);
+    }
     this.#refresh(server, now);
   }
 
@@ -148,7 +159,7 @@
 
   /** Records the result of a check. */
   recordCheck(server: ServerState, result: CheckResult, now: number): void {
-    this.#recordReport(server, result, now);
+    this.#recordStatement(server, result, now);
     if (result.kind === "answered") {
       server.lastHeard = now;
       server.recordSlowdown(result.slowdown, now);
@@ -174,7 +185,7 @@
     const server = this.#servers.get(id);
     if (!server) return;
     server.lastHeard = now;
-    this.#recordReport(server, result, now);
+    this.#recordStatement(server, result, now);
     if (result.kind === "answered") {
       server.recordInFlight(result.inFlight, now);
       if (result.leaving) server.leaving = true;
@@ -198,6 +209,35 @@
     return changes;
   }
 
+  /** Removes and returns the times to back off since the last call. */
+  takeBackOffs(): BackOff[] {
+    if (this.#backOffs.length === 0) return [];
+    const backOffs = this.#backOffs;
+    this.#backOffs = [];
+    return backOffs;
+  }
+
+  /** Servers that want no requests of this entry at present. */
+  get backingOffCount(): number {
+    return this.#backingOff.size;
+  }
+
+  /**
+   * Milliseconds until a first server wants requests, if none does now; 0 else.
+   */
+  backOffWaitMs(now: number): number {
+    let least = Number.POSITIVE_INFINITY;
+    let ready = 0;
+    for (const server of this.#backingOff) {
+      const ms = server.backOffMs(now);
+      if (ms === 0) this.#backingOff.delete(server);
+      if (ms === 0 || !server.ready) continue;
+      ready += 1;
+      least = Math.min(least, ms);
+    }
+    return ready > 0 && ready >= this.#ready ? least : 0;
+  }
+
   /** Number of servers that limit their request rate. */
   get rateLimitedCount(): number {
     return this.#rateLimited;
@@ -259,28 +299,28 @@
     this.#servers.set(record.id, new ServerState(record, health, now));
   }
 
-  /** Records the rate limit in the answer to a check or a probe. */
-  #recordReport(
+  /** Records what a server says about the requests that it wants. */
+  #recordStatement(
     server: ServerState,
-    result: CheckResult | ProbeResult,
+    result: CallResult | CheckResult | ProbeResult,
     now: number,
   ): void {
-    if (result.kind === "failed") return;
-    const { rateLimit } = result;
+    const { rateLimit, backOffMs } = result;
+    if (backOffMs !== undefined) this.#recordBackOff(server, backOffMs, now);
     const complete = result.kind === "answered";
-    this.#recordRateLimit(server, { rateLimit, complete }, now);
-  }
-
-  #recordRateLimit(
-    server: ServerState,
-    answer: { rateLimit: number | undefined; complete: boolean },
-    now: number,
-  ): void {
     const previous = server.rateLimit.perSecond;
-    if (!server.rateLimit.recordAnswer(answer, now)) return;
+    if (!server.rateLimit.recordAnswer({ rateLimit, complete }, now)) return;
     this.#reportRateLimit(server, previous);
   }
 
+  #recordBackOff(server: ServerState, backOffMs: number, now: number): void {
+    const jitter = Math.min(MAX_JITTER_MS, backOffMs * JITTER_SHARE);
+    const ms = backOffMs + this.#random.next() * jitter;
+    server.backOffUntil = Math.max(server.backOffUntil, now + ms);
+    this.#backingOff.add(server);
+    this.#backOffs.push({ server: server.record, ms: Math.round(ms) });
+  }
+
   #reportRateLimit(server: ServerState, previous: number | undefined): void {
     const { perSecond } = server.rateLimit;
     this.#rateLimitChanges.push({ server: server.record, perSecond, previous });
@@ -297,7 +337,7 @@
 
   #limit(server: ServerState, now: number): number {
     const { health } = server;
-    if (now < server.pausedUntil || server.isRateLimited) return 0;
+    if (now < server.pausedUntil || !server.accepts(now)) return 0;
     if (health.status === "ejected") return 0;
     if (health.status === "trial") return 1;
     const warmLimit = this.#warmUp.slots(server, now) * health.usableShare(now);
--- a/packages/routing/messages.ts
+++ b/packages/routing/messages.ts
@@ -1,5 +1,5 @@
 import type { BackendServerId, CallFaultCode, Priority } from "#model";
-import type { CallResultKind } from "./effects.ts";
+import type { CallResultKind, ServerStatement } from "./effects.ts";
 import type { RateNotice } from "./named_rate.ts";
 
 /**
@@ -59,7 +59,7 @@
 }
 
 /** A slot that the entry no longer uses. */
-export interface ReleasedSlot {
+export interface ReleasedSlot extends ServerStatement {
   readonly ticket: number;
   /** `unused`: the entry never assigned the slot to a call. */
   readonly kind: CallResultKind | "unused";
@@ -69,8 +69,6 @@
    * Slowdown that the server reports: service time relative to its usual one.
    */
   readonly slowdown?: number | undefined;
-  /** Requests a second that the server names as its limit in its answer. */
-  readonly rateLimit?: number | undefined;
 }
 
 /** A server's rate limit as one entry knows it. */
--- a/packages/routing/rate_limit_run.ts
+++ b/packages/routing/rate_limit_run.ts
@@ -52,6 +52,13 @@
   readonly #limitedSince = new Map<string, number>();
   /** When each entry got its first answer with the limit, by server. */
   readonly #told = new Map<string, Map<string, number>>();
+  readonly #backOffs = new Map<string, number>();
+  readonly #backOffTimes: {
+    entry: string;
+    server: string;
+    from: number;
+    until: number;
+  }[] = [];
   readonly #finishAt = new Map<string, number>();
   readonly #undecided = new Map<string, number>();
   #seen = { assignments: 0, checks: 0, probes: 0 };
@@ -68,6 +75,32 @@
     });
   }
 
+  /** Calls to this server are refused with a time to back off, or no longer. */
+  setBackOff(server: string, backOffMs: number | undefined): void {
+    if (backOffMs === undefined) this.#backOffs.delete(server);
+    else this.#backOffs.set(server, backOffMs);
+  }
+
+  /**
+   * Requests that an entry sent to a server between half a second after it was
+   * told to back off and the end of that time; the most of all such times.
+   */
+  requestsDuringBackOff(server: string): number {
+    const counts = this.#backOffTimes
+      .filter((time) => time.server === server)
+      .map(
+        ({ entry, from, until }) =>
+          this.requests.filter(
+            (r) =>
+              r.server === server &&
+              r.entry === entry &&
+              r.at >= from + TOLD_AFTER_MS &&
+              r.at < until,
+          ).length,
+      );
+    return Math.max(0, ...counts);
+  }
+
   /** From now on, the server names this limit in its answers, or none. */
   setLimit(server: string, perSecond: number | undefined): void {
     this.#told.delete(server);
@@ -152,7 +185,8 @@
       this.requests.push(sent);
       const { serviceMs } = this.#options;
       const duration = serviceMs * (0.7 + 0.6 * this.#random.next());
-      this.#finishAt.set(sent.callId, sent.at + duration);
+      const refused = this.#backOffs.has(sent.server);
+      this.#finishAt.set(sent.callId, sent.at + (refused ? 1 : duration));
     }
     const others = [
       ...checks.slice(this.#seen.checks),
@@ -190,6 +224,13 @@
       if (!run) this.#finishAt.delete(call);
       if (!run || at > cluster.now) continue;
       this.#finishAt.delete(call);
+      const backOffMs = this.#backOffs.get(run.server);
+      if (backOffMs !== undefined) {
+        const { now } = cluster;
+        this.#backOffTimes.push({ ...run, from: now, until: now + backOffMs });
+        cluster.finish(call, { kind: "not_started", backOffMs });
+        continue;
+      }
       const rateLimit = this.#limits.get(run.server);
       if (rateLimit !== undefined) this.#tell(run.entry, run.server);
       const { serviceMs } = this.#options;
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -77,6 +77,14 @@
     ]);
   }
 
+  /** Number of servers that want no requests of this entry, by service. */
+  backingOffServers(): [service: string, servers: number][] {
+    return [...this.#services].map(([name, router]) => [
+      name,
+      router.servers.backingOffCount,
+    ]);
+  }
+
   /** Number of servers that limit their request rate, by service. */
   rateLimitedServers(): [service: string, servers: number][] {
     return [...this.#services].map(([name, router]) => [
@@ -197,7 +205,7 @@
     const dispatcher = this.#dispatchers.get(service);
     const effects =
       dispatcher?.handleProbeResult(id, { failed, leaving }, now) ?? [];
-    const changes = router?.rateLimitEffects() ?? [];
+    const changes = router?.statementEffects() ?? [];
     return this.#deliverToSelf([...effects, ...changes], now);
   }
 
@@ -328,7 +336,8 @@
         ? dispatcher.slots.servers()
         : router.servers.servers();
       const { service } = router;
-      const candidates = withoutRateLimit(servers, router.servers);
+      const local = router.servers;
+      const candidates = probeCandidates(servers, { local, now });
       for (const id of prober.pick(candidates, { service, share, now })) {
         const server = router.servers.get(id)?.record;
         if (server) effects.push({ type: "probe", server });
@@ -383,16 +392,16 @@
 type ProbeCandidate = Pick<ServerState, "record" | "lastHeard" | "rateLimit">;
 
 /**
- * The servers that may be probed: a probe would use up the rate of a server
- * that limits it.
+ * The servers that may be probed: a probe is a request, which a server with a
+ * rate limit counts and one that backs off does not want.
  */
-function* withoutRateLimit(
+function* probeCandidates(
   servers: Iterable<ProbeCandidate>,
-  local: LocalServers,
+  { local, now }: { local: LocalServers; now: number },
 ): Iterable<ProbeCandidate> {
   for (const server of servers) {
-    const isKnownHere = local.get(server.record.id)?.isRateLimited === true;
-    if (isKnownHere || server.rateLimit.perSecond !== undefined) continue;
-    yield server;
+    const known = local.get(server.record.id);
+    if (known?.isRateLimited || (known?.backOffMs(now) ?? 0) > 0) continue;
+    if (server.rateLimit.perSecond === undefined) yield server;
   }
 }
--- a/packages/routing/server_state.ts
+++ b/packages/routing/server_state.ts
@@ -37,6 +37,8 @@
   slowdownAt = Number.NEGATIVE_INFINITY;
   /** Requests in flight by the server's last report, this entry's included. */
   reportedInFlight = 0;
+  /** Time until which this incarnation wants no requests from this entry. */
+  backOffUntil = Number.NEGATIVE_INFINITY;
   /** The rate limit that this incarnation of the server names. */
   rateLimit = new NamedRate();
   #othersInFlight = 0;
@@ -54,6 +56,7 @@
     if (record.incarnation !== this.record.incarnation) {
       this.leaving = false;
       this.rateLimit = new NamedRate();
+      this.backOffUntil = Number.NEGATIVE_INFINITY;
       this.latencyMs = 0;
       this.startedAt = now - record.startedMsAgo;
     }
@@ -119,4 +122,18 @@
   get ready(): boolean {
     return !this.leaving && this.record.state === "ready";
   }
+
+  /** Time for which the server still wants no requests, in milliseconds. */
+  backOffMs(now: number): number {
+    return Math.max(0, this.backOffUntil - now);
+  }
+
+  /**
+   * Whether the server wants a request of this entry: the one place that all
+   * sends ask. `paced` requests are within its rate limit.
+   */
+  accepts(now: number, { paced = false } = {}): boolean {
+    if (!this.ready || this.backOffMs(now) > 0) return false;
+    return paced || !this.isRateLimited;
+  }
 }
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -10,7 +10,12 @@
   View,
 } from "#model";
 import { DispatchLink, type EntryState } from "./dispatch_link.ts";
-import type { CallResult, CheckResult, RoutingEffect } from "./effects.ts";
+import type {
+  CallResult,
+  CheckResult,
+  RoutingEffect,
+  ServerStatement,
+} from "./effects.ts";
 import { GrantedSlots } from "./granted_slots.ts";
 import { LocalServers } from "./local_servers.ts";
 import { isLongRunning } from "./long_running.ts";
@@ -146,6 +151,8 @@
       const retryAfterMs = NO_SERVER_RETRY_AFTER_MS;
       return [rejectEffect(id, "no_server", { retryAfterMs })];
     }
+    const backOffMs = this.#servers.backOffWaitMs(now);
+    if (backOffMs > 0) return [rejectBackOff(id, backOffMs)];
     const expectedServiceMs = Math.min(
       this.#servers.meanMs,
       (deadline - now) / 2,
@@ -172,12 +179,8 @@
     const { kind, leaving, slowdown } = result;
     if (kind === "answered") this.#placementChecks.recordReport(slowdown);
     if (this.link.sendsUpdates) {
-      const { rateLimit } = result;
       const released = { ticket, kind, serviceMs, leaving, slowdown };
-      this.link.addReleased({
-        ...released,
-        ...(rateLimit !== undefined && { rateLimit }),
-      });
+      this.link.addReleased({ ...released, ...statementOf(result) });
     }
     const reused = this.#grantedSlots.reuseSlot(server, now);
     // While there are credits, no call waits, so the release can be sent with
@@ -187,15 +190,20 @@
       ...reused,
       ...sent,
       ...this.#assignLocally(now),
-      ...this.rateLimitEffects(),
+      ...this.statementEffects(),
     ];
   }
 
-  /** The changes of rate limits that were not reported yet. */
-  rateLimitEffects(): RoutingEffect[] {
-    return this.#servers
-      .takeRateLimitChanges()
-      .map((change) => ({ type: "rate_limit_changed", ...change }));
+  /** What servers said about requests and was not reported yet. */
+  statementEffects(): RoutingEffect[] {
+    const effects: RoutingEffect[] = [];
+    for (const change of this.#servers.takeRateLimitChanges()) {
+      effects.push({ type: "rate_limit_changed", ...change });
+    }
+    for (const backOff of this.#servers.takeBackOffs()) {
+      effects.push({ type: "server_backs_off", ...backOff });
+    }
+    return effects;
   }
 
   /**
@@ -215,12 +223,12 @@
       this.#servers.recordCheck(server, result, now);
       call.assignedAt = now;
       call.slowdownAtStart = server.slowdown;
-      return [assignEffect(call, server, now), ...this.rateLimitEffects()];
+      return [assignEffect(call, server, now), ...this.statementEffects()];
     }
     return [
       ...this.#declineServer(call, result, now),
       ...this.#assignLocally(now),
-      ...this.rateLimitEffects(),
+      ...this.statementEffects(),
     ];
   }
 
@@ -238,7 +246,6 @@
     this.#servers.releaseUnused(server, result, now);
     const answered = result.kind === "answered" ? result : undefined;
     const failureKind = result.kind === "shed" ? "not_started" : "lost";
-    const rateLimit = result.kind === "failed" ? undefined : result.rateLimit;
     if (this.link.sendsUpdates) {
       this.link.addReleased({
         ticket,
@@ -246,7 +253,7 @@
         serviceMs: 0,
         leaving: answered?.leaving,
         slowdown: answered?.healthy ? answered.slowdown : UNHEALTHY_SLOWDOWN,
-        ...(rateLimit !== undefined && { rateLimit }),
+        ...statementOf(result),
       });
     }
     call.server = undefined;
@@ -278,7 +285,7 @@
   ): RoutingEffect[] {
     if (!this.link.accept(from, grant, now)) return [];
     if (grant.rateLimits) this.#servers.applyRateLimits(grant.rateLimits, now);
-    const effects: RoutingEffect[] = this.rateLimitEffects();
+    const effects: RoutingEffect[] = this.statementEffects();
     for (const granted of grant.grants) {
       effects.push(...this.#grantedSlots.handleGrant(granted, now));
     }
@@ -305,6 +312,7 @@
       this.#refreshAt = now + REFRESH_MS;
     }
     const effects: RoutingEffect[] = this.#rejectExpired(now);
+    effects.push(...this.#rejectBackedOff(now));
     const longRunning = isLongRunning(this.#servers.meanMs);
     if (this.link.answerOverdue(now, longRunning)) this.link.detach(now);
     if (this.link.joinDue(now) && this.#calls.size > 0) {
@@ -333,7 +341,7 @@
   #assignOrQueue(call: OpenCall, now: number): RoutingEffect[] {
     const asks = this.#asksForPacedSlot(now);
     if (this.link.state === "attached") {
-      const server = asks ? undefined : this.#useCredit(call);
+      const server = asks ? undefined : this.#useCredit(call, now);
       if (server) {
         call.assignedBy = "credit";
         return this.#assign(call, server, now);
@@ -362,19 +370,18 @@
     return [...this.#enqueue(call, now), ...this.link.flush(now)];
   }
 
-  #isUsable(call: OpenCall, id: BackendServerId): boolean {
+  #isUsable(call: OpenCall, id: BackendServerId, now: number): boolean {
     const server = this.#servers.get(id);
-    if (!server?.ready || server.isRateLimited) return false;
-    return !call.exclude.has(id);
+    return !call.exclude.has(id) && server?.accepts(now) === true;
   }
 
   /**
    * Uses a credit, which is a slot granted in advance, and prefers one in the
    * entry's own data centre.
    */
-  #useCredit(call: OpenCall): ServerState | undefined {
+  #useCredit(call: OpenCall, now: number): ServerState | undefined {
     const candidates = this.link.credits
-      .filter((id) => this.#isUsable(call, id))
+      .filter((id) => this.#isUsable(call, id, now))
       .flatMap((id) => this.#servers.get(id) ?? []);
     const { dataCentre } = this.#options;
     const isNear = (server: ServerState) =>
@@ -471,6 +478,20 @@
     });
   }
 
+  /** Rejects the waiting calls while no server wants calls of this entry. */
+  #rejectBackedOff(now: number): RoutingEffect[] {
+    const backOffMs = this.#servers.backOffWaitMs(now);
+    if (backOffMs === 0) return [];
+    const effects: RoutingEffect[] = [];
+    for (let call = this.#calls.queue.peek(); call; ) {
+      this.#calls.remove(call);
+      this.link.addCancelled(call.ticket);
+      effects.push(rejectBackOff(call.id, backOffMs));
+      call = this.#calls.queue.peek();
+    }
+    return effects;
+  }
+
   #joinDispatcher(now: number): RoutingEffect[] {
     return this.link.report(this.#entryState(now), now);
   }
@@ -482,3 +503,18 @@
     return rateLimits.length > 0 ? { ...state, rateLimits } : state;
   }
 }
+
+/** What an answer says about requests, without the fields that are absent. */
+function statementOf({ rateLimit, backOffMs }: ServerStatement) {
+  return {
+    ...(rateLimit !== undefined && { rateLimit }),
+    ...(backOffMs !== undefined && { backOffMs }),
+  };
+}
+
+/** Rejects a call for which no server wants requests of this entry. */
+function rejectBackOff(callId: string, backOffMs: number): RoutingEffect {
+  const retryAfterMs = Math.ceil(backOffMs);
+  const detail = "all servers have asked this entry to back off";
+  return rejectEffect(callId, "no_server", { retryAfterMs, detail });
+}
--- a/packages/routing/slot_scheduler.ts
+++ b/packages/routing/slot_scheduler.ts
@@ -1,3 +1,4 @@
+import type { BackendServerId } from "#model";
 import type { WaitingCall } from "./dispatch_entry.ts";
 import type { DispatcherState } from "./dispatcher_state.ts";
 import { isLongRunning } from "./long_running.ts";
@@ -41,7 +42,7 @@
       const call = queue.peek();
       if (!call) break;
       const server = this.#choose(call, now);
-      if (!server && !call.exclude?.length) break;
+      if (!server && this.#excludedServers(call, now).length === 0) break;
       queue.take();
       if (server) this.#grant(call, server, now);
       else skipped.push(call);
@@ -65,7 +66,7 @@
         this.#waitingCalls.queue.first("urgent");
       if (!call || this.#state.slots.free > 0) return;
       const slowServer = this.#state.slots.pickSlow({
-        exclude: call.exclude,
+        exclude: this.#excludedServers(call, now),
         includeTemporary,
       });
       if (!slowServer) return;
@@ -102,11 +103,23 @@
     return now + extraRatio * typicalMs <= call.latestStart;
   }
 
+  /**
+   * The servers that a call must not use: those that it tried, unless it tried
+   * all, and those that want no calls of its entry.
+   */
+  #excludedServers(
+    { exclude = [], entry }: WaitingCall,
+    now: number,
+  ): readonly BackendServerId[] {
+    const tried = exclude.length >= this.#state.slots.size ? [] : exclude;
+    const backingOff = entry.serversBackingOff(now);
+    return backingOff.length > 0 ? [...tried, ...backingOff] : tried;
+  }
+
   #choose(call: WaitingCall, now: number): ServerSlots | undefined {
     const { outliers } = this.#state;
     const near = call.entry.dataCentre;
-    const excludesAll = (call.exclude?.length ?? 0) >= this.#state.slots.size;
-    const exclude = excludesAll ? undefined : call.exclude;
+    const exclude = this.#excludedServers(call, now);
     const connected = call.entry.connectedServers(now);
     const { slots } = this.#state;
     const free = slots.pick(near, { exclude, connected });
--- a/packages/routing/test_cluster.ts
+++ b/packages/routing/test_cluster.ts
@@ -284,7 +284,7 @@
         this.#check(entry, effect);
       } else if (effect.type === "send") {
         this.#send(entry, effect as SendEffect);
-      } else if (effect.type !== "rate_limit_changed") {
+      } else if (effect.type === "assign" || effect.type === "reject") {
         this.#decide(entry, effect);
       }
     }
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -30,6 +30,8 @@
   readonly probeBudget?: () => ValuesByService;
   /** Number of servers that limit their request rate. */
   readonly rateLimitedServers?: () => ValuesByService;
+  /** Number of servers that want no requests of this entry at present. */
+  readonly backingOffServers?: () => ValuesByService;
   readonly peerTraffic?: () => PeerTraffic;
 }
 
@@ -57,7 +59,7 @@
   readonly #probeCost;
   readonly #probes;
   readonly #serverRequests;
-  readonly #malformedRates;
+  readonly #malformedHeaders;
 
   constructor(sources: MetricsSources = {}) {
     const registers = [this.#registry];
@@ -100,9 +102,9 @@
       labelNames: ["service", "kind"],
       registers,
     });
-    this.#malformedRates = new Counter({
-      name: "mangobank_malformed_rate_limits_total",
-      help: "Answers of backend servers whose rate limit cannot be read",
+    this.#malformedHeaders = new Counter({
+      name: "mangobank_malformed_server_headers_total",
+      help: "Headers in answers of backend servers that cannot be read",
       labelNames: ["service"],
       registers,
     });
@@ -118,7 +120,7 @@
     for (const service of removed.services) {
       this.#probes.remove({ service });
       this.#probeCost.remove({ service });
-      this.#malformedRates.remove({ service });
+      this.#malformedHeaders.remove({ service });
       for (const kind of SERVER_REQUEST_KINDS) {
         this.#serverRequests.remove({ service, kind });
       }
@@ -159,10 +161,10 @@
     this.#serverRequests.inc({ service: label, kind });
   }
 
-  /** Records an answer whose rate limit cannot be read. */
-  recordMalformedRate(service: string): void {
+  /** Records a header of an answer that cannot be read. */
+  recordMalformedHeader(service: string): void {
     const label = this.#labels.serviceLabel(service);
-    this.#malformedRates.inc({ service: label });
+    this.#malformedHeaders.inc({ service: label });
   }
 
   /** Content type of the result of `text`. */
@@ -203,6 +205,10 @@
       name: "mangobank_rate_limited_servers",
       help: "Backend servers that limit their request rate, as known here",
     });
+    this.#registerServiceGauge(sources.backingOffServers, {
+      name: "mangobank_backing_off_servers",
+      help: "Backend servers that want no requests of this entry at present",
+    });
     if (peerTraffic) registerPeerTraffic(this.#registry, peerTraffic);
   }
 
--- a/packages/telemetry/metrics_test.ts
+++ b/packages/telemetry/metrics_test.ts
@@ -33,7 +33,7 @@
   metrics.recordWait(call);
   metrics.recordProbe("alloc", 6);
   metrics.recordServerRequest("alloc", "check");
-  metrics.recordMalformedRate("alloc");
+  metrics.recordMalformedHeader("alloc");
   const text = await metrics.text();
   for (const line of [
     'mangobank_call_duration_seconds_count{service="alloc",class="booking"} 2',
@@ -41,7 +41,7 @@
     'outcome="not-run",code="queue_full"} 1',
     'mangobank_probe_slot_seconds_total{service="alloc"} 0.006',
     'mangobank_server_requests_total{service="alloc",kind="check"} 1',
-    'mangobank_malformed_rate_limits_total{service="alloc"} 1',
+    'mangobank_malformed_server_headers_total{service="alloc"} 1',
     "mangobank_configuration_version 12",
     "nodejs_eventloop_lag_p99_seconds",
   ]) {
