Catch mutations of the rate limits in tests

Mutations run by hand: a limited server probed, a pacer that starts full and reports without limits were not caught, the missing wait for a token only by chance (at 68 calls a second limited servers are spared). Bounds are unchanged.

--- a/packages/routing/rate_limits_test.ts
+++ b/packages/routing/rate_limits_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { RateLimitRun, type RateLimitRunOptions } from "./rate_limit_run.ts";
-import { makeServer, makeView } from "./test_cluster.ts";
+import { makeServer, makeView, TestCluster } from "./test_cluster.ts";
 
 const SMALL_SITE: RateLimitRunOptions = {
   seed: 1,
@@ -11,6 +11,9 @@
   serviceMs: 300,
 };
 
+/** Load at which nearly all slots are in use, so that no server is spared. */
+const HIGH_LOAD = { ...SMALL_SITE, callsPerS: 200 };
+
 /** A run in which two servers have named limits for a second. */
 function makeLimitedRun(changes: Partial<RateLimitRunOptions> = {}) {
   const run = new RateLimitRun({ ...SMALL_SITE, ...changes });
@@ -29,19 +32,22 @@
 // Guards against servers that name a limit and get requests as before, of all
 // entries together: calls, checks and probes.
 test("servers get no more requests than the rate limits that they name", () => {
-  for (const seed of [1, 2, 3]) {
-    const run = new RateLimitRun({ ...SMALL_SITE, seed });
-    run.run(3_000);
-    run.setLimit("s0", 2.3);
-    run.setLimit("s1", 3.6);
-    run.run(12_000);
-    assertWithinLimits(run, `seed ${seed}`);
+  for (const site of [SMALL_SITE, HIGH_LOAD]) {
+    for (const seed of [1, 2, 3]) {
+      const run = new RateLimitRun({ ...site, seed });
+      run.run(3_000);
+      run.setLimit("s0", 2.3);
+      run.setLimit("s1", 3.6);
+      run.run(12_000);
+      const what = `seed ${seed}, ${site.callsPerS} calls a second`;
+      assertWithinLimits(run, what);
+    }
   }
 });
 
 // Guards against a server that is shut out because it has named a limit.
 test("a server with a rate limit is used up to it when others are full", () => {
-  const run = makeLimitedRun({ callsPerS: 200 });
+  const run = makeLimitedRun(HIGH_LOAD);
   run.run(2_000);
   const { now } = run.cluster;
   run.run(10_000);
@@ -73,7 +79,7 @@
 // against a new dispatcher that allows the whole limit once more.
 test("rate limits hold while the dispatcher is replaced", () => {
   for (const seed of [1, 2, 3, 4]) {
-    const run = makeLimitedRun({ seed });
+    const run = makeLimitedRun({ ...HIGH_LOAD, seed });
     const { cluster } = run;
     for (let epoch = 2; epoch <= 3; epoch++) {
       cluster.kill(cluster.dispatcher);
@@ -85,6 +91,39 @@
   }
 });
 
+// Guards against probes, which are requests as well.
+test("a server with a rate limit is not probed", () => {
+  const servers = ["s0", "s1", "s2"].map((id) => makeServer(id));
+  const cluster = new TestCluster({ servers });
+  const exclude = new Set(["s0"]);
+  const first = cluster.submit("e0", { exclude: new Set(["s1", "s2"]) });
+  cluster.advance(20);
+  cluster.finish(first, { rateLimit: 1 });
+  for (let i = 0; i < 100; i++) {
+    const call = cluster.submit("e0", { exclude });
+    cluster.advance(60);
+    cluster.finish(call, { serviceMs: 60 });
+    cluster.advance(40);
+  }
+  assert.deepEqual(
+    cluster.probes.filter(({ server }) => server === "s0"),
+    [],
+  );
+});
+
+test("a new dispatcher learns the limits with the first reports", () => {
+  const run = makeLimitedRun(HIGH_LOAD);
+  const { cluster } = run;
+  run.run(1_000);
+  cluster.kill(cluster.dispatcher);
+  cluster.setView(makeView([...cluster.routers.keys()], 2));
+  run.run(100);
+  const dispatcher = cluster.router(cluster.dispatcher).dispatcher("alloc");
+  for (const server of ["s0", "s1"]) {
+    assert.ok(dispatcher?.slots.get(server)?.pacer, server);
+  }
+});
+
 test("entries cut off from the dispatcher keep to rate limits", () => {
   const run = makeLimitedRun();
   const { cluster } = run;
