Refuse calls at once when only a lost dispatcher could place them

What callers saw: none seen by callers yet; found while reading. If all servers of a service limit their rate and its dispatcher is gone or does not answer, calls waited at the entry for it until their deadline, although the entry may use no such server itself. They are refused at once now, with a time to return, and the entry goes on joining. The estimate of an entry's own queue no longer refuses calls of a service in which only the dispatcher can tell.

"calls are refused at once without a dispatcher if all servers limit" failed before (none refused in 2 s) and passes now.

--- a/packages/routing/dispatch_link.ts
+++ b/packages/routing/dispatch_link.ts
@@ -61,6 +61,7 @@
   readonly #service: string;
   readonly #sequenceNumbers: SequenceNumbers;
   #state: LinkState = "detached";
+  #unreachable = false;
   #dispatcher: HostId | undefined;
   #incarnation = 0;
   #epoch = 0;
@@ -105,6 +106,11 @@
     return this.#state !== "detached";
   }
 
+  /** Whether the dispatcher was lost or has not answered, and not since. */
+  get isUnreachable(): boolean {
+    return this.#unreachable || this.#dispatcher === undefined;
+  }
+
   get hasCredits(): boolean {
     return this.#credits.length > 0;
   }
@@ -122,12 +128,19 @@
     this.#incarnation = incarnation;
     this.#epoch = epoch;
     this.#joinAt = 0;
+    this.#unreachable = false;
     this.#reset();
   }
 
   /** Detaches after the connection to the dispatcher was lost. */
   disconnected(now: number): void {
     this.#lastSequence = 0;
+    this.giveUp(now);
+  }
+
+  /** Detaches from a dispatcher that does not answer. */
+  giveUp(now: number): void {
+    this.#unreachable = true;
     this.detach(now);
   }
 
@@ -274,6 +287,7 @@
     this.#lastSequence = grant.sequence;
     if (this.#state === "detached") return false;
     this.#state = "attached";
+    this.#unreachable = false;
     this.#lastReceived = now;
     const answered = grant.acknowledged >= this.#lastQuestion;
     this.#awaitingSince = answered ? undefined : now;
--- a/packages/routing/local_servers.ts
+++ b/packages/routing/local_servers.ts
@@ -71,7 +71,7 @@
     return this.#outliers.meanMs;
   }
 
-  /** Slots of the servers that accept calls. */
+  /** Slots of the servers that accept calls and do not limit their rate. */
   get readySlots(): number {
     return this.#readySlots;
   }
@@ -238,6 +238,11 @@
     return ready > 0 && ready >= this.#ready ? least : 0;
   }
 
+  /** Whether each server that accepts calls limits its request rate. */
+  get allRateLimited(): boolean {
+    return this.#ready > 0 && this.#readySlots === 0;
+  }
+
   /** Number of servers that limit their request rate. */
   get rateLimitedCount(): number {
     return this.#rateLimited;
--- a/packages/routing/probing.ts
+++ b/packages/routing/probing.ts
@@ -1,4 +1,6 @@
 import type { BackendServerId, HostId, Service, View } from "#model";
+import type { LocalServers } from "./local_servers.ts";
+import type { ServerState } from "./server_state.ts";
 
 /**
  * Slot time of a probe that is assumed before any was measured, and the least
@@ -113,3 +115,20 @@
     return since !== undefined && now - since < PROBE_TIMEOUT_MS;
   }
 }
+
+type ProbeCandidate = Pick<ServerState, "record" | "lastHeard" | "rateLimit">;
+
+/**
+ * The servers that may be probed: a probe is a request, which a server with a
+ * rate limit counts and one that backs off does not want.
+ */
+export function* probeCandidates(
+  servers: Iterable<ProbeCandidate>,
+  { local, now }: { local: LocalServers; now: number },
+): Iterable<ProbeCandidate> {
+  for (const server of servers) {
+    const known = local.get(server.record.id);
+    if (known?.isRateLimited || (known?.backOffMs(now) ?? 0) > 0) continue;
+    if (server.rateLimit.perSecond === undefined) yield server;
+  }
+}
--- a/packages/routing/queue_policy.ts
+++ b/packages/routing/queue_policy.ts
@@ -17,11 +17,13 @@
     this.#servers = servers;
   }
 
-  /** Time until this many waiting calls have started, in milliseconds. */
+  /**
+   * Time until this many waiting calls have started, in milliseconds; 0 if only
+   * the dispatcher can tell, since all servers limit their rate.
+   */
   estimateWaitMs(calls: number): number {
-    return (
-      (calls * this.#servers.meanMs) / Math.max(1, this.#servers.readySlots)
-    );
+    const { meanMs, readySlots } = this.#servers;
+    return readySlots === 0 ? 0 : (calls * meanMs) / readySlots;
   }
 
   /**
--- a/packages/routing/rate_limits_test.ts
+++ b/packages/routing/rate_limits_test.ts
@@ -173,6 +173,29 @@
   assert.ok(run.answeredCount > 0.95 * 7.5 * SMALL_SITE.callsPerS);
 });
 
+// Guards against calls that wait until their deadline for a dispatcher that is
+// gone, since only it can use servers that limit their rate.
+test("calls are refused at once without a dispatcher if all servers limit", () => {
+  const run = new RateLimitRun(SMALL_SITE);
+  run.run(2_000);
+  for (let i = 0; i < SMALL_SITE.servers; i++) run.setLimit(`s${i}`, 2);
+  run.run(2_000);
+  const { cluster } = run;
+  cluster.kill(cluster.dispatcher);
+  const { now } = cluster;
+  run.run(2_000);
+  const refusals = run.refusals.filter(({ at }) => at > now);
+  assert.ok(refusals.length > 0.9 * 2 * SMALL_SITE.callsPerS);
+  const waits = refusals.map(({ waitedMs }) => waitedMs).sort((a, b) => a - b);
+  const median = waits[Math.floor(waits.length / 2)] ?? 0;
+  assert.ok(median <= 10, `half of them waited ${median} ms`);
+  cluster.setView(makeView([...cluster.routers.keys()], 2));
+  run.run(1_000);
+  const before = run.answeredCount;
+  run.run(3_000);
+  assert.ok(run.answeredCount - before > 0.8 * 3 * 24);
+});
+
 // Guards against calls that wait until their deadline although the servers'
 // limits leave no room for them. Some wait, late, until urgent ones come first.
 test("calls beyond the limits of all servers are refused before their deadline", () => {
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -20,12 +20,10 @@
   ProbeResult,
   RoutingEffect,
 } from "./effects.ts";
-import type { LocalServers } from "./local_servers.ts";
 import { isLongRunning } from "./long_running.ts";
 import type { DispatchMessage } from "./messages.ts";
-import { Prober, ProbeShare } from "./probing.ts";
+import { Prober, ProbeShare, probeCandidates } from "./probing.ts";
 import { SequenceNumbers } from "./sequence_numbers.ts";
-import type { ServerState } from "./server_state.ts";
 import { ServiceRouter } from "./service_router.ts";
 
 /** Interval at which the router looks for servers to probe. */
@@ -388,20 +386,3 @@
     return remaining;
   }
 }
-
-type ProbeCandidate = Pick<ServerState, "record" | "lastHeard" | "rateLimit">;
-
-/**
- * The servers that may be probed: a probe is a request, which a server with a
- * rate limit counts and one that backs off does not want.
- */
-function* probeCandidates(
-  servers: Iterable<ProbeCandidate>,
-  { local, now }: { local: LocalServers; now: number },
-): Iterable<ProbeCandidate> {
-  for (const server of servers) {
-    const known = local.get(server.record.id);
-    if (known?.isRateLimited || (known?.backOffMs(now) ?? 0) > 0) continue;
-    if (server.rateLimit.perSecond === undefined) yield server;
-  }
-}
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -9,6 +9,7 @@
   Service,
   View,
 } from "#model";
+import { CallRejections } from "./call_rejections.ts";
 import { DispatchLink, type EntryState } from "./dispatch_link.ts";
 import type {
   CallResult,
@@ -42,8 +43,6 @@
 const PACED_REQUEST_INTERVAL_MS = 250;
 /** Slowdown that is assumed of a server that reports itself unhealthy. */
 const UNHEALTHY_SLOWDOWN = 8;
-/** Time after which to retry a call to a service without servers. */
-const NO_SERVER_RETRY_AFTER_MS = 1_000;
 
 export interface ServiceRouterOptions {
   readonly dataCentre: DataCentre;
@@ -65,6 +64,7 @@
   readonly #servers: LocalServers;
   readonly #calls: OpenCalls;
   readonly #queuePolicy: QueuePolicy;
+  readonly #rejections: CallRejections;
   readonly #placementChecks: PlacementChecks;
   readonly #grantedSlots: GrantedSlots;
   #refreshAt = 0;
@@ -82,6 +82,12 @@
     });
     this.#queuePolicy = new QueuePolicy(this.#calls, this.#servers);
     this.link = new DispatchLink(service.name, options.sequenceNumbers);
+    this.#rejections = new CallRejections({
+      calls: this.#calls,
+      servers: this.#servers,
+      link: this.link,
+      queuePolicy: this.#queuePolicy,
+    });
     this.#placementChecks = new PlacementChecks({
       mayReportSpeed: options.serversReportSpeed ?? false,
     });
@@ -147,12 +153,11 @@
     const { id, deadline } = call;
     if (this.#calls.get(id)) return [];
     if (deadline <= now) return [rejectEffect(id, "deadline_expired")];
-    if (!this.#servers.anyReady) {
-      const retryAfterMs = NO_SERVER_RETRY_AFTER_MS;
-      return [rejectEffect(id, "no_server", { retryAfterMs })];
+    const rejection = this.#rejections.rejectNew(id, now);
+    if (rejection) {
+      const joins = this.link.joinDue(now) && this.link.isUnreachable;
+      return [rejection, ...(joins ? this.#joinDispatcher(now) : [])];
     }
-    const backOffMs = this.#servers.backOffWaitMs(now);
-    if (backOffMs > 0) return [rejectBackOff(id, backOffMs)];
     const expectedServiceMs = Math.min(
       this.#servers.meanMs,
       (deadline - now) / 2,
@@ -311,10 +316,10 @@
       this.#servers.tick(now);
       this.#refreshAt = now + REFRESH_MS;
     }
-    const effects: RoutingEffect[] = this.#rejectExpired(now);
-    effects.push(...this.#rejectBackedOff(now));
+    const effects = this.#rejections.rejectExpired(now);
+    effects.push(...this.#rejections.rejectUnservable(now));
     const longRunning = isLongRunning(this.#servers.meanMs);
-    if (this.link.answerOverdue(now, longRunning)) this.link.detach(now);
+    if (this.link.answerOverdue(now, longRunning)) this.link.giveUp(now);
     if (this.link.joinDue(now) && this.#calls.size > 0) {
       effects.push(...this.#joinDispatcher(now));
     } else if (this.link.reportDue(now, longRunning)) {
@@ -358,14 +363,7 @@
       this.#calls.queue.countAhead(call.priority),
     );
     if (now + waitMs > call.latestStart) {
-      this.#calls.remove(call);
-      return [
-        rejectEffect(
-          call.id,
-          "queue_full",
-          this.#queuePolicy.rejectionReason(this.link.state),
-        ),
-      ];
+      return [this.#rejections.rejectQueueFull(call)];
     }
     return [...this.#enqueue(call, now), ...this.link.flush(now)];
   }
@@ -404,15 +402,8 @@
     }
     if (offer.type === "queued") return [];
     const rejected = offer.type === "full" ? call : offer.evicted;
-    this.#calls.remove(rejected);
     if (rejected !== call) this.link.addCancelled(rejected.ticket);
-    return [
-      rejectEffect(
-        rejected.id,
-        "queue_full",
-        this.#queuePolicy.rejectionReason(this.link.state),
-      ),
-    ];
+    return [this.#rejections.rejectQueueFull(rejected)];
   }
 
   #assign(call: OpenCall, server: ServerState, now: number): RoutingEffect[] {
@@ -466,32 +457,6 @@
     return effects;
   }
 
-  #rejectExpired(now: number): RoutingEffect[] {
-    return this.#calls.queue.expire(now).map((call) => {
-      this.#calls.remove(call);
-      this.link.addCancelled(call.ticket);
-      return rejectEffect(
-        call.id,
-        "deadline_expired",
-        this.#queuePolicy.rejectionReason(this.link.state),
-      );
-    });
-  }
-
-  /** Rejects the waiting calls while no server wants calls of this entry. */
-  #rejectBackedOff(now: number): RoutingEffect[] {
-    const backOffMs = this.#servers.backOffWaitMs(now);
-    if (backOffMs === 0) return [];
-    const effects: RoutingEffect[] = [];
-    for (let call = this.#calls.queue.peek(); call; ) {
-      this.#calls.remove(call);
-      this.link.addCancelled(call.ticket);
-      effects.push(rejectBackOff(call.id, backOffMs));
-      call = this.#calls.queue.peek();
-    }
-    return effects;
-  }
-
   #joinDispatcher(now: number): RoutingEffect[] {
     return this.link.report(this.#entryState(now), now);
   }
@@ -511,10 +476,3 @@
     ...(backOffMs !== undefined && { backOffMs }),
   };
 }
-
-/** Rejects a call for which no server wants requests of this entry. */
-function rejectBackOff(callId: string, backOffMs: number): RoutingEffect {
-  const retryAfterMs = Math.ceil(backOffMs);
-  const detail = "all servers have asked this entry to back off";
-  return rejectEffect(callId, "no_server", { retryAfterMs, detail });
-}
