Answer probes in the runs of servers' statements

Traces show probes of entries that were cut off from the dispatcher: the checker took them as told by the probe's answer, but the test's network never gave the router that answer. No bound has changed.

--- a/packages/routing/rate_limit_run.ts
+++ b/packages/routing/rate_limit_run.ts
@@ -10,6 +10,7 @@
 const ALLOWED_FACTOR = 1.5;
 const ALLOWED_EXTRA = 5;
 const CALL_DEADLINE_MS = 2_500;
+const PROBE_MS = 6;
 const CALL_OBJECTIVE_MS = 800;
 
 export interface RateLimitRunOptions {
@@ -209,14 +210,14 @@
       const refused = this.#backOffs.has(sent.server);
       this.#finishAt.set(sent.callId, sent.at + (refused ? 1 : duration));
     }
-    const others = [
-      ...checks.slice(this.#seen.checks),
-      ...probes.slice(this.#seen.probes),
-    ];
-    for (const sent of others) {
+    for (const sent of checks.slice(this.#seen.checks)) {
       this.requests.push(sent);
       this.#tell(sent.entry, sent.server);
     }
+    for (const sent of probes.slice(this.#seen.probes)) {
+      this.requests.push(sent);
+      this.#answerProbe(sent);
+    }
     this.#seen = {
       assignments: assignments.length,
       checks: checks.length,
@@ -224,6 +225,17 @@
     };
   }
 
+  #answerProbe({ entry, server }: SentRequest): void {
+    const { cluster } = this;
+    const rateLimit = this.#limits.get(server);
+    const answer = { inFlight: 0, ms: PROBE_MS, rateLimit };
+    const result = { kind: "answered", ...answer } as const;
+    const of = { service: cluster.service.name, id: server };
+    const router = cluster.router(entry);
+    cluster.apply(entry, router.handleProbeResult(of, result, cluster.now));
+    this.#tell(entry, server);
+  }
+
   #collectRefusals(): void {
     const { now } = this.cluster;
     for (const [call, submittedAt] of this.#undecided) {
