Tell callers one outcome when the retry of a call is refused

Cause: after an attempt that may have run, the refusal of the retry kept its code and lost its time to return. The caller is now told what the earlier attempt left: `server_failed`, unknown, with the refusal in the detail and its time to return. `deadline_expired` and the codes of keys stand as they did.

--- a/packages/entry/call_attempts.ts
+++ b/packages/entry/call_attempts.ts
@@ -9,6 +9,7 @@
 import { type BackendServer, type CallFault, callFault } from "#model";
 import type { AssignmentBasis } from "#routing";
 import type { BackendResponse } from "./backend_response.ts";
+import { type EarlierRun, finalFault } from "./final_fault.ts";
 import type { ReverseProxyOptions } from "./reverse_proxy.ts";
 import {
   type AttemptInput,
@@ -52,9 +53,10 @@
   #hedgeTimer: NodeJS.Timeout | undefined;
   #stopReason: StopReason | undefined;
   /**
-   * Whether an attempt ended without proof that the server did not execute it.
+   * The last attempt that ended without proof that the server did not execute
+   * it.
    */
-  #mayHaveExecuted = false;
+  #earlierRun: EarlierRun | undefined;
   #attemptCount = 0;
   /** Number of attempts that were executed or may have been. */
   #possibleRuns = 0;
@@ -199,7 +201,7 @@
     }
     const { outcome } = evaluateAttempt(result.end, { repeatable });
     if (outcome !== "unknown") return;
-    this.#mayHaveExecuted = true;
+    this.#earlierRun = { detail: result.detail };
     this.#possibleRuns += 1;
   }
 
@@ -225,12 +227,7 @@
   #failure(fault: CallFault): CallAttemptsResult {
     const response = this.#serverError;
     if (response) return { type: "answer", response };
-    if (!this.#mayHaveExecuted) return { type: "fault", fault };
-    const { code, detail } = fault;
-    return {
-      type: "fault",
-      fault: callFault(code, { outcome: "unknown", detail }),
-    };
+    return { type: "fault", fault: finalFault(fault, this.#earlierRun) };
   }
 }
 
--- /dev/null
+++ b/packages/entry/final_fault.ts
@@ -0,0 +1,29 @@
+import { CALL_FAULTS, type CallFault, callFault } from "#model";
+
+/** How an earlier attempt ended that may have executed the request. */
+export interface EarlierRun {
+  readonly detail: string;
+}
+
+/**
+ * The fault that a caller is told after all attempts. If an earlier attempt may
+ * have executed the request, its outcome is unknown, whatever refused the
+ * retry; a code that stands for a request that was not run would contradict
+ * that, so it is only named in the detail.
+ */
+export function finalFault(
+  last: CallFault,
+  earlierRun: EarlierRun | undefined,
+): CallFault {
+  if (!earlierRun) return last;
+  const { code, detail, retryAfterMs } = last;
+  const outcome = "unknown";
+  const mayStand =
+    code === "deadline_expired" || CALL_FAULTS[code].outcome === outcome;
+  if (mayStand) return callFault(code, { outcome, detail });
+  return callFault("server_failed", {
+    outcome,
+    retryAfterMs,
+    detail: `${earlierRun.detail}; retry refused: ${code}`,
+  });
+}
