Earn no requests to a limited server for the time before a dispatcher

Found while reading: an entry's first report lists calls that began before a new dispatcher did, and counting them moved the pacer's clock back, so that it earned requests for that time and was ready at once. The test "a request that was sent before the start earns nothing" failed before and passes now.

--- a/packages/routing/rate_pacer.ts
+++ b/packages/routing/rate_pacer.ts
@@ -46,7 +46,7 @@
     return (Math.max(0, 1 - this.#tokens) * 1_000) / this.#perSecond;
   }
 
-  /** Counts a request, also one that was sent before it was ready. */
+  /** Counts a request, also one that was sent before it was ready, or earlier. */
   take(now: number): void {
     this.#refill(now);
     const maxDebt = Math.max(1, this.#perSecond * MAX_DEBT_S);
@@ -63,6 +63,7 @@
   }
 
   #refill(now: number): void {
+    if (now <= this.#filledAt) return;
     const earned = ((now - this.#filledAt) * this.#perSecond) / 1_000;
     this.#tokens = Math.min(this.#capacity, this.#tokens + earned);
     this.#filledAt = now;
--- a/packages/routing/rate_pacer_test.ts
+++ b/packages/routing/rate_pacer_test.ts
@@ -38,6 +38,14 @@
   assert.equal(pacer.waitMs(0), 2_500);
 });
 
+// Guards against a new dispatcher that earns requests for the time before it
+// started, from the reports of calls that began then.
+test("a request that was sent before the start earns nothing", () => {
+  const pacer = new RatePacer(2, 10_000);
+  pacer.take(7_000);
+  assert.equal(pacer.waitMs(10_000), 1_000);
+});
+
 test("a server that takes no requests is asked every ten seconds", () => {
   const pacer = new RatePacer(0, 0);
   assert.equal(takeAll(pacer, 0, 60_000).length, 5);
