Tell entries only what changed of the servers' rate limits

Found while working out the bytes for 316 entries: each report of an entry and each first grant to one that joined listed all limits, 40 bytes a server. With 20 limited servers and an entry that joins for each call, that is more than a link of 2 Mbit/s carries at the dispatcher.

The dispatcher now keeps a log of changes and tells each entry what it lacks by version; an entry reports only what it was not told.

--- a/packages/routing/dispatch_entry.ts
+++ b/packages/routing/dispatch_entry.ts
@@ -6,7 +6,7 @@
   HostId,
   Priority,
 } from "#model";
-import type { DispatchGrant, ServerRateLimit } from "./messages.ts";
+import type { DispatchGrant, RateLimitChanges } from "./messages.ts";
 import type { SequenceNumbers } from "./sequence_numbers.ts";
 import type { ServerSlots } from "./server_slots.ts";
 
@@ -55,12 +55,6 @@
   readonly paced?: boolean;
 }
 
-/** The rate limits of a service's servers, and the version of their list. */
-export interface RateLimits {
-  readonly version: number;
-  list(): readonly ServerRateLimit[];
-}
-
 type Outbox = {
   -readonly [K in "grants" | "rejects" | "credits" | "revoked"]: [
     ...DispatchGrant[K],
@@ -84,8 +78,8 @@
   readonly credits: ServerSlots[] = [];
   outbox: Outbox = emptyOutbox();
   answerDue = false;
-  /** Version of the rate limits that the entry was told last. */
-  rateLimitVersion = 0;
+  /** Version of the rate limits that the entry knows; undefined before it joins. */
+  rateLimitVersion: number | undefined;
   /**
    * Servers of the entry's last calls, the latest one last, with the time of
    * the call.
@@ -168,7 +162,7 @@
       "service" | "epoch" | "waitedMs" | "patientDue" | "avoid"
     >,
     sequenceNumbers: SequenceNumbers,
-    rateLimits: RateLimits,
+    rateLimits: RateLimitChanges | undefined,
   ): DispatchGrant | undefined {
     const { grants, rejects, credits, revoked } = this.outbox;
     const items =
@@ -178,14 +172,13 @@
     this.outbox = emptyOutbox();
     this.answerDue = false;
     const acknowledged = this.lastSequence;
-    const isTold = this.rateLimitVersion === rateLimits.version;
-    this.rateLimitVersion = rateLimits.version;
+    this.rateLimitVersion = rateLimits?.version ?? this.rateLimitVersion;
     return {
       ...header,
       sequence: sequenceNumbers.next(),
       acknowledged,
       ...outbox,
-      ...(!isTold && { rateLimits: rateLimits.list() }),
+      ...(rateLimits && { rateLimits }),
     };
   }
 }
--- a/packages/routing/dispatch_link.ts
+++ b/packages/routing/dispatch_link.ts
@@ -50,7 +50,7 @@
 /** The calls that an entry lists in a report. */
 export type EntryState = Pick<
   DispatchReport,
-  "taken" | "wanted" | "rateLimits"
+  "taken" | "wanted" | "rateLimits" | "rateLimitVersion"
 >;
 
 /**
@@ -62,6 +62,8 @@
   readonly #sequenceNumbers: SequenceNumbers;
   #state: LinkState = "detached";
   #unreachable = false;
+  /** Version of this dispatcher's rate limits that the entry knows. */
+  #rateLimitVersion: number | undefined;
   #dispatcher: HostId | undefined;
   #incarnation = 0;
   #epoch = 0;
@@ -111,6 +113,10 @@
     return this.#unreachable || this.#dispatcher === undefined;
   }
 
+  get rateLimitVersion(): number | undefined {
+    return this.#rateLimitVersion;
+  }
+
   get hasCredits(): boolean {
     return this.#credits.length > 0;
   }
@@ -123,7 +129,10 @@
     const { id, incarnation = 0 } = dispatcher ?? {};
     const same = id === this.#dispatcher && incarnation === this.#incarnation;
     if (epoch === this.#epoch && same) return;
-    if (!same) this.#lastSequence = 0;
+    if (!same) {
+      this.#lastSequence = 0;
+      this.#rateLimitVersion = undefined;
+    }
     this.#dispatcher = id;
     this.#incarnation = incarnation;
     this.#epoch = epoch;
@@ -288,6 +297,8 @@
     if (this.#state === "detached") return false;
     this.#state = "attached";
     this.#unreachable = false;
+    this.#rateLimitVersion =
+      grant.rateLimits?.version ?? this.#rateLimitVersion;
     this.#lastReceived = now;
     const answered = grant.acknowledged >= this.#lastQuestion;
     this.#awaitingSince = answered ? undefined : now;
--- a/packages/routing/dispatcher.ts
+++ b/packages/routing/dispatcher.ts
@@ -46,7 +46,7 @@
     this.#view = options.view;
     this.#sequenceNumbers = options.sequenceNumbers;
     this.#grantsStartAt = options.now + REPORT_COLLECTION_MS;
-    this.#state = new DispatcherState(options.service);
+    this.#state = new DispatcherState(options.service, options.sequenceNumbers);
     this.#waitingCalls = new WaitingCalls(options.service, this.#state);
     this.#scheduler = new SlotScheduler({
       waitingCalls: this.#waitingCalls,
@@ -117,6 +117,7 @@
         continue;
       this.#state.freeSlot(entry, ticket);
     }
+    entry.rateLimitVersion ??= report.rateLimitVersion ?? 0;
     this.#state.recordRateLimits(report.rateLimits ?? [], now);
     for (const taken of report.taken) {
       this.#waitingCalls.remove(entry, taken.ticket);
@@ -241,12 +242,9 @@
       // Entries reuse slots without asking only for short calls.
       avoid: this.isLongRunning ? [] : this.slots.serversToAvoid(),
     };
-    const rateLimits = {
-      version: this.#state.rateLimitVersion,
-      list: () => this.#state.rateLimits(now),
-    };
     const sequenceNumbers = this.#sequenceNumbers;
     for (const entry of entriesToNotify) {
+      const rateLimits = this.#state.rateLimitChanges(entry, now);
       const payload = entry.takeMessage(header, sequenceNumbers, rateLimits);
       if (!payload) continue;
       const kind = "dispatch_grant";
--- a/packages/routing/dispatcher_state.ts
+++ b/packages/routing/dispatcher_state.ts
@@ -2,8 +2,15 @@
 import { ConcurrencyEstimator } from "./concurrency_estimator.ts";
 import { CreditPolicy } from "./credits.ts";
 import { DispatchEntry, type SlotAllocation } from "./dispatch_entry.ts";
-import type { ReleasedSlot, ServerRateLimit, TakenSlot } from "./messages.ts";
+import type {
+  RateLimitChanges,
+  ReleasedSlot,
+  ServerRateLimit,
+  TakenSlot,
+} from "./messages.ts";
 import { type Observation, OutlierDetector } from "./outlier_detector.ts";
+import { RateLimitLog } from "./rate_limit_log.ts";
+import type { SequenceNumbers } from "./sequence_numbers.ts";
 import type { ServerSlots } from "./server_slots.ts";
 import { SlotTable } from "./slot_table.ts";
 
@@ -31,11 +38,11 @@
   readonly entries = new Map<HostId, DispatchEntry>();
   /** Entries whose outbox may have to be sent. */
   readonly entriesToNotify = new Set<DispatchEntry>();
-  /** Grows with each change of a server's rate limit. */
-  rateLimitVersion = 0;
+  readonly #rateLimitLog: RateLimitLog;
   #nextEvaluationAt = 0;
 
-  constructor(service: Service) {
+  constructor(service: Service, sequenceNumbers: SequenceNumbers) {
+    this.#rateLimitLog = new RateLimitLog(sequenceNumbers);
     this.outliers = new OutlierDetector(service);
     this.slots = new SlotTable(service, this.outliers, this.concurrency);
     this.credits = new CreditPolicy(this.slots, this.outliers);
@@ -133,9 +140,9 @@
       rateLimit: released.rateLimit,
       complete: kind === "answered",
     };
-    if (server.rateLimit.recordAnswer(answer, now)) {
-      this.#updateRateLimit(server, now);
-    }
+    this.#updateRateLimit(server, now, () =>
+      server.rateLimit.recordAnswer(answer, now),
+    );
     if (kind === "unused" && allocation.paced) server.pacer?.giveBack();
     server.recordSlowdown(released.slowdown, now);
     if (released.backOffMs !== undefined) {
@@ -195,24 +202,31 @@
     for (const limit of limits) {
       const server = this.slots.get(limit.server);
       if (server?.record.incarnation !== limit.incarnation) continue;
-      if (!server.rateLimit.recordNotice(limit, now)) continue;
-      this.#updateRateLimit(server, now);
+      this.#updateRateLimit(server, now, () =>
+        server.rateLimit.recordNotice(limit, now),
+      );
     }
   }
 
-  /** The rate limits of all servers. */
-  rateLimits(now: number): ServerRateLimit[] {
-    const limits: ServerRateLimit[] = [];
-    for (const { record, rateLimit } of this.slots.servers()) {
-      const notice = rateLimit.notice(now);
-      const { id: server, incarnation } = record;
-      if (notice) limits.push({ server, incarnation, ...notice });
-    }
-    return limits;
+  /** The changes of rate limits that an entry was not told yet. */
+  rateLimitChanges(
+    entry: DispatchEntry,
+    now: number,
+  ): RateLimitChanges | undefined {
+    const servers = this.slots.servers();
+    const version = entry.rateLimitVersion ?? 0;
+    return this.#rateLimitLog.changesSince(version, { servers, now });
   }
 
-  #updateRateLimit(server: ServerSlots, now: number): void {
-    this.rateLimitVersion += 1;
+  #updateRateLimit(
+    server: ServerSlots,
+    now: number,
+    update: () => boolean,
+  ): void {
+    const hadLimit = server.rateLimit.perSecond !== undefined;
+    if (!update()) return;
+    const hasLimit = server.rateLimit.perSecond !== undefined;
+    if (hasLimit !== hadLimit) this.#rateLimitLog.record(server);
     server.updatePacer(now);
     this.slots.refresh(server, now);
     this.revokeCredits(server);
--- a/packages/routing/local_servers.ts
+++ b/packages/routing/local_servers.ts
@@ -13,7 +13,7 @@
   RateLimitChange,
 } from "./effects.ts";
 import { chooseLocally } from "./local_choice.ts";
-import type { ServerRateLimit } from "./messages.ts";
+import type { RateLimitChanges, ServerRateLimit } from "./messages.ts";
 import { type Observation, OutlierDetector } from "./outlier_detector.ts";
 import { SampleSet } from "./sample_set.ts";
 import { ServerState } from "./server_state.ts";
@@ -258,19 +258,36 @@
     return limits;
   }
 
-  /** Applies the rate limits that the dispatcher knows of, which are all. */
-  applyRateLimits(limits: readonly ServerRateLimit[], now: number): void {
-    const byServer = new Map(limits.map((limit) => [limit.server, limit]));
+  /** Those of them that the dispatcher has not told this entry. */
+  unsharedRateLimits(now: number): ServerRateLimit[] {
+    if (this.#rateLimited === 0) return [];
+    const limits: ServerRateLimit[] = [];
     for (const server of this.#servers.values()) {
-      const { id, incarnation } = server.record;
-      const limit = byServer.get(id);
-      const previous = server.rateLimit.perSecond;
-      const changed =
-        limit?.incarnation === incarnation
-          ? server.rateLimit.recordNotice(limit, now)
-          : server.rateLimit.end(now);
-      if (changed) this.#reportRateLimit(server, previous);
-      if (changed) this.#refresh(server, now);
+      const limit = server.isRateLimitShared
+        ? undefined
+        : rateLimitOf(server, now);
+      if (limit) limits.push(limit);
+    }
+    return limits;
+  }
+
+  /** Applies changes of rate limits that the dispatcher knows of. */
+  applyRateLimits(changes: RateLimitChanges, now: number): void {
+    const { isComplete, limited, unlimited } = changes;
+    const listed = new Set(limited.map(({ server }) => server));
+    for (const limit of limited) {
+      const server = this.#servers.get(limit.server);
+      if (server?.record.incarnation !== limit.incarnation) continue;
+      server.isRateLimitShared = true;
+      this.#updateRateLimit(server, now, () =>
+        server.rateLimit.recordNotice(limit, now),
+      );
+    }
+    const ended = isComplete ? [...this.#servers.keys()] : unlimited;
+    for (const id of ended) {
+      const server = this.#servers.get(id);
+      if (!server?.isRateLimited || listed.has(id)) continue;
+      this.#updateRateLimit(server, now, () => server.rateLimit.end(now));
     }
   }
 
@@ -313,9 +330,9 @@
     const { rateLimit, backOffMs } = result;
     if (backOffMs !== undefined) this.#recordBackOff(server, backOffMs, now);
     const complete = result.kind === "answered";
-    const previous = server.rateLimit.perSecond;
-    if (!server.rateLimit.recordAnswer({ rateLimit, complete }, now)) return;
-    this.#reportRateLimit(server, previous);
+    this.#updateRateLimit(server, now, () =>
+      server.rateLimit.recordAnswer({ rateLimit, complete }, now),
+    );
   }
 
   #recordBackOff(server: ServerState, backOffMs: number, now: number): void {
@@ -326,11 +343,21 @@
     this.#backOffs.push({ server: server.record, ms: Math.round(ms) });
   }
 
-  #reportRateLimit(server: ServerState, previous: number | undefined): void {
+  #updateRateLimit(
+    server: ServerState,
+    now: number,
+    update: () => boolean,
+  ): void {
+    const previous = server.rateLimit.perSecond;
+    if (!update()) return;
     const { perSecond } = server.rateLimit;
     this.#rateLimitChanges.push({ server: server.record, perSecond, previous });
     if (previous === undefined) this.#rateLimited += 1;
-    if (perSecond === undefined) this.#rateLimited -= 1;
+    if (perSecond === undefined) {
+      this.#rateLimited -= 1;
+      server.isRateLimitShared = false;
+    }
+    this.#refresh(server, now);
   }
 
   #refresh(server: ServerState, now: number): void {
--- a/packages/routing/messages.ts
+++ b/packages/routing/messages.ts
@@ -78,6 +78,17 @@
   readonly incarnation: number;
 }
 
+/** What an entry does not know yet of the rate limits of a service's servers. */
+export interface RateLimitChanges {
+  /** Version that the entry has with these changes. */
+  readonly version: number;
+  /** Whether all limits are listed, so that no other server has one. */
+  readonly isComplete: boolean;
+  readonly limited: readonly ServerRateLimit[];
+  /** Servers that have no limit any more. */
+  readonly unlimited: readonly BackendServerId[];
+}
+
 /** The whole state of an entry, which replaces what the dispatcher knew. */
 export interface DispatchReport extends DispatchHeader {
   /**
@@ -87,7 +98,12 @@
   readonly taken: readonly TakenSlot[];
   readonly wanted: readonly SlotRequest[];
   readonly credits: readonly BackendServerId[];
-  /** All rate limits that the entry knows of; absent if there are none. */
+  /** Version of the dispatcher's rate limits that the entry was told last. */
+  readonly rateLimitVersion?: number;
+  /**
+   * Rate limits that the entry knows of and the dispatcher has not told it: all
+   * without a version; absent if there are none.
+   */
   readonly rateLimits?: readonly ServerRateLimit[];
 }
 
@@ -148,8 +164,8 @@
   /** Servers whose slots the entry must not reuse without asking. */
   readonly avoid: readonly BackendServerId[];
   /**
-   * The rate limits of all servers; absent if the entry was told before. An
-   * entry sends to these servers only with a paced grant.
+   * Changes of rate limits; absent if the entry knows them. An entry sends to
+   * servers with a limit only with a paced grant.
    */
-  readonly rateLimits?: readonly ServerRateLimit[];
+  readonly rateLimits?: RateLimitChanges;
 }
--- a/packages/routing/rate_limits_test.ts
+++ b/packages/routing/rate_limits_test.ts
@@ -111,6 +111,23 @@
   );
 });
 
+// Guards against lists of limits that are sent with each call of an entry that
+// joins its dispatcher anew: too much for the links of large sites.
+test("an entry is told each change of a limit once", () => {
+  const run = makeLimitedRun({ callsPerS: 17 });
+  run.run(4_000);
+  let listed = 0;
+  let messages = 0;
+  run.cluster.deliveryMode = (_, { payload }) => {
+    messages += 1;
+    if ("rateLimits" in payload) listed += 1;
+    return "deliver";
+  };
+  run.run(5_000);
+  assert.ok(messages > 100);
+  assert.equal(listed, 0);
+});
+
 test("a new dispatcher learns the limits with the first reports", () => {
   const run = makeLimitedRun(HIGH_LOAD);
   const { cluster } = run;
--- a/packages/routing/server_state.ts
+++ b/packages/routing/server_state.ts
@@ -41,6 +41,8 @@
   backOffUntil = Number.NEGATIVE_INFINITY;
   /** The rate limit that this incarnation of the server names. */
   rateLimit = new NamedRate();
+  /** Whether the dispatcher has told this entry of the rate limit. */
+  isRateLimitShared = false;
   #othersInFlight = 0;
   #reportedAt = Number.NEGATIVE_INFINITY;
 
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -463,9 +463,16 @@
 
   /** What this entry's reports tell the dispatcher. */
   #entryState(now: number): EntryState {
-    const rateLimits = this.#servers.rateLimits(now);
-    const state = this.#calls.entryState(now);
-    return rateLimits.length > 0 ? { ...state, rateLimits } : state;
+    const { rateLimitVersion } = this.link;
+    const rateLimits =
+      rateLimitVersion === undefined
+        ? this.#servers.rateLimits(now)
+        : this.#servers.unsharedRateLimits(now);
+    return {
+      ...this.#calls.entryState(now),
+      ...(rateLimitVersion !== undefined && { rateLimitVersion }),
+      ...(rateLimits.length > 0 && { rateLimits }),
+    };
   }
 }
 
--- a/packages/wire/short_keys.ts
+++ b/packages/wire/short_keys.ts
@@ -61,6 +61,10 @@
   "rateLimits",
   "perSecond",
   "paced",
+  "rateLimitVersion",
+  "limited",
+  "unlimited",
+  "isComplete",
 ] as const;
 
 /** Number of each field name, as cbor-x expects it. */
