--- a/packages/routing/back_off_test.ts
+++ b/packages/routing/back_off_test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { RateLimitRun, type RateLimitRunOptions } from "./rate_limit_run.ts";
+import { StatementRun, type StatementRunOptions } from "./statement_run.ts";
 
-const SMALL_SITE: RateLimitRunOptions = {
+const SMALL_SITE: StatementRunOptions = {
   seed: 1,
   entries: 17,
   servers: 12,
@@ -15,7 +15,7 @@
 test("an entry sends nothing to a server that asked it to back off", () => {
   for (const seed of [1, 2, 3]) {
     for (const serviceMs of [20, 300]) {
-      const run = new RateLimitRun({ ...SMALL_SITE, seed, serviceMs });
+      const run = new StatementRun({ ...SMALL_SITE, seed, serviceMs });
       run.run(3_000);
       run.setBackOff("s0", 2_500);
       run.run(9_000);
@@ -28,7 +28,7 @@
 // Guards against a server that is lost to all entries because of one refusal,
 // and against one that is lost for good.
 test("a server that asked to back off gets calls again afterwards", () => {
-  const run = new RateLimitRun(SMALL_SITE);
+  const run = new StatementRun(SMALL_SITE);
   run.run(3_000);
   run.setBackOff("s0", 1_500);
   run.run(2_000);
@@ -40,7 +40,7 @@
 });
 
 test("other servers take the calls while one wants none", () => {
-  const run = new RateLimitRun(SMALL_SITE);
+  const run = new StatementRun(SMALL_SITE);
   run.run(3_000);
   run.setBackOff("s0", 3_600_000);
   const before = run.answeredCount;
@@ -51,7 +51,7 @@
 // Guards against calls that wait for their deadline, and against slots that are
 // granted and declined without end, when no server wants calls.
 test("calls are refused at once with a time while all servers back off", () => {
-  const run = new RateLimitRun({ ...SMALL_SITE, entries: 3 });
+  const run = new StatementRun({ ...SMALL_SITE, entries: 3 });
   run.run(2_000);
   for (let i = 0; i < SMALL_SITE.servers; i++) run.setBackOff(`s${i}`, 4_000);
   run.run(1_500);
--- a/packages/routing/rate_limits_test.ts
+++ b/packages/routing/rate_limits_test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { RateLimitRun, type RateLimitRunOptions } from "./rate_limit_run.ts";
+import { StatementRun, type StatementRunOptions } from "./statement_run.ts";
 import { makeServer, makeView, TestCluster } from "./test_cluster.ts";
 
-const SMALL_SITE: RateLimitRunOptions = {
+const SMALL_SITE: StatementRunOptions = {
   seed: 1,
   entries: 17,
   servers: 12,
@@ -15,8 +15,8 @@
 const HIGH_LOAD = { ...SMALL_SITE, callsPerS: 200 };
 
 /** A run in which two servers have named limits for a second. */
-function makeLimitedRun(changes: Partial<RateLimitRunOptions> = {}) {
-  const run = new RateLimitRun({ ...SMALL_SITE, ...changes });
+function makeLimitedRun(changes: Partial<StatementRunOptions> = {}) {
+  const run = new StatementRun({ ...SMALL_SITE, ...changes });
   run.run(3_000);
   run.setLimit("s0", 2.3);
   run.setLimit("s1", 3.6);
@@ -24,7 +24,7 @@
   return run;
 }
 
-function assertWithinLimits(run: RateLimitRun, what: string): void {
+function assertWithinLimits(run: StatementRun, what: string): void {
   assert.equal(run.excess("s0"), 0, `s0, ${what}`);
   assert.equal(run.excess("s1"), 0, `s1, ${what}`);
 }
@@ -34,7 +34,7 @@
 test("servers get no more requests than the rate limits that they name", () => {
   for (const site of [SMALL_SITE, HIGH_LOAD]) {
     for (const seed of [1, 2, 3]) {
-      const run = new RateLimitRun({ ...site, seed });
+      const run = new StatementRun({ ...site, seed });
       run.run(3_000);
       run.setLimit("s0", 2.3);
       run.setLimit("s1", 3.6);
@@ -184,7 +184,7 @@
 
 // Guards against a rate limit that throttles a server below its slots.
 test("a rate limit above the load changes nothing", () => {
-  const run = new RateLimitRun(SMALL_SITE);
+  const run = new StatementRun(SMALL_SITE);
   for (let i = 0; i < SMALL_SITE.servers; i++) run.setLimit(`s${i}`, 100);
   run.run(8_000);
   assert.ok(run.answeredCount > 0.95 * 7.5 * SMALL_SITE.callsPerS);
@@ -193,7 +193,7 @@
 // Guards against calls that wait until their deadline for a dispatcher that is
 // gone, since only it can use servers that limit their rate.
 test("calls are refused at once without a dispatcher if all servers limit", () => {
-  const run = new RateLimitRun(SMALL_SITE);
+  const run = new StatementRun(SMALL_SITE);
   run.run(2_000);
   for (let i = 0; i < SMALL_SITE.servers; i++) run.setLimit(`s${i}`, 2);
   run.run(2_000);
@@ -216,7 +216,7 @@
 // Guards against calls that wait until their deadline although the servers'
 // limits leave no room for them. Some wait, late, until urgent ones come first.
 test("calls beyond the limits of all servers are refused before their deadline", () => {
-  const run = new RateLimitRun(SMALL_SITE);
+  const run = new StatementRun(SMALL_SITE);
   run.run(2_000);
   for (let i = 0; i < SMALL_SITE.servers; i++) run.setLimit(`s${i}`, 2);
   run.run(8_000);
--- a/packages/routing/rate_limit_run.ts
+++ b/packages/routing/statement_run.ts
@@ -13,7 +13,7 @@
 const PROBE_MS = 6;
 const CALL_OBJECTIVE_MS = 800;
 
-export interface RateLimitRunOptions {
+export interface StatementRunOptions {
   readonly seed: number;
   readonly entries: number;
   readonly servers: number;
@@ -35,10 +35,10 @@
 }
 
 /**
- * Plays calls of several entries to servers that name rate limits, and counts
- * the requests of each server: calls, checks and probes.
+ * Plays calls of several entries to servers that name rate limits or ask to back
+ * off, and counts the requests of each server: calls, checks and probes.
  */
-export class RateLimitRun {
+export class StatementRun {
   readonly cluster: TestCluster;
   readonly requests: SentRequest[] = [];
   /** Calls that were refused. */
@@ -46,7 +46,7 @@
   /** Number of calls that were answered. */
   answeredCount = 0;
   readonly priorities = new Map<string, Priority>();
-  readonly #options: RateLimitRunOptions;
+  readonly #options: StatementRunOptions;
   readonly #random: SeededRandomness;
   /** Named limits by server, in requests a second. */
   readonly #limits = new Map<string, number>();
@@ -68,7 +68,7 @@
   /** Calls a second; may be changed while the run goes on. */
   callsPerS: number;
 
-  constructor(options: RateLimitRunOptions) {
+  constructor(options: StatementRunOptions) {
     this.#options = options;
     this.callsPerS = options.callsPerS;
     this.#random = new SeededRandomness(options.seed);
--- a/packages/routing/statements_schedule_test.ts
+++ b/packages/routing/statements_schedule_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { SeededRandomness } from "#model";
-import { RateLimitRun } from "./rate_limit_run.ts";
+import { StatementRun } from "./statement_run.ts";
 import { makeServer, makeView } from "./test_cluster.ts";
 
 /** Seeds of a run in CI; `SCHEDULE_SEEDS` sets another range. */
@@ -15,7 +15,7 @@
 /** A site under random statements of its servers and random faults. */
 class Schedule {
   readonly #random: SeededRandomness;
-  readonly run: RateLimitRun;
+  readonly run: StatementRun;
   readonly #servers: { id: string; incarnation: number }[];
   #epoch = 1;
 
@@ -28,7 +28,7 @@
     const load = this.#pick([0.1, 0.4, 0.8, 1.3]);
     const callsPerS = Math.min(300, load * capacityPerS);
     const options = { seed, entries, servers, callsPerS, serviceMs };
-    this.run = new RateLimitRun(options);
+    this.run = new StatementRun(options);
     this.#servers = Array.from({ length: servers }, (_, index) => ({
       id: `s${index}`,
       incarnation: 1,
