--- a/packages/routing/back_off_test.ts
+++ b/packages/routing/back_off_test.ts
@@ -1,14 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { StatementRun, type StatementRunOptions } from "./statement_run.ts";
-
-const SMALL_SITE: StatementRunOptions = {
-  seed: 1,
-  entries: 17,
-  servers: 12,
-  callsPerS: 68,
-  serviceMs: 300,
-};
+import { SMALL_SITE, StatementRun } from "./statement_run.ts";
 
 // Guards against entries that go on sending to a server that has refused a call
 // and named a time to wait, be it calls, checks or probes.
--- a/packages/routing/rate_limits_test.ts
+++ b/packages/routing/rate_limits_test.ts
@@ -1,16 +1,12 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { StatementRun, type StatementRunOptions } from "./statement_run.ts";
+import {
+  SMALL_SITE,
+  StatementRun,
+  type StatementRunOptions,
+} from "./statement_run.ts";
 import { makeServer, makeView, TestCluster } from "./test_cluster.ts";
 
-const SMALL_SITE: StatementRunOptions = {
-  seed: 1,
-  entries: 17,
-  servers: 12,
-  callsPerS: 68,
-  serviceMs: 300,
-};
-
 /** Load at which nearly all slots are in use, so that no server is spared. */
 const HIGH_LOAD = { ...SMALL_SITE, callsPerS: 200 };
 
--- a/packages/routing/statement_run.ts
+++ b/packages/routing/statement_run.ts
@@ -21,6 +21,15 @@
   readonly serviceMs: number;
 }
 
+/** Like a small deployment: 68 calls a second of 300 ms on 72 slots. */
+export const SMALL_SITE: StatementRunOptions = {
+  seed: 1,
+  entries: 17,
+  servers: 12,
+  callsPerS: 68,
+  serviceMs: 300,
+};
+
 interface Refusal {
   readonly at: number;
   readonly code: string;
