Tell which calls a stop cut, and who closed a caller's connection

A stop logged how many calls it cut, without their ids, and a call whose connection the entry itself closed looked like one whose caller had left.

Each call that is in progress when the time of a stop is over is now a log line with its ids, age, time left and the servers at work on it. The line of a call says entry_closed where the entry closed the connection, and mangobank_broken_answers_total counts both cases. The connections of callers have a module of their own. No decision changes.

--- a/packages/entry/call_drain.ts
+++ b/packages/entry/call_drain.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { Clock, Configuration } from "#model";
 import type { Logger } from "#telemetry";
+import type { CallProgress } from "./call_execution.ts";
 import type { CallerServer } from "./caller_server.ts";
 import { canExit } from "./graceful_stop.ts";
 
@@ -23,6 +24,8 @@
   readonly callers: CallerServer;
   /** Number of calls in progress. */
   readonly activeCalls: () => number;
+  /** What is known of each call in progress. */
+  readonly progress: () => readonly CallProgress[];
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -51,6 +54,9 @@
     await delay(CALL_CHECK_INTERVAL_MS);
   if (activeCalls() === 0) return;
   logger.warn("calls cut by the stop", { calls: activeCalls() });
+  for (const call of options.progress()) {
+    logger.warn("call cut by the stop", { ...call, stopMs: timeoutMs });
+  }
 }
 
 /** Accepts calls until no caller or claim needs this entry, then drains. */
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage } from "node:http";
 import { err, type Result } from "neverthrow";
 import { type CallChain, toCallFault } from "#admission";
 import type { Settlement } from "#claims";
@@ -15,6 +15,7 @@
 import { CallAttempts, type CallAttemptsResult } from "./call_attempts.ts";
 import { SERVER_ONLY_HEADERS } from "./call_protocol.ts";
 import { CallReply } from "./call_reply.ts";
+import type { CallerResponse } from "./caller_connections.ts";
 import type { ClaimDecision } from "./key_claims.ts";
 import { endToEndHeaders } from "./reply.ts";
 import { type RequestBody, readBody } from "./request_body.ts";
@@ -35,7 +36,23 @@
 interface HttpExchange {
   readonly id: string;
   readonly request: IncomingMessage;
-  readonly response: ServerResponse;
+  readonly response: CallerResponse;
+}
+
+/** How far a call has come, for the logs. */
+export interface CallProgress {
+  readonly requestId: string;
+  readonly call: string;
+  readonly service: string;
+  readonly class: string;
+  /** Milliseconds since the request was read. */
+  readonly ageMs: number;
+  /** Milliseconds until its deadline; undefined before it was admitted. */
+  readonly leftMs: number | undefined;
+  /** Ids of the servers that are processing it. */
+  readonly servers: readonly string[];
+  /** Whether a part of the answer was written to the caller's connection. */
+  readonly answering: boolean;
 }
 
 /** Processes one request of a caller from arrival to the final response. */
@@ -46,6 +63,7 @@
   readonly #arrival: number;
   #classified: ClassifiedRequest | undefined;
   #attempts: CallAttempts | undefined;
+  #deadline: number | undefined;
   #deadlineTimer: NodeJS.Timeout | undefined;
   #stopReason: StopReason | undefined;
   #cancelClaim: (() => void) | undefined;
@@ -74,6 +92,21 @@
     return this.#attempts?.servers ?? [];
   }
 
+  progress(): CallProgress {
+    const now = this.#options.clock.now();
+    const deadline = this.#deadline;
+    return {
+      requestId: this.#callerRequestId ?? this.#exchange.id,
+      call: this.#exchange.id,
+      service: this.#classified?.service.name ?? "none",
+      class: this.#classified?.class.name ?? "none",
+      ageMs: Math.round(now - this.#arrival),
+      leftMs: deadline === undefined ? undefined : Math.round(deadline - now),
+      servers: this.servers.map(({ id }) => id),
+      answering: this.#exchange.response.headersSent,
+    };
+  }
+
   async run(): Promise<void> {
     const admitted = this.#admit();
     if (admitted.isErr()) {
@@ -99,8 +132,10 @@
 
   /** To be called when the response is closed, whether complete or not. */
   onResponseClosed(): void {
-    if (this.#exchange.response.writableFinished) return;
-    this.#stop("caller_closed");
+    const { writableFinished, brokenBy } = this.#exchange.response;
+    if (writableFinished) return;
+    this.#options.metrics.recordBrokenAnswer(brokenBy ?? "caller");
+    this.#stop(brokenBy === "entry" ? "entry_closed" : "caller_closed");
   }
 
   /** Ends the call after an internal error. */
@@ -166,6 +201,7 @@
   }
 
   #startDeadline(call: Call): void {
+    this.#deadline = call.deadline;
     const ms = Math.max(0, call.deadline - this.#options.clock.now());
     this.#deadlineTimer = setTimeout(() => this.#stop("expired"), ms);
   }
@@ -260,10 +296,11 @@
     const isAtMostOnce =
       this.#classified?.class.repeatable === false && this.#usesIdempotencyKey;
     const isRunning = this.servers.length > 0;
-    if (reason === "caller_closed" && isAtMostOnce && isRunning) return;
+    const isClosed = reason === "caller_closed" || reason === "entry_closed";
+    if (isClosed && isAtMostOnce && isRunning) return;
     this.#stopReason ??= reason;
     // At the deadline the claim resolves by itself, with what is known by then.
-    if (reason === "caller_closed") this.#cancelClaim?.();
+    if (isClosed) this.#cancelClaim?.();
     this.#attempts?.stop(reason);
   }
 
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage } from "node:http";
 import type { ClaimMessages } from "#claims";
 import {
   type BackendServer,
@@ -18,7 +18,9 @@
 import { ActivityTimer } from "./activity_timer.ts";
 import { Assignments } from "./assignments.ts";
 import { BackendClient } from "./backend_client.ts";
+import type { CallProgress } from "./call_execution.ts";
 import type { CallProtocol } from "./call_protocol.ts";
+import type { CallerResponse } from "./caller_connections.ts";
 import type { EntryMessages } from "./entry_network.ts";
 import { KeyClaims } from "./key_claims.ts";
 import { OnDemandLinks } from "./on_demand_links.ts";
@@ -175,7 +177,7 @@
     this.#quarantineTimer = setInterval(tick, QUARANTINE_TICK_MS);
   }
 
-  serve(request: IncomingMessage, response: ServerResponse): void {
+  serve(request: IncomingMessage, response: CallerResponse): void {
     this.#tickTimer.markActive();
     this.#proxy.serve(request, response);
   }
@@ -240,6 +242,11 @@
     return this.#proxy.activeCalls;
   }
 
+  /** What is known of each call in progress. */
+  progress(): CallProgress[] {
+    return this.#proxy.progress();
+  }
+
   /** Number of claims on idempotency keys that this entry holds. */
   get claimsHeld(): number {
     return this.#claims.held;
--- a/packages/entry/caller_server.ts
+++ b/packages/entry/caller_server.ts
@@ -1,9 +1,4 @@
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
+import { createServer, IncomingMessage, type Server } from "node:http";
 import type { Socket } from "node:net";
 import type { Result } from "neverthrow";
 import {
@@ -15,20 +10,20 @@
 } from "#model";
 import type { EntryLimits } from "#settings";
 import { type ListenFault, listen } from "#wire";
+import { CallerConnections, CallerResponse } from "./caller_connections.ts";
 
 /** How often Node checks for requests that take too long to arrive. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 
 export type RequestHandler = (
   request: IncomingMessage,
-  response: ServerResponse,
+  response: CallerResponse,
 ) => void;
 
 /** The HTTP server for callers and backend servers. */
 export class CallerServer {
-  readonly #server: Server;
-  /** Connections with a request that has no complete response yet. */
-  readonly #busySockets = new WeakSet<Socket>();
+  readonly #server: Server<typeof IncomingMessage, typeof CallerResponse>;
+  readonly #connections = new CallerConnections();
   #closing = false;
 
   constructor(options: {
@@ -46,21 +41,23 @@
         keepAliveTimeout: limits.idleConnectionMs,
         connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
         noDelay: true,
+        IncomingMessage,
+        ServerResponse: CallerResponse,
       },
       (request, response) => {
         const { socket } = request;
-        this.#busySockets.add(socket);
-        response.once("close", () => this.#busySockets.delete(socket));
+        this.#connections.add(socket, response);
         if (this.#closing) response.shouldKeepAlive = false;
         if (handleApi && request.url?.startsWith(INTERNAL_PATH_ROOT))
           handleApi(request, response);
         else handleCall(request, response);
       },
     );
+    this.#server.on("connection", (socket) => this.#connections.open(socket));
     this.#server.maxConnections = limits.connectionsMax;
     this.#server.on("clientError", (error, socket) => {
       // An error response would mix with the response in progress.
-      if (this.#busySockets.has(socket as Socket)) socket.destroy();
+      if (this.#connections.isBusy(socket as Socket)) socket.destroy();
       else rejectMalformed(error, socket as Socket);
     });
     // Tunnels and protocol upgrades are not supported in front of a server
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -245,6 +245,7 @@
       configuration: () => this.#follower.configuration,
       callers: this.#callerServer,
       activeCalls: () => this.#callPipeline.activeCalls,
+      progress: () => this.#callPipeline.progress(),
       clock,
       logger,
     });
--- a/packages/entry/reverse_proxy.ts
+++ b/packages/entry/reverse_proxy.ts
@@ -1,10 +1,11 @@
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage } from "node:http";
 import type { BackendServer, Clock } from "#model";
 import type { Logger, Metrics } from "#telemetry";
 import type { Assignments } from "./assignments.ts";
 import type { BackendClient } from "./backend_client.ts";
-import { CallExecution } from "./call_execution.ts";
+import { CallExecution, type CallProgress } from "./call_execution.ts";
 import type { CallProtocol } from "./call_protocol.ts";
+import type { CallerResponse } from "./caller_connections.ts";
 import type { KeyClaims } from "./key_claims.ts";
 import type { QuarantineCoordinator } from "./quarantine_coordinator.ts";
 import type { BodyLimits } from "./request_body.ts";
@@ -52,7 +53,7 @@
   }
 
   /** Serves one request of a caller. */
-  serve(request: IncomingMessage, response: ServerResponse): void {
+  serve(request: IncomingMessage, response: CallerResponse): void {
     this.#callCount += 1;
     const id = `${this.#idPrefix}-${this.#callCount.toString(36)}`;
     const execution = new CallExecution(this.#options, {
@@ -79,6 +80,11 @@
     return this.#executions.size;
   }
 
+  /** What is known of each call in progress. */
+  progress(): CallProgress[] {
+    return [...this.#executions.values()].map((call) => call.progress());
+  }
+
   /** Number of calls in flight at the servers that match. */
   inFlightAt(matches: (server: BackendServer) => boolean): number {
     let count = 0;
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -26,7 +26,12 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 
 /** Why an attempt was aborted. */
-export type StopReason = "expired" | "caller_closed" | "superseded";
+export type StopReason =
+  | "expired"
+  | "caller_closed"
+  /** The entry closed the caller's connection. */
+  | "entry_closed"
+  | "superseded";
 
 /** The request that is sent in each attempt of a call. */
 export interface AttemptInput {
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -60,6 +60,7 @@
   readonly #probes;
   readonly #serverRequests;
   readonly #malformedHeaders;
+  readonly #brokenAnswers;
 
   constructor(sources: MetricsSources = {}) {
     const registers = [this.#registry];
@@ -108,6 +109,12 @@
       labelNames: ["service"],
       registers,
     });
+    this.#brokenAnswers = new Counter({
+      name: "mangobank_broken_answers_total",
+      help: "Connections closed before an answer was written, by who closed",
+      labelNames: ["by"],
+      registers,
+    });
     this.#registerGauges(sources);
   }
 
@@ -140,6 +147,11 @@
     this.#calls.inc(this.#labels.outcomeLabels(labels, { outcome, code }));
   }
 
+  /** Records an answer that was not written whole, and who closed it. */
+  recordBrokenAnswer(by: "caller" | "entry"): void {
+    this.#brokenAnswers.inc({ by });
+  }
+
   /** Records the time in milliseconds that a call spent in its queue. */
   recordWait(call: { service: string; class: string; ms: number }): void {
     this.#waiting.observe(
