--- /dev/null
+++ b/packages/entry/caller_server_test.ts
@@ -0,0 +1,164 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import type { IncomingMessage } from "node:http";
+import { connect, type Socket } from "node:net";
+import { after, test } from "node:test";
+import type { CallerResponse } from "./caller_connections.ts";
+import { CallerServer } from "./caller_server.ts";
+
+const LIMITS = {
+  headerMaxBytes: 8_192,
+  bodyMaxBytes: 100_000,
+  headerTimeoutMs: 10_000,
+  bodyTimeoutMs: 10_000,
+  idleConnectionMs: 10_000,
+  connectionsMax: 100,
+  queueMaxCalls: 100,
+};
+/** More than the kernel takes of an answer that nobody reads. */
+const LONG_ANSWER_BYTES = 16 * 1024 * 1024;
+
+const servers: CallerServer[] = [];
+after(() => {
+  for (const server of servers) server.destroy();
+});
+
+interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: CallerResponse;
+}
+
+/** A server whose requests are answered by the test. */
+async function openServer() {
+  const exchanges: Exchange[] = [];
+  let notify: () => void = () => undefined;
+  const server = new CallerServer({
+    limits: LIMITS,
+    handleApi: undefined,
+    handleCall: (request, response) => {
+      request.resume();
+      exchanges.push({ request, response });
+      notify();
+    },
+  });
+  servers.push(server);
+  const listening = await server.listen({ host: "127.0.0.1", port: 0 });
+  const { port } = listening._unsafeUnwrap();
+  /** Resolves with the first requests, in the order in which they were read. */
+  const read = async (count: number): Promise<Exchange[]> => {
+    while (exchanges.length < count) {
+      await new Promise<void>((resolve) => {
+        notify = resolve;
+      });
+    }
+    return exchanges;
+  };
+  return { server, port, read };
+}
+
+interface Caller {
+  readonly socket: Socket;
+  /** All bytes until the connection ends. */
+  readonly received: Promise<string>;
+}
+
+function openCaller(port: number): Caller {
+  const socket = connect({ host: "127.0.0.1", port });
+  const chunks: Buffer[] = [];
+  socket.on("data", (chunk) => chunks.push(chunk));
+  socket.on("error", () => undefined);
+  const received = once(socket, "close").then(() =>
+    Buffer.concat(chunks).toString("latin1"),
+  );
+  return { socket, received };
+}
+
+const get = (path: string) => `GET ${path} HTTP/1.1\r\nhost: a\r\n\r\n`;
+
+function answer(exchange: Exchange | undefined, body: string): void {
+  exchange?.response.writeHead(200, { "content-length": body.length });
+  exchange?.response.end(body);
+}
+
+// Guards against answers that were dropped because an earlier one of the same
+// connection closed it (incident LOST).
+test("a stop answers all requests of a held connection", async () => {
+  const { server, port, read } = await openServer();
+  const { socket, received } = openCaller(port);
+  server.closeAfterResponses();
+  socket.write(get("/1") + get("/2"));
+  const [first, second] = await read(2);
+  answer(first, "first");
+  await once(first?.response ?? socket, "close");
+  answer(second, "second");
+  const text = await received;
+  assert.match(text, /first.*second$/s);
+  const heads = text.split("HTTP/1.1").slice(1);
+  assert.doesNotMatch(heads[0] ?? "", /connection: close/i);
+  assert.match(heads[1] ?? "", /connection: close/i);
+});
+
+// Guards against a request that is sent to a server although its connection
+// ends with the answer before it.
+test("a stop takes on no request behind the last answer", async () => {
+  const { server, port, read } = await openServer();
+  const { socket, received } = openCaller(port);
+  server.closeAfterResponses();
+  socket.write(get("/1"));
+  const exchanges = await read(1);
+  const response = exchanges[0]?.response;
+  response?.writeHead(200, { "content-length": 8 });
+  response?.write("half");
+  await once(socket, "data");
+  socket.write(get("/2"));
+  // The entry reads the second request before this one, on a later connection.
+  const marker = openCaller(port);
+  marker.socket.write(get("/marker"));
+  await read(2);
+  assert.equal(exchanges[1]?.request.url, "/marker");
+  response?.end("half");
+  assert.match(await received, /halfhalf$/);
+  marker.socket.destroy();
+});
+
+// Guards against the close of a connection whose answer has ended in the
+// program and is still being written to a slow caller.
+test("a drain delivers a long answer to a slow caller", async () => {
+  const { server, port, read } = await openServer();
+  const { socket, received } = openCaller(port);
+  socket.pause();
+  socket.write(get("/long"));
+  const [exchange] = await read(1);
+  answer(exchange, "x".repeat(LONG_ANSWER_BYTES));
+  void server.drain();
+  socket.resume();
+  const text = await received;
+  const body = text.slice(text.indexOf("\r\n\r\n") + 4);
+  assert.equal(body.length, LONG_ANSWER_BYTES);
+});
+
+// Guards against calls that a stop waits for although their caller has left.
+test("requests behind an answer end when their caller leaves", async () => {
+  const { port, read } = await openServer();
+  const { socket } = openCaller(port);
+  socket.write(get("/1") + get("/2"));
+  const [first, second] = await read(2);
+  const closed = [first, second].map((exchange) =>
+    once(exchange?.response ?? socket, "close"),
+  );
+  socket.destroy();
+  await Promise.all(closed);
+  assert.equal(second?.response.brokenBy, "caller");
+});
+
+// Guards against an answer that is broken off by bytes behind its request.
+test("malformed bytes break off no answer in progress", async () => {
+  const { port, read } = await openServer();
+  const { socket, received } = openCaller(port);
+  socket.write(`${get("/1")}no request\r\n\r\n`);
+  const [first] = await read(1);
+  // Lets the server read the malformed bytes before the answer.
+  await new Promise((resolve) => setImmediate(resolve));
+  answer(first, "first");
+  assert.match(await received, /first.*HTTP\/1\.1 400/s);
+});
