Keep a caller's connection open while a later request has no answer

Callers that hold a connection and send a request before the answer to the previous one has ended got no answer to it around SIGTERM: the entry had read it and sent it to a server, which did the work, and then closed the connection.

Cause: a stopping entry marked each response with Connection: close when its request arrived, and Node closes the connection once such a response is written, whatever else was read on it. The decision is now made when the head of an answer is written: only the answer to the latest request that was read closes the connection, and what arrives behind it is not taken on, so that the caller may repeat it elsewhere.

--- a/packages/entry/caller_connections.ts
+++ b/packages/entry/caller_connections.ts
@@ -1,4 +1,9 @@
-import { type IncomingMessage, ServerResponse } from "node:http";
+import {
+  type IncomingMessage,
+  type OutgoingHttpHeader,
+  type OutgoingHttpHeaders,
+  ServerResponse,
+} from "node:http";
 import type { Socket } from "node:net";
 
 /** The side that closed a connection before an answer was complete. */
@@ -8,21 +13,40 @@
 export class CallerResponse extends ServerResponse<IncomingMessage> {
   /** Who closed the connection before the answer was written; else undefined. */
   brokenBy: ConnectionEnd | undefined;
+  /** Called before the head is written, which says whether to keep the connection. */
+  onHead: (() => void) | undefined;
+
+  override writeHead(
+    status: number,
+    reason?: string | OutgoingHttpHeaders | OutgoingHttpHeader[],
+    headers?: OutgoingHttpHeaders | OutgoingHttpHeader[],
+  ): this {
+    this.onHead?.();
+    return super.writeHead(status, reason as string, headers);
+  }
 }
 
 /** One connection of a caller, with the requests that have no whole answer. */
 interface CallerConnection {
-  readonly socket: Socket;
   readonly pending: Set<CallerResponse>;
+  /** The response to the latest request. */
+  latest: CallerResponse | undefined;
+  /** Whether an answer has said that the connection ends with it. */
+  ending: boolean;
 }
 
 /** The connections of callers, and what each of them still waits for. */
 export class CallerConnections {
   readonly #connections = new Map<Socket, CallerConnection>();
+  #closing = false;
 
   /** Follows a connection until it is closed. */
   open(socket: Socket): void {
-    const connection = { socket, pending: new Set<CallerResponse>() };
+    const connection: CallerConnection = {
+      pending: new Set(),
+      latest: undefined,
+      ending: false,
+    };
     this.#connections.set(socket, connection);
     let failed = false;
     socket.once("error", () => {
@@ -30,19 +54,35 @@
     });
     socket.once("close", () => {
       this.#connections.delete(socket);
-      const endedByCaller = failed || socket.readableEnded;
-      for (const response of connection.pending) {
-        response.brokenBy = endedByCaller ? "caller" : "entry";
-      }
+      const by = failed || socket.readableEnded ? "caller" : "entry";
+      for (const response of connection.pending) breakOff(response, by);
     });
   }
 
-  /** Adds a request that has been read. */
-  add(socket: Socket, response: CallerResponse): void {
+  /**
+   * Adds a request that has been read. Returns false if its connection ends
+   * with an earlier answer, so that the request can't be answered.
+   */
+  add(socket: Socket, response: CallerResponse): boolean {
     const connection = this.#connections.get(socket);
-    if (!connection) return;
+    if (!connection || connection.ending) return false;
     connection.pending.add(response);
+    connection.latest = response;
     response.once("close", () => connection.pending.delete(response));
+    response.onHead = () => {
+      if (connection.latest !== response) return;
+      if (this.#closing) response.shouldKeepAlive = false;
+      connection.ending ||= !response.shouldKeepAlive;
+    };
+    return true;
+  }
+
+  /**
+   * Closes each connection after its next answer, unless a later request has
+   * been read.
+   */
+  closeAfterResponses(): void {
+    this.#closing = true;
   }
 
   /** Whether a connection has requests without a whole answer. */
@@ -50,3 +90,7 @@
     return (this.#connections.get(socket)?.pending.size ?? 0) > 0;
   }
 }
+
+function breakOff(response: CallerResponse, by: ConnectionEnd): void {
+  response.brokenBy = by;
+}
--- a/packages/entry/caller_server.ts
+++ b/packages/entry/caller_server.ts
@@ -24,7 +24,6 @@
 export class CallerServer {
   readonly #server: Server<typeof IncomingMessage, typeof CallerResponse>;
   readonly #connections = new CallerConnections();
-  #closing = false;
 
   constructor(options: {
     limits: EntryLimits;
@@ -46,8 +45,7 @@
       },
       (request, response) => {
         const { socket } = request;
-        this.#connections.add(socket, response);
-        if (this.#closing) response.shouldKeepAlive = false;
+        if (!this.#connections.add(socket, response)) return;
         if (handleApi && request.url?.startsWith(INTERNAL_PATH_ROOT))
           handleApi(request, response);
         else handleCall(request, response);
@@ -76,9 +74,9 @@
     this.#server.keepAliveTimeout = ms;
   }
 
-  /** Closes each connection after its next response; callers then reconnect. */
+  /** Closes connections after their next responses; callers then reconnect. */
   closeAfterResponses(): void {
-    this.#closing = true;
+    this.#connections.closeAfterResponses();
   }
 
   /** Stops accepting connections; resolves when all requests are answered. */
--- a/packages/entry/reply.ts
+++ b/packages/entry/reply.ts
@@ -19,7 +19,7 @@
   };
   if (fault.code === "request_timeout" || fault.code === "body_too_large") {
     // The rest of the request will not be read.
-    headers.connection = "close";
+    response.shouldKeepAlive = false;
   }
   response.writeHead(errorResponse.status, headers);
   response.end(errorResponse.body);
