End calls behind an unanswered one when their caller leaves

An entry without a bound on its stop would never have exited.

Cause: a call ends when Node emits close on its response, and Node emits nothing for a response that waits behind another one of its connection. The connections of callers now tell each response that is pending.

caller_server_test failed before and passes.

--- a/packages/entry/caller_connections.ts
+++ b/packages/entry/caller_connections.ts
@@ -93,4 +93,8 @@
 
 function breakOff(response: CallerResponse, by: ConnectionEnd): void {
   response.brokenBy = by;
+  // Node emits no event for a response that waits behind another one.
+  if (response.socket !== null) return;
+  response.destroy();
+  response.emit("close");
 }
