Wait in a stop until answers are written, not only ended

Cause: after the time for new calls a stopping entry closed idle connections, and Node counts a connection as idle as soon as its answer has ended in the program, also while most of it still waits to be written; closing the server closes these connections too. The entry now stops to listen without closing anything, and waits until every request that was read has its whole answer, which it counts by connection.

caller_server_test (16 MB to a caller that reads only after the drain has begun): 3,919,742 of 16,777,216 bytes before, all of them now.

--- a/packages/entry/call_drain.ts
+++ b/packages/entry/call_drain.ts
@@ -11,7 +11,7 @@
  * to finish.
  */
 const ACCEPT_FRACTION = 0.6;
-/** How often to check whether the calls in progress have finished. */
+/** How often to check whether all requests that were read are answered. */
 const CALL_CHECK_INTERVAL_MS = 20;
 /** How often to check whether callers and claims still need this entry. */
 const RELEASE_CHECK_INTERVAL_MS = 100;
@@ -22,8 +22,6 @@
   readonly self: { readonly id: string; readonly incarnation: number };
   readonly configuration: () => Configuration;
   readonly callers: CallerServer;
-  /** Number of calls in progress. */
-  readonly activeCalls: () => number;
   /** What is known of each call in progress. */
   readonly progress: () => readonly CallProgress[];
   readonly clock: Clock;
@@ -45,15 +43,16 @@
   timeoutMs: number,
   options: DrainOptions,
 ): Promise<void> {
-  const { callers, activeCalls, clock, logger } = options;
+  const { callers, clock, logger } = options;
   const deadline = clock.now() + timeoutMs;
   callers.closeAfterResponses();
   await delay(timeoutMs * ACCEPT_FRACTION);
-  void callers.drain();
-  while (activeCalls() > 0 && clock.now() < deadline)
+  callers.stopListening();
+  while (callers.pendingRequests > 0 && clock.now() < deadline)
     await delay(CALL_CHECK_INTERVAL_MS);
-  if (activeCalls() === 0) return;
-  logger.warn("calls cut by the stop", { calls: activeCalls() });
+  const calls = callers.pendingRequests;
+  if (calls === 0) return;
+  logger.warn("calls cut by the stop", { calls });
   for (const call of options.progress()) {
     logger.warn("call cut by the stop", { ...call, stopMs: timeoutMs });
   }
@@ -61,7 +60,7 @@
 
 /** Accepts calls until no caller or claim needs this entry, then drains. */
 async function drainWhenReleased(options: DrainOptions): Promise<void> {
-  const { self, configuration, callers, activeCalls, clock } = options;
+  const { self, configuration, callers, clock } = options;
   const startedAt = clock.now();
   const mayExit = () =>
     canExit(self, {
@@ -70,6 +69,6 @@
       wallTime: clock.wallTime(),
     });
   while (!mayExit()) await delay(RELEASE_CHECK_INTERVAL_MS);
-  await callers.drain();
-  while (activeCalls() > 0) await delay(CALL_CHECK_INTERVAL_MS);
+  callers.stopListening();
+  while (callers.pendingRequests > 0) await delay(CALL_CHECK_INTERVAL_MS);
 }
--- a/packages/entry/caller_connections.ts
+++ b/packages/entry/caller_connections.ts
@@ -85,6 +85,13 @@
     this.#closing = true;
   }
 
+  /** Number of requests on all connections that have no whole answer. */
+  get pendingRequests(): number {
+    let count = 0;
+    for (const { pending } of this.#connections.values()) count += pending.size;
+    return count;
+  }
+
   /** Whether a connection has requests without a whole answer. */
   isBusy(socket: Socket): boolean {
     return (this.#connections.get(socket)?.pending.size ?? 0) > 0;
--- a/packages/entry/caller_server.ts
+++ b/packages/entry/caller_server.ts
@@ -1,5 +1,5 @@
 import { createServer, IncomingMessage, type Server } from "node:http";
-import type { Socket } from "node:net";
+import { type Socket, Server as TcpServer } from "node:net";
 import type { Result } from "neverthrow";
 import {
   type Address,
@@ -79,13 +79,16 @@
     this.#connections.closeAfterResponses();
   }
 
-  /** Stops accepting connections; resolves when all requests are answered. */
-  drain(): Promise<void> {
-    const closing = new Promise<void>((resolve) => {
-      this.#server.close(() => resolve());
-    });
-    this.#server.closeIdleConnections();
-    return closing;
+  /** Stops accepting connections; open ones stay open. */
+  stopListening(): void {
+    // `http.Server` would also close connections to which the end of an answer
+    // is still being written.
+    TcpServer.prototype.close.call(this.#server);
+  }
+
+  /** Number of requests that have been read and have no whole answer. */
+  get pendingRequests(): number {
+    return this.#connections.pendingRequests;
   }
 
   /** Closes all connections at once. */
--- a/packages/entry/caller_server_test.ts
+++ b/packages/entry/caller_server_test.ts
@@ -130,8 +130,13 @@
   socket.write(get("/long"));
   const [exchange] = await read(1);
   answer(exchange, "x".repeat(LONG_ANSWER_BYTES));
-  void server.drain();
+  server.stopListening();
+  assert.equal(server.pendingRequests, 1);
   socket.resume();
+  while (server.pendingRequests > 0) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  server.destroy();
   const text = await received;
   const body = text.slice(text.indexOf("\r\n\r\n") + 4);
   assert.equal(body.length, LONG_ANSWER_BYTES);
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -244,7 +244,6 @@
       self: this.#ownRecord(),
       configuration: () => this.#follower.configuration,
       callers: this.#callerServer,
-      activeCalls: () => this.#callPipeline.activeCalls,
       progress: () => this.#callPipeline.progress(),
       clock,
       logger,
