Answer the requests that were read before malformed bytes

A caller whose connection brought bytes that are no request behind a proper one got no answer to that one, although a server was at work on it.

Cause: the entry closed the connection at once if an answer was in progress, since an error response would mix with it. It now takes on nothing more of that connection, answers what was read, and then reports the malformed bytes. A body that is malformed itself still ends its connection at once.

--- a/packages/entry/caller_connections.ts
+++ b/packages/entry/caller_connections.ts
@@ -92,9 +92,19 @@
     return count;
   }
 
-  /** Whether a connection has requests without a whole answer. */
-  isBusy(socket: Socket): boolean {
-    return (this.#connections.get(socket)?.pending.size ?? 0) > 0;
+  /**
+   * Takes on no further request of a connection and calls `end` when those
+   * that were read have their answers. A request whose body has not been read
+   * whole can't be answered, so its connection is closed at once.
+   */
+  endWith(socket: Socket, end: () => void): void {
+    const connection = this.#connections.get(socket);
+    if (!connection || connection.ending) return;
+    connection.ending = true;
+    const { latest, pending } = connection;
+    if (!latest || pending.size === 0) end();
+    else if (latest.req.complete) latest.once("close", end);
+    else socket.destroy();
   }
 }
 
--- a/packages/entry/caller_server.ts
+++ b/packages/entry/caller_server.ts
@@ -53,10 +53,12 @@
     );
     this.#server.on("connection", (socket) => this.#connections.open(socket));
     this.#server.maxConnections = limits.connectionsMax;
-    this.#server.on("clientError", (error, socket) => {
+    this.#server.on("clientError", (error, stream) => {
+      const socket = stream as Socket;
+      if (isConnectionError(error)) socket.destroy();
       // An error response would mix with the response in progress.
-      if (this.#connections.isBusy(socket as Socket)) socket.destroy();
-      else rejectMalformed(error, socket as Socket);
+      else
+        this.#connections.endWith(socket, () => rejectMalformed(error, socket));
     });
     // Tunnels and protocol upgrades are not supported in front of a server
     // pool.
@@ -103,13 +105,18 @@
   error: NodeJS.ErrnoException,
   socket: Socket,
 ): void {
-  if (error.code === "ECONNRESET" || !socket.writable) {
+  if (isConnectionError(error) || !socket.writable) {
     socket.destroy();
     return;
   }
   rejectRequest(socket, malformedCode(error.code), error.message);
 }
 
+/** Whether the connection failed, and not the parser of its requests. */
+function isConnectionError({ code = "" }: NodeJS.ErrnoException): boolean {
+  return !code.startsWith("HPE_") && !code.startsWith("ERR_HTTP_");
+}
+
 function malformedCode(code: string | undefined): CallFaultCode {
   if (code === "HPE_HEADER_OVERFLOW") return "header_too_large";
   if (code === "ERR_HTTP_REQUEST_TIMEOUT") return "request_timeout";
--- a/packages/entry/caller_server_test.ts
+++ b/packages/entry/caller_server_test.ts
@@ -156,6 +156,16 @@
   assert.equal(second?.response.brokenBy, "caller");
 });
 
+// Guards against a wait for a body of which no more can be read.
+test("a malformed body ends its connection at once", async () => {
+  const { port, read } = await openServer();
+  const { socket, received } = openCaller(port);
+  const head = "POST /1 HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n";
+  socket.write(`${head}\r\nno size\r\n`);
+  await read(1);
+  assert.equal(await received, "");
+});
+
 // Guards against an answer that is broken off by bytes behind its request.
 test("malformed bytes break off no answer in progress", async () => {
   const { port, read } = await openServer();
