Ignore stop signals that are repeated

A second SIGTERM, or a SIGINT after it, ended an entry at once: all its callers lost their connections, with answers in progress.

Cause: each role listened for the first signal only, so that the next one met its default action.

--- a/packages/cli/roles.ts
+++ b/packages/cli/roles.ts
@@ -1,5 +1,6 @@
 import { SystemClock, SystemRandomness } from "#model";
 import type { ControlSettings, EntrySettings } from "#settings";
+import { stopSignal } from "../telemetry/stop_signal.ts";
 import { EXIT } from "./exit_codes.ts";
 
 /** Functions that run each role until it stops and resolve to an exit code. */
@@ -16,6 +17,7 @@
   const { ConsolaLogger } = await import("../telemetry/logger.ts");
   const { EntryProcess } = await import("#entry");
   const logger = new ConsolaLogger({ fields: { host: settings.id } });
+  const stopRequested = stopSignal();
   const entry = new EntryProcess({
     settings,
     logger,
@@ -27,7 +29,7 @@
     logger.error("entry cannot start", { fault: started.error });
     return EXIT.failed;
   }
-  await terminationSignal();
+  await stopRequested;
   await entry.stop();
   return EXIT.done;
 }
@@ -37,6 +39,7 @@
   const { ControlHost } = await import("#control");
   const { FileStorage } = await import("#storage");
   const logger = new ConsolaLogger({ fields: { host: settings.id } });
+  const stopRequested = stopSignal();
   const started = await ControlHost.start({
     settings,
     logger,
@@ -50,7 +53,7 @@
   }
   const host = started.value;
   const stopReason = await Promise.race([
-    terminationSignal().then(() => "signal" as const),
+    stopRequested.then(() => "signal" as const),
     host.process.stopped,
   ]);
   await host.close();
@@ -60,11 +63,3 @@
   });
   return EXIT.failed;
 }
-
-function terminationSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    for (const signal of ["SIGTERM", "SIGINT"] as const) {
-      process.once(signal, () => resolve());
-    }
-  });
-}
--- a/packages/standin/main.ts
+++ b/packages/standin/main.ts
@@ -1,5 +1,6 @@
 import { parseArgs } from "node:util";
 import { consola } from "consola";
+import { stopSignal } from "#telemetry";
 import { exponentialServiceMs } from "./behaviour.ts";
 import { StandinServer } from "./standin_server.ts";
 
@@ -36,10 +37,6 @@
   consola.info(`${server.id} serves at ${host}:${port}`);
 }
 
-async function stop(): Promise<void> {
-  await Promise.all(servers.map((server) => server.stop()));
-  consola.info(`${servers.length} servers stopped`);
-}
-for (const signal of ["SIGTERM", "SIGINT"] as const) {
-  process.once(signal, () => void stop());
-}
+await stopSignal();
+await Promise.all(servers.map((server) => server.stop()));
+consola.info(`${servers.length} servers stopped`);
--- a/packages/telemetry/index.ts
+++ b/packages/telemetry/index.ts
@@ -8,3 +8,4 @@
 export * from "./logger.ts";
 export * from "./metrics.ts";
 export * from "./peer_traffic.ts";
+export * from "./stop_signal.ts";
