--- a/packages/admission/hedging.ts
+++ b/packages/admission/hedging.ts
@@ -1,16 +1,10 @@
-import type { Histogram } from "hdr-histogram-js";
-// The package's index also loads its WebAssembly build, which takes 9 MB.
-import int32Module from "hdr-histogram-js/dist/Int32Histogram.js";
+import { LatencyHistogram } from "./latency_histogram.ts";
 import type { SendBudget } from "./resend_budget.ts";
 
 /** Percentile of the latencies after which a hedge is sent. */
 const QUANTILE_PERCENT = 95;
 /** Latencies that are needed to compute the quantile. */
 const MIN_SAMPLES = 40;
-/** Length of a histogram's period; the quantile covers one to two of them. */
-const PERIOD_MS = 15_000;
-/** Histogram units per millisecond. */
-const UNITS_PER_MS = 100;
 /**
  * Interval at which the quantile is computed; a pass over the histogram is too
  * slow for each call.
@@ -24,18 +18,13 @@
  * the latencies of its request class. There is one instance per class.
  */
 export class HedgePolicy {
-  #current = newHistogram();
-  #previous = newHistogram();
-  #periodEnds: number | undefined;
+  readonly #latencies = new LatencyHistogram();
   #computeAt = Number.NEGATIVE_INFINITY;
   #delayMs: number | undefined;
 
   /** Records the latency of an answered attempt, in milliseconds. */
   observe(latencyMs: number, now: number): void {
-    this.#rotate(now);
-    this.#current.recordValue(
-      Math.max(1, Math.round(latencyMs * UNITS_PER_MS)),
-    );
+    this.#latencies.record(latencyMs, now);
   }
 
   /**
@@ -51,12 +40,9 @@
   }
 
   #quantileMs(now: number): number | undefined {
-    this.#rotate(now);
-    const full = this.#previous.totalCount >= MIN_SAMPLES;
-    const histogram = full ? this.#previous : this.#current;
-    if (histogram.totalCount < MIN_SAMPLES) return undefined;
-    const value = histogram.getValueAtPercentile(QUANTILE_PERCENT);
-    return Math.max(MIN_DELAY_MS, value / UNITS_PER_MS);
+    const options = { minSamples: MIN_SAMPLES, now };
+    const ms = this.#latencies.quantileMs(QUANTILE_PERCENT, options);
+    return ms === undefined ? undefined : Math.max(MIN_DELAY_MS, ms);
   }
 
   /**
@@ -73,18 +59,6 @@
       return undefined;
     return now + delay;
   }
-
-  #rotate(now: number): void {
-    this.#periodEnds ??= now + PERIOD_MS;
-    if (now < this.#periodEnds) return;
-    const isStale = now >= this.#periodEnds + PERIOD_MS;
-    this.#periodEnds = now + PERIOD_MS;
-    const empty = this.#previous;
-    empty.reset();
-    if (isStale) this.#current.reset();
-    this.#previous = this.#current;
-    this.#current = empty;
-  }
 }
 
 /** The parallel attempts of one call. */
@@ -126,17 +100,3 @@
     return { final: true, cancel };
   }
 }
-
-/** One significant digit keeps latencies within 10%, in 2 KiB per histogram. */
-const SIGNIFICANT_DIGITS = 1;
-
-// The default export of a CommonJS module, as Node.js and bundlers expose it.
-const { default: Int32Histogram } = int32Module as unknown as {
-  default: typeof int32Module;
-};
-
-function newHistogram(): Histogram {
-  const histogram = new Int32Histogram(1, 2, SIGNIFICANT_DIGITS);
-  histogram.autoResize = true;
-  return histogram;
-}
