Refuse in a stop what cannot end before it

Callers of an overloaded service lost their connections at the end of a stop, after up to 5 s, though most of their requests had not been sent to a server.

Cause: a stopping entry accepted all calls for 0.6 of its time and let those that waited wait on; whatever was left at the end was cut. What it takes on is now a decision with its inputs: the time that is left and how long the calls of the class took recently. New calls are accepted in the first half, if they usually end within what is left; calls that wait are refused once a server's answer would usually come too late. A refusal comes before the request is sent, says so (entry_stopping, not-run), and asks for a retry at once, which another entry takes.

--- a/packages/admission/latency_histogram.ts
+++ b/packages/admission/latency_histogram.ts
@@ -38,16 +38,6 @@
     return histogram.getValueAtPercentile(percent) / UNITS_PER_MS;
   }
 
-  /** The longest latency of both periods; undefined if there is none. */
-  maxMs(now: number): number | undefined {
-    this.#rotate(now);
-    const used = [this.#previous, this.#current].filter(
-      ({ totalCount }) => totalCount > 0,
-    );
-    if (used.length === 0) return undefined;
-    return Math.max(...used.map(({ maxValue }) => maxValue)) / UNITS_PER_MS;
-  }
-
   #rotate(now: number): void {
     this.#periodEnds ??= now + PERIOD_MS;
     if (now < this.#periodEnds) return;
--- a/packages/admission/outcomes.ts
+++ b/packages/admission/outcomes.ts
@@ -3,5 +3,6 @@
 export * from "./attempt_tracker.ts";
 export * from "./call_chain.ts";
 export * from "./hedging.ts";
+export * from "./latency_histogram.ts";
 export * from "./resend_budget.ts";
 export * from "./retry_budget.ts";
--- a/packages/entry/call_attempts.ts
+++ b/packages/entry/call_attempts.ts
@@ -98,11 +98,22 @@
 
   /** Stops waiting for a server, and cancels requests in progress. */
   stop(reason: StopReason): void {
-    this.#stopReason ??= reason;
+    if (!this.#stopReason || this.#stopReason === "entry_stops") {
+      this.#stopReason = reason;
+    }
     clearTimeout(this.#hedgeTimer);
     for (const attempt of this.#runningAttempts.values()) attempt.stop(reason);
   }
 
+  /** Makes no further attempt; requests that were sent go on. */
+  stopWaiting(reason: StopReason): void {
+    this.#stopReason ??= reason;
+    clearTimeout(this.#hedgeTimer);
+    for (const attempt of this.#runningAttempts.values()) {
+      attempt.stopWaiting(reason);
+    }
+  }
+
   /** Tries servers until one responds or no further attempt is allowed. */
   async run(): Promise<CallAttemptsResult> {
     for (;;) {
@@ -195,8 +206,10 @@
     const { policies, clock } = this.#options;
     const { service, class: name, repeatable } = this.#input.call;
     if (result.end.type === "answered") {
-      const hedging = policies.hedging(service, name);
-      hedging?.observe(result.runningMs, clock.now());
+      const { runningMs } = result;
+      const now = clock.now();
+      policies.hedging(service, name)?.observe(runningMs, now);
+      policies.durations(service, name)?.recordWork(runningMs, now);
       return;
     }
     const { outcome } = evaluateAttempt(result.end, { repeatable });
--- a/packages/entry/call_drain.ts
+++ b/packages/entry/call_drain.ts
@@ -4,13 +4,8 @@
 import type { CallProgress } from "./call_execution.ts";
 import type { CallerServer } from "./caller_server.ts";
 import { canExit } from "./graceful_stop.ts";
+import { StopSchedule } from "./stop_schedule.ts";
 
-/**
- * Fraction of the timeout during which new calls are still accepted, since
- * callers may use a cached address lookup. The rest is left for the last calls
- * to finish.
- */
-const ACCEPT_FRACTION = 0.6;
 /** How often to check whether all requests that were read are answered. */
 const CALL_CHECK_INTERVAL_MS = 20;
 /** How often to check whether callers and claims still need this entry. */
@@ -22,6 +17,8 @@
   readonly self: { readonly id: string; readonly incarnation: number };
   readonly configuration: () => Configuration;
   readonly callers: CallerServer;
+  /** Called at the start of a stop that has a timeout. */
+  readonly onSchedule: (schedule: StopSchedule) => void;
   /** What is known of each call in progress. */
   readonly progress: () => readonly CallProgress[];
   readonly clock: Clock;
@@ -37,18 +34,21 @@
 }
 
 /**
- * Accepts calls for a part of the timeout, then waits for those in progress.
+ * Accepts calls for a part of the timeout, as far as they can end within it,
+ * then waits for those in progress.
  */
 async function drainWithin(
   timeoutMs: number,
   options: DrainOptions,
 ): Promise<void> {
   const { callers, clock, logger } = options;
-  const deadline = clock.now() + timeoutMs;
+  const startedAt = clock.now();
+  const schedule = new StopSchedule({ startedAt, limitMs: timeoutMs });
   callers.closeAfterResponses();
-  await delay(timeoutMs * ACCEPT_FRACTION);
+  options.onSchedule(schedule);
+  await delay(schedule.acceptUntil - startedAt);
   callers.stopListening();
-  while (callers.pendingRequests > 0 && clock.now() < deadline)
+  while (callers.pendingRequests > 0 && clock.now() < schedule.end)
     await delay(CALL_CHECK_INTERVAL_MS);
   const calls = callers.pendingRequests;
   if (calls === 0) return;
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -21,7 +21,8 @@
 import { type RequestBody, readBody } from "./request_body.ts";
 import type { ClassifiedRequest } from "./request_classifier.ts";
 import type { ReverseProxyOptions } from "./reverse_proxy.ts";
-import type { StopReason } from "./server_attempt.ts";
+import { type StopReason, stopFault } from "./server_attempt.ts";
+import type { ExpectedDurations, StopSchedule } from "./stop_schedule.ts";
 
 /** Retry delay sent to callers of an entry that is not ready. */
 const NOT_READY_RETRY_MS = 1_000;
@@ -65,7 +66,10 @@
   #attempts: CallAttempts | undefined;
   #deadline: number | undefined;
   #deadlineTimer: NodeJS.Timeout | undefined;
+  #stopTimer: NodeJS.Timeout | undefined;
   #stopReason: StopReason | undefined;
+  /** Whether the caller gets the answer of a server. */
+  #answered = false;
   #cancelClaim: (() => void) | undefined;
 
   constructor(options: ReverseProxyOptions, exchange: HttpExchange) {
@@ -114,7 +118,9 @@
       return;
     }
     const { call, chain } = admitted.value;
-    const { bodyLimits } = this.#options;
+    const { bodyLimits, stopSchedule } = this.#options;
+    const schedule = stopSchedule();
+    if (schedule) this.beginStop(schedule);
     const body = await readBody(this.#exchange.request, bodyLimits());
     if (body.isErr()) {
       this.#failBeforeClaim(body.error);
@@ -127,13 +133,28 @@
       else this.#sendResult(await this.#runAttempts(admittedCall));
     } finally {
       clearTimeout(this.#deadlineTimer);
+      clearTimeout(this.#stopTimer);
     }
   }
 
+  /** Refuses the call if it is not sent to a server early enough. */
+  beginStop(schedule: StopSchedule): void {
+    const expected = this.#expectedDurations;
+    if (!expected) return;
+    const ms = schedule.sendBy(expected) - this.#options.clock.now();
+    this.#stopTimer = setTimeout(
+      () => this.#stopWaiting("entry_stops"),
+      Math.max(0, ms),
+    );
+  }
+
   /** To be called when the response is closed, whether complete or not. */
   onResponseClosed(): void {
     const { writableFinished, brokenBy } = this.#exchange.response;
-    if (writableFinished) return;
+    if (writableFinished) {
+      this.#recordDuration();
+      return;
+    }
     this.#options.metrics.recordBrokenAnswer(brokenBy ?? "caller");
     this.#stop(brokenBy === "entry" ? "entry_closed" : "caller_closed");
   }
@@ -170,10 +191,40 @@
       .classify(this.#exchange.request)
       .andThen((classified) => {
         this.#classified = classified;
-        return this.#createCall(classified);
+        return this.#refusedByStop()
+          ? err(callFault("entry_stopping"))
+          : this.#createCall(classified);
       });
   }
 
+  /** Whether the entry stops too soon for a call that arrives now. */
+  #refusedByStop(): boolean {
+    const schedule = this.#options.stopSchedule();
+    const expected = this.#expectedDurations;
+    if (!schedule || !expected) return false;
+    return !schedule.accepts(this.#arrival, expected);
+  }
+
+  get #expectedDurations(): ExpectedDurations | undefined {
+    if (!this.#classified) return undefined;
+    const { service, class: requestClass } = this.#classified;
+    const { policies, clock } = this.#options;
+    const objectiveMs = requestClass.targetMs ?? requestClass.deadlineMs;
+    return policies
+      .durations(service.name, requestClass.name)
+      ?.expected(objectiveMs, clock.now());
+  }
+
+  #recordDuration(): void {
+    if (!this.#answered || !this.#classified) return;
+    const { service, class: requestClass } = this.#classified;
+    const { policies, clock } = this.#options;
+    const now = clock.now();
+    policies
+      .durations(service.name, requestClass.name)
+      ?.recordTotal(now - this.#arrival, now);
+  }
+
   #createCall({ service, class: requestClass }: ClassifiedRequest) {
     const { headers } = this.#exchange.request;
     const classDeadlineMs = requestClass.deadlineMs;
@@ -216,7 +267,7 @@
     });
     this.#attempts = attempts;
     if (this.#stopReason) {
-      return { type: "fault", fault: callFault("deadline_expired") };
+      return { type: "fault", fault: stopFault(this.#stopReason) };
     }
     return attempts.run();
   }
@@ -298,13 +349,22 @@
     const isRunning = this.servers.length > 0;
     const isClosed = reason === "caller_closed" || reason === "entry_closed";
     if (isClosed && isAtMostOnce && isRunning) return;
-    this.#stopReason ??= reason;
+    if (!this.#stopReason || this.#stopReason === "entry_stops") {
+      this.#stopReason = reason;
+    }
     // At the deadline the claim resolves by itself, with what is known by then.
     if (isClosed) this.#cancelClaim?.();
     this.#attempts?.stop(reason);
   }
 
+  /** Makes no attempt that has not begun; those at servers go on. */
+  #stopWaiting(reason: StopReason): void {
+    this.#stopReason ??= reason;
+    this.#attempts?.stopWaiting(reason);
+  }
+
   #record(outcome: Outcome, fault?: CallFault): void {
+    this.#answered = outcome === "answered";
     const { metrics, clock, logger, configuration } = this.#options;
     const ms = clock.now() - this.#arrival;
     const service = this.#classified?.service.name ?? "none";
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -32,6 +32,7 @@
 import { RequestClassifier } from "./request_classifier.ts";
 import { ReverseProxy, type ReverseProxyOptions } from "./reverse_proxy.ts";
 import { ServicePolicies } from "./service_policies.ts";
+import type { StopSchedule } from "./stop_schedule.ts";
 
 export interface CallPipelineOptions
   extends Pick<
@@ -76,6 +77,7 @@
   readonly #claimNetwork: OnDemandLinks<ClaimMessages>;
   #classifier: RequestClassifier;
   #configuration: Configuration | undefined;
+  #stopSchedule: StopSchedule | undefined;
   #quarantineTimer: NodeJS.Timeout | undefined;
 
   constructor(options: CallPipelineOptions) {
@@ -165,9 +167,16 @@
         return options.serversToAvoid(service, { dataCentres, inFlightAt });
       },
       classifier: () => this.#classifier,
+      stopSchedule: () => this.#stopSchedule,
     });
   }
 
+  /** Takes on only calls that can end before the entry does. */
+  beginStop(schedule: StopSchedule): void {
+    this.#stopSchedule = schedule;
+    this.#proxy.beginStop(schedule);
+  }
+
   start(): void {
     this.#tickTimer.start();
     const tick = () => {
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -244,6 +244,7 @@
       self: this.#ownRecord(),
       configuration: () => this.#follower.configuration,
       callers: this.#callerServer,
+      onSchedule: (schedule) => this.#callPipeline.beginStop(schedule),
       progress: () => this.#callPipeline.progress(),
       clock,
       logger,
--- a/packages/entry/reverse_proxy.ts
+++ b/packages/entry/reverse_proxy.ts
@@ -11,6 +11,7 @@
 import type { BodyLimits } from "./request_body.ts";
 import type { RequestClassifier } from "./request_classifier.ts";
 import type { ServicePolicies } from "./service_policies.ts";
+import type { StopSchedule } from "./stop_schedule.ts";
 
 export interface ReverseProxyOptions {
   readonly entry: string;
@@ -34,6 +35,8 @@
   readonly bodyLimits: () => BodyLimits;
   /** The configuration version in force and the age of its confirmation. */
   readonly configuration: () => { version: number; confirmedMsAgo: number };
+  /** Present while the entry stops within a limited time. */
+  readonly stopSchedule: () => StopSchedule | undefined;
   /** Called when a server reports in a response that it is leaving. */
   readonly onServerLeaving: (server: BackendServer) => void;
 }
@@ -75,6 +78,11 @@
     });
   }
 
+  /** Refuses the calls in progress that are not sent to a server in time. */
+  beginStop(schedule: StopSchedule): void {
+    for (const call of this.#executions.values()) call.beginStop(schedule);
+  }
+
   /** Number of calls in progress. */
   get activeCalls(): number {
     return this.#executions.size;
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -31,6 +31,8 @@
   | "caller_closed"
   /** The entry closed the caller's connection. */
   | "entry_closed"
+  /** The entry stops before the call could end. */
+  | "entry_stops"
   | "superseded";
 
 /** The request that is sent in each attempt of a call. */
@@ -105,6 +107,11 @@
     this.#sentRequest?.cancel();
   }
 
+  /** Stops waiting for a server; a request that was sent goes on. */
+  stopWaiting(reason: StopReason): void {
+    if (!this.#server) this.stop(reason);
+  }
+
   /** Runs the attempt; calls `onSent` when the request has been sent. */
   async run(onSent: () => void): Promise<ServerAttemptResult> {
     const { quarantine, clock } = this.#options;
@@ -146,7 +153,7 @@
       decision instanceof Promise
         ? await Promise.race([decision, this.#stopSignal()])
         : decision;
-    if (admission === undefined) return err(callFault("deadline_expired"));
+    if (admission === undefined) return err(stopFault(this.#stopReason));
     if (admission.type === "run") return ok(undefined);
     if (admission.type !== "isolate") return err(admission.fault);
     const { service } = this.#input.call;
@@ -166,12 +173,12 @@
     const call = { ...this.#input.call, id: this.#id };
     const submittedAt = clock.now();
     if (this.#stopReason) {
-      return Promise.resolve(err(callFault("deadline_expired")));
+      return Promise.resolve(err(stopFault(this.#stopReason)));
     }
     return new Promise((resolve) => {
       this.#stopWaiting = () => {
         assignments.cancel(call.id);
-        resolve(err(callFault("deadline_expired")));
+        resolve(err(stopFault(this.#stopReason)));
       };
       assignments.submit(call, this.#excludedServers, (decision) => {
         this.#stopWaiting = undefined;
@@ -258,6 +265,12 @@
   return { rateLimit, backOffMs };
 }
 
+/** The fault of a call that was stopped before it was sent to a server. */
+export function stopFault(reason: StopReason | undefined): CallFault {
+  const code = reason === "entry_stops" ? "entry_stopping" : "deadline_expired";
+  return callFault(code);
+}
+
 function toAttemptEnd(
   result: RequestResult,
   stopReason: StopReason | undefined,
--- a/packages/entry/service_policies.ts
+++ b/packages/entry/service_policies.ts
@@ -6,15 +6,19 @@
 } from "#admission";
 import type { Clock, Service } from "#model";
 import type { ResendLimit } from "#settings";
+import { CallDurations } from "./call_durations.ts";
 
 interface ServicePolicy {
   readonly budget: SendBudget;
   /** By class; only repeatable classes may be hedged. */
   readonly hedging: ReadonlyMap<string, HedgePolicy>;
+  /** By class. */
+  readonly durations: ReadonlyMap<string, CallDurations>;
 }
 
 /**
- * Retry budgets and hedging, which limit the extra attempts of each service.
+ * Retry budgets and hedging, which limit the extra attempts of each service, and
+ * the measured durations of its calls.
  */
 export class ServicePolicies {
   readonly #clock: Clock;
@@ -48,6 +52,10 @@
     return this.#policies.get(service)?.hedging.get(name);
   }
 
+  durations(service: string, name: string): CallDurations | undefined {
+    return this.#policies.get(service)?.durations.get(name);
+  }
+
   #policy(service: Service): ServicePolicy {
     const existing = this.#policies.get(service.name);
     const budget = this.#budget(service, existing?.budget);
@@ -58,7 +66,13 @@
         existing?.hedging.get(name) ?? new HedgePolicy(),
       ]),
     );
-    return { budget, hedging };
+    const durations = new Map(
+      service.classes.map(({ name }) => [
+        name,
+        existing?.durations.get(name) ?? new CallDurations(),
+      ]),
+    );
+    return { budget, hedging, durations };
   }
 
   #budget(service: Service, existing: SendBudget | undefined): SendBudget {
--- a/packages/model/outcomes.ts
+++ b/packages/model/outcomes.ts
@@ -22,6 +22,7 @@
   already_run: { status: 409, outcome: "unknown" },
   quarantined: { status: 422, outcome: "not-run" },
   not_ready: { status: 503, outcome: "not-run" },
+  entry_stopping: { status: 503, outcome: "not-run" },
   server_failed: { status: 502, outcome: "unknown" },
   depth_exceeded: { status: 508, outcome: "not-run" },
 } as const satisfies Record<string, { status: number; outcome: Outcome }>;
@@ -45,6 +46,8 @@
 const DEFAULT_RETRY_AFTER_MS: Partial<Record<CallFaultCode, number>> = {
   server_failed: 100,
   deadline_expired: 1_000,
+  // The other entries take calls at once.
+  entry_stopping: 0,
 };
 
 /** Creates a fault; the outcome defaults to the one that its code implies. */
