Answer the requests in progress when control stops

Operators and servers whose requests were in progress when a control host got SIGTERM lost their connections, although a change may have been committed meanwhile.

The account of connections and responses moves from the entry to HttpServer in packages/wire. Malformed bytes behind a request of an operator no longer mix an error into the answer in progress.

http_server_test covers the close; the former code of control (close and closeAllConnections) breaks its first test off.

--- a/packages/control/control_host.ts
+++ b/packages/control/control_host.ts
@@ -1,7 +1,7 @@
-import type { Server } from "node:http";
 import { err, ok, type Result } from "neverthrow";
+import type { Clock } from "#model";
 import { createOperatorServer, OperatorApi } from "#operators";
-import { listen } from "#wire";
+import type { HttpServer } from "#wire";
 import {
   type ControlFault,
   type ControlOptions,
@@ -14,14 +14,28 @@
   HostStatuses,
 } from "./operator_ports.ts";
 
+/**
+ * Time for the requests in progress when control stops. A change that is
+ * confirmed later than this is answered after it is sent again.
+ */
+export const STOP_DRAIN_MS = 1_000;
+
+/** As `STOP_DRAIN_MS`, for changes that wait until they are in force. */
+const OPERATOR_DRAIN_MS = 5_000;
+
 /** A control process with the operator API over HTTP. */
 export class ControlHost {
   readonly process: ControlProcess;
-  readonly #server: Server;
+  readonly #server: HttpServer;
+  readonly #clock: Clock;
 
-  private constructor(process: ControlProcess, server: Server) {
+  private constructor(
+    process: ControlProcess,
+    options: { server: HttpServer; clock: Clock },
+  ) {
     this.process = process;
-    this.#server = server;
+    this.#server = options.server;
+    this.#clock = options.clock;
   }
 
   /** Opens the control process and starts the operator API. */
@@ -46,19 +60,19 @@
     const metrics = controlMetrics(control, clock);
     const handle = withHealthEndpoints(api.handle, { control, metrics });
     const server = createOperatorServer(handle, settings.limits);
-    const listening = await listen(server, settings.http);
+    const listening = await server.listen(settings.http);
     if (listening.isErr()) {
       await control.close();
       return err(listening.error);
     }
     const { id, http, peer } = settings;
     logger.info("control host started", { id, http, peer });
-    return ok(new ControlHost(control, server));
+    return ok(new ControlHost(control, { server, clock }));
   }
 
+  /** Answers the requests that were read, and stops the process. */
   async close(): Promise<void> {
-    this.#server.close();
-    this.#server.closeAllConnections();
+    await this.#server.close(this.#clock, OPERATOR_DRAIN_MS);
     await this.process.close();
   }
 }
--- a/packages/entry/call_drain.ts
+++ b/packages/entry/call_drain.ts
@@ -6,8 +6,6 @@
 import { canExit } from "./graceful_stop.ts";
 import { StopSchedule } from "./stop_schedule.ts";
 
-/** How often to check whether all requests that were read are answered. */
-const CALL_CHECK_INTERVAL_MS = 20;
 /** How often to check whether callers and claims still need this entry. */
 const RELEASE_CHECK_INTERVAL_MS = 100;
 
@@ -48,8 +46,7 @@
   options.onSchedule(schedule);
   await delay(schedule.acceptUntil - startedAt);
   callers.stopListening();
-  while (callers.pendingRequests > 0 && clock.now() < schedule.end)
-    await delay(CALL_CHECK_INTERVAL_MS);
+  await callers.answered(clock, schedule.end);
   const calls = callers.pendingRequests;
   if (calls === 0) return;
   logger.warn("calls cut by the stop", { calls });
@@ -70,5 +67,5 @@
     });
   while (!mayExit()) await delay(RELEASE_CHECK_INTERVAL_MS);
   callers.stopListening();
-  while (callers.pendingRequests > 0) await delay(CALL_CHECK_INTERVAL_MS);
+  await callers.answered(clock, Number.POSITIVE_INFINITY);
 }
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -12,10 +12,10 @@
   type Outcome,
 } from "#model";
 import { fingerprintOf } from "#quarantine";
+import type { TrackedResponse } from "#wire";
 import { CallAttempts, type CallAttemptsResult } from "./call_attempts.ts";
 import { SERVER_ONLY_HEADERS } from "./call_protocol.ts";
 import { CallReply } from "./call_reply.ts";
-import type { CallerResponse } from "./caller_connections.ts";
 import type { ClaimDecision } from "./key_claims.ts";
 import { endToEndHeaders } from "./reply.ts";
 import { type RequestBody, readBody } from "./request_body.ts";
@@ -37,7 +37,7 @@
 interface HttpExchange {
   readonly id: string;
   readonly request: IncomingMessage;
-  readonly response: CallerResponse;
+  readonly response: TrackedResponse;
 }
 
 /** How far a call has come, for the logs. */
@@ -155,8 +155,8 @@
       this.#recordDuration();
       return;
     }
-    this.#options.metrics.recordBrokenAnswer(brokenBy ?? "caller");
-    this.#stop(brokenBy === "entry" ? "entry_closed" : "caller_closed");
+    this.#options.metrics.recordBrokenAnswer(brokenBy ?? "client");
+    this.#stop(brokenBy === "server" ? "entry_closed" : "caller_closed");
   }
 
   /** Ends the call after an internal error. */
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -14,13 +14,12 @@
 import { HostRoutes, Router } from "#routing";
 import type { EntrySettings } from "#settings";
 import type { Logger, Metrics } from "#telemetry";
-import type { Peer, TcpNetwork } from "#wire";
+import type { Peer, TcpNetwork, TrackedResponse } from "#wire";
 import { ActivityTimer } from "./activity_timer.ts";
 import { Assignments } from "./assignments.ts";
 import { BackendClient } from "./backend_client.ts";
 import type { CallProgress } from "./call_execution.ts";
 import type { CallProtocol } from "./call_protocol.ts";
-import type { CallerResponse } from "./caller_connections.ts";
 import type { EntryMessages } from "./entry_network.ts";
 import { KeyClaims } from "./key_claims.ts";
 import { OnDemandLinks } from "./on_demand_links.ts";
@@ -186,7 +185,7 @@
     this.#quarantineTimer = setInterval(tick, QUARANTINE_TICK_MS);
   }
 
-  serve(request: IncomingMessage, response: CallerResponse): void {
+  serve(request: IncomingMessage, response: TrackedResponse): void {
     this.#tickTimer.markActive();
     this.#proxy.serve(request, response);
   }
--- a/packages/entry/caller_server.ts
+++ b/packages/entry/caller_server.ts
@@ -1,38 +1,31 @@
-import { createServer, IncomingMessage, type Server } from "node:http";
-import { type Socket, Server as TcpServer } from "node:net";
+import type { Socket } from "node:net";
 import type { Result } from "neverthrow";
 import {
   type Address,
   CALL_FAULTS,
   type CallFaultCode,
+  type Clock,
   HEADERS,
   INTERNAL_PATH_ROOT,
 } from "#model";
 import type { EntryLimits } from "#settings";
-import { type ListenFault, listen } from "#wire";
-import { CallerConnections, CallerResponse } from "./caller_connections.ts";
+import { type HttpHandler, HttpServer, type ListenFault } from "#wire";
 
 /** How often Node checks for requests that take too long to arrive. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 
-export type RequestHandler = (
-  request: IncomingMessage,
-  response: CallerResponse,
-) => void;
-
 /** The HTTP server for callers and backend servers. */
 export class CallerServer {
-  readonly #server: Server<typeof IncomingMessage, typeof CallerResponse>;
-  readonly #connections = new CallerConnections();
+  readonly #server: HttpServer;
 
   constructor(options: {
     limits: EntryLimits;
     /** Handles `/.mangobank/`; if absent, these paths are calls like others. */
-    handleApi: RequestHandler | undefined;
-    handleCall: RequestHandler;
+    handleApi: HttpHandler | undefined;
+    handleCall: HttpHandler;
   }) {
     const { limits, handleApi, handleCall } = options;
-    this.#server = createServer(
+    this.#server = new HttpServer(
       {
         maxHeaderSize: limits.headerMaxBytes,
         headersTimeout: limits.headerTimeoutMs,
@@ -40,63 +33,54 @@
         keepAliveTimeout: limits.idleConnectionMs,
         connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
         noDelay: true,
-        IncomingMessage,
-        ServerResponse: CallerResponse,
+        connectionsMax: limits.connectionsMax,
       },
       (request, response) => {
-        const { socket } = request;
-        if (!this.#connections.add(socket, response)) return;
         if (handleApi && request.url?.startsWith(INTERNAL_PATH_ROOT))
           handleApi(request, response);
         else handleCall(request, response);
       },
     );
-    this.#server.on("connection", (socket) => this.#connections.open(socket));
-    this.#server.maxConnections = limits.connectionsMax;
-    this.#server.on("clientError", (error, stream) => {
-      const socket = stream as Socket;
-      if (isConnectionError(error)) socket.destroy();
-      // An error response would mix with the response in progress.
-      else
-        this.#connections.endWith(socket, () => rejectMalformed(error, socket));
-    });
+    this.#server.onMalformed(rejectMalformed);
     // Tunnels and protocol upgrades are not supported in front of a server
     // pool.
-    this.#server.on("connect", (_request, socket: Socket) => {
-      rejectRequest(socket, "invalid_request", "CONNECT is not supported");
-    });
+    this.#server.onConnect((socket) =>
+      rejectRequest(socket, "invalid_request", "CONNECT is not supported"),
+    );
   }
 
   listen(address: Address): Promise<Result<Address, ListenFault>> {
-    return listen(this.#server, address);
+    return this.#server.listen(address);
   }
 
   /** Sets the time after which an idle connection is closed. */
   setIdleConnectionMs(ms: number): void {
-    this.#server.keepAliveTimeout = ms;
+    this.#server.setIdleConnectionMs(ms);
   }
 
   /** Closes connections after their next responses; callers then reconnect. */
   closeAfterResponses(): void {
-    this.#connections.closeAfterResponses();
+    this.#server.closeAfterResponses();
   }
 
   /** Stops accepting connections; open ones stay open. */
   stopListening(): void {
-    // `http.Server` would also close connections to which the end of an answer
-    // is still being written.
-    TcpServer.prototype.close.call(this.#server);
+    this.#server.stopListening();
   }
 
   /** Number of requests that have been read and have no whole answer. */
   get pendingRequests(): number {
-    return this.#connections.pendingRequests;
+    return this.#server.pendingRequests;
+  }
+
+  /** Resolves when all requests are answered, or at a time of the clock. */
+  answered(clock: Clock, until: number): Promise<void> {
+    return this.#server.answered(clock, until);
   }
 
   /** Closes all connections at once. */
   destroy(): void {
-    this.#server.close();
-    this.#server.closeAllConnections();
+    this.#server.destroy();
   }
 }
 
@@ -105,18 +89,13 @@
   error: NodeJS.ErrnoException,
   socket: Socket,
 ): void {
-  if (isConnectionError(error) || !socket.writable) {
+  if (!socket.writable) {
     socket.destroy();
     return;
   }
   rejectRequest(socket, malformedCode(error.code), error.message);
 }
 
-/** Whether the connection failed, and not the parser of its requests. */
-function isConnectionError({ code = "" }: NodeJS.ErrnoException): boolean {
-  return !code.startsWith("HPE_") && !code.startsWith("ERR_HTTP_");
-}
-
 function malformedCode(code: string | undefined): CallFaultCode {
   if (code === "HPE_HEADER_OVERFLOW") return "header_too_large";
   if (code === "ERR_HTTP_REQUEST_TIMEOUT") return "request_timeout";
--- a/packages/entry/caller_server_test.ts
+++ b/packages/entry/caller_server_test.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage } from "node:http";
 import { connect, type Socket } from "node:net";
 import { after, test } from "node:test";
-import type { CallerResponse } from "./caller_connections.ts";
+import type { TrackedResponse } from "#wire";
 import { CallerServer } from "./caller_server.ts";
 
 const LIMITS = {
@@ -25,7 +25,7 @@
 
 interface Exchange {
   readonly request: IncomingMessage;
-  readonly response: CallerResponse;
+  readonly response: TrackedResponse;
 }
 
 /** A server whose requests are answered by the test. */
@@ -153,7 +153,7 @@
   );
   socket.destroy();
   await Promise.all(closed);
-  assert.equal(second?.response.brokenBy, "caller");
+  assert.equal(second?.response.brokenBy, "client");
 });
 
 // Guards against a wait for a body of which no more can be read.
--- a/packages/entry/reverse_proxy.ts
+++ b/packages/entry/reverse_proxy.ts
@@ -1,11 +1,11 @@
 import type { IncomingMessage } from "node:http";
 import type { BackendServer, Clock } from "#model";
 import type { Logger, Metrics } from "#telemetry";
+import type { TrackedResponse } from "#wire";
 import type { Assignments } from "./assignments.ts";
 import type { BackendClient } from "./backend_client.ts";
 import { CallExecution, type CallProgress } from "./call_execution.ts";
 import type { CallProtocol } from "./call_protocol.ts";
-import type { CallerResponse } from "./caller_connections.ts";
 import type { KeyClaims } from "./key_claims.ts";
 import type { QuarantineCoordinator } from "./quarantine_coordinator.ts";
 import type { BodyLimits } from "./request_body.ts";
@@ -56,7 +56,7 @@
   }
 
   /** Serves one request of a caller. */
-  serve(request: IncomingMessage, response: CallerResponse): void {
+  serve(request: IncomingMessage, response: TrackedResponse): void {
     this.#callCount += 1;
     const id = `${this.#idPrefix}-${this.#callCount.toString(36)}`;
     const execution = new CallExecution(this.#options, {
--- a/packages/operators/fixtures.ts
+++ b/packages/operators/fixtures.ts
@@ -1,9 +1,8 @@
-import type { Server } from "node:http";
-import type { AddressInfo } from "node:net";
 import { after } from "node:test";
 import { err, ok } from "neverthrow";
 import { type Address, ManualClock } from "#model";
 import { Registry } from "#registry";
+import type { HttpServer } from "#wire";
 import { OperatorApi } from "./api.ts";
 import { hashCredential } from "./authentication.ts";
 import type { LogFault, Member, MemberChangeFault } from "./ports.ts";
@@ -33,7 +32,7 @@
     { id: "c1", peer: { host: "127.0.0.1", port: 1 }, role: "voter" },
   ];
   readonly failures: unknown[] = [];
-  readonly server: Server;
+  readonly server: HttpServer;
 
   constructor(registry = new Registry()) {
     this.registry = registry;
@@ -91,16 +90,12 @@
       connectionsMax: 16,
     });
     after(() => {
-      this.server.close();
-      this.server.closeAllConnections();
+      this.server.destroy();
     });
   }
 
   async listen(): Promise<Address> {
-    await new Promise<void>((done) => {
-      this.server.listen(0, "127.0.0.1", done);
-    });
-    const { port } = this.server.address() as AddressInfo;
-    return { host: "127.0.0.1", port };
+    const listening = await this.server.listen({ host: "127.0.0.1", port: 0 });
+    return listening._unsafeUnwrap();
   }
 }
--- a/packages/operators/server.ts
+++ b/packages/operators/server.ts
@@ -1,5 +1,5 @@
-import { createServer, type RequestListener, type Server } from "node:http";
 import type { Duplex } from "node:stream";
+import { type HttpHandler, HttpServer } from "#wire";
 import { OPERATOR_ERRORS, type OperatorErrorCode } from "./errors.ts";
 
 /** Limits of the operators' HTTP server. */
@@ -14,9 +14,9 @@
 
 /** Creates the HTTP server of a control host; the caller listens and closes. */
 export function createOperatorServer(
-  handle: RequestListener,
+  handle: HttpHandler,
   limits: OperatorServerLimits,
-): Server {
+): HttpServer {
   const options = {
     maxHeaderSize: limits.headerMaxBytes,
     headersTimeout: limits.requestTimeoutMs,
@@ -25,10 +25,10 @@
       TIMEOUT_CHECK_INTERVAL_MS,
       limits.requestTimeoutMs,
     ),
+    connectionsMax: limits.connectionsMax,
   };
-  const server = createServer(options, handle);
-  server.maxConnections = limits.connectionsMax;
-  server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+  const server = new HttpServer(options, handle);
+  server.onMalformed((error, socket) => {
     sendClientError(
       socket,
       CLIENT_ERROR_CODES[error.code ?? ""] ?? "invalid_request",
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -148,7 +148,7 @@
   }
 
   /** Records an answer that was not written whole, and who closed it. */
-  recordBrokenAnswer(by: "caller" | "entry"): void {
+  recordBrokenAnswer(by: "client" | "server"): void {
     this.#brokenAnswers.inc({ by });
   }
 
--- a/packages/entry/caller_connections.ts
+++ b/packages/wire/http_connections.ts
@@ -7,10 +7,10 @@
 import type { Socket } from "node:net";
 
 /** The side that closed a connection before an answer was complete. */
-export type ConnectionEnd = "caller" | "entry";
+export type ConnectionEnd = "client" | "server";
 
-/** The response to a caller's request. */
-export class CallerResponse extends ServerResponse<IncomingMessage> {
+/** A response whose connection is tracked. */
+export class TrackedResponse extends ServerResponse<IncomingMessage> {
   /** Who closed the connection before the answer was written; else undefined. */
   brokenBy: ConnectionEnd | undefined;
   /** Called before the head is written, which says whether to keep the connection. */
@@ -26,23 +26,23 @@
   }
 }
 
-/** One connection of a caller, with the requests that have no whole answer. */
-interface CallerConnection {
-  readonly pending: Set<CallerResponse>;
+/** One connection of a client, with the requests that have no whole answer. */
+interface HttpConnection {
+  readonly pending: Set<TrackedResponse>;
   /** The response to the latest request. */
-  latest: CallerResponse | undefined;
+  latest: TrackedResponse | undefined;
   /** Whether an answer has said that the connection ends with it. */
   ending: boolean;
 }
 
-/** The connections of callers, and what each of them still waits for. */
-export class CallerConnections {
-  readonly #connections = new Map<Socket, CallerConnection>();
+/** The connections of a server, and what each of them still waits for. */
+export class HttpConnections {
+  readonly #connections = new Map<Socket, HttpConnection>();
   #closing = false;
 
   /** Follows a connection until it is closed. */
   open(socket: Socket): void {
-    const connection: CallerConnection = {
+    const connection: HttpConnection = {
       pending: new Set(),
       latest: undefined,
       ending: false,
@@ -54,7 +54,7 @@
     });
     socket.once("close", () => {
       this.#connections.delete(socket);
-      const by = failed || socket.readableEnded ? "caller" : "entry";
+      const by = failed || socket.readableEnded ? "client" : "server";
       for (const response of connection.pending) breakOff(response, by);
     });
   }
@@ -63,7 +63,7 @@
    * Adds a request that has been read. Returns false if its connection ends
    * with an earlier answer, so that the request can't be answered.
    */
-  add(socket: Socket, response: CallerResponse): boolean {
+  add(socket: Socket, response: TrackedResponse): boolean {
     const connection = this.#connections.get(socket);
     if (!connection || connection.ending) return false;
     connection.pending.add(response);
@@ -108,7 +108,7 @@
   }
 }
 
-function breakOff(response: CallerResponse, by: ConnectionEnd): void {
+function breakOff(response: TrackedResponse, by: ConnectionEnd): void {
   response.brokenBy = by;
   // Node emits no event for a response that waits behind another one.
   if (response.socket !== null) return;
--- /dev/null
+++ b/packages/wire/http_server.ts
@@ -0,0 +1,118 @@
+import {
+  createServer,
+  IncomingMessage,
+  type Server,
+  type ServerOptions,
+} from "node:http";
+import { type Socket, Server as TcpServer } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
+import type { Result } from "neverthrow";
+import type { Address, Clock } from "#model";
+import { HttpConnections, TrackedResponse } from "./http_connections.ts";
+import { type ListenFault, listen } from "./listen.ts";
+
+/** How often to check whether all requests that were read are answered. */
+const DRAIN_CHECK_INTERVAL_MS = 20;
+
+export type HttpHandler = (
+  request: IncomingMessage,
+  response: TrackedResponse,
+) => void;
+
+/** An HTTP server that can stop without breaking off an answer. */
+export class HttpServer {
+  readonly #server: Server<typeof IncomingMessage, typeof TrackedResponse>;
+  readonly #connections = new HttpConnections();
+
+  constructor(
+    options: ServerOptions & { readonly connectionsMax?: number },
+    handle: HttpHandler,
+  ) {
+    const { connectionsMax, ...nodeOptions } = options;
+    this.#server = createServer(
+      {
+        ...nodeOptions,
+        IncomingMessage,
+        ServerResponse: TrackedResponse,
+      } as ServerOptions<typeof IncomingMessage, typeof TrackedResponse>,
+      (request, response) => {
+        if (this.#connections.add(request.socket, response))
+          handle(request, response);
+      },
+    );
+    this.#server.on("connection", (socket) => this.#connections.open(socket));
+    if (connectionsMax !== undefined)
+      this.#server.maxConnections = connectionsMax;
+  }
+
+  listen(address: Address): Promise<Result<Address, ListenFault>> {
+    return listen(this.#server, address);
+  }
+
+  /** Sets the time after which an idle connection is closed. */
+  setIdleConnectionMs(ms: number): void {
+    this.#server.keepAliveTimeout = ms;
+  }
+
+  /**
+   * Calls back once for a connection that brings malformed bytes, when the
+   * requests before them are answered.
+   */
+  onMalformed(
+    reject: (error: NodeJS.ErrnoException, socket: Socket) => void,
+  ): void {
+    this.#server.on("clientError", (error, stream) => {
+      const socket = stream as Socket;
+      if (isConnectionError(error)) socket.destroy();
+      // An error response would mix with the response in progress.
+      else this.#connections.endWith(socket, () => reject(error, socket));
+    });
+  }
+
+  /** Calls back for requests to open a tunnel. */
+  onConnect(reject: (socket: Socket) => void): void {
+    this.#server.on("connect", (_request, socket: Socket) => reject(socket));
+  }
+
+  /** Closes connections after their next responses; clients then reconnect. */
+  closeAfterResponses(): void {
+    this.#connections.closeAfterResponses();
+  }
+
+  /** Stops accepting connections; open ones stay open. */
+  stopListening(): void {
+    // `http.Server` would also close connections to which the end of an answer
+    // is still being written.
+    TcpServer.prototype.close.call(this.#server);
+  }
+
+  /** Number of requests that have been read and have no whole answer. */
+  get pendingRequests(): number {
+    return this.#connections.pendingRequests;
+  }
+
+  /** Resolves when all requests are answered, or at a time of the clock. */
+  async answered(clock: Clock, until: number): Promise<void> {
+    while (this.pendingRequests > 0 && clock.now() < until)
+      await delay(DRAIN_CHECK_INTERVAL_MS);
+  }
+
+  /** Answers the requests that were read, for some time, and then closes. */
+  async close(clock: Clock, drainMs: number): Promise<void> {
+    this.closeAfterResponses();
+    this.stopListening();
+    await this.answered(clock, clock.now() + drainMs);
+    this.destroy();
+  }
+
+  /** Closes all connections at once. */
+  destroy(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
+
+/** Whether the connection failed, and not the parser of its requests. */
+function isConnectionError({ code = "" }: NodeJS.ErrnoException): boolean {
+  return !code.startsWith("HPE_") && !code.startsWith("ERR_HTTP_");
+}
--- /dev/null
+++ b/packages/wire/http_server_test.ts
@@ -0,0 +1,60 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect } from "node:net";
+import { test } from "node:test";
+import { ManualClock, SystemClock } from "#model";
+import type { TrackedResponse } from "./http_connections.ts";
+import { HttpServer } from "./http_server.ts";
+
+const REQUEST = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+
+/** A server that leaves its first request to the test. */
+async function openServer() {
+  let take: (response: TrackedResponse) => void = () => undefined;
+  const taken = new Promise<TrackedResponse>((resolve) => {
+    take = resolve;
+  });
+  const server = new HttpServer({}, (request, response) => {
+    request.resume();
+    take(response);
+  });
+  const listening = await server.listen({ host: "127.0.0.1", port: 0 });
+  const { port } = listening._unsafeUnwrap();
+  const socket = connect({ host: "127.0.0.1", port });
+  let text = "";
+  socket.on("data", (chunk) => {
+    text += chunk.toString("latin1");
+  });
+  socket.on("error", () => undefined);
+  const received = once(socket, "close").then(() => text);
+  return { server, socket, taken, received };
+}
+
+// Guards against a stop that closes connections with requests in progress, as
+// the control role's did.
+test("a close answers the requests in progress", async () => {
+  const { server, socket, taken, received } = await openServer();
+  socket.write(REQUEST);
+  const response = await taken;
+  const closed = server.close(new SystemClock(), 60_000);
+  response.end("whole");
+  await closed;
+  const text = await received;
+  assert.match(text, /connection: close/i);
+  assert.match(text, /whole/);
+});
+
+test("a close does not wait for connections without requests", async () => {
+  const { server, socket, received } = await openServer();
+  await once(socket, "connect");
+  await server.close(new SystemClock(), 60_000);
+  assert.equal(await received, "");
+});
+
+test("a close ends when its time is over", async () => {
+  const { server, socket, taken, received } = await openServer();
+  socket.write(REQUEST);
+  await taken;
+  await server.close(new ManualClock(), 0);
+  assert.equal(await received, "");
+});
--- a/packages/wire/index.ts
+++ b/packages/wire/index.ts
@@ -5,6 +5,8 @@
  * @module
  */
 export * from "./frames.ts";
+export * from "./http_connections.ts";
+export * from "./http_server.ts";
 export type { LinkFault, Traffic } from "./link.ts";
 export * from "./listen.ts";
 export * from "./logged_network.ts";
