--- a/packages/wire/http_connections.ts
+++ b/packages/wire/http_connections.ts
@@ -68,7 +68,10 @@
     if (!connection || connection.ending) return false;
     connection.pending.add(response);
     connection.latest = response;
-    response.once("close", () => connection.pending.delete(response));
+    response.once("close", () => {
+      connection.pending.delete(response);
+      if (connection.latest === response) connection.latest = undefined;
+    });
     response.onHead = () => {
       if (connection.latest !== response) return;
       if (this.#closing) response.shouldKeepAlive = false;
