Split links and address lookups off the entry process

The links to control hosts and other entries, and what callers are told of the entries and their loads, become classes of their own; behaviour is unchanged.

--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -8,12 +8,10 @@
   type Configuration,
   type Entry,
   type EntryState,
-  type HostId,
   type Randomness,
 } from "#model";
 import {
   type AddressesResponse,
-  AddressLookup,
   Presence,
   SERVE_AFTER_STOPPING_MS,
   TICK_INTERVAL_MS,
@@ -27,6 +25,7 @@
   type ListenFault,
   type TcpNetwork,
 } from "#wire";
+import { AddressDirectory } from "./address_directory.ts";
 import { AdminServer } from "./admin_server.ts";
 import { drainCalls } from "./call_drain.ts";
 import { CallPipeline } from "./call_pipeline.ts";
@@ -37,10 +36,9 @@
   HEARTBEAT_INTERVAL_MS,
   RESPONSE_CHECK_INTERVAL_MS,
 } from "./configuration_follower.ts";
-import { ControlLinks } from "./control_links.ts";
 import { EntryApi } from "./entry_api.ts";
-import { type EntryMessages, peersOf } from "./entry_network.ts";
-import { EventLoopLoad } from "./event_loop_load.ts";
+import { EntryLinks } from "./entry_links.ts";
+import type { EntryMessages } from "./entry_network.ts";
 import { KnownServers } from "./known_servers.ts";
 import { UsableServers } from "./usable_servers.ts";
 
@@ -66,25 +64,22 @@
   readonly #network: TcpNetwork<EntryMessages>;
   readonly #registrations: Registrations;
   readonly #knownServers: KnownServers;
-  readonly #addressLookup: AddressLookup;
+  readonly #directory: AddressDirectory;
   readonly #callPipeline: CallPipeline;
   readonly #follower: ConfigurationFollower;
-  readonly #controlLinks = new ControlLinks();
+  readonly #links: EntryLinks;
   readonly #usableServers = new UsableServers();
   readonly #metrics: Metrics;
   readonly #callerServer: CallerServer;
   readonly #adminServer: AdminServer;
-  readonly #eventLoopLoad = new EventLoopLoad();
   readonly #timers: NodeJS.Timeout[] = [];
   #state: EntryState = "ready";
-  #controlAddresses: readonly Address[];
   #appliedConfiguration: Configuration = EMPTY_CONFIGURATION;
 
   constructor(options: EntryOptions) {
     this.#options = options;
     const { settings, clock, randomness, logger } = options;
     this.#incarnation = Math.floor(clock.wallTime());
-    this.#controlAddresses = settings.control;
     const protocol = options.protocol ?? new PublishedProtocol();
     const network = createLoggedNetwork<EntryMessages>({
       settings,
@@ -133,13 +128,19 @@
       clock,
       network,
     });
-    this.#addressLookup = new AddressLookup(randomness, settings.addressKeepMs);
+    this.#directory = new AddressDirectory({
+      registrations: this.#registrations,
+      clock,
+      randomness,
+      keepMs: settings.addressKeepMs,
+      configuration: () => this.#follower.configuration,
+    });
     this.#follower = new ConfigurationFollower({
       network,
       clock,
       logger,
       self: () => this.#ownRecord(),
-      connectedControls: () => this.#connectedControls(),
+      connectedControls: () => this.#links.connectedControls(),
       stopReports: () =>
         this.#usableServers.stopReports((matches) =>
           this.#callPipeline.inFlightAt(matches),
@@ -167,7 +168,16 @@
         confirmedMsAgo: Math.round(this.#follower.confirmationAge()),
       }),
       onServerLeaving: (server) => this.#registrations.observeLeaving(server),
-      onPeersChanged: () => this.#connect(),
+      onPeersChanged: () => this.#links.connect(),
+    });
+    this.#links = new EntryLinks({
+      self: settings.id,
+      seeds: settings.control,
+      network,
+      clock,
+      configuration: () => this.#follower.configuration,
+      confirmationAge: () => this.#follower.confirmationAge(),
+      peersOnDemand: () => this.#callPipeline.peersOnDemand,
     });
     const own = new EntryApi({
       clock,
@@ -204,10 +214,10 @@
         return err(listening.error);
       }
     }
-    this.#connect();
+    this.#links.connect();
     this.#runEvery(HEARTBEAT_INTERVAL_MS, () => {
       this.#follower.sendHeartbeat();
-      this.#updateControlLinks();
+      this.#links.update();
     });
     this.#runEvery(RESPONSE_CHECK_INTERVAL_MS, () =>
       this.#follower.checkResponseTimeout(),
@@ -255,8 +265,7 @@
 
   /** Replaces the addresses of control hosts after a change of settings. */
   setControlAddresses(addresses: readonly Address[]): void {
-    this.#controlAddresses = addresses;
-    this.#connect();
+    this.#links.setSeeds(addresses);
   }
 
   /** Whether this entry should get new calls. */
@@ -313,33 +322,6 @@
     this.#callPipeline.peerDown(peer.id);
   }
 
-  #connect(): void {
-    const { id } = this.#options.settings;
-    const { configuration } = this.#follower;
-    const inputs = {
-      seeds: this.#controlAddresses,
-      configuration,
-      allControls: this.#controlLinks.needsAll,
-    };
-    this.#network.setPeers([
-      ...peersOf(id, inputs),
-      ...this.#callPipeline.peersOnDemand,
-    ]);
-  }
-
-  #updateControlLinks(): void {
-    const age = this.#follower.confirmationAge();
-    const now = this.#options.clock.now();
-    if (this.#controlLinks.update(age, now)) this.#connect();
-  }
-
-  #connectedControls(): HostId[] {
-    return this.#network
-      .connected()
-      .filter(({ role }) => role === "control")
-      .map(({ id }) => id);
-  }
-
   #ownRecord(): Entry {
     const { settings } = this.#options;
     return {
@@ -383,7 +365,7 @@
       previous.controls !== configuration.controls ||
       previous.document.services !== document.services
     ) {
-      this.#connect();
+      this.#links.connect();
     }
   }
 
@@ -393,24 +375,11 @@
 
   /** The entries that a caller in this data centre should use. */
   addresses(dataCentre: string | undefined): AddressesResponse {
-    const { presence } = this.#registrations;
-    const { view, document } = this.#follower.configuration;
-    return this.#addressLookup.selectAddresses(
-      dataCentre === undefined ? {} : { dataCentre },
-      {
-        view,
-        loads: presence.entryLoads(this.#options.clock.now()),
-        regions: document.regions,
-      },
-    );
+    return this.#directory.addresses(dataCentre);
   }
 
   #reportLoad(): void {
-    const now = this.#options.clock.now();
-    const stopping = this.#state === "stopping";
-    const load = this.#eventLoopLoad.percent();
-    const { presence } = this.#registrations;
-    this.#registrations.execute(presence.reportLoad({ load, stopping }, now));
+    this.#directory.reportLoad({ stopping: this.#state === "stopping" });
   }
 
   /** Whether a configuration document is in force and recently confirmed. */
