Judge whether a server is lost after reading its acceptance

A server whose connection broke counted as crashed, and its request as suspected, although it still accepted connections: the check gives up after 100 ms, and after a stall of the entry Node runs that timer before it reads that the connection was accepted.

The timeout is now judged after pending input was read.

--- a/packages/entry/quarantine_coordinator.ts
+++ b/packages/entry/quarantine_coordinator.ts
@@ -17,7 +17,7 @@
   type ServerIncarnation,
 } from "#quarantine";
 import type { Logger } from "#telemetry";
-import type { Network } from "#wire";
+import { afterPendingInput, type Network } from "#wire";
 
 /** How often expired evidence is removed. */
 export const QUARANTINE_TICK_MS = 5_000;
@@ -312,7 +312,10 @@
       socket.destroy();
       resolve(accepted);
     };
-    const timer = setTimeout(() => finish(false), LOSS_CHECK_TIMEOUT_MS);
+    const timer = setTimeout(
+      () => afterPendingInput(() => finish(false)),
+      LOSS_CHECK_TIMEOUT_MS,
+    );
     socket.once("connect", () => finish(true));
     socket.once("error", () => finish(false));
   });
--- a/packages/entry/quarantine_coordinator_test.ts
+++ b/packages/entry/quarantine_coordinator_test.ts
@@ -50,17 +50,26 @@
   return { port, close };
 }
 
+/** Keeps the event loop from running, longer than the check of a server takes. */
+function stall(): void {
+  const end = performance.now() + 150;
+  while (performance.now() < end);
+}
+
 async function interruptRun(
   coordinator: QuarantineCoordinator,
-  { id, attemptId }: { id: string; attemptId: string },
+  options: { id: string; attemptId: string; stalls?: boolean },
 ): Promise<void> {
+  const { id, attemptId, stalls = false } = options;
   const { port, close } = await listeningPort();
   const server = backendServer(id, port);
   await coordinator.admit("poison", attemptId);
   coordinator.started(attemptId, server);
   const run = { fingerprint: "poison", startedAt: now };
   now += 100;
-  await coordinator.connectionLost(server, run);
+  const checked = coordinator.connectionLost(server, run);
+  if (stalls) stall();
+  await checked;
   coordinator.finished(attemptId, "ended");
   await close();
 }
@@ -78,6 +87,17 @@
   assert.equal(next.type, "quarantined");
 });
 
+// Guards against a server that counts as crashed because the entry stalled while
+// it checked whether the server accepts connections.
+test("a stall of the entry does not make a server count as lost", async () => {
+  const coordinator = createCoordinator();
+  const options = { id: "a", attemptId: "call", stalls: true };
+  await interruptRun(coordinator, options);
+  const admission = coordinator.admit("poison", "call.2");
+  coordinator.finished("call.2", "ended");
+  assert.equal((await admission).type, "rejected");
+});
+
 // Guards against an ended call that keeps others waiting for its isolated run.
 test("an attempt that ends during the check holds no isolated run", async () => {
   const coordinator = createCoordinator();
--- a/packages/wire/index.ts
+++ b/packages/wire/index.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+export * from "./after_input.ts";
 export * from "./frames.ts";
 export * from "./http_connections.ts";
 export * from "./http_server.ts";
