Let a connection's end lose nothing of an answer

An answer that is streamed no longer closes its connection, so that those requests are answered. - Two requests that arrived together were not both taken on if the first was refused at once. While the entry stops, requests are handled after all that arrived has been read. - A request that crossed the close reset the connection, and the kernel dropped what it had not sent: 195,484 of 2,097,152 bytes arrived. - A request was cut by a malformed or slow body behind it. - A caller that never closes held its connection for good after an error response. - A stop without a time of its own never ended if a caller did not read its answer.

A request that is not taken on is now a log line and a counter. The durations that a stop expects include those of calls that were not answered in time.

--- a/packages/entry/call_attempts.ts
+++ b/packages/entry/call_attempts.ts
@@ -212,6 +212,12 @@
       policies.durations(service, name)?.recordWork(runningMs, now);
       return;
     }
+    // A server that did not answer in time took this long at least.
+    if (result.end.type === "timeout") {
+      policies
+        .durations(service, name)
+        ?.recordWork(result.runningMs, clock.now());
+    }
     const { outcome } = evaluateAttempt(result.end, { repeatable });
     if (outcome !== "unknown") return;
     this.#earlierRun = { detail: result.detail };
--- a/packages/entry/call_drain.ts
+++ b/packages/entry/call_drain.ts
@@ -9,6 +9,9 @@
 /** How often to check whether callers and claims still need this entry. */
 const RELEASE_CHECK_INTERVAL_MS = 100;
 
+/** Longest wait for callers that read their answers slowly. */
+const MAX_DRAIN_MS = 60_000;
+
 export interface DrainOptions {
   /** Longest time of the drain; unlimited if absent. */
   readonly timeoutMs: number | undefined;
@@ -48,7 +51,10 @@
   callers.stopListening();
   await callers.answered(clock, schedule.end);
   const calls = callers.pendingRequests;
-  if (calls === 0) return;
+  if (calls === 0) {
+    await callers.endIdle(clock);
+    return;
+  }
   logger.warn("calls cut by the stop", { calls });
   for (const call of options.progress()) {
     logger.warn("call cut by the stop", { ...call, stopMs: timeoutMs });
@@ -67,5 +73,6 @@
     });
   while (!mayExit()) await delay(RELEASE_CHECK_INTERVAL_MS);
   callers.stopListening();
-  await callers.answered(clock, Number.POSITIVE_INFINITY);
+  await callers.answered(clock, clock.now() + MAX_DRAIN_MS);
+  await callers.endIdle(clock);
 }
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -68,8 +68,8 @@
   #deadlineTimer: NodeJS.Timeout | undefined;
   #stopTimer: NodeJS.Timeout | undefined;
   #stopReason: StopReason | undefined;
-  /** Whether the caller gets the answer of a server. */
-  #answered = false;
+  /** Whether its duration tells how long calls of its class take. */
+  #hasUsualEnd = false;
   #cancelClaim: (() => void) | undefined;
 
   constructor(options: ReverseProxyOptions, exchange: HttpExchange) {
@@ -133,7 +133,6 @@
       else this.#sendResult(await this.#runAttempts(admittedCall));
     } finally {
       clearTimeout(this.#deadlineTimer);
-      clearTimeout(this.#stopTimer);
     }
   }
 
@@ -150,6 +149,7 @@
 
   /** To be called when the response is closed, whether complete or not. */
   onResponseClosed(): void {
+    clearTimeout(this.#stopTimer);
     const { writableFinished, brokenBy } = this.#exchange.response;
     if (writableFinished) {
       this.#recordDuration();
@@ -216,7 +216,7 @@
   }
 
   #recordDuration(): void {
-    if (!this.#answered || !this.#classified) return;
+    if (!this.#hasUsualEnd || !this.#classified) return;
     const { service, class: requestClass } = this.#classified;
     const { policies, clock } = this.#options;
     const now = clock.now();
@@ -364,7 +364,8 @@
   }
 
   #record(outcome: Outcome, fault?: CallFault): void {
-    this.#answered = outcome === "answered";
+    this.#hasUsualEnd =
+      outcome === "answered" || fault?.code === "deadline_expired";
     const { metrics, clock, logger, configuration } = this.#options;
     const ms = clock.now() - this.#arrival;
     const service = this.#classified?.service.name ?? "none";
--- a/packages/entry/call_reply.ts
+++ b/packages/entry/call_reply.ts
@@ -1,6 +1,7 @@
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage } from "node:http";
 import type { StoredAnswer } from "#claims";
 import { type CallFault, HEADERS, type Outcome } from "#model";
+import type { TrackedResponse } from "#wire";
 import type { BackendResponse } from "./backend_response.ts";
 import type { CallProtocol } from "./call_protocol.ts";
 import { replyFault } from "./reply.ts";
@@ -9,7 +10,7 @@
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
 export interface CallReplyOptions {
-  readonly response: ServerResponse;
+  readonly response: TrackedResponse;
   readonly method: string;
   readonly requestId: string;
   readonly protocol: CallProtocol;
@@ -39,6 +40,7 @@
       requestId,
     });
     if (backendResponse.stream) {
+      response.isStreamed = true;
       response.writeHead(backendResponse.status, headers);
       this.#stream(backendResponse.stream, backendResponse.isTruncated);
       return;
--- a/packages/entry/caller_server.ts
+++ b/packages/entry/caller_server.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import type { Result } from "neverthrow";
 import {
@@ -23,8 +24,10 @@
     /** Handles `/.mangobank/`; if absent, these paths are calls like others. */
     handleApi: HttpHandler | undefined;
     handleCall: HttpHandler;
+    /** Called for a request that came behind the last answer of a connection. */
+    onDropped?: (request: IncomingMessage) => void;
   }) {
-    const { limits, handleApi, handleCall } = options;
+    const { limits, handleApi, handleCall, onDropped } = options;
     this.#server = new HttpServer(
       {
         maxHeaderSize: limits.headerMaxBytes,
@@ -34,6 +37,7 @@
         connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
         noDelay: true,
         connectionsMax: limits.connectionsMax,
+        ...(onDropped && { onDropped }),
       },
       (request, response) => {
         if (handleApi && request.url?.startsWith(INTERNAL_PATH_ROOT))
@@ -78,6 +82,11 @@
     return this.#server.answered(clock, until);
   }
 
+  /** Ends idle connections and lets their callers close them. */
+  endIdle(clock: Clock): Promise<void> {
+    return this.#server.endIdle(clock);
+  }
+
   /** Closes all connections at once. */
   destroy(): void {
     this.#server.destroy();
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -193,6 +193,12 @@
         : (request, response) => void own.serve(request, response),
       handleCall: (request, response) =>
         this.#callPipeline.serve(request, response),
+      onDropped: (request) => {
+        this.#metrics.recordDroppedRequest();
+        logger.info("request not taken on", {
+          requestId: protocol.callerRequestId(request.headers),
+        });
+      },
     });
     this.#adminServer = new AdminServer({
       metrics: this.#metrics,
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -61,6 +61,7 @@
   readonly #serverRequests;
   readonly #malformedHeaders;
   readonly #brokenAnswers;
+  readonly #droppedRequests;
 
   constructor(sources: MetricsSources = {}) {
     const registers = [this.#registry];
@@ -115,6 +116,11 @@
       labelNames: ["by"],
       registers,
     });
+    this.#droppedRequests = new Counter({
+      name: "mangobank_dropped_requests_total",
+      help: "Requests behind the last answer of their connection",
+      registers,
+    });
     this.#registerGauges(sources);
   }
 
@@ -152,6 +158,11 @@
     this.#brokenAnswers.inc({ by });
   }
 
+  /** Records a request that came behind the last answer of its connection. */
+  recordDroppedRequest(): void {
+    this.#droppedRequests.inc();
+  }
+
   /** Records the time in milliseconds that a call spent in its queue. */
   recordWait(call: { service: string; class: string; ms: number }): void {
     this.#waiting.observe(
--- a/packages/wire/http_server.ts
+++ b/packages/wire/http_server.ts
@@ -13,6 +13,14 @@
 
 /** How often to check whether all requests that were read are answered. */
 const DRAIN_CHECK_INTERVAL_MS = 20;
+/** Longest wait for clients to close idle connections at the end of a stop. */
+const MAX_CLOSE_MS = 200;
+
+export interface HttpServerOptions extends ServerOptions {
+  readonly connectionsMax?: number;
+  /** Called for a request that came behind the last answer of a connection. */
+  readonly onDropped?: (request: IncomingMessage) => void;
+}
 
 export type HttpHandler = (
   request: IncomingMessage,
@@ -24,11 +32,8 @@
   readonly #server: Server<typeof IncomingMessage, typeof TrackedResponse>;
   readonly #connections = new HttpConnections();
 
-  constructor(
-    options: ServerOptions & { readonly connectionsMax?: number },
-    handle: HttpHandler,
-  ) {
-    const { connectionsMax, ...nodeOptions } = options;
+  constructor(options: HttpServerOptions, handle: HttpHandler) {
+    const { connectionsMax, onDropped, ...nodeOptions } = options;
     this.#server = createServer(
       {
         ...nodeOptions,
@@ -36,8 +41,18 @@
         ServerResponse: TrackedResponse,
       } as ServerOptions<typeof IncomingMessage, typeof TrackedResponse>,
       (request, response) => {
-        if (this.#connections.add(request.socket, response))
-          handle(request, response);
+        if (!this.#connections.add(request.socket, response)) {
+          request.resume();
+          onDropped?.(request);
+          return;
+        }
+        // While connections close after an answer, all requests that arrived
+        // together are read before the first of them is answered.
+        if (this.#connections.isClosing)
+          setImmediate(() => {
+            if (!response.destroyed) handle(request, response);
+          });
+        else handle(request, response);
       },
     );
     this.#server.on("connection", (socket) => this.#connections.open(socket));
@@ -65,7 +80,11 @@
       const socket = stream as Socket;
       if (isConnectionError(error)) socket.destroy();
       // An error response would mix with the response in progress.
-      else this.#connections.endWith(socket, () => reject(error, socket));
+      else
+        this.#connections.endWith(socket, () => {
+          reject(error, socket);
+          socket.destroySoon();
+        });
     });
   }
 
@@ -102,9 +121,18 @@
     this.closeAfterResponses();
     this.stopListening();
     await this.answered(clock, clock.now() + drainMs);
+    if (this.pendingRequests === 0) await this.endIdle(clock);
     this.destroy();
   }
 
+  /** Ends idle connections and lets their clients close them. */
+  async endIdle(clock: Clock): Promise<void> {
+    this.#connections.endIdle();
+    const until = clock.now() + MAX_CLOSE_MS;
+    while (this.#connections.size > 0 && clock.now() < until)
+      await delay(DRAIN_CHECK_INTERVAL_MS);
+  }
+
   /** Closes all connections at once. */
   destroy(): void {
     this.#server.close();
