Keep a server's time to back off while its lease is expired

What a server saw: requests of entries that it had told to wait. The entries' logs show the refusal with 2.6 s at 10:00:59.3, "backend server gone" (expired, the core was split) at 10:00:59.8, and requests after its return. Cause: an entry kept the time to back off with the record of the server, and forgot it with the lease. Retry-After binds for the incarnation, and the server came back in the same one.

The entry now keeps the time of a removed server until it is over, and applies it when the same incarnation returns.

--- a/packages/routing/back_off_test.ts
+++ b/packages/routing/back_off_test.ts
@@ -1,6 +1,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { SMALL_SITE, StatementRun } from "./statement_run.ts";
+import { makeServer } from "./test_cluster.ts";
+
+const SERVER_RECORDS = Array.from({ length: SMALL_SITE.servers }, (_, index) =>
+  makeServer(`s${index}`, { slots: 6 }),
+);
 
 // Guards against entries that go on sending to a server that has refused a call
 // and named a time to wait, be it calls, checks or probes.
@@ -60,3 +65,36 @@
     assert.equal(run.requestsDuringBackOff(`s${i}`), 0, `s${i}`);
   }
 });
+
+// Guards against an entry that forgets a time to back off when the server's
+// lease expires and is renewed, as it does while control hosts are cut off.
+test("a time to back off outlasts an expired lease", () => {
+  for (const expiredMs of [0, 300, 1_000]) {
+    const run = new StatementRun(SMALL_SITE);
+    run.run(3_000);
+    run.setBackOff("s0", 4_000);
+    run.run(1_500);
+    run.cluster.setServers(SERVER_RECORDS.slice(1));
+    run.run(expiredMs);
+    run.cluster.setServers(SERVER_RECORDS);
+    run.run(3_000);
+    assert.equal(run.requestsDuringBackOff("s0"), 0, `${expiredMs} ms`);
+  }
+});
+
+// Guards against a restarted server that is kept waiting for what its former
+// incarnation said.
+test("a new incarnation after an expired lease need not wait", () => {
+  const run = new StatementRun(SMALL_SITE);
+  run.run(3_000);
+  run.setBackOff("s0", 3_600_000);
+  run.run(1_500);
+  run.cluster.setServers(SERVER_RECORDS.slice(1));
+  run.run(300);
+  run.restart("s0");
+  const restarted = makeServer("s0", { slots: 6, incarnation: 2 });
+  run.cluster.setServers([restarted, ...SERVER_RECORDS.slice(1)]);
+  const { now } = run.cluster;
+  run.run(4_000);
+  assert.ok(run.requestsSince("s0", now) > 4 * 4);
+});
--- a/packages/routing/local_servers.ts
+++ b/packages/routing/local_servers.ts
@@ -46,6 +46,11 @@
   #rateLimitChanges: RateLimitChange[] = [];
   #backOffs: BackOff[] = [];
   readonly #backingOff = new Set<ServerState>();
+  /**
+   * Removed servers whose time to back off goes on. It binds their incarnation,
+   * which may renew an expired lease.
+   */
+  readonly #removedBackingOff = new Map<BackendServerId, ServerState>();
 
   constructor(
     service: Service,
@@ -96,9 +101,10 @@
       this.#servers.delete(id);
       this.#outliers.remove(server.health);
       server.removed = true;
-      this.#backingOff.delete(server);
       this.#free.delete(server);
+      if (this.#backingOff.delete(server)) this.#rememberBackOff(server, now);
     }
+    this.#forgetPastBackOffs(now);
     for (const record of records) this.#update(record, now);
     this.tick(now);
   }
@@ -318,7 +324,29 @@
       return;
     }
     const health = this.#outliers.add(record.id, record.slots);
-    this.#servers.set(record.id, new ServerState(record, health, now));
+    const server = new ServerState(record, health, now);
+    this.#servers.set(record.id, server);
+    this.#restoreBackOff(server);
+  }
+
+  #rememberBackOff(server: ServerState, now: number): void {
+    if (server.backOffMs(now) === 0) return;
+    this.#removedBackingOff.set(server.record.id, server);
+  }
+
+  #forgetPastBackOffs(now: number): void {
+    for (const [id, server] of this.#removedBackingOff) {
+      if (server.backOffMs(now) === 0) this.#removedBackingOff.delete(id);
+    }
+  }
+
+  #restoreBackOff(server: ServerState): void {
+    const { id, incarnation } = server.record;
+    const removed = this.#removedBackingOff.get(id);
+    this.#removedBackingOff.delete(id);
+    if (removed?.record.incarnation !== incarnation) return;
+    server.backOffUntil = removed.backOffUntil;
+    this.#backingOff.add(server);
   }
 
   /** Records what a server says about the requests that it wants. */
