Pass over servers that are gone when all others back off

Cause: the answer of a call that outlasted its server's lease put the removed server among those that back off. It counted as one that accepts calls, so with one server less in the rotation the remaining one was passed over for that time (2.2 s in the test). Its time to back off is now kept with those of removed servers.

--- a/packages/routing/back_off_test.ts
+++ b/packages/routing/back_off_test.ts
@@ -1,7 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { SeededRandomness } from "#model";
+import { LocalServers } from "./local_servers.ts";
 import { SMALL_SITE, StatementRun } from "./statement_run.ts";
-import { makeServer } from "./test_cluster.ts";
+import { makeServer, SERVICE } from "./test_cluster.ts";
 
 const SERVER_RECORDS = Array.from({ length: SMALL_SITE.servers }, (_, index) =>
   makeServer(`s${index}`, { slots: 6 }),
@@ -98,3 +100,27 @@
   run.run(4_000);
   assert.ok(run.requestsSince("s0", now) > 4 * 4);
 });
+
+// Guards against calls that are refused because a server whose lease has
+// expired asks to back off, and against forgetting that it did.
+test("a time to back off that comes after an expired lease is kept", () => {
+  const dataCentre = "riga-a";
+  const random = new SeededRandomness(1);
+  const servers = new LocalServers(SERVICE, { dataCentre, random });
+  const [expired, other] = [makeServer("s0"), makeServer("s1")];
+  servers.setServers([expired, other], 0);
+  const server = servers.get("s0");
+  assert.ok(server);
+  servers.recordStart(server, 10);
+  servers.setServers([other], 20);
+  const refusal = {
+    kind: "not_started",
+    serviceMs: 5,
+    class: "lookup",
+  } as const;
+  servers.recordResult(server, { ...refusal, backOffMs: 2_000 }, 30);
+  assert.equal(servers.backOffWaitMs(30), 0, "the other server wants calls");
+  servers.setServers([expired, other], 40);
+  const waitMs = servers.get("s0")?.backOffMs(40) ?? 0;
+  assert.ok(waitMs >= 1_990, `${waitMs}`);
+});
--- a/packages/routing/local_servers.ts
+++ b/packages/routing/local_servers.ts
@@ -367,7 +367,8 @@
     const jitter = Math.min(MAX_JITTER_MS, backOffMs * JITTER_SHARE);
     const ms = backOffMs + this.#random.next() * jitter;
     server.backOffUntil = Math.max(server.backOffUntil, now + ms);
-    this.#backingOff.add(server);
+    if (server.removed) this.#rememberBackOff(server, now);
+    else this.#backingOff.add(server);
     this.#backOffs.push({ server: server.record, ms: Math.round(ms) });
   }
 
