Spare a server that does not answer also without a dispatcher

Cause: only the dispatcher evaluates calls that still run. An entry that chooses alone knew no service time of the new server, took it for the cheapest one, filled all its slots there, and did so again with each call that reached its deadline; a server found slow kept its full share.

Without a dispatcher an entry now evaluates its running calls every 50 ms as the dispatcher does, gives a slow server one call at a time, and tries it again with patient calls. It does not judge after a pause of its own, before the answers have been read.

Two tests guard against the new rule's own faults: a server that is spared for good, and a pause of the entry.

--- a/packages/routing/local_servers.ts
+++ b/packages/routing/local_servers.ts
@@ -14,6 +14,7 @@
 } from "./effects.ts";
 import { chooseLocally } from "./local_choice.ts";
 import type { RateLimitChanges, ServerRateLimit } from "./messages.ts";
+import type { OpenCall } from "./open_call.ts";
 import { type Observation, OutlierDetector } from "./outlier_detector.ts";
 import { SampleSet } from "./sample_set.ts";
 import { ServerState } from "./server_state.ts";
@@ -25,9 +26,12 @@
  */
 const JITTER_SHARE = 0.1;
 const MAX_JITTER_MS = 500;
+const MAX_QUEUE_RATIO = 2;
 /** Pause of a server after it shed a call. */
 const SHED_PAUSE_MS = 50;
 
+type RunningCall = Pick<OpenCall, "class" | "assignedAt">;
+
 /**
  * The servers of one service as one entry knows them from its own calls, for
  * the time without a dispatcher.
@@ -40,6 +44,8 @@
   readonly #outliers: OutlierDetector;
   /** Ready servers on which this entry runs fewer calls than their limit. */
   readonly #free = new SampleSet<ServerState>();
+  /** Those of them that are slow. */
+  readonly #freeSlow = new Set<ServerState>();
   #ready = 0;
   #readySlots = 0;
   #rateLimited = 0;
@@ -102,6 +108,7 @@
       this.#outliers.remove(server.health);
       server.removed = true;
       this.#free.delete(server);
+      this.#freeSlow.delete(server);
       if (this.#backingOff.delete(server)) this.#rememberBackOff(server, now);
     }
     this.#forgetPastBackOffs(now);
@@ -109,10 +116,17 @@
     this.tick(now);
   }
 
+  /** Chooses a server for a call; patient ones also try slow servers again. */
   choose(
-    exclude: ReadonlySet<BackendServerId>,
+    { exclude, priority }: Pick<OpenCall, "exclude" | "priority">,
     now: number,
   ): ServerState | undefined {
+    const slow =
+      priority === "patient" ? this.#slowServerToTry(exclude, now) : undefined;
+    if (slow) {
+      this.#outliers.startTrial(slow.health, now);
+      return slow;
+    }
     const dataCentre = this.#dataCentre;
     const random = this.#random;
     const excludesAll = exclude.size >= this.#servers.size;
@@ -136,7 +150,7 @@
     now: number,
   ): void {
     const { kind, serviceMs } = result;
-    const others = server.othersInFlight(now);
+    const queueRatio = queueRatioOf(server, now);
     server.inFlight -= 1;
     server.lastHeard = now;
     if (kind === "answered") server.recordServiceTime(serviceMs);
@@ -146,9 +160,6 @@
     server.recordSlowdown(result.slowdown, now);
     this.#recordStatement(server, result, now);
     if (result.leaving) server.leaving = true;
-    const { slots } = server.record;
-    const queued = Math.max(0, server.inFlight + 1 + others - slots);
-    const queueRatio = Math.min(2, queued / slots);
     const observation = { kind, serviceMs, class: result.class, queueRatio };
     // A server that names a time to wait is not failing.
     if (result.backOffMs === undefined) {
@@ -297,6 +308,25 @@
     }
   }
 
+  /** Finds servers that are slow by the calls that still run there. */
+  evaluateRunning(
+    running: ReadonlyMap<ServerState, readonly RunningCall[]>,
+    now: number,
+  ): void {
+    for (const [server, calls] of running) {
+      const queueRatio = queueRatioOf(server, now);
+      const observed = calls.map((call) => ({
+        class: call.class,
+        serviceMs: now - call.assignedAt,
+        queueRatio,
+      }));
+      if (!this.#outliers.evaluateRunning(server.health, observed, now)) {
+        continue;
+      }
+      this.#refresh(server, now);
+    }
+  }
+
   /** Reevaluates ejections, pauses and cold starts. */
   tick(now: number): void {
     this.#outliers.tick(now);
@@ -313,6 +343,17 @@
     }
   }
 
+  #slowServerToTry(
+    exclude: ReadonlySet<BackendServerId>,
+    now: number,
+  ): ServerState | undefined {
+    for (const server of this.#freeSlow) {
+      if (exclude.has(server.record.id)) continue;
+      if (this.#outliers.isTrialDue(server.health, now)) return server;
+    }
+    return undefined;
+  }
+
   #update(record: BackendServer, now: number): void {
     const known = this.#servers.get(record.id);
     if (known) {
@@ -394,18 +435,28 @@
     const free = server.inFlight < server.limit;
     if (free && server.ready && !server.removed) this.#free.add(server);
     else this.#free.delete(server);
+    const isSlow = server.health.status === "slow";
+    if (isSlow && server.sampleIndex >= 0) this.#freeSlow.add(server);
+    else this.#freeSlow.delete(server);
   }
 
   #limit(server: ServerState, now: number): number {
     const { health } = server;
     if (now < server.pausedUntil || !server.accepts(now)) return 0;
     if (health.status === "ejected") return 0;
-    if (health.status === "trial") return 1;
+    if (health.status === "trial" || health.status === "slow") return 1;
     const warmLimit = this.#warmUp.slots(server, now) * health.usableShare(now);
     return Math.max(1, Math.floor(warmLimit));
   }
 }
 
+/** Calls that must finish on a server first, as a share of its slots. */
+function queueRatioOf(server: ServerState, now: number): number {
+  const { slots } = server.record;
+  const inFlight = server.inFlight + server.othersInFlight(now);
+  return Math.min(MAX_QUEUE_RATIO, Math.max(0, inFlight - slots) / slots);
+}
+
 /** The rate limit of a server, to be told to the dispatcher. */
 export function rateLimitOf(
   server: ServerState,
--- a/packages/routing/open_calls.ts
+++ b/packages/routing/open_calls.ts
@@ -2,6 +2,7 @@
 import type { EntryState } from "./dispatch_link.ts";
 import type { SlotRequest, TakenSlot } from "./messages.ts";
 import { type OpenCall, slotRequest, takenSlot } from "./open_call.ts";
+import type { ServerState } from "./server_state.ts";
 
 /** The calls of one service at one entry that wait or run. */
 export class OpenCalls {
@@ -42,6 +43,19 @@
     return state;
   }
 
+  /** The calls that run, by their server. */
+  runningByServer(): Map<ServerState, OpenCall[]> {
+    const running = new Map<ServerState, OpenCall[]>();
+    for (const call of this.#calls.values()) {
+      const { server, awaitingCheck } = call;
+      if (!server || awaitingCheck) continue;
+      const calls = running.get(server);
+      if (calls) calls.push(call);
+      else running.set(server, [call]);
+    }
+    return running;
+  }
+
   add(call: OpenCall): void {
     this.#calls.set(call.id, call);
     this.#tickets.set(call.ticket, call);
--- a/packages/routing/server_faults_test.ts
+++ b/packages/routing/server_faults_test.ts
@@ -2,12 +2,16 @@
 import { test } from "node:test";
 import { type BackendServer, SeededRandomness } from "#model";
 import type { CallResultKind } from "./index.ts";
-import { makeServer, TestCluster } from "./test_cluster.ts";
+import { SequenceNumbers } from "./sequence_numbers.ts";
+import { ServiceRouter } from "./service_router.ts";
+import { makeCall, makeServer, SERVICE, TestCluster } from "./test_cluster.ts";
 
 interface Behaviour {
   readonly kind?: CallResultKind;
   readonly meanMs?: number;
   readonly inFlight?: number;
+  /** The server does not answer; its calls end at their deadline. */
+  readonly expiresAfterMs?: number;
 }
 
 /**
@@ -45,11 +49,13 @@
       if (!known) {
         counts[server] = (counts[server] ?? 0) + 1;
         const mean = behaviour.meanMs ?? 20;
-        const ms = -Math.log(1 - random.next()) * mean;
+        const ms =
+          behaviour.expiresAfterMs ?? -Math.log(1 - random.next()) * mean;
         ends.set(call, { at: cluster.now + ms, started: cluster.now });
       } else if (known.at <= cluster.now) {
         const serviceMs = cluster.now - known.started;
-        const { kind = "answered", inFlight: load } = behaviour;
+        const usualKind = behaviour.expiresAfterMs ? "expired" : "answered";
+        const { kind = usualKind, inFlight: load } = behaviour;
         cluster.finish(call, { kind, serviceMs, inFlight: load });
       }
     }
@@ -102,6 +108,27 @@
     assert.ok(share(counts, "s0") < 0.1, `${share(counts, "s0")}`);
   });
 
+  // Guards against a server that accepts calls and never answers, and that an
+  // entry prefers because it knows no service time of it.
+  test(`a new server that never answers gets few calls (${mode})`, () => {
+    for (const seed of [1, 2, 3]) {
+      const all = servers(7, { slots: 6 });
+      const cluster = new TestCluster({ entries: 5, servers: all.slice(1) });
+      cluster.joinAll();
+      const entries = mode === "local" ? cutDispatcher(cluster) : undefined;
+      const options = { callsPerMs: 0.15, entries, seed };
+      drive(cluster, { ...options, ms: 2_000, behaviour: () => ({}) });
+      cluster.setServers(all);
+      const { counts } = drive(cluster, {
+        ...options,
+        ms: 6_000,
+        behaviour: (server) =>
+          server === "s0" ? { expiresAfterMs: 3_000 } : {},
+      });
+      assert.ok(share(counts, "s0") < 0.04, `${share(counts, "s0")}`);
+    }
+  });
+
   test(`a wrong load report neither floods nor starves a server (${mode})`, () => {
     const cluster = new TestCluster({ servers: servers(4) });
     cluster.joinAll();
@@ -139,6 +166,64 @@
   assert.ok(share(fast.counts, "s0") > 0.05, `${share(fast.counts, "s0")}`);
 });
 
+// Guards against an entry without a dispatcher that spares a server for good
+// which was slow for a time.
+test("a server that was slow is used again once it is fast (local)", () => {
+  for (const callsPerMs of [0.4, 0.8]) {
+    const cluster = new TestCluster({ servers: servers(10) });
+    cluster.joinAll();
+    const entries = cutDispatcher(cluster);
+    const run = (ms: number, meanMs: number) =>
+      drive(cluster, {
+        ms,
+        callsPerMs,
+        entries,
+        behaviour: (server) => (server === "s0" ? { meanMs } : {}),
+      });
+    run(6_000, 100);
+    run(12_000, 20);
+    const fast = run(2_000, 20);
+    assert.ok(share(fast.counts, "s0") > 0.03, `${share(fast.counts, "s0")}`);
+  }
+});
+
+// Guards against servers that count as slow since this process got no processor
+// time and has not read their answers.
+test("a pause of the entry makes no server slow (local)", () => {
+  const router = new ServiceRouter(SERVICE, {
+    dataCentre: "riga-a",
+    random: new SeededRandomness(1),
+    sequenceNumbers: new SequenceNumbers(),
+  });
+  router.setServers(servers(4, { slots: 6 }), 0);
+  let now = 0;
+  const submit = (count: number) =>
+    Array.from({ length: count }, (_, index) => {
+      const call = makeCall(`c${now}-${index}`, now);
+      router.submit(call, { exclude: new Set(), now });
+      return call.id;
+    });
+  const advance = (ms: number) => {
+    for (let i = 0; i < ms; i++) router.tick(++now);
+  };
+  const slowCount = () =>
+    [...router.servers.servers()].filter(
+      ({ health }) => health.status === "slow",
+    ).length;
+  for (let round = 0; round < 10; round++) {
+    const ids = submit(8);
+    advance(20);
+    const result = { kind: "answered", serviceMs: 20 } as const;
+    for (const id of ids) router.finish(id, result, now);
+  }
+  submit(20);
+  now += 1_000;
+  router.tick(now);
+  assert.equal(slowCount(), 0, "judged before any answer is read");
+  advance(60);
+  assert.ok(slowCount() > 0, "no answers came either");
+});
+
 test("a slowdown of all servers ejects none", () => {
   const cluster = new TestCluster({ servers: servers(5) });
   cluster.joinAll();
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -312,10 +312,7 @@
   }
 
   tick(now: number): RoutingEffect[] {
-    if (now >= this.#refreshAt) {
-      this.#servers.tick(now);
-      this.#refreshAt = now + REFRESH_MS;
-    }
+    if (now >= this.#refreshAt) this.#refreshServers(now);
     const effects = this.#rejections.rejectExpired(now);
     effects.push(...this.#rejections.rejectUnservable(now));
     const longRunning = isLongRunning(this.#servers.meanMs);
@@ -333,6 +330,17 @@
     return effects;
   }
 
+  #refreshServers(now: number): void {
+    this.#servers.tick(now);
+    // After a pause of this process, answers that have arrived are not read
+    // yet. An attached dispatcher evaluates the calls itself.
+    const isLate = now - this.#refreshAt >= REFRESH_MS;
+    if (!isLate && this.link.state !== "attached") {
+      this.#servers.evaluateRunning(this.#calls.runningByServer(), now);
+    }
+    this.#refreshAt = now + REFRESH_MS;
+  }
+
   /**
    * Whether to ask the dispatcher for a slot although this entry could choose
    * one: only the dispatcher can use servers that limit their rate.
@@ -356,7 +364,7 @@
     }
     const server =
       this.#calls.queue.length === 0 && !asks
-        ? this.#servers.choose(call.exclude, now)
+        ? this.#servers.choose(call, now)
         : undefined;
     if (server) return this.#assign(call, server, now);
     const waitMs = this.#queuePolicy.estimateWaitMs(
@@ -444,7 +452,7 @@
     while (this.#servers.anyFree && skipped.length < MAX_SKIPPED_CALLS) {
       const call = this.#calls.queue.peek();
       if (!call) break;
-      const server = this.#servers.choose(call.exclude, now);
+      const server = this.#servers.choose(call, now);
       if (server)
         effects.push(
           ...this.#grantedSlots.startWithoutGrant(call, server, now),
--- a/packages/routing/test_cluster.ts
+++ b/packages/routing/test_cluster.ts
@@ -60,6 +60,21 @@
   };
 }
 
+/** An urgent call that arrives now. */
+export function makeCall(id: string, now: number): Call {
+  return {
+    id,
+    service: "alloc",
+    class: "booking",
+    priority: "urgent",
+    repeatable: false,
+    arrival: now,
+    deadline: now + 5_000,
+    depth: 0,
+    retries: 0,
+  };
+}
+
 export function makeView(ids: readonly string[], epoch = 1): View {
   const address = { host: "127.0.0.1", port: 1 };
   const entries = ids.map(
@@ -190,18 +205,7 @@
     options: Partial<Call> & { exclude?: ReadonlySet<string> } = {},
   ): string {
     const { exclude, ...rest } = options;
-    const call: Call = {
-      id: `c${this.#calls++}`,
-      service: "alloc",
-      class: "booking",
-      priority: "urgent",
-      repeatable: false,
-      arrival: this.now,
-      deadline: this.now + 5_000,
-      depth: 0,
-      retries: 0,
-      ...rest,
-    };
+    const call = { ...makeCall(`c${this.#calls++}`, this.now), ...rest };
     this.decisions.set(call.id, []);
     const { now } = this;
     this.apply(entry, this.router(entry).submit(call, { exclude, now }));
