State what the waits of the call fault tests wait for

Waits of a fixed time now have a name and say what has to pass in it: a deadline, the spread of a leave, the confirmation of a configuration. No time has changed.

--- a/packages/callfaults/backend_fault_cases.ts
+++ b/packages/callfaults/backend_fault_cases.ts
@@ -43,6 +43,10 @@
 
 /** Slots of a server, which is how many calls its crash can interrupt. */
 const SLOTS = 6;
+/** Longer than the longest deadline, so that calls end at the frozen server. */
+const FROZEN_MS = 6_000;
+/** Time within which a leave reaches every entry (design 6.6). */
+const LEAVE_SPREAD_MS = 3_000;
 
 export const BACKEND_FAULT_CASES: readonly BackendFaultCase[] = [
   {
@@ -63,7 +67,7 @@
       "calls delayed by, or sent indefinitely to, a server that hangs",
     injectFault: async ({ load, server }) => {
       server.signal("SIGSTOP");
-      await sleep(6_000);
+      await sleep(FROZEN_MS);
       server.signal("SIGCONT");
       await load.waitForCompleted(300);
     },
@@ -164,7 +168,7 @@
     guardsAgainst: "new calls to a leaving server after more than 3 s",
     injectFault: async ({ load, server }) => {
       await server.leave();
-      await sleep(3_000);
+      await sleep(LEAVE_SPREAD_MS);
       const before = await server.readCounts();
       await load.waitForCompleted(300);
       assert.deepEqual(await server.readCounts(), before);
--- a/packages/callfaults/cut_entries_test.ts
+++ b/packages/callfaults/cut_entries_test.ts
@@ -18,6 +18,10 @@
  * views (design 6.3).
  */
 const FIRST_VIEWS_MS = 8_000;
+/** Gap between rounds of bookings, which spreads them over a partition. */
+const ROUND_GAP_MS = 40;
+/** Time within which a leave applies at all entries (design 6.6). */
+const LEAVE_SPREAD_MS = 3_000;
 let site: CallFaultSite;
 let startedAt: number;
 
@@ -60,7 +64,7 @@
     return sent.map((s): CallRecord => ({ service: "report", attempts: [s] }));
   };
   const calls: CallRecord[] = [];
-  const appliesAt = performance.now() + 3_000;
+  const appliesAt = performance.now() + LEAVE_SPREAD_MS;
   while (performance.now() < appliesAt) {
     calls.push(...(await call()));
     await sleep(50);
@@ -175,7 +179,7 @@
         ),
       );
       calls.push(...sent.map((s) => ({ service: SERVICE, attempts: [s] })));
-      await sleep(40);
+      await sleep(ROUND_GAP_MS);
     }
     site.heal();
     assert.deepEqual(guaranteeViolations(calls, site.executions()), []);
--- a/packages/callfaults/running_site_test.ts
+++ b/packages/callfaults/running_site_test.ts
@@ -29,6 +29,13 @@
  */
 const PROBE_BUDGET_PERCENT = 0.02;
 const QUIET_SERVERS = 6;
+/**
+ * Longer than the time for which an entry uses a configuration that it cannot
+ * confirm (design 6.4), so that the frozen one has none when it resumes.
+ */
+const FREEZE_MS = 5_000;
+/** Time in which requests get into the sockets of a frozen entry. */
+const CONNECT_MS = 100;
 /** Least slot time that a probe is charged, in milliseconds. */
 const PROBE_SLOT_MS = 6;
 
@@ -230,7 +237,7 @@
   const others = site.entryIds.filter((id) => id !== frozen);
   site.processes.signal(frozen, "SIGSTOP");
   const stoppedAt = performance.now();
-  while (performance.now() - stoppedAt < 5_000) {
+  while (performance.now() - stoppedAt < FREEZE_MS) {
     const sent = await Promise.all(
       others.map((id, index) =>
         sendOnce(site.httpAddress(id), {
@@ -252,7 +259,7 @@
       path: `/timesheets/early-${index}`,
     }),
   );
-  await sleep(100);
+  await sleep(CONNECT_MS);
   site.processes.signal(frozen, "SIGCONT");
   const sent = await Promise.all(early);
   const calls = sent.map((s) => ({ service: SERVICE, attempts: [s] }));
--- a/packages/callfaults/together_test.ts
+++ b/packages/callfaults/together_test.ts
@@ -13,6 +13,11 @@
  * views, which contain only one or two entries (design 6.3).
  */
 const FIRST_VIEWS_MS = 34_000;
+/**
+ * Longer than the time for which an entry uses a configuration that it cannot
+ * confirm (design 6.4), so that the isolated one stops taking calls.
+ */
+const FAULTS_MS = 4_000;
 let site: CallFaultSite;
 let servers: BackendHandle[];
 
@@ -48,7 +53,7 @@
   await site.kill(restarted);
   site.processes.signal(dispatcher, "SIGSTOP");
   site.isolate(isolated);
-  await sleep(4_000);
+  await sleep(FAULTS_MS);
   site.processes.signal(dispatcher, "SIGCONT");
   site.heal();
   frozen?.signal("SIGCONT");
