Tell callers that their request is in quarantine also after its retries

The logs show the call's attempts: reset, reset, quarantined ("the request was running when servers were lost"). Cause: replaces codes that stand for "not run" after an attempt that may have run, and took `quarantined` for one of them. It says nothing of that: it is answered with the outcome unknown where the request has run before.

`quarantined` now stands, as `deadline_expired` does; the test's list of codes that may come with an unknown outcome names it, and a test of its own requires it, which failed before.

--- a/packages/entry/final_fault.ts
+++ b/packages/entry/final_fault.ts
@@ -1,10 +1,24 @@
-import { CALL_FAULTS, type CallFault, callFault } from "#model";
+import {
+  CALL_FAULTS,
+  type CallFault,
+  type CallFaultCode,
+  callFault,
+} from "#model";
 
 /** How an earlier attempt ended that may have executed the request. */
 export interface EarlierRun {
   readonly detail: string;
 }
 
+/**
+ * Codes that say nothing of whether the request was run, though they mostly come
+ * with a request that was not. `quarantined` asks not to send it again.
+ */
+const CODES_OF_ANY_OUTCOME: ReadonlySet<CallFaultCode> = new Set([
+  "deadline_expired",
+  "quarantined",
+]);
+
 /**
  * The fault that a caller is told after all attempts. If an earlier attempt may
  * have executed the request, its outcome is unknown, whatever refused the
@@ -19,7 +33,7 @@
   const { code, detail, retryAfterMs } = last;
   const outcome = "unknown";
   const mayStand =
-    code === "deadline_expired" || CALL_FAULTS[code].outcome === outcome;
+    CODES_OF_ANY_OUTCOME.has(code) || CALL_FAULTS[code].outcome === outcome;
   if (mayStand) return callFault(code, { outcome, detail });
   return callFault("server_failed", {
     outcome,
--- a/packages/entry/final_fault_test.ts
+++ b/packages/entry/final_fault_test.ts
@@ -11,6 +11,7 @@
   "already_run",
   "server_failed",
   "deadline_expired",
+  "quarantined",
 ];
 
 // Guards against answers such as "queue_full" with the outcome unknown, which
@@ -28,6 +29,15 @@
   }
 });
 
+// Guards against callers that send a request again which has crashed servers,
+// because the refusal of its retry was told as the failure of one server.
+test("a request that its own attempts put in quarantine is told so", () => {
+  const refusal = callFault("quarantined", { outcome: "unknown" });
+  const fault = finalFault(refusal, EARLIER_RUN);
+  assert.equal(fault.code, "quarantined");
+  assert.equal(fault.outcome, "unknown");
+});
+
 test("a fault stands as it is if no attempt may have run", () => {
   for (const code of CODES) {
     const fault = callFault(code, { outcome: "not-run", retryAfterMs: 250 });
