Send no call whose time is over when its slot comes late

The kept logs show no suspected request that waits for a run of its own, but lookups that waited 2.1 to 3.0 s for a slot while servers were down, and were then sent with 33 to 450 ms left, some of them after their 3 s: cut off at the deadline, their outcome is unknown. Cause: too late calls are taken out of the queue by the tick only. An entry that had no processor time read grants and answers first, and gave their slots to such calls.

They are now rejected before a slot is used, as not run, so that a caller may send them again.

--- a/packages/routing/router_test.ts
+++ b/packages/routing/router_test.ts
@@ -8,6 +8,7 @@
   type Service,
 } from "#model";
 import { Router } from "./index.ts";
+import { makeServer, TestCluster } from "./test_cluster.ts";
 
 const SERVICE: Service = {
   name: "alloc",
@@ -87,6 +88,50 @@
   assert.equal(code, "deadline_expired");
 });
 
+// Guards against calls that a busy entry sends when nobody waits for them, and
+// whose outcome is then unknown.
+test("a slot that becomes free too late is given to no expired call", () => {
+  const router = makeRouter(["s1"]);
+  for (const id of ["c1", "c2"]) router.submit(call(id), { now: 0 });
+  router.submit(call("c3", { deadline: 20 }), { now: 0 });
+  const result = { kind: "answered", serviceMs: 30 } as const;
+  const effects = router.finish("c1", result, 30);
+  assert.deepEqual(
+    effects.map((e) => e.type === "reject" && e.fault.code),
+    ["deadline_expired"],
+  );
+});
+
+// As above, for a grant that an entry reads only after a pause.
+test("a grant that comes too late is used for no expired call", () => {
+  const cluster = new TestCluster({
+    entries: 2,
+    servers: [makeServer("s1", { slots: 1 })],
+  });
+  cluster.joinAll();
+  const { dispatcher, otherEntry } = cluster;
+  for (let count = 0; count < 4; count++) cluster.submit(dispatcher);
+  cluster.advance(5);
+  const deadline = cluster.now + 500;
+  const late = cluster.submit(otherEntry, { deadline });
+  cluster.advance(5);
+  assert.equal(cluster.serverOf(late), undefined, "it waits");
+  cluster.frozenEntries.add(otherEntry);
+  while (cluster.running.size > 0) {
+    for (const running of [...cluster.running.keys()]) cluster.finish(running);
+    cluster.advance(5);
+  }
+  assert.ok(cluster.heldMessages.length > 0, "a grant is on its way");
+  cluster.clock.advance(500);
+  cluster.frozenEntries.clear();
+  cluster.releaseHeld();
+  const decisions = cluster.decisions.get(late) ?? [];
+  assert.deepEqual(
+    decisions.map((e) => e.type),
+    ["reject"],
+  );
+});
+
 test("a call above the queue length is rejected with a time to retry", () => {
   const router = makeRouter(["s1"]);
   for (let id = 0; id < 6; id++) router.submit(call(`c${id}`), { now: 0 });
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -187,11 +187,13 @@
       const released = { ticket, kind, serviceMs, leaving, slowdown };
       this.link.addReleased({ ...released, ...statementOf(result) });
     }
+    const expired = this.#rejections.rejectExpired(now);
     const reused = this.#grantedSlots.reuseSlot(server, now);
     // While there are credits, no call waits, so the release can be sent with
     // the next call.
     const sent = this.link.hasCredits ? [] : this.link.flush(now);
     return [
+      ...expired,
       ...reused,
       ...sent,
       ...this.#assignLocally(now),
@@ -291,6 +293,8 @@
     if (!this.link.accept(from, grant, now)) return [];
     if (grant.rateLimits) this.#servers.applyRateLimits(grant.rateLimits, now);
     const effects: RoutingEffect[] = this.statementEffects();
+    // After a pause of this process, calls still wait that are too late by now.
+    effects.push(...this.#rejections.rejectExpired(now));
     for (const granted of grant.grants) {
       effects.push(...this.#grantedSlots.handleGrant(granted, now));
     }
@@ -445,8 +449,8 @@
    * dispatcher.
    */
   #assignLocally(now: number): RoutingEffect[] {
-    const effects: RoutingEffect[] = [];
-    if (this.link.state === "attached") return effects;
+    if (this.link.state === "attached") return [];
+    const effects = this.#rejections.rejectExpired(now);
     const skipped: OpenCall[] = [];
     this.#calls.queue.moveLateCalls(now);
     while (this.#servers.anyFree && skipped.length < MAX_SKIPPED_CALLS) {
