--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -187,11 +187,13 @@
       const released = { ticket, kind, serviceMs, leaving, slowdown };
       this.link.addReleased({ ...released, ...statementOf(result) });
     }
+    const expired = this.#rejections.rejectExpired(now);
     const reused = this.#grantedSlots.reuseSlot(server, now);
     // While there are credits, no call waits, so the release can be sent with
     // the next call.
     const sent = this.link.hasCredits ? [] : this.link.flush(now);
     return [
+      ...expired,
       ...reused,
       ...sent,
       ...this.#assignLocally(now),
@@ -291,6 +293,8 @@
     if (!this.link.accept(from, grant, now)) return [];
     if (grant.rateLimits) this.#servers.applyRateLimits(grant.rateLimits, now);
     const effects: RoutingEffect[] = this.statementEffects();
+    // After a pause of this process, calls still wait that are too late by now.
+    effects.push(...this.#rejections.rejectExpired(now));
     for (const granted of grant.grants) {
       effects.push(...this.#grantedSlots.handleGrant(granted, now));
     }
@@ -312,10 +316,7 @@
   }
 
   tick(now: number): RoutingEffect[] {
-    if (now >= this.#refreshAt) {
-      this.#servers.tick(now);
-      this.#refreshAt = now + REFRESH_MS;
-    }
+    if (now >= this.#refreshAt) this.#refreshServers(now);
     const effects = this.#rejections.rejectExpired(now);
     effects.push(...this.#rejections.rejectUnservable(now));
     const longRunning = isLongRunning(this.#servers.meanMs);
@@ -333,6 +334,17 @@
     return effects;
   }
 
+  #refreshServers(now: number): void {
+    this.#servers.tick(now);
+    // After a pause of this process, answers that have arrived are not read
+    // yet. An attached dispatcher evaluates the calls itself.
+    const isLate = now - this.#refreshAt >= REFRESH_MS;
+    if (!isLate && this.link.state !== "attached") {
+      this.#servers.evaluateRunning(this.#calls.runningByServer(), now);
+    }
+    this.#refreshAt = now + REFRESH_MS;
+  }
+
   /**
    * Whether to ask the dispatcher for a slot although this entry could choose
    * one: only the dispatcher can use servers that limit their rate.
@@ -356,7 +368,7 @@
     }
     const server =
       this.#calls.queue.length === 0 && !asks
-        ? this.#servers.choose(call.exclude, now)
+        ? this.#servers.choose(call, now)
         : undefined;
     if (server) return this.#assign(call, server, now);
     const waitMs = this.#queuePolicy.estimateWaitMs(
@@ -437,14 +449,14 @@
    * dispatcher.
    */
   #assignLocally(now: number): RoutingEffect[] {
-    const effects: RoutingEffect[] = [];
-    if (this.link.state === "attached") return effects;
+    if (this.link.state === "attached") return [];
+    const effects = this.#rejections.rejectExpired(now);
     const skipped: OpenCall[] = [];
     this.#calls.queue.moveLateCalls(now);
     while (this.#servers.anyFree && skipped.length < MAX_SKIPPED_CALLS) {
       const call = this.#calls.queue.peek();
       if (!call) break;
-      const server = this.#servers.choose(call.exclude, now);
+      const server = this.#servers.choose(call, now);
       if (server)
         effects.push(
           ...this.#grantedSlots.startWithoutGrant(call, server, now),
