End a response that goes on past its deadline or a bound of bytes

Cause: the timer of the deadline was cleared as soon as a response longer than 64 KiB began to be forwarded, and nothing counted its bytes.

The deadline now ends a response that is still being received: the caller's connection is broken, so that it does not look complete, and that to the server is closed. What is pending at the deadline is read first, and a response that has been received to its end is still delivered. A body may have `limits.response_body_max_bytes` at most (1 GiB by default); one that announces more is refused at its head with `server_failed`, unknown. The slot of such a call is released as expired or lost, as for a call without an answer. The decisions stand in response_bounds.ts, without I/O.

--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -13,12 +13,14 @@
   type ParsedNumber,
 } from "#model";
 import {
+  boundFailure,
   collectResponse,
   type RequestResult,
   type ResponseHead,
 } from "./backend_response.ts";
 import type { CallProtocol } from "./call_protocol.ts";
 import type { RequestBody } from "./request_body.ts";
+import { type ResponseLimits, ResponseMeter } from "./response_bounds.ts";
 
 /** Shorter than the usual keep-alive timeout of servers (5 s). */
 const IDLE_CONNECTION_TIMEOUT_MS = 4_000;
@@ -27,6 +29,7 @@
  * request is not sent while the server is closing the connection.
  */
 const KEEP_ALIVE_TIMEOUT_FRACTION = 0.75;
+const DEFAULT_LIMITS: ResponseLimits = { bodyMaxBytes: 1024 ** 3 };
 
 /** An HTTP request to a backend server. */
 export interface BackendRequest {
@@ -50,6 +53,7 @@
 }
 
 export interface BackendClientOptions {
+  readonly limits?: ResponseLimits;
   /** Called for each header of a response that cannot be read. */
   readonly onMalformedHeader?: (
     server: BackendServer,
@@ -61,10 +65,12 @@
 export class BackendClient {
   readonly #agents = new Map<string, { agent: Agent; incarnation: number }>();
   readonly #protocol: CallProtocol;
+  readonly #limits: ResponseLimits;
   readonly #onMalformedHeader: BackendClientOptions["onMalformedHeader"];
 
   constructor(protocol: CallProtocol, options: BackendClientOptions = {}) {
     this.#protocol = protocol;
+    this.#limits = options.limits ?? DEFAULT_LIMITS;
     this.#onMalformedHeader = options.onMalformedHeader;
   }
 
@@ -79,6 +85,7 @@
       agent: this.#agent(server),
       setHost: false,
     });
+    const meter = new ResponseMeter(this.#limits);
     let connected = false;
     let isSettled = false;
     const result = new Promise<RequestResult>((resolve) => {
@@ -102,7 +109,7 @@
         });
       });
       let responded = false;
-      outgoing.once("error", (error) => fail(error.message));
+      outgoing.on("error", (error) => fail(error.message));
       outgoing.once("close", () => {
         if (!responded) fail("connection closed");
       });
@@ -115,7 +122,13 @@
           outgoing.destroy();
           return;
         }
-        void collectResponse(response, head).then(settle);
+        const excess = meter.checkLength(bodyLength(request, response));
+        if (excess) {
+          settle({ type: "fault", fault: boundFailure(excess) });
+          outgoing.destroy();
+          return;
+        }
+        void collectResponse(response, head, meter).then(settle);
       });
     });
     sendBody(outgoing, request.body);
@@ -199,6 +212,15 @@
   }
 }
 
+/** The announced length of a response's body; undefined if it has none. */
+function bodyLength(
+  { method }: BackendRequest,
+  { headers, statusCode }: IncomingMessage,
+): string | undefined {
+  const hasBody = method !== "HEAD" && statusCode !== 304;
+  return hasBody ? headers["content-length"] : undefined;
+}
+
 type Outgoing = ReturnType<typeof httpRequest>;
 
 function setConnectTimeout(
--- a/packages/entry/backend_client_test.ts
+++ b/packages/entry/backend_client_test.ts
@@ -76,3 +76,18 @@
   await until(() => connections === 0, { what: "the other one is closed" });
   client.close();
 });
+
+// Otherwise a request for the head of a long document fails.
+test("a response to HEAD may announce more than the longest body", async () => {
+  const server = createServer((_request, response) => {
+    response.writeHead(200, { "content-length": 1_000 }).end();
+  });
+  const target = record(await listenOnFreePort(server), 1);
+  const limits = { bodyMaxBytes: 100 };
+  const client = new BackendClient(new PublishedProtocol(), { limits });
+  const head = await client.send(target, { ...REQUEST, method: "HEAD" }).result;
+  assert.equal(head.type, "answer");
+  const get = await client.send(target, REQUEST).result;
+  assert.equal(get.type === "fault" && get.fault.type, "bound_exceeded");
+  client.close();
+});
--- a/packages/entry/backend_response.ts
+++ b/packages/entry/backend_response.ts
@@ -1,5 +1,10 @@
 import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
 import type { ResponseReport } from "./call_protocol.ts";
+import {
+  describeExceededBound,
+  type ExceededBound,
+  type ResponseMeter,
+} from "./response_bounds.ts";
 
 /**
  * Responses up to this size are buffered and checked for completeness before
@@ -24,11 +29,17 @@
 interface BufferedResponse extends ResponseHead {
   readonly body: Buffer;
   readonly stream?: undefined;
+  readonly exceeded?: undefined;
 }
 
-interface StreamedResponse extends ResponseHead {
+export interface StreamedResponse extends ResponseHead {
   readonly body?: undefined;
   readonly stream: IncomingMessage;
+  readonly meter: ResponseMeter;
+  /** The bound that the response exceeded while it was forwarded. */
+  readonly exceeded: () => ExceededBound | undefined;
+  /** Closes the connection to the server, since a bound was exceeded. */
+  readonly exceed: (excess: ExceededBound) => void;
   /**
    * Whether the response ended prematurely; valid once the stream has ended.
    */
@@ -42,7 +53,18 @@
 export type RequestFailure =
   | { readonly type: "not_connected"; readonly detail: string }
   | { readonly type: "connection_lost"; readonly detail: string }
-  | { readonly type: "answer_cut"; readonly detail: string };
+  | { readonly type: "answer_cut"; readonly detail: string }
+  | {
+      readonly type: "bound_exceeded";
+      readonly excess: ExceededBound;
+      readonly detail: string;
+    };
+
+/** The failure of a request whose response exceeded a bound. */
+export function boundFailure(excess: ExceededBound): RequestFailure {
+  const detail = describeExceededBound(excess);
+  return { type: "bound_exceeded", excess, detail };
+}
 
 /** The result of one request to a backend server. */
 export type RequestResult =
@@ -76,8 +98,14 @@
 export function collectResponse(
   incoming: IncomingMessage,
   head: ResponseHead,
+  meter: ResponseMeter,
 ): Promise<RequestResult> {
   const isTruncated = detectTruncation(incoming);
+  let excess: ExceededBound | undefined;
+  const exceed = (exceeded: ExceededBound) => {
+    excess = exceeded;
+    incoming.destroy();
+  };
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let length = 0;
@@ -89,7 +117,14 @@
       incoming.off("data", onData);
       incoming.off("end", onEnd);
       incoming.unshift(Buffer.concat(chunks));
-      const response = { ...head, stream: incoming, isTruncated };
+      const response = {
+        ...head,
+        stream: incoming,
+        isTruncated,
+        meter,
+        exceeded: () => excess,
+        exceed,
+      };
       resolve({ type: "answer", response });
     };
     const failTruncated = (detail: string) => {
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -89,16 +89,13 @@
     }
     this.#startDeadline(call);
     const admittedCall = { call, chain, body: body.value };
-    try {
-      if (this.#usesIdempotencyKey) await this.#runWithClaim(admittedCall);
-      else this.#sendResult(await this.#runAttempts(admittedCall));
-    } finally {
-      clearTimeout(this.#deadlineTimer);
-    }
+    if (this.#usesIdempotencyKey) await this.#runWithClaim(admittedCall);
+    else this.#sendResult(await this.#runAttempts(admittedCall));
   }
 
   /** To be called when the response is closed, whether complete or not. */
   onResponseClosed(): void {
+    clearTimeout(this.#deadlineTimer);
     if (this.#exchange.response.writableFinished) return;
     this.#stop("caller_closed");
   }
@@ -265,10 +262,12 @@
     // At the deadline the claim resolves by itself, with what is known by then.
     if (reason === "caller_closed") this.#cancelClaim?.();
     this.#attempts?.stop(reason);
+    if (reason === "expired") this.#reply.expire();
   }
 
   #record(outcome: Outcome, fault?: CallFault): void {
     const { metrics, clock, logger, configuration } = this.#options;
+    clearTimeout(this.#deadlineTimer);
     const ms = clock.now() - this.#arrival;
     const service = this.#classified?.service.name ?? "none";
     const className = this.#classified?.class.name ?? "none";
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -83,6 +83,7 @@
     this.#hostRoutes = new HostRoutes(randomness);
     this.#classifier = new RequestClassifier([], this.#hostRoutes);
     this.#client = new BackendClient(protocol, {
+      limits: { bodyMaxBytes: settings.limits.responseBodyMaxBytes },
       onMalformedHeader: (server, { name, text }) => {
         metrics.recordMalformedHeader(server.service);
         logger.warn("header of a backend server cannot be read", {
--- a/packages/entry/call_reply.ts
+++ b/packages/entry/call_reply.ts
@@ -1,9 +1,14 @@
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ServerResponse } from "node:http";
 import type { StoredAnswer } from "#claims";
-import { type CallFault, HEADERS, type Outcome } from "#model";
-import type { BackendResponse } from "./backend_response.ts";
+import { type CallFault, callFault, HEADERS, type Outcome } from "#model";
+import type { BackendResponse, StreamedResponse } from "./backend_response.ts";
 import type { CallProtocol } from "./call_protocol.ts";
 import { replyFault } from "./reply.ts";
+import {
+  describeExceededBound,
+  type ExceededBound,
+} from "./response_bounds.ts";
+import { ResponseStream } from "./response_stream.ts";
 
 /** Statuses whose responses have no body, and so need no content length. */
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
@@ -21,6 +26,7 @@
 export class CallReply {
   readonly #options: CallReplyOptions;
   #ended = false;
+  #stream: ResponseStream | undefined;
 
   constructor(options: CallReplyOptions) {
     this.#options = options;
@@ -40,7 +46,7 @@
     });
     if (backendResponse.stream) {
       response.writeHead(backendResponse.status, headers);
-      this.#stream(backendResponse.stream, backendResponse.isTruncated);
+      this.#forwardStream(backendResponse);
       return;
     }
     const bodiless =
@@ -74,30 +80,20 @@
     replyFault(response, fault, protocol.errorResponse(fault, requestId));
   }
 
-  /**
-   * Forwards a streamed response. If it is truncated, the caller's connection
-   * is broken, so that the response does not look complete.
-   */
-  #stream(body: IncomingMessage, isTruncated: () => boolean): void {
-    const { response } = this.#options;
-    const abort = () => {
-      this.#end("unknown");
-      response.destroy();
-    };
-    body.pipe(response, { end: false });
-    body.once("end", () => {
-      if (isTruncated()) {
-        abort();
-        return;
-      }
-      response.end();
-      this.#end("answered");
-    });
-    body.once("error", abort);
-    body.once("close", () => {
-      if (!body.complete) abort();
+  /** To be called at the deadline of the call. */
+  expire(): void {
+    this.#stream?.expire();
+  }
+
+  #forwardStream(from: StreamedResponse): void {
+    this.#stream = new ResponseStream(from, this.#options.response, {
+      onEnd: (end) => {
+        if (end.type === "complete") this.#end("answered");
+        else if (end.type === "truncated") this.#end("unknown");
+        else this.#end("unknown", toFault(end.excess));
+      },
     });
-    response.once("close", () => body.destroy());
+    this.#stream.start();
   }
 
   #end(outcome: Outcome, fault?: CallFault): void {
@@ -110,3 +106,12 @@
 function hasHeader(headers: readonly string[], name: string): boolean {
   return headers.some((h, i) => i % 2 === 0 && h.toLowerCase() === name);
 }
+
+/** The fault of a call whose response was broken off, for its log line. */
+function toFault(excess: ExceededBound): CallFault {
+  const isLate = excess.bound === "deadline";
+  return callFault(isLate ? "deadline_expired" : "server_failed", {
+    outcome: "unknown",
+    detail: describeExceededBound(excess),
+  });
+}
--- /dev/null
+++ b/packages/entry/endless_response_test.ts
@@ -0,0 +1,203 @@
+import assert from "node:assert/strict";
+import { request as httpRequest, type IncomingHttpHeaders } from "node:http";
+import type { Socket } from "node:net";
+import { after, before, test } from "node:test";
+import { HEADERS } from "#model";
+import { RawBackend, type RawResponse, writeWithoutEnd } from "#standin";
+import { LocalSite, systemSection } from "../demo/local_site.ts";
+import { until } from "../demo/until.ts";
+
+const DEADLINE_MS = 600;
+/** Generous: a busy machine may delay a call, but none may go on for ever. */
+const END_WITHIN_MS = 15_000;
+const BYTE_INTERVAL_MS = 10;
+/** Not reached by a byte at a time. */
+const RESPONSE_MAX_BYTES = 4 * 1024 * 1024;
+
+const SERVICES = Array.from({ length: 40 }, (_, index) => `s${index}`);
+
+let site: LocalSite;
+let used = 0;
+
+before(async () => {
+  site = await LocalSite.start({
+    entries: 1,
+    entryLimits: { response_body_max_bytes: RESPONSE_MAX_BYTES },
+  });
+  await until(() => site.hasLeader(), { what: "control has a leader" });
+  await site.put("system", systemSection(["riga-a"], ["all"]));
+  const service = {
+    slots_per_server: 6,
+    connections_per_server: 300,
+    cold_start_ms: 0,
+    retry_budget_percent: 0,
+    measuring_budget_percent: 0,
+    classes: {
+      lookup: {
+        priority: "patient",
+        deadline_ms: DEADLINE_MS,
+        repeatable: true,
+      },
+    },
+    routes: [{ path: "/", class: "lookup" }],
+  };
+  const services = Object.fromEntries(SERVICES.map((s) => [s, service]));
+  await site.put("all", JSON.stringify({ services }));
+  await until(() => site.entries.every((e) => e.ready), { what: "ready" });
+});
+
+after(async () => {
+  await site.close();
+});
+
+/** Starts the only server of an unused service. */
+async function startBackend(respond: RawResponse) {
+  const service = SERVICES[used++] ?? "";
+  const backend = new RawBackend({
+    id: "raw",
+    service,
+    dataCentre: "riga-a",
+    entries: () => site.addresses,
+    respond,
+  });
+  await backend.start();
+  after(() => backend.close());
+  await until(() => site.entries[0]?.serverCount(service) === 1, {
+    what: "the server is known",
+  });
+  return { service, backend };
+}
+
+interface CallEnd {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  /** Whether the response had an end; false if the connection broke. */
+  readonly isComplete: boolean;
+  readonly bytes: number;
+}
+
+/** Makes a call and reads its response to the end, without keeping it. */
+function call(service: string): Promise<CallEnd> {
+  const [address] = site.addresses;
+  return new Promise((resolve, reject) => {
+    let head = { status: 0, headers: {} };
+    let bytes = 0;
+    const end = (isComplete: boolean) => {
+      clearTimeout(timer);
+      resolve({ ...head, isComplete, bytes });
+    };
+    const outgoing = httpRequest({
+      ...address,
+      agent: false,
+      path: "/",
+      headers: { [HEADERS.service]: service },
+    });
+    const timer = setTimeout(() => {
+      reject(new Error(`no end of the call after ${bytes} bytes`));
+      outgoing.destroy();
+    }, END_WITHIN_MS);
+    outgoing.on("error", () => end(false));
+    outgoing.on("response", (response) => {
+      const { statusCode = 0, headers } = response;
+      head = { status: statusCode, headers };
+      response.on("data", (chunk: Buffer) => {
+        bytes += chunk.length;
+      });
+      response.on("error", () => end(false));
+      response.on("end", () => end(response.complete));
+    });
+    outgoing.end();
+  });
+}
+
+const PIECE = "0123456789abcdef".repeat(1_024);
+const CHUNK = `4000\r\n${PIECE}\r\n`;
+const CLOSE_HEAD = "HTTP/1.1 200 OK\r\nX: 1\r\n\r\n";
+const CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+const PACE_MS = 40;
+
+/** Writes pieces of 16 KB at a pace that reaches the deadline first. */
+function writePaced(
+  socket: Socket,
+  bytes: { first: string; piece: string },
+): void {
+  socket.write(bytes.first);
+  const timer = setInterval(() => socket.write(bytes.piece), PACE_MS);
+  socket.once("close", () => clearInterval(timer));
+}
+
+const ENDLESS_BODIES: Record<string, RawResponse> = {
+  "without a length": (socket) =>
+    writePaced(socket, { first: CLOSE_HEAD, piece: PIECE }),
+  "in chunks": (socket) =>
+    writePaced(socket, { first: CHUNKED_HEAD, piece: CHUNK }),
+  "a byte at a time after its first 100 KB": (socket) =>
+    writeWithoutEnd(socket, {
+      first: CLOSE_HEAD + PIECE.repeat(7),
+      piece: "x",
+      byteIntervalMs: BYTE_INTERVAL_MS,
+    }),
+};
+
+for (const [how, respond] of Object.entries(ENDLESS_BODIES)) {
+  // Otherwise the response goes on until the caller closes.
+  test(`an endless body ${how} is broken off at the deadline`, async () => {
+    const { service, backend } = await startBackend(respond);
+    const { status, isComplete } = await call(service);
+    assert.equal(status, 200);
+    assert.equal(isComplete, false);
+    await until(() => backend.openConnections === 0, {
+      what: "the connection to the server is closed",
+    });
+  });
+}
+
+const FAST_BODIES: Record<string, RawResponse> = {
+  "without a length": (socket) =>
+    writeWithoutEnd(socket, { first: CLOSE_HEAD, piece: PIECE }),
+  "in chunks": (socket) =>
+    writeWithoutEnd(socket, { first: CHUNKED_HEAD, piece: CHUNK }),
+};
+
+for (const [how, respond] of Object.entries(FAST_BODIES)) {
+  // Otherwise one response takes all bytes that fit into its time.
+  test(`an endless body ${how} is broken off at its bound of bytes`, async () => {
+    const { service, backend } = await startBackend(respond);
+    const { status, isComplete, bytes } = await call(service);
+    assert.equal(status, 200);
+    assert.equal(isComplete, false);
+    assert.ok(bytes <= 2 * RESPONSE_MAX_BYTES, `${bytes} bytes`);
+    await until(() => backend.openConnections === 0, {
+      what: "the connection to the server is closed",
+    });
+  });
+}
+
+// Otherwise the caller waits for a body that is broken off in any case.
+test("a response that announces too long a body is refused at its head", async () => {
+  const length = RESPONSE_MAX_BYTES + 1;
+  const head = `HTTP/1.1 200 OK\r\nContent-Length: ${length}\r\n\r\n`;
+  const { service, backend } = await startBackend((socket) =>
+    writeWithoutEnd(socket, { first: head, piece: PIECE }),
+  );
+  const { status, headers, isComplete } = await call(service);
+  assert.equal(status, 502);
+  assert.equal(headers[HEADERS.outcome], "unknown");
+  assert.equal(isComplete, true);
+  await until(() => backend.openConnections === 0, {
+    what: "the connection to the server is closed",
+  });
+});
+
+// Guards against bounds that touch responses within their time and length.
+test("a long response that ends in time is forwarded whole", async () => {
+  const bytes = RESPONSE_MAX_BYTES;
+  const head = `HTTP/1.1 200 OK\r\nContent-Length: ${bytes}\r\n\r\n`;
+  const { service } = await startBackend((socket) => {
+    socket.write(head);
+    socket.write(Buffer.alloc(bytes));
+  });
+  const end = await call(service);
+  assert.deepEqual([end.status, end.isComplete, end.bytes], [200, true, bytes]);
+});
--- a/packages/entry/reply.ts
+++ b/packages/entry/reply.ts
@@ -25,6 +25,11 @@
   response.end(errorResponse.body);
 }
 
+/** Breaks a caller's connection in the middle of a response. */
+export function breakConnection(response: ServerResponse): void {
+  response.destroy();
+}
+
 /** Responds with JSON, or without a body if there is none. */
 export function replyJson(
   response: ServerResponse,
--- /dev/null
+++ b/packages/entry/response_bounds_test.ts
@@ -0,0 +1,29 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ResponseMeter } from "./response_bounds.ts";
+
+const LIMITS = { bodyMaxBytes: 100 };
+
+test("a body may be as long as the limit and no longer", () => {
+  const meter = new ResponseMeter(LIMITS);
+  assert.equal(meter.countBody(60), undefined);
+  assert.equal(meter.countBody(40), undefined);
+  assert.deepEqual(meter.countBody(1), { bound: "body_bytes", bytes: 101 });
+});
+
+test("an announced length is checked before any byte of the body", () => {
+  const meter = new ResponseMeter(LIMITS);
+  assert.equal(meter.checkLength(undefined), undefined);
+  assert.equal(meter.checkLength("100"), undefined);
+  const excess = { bound: "body_bytes", bytes: 101 };
+  assert.deepEqual(meter.checkLength("101"), excess);
+});
+
+// Guards against answers that are withheld although they are ready.
+test("the deadline ends only a response that has not been received", () => {
+  const meter = new ResponseMeter(LIMITS);
+  meter.countBody(7);
+  assert.equal(meter.checkDeadline(true), undefined);
+  const excess = { bound: "deadline", bytes: 7 };
+  assert.deepEqual(meter.checkDeadline(false), excess);
+});
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -211,7 +211,10 @@
       this.#releaseSlot(result, startedAt);
     }
     if (response?.leaving && !response.wrongServer) onServerLeaving(server);
-    const lost = end.type === "reset" || end.type === "reset_in_body";
+    // A server that sends more than it may has not crashed.
+    const lost =
+      (end.type === "reset" || end.type === "reset_in_body") &&
+      !(result.type === "fault" && result.fault.type === "bound_exceeded");
     if (fingerprint !== undefined) {
       const run = { fingerprint, startedAt };
       if (lost) await quarantine.connectionLost(server, run);
@@ -275,7 +278,9 @@
   stopReason: StopReason | undefined,
 ): CallResultKind {
   if (result.type === "answer") {
-    const { notStarted, wrongServer } = result.response;
+    const { notStarted, wrongServer, exceeded } = result.response;
+    const excess = exceeded?.();
+    if (excess) return excess.bound === "deadline" ? "expired" : "lost";
     if (notStarted || wrongServer) return "not_started";
     return result.response.status >= 500 ? "failed" : "answered";
   }
--- a/packages/settings/load.ts
+++ b/packages/settings/load.ts
@@ -61,6 +61,7 @@
     limits: {
       headerMaxBytes: limits.header_max_bytes,
       bodyMaxBytes: limits.body_max_bytes,
+      responseBodyMaxBytes: limits.response_body_max_bytes,
       headerTimeoutMs: limits.header_timeout_ms,
       bodyTimeoutMs: limits.body_timeout_ms,
       idleConnectionMs: limits.idle_connection_ms,
--- a/packages/settings/load_test.ts
+++ b/packages/settings/load_test.ts
@@ -33,6 +33,7 @@
   assert.deepEqual(settings.limits, {
     headerMaxBytes: 16_384,
     bodyMaxBytes: 67_108_864,
+    responseBodyMaxBytes: 1_073_741_824,
     headerTimeoutMs: 10_000,
     bodyTimeoutMs: 300_000,
     idleConnectionMs: 75_000,
@@ -68,7 +69,7 @@
   "a limit without its unit": {
     text: `${ENTRY}limits: { header_max: 5 }\n`,
     errors: [
-      "e.yaml:8: limits.header_max: unknown_key: expected a mapping with keys among header_max_bytes, body_max_bytes, header_timeout_ms, body_timeout_ms, idle_connection_ms, connections_max, queue_max_calls",
+      "e.yaml:8: limits.header_max: unknown_key: expected a mapping with keys among header_max_bytes, body_max_bytes, response_body_max_bytes, header_timeout_ms, body_timeout_ms, idle_connection_ms, connections_max, queue_max_calls",
     ],
   },
   "no control host": {
--- a/packages/settings/schema.ts
+++ b/packages/settings/schema.ts
@@ -46,6 +46,11 @@
     0,
     1_099_511_627_776,
   ).default(67_108_864),
+  response_body_max_bytes: bytes(
+    "Longest response body of a server; a longer one is broken off.",
+    65_536,
+    1_099_511_627_776,
+  ).default(1_073_741_824),
   header_timeout_ms: milliseconds(
     "Time for a caller to send a request's header; a slower one gets 408.",
     100,
--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -4,6 +4,7 @@
 export interface EntryLimits {
   readonly headerMaxBytes: number;
   readonly bodyMaxBytes: number;
+  readonly responseBodyMaxBytes: number;
   readonly headerTimeoutMs: number;
   readonly bodyTimeoutMs: number;
   readonly idleConnectionMs: number;
--- a/packages/standin/index.ts
+++ b/packages/standin/index.ts
@@ -7,5 +7,6 @@
 export * from "./announcer.ts";
 export * from "./behaviour.ts";
 export * from "./execution_log.ts";
+export * from "./raw_backend.ts";
 export * from "./slots.ts";
 export * from "./standin_server.ts";
--- a/packages/wire/index.ts
+++ b/packages/wire/index.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+export * from "./after_input.ts";
 export * from "./frames.ts";
 export type { LinkFault, Traffic } from "./link.ts";
 export * from "./listen.ts";
