Reset the connection of a caller whose response is broken off

What callers saw: none seen by callers yet; found while reading. A response that is truncated or exceeds a bound was broken off with a normal close. A caller of HTTP/1.0 gets a body of unknown length up to the close of its connection, so the broken response looked complete to it. The connection is reset now.

"a caller of HTTP/1.0 gets a reset for a response that is broken off" failed before ("normal close") and passes now.

--- a/packages/entry/endless_response_test.ts
+++ b/packages/entry/endless_response_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { request as httpRequest, type IncomingHttpHeaders } from "node:http";
-import type { Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 import { after, before, test } from "node:test";
 import { HEADERS } from "#model";
 import { RawBackend, type RawResponse, writeWithoutEnd } from "#standin";
@@ -201,3 +201,19 @@
   const end = await call(service);
   assert.deepEqual([end.status, end.isComplete, end.bytes], [200, true, bytes]);
 });
+
+// Such a caller takes a normal close for the end of the body.
+test("a caller of HTTP/1.0 gets a reset for a response that is broken off", async () => {
+  const { service } = await startBackend((socket) =>
+    writePaced(socket, { first: CLOSE_HEAD, piece: PIECE }),
+  );
+  const { port = 0 } = site.addresses[0] ?? {};
+  const socket = connect({ host: "127.0.0.1", port });
+  socket.write(`GET / HTTP/1.0\r\n${HEADERS.service}: ${service}\r\n\r\n`);
+  const end = await new Promise((resolve) => {
+    socket.resume();
+    socket.once("end", () => resolve("normal close"));
+    socket.once("error", (error: NodeJS.ErrnoException) => resolve(error.code));
+  });
+  assert.equal(end, "ECONNRESET");
+});
--- a/packages/entry/reply.ts
+++ b/packages/entry/reply.ts
@@ -25,8 +25,12 @@
   response.end(errorResponse.body);
 }
 
-/** Breaks a caller's connection in the middle of a response. */
+/**
+ * Breaks a caller's connection in the middle of a response. It is reset, since
+ * a normal close ends a response that has no length.
+ */
 export function breakConnection(response: ServerResponse): void {
+  if (response.socket) response.socket.resetAndDestroy();
   response.destroy();
 }
 
