Bound the informational responses to a request

Cause: Node's client passes over any number of them, and each socket that becomes readable is read up to 32 times 64 KiB in one turn of the event loop, some 2,300 responses in each read.

A request may get 16 informational responses with 32 KiB together; then its connection is closed and it fails as after a lost connection. This is no sign that the server crashed, so no crash request is suspected.

"informational responses without end, short and fast" and "long and fast" failed before (504 at the deadline instead of 502) and pass now.

--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -4,6 +4,7 @@
   request as httpRequest,
   type IncomingHttpHeaders,
   type IncomingMessage,
+  type InformationEvent,
 } from "node:http";
 import type { Socket } from "node:net";
 import {
@@ -113,6 +114,15 @@
       outgoing.once("close", () => {
         if (!responded) fail("connection closed");
       });
+      const onInformation = (information: InformationEvent) => {
+        const excess = meter.countInformational(sizeOf(information));
+        if (!excess) return;
+        // What has been read already goes on to be parsed.
+        outgoing.off("information", onInformation);
+        settle({ type: "fault", fault: boundFailure(excess) });
+        outgoing.destroy();
+      };
+      outgoing.on("information", onInformation);
       outgoing.once("response", (response) => {
         responded = true;
         const head = this.#parseHead(server, response, request.requestId);
@@ -221,6 +231,16 @@
   return hasBody ? headers["content-length"] : undefined;
 }
 
+/** Bytes of an informational response, without its optional whitespace. */
+function sizeOf({ statusMessage, rawHeaders }: InformationEvent): number {
+  const statusLine = `HTTP/1.1 100 ${statusMessage}\r\n\r\n`;
+  // Each name and value is followed by two separating bytes.
+  return rawHeaders.reduce(
+    (bytes, text) => bytes + text.length + 2,
+    statusLine.length,
+  );
+}
+
 type Outgoing = ReturnType<typeof httpRequest>;
 
 function setConnectTimeout(
--- a/packages/entry/endless_response_test.ts
+++ b/packages/entry/endless_response_test.ts
@@ -217,3 +217,51 @@
   });
   assert.equal(end, "ECONNRESET");
 });
+
+const EARLY_HINTS = "HTTP/1.1 103 Early Hints\r\n\r\n";
+const LONG_HINTS = `HTTP/1.1 103 Early Hints\r\nX: ${"x".repeat(8_000)}\r\n\r\n`;
+
+for (const [how, piece] of [
+  ["short", EARLY_HINTS],
+  ["long", LONG_HINTS],
+] as const) {
+  // Otherwise they take the entry's event loop until the deadline and beyond.
+  test(`informational responses without end, ${how} and fast, end the request`, async () => {
+    const { service, backend } = await startBackend((socket) =>
+      writeWithoutEnd(socket, { piece }),
+    );
+    const { status, headers, isComplete } = await call(service);
+    assert.equal(status, 502);
+    assert.equal(headers[HEADERS.error], "server_failed");
+    assert.equal(headers[HEADERS.outcome], "unknown");
+    assert.equal(isComplete, true);
+    await until(() => backend.openConnections === 0, {
+      what: "the connection to the server is closed",
+    });
+  });
+}
+
+test("informational responses a byte at a time end at the deadline", async () => {
+  const { service, backend } = await startBackend((socket) =>
+    writeWithoutEnd(socket, {
+      piece: EARLY_HINTS,
+      byteIntervalMs: BYTE_INTERVAL_MS,
+    }),
+  );
+  const { status, isComplete } = await call(service);
+  assert.ok(status === 502 || status === 504, `${status}`);
+  assert.equal(isComplete, true);
+  await until(() => backend.openConnections === 0, {
+    what: "the connection to the server is closed",
+  });
+});
+
+// Guards against bounds that refuse responses of the usual kind.
+test("a few informational responses before the final one are passed over", async () => {
+  const { service } = await startBackend((socket) => {
+    socket.write(EARLY_HINTS.repeat(10));
+    socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  });
+  const end = await call(service);
+  assert.deepEqual([end.status, end.isComplete, end.bytes], [200, true, 2]);
+});
--- a/packages/entry/response_bounds.ts
+++ b/packages/entry/response_bounds.ts
@@ -1,3 +1,8 @@
+/** Informational responses (1xx) that may precede the final one. */
+export const MAX_INFORMATIONAL_RESPONSES = 16;
+/** Bytes that all informational responses to a request may have together. */
+export const MAX_INFORMATIONAL_BYTES = 32 * 1024;
+
 /** What a server's response may take of an entry at most. */
 export interface ResponseLimits {
   readonly bodyMaxBytes: number;
@@ -5,6 +10,8 @@
 
 /** A bound of responses. */
 export type ResponseBound =
+  | "informational_count"
+  | "informational_bytes"
   /** The body is longer than the limit, by its header or as received. */
   | "body_bytes"
   /** The deadline passed while the body was being forwarded. */
@@ -13,19 +20,34 @@
 /** A bound that a response has exceeded. */
 export interface ExceededBound {
   readonly bound: ResponseBound;
-  /** Bytes that count against the bound, so far or as announced. */
+  /** Bytes of the part that is bounded, so far or as announced. */
   readonly bytes: number;
 }
 
 /** Decides whether one response stays within its bounds. */
 export class ResponseMeter {
   readonly #limits: ResponseLimits;
+  #informationalCount = 0;
+  #informationalBytes = 0;
   #bodyBytes = 0;
 
   constructor(limits: ResponseLimits) {
     this.#limits = limits;
   }
 
+  /** Counts an informational response of the given size. */
+  countInformational(size: number): ExceededBound | undefined {
+    this.#informationalCount += 1;
+    this.#informationalBytes += size;
+    const bytes = this.#informationalBytes;
+    if (this.#informationalCount > MAX_INFORMATIONAL_RESPONSES) {
+      return { bound: "informational_count", bytes };
+    }
+    return bytes > MAX_INFORMATIONAL_BYTES
+      ? { bound: "informational_bytes", bytes }
+      : undefined;
+  }
+
   /** To be called with the `Content-Length` of a response that has a body. */
   checkLength(header: string | undefined): ExceededBound | undefined {
     const bytes = Number(header ?? 0);
--- a/packages/entry/response_bounds_test.ts
+++ b/packages/entry/response_bounds_test.ts
@@ -1,6 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ResponseMeter } from "./response_bounds.ts";
+import {
+  MAX_INFORMATIONAL_BYTES,
+  MAX_INFORMATIONAL_RESPONSES,
+  ResponseMeter,
+} from "./response_bounds.ts";
 
 const LIMITS = { bodyMaxBytes: 100 };
 
@@ -27,3 +31,21 @@
   const excess = { bound: "deadline", bytes: 7 };
   assert.deepEqual(meter.checkDeadline(false), excess);
 });
+
+test("informational responses are bounded in number", () => {
+  const meter = new ResponseMeter(LIMITS);
+  for (let i = 0; i < MAX_INFORMATIONAL_RESPONSES; i++) {
+    assert.equal(meter.countInformational(10), undefined);
+  }
+  const bytes = (MAX_INFORMATIONAL_RESPONSES + 1) * 10;
+  const excess = { bound: "informational_count", bytes };
+  assert.deepEqual(meter.countInformational(10), excess);
+});
+
+test("informational responses are bounded in bytes", () => {
+  const meter = new ResponseMeter(LIMITS);
+  assert.equal(meter.countInformational(MAX_INFORMATIONAL_BYTES), undefined);
+  const bytes = MAX_INFORMATIONAL_BYTES + 1;
+  const excess = { bound: "informational_bytes", bytes };
+  assert.deepEqual(meter.countInformational(1), excess);
+});
