Give each forwarded response one read in a turn of the event loop

What callers saw: calls beside a server that sends a long body fast, or a body in chunks of a byte, are late. Cause: such a body was forwarded as fast as its server sent it, up to 2 MB in each turn of the event loop, and each chunk with writes of its own: 64 KiB of one-byte chunks are 11,000 chunks. The parts of a response that is still buffered were kept one by one.

ResponseStream now collects what was read in a turn and forwards it in one write; it reads on in the next turn, and only once the caller has taken the write. A read of many short parts is followed by a delay that holds the response to a twentieth of the time (`readDelayMs`, pure), also while it is buffered (ReadPacer). Bodies are not read ahead.

--- a/packages/entry/backend_agent.ts
+++ b/packages/entry/backend_agent.ts
@@ -12,15 +12,18 @@
 /** A pool of connections to one backend server. */
 export class BackendAgent extends Agent {
   override createConnection(options: ClientRequestArgs): Socket {
-    const socket: Socket = connect({
+    const pooled: NetConnectOpts & { readableHighWaterMark: number } = {
       ...(options as NetConnectOpts),
+      // Also the mark of responses: a body is not read ahead of its consumer.
+      readableHighWaterMark: 1,
       onread: {
         buffer: readBuffer,
         // The buffer is used again for the next read, of any connection.
-        callback: (length, buffer) =>
+        callback: (length: number, buffer: Uint8Array) =>
           socket.push(Buffer.from(buffer.subarray(0, length))),
       },
-    });
+    };
+    const socket: Socket = connect(pooled);
     return socket;
   }
 }
--- a/packages/entry/backend_response.ts
+++ b/packages/entry/backend_response.ts
@@ -1,5 +1,6 @@
 import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
 import type { ResponseReport } from "./call_protocol.ts";
+import { ReadPacer } from "./read_pacer.ts";
 import {
   describeExceededBound,
   type ExceededBound,
@@ -12,6 +13,9 @@
  */
 export const MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024;
 
+/** Chunks to hold at most; each takes far more memory than a few bytes. */
+const MAX_CHUNKS = 1_024;
+
 /** A server's response: buffered if it is short, else a stream. */
 export type BackendResponse = BufferedResponse | StreamedResponse;
 
@@ -107,12 +111,16 @@
     incoming.destroy();
   };
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    let chunks: Buffer[] = [];
     let length = 0;
+    const pacer = new ReadPacer(incoming);
     const onData = (chunk: Buffer) => {
       chunks.push(chunk);
       length += chunk.length;
+      pacer.countPart();
+      if (chunks.length >= MAX_CHUNKS) chunks = [Buffer.concat(chunks)];
       if (length <= MAX_BUFFERED_RESPONSE_BYTES) return;
+      pacer.stop();
       incoming.pause();
       incoming.off("data", onData);
       incoming.off("end", onEnd);
@@ -141,6 +149,9 @@
     incoming.on("data", onData);
     incoming.once("end", onEnd);
     incoming.once("error", (error) => failTruncated(error.message));
-    incoming.once("close", () => failTruncated("connection closed"));
+    incoming.once("close", () => {
+      pacer.stop();
+      failTruncated("connection closed");
+    });
   });
 }
--- a/packages/entry/response_bounds.ts
+++ b/packages/entry/response_bounds.ts
@@ -3,6 +3,22 @@
 /** Bytes that all informational responses to a request may have together. */
 export const MAX_INFORMATIONAL_BYTES = 32 * 1024;
 
+/** Parts of a body in one read that cause no delay. */
+export const UNDELAYED_PARTS = 64;
+/** Approximate time to process one part of a body, in milliseconds. */
+const PART_MS = 0.002;
+/** Share of the event loop that a response in many parts may take. */
+const PART_TIME_SHARE = 0.05;
+
+/**
+ * Time before the next read of a response, in milliseconds, after one that had
+ * the given number of parts. Short chunks take more time than their bytes.
+ */
+export function readDelayMs(parts: number): number {
+  if (parts <= UNDELAYED_PARTS) return 0;
+  return Math.ceil((parts * PART_MS) / PART_TIME_SHARE);
+}
+
 /** What a server's response may take of an entry at most. */
 export interface ResponseLimits {
   readonly bodyMaxBytes: number;
--- a/packages/entry/response_bounds_test.ts
+++ b/packages/entry/response_bounds_test.ts
@@ -4,6 +4,8 @@
   MAX_INFORMATIONAL_BYTES,
   MAX_INFORMATIONAL_RESPONSES,
   ResponseMeter,
+  readDelayMs,
+  UNDELAYED_PARTS,
 } from "./response_bounds.ts";
 
 const LIMITS = { bodyMaxBytes: 100 };
@@ -49,3 +51,12 @@
   const excess = { bound: "informational_bytes", bytes };
   assert.deepEqual(meter.countInformational(1), excess);
 });
+
+// Otherwise chunks of a byte take the event loop from other calls.
+test("reads of many short parts are delayed by their number", () => {
+  assert.equal(readDelayMs(1), 0);
+  assert.equal(readDelayMs(UNDELAYED_PARTS), 0);
+  const delayMs = readDelayMs(1_000);
+  assert.ok(delayMs > 0);
+  assert.equal(readDelayMs(2_000), 2 * delayMs);
+});
--- a/packages/entry/response_stream.ts
+++ b/packages/entry/response_stream.ts
@@ -2,7 +2,7 @@
 import { afterPendingInput } from "#wire";
 import type { StreamedResponse } from "./backend_response.ts";
 import { breakConnection } from "./reply.ts";
-import type { ExceededBound } from "./response_bounds.ts";
+import { type ExceededBound, readDelayMs } from "./response_bounds.ts";
 
 /** How the forwarding of a response ended. */
 export type StreamEnd =
@@ -22,6 +22,10 @@
   /** Called once; not if the caller closed its connection before the end. */
   readonly #onEnd: (end: StreamEnd) => void;
   #ended = false;
+  /** Parts of the body that were read in this turn of the event loop. */
+  #parts: Buffer[] = [];
+  /** Delays the next read. */
+  #timer: NodeJS.Timeout | undefined;
 
   constructor(
     from: StreamedResponse,
@@ -34,26 +38,62 @@
   }
 
   start(): void {
-    const { stream, meter, isTruncated } = this.#from;
+    const { stream, isTruncated } = this.#from;
     const abort = () => this.#break({ type: "truncated" });
-    stream.on("data", (chunk: Buffer) => {
-      const excess = meter.countBody(chunk.length);
-      if (excess) this.#exceed(excess);
-    });
-    stream.pipe(this.#to, { end: false });
+    stream.on("data", (part: Buffer) => this.#take(part));
     stream.once("end", () => {
       if (isTruncated()) {
         abort();
         return;
       }
-      this.#to.end();
+      this.#to.end(Buffer.concat(this.#parts));
       this.#end({ type: "complete" });
     });
     stream.on("error", abort);
     stream.once("close", () => {
       if (!stream.complete) abort();
     });
+    this.#to.on("drain", () => this.#readOn());
     this.#to.once("close", () => stream.destroy());
+    stream.resume();
+  }
+
+  #take(part: Buffer): void {
+    const { stream, meter } = this.#from;
+    const excess = meter.countBody(part.length);
+    if (excess) {
+      this.#exceed(excess);
+      return;
+    }
+    this.#parts.push(part);
+    if (this.#parts.length > 1) return;
+    process.nextTick(() => stream.pause());
+    setImmediate(() => this.#forward());
+  }
+
+  /**
+   * Forwards what was read. A response gets one read and one write in each turn
+   * of the event loop, so that a fast server takes no more time than others.
+   */
+  #forward(): void {
+    if (this.#ended || this.#to.destroyed) return;
+    const parts = this.#parts;
+    this.#parts = [];
+    const delayMs = readDelayMs(parts.length);
+    if (delayMs > 0) {
+      this.#timer = setTimeout(() => {
+        this.#timer = undefined;
+        this.#readOn();
+      }, delayMs);
+    }
+    const [first] = parts;
+    this.#to.write(parts.length === 1 ? first : Buffer.concat(parts));
+    this.#readOn();
+  }
+
+  #readOn(): void {
+    if (this.#timer || this.#to.writableNeedDrain) return;
+    this.#from.stream.resume();
   }
 
   /** To be called at the deadline of the request. */
@@ -67,7 +107,6 @@
 
   #exceed(excess: ExceededBound): void {
     if (this.#ended) return;
-    this.#from.stream.unpipe(this.#to);
     this.#break({ type: "exceeded", excess });
     this.#from.exceed(excess);
   }
@@ -80,6 +119,7 @@
   #end(end: StreamEnd): void {
     if (this.#ended) return;
     this.#ended = true;
+    clearTimeout(this.#timer);
     this.#onEnd(end);
   }
 }
