Close connections on which a server sends more than its response

After the end of a response Node drops what the server goes on to send, at full speed and without end: the idle timeout of the connection starts anew with each byte. The next request on such a connection gets bytes that belong to no request (`502`).

SurplusGuard watches each connection from the head of a response to the next request and closes it when bytes arrive after the end of the response.

"bytes without end" and "bytes a byte at a time after a response close its connection" failed before (still open after 10 s) and pass now; "as a second response" passed before by the idle timeout of 4 s.

--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -23,6 +23,7 @@
 import type { CallProtocol } from "./call_protocol.ts";
 import type { RequestBody } from "./request_body.ts";
 import { type ResponseLimits, ResponseMeter } from "./response_bounds.ts";
+import { SurplusGuard } from "./surplus_guard.ts";
 
 /** Shorter than the usual keep-alive timeout of servers (5 s). */
 const IDLE_CONNECTION_TIMEOUT_MS = 4_000;
@@ -68,6 +69,7 @@
   readonly #agents = new Map<string, { agent: Agent; incarnation: number }>();
   readonly #protocol: CallProtocol;
   readonly #limits: ResponseLimits;
+  readonly #surplusGuard = new SurplusGuard();
   readonly #onMalformedHeader: BackendClientOptions["onMalformedHeader"];
 
   constructor(protocol: CallProtocol, options: BackendClientOptions = {}) {
@@ -102,6 +104,7 @@
         settle({ type: "fault", fault: { type, detail } });
       };
       outgoing.once("socket", (socket) => {
+        this.#surplusGuard.release(socket);
         connected = !socket.connecting;
         if (connected) return;
         const timeoutMs = request.connectTimeoutMs;
@@ -126,6 +129,7 @@
       outgoing.on("information", onInformation);
       outgoing.once("response", (response) => {
         responded = true;
+        this.#surplusGuard.watch(response);
         const head = this.#parseHead(server, response, request.requestId);
         this.#applyKeepAliveTimeout(server, response.headers);
         if (head.foreign) {
--- a/packages/entry/backend_client_test.ts
+++ b/packages/entry/backend_client_test.ts
@@ -1,21 +1,27 @@
 import assert from "node:assert/strict";
 import { createServer, type Server } from "node:http";
+import {
+  createServer as createRawServer,
+  type Server as RawServer,
+  type Socket,
+} from "node:net";
 import { after, test } from "node:test";
 import type { BackendServer } from "#model";
+import { writeWithoutEnd } from "#standin";
 import { until } from "../demo/until.ts";
 import { BackendClient } from "./backend_client.ts";
 import { PublishedProtocol } from "./call_protocol.ts";
 
-const servers: Server[] = [];
+const servers: (Server | RawServer)[] = [];
 
 after(() => {
   for (const server of servers) {
     server.close();
-    server.closeAllConnections();
+    if ("closeAllConnections" in server) server.closeAllConnections();
   }
 });
 
-async function listenOnFreePort(server: Server): Promise<number> {
+async function listenOnFreePort(server: Server | RawServer): Promise<number> {
   servers.push(server);
   await new Promise<void>((resolve) => {
     server.listen(0, "127.0.0.1", resolve);
@@ -91,3 +97,54 @@
   assert.equal(get.type === "fault" && get.fault.type, "bound_exceeded");
   client.close();
 });
+
+const COMPLETE = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/** Requests get `COMPLETE`, and then what `writeMore` writes. */
+async function startRawServer(writeMore: (socket: Socket) => void) {
+  const sockets = new Set<Socket>();
+  const server = createRawServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => undefined);
+    socket.once("close", () => sockets.delete(socket));
+    socket.on("data", () => socket.write(COMPLETE, () => writeMore(socket)));
+  });
+  const target = record(await listenOnFreePort(server), 1);
+  return { target, sockets };
+}
+
+const SURPLUS: Record<string, (socket: Socket) => void> = {
+  "without end": (socket) => writeWithoutEnd(socket, { piece: "x" }),
+  "a byte at a time": (socket) =>
+    writeWithoutEnd(socket, { piece: "x", byteIntervalMs: 20 }),
+  "as a second response": (socket) => socket.write(COMPLETE),
+};
+
+for (const [how, writeMore] of Object.entries(SURPLUS)) {
+  // Otherwise an idle connection is read for ever, as it is never idle, and
+  // the next request on it gets bytes that belong to no request.
+  test(`bytes ${how} after a response close its connection`, async (t) => {
+    let mayWrite = () => undefined as unknown;
+    const { target, sockets } = await startRawServer((socket) => {
+      mayWrite = () => writeMore(socket);
+    });
+    const client = new BackendClient(new PublishedProtocol());
+    t.after(() => {
+      client.close();
+      for (const socket of sockets) socket.destroy();
+    });
+    const first = await client.send(target, REQUEST).result;
+    assert.equal(first.type === "answer" && String(first.response.body), "ok");
+    await until(() => sockets.size === 1, { what: "the connection is idle" });
+    mayWrite();
+    await until(() => sockets.size === 0, {
+      what: "the connection is closed",
+      withinMs: 10_000,
+    });
+    const second = await client.send(target, REQUEST).result;
+    assert.equal(
+      second.type === "answer" && String(second.response.body),
+      "ok",
+    );
+  });
+}
