Log and count each bound that a server's response exceeded

A call whose response was broken off could not be traced to what its server had sent, and nothing told of floods on idle connections and on probes. Each bound that was hit is now one line ("response of a backend server exceeded a bound": server, incarnation, request id, bound, bytes, age) and one count in `mangobank_exceeded_response_bounds_total`.

"a bound that was hit is logged and counted with the id of its request" finds no line and no series before this commit.

--- a/packages/demo/local_site.ts
+++ b/packages/demo/local_site.ts
@@ -53,6 +53,8 @@
   readonly addresses: Address[] = [];
   /** Addresses of the entries for other processes of the system. */
   readonly peers: Address[] = [];
+  /** Ports of the entries' metrics. */
+  readonly metricsPorts: number[] = [];
   readonly #clock: Clock = new SystemClock();
   readonly #ports: PortBlock;
 
@@ -183,6 +185,7 @@
       this.entries.push(entry);
       this.addresses.push(http);
       this.peers.push(settings.peer);
+      this.metricsPorts.push(settings.metrics.port);
     }
   }
 }
--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -10,8 +10,10 @@
 import {
   type BackendServer,
   backendServerKey,
+  type Clock,
   type HeaderFault,
   type ParsedNumber,
+  SystemClock,
 } from "#model";
 import { BackendAgent } from "./backend_agent.ts";
 import {
@@ -22,7 +24,11 @@
 } from "./backend_response.ts";
 import type { CallProtocol } from "./call_protocol.ts";
 import type { RequestBody } from "./request_body.ts";
-import { type ResponseLimits, ResponseMeter } from "./response_bounds.ts";
+import {
+  type ExceededBound,
+  type ResponseLimits,
+  ResponseMeter,
+} from "./response_bounds.ts";
 import { SurplusGuard } from "./surplus_guard.ts";
 
 /** Shorter than the usual keep-alive timeout of servers (5 s). */
@@ -46,6 +52,8 @@
    * The id that the server repeats in its response, if the protocol has one.
    */
   readonly requestId: string | undefined;
+  /** Id of the request in log lines; undefined for probes and checks. */
+  readonly logId?: string | undefined;
 }
 
 /** A request that has been sent to a backend server. */
@@ -55,8 +63,20 @@
   cancel(): void;
 }
 
+/** A response that exceeded a bound. */
+export interface ResponseExcess extends ExceededBound {
+  readonly server: BackendServer;
+  /** Id of the request for log lines; undefined for probes and checks. */
+  readonly requestId: string | undefined;
+  /** Time since the request was sent, in milliseconds. */
+  readonly ageMs: number;
+}
+
 export interface BackendClientOptions {
   readonly limits?: ResponseLimits;
+  readonly clock?: Clock;
+  /** Called for each response that exceeded a bound. */
+  readonly onBoundExceeded?: (excess: ResponseExcess) => void;
   /** Called for each header of a response that cannot be read. */
   readonly onMalformedHeader?: (
     server: BackendServer,
@@ -69,12 +89,16 @@
   readonly #agents = new Map<string, { agent: Agent; incarnation: number }>();
   readonly #protocol: CallProtocol;
   readonly #limits: ResponseLimits;
+  readonly #clock: Clock;
+  readonly #onBoundExceeded: BackendClientOptions["onBoundExceeded"];
   readonly #surplusGuard = new SurplusGuard();
   readonly #onMalformedHeader: BackendClientOptions["onMalformedHeader"];
 
   constructor(protocol: CallProtocol, options: BackendClientOptions = {}) {
     this.#protocol = protocol;
     this.#limits = options.limits ?? DEFAULT_LIMITS;
+    this.#clock = options.clock ?? new SystemClock();
+    this.#onBoundExceeded = options.onBoundExceeded;
     this.#onMalformedHeader = options.onMalformedHeader;
   }
 
@@ -90,6 +114,7 @@
       setHost: false,
     });
     const meter = new ResponseMeter(this.#limits);
+    const report = this.#reporter(server, request.logId);
     let connected = false;
     let isSettled = false;
     const result = new Promise<RequestResult>((resolve) => {
@@ -114,7 +139,11 @@
         });
       });
       let responded = false;
-      outgoing.on("error", (error) => fail(error.message));
+      outgoing.on("error", (error: ParseError) => {
+        fail(error.message);
+        const bytes = surplusBytes(error);
+        if (responded && bytes > 0) report({ bound: "surplus_bytes", bytes });
+      });
       outgoing.once("close", () => {
         if (!responded) fail("connection closed");
       });
@@ -123,13 +152,16 @@
         if (!excess) return;
         // What has been read already goes on to be parsed.
         outgoing.off("information", onInformation);
+        report(excess);
         settle({ type: "fault", fault: boundFailure(excess) });
         outgoing.destroy();
       };
       outgoing.on("information", onInformation);
       outgoing.once("response", (response) => {
         responded = true;
-        this.#surplusGuard.watch(response);
+        this.#surplusGuard.watch(response, (bytes) =>
+          report({ bound: "surplus_bytes", bytes }),
+        );
         const head = this.#parseHead(server, response, request.requestId);
         this.#applyKeepAliveTimeout(server, response.headers);
         if (head.foreign) {
@@ -139,11 +171,13 @@
         }
         const excess = meter.checkLength(bodyLength(request, response));
         if (excess) {
+          report(excess);
           settle({ type: "fault", fault: boundFailure(excess) });
           outgoing.destroy();
           return;
         }
-        void collectResponse(response, head, meter).then(settle);
+        const bounds = { meter, report };
+        void collectResponse(response, head, bounds).then(settle);
       });
     });
     sendBody(outgoing, request.body);
@@ -173,6 +207,18 @@
     this.#agents.clear();
   }
 
+  /** Creates a function that reports bounds that a response exceeded. */
+  #reporter(
+    server: BackendServer,
+    requestId: string | undefined,
+  ): (excess: ExceededBound) => void {
+    const sentAt = this.#clock.now();
+    return (excess) => {
+      const ageMs = Math.round(this.#clock.now() - sentAt);
+      this.#onBoundExceeded?.({ ...excess, server, requestId, ageMs });
+    };
+  }
+
   #parseHead(
     server: BackendServer,
     response: IncomingMessage,
@@ -236,6 +282,19 @@
   return hasBody ? headers["content-length"] : undefined;
 }
 
+/** An error of Node's parser, or another one, which has no packet. */
+interface ParseError extends NodeJS.ErrnoException {
+  readonly rawPacket?: Buffer;
+  readonly bytesParsed?: number;
+}
+
+/** Bytes of a packet that are no part of a response and cannot be parsed. */
+function surplusBytes(error: ParseError): number {
+  const { rawPacket, bytesParsed = 0, code } = error;
+  const isSurplus = code === "HPE_INVALID_CONSTANT";
+  return isSurplus && rawPacket ? rawPacket.length - bytesParsed : 0;
+}
+
 /** Bytes of an informational response, without its optional whitespace. */
 function sizeOf({ statusMessage, rawHeaders }: InformationEvent): number {
   const statusLine = `HTTP/1.1 100 ${statusMessage}\r\n\r\n`;
--- a/packages/entry/backend_response.ts
+++ b/packages/entry/backend_response.ts
@@ -102,12 +102,16 @@
 export function collectResponse(
   incoming: IncomingMessage,
   head: ResponseHead,
-  meter: ResponseMeter,
+  bounds: {
+    meter: ResponseMeter;
+    report: (excess: ExceededBound) => void;
+  },
 ): Promise<RequestResult> {
   const isTruncated = detectTruncation(incoming);
   let excess: ExceededBound | undefined;
   const exceed = (exceeded: ExceededBound) => {
     excess = exceeded;
+    bounds.report(exceeded);
     incoming.destroy();
   };
   return new Promise((resolve) => {
@@ -129,7 +133,7 @@
         ...head,
         stream: incoming,
         isTruncated,
-        meter,
+        meter: bounds.meter,
         exceeded: () => excess,
         exceed,
       };
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -84,6 +84,15 @@
     this.#classifier = new RequestClassifier([], this.#hostRoutes);
     this.#client = new BackendClient(protocol, {
       limits: { bodyMaxBytes: settings.limits.responseBodyMaxBytes },
+      clock,
+      onBoundExceeded: ({ server, ...excess }) => {
+        metrics.recordExceededBound(server.service, excess.bound);
+        logger.warn("response of a backend server exceeded a bound", {
+          server: backendServerKey(server),
+          incarnation: server.incarnation,
+          ...excess,
+        });
+      },
       onMalformedHeader: (server, { name, text }) => {
         metrics.recordMalformedHeader(server.service);
         logger.warn("header of a backend server cannot be read", {
--- a/packages/entry/endless_response_test.ts
+++ b/packages/entry/endless_response_test.ts
@@ -4,6 +4,7 @@
 import { after, before, test } from "node:test";
 import { HEADERS } from "#model";
 import { RawBackend, type RawResponse, writeWithoutEnd } from "#standin";
+import { ConsolaLogger } from "#telemetry";
 import { LocalSite, systemSection } from "../demo/local_site.ts";
 import { until } from "../demo/until.ts";
 
@@ -14,7 +15,20 @@
 /** Not reached by a byte at a time. */
 const RESPONSE_MAX_BYTES = 4 * 1024 * 1024;
 
-const SERVICES = Array.from({ length: 40 }, (_, index) => `s${index}`);
+const SERVICES = Array.from({ length: 60 }, (_, index) => `s${index}`);
+
+/** Keeps the lines about exceeded bounds. */
+const boundLines: Record<string, unknown>[] = [];
+const logger = new ConsolaLogger({
+  json: true,
+  level: "warn",
+  stream: {
+    write: (line) => {
+      if (line.includes("exceeded a bound")) boundLines.push(JSON.parse(line));
+      return true;
+    },
+  },
+});
 
 let site: LocalSite;
 let used = 0;
@@ -22,6 +36,7 @@
 before(async () => {
   site = await LocalSite.start({
     entries: 1,
+    logger,
     entryLimits: { response_body_max_bytes: RESPONSE_MAX_BYTES },
   });
   await until(() => site.hasLeader(), { what: "control has a leader" });
@@ -41,9 +56,15 @@
     },
     routes: [{ path: "/", class: "lookup" }],
   };
-  const services = Object.fromEntries(SERVICES.map((s) => [s, service]));
+  const services = Object.fromEntries(
+    [...SERVICES, "good"].map((name) => [name, service]),
+  );
   await site.put("all", JSON.stringify({ services }));
   await until(() => site.entries.every((e) => e.ready), { what: "ready" });
+  await site.addServer({ id: "w1", service: "good", dataCentre: "riga-a" });
+  await until(() => site.entries[0]?.serverCount("good") === 1, {
+    what: "the good server is known",
+  });
 });
 
 after(async () => {
@@ -265,3 +286,24 @@
   const end = await call(service);
   assert.deepEqual([end.status, end.isComplete, end.bytes], [200, true, 2]);
 });
+
+// Otherwise a failed call can't be traced to what its server sent.
+test("a bound that was hit is logged and counted with the id of its request", async () => {
+  const { service } = await startBackend((socket) =>
+    writePaced(socket, { first: CLOSE_HEAD, piece: PIECE }),
+  );
+  const { headers } = await call(service);
+  const requestId = headers[HEADERS.requestId];
+  const lines = boundLines.filter((line) => line.requestId === requestId);
+  assert.equal(lines.length, 1);
+  const [line = {}] = lines;
+  assert.equal(line.level, "warn");
+  assert.equal(line.server, `${service}/raw`);
+  assert.equal(line.bound, "deadline");
+  assert.ok(Number(line.bytes) >= PIECE.length, `${line.bytes} bytes`);
+  assert.ok(Number(line.ageMs) > 0, `${line.ageMs} ms`);
+  const port = site.metricsPorts[0];
+  const metrics = await fetch(`http://127.0.0.1:${port}/metrics`);
+  const series = `bounds_total{service="${service}",bound="deadline"} 1`;
+  assert.ok((await metrics.text()).includes(series));
+});
--- a/packages/entry/response_bounds.ts
+++ b/packages/entry/response_bounds.ts
@@ -1,3 +1,5 @@
+import type { ResponseBound } from "#model";
+
 /** Informational responses (1xx) that may precede the final one. */
 export const MAX_INFORMATIONAL_RESPONSES = 16;
 /** Bytes that all informational responses to a request may have together. */
@@ -24,15 +26,6 @@
   readonly bodyMaxBytes: number;
 }
 
-/** A bound of responses. */
-export type ResponseBound =
-  | "informational_count"
-  | "informational_bytes"
-  /** The body is longer than the limit, by its header or as received. */
-  | "body_bytes"
-  /** The deadline passed while the body was being forwarded. */
-  | "deadline";
-
 /** A bound that a response has exceeded. */
 export interface ExceededBound {
   readonly bound: ResponseBound;
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -185,6 +185,7 @@
       this.#options;
     const { request, body, fingerprint } = this.#input;
     const startedAt = clock.now();
+    const callerRequestId = protocol.callerRequestId(request.headers);
     this.#options.metrics.recordServerRequest(server.service, "call");
     this.#server = server;
     this.#sentRequest = client.send(server, {
@@ -196,7 +197,8 @@
         server,
         now: startedAt,
       }),
-      requestId: protocol.callerRequestId(request.headers),
+      requestId: callerRequestId,
+      logId: callerRequestId ?? this.#input.call.id,
       body,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
     });
--- a/packages/entry/surplus_guard.ts
+++ b/packages/entry/surplus_guard.ts
@@ -9,10 +9,7 @@
   readonly #listeners = new WeakMap<Socket, (bytes: Buffer) => void>();
 
   /** To be called when a response begins; watches until the next request. */
-  watch(
-    response: IncomingMessage,
-    onSurplus: (bytes: number) => void = () => undefined,
-  ): void {
+  watch(response: IncomingMessage, onSurplus: (bytes: number) => void): void {
     const { socket } = response;
     const listener = (bytes: Buffer) => {
       if (!response.complete || socket.destroyed) return;
--- a/packages/model/index.ts
+++ b/packages/model/index.ts
@@ -14,4 +14,5 @@
 export * from "./outcomes.ts";
 export * from "./randomness.ts";
 export * from "./rendezvous.ts";
+export * from "./response_bounds.ts";
 export * from "./server_headers.ts";
--- a/packages/standin/raw_backend.ts
+++ b/packages/standin/raw_backend.ts
@@ -16,8 +16,6 @@
 
 export interface RawRequest {
   readonly path: string;
-  /** Number of the request on its connection, from 1. */
-  readonly number: number;
 }
 
 export interface RawBackendOptions {
@@ -41,6 +39,7 @@
   probes = 0;
   /** Connections that were opened so far. */
   connections = 0;
+  #bytesWritten = 0;
   readonly #options: RawBackendOptions;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
@@ -68,6 +67,13 @@
     return this.#sockets.size;
   }
 
+  /** Bytes that were written so far, as far as the kernel took them. */
+  get bytesWritten(): number {
+    let bytes = this.#bytesWritten;
+    for (const socket of this.#sockets) bytes += socket.bytesWritten;
+    return bytes;
+  }
+
   get port(): number {
     const bound = this.#server.address();
     return typeof bound === "object" && bound ? bound.port : 0;
@@ -92,9 +98,11 @@
     this.#sockets.add(socket);
     socket.setNoDelay(true);
     socket.on("error", () => undefined);
-    socket.once("close", () => this.#sockets.delete(socket));
+    socket.once("close", () => {
+      this.#sockets.delete(socket);
+      this.#bytesWritten += socket.bytesWritten;
+    });
     let received = "";
-    let number = 0;
     socket.on("data", (chunk) => {
       received += chunk.toString("latin1");
       for (;;) {
@@ -102,8 +110,7 @@
         if (end < 0) return;
         const path = received.split(" ", 2)[1] ?? "";
         received = received.slice(end + HEAD_END.length);
-        number += 1;
-        this.#respond(socket, { path, number });
+        this.#respond(socket, { path });
       }
     });
   }
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -1,5 +1,11 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
-import type { CallFaultCode, Outcome, Service } from "#model";
+import {
+  type CallFaultCode,
+  type Outcome,
+  RESPONSE_BOUNDS,
+  type ResponseBound,
+  type Service,
+} from "#model";
 import { type PeerTraffic, registerPeerTraffic } from "./peer_traffic.ts";
 import { registerProcessMetrics } from "./process_metrics.ts";
 import { OTHER_LABEL, ServiceLabels } from "./service_labels.ts";
@@ -60,6 +66,7 @@
   readonly #probes;
   readonly #serverRequests;
   readonly #malformedHeaders;
+  readonly #exceededBounds;
 
   constructor(sources: MetricsSources = {}) {
     const registers = [this.#registry];
@@ -108,6 +115,12 @@
       labelNames: ["service"],
       registers,
     });
+    this.#exceededBounds = new Counter({
+      name: "mangobank_exceeded_response_bounds_total",
+      help: "Responses of backend servers that exceeded a bound",
+      labelNames: ["service", "bound"],
+      registers,
+    });
     this.#registerGauges(sources);
   }
 
@@ -121,6 +134,9 @@
       this.#probes.remove({ service });
       this.#probeCost.remove({ service });
       this.#malformedHeaders.remove({ service });
+      for (const bound of RESPONSE_BOUNDS) {
+        this.#exceededBounds.remove({ service, bound });
+      }
       for (const kind of SERVER_REQUEST_KINDS) {
         this.#serverRequests.remove({ service, kind });
       }
@@ -167,6 +183,12 @@
     this.#malformedHeaders.inc({ service: label });
   }
 
+  /** Records a response that exceeded a bound. */
+  recordExceededBound(service: string, bound: ResponseBound): void {
+    const label = this.#labels.serviceLabel(service);
+    this.#exceededBounds.inc({ service: label, bound });
+  }
+
   /** Content type of the result of `text`. */
   get contentType(): string {
     return this.#registry.contentType;
--- a/packages/telemetry/metrics_test.ts
+++ b/packages/telemetry/metrics_test.ts
@@ -34,10 +34,12 @@
   metrics.recordProbe("alloc", 6);
   metrics.recordServerRequest("alloc", "check");
   metrics.recordMalformedHeader("alloc");
+  metrics.recordExceededBound("alloc", "body_bytes");
   const text = await metrics.text();
   for (const line of [
     'mangobank_call_duration_seconds_count{service="alloc",class="booking"} 2',
     'mangobank_call_waiting_seconds_count{service="alloc",class="booking"} 1',
+    'mangobank_exceeded_response_bounds_total{service="alloc",bound="body_bytes"} 1',
     'outcome="not-run",code="queue_full"} 1',
     'mangobank_probe_slot_seconds_total{service="alloc"} 0.006',
     'mangobank_server_requests_total{service="alloc",kind="check"} 1',
