Deliver a complete response that other bytes follow in its packet

What callers saw: `502`, unknown, for a request that its server had answered completely, when the server sent bytes that are no HTTP right after the response. Cause: Node's parser reports them as an error of the request before the end of the response is emitted, and the error came first.

Errors after the head of a response are now left to the response: one that is complete is delivered, one that is not fails with the parser's message. The connection is closed, and the bytes are reported as `surplus_bytes`.

"a response is delivered if other bytes follow in the same packet" failed before (a fault instead of an answer) and passes now.

--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -123,6 +123,7 @@
         isSettled = true;
         resolve(result);
       };
+      let incoming: IncomingMessage | undefined;
       const fail = (detail: string) => {
         // Errors after the response has begun are reported by the response.
         const type = connected ? "connection_lost" : "not_connected";
@@ -138,14 +139,14 @@
           connected = true;
         });
       });
-      let responded = false;
       outgoing.on("error", (error: ParseError) => {
-        fail(error.message);
+        if (!incoming) fail(error.message);
+        else if (!incoming.complete) incoming.destroy(error);
         const bytes = surplusBytes(error);
-        if (responded && bytes > 0) report({ bound: "surplus_bytes", bytes });
+        if (incoming && bytes > 0) report({ bound: "surplus_bytes", bytes });
       });
       outgoing.once("close", () => {
-        if (!responded) fail("connection closed");
+        if (!incoming) fail("connection closed");
       });
       const onInformation = (information: InformationEvent) => {
         const excess = meter.countInformational(sizeOf(information));
@@ -158,7 +159,7 @@
       };
       outgoing.on("information", onInformation);
       outgoing.once("response", (response) => {
-        responded = true;
+        incoming = response;
         this.#surplusGuard.watch(response, (bytes) =>
           report({ bound: "surplus_bytes", bytes }),
         );
--- a/packages/entry/backend_client_test.ts
+++ b/packages/entry/backend_client_test.ts
@@ -148,3 +148,21 @@
     );
   });
 }
+
+// Otherwise a whole response is lost to bytes that belong to no request.
+test("a response is delivered if other bytes follow in the same packet", async (t) => {
+  const server = createRawServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.once("data", () => socket.write(`${COMPLETE}no HTTP`));
+  });
+  const target = record(await listenOnFreePort(server), 1);
+  const excesses: string[] = [];
+  const client = new BackendClient(new PublishedProtocol(), {
+    onBoundExceeded: ({ bound, bytes }) => excesses.push(`${bound} ${bytes}`),
+  });
+  t.after(() => client.close());
+  const { result } = client.send(target, REQUEST);
+  const end = await result;
+  assert.equal(end.type === "answer" && String(end.response.body), "ok");
+  assert.deepEqual(excesses, ["surplus_bytes 7"]);
+});
