Bound what a server sends between two parts of a body

What callers saw: a late `504`, and calls beside it that wait: a chunk size of zeros has no end for Node's parser, so that an entry read 116 MB of it in the 600 ms of one call. What is no part of the body is bounded now, at 128 KiB between two parts.

endless_response_test plays ten floods, each fast and a byte at a time, on a new and on a reused connection, with five calls to a good server beside it: each call ends, no broken response looks complete, the connection to the server is closed, and the server gets rid of less than 64 MiB.

--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -23,13 +23,13 @@
   type ResponseHead,
 } from "./backend_response.ts";
 import type { CallProtocol } from "./call_protocol.ts";
+import { ReceiveGuard } from "./receive_guard.ts";
 import type { RequestBody } from "./request_body.ts";
 import {
   type ExceededBound,
   type ResponseLimits,
   ResponseMeter,
 } from "./response_bounds.ts";
-import { SurplusGuard } from "./surplus_guard.ts";
 
 /** Shorter than the usual keep-alive timeout of servers (5 s). */
 const IDLE_CONNECTION_TIMEOUT_MS = 4_000;
@@ -91,7 +91,7 @@
   readonly #limits: ResponseLimits;
   readonly #clock: Clock;
   readonly #onBoundExceeded: BackendClientOptions["onBoundExceeded"];
-  readonly #surplusGuard = new SurplusGuard();
+  readonly #receiveGuard = new ReceiveGuard();
   readonly #onMalformedHeader: BackendClientOptions["onMalformedHeader"];
 
   constructor(protocol: CallProtocol, options: BackendClientOptions = {}) {
@@ -130,7 +130,7 @@
         settle({ type: "fault", fault: { type, detail } });
       };
       outgoing.once("socket", (socket) => {
-        this.#surplusGuard.release(socket);
+        this.#receiveGuard.release(socket);
         connected = !socket.connecting;
         if (connected) return;
         const timeoutMs = request.connectTimeoutMs;
@@ -148,21 +148,29 @@
       outgoing.once("close", () => {
         if (!incoming) fail("connection closed");
       });
+      const exceed = (excess: ExceededBound) => {
+        report(excess);
+        settle({ type: "fault", fault: boundFailure(excess) });
+        outgoing.destroy();
+      };
       const onInformation = (information: InformationEvent) => {
         const excess = meter.countInformational(sizeOf(information));
         if (!excess) return;
         // What has been read already goes on to be parsed.
         outgoing.off("information", onInformation);
-        report(excess);
-        settle({ type: "fault", fault: boundFailure(excess) });
-        outgoing.destroy();
+        exceed(excess);
       };
       outgoing.on("information", onInformation);
       outgoing.once("response", (response) => {
         incoming = response;
-        this.#surplusGuard.watch(response, (bytes) =>
-          report({ bound: "surplus_bytes", bytes }),
-        );
+        response.on("data", () => meter.recordPart());
+        this.#receiveGuard.watch(response, {
+          onBytes: (bytes) => {
+            const excess = meter.countReceived(bytes);
+            if (excess) exceed(excess);
+          },
+          onSurplus: (bytes) => report({ bound: "surplus_bytes", bytes }),
+        });
         const head = this.#parseHead(server, response, request.requestId);
         this.#applyKeepAliveTimeout(server, response.headers);
         if (head.foreign) {
@@ -172,9 +180,7 @@
         }
         const excess = meter.checkLength(bodyLength(request, response));
         if (excess) {
-          report(excess);
-          settle({ type: "fault", fault: boundFailure(excess) });
-          outgoing.destroy();
+          exceed(excess);
           return;
         }
         const bounds = { meter, report };
--- a/packages/entry/endless_response_test.ts
+++ b/packages/entry/endless_response_test.ts
@@ -307,3 +307,58 @@
   const series = `bounds_total{service="${service}",bound="deadline"} 1`;
   assert.ok((await metrics.text()).includes(series));
 });
+
+const OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+/** What an entry reads of a flood, and the buffers of the connections. */
+const MAX_WRITTEN_BYTES = 64 * 1024 * 1024;
+
+const FLOODS: Record<string, { first: string; piece: string }> = {
+  "a head": { first: "HTTP/1.1 200 ", piece: "x" },
+  "a header": { first: "HTTP/1.1 200 OK\r\nX: ", piece: "x" },
+  headers: { first: "HTTP/1.1 200 OK\r\n", piece: "X: y\r\n" },
+  "informational responses": { first: EARLY_HINTS, piece: EARLY_HINTS },
+  "a chunk size": { first: CHUNKED_HEAD, piece: "0" },
+  "chunks of a byte": { first: CHUNKED_HEAD, piece: "1\r\nx\r\n" },
+  "a chunk extension": { first: `${CHUNKED_HEAD}1;`, piece: "x" },
+  "a body without a length": { first: CLOSE_HEAD, piece: "x" },
+  "a trailer": { first: `${CHUNKED_HEAD}0\r\n`, piece: "X: y\r\n" },
+  "bytes after the end": { first: OK, piece: "x" },
+};
+
+const SPEEDS = {
+  fast: {},
+  "a byte at a time": { byteIntervalMs: BYTE_INTERVAL_MS },
+};
+
+for (const [what, flood] of Object.entries(FLOODS)) {
+  for (const [speed, options] of Object.entries(SPEEDS)) {
+    for (const requestsBefore of [0, 1]) {
+      const where = requestsBefore > 0 ? "a reused" : "a new";
+      // Guards against calls and connections that such a server keeps for
+      // ever, and against calls to other servers that suffer from them.
+      test(`${what} without end, ${speed}, on ${where} connection, ends`, async () => {
+        let requests = 0;
+        const { service, backend } = await startBackend((socket) => {
+          requests += 1;
+          if (requests <= requestsBefore) socket.write(OK);
+          else writeWithoutEnd(socket, { ...flood, ...options });
+        });
+        if (requestsBefore > 0) assert.equal((await call(service)).status, 200);
+        const beside = Array.from({ length: 5 }, () => call("good"));
+        const end = await call(service);
+        const isWhole = flood.first === OK;
+        const expected = isWhole ? [200] : [0, 200, 502, 504];
+        assert.ok(expected.includes(end.status), `${end.status}`);
+        if (end.status === 200) assert.equal(end.isComplete, isWhole);
+        for (const { status } of await Promise.all(beside)) {
+          assert.equal(status, 200);
+        }
+        await until(() => backend.openConnections === 0, {
+          what: "the connection to the server is closed",
+        });
+        const { bytesWritten } = backend;
+        assert.ok(bytesWritten < MAX_WRITTEN_BYTES, `${bytesWritten} bytes`);
+      });
+    }
+  }
+}
--- a/packages/entry/response_bounds.ts
+++ b/packages/entry/response_bounds.ts
@@ -5,6 +5,9 @@
 /** Bytes that all informational responses to a request may have together. */
 export const MAX_INFORMATIONAL_BYTES = 32 * 1024;
 
+/** Bytes between two parts of a body that are not of the body. */
+export const MAX_FRAMING_BYTES = 128 * 1024;
+
 /** Parts of a body in one read that cause no delay. */
 export const UNDELAYED_PARTS = 64;
 /** Approximate time to process one part of a body, in milliseconds. */
@@ -38,6 +41,7 @@
   readonly #limits: ResponseLimits;
   #informationalCount = 0;
   #informationalBytes = 0;
+  #framingBytes = 0;
   #bodyBytes = 0;
 
   constructor(limits: ResponseLimits) {
@@ -65,7 +69,20 @@
       : undefined;
   }
 
-  /** Counts bytes of the body. */
+  /** Counts bytes that were received after the head, before they are parsed. */
+  countReceived(bytes: number): ExceededBound | undefined {
+    this.#framingBytes += bytes;
+    return this.#framingBytes > MAX_FRAMING_BYTES
+      ? { bound: "framing_bytes", bytes: this.#framingBytes }
+      : undefined;
+  }
+
+  /** To be called when a part of the body was parsed. */
+  recordPart(): void {
+    this.#framingBytes = 0;
+  }
+
+  /** Counts bytes of the body that are forwarded. */
   countBody(bytes: number): ExceededBound | undefined {
     this.#bodyBytes += bytes;
     return this.#bodyBytes > this.#limits.bodyMaxBytes
--- a/packages/entry/response_bounds_test.ts
+++ b/packages/entry/response_bounds_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import {
+  MAX_FRAMING_BYTES,
   MAX_INFORMATIONAL_BYTES,
   MAX_INFORMATIONAL_RESPONSES,
   ResponseMeter,
@@ -60,3 +61,13 @@
   assert.ok(delayMs > 0);
   assert.equal(readDelayMs(2_000), 2 * delayMs);
 });
+
+test("bytes between two parts of a body are bounded", () => {
+  const meter = new ResponseMeter(LIMITS);
+  assert.equal(meter.countReceived(MAX_FRAMING_BYTES), undefined);
+  meter.recordPart();
+  assert.equal(meter.countReceived(MAX_FRAMING_BYTES), undefined);
+  const bytes = MAX_FRAMING_BYTES + 1;
+  const excess = { bound: "framing_bytes", bytes };
+  assert.deepEqual(meter.countReceived(1), excess);
+});
--- a/packages/model/response_bounds.ts
+++ b/packages/model/response_bounds.ts
@@ -4,6 +4,8 @@
   "informational_count",
   /** The informational responses were too long together. */
   "informational_bytes",
+  /** Too many bytes, as of a chunk's size, came without any of the body. */
+  "framing_bytes",
   /** The body is longer than the limit, by its header or as received. */
   "body_bytes",
   /** The deadline passed while the body was being forwarded. */
