Split one exchange with a server out of the client of servers

BackendClient.send had grown to 90 lines with the bounds. BackendExchange holds one request, its response and its bounds; the client keeps pools and headers. One behaviour changes: a response that exceeds `framing_bytes` while it is forwarded now frees its slot as lost, like the other bounds, and not as answered.

--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -1,12 +1,11 @@
 import {
   type Agent,
   type AgentOptions,
+  type ClientRequest,
   request as httpRequest,
   type IncomingHttpHeaders,
   type IncomingMessage,
-  type InformationEvent,
 } from "node:http";
-import type { Socket } from "node:net";
 import {
   type BackendServer,
   backendServerKey,
@@ -16,12 +15,8 @@
   SystemClock,
 } from "#model";
 import { BackendAgent } from "./backend_agent.ts";
-import {
-  boundFailure,
-  collectResponse,
-  type RequestResult,
-  type ResponseHead,
-} from "./backend_response.ts";
+import { BackendExchange } from "./backend_exchange.ts";
+import type { RequestResult, ResponseHead } from "./backend_response.ts";
 import type { CallProtocol } from "./call_protocol.ts";
 import { ReceiveGuard } from "./receive_guard.ts";
 import type { RequestBody } from "./request_body.ts";
@@ -113,83 +108,19 @@
       agent: this.#agent(server),
       setHost: false,
     });
-    const meter = new ResponseMeter(this.#limits);
-    const report = this.#reporter(server, request.logId);
-    let connected = false;
-    let isSettled = false;
-    const result = new Promise<RequestResult>((resolve) => {
-      const settle = (result: RequestResult) => {
-        if (isSettled) return;
-        isSettled = true;
-        resolve(result);
-      };
-      let incoming: IncomingMessage | undefined;
-      const fail = (detail: string) => {
-        // Errors after the response has begun are reported by the response.
-        const type = connected ? "connection_lost" : "not_connected";
-        settle({ type: "fault", fault: { type, detail } });
-      };
-      outgoing.once("socket", (socket) => {
-        this.#receiveGuard.release(socket);
-        connected = !socket.connecting;
-        if (connected) return;
-        const timeoutMs = request.connectTimeoutMs;
-        setConnectTimeout(socket, { timeoutMs, request: outgoing });
-        socket.once("connect", () => {
-          connected = true;
-        });
-      });
-      outgoing.on("error", (error: ParseError) => {
-        if (!incoming) fail(error.message);
-        else if (!incoming.complete) incoming.destroy(error);
-        const bytes = surplusBytes(error);
-        if (incoming && bytes > 0) report({ bound: "surplus_bytes", bytes });
-      });
-      outgoing.once("close", () => {
-        if (!incoming) fail("connection closed");
-      });
-      const exceed = (excess: ExceededBound) => {
-        report(excess);
-        settle({ type: "fault", fault: boundFailure(excess) });
-        outgoing.destroy();
-      };
-      const onInformation = (information: InformationEvent) => {
-        const excess = meter.countInformational(sizeOf(information));
-        if (!excess) return;
-        // What has been read already goes on to be parsed.
-        outgoing.off("information", onInformation);
-        exceed(excess);
-      };
-      outgoing.on("information", onInformation);
-      outgoing.once("response", (response) => {
-        incoming = response;
-        response.on("data", () => meter.recordPart());
-        this.#receiveGuard.watch(response, {
-          onBytes: (bytes) => {
-            const excess = meter.countReceived(bytes);
-            if (excess) exceed(excess);
-          },
-          onSurplus: (bytes) => report({ bound: "surplus_bytes", bytes }),
-        });
-        const head = this.#parseHead(server, response, request.requestId);
+    const exchange = new BackendExchange(outgoing, {
+      request,
+      meter: new ResponseMeter(this.#limits),
+      guard: this.#receiveGuard,
+      readHead: (response) => {
         this.#applyKeepAliveTimeout(server, response.headers);
-        if (head.foreign) {
-          fail("the answer is for another request");
-          outgoing.destroy();
-          return;
-        }
-        const excess = meter.checkLength(bodyLength(request, response));
-        if (excess) {
-          exceed(excess);
-          return;
-        }
-        const bounds = { meter, report };
-        void collectResponse(response, head, bounds).then(settle);
-      });
+        return this.#parseHead(server, response, request.requestId);
+      },
+      onExceeded: this.#reporter(server, request.logId),
     });
     sendBody(outgoing, request.body);
     return {
-      result,
+      result: exchange.result,
       cancel: () => {
         outgoing.destroy();
       },
@@ -280,55 +211,7 @@
   }
 }
 
-/** The announced length of a response's body; undefined if it has none. */
-function bodyLength(
-  { method }: BackendRequest,
-  { headers, statusCode }: IncomingMessage,
-): string | undefined {
-  const hasBody = method !== "HEAD" && statusCode !== 304;
-  return hasBody ? headers["content-length"] : undefined;
-}
-
-/** An error of Node's parser, or another one, which has no packet. */
-interface ParseError extends NodeJS.ErrnoException {
-  readonly rawPacket?: Buffer;
-  readonly bytesParsed?: number;
-}
-
-/** Bytes of a packet that are no part of a response and cannot be parsed. */
-function surplusBytes(error: ParseError): number {
-  const { rawPacket, bytesParsed = 0, code } = error;
-  const isSurplus = code === "HPE_INVALID_CONSTANT";
-  return isSurplus && rawPacket ? rawPacket.length - bytesParsed : 0;
-}
-
-/** Bytes of an informational response, without its optional whitespace. */
-function sizeOf({ statusMessage, rawHeaders }: InformationEvent): number {
-  const statusLine = `HTTP/1.1 100 ${statusMessage}\r\n\r\n`;
-  // Each name and value is followed by two separating bytes.
-  return rawHeaders.reduce(
-    (bytes, text) => bytes + text.length + 2,
-    statusLine.length,
-  );
-}
-
-type Outgoing = ReturnType<typeof httpRequest>;
-
-function setConnectTimeout(
-  socket: Socket,
-  options: { timeoutMs: number; request: Outgoing },
-): void {
-  const timer = setTimeout(() => {
-    options.request.destroy(
-      new Error(`no connection within ${options.timeoutMs} ms`),
-    );
-  }, options.timeoutMs);
-  const stop = () => clearTimeout(timer);
-  socket.once("connect", stop);
-  socket.once("close", stop);
-}
-
-function sendBody(outgoing: Outgoing, body: RequestBody): void {
+function sendBody(outgoing: ClientRequest, body: RequestBody): void {
   if (!body.rest) {
     outgoing.end(body.head.length > 0 ? body.head : undefined);
     return;
--- a/packages/entry/backend_response.ts
+++ b/packages/entry/backend_response.ts
@@ -36,14 +36,18 @@
   readonly exceeded?: undefined;
 }
 
-export interface StreamedResponse extends ResponseHead {
-  readonly body?: undefined;
-  readonly stream: IncomingMessage;
+/** The bounds of a response, while it is forwarded. */
+interface ResponseBounds {
   readonly meter: ResponseMeter;
-  /** The bound that the response exceeded while it was forwarded. */
+  /** The bound that the response has exceeded. */
   readonly exceeded: () => ExceededBound | undefined;
   /** Closes the connection to the server, since a bound was exceeded. */
   readonly exceed: (excess: ExceededBound) => void;
+}
+
+export interface StreamedResponse extends ResponseHead, ResponseBounds {
+  readonly body?: undefined;
+  readonly stream: IncomingMessage;
   /**
    * Whether the response ended prematurely; valid once the stream has ended.
    */
@@ -102,18 +106,9 @@
 export function collectResponse(
   incoming: IncomingMessage,
   head: ResponseHead,
-  bounds: {
-    meter: ResponseMeter;
-    report: (excess: ExceededBound) => void;
-  },
+  bounds: ResponseBounds,
 ): Promise<RequestResult> {
   const isTruncated = detectTruncation(incoming);
-  let excess: ExceededBound | undefined;
-  const exceed = (exceeded: ExceededBound) => {
-    excess = exceeded;
-    bounds.report(exceeded);
-    incoming.destroy();
-  };
   return new Promise((resolve) => {
     let chunks: Buffer[] = [];
     let length = 0;
@@ -129,14 +124,7 @@
       incoming.off("data", onData);
       incoming.off("end", onEnd);
       incoming.unshift(Buffer.concat(chunks));
-      const response = {
-        ...head,
-        stream: incoming,
-        isTruncated,
-        meter: bounds.meter,
-        exceeded: () => excess,
-        exceed,
-      };
+      const response = { ...head, stream: incoming, isTruncated, ...bounds };
       resolve({ type: "answer", response });
     };
     const failTruncated = (detail: string) => {
