Name the bound in the line of a request that it ended while forwarded

A response that exceeded `framing_bytes` while it was forwarded was logged as truncated, without code and detail, since its connection was closed first. The test "a stream that ends with an exceeded bound names the bound" failed before and passes now.

--- a/packages/entry/response_stream.ts
+++ b/packages/entry/response_stream.ts
@@ -39,7 +39,7 @@
 
   start(): void {
     const { stream, isTruncated } = this.#from;
-    const abort = () => this.#break({ type: "truncated" });
+    const abort = () => this.#break(this.#truncation());
     stream.on("data", (part: Buffer) => this.#take(part));
     stream.once("end", () => {
       if (isTruncated()) {
@@ -105,6 +105,12 @@
     });
   }
 
+  /** Why the server's connection ended before the response did. */
+  #truncation(): StreamEnd {
+    const excess = this.#from.exceeded();
+    return excess ? { type: "exceeded", excess } : { type: "truncated" };
+  }
+
   #exceed(excess: ExceededBound): void {
     if (this.#ended) return;
     this.#break({ type: "exceeded", excess });
--- a/packages/entry/response_stream_test.ts
+++ b/packages/entry/response_stream_test.ts
@@ -6,8 +6,12 @@
 import { setImmediate as nextTurn } from "node:timers/promises";
 import { until } from "../demo/until.ts";
 import type { StreamedResponse } from "./backend_response.ts";
-import { ResponseMeter, UNDELAYED_PARTS } from "./response_bounds.ts";
-import { ResponseStream } from "./response_stream.ts";
+import {
+  type ExceededBound,
+  ResponseMeter,
+  UNDELAYED_PARTS,
+} from "./response_bounds.ts";
+import { ResponseStream, type StreamEnd } from "./response_stream.ts";
 
 /** A connection to a caller, which takes a write when the test says so. */
 class CallerConnection extends Writable {
@@ -28,19 +32,21 @@
   }
 }
 
-function startStream() {
+function startStream(excess?: ExceededBound) {
   const stream = new IncomingMessage(new Socket());
   const to = new CallerConnection();
   const from = {
     stream,
     meter: new ResponseMeter({ bodyMaxBytes: 1_000_000 }),
     isTruncated: () => false,
+    exceeded: () => excess,
   } as unknown as StreamedResponse;
+  const ends: StreamEnd[] = [];
   const forwarding = new ResponseStream(from, to as unknown as ServerResponse, {
-    onEnd: () => undefined,
+    onEnd: (end) => ends.push(end),
   });
   forwarding.start();
-  return { stream, to };
+  return { stream, to, ends };
 }
 
 // Otherwise short chunks cost a write each.
@@ -83,3 +89,14 @@
   assert.ok(stream.isPaused());
   await until(() => !stream.isPaused(), { what: "reading goes on" });
 });
+
+// Otherwise the line of the request does not tell why it was broken off.
+test("a stream that ends with an exceeded bound names the bound", async () => {
+  const excess = { bound: "framing_bytes", bytes: 200_000 } as const;
+  const { stream, to, ends } = startStream(excess);
+  stream.destroy(new Error("aborted"));
+  await until(() => to.destroyed, {
+    what: "the caller's connection is broken",
+  });
+  assert.deepEqual(ends, [{ type: "exceeded", excess }]);
+});
