--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -1,24 +1,30 @@
 import {
-  Agent,
+  type Agent,
   type AgentOptions,
+  type ClientRequest,
   request as httpRequest,
   type IncomingHttpHeaders,
   type IncomingMessage,
 } from "node:http";
-import type { Socket } from "node:net";
 import {
   type BackendServer,
   backendServerKey,
+  type Clock,
   type HeaderFault,
   type ParsedNumber,
+  SystemClock,
 } from "#model";
-import {
-  collectResponse,
-  type RequestResult,
-  type ResponseHead,
-} from "./backend_response.ts";
+import { BackendAgent } from "./backend_agent.ts";
+import { BackendExchange } from "./backend_exchange.ts";
+import type { RequestResult, ResponseHead } from "./backend_response.ts";
 import type { CallProtocol } from "./call_protocol.ts";
+import { ReceiveGuard } from "./receive_guard.ts";
 import type { RequestBody } from "./request_body.ts";
+import {
+  type ExceededBound,
+  type ResponseLimits,
+  ResponseMeter,
+} from "./response_bounds.ts";
 
 /** Shorter than the usual keep-alive timeout of servers (5 s). */
 const IDLE_CONNECTION_TIMEOUT_MS = 4_000;
@@ -27,6 +33,7 @@
  * request is not sent while the server is closing the connection.
  */
 const KEEP_ALIVE_TIMEOUT_FRACTION = 0.75;
+const DEFAULT_LIMITS: ResponseLimits = { bodyMaxBytes: 1024 ** 3 };
 
 /** An HTTP request to a backend server. */
 export interface BackendRequest {
@@ -40,6 +47,8 @@
    * The id that the server repeats in its response, if the protocol has one.
    */
   readonly requestId: string | undefined;
+  /** Id of the request in log lines; undefined for probes and checks. */
+  readonly logId?: string | undefined;
 }
 
 /** A request that has been sent to a backend server. */
@@ -49,7 +58,20 @@
   cancel(): void;
 }
 
+/** A response that exceeded a bound. */
+export interface ResponseExcess extends ExceededBound {
+  readonly server: BackendServer;
+  /** Id of the request for log lines; undefined for probes and checks. */
+  readonly requestId: string | undefined;
+  /** Time since the request was sent, in milliseconds. */
+  readonly ageMs: number;
+}
+
 export interface BackendClientOptions {
+  readonly limits?: ResponseLimits;
+  readonly clock?: Clock;
+  /** Called for each response that exceeded a bound. */
+  readonly onBoundExceeded?: (excess: ResponseExcess) => void;
   /** Called for each header of a response that cannot be read. */
   readonly onMalformedHeader?: (
     server: BackendServer,
@@ -61,10 +83,17 @@
 export class BackendClient {
   readonly #agents = new Map<string, { agent: Agent; incarnation: number }>();
   readonly #protocol: CallProtocol;
+  readonly #limits: ResponseLimits;
+  readonly #clock: Clock;
+  readonly #onBoundExceeded: BackendClientOptions["onBoundExceeded"];
+  readonly #receiveGuard = new ReceiveGuard();
   readonly #onMalformedHeader: BackendClientOptions["onMalformedHeader"];
 
   constructor(protocol: CallProtocol, options: BackendClientOptions = {}) {
     this.#protocol = protocol;
+    this.#limits = options.limits ?? DEFAULT_LIMITS;
+    this.#clock = options.clock ?? new SystemClock();
+    this.#onBoundExceeded = options.onBoundExceeded;
     this.#onMalformedHeader = options.onMalformedHeader;
   }
 
@@ -79,48 +108,19 @@
       agent: this.#agent(server),
       setHost: false,
     });
-    let connected = false;
-    let isSettled = false;
-    const result = new Promise<RequestResult>((resolve) => {
-      const settle = (result: RequestResult) => {
-        if (isSettled) return;
-        isSettled = true;
-        resolve(result);
-      };
-      const fail = (detail: string) => {
-        // Errors after the response has begun are reported by the response.
-        const type = connected ? "connection_lost" : "not_connected";
-        settle({ type: "fault", fault: { type, detail } });
-      };
-      outgoing.once("socket", (socket) => {
-        connected = !socket.connecting;
-        if (connected) return;
-        const timeoutMs = request.connectTimeoutMs;
-        setConnectTimeout(socket, { timeoutMs, request: outgoing });
-        socket.once("connect", () => {
-          connected = true;
-        });
-      });
-      let responded = false;
-      outgoing.once("error", (error) => fail(error.message));
-      outgoing.once("close", () => {
-        if (!responded) fail("connection closed");
-      });
-      outgoing.once("response", (response) => {
-        responded = true;
-        const head = this.#parseHead(server, response, request.requestId);
+    const exchange = new BackendExchange(outgoing, {
+      request,
+      meter: new ResponseMeter(this.#limits),
+      guard: this.#receiveGuard,
+      readHead: (response) => {
         this.#applyKeepAliveTimeout(server, response.headers);
-        if (head.foreign) {
-          fail("the answer is for another request");
-          outgoing.destroy();
-          return;
-        }
-        void collectResponse(response, head).then(settle);
-      });
+        return this.#parseHead(server, response, request.requestId);
+      },
+      onExceeded: this.#reporter(server, request.logId),
     });
     sendBody(outgoing, request.body);
     return {
-      result,
+      result: exchange.result,
       cancel: () => {
         outgoing.destroy();
       },
@@ -145,6 +145,18 @@
     this.#agents.clear();
   }
 
+  /** Creates a function that reports bounds that a response exceeded. */
+  #reporter(
+    server: BackendServer,
+    requestId: string | undefined,
+  ): (excess: ExceededBound) => void {
+    const sentAt = this.#clock.now();
+    return (excess) => {
+      const ageMs = Math.round(this.#clock.now() - sentAt);
+      this.#onBoundExceeded?.({ ...excess, server, requestId, ageMs });
+    };
+  }
+
   #parseHead(
     server: BackendServer,
     response: IncomingMessage,
@@ -179,7 +191,7 @@
     const pooled = this.#agents.get(key);
     if (pooled?.incarnation === server.incarnation) return pooled.agent;
     if (pooled) closeIdleConnections(pooled.agent);
-    const agent = new Agent({
+    const agent = new BackendAgent({
       keepAlive: true,
       maxSockets: Number.POSITIVE_INFINITY,
       maxFreeSockets: server.slots,
@@ -199,23 +211,7 @@
   }
 }
 
-type Outgoing = ReturnType<typeof httpRequest>;
-
-function setConnectTimeout(
-  socket: Socket,
-  options: { timeoutMs: number; request: Outgoing },
-): void {
-  const timer = setTimeout(() => {
-    options.request.destroy(
-      new Error(`no connection within ${options.timeoutMs} ms`),
-    );
-  }, options.timeoutMs);
-  const stop = () => clearTimeout(timer);
-  socket.once("connect", stop);
-  socket.once("close", stop);
-}
-
-function sendBody(outgoing: Outgoing, body: RequestBody): void {
+function sendBody(outgoing: ClientRequest, body: RequestBody): void {
   if (!body.rest) {
     outgoing.end(body.head.length > 0 ? body.head : undefined);
     return;
--- a/packages/entry/backend_response.ts
+++ b/packages/entry/backend_response.ts
@@ -1,5 +1,11 @@
 import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
 import type { ResponseReport } from "./call_protocol.ts";
+import { ReadPacer } from "./read_pacer.ts";
+import {
+  describeExceededBound,
+  type ExceededBound,
+  type ResponseMeter,
+} from "./response_bounds.ts";
 
 /**
  * Responses up to this size are buffered and checked for completeness before
@@ -7,6 +13,9 @@
  */
 export const MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024;
 
+/** Chunks to hold at most; each takes far more memory than a few bytes. */
+const MAX_CHUNKS = 1_024;
+
 /** A server's response: buffered if it is short, else a stream. */
 export type BackendResponse = BufferedResponse | StreamedResponse;
 
@@ -24,9 +33,19 @@
 interface BufferedResponse extends ResponseHead {
   readonly body: Buffer;
   readonly stream?: undefined;
+  readonly exceeded?: undefined;
+}
+
+/** The bounds of a response, while it is forwarded. */
+interface ResponseBounds {
+  readonly meter: ResponseMeter;
+  /** The bound that the response has exceeded. */
+  readonly exceeded: () => ExceededBound | undefined;
+  /** Closes the connection to the server, since a bound was exceeded. */
+  readonly exceed: (excess: ExceededBound) => void;
 }
 
-interface StreamedResponse extends ResponseHead {
+export interface StreamedResponse extends ResponseHead, ResponseBounds {
   readonly body?: undefined;
   readonly stream: IncomingMessage;
   /**
@@ -42,7 +61,18 @@
 export type RequestFailure =
   | { readonly type: "not_connected"; readonly detail: string }
   | { readonly type: "connection_lost"; readonly detail: string }
-  | { readonly type: "answer_cut"; readonly detail: string };
+  | { readonly type: "answer_cut"; readonly detail: string }
+  | {
+      readonly type: "bound_exceeded";
+      readonly excess: ExceededBound;
+      readonly detail: string;
+    };
+
+/** The failure of a request whose response exceeded a bound. */
+export function boundFailure(excess: ExceededBound): RequestFailure {
+  const detail = describeExceededBound(excess);
+  return { type: "bound_exceeded", excess, detail };
+}
 
 /** The result of one request to a backend server. */
 export type RequestResult =
@@ -76,20 +106,25 @@
 export function collectResponse(
   incoming: IncomingMessage,
   head: ResponseHead,
+  bounds: ResponseBounds,
 ): Promise<RequestResult> {
   const isTruncated = detectTruncation(incoming);
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    let chunks: Buffer[] = [];
     let length = 0;
+    const pacer = new ReadPacer(incoming);
     const onData = (chunk: Buffer) => {
       chunks.push(chunk);
       length += chunk.length;
+      pacer.countPart();
+      if (chunks.length >= MAX_CHUNKS) chunks = [Buffer.concat(chunks)];
       if (length <= MAX_BUFFERED_RESPONSE_BYTES) return;
+      pacer.stop();
       incoming.pause();
       incoming.off("data", onData);
       incoming.off("end", onEnd);
       incoming.unshift(Buffer.concat(chunks));
-      const response = { ...head, stream: incoming, isTruncated };
+      const response = { ...head, stream: incoming, isTruncated, ...bounds };
       resolve({ type: "answer", response });
     };
     const failTruncated = (detail: string) => {
@@ -106,6 +141,9 @@
     incoming.on("data", onData);
     incoming.once("end", onEnd);
     incoming.once("error", (error) => failTruncated(error.message));
-    incoming.once("close", () => failTruncated("connection closed"));
+    incoming.once("close", () => {
+      pacer.stop();
+      failTruncated("connection closed");
+    });
   });
 }
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -128,12 +128,8 @@
     }
     this.#startDeadline(call);
     const admittedCall = { call, chain, body: body.value };
-    try {
-      if (this.#usesIdempotencyKey) await this.#runWithClaim(admittedCall);
-      else this.#sendResult(await this.#runAttempts(admittedCall));
-    } finally {
-      clearTimeout(this.#deadlineTimer);
-    }
+    if (this.#usesIdempotencyKey) await this.#runWithClaim(admittedCall);
+    else this.#sendResult(await this.#runAttempts(admittedCall));
   }
 
   /** Refuses the call if it is not sent to a server early enough. */
@@ -149,6 +145,7 @@
 
   /** To be called when the response is closed, whether complete or not. */
   onResponseClosed(): void {
+    clearTimeout(this.#deadlineTimer);
     clearTimeout(this.#stopTimer);
     const { writableFinished, brokenBy } = this.#exchange.response;
     if (writableFinished) {
@@ -355,6 +352,7 @@
     // At the deadline the claim resolves by itself, with what is known by then.
     if (isClosed) this.#cancelClaim?.();
     this.#attempts?.stop(reason);
+    if (reason === "expired") this.#reply.expire();
   }
 
   /** Makes no attempt that has not begun; those at servers go on. */
@@ -367,6 +365,7 @@
     this.#hasUsualEnd =
       outcome === "answered" || fault?.code === "deadline_expired";
     const { metrics, clock, logger, configuration } = this.#options;
+    clearTimeout(this.#deadlineTimer);
     const ms = clock.now() - this.#arrival;
     const service = this.#classified?.service.name ?? "none";
     const className = this.#classified?.class.name ?? "none";
--- a/packages/entry/caller_server_test.ts
+++ b/packages/entry/caller_server_test.ts
@@ -15,6 +15,7 @@
   idleConnectionMs: 10_000,
   connectionsMax: 100,
   queueMaxCalls: 100,
+  responseBodyMaxBytes: 1_000_000_000,
 };
 /** More than the kernel takes of an answer that nobody reads. */
 const LONG_ANSWER_BYTES = 16 * 1024 * 1024;
--- a/packages/entry/reply.ts
+++ b/packages/entry/reply.ts
@@ -25,6 +25,15 @@
   response.end(errorResponse.body);
 }
 
+/**
+ * Breaks a caller's connection in the middle of a response. It is reset, since
+ * a normal close ends a response that has no length.
+ */
+export function breakConnection(response: ServerResponse): void {
+  if (response.socket) response.socket.resetAndDestroy();
+  response.destroy();
+}
+
 /** Responds with JSON, or without a body if there is none. */
 export function replyJson(
   response: ServerResponse,
