--- a/packages/entry/call_drain_test.ts
+++ b/packages/entry/call_drain_test.ts
@@ -7,17 +7,8 @@
 import { SilentLogger } from "#telemetry";
 import { drainCalls } from "./call_drain.ts";
 import { CallerServer } from "./caller_server.ts";
+import { TEST_LIMITS } from "./test_limits.ts";
 
-const LIMITS = {
-  headerMaxBytes: 8_192,
-  bodyMaxBytes: 100_000,
-  headerTimeoutMs: 10_000,
-  bodyTimeoutMs: 10_000,
-  idleConnectionMs: 10_000,
-  connectionsMax: 100,
-  queueMaxCalls: 100,
-  responseBodyMaxBytes: 1_000_000_000,
-};
 /** More than the kernel takes of an answer that nobody reads. */
 const LONG_ANSWER_BYTES = 16 * 1024 * 1024;
 
@@ -43,7 +34,7 @@
     answered = resolve;
   });
   const callers = new CallerServer({
-    limits: LIMITS,
+    limits: TEST_LIMITS,
     handleApi: undefined,
     handleCall: (request, response) => {
       request.resume();
--- a/packages/entry/caller_server_test.ts
+++ b/packages/entry/caller_server_test.ts
@@ -6,17 +6,8 @@
 import { SystemClock } from "#model";
 import type { TrackedResponse } from "#wire";
 import { CallerServer } from "./caller_server.ts";
+import { TEST_LIMITS } from "./test_limits.ts";
 
-const LIMITS = {
-  headerMaxBytes: 8_192,
-  bodyMaxBytes: 100_000,
-  headerTimeoutMs: 10_000,
-  bodyTimeoutMs: 10_000,
-  idleConnectionMs: 10_000,
-  connectionsMax: 100,
-  queueMaxCalls: 100,
-  responseBodyMaxBytes: 1_000_000_000,
-};
 /** More than the kernel takes of an answer that nobody reads. */
 const LONG_ANSWER_BYTES = 16 * 1024 * 1024;
 /** Less than the kernel takes, and more than it sends before it is read. */
@@ -33,11 +24,11 @@
 }
 
 /** A server whose requests are answered by the test. */
-async function openServer(limits: Partial<typeof LIMITS> = {}) {
+async function openServer(limits: Partial<typeof TEST_LIMITS> = {}) {
   const exchanges: Exchange[] = [];
   let notify: () => void = () => undefined;
   const server = new CallerServer({
-    limits: { ...LIMITS, ...limits },
+    limits: { ...TEST_LIMITS, ...limits },
     handleApi: undefined,
     handleCall: (request, response) => {
       request.resume();
@@ -188,7 +179,7 @@
 // before both were read.
 test("a stop answers requests that arrive together when it refuses them", async () => {
   const server = new CallerServer({
-    limits: LIMITS,
+    limits: TEST_LIMITS,
     handleApi: undefined,
     handleCall: (request, response) => answer({ request, response }, "refused"),
   });
--- a/packages/wire/http_connections.ts
+++ b/packages/wire/http_connections.ts
@@ -12,6 +12,7 @@
  * what it has not sent of the last answer.
  */
 const LINGER_MS = 1_000;
+
 /** The side that closed a connection before an answer was complete. */
 export type ConnectionEnd = "client" | "server";
 
