Log changes of servers' health and how checks fail

A line for each change of a server's health says by whom and on what evidence, the attempt of a call lists its failed checks by kind, and the detail of queue_full names the free slots.

--- a/packages/entry/assignments.ts
+++ b/packages/entry/assignments.ts
@@ -16,6 +16,7 @@
   RateLimitChange,
   Router,
   RoutingEffect,
+  ServiceHealthChange,
 } from "#routing";
 import type { Logger } from "#telemetry";
 import { type Message, messageKinds, type Network } from "#wire";
@@ -120,6 +121,9 @@
       case "server_backs_off":
         this.#logBackOff(effect);
         return;
+      case "server_health_changed":
+        this.#logHealth(effect);
+        return;
       case "send":
         this.#options.network.send(effect.to, effect.kind, effect.payload);
     }
@@ -140,6 +144,19 @@
     });
   }
 
+  #logHealth(change: ServiceHealthChange): void {
+    const { service, server, by, from, to, failureEvidence } = change;
+    this.#options.logger.info("health of a backend server", {
+      server: `${service}/${server}`,
+      by,
+      from,
+      to,
+      failureEvidence,
+      successRate: roundedShare(change.successRate),
+      serviceTimeRatio: roundedShare(change.serviceTimeRatio),
+    });
+  }
+
   #logBackOff({ server, ms }: BackOff): void {
     this.#options.logger.info("backend server asks to back off", {
       server: backendServerKey(server),
@@ -160,3 +177,7 @@
     this.execute(router.handleCheckResult(callId, result, clock.now()));
   }
 }
+
+function roundedShare(share: number): number {
+  return Math.round(share * 1_000) / 1_000;
+}
--- a/packages/entry/prober.ts
+++ b/packages/entry/prober.ts
@@ -1,7 +1,13 @@
 import type { BackendServer, Clock, Service } from "#model";
-import type { CheckResult, ProbeResult, ServerStatement } from "#routing";
+import type {
+  CheckFailure,
+  CheckResult,
+  ProbeResult,
+  ServerStatement,
+} from "#routing";
 import type { Metrics } from "#telemetry";
 import type { BackendClient } from "./backend_client.ts";
+import type { RequestResult } from "./backend_response.ts";
 import type { CallProtocol, HealthReport } from "./call_protocol.ts";
 import { statementOf } from "./server_attempt.ts";
 
@@ -42,11 +48,11 @@
 
   /** Requests the speed of a server before a call is assigned to it. */
   async check(server: BackendServer): Promise<CheckResult> {
-    const { ms, healthReport, statement } = await this.#query(server, {
+    const { ms, healthReport, failure, statement } = await this.#query(server, {
       timeoutMs: CHECK_TIMEOUT_MS,
       kind: "check",
     });
-    if (!healthReport) return { kind: "failed", ...statement };
+    if (!healthReport) return { kind: "failed", failure, ...statement };
     if (healthReport.shed) return { kind: "shed", ...statement };
     const { healthy, leaving, slowdown, inFlight } = healthReport;
     const load = { slowdown, inFlight, ms };
@@ -59,6 +65,8 @@
   ): Promise<{
     ms: number;
     healthReport: HealthReport | undefined;
+    /** Why there is no report. */
+    failure: CheckFailure;
     statement: ServerStatement;
   }> {
     const { clock, metrics, client, protocol, service, onServerLeaving } =
@@ -73,23 +81,41 @@
       connectTimeoutMs: timeoutMs,
       requestId: undefined,
     });
-    const timer = setTimeout(() => sentRequest.cancel(), timeoutMs);
+    let isLate = false;
+    const timer = setTimeout(() => {
+      isLate = true;
+      sentRequest.cancel();
+    }, timeoutMs);
     const result = await sentRequest.result;
     clearTimeout(timer);
     const ms = clock.now() - startedAt;
     metrics.recordProbe(server.service, ms);
     const response = result.type === "answer" ? result.response : undefined;
     response?.stream?.destroy();
-    if (!response) return { ms, healthReport: undefined, statement: {} };
+    const failure = failureOf(result, isLate);
+    if (!response) {
+      return { ms, healthReport: undefined, failure, statement: {} };
+    }
     if (!response.body) {
       const statement = statementOf(response);
-      return { ms, healthReport: undefined, statement };
+      return { ms, healthReport: undefined, failure, statement };
     }
     const parsed = protocol.parseHealthReport(response, server);
     const leaving = parsed?.leaving || response.leaving;
     const healthReport = parsed && { ...parsed, leaving };
     if (response.leaving && !parsed?.otherServer) onServerLeaving(server);
     const statement = parsed?.otherServer ? {} : statementOf(response);
-    return { ms, healthReport, statement };
+    return { ms, healthReport, failure, statement };
+  }
+}
+
+/** How a request without a usable answer failed. */
+function failureOf(result: RequestResult, isLate: boolean): CheckFailure {
+  if (result.type === "answer") return "malformed";
+  if (result.fault.type === "not_connected") {
+    return isLate || /^no connection within/.test(result.fault.detail)
+      ? "not_accepted"
+      : "refused";
   }
+  return isLate ? "no_answer" : "connection_lost";
 }
--- a/packages/routing/dispatcher.ts
+++ b/packages/routing/dispatcher.ts
@@ -5,6 +5,7 @@
 import { isLongRunning } from "./long_running.ts";
 import type { DispatchReport, DispatchUpdate } from "./messages.ts";
 import type { SequenceNumbers } from "./sequence_numbers.ts";
+import type { HealthChange } from "./server_health.ts";
 import { SlotScheduler } from "./slot_scheduler.ts";
 import type { SlotTable } from "./slot_table.ts";
 import { WaitingCalls } from "./waiting_calls.ts";
@@ -70,6 +71,11 @@
     return this.#state.entries.size === 0;
   }
 
+  /** Removes and returns the changes of servers' health since the last call. */
+  takeHealthChanges(): readonly HealthChange[] {
+    return this.#state.outliers.takeChanges();
+  }
+
   get slots(): SlotTable {
     return this.#state.slots;
   }
--- a/packages/routing/effects.ts
+++ b/packages/routing/effects.ts
@@ -1,5 +1,6 @@
 import type { BackendServer, CallFault, HostId } from "#model";
 import type { DispatchMessage } from "./messages.ts";
+import type { HealthChange } from "./server_health.ts";
 
 /** What a server says in any answer about the requests that it wants. */
 export interface ServerStatement {
@@ -74,9 +75,20 @@
       }
     /** The server refused the check, as it would refuse a call. */
     | { readonly kind: "shed" }
-    | { readonly kind: "failed" }
+    | { readonly kind: "failed"; readonly failure?: CheckFailure }
   );
 
+/**
+ * How a check failed: the server did not accept a connection in time or refused
+ * it, or did not answer in time, broke its connection, or sent something else.
+ */
+export type CheckFailure =
+  | "not_accepted"
+  | "refused"
+  | "no_answer"
+  | "connection_lost"
+  | "malformed";
+
 /** The reasons for an assignment, for the log. */
 export interface AssignmentBasis {
   /**
@@ -86,6 +98,8 @@
   readonly by: "credit" | "grant" | "local";
   /** Number of servers whose speed was checked for this call. */
   readonly checks: number;
+  /** How checks for this call failed, if any did. */
+  readonly failedChecks?: readonly CheckFailure[];
   /**
    * Slowdown and requests in flight that the server reported, and the age of
    * the report in milliseconds.
@@ -112,6 +126,13 @@
   readonly ms: number;
 }
 
+/** A change of what the dispatcher or this entry believes of a server. */
+export interface ServiceHealthChange extends HealthChange {
+  readonly service: string;
+  /** Whose belief it is. */
+  readonly by: "dispatcher" | "entry";
+}
+
 /** Actions that the router's owner executes for it. */
 export type RoutingEffect =
   | {
@@ -138,6 +159,7 @@
   /** For the log. */
   | ({ readonly type: "rate_limit_changed" } & RateLimitChange)
   | ({ readonly type: "server_backs_off" } & BackOff)
+  | ({ readonly type: "server_health_changed" } & ServiceHealthChange)
   | SendEffect;
 
 /** A message to another entry. */
--- a/packages/routing/local_servers.ts
+++ b/packages/routing/local_servers.ts
@@ -17,6 +17,7 @@
 import type { OpenCall } from "./open_call.ts";
 import { type Observation, OutlierDetector } from "./outlier_detector.ts";
 import { SampleSet } from "./sample_set.ts";
+import type { HealthChange } from "./server_health.ts";
 import { ServerState } from "./server_state.ts";
 import { WarmUp } from "./warm_up.ts";
 
@@ -226,6 +227,11 @@
     return changes;
   }
 
+  /** Removes and returns the changes of servers' health since the last call. */
+  takeHealthChanges(): readonly HealthChange[] {
+    return this.#outliers.takeChanges();
+  }
+
   /** Removes and returns the times to back off since the last call. */
   takeBackOffs(): BackOff[] {
     if (this.#backOffs.length === 0) return [];
--- a/packages/routing/open_call.ts
+++ b/packages/routing/open_call.ts
@@ -4,7 +4,11 @@
   type CallFaultCode,
   callFault,
 } from "#model";
-import type { AssignmentBasis, RoutingEffect } from "./effects.ts";
+import type {
+  AssignmentBasis,
+  CheckFailure,
+  RoutingEffect,
+} from "./effects.ts";
 import type { SlotRequest, TakenSlot } from "./messages.ts";
 import type { ServerState } from "./server_state.ts";
 
@@ -37,6 +41,8 @@
   assignedAt: number;
   /** Number of servers whose speed was checked for this call. */
   checkCount: number;
+  /** How checks failed; undefined if none did. */
+  failedChecks: CheckFailure[] | undefined;
   /** Whether the answer of the chosen server to a check is awaited. */
   awaitingCheck: boolean;
   assignedBy: AssignmentBasis["by"];
@@ -70,6 +76,7 @@
     server: undefined,
     assignedAt: 0,
     checkCount: 0,
+    failedChecks: undefined,
     awaitingCheck: false,
     assignedBy: "local",
   };
@@ -112,7 +119,7 @@
   server: ServerState,
   now: number,
 ): RoutingEffect {
-  const { assignedBy, checkCount } = call;
+  const { assignedBy, checkCount, failedChecks } = call;
   const ageMs = now - server.slowdownAt;
   const reported = Number.isFinite(ageMs) && {
     slowdown: server.slowdown,
@@ -121,11 +128,13 @@
   };
   const { perSecond } = server.rateLimit;
   const limited = perSecond !== undefined && { rateLimit: perSecond };
+  const checked = failedChecks && { failedChecks };
+  const basis = { by: assignedBy, checks: checkCount, ...checked };
   return {
     type: "assign",
     callId: call.id,
     server: server.record,
-    basis: { by: assignedBy, checks: checkCount, ...reported, ...limited },
+    basis: { ...basis, ...reported, ...limited },
   };
 }
 
--- a/packages/routing/outlier_detector.ts
+++ b/packages/routing/outlier_detector.ts
@@ -1,5 +1,12 @@
 import type { BackendServerId, Service } from "#model";
 import type { CallResultKind } from "./effects.ts";
+import {
+  EJECTION_MS,
+  type HealthChange,
+  type HealthStatus,
+  ServerHealth,
+  TRIAL_INTERVAL_MS,
+} from "./server_health.ts";
 
 /**
  * Evidence (log likelihood ratio) for "three times slower" from which a server
@@ -34,8 +41,6 @@
  * servers, plus one.
  */
 const TRIAL_FAILURES_VERSUS_USUAL = 1.5;
-/** Duration of the first ejection; doubles with each failed trial. */
-const EJECTION_MS = 1_000;
 const EJECTION_MAX_MS = 30_000;
 /** Successes during a trial that reinstate a server. */
 const TRIAL_SUCCESSES = 5;
@@ -45,17 +50,13 @@
  */
 const RAMP_UP_MAX_MS = 5_000;
 const RAMP_UP_MIN_MS = 500;
-/**
- * First interval of trial calls to a slow server; doubles with each slow one.
- */
-const TRIAL_INTERVAL_MS = 200;
 const TRIAL_INTERVAL_MAX_MS = 2_000;
 /** Interval of trial calls once one of them was fast. */
 const TRIAL_INTERVAL_AFTER_SUCCESS_MS = 100;
 const SAMPLE_WEIGHT = 1 / 16;
 const MEAN_WEIGHT = 1 / 256;
-
-export type HealthStatus = "good" | "slow" | "ejected" | "trial";
+/** Most changes that wait to be taken. */
+const MAX_CHANGES = 64;
 
 /** The outcome of a call on a server. */
 export interface Observation {
@@ -66,48 +67,6 @@
   readonly queueRatio: number;
 }
 
-/** Health of one server: its status and the evidence for it. */
-export class ServerHealth {
-  readonly id: BackendServerId;
-  readonly slots: number;
-  /** The server was removed; results of its last calls no longer count. */
-  removed = false;
-  status: HealthStatus = "good";
-  /** Moving average of the service time relative to the expected one. */
-  serviceTimeRatio = 1;
-  /** Moving average of the share of calls that did not fail. */
-  successRate = 1;
-  slowEvidence = 0;
-  recoveryEvidence = 0;
-  failureEvidence = 0;
-  samples = 0;
-  successesInTrial = 0;
-  failuresInTrial = 0;
-  ejectionMs = EJECTION_MS;
-  trialIntervalMs = TRIAL_INTERVAL_MS;
-  /** End of the ejection, or time of the next trial call to a slow server. */
-  nextTrialAt = 0;
-  /** Time at which the server was found slow or ejected. */
-  outSince = 0;
-  reinstatedAt = Number.NEGATIVE_INFINITY;
-  rampUpMs = 0;
-
-  constructor(id: BackendServerId, slots: number) {
-    this.id = id;
-    this.slots = slots;
-  }
-
-  /**
-   * Share of its slots that the server may use, from 0.1 to 1; ramps up after a
-   * reinstatement.
-   */
-  usableShare(now: number): number {
-    const age = now - this.reinstatedAt;
-    const { rampUpMs } = this;
-    return age >= rampUpMs ? 1 : Math.max(0.1, age / rampUpMs);
-  }
-}
-
 /**
  * Detects slow and failing servers of one service from the outcomes of calls. A
  * sequential test of service times at an equal queue ratio finds slow servers;
@@ -122,6 +81,7 @@
   readonly #overallMean: Mean = { ms: 0, samples: 0 };
   #slots = 0;
   #outSlots = 0;
+  #changes: HealthChange[] = [];
 
   constructor(service: Service) {
     this.#service = service;
@@ -145,6 +105,14 @@
     if (health.status !== "good") this.#outSlots -= health.slots;
   }
 
+  /** Removes and returns the changes of servers' status since the last call. */
+  takeChanges(): readonly HealthChange[] {
+    if (this.#changes.length === 0) return NO_CHANGES;
+    const changes = this.#changes;
+    this.#changes = [];
+    return changes;
+  }
+
   /** Mean service time of all classes, in milliseconds; 0 if unknown. */
   get meanMs(): number {
     return this.#overallMean.ms;
@@ -196,7 +164,7 @@
     if (this.#outSlots === 0) return changed;
     for (const health of this.#servers) {
       if (health.status !== "ejected" || now < health.nextTrialAt) continue;
-      health.status = "trial";
+      this.#setStatus(health, "trial");
       health.successesInTrial = 0;
       health.failuresInTrial = 0;
       changed = true;
@@ -302,7 +270,7 @@
       this.#outSlots += health.slots;
       health.outSince = now;
     }
-    health.status = "ejected";
+    this.#setStatus(health, "ejected");
     health.nextTrialAt = now + health.ejectionMs;
   }
 
@@ -313,7 +281,7 @@
     this.#outSlots += health.slots;
     health.outSince = now;
     health.serviceTimeRatio = ratio;
-    health.status = "slow";
+    this.#setStatus(health, "slow");
     health.recoveryEvidence = 0;
     health.trialIntervalMs = TRIAL_INTERVAL_MS;
     health.nextTrialAt = now + TRIAL_INTERVAL_MS;
@@ -347,7 +315,7 @@
   }
 
   #reinstate(health: ServerHealth, now: number): void {
-    health.status = "good";
+    this.#setStatus(health, "good");
     health.slowEvidence = 0;
     health.failureEvidence = 0;
     health.reinstatedAt = now;
@@ -356,6 +324,16 @@
     this.#outSlots -= health.slots;
   }
 
+  #setStatus(health: ServerHealth, status: HealthStatus): void {
+    const { id, status: from, failureEvidence } = health;
+    const { successRate, serviceTimeRatio } = health;
+    health.status = status;
+    if (from === status) return;
+    if (this.#changes.length >= MAX_CHANGES) return;
+    const evidence = { failureEvidence, successRate, serviceTimeRatio };
+    this.#changes.push({ server: id, from, to: status, ...evidence });
+  }
+
   /**
    * Whether a server may be taken out within the cap. Unless the cap is 0, one
    * server may always go if half of the slots remain: of three servers, each
@@ -390,6 +368,8 @@
   }
 }
 
+const NO_CHANGES: readonly HealthChange[] = [];
+
 interface Mean {
   ms: number;
   samples: number;
--- a/packages/routing/outlier_detector_test.ts
+++ b/packages/routing/outlier_detector_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { SeededRandomness } from "#model";
-import { OutlierDetector, type ServerHealth } from "./outlier_detector.ts";
+import { OutlierDetector } from "./outlier_detector.ts";
+import type { ServerHealth } from "./server_health.ts";
 import { SERVICE } from "./test_cluster.ts";
 
 const CALL = { class: "lookup", serviceMs: 200, queueRatio: 0 };
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -24,6 +24,7 @@
 import type { DispatchMessage } from "./messages.ts";
 import { Prober, ProbeShare, probeCandidates } from "./probing.ts";
 import { SequenceNumbers } from "./sequence_numbers.ts";
+import type { HealthChange } from "./server_health.ts";
 import { ServiceRouter } from "./service_router.ts";
 
 /** Interval at which the router looks for servers to probe. */
@@ -234,11 +235,17 @@
    */
   tick(now: number): RoutingEffect[] {
     const effects: RoutingEffect[] = [];
-    for (const dispatcher of this.#dispatchers.values()) {
-      if (!dispatcher.idle) effects.push(...dispatcher.tick(now));
+    for (const [service, dispatcher] of this.#dispatchers) {
+      if (dispatcher.idle) continue;
+      effects.push(...dispatcher.tick(now));
+      const changes = dispatcher.takeHealthChanges();
+      effects.push(...healthEffects(changes, { service, by: "dispatcher" }));
     }
     for (const router of this.#activeServices) {
       effects.push(...router.tick(now));
+      const service = router.service.name;
+      const changes = router.servers.takeHealthChanges();
+      effects.push(...healthEffects(changes, { service, by: "entry" }));
       if (router.idle) this.#activeServices.delete(router);
     }
     effects.push(...this.#probeQuietServers(now));
@@ -386,3 +393,14 @@
     return remaining;
   }
 }
+
+function healthEffects(
+  changes: readonly HealthChange[],
+  about: { service: string; by: "dispatcher" | "entry" },
+): RoutingEffect[] {
+  return changes.map((change) => ({
+    type: "server_health_changed",
+    ...about,
+    ...change,
+  }));
+}
--- a/packages/routing/server_slots.ts
+++ b/packages/routing/server_slots.ts
@@ -4,9 +4,9 @@
   FULL_SPEED_SHARE,
 } from "./concurrency_estimator.ts";
 import { NamedRate } from "./named_rate.ts";
-import type { ServerHealth } from "./outlier_detector.ts";
 import { SLOWDOWN_THRESHOLD } from "./placement_checks.ts";
 import { RatePacer } from "./rate_pacer.ts";
+import type { ServerHealth } from "./server_health.ts";
 import { SLOWDOWN_TTL_MS } from "./server_state.ts";
 import type { WarmUp } from "./warm_up.ts";
 
--- a/packages/routing/server_state.ts
+++ b/packages/routing/server_state.ts
@@ -1,7 +1,7 @@
 import type { BackendServer } from "#model";
 import { NamedRate } from "./named_rate.ts";
-import type { ServerHealth } from "./outlier_detector.ts";
 import { SLOWDOWN_THRESHOLD } from "./placement_checks.ts";
+import type { ServerHealth } from "./server_health.ts";
 
 /** Weight of a new sample in the average of service times. */
 const LATENCY_WEIGHT = 0.1;
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -226,6 +226,10 @@
     if (!call?.server || !call.awaitingCheck) return [];
     const { server } = call;
     call.awaitingCheck = false;
+    if (result.kind === "failed" && result.failure) {
+      call.failedChecks ??= [];
+      call.failedChecks.push(result.failure);
+    }
     if (this.#placementChecks.decide(result, call) === "use") {
       this.#servers.recordCheck(server, result, now);
       call.assignedAt = now;
--- a/packages/routing/waiting_calls.ts
+++ b/packages/routing/waiting_calls.ts
@@ -153,10 +153,10 @@
     entry.waitingCalls.delete(ticket);
     const waitMs = this.estimateWaitMs(this.queue.length + 1);
     const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs));
-    const { limit, pacedCount } = this.#state.slots;
+    const { limit, free, pacedCount } = this.#state.slots;
     const limited = `${pacedCount} servers that limit their rate`;
     const detail =
-      `${this.queue.length} calls wait for ${limit} usable slots` +
+      `${this.queue.length} calls wait for ${limit} usable slots, ${free} free` +
       (pacedCount > 0 ? ` and ${limited}` : "");
     const code = "queue_full";
     entry.outbox.rejects.push({ ticket, code, retryAfterMs, detail });
