--- a/packages/demo/local_site.ts
+++ b/packages/demo/local_site.ts
@@ -53,6 +53,8 @@
   readonly addresses: Address[] = [];
   /** Addresses of the entries for other processes of the system. */
   readonly peers: Address[] = [];
+  /** Addresses of the entries for calls that others pass on. */
+  readonly relays: Address[] = [];
   /** Ports of the entries' metrics. */
   readonly metricsPorts: number[] = [];
   readonly #clock: Clock = new SystemClock();
@@ -171,6 +173,7 @@
           http,
           peer: { host: HOST, port: nextPort() },
           metrics: { host: HOST, port: nextPort() },
+          relay: { host: HOST, port: nextPort() },
           control: members.map(({ peer }) => ({ host: HOST, port: peer })),
           limits: options.entryLimits ?? {},
         }),
@@ -185,6 +188,7 @@
       this.entries.push(entry);
       this.addresses.push(http);
       this.peers.push(settings.peer);
+      if (settings.relay) this.relays.push(settings.relay);
       this.metricsPorts.push(settings.metrics.port);
     }
   }
--- a/packages/entry/call_attempts.ts
+++ b/packages/entry/call_attempts.ts
@@ -26,6 +26,18 @@
   | { readonly type: "answer"; readonly response: BackendResponse }
   | { readonly type: "fault"; readonly fault: CallFault };
 
+export interface CallAttemptsInput extends AttemptInput {
+  readonly chain: CallChain;
+  /** Servers are tried although this entry seems to reach none. */
+  readonly ignoresCut: boolean;
+}
+
+/** Reasons that end only what has not been sent. */
+const WAITING_STOPS: ReadonlySet<StopReason> = new Set([
+  "entry_stops",
+  "cut_off",
+]);
+
 /** Log record of one attempt. */
 export interface AttemptRecord {
   readonly server?: string;
@@ -45,7 +57,7 @@
  */
 export class CallAttempts {
   readonly #options: ReverseProxyOptions;
-  readonly #input: AttemptInput;
+  readonly #input: CallAttemptsInput;
   readonly #outcome: AttemptTracker;
   readonly #budget: SendBudget;
   readonly #excludedServers = new Set<string>();
@@ -64,10 +76,7 @@
   /** A server's error response, forwarded if no other server responds. */
   #serverError: BackendResponse | undefined;
 
-  constructor(
-    options: ReverseProxyOptions,
-    input: AttemptInput & { readonly chain: CallChain },
-  ) {
+  constructor(options: ReverseProxyOptions, input: CallAttemptsInput) {
     this.#options = options;
     this.#input = input;
     const { repeatable, service, attempts } = input.call;
@@ -96,9 +105,34 @@
     );
   }
 
+  /**
+   * Gives up what runs at servers that this entry does not reach: cancels what
+   * may be repeated, and frees the slots of the rest.
+   */
+  giveUpRunning(): void {
+    if (this.#input.call.repeatable) {
+      this.stop("cut_off");
+      return;
+    }
+    for (const attempt of this.#runningAttempts.values()) {
+      attempt.releaseEarly();
+    }
+  }
+
+  /** Whether the call was given up because this entry reaches no server. */
+  get isCutOff(): boolean {
+    return this.#stopReason === "cut_off" || this.#endsWhenCutOff;
+  }
+
+  /** Whether the next attempt would meet the same cut. */
+  get #endsWhenCutOff(): boolean {
+    const { service } = this.#input.call;
+    return !this.#input.ignoresCut && this.#options.paths.isCutOff(service);
+  }
+
   /** Stops waiting for a server, and cancels requests in progress. */
   stop(reason: StopReason): void {
-    if (!this.#stopReason || this.#stopReason === "entry_stops") {
+    if (!this.#stopReason || WAITING_STOPS.has(this.#stopReason)) {
       this.#stopReason = reason;
     }
     clearTimeout(this.#hedgeTimer);
@@ -128,6 +162,8 @@
         this.#excludedServers.add(result.server.id);
         continue;
       }
+      if (this.#endsWhenCutOff)
+        return this.#failure(this.#fault(result.detail));
       const { clock } = this.#options;
       const now = clock.now();
       const retry =
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -14,9 +14,16 @@
 import { fingerprintOf } from "#quarantine";
 import type { TrackedResponse } from "#wire";
 import { CallAttempts, type CallAttemptsResult } from "./call_attempts.ts";
+import {
+  CallHandover,
+  type HandoverInput,
+  nowhereFault,
+  relayRefusal,
+} from "./call_handover.ts";
 import { SERVER_ONLY_HEADERS } from "./call_protocol.ts";
 import { CallReply } from "./call_reply.ts";
 import type { ClaimDecision } from "./key_claims.ts";
+import type { RelayOrigin, RelayRefusal } from "./relay_protocol.ts";
 import { endToEndHeaders } from "./reply.ts";
 import { type RequestBody, readBody } from "./request_body.ts";
 import type { ClassifiedRequest } from "./request_classifier.ts";
@@ -35,6 +42,8 @@
 }
 
 interface HttpExchange {
+  /** Where the call comes from, if another entry has passed it on. */
+  readonly origin: RelayOrigin | undefined;
   readonly id: string;
   readonly request: IncomingMessage;
   readonly response: TrackedResponse;
@@ -61,6 +70,7 @@
   readonly #options: ReverseProxyOptions;
   readonly #exchange: HttpExchange;
   readonly #reply: CallReply;
+  readonly #handover: CallHandover;
   readonly #arrival: number;
   #classified: ClassifiedRequest | undefined;
   #attempts: CallAttempts | undefined;
@@ -76,15 +86,23 @@
     this.#options = options;
     this.#exchange = exchange;
     this.#arrival = options.clock.now();
+    const isRelayed = exchange.origin !== undefined;
+    this.#handover = new CallHandover(options, { isRelayed });
     this.#reply = new CallReply({
       response: exchange.response,
       method: exchange.request.method ?? "GET",
       requestId: this.#callerRequestId ?? exchange.id,
       protocol: options.protocol,
+      isRelayed: this.isRelayed,
       onEnd: (outcome, fault) => this.#record(outcome, fault),
     });
   }
 
+  /** Whether another entry has passed the call on. */
+  get isRelayed(): boolean {
+    return this.#exchange.origin !== undefined;
+  }
+
   /** The request id that the caller sent, if the protocol has one. */
   get #callerRequestId(): string | undefined {
     const { headers } = this.#exchange.request;
@@ -112,6 +130,12 @@
   }
 
   async run(): Promise<void> {
+    const refusal = this.#relayRefusal();
+    if (refusal) {
+      this.#exchange.request.resume();
+      this.#reply.refuseRelayed(refusal);
+      return;
+    }
     const admitted = this.#admit();
     if (admitted.isErr()) {
       this.#failBeforeClaim(admitted.error);
@@ -127,9 +151,78 @@
       return;
     }
     this.#startDeadline(call);
-    const admittedCall = { call, chain, body: body.value };
-    if (this.#usesIdempotencyKey) await this.#runWithClaim(admittedCall);
-    else this.#sendResult(await this.#runAttempts(admittedCall));
+    await this.#serve({ call, chain, body: body.value });
+  }
+
+  /** Passes the call on if no server can be reached, else runs it here. */
+  async #serve(admittedCall: AdmittedCall): Promise<void> {
+    const input = { ...admittedCall, request: this.#exchange.request };
+    const isDue = this.#handover.isDue(input.call.service);
+    if (isDue && (await this.#passOn(input))) return;
+    if (isDue && !this.#handover.mayTryHere(input)) {
+      this.#sendResult({ type: "fault", fault: nowhereFault() });
+      return;
+    }
+    const ignoresCut = isDue;
+    const result = this.#usesIdempotencyKey
+      ? await this.#runWithClaim(admittedCall, { ignoresCut })
+      : await this.#runAttempts(admittedCall, { ignoresCut });
+    if (!result) return;
+    const attempts = this.#attempts;
+    if (
+      attempts &&
+      this.#handover.isDueAfter(result, { input, attempts }) &&
+      (await this.#passOn(input))
+    )
+      return;
+    this.#sendResult(result);
+  }
+
+  /** Passes the call on; false if no entry has taken it. */
+  async #passOn(input: HandoverInput): Promise<boolean> {
+    if (this.#stopReason) return false;
+    const result = await this.#handover.run(input);
+    switch (result.type) {
+      case "answer":
+        this.#reply.forwardRelayed(result.response, result.outcome);
+        return true;
+      case "lost":
+        this.#reply.fail(this.#lostFault(result.detail));
+        return true;
+      case "not_taken":
+        return false;
+    }
+  }
+
+  #lostFault(detail: string): CallFault {
+    const outcome = "unknown";
+    return this.#stopReason === "expired"
+      ? callFault("deadline_expired", { outcome })
+      : callFault("server_failed", { outcome, detail });
+  }
+
+  /** Passes the call on if it waits for a server of this service. */
+  cutOff(service: string): void {
+    if (this.#classified?.service.name !== service) return;
+    this.#attempts?.stopWaiting("cut_off");
+  }
+
+  /** Gives the call up if it runs at servers of this service. */
+  giveUpRunning(service: string): void {
+    if (this.#classified?.service.name !== service) return;
+    this.#attempts?.giveUpRunning();
+  }
+
+  #relayRefusal(): RelayRefusal | undefined {
+    const { origin } = this.#exchange;
+    if (!origin) return undefined;
+    const { ready, stopSchedule, configuration, relayedCalls } = this.#options;
+    return relayRefusal(origin, {
+      isReady: ready(),
+      isStopping: stopSchedule() !== undefined,
+      version: configuration().version,
+      relayedCalls: relayedCalls(),
+    });
   }
 
   /** Refuses the call if it is not sent to a server early enough. */
@@ -254,13 +347,17 @@
     this.#deadlineTimer = setTimeout(() => this.#stop("expired"), ms);
   }
 
-  async #runAttempts(admittedCall: AdmittedCall): Promise<CallAttemptsResult> {
+  async #runAttempts(
+    admittedCall: AdmittedCall,
+    { ignoresCut }: { ignoresCut: boolean },
+  ): Promise<CallAttemptsResult> {
     const { request } = this.#exchange;
     const fingerprint = this.#fingerprint(admittedCall);
     const attempts = new CallAttempts(this.#options, {
       ...admittedCall,
       request,
       fingerprint,
+      ignoresCut,
     });
     this.#attempts = attempts;
     if (this.#stopReason) {
@@ -269,30 +366,36 @@
     return attempts.run();
   }
 
-  /** Runs a non-repeatable request once its idempotency key is claimed. */
-  async #runWithClaim(admittedCall: AdmittedCall): Promise<void> {
+  /**
+   * Runs a non-repeatable request once its idempotency key is claimed;
+   * undefined if it was answered without a run.
+   */
+  async #runWithClaim(
+    admittedCall: AdmittedCall,
+    options: { ignoresCut: boolean },
+  ): Promise<CallAttemptsResult | undefined> {
     const { call, body } = admittedCall;
     const key = this.#exchange.request.headers[HEADERS.key];
     if (typeof key !== "string") {
       const detail = `class ${call.class} needs the header ${HEADERS.key}`;
       this.#reply.fail(callFault("key_required", { detail }));
-      return;
+      return undefined;
     }
     const decision = await this.#claim(call, { key, body });
     if (decision.type === "denied") {
       this.#reply.fail(decision.fault);
-      return;
+      return undefined;
     }
     if (decision.type === "replayed") {
       this.#reply.replay(decision.answer);
-      return;
+      return undefined;
     }
     // After an internal error, the request may have been executed.
     let settlement: Settlement = { type: "ran" };
     try {
-      const result = await this.#runAttempts(admittedCall);
+      const result = await this.#runAttempts(admittedCall, options);
       settlement = this.#toSettlement(result);
-      this.#sendResult(result);
+      return result;
     } finally {
       this.#options.claims.settle(call.id, settlement);
     }
@@ -335,15 +438,23 @@
 
   #sendResult(result: CallAttemptsResult): void {
     if (result.type === "answer") this.#reply.forward(result.response);
+    else if (this.#goesBack(result.fault)) this.#reply.refuseRelayed("cut_off");
     else this.#reply.fail(result.fault);
   }
 
+  /** Whether the entry that passed the call on should ask another one. */
+  #goesBack({ outcome }: CallFault): boolean {
+    const service = this.#classified?.service.name;
+    if (!this.isRelayed || service === undefined) return false;
+    return outcome === "not-run" && this.#handover.isDue(service);
+  }
+
   #stop(reason: StopReason): void {
     // A non-repeatable request continues when its caller disconnects, so that a
     // resend gets the stored response instead of an unknown outcome.
     const isAtMostOnce =
       this.#classified?.class.repeatable === false && this.#usesIdempotencyKey;
-    const isRunning = this.servers.length > 0;
+    const isRunning = this.servers.length > 0 || this.#handover.isRunning;
     const isClosed = reason === "caller_closed" || reason === "entry_closed";
     if (isClosed && isAtMostOnce && isRunning) return;
     if (!this.#stopReason || this.#stopReason === "entry_stops") {
@@ -352,6 +463,7 @@
     // At the deadline the claim resolves by itself, with what is known by then.
     if (isClosed) this.#cancelClaim?.();
     this.#attempts?.stop(reason);
+    this.#handover.stop();
     if (reason === "expired") this.#reply.expire();
   }
 
@@ -390,6 +502,8 @@
       objectiveMs: this.#classified?.class.targetMs,
       ms: Math.round(ms),
       attempts: this.#attempts?.records,
+      relays: this.#handover.records,
+      relayedFrom: this.#exchange.origin,
       configuration: configuration(),
     });
   }
--- /dev/null
+++ b/packages/entry/call_handover.ts
@@ -0,0 +1,112 @@
+import type { IncomingMessage } from "node:http";
+import { type Call, type CallFault, callFault } from "#model";
+import type { CallAttempts, CallAttemptsResult } from "./call_attempts.ts";
+import type { RelayAttempt, RelayRecord, RelayResult } from "./call_relay.ts";
+import type { RelayRefusal } from "./relay_protocol.ts";
+import type { RequestBody } from "./request_body.ts";
+import type { ReverseProxyOptions } from "./reverse_proxy.ts";
+
+/** Relayed calls that an entry runs at a time; it refuses further ones. */
+const MAX_RELAYED_CALLS = 256;
+/** Time after which to retry a call that no entry can serve. */
+const CUT_OFF_RETRY_MS = 1_000;
+
+/** A call with its request, as another entry needs it. */
+export interface HandoverInput {
+  readonly call: Call;
+  readonly request: IncomingMessage;
+  readonly body: RequestBody;
+}
+
+/**
+ * Passes a call on to another entry while this one reaches no server of its
+ * service. A call is passed on once: one that another entry has passed on goes
+ * back as refused.
+ */
+export class CallHandover {
+  readonly #options: ReverseProxyOptions;
+  readonly #isRelayed: boolean;
+  #attempt: RelayAttempt | undefined;
+
+  constructor(
+    options: ReverseProxyOptions,
+    { isRelayed }: { isRelayed: boolean },
+  ) {
+    this.#options = options;
+    this.#isRelayed = isRelayed;
+  }
+
+  /** The entries that were asked, for the log; undefined if none was. */
+  get records(): readonly RelayRecord[] | undefined {
+    return this.#attempt?.records;
+  }
+
+  /** Whether another entry has the call. */
+  get isRunning(): boolean {
+    return this.#attempt?.isRunning === true;
+  }
+
+  /** Whether a new call should be passed on, or refused if it was before. */
+  isDue(service: string): boolean {
+    return this.#options.paths.isCutOff(service);
+  }
+
+  /** Whether servers may be tried here if no other entry takes the call. */
+  mayTryHere({ call, body }: HandoverInput): boolean {
+    if (this.#isRelayed || body.rest) return false;
+    return this.#options.paths.hasAnswered(call.service);
+  }
+
+  /**
+   * Whether to pass a call on that has failed here because of the cut: one that
+   * did not run, or one that may be repeated, within the budget for that.
+   */
+  isDueAfter(
+    result: CallAttemptsResult,
+    { input, attempts }: { input: HandoverInput; attempts: CallAttempts },
+  ): boolean {
+    if (result.type !== "fault" || !attempts.isCutOff) return false;
+    if (this.#isRelayed || this.#attempt || input.body.rest) return false;
+    if (result.fault.outcome === "not-run") return true;
+    const { repeatable, service } = input.call;
+    const budget = this.#options.policies.budget(service);
+    return repeatable && budget?.tryTake() === true;
+  }
+
+  /** Asks other entries to take the call. */
+  async run(input: HandoverInput): Promise<RelayResult> {
+    if (this.#isRelayed) return { type: "not_taken" };
+    this.#attempt = this.#options.relay.attempt(input);
+    return this.#attempt.run();
+  }
+
+  /** Cancels the call at the entry that has it. */
+  stop(): void {
+    this.#attempt?.stop();
+  }
+}
+
+/** The fault of a call that neither this nor another entry can serve. */
+export function nowhereFault(): CallFault {
+  return callFault("no_server", {
+    retryAfterMs: CUT_OFF_RETRY_MS,
+    detail: "this entry reaches no server, and no other entry took the call",
+  });
+}
+
+/** Why an entry does not take a relayed call on; undefined if it does. */
+export function relayRefusal(
+  origin: { readonly version: number },
+  state: {
+    readonly isReady: boolean;
+    readonly isStopping: boolean;
+    readonly version: number;
+    readonly relayedCalls: number;
+  },
+): RelayRefusal | undefined {
+  if (!state.isReady) return "not_ready";
+  if (state.isStopping) return "stopping";
+  // A host must not seem to go back to an older configuration.
+  if (origin.version > state.version) return "older_configuration";
+  return state.relayedCalls > MAX_RELAYED_CALLS ? "busy" : undefined;
+}
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -5,6 +5,7 @@
   backendServerKey,
   type Clock,
   type Configuration,
+  callFault,
   EMPTY_VIEW,
   type HostId,
   type Randomness,
@@ -20,14 +21,18 @@
 import { BackendClient } from "./backend_client.ts";
 import type { CallProgress } from "./call_execution.ts";
 import type { CallProtocol } from "./call_protocol.ts";
+import { CallRelay } from "./call_relay.ts";
 import type { EntryMessages } from "./entry_network.ts";
 import { KeyClaims } from "./key_claims.ts";
 import { OnDemandLinks } from "./on_demand_links.ts";
+import { PathMonitor } from "./path_monitor.ts";
 import { Prober } from "./prober.ts";
 import {
   QUARANTINE_TICK_MS,
   QuarantineCoordinator,
 } from "./quarantine_coordinator.ts";
+import { parseRelayOrigin, reservedHeader } from "./relay_protocol.ts";
+import { replyFault } from "./reply.ts";
 import { RequestClassifier } from "./request_classifier.ts";
 import { ReverseProxy, type ReverseProxyOptions } from "./reverse_proxy.ts";
 import { ServicePolicies } from "./service_policies.ts";
@@ -74,6 +79,8 @@
   readonly #tickTimer: ActivityTimer;
   readonly #hostRoutes: HostRoutes;
   readonly #claimNetwork: OnDemandLinks<ClaimMessages>;
+  readonly #paths: PathMonitor;
+  readonly #relay: CallRelay;
   #classifier: RequestClassifier;
   #configuration: Configuration | undefined;
   #stopSchedule: StopSchedule | undefined;
@@ -122,6 +129,27 @@
       random: randomness,
       serversReportSpeed: protocol.serversReportSpeed,
     });
+    this.#paths = new PathMonitor({
+      clock,
+      randomness,
+      logger,
+      metrics,
+      network,
+      onCutOff: (service) => this.#proxy.cutOff(service),
+      onSilent: (service) => this.#proxy.giveUpRunning(service),
+    });
+    this.#relay = new CallRelay({
+      self: settings.id,
+      cluster: settings.cluster,
+      dataCentre: settings.dataCentre,
+      clock,
+      randomness,
+      network,
+      metrics,
+      client: this.#client,
+      protocol,
+      version: () => options.configuration().version,
+    });
     const prober = new Prober({
       clock,
       metrics,
@@ -129,13 +157,19 @@
       protocol,
       service: (name) => this.service(name),
       onServerLeaving: options.onServerLeaving,
+      onHeard: (server) => this.#paths.heard(server),
+      judge: (server) => this.#paths.judge(server),
     });
     this.#assignments = new Assignments({
       router: this.#router,
       clock,
       logger,
       network,
-      probe: (server) => prober.probe(server),
+      // Probes would only find out again that no server is reached.
+      probe: (server) =>
+        this.#paths.isCutOff(server.service)
+          ? Promise.resolve({ kind: "unreachable" })
+          : prober.probe(server),
       check: (server) => prober.check(server),
       onPeerMessage: () => this.#tickTimer.markActive(),
     });
@@ -171,6 +205,9 @@
       claims: this.#claims,
       quarantine: this.#quarantine,
       policies: this.#policies,
+      paths: this.#paths,
+      relay: this.#relay,
+      relayedCalls: () => this.#proxy.relayedCalls,
       serversToAvoid: (service, dataCentres) => {
         const inFlightAt = this.inFlightAt.bind(this);
         return options.serversToAvoid(service, { dataCentres, inFlightAt });
@@ -196,10 +233,43 @@
   }
 
   serve(request: IncomingMessage, response: TrackedResponse): void {
+    const { logger, protocol } = this.#options;
+    const header = reservedHeader(request.headers);
+    if (header !== undefined) {
+      const requestId = protocol.callerRequestId(request.headers) ?? "";
+      logger.warn("caller sent a reserved header", { requestId, header });
+      const detail = `the header ${header} is reserved`;
+      this.#refuse(response, { requestId, detail });
+      return;
+    }
     this.#tickTimer.markActive();
     this.#proxy.serve(request, response);
   }
 
+  /** Serves a call that another entry has passed on. */
+  serveRelayed(request: IncomingMessage, response: TrackedResponse): void {
+    const { settings, logger } = this.#options;
+    const origin = parseRelayOrigin(request.headers, settings.cluster);
+    if (origin.isErr()) {
+      const { detail } = origin.error;
+      const from = request.socket.remoteAddress;
+      logger.warn("relayed call is malformed", { from, detail });
+      this.#refuse(response, { requestId: "", detail });
+      return;
+    }
+    this.#tickTimer.markActive();
+    this.#proxy.serve(request, response, origin.value);
+  }
+
+  #refuse(
+    response: TrackedResponse,
+    { requestId, detail }: { requestId: string; detail: string },
+  ): void {
+    const { protocol } = this.#options;
+    const fault = callFault("invalid_request", { detail });
+    replyFault(response, fault, protocol.errorResponse(fault, requestId));
+  }
+
   /** Applies the configuration in force. */
   configure(configuration: Configuration): void {
     const previous = this.#configuration?.document;
@@ -217,6 +287,7 @@
     }
     this.#claims.configure(configuration);
     const linksAreSparse = selectRelays(view) !== undefined;
+    this.#relay.configure(view);
     this.#claimNetwork.setView(linksAreSparse ? view : EMPTY_VIEW);
     this.#quarantine.setForwarding(linksAreSparse);
     const now = this.#options.clock.now();
@@ -226,6 +297,7 @@
   /** Sets the servers of a service that may get new calls. */
   setServers(service: string, servers: readonly BackendServer[]): void {
     const now = this.#options.clock.now();
+    this.#paths.setServers(service, servers);
     this.#assignments.execute(this.#router.setServers(service, servers, now));
   }
 
@@ -242,11 +314,14 @@
 
   peerUp(id: HostId): void {
     this.#quarantine.peerUp(id);
+    this.#paths.peerUp(id);
     this.#claimNetwork.peerUp(id);
   }
 
   peerDown(id: HostId): void {
     this.#quarantine.peerDown(id);
+    this.#paths.peerDown(id);
+    this.#relay.peerDown(id);
     const now = this.#options.clock.now();
     this.#assignments.execute(this.#router.peerDown(id, now));
   }
@@ -295,8 +370,14 @@
     return this.#router.rateLimitedServers();
   }
 
+  /** Number of services of which this entry reaches no server. */
+  get cutOffServices(): number {
+    return this.#paths.cutOffCount;
+  }
+
   /** Stops at once and aborts the calls in progress. */
   close(): void {
+    this.#paths.close();
     clearInterval(this.#quarantineTimer);
     this.#tickTimer.stop();
     this.#client.close();
--- a/packages/entry/call_reply.ts
+++ b/packages/entry/call_reply.ts
@@ -3,7 +3,12 @@
 import type { TrackedResponse } from "#wire";
 import type { BackendResponse, StreamedResponse } from "./backend_response.ts";
 import type { CallProtocol } from "./call_protocol.ts";
-import { replyFault } from "./reply.ts";
+import {
+  RELAY_HEADER_NAMES,
+  RELAY_HEADERS,
+  type RelayRefusal,
+} from "./relay_protocol.ts";
+import { endToEndHeaders, replyFault } from "./reply.ts";
 import {
   describeExceededBound,
   type ExceededBound,
@@ -18,6 +23,8 @@
   readonly method: string;
   readonly requestId: string;
   readonly protocol: CallProtocol;
+  /** Whether another entry has passed the call on. */
+  readonly isRelayed: boolean;
   /** Called once, with the final outcome of the call. */
   readonly onEnd: (outcome: Outcome, fault?: CallFault) => void;
 }
@@ -34,16 +41,32 @@
 
   /** Forwards a server's response. */
   forward(backendResponse: BackendResponse): void {
-    const { response, requestId, method, protocol } = this.#options;
-    if (response.destroyed) {
-      backendResponse.stream?.destroy();
-      this.#end("answered");
-      return;
-    }
+    const { requestId, protocol, isRelayed } = this.#options;
     const headers = protocol.responseHeaders(backendResponse.rawHeaders, {
       outcome: "answered",
       requestId,
     });
+    if (isRelayed) headers.push(RELAY_HEADERS.outcome, "answered");
+    this.#write(backendResponse, headers, "answered");
+  }
+
+  /** Forwards the response of the entry to which the call was passed on. */
+  forwardRelayed(relayed: BackendResponse, outcome: Outcome): void {
+    const headers = endToEndHeaders(relayed.rawHeaders, RELAY_HEADER_NAMES);
+    this.#write(relayed, headers, outcome);
+  }
+
+  #write(
+    backendResponse: BackendResponse,
+    headers: string[],
+    outcome: Outcome,
+  ): void {
+    const { response, method } = this.#options;
+    if (response.destroyed) {
+      backendResponse.stream?.destroy();
+      this.#end(outcome);
+      return;
+    }
     if (backendResponse.stream) {
       response.isStreamed = true;
       response.writeHead(backendResponse.status, headers);
@@ -58,27 +81,44 @@
     response.writeHead(backendResponse.status, headers);
     // Node sends headers and a string body in one write, but a buffer in two.
     response.end(backendResponse.body.toString("latin1"), "latin1");
-    this.#end("answered");
+    this.#end(outcome);
   }
 
   /** Sends the stored response of an earlier call with the same key. */
   replay({ status, headers, body }: StoredAnswer): void {
-    const { response, requestId } = this.#options;
+    const { response, requestId, isRelayed } = this.#options;
     response.writeHead(status, [
       ...headers.flat(),
       HEADERS.outcome,
       "answered",
       HEADERS.requestId,
       requestId,
+      ...(isRelayed ? [RELAY_HEADERS.outcome, "answered"] : []),
     ]);
     response.end(body);
     this.#end("answered");
   }
 
   fail(fault: CallFault): void {
-    const { response, requestId, protocol } = this.#options;
+    this.#fail(fault, {});
+  }
+
+  /** Tells the entry that passed the call on to ask another one. */
+  refuseRelayed(reason: RelayRefusal): void {
+    const detail = `relayed call refused: ${reason}`;
+    const fault = callFault("no_server", { detail });
+    this.#fail(fault, { [RELAY_HEADERS.refused]: reason });
+  }
+
+  #fail(fault: CallFault, relayHeaders: Record<string, string>): void {
+    const { response, requestId, protocol, isRelayed } = this.#options;
     this.#end(fault.outcome, fault);
-    replyFault(response, fault, protocol.errorResponse(fault, requestId));
+    const { headers, ...rest } = protocol.errorResponse(fault, requestId);
+    const outcome = isRelayed && { [RELAY_HEADERS.outcome]: fault.outcome };
+    replyFault(response, fault, {
+      ...rest,
+      headers: { ...headers, ...outcome, ...relayHeaders },
+    });
   }
 
   /** To be called at the deadline of the call. */
--- a/packages/entry/caller_server.ts
+++ b/packages/entry/caller_server.ts
@@ -24,10 +24,12 @@
     /** Handles `/.mangobank/`; if absent, these paths are calls like others. */
     handleApi: HttpHandler | undefined;
     handleCall: HttpHandler;
+    /** Handles calls that other entries pass on. */
+    handleRelayed?: HttpHandler;
     /** Called for a request that came behind the last answer of a connection. */
     onDropped?: (request: IncomingMessage) => void;
   }) {
-    const { limits, handleApi, handleCall, onDropped } = options;
+    const { limits, handleApi, handleCall, handleRelayed, onDropped } = options;
     this.#server = new HttpServer(
       {
         maxHeaderSize: limits.headerMaxBytes,
@@ -40,7 +42,9 @@
         ...(onDropped && { onDropped }),
       },
       (request, response) => {
-        if (handleApi && request.url?.startsWith(INTERNAL_PATH_ROOT))
+        if (this.#server.isInternal(request.socket))
+          handleRelayed?.(request, response);
+        else if (handleApi && request.url?.startsWith(INTERNAL_PATH_ROOT))
           handleApi(request, response);
         else handleCall(request, response);
       },
@@ -57,6 +61,11 @@
     return this.#server.listen(address);
   }
 
+  /** Listens for calls that other entries pass on. */
+  listenForRelayed(address: Address): Promise<Result<Address, ListenFault>> {
+    return this.#server.listenInternally(address);
+  }
+
   /** Sets the time after which an idle connection is closed. */
   setIdleConnectionMs(ms: number): void {
     this.#server.setIdleConnectionMs(ms);
--- a/packages/entry/entry_network.ts
+++ b/packages/entry/entry_network.ts
@@ -15,6 +15,7 @@
   selectRelays,
 } from "#presence";
 import type { QuarantineMessages } from "#quarantine";
+import type { ReachabilityMessages } from "#reachability";
 import { DispatcherChoice, type DispatchMessages } from "#routing";
 import type { Peer } from "#wire";
 import { LINKED_CONTROL_HOSTS } from "./control_links.ts";
@@ -25,6 +26,7 @@
   QuarantineMessages &
   PresenceMessages &
   ClaimMessages &
+  ReachabilityMessages &
   DispatchMessages;
 
 /** What the links of an entry depend on. */
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -101,6 +101,7 @@
         this.#knownServers.probeBudgets(
           this.#appliedConfiguration.document.services,
         ),
+      cutOffServices: () => this.#callPipeline.cutOffServices,
       peerTraffic: () => network.traffic,
     });
     this.#registrations = new Registrations({
@@ -193,6 +194,8 @@
         : (request, response) => void own.serve(request, response),
       handleCall: (request, response) =>
         this.#callPipeline.serve(request, response),
+      handleRelayed: (request, response) =>
+        this.#callPipeline.serveRelayed(request, response),
       onDropped: (request) => {
         this.#metrics.recordDroppedRequest();
         logger.info("request not taken on", {
@@ -214,6 +217,9 @@
       await this.#network.listen(settings.peer),
       await this.#adminServer.listen(settings.metrics),
       await this.#callerServer.listen(settings.http),
+      ...(settings.relay
+        ? [await this.#callerServer.listenForRelayed(settings.relay)]
+        : []),
     ]) {
       if (listening.isErr()) {
         this.close();
@@ -336,6 +342,7 @@
       dataCentre: settings.dataCentre,
       http: settings.http,
       peer: settings.peer,
+      ...(settings.relay && { relay: settings.relay }),
       state: this.#state,
     };
   }
--- /dev/null
+++ b/packages/entry/path_monitor.ts
@@ -0,0 +1,173 @@
+import {
+  type BackendServer,
+  backendServerKey,
+  type Clock,
+  type HostId,
+  type Randomness,
+} from "#model";
+import {
+  type Fault,
+  type PathEffect,
+  type ReachabilityMessages,
+  ServerPaths,
+} from "#reachability";
+import type { Logger, Metrics } from "#telemetry";
+import type { Network } from "#wire";
+import { tryConnection } from "./connection_check.ts";
+
+/** Time within which a server accepts a connection if there is a path to it. */
+const CONNECT_TIMEOUT_MS = 150;
+const TICK_MS = 50;
+
+export interface PathMonitorOptions {
+  readonly clock: Clock;
+  readonly randomness: Randomness;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly network: Network<ReachabilityMessages>;
+  /** Called when this entry reaches no server of a service any more. */
+  readonly onCutOff: (service: string) => void;
+  /** Called when the calls that run at a service's servers got no answer. */
+  readonly onSilent: (service: string) => void;
+}
+
+/**
+ * Finds out whether failures are due to servers or to this entry's path to
+ * them, and tells the other entries while it reaches no server.
+ */
+export class PathMonitor {
+  readonly #options: PathMonitorOptions;
+  readonly #paths: ServerPaths;
+  readonly #questions = new Map<string, ((fault: Fault) => void)[]>();
+  readonly #peers = new Set<HostId>();
+  #timer: NodeJS.Timeout | undefined;
+  #closed = false;
+
+  constructor(options: PathMonitorOptions) {
+    this.#options = options;
+    this.#paths = new ServerPaths(options.randomness);
+  }
+
+  /** Whether this entry reaches no server of the service. */
+  isCutOff(service: string): boolean {
+    return this.#paths.isCutOff(service);
+  }
+
+  /** Whether a server of the service has just answered. */
+  hasAnswered(service: string): boolean {
+    return this.#paths.hasAnswered(service, this.#options.clock.now());
+  }
+
+  setServers(service: string, servers: readonly BackendServer[]): void {
+    const now = this.#options.clock.now();
+    this.#execute(this.#paths.setServers(service, servers, now));
+  }
+
+  /** Records an answer of a server. */
+  heard(server: BackendServer): void {
+    this.#paths.heard(server.service, this.#options.clock.now());
+  }
+
+  /** Resolves with whose fault a failed connection or a missing answer is. */
+  judge(server: BackendServer): Promise<Fault> {
+    return new Promise((resolve) => {
+      const key = backendServerKey(server);
+      const questions = this.#questions.get(key);
+      if (questions) questions.push(resolve);
+      else this.#questions.set(key, [resolve]);
+      const now = this.#options.clock.now();
+      this.#execute(this.#paths.failed(server, now));
+    });
+  }
+
+  peerUp(id: HostId): void {
+    this.#peers.add(id);
+    const services = this.#paths.cutOffServices();
+    if (services.length === 0) return;
+    this.#options.network.send(id, "reachability.cut_off", { services });
+  }
+
+  peerDown(id: HostId): void {
+    this.#peers.delete(id);
+  }
+
+  /** Numbers of services of which this entry reaches no server. */
+  get cutOffCount(): number {
+    return this.#paths.cutOffServices().length;
+  }
+
+  close(): void {
+    this.#closed = true;
+    clearInterval(this.#timer);
+  }
+
+  #execute(effects: readonly PathEffect[]): void {
+    for (const effect of effects) this.#executeOne(effect);
+    if (this.#paths.isActive && !this.#closed) {
+      this.#timer ??= setInterval(() => this.#tick(), TICK_MS);
+    } else {
+      clearInterval(this.#timer);
+      this.#timer = undefined;
+    }
+  }
+
+  #tick(): void {
+    this.#execute(this.#paths.tick(this.#options.clock.now()));
+  }
+
+  #executeOne(effect: PathEffect): void {
+    const { logger, onCutOff, onSilent } = this.#options;
+    switch (effect.type) {
+      case "connect":
+        void this.#connect(effect.server);
+        return;
+      case "judged":
+        this.#answer(effect.server, effect.fault);
+        return;
+      case "cut_off":
+        logger.warn("no path to the servers of a service", {
+          service: effect.service,
+          ...effect.evidence,
+        });
+        this.#tellPeers();
+        onCutOff(effect.service);
+        return;
+      case "silent":
+        logger.warn("running calls get no answer", { service: effect.service });
+        onSilent(effect.service);
+        return;
+      case "restored":
+        logger.info("path to the servers of a service is back", {
+          service: effect.service,
+          afterMs: Math.round(effect.afterMs),
+        });
+        this.#tellPeers();
+    }
+  }
+
+  async #connect(server: BackendServer): Promise<void> {
+    const { clock, metrics } = this.#options;
+    metrics.recordServerRequest(server.service, "connection_check");
+    const result = await tryConnection(server.address, {
+      timeoutMs: CONNECT_TIMEOUT_MS,
+      clock,
+    });
+    if (this.#closed) return;
+    this.#execute(this.#paths.tried(server, result, clock.now()));
+  }
+
+  #answer(server: BackendServer, fault: Fault): void {
+    const key = backendServerKey(server);
+    const questions = this.#questions.get(key) ?? [];
+    this.#questions.delete(key);
+    for (const resolve of questions) resolve(fault);
+  }
+
+  #tellPeers(): void {
+    const services = this.#paths.cutOffServices();
+    const peers = [...this.#peers];
+    this.#options.network.broadcast(peers, "reachability.cut_off", {
+      services,
+    });
+  }
+}
--- a/packages/entry/prober.ts
+++ b/packages/entry/prober.ts
@@ -1,4 +1,5 @@
 import type { BackendServer, Clock, Service } from "#model";
+import type { Fault } from "#reachability";
 import type {
   CheckFailure,
   CheckResult,
@@ -23,6 +24,10 @@
   readonly service: (name: string) => Service | undefined;
   /** Called when a server reports in a response that it is leaving. */
   readonly onServerLeaving: (server: BackendServer) => void;
+  /** Called when a server has answered. */
+  readonly onHeard: (server: BackendServer) => void;
+  /** Finds out whose fault a failed connection or a missing answer is. */
+  readonly judge: (server: BackendServer) => Promise<Fault>;
 }
 
 /** Requests health reports from backend servers; each uses a slot there. */
@@ -35,12 +40,13 @@
 
   /** Requests the load of a server that has sent no recent response. */
   async probe(server: BackendServer): Promise<ProbeResult> {
-    const { ms, healthReport, statement } = await this.#query(server, {
+    const { ms, healthReport, failure, statement } = await this.#query(server, {
       timeoutMs: PROBE_TIMEOUT_MS,
       kind: "probe",
     });
     if (healthReport?.inFlight === undefined) {
-      return { kind: "failed", ...statement };
+      const kind = await this.#failureKind(server, failure);
+      return { kind, ...statement };
     }
     const { inFlight, leaving } = healthReport;
     return { kind: "answered", inFlight, ms, leaving, ...statement };
@@ -52,13 +58,26 @@
       timeoutMs: CHECK_TIMEOUT_MS,
       kind: "check",
     });
-    if (!healthReport) return { kind: "failed", failure, ...statement };
+    if (!healthReport) {
+      const kind = await this.#failureKind(server, failure);
+      return { kind, failure, ...statement };
+    }
     if (healthReport.shed) return { kind: "shed", ...statement };
     const { healthy, leaving, slowdown, inFlight } = healthReport;
     const load = { slowdown, inFlight, ms };
     return { kind: "answered", healthy, leaving, ...load, ...statement };
   }
 
+  /** Whether the server is to blame, or the path to it. */
+  async #failureKind(
+    server: BackendServer,
+    failure: CheckFailure,
+  ): Promise<"failed" | "unreachable"> {
+    if (failure === "malformed") return "failed";
+    const fault = await this.#options.judge(server);
+    return fault === "path" ? "unreachable" : "failed";
+  }
+
   async #query(
     server: BackendServer,
     { timeoutMs, kind }: { timeoutMs: number; kind: "probe" | "check" },
@@ -91,6 +110,7 @@
     const ms = clock.now() - startedAt;
     metrics.recordProbe(server.service, ms);
     const response = result.type === "answer" ? result.response : undefined;
+    if (response) this.#options.onHeard(server);
     response?.stream?.destroy();
     const failure = failureOf(result, isLate);
     if (!response) {
--- a/packages/entry/prober_test.ts
+++ b/packages/entry/prober_test.ts
@@ -51,6 +51,8 @@
     protocol,
     service: () => undefined,
     onServerLeaving: () => undefined,
+    onHeard: () => undefined,
+    judge: () => Promise.resolve("server"),
   });
   const close = () => {
     client.close();
--- a/packages/entry/quarantine_coordinator.ts
+++ b/packages/entry/quarantine_coordinator.ts
@@ -16,6 +16,7 @@
   type RunOutcome,
   type ServerIncarnation,
 } from "#quarantine";
+import type { Fault } from "#reachability";
 import type { Logger } from "#telemetry";
 import { afterPendingInput, type Network } from "#wire";
 
@@ -36,6 +37,11 @@
   readonly startedAt: number;
 }
 
+/** An interrupted run, and whether its server or the path to it failed. */
+export interface LostConnection extends InterruptedRun {
+  readonly fault: Fault;
+}
+
 /** An interrupted request whose server may or may not have crashed. */
 interface UnconfirmedLoss extends InterruptedRun {
   readonly interruptedAt: number;
@@ -196,16 +202,17 @@
 
   /**
    * Handles a lost connection. The server counts as lost if it accepts no new
-   * connection; otherwise it may just have closed an idle one. A server that
-   * has already restarted is detected as lost by its next announcement.
+   * connection; otherwise it may just have closed an idle one. Nor does it if
+   * the path from this entry has failed. A server that has already restarted is
+   * detected as lost by its next announcement.
    */
   async connectionLost(
     server: BackendServer,
-    run: InterruptedRun,
+    { fault, ...run }: LostConnection,
   ): Promise<void> {
     if (server.state === "leaving") return;
     const interruptedAt = this.#clock.now();
-    if (!(await acceptsConnections(server))) {
+    if (fault === "server" && !(await acceptsConnections(server))) {
       this.serverLost(server);
       await this.#awaitPeerSync();
       return;
--- a/packages/entry/quarantine_coordinator_test.ts
+++ b/packages/entry/quarantine_coordinator_test.ts
@@ -65,7 +65,11 @@
   const server = backendServer(id, port);
   await coordinator.admit("poison", attemptId);
   coordinator.started(attemptId, server);
-  const run = { fingerprint: "poison", startedAt: now };
+  const run = {
+    fingerprint: "poison",
+    startedAt: now,
+    fault: "server",
+  } as const;
   now += 100;
   const checked = coordinator.connectionLost(server, run);
   if (stalls) stall();
--- /dev/null
+++ b/packages/entry/relayed_calls_test.ts
@@ -0,0 +1,132 @@
+import assert from "node:assert/strict";
+import { Agent } from "node:http";
+import { after, before, test } from "node:test";
+import { v7 as uuidv7 } from "uuid";
+import { type Address, HEADERS } from "#model";
+import { exchange } from "../demo/caller.ts";
+import { LocalSite, systemSection } from "../demo/local_site.ts";
+import { until } from "../demo/until.ts";
+import { RELAY_HEADERS } from "./relay_protocol.ts";
+
+const SERVICE = "alloc";
+
+let site: LocalSite;
+let relay: Address;
+const agent = new Agent({ keepAlive: true });
+
+before(async () => {
+  site = await LocalSite.start({ entries: 2 });
+  await until(() => site.hasLeader(), { what: "control has a leader" });
+  await site.put("system", systemSection(["riga-a"], ["all"]));
+  const service = {
+    slots_per_server: 4,
+    connections_per_server: 300,
+    cold_start_ms: 0,
+    retry_budget_percent: 50,
+    measuring_budget_percent: 0,
+    classes: {
+      booking: { priority: "urgent", deadline_ms: 1500, repeatable: false },
+      lookup: { priority: "patient", deadline_ms: 1500, repeatable: true },
+    },
+    routes: [
+      { method: "POST", path: "/bookings", class: "booking" },
+      { path: "/", class: "lookup" },
+    ],
+  };
+  await site.put("all", JSON.stringify({ services: { [SERVICE]: service } }));
+  await until(() => site.entries.every((e) => e.ready), { what: "ready" });
+  const options = { id: "w0", service: SERVICE, dataCentre: "riga-a" };
+  await site.addServer(options);
+  await until(() => site.entries.every((e) => e.serverCount(SERVICE) === 1), {
+    what: "the server is known",
+  });
+  const [first] = site.relays;
+  assert.ok(first);
+  relay = first;
+});
+
+after(async () => {
+  agent.destroy();
+  await site.close();
+});
+
+function origin(version = 1): Record<string, string> {
+  return {
+    [RELAY_HEADERS.cluster]: "local",
+    [RELAY_HEADERS.entry]: "entry-2",
+    [RELAY_HEADERS.call]: "entry-2-1",
+    [RELAY_HEADERS.version]: String(version),
+  };
+}
+
+function send(
+  address: Address,
+  headers: Record<string, string>,
+  key?: string,
+): ReturnType<typeof exchange> {
+  return exchange({
+    ...address,
+    agent,
+    method: key ? "POST" : "GET",
+    path: key ? "/bookings" : "/timesheets/7",
+    headers: {
+      [HEADERS.service]: SERVICE,
+      ...headers,
+      ...(key !== undefined && { [HEADERS.key]: key }),
+    },
+    ...(key !== undefined && { body: "{}" }),
+  });
+}
+
+test("a relayed call is answered with its outcome", async () => {
+  const { status, headers } = await send(relay, origin());
+  assert.equal(status, 200);
+  assert.equal(headers[RELAY_HEADERS.outcome], "answered");
+  assert.equal(headers[HEADERS.outcome], "answered");
+  assert.equal(headers[RELAY_HEADERS.refused], undefined);
+});
+
+// Guards against a key that is claimed at one entry and free at another.
+test("a relayed call claims its key as any other does", async () => {
+  const key = uuidv7();
+  const [server] = site.servers;
+  assert.ok(server);
+  const before = server.counts.started;
+  const first = await send(relay, origin(), key);
+  assert.equal(first.status, 200);
+  const [, other] = site.addresses;
+  assert.ok(other);
+  const again = await send(other, {}, key);
+  assert.equal(again.status, 200);
+  assert.equal(String(again.body), String(first.body));
+  assert.equal(server.counts.started, before + 1);
+});
+
+// Guards against a host that seems to go back to an older configuration.
+test("a call of an entry with a newer configuration is refused", async () => {
+  const { status, headers } = await send(relay, origin(1_000_000));
+  assert.equal(status, 503);
+  assert.equal(headers[RELAY_HEADERS.refused], "older_configuration");
+  assert.equal(headers[HEADERS.outcome], "not-run");
+});
+
+for (const [what, headers] of [
+  ["another deployment", { ...origin(), [RELAY_HEADERS.cluster]: "other" }],
+  ["no headers of an entry", {}],
+  ["no version", { ...origin(), [RELAY_HEADERS.version]: "-1" }],
+] as const) {
+  test(`a relayed call with ${what} is refused with a reason`, async () => {
+    const { status, body } = await send(relay, headers);
+    assert.equal(status, 400);
+    assert.match(String(body), /invalid_request/);
+  });
+}
+
+// Guards against callers that pose as entries.
+test("callers may not send the headers of relayed calls", async () => {
+  const [caller] = site.addresses;
+  assert.ok(caller);
+  const { status, body } = await send(caller, origin());
+  assert.equal(status, 400);
+  assert.match(String(body), /mangobank-relay-cluster is reserved/);
+});
--- a/packages/entry/reverse_proxy.ts
+++ b/packages/entry/reverse_proxy.ts
@@ -6,8 +6,11 @@
 import type { BackendClient } from "./backend_client.ts";
 import { CallExecution, type CallProgress } from "./call_execution.ts";
 import type { CallProtocol } from "./call_protocol.ts";
+import type { CallRelay } from "./call_relay.ts";
 import type { KeyClaims } from "./key_claims.ts";
+import type { PathMonitor } from "./path_monitor.ts";
 import type { QuarantineCoordinator } from "./quarantine_coordinator.ts";
+import type { RelayOrigin } from "./relay_protocol.ts";
 import type { BodyLimits } from "./request_body.ts";
 import type { RequestClassifier } from "./request_classifier.ts";
 import type { ServicePolicies } from "./service_policies.ts";
@@ -24,6 +27,10 @@
   readonly claims: KeyClaims;
   readonly quarantine: QuarantineCoordinator;
   readonly policies: ServicePolicies;
+  readonly paths: PathMonitor;
+  readonly relay: CallRelay;
+  /** Number of calls in progress that other entries have passed on. */
+  readonly relayedCalls: () => number;
   /** Ids of the servers to which a suspected request should not be sent. */
   readonly serversToAvoid: (
     service: string,
@@ -56,13 +63,18 @@
   }
 
   /** Serves one request of a caller. */
-  serve(request: IncomingMessage, response: TrackedResponse): void {
+  serve(
+    request: IncomingMessage,
+    response: TrackedResponse,
+    origin?: RelayOrigin,
+  ): void {
     this.#callCount += 1;
     const id = `${this.#idPrefix}-${this.#callCount.toString(36)}`;
     const execution = new CallExecution(this.#options, {
       id,
       request,
       response,
+      origin,
     });
     this.#executions.set(id, execution);
     response.once("close", () => {
@@ -83,6 +95,23 @@
     for (const call of this.#executions.values()) call.beginStop(schedule);
   }
 
+  /** Passes the calls on that wait for a server of this service. */
+  cutOff(service: string): void {
+    for (const call of this.#executions.values()) call.cutOff(service);
+  }
+
+  /** Gives up the calls that run at servers of this service. */
+  giveUpRunning(service: string): void {
+    for (const call of this.#executions.values()) call.giveUpRunning(service);
+  }
+
+  /** Number of calls in progress that other entries have passed on. */
+  get relayedCalls(): number {
+    let count = 0;
+    for (const call of this.#executions.values()) if (call.isRelayed) count++;
+    return count;
+  }
+
   /** Number of calls in progress. */
   get activeCalls(): number {
     return this.#executions.size;
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -8,6 +8,7 @@
   callFault,
 } from "#model";
 import type { Fingerprint } from "#quarantine";
+import type { Fault } from "#reachability";
 import type {
   AssignmentBasis,
   CallResultKind,
@@ -33,7 +34,9 @@
   | "entry_closed"
   /** The entry stops before the call could end. */
   | "entry_stops"
-  | "superseded";
+  | "superseded"
+  /** The entry reaches no server of the service. */
+  | "cut_off";
 
 /** The request that is sent in each attempt of a call. */
 export interface AttemptInput {
@@ -77,6 +80,8 @@
   #server: BackendServer | undefined;
   #stopReason: StopReason | undefined;
   #stopWaiting: (() => void) | undefined;
+  /** Whether the slot was freed before the request ended. */
+  #isReleased = false;
 
   constructor(
     options: ReverseProxyOptions,
@@ -216,13 +221,16 @@
     });
     const result = await this.#sentRequest.result;
     const response = result.type === "answer" ? result.response : undefined;
+    const fault = await this.#judge(server, result);
     const end = toAttemptEnd(result, this.#stopReason);
     const runningMs = clock.now() - startedAt;
     if (response?.stream) {
       // A streamed response occupies the slot until its last byte.
-      response.stream.once("close", () => this.#releaseSlot(result, startedAt));
+      response.stream.once("close", () =>
+        this.#releaseSlot(result, { startedAt, fault }),
+      );
     } else {
-      this.#releaseSlot(result, startedAt);
+      this.#releaseSlot(result, { startedAt, fault });
     }
     if (response?.leaving && !response.wrongServer) onServerLeaving(server);
     // A server that sends more than it may has not crashed.
@@ -231,7 +239,7 @@
       !(result.type === "fault" && result.fault.type === "bound_exceeded");
     if (fingerprint !== undefined) {
       const run = { fingerprint, startedAt };
-      if (lost) await quarantine.connectionLost(server, run);
+      if (lost) await quarantine.connectionLost(server, { ...run, fault });
       const runEnd = end.type === "answered" ? "answered" : "ended";
       quarantine.finished(this.#id, runEnd);
     }
@@ -248,13 +256,41 @@
     };
   }
 
-  #releaseSlot(result: RequestResult, startedAt: number): void {
+  /** Finds out whose fault it is that a request got no answer. */
+  async #judge(server: BackendServer, result: RequestResult): Promise<Fault> {
+    const { paths } = this.#options;
+    if (result.type === "answer") {
+      paths.heard(server);
+      return "server";
+    }
+    const { type } = result.fault;
+    const isConnection = type === "not_connected" || type === "connection_lost";
+    if (!isConnection || this.#stopReason !== undefined) return "server";
+    return paths.judge(server);
+  }
+
+  /**
+   * Frees the slot of a request whose answer may still come: the entry reaches
+   * no server, so that others can use the slot better.
+   */
+  releaseEarly(): void {
+    if (!this.#server || this.#isReleased) return;
+    this.#isReleased = true;
+    const { assignments } = this.#options;
+    assignments.finish(this.#id, { kind: "cancelled", serviceMs: 0 });
+  }
+
+  #releaseSlot(
+    result: RequestResult,
+    { startedAt, fault }: { startedAt: number; fault: Fault },
+  ): void {
     const { assignments, clock } = this.#options;
     this.#sentRequest = undefined;
     this.#server = undefined;
+    if (this.#isReleased) return;
     const response = result.type === "answer" ? result.response : undefined;
     assignments.finish(this.#id, {
-      kind: toResultKind(result, this.#stopReason),
+      kind: toResultKind(result, { stopReason: this.#stopReason, fault }),
       serviceMs: clock.now() - startedAt,
       inFlight: response?.inFlight,
       slowdown: response?.slowdown,
@@ -272,6 +308,7 @@
 
 /** The fault of a call that was stopped before it was sent to a server. */
 export function stopFault(reason: StopReason | undefined): CallFault {
+  if (reason === "cut_off") return callFault("no_server");
   const code = reason === "entry_stops" ? "entry_stopping" : "deadline_expired";
   return callFault(code);
 }
@@ -295,8 +332,9 @@
 
 function toResultKind(
   result: RequestResult,
-  stopReason: StopReason | undefined,
+  context: { stopReason: StopReason | undefined; fault: Fault },
 ): CallResultKind {
+  const { stopReason, fault } = context;
   if (result.type === "answer") {
     const { notStarted, wrongServer, exceeded } = result.response;
     const excess = exceeded?.();
@@ -305,5 +343,7 @@
     return result.response.status >= 500 ? "failed" : "answered";
   }
   if (stopReason === "expired") return "expired";
-  return stopReason === undefined ? "lost" : "cancelled";
+  // A server that this entry does not reach is not to blame.
+  const isLost = stopReason === undefined && fault === "server";
+  return isLost ? "lost" : "cancelled";
 }
--- a/packages/faults/site_files.ts
+++ b/packages/faults/site_files.ts
@@ -62,6 +62,7 @@
       http: nextAddress(),
       peer,
       metrics: nextAddress(),
+      relay: nextAddress(),
       control: controls.map((control) => control.peer),
     });
   });
--- a/packages/model/boundaries_test.ts
+++ b/packages/model/boundaries_test.ts
@@ -15,6 +15,7 @@
   admission: ["model"],
   claims: ["model"],
   quarantine: ["model"],
+  reachability: ["model"],
 };
 
 const IMPURE_GLOBALS =
--- a/packages/model/hosts.ts
+++ b/packages/model/hosts.ts
@@ -32,6 +32,11 @@
   readonly http: Address;
   /** Address for the other processes of mangobank (TCP, CBOR frames). */
   readonly peer: Address;
+  /**
+   * Address for calls that other entries pass on (HTTP); absent if it takes
+   * none.
+   */
+  readonly relay?: Address;
   readonly state: EntryState;
 }
 
--- /dev/null
+++ b/packages/reachability/index.ts
@@ -0,0 +1,14 @@
+/**
+ * Decides whose fault it is that servers cannot be reached, and which other
+ * entry takes a call over.
+ *
+ * @module
+ */
+export * from "./messages.ts";
+export * from "./relay_targets.ts";
+export * from "./server_paths.ts";
+export type {
+  ConnectionResult,
+  Fault,
+  PathEffect,
+} from "./service_paths.ts";
--- /dev/null
+++ b/packages/reachability/service_paths.ts
@@ -0,0 +1,322 @@
+import type { BackendServer, BackendServerId, Randomness } from "#model";
+
+/** Other servers that are tried when one fails, in and outside its data centre. */
+const SAMPLE_NEAR = 2;
+const SAMPLE_FAR = 2;
+/**
+ * Time for which a connection shows that there is a path to its data centre.
+ * Servers may fail many times a second, as where they reset connections in an
+ * overload, and connections cost them work.
+ */
+const ACCEPTED_TTL_MS = 250;
+/** Interval of connection attempts of an entry that is cut off. */
+const RECHECK_INTERVAL_MS = 200;
+/** The same after an attempt that succeeded. */
+const CONFIRM_INTERVAL_MS = 50;
+/** Servers that are tried at a time. */
+const RECHECK_SERVERS = 2;
+/** Successful attempts in a row that end a cut. */
+const CONFIRMATIONS = 2;
+/** The same at most, where a path fails again and again. */
+const CONFIRMATIONS_MAX = 16;
+/** Time after the end of a cut in which a further one counts as the same. */
+const FLAP_WINDOW_MS = 10_000;
+/** Silence of all servers after which running calls are given up. */
+const SILENCE_MS = 500;
+/**
+ * Age of the last answer up to which a call may still be sent: new connections
+ * may fail while open ones go on working.
+ */
+const HEARD_RECENTLY_MS = 1_000;
+
+/** Whether a failure is due to the server or to the path from this entry. */
+export type Fault = "server" | "path";
+
+/** The result of an attempt to open a connection. */
+export type ConnectionResult =
+  | "accepted"
+  | "failed"
+  /** This process was paused meanwhile. */
+  | "unknown";
+
+/** What is known of the failures that led to a belief, for the log. */
+export interface PathEvidence {
+  /** Servers that failed, with the milliseconds since then. */
+  readonly failed: readonly (readonly [BackendServerId, ageMs: number])[];
+  /** Data centres of the servers that were tried or failed. */
+  readonly dataCentres: readonly string[];
+  /** Milliseconds since a server answered; undefined if none has. */
+  readonly heardMsAgo: number | undefined;
+}
+
+/** Actions for the owner of `ServerPaths` to execute. */
+export type PathEffect =
+  /** Open a connection to the server and report the result. */
+  | { readonly type: "connect"; readonly server: BackendServer }
+  /** Answers all questions about a failure of this server. */
+  | {
+      readonly type: "judged";
+      readonly server: BackendServer;
+      readonly fault: Fault;
+    }
+  | {
+      readonly type: "cut_off";
+      readonly service: string;
+      readonly evidence: PathEvidence;
+    }
+  /** No server has answered since the cut; running calls should be given up. */
+  | { readonly type: "silent"; readonly service: string }
+  | {
+      readonly type: "restored";
+      readonly service: string;
+      readonly afterMs: number;
+    };
+
+/** The attempts that follow the failure of a server. */
+interface Inquiry {
+  readonly suspects: Map<BackendServerId, BackendServer>;
+  readonly failedAt: Map<BackendServerId, number>;
+  readonly pending: Set<BackendServerId>;
+  readonly accepted: Map<BackendServerId, BackendServer>;
+  readonly failed: Map<BackendServerId, BackendServer>;
+}
+
+interface Cut {
+  readonly since: number;
+  /** Successful attempts in a row. */
+  confirmations: number;
+  nextCheckAt: number;
+  readonly pending: Set<BackendServerId>;
+  anyAccepted: boolean;
+  isSilent: boolean;
+}
+
+/**
+ * The paths from this entry to the servers of one service. When a connection or
+ * an answer fails, the entry opens connections to a few other servers. If none
+ * of them accepts one, the entry is cut off, and no server is to blame. If only
+ * those in the data centre of the failed server don't, the path to that data
+ * centre is. Otherwise it is the server.
+ */
+export class ServicePaths {
+  readonly #service: string;
+  readonly #random: Randomness;
+  #servers: readonly BackendServer[] = [];
+  #inquiry: Inquiry | undefined;
+  #cut: Cut | undefined;
+  /** Time of the last connection, by data centre. */
+  readonly #acceptedAt = new Map<string, number>();
+  #heardAt = Number.NEGATIVE_INFINITY;
+  #restoredAt = Number.NEGATIVE_INFINITY;
+  #confirmationsNeeded = CONFIRMATIONS;
+
+  constructor(service: string, random: Randomness) {
+    this.#service = service;
+    this.#random = random;
+  }
+
+  get isCutOff(): boolean {
+    return this.#cut !== undefined;
+  }
+
+  /** Whether `tick` has anything to do. */
+  get isActive(): boolean {
+    return this.#cut !== undefined;
+  }
+
+  /** Whether a server has answered so recently that calls may be sent. */
+  hasAnswered(now: number): boolean {
+    return now - this.#heardAt < HEARD_RECENTLY_MS;
+  }
+
+  setServers(servers: readonly BackendServer[], now: number): PathEffect[] {
+    this.#servers = servers;
+    if (servers.length > 0 || !this.#cut) return [];
+    return this.#restore(this.#cut, now);
+  }
+
+  /** Records an answer of any server. */
+  heard(now: number): void {
+    this.#heardAt = now;
+  }
+
+  /** A connection to the server, or an answer of it, has failed. */
+  failed(server: BackendServer, now: number): PathEffect[] {
+    if (this.#cut) return [{ type: "judged", server, fault: "path" }];
+    if (this.#inquiry) {
+      this.#inquiry.suspects.set(server.id, server);
+      this.#inquiry.failedAt.set(server.id, now);
+      return [];
+    }
+    if (this.#hasAccepted(server.dataCentre, now)) {
+      return [{ type: "judged", server, fault: "server" }];
+    }
+    const sample = this.#sample(server);
+    this.#inquiry = {
+      suspects: new Map([[server.id, server]]),
+      failedAt: new Map([[server.id, now]]),
+      pending: new Set(sample.map(({ id }) => id)),
+      accepted: new Map(),
+      failed: new Map(),
+    };
+    return sample.map((tried) => ({ type: "connect", server: tried }));
+  }
+
+  /** Records the result of an attempt to open a connection. */
+  tried(
+    server: BackendServer,
+    result: ConnectionResult,
+    now: number,
+  ): PathEffect[] {
+    if (this.#cut) return this.#recheck(this.#cut, server, result, now);
+    const inquiry = this.#inquiry;
+    if (!inquiry?.pending.delete(server.id)) return [];
+    if (result === "accepted") {
+      inquiry.accepted.set(server.id, server);
+      this.#acceptedAt.set(server.dataCentre, now);
+    }
+    if (result === "failed") inquiry.failed.set(server.id, server);
+    const isDecided = [...inquiry.suspects.values()].every((suspect) =>
+      hasDataCentre(inquiry.accepted, suspect.dataCentre),
+    );
+    if (inquiry.pending.size > 0 && !isDecided) return [];
+    this.#inquiry = undefined;
+    return this.#conclude(inquiry, now);
+  }
+
+  tick(now: number): PathEffect[] {
+    const cut = this.#cut;
+    if (!cut) return [];
+    const effects: PathEffect[] = [];
+    const isSilent = now - cut.since >= SILENCE_MS && this.#heardAt < cut.since;
+    if (isSilent && !cut.isSilent) {
+      cut.isSilent = true;
+      effects.push({ type: "silent", service: this.#service });
+    }
+    if (cut.pending.size > 0 || now < cut.nextCheckAt) return effects;
+    cut.nextCheckAt = now + RECHECK_INTERVAL_MS;
+    cut.anyAccepted = false;
+    for (const server of this.#draw(this.#servers, RECHECK_SERVERS)) {
+      cut.pending.add(server.id);
+      effects.push({ type: "connect", server });
+    }
+    return effects;
+  }
+
+  #conclude(inquiry: Inquiry, now: number): PathEffect[] {
+    const { suspects, accepted, failed } = inquiry;
+    if (accepted.size === 0 && failed.size > 0) {
+      return [...this.#cutOff(inquiry, now), ...judge(suspects, () => "path")];
+    }
+    // Without any result, nothing is known of the suspects.
+    if (accepted.size === 0) return judge(suspects, () => "path");
+    return judge(suspects, ({ id, dataCentre }) => {
+      if (hasDataCentre(accepted, dataCentre)) return "server";
+      const others = [...failed.values(), ...suspects.values()];
+      const isAlone = others.every(
+        (other) => other.id === id || other.dataCentre !== dataCentre,
+      );
+      return isAlone ? "server" : "path";
+    });
+  }
+
+  #cutOff(inquiry: Inquiry, now: number): PathEffect[] {
+    const flaps = now - this.#restoredAt < FLAP_WINDOW_MS;
+    this.#confirmationsNeeded = flaps
+      ? Math.min(CONFIRMATIONS_MAX, 2 * this.#confirmationsNeeded)
+      : CONFIRMATIONS;
+    this.#cut = {
+      since: now,
+      confirmations: 0,
+      nextCheckAt: now + RECHECK_INTERVAL_MS,
+      pending: new Set(),
+      anyAccepted: false,
+      isSilent: false,
+    };
+    const servers = [...inquiry.suspects.values(), ...inquiry.failed.values()];
+    const heardMsAgo = now - this.#heardAt;
+    const evidence = {
+      failed: [...new Set(servers.map(({ id }) => id))].map(
+        (id) =>
+          [id, Math.round(now - (inquiry.failedAt.get(id) ?? now))] as const,
+      ),
+      dataCentres: [...new Set(servers.map(({ dataCentre }) => dataCentre))],
+      heardMsAgo: Number.isFinite(heardMsAgo)
+        ? Math.round(heardMsAgo)
+        : undefined,
+    };
+    return [{ type: "cut_off", service: this.#service, evidence }];
+  }
+
+  #recheck(
+    cut: Cut,
+    server: BackendServer,
+    result: ConnectionResult,
+    now: number,
+  ): PathEffect[] {
+    if (!cut.pending.delete(server.id)) return [];
+    cut.anyAccepted ||= result === "accepted";
+    if (cut.pending.size > 0) return [];
+    if (!cut.anyAccepted) {
+      cut.confirmations = 0;
+      return [];
+    }
+    cut.confirmations += 1;
+    cut.nextCheckAt = now + CONFIRM_INTERVAL_MS;
+    if (cut.confirmations < this.#confirmationsNeeded) return [];
+    return this.#restore(cut, now);
+  }
+
+  #restore(cut: Cut, now: number): PathEffect[] {
+    this.#cut = undefined;
+    this.#restoredAt = now;
+    const afterMs = now - cut.since;
+    return [{ type: "restored", service: this.#service, afterMs }];
+  }
+
+  #hasAccepted(dataCentre: string, now: number): boolean {
+    const acceptedAt = this.#acceptedAt.get(dataCentre);
+    return acceptedAt !== undefined && now - acceptedAt < ACCEPTED_TTL_MS;
+  }
+
+  /** Other servers to try; the failed one itself if it is the only one. */
+  #sample(failed: BackendServer): BackendServer[] {
+    const others = this.#servers.filter(({ id }) => id !== failed.id);
+    if (others.length === 0) return [failed];
+    const isNear = ({ dataCentre }: BackendServer) =>
+      dataCentre === failed.dataCentre;
+    const near = this.#draw(others.filter(isNear), SAMPLE_NEAR);
+    const far = others.filter((server) => !isNear(server));
+    return [...near, ...this.#draw(far, SAMPLE_FAR)];
+  }
+
+  /** Draws some servers at random. */
+  #draw(servers: readonly BackendServer[], count: number): BackendServer[] {
+    const rest = [...servers];
+    const drawn: BackendServer[] = [];
+    while (drawn.length < count && rest.length > 0) {
+      drawn.push(...rest.splice(this.#random.below(rest.length), 1));
+    }
+    return drawn;
+  }
+}
+
+function hasDataCentre(
+  servers: ReadonlyMap<BackendServerId, BackendServer>,
+  dataCentre: string,
+): boolean {
+  return [...servers.values()].some(
+    (server) => server.dataCentre === dataCentre,
+  );
+}
+
+function judge(
+  suspects: ReadonlyMap<BackendServerId, BackendServer>,
+  faultOf: (server: BackendServer) => Fault,
+): PathEffect[] {
+  return [...suspects.values()].map((server) => ({
+    type: "judged",
+    server,
+    fault: faultOf(server),
+  }));
+}
--- /dev/null
+++ b/packages/reachability/service_paths_test.ts
@@ -0,0 +1,202 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type BackendServer, SeededRandomness } from "#model";
+import {
+  type ConnectionResult,
+  type PathEffect,
+  ServicePaths,
+} from "./service_paths.ts";
+import { testServer } from "./test_support.ts";
+
+/** Two servers in each of three data centres. */
+const SERVERS = ["a", "a", "b", "b", "c", "c"].map((dataCentre, index) =>
+  testServer(`s${index}`, dataCentre),
+);
+const [FIRST] = SERVERS as [BackendServer];
+
+function createPaths(servers: readonly BackendServer[] = SERVERS) {
+  const paths = new ServicePaths("alloc", new SeededRandomness(1));
+  paths.setServers(servers, 0);
+  return paths;
+}
+
+/** Lets each requested connection end as `resultOf` says, and those after it. */
+function settle(
+  paths: ServicePaths,
+  effects: readonly PathEffect[],
+  context: {
+    now: number;
+    resultOf: (server: BackendServer) => ConnectionResult;
+  },
+): PathEffect[] {
+  const { now, resultOf } = context;
+  const others = effects.filter(({ type }) => type !== "connect");
+  for (const effect of effects) {
+    if (effect.type !== "connect") continue;
+    const { server } = effect;
+    others.push(...paths.tried(server, resultOf(server), now));
+  }
+  return others;
+}
+
+function faults(effects: readonly PathEffect[]): string[] {
+  return effects.flatMap((effect) =>
+    effect.type === "judged" ? [`${effect.server.id} ${effect.fault}`] : [],
+  );
+}
+
+function cutOff(paths: ServicePaths, now: number): PathEffect[] {
+  const resultOf = () => "failed" as const;
+  return settle(paths, paths.failed(FIRST, now), { now, resultOf });
+}
+
+/** Ticks until the time, with connections that end as `result` says. */
+function run(
+  paths: ServicePaths,
+  times: { from: number; to: number },
+  result: ConnectionResult,
+): PathEffect[] {
+  const effects: PathEffect[] = [];
+  for (let now = times.from; now <= times.to; now += 50) {
+    const resultOf = () => result;
+    effects.push(...settle(paths, paths.tick(now), { now, resultOf }));
+  }
+  return effects;
+}
+
+// Guards against a cut that is seen wherever a server dies.
+test("a dead server is to blame while another of its data centre accepts", () => {
+  const paths = createPaths();
+  const effects = settle(paths, paths.failed(FIRST, 0), {
+    now: 1,
+    resultOf: () => "accepted",
+  });
+  assert.deepEqual(faults(effects), ["s0 server"]);
+  assert.equal(paths.isCutOff, false);
+});
+
+// Guards against entries that accuse servers which they do not reach (incident
+// RECOVER).
+test("no server is to blame when none accepts a connection", () => {
+  const paths = createPaths();
+  const effects = cutOff(paths, 10);
+  assert.deepEqual(faults(effects), ["s0 path"]);
+  assert.equal(paths.isCutOff, true);
+  assert.deepEqual(faults(paths.failed(FIRST, 20)), ["s0 path"]);
+});
+
+test("servers that fail meanwhile are judged together", () => {
+  const paths = createPaths();
+  const connects = paths.failed(FIRST, 0);
+  const [, second] = SERVERS as [BackendServer, BackendServer];
+  assert.deepEqual(paths.failed(second, 1), []);
+  const resultOf = () => "failed" as const;
+  const effects = settle(paths, connects, { now: 2, resultOf });
+  assert.deepEqual(faults(effects), ["s0 path", "s1 path"]);
+});
+
+// Guards against a burst of connections to servers that are overloaded already.
+test("further failures open no connections while there is a path", () => {
+  const paths = createPaths();
+  const resultOf = () => "accepted" as const;
+  settle(paths, paths.failed(FIRST, 0), { now: 1, resultOf });
+  assert.deepEqual(faults(paths.failed(FIRST, 250)), ["s0 server"]);
+  assert.equal(paths.failed(FIRST, 251).length, 3);
+});
+
+// Guards against a cut of one data centre that is taken for dead servers.
+test("the path is to blame when only its data centre accepts nothing", () => {
+  const paths = createPaths();
+  const effects = settle(paths, paths.failed(FIRST, 0), {
+    now: 1,
+    resultOf: ({ dataCentre }) => (dataCentre === "a" ? "failed" : "accepted"),
+  });
+  assert.deepEqual(faults(effects), ["s0 path"]);
+  assert.equal(paths.isCutOff, false);
+});
+
+test("a dead server that is alone in its data centre is to blame", () => {
+  const paths = createPaths([FIRST, ...SERVERS.slice(2)]);
+  const resultOf = () => "accepted" as const;
+  const effects = settle(paths, paths.failed(FIRST, 0), { now: 1, resultOf });
+  assert.deepEqual(faults(effects), ["s0 server"]);
+});
+
+// Guards against a cut that a pause of this process simulates.
+test("a pause of the process cuts nothing off and blames nobody", () => {
+  const paths = createPaths();
+  const resultOf = () => "unknown" as const;
+  const effects = settle(paths, paths.failed(FIRST, 0), { now: 1, resultOf });
+  assert.deepEqual(faults(effects), ["s0 path"]);
+  assert.equal(paths.isCutOff, false);
+});
+
+test("the only server of a service is tried itself", () => {
+  const paths = createPaths([FIRST]);
+  assert.deepEqual(paths.failed(FIRST, 0), [
+    { type: "connect", server: FIRST },
+  ]);
+});
+
+test("a cut ends within half a second of the first connections", () => {
+  const paths = createPaths();
+  cutOff(paths, 0);
+  assert.deepEqual(
+    run(paths, { from: 50, to: 900 }, "failed").map(({ type }) => type),
+    ["silent"],
+  );
+  assert.equal(paths.isCutOff, true);
+  const effects = run(paths, { from: 950, to: 1_400 }, "accepted");
+  assert.deepEqual(effects, [
+    { type: "restored", service: "alloc", afterMs: 1_050 },
+  ]);
+});
+
+// Guards against a cut that is ended by one connection of a path that flaps.
+test("one connection alone does not end a cut", () => {
+  const paths = createPaths();
+  cutOff(paths, 0);
+  const connects = paths.tick(200);
+  settle(paths, connects, { now: 200, resultOf: () => "accepted" });
+  assert.equal(paths.isCutOff, true);
+  run(paths, { from: 250, to: 250 }, "failed");
+  run(paths, { from: 450, to: 450 }, "accepted");
+  assert.equal(paths.isCutOff, true);
+});
+
+test("a path that fails again and again is used again later each time", () => {
+  const paths = createPaths();
+  const durations: number[] = [];
+  let now = 0;
+  for (let cut = 0; cut < 4; cut++) {
+    cutOff(paths, now);
+    const start = now;
+    while (paths.isCutOff) {
+      now += 50;
+      run(paths, { from: now, to: now }, "accepted");
+    }
+    durations.push(now - start);
+  }
+  assert.deepEqual(durations, [250, 350, 550, 950]);
+});
+
+// Guards against giving up calls on connections that still work.
+test("running calls are not given up while servers answer", () => {
+  const paths = createPaths();
+  cutOff(paths, 0);
+  paths.heard(100);
+  assert.deepEqual(run(paths, { from: 150, to: 2_000 }, "failed"), []);
+  assert.equal(paths.hasAnswered(1_000), true);
+  assert.equal(paths.hasAnswered(1_200), false);
+});
+
+test("a service without servers is not cut off", () => {
+  const paths = createPaths();
+  cutOff(paths, 0);
+  const [effect] = paths.setServers([], 500);
+  assert.deepEqual(effect, {
+    type: "restored",
+    service: "alloc",
+    afterMs: 500,
+  });
+});
--- a/packages/routing/effects.ts
+++ b/packages/routing/effects.ts
@@ -57,6 +57,8 @@
         readonly leaving?: boolean | undefined;
       }
     | { readonly kind: "failed" }
+    /** The entry did not reach the server, which is not to blame. */
+    | { readonly kind: "unreachable" }
   );
 
 /** The result of a check, which asks a server how fast it works now. */
@@ -76,6 +78,8 @@
     /** The server refused the check, as it would refuse a call. */
     | { readonly kind: "shed" }
     | { readonly kind: "failed"; readonly failure?: CheckFailure }
+    /** The entry did not reach the server, which is not to blame. */
+    | { readonly kind: "unreachable"; readonly failure?: CheckFailure }
   );
 
 /**
--- a/packages/routing/local_servers.ts
+++ b/packages/routing/local_servers.ts
@@ -186,7 +186,7 @@
       if (result.leaving) server.leaving = true;
     } else if (result.kind === "shed") {
       server.pausedUntil = now + SHED_PAUSE_MS;
-    } else {
+    } else if (result.kind === "failed") {
       const observation = {
         kind: "lost",
         serviceMs: 0,
@@ -207,7 +207,7 @@
     if (result.kind === "answered") {
       server.recordInFlight(result.inFlight, now);
       if (result.leaving) server.leaving = true;
-    } else {
+    } else if (result.kind === "failed") {
       const observation = {
         kind: "lost",
         serviceMs: 0,
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -195,9 +195,10 @@
   ): RoutingEffect[] {
     const { service, id } = server;
     const prober = this.#probers.get(service);
+    if (result.kind === "answered") prober?.answered(id, result.ms);
+    else prober?.failed(id);
+    if (result.kind === "unreachable") return [];
     const failed = result.kind === "failed";
-    if (failed) prober?.failed(id);
-    else prober?.answered(id, result.ms);
     const router = this.#services.get(service);
     router?.servers.recordProbe(id, result, now);
     const leaving = !failed && result.leaving === true;
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -226,7 +226,7 @@
     if (!call?.server || !call.awaitingCheck) return [];
     const { server } = call;
     call.awaitingCheck = false;
-    if (result.kind === "failed" && result.failure) {
+    if (isFailure(result) && result.failure) {
       call.failedChecks ??= [];
       call.failedChecks.push(result.failure);
     }
@@ -256,21 +256,21 @@
     if (!server) return [];
     this.#servers.releaseUnused(server, result, now);
     const answered = result.kind === "answered" ? result : undefined;
-    const failureKind = result.kind === "shed" ? "not_started" : "lost";
+    const releasedKind = answered ? "unused" : RELEASED_KINDS[result.kind];
     if (this.link.sendsUpdates) {
       this.link.addReleased({
         ticket,
-        kind: answered ? "unused" : failureKind,
+        kind: releasedKind,
         serviceMs: 0,
         leaving: answered?.leaving,
-        slowdown: answered?.healthy ? answered.slowdown : UNHEALTHY_SLOWDOWN,
+        slowdown: reportedSlowdown(result),
         ...statementOf(result),
       });
     }
     call.server = undefined;
     // A slow server is known as such from its answer; any other must be
     // excluded, since its state may not show why it failed.
-    if (result.kind === "failed" || answered?.healthy === false) {
+    if (isFailure(result) || answered?.healthy === false) {
       call.exclude = new Set([...call.exclude, server.record.id]);
     }
     this.#calls.renewTicket(call);
@@ -492,6 +492,27 @@
   }
 }
 
+/** How a slot is released whose server gave no report when it was checked. */
+const RELEASED_KINDS = {
+  answered: "unused",
+  shed: "not_started",
+  failed: "lost",
+  // The failure says nothing about the server.
+  unreachable: "unused",
+} as const;
+
+function isFailure(
+  result: CheckResult,
+): result is CheckResult & { kind: "failed" | "unreachable" } {
+  return result.kind === "failed" || result.kind === "unreachable";
+}
+
+function reportedSlowdown(result: CheckResult): number | undefined {
+  if (result.kind === "unreachable") return undefined;
+  const isHealthy = result.kind === "answered" && result.healthy;
+  return isHealthy ? result.slowdown : UNHEALTHY_SLOWDOWN;
+}
+
 /** What an answer says about requests, without the fields that are absent. */
 function statementOf({ rateLimit, backOffMs }: ServerStatement) {
   return {
--- a/packages/settings/load.ts
+++ b/packages/settings/load.ts
@@ -47,6 +47,7 @@
     { key: ["http"], address: value.http },
     { key: ["peer"], address: value.peer },
     { key: ["metrics"], address: value.metrics },
+    ...(value.relay ? [{ key: ["relay"], address: value.relay }] : []),
   ]);
   if (faults.length > 0) return err(faults);
   const { limits } = value;
@@ -57,6 +58,7 @@
     http: value.http,
     peer: value.peer,
     metrics: value.metrics,
+    ...(value.relay && { relay: value.relay }),
     control: value.control,
     limits: {
       headerMaxBytes: limits.header_max_bytes,
--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -29,6 +29,11 @@
   readonly http: Address;
   readonly peer: Address;
   readonly metrics: Address;
+  /**
+   * Where other entries pass calls on that they cannot send to a server; if
+   * absent, this entry takes none.
+   */
+  readonly relay?: Address;
   /** Peer addresses of control hosts; need not list all of them. */
   readonly control: readonly Address[];
   /**
--- a/packages/slopes/site_folder.ts
+++ b/packages/slopes/site_folder.ts
@@ -54,6 +54,7 @@
       http: address(),
       peer: address(),
       metrics: address(),
+      relay: address(),
       control: members.map(({ peer }) => peer),
     };
     write("settings", `${id}.yaml`, JSON.stringify(settings));
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -20,6 +20,7 @@
   "call",
   "check",
   "probe",
+  "connection_check",
 ];
 
 /** Values by service name. */
@@ -38,11 +39,18 @@
   readonly rateLimitedServers?: () => ValuesByService;
   /** Number of servers that want no requests of this entry at present. */
   readonly backingOffServers?: () => ValuesByService;
+  /** Number of services of which the entry reaches no server. */
+  readonly cutOffServices?: () => number;
   readonly peerTraffic?: () => PeerTraffic;
 }
 
 /** What a request to a backend server is for. */
-export type ServerRequestKind = "call" | "check" | "probe";
+export type ServerRequestKind =
+  | "call"
+  | "check"
+  | "probe"
+  /** Only a connection is opened. */
+  | "connection_check";
 
 /** A call whose response has ended. */
 export interface FinishedCall {
@@ -69,6 +77,7 @@
   readonly #brokenAnswers;
   readonly #droppedRequests;
   readonly #exceededBounds;
+  readonly #relayedCalls;
 
   constructor(sources: MetricsSources = {}) {
     const registers = [this.#registry];
@@ -134,6 +143,12 @@
       labelNames: ["service", "bound"],
       registers,
     });
+    this.#relayedCalls = new Counter({
+      name: "mangobank_relayed_calls_total",
+      help: "Calls passed on to another entry, by how that ended",
+      labelNames: ["end"],
+      registers,
+    });
     this.#registerGauges(sources);
   }
 
@@ -200,6 +215,11 @@
     this.#serverRequests.inc({ service: label, kind });
   }
 
+  /** Records how the attempt to pass a call on to another entry ended. */
+  recordRelay(end: string): void {
+    this.#relayedCalls.inc({ end });
+  }
+
   /** Records a header of an answer that cannot be read. */
   recordMalformedHeader(service: string): void {
     const label = this.#labels.serviceLabel(service);
@@ -223,7 +243,7 @@
   }
 
   #registerGauges(sources: MetricsSources): void {
-    const { configurationVersion, peerTraffic } = sources;
+    const { configurationVersion, cutOffServices, peerTraffic } = sources;
     if (configurationVersion) {
       new Gauge({
         name: "mangobank_configuration_version",
@@ -234,6 +254,16 @@
         },
       });
     }
+    if (cutOffServices) {
+      new Gauge({
+        name: "mangobank_cut_off_services",
+        help: "Services of which this entry reaches no server",
+        registers: [this.#registry],
+        collect() {
+          this.set(cutOffServices());
+        },
+      });
+    }
     this.#registerServiceGauge(sources.callsInFlight, {
       name: "mangobank_calls_in_flight",
       help: "Calls at backend servers",
--- a/packages/wire/http_server.ts
+++ b/packages/wire/http_server.ts
@@ -4,7 +4,11 @@
   type Server,
   type ServerOptions,
 } from "node:http";
-import { type Socket, Server as TcpServer } from "node:net";
+import {
+  createServer as createTcpServer,
+  type Socket,
+  Server as TcpServer,
+} from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import type { Result } from "neverthrow";
 import type { Address, Clock } from "#model";
@@ -31,6 +35,9 @@
 export class HttpServer {
   readonly #server: Server<typeof IncomingMessage, typeof TrackedResponse>;
   readonly #connections = new HttpConnections();
+  /** Listens on the internal address; its connections are served as others. */
+  #internalServer: TcpServer | undefined;
+  readonly #internalSockets = new WeakSet<Socket>();
 
   constructor(options: HttpServerOptions, handle: HttpHandler) {
     const { connectionsMax, onDropped, ...nodeOptions } = options;
@@ -64,6 +71,23 @@
     return listen(this.#server, address);
   }
 
+  /**
+   * Also listens on an address that only other processes of mangobank use.
+   * Requests of its connections are told apart with `isInternal`.
+   */
+  listenInternally(address: Address): Promise<Result<Address, ListenFault>> {
+    this.#internalServer = createTcpServer({ noDelay: true }, (socket) => {
+      this.#internalSockets.add(socket);
+      this.#server.emit("connection", socket);
+    });
+    return listen(this.#internalServer, address);
+  }
+
+  /** Whether a connection came in on the internal address. */
+  isInternal(socket: Socket): boolean {
+    return this.#internalSockets.has(socket);
+  }
+
   /** Sets the time after which an idle connection is closed. */
   setIdleConnectionMs(ms: number): void {
     this.#server.keepAliveTimeout = ms;
@@ -103,6 +127,7 @@
     // `http.Server` would also close connections to which the end of an answer
     // is still being written.
     TcpServer.prototype.close.call(this.#server);
+    this.#internalServer?.close();
   }
 
   /** Number of requests that have been read and have no whole answer. */
@@ -136,6 +161,7 @@
   /** Closes all connections at once. */
   destroy(): void {
     this.#server.close();
+    this.#internalServer?.close();
     this.#server.closeAllConnections();
   }
 }
