Free the slots of running calls as soon as an entry is cut off

Lookups leave out entries that have been cut off for 2 s, unless they are more than half of their data centre: their calls need a second hop.

What is passed on is called a handover now, since relays are entries that forward the lists of servers. Examples and test sites name an address for it.

--- a/packages/callfaults/site_files.ts
+++ b/packages/callfaults/site_files.ts
@@ -109,7 +109,7 @@
       http: nextAddress(),
       peer,
       metrics: nextAddress(),
-      relay: nextAddress(),
+      handover: nextAddress(),
       control: controls.map((control) => control.peer),
       limits: { body_timeout_ms: BODY_TIMEOUT_MS },
     });
--- a/packages/demo/local_site.ts
+++ b/packages/demo/local_site.ts
@@ -54,7 +54,7 @@
   /** Addresses of the entries for other processes of the system. */
   readonly peers: Address[] = [];
   /** Addresses of the entries for calls that others pass on. */
-  readonly relays: Address[] = [];
+  readonly handoverAddresses: Address[] = [];
   /** Ports of the entries' metrics. */
   readonly metricsPorts: number[] = [];
   readonly #clock: Clock = new SystemClock();
@@ -173,7 +173,7 @@
           http,
           peer: { host: HOST, port: nextPort() },
           metrics: { host: HOST, port: nextPort() },
-          relay: { host: HOST, port: nextPort() },
+          handover: { host: HOST, port: nextPort() },
           control: members.map(({ peer }) => ({ host: HOST, port: peer })),
           limits: options.entryLimits ?? {},
         }),
@@ -188,7 +188,7 @@
       this.entries.push(entry);
       this.addresses.push(http);
       this.peers.push(settings.peer);
-      if (settings.relay) this.relays.push(settings.relay);
+      if (settings.handover) this.handoverAddresses.push(settings.handover);
       this.metricsPorts.push(settings.metrics.port);
     }
   }
--- a/packages/entry/address_directory.ts
+++ b/packages/entry/address_directory.ts
@@ -1,4 +1,10 @@
-import type { Clock, Configuration, DataCentre, Randomness } from "#model";
+import type {
+  Clock,
+  Configuration,
+  DataCentre,
+  HostId,
+  Randomness,
+} from "#model";
 import { type AddressesResponse, AddressLookup } from "#presence";
 import type { Registrations } from "#registration";
 import { EventLoopLoad } from "./event_loop_load.ts";
@@ -10,6 +16,8 @@
   /** How long callers may cache an answer, in milliseconds. */
   readonly keepMs: number | undefined;
   readonly configuration: () => Configuration;
+  /** Entries that have reached no server of some service for a while. */
+  readonly cutOffEntries: () => ReadonlySet<HostId>;
 }
 
 /** Tells callers which entries to use, by the loads that entries report. */
@@ -25,7 +33,8 @@
 
   /** The entries that a caller in this data centre should use. */
   addresses(dataCentre: DataCentre | undefined): AddressesResponse {
-    const { registrations, clock, configuration } = this.#options;
+    const { registrations, clock, configuration, cutOffEntries } =
+      this.#options;
     const { view, document } = configuration();
     return this.#lookup.selectAddresses(
       dataCentre === undefined ? {} : { dataCentre },
@@ -33,6 +42,7 @@
         view,
         loads: registrations.presence.entryLoads(clock.now()),
         regions: document.regions,
+        cutOff: cutOffEntries(),
       },
     );
   }
--- a/packages/entry/call_attempts.ts
+++ b/packages/entry/call_attempts.ts
@@ -106,19 +106,22 @@
   }
 
   /**
-   * Gives up what runs at servers that this entry does not reach: cancels what
-   * may be repeated, and frees the slots of the rest.
+   * To be called when this entry reaches no server any more. Calls that wait are
+   * passed on. Those at servers go on, but without their slots, which other
+   * entries can use.
    */
-  giveUpRunning(): void {
-    if (this.#input.call.repeatable) {
-      this.stop("cut_off");
-      return;
-    }
+  cutOff(): void {
+    this.stopWaiting("cut_off");
     for (const attempt of this.#runningAttempts.values()) {
       attempt.releaseEarly();
     }
   }
 
+  /** Cancels what runs at servers that do not answer, if it may be repeated. */
+  giveUpRunning(): void {
+    if (this.#input.call.repeatable) this.stop("cut_off");
+  }
+
   /** Whether the call was given up because this entry reaches no server. */
   get isCutOff(): boolean {
     return this.#stopReason === "cut_off" || this.#endsWhenCutOff;
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -17,13 +17,13 @@
 import {
   CallHandover,
   type HandoverInput,
+  handoverRefusal,
   nowhereFault,
-  relayRefusal,
 } from "./call_handover.ts";
 import { SERVER_ONLY_HEADERS } from "./call_protocol.ts";
 import { CallReply } from "./call_reply.ts";
+import type { HandoverOrigin, HandoverRefusal } from "./handover_protocol.ts";
 import type { ClaimDecision } from "./key_claims.ts";
-import type { RelayOrigin, RelayRefusal } from "./relay_protocol.ts";
 import { endToEndHeaders } from "./reply.ts";
 import { type RequestBody, readBody } from "./request_body.ts";
 import type { ClassifiedRequest } from "./request_classifier.ts";
@@ -43,7 +43,7 @@
 
 interface HttpExchange {
   /** Where the call comes from, if another entry has passed it on. */
-  readonly origin: RelayOrigin | undefined;
+  readonly origin: HandoverOrigin | undefined;
   readonly id: string;
   readonly request: IncomingMessage;
   readonly response: TrackedResponse;
@@ -86,20 +86,20 @@
     this.#options = options;
     this.#exchange = exchange;
     this.#arrival = options.clock.now();
-    const isRelayed = exchange.origin !== undefined;
-    this.#handover = new CallHandover(options, { isRelayed });
+    const isHandedOver = exchange.origin !== undefined;
+    this.#handover = new CallHandover(options, { isHandedOver });
     this.#reply = new CallReply({
       response: exchange.response,
       method: exchange.request.method ?? "GET",
       requestId: this.#callerRequestId ?? exchange.id,
       protocol: options.protocol,
-      isRelayed: this.isRelayed,
+      isHandedOver: this.isHandedOver,
       onEnd: (outcome, fault) => this.#record(outcome, fault),
     });
   }
 
   /** Whether another entry has passed the call on. */
-  get isRelayed(): boolean {
+  get isHandedOver(): boolean {
     return this.#exchange.origin !== undefined;
   }
 
@@ -130,10 +130,10 @@
   }
 
   async run(): Promise<void> {
-    const refusal = this.#relayRefusal();
+    const refusal = this.#handoverRefusal();
     if (refusal) {
       this.#exchange.request.resume();
-      this.#reply.refuseRelayed(refusal);
+      this.#reply.refuseHandedOver(refusal);
       return;
     }
     const admitted = this.#admit();
@@ -184,7 +184,7 @@
     const result = await this.#handover.run(input);
     switch (result.type) {
       case "answer":
-        this.#reply.forwardRelayed(result.response, result.outcome);
+        this.#reply.forwardHandedOver(result.response, result.outcome);
         return true;
       case "lost":
         this.#reply.fail(this.#lostFault(result.detail));
@@ -201,10 +201,10 @@
       : callFault("server_failed", { outcome, detail });
   }
 
-  /** Passes the call on if it waits for a server of this service. */
+  /** To be called when this entry reaches no server of the service any more. */
   cutOff(service: string): void {
     if (this.#classified?.service.name !== service) return;
-    this.#attempts?.stopWaiting("cut_off");
+    this.#attempts?.cutOff();
   }
 
   /** Gives the call up if it runs at servers of this service. */
@@ -213,15 +213,16 @@
     this.#attempts?.giveUpRunning();
   }
 
-  #relayRefusal(): RelayRefusal | undefined {
+  #handoverRefusal(): HandoverRefusal | undefined {
     const { origin } = this.#exchange;
     if (!origin) return undefined;
-    const { ready, stopSchedule, configuration, relayedCalls } = this.#options;
-    return relayRefusal(origin, {
+    const { ready, stopSchedule, configuration, handedOverCalls } =
+      this.#options;
+    return handoverRefusal(origin, {
       isReady: ready(),
       isStopping: stopSchedule() !== undefined,
       version: configuration().version,
-      relayedCalls: relayedCalls(),
+      handedOverCalls: handedOverCalls(),
     });
   }
 
@@ -438,14 +439,15 @@
 
   #sendResult(result: CallAttemptsResult): void {
     if (result.type === "answer") this.#reply.forward(result.response);
-    else if (this.#goesBack(result.fault)) this.#reply.refuseRelayed("cut_off");
+    else if (this.#goesBack(result.fault))
+      this.#reply.refuseHandedOver("cut_off");
     else this.#reply.fail(result.fault);
   }
 
   /** Whether the entry that passed the call on should ask another one. */
   #goesBack({ outcome }: CallFault): boolean {
     const service = this.#classified?.service.name;
-    if (!this.isRelayed || service === undefined) return false;
+    if (!this.isHandedOver || service === undefined) return false;
     return outcome === "not-run" && this.#handover.isDue(service);
   }
 
@@ -502,8 +504,8 @@
       objectiveMs: this.#classified?.class.targetMs,
       ms: Math.round(ms),
       attempts: this.#attempts?.records,
-      relays: this.#handover.records,
-      relayedFrom: this.#exchange.origin,
+      handovers: this.#handover.records,
+      handedOverBy: this.#exchange.origin,
       configuration: configuration(),
     });
   }
--- a/packages/entry/call_handover.ts
+++ b/packages/entry/call_handover.ts
@@ -1,13 +1,17 @@
 import type { IncomingMessage } from "node:http";
 import { type Call, type CallFault, callFault } from "#model";
 import type { CallAttempts, CallAttemptsResult } from "./call_attempts.ts";
-import type { RelayAttempt, RelayRecord, RelayResult } from "./call_relay.ts";
-import type { RelayRefusal } from "./relay_protocol.ts";
+import type {
+  HandoverAttempt,
+  HandoverRecord,
+  HandoverResult,
+} from "./handover_client.ts";
+import type { HandoverRefusal } from "./handover_protocol.ts";
 import type { RequestBody } from "./request_body.ts";
 import type { ReverseProxyOptions } from "./reverse_proxy.ts";
 
-/** Relayed calls that an entry runs at a time; it refuses further ones. */
-const MAX_RELAYED_CALLS = 256;
+/** Handed-over calls that an entry runs at a time; it refuses further ones. */
+const MAX_HANDED_OVER_CALLS = 256;
 /** Time after which to retry a call that no entry can serve. */
 const CUT_OFF_RETRY_MS = 1_000;
 
@@ -25,19 +29,19 @@
  */
 export class CallHandover {
   readonly #options: ReverseProxyOptions;
-  readonly #isRelayed: boolean;
-  #attempt: RelayAttempt | undefined;
+  readonly #isHandedOver: boolean;
+  #attempt: HandoverAttempt | undefined;
 
   constructor(
     options: ReverseProxyOptions,
-    { isRelayed }: { isRelayed: boolean },
+    { isHandedOver }: { isHandedOver: boolean },
   ) {
     this.#options = options;
-    this.#isRelayed = isRelayed;
+    this.#isHandedOver = isHandedOver;
   }
 
   /** The entries that were asked, for the log; undefined if none was. */
-  get records(): readonly RelayRecord[] | undefined {
+  get records(): readonly HandoverRecord[] | undefined {
     return this.#attempt?.records;
   }
 
@@ -53,7 +57,7 @@
 
   /** Whether servers may be tried here if no other entry takes the call. */
   mayTryHere({ call, body }: HandoverInput): boolean {
-    if (this.#isRelayed || body.rest) return false;
+    if (this.#isHandedOver || body.rest) return false;
     return this.#options.paths.hasAnswered(call.service);
   }
 
@@ -66,7 +70,7 @@
     { input, attempts }: { input: HandoverInput; attempts: CallAttempts },
   ): boolean {
     if (result.type !== "fault" || !attempts.isCutOff) return false;
-    if (this.#isRelayed || this.#attempt || input.body.rest) return false;
+    if (this.#isHandedOver || this.#attempt || input.body.rest) return false;
     if (result.fault.outcome === "not-run") return true;
     const { repeatable, service } = input.call;
     const budget = this.#options.policies.budget(service);
@@ -74,9 +78,9 @@
   }
 
   /** Asks other entries to take the call. */
-  async run(input: HandoverInput): Promise<RelayResult> {
-    if (this.#isRelayed) return { type: "not_taken" };
-    this.#attempt = this.#options.relay.attempt(input);
+  async run(input: HandoverInput): Promise<HandoverResult> {
+    if (this.#isHandedOver) return { type: "not_taken" };
+    this.#attempt = this.#options.handovers.attempt(input);
     return this.#attempt.run();
   }
 
@@ -94,19 +98,19 @@
   });
 }
 
-/** Why an entry does not take a relayed call on; undefined if it does. */
-export function relayRefusal(
+/** Why an entry does not take a handed-over call on; undefined if it does. */
+export function handoverRefusal(
   origin: { readonly version: number },
   state: {
     readonly isReady: boolean;
     readonly isStopping: boolean;
     readonly version: number;
-    readonly relayedCalls: number;
+    readonly handedOverCalls: number;
   },
-): RelayRefusal | undefined {
+): HandoverRefusal | undefined {
   if (!state.isReady) return "not_ready";
   if (state.isStopping) return "stopping";
   // A host must not seem to go back to an older configuration.
   if (origin.version > state.version) return "older_configuration";
-  return state.relayedCalls > MAX_RELAYED_CALLS ? "busy" : undefined;
+  return state.handedOverCalls > MAX_HANDED_OVER_CALLS ? "busy" : undefined;
 }
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -21,8 +21,9 @@
 import { BackendClient } from "./backend_client.ts";
 import type { CallProgress } from "./call_execution.ts";
 import type { CallProtocol } from "./call_protocol.ts";
-import { CallRelay } from "./call_relay.ts";
 import type { EntryMessages } from "./entry_network.ts";
+import { HandoverClient } from "./handover_client.ts";
+import { parseHandoverOrigin, reservedHeader } from "./handover_protocol.ts";
 import { KeyClaims } from "./key_claims.ts";
 import { OnDemandLinks } from "./on_demand_links.ts";
 import { PathMonitor } from "./path_monitor.ts";
@@ -31,7 +32,6 @@
   QUARANTINE_TICK_MS,
   QuarantineCoordinator,
 } from "./quarantine_coordinator.ts";
-import { parseRelayOrigin, reservedHeader } from "./relay_protocol.ts";
 import { replyFault } from "./reply.ts";
 import { RequestClassifier } from "./request_classifier.ts";
 import { ReverseProxy, type ReverseProxyOptions } from "./reverse_proxy.ts";
@@ -80,7 +80,7 @@
   readonly #hostRoutes: HostRoutes;
   readonly #claimNetwork: OnDemandLinks<ClaimMessages>;
   readonly #paths: PathMonitor;
-  readonly #relay: CallRelay;
+  readonly #handovers: HandoverClient;
   #classifier: RequestClassifier;
   #configuration: Configuration | undefined;
   #stopSchedule: StopSchedule | undefined;
@@ -137,8 +137,9 @@
       network,
       onCutOff: (service) => this.#proxy.cutOff(service),
       onSilent: (service) => this.#proxy.giveUpRunning(service),
+      onChanged: (services) => this.#handovers.setCutOff(settings.id, services),
     });
-    this.#relay = new CallRelay({
+    this.#handovers = new HandoverClient({
       self: settings.id,
       cluster: settings.cluster,
       dataCentre: settings.dataCentre,
@@ -206,8 +207,8 @@
       quarantine: this.#quarantine,
       policies: this.#policies,
       paths: this.#paths,
-      relay: this.#relay,
-      relayedCalls: () => this.#proxy.relayedCalls,
+      handovers: this.#handovers,
+      handedOverCalls: () => this.#proxy.handedOverCalls,
       serversToAvoid: (service, dataCentres) => {
         const inFlightAt = this.inFlightAt.bind(this);
         return options.serversToAvoid(service, { dataCentres, inFlightAt });
@@ -247,13 +248,13 @@
   }
 
   /** Serves a call that another entry has passed on. */
-  serveRelayed(request: IncomingMessage, response: TrackedResponse): void {
+  serveHandedOver(request: IncomingMessage, response: TrackedResponse): void {
     const { settings, logger } = this.#options;
-    const origin = parseRelayOrigin(request.headers, settings.cluster);
+    const origin = parseHandoverOrigin(request.headers, settings.cluster);
     if (origin.isErr()) {
       const { detail } = origin.error;
       const from = request.socket.remoteAddress;
-      logger.warn("relayed call is malformed", { from, detail });
+      logger.warn("handed-over call is malformed", { from, detail });
       this.#refuse(response, { requestId: "", detail });
       return;
     }
@@ -287,7 +288,7 @@
     }
     this.#claims.configure(configuration);
     const linksAreSparse = selectRelays(view) !== undefined;
-    this.#relay.configure(view);
+    this.#handovers.configure(view);
     this.#claimNetwork.setView(linksAreSparse ? view : EMPTY_VIEW);
     this.#quarantine.setForwarding(linksAreSparse);
     const now = this.#options.clock.now();
@@ -321,7 +322,7 @@
   peerDown(id: HostId): void {
     this.#quarantine.peerDown(id);
     this.#paths.peerDown(id);
-    this.#relay.peerDown(id);
+    this.#handovers.peerDown(id);
     const now = this.#options.clock.now();
     this.#assignments.execute(this.#router.peerDown(id, now));
   }
@@ -370,6 +371,11 @@
     return this.#router.rateLimitedServers();
   }
 
+  /** Entries that have reached no server of some service for a while. */
+  cutOffEntries(): ReadonlySet<HostId> {
+    return this.#handovers.lastingCuts();
+  }
+
   /** Number of services of which this entry reaches no server. */
   get cutOffServices(): number {
     return this.#paths.cutOffCount;
--- a/packages/entry/call_protocol.ts
+++ b/packages/entry/call_protocol.ts
@@ -14,7 +14,7 @@
   parseRetryAfterMs,
   type Service,
 } from "#model";
-import { RELAY_HEADER_NAMES } from "./relay_protocol.ts";
+import { HANDOVER_HEADER_NAMES } from "./handover_protocol.ts";
 import { endToEndHeaders } from "./reply.ts";
 
 /** What a server's response reports about the server and the request. */
@@ -91,7 +91,7 @@
    * Headers of a call that is passed on to another entry: those of the caller
    * with the time that is left, in milliseconds.
    */
-  relayHeaders(raw: readonly string[], leftMs: number): string[];
+  handoverHeaders(raw: readonly string[], leftMs: number): string[];
   /**
    * Parses what a server's response reports about the server and the request.
    */
@@ -121,12 +121,12 @@
   HEADERS.depth,
   HEADERS.retries,
   HEADERS.requestId,
-  ...RELAY_HEADER_NAMES,
+  ...HANDOVER_HEADER_NAMES,
 ]);
 /** Request headers that are set anew for another entry. */
-const RELAYED_HEADERS: ReadonlySet<string> = new Set([
+const HANDED_OVER_HEADERS: ReadonlySet<string> = new Set([
   HEADERS.deadline,
-  ...RELAY_HEADER_NAMES,
+  ...HANDOVER_HEADER_NAMES,
 ]);
 
 /** Response headers of servers that are not forwarded to callers. */
@@ -169,9 +169,9 @@
     return headers;
   }
 
-  relayHeaders(raw: readonly string[], leftMs: number): string[] {
+  handoverHeaders(raw: readonly string[], leftMs: number): string[] {
     return [
-      ...endToEndHeaders(raw, RELAYED_HEADERS),
+      ...endToEndHeaders(raw, HANDED_OVER_HEADERS),
       HEADERS.deadline,
       String(leftMs),
     ];
--- a/packages/entry/caller_server.ts
+++ b/packages/entry/caller_server.ts
@@ -25,11 +25,12 @@
     handleApi: HttpHandler | undefined;
     handleCall: HttpHandler;
     /** Handles calls that other entries pass on. */
-    handleRelayed?: HttpHandler;
+    handleHandedOver?: HttpHandler;
     /** Called for a request that came behind the last answer of a connection. */
     onDropped?: (request: IncomingMessage) => void;
   }) {
-    const { limits, handleApi, handleCall, handleRelayed, onDropped } = options;
+    const { limits, handleApi, handleCall, handleHandedOver, onDropped } =
+      options;
     this.#server = new HttpServer(
       {
         maxHeaderSize: limits.headerMaxBytes,
@@ -43,7 +44,7 @@
       },
       (request, response) => {
         if (this.#server.isInternal(request.socket))
-          handleRelayed?.(request, response);
+          handleHandedOver?.(request, response);
         else if (handleApi && request.url?.startsWith(INTERNAL_PATH_ROOT))
           handleApi(request, response);
         else handleCall(request, response);
@@ -62,7 +63,7 @@
   }
 
   /** Listens for calls that other entries pass on. */
-  listenForRelayed(address: Address): Promise<Result<Address, ListenFault>> {
+  listenForHandedOver(address: Address): Promise<Result<Address, ListenFault>> {
     return this.#server.listenInternally(address);
   }
 
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -135,6 +135,7 @@
       randomness,
       keepMs: settings.addressKeepMs,
       configuration: () => this.#follower.configuration,
+      cutOffEntries: () => this.#callPipeline.cutOffEntries(),
     });
     this.#follower = new ConfigurationFollower({
       network,
@@ -194,8 +195,8 @@
         : (request, response) => void own.serve(request, response),
       handleCall: (request, response) =>
         this.#callPipeline.serve(request, response),
-      handleRelayed: (request, response) =>
-        this.#callPipeline.serveRelayed(request, response),
+      handleHandedOver: (request, response) =>
+        this.#callPipeline.serveHandedOver(request, response),
       onDropped: (request) => {
         this.#metrics.recordDroppedRequest();
         logger.info("request not taken on", {
@@ -217,8 +218,8 @@
       await this.#network.listen(settings.peer),
       await this.#adminServer.listen(settings.metrics),
       await this.#callerServer.listen(settings.http),
-      ...(settings.relay
-        ? [await this.#callerServer.listenForRelayed(settings.relay)]
+      ...(settings.handover
+        ? [await this.#callerServer.listenForHandedOver(settings.handover)]
         : []),
     ]) {
       if (listening.isErr()) {
@@ -342,7 +343,7 @@
       dataCentre: settings.dataCentre,
       http: settings.http,
       peer: settings.peer,
-      ...(settings.relay && { relay: settings.relay }),
+      ...(settings.handover && { handover: settings.handover }),
       state: this.#state,
     };
   }
--- a/packages/entry/call_relay.ts
+++ b/packages/entry/handover_client.ts
@@ -10,20 +10,20 @@
   View,
 } from "#model";
 import {
+  type HandoverTarget,
+  HandoverTargets,
   type ReachabilityMessages,
-  type RelayTarget,
-  RelayTargets,
 } from "#reachability";
 import type { Metrics } from "#telemetry";
 import type { Network } from "#wire";
 import type { BackendClient, SentRequest } from "./backend_client.ts";
 import type { BackendResponse } from "./backend_response.ts";
 import type { CallProtocol } from "./call_protocol.ts";
-import { parseRelayOutcome, RELAY_HEADERS } from "./relay_protocol.ts";
+import { HANDOVER_HEADERS, parseHandoverOutcome } from "./handover_protocol.ts";
 import type { RequestBody } from "./request_body.ts";
 
 /** Stands for a service in log lines and metrics of the client. */
-const RELAY_SERVICE = "relay";
+const HANDOVER_SERVICE = "handover";
 const CONNECT_TIMEOUT_MS = 250;
 /** Entries that are asked to take a call at most. */
 const MAX_ENTRIES = 6;
@@ -35,7 +35,7 @@
  */
 const DEADLINE_MARGIN_MS = 20;
 
-export interface CallRelayOptions {
+export interface HandoverClientOptions {
   readonly self: HostId;
   readonly cluster: string;
   readonly dataCentre: DataCentre;
@@ -50,20 +50,20 @@
 }
 
 /** A call that another entry should take over. */
-export interface RelayedRequest {
+export interface HandedOverRequest {
   readonly call: Call;
   readonly request: IncomingMessage;
   readonly body: RequestBody;
 }
 
 /** An entry that was asked to take a call, for the log. */
-export interface RelayRecord {
+export interface HandoverRecord {
   readonly entry: HostId;
   readonly end: string;
   readonly ms: number;
 }
 
-export type RelayResult =
+export type HandoverResult =
   | {
       readonly type: "answer";
       readonly response: BackendResponse;
@@ -75,16 +75,16 @@
   | { readonly type: "lost"; readonly detail: string };
 
 /** Passes calls on to entries that reach the servers. */
-export class CallRelay {
-  readonly #options: CallRelayOptions;
-  readonly #targets: RelayTargets;
+export class HandoverClient {
+  readonly #options: HandoverClientOptions;
+  readonly #targets: HandoverTargets;
 
-  constructor(options: CallRelayOptions) {
+  constructor(options: HandoverClientOptions) {
     this.#options = options;
     const { self, dataCentre, randomness: random, network } = options;
-    this.#targets = new RelayTargets({ self, dataCentre, random });
+    this.#targets = new HandoverTargets({ self, dataCentre, random });
     network.handle("reachability.cut_off", ({ services }, from) =>
-      this.#targets.setCutOff(from.id, services),
+      this.setCutOff(from.id, services),
     );
   }
 
@@ -92,42 +92,47 @@
     this.#targets.configure(view);
   }
 
+  /** Records the services of which an entry, or this one, reaches no server. */
+  setCutOff(id: HostId, services: readonly string[]): void {
+    this.#targets.setCutOff(id, services, this.#options.clock.now());
+  }
+
   /** To be called when the connection to an entry has ended. */
   peerDown(id: HostId): void {
-    this.#targets.setCutOff(id, []);
+    this.setCutOff(id, []);
   }
 
-  /** Whether an entry has said that it reaches no server of some service. */
-  isCutOff(id: HostId): boolean {
-    return this.#targets.isCutOff(id);
+  /** Entries that have reached no server of some service for a while. */
+  lastingCuts(): ReadonlySet<HostId> {
+    return this.#targets.lastingCuts(this.#options.clock.now());
   }
 
   /** Prepares to pass a call on. */
-  attempt(relayed: RelayedRequest): RelayAttempt {
-    return new RelayAttempt(this.#options, this.#targets, relayed);
+  attempt(handedOver: HandedOverRequest): HandoverAttempt {
+    return new HandoverAttempt(this.#options, this.#targets, handedOver);
   }
 }
 
 /** Passes one call on, to one entry after another until one takes it. */
-export class RelayAttempt {
-  readonly #options: CallRelayOptions;
-  readonly #targets: RelayTargets;
-  readonly #relayed: RelayedRequest;
-  readonly #records: RelayRecord[] = [];
+export class HandoverAttempt {
+  readonly #options: HandoverClientOptions;
+  readonly #targets: HandoverTargets;
+  readonly #handedOver: HandedOverRequest;
+  readonly #records: HandoverRecord[] = [];
   #sent: SentRequest | undefined;
   #stopped = false;
 
   constructor(
-    options: CallRelayOptions,
-    targets: RelayTargets,
-    relayed: RelayedRequest,
+    options: HandoverClientOptions,
+    targets: HandoverTargets,
+    handedOver: HandedOverRequest,
   ) {
     this.#options = options;
     this.#targets = targets;
-    this.#relayed = relayed;
+    this.#handedOver = handedOver;
   }
 
-  get records(): readonly RelayRecord[] {
+  get records(): readonly HandoverRecord[] {
     return this.#records;
   }
 
@@ -142,8 +147,8 @@
     this.#sent?.cancel();
   }
 
-  async run(): Promise<RelayResult> {
-    const { service } = this.#relayed.call;
+  async run(): Promise<HandoverResult> {
+    const { service } = this.#handedOver.call;
     const tried = new Set<HostId>();
     while (tried.size < MAX_ENTRIES && !this.#stopped) {
       const now = this.#options.clock.now();
@@ -154,14 +159,14 @@
       if (result.type !== "not_taken") return result;
       this.#targets.refused(service, target.id, this.#options.clock.now());
       // What was read of a streamed body is gone.
-      if (this.#relayed.body.rest) break;
+      if (this.#handedOver.body.rest) break;
     }
     return { type: "not_taken" };
   }
 
-  async #send(target: RelayTarget): Promise<RelayResult> {
+  async #send(target: HandoverTarget): Promise<HandoverResult> {
     const { clock, client, protocol, metrics } = this.#options;
-    const { call, request, body } = this.#relayed;
+    const { call, request, body } = this.#handedOver;
     const startedAt = clock.now();
     const callerRequestId = protocol.callerRequestId(request.headers);
     this.#targets.started(target.id);
@@ -176,13 +181,13 @@
     });
     const result = await this.#sent.result;
     const response = result.type === "answer" ? result.response : undefined;
-    const refusal = response?.headers[RELAY_HEADERS.refused];
+    const refusal = response?.headers[HANDOVER_HEADERS.refused];
     const end = (text: string) => {
       this.#sent = undefined;
       this.#targets.ended(target.id);
       const ms = Math.round(clock.now() - startedAt);
       this.#records.push({ entry: target.id, end: text, ms });
-      metrics.recordRelay(text);
+      metrics.recordHandover(text);
     };
     if (result.type === "fault") {
       const { type, detail } = result.fault;
@@ -195,7 +200,7 @@
       end(`refused_${String(refusal)}`);
       return { type: "not_taken" };
     }
-    const outcome = parseRelayOutcome(result.response.headers);
+    const outcome = parseHandoverOutcome(result.response.headers);
     if (result.response.stream) {
       result.response.stream.once("close", () => end(outcome));
     } else end(outcome);
@@ -204,25 +209,25 @@
 
   #headers(now: number): string[] {
     const { self, cluster, protocol, version } = this.#options;
-    const { call, request } = this.#relayed;
+    const { call, request } = this.#handedOver;
     const leftMs = Math.max(1, call.deadline - now - DEADLINE_MARGIN_MS);
     return [
-      ...protocol.relayHeaders(request.rawHeaders, Math.floor(leftMs)),
-      ...[RELAY_HEADERS.cluster, cluster],
-      ...[RELAY_HEADERS.entry, self],
-      ...[RELAY_HEADERS.call, call.id],
-      ...[RELAY_HEADERS.version, String(version())],
+      ...protocol.handoverHeaders(request.rawHeaders, Math.floor(leftMs)),
+      ...[HANDOVER_HEADERS.cluster, cluster],
+      ...[HANDOVER_HEADERS.entry, self],
+      ...[HANDOVER_HEADERS.call, call.id],
+      ...[HANDOVER_HEADERS.version, String(version())],
     ];
   }
 }
 
 /** An entry in the form in which `BackendClient` sends to it. */
-function serverOf(target: RelayTarget): BackendServer {
-  const { id, relay, dataCentre, incarnation } = target;
+function serverOf(target: HandoverTarget): BackendServer {
+  const { id, handover, dataCentre, incarnation } = target;
   return {
     id,
-    service: RELAY_SERVICE,
-    address: relay,
+    service: HANDOVER_SERVICE,
+    address: handover,
     dataCentre,
     incarnation,
     sequence: 0,
--- a/packages/entry/index.ts
+++ b/packages/entry/index.ts
@@ -6,5 +6,5 @@
  */
 export * from "./call_protocol.ts";
 export * from "./entry_process.ts";
-export { RELAY_HEADER_NAMES } from "./relay_protocol.ts";
+export { HANDOVER_HEADER_NAMES } from "./handover_protocol.ts";
 export { endToEndHeaders } from "./reply.ts";
--- a/packages/entry/path_monitor.ts
+++ b/packages/entry/path_monitor.ts
@@ -27,6 +27,8 @@
   readonly network: Network<ReachabilityMessages>;
   /** Called when this entry reaches no server of a service any more. */
   readonly onCutOff: (service: string) => void;
+  /** Called when the services have changed of which no server is reached. */
+  readonly onChanged: (services: readonly string[]) => void;
   /** Called when the calls that run at a service's servers got no answer. */
   readonly onSilent: (service: string) => void;
 }
@@ -164,10 +166,9 @@
   }
 
   #tellPeers(): void {
+    const { network, onChanged } = this.#options;
     const services = this.#paths.cutOffServices();
-    const peers = [...this.#peers];
-    this.#options.network.broadcast(peers, "reachability.cut_off", {
-      services,
-    });
+    network.broadcast([...this.#peers], "reachability.cut_off", { services });
+    onChanged(services);
   }
 }
--- a/packages/entry/reverse_proxy.ts
+++ b/packages/entry/reverse_proxy.ts
@@ -6,11 +6,11 @@
 import type { BackendClient } from "./backend_client.ts";
 import { CallExecution, type CallProgress } from "./call_execution.ts";
 import type { CallProtocol } from "./call_protocol.ts";
-import type { CallRelay } from "./call_relay.ts";
+import type { HandoverClient } from "./handover_client.ts";
+import type { HandoverOrigin } from "./handover_protocol.ts";
 import type { KeyClaims } from "./key_claims.ts";
 import type { PathMonitor } from "./path_monitor.ts";
 import type { QuarantineCoordinator } from "./quarantine_coordinator.ts";
-import type { RelayOrigin } from "./relay_protocol.ts";
 import type { BodyLimits } from "./request_body.ts";
 import type { RequestClassifier } from "./request_classifier.ts";
 import type { ServicePolicies } from "./service_policies.ts";
@@ -28,9 +28,9 @@
   readonly quarantine: QuarantineCoordinator;
   readonly policies: ServicePolicies;
   readonly paths: PathMonitor;
-  readonly relay: CallRelay;
+  readonly handovers: HandoverClient;
   /** Number of calls in progress that other entries have passed on. */
-  readonly relayedCalls: () => number;
+  readonly handedOverCalls: () => number;
   /** Ids of the servers to which a suspected request should not be sent. */
   readonly serversToAvoid: (
     service: string,
@@ -66,7 +66,7 @@
   serve(
     request: IncomingMessage,
     response: TrackedResponse,
-    origin?: RelayOrigin,
+    origin?: HandoverOrigin,
   ): void {
     this.#callCount += 1;
     const id = `${this.#idPrefix}-${this.#callCount.toString(36)}`;
@@ -95,20 +95,21 @@
     for (const call of this.#executions.values()) call.beginStop(schedule);
   }
 
-  /** Passes the calls on that wait for a server of this service. */
+  /** To be called when this entry reaches no server of the service any more. */
   cutOff(service: string): void {
     for (const call of this.#executions.values()) call.cutOff(service);
   }
 
-  /** Gives up the calls that run at servers of this service. */
+  /** To be called when no server has answered since then. */
   giveUpRunning(service: string): void {
     for (const call of this.#executions.values()) call.giveUpRunning(service);
   }
 
   /** Number of calls in progress that other entries have passed on. */
-  get relayedCalls(): number {
+  get handedOverCalls(): number {
     let count = 0;
-    for (const call of this.#executions.values()) if (call.isRelayed) count++;
+    for (const call of this.#executions.values())
+      if (call.isHandedOver) count++;
     return count;
   }
 
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -270,8 +270,8 @@
   }
 
   /**
-   * Frees the slot of a request whose answer may still come: the entry reaches
-   * no server, so that others can use the slot better.
+   * Frees the slot of a request whose answer may still come, without evidence
+   * on its server: other entries can use the slot.
    */
   releaseEarly(): void {
     if (!this.#server || this.#isReleased) return;
--- a/packages/faults/site_files.ts
+++ b/packages/faults/site_files.ts
@@ -62,7 +62,7 @@
       http: nextAddress(),
       peer,
       metrics: nextAddress(),
-      relay: nextAddress(),
+      handover: nextAddress(),
       control: controls.map((control) => control.peer),
     });
   });
--- a/packages/model/hosts.ts
+++ b/packages/model/hosts.ts
@@ -36,7 +36,7 @@
    * Address for calls that other entries pass on (HTTP); absent if it takes
    * none.
    */
-  readonly relay?: Address;
+  readonly handover?: Address;
   readonly state: EntryState;
 }
 
--- a/packages/presence/address_lookup.ts
+++ b/packages/presence/address_lookup.ts
@@ -50,6 +50,8 @@
   readonly view: View;
   readonly loads: ReadonlyMap<HostId, EntryLoad>;
   readonly regions: Document["regions"];
+  /** Entries that reach no server of some service, as far as they said so. */
+  readonly cutOff?: ReadonlySet<HostId>;
 }
 
 interface Candidate {
@@ -134,13 +136,15 @@
 }
 
 /** Entries that callers may use; falls back to worse ones if none is left. */
-function usableEntries({ view, loads }: LookupState): readonly Entry[] {
+function usableEntries(state: LookupState): readonly Entry[] {
+  const { view, loads } = state;
   const running = view.entries.filter(
     ({ id, state }) => state !== "stopping" && !loads.get(id)?.stopping,
   );
   const reachable = running.filter(({ id }) => loads.get(id)?.reachable);
   // An entry that reaches at most half of the entries may itself be cut off.
-  const available = reachable.length * 2 > running.length ? reachable : running;
+  const connected = reachable.length * 2 > running.length ? reachable : running;
+  const available = withoutCutOff(connected, state.cutOff);
   const notOverloaded = available.filter(
     ({ id }) => (loads.get(id)?.load ?? 0) < OVERLOAD_PERCENT,
   );
@@ -148,6 +152,25 @@
   return tiers.find((entries) => entries.length > 0) ?? [];
 }
 
+/**
+ * Leaves out entries that are cut off, which pass calls on to others. They stay
+ * in where they are more than half of a data centre, whose other entries could
+ * not take all of its callers.
+ */
+function withoutCutOff(
+  entries: readonly Entry[],
+  cutOff: ReadonlySet<HostId> | undefined,
+): readonly Entry[] {
+  if (!cutOff || cutOff.size === 0) return entries;
+  return entries.filter(({ id, dataCentre }) => {
+    if (!cutOff.has(id)) return true;
+    const near = entries.filter((entry) => entry.dataCentre === dataCentre);
+    return (
+      2 * near.filter((entry) => cutOff.has(entry.id)).length > near.length
+    );
+  });
+}
+
 /** 0 in the same data centre, 1 in the same region, 2 elsewhere. */
 function distance(
   from: DataCentre | undefined,
--- a/packages/presence/address_lookup_test.ts
+++ b/packages/presence/address_lookup_test.ts
@@ -144,3 +144,17 @@
 test("a stopping entry serves until every response that names it has expired", () => {
   assert.ok(SERVE_AFTER_STOPPING_MS >= LOST_AFTER_MS + ADDRESS_KEEP_MS);
 });
+
+// Guards against lookups that go on naming entries that reach no server, and
+// against a data centre whose callers crowd at its last entry.
+test("entries that are cut off get no callers unless they are most of them", () => {
+  const given = state({ a: {}, b: {}, c: {}, d: { dataCentre: "riga-b" } });
+  const near = (cutOff: readonly string[]) =>
+    lookUp({ ...given, cutOff: new Set(cutOff) })
+      .addresses.filter(({ weight }) => weight > 0)
+      .map(({ host }) => host)
+      .sort();
+  assert.deepEqual(near(["a"]), ["b", "c"]);
+  assert.deepEqual(near(["a", "b"]), ["a", "b", "c"]);
+  assert.deepEqual(near(["a", "b", "c", "d"]), ["a", "b", "c"]);
+});
--- a/packages/reachability/relay_targets.ts
+++ b/packages/reachability/handover_targets.ts
@@ -1,12 +1,20 @@
 import type { DataCentre, Entry, HostId, Randomness, View } from "#model";
 
-/** Time for which an entry that refused a relayed call is passed over. */
+/** Time for which an entry that refused a handed-over call is passed over. */
 const REFUSAL_TTL_MS = 500;
+/** Time after which an entry that reaches no server gets fewer callers. */
+const LASTING_CUT_MS = 2_000;
 
-/** An entry that accepts relayed calls. */
-export type RelayTarget = Entry & Required<Pick<Entry, "relay">>;
+/** An entry that accepts handed-over calls. */
+export type HandoverTarget = Entry & Required<Pick<Entry, "handover">>;
 
-export interface RelayTargetsOptions {
+/** What an entry has said of the servers that it does not reach. */
+interface EntryCut {
+  readonly services: ReadonlySet<string>;
+  readonly since: number;
+}
+
+export interface HandoverTargetsOptions {
   readonly self: HostId;
   readonly dataCentre: DataCentre;
   readonly random: Randomness;
@@ -19,25 +27,26 @@
  * centre. Of two random entries, the one with fewer calls of this entry is
  * chosen, which spreads them.
  */
-export class RelayTargets {
-  readonly #options: RelayTargetsOptions;
-  #targets: readonly RelayTarget[] = [];
+export class HandoverTargets {
+  readonly #options: HandoverTargetsOptions;
+  #targets: readonly HandoverTarget[] = [];
   /** Services of which an entry has said that it reaches no server. */
-  readonly #cutOff = new Map<HostId, ReadonlySet<string>>();
+  readonly #cutOff = new Map<HostId, EntryCut>();
   /** Ends of the times for which entries are passed over, by service. */
   readonly #refusedUntil = new Map<string, number>();
   readonly #inFlight = new Map<HostId, number>();
 
-  constructor(options: RelayTargetsOptions) {
+  constructor(options: HandoverTargetsOptions) {
     this.#options = options;
   }
 
   configure(view: View): void {
     const { self } = this.#options;
     this.#targets = view.entries.flatMap((entry) => {
-      const { id, relay, state } = entry;
-      const isTarget = id !== self && relay !== undefined && state === "ready";
-      return isTarget ? [{ ...entry, relay }] : [];
+      const { id, handover, state } = entry;
+      const isTarget =
+        id !== self && handover !== undefined && state === "ready";
+      return isTarget ? [{ ...entry, handover }] : [];
     });
     const present = new Set(view.entries.map(({ id }) => id));
     for (const id of this.#cutOff.keys()) {
@@ -46,14 +55,22 @@
   }
 
   /** Records the services of which an entry reaches no server. */
-  setCutOff(id: HostId, services: readonly string[]): void {
-    if (services.length > 0) this.#cutOff.set(id, new Set(services));
-    else this.#cutOff.delete(id);
+  setCutOff(id: HostId, services: readonly string[], now: number): void {
+    if (services.length === 0) {
+      this.#cutOff.delete(id);
+      return;
+    }
+    const since = this.#cutOff.get(id)?.since ?? now;
+    this.#cutOff.set(id, { services: new Set(services), since });
   }
 
-  /** Whether an entry reaches no server of some service. */
-  isCutOff(id: HostId): boolean {
-    return this.#cutOff.has(id);
+  /** Entries that have reached no server of some service for a while. */
+  lastingCuts(now: number): ReadonlySet<HostId> {
+    const ids = new Set<HostId>();
+    for (const [id, { since }] of this.#cutOff) {
+      if (now - since >= LASTING_CUT_MS) ids.add(id);
+    }
+    return ids;
   }
 
   /**
@@ -63,11 +80,11 @@
   choose(
     service: string,
     { tried, now }: { tried: ReadonlySet<HostId>; now: number },
-  ): RelayTarget | undefined {
+  ): HandoverTarget | undefined {
     const usable = this.#targets.filter(
       ({ id }) =>
         !tried.has(id) &&
-        !this.#cutOff.get(id)?.has(service) &&
+        !this.#cutOff.get(id)?.services.has(service) &&
         now >= (this.#refusedUntil.get(key(service, id)) ?? 0),
     );
     const isNear = ({ dataCentre }: Entry) =>
@@ -97,13 +114,13 @@
     }
   }
 
-  #leastUsed(targets: readonly RelayTarget[]): RelayTarget | undefined {
+  #leastUsed(targets: readonly HandoverTarget[]): HandoverTarget | undefined {
     const { random } = this.#options;
     if (targets.length === 0) return undefined;
     const a = targets[random.below(targets.length)];
     const b = targets[random.below(targets.length)];
     if (!a || !b) return a ?? b;
-    const used = (target: RelayTarget) => this.#inFlight.get(target.id) ?? 0;
+    const used = (target: HandoverTarget) => this.#inFlight.get(target.id) ?? 0;
     return used(b) < used(a) ? b : a;
   }
 }
--- a/packages/reachability/index.ts
+++ b/packages/reachability/index.ts
@@ -4,8 +4,9 @@
  *
  * @module
  */
+
+export * from "./handover_targets.ts";
 export * from "./messages.ts";
-export * from "./relay_targets.ts";
 export * from "./server_paths.ts";
 export type {
   ConnectionResult,
--- a/packages/registry/snapshot.ts
+++ b/packages/registry/snapshot.ts
@@ -44,7 +44,7 @@
   dataCentre: z.string(),
   http: address,
   peer: address,
-  relay: address.optional(),
+  handover: address.optional(),
   state: z.enum(["ready", "stopping"]),
 });
 const view = z.object({
--- a/packages/settings/load.ts
+++ b/packages/settings/load.ts
@@ -47,7 +47,7 @@
     { key: ["http"], address: value.http },
     { key: ["peer"], address: value.peer },
     { key: ["metrics"], address: value.metrics },
-    ...(value.relay ? [{ key: ["relay"], address: value.relay }] : []),
+    ...(value.handover ? [{ key: ["handover"], address: value.handover }] : []),
   ]);
   if (faults.length > 0) return err(faults);
   const { limits } = value;
@@ -58,7 +58,7 @@
     http: value.http,
     peer: value.peer,
     metrics: value.metrics,
-    ...(value.relay && { relay: value.relay }),
+    ...(value.handover && { handover: value.handover }),
     control: value.control,
     limits: {
       headerMaxBytes: limits.header_max_bytes,
--- a/packages/settings/schema.ts
+++ b/packages/settings/schema.ts
@@ -86,7 +86,7 @@
   http: addressOf("Where callers and backend servers connect."),
   peer: addressOf("Where the system's own processes connect."),
   metrics: addressOf("Where metrics are read."),
-  relay: addressOf(
+  handover: addressOf(
     "Where other entries pass calls on that they cannot send to a server; without it, this entry takes none.",
   ).optional(),
   control: list(addressOf("Peer address of a control host."), {
--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -33,7 +33,7 @@
    * Where other entries pass calls on that they cannot send to a server; if
    * absent, this entry takes none.
    */
-  readonly relay?: Address;
+  readonly handover?: Address;
   /** Peer addresses of control hosts; need not list all of them. */
   readonly control: readonly Address[];
   /**
--- a/packages/slopes/site_folder.ts
+++ b/packages/slopes/site_folder.ts
@@ -54,7 +54,7 @@
       http: address(),
       peer: address(),
       metrics: address(),
-      relay: address(),
+      handover: address(),
       control: members.map(({ peer }) => peer),
     };
     write("settings", `${id}.yaml`, JSON.stringify(settings));
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -77,7 +77,7 @@
   readonly #brokenAnswers;
   readonly #droppedRequests;
   readonly #exceededBounds;
-  readonly #relayedCalls;
+  readonly #handedOverCalls;
 
   constructor(sources: MetricsSources = {}) {
     const registers = [this.#registry];
@@ -143,8 +143,8 @@
       labelNames: ["service", "bound"],
       registers,
     });
-    this.#relayedCalls = new Counter({
-      name: "mangobank_relayed_calls_total",
+    this.#handedOverCalls = new Counter({
+      name: "mangobank_handed_over_calls_total",
       help: "Calls passed on to another entry, by how that ended",
       labelNames: ["end"],
       registers,
@@ -216,8 +216,8 @@
   }
 
   /** Records how the attempt to pass a call on to another entry ended. */
-  recordRelay(end: string): void {
-    this.#relayedCalls.inc({ end });
+  recordHandover(end: string): void {
+    this.#handedOverCalls.inc({ end });
   }
 
   /** Records a header of an answer that cannot be read. */
