Ask other entries before a server counts as crashed

An entry whose connection to a server broke tried another one and, if that failed too, told all entries that the server is lost. The judgement of paths does not cover all of that: a server that is alone in its data centre, and the second check before the next attempt of such a request.

A server is lost only if the path to it works and none of up to three other entries reaches it. Both new tests fail on the former coordinator, which had neither input. A server that has really crashed refuses the others as well, and the call waits for their answers, so the promise on crash requests holds.

--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -180,6 +180,7 @@
       clock,
       logger,
       network,
+      judge: (server) => this.#paths.judge(server),
     });
     this.#policies = new ServicePolicies({
       clock,
--- a/packages/entry/quarantine_coordinator.ts
+++ b/packages/entry/quarantine_coordinator.ts
@@ -1,4 +1,3 @@
-import { connect } from "node:net";
 import {
   type BackendServer,
   backendServerKey,
@@ -18,7 +17,9 @@
 } from "#quarantine";
 import type { Fault } from "#reachability";
 import type { Logger } from "#telemetry";
-import { afterPendingInput, type Network } from "#wire";
+import type { Network } from "#wire";
+import { tryConnection } from "./connection_check.ts";
+import { PeerConnectionChecks } from "./peer_connection_checks.ts";
 
 /** How often expired evidence is removed. */
 export const QUARANTINE_TICK_MS = 5_000;
@@ -72,6 +73,8 @@
   /** Attempts that wait for a check of servers that may have crashed. */
   readonly #checking = new Set<string>();
   readonly #self: HostId;
+  readonly #peerChecks: PeerConnectionChecks;
+  readonly #judge: (server: BackendServer) => Promise<Fault>;
   #forwardsEvidence = false;
 
   readonly #syncs = new Map<number, (from: HostId) => void>();
@@ -82,8 +85,12 @@
     clock: Clock;
     logger: Logger;
     network: Network<QuarantineMessages>;
+    /** Finds out whose fault a failed connection is. */
+    judge: (server: BackendServer) => Promise<Fault>;
   }) {
-    const { self, clock, logger, network } = options;
+    const { self, clock, logger, network, judge } = options;
+    this.#judge = judge;
+    this.#peerChecks = new PeerConnectionChecks({ network, clock });
     this.#self = self;
     this.#clock = clock;
     this.#logger = logger;
@@ -157,8 +164,8 @@
   ): Promise<RunAdmission> {
     const { fingerprint, attemptId } = attempt;
     this.#checking.add(attemptId);
-    const accepting = await Promise.all(servers.map(acceptsConnections));
-    const lost = servers.filter((_, index) => !accepting[index]);
+    const isLost = await Promise.all(servers.map((s) => this.#isLost(s)));
+    const lost = servers.filter((_, index) => isLost[index]);
     for (const server of lost) this.serverLost(server);
     if (lost.length > 0) await this.#awaitPeerSync();
     // An attempt that has ended meanwhile must not hold the isolated run.
@@ -212,7 +219,7 @@
   ): Promise<void> {
     if (server.state === "leaving") return;
     const interruptedAt = this.#clock.now();
-    if (fault === "server" && !(await acceptsConnections(server))) {
+    if (fault === "server" && (await this.#isLost(server))) {
       this.serverLost(server);
       await this.#awaitPeerSync();
       return;
@@ -225,6 +232,20 @@
     });
   }
 
+  /**
+   * Whether a server accepts connections of no entry. One that this entry does
+   * not reach may be cut off from it, and run on.
+   */
+  async #isLost(server: BackendServer): Promise<boolean> {
+    const result = await tryConnection(server.address, {
+      timeoutMs: LOSS_CHECK_TIMEOUT_MS,
+      clock: this.#clock,
+    });
+    if (result !== "failed") return false;
+    if ((await this.#judge(server)) === "path") return false;
+    return !(await this.#peerChecks.isReached(server, [...this.#peers]));
+  }
+
   serverLost(server: BackendServer): void {
     const now = this.#clock.now();
     this.#execute(this.#quarantine.serverLost(serverIncarnation(server), now));
@@ -310,20 +331,3 @@
     dataCentre: server.dataCentre,
   };
 }
-
-function acceptsConnections({ address }: BackendServer): Promise<boolean> {
-  return new Promise((resolve) => {
-    const socket = connect({ host: address.host, port: address.port });
-    const finish = (accepted: boolean) => {
-      clearTimeout(timer);
-      socket.destroy();
-      resolve(accepted);
-    };
-    const timer = setTimeout(
-      () => afterPendingInput(() => finish(false)),
-      LOSS_CHECK_TIMEOUT_MS,
-    );
-    socket.once("connect", () => finish(true));
-    socket.once("error", () => finish(false));
-  });
-}
--- a/packages/entry/quarantine_coordinator_test.ts
+++ b/packages/entry/quarantine_coordinator_test.ts
@@ -4,8 +4,9 @@
 import { test } from "node:test";
 import type { BackendServer, Clock } from "#model";
 import type { QuarantineMessages } from "#quarantine";
+import type { Fault } from "#reachability";
 import type { Logger } from "#telemetry";
-import type { Network } from "#wire";
+import type { Hello, Network } from "#wire";
 import { QuarantineCoordinator } from "./quarantine_coordinator.ts";
 
 let now = 1_000;
@@ -17,8 +18,17 @@
 };
 const logger = { warn: () => undefined } as unknown as Logger;
 
-function createCoordinator(): QuarantineCoordinator {
-  return new QuarantineCoordinator({ self: "entry-1", clock, logger, network });
+function createCoordinator(
+  options: { network?: Network<QuarantineMessages>; fault?: Fault } = {},
+): QuarantineCoordinator {
+  const { fault = "server" } = options;
+  return new QuarantineCoordinator({
+    self: "entry-1",
+    clock,
+    logger,
+    network: options.network ?? network,
+    judge: () => Promise.resolve(fault),
+  });
 }
 
 function backendServer(id: string, port: number): BackendServer {
@@ -111,3 +121,49 @@
   assert.equal((await admission).type, "rejected");
   assert.equal((await coordinator.admit("poison", "other")).type, "isolate");
 });
+
+/** A network with one peer that reaches all servers. */
+function networkWithPeer(): Network<QuarantineMessages> {
+  type Handler = (payload: never, from: Hello) => void;
+  const handlers = new Map<string, Handler>();
+  const peer = { id: "entry-2" } as Hello;
+  const handle: Network<QuarantineMessages>["handle"] = (kind, handler) => {
+    handlers.set(kind, handler as Handler);
+  };
+  const send: Network<QuarantineMessages>["send"] = (_to, kind, payload) => {
+    if (kind === "quarantine.sync") {
+      handlers.get("quarantine.synced")?.(payload as never, peer);
+    }
+    if (kind === "quarantine.check") {
+      const { question } = payload as QuarantineMessages["quarantine.check"];
+      const reply = { question, isReached: true };
+      setImmediate(() =>
+        handlers.get("quarantine.checked")?.(reply as never, peer),
+      );
+    }
+    return true;
+  };
+  return { send, handle, broadcast: () => undefined };
+}
+
+/** Interrupts the same request at two servers that this entry does not reach. */
+async function interruptTwice(coordinator: QuarantineCoordinator) {
+  await interruptRun(coordinator, { id: "a", attemptId: "call" });
+  await coordinator.admit("poison", "call.2");
+  coordinator.finished("call.2", "ended");
+  await interruptRun(coordinator, { id: "b", attemptId: "call.3" });
+  return coordinator.admit("poison", "call.4");
+}
+
+// Guards against a request in quarantine because a cut broke off its runs (issue
+// 35): other entries reach the servers.
+test("a server that another entry reaches is not lost", async () => {
+  const coordinator = createCoordinator({ network: networkWithPeer() });
+  coordinator.peerUp("entry-2");
+  assert.equal((await interruptTwice(coordinator)).type, "run");
+});
+
+test("a server that this entry alone does not reach is not lost", async () => {
+  const coordinator = createCoordinator({ fault: "path" });
+  assert.equal((await interruptTwice(coordinator)).type, "run");
+});
--- a/packages/quarantine/messages.ts
+++ b/packages/quarantine/messages.ts
@@ -32,4 +32,14 @@
   /** Requests an acknowledgement of all evidence that was sent before. */
   readonly "quarantine.sync": { readonly round: number };
   readonly "quarantine.synced": { readonly round: number };
+  /** Asks whether an address of a server accepts a connection. */
+  readonly "quarantine.check": {
+    readonly question: number;
+    readonly host: string;
+    readonly port: number;
+  };
+  readonly "quarantine.checked": {
+    readonly question: number;
+    readonly isReached: boolean;
+  };
 }
