Tell a keyed call as unknown when no entry can serve it

A call with an idempotency key that neither this nor another entry could take was refused as not run before its key was looked up. An earlier send of the key may have run, so its outcome is unknown, as for every refusal before the claim. The new test crashes the only server of a site; without the change the answer to the keyed call said not-run.

--- /dev/null
+++ b/packages/entry/call_admission.ts
@@ -0,0 +1,126 @@
+import type { IncomingMessage } from "node:http";
+import { err, type Result } from "neverthrow";
+import { type CallChain, toCallFault } from "#admission";
+import { type Call, type CallFault, callFault, HEADERS } from "#model";
+import type { ClassifiedRequest } from "./request_classifier.ts";
+import type { ReverseProxyOptions } from "./reverse_proxy.ts";
+import type { ExpectedDurations } from "./stop_schedule.ts";
+
+/** Retry delay sent to callers of an entry that is not ready. */
+const NOT_READY_RETRY_MS = 1_000;
+
+/** Classifies a request, and decides whether it is taken on as a call. */
+export class CallAdmission {
+  readonly #options: ReverseProxyOptions;
+  readonly #id: string;
+  readonly #request: IncomingMessage;
+  readonly #arrival: number;
+  #classified: ClassifiedRequest | undefined;
+
+  constructor(
+    options: ReverseProxyOptions,
+    call: {
+      readonly id: string;
+      readonly request: IncomingMessage;
+      readonly arrival: number;
+    },
+  ) {
+    this.#options = options;
+    this.#id = call.id;
+    this.#request = call.request;
+    this.#arrival = call.arrival;
+  }
+
+  /** What the request selects; undefined before `admit`, or if it is unknown. */
+  get classified(): ClassifiedRequest | undefined {
+    return this.#classified;
+  }
+
+  /** Whether the request is identified by its key; true for unknown classes. */
+  get usesIdempotencyKey(): boolean {
+    const requestClass = this.#classified?.class;
+    return !requestClass?.repeatable && requestClass?.identity !== "request";
+  }
+
+  admit(): Result<{ call: Call; chain: CallChain }, CallFault> {
+    const { ready, classifier } = this.#options;
+    if (!ready()) {
+      const retryAfterMs = NOT_READY_RETRY_MS;
+      return err(callFault("not_ready", { retryAfterMs }));
+    }
+    return classifier()
+      .classify(this.#request)
+      .andThen((classified) => {
+        this.#classified = classified;
+        return this.#refusedByStop()
+          ? err(callFault("entry_stopping"))
+          : this.#createCall(classified);
+      });
+  }
+
+  /**
+   * The fault of a call that is refused before its idempotency key was claimed.
+   * The outcome of a call with a key is unknown, since an earlier attempt may
+   * have been executed.
+   */
+  faultBeforeClaim(fault: CallFault): CallFault {
+    const hasKey = this.#request.headers[HEADERS.key] !== undefined;
+    const mayHaveRun = hasKey && this.usesIdempotencyKey;
+    return mayHaveRun ? { ...fault, outcome: "unknown" } : fault;
+  }
+
+  get expectedDurations(): ExpectedDurations | undefined {
+    if (!this.#classified) return undefined;
+    const { service, class: requestClass } = this.#classified;
+    const { policies, clock } = this.#options;
+    const objectiveMs = requestClass.targetMs ?? requestClass.deadlineMs;
+    return policies
+      .durations(service.name, requestClass.name)
+      ?.expected(objectiveMs, clock.now());
+  }
+
+  /** Records how long the call took, for the calls of its class. */
+  recordDuration(): void {
+    if (!this.#classified) return;
+    const { service, class: requestClass } = this.#classified;
+    const { policies, clock } = this.#options;
+    const now = clock.now();
+    policies
+      .durations(service.name, requestClass.name)
+      ?.recordTotal(now - this.#arrival, now);
+  }
+
+  /** Whether the entry stops too soon for a call that arrives now. */
+  #refusedByStop(): boolean {
+    const schedule = this.#options.stopSchedule();
+    const expected = this.expectedDurations;
+    if (!schedule || !expected) return false;
+    return !schedule.accepts(this.#arrival, expected);
+  }
+
+  #createCall({ service, class: requestClass }: ClassifiedRequest) {
+    const { headers } = this.#request;
+    const classDeadlineMs = requestClass.deadlineMs;
+    const now = this.#arrival;
+    return this.#options.protocol
+      .parseChain(headers, { now, classDeadlineMs })
+      .mapErr(toCallFault)
+      .map((chain) => {
+        const { deadline, depth, retries } = chain;
+        const call: Call = {
+          id: this.#id,
+          service: service.name,
+          class: requestClass.name,
+          priority: requestClass.priority,
+          repeatable: requestClass.repeatable,
+          arrival: now,
+          deadline,
+          depth,
+          retries,
+          attempts: requestClass.attempts,
+          target: now + (requestClass.targetMs ?? requestClass.deadlineMs),
+        };
+        return { call, chain };
+      });
+  }
+}
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage } from "node:http";
-import { err, type Result } from "neverthrow";
-import { type CallChain, toCallFault } from "#admission";
+import type { CallChain } from "#admission";
 import type { Settlement } from "#claims";
 import {
   type BackendServer,
@@ -13,6 +12,7 @@
 } from "#model";
 import { fingerprintOf } from "#quarantine";
 import type { TrackedResponse } from "#wire";
+import { CallAdmission } from "./call_admission.ts";
 import { CallAttempts, type CallAttemptsResult } from "./call_attempts.ts";
 import {
   CallHandover,
@@ -20,19 +20,14 @@
   handoverRefusal,
   nowhereFault,
 } from "./call_handover.ts";
-import { SERVER_ONLY_HEADERS } from "./call_protocol.ts";
 import { CallReply } from "./call_reply.ts";
 import type { HandoverOrigin, HandoverRefusal } from "./handover_protocol.ts";
 import type { ClaimDecision } from "./key_claims.ts";
-import { endToEndHeaders } from "./reply.ts";
 import { type RequestBody, readBody } from "./request_body.ts";
-import type { ClassifiedRequest } from "./request_classifier.ts";
 import type { ReverseProxyOptions } from "./reverse_proxy.ts";
 import { type StopReason, stopFault } from "./server_attempt.ts";
-import type { ExpectedDurations, StopSchedule } from "./stop_schedule.ts";
-
-/** Retry delay sent to callers of an entry that is not ready. */
-const NOT_READY_RETRY_MS = 1_000;
+import { settlementOf } from "./settlement.ts";
+import type { StopSchedule } from "./stop_schedule.ts";
 
 /** A call that passed all checks, with its request body. */
 interface AdmittedCall {
@@ -72,7 +67,7 @@
   readonly #reply: CallReply;
   readonly #handover: CallHandover;
   readonly #arrival: number;
-  #classified: ClassifiedRequest | undefined;
+  readonly #admission: CallAdmission;
   #attempts: CallAttempts | undefined;
   #deadline: number | undefined;
   #deadlineTimer: NodeJS.Timeout | undefined;
@@ -86,6 +81,8 @@
     this.#options = options;
     this.#exchange = exchange;
     this.#arrival = options.clock.now();
+    const arrival = this.#arrival;
+    this.#admission = new CallAdmission(options, { ...exchange, arrival });
     const isHandedOver = exchange.origin !== undefined;
     this.#handover = new CallHandover(options, { isHandedOver });
     this.#reply = new CallReply({
@@ -120,8 +117,8 @@
     return {
       requestId: this.#callerRequestId ?? this.#exchange.id,
       call: this.#exchange.id,
-      service: this.#classified?.service.name ?? "none",
-      class: this.#classified?.class.name ?? "none",
+      service: this.#admission.classified?.service.name ?? "none",
+      class: this.#admission.classified?.class.name ?? "none",
       ageMs: Math.round(now - this.#arrival),
       leftMs: deadline === undefined ? undefined : Math.round(deadline - now),
       servers: this.servers.map(({ id }) => id),
@@ -136,7 +133,7 @@
       this.#reply.refuseHandedOver(refusal);
       return;
     }
-    const admitted = this.#admit();
+    const admitted = this.#admission.admit();
     if (admitted.isErr()) {
       this.#failBeforeClaim(admitted.error);
       return;
@@ -160,11 +157,11 @@
     const isDue = this.#handover.isDue(input.call.service);
     if (isDue && (await this.#passOn(input))) return;
     if (isDue && !this.#handover.mayTryHere(input)) {
-      this.#sendResult({ type: "fault", fault: nowhereFault() });
+      this.#refuseNowhere();
       return;
     }
     const ignoresCut = isDue;
-    const result = this.#usesIdempotencyKey
+    const result = this.#admission.usesIdempotencyKey
       ? await this.#runWithClaim(admittedCall, { ignoresCut })
       : await this.#runAttempts(admittedCall, { ignoresCut });
     if (!result) return;
@@ -178,6 +175,16 @@
     this.#sendResult(result);
   }
 
+  /** Refuses a call that neither this nor another entry can serve. */
+  #refuseNowhere(): void {
+    if (this.isHandedOver) this.#reply.refuseHandedOver("cut_off");
+    else this.#failBeforeClaim(nowhereFault());
+  }
+
+  #failBeforeClaim(fault: CallFault): void {
+    this.#reply.fail(this.#admission.faultBeforeClaim(fault));
+  }
+
   /** Passes the call on; false if no entry has taken it. */
   async #passOn(input: HandoverInput): Promise<boolean> {
     if (this.#stopReason) return false;
@@ -203,13 +210,13 @@
 
   /** To be called when this entry reaches no server of the service any more. */
   cutOff(service: string): void {
-    if (this.#classified?.service.name !== service) return;
+    if (this.#admission.classified?.service.name !== service) return;
     this.#attempts?.cutOff();
   }
 
   /** Gives the call up if it runs at servers of this service. */
   giveUpRunning(service: string): void {
-    if (this.#classified?.service.name !== service) return;
+    if (this.#admission.classified?.service.name !== service) return;
     this.#attempts?.giveUpRunning();
   }
 
@@ -228,7 +235,7 @@
 
   /** Refuses the call if it is not sent to a server early enough. */
   beginStop(schedule: StopSchedule): void {
-    const expected = this.#expectedDurations;
+    const expected = this.#admission.expectedDurations;
     if (!expected) return;
     const ms = schedule.sendBy(expected) - this.#options.clock.now();
     this.#stopTimer = setTimeout(
@@ -243,7 +250,7 @@
     clearTimeout(this.#stopTimer);
     const { writableFinished, brokenBy } = this.#exchange.response;
     if (writableFinished) {
-      this.#recordDuration();
+      if (this.#hasUsualEnd) this.#admission.recordDuration();
       return;
     }
     this.#options.metrics.recordBrokenAnswer(brokenBy ?? "client");
@@ -256,92 +263,6 @@
     this.#exchange.response.destroy();
   }
 
-  /**
-   * Fails a call before its idempotency key was claimed. The outcome of a call
-   * with a key is unknown, since an earlier attempt may have been executed.
-   */
-  #failBeforeClaim(fault: CallFault): void {
-    const hasKey = this.#exchange.request.headers[HEADERS.key] !== undefined;
-    const mayHaveRun = hasKey && this.#usesIdempotencyKey;
-    this.#reply.fail(mayHaveRun ? { ...fault, outcome: "unknown" } : fault);
-  }
-
-  /** Whether the request is identified by its key; true for unknown classes. */
-  get #usesIdempotencyKey(): boolean {
-    const requestClass = this.#classified?.class;
-    return !requestClass?.repeatable && requestClass?.identity !== "request";
-  }
-
-  #admit(): Result<{ call: Call; chain: CallChain }, CallFault> {
-    const { ready, classifier } = this.#options;
-    if (!ready()) {
-      const retryAfterMs = NOT_READY_RETRY_MS;
-      return err(callFault("not_ready", { retryAfterMs }));
-    }
-    return classifier()
-      .classify(this.#exchange.request)
-      .andThen((classified) => {
-        this.#classified = classified;
-        return this.#refusedByStop()
-          ? err(callFault("entry_stopping"))
-          : this.#createCall(classified);
-      });
-  }
-
-  /** Whether the entry stops too soon for a call that arrives now. */
-  #refusedByStop(): boolean {
-    const schedule = this.#options.stopSchedule();
-    const expected = this.#expectedDurations;
-    if (!schedule || !expected) return false;
-    return !schedule.accepts(this.#arrival, expected);
-  }
-
-  get #expectedDurations(): ExpectedDurations | undefined {
-    if (!this.#classified) return undefined;
-    const { service, class: requestClass } = this.#classified;
-    const { policies, clock } = this.#options;
-    const objectiveMs = requestClass.targetMs ?? requestClass.deadlineMs;
-    return policies
-      .durations(service.name, requestClass.name)
-      ?.expected(objectiveMs, clock.now());
-  }
-
-  #recordDuration(): void {
-    if (!this.#hasUsualEnd || !this.#classified) return;
-    const { service, class: requestClass } = this.#classified;
-    const { policies, clock } = this.#options;
-    const now = clock.now();
-    policies
-      .durations(service.name, requestClass.name)
-      ?.recordTotal(now - this.#arrival, now);
-  }
-
-  #createCall({ service, class: requestClass }: ClassifiedRequest) {
-    const { headers } = this.#exchange.request;
-    const classDeadlineMs = requestClass.deadlineMs;
-    const now = this.#arrival;
-    return this.#options.protocol
-      .parseChain(headers, { now, classDeadlineMs })
-      .mapErr(toCallFault)
-      .map((chain) => {
-        const { deadline, depth, retries } = chain;
-        const call: Call = {
-          id: this.#exchange.id,
-          service: service.name,
-          class: requestClass.name,
-          priority: requestClass.priority,
-          repeatable: requestClass.repeatable,
-          arrival: now,
-          deadline,
-          depth,
-          retries,
-          attempts: requestClass.attempts,
-          target: now + (requestClass.targetMs ?? requestClass.deadlineMs),
-        };
-        return { call, chain };
-      });
-  }
-
   #startDeadline(call: Call): void {
     this.#deadline = call.deadline;
     const ms = Math.max(0, call.deadline - this.#options.clock.now());
@@ -395,7 +316,7 @@
     let settlement: Settlement = { type: "ran" };
     try {
       const result = await this.#runAttempts(admittedCall, options);
-      settlement = this.#toSettlement(result);
+      settlement = settlementOf(result);
       return result;
     } finally {
       this.#options.claims.settle(call.id, settlement);
@@ -446,7 +367,7 @@
 
   /** Whether the entry that passed the call on should ask another one. */
   #goesBack({ outcome }: CallFault): boolean {
-    const service = this.#classified?.service.name;
+    const service = this.#admission.classified?.service.name;
     if (!this.isHandedOver || service === undefined) return false;
     return outcome === "not-run" && this.#handover.isDue(service);
   }
@@ -455,7 +376,8 @@
     // A non-repeatable request continues when its caller disconnects, so that a
     // resend gets the stored response instead of an unknown outcome.
     const isAtMostOnce =
-      this.#classified?.class.repeatable === false && this.#usesIdempotencyKey;
+      this.#admission.classified?.class.repeatable === false &&
+      this.#admission.usesIdempotencyKey;
     const isRunning = this.servers.length > 0 || this.#handover.isRunning;
     const isClosed = reason === "caller_closed" || reason === "entry_closed";
     if (isClosed && isAtMostOnce && isRunning) return;
@@ -481,8 +403,8 @@
     const { metrics, clock, logger, configuration } = this.#options;
     clearTimeout(this.#deadlineTimer);
     const ms = clock.now() - this.#arrival;
-    const service = this.#classified?.service.name ?? "none";
-    const className = this.#classified?.class.name ?? "none";
+    const service = this.#admission.classified?.service.name ?? "none";
+    const className = this.#admission.classified?.class.name ?? "none";
     metrics.recordCall({
       service,
       class: className,
@@ -495,13 +417,13 @@
       call: this.#exchange.id,
       service,
       class: className,
-      route: this.#classified?.route,
+      route: this.#admission.classified?.route,
       outcome,
       code: fault?.code,
       detail: fault?.detail,
       retryAfterMs: fault?.retryAfterMs,
       stopped: this.#stopReason,
-      objectiveMs: this.#classified?.class.targetMs,
+      objectiveMs: this.#admission.classified?.class.targetMs,
       ms: Math.round(ms),
       attempts: this.#attempts?.records,
       handovers: this.#handover.records,
@@ -509,20 +431,4 @@
       configuration: configuration(),
     });
   }
-
-  #toSettlement(result: CallAttemptsResult): Settlement {
-    if (result.type === "fault") {
-      const notRun = result.fault.outcome === "not-run";
-      return { type: notRun ? "not_started" : "ran" };
-    }
-    const { status, rawHeaders, body } = result.response;
-    // A streamed response is too long to be stored.
-    if (!body) return { type: "ran" };
-    const keptHeaders = endToEndHeaders(rawHeaders, SERVER_ONLY_HEADERS);
-    const headers: [string, string][] = [];
-    for (let i = 0; i < keptHeaders.length; i += 2) {
-      headers.push([keptHeaders[i] ?? "", keptHeaders[i + 1] ?? ""]);
-    }
-    return { type: "ran", answer: { status, headers, body } };
-  }
 }
--- a/packages/entry/handed_over_calls_test.ts
+++ b/packages/entry/handed_over_calls_test.ts
@@ -130,3 +130,31 @@
   assert.equal(status, 400);
   assert.match(String(body), /mangobank-handover-cluster is reserved/);
 });
+
+/** Calls until the answer has this code. */
+async function untilCode(
+  code: string,
+  call: () => ReturnType<typeof send>,
+): ReturnType<typeof send> {
+  for (;;) {
+    const answer = await call();
+    if (answer.headers[HEADERS.error] === code) return answer;
+  }
+}
+
+// Guards against calls that go round between entries that reach no server, and
+// against a key that is told as not run although an earlier send may have run.
+test("calls that no entry can serve are refused at once", async () => {
+  const [caller] = site.addresses;
+  const [server] = site.servers;
+  assert.ok(caller && server);
+  await server.crash();
+  const startedAt = performance.now();
+  const lookup = await untilCode("no_server", () => send(caller, {}));
+  assert.ok(performance.now() - startedAt < 3_000);
+  assert.equal(lookup.headers[HEADERS.outcome], "not-run");
+  assert.ok(Number(lookup.headers[HEADERS.retryAfterMs]) > 0);
+  const booking = await send(caller, {}, uuidv7());
+  assert.equal(booking.headers[HEADERS.error], "no_server");
+  assert.equal(booking.headers[HEADERS.outcome], "unknown");
+});
