Send Retry-After with each refusal of an entry that is cut off

Callers of calls that waited for a server when their entry was cut off, and that no other entry took, got 503 without Retry-After: the fault of a call that is stopped by a cut named no time.

--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -18,9 +18,9 @@
   CallHandover,
   type HandoverInput,
   handoverRefusal,
-  nowhereFault,
 } from "./call_handover.ts";
 import { CallReply } from "./call_reply.ts";
+import { cutOffFault } from "./final_fault.ts";
 import type { HandoverOrigin, HandoverRefusal } from "./handover_protocol.ts";
 import type { ClaimDecision } from "./key_claims.ts";
 import { type RequestBody, readBody } from "./request_body.ts";
@@ -178,7 +178,7 @@
   /** Refuses a call that neither this nor another entry can serve. */
   #refuseNowhere(): void {
     if (this.isHandedOver) this.#reply.refuseHandedOver("cut_off");
-    else this.#failBeforeClaim(nowhereFault());
+    else this.#failBeforeClaim(cutOffFault());
   }
 
   #failBeforeClaim(fault: CallFault): void {
--- a/packages/entry/call_handover.ts
+++ b/packages/entry/call_handover.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from "node:http";
-import { type Call, type CallFault, callFault } from "#model";
+import type { Call } from "#model";
 import type { CallAttempts, CallAttemptsResult } from "./call_attempts.ts";
 import type {
   HandoverAttempt,
@@ -12,8 +12,6 @@
 
 /** Handed-over calls that an entry runs at a time; it refuses further ones. */
 const MAX_HANDED_OVER_CALLS = 256;
-/** Time after which to retry a call that no entry can serve. */
-const CUT_OFF_RETRY_MS = 1_000;
 
 /** A call with its request, as another entry needs it. */
 export interface HandoverInput {
@@ -90,14 +88,6 @@
   }
 }
 
-/** The fault of a call that neither this nor another entry can serve. */
-export function nowhereFault(): CallFault {
-  return callFault("no_server", {
-    retryAfterMs: CUT_OFF_RETRY_MS,
-    detail: "this entry reaches no server, and no other entry took the call",
-  });
-}
-
 /** Why an entry does not take a handed-over call on; undefined if it does. */
 export function handoverRefusal(
   origin: { readonly version: number },
--- a/packages/entry/final_fault.ts
+++ b/packages/entry/final_fault.ts
@@ -5,6 +5,9 @@
   callFault,
 } from "#model";
 
+/** Time after which to retry a call that no entry can serve. */
+const CUT_OFF_RETRY_MS = 1_000;
+
 /** How an earlier attempt ended that may have executed the request. */
 export interface EarlierRun {
   readonly detail: string;
@@ -41,3 +44,11 @@
     detail: `${earlierRun.detail}; retry refused: ${code}`,
   });
 }
+
+/** The fault of a call that neither this nor another entry can serve. */
+export function cutOffFault(): CallFault {
+  return callFault("no_server", {
+    retryAfterMs: CUT_OFF_RETRY_MS,
+    detail: "this entry reaches no server, and no other entry took the call",
+  });
+}
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -21,6 +21,7 @@
   RequestResult,
   ResponseHead,
 } from "./backend_response.ts";
+import { cutOffFault } from "./final_fault.ts";
 import type { RequestBody } from "./request_body.ts";
 import type { ReverseProxyOptions } from "./reverse_proxy.ts";
 
@@ -308,7 +309,7 @@
 
 /** The fault of a call that was stopped before it was sent to a server. */
 export function stopFault(reason: StopReason | undefined): CallFault {
-  if (reason === "cut_off") return callFault("no_server");
+  if (reason === "cut_off") return cutOffFault();
   const code = reason === "entry_stops" ? "entry_stopping" : "deadline_expired";
   return callFault(code);
 }
