Blame a server only if the path worked after its failure

Trace: busy servers failed checks, so connections had just been accepted; one that was accepted within the last 250 ms spoke for the path when the cut began, and all entries that were asked were cut off too.

Before a server counts as crashed, connections are opened anew after its failure, and once more after the others have answered. For calls and checks an accepted connection speaks for the path for one failed server only; when a second one fails, connections are opened again. Both new tests fail on the former rule.

--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -180,7 +180,7 @@
       clock,
       logger,
       network,
-      judge: (server) => this.#paths.judge(server),
+      judge: (server) => this.#paths.judge(server, { isSure: true }),
     });
     this.#policies = new ServicePolicies({
       clock,
--- a/packages/entry/path_monitor.ts
+++ b/packages/entry/path_monitor.ts
@@ -70,15 +70,21 @@
     this.#paths.heard(server.service, this.#options.clock.now());
   }
 
-  /** Resolves with whose fault a failed connection or a missing answer is. */
-  judge(server: BackendServer): Promise<Fault> {
+  /**
+   * Resolves with whose fault a failed connection or a missing answer is; with
+   * `isSure`, from connections that are opened after the failure.
+   */
+  judge(
+    server: BackendServer,
+    options: { isSure?: boolean } = {},
+  ): Promise<Fault> {
     return new Promise((resolve) => {
       const key = backendServerKey(server);
       const questions = this.#questions.get(key);
       if (questions) questions.push(resolve);
       else this.#questions.set(key, [resolve]);
       const now = this.#options.clock.now();
-      this.#execute(this.#paths.failed(server, now));
+      this.#execute(this.#paths.failed(server, now, options));
     });
   }
 
--- a/packages/entry/quarantine_coordinator.ts
+++ b/packages/entry/quarantine_coordinator.ts
@@ -243,7 +243,10 @@
     });
     if (result !== "failed") return false;
     if ((await this.#judge(server)) === "path") return false;
-    return !(await this.#peerChecks.isReached(server, [...this.#peers]));
+    if (await this.#peerChecks.isReached(server, [...this.#peers]))
+      return false;
+    // A cut may have begun meanwhile, of this entry and of those asked.
+    return (await this.#judge(server)) === "server";
   }
 
   serverLost(server: BackendServer): void {
--- a/packages/reachability/server_paths.ts
+++ b/packages/reachability/server_paths.ts
@@ -56,8 +56,12 @@
    * A connection to the server, or an answer of it, has failed. An effect
    * `judged` follows, now or later.
    */
-  failed(server: BackendServer, now: number): PathEffect[] {
-    return this.#paths(server.service).failed(server, now);
+  failed(
+    server: BackendServer,
+    now: number,
+    options: { isSure?: boolean } = {},
+  ): PathEffect[] {
+    return this.#paths(server.service).failed(server, now, options);
   }
 
   /** Records the result of an attempt to open a connection. */
--- a/packages/reachability/service_paths.ts
+++ b/packages/reachability/service_paths.ts
@@ -9,6 +9,8 @@
  * overload, and connections cost them work.
  */
 const ACCEPTED_TTL_MS = 250;
+/** Servers that may fail in that time before connections are opened again. */
+const MAX_FAILED_SINCE = 1;
 /** Interval of connection attempts of an entry that is cut off. */
 const RECHECK_INTERVAL_MS = 200;
 /** The same after an attempt that succeeded. */
@@ -72,6 +74,13 @@
       readonly afterMs: number;
     };
 
+/** A connection that a server has accepted. */
+interface AcceptedConnection {
+  readonly at: number;
+  /** Servers of the data centre that have failed since. */
+  readonly failedSince: Set<BackendServerId>;
+}
+
 /** The attempts that follow the failure of a server. */
 interface Inquiry {
   readonly suspects: Map<BackendServerId, BackendServer>;
@@ -104,8 +113,8 @@
   #servers: readonly BackendServer[] = [];
   #inquiry: Inquiry | undefined;
   #cut: Cut | undefined;
-  /** Time of the last connection, by data centre. */
-  readonly #acceptedAt = new Map<string, number>();
+  /** The last connection, by data centre. */
+  readonly #accepted = new Map<string, AcceptedConnection>();
   #heardAt = Number.NEGATIVE_INFINITY;
   #restoredAt = Number.NEGATIVE_INFINITY;
   #confirmationsNeeded = CONFIRMATIONS;
@@ -140,15 +149,22 @@
     this.#heardAt = now;
   }
 
-  /** A connection to the server, or an answer of it, has failed. */
-  failed(server: BackendServer, now: number): PathEffect[] {
+  /**
+   * A connection to the server, or an answer of it, has failed. With `isSure`,
+   * only connections that are opened from now on speak for the path.
+   */
+  failed(
+    server: BackendServer,
+    now: number,
+    { isSure = false } = {},
+  ): PathEffect[] {
     if (this.#cut) return [{ type: "judged", server, fault: "path" }];
     if (this.#inquiry) {
       this.#inquiry.suspects.set(server.id, server);
       this.#inquiry.failedAt.set(server.id, now);
       return [];
     }
-    if (this.#hasAccepted(server.dataCentre, now)) {
+    if (!isSure && this.#speaksForPath(server, now)) {
       return [{ type: "judged", server, fault: "server" }];
     }
     const sample = this.#sample(server);
@@ -173,7 +189,8 @@
     if (!inquiry?.pending.delete(server.id)) return [];
     if (result === "accepted") {
       inquiry.accepted.set(server.id, server);
-      this.#acceptedAt.set(server.dataCentre, now);
+      const { dataCentre } = server;
+      this.#accepted.set(dataCentre, { at: now, failedSince: new Set() });
     }
     if (result === "failed") inquiry.failed.set(server.id, server);
     const isDecided = [...inquiry.suspects.values()].every((suspect) =>
@@ -274,9 +291,15 @@
     return [{ type: "restored", service: this.#service, afterMs }];
   }
 
-  #hasAccepted(dataCentre: string, now: number): boolean {
-    const acceptedAt = this.#acceptedAt.get(dataCentre);
-    return acceptedAt !== undefined && now - acceptedAt < ACCEPTED_TTL_MS;
+  /**
+   * Whether a connection that was accepted shows that this failure is not due to
+   * the path. It does not once several servers have failed since.
+   */
+  #speaksForPath({ id, dataCentre }: BackendServer, now: number): boolean {
+    const accepted = this.#accepted.get(dataCentre);
+    if (!accepted || now - accepted.at >= ACCEPTED_TTL_MS) return false;
+    accepted.failedSince.add(id);
+    return accepted.failedSince.size <= MAX_FAILED_SINCE;
   }
 
   /** Other servers to try; the failed one itself if it is the only one. */
--- a/packages/reachability/service_paths_test.ts
+++ b/packages/reachability/service_paths_test.ts
@@ -104,6 +104,26 @@
   assert.equal(paths.failed(FIRST, 251).length, 3);
 });
 
+// Guards against the first moments of a cut, in which an earlier connection
+// seemed to show that each server had failed by itself.
+test("several failures since a connection are judged anew", () => {
+  const paths = createPaths();
+  const resultOf = () => "accepted" as const;
+  settle(paths, paths.failed(FIRST, 0), { now: 1, resultOf });
+  const [, second] = SERVERS as [BackendServer, BackendServer];
+  assert.deepEqual(faults(paths.failed(second, 10)), ["s1 server"]);
+  assert.equal(paths.failed(FIRST, 11).length, 3);
+});
+
+// Guards against servers that count as crashed because a connection before the
+// cut speaks for the path (seen beside CI at load 38, platform/server_cut).
+test("a sure judgement needs connections after the failure", () => {
+  const paths = createPaths();
+  const resultOf = () => "accepted" as const;
+  settle(paths, paths.failed(FIRST, 0), { now: 1, resultOf });
+  assert.equal(paths.failed(FIRST, 2, { isSure: true }).length, 3);
+});
+
 // Guards against a cut of one data centre that is taken for dead servers.
 test("the path is to blame when only its data centre accepts nothing", () => {
   const paths = createPaths();
