Count crashed servers also where most of a service is dead

Trace: with two servers of a data centre dead by the request, a third loss there was judged a cut of the path to that data centre, so it did not count; and with all but the failed server dead, the entry took itself for cut off, since only the others were tried, and attempts to end the cut drew dead servers.

The failed server itself is among those that are tried. A loss counts unless the entry reaches no server of the service at all, or another entry reaches this one. Attempts to end a cut go on with the server that has accepted.

--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -180,7 +180,7 @@
       clock,
       logger,
       network,
-      judge: (server) => this.#paths.judge(server, { isSure: true }),
+      isCutOff: (server) => this.#paths.confirmCut(server),
     });
     this.#policies = new ServicePolicies({
       clock,
--- a/packages/entry/path_monitor.ts
+++ b/packages/entry/path_monitor.ts
@@ -70,6 +70,15 @@
     this.#paths.heard(server.service, this.#options.clock.now());
   }
 
+  /**
+   * Finds out, after a connection to the server has failed, whether this entry
+   * reaches no server of its service now.
+   */
+  async confirmCut(server: BackendServer): Promise<boolean> {
+    await this.judge(server, { isSure: true });
+    return this.isCutOff(server.service);
+  }
+
   /**
    * Resolves with whose fault a failed connection or a missing answer is; with
    * `isSure`, from connections that are opened after the failure.
--- a/packages/entry/quarantine_coordinator.ts
+++ b/packages/entry/quarantine_coordinator.ts
@@ -15,7 +15,6 @@
   type RunOutcome,
   type ServerIncarnation,
 } from "#quarantine";
-import type { Fault } from "#reachability";
 import type { Logger } from "#telemetry";
 import type { Network } from "#wire";
 import { tryConnection } from "./connection_check.ts";
@@ -38,11 +37,6 @@
   readonly startedAt: number;
 }
 
-/** An interrupted run, and whether its server or the path to it failed. */
-export interface LostConnection extends InterruptedRun {
-  readonly fault: Fault;
-}
-
 /** An interrupted request whose server may or may not have crashed. */
 interface UnconfirmedLoss extends InterruptedRun {
   readonly interruptedAt: number;
@@ -74,7 +68,7 @@
   readonly #checking = new Set<string>();
   readonly #self: HostId;
   readonly #peerChecks: PeerConnectionChecks;
-  readonly #judge: (server: BackendServer) => Promise<Fault>;
+  readonly #isCutOff: (server: BackendServer) => Promise<boolean>;
   #forwardsEvidence = false;
 
   readonly #syncs = new Map<number, (from: HostId) => void>();
@@ -85,11 +79,11 @@
     clock: Clock;
     logger: Logger;
     network: Network<QuarantineMessages>;
-    /** Finds out whose fault a failed connection is. */
-    judge: (server: BackendServer) => Promise<Fault>;
+    /** Finds out whether this entry reaches no server of the service at all. */
+    isCutOff: (server: BackendServer) => Promise<boolean>;
   }) {
-    const { self, clock, logger, network, judge } = options;
-    this.#judge = judge;
+    const { self, clock, logger, network, isCutOff } = options;
+    this.#isCutOff = isCutOff;
     this.#peerChecks = new PeerConnectionChecks({ network, clock });
     this.#self = self;
     this.#clock = clock;
@@ -209,17 +203,16 @@
 
   /**
    * Handles a lost connection. The server counts as lost if it accepts no new
-   * connection; otherwise it may just have closed an idle one. Nor does it if
-   * the path from this entry has failed. A server that has already restarted is
-   * detected as lost by its next announcement.
+   * connection; otherwise it may just have closed an idle one. A server that
+   * has already restarted is detected as lost by its next announcement.
    */
   async connectionLost(
     server: BackendServer,
-    { fault, ...run }: LostConnection,
+    run: InterruptedRun,
   ): Promise<void> {
     if (server.state === "leaving") return;
     const interruptedAt = this.#clock.now();
-    if (fault === "server" && (await this.#isLost(server))) {
+    if (await this.#isLost(server)) {
       this.serverLost(server);
       await this.#awaitPeerSync();
       return;
@@ -242,11 +235,11 @@
       clock: this.#clock,
     });
     if (result !== "failed") return false;
-    if ((await this.#judge(server)) === "path") return false;
+    if (await this.#isCutOff(server)) return false;
     if (await this.#peerChecks.isReached(server, [...this.#peers]))
       return false;
     // A cut may have begun meanwhile, of this entry and of those asked.
-    return (await this.#judge(server)) === "server";
+    return !(await this.#isCutOff(server));
   }
 
   serverLost(server: BackendServer): void {
--- a/packages/entry/quarantine_coordinator_test.ts
+++ b/packages/entry/quarantine_coordinator_test.ts
@@ -4,7 +4,6 @@
 import { test } from "node:test";
 import type { BackendServer, Clock } from "#model";
 import type { QuarantineMessages } from "#quarantine";
-import type { Fault } from "#reachability";
 import type { Logger } from "#telemetry";
 import type { Hello, Network } from "#wire";
 import { QuarantineCoordinator } from "./quarantine_coordinator.ts";
@@ -19,15 +18,15 @@
 const logger = { warn: () => undefined } as unknown as Logger;
 
 function createCoordinator(
-  options: { network?: Network<QuarantineMessages>; fault?: Fault } = {},
+  options: { network?: Network<QuarantineMessages>; isCutOff?: boolean } = {},
 ): QuarantineCoordinator {
-  const { fault = "server" } = options;
+  const { isCutOff = false } = options;
   return new QuarantineCoordinator({
     self: "entry-1",
     clock,
     logger,
     network: options.network ?? network,
-    judge: () => Promise.resolve(fault),
+    isCutOff: () => Promise.resolve(isCutOff),
   });
 }
 
@@ -75,11 +74,7 @@
   const server = backendServer(id, port);
   await coordinator.admit("poison", attemptId);
   coordinator.started(attemptId, server);
-  const run = {
-    fingerprint: "poison",
-    startedAt: now,
-    fault: "server",
-  } as const;
+  const run = { fingerprint: "poison", startedAt: now };
   now += 100;
   const checked = coordinator.connectionLost(server, run);
   if (stalls) stall();
@@ -163,7 +158,7 @@
   assert.equal((await interruptTwice(coordinator)).type, "run");
 });
 
-test("a server that this entry alone does not reach is not lost", async () => {
-  const coordinator = createCoordinator({ fault: "path" });
+test("a server that an entry without any path does not reach is not lost", async () => {
+  const coordinator = createCoordinator({ isCutOff: true });
   assert.equal((await interruptTwice(coordinator)).type, "run");
 });
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -240,7 +240,7 @@
       !(result.type === "fault" && result.fault.type === "bound_exceeded");
     if (fingerprint !== undefined) {
       const run = { fingerprint, startedAt };
-      if (lost) await quarantine.connectionLost(server, { ...run, fault });
+      if (lost) await quarantine.connectionLost(server, run);
       const runEnd = end.type === "answered" ? "answered" : "ended";
       quarantine.finished(this.#id, runEnd);
     }
--- a/packages/reachability/service_paths.ts
+++ b/packages/reachability/service_paths.ts
@@ -97,6 +97,8 @@
   nextCheckAt: number;
   readonly pending: Set<BackendServerId>;
   anyAccepted: boolean;
+  /** The server that has accepted the last connection; many may be dead. */
+  accepted: BackendServer | undefined;
   isSilent: boolean;
 }
 
@@ -213,7 +215,9 @@
     if (cut.pending.size > 0 || now < cut.nextCheckAt) return effects;
     cut.nextCheckAt = now + RECHECK_INTERVAL_MS;
     cut.anyAccepted = false;
-    for (const server of this.#draw(this.#servers, RECHECK_SERVERS)) {
+    const others = this.#servers.filter(({ id }) => id !== cut.accepted?.id);
+    const drawn = this.#draw(others, RECHECK_SERVERS);
+    for (const server of cut.accepted ? [cut.accepted, ...drawn] : drawn) {
       cut.pending.add(server.id);
       effects.push({ type: "connect", server });
     }
@@ -248,6 +252,7 @@
       nextCheckAt: now + RECHECK_INTERVAL_MS,
       pending: new Set(),
       anyAccepted: false,
+      accepted: undefined,
       isSilent: false,
     };
     const servers = [...inquiry.suspects.values(), ...inquiry.failed.values()];
@@ -272,10 +277,14 @@
     now: number,
   ): PathEffect[] {
     if (!cut.pending.delete(server.id)) return [];
-    cut.anyAccepted ||= result === "accepted";
+    if (result === "accepted") {
+      cut.anyAccepted = true;
+      cut.accepted = server;
+    }
     if (cut.pending.size > 0) return [];
     if (!cut.anyAccepted) {
       cut.confirmations = 0;
+      cut.accepted = undefined;
       return [];
     }
     cut.confirmations += 1;
@@ -302,15 +311,14 @@
     return accepted.failedSince.size <= MAX_FAILED_SINCE;
   }
 
-  /** Other servers to try; the failed one itself if it is the only one. */
+  /** The failed server, which may be the only live one, and others to try. */
   #sample(failed: BackendServer): BackendServer[] {
     const others = this.#servers.filter(({ id }) => id !== failed.id);
-    if (others.length === 0) return [failed];
     const isNear = ({ dataCentre }: BackendServer) =>
       dataCentre === failed.dataCentre;
     const near = this.#draw(others.filter(isNear), SAMPLE_NEAR);
     const far = others.filter((server) => !isNear(server));
-    return [...near, ...this.#draw(far, SAMPLE_FAR)];
+    return [failed, ...near, ...this.#draw(far, SAMPLE_FAR)];
   }
 
   /** Draws some servers at random. */
--- a/packages/reachability/service_paths_test.ts
+++ b/packages/reachability/service_paths_test.ts
@@ -101,7 +101,7 @@
   const resultOf = () => "accepted" as const;
   settle(paths, paths.failed(FIRST, 0), { now: 1, resultOf });
   assert.deepEqual(faults(paths.failed(FIRST, 250)), ["s0 server"]);
-  assert.equal(paths.failed(FIRST, 251).length, 3);
+  assert.equal(paths.failed(FIRST, 251).length, 4);
 });
 
 // Guards against the first moments of a cut, in which an earlier connection
@@ -112,7 +112,7 @@
   settle(paths, paths.failed(FIRST, 0), { now: 1, resultOf });
   const [, second] = SERVERS as [BackendServer, BackendServer];
   assert.deepEqual(faults(paths.failed(second, 10)), ["s1 server"]);
-  assert.equal(paths.failed(FIRST, 11).length, 3);
+  assert.equal(paths.failed(FIRST, 11).length, 4);
 });
 
 // Guards against servers that count as crashed because a connection before the
@@ -121,7 +121,7 @@
   const paths = createPaths();
   const resultOf = () => "accepted" as const;
   settle(paths, paths.failed(FIRST, 0), { now: 1, resultOf });
-  assert.equal(paths.failed(FIRST, 2, { isSure: true }).length, 3);
+  assert.equal(paths.failed(FIRST, 2, { isSure: true }).length, 4);
 });
 
 // Guards against a cut of one data centre that is taken for dead servers.
@@ -151,6 +151,34 @@
   assert.equal(paths.isCutOff, false);
 });
 
+// Guards against a cut that is seen where all servers but the failed one are
+// dead, as after a request that crashed them (callfaults/cut_entries).
+test("a server that failed once and accepts a connection shows a path", () => {
+  const paths = createPaths();
+  const effects = settle(paths, paths.failed(FIRST, 0), {
+    now: 1,
+    resultOf: ({ id }) => (id === FIRST.id ? "accepted" : "failed"),
+  });
+  assert.deepEqual(faults(effects), ["s0 server"]);
+  assert.equal(paths.isCutOff, false);
+});
+
+// Guards against a cut that goes on because dead servers are tried in turn.
+test("one live server of many ends a cut", () => {
+  const paths = createPaths();
+  cutOff(paths, 0);
+  let now = 0;
+  while (paths.isCutOff && now < 5_000) {
+    now += 50;
+    const at = now;
+    settle(paths, paths.tick(at), {
+      now: at,
+      resultOf: ({ id }) => (id === "s5" ? "accepted" : "failed"),
+    });
+  }
+  assert.ok(now < 2_000, `${now} ms`);
+});
+
 test("the only server of a service is tried itself", () => {
   const paths = createPaths([FIRST]);
   assert.deepEqual(paths.failed(FIRST, 0), [
