--- a/packages/entry/path_monitor.ts
+++ b/packages/entry/path_monitor.ts
@@ -108,7 +108,7 @@
     this.#peers.delete(id);
   }
 
-  /** Numbers of services of which this entry reaches no server. */
+  /** Number of services of which this entry reaches no server. */
   get cutOffCount(): number {
     return this.#paths.cutOffServices().length;
   }
