Bound the load that tests make through an outage

Cause, in the test callers: each unfinished call was retried every 150 ms, each retry looked up the entries again, and calls piled up without a limit. The process of such a test grew to 1.4 GB (10 MB/s); a profile showed 64% of its time in promise callbacks, 22% in connecting for lookups. The relays of the deployment run in the same process, so that links closed as link_silent and hello_missing for minutes and no outage ended. A failed test left its load running through the next ones, and a report of a hanging process had no time limit.

Callers now make one lookup at a time, double the delay of retries without Retry-After up to 1.2 s, and have at most 600 unfinished calls. Each test ends its load; a report takes at most 5 s.

--- a/packages/callfaults/call_fault_site.ts
+++ b/packages/callfaults/call_fault_site.ts
@@ -21,6 +21,8 @@
 
 /** Timeout of every wait; generous, so that no test fails on a busy machine. */
 export const WAIT_TIMEOUT_MS = 30_000;
+/** Without it, a report of a process that hangs outlasts each wait for it. */
+const REPORT_TIMEOUT_MS = 5_000;
 
 export interface CallFaultSiteOptions {
   readonly entries: number;
@@ -199,7 +201,8 @@
   /** Reads an entry's `/readyz`; undefined if it doesn't answer. */
   entryReport(id: HostId): Promise<EntryReport | undefined> {
     const { metrics } = this.#entry(id);
-    return fetch(`http://${metrics.host}:${metrics.port}/readyz`)
+    const signal = AbortSignal.timeout(REPORT_TIMEOUT_MS);
+    return fetch(`http://${metrics.host}:${metrics.port}/readyz`, { signal })
       .then((response) => response.json() as Promise<EntryReport>)
       .catch(() => undefined);
   }
--- a/packages/callfaults/cut_entries_test.ts
+++ b/packages/callfaults/cut_entries_test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { after, before, test } from "node:test";
+import { after, afterEach, before, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { v7 as uuidv7 } from "uuid";
 import { until } from "../demo/until.ts";
@@ -35,8 +35,10 @@
   await site.addBackends(SERVICE, { count: 5, serviceMs: 20 });
 });
 
+// The load of a failed test would go on through the tests after it.
+afterEach(abortLoadGenerators);
+
 after(async () => {
-  abortLoadGenerators();
   await site?.close();
 });
 
--- a/packages/callfaults/load_generator.ts
+++ b/packages/callfaults/load_generator.ts
@@ -40,9 +40,24 @@
  * for 33 s (design 6.3), so a booking may take that long.
  */
 const RETRY_FOR_MS = 50_000;
-/** Delay before a retry if the response names none. */
-const DEFAULT_RETRY_DELAY_MS = 150;
+/**
+ * Delay before the first retry if the response names none. Doubles with each
+ * retry: callers that all retry at this rate through an outage take more
+ * processor time than the processes under test.
+ */
+const FIRST_RETRY_DELAY_MS = 150;
+const LAST_RETRY_DELAY_MS = 1_200;
+/** Delay after a failed lookup of entries before the next one. */
+const LOOKUP_RETRY_DELAY_MS = 150;
 const CALLER_COUNT = 8;
+/**
+ * Limit of calls without a final outcome, 4 s of load. Without it, calls pile
+ * up through an outage until their retries, and the relays in the same process,
+ * no longer get the processor time to end it.
+ */
+export const MAX_UNFINISHED_CALLS = 600;
+/** Delay before looking again whether a call has finished. */
+const UNFINISHED_CHECK_MS = 20;
 
 const activeGenerators = new Set<LoadGenerator>();
 
@@ -119,6 +134,9 @@
   readonly #agent = new Agent({ keepAlive: true });
   #closed = false;
   #cachedAddresses: CachedAddresses | undefined;
+  /** The lookup that runs; calls of this caller share it. */
+  #lookup: Promise<void> | undefined;
+  #nextLookupAt = 0;
 
   constructor(options: {
     seeds: readonly Address[];
@@ -134,6 +152,7 @@
     const attempts: Attempt[] = [];
     const retryUntil = performance.now() + this.#retryForMs;
     let failedEntry: Address | undefined;
+    let delayMs = FIRST_RETRY_DELAY_MS;
     for (;;) {
       const entry = await this.#chooseEntry(request.service, failedEntry);
       const attempt = await sendOnce(entry, request, this.#agent);
@@ -143,7 +162,8 @@
         return { service: request.service, attempts };
       }
       failedEntry = attempt.outcome === "no-answer" ? entry : undefined;
-      await sleep(attempt.retryAfterMs ?? DEFAULT_RETRY_DELAY_MS);
+      await sleep(attempt.retryAfterMs ?? delayMs);
+      delayMs = Math.min(2 * delayMs, LAST_RETRY_DELAY_MS);
     }
   }
 
@@ -157,8 +177,14 @@
     failedEntry: Address | undefined,
   ): Promise<Address> {
     const now = performance.now();
-    if (!this.#cachedAddresses || this.#cachedAddresses.until < now)
-      await this.#refreshAddresses(service);
+    const expired = !this.#cachedAddresses || this.#cachedAddresses.until < now;
+    if (expired && now >= this.#nextLookupAt) {
+      this.#lookup ??= this.#refreshAddresses(service).finally(() => {
+        this.#lookup = undefined;
+        this.#nextLookupAt = performance.now() + LOOKUP_RETRY_DELAY_MS;
+      });
+      await this.#lookup;
+    }
     const all = this.#cachedAddresses?.list ?? [];
     const reachable = all.filter(({ port }) => port !== failedEntry?.port);
     const weighted = reachable.filter(({ weight }) => weight > 0);
@@ -268,11 +294,16 @@
   }
 
   async #run(): Promise<void> {
-    const started = performance.now();
+    let dueAt = performance.now();
     while (!this.#stopped) {
-      const due = started + (this.sent * 1_000) / this.#rate;
-      const delayMs = due - performance.now();
+      if (this.#pending.size >= MAX_UNFINISHED_CALLS) {
+        await sleep(UNFINISHED_CHECK_MS);
+        dueAt = performance.now();
+        continue;
+      }
+      const delayMs = dueAt - performance.now();
       if (delayMs > 0) await sleep(delayMs);
+      dueAt += 1_000 / this.#rate;
       const caller = this.#callers[this.sent % CALLER_COUNT];
       const number = this.sent++;
       const request =
--- a/packages/callfaults/running_site_test.ts
+++ b/packages/callfaults/running_site_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { connect } from "node:net";
-import { after, before, test } from "node:test";
+import { after, afterEach, before, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { v7 as uuidv7 } from "uuid";
 import { HEADERS } from "#model";
@@ -82,9 +82,11 @@
   }, 3_000);
 });
 
+// The load of a failed test would go on through the tests after it.
+afterEach(abortLoadGenerators);
+
 after(async () => {
   clearInterval(quietCalls);
-  abortLoadGenerators();
   await site?.close();
 });
 
--- a/packages/callfaults/together_test.ts
+++ b/packages/callfaults/together_test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { after, before, test } from "node:test";
+import { after, afterEach, before, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { BackendHandle } from "./backend_handle.ts";
 import { CallFaultSite } from "./call_fault_site.ts";
@@ -31,8 +31,10 @@
   await sleep(FIRST_VIEWS_MS);
 });
 
+// The load of a failed test would go on through the tests after it.
+afterEach(abortLoadGenerators);
+
 after(async () => {
-  abortLoadGenerators();
   await site?.close();
 });
 
