Avoid a data centre whose servers accept no connections

Two of five servers had crashed, both in riga-a. Entries sent one of them up to 61 calls a second, each refused, from 14:03:07.7 to its lease's end at 14:03:13.6, and calls queued behind them. The dispatcher ejected the other one, which had failed before.

Nothing else kept calls away from servers that are all dead.

ServicePaths now counts such a data centre as lost: failures there are judged at once, calls exclude its servers in their choice and in requests to the dispatcher, and connections every 200 ms find out when two in a row succeed (PathRecheck, shared with the end of a cut). Two log lines tell it.

--- a/packages/entry/path_monitor.ts
+++ b/packages/entry/path_monitor.ts
@@ -1,5 +1,6 @@
 import {
   type BackendServer,
+  type BackendServerId,
   backendServerKey,
   type Clock,
   type HostId,
@@ -55,6 +56,11 @@
     return this.#paths.isCutOff(service);
   }
 
+  /** Servers that calls should avoid, as this entry does not reach them. */
+  unreached(service: string): readonly BackendServerId[] {
+    return this.#paths.unreached(service);
+  }
+
   /** Whether a server of the service has just answered. */
   hasAnswered(service: string): boolean {
     return this.#paths.hasAnswered(service, this.#options.clock.now());
@@ -153,6 +159,20 @@
         logger.warn("running calls get no answer", { service: effect.service });
         onSilent(effect.service);
         return;
+      case "data_centre_lost":
+        logger.warn("no path to the servers of a service in a data centre", {
+          service: effect.service,
+          dataCentre: effect.dataCentre,
+          ...effect.evidence,
+        });
+        return;
+      case "data_centre_restored":
+        logger.info("path to the servers in a data centre is back", {
+          service: effect.service,
+          dataCentre: effect.dataCentre,
+          afterMs: Math.round(effect.afterMs),
+        });
+        return;
       case "restored":
         logger.info("path to the servers of a service is back", {
           service: effect.service,
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -98,7 +98,9 @@
     this.#input = attempt.input;
     this.#id = attempt.id;
     this.#chain = attempt.chain;
-    this.#excludedServers = new Set(attempt.exclude);
+    const { service } = attempt.input.call;
+    const unreached = options.paths.unreached(service);
+    this.#excludedServers = new Set([...attempt.exclude, ...unreached]);
   }
 
   /** The server that is processing the call. */
--- a/packages/reachability/server_paths.ts
+++ b/packages/reachability/server_paths.ts
@@ -1,4 +1,4 @@
-import type { BackendServer, Randomness } from "#model";
+import type { BackendServer, BackendServerId, Randomness } from "#model";
 import {
   type ConnectionResult,
   type PathEffect,
@@ -31,6 +31,11 @@
       .map(([name]) => name);
   }
 
+  /** Servers that calls should avoid, as this entry does not reach them. */
+  unreached(service: string): readonly BackendServerId[] {
+    return this.#services.get(service)?.unreached ?? [];
+  }
+
   /** Whether `tick` has anything to do. */
   get isActive(): boolean {
     for (const paths of this.#services.values()) {
--- a/packages/reachability/service_paths.ts
+++ b/packages/reachability/service_paths.ts
@@ -1,4 +1,5 @@
 import type { BackendServer, BackendServerId, Randomness } from "#model";
+import { CONFIRMATIONS, PathRecheck } from "./path_recheck.ts";
 
 /** Other servers that are tried when one fails, in and outside its data centre. */
 const SAMPLE_NEAR = 2;
@@ -13,15 +14,7 @@
 const ACCEPTED_TTL_MS = 250;
 /** Servers that may fail in that time before connections are opened again. */
 const MAX_FAILED_SINCE = 1;
-/** Interval of connection attempts of an entry that is cut off. */
-const RECHECK_INTERVAL_MS = 200;
-/** The same after an attempt that succeeded. */
-const CONFIRM_INTERVAL_MS = 50;
-/** Servers that are tried at a time. */
-const RECHECK_SERVERS = 2;
-/** Successful attempts in a row that end a cut. */
-const CONFIRMATIONS = 2;
-/** The same at most, where a path fails again and again. */
+/** Attempts that end a cut at most, where a path fails again and again. */
 const CONFIRMATIONS_MAX = 16;
 /** Time after the end of a cut in which a further one counts as the same. */
 const FLAP_WINDOW_MS = 10_000;
@@ -74,6 +67,19 @@
       readonly type: "restored";
       readonly service: string;
       readonly afterMs: number;
+    }
+  /** Calls should avoid the servers of this data centre. */
+  | {
+      readonly type: "data_centre_lost";
+      readonly service: string;
+      readonly dataCentre: string;
+      readonly evidence: PathEvidence;
+    }
+  | {
+      readonly type: "data_centre_restored";
+      readonly service: string;
+      readonly dataCentre: string;
+      readonly afterMs: number;
     };
 
 /** A connection that a server has accepted. */
@@ -97,14 +103,7 @@
 }
 
 interface Cut {
-  readonly since: number;
-  /** Successful attempts in a row. */
-  confirmations: number;
-  nextCheckAt: number;
-  readonly pending: Set<BackendServerId>;
-  anyAccepted: boolean;
-  /** The server that has accepted the last connection; many may be dead. */
-  accepted: BackendServer | undefined;
+  readonly recheck: PathRecheck;
   isSilent: boolean;
 }
 
@@ -113,7 +112,8 @@
  * an answer fails, the entry opens connections to a few other servers. If none
  * of them accepts one, the entry is cut off, and no server is to blame. If only
  * those in the data centre of the failed server don't, the path to that data
- * centre is. Otherwise it is the server.
+ * centre is, or all of them are dead: calls avoid it until one accepts.
+ * Otherwise it is the server.
  */
 export class ServicePaths {
   readonly #service: string;
@@ -121,6 +121,7 @@
   #servers: readonly BackendServer[] = [];
   #inquiry: Inquiry | undefined;
   #cut: Cut | undefined;
+  readonly #lostDataCentres = new Map<string, PathRecheck>();
   /** The last connection, by data centre. */
   readonly #accepted = new Map<string, AcceptedConnection>();
   #heardAt = Number.NEGATIVE_INFINITY;
@@ -138,7 +139,15 @@
 
   /** Whether `tick` has anything to do. */
   get isActive(): boolean {
-    return this.#cut !== undefined;
+    return this.#cut !== undefined || this.#lostDataCentres.size > 0;
+  }
+
+  /** Servers that calls should avoid, as this entry does not reach them. */
+  get unreached(): BackendServerId[] {
+    if (this.#lostDataCentres.size === 0) return [];
+    return this.#servers
+      .filter(({ dataCentre }) => this.#lostDataCentres.has(dataCentre))
+      .map(({ id }) => id);
   }
 
   /** Whether a server has answered so recently that calls may be sent. */
@@ -148,8 +157,11 @@
 
   setServers(servers: readonly BackendServer[], now: number): PathEffect[] {
     this.#servers = servers;
-    if (servers.length > 0 || !this.#cut) return [];
-    return this.#restore(this.#cut, now);
+    if (this.#cut) return servers.length > 0 ? [] : this.#restore(now);
+    const left = new Set(servers.map(({ dataCentre }) => dataCentre));
+    return [...this.#lostDataCentres.keys()]
+      .filter((dataCentre) => !left.has(dataCentre))
+      .flatMap((dataCentre) => this.#restoreDataCentre(dataCentre, now));
   }
 
   /** Records an answer of any server. */
@@ -166,7 +178,8 @@
     now: number,
     { isSure = false } = {},
   ): PathEffect[] {
-    if (this.#cut) return [{ type: "judged", server, fault: "path" }];
+    const isLost = this.#lostDataCentres.has(server.dataCentre);
+    if (this.#cut || isLost) return [{ type: "judged", server, fault: "path" }];
     if (this.#inquiry) {
       this.#inquiry.suspects.set(server.id, server);
       this.#inquiry.failedAt.set(server.id, now);
@@ -194,7 +207,24 @@
     result: ConnectionResult,
     now: number,
   ): PathEffect[] {
-    if (this.#cut) return this.#recheck(this.#cut, server, result, now);
+    const isAccepted = result === "accepted";
+    const { dataCentre } = server;
+    if (this.#cut) {
+      const isBack = this.#cut.recheck.tried(server, isAccepted, now);
+      return isBack ? this.#restore(now) : [];
+    }
+    const lost = this.#lostDataCentres.get(dataCentre);
+    const effects = lost?.tried(server, isAccepted, now)
+      ? this.#restoreDataCentre(dataCentre, now)
+      : [];
+    return [...effects, ...this.#recordInquiry(server, result, now)];
+  }
+
+  #recordInquiry(
+    server: BackendServer,
+    result: ConnectionResult,
+    now: number,
+  ): PathEffect[] {
     const inquiry = this.#inquiry;
     if (!inquiry?.pending.delete(server.id)) return [];
     if (result === "accepted") {
@@ -216,25 +246,34 @@
 
   tick(now: number): PathEffect[] {
     const cut = this.#cut;
-    if (!cut) return [];
-    const effects: PathEffect[] = [];
-    const isSilent = now - cut.since >= SILENCE_MS && this.#heardAt < cut.since;
+    if (!cut) return this.#recheckDataCentres(now);
+    const { since } = cut.recheck;
+    const effects = this.#recheck(cut.recheck, this.#servers, now);
+    const isSilent = now - since >= SILENCE_MS && this.#heardAt < since;
     if (isSilent && !cut.isSilent) {
       cut.isSilent = true;
       effects.push({ type: "silent", service: this.#service });
     }
-    if (cut.pending.size > 0 || now < cut.nextCheckAt) return effects;
-    cut.nextCheckAt = now + RECHECK_INTERVAL_MS;
-    cut.anyAccepted = false;
-    const others = this.#servers.filter(({ id }) => id !== cut.accepted?.id);
-    const drawn = this.#draw(others, RECHECK_SERVERS);
-    for (const server of cut.accepted ? [cut.accepted, ...drawn] : drawn) {
-      cut.pending.add(server.id);
-      effects.push({ type: "connect", server });
-    }
     return effects;
   }
 
+  #recheckDataCentres(now: number): PathEffect[] {
+    return [...this.#lostDataCentres].flatMap(([lost, recheck]) => {
+      const servers = this.#servers.filter((s) => s.dataCentre === lost);
+      return this.#recheck(recheck, servers, now);
+    });
+  }
+
+  #recheck(
+    recheck: PathRecheck,
+    servers: readonly BackendServer[],
+    now: number,
+  ): PathEffect[] {
+    return recheck
+      .serversToTry(servers, (from, count) => this.#draw(from, count), now)
+      .map((server) => ({ type: "connect", server }));
+  }
+
   /**
    * Tries further servers once if none has accepted, as many may be dead: those
    * that were not tried, and those whose attempt had no result.
@@ -260,7 +299,7 @@
     }
     // Without any result, nothing is known of the suspects.
     if (accepted.size === 0) return judge(suspects, () => "path");
-    return judge(suspects, ({ id, dataCentre }) => {
+    const judged = judge(suspects, ({ id, dataCentre }) => {
       if (hasDataCentre(accepted, dataCentre)) return "server";
       const others = [...failed.values(), ...suspects.values()];
       const isAlone = others.every(
@@ -268,6 +307,35 @@
       );
       return isAlone ? "server" : "path";
     });
+    const lost = judged.flatMap((effect) =>
+      effect.type === "judged" && effect.fault === "path"
+        ? [effect.server.dataCentre]
+        : [],
+    );
+    const effects = [...new Set(lost)].map((dataCentre) =>
+      this.#loseDataCentre(dataCentre, inquiry, now),
+    );
+    return [...effects, ...judged];
+  }
+
+  #loseDataCentre(
+    dataCentre: string,
+    inquiry: Inquiry,
+    now: number,
+  ): PathEffect {
+    this.#lostDataCentres.set(dataCentre, new PathRecheck(now));
+    const evidence = this.#evidence(inquiry, now);
+    const service = this.#service;
+    return { type: "data_centre_lost", service, dataCentre, evidence };
+  }
+
+  #restoreDataCentre(dataCentre: string, now: number): PathEffect[] {
+    const recheck = this.#lostDataCentres.get(dataCentre);
+    if (!recheck) return [];
+    this.#lostDataCentres.delete(dataCentre);
+    const service = this.#service;
+    const afterMs = now - recheck.since;
+    return [{ type: "data_centre_restored", service, dataCentre, afterMs }];
   }
 
   #cutOff(inquiry: Inquiry, now: number): PathEffect[] {
@@ -276,17 +344,20 @@
       ? Math.min(CONFIRMATIONS_MAX, 2 * this.#confirmationsNeeded)
       : CONFIRMATIONS;
     this.#cut = {
-      since: now,
-      confirmations: 0,
-      nextCheckAt: now + RECHECK_INTERVAL_MS,
-      pending: new Set(),
-      anyAccepted: false,
-      accepted: undefined,
+      recheck: new PathRecheck(now, this.#confirmationsNeeded),
       isSilent: false,
     };
+    const restored = [...this.#lostDataCentres.keys()].flatMap((dataCentre) =>
+      this.#restoreDataCentre(dataCentre, now),
+    );
+    const evidence = this.#evidence(inquiry, now);
+    return [...restored, { type: "cut_off", service: this.#service, evidence }];
+  }
+
+  #evidence(inquiry: Inquiry, now: number): PathEvidence {
     const servers = [...inquiry.suspects.values(), ...inquiry.failed.values()];
     const heardMsAgo = now - this.#heardAt;
-    const evidence = {
+    return {
       failed: [...new Set(servers.map(({ id }) => id))].map(
         (id) =>
           [id, Math.round(now - (inquiry.failedAt.get(id) ?? now))] as const,
@@ -296,36 +367,13 @@
         ? Math.round(heardMsAgo)
         : undefined,
     };
-    return [{ type: "cut_off", service: this.#service, evidence }];
-  }
-
-  #recheck(
-    cut: Cut,
-    server: BackendServer,
-    result: ConnectionResult,
-    now: number,
-  ): PathEffect[] {
-    if (!cut.pending.delete(server.id)) return [];
-    if (result === "accepted") {
-      cut.anyAccepted = true;
-      cut.accepted = server;
-    }
-    if (cut.pending.size > 0) return [];
-    if (!cut.anyAccepted) {
-      cut.confirmations = 0;
-      cut.accepted = undefined;
-      return [];
-    }
-    cut.confirmations += 1;
-    cut.nextCheckAt = now + CONFIRM_INTERVAL_MS;
-    if (cut.confirmations < this.#confirmationsNeeded) return [];
-    return this.#restore(cut, now);
   }
 
-  #restore(cut: Cut, now: number): PathEffect[] {
+  #restore(now: number): PathEffect[] {
+    const since = this.#cut?.recheck.since ?? now;
     this.#cut = undefined;
     this.#restoredAt = now;
-    const afterMs = now - cut.since;
+    const afterMs = now - since;
     return [{ type: "restored", service: this.#service, afterMs }];
   }
 
--- a/packages/reachability/service_paths_test.ts
+++ b/packages/reachability/service_paths_test.ts
@@ -278,3 +278,62 @@
     assert.equal(paths.isCutOff, false, `only ${live.id} is alive`);
   }
 });
+
+/** Lets the servers of data centre `a` fail, and the others accept. */
+function loseDataCentre(paths: ServicePaths, now: number): PathEffect[] {
+  const resultOf = ({ dataCentre }: BackendServer): ConnectionResult =>
+    dataCentre === "a" ? "failed" : "accepted";
+  return settle(paths, paths.failed(FIRST, now), { now, resultOf });
+}
+
+// Guards against calls that go on being sent to a data centre whose servers
+// have all crashed, until their leases expire.
+test("the servers of a data centre that accept nothing are avoided", () => {
+  const paths = createPaths();
+  const effects = loseDataCentre(paths, 10);
+  assert.deepEqual(faults(effects), ["s0 path"]);
+  assert.deepEqual(
+    effects.map(({ type }) => type),
+    ["data_centre_lost", "judged"],
+  );
+  assert.deepEqual(paths.unreached, ["s0", "s1"]);
+  assert.equal(paths.isCutOff, false);
+  // A call that was under way needs no further connections.
+  assert.deepEqual(faults(paths.failed(FIRST, 20)), ["s0 path"]);
+});
+
+test("a data centre is used again once its servers accept connections", () => {
+  const paths = createPaths();
+  loseDataCentre(paths, 0);
+  run(paths, { from: 50, to: 1_000 }, "failed");
+  assert.deepEqual(paths.unreached, ["s0", "s1"]);
+  const effects = run(paths, { from: 1_050, to: 1_500 }, "accepted");
+  assert.deepEqual(effects, [
+    {
+      type: "data_centre_restored",
+      service: "alloc",
+      dataCentre: "a",
+      afterMs: 1_250,
+    },
+  ]);
+  assert.deepEqual(paths.unreached, []);
+  assert.equal(paths.isActive, false);
+});
+
+test("a lost data centre is forgotten with its servers, and in a cut", () => {
+  const gone = createPaths();
+  loseDataCentre(gone, 0);
+  const effects = gone.setServers(SERVERS.slice(2), 10);
+  assert.deepEqual(
+    effects.map(({ type }) => type),
+    ["data_centre_restored"],
+  );
+  assert.equal(gone.isActive, false);
+  const cut = createPaths();
+  loseDataCentre(cut, 0);
+  const [, , third] = SERVERS as [BackendServer, BackendServer, BackendServer];
+  const resultOf = () => "failed" as const;
+  settle(cut, cut.failed(third, 600), { now: 600, resultOf });
+  assert.equal(cut.isCutOff, true);
+  assert.deepEqual(cut.unreached, []);
+});
--- a/packages/reachability/simulation.ts
+++ b/packages/reachability/simulation.ts
@@ -203,7 +203,10 @@
     tried: Set<string>,
     finish: (served: boolean) => void,
   ): void {
-    const left = this.#servers.filter(({ id }) => !tried.has(id));
+    const untried = this.#servers.filter(({ id }) => !tried.has(id));
+    const unreached = entry.paths.unreached(SERVICE);
+    const preferred = untried.filter(({ id }) => !unreached.includes(id));
+    const left = preferred.length > 0 ? preferred : untried;
     const server = left[this.#random.below(Math.max(1, left.length))];
     if (!server || tried.size >= MAX_CHECKS || entry.paths.isCutOff(SERVICE)) {
       finish(false);
