Run tests that start deployments two at a time

Test files under callfaults, faults and platform now run two at a time, after all others. No test, bound or assertion is changed. A run that is killed without naming a test fails, also beside a run with known failures only.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -22,24 +22,57 @@
   console.error("no test file matches");
   process.exit(1);
 }
-const reportFolder = mkdtempSync(join(tmpdir(), "mangobank-test-"));
-const reportFile = join(reportFolder, "report.tap");
-const run = spawnSync(
-  process.execPath,
-  [
-    ...["--import", "tsx", "--import", "./scripts/exit_without_teardown.mjs"],
-    "--test",
-    ...["--test-reporter=spec", "--test-reporter-destination=stdout"],
-    ...["--test-reporter=tap", `--test-reporter-destination=${reportFile}`],
-    ...files,
-  ],
-  { stdio: "inherit" },
-);
-const failed = failedTests(readFileSync(reportFile, "utf8"));
-rmSync(reportFolder, { recursive: true });
+/**
+ * Folders whose tests start a deployment of processes each. At most two of them
+ * run at a time, and no other tests: with as many as there are processors, up to
+ * a hundred processes share them, and calls miss their deadlines.
+ */
+const DEPLOYMENT_FOLDERS = [
+  "packages/callfaults",
+  "packages/faults",
+  "platform",
+];
+const DEPLOYMENTS_AT_A_TIME = 2;
+
+/** Runs test files; returns the exit status and the names of failed tests. */
+function runFiles(testFiles, runnerOptions = []) {
+  if (testFiles.length === 0) return { status: 0, failed: [] };
+  const folder = mkdtempSync(join(tmpdir(), "mangobank-test-"));
+  const reportFile = join(folder, "report.tap");
+  const run = spawnSync(
+    process.execPath,
+    [
+      ...["--import", "tsx", "--import", "./scripts/exit_without_teardown.mjs"],
+      "--test",
+      ...runnerOptions,
+      ...["--test-reporter=spec", "--test-reporter-destination=stdout"],
+      ...["--test-reporter=tap", `--test-reporter-destination=${reportFile}`],
+      ...testFiles,
+    ],
+    { stdio: "inherit" },
+  );
+  const failed = failedTests(readFileSync(reportFile, "utf8"));
+  rmSync(folder, { recursive: true });
+  return { status: run.status ?? 1, failed };
+}
+
+const isDeployment = (file) =>
+  DEPLOYMENT_FOLDERS.some((folder) => file.startsWith(`${folder}/`));
+const runs = [
+  runFiles(files.filter((file) => !isDeployment(file))),
+  runFiles(files.filter(isDeployment), [
+    `--test-concurrency=${DEPLOYMENTS_AT_A_TIME}`,
+  ]),
+];
+const failed = runs.flatMap((run) => run.failed);
 const knownFailures = readKnownFailures();
 for (const name of knownFailures) console.log(`known red: ${name}`);
-const onlyKnownFailures =
-  failed.length > 0 && failed.every((name) => knownFailures.includes(name));
-if (onlyKnownFailures) console.log(`passed over: ${failed.join(", ")}`);
-process.exit(onlyKnownFailures ? 0 : (run.status ?? 1));
+const unknown = failed.filter((name) => !knownFailures.includes(name));
+// A run that fails without naming a test, as when it is killed, has failed.
+const isUnexplained = runs.some(
+  ({ status, failed }) => status !== 0 && failed.length === 0,
+);
+if (failed.length > 0 && unknown.length === 0) {
+  console.log(`passed over: ${failed.join(", ")}`);
+}
+process.exit(isUnexplained || unknown.length > 0 ? 1 : 0);
