--- a/packages/reachability/service_paths_test.ts
+++ b/packages/reachability/service_paths_test.ts
@@ -298,10 +298,24 @@
   );
   assert.deepEqual(paths.unreached, ["s0", "s1"]);
   assert.equal(paths.isCutOff, false);
+  assert.equal(paths.isActive, true);
   // A call that was under way needs no further connections.
   assert.deepEqual(faults(paths.failed(FIRST, 20)), ["s0 path"]);
 });
 
+// Guards against a dead server that no entry blames, as nothing but its data
+// centre could have failed.
+test("a server that is alone in its data centre is to blame", () => {
+  const paths = createPaths(SERVERS.slice(1));
+  const [, alone] = SERVERS as [BackendServer, BackendServer];
+  const effects = settle(paths, paths.failed(alone, 0), {
+    now: 1,
+    resultOf: ({ id }) => (id === alone.id ? "failed" : "accepted"),
+  });
+  assert.deepEqual(faults(effects), ["s1 server"]);
+  assert.deepEqual(paths.unreached, []);
+});
+
 test("a data centre is used again once its servers accept connections", () => {
   const paths = createPaths();
   loseDataCentre(paths, 0);
