Share the setup of tests with a local site

Six test files of the entry repeated the wait for a leader, the section "system" and the waits for ready entries and known servers. LocalSite now has configure and serversKnown. A section that is refused fails the test at once: a retry budget above its limit had shown only as servers that are not known.

--- a/packages/demo/local_site.ts
+++ b/packages/demo/local_site.ts
@@ -8,29 +8,21 @@
   SystemClock,
   SystemRandomness,
 } from "#model";
-import type { RegistryReply } from "#registry";
 import { parseControlSettings, parseEntrySettings } from "#settings";
 import { type StandinOptions, StandinServer } from "#standin";
 import { MemoryDisk, MemoryStorage } from "#storage";
 import { type Logger, SilentLogger } from "#telemetry";
 import { type PortBlock, reservePorts } from "./ports.ts";
+import { until } from "./until.ts";
 
 const CREDENTIAL_SHA256 = createHash("sha256")
   .update("local-site")
   .digest("hex");
 const HOST = "127.0.0.1";
 
-/** The text of a section `system` with one team that owns `sections`. */
-export function systemSection(
-  dataCentres: readonly string[],
-  sections: readonly string[],
-): string {
-  return JSON.stringify({
-    regions: { local: dataCentres },
-    teams: { local: { credential_sha256: CREDENTIAL_SHA256 } },
-    sections: Object.fromEntries(sections.map((name) => [name, "local"])),
-  });
-}
+/** The section with all services. */
+const SECTION = "all";
+const DEFAULT_DATA_CENTRES = ["riga-a"];
 
 export interface LocalSiteOptions {
   readonly controls?: number;
@@ -59,13 +51,16 @@
   readonly metricsPorts: number[] = [];
   readonly #clock: Clock = new SystemClock();
   readonly #ports: PortBlock;
+  readonly #dataCentres: readonly string[];
 
-  private constructor(ports: PortBlock) {
+  private constructor(ports: PortBlock, dataCentres: readonly string[]) {
     this.#ports = ports;
+    this.#dataCentres = dataCentres;
   }
 
   static async start(options: LocalSiteOptions = {}): Promise<LocalSite> {
-    const site = new LocalSite(await reservePorts());
+    const { dataCentres = DEFAULT_DATA_CENTRES } = options;
+    const site = new LocalSite(await reservePorts(), dataCentres);
     try {
       await site.#start(options);
     } catch (cause) {
@@ -76,40 +71,26 @@
     return site;
   }
 
-  /** Whether a leader confirms a read of the first control process. */
-  async hasLeader(): Promise<boolean> {
-    const confirmed = await this.controls[0]?.confirmRead();
-    return confirmed?.isOk() ?? false;
+  /** Puts the services in force, and waits until all entries are ready. */
+  async configure(services: Readonly<Record<string, unknown>>): Promise<void> {
+    await until(() => this.#hasLeader(), { what: "control has a leader" });
+    await this.#put("system", {
+      regions: { local: this.#dataCentres },
+      teams: { local: { credential_sha256: CREDENTIAL_SHA256 } },
+      sections: { [SECTION]: "local" },
+    });
+    await this.#put(SECTION, { services });
+    await until(() => this.entries.every(({ ready }) => ready), {
+      what: "entries are ready",
+    });
   }
 
-  /**
-   * Puts the text of a section as its owner, and waits until it is in force if
-   * it is accepted.
-   */
-  async put(
-    section: string,
-    text: string,
-    baseRevision = 0,
-  ): Promise<RegistryReply> {
-    const [control] = this.controls;
-    if (!control) throw new Error("the site has no control process");
-    const put = await control.submit({
-      type: "put_section",
-      section,
-      text,
-      baseRevision,
-      changeId: uuid(),
-      actor:
-        section === "system"
-          ? { type: "system" }
-          : { type: "team", credentialSha256: CREDENTIAL_SHA256 },
-      at: this.#clock.wallTime(),
-    });
-    if (put.isErr()) throw new Error(JSON.stringify(put.error));
-    const reply = put.value;
-    if (reply.type === "accepted")
-      await control.waitUntilInForce(reply.version);
-    return reply;
+  /** Waits until all entries know exactly this many servers of a service. */
+  async serversKnown(service: string, count: number): Promise<void> {
+    await until(
+      () => this.entries.every((e) => e.serverCount(service) === count),
+      { what: `${count} servers of ${service} are known` },
+    );
   }
 
   /** Starts a stand-in server that announces itself to the entries. */
@@ -130,8 +111,37 @@
     this.#ports.release();
   }
 
+  /** Whether a leader confirms a read of the first control process. */
+  async #hasLeader(): Promise<boolean> {
+    const confirmed = await this.controls[0]?.confirmRead();
+    return confirmed?.isOk() ?? false;
+  }
+
+  /** Puts a section as its owner, and waits until it is in force. */
+  async #put(section: string, content: unknown): Promise<void> {
+    const [control] = this.controls;
+    if (!control) throw new Error("the site has no control process");
+    const put = await control.submit({
+      type: "put_section",
+      section,
+      text: JSON.stringify(content),
+      baseRevision: 0,
+      changeId: uuid(),
+      actor:
+        section === "system"
+          ? { type: "system" }
+          : { type: "team", credentialSha256: CREDENTIAL_SHA256 },
+      at: this.#clock.wallTime(),
+    });
+    if (put.isErr()) throw new Error(JSON.stringify(put.error));
+    const reply = put.value;
+    if (reply.type !== "accepted") throw new Error(JSON.stringify(reply));
+    await control.waitUntilInForce(reply.version);
+  }
+
   async #start(options: LocalSiteOptions): Promise<void> {
-    const { controls = 1, entries = 2, dataCentres = ["riga-a"] } = options;
+    const { controls = 1, entries = 2 } = options;
+    const dataCentres = this.#dataCentres;
     const logger = options.logger ?? new SilentLogger();
     const nextPort = () => this.#ports.take();
     const members = Array.from({ length: controls }, (_, index) => ({
--- a/packages/entry/caller_contract_test.ts
+++ b/packages/entry/caller_contract_test.ts
@@ -5,25 +5,21 @@
 import { v4 as uuidv4, v7 as uuidv7 } from "uuid";
 import { HEADERS } from "#model";
 import { exchange } from "../demo/caller.ts";
-import { LocalSite, systemSection } from "../demo/local_site.ts";
+import { LocalSite } from "../demo/local_site.ts";
 import { until } from "../demo/until.ts";
 
-const ALLOC = JSON.stringify({
-  services: {
-    alloc: {
-      slots_per_server: 6,
-      connections_per_server: 300,
-      classes: {
-        booking: { priority: "urgent", deadline_ms: 5000, repeatable: false },
-        lookup: { priority: "patient", deadline_ms: 3000, repeatable: true },
-      },
-      routes: [
-        { method: "POST", path: "/bookings", class: "booking" },
-        { path: "/timesheets", class: "lookup" },
-      ],
-    },
+const ALLOC = {
+  slots_per_server: 6,
+  connections_per_server: 300,
+  classes: {
+    booking: { priority: "urgent", deadline_ms: 5000, repeatable: false },
+    lookup: { priority: "patient", deadline_ms: 3000, repeatable: true },
   },
-});
+  routes: [
+    { method: "POST", path: "/bookings", class: "booking" },
+    { path: "/timesheets", class: "lookup" },
+  ],
+};
 
 let site: LocalSite;
 const agent = new Agent({ keepAlive: true });
@@ -38,14 +34,9 @@
       body_timeout_ms: 400,
     },
   });
-  await until(() => site.hasLeader(), { what: "control has a leader" });
-  await site.put("system", systemSection(["riga-a"], ["alloc"]));
-  await site.put("alloc", ALLOC);
-  await until(() => site.entries.every((e) => e.ready), { what: "ready" });
+  await site.configure({ alloc: ALLOC });
   await site.addServer({ id: "w1", service: "alloc", dataCentre: "riga-a" });
-  await until(() => site.entries.every((e) => e.serverCount("alloc") === 1), {
-    what: "the server is known",
-  });
+  await site.serversKnown("alloc", 1);
 });
 
 after(async () => {
--- a/packages/entry/crash_requests_test.ts
+++ b/packages/entry/crash_requests_test.ts
@@ -3,7 +3,7 @@
 import { after, before, test } from "node:test";
 import { HEADERS } from "#model";
 import { exchange } from "../demo/caller.ts";
-import { LocalSite, systemSection } from "../demo/local_site.ts";
+import { LocalSite } from "../demo/local_site.ts";
 import { until } from "../demo/until.ts";
 
 const SERVERS = 5;
@@ -12,8 +12,6 @@
 
 before(async () => {
   site = await LocalSite.start({ entries: 3 });
-  await until(() => site.hasLeader(), { what: "control has a leader" });
-  await site.put("system", systemSection(["riga-a"], ["alloc"]));
   const service = {
     slots_per_server: 4,
     connections_per_server: 300,
@@ -25,8 +23,7 @@
     },
     routes: [{ path: "/", class: "lookup" }],
   };
-  await site.put("alloc", JSON.stringify({ services: { alloc: service } }));
-  await until(() => site.entries.every((e) => e.ready), { what: "ready" });
+  await site.configure({ alloc: service });
   for (let i = 0; i < SERVERS; i++) {
     await site.addServer({
       id: `w${i}`,
@@ -34,10 +31,7 @@
       dataCentre: "riga-a",
     });
   }
-  await until(
-    () => site.entries.every((e) => e.serverCount("alloc") === SERVERS),
-    { what: "servers are known" },
-  );
+  await site.serversKnown("alloc", SERVERS);
 });
 
 after(async () => {
--- a/packages/entry/endless_response_test.ts
+++ b/packages/entry/endless_response_test.ts
@@ -5,7 +5,7 @@
 import { HEADERS } from "#model";
 import { RawBackend, type RawResponse, writeWithoutEnd } from "#standin";
 import { ConsolaLogger } from "#telemetry";
-import { LocalSite, systemSection } from "../demo/local_site.ts";
+import { LocalSite } from "../demo/local_site.ts";
 import { until } from "../demo/until.ts";
 
 const DEADLINE_MS = 600;
@@ -39,8 +39,6 @@
     logger,
     entryLimits: { response_body_max_bytes: RESPONSE_MAX_BYTES },
   });
-  await until(() => site.hasLeader(), { what: "control has a leader" });
-  await site.put("system", systemSection(["riga-a"], ["all"]));
   const service = {
     slots_per_server: 6,
     connections_per_server: 300,
@@ -59,12 +57,9 @@
   const services = Object.fromEntries(
     [...SERVICES, "good"].map((name) => [name, service]),
   );
-  await site.put("all", JSON.stringify({ services }));
-  await until(() => site.entries.every((e) => e.ready), { what: "ready" });
+  await site.configure(services);
   await site.addServer({ id: "w1", service: "good", dataCentre: "riga-a" });
-  await until(() => site.entries[0]?.serverCount("good") === 1, {
-    what: "the good server is known",
-  });
+  await site.serversKnown("good", 1);
 });
 
 after(async () => {
--- a/packages/entry/handed_over_calls_test.ts
+++ b/packages/entry/handed_over_calls_test.ts
@@ -4,8 +4,7 @@
 import { v7 as uuidv7 } from "uuid";
 import { type Address, HEADERS } from "#model";
 import { exchange } from "../demo/caller.ts";
-import { LocalSite, systemSection } from "../demo/local_site.ts";
-import { until } from "../demo/until.ts";
+import { LocalSite } from "../demo/local_site.ts";
 import { HANDOVER_HEADERS } from "./handover_protocol.ts";
 
 const SERVICE = "alloc";
@@ -16,8 +15,6 @@
 
 before(async () => {
   site = await LocalSite.start({ entries: 2 });
-  await until(() => site.hasLeader(), { what: "control has a leader" });
-  await site.put("system", systemSection(["riga-a"], ["all"]));
   const service = {
     slots_per_server: 4,
     connections_per_server: 300,
@@ -33,13 +30,10 @@
       { path: "/", class: "lookup" },
     ],
   };
-  await site.put("all", JSON.stringify({ services: { [SERVICE]: service } }));
-  await until(() => site.entries.every((e) => e.ready), { what: "ready" });
+  await site.configure({ [SERVICE]: service });
   const options = { id: "w0", service: SERVICE, dataCentre: "riga-a" };
   await site.addServer(options);
-  await until(() => site.entries.every((e) => e.serverCount(SERVICE) === 1), {
-    what: "the server is known",
-  });
+  await site.serversKnown(SERVICE, 1);
   const [first] = site.handoverAddresses;
   assert.ok(first);
   handover = first;
--- a/packages/entry/lost_data_centre_test.ts
+++ b/packages/entry/lost_data_centre_test.ts
@@ -6,8 +6,7 @@
 import type { StandinServer } from "#standin";
 import type { LogFields, Logger } from "#telemetry";
 import { exchange } from "../demo/caller.ts";
-import { LocalSite, systemSection } from "../demo/local_site.ts";
-import { until } from "../demo/until.ts";
+import { LocalSite } from "../demo/local_site.ts";
 
 const SERVICE = "alloc";
 const DATA_CENTRES = ["riga-a", "riga-b"] as const;
@@ -51,8 +50,6 @@
     dataCentres: DATA_CENTRES,
     logger: log,
   });
-  await until(() => site.hasLeader(), { what: "control has a leader" });
-  await site.put("system", systemSection(DATA_CENTRES, ["all"]));
   const service = {
     slots_per_server: 4,
     connections_per_server: 300,
@@ -64,18 +61,14 @@
     },
     routes: [{ path: "/", class: "lookup" }],
   };
-  await site.put("all", JSON.stringify({ services: { [SERVICE]: service } }));
-  await until(() => site.entries.every((e) => e.ready), { what: "ready" });
+  await site.configure({ [SERVICE]: service });
   servers = await Promise.all(
     Array.from({ length: SERVERS }, (_, index) => {
       const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length] ?? "";
       return site.addServer({ id: `w${index}`, service: SERVICE, dataCentre });
     }),
   );
-  await until(
-    () => site.entries.every((e) => e.serverCount(SERVICE) === SERVERS),
-    { what: "the servers are known" },
-  );
+  await site.serversKnown(SERVICE, SERVERS);
 });
 
 after(async () => {
--- a/packages/entry/server_faults_test.ts
+++ b/packages/entry/server_faults_test.ts
@@ -5,7 +5,7 @@
 import { HEADERS } from "#model";
 import type { StandinServer } from "#standin";
 import { exchange } from "../demo/caller.ts";
-import { LocalSite, systemSection } from "../demo/local_site.ts";
+import { LocalSite } from "../demo/local_site.ts";
 import { until } from "../demo/until.ts";
 
 const CLASSES = {
@@ -26,8 +26,6 @@
 
 before(async () => {
   site = await LocalSite.start({ entries: 3 });
-  await until(() => site.hasLeader(), { what: "control has a leader" });
-  await site.put("system", systemSection(["riga-a"], ["all"]));
   const service = {
     slots_per_server: 4,
     connections_per_server: 300,
@@ -38,8 +36,7 @@
     routes: ROUTES,
   };
   const services = Object.fromEntries(SERVICES.map((s) => [s, service]));
-  await site.put("all", JSON.stringify({ services }));
-  await until(() => site.entries.every((e) => e.ready), { what: "ready" });
+  await site.configure(services);
 });
 
 after(async () => {
@@ -60,17 +57,10 @@
       site.addServer({ id: `w${index}`, service, dataCentre: "riga-a" }),
     ),
   );
-  await serversKnown(service, count);
+  await site.serversKnown(service, count);
   return { service, servers };
 }
 
-function serversKnown(service: string, count: number): Promise<void> {
-  return until(
-    () => site.entries.every((e) => e.serverCount(service) === count),
-    { what: `${count} servers of ${service} are known` },
-  );
-}
-
 interface CallResult {
   readonly status: number;
   readonly outcome: string;
@@ -254,7 +244,7 @@
   const [leaving] = servers;
   assert.ok(leaving);
   await leaving.leave();
-  await serversKnown(service, 1);
+  await site.serversKnown(service, 1);
   const before = leaving.counts.started;
   for (let i = 0; i < 30; i++) {
     const result = await call(service, { entry: i % 3 });
