Log how late a configuration comes into force, and by which way

The logs could not tell how long after control had a version an entry took it up, nor whether an unanswered heartbeat met a dead link or a host without a majority. "configuration in force" now has the way (push, answer, peer) and the age at the sender; "control host does not answer" has the silence of the link; "connection closed" says who had opened it. The age costs one small integer in a message that carries a change, none in others.

--- a/packages/configuration/messages.ts
+++ b/packages/configuration/messages.ts
@@ -28,6 +28,8 @@
   readonly sequence?: number;
   /** Absent if the entry already has this version. */
   readonly change?: ConfigurationChange;
+  /** Time for which the sender has had this version; present with a change. */
+  readonly ageMs?: number;
 }
 
 /**
@@ -72,5 +74,9 @@
   /** Entry to entry: requests the changes since this version. */
   version_want: { readonly version: number };
   /** Entry to entry: the change that a peer with a lower version lacks. */
-  version_push: { readonly change: ConfigurationChange };
+  version_push: {
+    readonly change: ConfigurationChange;
+    /** Time for which the sender has had this version. */
+    readonly ageMs: number;
+  };
 }
--- a/packages/control/publisher.ts
+++ b/packages/control/publisher.ts
@@ -44,7 +44,7 @@
    * reported last or was sent since.
    */
   readonly #entryVersions = new Map<HostId, number>();
-  /** When this host published each recent version; epoch milliseconds. */
+  /** When this host published each recent version, on its steady clock. */
   readonly #publishedAt = new Map<number, number>();
   #unansweredHeartbeats: UnansweredHeartbeat[] = [];
   #isAnswering = false;
@@ -70,17 +70,20 @@
     const next = this.#recentVersions.find(
       (candidate) => candidate.version > version,
     );
-    return next && this.#publishedAt.get(next.version);
+    return next && this.#options.clock.wallTime() - this.#ageMs(next.version);
+  }
+
+  /** Time since this host published a version, in milliseconds. */
+  #ageMs(version: number): number {
+    const now = this.#options.clock.now();
+    return Math.round(now - (this.#publishedAt.get(version) ?? now));
   }
 
   /** Sends a newer configuration to the entries that send heartbeats here. */
   publish(configuration: Configuration): void {
     if (configuration.version <= this.configuration.version) return;
     this.#recentVersions.push(withoutCredentials(configuration));
-    this.#publishedAt.set(
-      configuration.version,
-      this.#options.clock.wallTime(),
-    );
+    this.#publishedAt.set(configuration.version, this.#options.clock.now());
     if (this.#recentVersions.length > MAX_RECENT_VERSIONS) {
       this.#publishedAt.delete(this.#recentVersions.shift()?.version ?? 0);
     }
@@ -100,7 +103,8 @@
       const change = this.#changeSince(base);
       if (!change) continue;
       const { network } = this.#options;
-      network.broadcast(entries, "state", { version, change });
+      const ageMs = this.#ageMs(version);
+      network.broadcast(entries, "state", { version, change, ageMs });
       // The next push assumes that this one arrives; if it is lost, the next
       // heartbeat corrects the version.
       for (const entry of entries) this.#entryVersions.set(entry, version);
@@ -172,7 +176,8 @@
   #answer(entry: HostId, sequence: number): void {
     const { version } = this.configuration;
     const change = this.#changeSince(this.#entryVersions.get(entry) ?? 0);
-    const update = { version, sequence, ...(change && { change }) };
+    const ageMs = this.#ageMs(version);
+    const update = { version, sequence, ...(change && { change, ageMs }) };
     this.#options.network.send(entry, "state", update);
     if (change) this.#entryVersions.set(entry, version);
   }
--- a/packages/entry/configuration_follower.ts
+++ b/packages/entry/configuration_follower.ts
@@ -14,7 +14,7 @@
   type HostId,
   rendezvousOrder,
 } from "#model";
-import type { Logger } from "#telemetry";
+import type { ConfigurationWay, Logger } from "#telemetry";
 import type { Hello, Network } from "#wire";
 
 /** Interval of the heartbeats to control. */
@@ -32,6 +32,13 @@
 /** Time for one peer's configuration to arrive before another is asked. */
 const PEER_REQUEST_INTERVAL_MS = 300;
 
+/** A received change: from whom, how, and for how long the sender had it. */
+interface ChangeSource {
+  readonly from: Hello;
+  readonly way: ConfigurationWay;
+  readonly ageMs: number | undefined;
+}
+
 export interface FollowerOptions {
   readonly network: Network<ConfigurationMessages>;
   readonly clock: Clock;
@@ -40,7 +47,14 @@
   /** Ids of the control hosts with an open connection. */
   readonly connectedControls: () => readonly HostId[];
   readonly stopReports: () => readonly StopReport[];
+  /**
+   * Milliseconds since anything arrived on the link to a process; undefined
+   * without a link.
+   */
+  readonly linkSilenceMs: (id: HostId) => number | undefined;
   readonly onChange: (configuration: Configuration) => void;
+  /** Called with the way and the age of each configuration that was received. */
+  readonly onReceived?: (way: ConfigurationWay, ageMs: number) => void;
   /** Maximum age of a valid confirmation, if not the default. */
   readonly confirmedForMs?: number | undefined;
 }
@@ -53,6 +67,7 @@
   readonly #options: FollowerOptions;
   readonly #freshness: FreshnessTracker;
   #configuration: Configuration = EMPTY_CONFIGURATION;
+  #inForceSince = 0;
   #control: HostId | undefined;
   #controlIndex = 0;
   /** When the oldest heartbeat without a response was sent. */
@@ -66,7 +81,9 @@
     this.#freshness = new FreshnessTracker(options.confirmedForMs);
     const { network } = options;
     network.handle("state", (state, from) => {
-      if (state.change) this.#apply(state.change, from);
+      const { change, ageMs } = state;
+      const way = state.sequence === undefined ? "push" : "answer";
+      if (change) this.#apply(change, { from, way, ageMs });
       if (state.sequence === undefined) return;
       this.#unansweredSince = undefined;
       this.#freshness.handleControlResponse({
@@ -87,10 +104,11 @@
         EMPTY_CONFIGURATION,
         this.#configuration,
       );
-      network.send(from.id, "version_push", { change });
+      const ageMs = Math.round(this.#options.clock.now() - this.#inForceSince);
+      network.send(from.id, "version_push", { change, ageMs });
     });
-    network.handle("version_push", ({ change }, from) =>
-      this.#apply(change, from),
+    network.handle("version_push", ({ change, ageMs }, from) =>
+      this.#apply(change, { from, way: "peer", ageMs }),
     );
   }
 
@@ -145,9 +163,13 @@
     const { clock, logger } = this.#options;
     const waitedMs = clock.now() - since;
     if (waitedMs < CONTROL_RESPONSE_TIMEOUT_MS) return;
+    const control = this.#control;
+    const silentMs =
+      control === undefined ? undefined : this.#options.linkSilenceMs(control);
     logger.info("control host does not answer", {
-      control: this.#control,
+      control,
       waitedMs: Math.round(waitedMs),
+      ...(silentMs !== undefined && { linkSilentMs: Math.round(silentMs) }),
     });
     this.#unansweredSince = undefined;
     this.#controlIndex += 1;
@@ -221,18 +243,23 @@
     network.send(peer, "version_want", { version: this.version });
   }
 
-  #apply(change: ConfigurationChange, from: Hello): void {
+  #apply(change: ConfigurationChange, source: ChangeSource): void {
     // The version never decreases, whoever sends the change.
     if (change.to <= this.version) return;
     const next = applyChange(this.#configuration, change);
     // The change has another base; the next heartbeat reports the own version.
     if (!next) return;
     this.#configuration = next;
+    this.#inForceSince = this.#options.clock.now();
+    const { from, way, ageMs } = source;
     this.#options.logger.info("configuration in force", {
       version: next.version,
       revision: next.document.revision,
       from: from.id,
+      way,
+      ageMs,
     });
+    this.#options.onReceived?.(way, ageMs ?? 0);
     this.#options.onChange(next);
     this.sendHeartbeat();
   }
--- a/packages/entry/configuration_follower_test.ts
+++ b/packages/entry/configuration_follower_test.ts
@@ -46,6 +46,7 @@
         self: () => self,
         connectedControls: () => [],
         stopReports: () => [],
+        linkSilenceMs: () => undefined,
         onChange: () => undefined,
       });
       this.followers.set(self.id, follower);
@@ -57,7 +58,7 @@
       EMPTY_CONFIGURATION,
       configuration(version),
     );
-    this.deliver("e0", id, "version_push", { change });
+    this.deliver("e0", id, "version_push", { change, ageMs: 0 });
   }
 
   deliver(from: string, to: string, kind: string, payload: unknown): void {
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -147,7 +147,9 @@
         this.#usableServers.stopReports((matches) =>
           this.#callPipeline.inFlightAt(matches),
         ),
+      linkSilenceMs: (id) => network.silenceMs(id),
       onChange: (configuration) => this.#applyConfiguration(configuration),
+      onReceived: (way, ageMs) => this.#metrics.recordConfiguration(way, ageMs),
       confirmedForMs: settings.confirmedForMs,
     });
     this.#callPipeline = new CallPipeline({
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -52,6 +52,12 @@
   /** Only a connection is opened. */
   | "connection_check";
 
+/**
+ * How an entry got a configuration: control published it, answered a heartbeat
+ * with it, or another entry sent it.
+ */
+export type ConfigurationWay = "push" | "answer" | "peer";
+
 /** A call whose response has ended. */
 export interface FinishedCall {
   readonly service: string;
@@ -78,6 +84,7 @@
   readonly #droppedRequests;
   readonly #exceededBounds;
   readonly #handedOverCalls;
+  readonly #configurationDelay;
 
   constructor(sources: MetricsSources = {}) {
     const registers = [this.#registry];
@@ -89,6 +96,13 @@
       buckets: LATENCY_BUCKETS_S,
       registers,
     });
+    this.#configurationDelay = new Histogram({
+      name: "mangobank_configuration_delay_seconds",
+      help: "Time for which the sender had a configuration that came into force",
+      labelNames: ["way"],
+      buckets: LATENCY_BUCKETS_S,
+      registers,
+    });
     this.#waiting = new Histogram({
       name: "mangobank_call_waiting_seconds",
       help: "Time that a call waited for a slot",
@@ -189,6 +203,11 @@
     this.#brokenAnswers.inc({ by });
   }
 
+  /** Records how a configuration arrived and how old it was at the sender. */
+  recordConfiguration(way: ConfigurationWay, ageMs: number): void {
+    this.#configurationDelay.observe({ way }, ageMs / 1_000);
+  }
+
   /** Records a request that came behind the last answer of its connection. */
   recordDroppedRequest(): void {
     this.#droppedRequests.inc();
--- a/packages/telemetry/metrics_test.ts
+++ b/packages/telemetry/metrics_test.ts
@@ -35,9 +35,11 @@
   metrics.recordServerRequest("alloc", "check");
   metrics.recordMalformedHeader("alloc");
   metrics.recordExceededBound("alloc", "body_bytes");
+  metrics.recordConfiguration("answer", 300);
   const text = await metrics.text();
   for (const line of [
     'mangobank_call_duration_seconds_count{service="alloc",class="booking"} 2',
+    'mangobank_configuration_delay_seconds_sum{way="answer"} 0.3',
     'mangobank_call_waiting_seconds_count{service="alloc",class="booking"} 1',
     'mangobank_exceeded_response_bounds_total{service="alloc",bound="body_bytes"} 1',
     'outcome="not-run",code="queue_full"} 1',
--- a/packages/wire/link.ts
+++ b/packages/wire/link.ts
@@ -63,6 +63,8 @@
   readonly clock: Clock;
   readonly events: LinkEvents;
   readonly traffic: Traffic;
+  /** Whether this process opened the connection. */
+  readonly isOutgoing: boolean;
 }
 
 /** One TCP connection to another process of mangobank. */
@@ -97,6 +99,15 @@
     return this.#open;
   }
 
+  get isOutgoing(): boolean {
+    return this.#options.isOutgoing;
+  }
+
+  /** Time without received data, in milliseconds. */
+  get silenceMs(): number {
+    return this.#options.clock.now() - this.#lastReceived;
+  }
+
   /** How field names are encoded on this link; depends on the peer's hello. */
   get keyEncoding(): KeyEncoding {
     const peerKeyCount = this.#peer?.shortKeys ?? 0;
@@ -129,13 +140,13 @@
    */
   checkKeepalive(): void {
     if (!this.#open) return;
-    const now = this.#options.clock.now();
-    const silence = now - this.#lastReceived;
+    const { silenceMs } = this;
     const { pingAfterMs, deadAfterMs } = this.#keepalive;
-    if (silence > deadAfterMs) {
-      this.close({ type: "link_silent", ms: Math.round(silence) });
+    if (silenceMs > deadAfterMs) {
+      this.close({ type: "link_silent", ms: Math.round(silenceMs) });
       return;
     }
+    const now = this.#options.clock.now();
     if (now - this.#lastSent >= pingAfterMs) this.send("ping", null);
   }
 
--- a/packages/wire/logged_network.ts
+++ b/packages/wire/logged_network.ts
@@ -33,9 +33,10 @@
     onConnect,
     onDisconnect,
   } = options;
-  const onFault: NetworkObserver["onFault"] = (fault, peer) => {
+  const onFault: NetworkObserver["onFault"] = (fault, link) => {
     if (fault.type === "link_closed") return;
-    logger.warn("connection closed", { peer: peer?.id, fault });
+    const { peer, isOutgoing } = link ?? {};
+    logger.warn("connection closed", { peer: peer?.id, isOutgoing, fault });
   };
   const { id, cluster } = settings;
   return new TcpNetwork<M>({
--- a/packages/wire/network.ts
+++ b/packages/wire/network.ts
@@ -28,7 +28,7 @@
 export interface NetworkObserver {
   readonly onConnect?: (peer: Hello) => void;
   readonly onDisconnect?: (peer: Hello) => void;
-  readonly onFault?: (fault: LinkFault, peer: Hello | undefined) => void;
+  readonly onFault?: (fault: LinkFault, link: Link | undefined) => void;
 }
 
 type Handler = (payload: unknown, from: Hello) => void;
@@ -101,15 +101,14 @@
     for (const [key, peer] of wanted) {
       if (this.#outgoing.has(key)) continue;
       const connection = new OutgoingConnection(peer.address, (socket) =>
-        this.#createLink(socket),
+        this.#createLink(socket, { isOutgoing: true }),
       );
       this.#outgoing.set(key, connection);
     }
   }
 
   send<K extends keyof M & string>(to: HostId, kind: K, payload: M[K]) {
-    const link = this.#links.get(to)?.find((candidate) => candidate.open);
-    return link?.send(kind, payload) ?? false;
+    return this.#linkTo(to)?.send(kind, payload) ?? false;
   }
 
   broadcast<K extends keyof M & string>(
@@ -117,9 +116,7 @@
     kind: K,
     payload: M[K],
   ): void {
-    const links = to.flatMap(
-      (id) => this.#links.get(id)?.find(({ open }) => open) ?? [],
-    );
+    const links = to.flatMap((id) => this.#linkTo(id) ?? []);
     for (const keys of ["short", "full"] as const) {
       const matchingLinks = links.filter((link) => link.keyEncoding === keys);
       if (matchingLinks.length === 0) continue;
@@ -153,6 +150,14 @@
     return this.#links.has(id);
   }
 
+  /**
+   * Milliseconds since anything arrived on the link to a process; undefined
+   * without a link.
+   */
+  silenceMs(id: HostId): number | undefined {
+    return this.#linkTo(id)?.silenceMs;
+  }
+
   close(): void {
     clearInterval(this.#timer);
     this.setPeers([]);
@@ -160,18 +165,24 @@
     for (const link of this.#allLinks()) link.close({ type: "link_closed" });
   }
 
+  /** The link on which messages to a process are sent. */
+  #linkTo(id: HostId): Link | undefined {
+    return this.#links.get(id)?.find(({ open }) => open);
+  }
+
   #accept(socket: Socket): void {
     if (this.#accepted.size >= MAX_ACCEPTED_CONNECTIONS) {
       socket.destroy();
       return;
     }
-    const link = this.#createLink(socket);
+    const link = this.#createLink(socket, { isOutgoing: false });
     this.#accepted.add(link);
     socket.once("close", () => this.#accepted.delete(link));
   }
 
-  #createLink(socket: Socket): Link {
+  #createLink(socket: Socket, options: { isOutgoing: boolean }): Link {
     const link = new Link(socket, {
+      ...options,
       self: this.#self,
       clock: this.#clock,
       traffic: this.traffic,
@@ -205,7 +216,7 @@
   }
 
   #handleClose(link: Link, fault: LinkFault): void {
-    this.#observer.onFault?.(fault, link.peer);
+    this.#observer.onFault?.(fault, link);
     const peer = link.peer;
     if (!peer) return;
     const remainingLinks = (this.#links.get(peer.id) ?? []).filter(
