Reproduce in failing tests that entries learn of changes seconds late

Callers: a request goes to the service of a route that was replaced up to 6.5 s before. The other shows that a message goes to the connection that its peer has given up.

--- a/packages/faults/relay.ts
+++ b/packages/faults/relay.ts
@@ -6,7 +6,8 @@
 /**
  * A TCP proxy from one process to another that simulates silent partitions:
  * while it is cut, it forwards nothing and keeps connections open. Data that is
- * sent meanwhile arrives after the partition, as with TCP's retransmissions.
+ * sent meanwhile arrives after the partition, as with TCP's retransmissions. It
+ * can also forget its open connections, while new ones work.
  */
 export class Relay {
   /** Payload bytes forwarded in either direction. */
@@ -14,6 +15,8 @@
   readonly #target: number;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  /** Sockets on which nothing is forwarded any more. */
+  readonly #forgotten = new WeakSet<Socket>();
   /** Connects and closes to perform after the partition. */
   #deferred: (() => void)[] = [];
   #cut = false;
@@ -53,6 +56,11 @@
     for (const action of deferred) action();
   }
 
+  /** Silences the open connections for good, without closing them. */
+  forget(): void {
+    for (const socket of this.#sockets) this.#forgotten.add(socket);
+  }
+
   close(): void {
     this.#server.close();
     for (const socket of this.#sockets) socket.destroy();
@@ -68,6 +76,7 @@
 
   #forward(from: Socket, to: Socket): void {
     from.on("data", (chunk: Buffer) => {
+      if (this.#forgotten.has(from)) return;
       this.forwardedBytes += chunk.length;
       if (to.write(chunk)) return;
       from.pause();
@@ -77,6 +86,7 @@
     });
     from.once("close", () => {
       this.#sockets.delete(from);
+      if (this.#forgotten.has(from)) return;
       this.#runOrDefer(() => to.destroySoon());
     });
     if (!this.#cut) from.resume();
--- a/packages/wire/network_test.ts
+++ b/packages/wire/network_test.ts
@@ -9,6 +9,8 @@
 import { type Hello, PROTOCOL_VERSION } from "./messages.ts";
 import { TcpNetwork } from "./network.ts";
 
+/** Real time after which a message that has not arrived counts as lost. */
+const RECEIVE_TIMEOUT_MS = 2_000;
 /** Longer than every timeout of a link. */
 const STALL_MS = 10_000;
 
@@ -113,3 +115,23 @@
   assert.deepEqual(faults, []);
   assert.ok(network.isConnected("peer"));
 });
+
+// Guards against messages to a peer that go on the connection that it has given
+// up, while that one is not known to be dead.
+test("messages go to the connection that a peer has opened last", async (t) => {
+  const { network, socket: former } = await startNetwork(t);
+  former.write(frame("hello", hello("peer")));
+  await turns(5);
+  const { localAddress, remotePort } = former;
+  const latest = connect({ host: localAddress, port: remotePort ?? 0 });
+  t.after(() => latest.destroy());
+  await once(latest, "connect");
+  latest.write(frame("hello", hello("peer")));
+  await once(latest, "data");
+  await turns(5);
+  assert.ok(network.send("peer", "news", 1));
+  const [received] = await once(latest, "data", {
+    signal: AbortSignal.timeout(RECEIVE_TIMEOUT_MS),
+  });
+  assert.ok((received as Buffer).length > 0);
+});
