Replace a peer's former connection when it opens another one

Callers were served by an old configuration: a process that had two links to a peer sent on the one opened first. A peer opens another connection only after it has given the former up, but if the former was forgotten on the way, this end learns of it only 4.5 s after the last data. Until then answers to heartbeats and changes were lost on it, and what was lost was never made up for, as the peer counted as connected all the while.

A later connection now closes the former one and counts as a reconnection, and messages take the newest link. Connections are numbered in the hello, so that a delayed hello of a former one replaces nothing.

--- a/packages/wire/link.ts
+++ b/packages/wire/link.ts
@@ -38,6 +38,7 @@
 export type LinkFault =
   | FrameFault
   | { readonly type: "link_closed" }
+  | { readonly type: "link_replaced" }
   | { readonly type: "link_silent"; readonly ms: number }
   | { readonly type: "link_congested"; readonly unsentBytes: number }
   | { readonly type: "hello_missing" }
@@ -63,8 +64,11 @@
   readonly clock: Clock;
   readonly events: LinkEvents;
   readonly traffic: Traffic;
-  /** Whether this process opened the connection. */
-  readonly isOutgoing: boolean;
+  /**
+   * Number of the connection among those that this process has opened; absent
+   * if the peer has opened it.
+   */
+  readonly connection?: number;
 }
 
 /** One TCP connection to another process of mangobank. */
@@ -87,7 +91,12 @@
     socket.on("data", (chunk) => this.#handleData(chunk));
     socket.on("error", () => this.close({ type: "link_closed" }));
     socket.on("close", () => this.close({ type: "link_closed" }));
-    this.send("hello", { ...options.self, shortKeys: SHORT_KEYS.length });
+    const { self, connection } = options;
+    this.send("hello", {
+      ...self,
+      shortKeys: SHORT_KEYS.length,
+      ...(connection !== undefined && { connection }),
+    });
   }
 
   /** The peer's hello message; undefined until it has arrived. */
@@ -100,7 +109,7 @@
   }
 
   get isOutgoing(): boolean {
-    return this.#options.isOutgoing;
+    return this.#options.connection !== undefined;
   }
 
   /** Time without received data, in milliseconds. */
--- a/packages/wire/messages.ts
+++ b/packages/wire/messages.ts
@@ -30,6 +30,11 @@
   readonly version: number;
   /** Length of the sender's table of short field names. */
   readonly shortKeys?: number;
+  /**
+   * Number of the connection among those that the sender has opened; absent if
+   * the receiver has opened it.
+   */
+  readonly connection?: number;
 }
 
 /** Version of the messages between mangobank's own processes. */
--- a/packages/wire/network.ts
+++ b/packages/wire/network.ts
@@ -65,6 +65,7 @@
   readonly #accepted = new Set<Link>();
   readonly #outgoing = new Map<string, OutgoingConnection>();
   readonly #timer: NodeJS.Timeout;
+  #openedConnections = 0;
   #server: Server | undefined;
 
   constructor(options: {
@@ -101,7 +102,7 @@
     for (const [key, peer] of wanted) {
       if (this.#outgoing.has(key)) continue;
       const connection = new OutgoingConnection(peer.address, (socket) =>
-        this.#createLink(socket, { isOutgoing: true }),
+        this.#createLink(socket, ++this.#openedConnections),
       );
       this.#outgoing.set(key, connection);
     }
@@ -165,7 +166,7 @@
     for (const link of this.#allLinks()) link.close({ type: "link_closed" });
   }
 
-  /** The link on which messages to a process are sent. */
+  /** The link on which messages to a process are sent: the newest one. */
   #linkTo(id: HostId): Link | undefined {
     return this.#links.get(id)?.find(({ open }) => open);
   }
@@ -175,14 +176,15 @@
       socket.destroy();
       return;
     }
-    const link = this.#createLink(socket, { isOutgoing: false });
+    const link = this.#createLink(socket);
     this.#accepted.add(link);
     socket.once("close", () => this.#accepted.delete(link));
   }
 
-  #createLink(socket: Socket, options: { isOutgoing: boolean }): Link {
+  /** The number is that of an outgoing connection. */
+  #createLink(socket: Socket, connection?: number): Link {
     const link = new Link(socket, {
-      ...options,
+      ...(connection !== undefined && { connection }),
       self: this.#self,
       clock: this.#clock,
       traffic: this.traffic,
@@ -206,22 +208,29 @@
   #handleOpen(link: Link): void {
     const peer = link.peer;
     if (!peer) return;
-    const links = this.#links.get(peer.id);
-    if (links) {
-      links.push(link);
+    // A process opens another connection to a peer only after it has given the
+    // former one up, which may never be closed at the other end.
+    const former = this.#links
+      .get(peer.id)
+      ?.find(({ isOutgoing }) => isOutgoing === link.isOutgoing);
+    if (former?.peer && isOpenedBefore(peer, former.peer)) {
+      link.close({ type: "link_replaced" });
       return;
     }
-    this.#links.set(peer.id, [link]);
-    this.#observer.onConnect?.(peer);
+    former?.close({ type: "link_replaced" });
+    const otherLinks = this.#links.get(peer.id);
+    this.#links.set(peer.id, [link, ...(otherLinks ?? [])]);
+    if (!otherLinks) this.#observer.onConnect?.(peer);
   }
 
   #handleClose(link: Link, fault: LinkFault): void {
     this.#observer.onFault?.(fault, link);
     const peer = link.peer;
     if (!peer) return;
-    const remainingLinks = (this.#links.get(peer.id) ?? []).filter(
-      (l) => l !== link,
-    );
+    const links = this.#links.get(peer.id) ?? [];
+    // It was replaced before it was used.
+    if (!links.includes(link)) return;
+    const remainingLinks = links.filter((l) => l !== link);
     if (remainingLinks.length > 0) {
       this.#links.set(peer.id, remainingLinks);
       return;
@@ -292,6 +301,15 @@
   }
 }
 
+/**
+ * Whether a process opened a connection before another one, by its hellos on
+ * both. A hello that was held up may arrive after that of a later connection.
+ */
+function isOpenedBefore(hello: Hello, other: Hello): boolean {
+  if (hello.incarnation !== other.incarnation) return false;
+  return (hello.connection ?? 0) < (other.connection ?? 0);
+}
+
 function peerKey(peer: Peer): string {
   return `${peer.id ?? ""}@${peer.address.host}:${peer.address.port}`;
 }
--- a/packages/wire/network_test.ts
+++ b/packages/wire/network_test.ts
@@ -135,3 +135,25 @@
   });
   assert.ok((received as Buffer).length > 0);
 });
+
+// Guards against a working connection that is closed for one that its peer had
+// given up, whose hello was held up on the way.
+test("a delayed hello of a former connection replaces no later one", async (t) => {
+  const { network, socket: former } = await startNetwork(t);
+  const { localAddress, remotePort } = former;
+  const latest = connect({ host: localAddress, port: remotePort ?? 0 });
+  t.after(() => latest.destroy());
+  await once(latest, "connect");
+  latest.write(frame("hello", { ...hello("peer"), connection: 2 }));
+  await once(latest, "data");
+  await turns(5);
+  const closed = once(former, "close", {
+    signal: AbortSignal.timeout(RECEIVE_TIMEOUT_MS),
+  });
+  former.write(frame("hello", { ...hello("peer"), connection: 1 }));
+  await closed;
+  assert.ok(network.send("peer", "news", 1));
+  await once(latest, "data", {
+    signal: AbortSignal.timeout(RECEIVE_TIMEOUT_MS),
+  });
+});
