Renew a control host's link when a heartbeat on it meets silence

Callers were served by a configuration that was replaced up to 6.5 s before. Links with an entry at an end count as dead 4.5 s after the last data. An entry whose heartbeat was not answered asked the next control host, over a connection that had been forgotten together with the first.

If nothing at all has arrived on the link since the heartbeat was sent, the entry now opens another connection beside it, which replaces it once the host's hello is there; until then the former one stays in use, so that a host that is only slow loses nothing. A heartbeat goes to the host that has just connected, whose link is known to work. An entry no longer changes hosts by the age of its confirmation as well, which passed some hosts over; the response timeout alone does. That timeout is a timer of its own in place of a check each 200 ms.

--- a/packages/entry/configuration_follower.ts
+++ b/packages/entry/configuration_follower.ts
@@ -20,12 +20,10 @@
 /** Interval of the heartbeats to control. */
 export const HEARTBEAT_INTERVAL_MS = 1_000;
 /**
- * Age of the last confirmation above which an entry switches to the next
- * control host and asks its peers; the heartbeat interval plus room for jitter.
+ * Age of the last confirmation above which an entry asks its peers; the
+ * heartbeat interval plus room for jitter.
  */
 const CONFIRMATION_OVERDUE_MS = 1_500;
-/** How often to check for a missing response. */
-export const RESPONSE_CHECK_INTERVAL_MS = 200;
 /** Time for a control host to respond, including a majority's confirmation. */
 const CONTROL_RESPONSE_TIMEOUT_MS = 600;
 
@@ -52,6 +50,10 @@
    * without a link.
    */
   readonly linkSilenceMs: (id: HostId) => number | undefined;
+  /** Opens a new connection to a process whose link may be dead. */
+  readonly renewLink: (id: HostId) => void;
+  /** Calls a function after a time in milliseconds. */
+  readonly schedule: (run: () => void, ms: number) => void;
   readonly onChange: (configuration: Configuration) => void;
   /** Called with the way and the age of each configuration that was received. */
   readonly onReceived?: (way: ConfigurationWay, ageMs: number) => void;
@@ -140,11 +142,9 @@
     const { clock, network, self, stopReports } = this.#options;
     const now = clock.now();
     const age = this.#freshness.confirmationAgeMs(now);
-    // Switches to the next control host if the current one does not respond.
-    if (age > CONFIRMATION_OVERDUE_MS) this.#controlIndex += 1;
     this.#control = this.#chooseControl();
     if (this.#control !== undefined) {
-      this.#unansweredSince ??= now;
+      this.#awaitResponse(now);
       network.send(this.#control, "confirm", {
         ...this.#recordToSend(this.#control, self()),
         version: this.version,
@@ -156,27 +156,50 @@
       this.#askPeerVersions(now);
   }
 
+  #awaitResponse(now: number): void {
+    if (this.#unansweredSince !== undefined) return;
+    this.#unansweredSince = now;
+    this.#options.schedule(
+      () => this.#checkResponse(now),
+      CONTROL_RESPONSE_TIMEOUT_MS,
+    );
+  }
+
   /** Switches to the next control host if the current one does not respond. */
-  checkResponseTimeout(): void {
-    const since = this.#unansweredSince;
-    if (since === undefined) return;
+  #checkResponse(since: number): void {
+    if (this.#unansweredSince !== since) return;
     const { clock, logger } = this.#options;
     const waitedMs = clock.now() - since;
-    if (waitedMs < CONTROL_RESPONSE_TIMEOUT_MS) return;
     const control = this.#control;
-    const silentMs =
+    const linkSilentMs =
       control === undefined ? undefined : this.#options.linkSilenceMs(control);
     logger.info("control host does not answer", {
       control,
       waitedMs: Math.round(waitedMs),
-      ...(silentMs !== undefined && { linkSilentMs: Math.round(silentMs) }),
+      ...(linkSilentMs !== undefined && {
+        linkSilentMs: Math.round(linkSilentMs),
+      }),
     });
+    // Nothing has arrived since the heartbeat was sent, so the link may be dead.
+    if (control !== undefined && (linkSilentMs ?? 0) >= waitedMs) {
+      this.#options.renewLink(control);
+    }
     this.#unansweredSince = undefined;
     this.#controlIndex += 1;
     this.#control = undefined;
     this.sendHeartbeat();
   }
 
+  /** To be called when a connection to a control host is open. */
+  controlUp(id: HostId): void {
+    // The link to this host is known to work, unlike that to a silent host.
+    if (this.#unansweredSince !== undefined) {
+      this.#unansweredSince = undefined;
+      this.#control = id;
+    }
+    this.sendHeartbeat();
+  }
+
   /** To be called when a connection to a control host is lost. */
   controlDown(id: HostId): void {
     // The control host may have restarted without this entry's record.
@@ -202,9 +225,7 @@
       this.#options.connectedControls().map((id) => ({ id })),
     ).map(({ id }) => id);
     if (this.#control !== undefined && controls.includes(this.#control)) {
-      if (this.confirmationAge() <= CONFIRMATION_OVERDUE_MS) {
-        return this.#control;
-      }
+      return this.#control;
     }
     return controls[this.#controlIndex % Math.max(1, controls.length)];
   }
--- a/packages/entry/configuration_follower_test.ts
+++ b/packages/entry/configuration_follower_test.ts
@@ -47,6 +47,8 @@
         connectedControls: () => [],
         stopReports: () => [],
         linkSilenceMs: () => undefined,
+        renewLink: () => undefined,
+        schedule: () => undefined,
         onChange: () => undefined,
       });
       this.followers.set(self.id, follower);
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -34,7 +34,6 @@
 import {
   ConfigurationFollower,
   HEARTBEAT_INTERVAL_MS,
-  RESPONSE_CHECK_INTERVAL_MS,
 } from "./configuration_follower.ts";
 import { EntryApi } from "./entry_api.ts";
 import { EntryLinks } from "./entry_links.ts";
@@ -74,6 +73,7 @@
   readonly #adminServer: AdminServer;
   readonly #timers: NodeJS.Timeout[] = [];
   #state: EntryState = "ready";
+  #isClosed = false;
   #appliedConfiguration: Configuration = EMPTY_CONFIGURATION;
 
   constructor(options: EntryOptions) {
@@ -148,6 +148,10 @@
           this.#callPipeline.inFlightAt(matches),
         ),
       linkSilenceMs: (id) => network.silenceMs(id),
+      renewLink: (id) => network.renewLink(id),
+      schedule: (run, ms) => {
+        setTimeout(() => !this.#isClosed && run(), ms).unref();
+      },
       onChange: (configuration) => this.#applyConfiguration(configuration),
       onReceived: (way, ageMs) => this.#metrics.recordConfiguration(way, ageMs),
       confirmedForMs: settings.confirmedForMs,
@@ -234,9 +238,6 @@
       this.#follower.sendHeartbeat();
       this.#links.update();
     });
-    this.#runEvery(RESPONSE_CHECK_INTERVAL_MS, () =>
-      this.#follower.checkResponseTimeout(),
-    );
     this.#callPipeline.start();
     this.#runEvery(TICK_INTERVAL_MS, () => this.#registrations.tick());
     this.#runEvery(LOAD_REPORT_INTERVAL_MS, () => this.#reportLoad());
@@ -300,6 +301,7 @@
 
   /** Stops at once and aborts the calls in progress. */
   close(): void {
+    this.#isClosed = true;
     for (const timer of this.#timers) clearInterval(timer);
     this.#callerServer.destroy();
     this.#adminServer.close();
@@ -318,7 +320,7 @@
     });
     this.#registrations.peerUp(peer.id);
     if (peer.role === "control") {
-      this.#follower.sendHeartbeat();
+      this.#follower.controlUp(peer.id);
       return;
     }
     this.#callPipeline.peerUp(peer.id);
--- a/packages/entry/forgotten_links_test.ts
+++ b/packages/entry/forgotten_links_test.ts
@@ -21,7 +21,7 @@
 const IN_FORCE_WITHIN_MS = 2_000;
 const STEP_MS = 20;
 /** Turns of the event loop in which what was sent over loopback arrives. */
-const TURNS_PER_STEP = 12;
+const TURNS_PER_STEP = 30;
 /** Steps of virtual time after which a wait fails. */
 const MAX_STEPS = 1_000;
 
--- a/packages/wire/network.ts
+++ b/packages/wire/network.ts
@@ -101,8 +101,13 @@
     }
     for (const [key, peer] of wanted) {
       if (this.#outgoing.has(key)) continue;
-      const connection = new OutgoingConnection(peer.address, (socket) =>
-        this.#createLink(socket, ++this.#openedConnections),
+      const connection = new OutgoingConnection(
+        peer.address,
+        (socket, onOpen) =>
+          this.#createLink(socket, {
+            connection: ++this.#openedConnections,
+            onOpen,
+          }),
       );
       this.#outgoing.set(key, connection);
     }
@@ -151,6 +156,17 @@
     return this.#links.has(id);
   }
 
+  /**
+   * Opens a new connection to a process beside the present one, which it
+   * replaces as soon as it is open. For links that may be dead; does nothing if
+   * this process has not opened the link.
+   */
+  renewLink(id: HostId): void {
+    for (const connection of this.#outgoing.values()) {
+      if (connection.link?.peer?.id === id) connection.renew();
+    }
+  }
+
   /**
    * Milliseconds since anything arrived on the link to a process; undefined
    * without a link.
@@ -181,15 +197,20 @@
     socket.once("close", () => this.#accepted.delete(link));
   }
 
-  /** The number is that of an outgoing connection. */
-  #createLink(socket: Socket, connection?: number): Link {
+  #createLink(
+    socket: Socket,
+    outgoing?: { readonly connection: number; readonly onOpen: () => void },
+  ): Link {
     const link = new Link(socket, {
-      ...(connection !== undefined && { connection }),
+      ...(outgoing && { connection: outgoing.connection }),
       self: this.#self,
       clock: this.#clock,
       traffic: this.traffic,
       events: {
-        onOpen: (opened) => this.#handleOpen(opened),
+        onOpen: (opened) => {
+          outgoing?.onOpen();
+          this.#handleOpen(opened);
+        },
         onClose: (closed, fault) => this.#handleClose(closed, fault),
         onMessage: (from, kind, payload) =>
           this.#handleMessage(from, kind, payload),
@@ -257,29 +278,68 @@
 /** Keeps one outgoing connection open: connects again whenever it closes. */
 class OutgoingConnection {
   readonly #address: Address;
-  readonly #createLink: (socket: Socket) => Link;
+  readonly #createLink: (socket: Socket, onOpen: () => void) => Link;
   #link: Link | undefined;
   #socket: Socket | undefined;
+  /** A connection that is to replace the present one once it is open. */
+  #renewal: Socket | undefined;
   #retry: NodeJS.Timeout | undefined;
   #stopped = false;
 
-  constructor(address: Address, createLink: (socket: Socket) => Link) {
+  constructor(
+    address: Address,
+    createLink: (socket: Socket, onOpen: () => void) => Link,
+  ) {
     this.#address = address;
     this.#createLink = createLink;
     this.#connect();
   }
 
+  get link(): Link | undefined {
+    return this.#link;
+  }
+
   stop(): void {
     this.#stopped = true;
     clearTimeout(this.#retry);
+    this.#renewal?.destroy();
     if (this.#link) this.#link.close({ type: "link_closed" });
     else this.#socket?.destroy();
   }
 
+  /**
+   * Opens another connection beside the present one, which may be dead. The
+   * present one is used until the other is open.
+   */
+  renew(): void {
+    if (this.#stopped || this.#renewal) return;
+    const socket = this.#open(() => {
+      const link = this.#createLink(socket, () => this.#replace(socket, link));
+    });
+    this.#renewal = socket;
+  }
+
+  #replace(socket: Socket, link: Link): void {
+    clearTimeout(this.#retry);
+    this.#renewal = undefined;
+    const formerLink = this.#link;
+    const formerSocket = this.#socket;
+    this.#socket = socket;
+    this.#link = link;
+    if (formerLink) formerLink.close({ type: "link_replaced" });
+    else formerSocket?.destroy();
+  }
+
   #connect(): void {
+    const socket = this.#open(() => {
+      this.#link = this.#createLink(socket, () => undefined);
+    });
+    this.#socket = socket;
+  }
+
+  #open(onConnect: () => void): Socket {
     const { host, port } = this.#address;
     const socket = connect({ host, port });
-    this.#socket = socket;
     const giveUp = () => {
       if (socket.connecting) socket.destroy();
     };
@@ -289,15 +349,22 @@
     );
     socket.once("connect", () => {
       clearTimeout(timeout);
-      if (!this.#stopped) this.#link = this.#createLink(socket);
+      if (!this.#stopped) onConnect();
     });
     socket.on("error", () => undefined);
     socket.once("close", () => {
       clearTimeout(timeout);
-      this.#link = undefined;
-      if (this.#stopped) return;
-      this.#retry = setTimeout(() => this.#connect(), RECONNECT_DELAY_MS);
+      this.#handleClose(socket);
     });
+    return socket;
+  }
+
+  #handleClose(socket: Socket): void {
+    if (this.#renewal === socket) this.#renewal = undefined;
+    if (this.#socket !== socket) return;
+    this.#link = undefined;
+    if (this.#stopped) return;
+    this.#retry = setTimeout(() => this.#connect(), RECONNECT_DELAY_MS);
   }
 }
 
--- a/packages/wire/network_test.ts
+++ b/packages/wire/network_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { connect, type Socket } from "node:net";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { mock, type TestContext, test } from "node:test";
 import { setImmediate as turn } from "node:timers/promises";
 import type { Clock } from "#model";
@@ -157,3 +157,88 @@
     signal: AbortSignal.timeout(RECEIVE_TIMEOUT_MS),
   });
 });
+
+/**
+ * A network with a link that it has opened to a peer, which takes as many
+ * connections as are allowed and closes the others.
+ */
+async function openLink(t: TestContext, options: { connections: number }) {
+  const events: string[] = [];
+  const sockets: Socket[] = [];
+  const server = createServer((socket) => {
+    socket.on("error", () => undefined);
+    if (sockets.length === options.connections) {
+      socket.destroy();
+      events.push("rejected");
+      return;
+    }
+    sockets.push(socket);
+    socket.write(frame("hello", hello("server")));
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const network = new TcpNetwork<Record<string, unknown>>({
+    self: hello("client"),
+    clock: new ManualClock(),
+    observer: {
+      onConnect: () => events.push("up"),
+      onDisconnect: () => events.push("down"),
+      onFault: ({ type }) => events.push(type),
+    },
+  });
+  t.after(() => {
+    network.close();
+    server.close();
+    for (const socket of sockets) socket.destroy();
+  });
+  const { port } = server.address() as AddressInfo;
+  network.setPeers([{ address: { host: "127.0.0.1", port } }]);
+  await until(() => network.isConnected("server"));
+  return { network, events, sockets };
+}
+
+/** Waits in real time, as sockets are real. */
+async function until(condition: () => boolean): Promise<void> {
+  const end = performance.now() + RECEIVE_TIMEOUT_MS;
+  while (!condition()) {
+    assert.ok(performance.now() < end, "timed out");
+    await turn();
+  }
+}
+
+/** Waits until a message of a kind has arrived. */
+async function receives(socket: Socket, kind: string): Promise<void> {
+  let text = "";
+  socket.on("data", (chunk: Buffer) => {
+    text += chunk.toString("latin1");
+  });
+  await until(() => text.includes(kind));
+}
+
+// Guards against a dead link that is used until it is found by its silence,
+// although its user knows that it doesn't answer.
+test("a renewed link replaces the former one and counts as a reconnection", async (t) => {
+  const { network, events, sockets } = await openLink(t, { connections: 9 });
+  network.renewLink("server");
+  network.renewLink("server");
+  await until(() => events.length === 4);
+  assert.deepEqual(events, ["up", "link_replaced", "down", "up"]);
+  const [, latest] = sockets;
+  assert.ok(latest);
+  assert.ok(network.send("server", "news", 1));
+  await receives(latest, "news");
+  assert.equal(sockets.length, 2);
+});
+
+// Guards against giving up a link that works for one that can't be opened.
+test("a link stays if its renewal fails", async (t) => {
+  const { network, events, sockets } = await openLink(t, { connections: 1 });
+  network.renewLink("server");
+  await until(() => events.includes("rejected"));
+  await turns(20);
+  assert.equal(events.includes("down"), false);
+  const [former] = sockets;
+  assert.ok(former);
+  assert.ok(network.send("server", "news", 1));
+  await receives(former, "news");
+});
