Ask at once for a change that does not apply

Callers could be served by an old configuration for up to another second: when a heartbeat with an older version crosses a change, control computes the next change from that version, and the entry, which has a newer one, cannot apply it. It dropped the change and reported its version with the next heartbeat.

The new test of the follower fails on the code before.

--- a/packages/entry/configuration_follower.ts
+++ b/packages/entry/configuration_follower.ts
@@ -268,8 +268,11 @@
     // The version never decreases, whoever sends the change.
     if (change.to <= this.version) return;
     const next = applyChange(this.#configuration, change);
-    // The change has another base; the next heartbeat reports the own version.
-    if (!next) return;
+    if (!next) {
+      // The change has another base, as when it crossed a heartbeat.
+      this.sendHeartbeat();
+      return;
+    }
     this.#configuration = next;
     this.#inForceSince = this.#options.clock.now();
     const { from, way, ageMs } = source;
--- a/packages/entry/configuration_follower_test.ts
+++ b/packages/entry/configuration_follower_test.ts
@@ -30,8 +30,9 @@
   return { ...EMPTY_CONFIGURATION, version, view };
 }
 
-/** Followers that are connected to each other but to no control host. */
+/** Followers that are connected to each other, and to control hosts. */
 class FollowerNetwork {
+  controls: readonly string[] = [];
   readonly clock = new ManualClock();
   readonly sent: { kind: string; from: string; to: string }[] = [];
   readonly followers = new Map<string, ConfigurationFollower>();
@@ -44,7 +45,7 @@
         clock: this.clock,
         logger: new SilentLogger(),
         self: () => self,
-        connectedControls: () => [],
+        connectedControls: () => this.controls,
         stopReports: () => [],
         linkSilenceMs: () => undefined,
         renewLink: () => undefined,
@@ -114,3 +115,17 @@
   follower?.sendHeartbeat();
   assert.equal(follower?.version, 5);
 });
+
+// Guards against a change that waits for the next heartbeat, up to a second,
+// since control computed it from a version that the entry no longer has.
+test("an entry asks at once for a change that does not apply to its version", () => {
+  const network = new FollowerNetwork();
+  network.controls = ["c1"];
+  network.setVersion("e1", 3);
+  network.sent.length = 0;
+  const change = diffConfigurations(configuration(2), configuration(4));
+  network.deliver("c1", "e1", "state", { version: 4, change, ageMs: 0 });
+  assert.equal(network.followers.get("e1")?.version, 3);
+  const { sent } = network;
+  assert.deepEqual(sent, [{ kind: "confirm", from: "e1", to: "c1" }]);
+});
