--- a/packages/reachability/index.ts
+++ b/packages/reachability/index.ts
@@ -7,9 +7,5 @@
 
 export * from "./handover_targets.ts";
 export * from "./messages.ts";
+export * from "./path_effects.ts";
 export * from "./server_paths.ts";
-export type {
-  ConnectionResult,
-  Fault,
-  PathEffect,
-} from "./service_paths.ts";
--- a/packages/reachability/server_paths.ts
+++ b/packages/reachability/server_paths.ts
@@ -1,9 +1,6 @@
 import type { BackendServer, BackendServerId, Randomness } from "#model";
-import {
-  type ConnectionResult,
-  type PathEffect,
-  ServicePaths,
-} from "./service_paths.ts";
+import type { ConnectionResult, PathEffect } from "./path_effects.ts";
+import { ServicePaths } from "./service_paths.ts";
 
 /** The paths from this entry to the servers of all services. */
 export class ServerPaths {
--- a/packages/reachability/service_paths_test.ts
+++ b/packages/reachability/service_paths_test.ts
@@ -1,11 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { type BackendServer, SeededRandomness } from "#model";
-import {
-  type ConnectionResult,
-  type PathEffect,
-  ServicePaths,
-} from "./service_paths.ts";
+import type { ConnectionResult, PathEffect } from "./path_effects.ts";
+import { ServicePaths } from "./service_paths.ts";
 import { testServer } from "./test_support.ts";
 
 /** Two servers in each of three data centres. */
--- a/packages/reachability/simulation.ts
+++ b/packages/reachability/simulation.ts
@@ -1,7 +1,7 @@
 import { type BackendServer, type Entry, SeededRandomness } from "#model";
 import { HandoverTargets } from "./handover_targets.ts";
+import type { Fault, PathEffect } from "./path_effects.ts";
 import { ServerPaths } from "./server_paths.ts";
-import type { Fault, PathEffect } from "./service_paths.ts";
 import { testEntry, testServer } from "./test_support.ts";
 
 const SERVICE = "alloc";
