Try a data centre before its servers count as unreachable

Callers: for 250 ms and longer, calls avoided a data centre none of whose servers had been tried, so they went to fewer servers elsewhere. Two of its servers failed while connections to others were tried for another failure; both were suspects, which counted as proof that the path there was lost.

A further suspect in a data centre that is not part of the attempts now adds connections to it and to two others there.

--- a/packages/reachability/service_paths.ts
+++ b/packages/reachability/service_paths.ts
@@ -43,6 +43,8 @@
 interface Inquiry {
   readonly suspects: Map<BackendServerId, BackendServer>;
   readonly failedAt: Map<BackendServerId, number>;
+  /** Data centres with servers that were tried. */
+  readonly tried: Set<string>;
   readonly pending: Set<BackendServerId>;
   readonly accepted: Map<BackendServerId, BackendServer>;
   readonly failed: Map<BackendServerId, BackendServer>;
@@ -130,11 +132,7 @@
   ): PathEffect[] {
     const isLost = this.#lostDataCentres.has(server.dataCentre);
     if (this.#cut || isLost) return [{ type: "judged", server, fault: "path" }];
-    if (this.#inquiry) {
-      this.#inquiry.suspects.set(server.id, server);
-      this.#inquiry.failedAt.set(server.id, now);
-      return [];
-    }
+    if (this.#inquiry) return this.#addSuspect(this.#inquiry, server, now);
     if (!isSure && this.#speaksForPath(server, now)) {
       return [{ type: "judged", server, fault: "server" }];
     }
@@ -142,6 +140,7 @@
     this.#inquiry = {
       suspects: new Map([[server.id, server]]),
       failedAt: new Map([[server.id, now]]),
+      tried: new Set(sample.map(({ dataCentre }) => dataCentre)),
       pending: new Set(sample.map(({ id }) => id)),
       accepted: new Map(),
       failed: new Map(),
@@ -151,6 +150,22 @@
     return sample.map((tried) => ({ type: "connect", server: tried }));
   }
 
+  /** Another server has failed; its data centre is tried as well. */
+  #addSuspect(
+    inquiry: Inquiry,
+    server: BackendServer,
+    now: number,
+  ): PathEffect[] {
+    inquiry.suspects.set(server.id, server);
+    inquiry.failedAt.set(server.id, now);
+    if (inquiry.tried.has(server.dataCentre)) return [];
+    inquiry.tried.add(server.dataCentre);
+    return this.#sampleNear(server).map((near) => {
+      inquiry.pending.add(near.id);
+      return { type: "connect", server: near };
+    });
+  }
+
   /** Records the result of an attempt to open a connection. */
   tried(
     server: BackendServer,
@@ -340,12 +355,19 @@
 
   /** The failed server, which may be the only live one, and others to try. */
   #sample(failed: BackendServer): BackendServer[] {
-    const others = this.#servers.filter(({ id }) => id !== failed.id);
-    const isNear = ({ dataCentre }: BackendServer) =>
-      dataCentre === failed.dataCentre;
-    const near = this.#draw(others.filter(isNear), SAMPLE_NEAR);
-    const far = others.filter((server) => !isNear(server));
-    return [failed, ...near, ...this.#draw(far, SAMPLE_FAR)];
+    const far = this.#servers.filter(
+      ({ dataCentre }) => dataCentre !== failed.dataCentre,
+    );
+    return [...this.#sampleNear(failed), ...this.#draw(far, SAMPLE_FAR)];
+  }
+
+  /** The failed server and others of its data centre. */
+  #sampleNear(failed: BackendServer): BackendServer[] {
+    const others = this.#servers.filter(
+      (server) =>
+        server.dataCentre === failed.dataCentre && server.id !== failed.id,
+    );
+    return [failed, ...this.#draw(others, SAMPLE_NEAR)];
   }
 
   /** Draws some servers at random. */
--- a/packages/reachability/service_paths_test.ts
+++ b/packages/reachability/service_paths_test.ts
@@ -96,6 +96,32 @@
   assert.deepEqual(faults(effects), ["s0 path", "s1 path"]);
 });
 
+// Guards against a data centre that calls avoid although no connection to it was
+// tried, when two of its servers fail while others are tried for another reason.
+test("a data centre is not lost before connections to it have failed", () => {
+  const servers = ["a", "a", "b", "c", "d", "d", "d"].map((dataCentre, index) =>
+    testServer(`s${index}`, dataCentre),
+  );
+  const [failed, , , , ...untried] = servers as [
+    BackendServer,
+    BackendServer,
+    BackendServer,
+    BackendServer,
+    BackendServer,
+  ];
+  // Draws the first servers, which are none of data centre d.
+  const paths = new ServicePaths("alloc", { below: () => 0, next: () => 0 });
+  paths.setServers(servers, 0);
+  const connects = paths.failed(failed, 0);
+  for (const server of untried.slice(0, 2)) {
+    connects.push(...paths.failed(server, 1));
+  }
+  const resultOf = () => "accepted" as const;
+  const effects = settle(paths, connects, { now: 2, resultOf });
+  assert.deepEqual(faults(effects), ["s0 server", "s4 server", "s5 server"]);
+  assert.deepEqual(paths.unreached, []);
+});
+
 // Guards against a burst of connections to servers that are overloaded already.
 test("further failures open no connections while there is a path", () => {
   const paths = createPaths();
