--- a/packages/entry/configuration_follower_test.ts
+++ b/packages/entry/configuration_follower_test.ts
@@ -34,6 +34,10 @@
 class FollowerNetwork {
   controls: readonly string[] = [];
   readonly clock = new ManualClock();
+  /** Milliseconds since anything arrived from control hosts. */
+  linkSilenceMs = 0;
+  readonly renewedLinks: string[] = [];
+  readonly #scheduled: { readonly at: number; readonly run: () => void }[] = [];
   readonly sent: { kind: string; from: string; to: string }[] = [];
   readonly followers = new Map<string, ConfigurationFollower>();
   readonly #handlers = new Map<string, (p: unknown, from: Hello) => void>();
@@ -47,15 +51,27 @@
         self: () => self,
         connectedControls: () => this.controls,
         stopReports: () => [],
-        linkSilenceMs: () => undefined,
-        renewLink: () => undefined,
-        schedule: () => undefined,
+        linkSilenceMs: () => this.linkSilenceMs,
+        renewLink: (id) => this.renewedLinks.push(id),
+        schedule: (run, ms) =>
+          this.#scheduled.push({ at: this.clock.now() + ms, run }),
         onChange: () => undefined,
       });
       this.followers.set(self.id, follower);
     }
   }
 
+  /** Lets time pass, and what was scheduled until then happen. */
+  pass(ms: number): void {
+    this.clock.advance(ms);
+    const now = this.clock.now();
+    const isDue = ({ at }: { at: number }) => at <= now;
+    const due = this.#scheduled.filter(isDue);
+    const later = this.#scheduled.filter((item) => !isDue(item));
+    this.#scheduled.splice(0, this.#scheduled.length, ...later);
+    for (const { run } of due) run();
+  }
+
   setVersion(id: string, version: number): void {
     const change = diffConfigurations(
       EMPTY_CONFIGURATION,
@@ -129,3 +145,36 @@
   const { sent } = network;
   assert.deepEqual(sent, [{ kind: "confirm", from: "e1", to: "c1" }]);
 });
+
+// Guards against connections to a host that is slow, or has no majority, though
+// its link works.
+test("a link is renewed only if nothing has arrived since the heartbeat", () => {
+  const network = new FollowerNetwork();
+  network.controls = ["c1", "c2"];
+  const follower = network.followers.get("e1");
+  follower?.sendHeartbeat();
+  const first = network.sent.at(-1)?.to;
+  network.linkSilenceMs = 300;
+  network.pass(600);
+  assert.deepEqual(network.renewedLinks, []);
+  assert.notEqual(network.sent.at(-1)?.to, first, "the next host is asked");
+  const second = network.sent.at(-1)?.to;
+  network.linkSilenceMs = 900;
+  network.pass(600);
+  assert.deepEqual(network.renewedLinks, [second]);
+});
+
+// Guards against hosts that are passed over, so that an entry asks the same silent
+// one again while another would answer.
+test("unanswered heartbeats go to each control host in turn", () => {
+  const network = new FollowerNetwork();
+  network.controls = ["c1", "c2", "c3", "c4"];
+  network.setVersion("e1", 1);
+  network.followers.get("e1")?.sendHeartbeat();
+  network.sent.length = 0;
+  for (let count = 0; count < 4; count++) network.pass(600);
+  const asked = network.sent.flatMap(({ kind, from, to }) =>
+    kind === "confirm" && from === "e1" ? [to] : [],
+  );
+  assert.deepEqual([...asked].sort(), ["c1", "c2", "c3", "c4"]);
+});
--- a/packages/wire/network_test.ts
+++ b/packages/wire/network_test.ts
@@ -126,9 +126,12 @@
   const latest = connect({ host: localAddress, port: remotePort ?? 0 });
   t.after(() => latest.destroy());
   await once(latest, "connect");
+  const closed = once(former, "close", {
+    signal: AbortSignal.timeout(RECEIVE_TIMEOUT_MS),
+  });
   latest.write(frame("hello", hello("peer")));
   await once(latest, "data");
-  await turns(5);
+  await closed;
   assert.ok(network.send("peer", "news", 1));
   const [received] = await once(latest, "data", {
     signal: AbortSignal.timeout(RECEIVE_TIMEOUT_MS),
@@ -242,3 +245,19 @@
   assert.ok(network.send("server", "news", 1));
   await receives(former, "news");
 });
+
+// Guards against messages on a dead link to a peer that has opened one itself, as
+// control hosts do in both directions.
+test("messages take the newest of two links that both ends have opened", async (t) => {
+  const { network, events } = await openLink(t, { connections: 1 });
+  const address = await network.listen({ host: "127.0.0.1", port: 0 });
+  const latest = connect(address._unsafeUnwrap());
+  t.after(() => latest.destroy());
+  await once(latest, "connect");
+  latest.write(frame("hello", { ...hello("server"), connection: 1 }));
+  await once(latest, "data");
+  await turns(20);
+  assert.ok(network.send("server", "news", 1));
+  await receives(latest, "news");
+  assert.deepEqual(events, ["up"], "both links stay");
+});
