--- a/packages/entry/forgotten_links_test.ts
+++ b/packages/faults/forgotten_links_test.ts
@@ -7,13 +7,13 @@
   EntryTable,
 } from "#configuration";
 import { ConfigurationPublisher } from "#control";
+import { EntryProcess } from "#entry";
 import { ManualClock, SeededRandomness } from "#model";
 import { SilentLogger } from "#telemetry";
 import { PROTOCOL_VERSION, TcpNetwork } from "#wire";
 import { reservePorts } from "../demo/ports.ts";
-import { Relay } from "../faults/relay.ts";
-import { EntryProcess } from "./entry_process.ts";
-import { TEST_LIMITS } from "./test_limits.ts";
+import { TEST_LIMITS } from "../entry/test_limits.ts";
+import { Relay } from "./relay.ts";
 
 const HOST = "127.0.0.1";
 const CONTROLS = 3;
