Keep a link on which data arrives before its renewal is connected

The renewal is dropped now if anything arrives on the link before it is connected.

The new test fails on the code before.

--- a/packages/wire/link.ts
+++ b/packages/wire/link.ts
@@ -80,6 +80,7 @@
   #open = true;
   #lastSent: number;
   #lastReceived: number;
+  #receivedBytes = 0;
   #pendingFrames: Buffer[] = [];
 
   constructor(socket: Socket, options: LinkOptions) {
@@ -112,6 +113,10 @@
     return this.#options.connection !== undefined;
   }
 
+  get receivedBytes(): number {
+    return this.#receivedBytes;
+  }
+
   /** Time without received data, in milliseconds. */
   get silenceMs(): number {
     return this.#options.clock.now() - this.#lastReceived;
@@ -188,6 +193,7 @@
   #handleData(chunk: Buffer): void {
     if (!this.#open) return;
     this.#lastReceived = this.#options.clock.now();
+    this.#receivedBytes += chunk.length;
     this.#options.traffic.receivedBytes += chunk.length;
     const frames = this.#reader.push(chunk);
     if (frames.isErr()) {
--- a/packages/wire/network.ts
+++ b/packages/wire/network.ts
@@ -309,11 +309,18 @@
 
   /**
    * Opens another connection beside the present one, which may be dead. The
-   * present one is used until the other is open.
+   * present one is used until the other is open, and stays if data arrives on it
+   * before the other is connected.
    */
   renew(): void {
     if (this.#stopped || this.#renewal) return;
+    const present = this.#link;
+    const receivedBytes = present?.receivedBytes;
     const socket = this.#open(() => {
+      if (present?.open && present.receivedBytes !== receivedBytes) {
+        socket.destroy();
+        return;
+      }
       const link = this.#createLink(socket, () => this.#replace(socket, link));
     });
     this.#renewal = socket;
--- a/packages/wire/network_test.ts
+++ b/packages/wire/network_test.ts
@@ -233,6 +233,20 @@
   assert.equal(sockets.length, 2);
 });
 
+// Guards against giving up a link that is only slow, with all that is on its way
+// on it.
+test("a link stays if data arrives on it before its renewal is connected", async (t) => {
+  const { network, events, sockets } = await openLink(t, { connections: 9 });
+  sockets[0]?.write(frame("ping", null));
+  network.renewLink("server");
+  await until(() => sockets.length === 2);
+  await turns(50);
+  assert.deepEqual(events, ["up"]);
+  assert.ok(network.send("server", "news", 1));
+  assert.ok(sockets[0]);
+  await receives(sockets[0], "news");
+});
+
 // Guards against giving up a link that works for one that can't be opened.
 test("a link stays if its renewal fails", async (t) => {
   const { network, events, sockets } = await openLink(t, { connections: 1 });
