Bring entries that exchange a call to the newer version

A call that an entry without a path to the servers passes on runs under the configuration of the entry that takes it. If that one is newer, the caller's entry acts on the older one again once its path is back, so that it seems to go back. If it is older, the call is refused, and the next entry asked.

The call names the version of the entry that passes it on. The entry that takes it now tells its own if it is newer, or asks for the other's, by the messages that entries use without control. The test of the follower covers both directions.

--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -53,6 +53,8 @@
   readonly protocol: CallProtocol;
   /** Called when `peersOnDemand` has changed. */
   readonly onPeersChanged: () => void;
+  /** Called with the version that another entry had when it passed a call on. */
+  readonly onPeerVersion: (peer: HostId, version: number) => void;
   /** Ids of the servers to which a suspected request should not be sent. */
   readonly serversToAvoid: (
     service: string,
@@ -259,6 +261,8 @@
       this.#refuse(response, { requestId: "", detail });
       return;
     }
+    const { entry, version } = origin.value;
+    this.#options.onPeerVersion(entry, version);
     this.#tickTimer.markActive();
     this.#proxy.serve(request, response, origin.value);
   }
--- a/packages/entry/configuration_follower.ts
+++ b/packages/entry/configuration_follower.ts
@@ -27,6 +27,8 @@
 /** Time for a control host to respond, including a majority's confirmation. */
 const CONTROL_RESPONSE_TIMEOUT_MS = 600;
 
+/** The round of a version that was not asked for; rounds begin with 1. */
+const UNSOLICITED_ROUND = 0;
 /** Time for one peer's configuration to arrive before another is asked. */
 const PEER_REQUEST_INTERVAL_MS = 300;
 
@@ -94,7 +96,9 @@
         ownVersion: this.version,
       });
     });
-    network.handle("version_ask", (ask, from) => this.#sendVersion(ask, from));
+    network.handle("version_ask", ({ round }, from) =>
+      this.#tellVersion(from.id, round),
+    );
     network.handle("version_answer", (answer, from) => {
       const { round, version } = answer;
       if (version > this.version) this.#requestFromPeer(from.id);
@@ -190,6 +194,15 @@
     this.sendHeartbeat();
   }
 
+  /**
+   * To be called with the version that another entry has in force. Whichever has
+   * the older one gets the newer one.
+   */
+  compareVersion(peer: HostId, version: number): void {
+    if (version > this.version) this.#requestFromPeer(peer);
+    if (version < this.version) this.#tellVersion(peer, UNSOLICITED_ROUND);
+  }
+
   /** To be called when a connection to a control host is open. */
   controlUp(id: HostId): void {
     // The link to this host is known to work, unlike that to a silent host.
@@ -245,10 +258,9 @@
     }
   }
 
-  #sendVersion(ask: { version: number; round: number }, from: Hello): void {
-    const { network } = this.#options;
+  #tellVersion(peer: HostId, round: number): void {
     const { version } = this;
-    network.send(from.id, "version_answer", { version, round: ask.round });
+    this.#options.network.send(peer, "version_answer", { version, round });
   }
 
   /**
--- a/packages/entry/configuration_follower_test.ts
+++ b/packages/entry/configuration_follower_test.ts
@@ -178,3 +178,19 @@
   );
   assert.deepEqual([...asked].sort(), ["c1", "c2", "c3", "c4"]);
 });
+
+// Guards against a caller who sees a newer version at the entry that took its call
+// over, and then the older one at the entry that had passed it on.
+test("entries with different versions that exchange a call end with the newer one", () => {
+  for (const [passedOnBy, takenBy] of [
+    ["e1", "e2"],
+    ["e2", "e1"],
+  ] as const) {
+    const network = new FollowerNetwork();
+    network.setVersion("e1", 3);
+    network.setVersion("e2", 5);
+    const version = network.followers.get(passedOnBy)?.version ?? 0;
+    network.followers.get(takenBy)?.compareVersion(passedOnBy, version);
+    assert.equal(network.followers.get("e1")?.version, 5);
+  }
+});
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -177,6 +177,8 @@
       }),
       onServerLeaving: (server) => this.#registrations.observeLeaving(server),
       onPeersChanged: () => this.#links.connect(),
+      onPeerVersion: (peer, version) =>
+        this.#follower.compareVersion(peer, version),
     });
     this.#links = new EntryLinks({
       self: settings.id,
