Follow a control host that answers late while none answers in time

An entry whose control hosts all answer after the response timeout, as on a slow path or in an overload, turned to the next one each 0.6 s, since answers of a host that it had left no longer ended its search: nearly three heartbeats a second in place of one, to hosts that were slow already. The new test fails without the change.

--- a/packages/entry/configuration_follower.ts
+++ b/packages/entry/configuration_follower.ts
@@ -97,6 +97,8 @@
       const way = state.sequence === undefined ? "push" : "answer";
       if (change) this.#apply(change, { from, way, ageMs });
       if (state.sequence === undefined) return;
+      // A host that answers late is better than one that may not answer at all.
+      if (this.#isSearching) this.#control = from.id;
       if (from.id === this.#control) {
         this.#unansweredSince = undefined;
         this.#isSearching = false;
--- a/packages/entry/configuration_follower_test.ts
+++ b/packages/entry/configuration_follower_test.ts
@@ -241,3 +241,25 @@
     assert.notEqual(network.sent.at(-1)?.to, connected);
   }
 });
+
+// Guards against heartbeats to one host after the other while all answer, but later
+// than the timeout.
+test("a host that answers late is followed while no other has answered", () => {
+  const network = new FollowerNetwork();
+  network.controls = ["c1", "c2", "c3"];
+  const follower = network.followers.get("e1");
+  follower?.sendHeartbeat();
+  const late = network.sent.at(-1)?.to ?? "";
+  network.pass(600);
+  const answer = { version: 1, sequence: 1, ageMs: 0 };
+  const change = diffConfigurations(EMPTY_CONFIGURATION, configuration(1));
+  network.deliver(late, "e1", "state", { ...answer, change });
+  network.sent.length = 0;
+  network.pass(600);
+  follower?.sendHeartbeat();
+  const asked = network.sent.filter(({ kind }) => kind === "confirm");
+  assert.deepEqual(
+    asked.map(({ to }) => to),
+    [late],
+  );
+});
