Replace only connections of the same channel

A peer's new connection closed any other that it had opened. A host that is configured under two addresses, as a name and a number, has two at a time, which would have closed each other each 250 ms. Each configured address is a channel of its own now, and only a connection of the same channel, or of the process before a restart, is replaced. Found by reading; with a test.

--- a/packages/wire/link.ts
+++ b/packages/wire/link.ts
@@ -64,11 +64,8 @@
   readonly clock: Clock;
   readonly events: LinkEvents;
   readonly traffic: Traffic;
-  /**
-   * Number of the connection among those that this process has opened; absent
-   * if the peer has opened it.
-   */
-  readonly connection?: number;
+  /** Present if this process has opened the connection. */
+  readonly connection?: Hello["connection"];
 }
 
 /** One TCP connection to another process of mangobank. */
--- a/packages/wire/messages.ts
+++ b/packages/wire/messages.ts
@@ -31,10 +31,11 @@
   /** Length of the sender's table of short field names. */
   readonly shortKeys?: number;
   /**
-   * Number of the connection among those that the sender has opened; absent if
-   * the receiver has opened it.
+   * Present if the sender has opened the connection. The connections that it
+   * opens one after the other for the same purpose share a channel, and have
+   * growing numbers.
    */
-  readonly connection?: number;
+  readonly connection?: { readonly channel: number; readonly number: number };
 }
 
 /** Version of the messages between mangobank's own processes. */
--- a/packages/wire/network.ts
+++ b/packages/wire/network.ts
@@ -3,7 +3,12 @@
 import type { Address, Clock, HostId } from "#model";
 import { afterPendingInput } from "./after_input.ts";
 import { encodeFrame } from "./frames.ts";
-import { Link, type LinkFault, type Traffic } from "./link.ts";
+import {
+  Link,
+  type LinkFault,
+  type LinkOptions,
+  type Traffic,
+} from "./link.ts";
 import { type ListenFault, listen } from "./listen.ts";
 import type { Hello, MessageMap } from "./messages.ts";
 
@@ -65,7 +70,7 @@
   readonly #accepted = new Set<Link>();
   readonly #outgoing = new Map<string, OutgoingConnection>();
   readonly #timer: NodeJS.Timeout;
-  #openedConnections = 0;
+  #openedChannels = 0;
   #server: Server | undefined;
 
   constructor(options: {
@@ -101,13 +106,11 @@
     }
     for (const [key, peer] of wanted) {
       if (this.#outgoing.has(key)) continue;
+      const channel = ++this.#openedChannels;
       const connection = new OutgoingConnection(
         peer.address,
-        (socket, onOpen) =>
-          this.#createLink(socket, {
-            connection: ++this.#openedConnections,
-            onOpen,
-          }),
+        (socket, { number, onOpen }) =>
+          this.#createLink(socket, { connection: { channel, number }, onOpen }),
       );
       this.#outgoing.set(key, connection);
     }
@@ -199,10 +202,12 @@
 
   #createLink(
     socket: Socket,
-    outgoing?: { readonly connection: number; readonly onOpen: () => void },
+    outgoing?: Pick<LinkOptions, "connection"> & {
+      readonly onOpen: () => void;
+    },
   ): Link {
     const link = new Link(socket, {
-      ...(outgoing && { connection: outgoing.connection }),
+      ...(outgoing?.connection && { connection: outgoing.connection }),
       self: this.#self,
       clock: this.#clock,
       traffic: this.traffic,
@@ -229,11 +234,11 @@
   #handleOpen(link: Link): void {
     const peer = link.peer;
     if (!peer) return;
-    // A process opens another connection to a peer only after it has given the
-    // former one up, which may never be closed at the other end.
+    // A process opens another connection on a channel only after it has given the
+    // former one up, which may never be closed at this end.
     const former = this.#links
       .get(peer.id)
-      ?.find(({ isOutgoing }) => isOutgoing === link.isOutgoing);
+      ?.find((other) => other.peer && isSameChannel(peer, other.peer));
     if (former?.peer && isOpenedBefore(peer, former.peer)) {
       link.close({ type: "link_replaced" });
       return;
@@ -275,10 +280,17 @@
   }
 }
 
+/** Creates the link of a connection with its number in its channel. */
+type CreateOutgoingLink = (
+  socket: Socket,
+  options: { readonly number: number; readonly onOpen: () => void },
+) => Link;
+
 /** Keeps one outgoing connection open: connects again whenever it closes. */
 class OutgoingConnection {
   readonly #address: Address;
-  readonly #createLink: (socket: Socket, onOpen: () => void) => Link;
+  readonly #createLink: CreateOutgoingLink;
+  #number = 0;
   #link: Link | undefined;
   #socket: Socket | undefined;
   /** A connection that is to replace the present one once it is open. */
@@ -286,10 +298,7 @@
   #retry: NodeJS.Timeout | undefined;
   #stopped = false;
 
-  constructor(
-    address: Address,
-    createLink: (socket: Socket, onOpen: () => void) => Link,
-  ) {
+  constructor(address: Address, createLink: CreateOutgoingLink) {
     this.#address = address;
     this.#createLink = createLink;
     this.#connect();
@@ -321,7 +330,10 @@
         socket.destroy();
         return;
       }
-      const link = this.#createLink(socket, () => this.#replace(socket, link));
+      const link = this.#createLink(socket, {
+        number: ++this.#number,
+        onOpen: () => this.#replace(socket, link),
+      });
     });
     this.#renewal = socket;
   }
@@ -339,7 +351,10 @@
 
   #connect(): void {
     const socket = this.#open(() => {
-      this.#link = this.#createLink(socket, () => undefined);
+      this.#link = this.#createLink(socket, {
+        number: ++this.#number,
+        onOpen: () => undefined,
+      });
     });
     this.#socket = socket;
   }
@@ -376,12 +391,22 @@
 }
 
 /**
- * Whether a process opened a connection before another one, by its hellos on
- * both. A hello that was held up may arrive after that of a later connection.
+ * Whether a process has opened two connections, by its hellos on both, of which it
+ * uses one only: those of a channel, and those before its restart.
+ */
+function isSameChannel(hello: Hello, other: Hello): boolean {
+  if (!hello.connection || !other.connection) return false;
+  if (hello.incarnation !== other.incarnation) return true;
+  return hello.connection.channel === other.connection.channel;
+}
+
+/**
+ * Whether a process opened a connection of a channel before another one. A hello
+ * that was held up may arrive after that of a later connection.
  */
 function isOpenedBefore(hello: Hello, other: Hello): boolean {
   if (hello.incarnation !== other.incarnation) return false;
-  return (hello.connection ?? 0) < (other.connection ?? 0);
+  return (hello.connection?.number ?? 0) < (other.connection?.number ?? 0);
 }
 
 function peerKey(peer: Peer): string {
--- a/packages/wire/network_test.ts
+++ b/packages/wire/network_test.ts
@@ -120,7 +120,8 @@
 // up, while that one is not known to be dead.
 test("messages go to the connection that a peer has opened last", async (t) => {
   const { network, socket: former } = await startNetwork(t);
-  former.write(frame("hello", hello("peer")));
+  const number = (value: number) => ({ channel: 1, number: value });
+  former.write(frame("hello", { ...hello("peer"), connection: number(1) }));
   await turns(5);
   const { localAddress, remotePort } = former;
   const latest = connect({ host: localAddress, port: remotePort ?? 0 });
@@ -129,7 +130,7 @@
   const closed = once(former, "close", {
     signal: AbortSignal.timeout(RECEIVE_TIMEOUT_MS),
   });
-  latest.write(frame("hello", hello("peer")));
+  latest.write(frame("hello", { ...hello("peer"), connection: number(2) }));
   await once(latest, "data");
   await closed;
   assert.ok(network.send("peer", "news", 1));
@@ -147,13 +148,17 @@
   const latest = connect({ host: localAddress, port: remotePort ?? 0 });
   t.after(() => latest.destroy());
   await once(latest, "connect");
-  latest.write(frame("hello", { ...hello("peer"), connection: 2 }));
+  latest.write(
+    frame("hello", { ...hello("peer"), connection: { channel: 1, number: 2 } }),
+  );
   await once(latest, "data");
   await turns(5);
   const closed = once(former, "close", {
     signal: AbortSignal.timeout(RECEIVE_TIMEOUT_MS),
   });
-  former.write(frame("hello", { ...hello("peer"), connection: 1 }));
+  former.write(
+    frame("hello", { ...hello("peer"), connection: { channel: 1, number: 1 } }),
+  );
   await closed;
   assert.ok(network.send("peer", "news", 1));
   await once(latest, "data", {
@@ -268,10 +273,38 @@
   const latest = connect(address._unsafeUnwrap());
   t.after(() => latest.destroy());
   await once(latest, "connect");
-  latest.write(frame("hello", { ...hello("server"), connection: 1 }));
+  latest.write(
+    frame("hello", {
+      ...hello("server"),
+      connection: { channel: 1, number: 1 },
+    }),
+  );
   await once(latest, "data");
   await turns(20);
   assert.ok(network.send("server", "news", 1));
   await receives(latest, "news");
   assert.deepEqual(events, ["up"], "both links stay");
 });
+
+// Guards against two links that close each other again and again, where a host is
+// configured under two addresses.
+test("connections of different channels stay beside each other", async (t) => {
+  const { network, socket: first } = await startNetwork(t);
+  const helloOn = (channel: number) =>
+    frame("hello", { ...hello("peer"), connection: { channel, number: 1 } });
+  first.write(helloOn(1));
+  await turns(5);
+  const { localAddress, remotePort } = first;
+  const second = connect({ host: localAddress, port: remotePort ?? 0 });
+  t.after(() => second.destroy());
+  await once(second, "connect");
+  second.write(helloOn(2));
+  await once(second, "data");
+  await turns(20);
+  assert.ok(network.send("peer", "news", 1));
+  await receives(second, "news");
+  second.destroy();
+  await turns(50);
+  assert.ok(network.send("peer", "news", 2));
+  await receives(first, "news");
+});
