Fail a request that cannot be sent instead of ending the entry

Cause: a heartbeat's address was checked by /^[^:\s]+:\d+$/ only, its id not at all. Node's client throws on a header, path or port that it cannot send, before there is a request that could fail; BackendClient.send passed the exception on, and a check that throws is an unhandled rejection. tryConnection throws on such a port in the same way, and a configured health check path with a space ended entries too.

Evidence: the standard error of each ended process names ERR_INVALID_CHAR for the header Host.

--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -6,6 +6,7 @@
   type IncomingHttpHeaders,
   type IncomingMessage,
 } from "node:http";
+import { err, ok, type Result } from "neverthrow";
 import {
   type BackendServer,
   backendServerKey,
@@ -16,7 +17,11 @@
 } from "#model";
 import { BackendAgent } from "./backend_agent.ts";
 import { BackendExchange } from "./backend_exchange.ts";
-import type { RequestResult, ResponseHead } from "./backend_response.ts";
+import type {
+  RequestFailure,
+  RequestResult,
+  ResponseHead,
+} from "./backend_response.ts";
 import type { CallProtocol } from "./call_protocol.ts";
 import { ReceiveGuard } from "./receive_guard.ts";
 import type { RequestBody } from "./request_body.ts";
@@ -98,16 +103,9 @@
   }
 
   send(server: BackendServer, request: BackendRequest): SentRequest {
-    const { address } = server;
-    const outgoing = httpRequest({
-      host: address.host,
-      port: address.port,
-      method: request.method,
-      path: request.path,
-      headers: request.headers,
-      agent: this.#agent(server),
-      setHost: false,
-    });
+    const opened = openRequest(server, request, this.#agent(server));
+    if (opened.isErr()) return neverSent(opened.error);
+    const outgoing = opened.value;
     const exchange = new BackendExchange(outgoing, {
       request,
       meter: new ResponseMeter(this.#limits),
@@ -211,6 +209,33 @@
   }
 }
 
+/**
+ * Creates a request. Node throws on an address, a path or a header that it cannot
+ * send; these come from other programs and concern this request only.
+ */
+function openRequest(
+  { address }: BackendServer,
+  { method, path, headers }: BackendRequest,
+  agent: Agent,
+): Result<ClientRequest, RequestFailure> {
+  const { host, port } = address;
+  const options = { host, port, method, path, headers, agent };
+  try {
+    return ok(httpRequest({ ...options, setHost: false }));
+  } catch (cause) {
+    const detail = cause instanceof Error ? cause.message : String(cause);
+    return err({ type: "not_connected", detail });
+  }
+}
+
+/** A request that failed before it was sent. */
+function neverSent(fault: RequestFailure): SentRequest {
+  return {
+    result: Promise.resolve({ type: "fault", fault }),
+    cancel: () => undefined,
+  };
+}
+
 function sendBody(outgoing: ClientRequest, body: RequestBody): void {
   if (!body.rest) {
     outgoing.end(body.head.length > 0 ? body.head : undefined);
--- a/packages/entry/backend_client_test.ts
+++ b/packages/entry/backend_client_test.ts
@@ -83,6 +83,28 @@
   client.close();
 });
 
+// An exception of Node's client ended the process (review of 4 December 2026).
+for (const { name, ...changes } of [
+  { name: "a NUL byte in a header", header: "127.0.0.1\u0000:80" },
+  { name: "a header outside of Latin-1", header: "\uff11" },
+  { name: "a port above the highest", port: 65_536 },
+  { name: "a space in its path", path: "/health check" },
+  { name: "a NUL byte in its host", host: "127.0.0.1\u0000" },
+]) {
+  const usable = { host: "127.0.0.1", port: 9, path: "/", header: "w1" };
+  const { host, port, path, header } = { ...usable, ...changes };
+  test(`a request with ${name} fails as not connected`, async () => {
+    const target = { ...record(port, 1), address: { host, port } };
+    const client = new BackendClient(new PublishedProtocol());
+    const headers = ["host", header];
+    const sent = client.send(target, { ...REQUEST, path, headers });
+    const result = await sent.result;
+    sent.cancel();
+    assert.equal(result.type === "fault" && result.fault.type, "not_connected");
+    client.close();
+  });
+}
+
 // Otherwise a request for the head of a long document fails.
 test("a response to HEAD may announce more than the longest body", async () => {
   const server = createServer((_request, response) => {
--- a/packages/entry/connection_check.ts
+++ b/packages/entry/connection_check.ts
@@ -1,4 +1,4 @@
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 import type { Address, Clock } from "#model";
 import type { ConnectionResult } from "#reachability";
 import { afterPendingInput } from "#wire";
@@ -8,12 +8,16 @@
 
 /** Opens a connection to an address and closes it at once. */
 export function tryConnection(
-  { host, port }: Address,
+  address: Address,
   { timeoutMs, clock }: { timeoutMs: number; clock: Clock },
 ): Promise<ConnectionResult> {
   return new Promise((resolve) => {
     const startedAt = clock.now();
-    const socket = connect({ host, port });
+    const socket = openSocket(address);
+    if (!socket) {
+      resolve("failed");
+      return;
+    }
     const finish = (result: ConnectionResult) => {
       clearTimeout(timer);
       socket.destroy();
@@ -27,3 +31,12 @@
     socket.once("error", () => finish("failed"));
   });
 }
+
+/** Begins to connect; undefined if Node cannot use the address. */
+function openSocket({ host, port }: Address): Socket | undefined {
+  try {
+    return connect({ host, port });
+  } catch {
+    return undefined;
+  }
+}
