Frame each request to a server by the body that is sent

Cause: Transfer-Encoding is removed from the caller's headers as one of a single connection, and nothing took its place. Node's client writes the body of a GET, HEAD, DELETE, OPTIONS or TRACE without framing then. A Content-Length that the caller names in Connection is removed with the same effect.

The second request on the connection is then the text of the body.

Why this works: the client sets the framing from the body that it sends, for calls, calls that are passed on, probes and checks alike; what the headers say of it is dropped.

--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -25,6 +25,7 @@
 import type { CallProtocol } from "./call_protocol.ts";
 import { ReceiveGuard } from "./receive_guard.ts";
 import type { RequestBody } from "./request_body.ts";
+import { framedHeaders } from "./request_framing.ts";
 import {
   type ExceededBound,
   type ResponseLimits,
@@ -44,7 +45,10 @@
 export interface BackendRequest {
   readonly method: string;
   readonly path: string;
-  /** Alternating names and values, as in Node's `rawHeaders`. */
+  /**
+   * Alternating names and values, as in Node's `rawHeaders`; those that frame the
+   * body are set anew.
+   */
   readonly headers: string[];
   readonly body: RequestBody;
   readonly connectTimeoutMs: number;
@@ -215,10 +219,11 @@
  */
 function openRequest(
   { address }: BackendServer,
-  { method, path, headers }: BackendRequest,
+  { method, path, body, headers: unframed }: BackendRequest,
   agent: Agent,
 ): Result<ClientRequest, RequestFailure> {
   const { host, port } = address;
+  const headers = framedHeaders(method, unframed, body);
   const options = { host, port, method, path, headers, agent };
   try {
     return ok(httpRequest({ ...options, setHost: false }));
--- a/packages/entry/backend_client_test.ts
+++ b/packages/entry/backend_client_test.ts
@@ -11,6 +11,7 @@
 import { until } from "../demo/until.ts";
 import { BackendClient } from "./backend_client.ts";
 import { PublishedProtocol } from "./call_protocol.ts";
+import { EMPTY_BODY } from "./request_body.ts";
 
 const servers: (Server | RawServer)[] = [];
 
@@ -50,7 +51,7 @@
   method: "GET",
   path: "/",
   headers: ["host", "w1"],
-  body: { head: Buffer.alloc(0), rest: undefined },
+  body: EMPTY_BODY,
   requestId: undefined,
   connectTimeoutMs: 1_000,
 };
--- a/packages/entry/backend_response_test.ts
+++ b/packages/entry/backend_response_test.ts
@@ -5,6 +5,7 @@
 import { listen } from "#wire";
 import { BackendClient } from "./backend_client.ts";
 import { PublishedProtocol } from "./call_protocol.ts";
+import { EMPTY_BODY } from "./request_body.ts";
 
 const RESPONSE_HEADS = {
   contentLength: "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n",
@@ -39,7 +40,7 @@
     method: "GET",
     path: "/",
     headers: ["host", "w"],
-    body: { head: Buffer.alloc(0), rest: undefined },
+    body: EMPTY_BODY,
     connectTimeoutMs: 1_000,
     requestId: undefined,
   });
--- a/packages/entry/prober.ts
+++ b/packages/entry/prober.ts
@@ -10,6 +10,7 @@
 import type { BackendClient } from "./backend_client.ts";
 import type { RequestResult } from "./backend_response.ts";
 import type { CallProtocol, HealthReport } from "./call_protocol.ts";
+import { EMPTY_BODY } from "./request_body.ts";
 import { statementOf } from "./server_attempt.ts";
 
 const PROBE_TIMEOUT_MS = 1_000;
@@ -96,7 +97,7 @@
       method: "GET",
       path: protocol.healthCheckPath(service(server.service)),
       headers: ["host", `${server.address.host}:${server.address.port}`],
-      body: { head: Buffer.alloc(0), rest: undefined },
+      body: EMPTY_BODY,
       connectTimeoutMs: timeoutMs,
       requestId: undefined,
     });
--- a/packages/entry/request_body.ts
+++ b/packages/entry/request_body.ts
@@ -13,6 +13,8 @@
   readonly head: Buffer;
   /** Undefined if the whole body is buffered. */
   readonly rest: IncomingMessage | undefined;
+  /** Bytes of the whole body; undefined if only its end will tell. */
+  readonly length: number | undefined;
 }
 
 export interface BodyLimits {
@@ -21,7 +23,7 @@
   readonly timeoutMs: number;
 }
 
-const EMPTY: RequestBody = { head: Buffer.alloc(0), rest: undefined };
+export const EMPTY_BODY: RequestBody = bufferedBody([]);
 
 /**
  * Reads the first part of a body. To be called before a slot of a backend
@@ -40,7 +42,7 @@
   }
   if (declared === 0 && headers["transfer-encoding"] === undefined) {
     request.resume();
-    return Promise.resolve(ok(EMPTY));
+    return Promise.resolve(ok(EMPTY_BODY));
   }
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
@@ -57,10 +59,16 @@
       length += chunk.length;
       if (length <= MAX_BUFFERED_BODY_BYTES) return;
       request.pause();
-      finish(ok({ head: Buffer.concat(chunks), rest: request }));
+      const isDeclared = headers["content-length"] !== undefined;
+      finish(
+        ok({
+          head: Buffer.concat(chunks),
+          rest: request,
+          length: isDeclared ? declared : undefined,
+        }),
+      );
     };
-    const onEnd = () =>
-      finish(ok({ head: Buffer.concat(chunks), rest: undefined }));
+    const onEnd = () => finish(ok(bufferedBody(chunks)));
     const onClose = () => {
       const detail = "the caller closed the connection";
       finish(err(callFault("request_timeout", { detail })));
@@ -75,3 +83,8 @@
     request.once("close", onClose);
   });
 }
+
+function bufferedBody(chunks: readonly Buffer[]): RequestBody {
+  const head = Buffer.concat(chunks);
+  return { head, rest: undefined, length: head.length };
+}
