--- a/packages/entry/backend_exchange.ts
+++ b/packages/entry/backend_exchange.ts
@@ -91,7 +91,7 @@
     });
     const head = readHead(response);
     if (head.foreign) {
-      this.#fail("the answer is for another request");
+      this.#fail("the answer does not name the request");
       this.#outgoing.destroy();
       return;
     }
--- a/packages/entry/call_protocol.ts
+++ b/packages/entry/call_protocol.ts
@@ -25,7 +25,7 @@
   readonly leaving: boolean;
   /** The address now belongs to another server than the intended one. */
   readonly wrongServer: boolean;
-  /** The response belongs to another request than the one that was sent. */
+  /** Nothing proves that the response belongs to the request that was sent. */
   readonly foreign: boolean;
   /** Number of requests that run or wait at the server. */
   readonly inFlight: number | undefined;
