Use a new connection where a call returns to a server

Cause: a call that has tried all servers of its service may try one again, on the connection that was kept after the refusal. The earlier refusal, written once more, names the same request, so no id tells it from the answer that is due.

Evidence: packages/entry/repeated_refusal_test.ts: the caller was told not-run, with one run at the server.

Why this works: on a connection that carried no earlier attempt of the call, no answer to one can arrive. A new connection for each refusal would protect as well, but costs one for each refusal of an overloaded server; this costs one only where a call goes back to the same server.

--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -52,6 +52,11 @@
   readonly headers: string[];
   readonly body: RequestBody;
   readonly connectTimeoutMs: number;
+  /**
+   * Whether to use a connection that no earlier request has used. False if
+   * absent.
+   */
+  readonly needsNewConnection?: boolean;
   /**
    * The id that the server repeats in its response, if the protocol has one.
    */
@@ -107,7 +112,10 @@
   }
 
   send(server: BackendServer, request: BackendRequest): SentRequest {
-    const opened = openRequest(server, request, this.#agent(server));
+    const agent = request.needsNewConnection
+      ? new BackendAgent({ keepAlive: false })
+      : this.#agent(server);
+    const opened = openRequest(server, request, agent);
     if (opened.isErr()) return neverSent(opened.error);
     const outgoing = opened.value;
     const exchange = new BackendExchange(outgoing, {
--- a/packages/entry/call_attempts.ts
+++ b/packages/entry/call_attempts.ts
@@ -60,7 +60,7 @@
   readonly #input: CallAttemptsInput;
   readonly #outcome: AttemptTracker;
   readonly #budget: SendBudget;
-  readonly #excludedServers = new Set<string>();
+  readonly #triedServers = new Set<string>();
   readonly #runningAttempts = new Map<string, ServerAttempt>();
   #hedgeTimer: NodeJS.Timeout | undefined;
   #stopReason: StopReason | undefined;
@@ -170,7 +170,7 @@
           return { type: "answer", response };
         }
         this.#serverError = response;
-        this.#excludedServers.add(result.server.id);
+        this.#triedServers.add(result.server.id);
         continue;
       }
       if (this.#endsWhenCutOff)
@@ -184,7 +184,7 @@
       if (!retry || this.#stopReason || this.#input.body.rest) {
         return this.#failure(this.#fault(result.detail));
       }
-      this.#excludedServers.add(result.server.id);
+      this.#triedServers.add(result.server.id);
     }
   }
 
@@ -212,7 +212,7 @@
           id,
           input: this.#input,
           chain: this.#outcome.chain,
-          exclude: this.#excludedServers,
+          tried: this.#triedServers,
         });
         this.#runningAttempts.set(id, attempt);
         attempt.run(onSent).then((result) => onResult(id, result), reject);
@@ -222,7 +222,7 @@
         const id = this.#attemptId();
         if (!hedgedCall.tryHedge(id, this.#budget)) return;
         const runningServer = this.#runningAttempts.get(firstId)?.server;
-        if (runningServer) this.#excludedServers.add(runningServer.id);
+        if (runningServer) this.#triedServers.add(runningServer.id);
         start(id, () => undefined);
       };
       hedgedCall.start(firstId);
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -76,6 +76,7 @@
   readonly #input: AttemptInput;
   readonly #id: string;
   readonly #chain: CallChain;
+  readonly #triedServers: ReadonlySet<string>;
   readonly #excludedServers: Set<string>;
   #sentRequest: SentRequest | undefined;
   #server: BackendServer | undefined;
@@ -91,7 +92,8 @@
       id: string;
       input: AttemptInput;
       chain: CallChain;
-      exclude: ReadonlySet<string>;
+      /** Ids of the servers to which the call has been sent. */
+      tried: ReadonlySet<string>;
     },
   ) {
     this.#options = options;
@@ -100,7 +102,8 @@
     this.#chain = attempt.chain;
     const { service } = attempt.input.call;
     const unreached = options.paths.unreached(service);
-    this.#excludedServers = new Set([...attempt.exclude, ...unreached]);
+    this.#triedServers = new Set(attempt.tried);
+    this.#excludedServers = new Set([...attempt.tried, ...unreached]);
   }
 
   /** The server that is processing the call. */
@@ -221,6 +224,9 @@
       logId: callerRequestId ?? this.#input.call.id,
       body,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      // A server may write an earlier answer once more where the next one is due,
+      // and that of an earlier attempt names this call.
+      needsNewConnection: this.#triedServers.has(server.id),
     });
     const result = await this.#sentRequest.result;
     const response = result.type === "answer" ? result.response : undefined;
