Test that a response that is cut anywhere in its head fails

Operators of other systems saw a 200 with an empty or short body, framed as whole, when a server stopped in the middle of its response's head and closed. The tests guard it.

--- a/packages/entry/backend_response_test.ts
+++ b/packages/entry/backend_response_test.ts
@@ -14,11 +14,28 @@
 } as const;
 const CHUNK = "5\r\nhello\r\n";
 
-/** Sends a request to a server that writes its response with `answer`. */
-async function sendRequest(answer: (socket: Socket) => void) {
+const WHOLE = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+
+/**
+ * Sends a request to a server that writes its response with `answer`, after one
+ * that got a whole response on the same connection if it is kept.
+ */
+async function sendRequest(
+  answer: (socket: Socket) => void,
+  { isKept = false } = {},
+) {
+  let connections = 0;
   const server = createServer((socket) => {
+    connections += 1;
     socket.on("error", () => undefined);
-    socket.once("data", () => answer(socket));
+    socket.once("data", () => {
+      if (!isKept) {
+        answer(socket);
+        return;
+      }
+      socket.write(WHOLE);
+      socket.once("data", () => answer(socket));
+    });
   });
   const bound = await listen(server, { host: "127.0.0.1", port: 0 });
   const address: Address = bound._unsafeUnwrap();
@@ -36,15 +53,17 @@
     startedMsAgo: 0,
   };
   const client = new BackendClient(new PublishedProtocol());
-  const { result } = client.send(record, {
+  const request = {
     method: "GET",
     path: "/",
     headers: ["host", "w"],
     body: EMPTY_BODY,
     connectTimeoutMs: 1_000,
     requestId: undefined,
-  });
-  const ended = await result;
+  };
+  if (isKept) await client.send(record, request).result;
+  const ended = await client.send(record, request).result;
+  assert.equal(connections, 1);
   client.close();
   server.close();
   return ended;
@@ -77,3 +96,43 @@
     assert.equal(ended.response.body?.toString(), "hello");
   }
 });
+
+const INTERIM = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+const CUT_HEADS = {
+  "a length": "HTTP/1.1 200 OK\r\nX: 1\r\nContent-Length: 12\r\n\r\n",
+  "a length of 0": "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX: 1\r\n\r\n",
+  chunks: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+  "the close of its connection": "HTTP/1.1 200 OK\r\nX: 1\r\n\r\n",
+  "no body": "HTTP/1.1 204 No Content\r\nX: 1\r\n\r\n",
+  "an informational response": `${INTERIM}HTTP/1.1 200 OK\r\nX: 1\r\n\r\n`,
+  "line feeds only": "HTTP/1.1 200 OK\nContent-Length: 0\nX: 1\n\n",
+} as const;
+const ENDS = {
+  closed: (socket: Socket, text: string) => socket.end(text),
+  reset: RESETS["with the last bytes"],
+};
+
+// Callers of other systems got a 200 with an empty body, framed as whole, when a
+// server stopped in the middle of its response's head.
+for (const [framing, head] of Object.entries(CUT_HEADS)) {
+  for (const [how, end] of Object.entries(ENDS)) {
+    for (const isKept of [false, true]) {
+      const connection = isKept ? "kept" : "new";
+      test(`a response with ${framing} on a ${connection} connection that is ${how} in its head fails`, async () => {
+        const cuts = Array.from({ length: head.length }, (_, cut) => cut);
+        const results = await Promise.all(
+          cuts.map((cut) =>
+            sendRequest((socket) => end(socket, head.slice(0, cut)), {
+              isKept,
+            }),
+          ),
+        );
+        const answered = cuts.filter((cut) => results[cut]?.type === "answer");
+        assert.deepEqual(
+          answered.map((cut) => head.slice(0, cut)),
+          [],
+        );
+      });
+    }
+  }
+}
