Send no booking in a stop that the stop's end could cut

Callers saw: in a planned stop of an entry, a booking that came within it was taken on, sent to a server and cut at the end without an answer.

Cause: a stop took calls on by the 95th percentile of the recent durations of their class (with fewer than ten by the objective), whether they may be repeated or not.

The simulation of stops (10,000 schedules) now has calls that must not be repeated and take up to twice the stop; the former rule is kept as a mutation, which it finds.

Why this works: a call that must not be repeated is sent only if its deadline lies before the end of the stop, so it has an answer by then, however slow its server is. Others count with the longest recent duration.

--- a/packages/entry/call_admission.ts
+++ b/packages/entry/call_admission.ts
@@ -1,10 +1,10 @@
 import type { IncomingMessage } from "node:http";
-import { err, type Result } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
 import { type CallChain, toCallFault } from "#admission";
 import { type Call, type CallFault, callFault, HEADERS } from "#model";
 import type { ClassifiedRequest } from "./request_classifier.ts";
 import type { ReverseProxyOptions } from "./reverse_proxy.ts";
-import type { ExpectedDurations } from "./stop_schedule.ts";
+import type { StoppableCall } from "./stop_schedule.ts";
 
 /** Retry delay sent to callers of an entry that is not ready. */
 const NOT_READY_RETRY_MS = 1_000;
@@ -16,6 +16,7 @@
   readonly #request: IncomingMessage;
   readonly #arrival: number;
   #classified: ClassifiedRequest | undefined;
+  #call: Call | undefined;
 
   constructor(
     options: ReverseProxyOptions,
@@ -52,9 +53,13 @@
       .classify(this.#request)
       .andThen((classified) => {
         this.#classified = classified;
+        return this.#createCall(classified);
+      })
+      .andThen((admitted) => {
+        this.#call = admitted.call;
         return this.#refusedByStop()
           ? err(callFault("entry_stopping"))
-          : this.#createCall(classified);
+          : ok(admitted);
       });
   }
 
@@ -69,14 +74,16 @@
     return mayHaveRun ? { ...fault, outcome: "unknown" } : fault;
   }
 
-  get expectedDurations(): ExpectedDurations | undefined {
-    if (!this.#classified) return undefined;
-    const { service, class: requestClass } = this.#classified;
+  /** The call as a stop of the entry sees it; undefined before `admit`. */
+  get stoppableCall(): StoppableCall | undefined {
+    if (!this.#call) return undefined;
     const { policies, clock } = this.#options;
-    const objectiveMs = requestClass.targetMs ?? requestClass.deadlineMs;
-    return policies
-      .durations(service.name, requestClass.name)
-      ?.expected(objectiveMs, clock.now());
+    const { arrival, deadline, repeatable, service, class: name } = this.#call;
+    const limitMs = deadline - arrival;
+    const expected = policies
+      .durations(service, name)
+      ?.expected(limitMs, clock.now());
+    return expected && { arrival, deadline, repeatable, expected };
   }
 
   /** Records how long the call took, for the calls of its class. */
@@ -93,9 +100,9 @@
   /** Whether the entry stops too soon for a call that arrives now. */
   #refusedByStop(): boolean {
     const schedule = this.#options.stopSchedule();
-    const expected = this.expectedDurations;
-    if (!schedule || !expected) return false;
-    return !schedule.accepts(this.#arrival, expected);
+    const call = this.stoppableCall;
+    if (!schedule || !call) return false;
+    return !schedule.accepts(call);
   }
 
   #createCall({ service, class: requestClass }: ClassifiedRequest) {
--- a/packages/entry/call_durations.ts
+++ b/packages/entry/call_durations.ts
@@ -1,8 +1,11 @@
 import { LatencyHistogram } from "#admission";
 import type { ExpectedDurations } from "./stop_schedule.ts";
 
-/** Percentile of the recent durations that counts as the expected one. */
-const EXPECTED_PERCENT = 95;
+/**
+ * Percentile of the recent durations that counts as the expected one: the longest,
+ * since a stop cuts what takes longer than expected.
+ */
+const EXPECTED_PERCENT = 100;
 /** Durations that are needed for a quantile. */
 const MIN_SAMPLES = 10;
 
@@ -21,11 +24,17 @@
     this.#work.record(ms, now);
   }
 
-  /** The expected durations; the objective stands for those not yet known. */
-  expected(objectiveMs: number, now: number): ExpectedDurations {
+  /**
+   * The expected durations of a call that has `limitMs` until its deadline, which
+   * stand for those not yet known.
+   */
+  expected(limitMs: number, now: number): ExpectedDurations {
     const options = { minSamples: MIN_SAMPLES, now };
     const quantile = (histogram: LatencyHistogram) =>
-      histogram.quantileMs(EXPECTED_PERCENT, options) ?? objectiveMs;
+      Math.min(
+        limitMs,
+        histogram.quantileMs(EXPECTED_PERCENT, options) ?? limitMs,
+      );
     return { totalMs: quantile(this.#total), workMs: quantile(this.#work) };
   }
 }
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -235,9 +235,9 @@
 
   /** Refuses the call if it is not sent to a server early enough. */
   beginStop(schedule: StopSchedule): void {
-    const expected = this.#admission.expectedDurations;
-    if (!expected) return;
-    const ms = schedule.sendBy(expected) - this.#options.clock.now();
+    const call = this.#admission.stoppableCall;
+    if (!call) return;
+    const ms = schedule.sendBy(call) - this.#options.clock.now();
     this.#stopTimer = setTimeout(
       () => this.#stopWaiting("entry_stops"),
       Math.max(0, ms),
--- a/packages/entry/stop_schedule.ts
+++ b/packages/entry/stop_schedule.ts
@@ -3,8 +3,10 @@
  * cached address lookup. The rest is left for the last calls to finish.
  */
 const ACCEPT_FRACTION = 0.5;
+/** Time for the answer that a call gets at its deadline. */
+const ANSWER_MARGIN_MS = 100;
 
-/** How long calls of a class usually take, in milliseconds. */
+/** How long calls of a class may be expected to take, in milliseconds. */
 export interface ExpectedDurations {
   /** From arrival to the end of the answer. */
   readonly totalMs: number;
@@ -12,10 +14,20 @@
   readonly workMs: number;
 }
 
+/** What decides whether a call can end before its entry does. */
+export interface StoppableCall {
+  readonly arrival: number;
+  readonly deadline: number;
+  /** Whether its caller may send it again if its answer is lost. */
+  readonly repeatable: boolean;
+  readonly expected: ExpectedDurations;
+}
+
 /**
  * What an entry still takes on while it stops. A call that can't end before the
  * entry does is refused before it is sent to a server, so that its caller may
- * turn to another entry at once.
+ * turn to another entry at once. One that must not be repeated is sent only if
+ * its deadline lies before the end of the entry, however long its server takes.
  */
 export class StopSchedule {
   /** Time until which new calls are accepted. */
@@ -30,12 +42,22 @@
   }
 
   /** Whether to accept a call that arrives now. */
-  accepts(now: number, { totalMs }: ExpectedDurations): boolean {
-    return now < this.acceptUntil && now + totalMs <= this.end;
+  accepts(call: StoppableCall): boolean {
+    const { arrival, repeatable, expected } = call;
+    if (arrival >= this.acceptUntil) return false;
+    if (this.#endsInTime(call)) return true;
+    return repeatable && arrival + expected.totalMs <= this.end;
   }
 
   /** The latest time at which to send a call to a server. */
-  sendBy({ workMs }: ExpectedDurations): number {
-    return this.end - workMs;
+  sendBy(call: StoppableCall): number {
+    const { arrival, deadline, repeatable, expected } = call;
+    if (this.#endsInTime(call)) return deadline;
+    return repeatable ? this.end - expected.workMs : arrival;
+  }
+
+  /** Whether the call's deadline ends it before the entry does. */
+  #endsInTime({ deadline }: StoppableCall): boolean {
+    return deadline + ANSWER_MARGIN_MS <= this.end;
   }
 }
--- a/packages/entry/stop_schedule_test.ts
+++ b/packages/entry/stop_schedule_test.ts
@@ -1,14 +1,15 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { SeededRandomness } from "#model";
-import { type ExpectedDurations, StopSchedule } from "./stop_schedule.ts";
+import { type StoppableCall, StopSchedule } from "./stop_schedule.ts";
 
 const SCHEDULES = 10_000;
 const CALLS_PER_SCHEDULE = 40;
+/** Time that an entry may take to answer a call at its deadline. */
+const ANSWER_MARGIN_MS = 100;
 
 /** A call on the virtual clock; times in milliseconds. */
-interface SimulatedCall {
-  readonly arrival: number;
+interface SimulatedCall extends StoppableCall {
   /** Time until a slot is free for it. */
   readonly waitMs: number;
   readonly workMs: number;
@@ -20,20 +21,17 @@
   | { readonly type: "cut"; readonly sent: boolean };
 
 /** Runs a call as an entry does that follows the schedule. */
-function runCall(
-  call: SimulatedCall,
-  schedule: StopSchedule,
-  expected: ExpectedDurations,
-): CallEnd {
-  const { arrival, waitMs, workMs } = call;
+function runCall(call: SimulatedCall, schedule: StopSchedule): CallEnd {
+  const { arrival, deadline, waitMs, workMs } = call;
   const startedAt = schedule.acceptUntil * 2 - schedule.end;
-  if (arrival >= startedAt && !schedule.accepts(arrival, expected)) {
+  if (arrival >= startedAt && !schedule.accepts(call)) {
     return { type: "refused", at: arrival };
   }
-  const sendBy = Math.max(startedAt, schedule.sendBy(expected));
+  const sendBy = Math.max(startedAt, schedule.sendBy(call));
   const sentAt = arrival + waitMs;
   if (sentAt > sendBy) return { type: "refused", at: sendBy };
-  const endedAt = sentAt + workMs;
+  // At its deadline a call gets an answer of the entry's own.
+  const endedAt = Math.min(deadline, sentAt + workMs);
   return endedAt <= schedule.end
     ? { type: "answered", at: endedAt }
     : { type: "cut", sent: true };
@@ -54,18 +52,25 @@
     const expected = { workMs, totalMs: workMs + maxWaitMs / 2 };
     for (let index = 0; index < CALLS_PER_SCHEDULE; index++) {
       const arrival = startedAt - limitMs + random.next() * 2 * limitMs;
+      const repeatable = random.next() < 0.5;
+      // Other calls may take far longer than was seen so far.
+      const longestWorkMs = repeatable ? workMs : 2 * limitMs;
       const call = {
         arrival,
+        deadline: arrival + (0.5 + random.next()) * 2 * limitMs,
+        repeatable,
+        expected,
         waitMs: random.next() * maxWaitMs,
-        workMs: random.next() * workMs,
+        workMs: random.next() * longestWorkMs,
       };
-      check(call, runCall(call, schedule, expected));
+      check(call, runCall(call, schedule));
     }
 
     function check(call: SimulatedCall, end: CallEnd): void {
       const limit = startedAt + limitMs;
       const sentAt = call.arrival + call.waitMs;
-      // Work within its expected duration must end; it may be older than the stop.
+      // Repeatable work within its expected duration must end, and all other
+      // work; it may be older than the stop.
       const sentInStop = sentAt > startedAt;
       if (end.type === "cut" && sentInStop) found.add("work is cut");
       if (end.type === "refused" && end.at > limit) found.add("late refusal");
@@ -73,8 +78,13 @@
         found.add("refused before the stop");
       if (end.type !== "refused" && call.arrival > startedAt + limitMs / 2)
         found.add("taken on in the second half");
-      const fits = sentAt + workMs <= limit;
-      const early = call.arrival + expected.totalMs <= startedAt + limitMs / 2;
+      const { arrival, deadline, repeatable } = call;
+      const longestMs = repeatable ? workMs : 2 * limitMs;
+      const endsInTime = deadline + ANSWER_MARGIN_MS <= limit;
+      const fits =
+        sentAt <= deadline && (sentAt + longestMs <= limit || endsInTime);
+      const totalMs = repeatable ? expected.totalMs : 0;
+      const early = arrival + totalMs <= startedAt + limitMs / 2;
       if (end.type === "refused" && fits && early) found.add("refused in vain");
     }
   }
@@ -121,6 +131,29 @@
       return schedule;
     },
   },
+  {
+    name: "what must not be repeated is sent for its usual duration",
+    violation: "work is cut",
+    create: (options) => {
+      const schedule = new StopSchedule(options);
+      const { accepts, sendBy } = schedule;
+      const repeated = (call: StoppableCall) => ({ ...call, repeatable: true });
+      schedule.accepts = (call) => accepts.call(schedule, repeated(call));
+      schedule.sendBy = (call) => sendBy.call(schedule, repeated(call));
+      return schedule;
+    },
+  },
+  {
+    name: "only calls that end at their deadlines are accepted",
+    violation: "refused in vain",
+    create: (options) => {
+      const schedule = new StopSchedule(options);
+      const { accepts } = schedule;
+      schedule.accepts = (call) =>
+        accepts.call(schedule, { ...call, repeatable: false });
+      return schedule;
+    },
+  },
   {
     name: "waiting calls are refused after the end",
     violation: "late refusal",
