Find a server's best limit in bounded time, whatever its capacity

Cause: the number of calls with the highest throughput was searched by trying each one up to the slots that the server announces.

Why this works: within one utilization level more calls always give more throughput, so one candidate for each of 101 levels is enough; a test compares it with an exhaustive search for 1 to 400 slots.

--- a/packages/routing/concurrency_estimator.ts
+++ b/packages/routing/concurrency_estimator.ts
@@ -59,13 +59,19 @@
     samples.add(logMs, now);
   }
 
-  /** The number of concurrent calls with the highest throughput. */
+  /**
+   * The number of concurrent calls with the highest throughput. At one utilization
+   * level that is the highest number, so the work does not grow with the slots,
+   * which a server may announce at will.
+   */
   bestLimit(slots: number, now: number): number {
     if (now - this.#estimatedAt >= ESTIMATE_INTERVAL_MS) this.#estimate(now);
     let best = 1;
     let bestThroughput = 0;
-    for (let running = 1; running <= slots; running++) {
-      const logSlowdown = this.#logSlowdown.get(levelOf(running, slots)) ?? 0;
+    for (let level = 0; level <= 100; level++) {
+      const running = mostRunning(level, slots);
+      if (running < 1 || levelOf(running, slots) !== level) continue;
+      const logSlowdown = this.#logSlowdown.get(level) ?? 0;
       const throughput = running / Math.exp(logSlowdown);
       if (throughput <= bestThroughput) continue;
       best = running;
@@ -193,6 +199,12 @@
   return Math.round((100 * running) / slots);
 }
 
+/** The most calls that run at a utilization level, or at a lower one. */
+function mostRunning(level: number, slots: number): number {
+  const next = Math.ceil(((level + 0.5) * slots) / 100);
+  return Math.min(slots, next - 1);
+}
+
 function loadRangeOf(level: number): keyof typeof PRIOR_CALLS {
   return level <= 100 * FULL_SPEED_SHARE ? "uncrowded" : "crowded";
 }
--- a/packages/routing/concurrency_estimator_test.ts
+++ b/packages/routing/concurrency_estimator_test.ts
@@ -135,3 +135,36 @@
   const usualMs = estimator.typicalMs("lookup") ?? 0;
   assert.ok(usualMs >= 219 && usualMs <= 1.7 * 221, `${usualMs}`);
 });
+
+/** The number of calls with the highest throughput, by trying each one. */
+function exhaustiveLimit(
+  slots: number,
+  msAt: (running: number) => number,
+): number {
+  let best = 1;
+  for (let running = 2; running <= slots; running++) {
+    if (running / msAt(running) > best / msAt(best)) best = running;
+  }
+  return best;
+}
+
+test("the best limit is that of an exhaustive search", () => {
+  for (let slots = 1; slots <= 400; slots++) {
+    const estimator = new ConcurrencyEstimator();
+    assert.equal(estimator.bestLimit(slots, 0), slots, `${slots} slots`);
+  }
+  for (const slots of [2, 3, 6, 7, 20, 33, 50, 100]) {
+    const estimator = new ConcurrencyEstimator();
+    const msAt = slowAboveFourFifths(slots, 220);
+    recordCalls(estimator, { slots, msAt });
+    const expected = exhaustiveLimit(slots, msAt);
+    assert.equal(estimator.bestLimit(slots, 0), expected, `${slots} slots`);
+  }
+});
+
+// Guards against an entry that answers nothing while a server announces a
+// capacity of a billion: each choice tried every number of calls.
+test("the limit of a server with any number of slots is found", () => {
+  const slots = Number.MAX_SAFE_INTEGER;
+  assert.equal(new ConcurrencyEstimator().bestLimit(slots, 0), slots);
+});
