Refuse a server's answer in an unknown transfer coding

Cause: any Transfer-Encoding counted as framing that shows where the body ends. Only chunks do; and the header is removed, as it concerns one connection, so that the caller cannot undo the coding.

Why this works: requests ask for no coding, so such an answer is a fault of the server: its outcome is unknown, the connection is closed. The cuts of responses at each byte now go on through bodies, chunks and trailers; none looks whole.

--- a/packages/entry/backend_exchange.ts
+++ b/packages/entry/backend_exchange.ts
@@ -95,6 +95,11 @@
       this.#outgoing.destroy();
       return;
     }
+    if (hasUnknownCoding(response)) {
+      this.#fail("the answer has an unknown transfer coding");
+      this.#outgoing.destroy();
+      return;
+    }
     this.#exceed(meter.checkLength(bodyLength(request, response)));
     if (this.#exceeded) return;
     const bounds = {
@@ -124,6 +129,15 @@
   }
 }
 
+/**
+ * Whether the body is in a coding that callers cannot undo, since the header that
+ * names it concerns this connection only. Requests ask for none.
+ */
+function hasUnknownCoding({ headers }: IncomingMessage): boolean {
+  const coding = headers["transfer-encoding"];
+  return coding !== undefined && coding.trim().toLowerCase() !== "chunked";
+}
+
 /** The announced length of a response's body; undefined if it has none. */
 function bodyLength(
   { method }: BackendRequest,
--- a/packages/entry/backend_response_test.ts
+++ b/packages/entry/backend_response_test.ts
@@ -97,8 +97,24 @@
   }
 });
 
+// Its body could not be told from a short one, and its coding is not passed on, so
+// that callers got a part of a body in an encoding that no header named.
+for (const coding of ["gzip", "gzip, chunked", "identity"]) {
+  for (const [how, end] of Object.entries({
+    closed: (socket: Socket, text: string) => socket.end(text),
+    reset: RESETS["after the last bytes"],
+  })) {
+    test(`a response with the transfer coding ${coding} that is ${how} fails`, async () => {
+      const head = `HTTP/1.1 200 OK\r\nTransfer-Encoding: ${coding}\r\n\r\n`;
+      const body = coding.endsWith("chunked") ? `${CHUNK}0\r\n\r\n` : "hello";
+      const ended = await sendRequest((socket) => end(socket, head + body));
+      assert.equal(ended.type, "fault");
+    });
+  }
+}
+
 const INTERIM = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
-const CUT_HEADS = {
+const CUT_RESPONSES = {
   "a length": "HTTP/1.1 200 OK\r\nX: 1\r\nContent-Length: 12\r\n\r\n",
   "a length of 0": "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX: 1\r\n\r\n",
   chunks: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
@@ -106,30 +122,33 @@
   "no body": "HTTP/1.1 204 No Content\r\nX: 1\r\n\r\n",
   "an informational response": `${INTERIM}HTTP/1.1 200 OK\r\nX: 1\r\n\r\n`,
   "line feeds only": "HTTP/1.1 200 OK\nContent-Length: 0\nX: 1\n\n",
+  "a length and a body": `${RESPONSE_HEADS.contentLength}${"x".repeat(100)}`,
+  "chunks and a body": `${RESPONSE_HEADS.chunked}${CHUNK}${CHUNK}0\r\n\r\n`,
+  "chunks and a trailer": `${RESPONSE_HEADS.chunked}${CHUNK}0\r\nX: 1\r\n\r\n`,
 } as const;
 const ENDS = {
   closed: (socket: Socket, text: string) => socket.end(text),
   reset: RESETS["with the last bytes"],
 };
 
-// Callers of other systems got a 200 with an empty body, framed as whole, when a
-// server stopped in the middle of its response's head.
-for (const [framing, head] of Object.entries(CUT_HEADS)) {
+// Callers of other systems got a 200 with an empty or short body, framed as whole,
+// when a server stopped in the middle of its response's head.
+for (const [framing, bytes] of Object.entries(CUT_RESPONSES)) {
   for (const [how, end] of Object.entries(ENDS)) {
     for (const isKept of [false, true]) {
       const connection = isKept ? "kept" : "new";
-      test(`a response with ${framing} on a ${connection} connection that is ${how} in its head fails`, async () => {
-        const cuts = Array.from({ length: head.length }, (_, cut) => cut);
+      test(`a response with ${framing} on a ${connection} connection that is ${how} before its end fails`, async () => {
+        const cuts = Array.from({ length: bytes.length }, (_, cut) => cut);
         const results = await Promise.all(
           cuts.map((cut) =>
-            sendRequest((socket) => end(socket, head.slice(0, cut)), {
+            sendRequest((socket) => end(socket, bytes.slice(0, cut)), {
               isKept,
             }),
           ),
         );
         const answered = cuts.filter((cut) => results[cut]?.type === "answer");
         assert.deepEqual(
-          answered.map((cut) => head.slice(0, cut)),
+          answered.map((cut) => bytes.slice(0, cut)),
           [],
         );
       });
