Agree on the newest message version that both ends speak

Callers saw nothing yet: messages of all builds so far have version 1. But a link was refused for any other number, so that the first build with a version 2 could not have been rolled out: its hosts and the others would not have connected.

Cause: a hello named one version, and both ends had to name the same.

Evidence: "a link opens if both ends speak a version in common" (network_test) fails on the code before with hello_refused.

A hello names the oldest and the newest version that its sender speaks; the newest common one is used, and a refusal names both ranges. The oldest stays in the field that former builds check.

--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -135,9 +135,9 @@
       ...options,
       role: "control",
       incarnation,
-      onConnect: ({ id, role }) => {
+      onConnect: ({ id, role, build }) => {
         connectedSince.set(id, clock.now());
-        logger.info("peer connected", { peer: id, role });
+        logger.info("peer connected", { peer: id, role, build });
         if (role === "entry") registrar.handleEntryConnected(id);
       },
       onDisconnect: ({ id, role }) => {
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -3,6 +3,7 @@
 import {
   type Address,
   type BackendServer,
+  BUILD,
   backendServerKey,
   type Clock,
   type Configuration,
@@ -23,6 +24,7 @@
   createLoggedNetwork,
   type Hello,
   type ListenFault,
+  PROTOCOL_VERSIONS,
   type TcpNetwork,
 } from "#wire";
 import { AddressDirectory } from "./address_directory.ts";
@@ -245,6 +247,8 @@
     this.#runEvery(LOAD_REPORT_INTERVAL_MS, () => this.#reportLoad());
     logger.info("entry started", {
       id: settings.id,
+      build: BUILD,
+      protocolVersions: PROTOCOL_VERSIONS,
       http: settings.http,
       peer: settings.peer,
       metrics: settings.metrics,
@@ -319,6 +323,7 @@
     this.#options.logger.info("peer connected", {
       peer: peer.id,
       role: peer.role,
+      build: peer.build,
     });
     this.#registrations.peerUp(peer.id);
     if (peer.role === "control") {
--- a/packages/faults/forgotten_links_test.ts
+++ b/packages/faults/forgotten_links_test.ts
@@ -9,7 +9,7 @@
 import { EntryProcess } from "#entry";
 import { ManualClock, SeededRandomness } from "#model";
 import { SilentLogger } from "#telemetry";
-import { PROTOCOL_VERSION, TcpNetwork } from "#wire";
+import { PROTOCOL_VERSIONS, TcpNetwork } from "#wire";
 import { reservePorts } from "../demo/ports.ts";
 import { TEST_LIMITS } from "../entry/test_limits.ts";
 import { Relay } from "./relay.ts";
@@ -122,7 +122,7 @@
         role: "control",
         incarnation: 1,
         cluster: "test",
-        version: PROTOCOL_VERSION,
+        version: PROTOCOL_VERSIONS.oldest,
       },
       clock,
       observer: { onDisconnect: ({ id }) => publisher.handleDisconnect(id) },
--- a/packages/storage/measure.ts
+++ b/packages/storage/measure.ts
@@ -10,7 +10,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { ConsensusMessages } from "#agreement";
 import { SystemClock, SystemRandomness } from "#model";
-import { PROTOCOL_VERSION, TcpNetwork } from "#wire";
+import { PROTOCOL_VERSIONS, TcpNetwork } from "#wire";
 import { FileStorage } from "./file_storage.ts";
 import { openReplicatedLog } from "./replicated_log.ts";
 
@@ -40,7 +40,7 @@
   const clock = new SystemClock();
   const hello = { id: self, role: "control" as const, incarnation: 1 };
   const network = new TcpNetwork<ConsensusMessages>({
-    self: { ...hello, cluster: "measure", version: PROTOCOL_VERSION },
+    self: { ...hello, cluster: "measure", version: PROTOCOL_VERSIONS.oldest },
     clock,
   });
   const listening = await network.listen({ host: "127.0.0.1", port: 0 });
--- a/packages/storage/replicated_log_test.ts
+++ b/packages/storage/replicated_log_test.ts
@@ -5,7 +5,7 @@
 import { type TestContext, test } from "node:test";
 import type { ConsensusMessages, ConsensusNetwork } from "#agreement";
 import { SystemClock } from "#model";
-import { PROTOCOL_VERSION, TcpNetwork } from "#wire";
+import { PROTOCOL_VERSIONS, TcpNetwork } from "#wire";
 import { FileStorage } from "./file_storage.ts";
 import { MemoryDisk, MemoryStorage } from "./memory_storage.ts";
 import { UnsyncedFileSystem } from "./test_file_system.ts";
@@ -138,7 +138,7 @@
 async function openTcpHost(self: string, folder: string) {
   const identity = { id: self, role: "control" as const, incarnation: 1 };
   const network = new TcpNetwork<ConsensusMessages>({
-    self: { ...identity, cluster: "test", version: PROTOCOL_VERSION },
+    self: { ...identity, cluster: "test", version: PROTOCOL_VERSIONS.oldest },
     clock: new SystemClock(),
   });
   const listening = await network.listen({ host: "127.0.0.1", port: 0 });
--- a/packages/telemetry/process_metrics.ts
+++ b/packages/telemetry/process_metrics.ts
@@ -1,4 +1,5 @@
-import { collectDefaultMetrics, type Registry } from "prom-client";
+import { collectDefaultMetrics, Gauge, type Registry } from "prom-client";
+import { BUILD } from "#model";
 
 /**
  * Interval at which the event loop delay is sampled. Each sample wakes the
@@ -7,10 +8,16 @@
  */
 const EVENT_LOOP_SAMPLING_MS = 500;
 
-/** Adds event loop delay, processor time and memory of the process. */
+/** Adds the build, and event loop delay, processor time and memory. */
 export function registerProcessMetrics(registry: Registry): void {
   collectDefaultMetrics({
     register: registry,
     eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLING_MS,
   });
+  new Gauge({
+    name: "mangobank_build_info",
+    help: "1 for the build that this process runs",
+    labelNames: ["build"],
+    registers: [registry],
+  }).set({ build: BUILD }, 1);
 }
--- a/packages/telemetry/process_metrics_test.ts
+++ b/packages/telemetry/process_metrics_test.ts
@@ -29,3 +29,9 @@
   assert.equal(intervalsMs.length, 2);
   for (const ms of intervalsMs) assert.ok(1_000 / ms <= MAX_SAMPLES_PER_S);
 });
+
+// Guards against an upgrade of which nobody can tell which hosts have it.
+test("the metrics name the build", async () => {
+  const text = await new Metrics().text();
+  assert.match(text, /^mangobank_build_info\{build="[^"]+"\} 1$/m);
+});
--- a/packages/wire/index.ts
+++ b/packages/wire/index.ts
@@ -13,3 +13,4 @@
 export * from "./logged_network.ts";
 export * from "./messages.ts";
 export * from "./network.ts";
+export * from "./protocol_versions.ts";
--- a/packages/wire/link.ts
+++ b/packages/wire/link.ts
@@ -6,7 +6,8 @@
   FrameReader,
   type KeyEncoding,
 } from "./frames.ts";
-import { type Hello, PROTOCOL_VERSION } from "./messages.ts";
+import type { Hello } from "./messages.ts";
+import { commonVersion, describeVersions } from "./protocol_versions.ts";
 import { SHORT_KEYS } from "./short_keys.ts";
 
 /** Keepalive times of a link. */
@@ -225,8 +226,10 @@
       this.close({ type: "hello_refused", detail });
       return;
     }
-    if (payload.version !== PROTOCOL_VERSION) {
-      const detail = `version is ${payload.version}, expected ${PROTOCOL_VERSION}`;
+    if (commonVersion(self, payload) === undefined) {
+      const detail =
+        `the peer speaks version ${describeVersions(payload)}, ` +
+        `this build ${describeVersions(self)}`;
       this.close({ type: "hello_refused", detail });
       return;
     }
@@ -243,6 +246,7 @@
     (hello.role === "entry" || hello.role === "control") &&
     typeof hello.incarnation === "number" &&
     typeof hello.cluster === "string" &&
-    typeof hello.version === "number"
+    typeof hello.version === "number" &&
+    ["number", "undefined"].includes(typeof hello.newestVersion)
   );
 }
--- a/packages/wire/logged_network.ts
+++ b/packages/wire/logged_network.ts
@@ -1,11 +1,7 @@
-import type { Clock } from "#model";
-import {
-  type Hello,
-  type MessageMap,
-  PROTOCOL_VERSION,
-  type ProcessRole,
-} from "./messages.ts";
+import { BUILD, type Clock } from "#model";
+import type { Hello, MessageMap, ProcessRole } from "./messages.ts";
 import { type NetworkObserver, TcpNetwork } from "./network.ts";
+import { PROTOCOL_VERSIONS } from "./protocol_versions.ts";
 
 export interface LoggedNetworkOptions {
   readonly settings: { readonly id: string; readonly cluster: string };
@@ -39,8 +35,10 @@
     logger.warn("connection closed", { peer: peer?.id, isOutgoing, fault });
   };
   const { id, cluster } = settings;
+  const { oldest: version, newest: newestVersion } = PROTOCOL_VERSIONS;
+  const versions = { version, newestVersion, build: BUILD };
   return new TcpNetwork<M>({
-    self: { id, role, incarnation, cluster, version: PROTOCOL_VERSION },
+    self: { id, role, incarnation, cluster, ...versions },
     clock,
     observer: { onConnect, onDisconnect, onFault },
   });
--- a/packages/wire/messages.ts
+++ b/packages/wire/messages.ts
@@ -1,3 +1,5 @@
+import type { NamedVersions } from "./protocol_versions.ts";
+
 /**
  * A type that maps each message kind to its payload. Each package that
  * exchanges messages with peers exports one.
@@ -21,13 +23,14 @@
 export type ProcessRole = "entry" | "control";
 
 /** The first message in each direction of a connection. */
-export interface Hello {
+export interface Hello extends NamedVersions {
   readonly id: string;
   readonly role: ProcessRole;
   readonly incarnation: number;
   /** Name of the deployment; a peer of another deployment is rejected. */
   readonly cluster: string;
-  readonly version: number;
+  /** The sender's build, for log lines; absent in builds before it. */
+  readonly build?: string;
   /** Length of the sender's table of short field names. */
   readonly shortKeys?: number;
   /**
@@ -37,6 +40,3 @@
    */
   readonly connection?: { readonly channel: number; readonly number: number };
 }
-
-/** Version of the messages between mangobank's own processes. */
-export const PROTOCOL_VERSION = 1;
--- a/packages/wire/network_test.ts
+++ b/packages/wire/network_test.ts
@@ -6,8 +6,9 @@
 import type { Clock } from "#model";
 import { encodeFrame } from "./frames.ts";
 import type { LinkFault } from "./link.ts";
-import { type Hello, PROTOCOL_VERSION } from "./messages.ts";
+import type { Hello } from "./messages.ts";
 import { TcpNetwork } from "./network.ts";
+import { PROTOCOL_VERSIONS } from "./protocol_versions.ts";
 
 /** Real time after which a message that has not arrived counts as lost. */
 const RECEIVE_TIMEOUT_MS = 2_000;
@@ -36,16 +37,24 @@
     role: "entry",
     incarnation: 1,
     cluster: "test",
-    version: PROTOCOL_VERSION,
+    version: PROTOCOL_VERSIONS.oldest,
   };
 }
 
+/** A hello of a build that speaks these versions. */
+function helloOf(version: number, newestVersion: number): Hello {
+  return { ...hello("peer"), version, newestVersion };
+}
+
 function frame(kind: string, payload: unknown): Buffer {
   return encodeFrame(kind, payload)._unsafeUnwrap();
 }
 
 /** A network on the mocked timers, and a plain socket connected to it. */
-async function startNetwork(t: TestContext): Promise<{
+async function startNetwork(
+  t: TestContext,
+  self: Hello = hello("stalled"),
+): Promise<{
   clock: ManualClock;
   network: TcpNetwork<Record<string, unknown>>;
   socket: Socket;
@@ -55,7 +64,7 @@
   const faults: LinkFault["type"][] = [];
   mock.timers.enable({ apis: ["setInterval", "setTimeout"] });
   const network = new TcpNetwork<Record<string, unknown>>({
-    self: hello("stalled"),
+    self,
     clock,
     observer: { onFault: ({ type }) => faults.push(type) },
   });
@@ -308,3 +317,20 @@
   assert.ok(network.send("peer", "news", 2));
   await receives(first, "news");
 });
+
+// Guards against hosts of two builds that refuse each other's connections while
+// they are upgraded one after the other.
+test("a link opens if both ends speak a version in common", async (t) => {
+  const { network, socket } = await startNetwork(t, helloOf(1, 2));
+  socket.write(frame("hello", helloOf(2, 4)));
+  await turns(5);
+  assert.ok(network.isConnected("peer"));
+});
+
+test("a link is refused if no version is common", async (t) => {
+  const { network, socket, faults } = await startNetwork(t, helloOf(1, 2));
+  socket.write(frame("hello", helloOf(3, 4)));
+  await turns(5);
+  assert.ok(!network.isConnected("peer"));
+  assert.deepEqual(faults, ["hello_refused"]);
+});
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,6 +2,7 @@
 import { execFileSync } from "node:child_process";
 import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from "node:fs";
 import { build } from "esbuild";
+import { buildId } from "./build_id.mjs";
 
 const SENTINEL_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 
@@ -17,6 +18,7 @@
   keepNames: true,
   // A native add-on can't be part of a single executable.
   alias: { "cbor-extract": "./scripts/empty.cjs" },
+  define: { MANGOBANK_BUILD: JSON.stringify(buildId()) },
   logLevel: "warning",
 });
 writeFileSync(
--- a/scripts/bundle_platform.mjs
+++ b/scripts/bundle_platform.mjs
@@ -1,6 +1,7 @@
 // Builds target/mangobank.cjs, the bundle of the roles for the users' platform.
 import { mkdirSync } from "node:fs";
 import { build } from "esbuild";
+import { buildId } from "./build_id.mjs";
 
 mkdirSync("target", { recursive: true });
 await build({
@@ -16,5 +17,6 @@
   minifySyntax: true,
   // The optional native add-on cannot be bundled.
   alias: { "cbor-extract": "./scripts/empty.cjs" },
+  define: { MANGOBANK_BUILD: JSON.stringify(buildId()) },
   logLevel: "warning",
 });
