Send the rest of a body to a server that has answered early

Cause: a request of Node's client whose response has ended emits no drain, so the pipe of the body waited for ever. After the answer, nothing watched whether the caller left or the server closed either.

Evidence: a plain Node proxy shows that the socket drains and the request does not.

--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -22,6 +22,7 @@
   RequestResult,
   ResponseHead,
 } from "./backend_response.ts";
+import { forwardBody } from "./body_forwarding.ts";
 import type { CallProtocol } from "./call_protocol.ts";
 import { ReceiveGuard } from "./receive_guard.ts";
 import type { RequestBody } from "./request_body.ts";
@@ -128,7 +129,7 @@
       },
       onExceeded: this.#reporter(server, request.logId),
     });
-    sendBody(outgoing, request.body);
+    forwardBody(outgoing, request.body);
     return {
       result: exchange.result,
       cancel: () => {
@@ -248,12 +249,3 @@
     cancel: () => undefined,
   };
 }
-
-function sendBody(outgoing: ClientRequest, body: RequestBody): void {
-  if (!body.rest) {
-    outgoing.end(body.head.length > 0 ? body.head : undefined);
-    return;
-  }
-  outgoing.write(body.head);
-  body.rest.pipe(outgoing);
-}
