Refuse a late change whose route leads to a dropped service

Callers saw: an older change of one operator (service report r8, route export r8) arrived after another operator had dropped report with r9.

Cause: the check of a change counted its services as known although the newer drop keeps them out of force.

Why this works: a route that names an unknown service is invalid (PROTOCOL), and no part of an invalid call may come into force. The check that applies the log is unchanged: hosts of an older build would apply the same change otherwise. A drop that is logged between check and change can still pass.

--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -56,15 +56,20 @@
     change: Pick<PutItems, "upserts" | "removals">,
   ): Promise<PutItemsReply> {
     const at = this.#wallTimeMs();
-    const result = await withTimeout(
-      this.#control.submit({ type: "put_items", ...change, at }),
-    );
-    const reply = result?.isOk() ? result.value : undefined;
     const names = [...change.upserts, ...change.removals].slice(0, 8);
     const logFields = {
       items: names.map(({ kind, name, version }) => [kind, name, version]),
       count: change.upserts.length + change.removals.length,
     };
+    const dropped = await this.#droppedTargets(change);
+    if (dropped.length > 0) {
+      this.#logger.info("items refused", { ...logFields, faults: dropped });
+      return { type: "invalid", faults: dropped };
+    }
+    const result = await withTimeout(
+      this.#control.submit({ type: "put_items", ...change, at }),
+    );
+    const reply = result?.isOk() ? result.value : undefined;
     if (reply?.type === "items_held") {
       const { version } = reply;
       this.#logger.info("items accepted", { ...logFields, version });
@@ -80,6 +85,19 @@
     return { type: "unavailable", fault };
   }
 
+  /**
+   * Routes that would be in force without their service, by the newest state: one
+   * that lags may not know that the service was added again.
+   */
+  async #droppedTargets(
+    change: Pick<PutItems, "upserts">,
+  ): Promise<readonly ItemFault[]> {
+    const { registry } = this.#control;
+    if (registry.droppedTargets(change).length === 0) return [];
+    const confirmed = await withTimeout(this.#control.confirmRead());
+    return confirmed?.isOk() ? registry.droppedTargets(change) : [];
+  }
+
   /** Returns the current items, by a linearizable read. */
   async items(): Promise<ItemsReadReply> {
     const confirmed = await withTimeout(this.#control.confirmRead());
--- a/packages/registry/items.ts
+++ b/packages/registry/items.ts
@@ -110,6 +110,27 @@
     ];
   }
 
+  /**
+   * Routes of a change that lead to a service which the change brings too, but
+   * which was dropped with a higher version: they would be in force without it.
+   * Not a part of `check`, on which all builds that apply the log have to agree.
+   */
+  droppedTargets({ upserts }: Pick<PutItems, "upserts">): ItemFault[] {
+    const dropped = new Set(
+      upserts
+        .filter((item) => item.kind === "service" && !this.#isNewer(item))
+        .filter((item) => this.#stored.get(keyOf(item))?.type === "removed")
+        .map(({ name }) => name),
+    );
+    if (dropped.size === 0) return [];
+    const configured = new Set(
+      upserts.flatMap(targetsOf).filter((service) => !dropped.has(service)),
+    );
+    return upserts
+      .filter((item) => this.#isNewer(item))
+      .flatMap((item) => referenceFaults(item, configured));
+  }
+
   /** Applies a command that passed the check; false if nothing changed. */
   apply({ upserts, removals }: PutItems): boolean {
     const changes: StoredItem[] = [
@@ -177,6 +198,11 @@
   return faults;
 }
 
+function targetsOf({ content }: Item): string[] {
+  if (content.kind !== "route") return [];
+  return content.route.targets.map(({ service }) => service);
+}
+
 function referenceFaults(
   { kind, name, content }: Item,
   services: ReadonlySet<string>,
--- a/packages/registry/items_test.ts
+++ b/packages/registry/items_test.ts
@@ -208,3 +208,36 @@
     { seed: 20_261_203, numRuns: 300 },
   );
 });
+
+// An older change that arrived late brought a route into force without its service,
+// which a newer change had dropped (review of 4 December 2026).
+test("a route to a service that was dropped with a higher version is found", () => {
+  const registry = new Registry();
+  registry.apply(putItems([service("alloc", 1), service("report", 1)]));
+  const dropped = { kind: "service", name: "report", version: 9 } as const;
+  registry.apply(putItems([], [dropped]));
+  const targets = [{ service: "report", weight: 1 }];
+  const older = [service("report", 8), route("export", 8, { targets })];
+  const [fault] = registry.droppedTargets({ upserts: older });
+  assert.equal(fault?.name, "export");
+  assert.equal(fault?.found, "report");
+  const others = [service("report", 8), route("lookup", 8)];
+  assert.deepEqual(registry.droppedTargets({ upserts: others }), []);
+  const newer = [service("report", 10), route("export", 8, { targets })];
+  assert.deepEqual(registry.droppedTargets({ upserts: newer }), []);
+});
+
+// Failure: a change that was accepted is refused when it is sent again.
+test("a change that was overtaken leads to no dropped service", () => {
+  const registry = new Registry();
+  const targets = [{ service: "report", weight: 1 }];
+  const change = [
+    service("alloc", 1),
+    service("report", 1),
+    route("export", 1, { targets }),
+  ];
+  registry.apply(putItems(change));
+  const dropped = { kind: "service", name: "report", version: 9 } as const;
+  registry.apply(putItems([route("export", 9)], [dropped]));
+  assert.deepEqual(registry.droppedTargets({ upserts: change }), []);
+});
--- a/packages/registry/registry.ts
+++ b/packages/registry/registry.ts
@@ -21,7 +21,12 @@
   StopAdvanced,
 } from "./commands.ts";
 import { withItems } from "./item_document.ts";
-import { type Item, ItemTable, type PutItems } from "./items.ts";
+import {
+  type Item,
+  type ItemFault,
+  ItemTable,
+  type PutItems,
+} from "./items.ts";
 import { LeavingServers } from "./leaving.ts";
 import { Membership, type MembershipResult } from "./membership.ts";
 import type { RegistryConfiguration } from "./planner.ts";
@@ -114,6 +119,11 @@
     };
   }
 
+  /** Routes of a change to services that a newer change has dropped. */
+  droppedTargets(change: Pick<PutItems, "upserts">): ItemFault[] {
+    return this.#items.droppedTargets(change);
+  }
+
   /** The current configuration items. */
   items(): Item[] {
     return this.#items.items();
