Break the circles between the modules of an entry

Seven modules of the call path imported each other in a circle for ReverseProxyOptions, two pairs for a type or a function. What the stages of a call use of their entry is a module of its own now (CallEnvironment), and so are the request to a server and the headers that a proxy passes on. Tests share the record of a server. No change of behaviour; no circle is left in packages/entry.

--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -17,6 +17,7 @@
 } from "#model";
 import { BackendAgent } from "./backend_agent.ts";
 import { BackendExchange } from "./backend_exchange.ts";
+import type { BackendRequest } from "./backend_request.ts";
 import type {
   RequestFailure,
   RequestResult,
@@ -25,7 +26,6 @@
 import { forwardBody } from "./body_forwarding.ts";
 import type { CallProtocol } from "./call_protocol.ts";
 import { ReceiveGuard } from "./receive_guard.ts";
-import type { RequestBody } from "./request_body.ts";
 import { framedHeaders } from "./request_framing.ts";
 import {
   type ExceededBound,
@@ -42,30 +42,6 @@
 const KEEP_ALIVE_TIMEOUT_FRACTION = 0.75;
 const DEFAULT_LIMITS: ResponseLimits = { bodyMaxBytes: 1024 ** 3 };
 
-/** An HTTP request to a backend server. */
-export interface BackendRequest {
-  readonly method: string;
-  readonly path: string;
-  /**
-   * Alternating names and values, as in Node's `rawHeaders`; those that frame the
-   * body are set anew.
-   */
-  readonly headers: string[];
-  readonly body: RequestBody;
-  readonly connectTimeoutMs: number;
-  /**
-   * Whether to use a connection that no earlier request has used. False if
-   * absent.
-   */
-  readonly needsNewConnection?: boolean;
-  /**
-   * The id that the server repeats in its response, if the protocol has one.
-   */
-  readonly requestId: string | undefined;
-  /** Id of the request in log lines; undefined for probes and checks. */
-  readonly logId?: string | undefined;
-}
-
 /** A request that has been sent to a backend server. */
 export interface SentRequest {
   readonly result: Promise<RequestResult>;
--- a/packages/entry/backend_client_test.ts
+++ b/packages/entry/backend_client_test.ts
@@ -6,12 +6,12 @@
   type Socket,
 } from "node:net";
 import { after, test } from "node:test";
-import type { BackendServer } from "#model";
 import { writeWithoutEnd } from "#standin";
 import { until } from "../demo/until.ts";
 import { BackendClient } from "./backend_client.ts";
 import { PublishedProtocol } from "./call_protocol.ts";
 import { EMPTY_BODY } from "./request_body.ts";
+import { serverRecord } from "./test_server_record.ts";
 
 const servers: (Server | RawServer)[] = [];
 
@@ -31,22 +31,6 @@
   return typeof bound === "object" && bound ? bound.port : 0;
 }
 
-function record(port: number, incarnation: number): BackendServer {
-  return {
-    id: "w1",
-    service: "alloc",
-    address: { host: "127.0.0.1", port },
-    dataCentre: "riga-a",
-    incarnation,
-    sequence: 1,
-    state: "ready",
-    slots: 6,
-    connections: 300,
-    inFlight: 0,
-    startedMsAgo: 0,
-  };
-}
-
 const REQUEST = {
   method: "GET",
   path: "/",
@@ -69,7 +53,9 @@
       connections -= 1;
     });
   });
-  const target = record(await listenOnFreePort(server), 1);
+  const target = serverRecord(await listenOnFreePort(server), {
+    incarnation: 1,
+  });
   const client = new BackendClient(new PublishedProtocol());
   const lateRequest = client.send(target, { ...REQUEST, path: "/late" });
   const first = await client.send(target, REQUEST).result;
@@ -95,7 +81,7 @@
   const usable = { host: "127.0.0.1", port: 9, path: "/", header: "w1" };
   const { host, port, path, header } = { ...usable, ...changes };
   test(`a request with ${name} fails as not connected`, async () => {
-    const target = { ...record(port, 1), address: { host, port } };
+    const target = serverRecord(port, { address: { host, port } });
     const client = new BackendClient(new PublishedProtocol());
     const headers = ["host", header];
     const sent = client.send(target, { ...REQUEST, path, headers });
@@ -111,7 +97,9 @@
   const server = createServer((_request, response) => {
     response.writeHead(200, { "content-length": 1_000 }).end();
   });
-  const target = record(await listenOnFreePort(server), 1);
+  const target = serverRecord(await listenOnFreePort(server), {
+    incarnation: 1,
+  });
   const limits = { bodyMaxBytes: 100 };
   const client = new BackendClient(new PublishedProtocol(), { limits });
   const head = await client.send(target, { ...REQUEST, method: "HEAD" }).result;
@@ -132,7 +120,9 @@
     socket.once("close", () => sockets.delete(socket));
     socket.on("data", () => socket.write(COMPLETE, () => writeMore(socket)));
   });
-  const target = record(await listenOnFreePort(server), 1);
+  const target = serverRecord(await listenOnFreePort(server), {
+    incarnation: 1,
+  });
   return { target, sockets };
 }
 
@@ -178,7 +168,9 @@
     socket.on("error", () => undefined);
     socket.once("data", () => socket.write(`${COMPLETE}no HTTP`));
   });
-  const target = record(await listenOnFreePort(server), 1);
+  const target = serverRecord(await listenOnFreePort(server), {
+    incarnation: 1,
+  });
   const excesses: string[] = [];
   const client = new BackendClient(new PublishedProtocol(), {
     onBoundExceeded: ({ bound, bytes }) => excesses.push(`${bound} ${bytes}`),
--- a/packages/entry/backend_exchange.ts
+++ b/packages/entry/backend_exchange.ts
@@ -4,7 +4,7 @@
   InformationEvent,
 } from "node:http";
 import type { Socket } from "node:net";
-import type { BackendRequest } from "./backend_client.ts";
+import type { BackendRequest } from "./backend_request.ts";
 import {
   boundFailure,
   collectResponse,
--- a/packages/entry/backend_response_test.ts
+++ b/packages/entry/backend_response_test.ts
@@ -1,11 +1,12 @@
 import assert from "node:assert/strict";
 import { createServer, type Socket } from "node:net";
 import { test } from "node:test";
-import type { Address, BackendServer } from "#model";
+import type { Address } from "#model";
 import { listen } from "#wire";
 import { BackendClient } from "./backend_client.ts";
 import { PublishedProtocol } from "./call_protocol.ts";
 import { EMPTY_BODY } from "./request_body.ts";
+import { serverRecord } from "./test_server_record.ts";
 
 const RESPONSE_HEADS = {
   contentLength: "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n",
@@ -39,19 +40,7 @@
   });
   const bound = await listen(server, { host: "127.0.0.1", port: 0 });
   const address: Address = bound._unsafeUnwrap();
-  const record: BackendServer = {
-    id: "w",
-    service: "s",
-    address,
-    dataCentre: "a",
-    incarnation: 1,
-    sequence: 1,
-    state: "ready",
-    slots: 1,
-    connections: 1,
-    inFlight: 0,
-    startedMsAgo: 0,
-  };
+  const record = serverRecord(address.port);
   const client = new BackendClient(new PublishedProtocol());
   const request = {
     method: "GET",
--- a/packages/entry/call_admission.ts
+++ b/packages/entry/call_admission.ts
@@ -2,8 +2,8 @@
 import { err, ok, type Result } from "neverthrow";
 import { type CallChain, toCallFault } from "#admission";
 import { type Call, type CallFault, callFault, HEADERS } from "#model";
+import type { CallEnvironment } from "./call_environment.ts";
 import type { ClassifiedRequest } from "./request_classifier.ts";
-import type { ReverseProxyOptions } from "./reverse_proxy.ts";
 import type { StoppableCall } from "./stop_schedule.ts";
 
 /** Retry delay sent to callers of an entry that is not ready. */
@@ -11,7 +11,7 @@
 
 /** Classifies a request, and decides whether it is taken on as a call. */
 export class CallAdmission {
-  readonly #options: ReverseProxyOptions;
+  readonly #options: CallEnvironment;
   readonly #id: string;
   readonly #request: IncomingMessage;
   readonly #arrival: number;
@@ -19,7 +19,7 @@
   #call: Call | undefined;
 
   constructor(
-    options: ReverseProxyOptions,
+    options: CallEnvironment,
     call: {
       readonly id: string;
       readonly request: IncomingMessage;
--- a/packages/entry/call_attempts.ts
+++ b/packages/entry/call_attempts.ts
@@ -9,8 +9,8 @@
 import { type BackendServer, type CallFault, callFault } from "#model";
 import type { AssignmentBasis } from "#routing";
 import type { BackendResponse } from "./backend_response.ts";
+import type { CallEnvironment } from "./call_environment.ts";
 import { type EarlierRun, finalFault } from "./final_fault.ts";
-import type { ReverseProxyOptions } from "./reverse_proxy.ts";
 import {
   type AttemptInput,
   ServerAttempt,
@@ -56,7 +56,7 @@
  * hedge.
  */
 export class CallAttempts {
-  readonly #options: ReverseProxyOptions;
+  readonly #options: CallEnvironment;
   readonly #input: CallAttemptsInput;
   readonly #outcome: AttemptTracker;
   readonly #budget: SendBudget;
@@ -77,7 +77,7 @@
   /** A server's error response, forwarded if no other server responds. */
   #serverError: BackendResponse | undefined;
 
-  constructor(options: ReverseProxyOptions, input: CallAttemptsInput) {
+  constructor(options: CallEnvironment, input: CallAttemptsInput) {
     this.#options = options;
     this.#input = input;
     const { repeatable, service, attempts } = input.call;
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -14,6 +14,7 @@
 import type { TrackedResponse } from "#wire";
 import { CallAdmission } from "./call_admission.ts";
 import { CallAttempts, type CallAttemptsResult } from "./call_attempts.ts";
+import type { CallEnvironment } from "./call_environment.ts";
 import {
   CallHandover,
   type HandoverInput,
@@ -24,7 +25,6 @@
 import type { HandoverOrigin, HandoverRefusal } from "./handover_protocol.ts";
 import type { ClaimDecision } from "./key_claims.ts";
 import { type RequestBody, readBody } from "./request_body.ts";
-import type { ReverseProxyOptions } from "./reverse_proxy.ts";
 import { type StopReason, stopFault } from "./server_attempt.ts";
 import { settlementOf } from "./settlement.ts";
 import type { StopSchedule } from "./stop_schedule.ts";
@@ -62,7 +62,7 @@
 
 /** Processes one request of a caller from arrival to the final response. */
 export class CallExecution {
-  readonly #options: ReverseProxyOptions;
+  readonly #options: CallEnvironment;
   readonly #exchange: HttpExchange;
   readonly #reply: CallReply;
   readonly #handover: CallHandover;
@@ -77,7 +77,7 @@
   #hasUsualEnd = false;
   #cancelClaim: (() => void) | undefined;
 
-  constructor(options: ReverseProxyOptions, exchange: HttpExchange) {
+  constructor(options: CallEnvironment, exchange: HttpExchange) {
     this.#options = options;
     this.#exchange = exchange;
     this.#arrival = options.clock.now();
--- a/packages/entry/call_handover.ts
+++ b/packages/entry/call_handover.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from "node:http";
 import type { Call } from "#model";
 import type { CallAttempts, CallAttemptsResult } from "./call_attempts.ts";
+import type { CallEnvironment } from "./call_environment.ts";
 import type {
   HandoverAttempt,
   HandoverRecord,
@@ -8,7 +9,6 @@
 } from "./handover_client.ts";
 import type { HandoverRefusal } from "./handover_protocol.ts";
 import type { RequestBody } from "./request_body.ts";
-import type { ReverseProxyOptions } from "./reverse_proxy.ts";
 
 /** Handed-over calls that an entry runs at a time; it refuses further ones. */
 const MAX_HANDED_OVER_CALLS = 256;
@@ -26,12 +26,12 @@
  * back as refused.
  */
 export class CallHandover {
-  readonly #options: ReverseProxyOptions;
+  readonly #options: CallEnvironment;
   readonly #isHandedOver: boolean;
   #attempt: HandoverAttempt | undefined;
 
   constructor(
-    options: ReverseProxyOptions,
+    options: CallEnvironment,
     { isHandedOver }: { isHandedOver: boolean },
   ) {
     this.#options = options;
--- a/packages/entry/call_handover_test.ts
+++ b/packages/entry/call_handover_test.ts
@@ -2,8 +2,8 @@
 import { test } from "node:test";
 import { type CallFault, callFault } from "#model";
 import type { CallAttempts } from "./call_attempts.ts";
+import type { CallEnvironment } from "./call_environment.ts";
 import { CallHandover, type HandoverInput } from "./call_handover.ts";
-import type { ReverseProxyOptions } from "./reverse_proxy.ts";
 
 const INPUT = {
   call: { service: "alloc", repeatable: true },
@@ -11,7 +11,7 @@
 } as unknown as HandoverInput;
 const OPTIONS = {
   policies: { budget: () => ({ tryTake: () => true }) },
-} as unknown as ReverseProxyOptions;
+} as unknown as CallEnvironment;
 
 function isDueAfter(fault: CallFault, isGivenUp: boolean): boolean {
   const handover = new CallHandover(OPTIONS, { isHandedOver: false });
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -19,6 +19,7 @@
 import { ActivityTimer } from "./activity_timer.ts";
 import { Assignments } from "./assignments.ts";
 import { BackendClient } from "./backend_client.ts";
+import type { CallEnvironment } from "./call_environment.ts";
 import type { CallProgress } from "./call_execution.ts";
 import type { CallProtocol } from "./call_protocol.ts";
 import type { EntryMessages } from "./entry_network.ts";
@@ -34,13 +35,13 @@
 } from "./quarantine_coordinator.ts";
 import { replyFault } from "./reply.ts";
 import { RequestClassifier } from "./request_classifier.ts";
-import { ReverseProxy, type ReverseProxyOptions } from "./reverse_proxy.ts";
+import { ReverseProxy } from "./reverse_proxy.ts";
 import { ServicePolicies } from "./service_policies.ts";
 import type { StopSchedule } from "./stop_schedule.ts";
 
 export interface CallPipelineOptions
   extends Pick<
-    ReverseProxyOptions,
+    CallEnvironment,
     "ready" | "bodyLimits" | "configuration" | "onServerLeaving"
   > {
   readonly settings: EntrySettings;
--- a/packages/entry/call_protocol.ts
+++ b/packages/entry/call_protocol.ts
@@ -14,8 +14,8 @@
   parseRetryAfterMs,
   type Service,
 } from "#model";
+import { endToEndHeaders } from "./end_to_end_headers.ts";
 import { HANDOVER_HEADER_NAMES } from "./handover_protocol.ts";
-import { endToEndHeaders } from "./reply.ts";
 
 /** What a server's response reports about the server and the request. */
 export interface ResponseReport {
--- a/packages/entry/call_reply.ts
+++ b/packages/entry/call_reply.ts
@@ -3,12 +3,13 @@
 import type { TrackedResponse } from "#wire";
 import type { BackendResponse, StreamedResponse } from "./backend_response.ts";
 import type { CallProtocol } from "./call_protocol.ts";
+import { endToEndHeaders } from "./end_to_end_headers.ts";
 import {
   HANDOVER_HEADER_NAMES,
   HANDOVER_HEADERS,
   type HandoverRefusal,
 } from "./handover_protocol.ts";
-import { endToEndHeaders, replyFault } from "./reply.ts";
+import { replyFault } from "./reply.ts";
 import {
   describeExceededBound,
   type ExceededBound,
--- a/packages/entry/early_answer_test.ts
+++ b/packages/entry/early_answer_test.ts
@@ -7,6 +7,7 @@
 import { BackendClient } from "./backend_client.ts";
 import { PublishedProtocol } from "./call_protocol.ts";
 import { MAX_BUFFERED_BODY_BYTES, readBody } from "./request_body.ts";
+import { serverRecord } from "./test_server_record.ts";
 
 const PART = "0123456789abcdef".repeat(2_500);
 /** Parts that are written before the answer, more than an entry buffers. */
@@ -68,19 +69,7 @@
 
   get record(): BackendServer {
     const { port } = this.server.address() as AddressInfo;
-    return {
-      id: `w${port}`,
-      service: "alloc",
-      address: { host: "127.0.0.1", port },
-      dataCentre: "riga-a",
-      incarnation: 1,
-      sequence: 1,
-      state: "ready",
-      slots: 6,
-      connections: 300,
-      inFlight: 0,
-      startedMsAgo: 0,
-    };
+    return serverRecord(port, { id: `w${port}` });
   }
 
   #take(path: string, part: Buffer): void {
--- a/packages/entry/request_framing_test.ts
+++ b/packages/entry/request_framing_test.ts
@@ -2,12 +2,12 @@
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { after, before, test } from "node:test";
-import type { BackendServer } from "#model";
 import { until } from "../demo/until.ts";
 import { BackendClient } from "./backend_client.ts";
 import { PublishedProtocol } from "./call_protocol.ts";
-import { endToEndHeaders } from "./reply.ts";
+import { endToEndHeaders } from "./end_to_end_headers.ts";
 import { MAX_BUFFERED_BODY_BYTES, readBody } from "./request_body.ts";
+import { serverRecord } from "./test_server_record.ts";
 
 interface ReceivedRequest {
   readonly method: string | undefined;
@@ -33,7 +33,7 @@
   // The part of an entry between the caller's request and the server.
   proxy = createServer(async (request, response) => {
     const read = await readBody(request, limits);
-    const sent = client.send(target(), {
+    const sent = client.send(serverRecord(portOf(backend)), {
       method: request.method ?? "",
       path: request.url ?? "",
       headers: endToEndHeaders(request.rawHeaders, new Set()),
@@ -63,22 +63,6 @@
   return (server.address() as AddressInfo).port;
 }
 
-function target(): BackendServer {
-  return {
-    id: "w1",
-    service: "alloc",
-    address: { host: "127.0.0.1", port: portOf(backend) },
-    dataCentre: "riga-a",
-    incarnation: 1,
-    sequence: 1,
-    state: "ready",
-    slots: 6,
-    connections: 300,
-    inFlight: 0,
-    startedMsAgo: 0,
-  };
-}
-
 async function readText(request: IncomingMessage): Promise<string> {
   const chunks: Buffer[] = [];
   for await (const chunk of request) chunks.push(chunk as Buffer);
--- a/packages/entry/reverse_proxy.ts
+++ b/packages/entry/reverse_proxy.ts
@@ -1,61 +1,19 @@
 import type { IncomingMessage } from "node:http";
-import type { BackendServer, Clock } from "#model";
-import type { Logger, Metrics } from "#telemetry";
+import type { BackendServer } from "#model";
 import type { TrackedResponse } from "#wire";
-import type { Assignments } from "./assignments.ts";
-import type { BackendClient } from "./backend_client.ts";
+import type { CallEnvironment } from "./call_environment.ts";
 import { CallExecution, type CallProgress } from "./call_execution.ts";
-import type { CallProtocol } from "./call_protocol.ts";
-import type { HandoverClient } from "./handover_client.ts";
 import type { HandoverOrigin } from "./handover_protocol.ts";
-import type { KeyClaims } from "./key_claims.ts";
-import type { PathMonitor } from "./path_monitor.ts";
-import type { QuarantineCoordinator } from "./quarantine_coordinator.ts";
-import type { BodyLimits } from "./request_body.ts";
-import type { RequestClassifier } from "./request_classifier.ts";
-import type { ServicePolicies } from "./service_policies.ts";
 import type { StopSchedule } from "./stop_schedule.ts";
 
-export interface ReverseProxyOptions {
-  readonly entry: string;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-  readonly assignments: Assignments;
-  readonly client: BackendClient;
-  readonly protocol: CallProtocol;
-  readonly claims: KeyClaims;
-  readonly quarantine: QuarantineCoordinator;
-  readonly policies: ServicePolicies;
-  readonly paths: PathMonitor;
-  readonly handovers: HandoverClient;
-  /** Number of calls in progress that other entries have passed on. */
-  readonly handedOverCalls: () => number;
-  /** Ids of the servers to which a suspected request should not be sent. */
-  readonly serversToAvoid: (
-    service: string,
-    dataCentres: readonly string[],
-  ) => readonly string[];
-  readonly classifier: () => RequestClassifier;
-  /** Whether the configuration is confirmed, so that calls may be accepted. */
-  readonly ready: () => boolean;
-  readonly bodyLimits: () => BodyLimits;
-  /** The configuration version in force and the age of its confirmation. */
-  readonly configuration: () => { version: number; confirmedMsAgo: number };
-  /** Present while the entry stops within a limited time. */
-  readonly stopSchedule: () => StopSchedule | undefined;
-  /** Called when a server reports in a response that it is leaving. */
-  readonly onServerLeaving: (server: BackendServer) => void;
-}
-
 /** Forwards calls to backend servers and their responses to the callers. */
 export class ReverseProxy {
-  readonly #options: ReverseProxyOptions;
+  readonly #options: CallEnvironment;
   readonly #executions = new Map<string, CallExecution>();
   readonly #idPrefix: string;
   #callCount = 0;
 
-  constructor(options: ReverseProxyOptions) {
+  constructor(options: CallEnvironment) {
     this.#options = options;
     // The start time keeps ids unique over restarts of the entry.
     const start = Math.floor(options.clock.wallTime()).toString(36);
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -21,9 +21,9 @@
   RequestResult,
   ResponseHead,
 } from "./backend_response.ts";
+import type { CallEnvironment } from "./call_environment.ts";
 import { cutOffFault } from "./final_fault.ts";
 import type { RequestBody } from "./request_body.ts";
-import type { ReverseProxyOptions } from "./reverse_proxy.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 
@@ -72,7 +72,7 @@
  * One attempt of a call: chooses a server, sends the request, frees the slot.
  */
 export class ServerAttempt {
-  readonly #options: ReverseProxyOptions;
+  readonly #options: CallEnvironment;
   readonly #input: AttemptInput;
   readonly #id: string;
   readonly #chain: CallChain;
@@ -86,7 +86,7 @@
   #isReleased = false;
 
   constructor(
-    options: ReverseProxyOptions,
+    options: CallEnvironment,
     attempt: {
       /** The call's id in the first attempt, else an id derived from it. */
       id: string;
--- a/packages/entry/settlement.ts
+++ b/packages/entry/settlement.ts
@@ -1,7 +1,7 @@
 import type { Settlement } from "#claims";
 import type { CallAttemptsResult } from "./call_attempts.ts";
 import { SERVER_ONLY_HEADERS } from "./call_protocol.ts";
-import { endToEndHeaders } from "./reply.ts";
+import { endToEndHeaders } from "./end_to_end_headers.ts";
 
 /** What the claim on a call's idempotency key keeps of its result. */
 export function settlementOf(result: CallAttemptsResult): Settlement {
