--- a/packages/entry/quarantine_coordinator_test.ts
+++ b/packages/entry/quarantine_coordinator_test.ts
@@ -7,6 +7,7 @@
 import type { Logger } from "#telemetry";
 import type { Hello, Network } from "#wire";
 import { QuarantineCoordinator } from "./quarantine_coordinator.ts";
+import { serverRecord } from "./test_server_record.ts";
 
 let now = 1_000;
 const clock: Clock = { now: () => now, wallTime: () => now };
@@ -31,19 +32,7 @@
 }
 
 function backendServer(id: string, port: number): BackendServer {
-  return {
-    id,
-    service: "alloc",
-    address: { host: "127.0.0.1", port },
-    dataCentre: "riga-a",
-    incarnation: 1,
-    sequence: 1,
-    state: "ready",
-    slots: 2,
-    connections: 10,
-    inFlight: 0,
-    startedMsAgo: 0,
-  };
+  return serverRecord(port, { id, slots: 2, connections: 10 });
 }
 
 /** A listening port, which still accepts connections until it is closed. */
