Tell who brought the record of a backend server

A server that sends heartbeats may be out of use because another program has sent one, or a deregistration, under its id. No line told who brought a record: only its end was logged. A deregistration that cannot be read left no line at all, and nothing counted refused inputs.

A control host now logs a server that is registered, restarts, or changes its address, data centre or capacity, with the former record, and nothing for a renewal; inputs that are refused or change nothing, with the distance of their start from its own clock; and a deregistration that cannot be read. mangobank_refused_inputs_total counts by call and reason. Five lines with the same server, call and reason are written in 10 s, and the next one counts those left out.

--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -1,7 +1,8 @@
 import type { BackendServer, Clock } from "#model";
 import type { AnnouncementFault } from "#presence";
 import type { Item, ItemFault, PutItems } from "#registry";
-import type { Logger } from "#telemetry";
+import type { ControlMetrics, InputCall, Logger } from "#telemetry";
+import { AnnouncementLog } from "./announcement_log.ts";
 import type { ControlProcess } from "./control_process.ts";
 
 /**
@@ -40,15 +41,21 @@
   readonly #control: ControlProcess;
   readonly #clock: Clock;
   readonly #logger: Logger;
+  /** Logs and counts announcements, also those that cannot be decoded. */
+  readonly announcements: AnnouncementLog;
 
   constructor(options: {
     control: ControlProcess;
     clock: Clock;
     logger: Logger;
+    /** Counts refused inputs; absent where nobody reads the metrics. */
+    metrics?: Pick<ControlMetrics, "recordRefusedInput">;
   }) {
     this.#control = options.control;
     this.#clock = options.clock;
     this.#logger = options.logger;
+    const { metrics = { recordRefusedInput: () => undefined } } = options;
+    this.announcements = new AnnouncementLog({ ...options, metrics });
   }
 
   /** Changes items; accepted once a majority of control hosts has synced it. */
@@ -112,28 +119,37 @@
   /** Handles a backend server's announcement, or records that it is leaving. */
   async announce(server: BackendServer): Promise<AnnounceReply> {
     if (server.state === "leaving") {
-      const leaveReply = await this.leave(server);
+      const leaveReply = await this.leave(server, "heartbeat");
       return leaveReply.type === "recorded" ? { type: "accepted" } : leaveReply;
     }
-    const { result } = this.#control.registrar.announce(server);
-    if (result.isOk()) return { type: "accepted" };
-    const { id, service, incarnation, sequence } = server;
+    const { registrar } = this.#control;
+    const former = registrar.find(server);
+    const { result } = registrar.announce(server);
+    if (result.isOk()) {
+      this.announcements.accepted(server, former);
+      return { type: "accepted" };
+    }
+    const { id, service, incarnation, sequence, address } = server;
     const fault = result.error;
-    this.#logger.info("announcement not taken", {
+    this.announcements.refused({
+      call: "heartbeat",
+      reason: fault.type,
+      message: "announcement not taken",
       server: id,
-      service,
       incarnation,
-      sequence,
-      fault,
+      fields: { service, sequence, address, fault },
     });
     return { type: "refused", fault };
   }
 
   /** Records a leave; replies once a majority of control hosts synced it. */
-  async leave(server: {
-    readonly id: string;
-    readonly incarnation?: number | undefined;
-  }): Promise<LeaveReply> {
+  async leave(
+    server: {
+      readonly id: string;
+      readonly incarnation?: number | undefined;
+    },
+    call: InputCall = "deregistration",
+  ): Promise<LeaveReply> {
     const { id } = server;
     // If no incarnation is known, the leave applies to all that started so far.
     const incarnation =
@@ -141,6 +157,13 @@
       this.#control.registrar.incarnationOf(id) ??
       this.#wallTimeMs();
     if (this.#control.hasRecordedLeave(id, incarnation)) {
+      this.announcements.refused({
+        call,
+        reason: "already_recorded",
+        message: "leave was recorded before",
+        server: id,
+        incarnation,
+      });
       return { type: "recorded" };
     }
     const servers = [{ id, incarnation }];
@@ -149,7 +172,8 @@
       this.#control.submit({ type: "servers_leaving", servers, at }),
     );
     if (result?.isOk()) {
-      this.#logger.info("leave recorded", { server: id, incarnation });
+      const isNamed = server.incarnation !== undefined;
+      this.announcements.leaveRecorded({ id, incarnation, isNamed });
       return { type: "recorded" };
     }
     const fault = faultTypeOf(result);
--- a/packages/control/index.ts
+++ b/packages/control/index.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+export * from "./announcement_log.ts";
 export * from "./control_host.ts";
 export * from "./control_process.ts";
 export * from "./control_requests.ts";
--- a/packages/control/server_registrar.ts
+++ b/packages/control/server_registrar.ts
@@ -85,6 +85,20 @@
     return response;
   }
 
+  /** The current record of a server and the services of its id. */
+  find(server: Pick<BackendServer, "service" | "id">): {
+    readonly record: BackendServer | undefined;
+    readonly otherServices: readonly string[];
+  } {
+    const { presence } = this.#registrations;
+    return {
+      record: presence.server(server, this.#clock.now()),
+      otherServices: presence
+        .servicesOf(server.id)
+        .filter((service) => service !== server.service),
+    };
+  }
+
   /** The newest incarnation that a server has announced; undefined if none. */
   incarnationOf(id: string): number | undefined {
     const { presence } = this.#registrations;
--- a/packages/presence/presence.ts
+++ b/packages/presence/presence.ts
@@ -303,6 +303,20 @@
     return this.#table.servers(service, now);
   }
 
+  /** A server's current record; undefined without a valid lease. */
+  server(
+    server: Pick<BackendServer, "service" | "id">,
+    now: number,
+  ): BackendServer | undefined {
+    const record = this.#table.current(backendServerKey(server));
+    return record && record.expiresAt > now ? record.server : undefined;
+  }
+
+  /** The services that have a server of this id. */
+  servicesOf(id: string): readonly string[] {
+    return this.#table.servicesOf(id);
+  }
+
   /** The services with at least one server. */
   services(): string[] {
     return this.#table.services();
--- a/packages/telemetry/control_metrics.ts
+++ b/packages/telemetry/control_metrics.ts
@@ -1,4 +1,4 @@
-import { Gauge, Registry } from "prom-client";
+import { Counter, Gauge, Registry } from "prom-client";
 import { type PeerTraffic, registerPeerTraffic } from "./peer_traffic.ts";
 import { registerProcessMetrics } from "./process_metrics.ts";
 
@@ -13,12 +13,22 @@
   readonly peerTraffic: () => PeerTraffic;
 }
 
+/** A call by which other programs tell a control host something. */
+export type InputCall = "heartbeat" | "deregistration" | "patch";
+
 /** Prometheus metrics of a control process, in their own registry. */
 export class ControlMetrics {
   readonly #registry = new Registry();
+  readonly #refusedInputs;
 
   constructor(sources: ControlMetricsSources) {
     registerProcessMetrics(this.#registry);
+    this.#refusedInputs = new Counter({
+      name: "mangobank_refused_inputs_total",
+      help: "Inputs that were refused or changed nothing, by call and reason",
+      labelNames: ["call", "reason"],
+      registers: [this.#registry],
+    });
     this.#registerGauge("mangobank_configuration_version", {
       help: "Configuration version applied here",
       value: sources.configurationVersion,
@@ -42,6 +52,11 @@
     registerPeerTraffic(this.#registry, sources.peerTraffic);
   }
 
+  /** Counts an input; `reason` is one of a fixed set of names. */
+  recordRefusedInput(call: InputCall, reason: string): void {
+    this.#refusedInputs.inc({ call, reason });
+  }
+
   /** Content type of the result of `text`. */
   get contentType(): string {
     return this.#registry.contentType;
--- a/packages/telemetry/index.ts
+++ b/packages/telemetry/index.ts
@@ -5,6 +5,7 @@
  */
 export * from "./bounded_log_stream.ts";
 export * from "./control_metrics.ts";
+export * from "./line_limiter.ts";
 export * from "./logger.ts";
 export * from "./metrics.ts";
 export * from "./peer_traffic.ts";
