Refuse a start in the future, of a heartbeat or a deregistration

Cause: any whole number was a start. Every real one is older, and a leave covers all older ones.

A start more than 30 s ahead of the clock of the control host that takes the input is refused with 400. Clocks may jump by seconds; 30 s is the difference between two hosts that is assumed for the age of keys too.

--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -1,5 +1,5 @@
 import type { BackendServer, Clock } from "#model";
-import type { AnnouncementFault } from "#presence";
+import { type AnnouncementFault, isPossibleStart } from "#presence";
 import type { Item, ItemFault, PutItems } from "#registry";
 import type { ControlMetrics, InputCall, Logger } from "#telemetry";
 import { AnnouncementLog } from "./announcement_log.ts";
@@ -26,12 +26,23 @@
   | { readonly type: "items"; readonly items: readonly Item[] }
   | UnavailableReply;
 
+/** The input names no server that can exist. */
+interface ImpossibleReply {
+  readonly type: "impossible";
+  /** A field and what is wrong with it, each. */
+  readonly problems: readonly string[];
+}
+
 export type AnnounceReply =
   | { readonly type: "accepted" }
   | { readonly type: "refused"; readonly fault: AnnouncementFault }
+  | ImpossibleReply
   | UnavailableReply;
 
-export type LeaveReply = { readonly type: "recorded" } | UnavailableReply;
+export type LeaveReply =
+  | { readonly type: "recorded" }
+  | ImpossibleReply
+  | UnavailableReply;
 
 /**
  * Handles requests about configuration items and announcements of backend
@@ -118,6 +129,8 @@
 
   /** Handles a backend server's announcement, or records that it is leaving. */
   async announce(server: BackendServer): Promise<AnnounceReply> {
+    const impossible = this.#refuseFutureStart("heartbeat", server);
+    if (impossible) return impossible;
     if (server.state === "leaving") {
       const leaveReply = await this.leave(server, "heartbeat");
       return leaveReply.type === "recorded" ? { type: "accepted" } : leaveReply;
@@ -151,6 +164,8 @@
     call: InputCall = "deregistration",
   ): Promise<LeaveReply> {
     const { id } = server;
+    const impossible = this.#refuseFutureStart(call, server);
+    if (impossible) return impossible;
     // If no incarnation is known, the leave applies to all that started so far.
     const incarnation =
       server.incarnation ??
@@ -181,6 +196,26 @@
     return { type: "unavailable", fault };
   }
 
+  /**
+   * Refuses a start in the future: the server's own heartbeats and later starts
+   * would count as older than it, and a leave would cover them.
+   */
+  #refuseFutureStart(
+    call: InputCall,
+    { id, incarnation }: { id: string; incarnation?: number | undefined },
+  ): ImpossibleReply | undefined {
+    if (incarnation === undefined) return undefined;
+    if (isPossibleStart({ incarnation }, this.#wallTimeMs())) return undefined;
+    this.announcements.refused({
+      call,
+      reason: "future_start",
+      message: `${call} names a start in the future`,
+      server: id,
+      incarnation,
+    });
+    return { type: "impossible", problems: ["born: lies in the future"] };
+  }
+
   #wallTimeMs(): number {
     return Math.floor(this.#clock.wallTime());
   }
--- a/packages/presence/index.ts
+++ b/packages/presence/index.ts
@@ -10,6 +10,7 @@
 export * from "./dissemination.ts";
 export * from "./effects.ts";
 export * from "./messages.ts";
+export * from "./plausibility.ts";
 export * from "./presence.ts";
 export * from "./relays.ts";
 export * from "./timings.ts";
