Refuse a sequence that no server counts up to

Cause: any whole number was a sequence, and the highest one is never exceeded.

A smaller jump remains possible, so a server whose heartbeats go on at the known address with a sequence of their own, three in a row and at least a second apart, is taken by it: late heartbeats arrive together. Only control hosts do so, where announcements come from programs that are not known.

--- a/packages/control/server_registrar.ts
+++ b/packages/control/server_registrar.ts
@@ -41,6 +41,7 @@
         dataCentre: settings.dataCentre,
         randomness,
         registrarOnly: true,
+        untrusted: true,
       }),
       clock,
       network,
--- a/packages/presence/announcement_checks.ts
+++ b/packages/presence/announcement_checks.ts
@@ -1,6 +1,8 @@
 import { err, ok, type Result } from "neverthrow";
 import { type BackendServer, backendServerKey } from "#model";
 import type { AnnouncementFault, LeaveRequest } from "./announcements.ts";
+import { MAX_SEQUENCE_STEP } from "./plausibility.ts";
+import { RefusedAnnouncements } from "./refused_announcements.ts";
 import type { ServerTable } from "./server_table.ts";
 import type { PresenceLimits } from "./timings.ts";
 
@@ -12,14 +14,20 @@
   services: ReadonlySet<string> = new Set();
   readonly #table: ServerTable;
   readonly #limits: PresenceLimits;
+  /** Present where other programs may announce servers that are not theirs. */
+  readonly #refused: RefusedAnnouncements | undefined;
 
-  constructor(table: ServerTable, limits: PresenceLimits) {
+  constructor(
+    table: ServerTable,
+    options: { limits: PresenceLimits; untrusted: boolean },
+  ) {
     this.#table = table;
-    this.#limits = limits;
+    this.#limits = options.limits;
+    if (options.untrusted) this.#refused = new RefusedAnnouncements();
   }
 
   /** The reason to refuse an announcement, or undefined. */
-  check(server: BackendServer): AnnouncementFault | undefined {
+  check(server: BackendServer, now: number): AnnouncementFault | undefined {
     const { service, incarnation, sequence } = server;
     const key = backendServerKey(server);
     if (!this.ready) return { type: "not_ready" };
@@ -39,10 +47,21 @@
     if (known.incarnation > incarnation) {
       return { type: "older_incarnation", known: known.incarnation };
     }
-    if (known.incarnation === incarnation && known.sequence > sequence) {
-      return { type: "older_sequence", known: known.sequence };
-    }
-    return undefined;
+    if (known.incarnation !== incarnation) return undefined;
+    const fault = this.#checkSequence(known.sequence, sequence);
+    return fault && this.#refused?.isOwn(server, { known, now })
+      ? undefined
+      : fault;
+  }
+
+  #checkSequence(
+    known: number,
+    sequence: number,
+  ): AnnouncementFault | undefined {
+    if (known > sequence) return { type: "older_sequence", known };
+    return this.#refused && sequence - known > MAX_SEQUENCE_STEP
+      ? { type: "implausible_sequence", known }
+      : undefined;
   }
 
   #checkLimits(service: string): AnnouncementFault | undefined {
--- a/packages/presence/announcements.ts
+++ b/packages/presence/announcements.ts
@@ -9,6 +9,7 @@
   | { readonly type: "unknown_server"; readonly id: BackendServerId }
   | { readonly type: "older_incarnation"; readonly known: number }
   | { readonly type: "older_sequence"; readonly known: number }
+  | { readonly type: "implausible_sequence"; readonly known: number }
   | { readonly type: "already_leaving"; readonly incarnation: number }
   | { readonly type: "too_many_servers"; readonly limit: number }
   | { readonly type: "not_ready" };
@@ -19,6 +20,7 @@
   unknown_server: 404,
   older_incarnation: 409,
   older_sequence: 409,
+  implausible_sequence: 409,
   already_leaving: 410,
   too_many_servers: 503,
   not_ready: 503,
--- a/packages/presence/plausibility.ts
+++ b/packages/presence/plausibility.ts
@@ -7,6 +7,12 @@
  */
 export const MAX_START_AHEAD_MS = 30_000;
 
+/**
+ * Most that a sequence may be ahead of the known one. A record ends 9 s after its
+ * last announcement, so that even a sequence that counts milliseconds stays below.
+ */
+export const MAX_SEQUENCE_STEP = 100_000;
+
 /** Whether an incarnation is a time at which a server can have started. */
 export function isPossibleStart(
   { incarnation }: Pick<BackendServer, "incarnation">,
--- a/packages/presence/presence.ts
+++ b/packages/presence/presence.ts
@@ -47,6 +47,11 @@
   readonly randomness: Randomness;
   readonly dissemination?: Dissemination;
   readonly limits?: PresenceLimits;
+  /**
+   * True where other programs may send announcements under the ids of servers:
+   * sequences count announcements there.
+   */
+  readonly untrusted?: boolean;
 }
 
 /** The result of a server's request and the effects to execute. */
@@ -94,7 +99,7 @@
     this.#dissemination = options.dissemination ?? new AdaptiveDissemination();
     const table = this.#table;
     this.#topologyTracker = new TopologyTracker(options);
-    const { limits = DEFAULT_LIMITS } = options;
+    const { limits = DEFAULT_LIMITS, untrusted = false } = options;
     this.#local = new LocalRegistrations({
       publisher: new Publisher({ id, incarnation, randomness }),
       table,
@@ -102,7 +107,7 @@
         this.#dissemination.changeTargets(this.#topologyTracker.topology),
       connected: this.#topologyTracker.connected,
     });
-    this.#checks = new AnnouncementChecks(table, limits);
+    this.#checks = new AnnouncementChecks(table, { limits, untrusted });
     this.#replicas = new ListReplicas({
       self: id,
       incarnation,
@@ -140,7 +145,7 @@
   ): ResultWithEffects<LeaseResponse> {
     const effects = new Effects();
     const key = backendServerKey(server);
-    const fault = this.#checks.check(server);
+    const fault = this.#checks.check(server, now);
     if (fault) return { result: err(fault), effects: [] };
     if (server.state === "leaving") {
       const leaveFault = this.#recordLeave(server, { now, effects });
--- /dev/null
+++ b/packages/presence/untrusted_test.ts
@@ -0,0 +1,89 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type BackendServer, EMPTY_VIEW, SeededRandomness } from "#model";
+import { isPossibleStart, MAX_START_AHEAD_MS } from "./plausibility.ts";
+import { Presence } from "./presence.ts";
+import { server } from "./testing/simulation.ts";
+
+/** A process where other programs may announce servers that are not theirs. */
+function createRegistrar() {
+  const presence = new Presence({
+    id: "control-1",
+    incarnation: 1,
+    dataCentre: "riga-a",
+    randomness: new SeededRandomness(1),
+    registrarOnly: true,
+    untrusted: true,
+  });
+  presence.configure({ services: ["alloc", "report"], view: EMPTY_VIEW }, 0);
+  return (values: Partial<BackendServer>, now = 0) => {
+    const { result } = presence.announce(server("w", values), now);
+    return result.isOk() ? "accepted" : result.error.type;
+  };
+}
+
+// A sequence that no server counts up to kept a server out of use for good: its own
+// announcements counted as older.
+for (const [step, expected] of [
+  [1, "accepted"],
+  [100_000, "accepted"],
+  [100_001, "implausible_sequence"],
+  [Number.MAX_SAFE_INTEGER - 5, "implausible_sequence"],
+] as const) {
+  test(`a sequence that is ${step} ahead is ${expected}`, () => {
+    const announce = createRegistrar();
+    assert.equal(announce({ sequence: 5 }), "accepted");
+    assert.equal(announce({ sequence: 5 + step }), expected);
+  });
+}
+
+test("a server's own sequence is accepted again at its third announcement", () => {
+  const announce = createRegistrar();
+  announce({ sequence: 900 });
+  const results = [6, 7, 8, 9].map((sequence, index) =>
+    announce({ sequence }, 1_500 * (index + 1)),
+  );
+  assert.deepEqual(results, [
+    "older_sequence",
+    "older_sequence",
+    "accepted",
+    "accepted",
+  ]);
+});
+
+// Guards against a lease that late announcements of a crashed server renew.
+for (const [name, times] of Object.entries({
+  "arrive together": [5_000, 5_001, 5_002, 5_003],
+  "do not go on": [1_500, 12_000, 22_000, 32_000],
+})) {
+  test(`older announcements that ${name} change nothing`, () => {
+    const announce = createRegistrar();
+    announce({ sequence: 900 });
+    for (const [index, now] of times.entries()) {
+      announce({ sequence: 900 }, now - 1_000);
+      const result = announce({ sequence: 6 + index }, now);
+      assert.equal(result, "older_sequence");
+    }
+  });
+}
+
+test("a sequence starts anew with a new incarnation", () => {
+  const announce = createRegistrar();
+  announce({ sequence: 900 });
+  assert.equal(announce({ incarnation: 2, sequence: 0 }), "accepted");
+  assert.equal(announce({ sequence: 901 }), "older_incarnation");
+});
+
+for (const [aheadMs, expected] of [
+  [0, true],
+  [MAX_START_AHEAD_MS, true],
+  [MAX_START_AHEAD_MS + 1, false],
+] as const) {
+  test(`a start ${aheadMs} ms ahead is ${expected ? "" : "im"}possible`, () => {
+    const now = 1_780_000_000_000;
+    assert.equal(
+      isPossibleStart({ incarnation: now + aheadMs }, now),
+      expected,
+    );
+  });
+}
