Use no record of another process that names no possible server

What callers would see while two builds run side by side: a control host of the former build takes every whole number as a start or a sequence, and its list reaches the entries of this build, where such a record displaces the server's own.

Cause: only announcements were checked, and the lists that processes exchange were not.

Where other programs may announce servers, entries and control hosts now leave a record out when they select the current one of a server, if its start lies in the future, its sequence is above 10^13, or its id, address or capacity cannot be used; a leave with such a start is not kept. The bound for starts is 60 s here, since the clock of the host that took the record may be ahead as well. The lists themselves are replicated as they are, so that no message changes. mangobank's own deployments, where incarnations are any numbers, are not concerned.

--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -1,5 +1,5 @@
-import type { BackendServer, Clock } from "#model";
-import { type AnnouncementFault, isPossibleStart } from "#presence";
+import { type BackendServer, type Clock, isPossibleStart } from "#model";
+import type { AnnouncementFault } from "#presence";
 import type { Item, ItemFault, PutItems } from "#registry";
 import type { ControlMetrics, InputCall, Logger } from "#telemetry";
 import { AnnouncementLog } from "./announcement_log.ts";
--- a/packages/control/server_registrar.ts
+++ b/packages/control/server_registrar.ts
@@ -41,7 +41,7 @@
         dataCentre: settings.dataCentre,
         randomness,
         registrarOnly: true,
-        untrusted: true,
+        untrusted: clock,
       }),
       clock,
       network,
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -53,6 +53,11 @@
   readonly logger: Logger;
   /** HTTP conventions of callers and servers; mangobank's own by default. */
   readonly protocol?: CallProtocol;
+  /**
+   * True where servers announce themselves at control hosts, and other programs
+   * may do so under their ids.
+   */
+  readonly untrustedAnnouncements?: boolean;
 }
 
 /**
@@ -112,6 +117,7 @@
         incarnation: this.#incarnation,
         dataCentre: settings.dataCentre,
         randomness,
+        untrusted: options.untrustedAnnouncements ? clock : undefined,
       }),
       clock,
       network,
--- a/packages/model/index.ts
+++ b/packages/model/index.ts
@@ -17,3 +17,4 @@
 export * from "./rendezvous.ts";
 export * from "./response_bounds.ts";
 export * from "./server_headers.ts";
+export * from "./server_start.ts";
--- a/packages/presence/plausibility.ts
+++ b/packages/presence/plausibility.ts
@@ -1,11 +1,8 @@
-import type { BackendServer } from "#model";
-
-/**
- * How far a start may lie ahead of the clock of the host that takes the
- * announcement, in milliseconds. Clocks may jump by seconds in either direction;
- * two hosts differ by less than 30 s, as for the age of keys.
- */
-export const MAX_START_AHEAD_MS = 30_000;
+import {
+  type BackendServer,
+  isPossibleStart,
+  MAX_START_AHEAD_MS,
+} from "#model";
 
 /**
  * Most that a sequence may be ahead of the known one. A record ends 9 s after its
@@ -13,10 +10,49 @@
  */
 export const MAX_SEQUENCE_STEP = 100_000;
 
-/** Whether an incarnation is a time at which a server can have started. */
-export function isPossibleStart(
-  { incarnation }: Pick<BackendServer, "incarnation">,
+/**
+ * Highest sequence. Numbers above it cannot be a count of calls, nor a time in
+ * milliseconds, and leave no room for the ones that follow.
+ */
+export const MAX_SEQUENCE = 10_000_000_000_000;
+
+/** Names that go into headers, and addresses that can be connected to. */
+const ID = /^[\x21-\x7e]{1,256}$/;
+const HOST = /^[A-Za-z0-9:.-]{1,253}$/;
+const MAX_PORT = 65_535;
+/** Most slots; the search for the best limit takes time for each of them. */
+const MAX_SLOTS = 100_000;
+
+/**
+ * Whether an incarnation that another process has taken can be a start. Its clock
+ * may be ahead of this one, in addition to the server's.
+ */
+export function isPossibleIncarnation(
+  record: { readonly incarnation: number },
   wallTime: number,
 ): boolean {
-  return incarnation <= wallTime + MAX_START_AHEAD_MS;
+  return isPossibleStart(record, wallTime + MAX_START_AHEAD_MS);
+}
+
+/**
+ * Whether a record of another process names a server that can exist and be used.
+ * That process may run an earlier build, which took what this one refuses.
+ */
+export function isPossibleRecord(
+  server: BackendServer,
+  wallTime: number,
+): boolean {
+  const { id, address, sequence, slots } = server;
+  return (
+    isPossibleIncarnation(server, wallTime) &&
+    sequence <= MAX_SEQUENCE &&
+    ID.test(id) &&
+    HOST.test(address.host) &&
+    isWholeNumber(address.port, MAX_PORT) &&
+    isWholeNumber(slots, MAX_SLOTS)
+  );
+}
+
+function isWholeNumber(value: number, max: number): boolean {
+  return Number.isInteger(value) && value >= 1 && value <= max;
 }
--- a/packages/presence/presence.ts
+++ b/packages/presence/presence.ts
@@ -2,6 +2,7 @@
 import {
   type BackendServer,
   backendServerKey,
+  type Clock,
   type HostId,
   type Randomness,
   type View,
@@ -48,10 +49,10 @@
   readonly dissemination?: Dissemination;
   readonly limits?: PresenceLimits;
   /**
-   * True where other programs may send announcements under the ids of servers:
-   * sequences count announcements there.
+   * Present where other programs may send announcements under the ids of servers:
+   * incarnations are wall-clock times there, and sequences count announcements.
    */
-  readonly untrusted?: boolean;
+  readonly untrusted?: Pick<Clock, "wallTime"> | undefined;
 }
 
 /** The result of a server's request and the effects to execute. */
@@ -84,7 +85,7 @@
 export class Presence {
   readonly #options: PresenceOptions;
   readonly #dissemination: Dissemination;
-  readonly #table = new ServerTable();
+  readonly #table: ServerTable;
   readonly #checks: AnnouncementChecks;
   readonly #local: LocalRegistrations;
   readonly #replicas: ListReplicas;
@@ -97,9 +98,10 @@
     const { id, incarnation, randomness } = options;
     this.#options = options;
     this.#dissemination = options.dissemination ?? new AdaptiveDissemination();
-    const table = this.#table;
+    const table = new ServerTable(options.untrusted);
+    this.#table = table;
     this.#topologyTracker = new TopologyTracker(options);
-    const { limits = DEFAULT_LIMITS, untrusted = false } = options;
+    const { limits = DEFAULT_LIMITS, untrusted } = options;
     this.#local = new LocalRegistrations({
       publisher: new Publisher({ id, incarnation, randomness }),
       table,
@@ -107,7 +109,10 @@
         this.#dissemination.changeTargets(this.#topologyTracker.topology),
       connected: this.#topologyTracker.connected,
     });
-    this.#checks = new AnnouncementChecks(table, { limits, untrusted });
+    this.#checks = new AnnouncementChecks(table, {
+      limits,
+      untrusted: untrusted !== undefined,
+    });
     this.#replicas = new ListReplicas({
       self: id,
       incarnation,
--- a/packages/presence/server_table.ts
+++ b/packages/presence/server_table.ts
@@ -1,6 +1,12 @@
-import { type BackendServer, backendServerKey, type HostId } from "#model";
+import {
+  type BackendServer,
+  backendServerKey,
+  type Clock,
+  type HostId,
+} from "#model";
 import type { Effects } from "./effects.ts";
 import type { ServerRecord, Tombstone } from "./messages.ts";
+import { isPossibleIncarnation, isPossibleRecord } from "./plausibility.ts";
 
 /**
  * Merges the owners' lists: a server can have a record in several of them. Its
@@ -19,6 +25,12 @@
   readonly #servicesById = new Map<string, Set<string>>();
   /** No current record expires before this; avoids most expiry scans. */
   #earliestExpiry = Number.POSITIVE_INFINITY;
+  /** Present where records may name no server that can exist. */
+  readonly #untrusted: Pick<Clock, "wallTime"> | undefined;
+
+  constructor(untrusted?: Pick<Clock, "wallTime">) {
+    this.#untrusted = untrusted;
+  }
 
   /** Number of servers with a current record. */
   get size(): number {
@@ -79,6 +91,10 @@
 
   /** Stores a tombstone; false if this leave is already known. */
   addTombstone(tombstone: Tombstone): boolean {
+    const wallTime = this.#untrusted?.wallTime();
+    if (wallTime !== undefined && !isPossibleIncarnation(tombstone, wallTime)) {
+      return false;
+    }
     const key = backendServerKey(tombstone);
     const known = this.#tombstones.get(key);
     if (known && known.incarnation >= tombstone.incarnation) return false;
@@ -128,11 +144,17 @@
     for (const record of this.#records.get(key)?.values() ?? []) {
       if (record.expiresAt <= now || record.server.incarnation <= left)
         continue;
+      if (!this.#isPossible(record.server)) continue;
       if (!newest || isNewer(record, newest)) newest = record;
     }
     return newest;
   }
 
+  #isPossible(server: BackendServer): boolean {
+    const untrusted = this.#untrusted;
+    return !untrusted || isPossibleRecord(server, untrusted.wallTime());
+  }
+
   #set(key: string, record: ServerRecord): void {
     const { service, id } = record.server;
     this.#current.set(key, { record, server: record.server });
--- a/packages/presence/untrusted_test.ts
+++ b/packages/presence/untrusted_test.ts
@@ -1,7 +1,13 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type BackendServer, EMPTY_VIEW, SeededRandomness } from "#model";
-import { isPossibleStart, MAX_START_AHEAD_MS } from "./plausibility.ts";
+import {
+  type BackendServer,
+  EMPTY_VIEW,
+  isPossibleStart,
+  MAX_START_AHEAD_MS,
+  ManualClock,
+  SeededRandomness,
+} from "#model";
 import { Presence } from "./presence.ts";
 import { server } from "./testing/simulation.ts";
 
@@ -13,7 +19,7 @@
     dataCentre: "riga-a",
     randomness: new SeededRandomness(1),
     registrarOnly: true,
-    untrusted: true,
+    untrusted: new ManualClock(),
   });
   presence.configure({ services: ["alloc", "report"], view: EMPTY_VIEW }, 0);
   return (values: Partial<BackendServer>, now = 0) => {
