Ignore a recorded leave whose start no server can have had

Cause: the state holds the highest leave of an id, and this one covers every start that follows.

Entries and control hosts now read a leave only if its start was possible when it was recorded, which the leave tells itself (its time is stored with it), so that all hosts decide alike. The state and its version are as before: replacing the leave would make voters of the two builds differ. A later leave of that id cannot be held by the state, so the control host tells the entries that it is connected to by its list, and answers 503.

--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -266,13 +266,6 @@
     this.#peers.replaceSeeds(seeds);
   }
 
-  /** Whether the replicated state records that this incarnation is leaving. */
-  hasRecordedLeave(id: string, incarnation: number): boolean {
-    const { leaving } = this.#registry.configuration();
-    const recorded = leaving.find((server) => server.id === id);
-    return recorded !== undefined && recorded.incarnation >= incarnation;
-  }
-
   /** Adds, promotes or removes a control host as a member of the log. */
   changeMembers(change: MemberChange) {
     return this.#log.changeMembers(change);
--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -1,4 +1,10 @@
-import { type BackendServer, type Clock, isPossibleStart } from "#model";
+import {
+  type BackendServer,
+  type Clock,
+  isPossibleLeave,
+  isPossibleStart,
+  type LeavingServer,
+} from "#model";
 import type { AnnouncementFault } from "#presence";
 import type { Item, ItemFault, PutItems } from "#registry";
 import type { ControlMetrics, InputCall, Logger } from "#telemetry";
@@ -171,7 +177,11 @@
       server.incarnation ??
       this.#control.registrar.incarnationOf(id) ??
       this.#wallTimeMs();
-    if (this.#control.hasRecordedLeave(id, incarnation)) {
+    const recorded = this.#recordedLeave({ id, incarnation });
+    if (recorded && !isPossibleLeave(recorded)) {
+      return this.#leaveInLists(id, incarnation);
+    }
+    if (recorded) {
       this.announcements.refused({
         call,
         reason: "already_recorded",
@@ -196,6 +206,28 @@
     return { type: "unavailable", fault };
   }
 
+  /** The leave in the replicated state that covers this one. */
+  #recordedLeave(leave: Omit<LeavingServer, "at">): LeavingServer | undefined {
+    const { leaving } = this.#control.registry.configuration();
+    return leaving.find(
+      ({ id, incarnation }) =>
+        id === leave.id && incarnation >= leave.incarnation,
+    );
+  }
+
+  /**
+   * Tells the connected entries of a leave that the replicated state cannot hold:
+   * an earlier build has recorded an impossible one for the id, and replacing it
+   * would make hosts of the two builds differ. It is not acknowledged, as entries
+   * that are not connected do not learn of it.
+   */
+  #leaveInLists(id: string, incarnation: number): UnavailableReply {
+    this.#control.registrar.leave({ id, incarnation });
+    const fault = "impossible_leave_recorded";
+    this.#logger.warn("leave not confirmed", { server: id, fault });
+    return { type: "unavailable", fault };
+  }
+
   /**
    * Refuses a start in the future: the server's own heartbeats and later starts
    * would count as older than it, and a leave would cover them.
--- a/packages/control/server_registrar.ts
+++ b/packages/control/server_registrar.ts
@@ -86,6 +86,16 @@
     return response;
   }
 
+  /** Tells the connected entries that a server leaves, in all its services. */
+  leave(server: { readonly id: string; readonly incarnation: number }): void {
+    const { presence } = this.#registrations;
+    const now = this.#clock.now();
+    for (const service of presence.servicesOf(server.id)) {
+      const { effects } = presence.leave({ ...server, service }, now);
+      this.#registrations.execute(effects);
+    }
+  }
+
   /** The current record of a server and the services of its id. */
   find(server: Pick<BackendServer, "service" | "id">): {
     readonly record: BackendServer | undefined;
--- a/packages/entry/usable_servers.ts
+++ b/packages/entry/usable_servers.ts
@@ -1,5 +1,9 @@
 import type { StopReport } from "#configuration";
-import type { BackendServer, Configuration } from "#model";
+import {
+  type BackendServer,
+  type Configuration,
+  isPossibleLeave,
+} from "#model";
 import { PlannedStops } from "./planned_stops.ts";
 
 /** Determines which backend servers may get new calls. */
@@ -22,7 +26,9 @@
     if (unchanged) return false;
     this.#stops.configure(configuration);
     this.#leaving = new Map(
-      configuration.leaving.map(({ id, incarnation }) => [id, incarnation]),
+      configuration.leaving
+        .filter(isPossibleLeave)
+        .map(({ id, incarnation }) => [id, incarnation]),
     );
     return true;
   }
--- a/packages/model/server_start.ts
+++ b/packages/model/server_start.ts
@@ -1,3 +1,5 @@
+import type { LeavingServer } from "./host_routes.ts";
+
 /**
  * How far a start may lie ahead of the clock of the host that takes the
  * announcement, in milliseconds. Clocks may jump by seconds in either direction;
@@ -5,6 +7,15 @@
  */
 export const MAX_START_AHEAD_MS = 30_000;
 
+/**
+ * Whether a recorded leave names a start that its server can have had when it was
+ * recorded. An earlier build recorded any whole number, which covers all starts
+ * that follow; snapshots and logs keep such a leave.
+ */
+export function isPossibleLeave(leave: LeavingServer): boolean {
+  return isPossibleStart(leave, leave.at);
+}
+
 /**
  * Whether an incarnation is a time at which a server can have started, for a host
  * that takes it at `wallTime`.
