Use the live record of a server while a newer one has just expired

What the entry did: a foreign record of a sound server, taken by another control host, ends 9 s after its last heartbeat. From then until the next scan for expired leases (250 ms) the server was missing from the list of its service, though its own record was live in another list.

Cause: the list of a service left out a server whose current record had expired, and looked for another record only at the scan.

Evidence: three tests of foreign_announcements_test failed before (w1 undefined 8.7 s after the foreign heartbeat) and pass now. npm test presence: 93 of 93.

--- a/packages/presence/server_table.ts
+++ b/packages/presence/server_table.ts
@@ -49,6 +49,17 @@
     return this.#current.get(key)?.record;
   }
 
+  /**
+   * The current record with a valid lease. Until the next scan for expired leases
+   * the newest record may have expired, and another list has an older one.
+   */
+  #live(key: string, now: number): ServerRecord | undefined {
+    const record = this.current(key);
+    return record && record.expiresAt <= now
+      ? this.#selectNewest(key, now)
+      : record;
+  }
+
   tombstone(key: string): Tombstone | undefined {
     return this.#tombstones.get(key);
   }
@@ -62,8 +73,8 @@
   servers(service: string, now: number): BackendServer[] {
     const servers: BackendServer[] = [];
     for (const key of this.#keysByService.get(service) ?? []) {
-      const record = this.#current.get(key)?.record;
-      if (!record || record.expiresAt <= now) continue;
+      const record = this.#live(key, now);
+      if (!record) continue;
       const startedMsAgo = Math.max(0, Math.round(now - record.startedAt));
       servers.push({ ...record.server, startedMsAgo });
     }
