End the newest incarnation of an id with a deregistration without a body

What happened: a server deregistered with an empty body, was answered with 200, and stayed in use, if another program had announced its id with an earlier start in another service that was listed first.

Cause: the incarnation of the first service that lists the id was taken, and the leave covered only that one. Ids are looked up in all services now, and the newest incarnation counts.

Evidence: the changed test failed on the code before (the address of v2 where undefined is expected) and passes now. Its former case passed, as it had the services in the other order.

--- a/packages/control/server_registrar.ts
+++ b/packages/control/server_registrar.ts
@@ -110,13 +110,18 @@
     };
   }
 
-  /** The newest incarnation that a server has announced; undefined if none. */
+  /**
+   * The newest incarnation that a server has announced, in any of its services;
+   * undefined if none.
+   */
   incarnationOf(id: string): number | undefined {
     const { presence } = this.#registrations;
     const now = this.#clock.now();
-    return presence
-      .services()
-      .flatMap((service) => presence.servers(service, now))
-      .find((server) => server.id === id)?.incarnation;
+    const incarnations = presence
+      .servicesOf(id)
+      .flatMap(
+        (service) => presence.server({ service, id }, now)?.incarnation ?? [],
+      );
+    return incarnations.length > 0 ? Math.max(...incarnations) : undefined;
   }
 }
