Let the address that answers with a server's id count

What callers saw: a heartbeat under a sound server's id with another address took its place, so that calls went to a closed port or to another server, for 9 s after its last heartbeat and for as long as it was repeated.

Cause: the highest incarnation and sequence count, and any program can send those. Only the server answers a health check with its id.

Where announcements come from programs that are not known, an announcement of another address than the known one is decided by a check of both addresses: one that answers with another id never counts; the newer one counts, unless only the known one answers with the id; an older one counts if it alone answers. If neither can be checked, order decides, as before. It covers a control host that does not know the server, an older build, and another program that was first. A restart at another address is used as soon as it answers. Which of the announced addresses is right stays with each process: no message changes.

--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -23,6 +23,7 @@
   Randomness,
 } from "#model";
 import { type PresenceMessages, TICK_INTERVAL_MS } from "#presence";
+import { checkIdentity } from "#registration";
 import { Registry, type RegistryCommand, type RegistryReply } from "#registry";
 import type { ControlSettings, FoundingMember } from "#settings";
 import { openReplicatedLog } from "#storage";
@@ -66,6 +67,11 @@
   readonly logger: Logger;
   readonly clock: Clock;
   readonly randomness: Randomness;
+  /**
+   * Header of a health check's answer that names the answering server, if servers
+   * have one: shows which of several announced addresses is a server's.
+   */
+  readonly serverIdentityHeader?: string;
 }
 
 /**
@@ -147,10 +153,20 @@
         if (role === "entry") registrar.handleEntryDisconnected(id);
       },
     });
+    const header = options.serverIdentityHeader;
     const registrar = new ServerRegistrar({
       ...options,
       incarnation,
       network,
+      verify:
+        header === undefined
+          ? undefined
+          : (server) => {
+              const { services } = registry.configuration().document;
+              const service = services.find((s) => s.name === server.service);
+              const path = service?.healthPath ?? "/";
+              return checkIdentity(server, { path, header });
+            },
     });
     const peers = new ControlPeers({ settings, network });
     const publisher: ConfigurationPublisher = new ConfigurationPublisher({
--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -143,7 +143,7 @@
     }
     const { registrar } = this.#control;
     const former = registrar.find(server);
-    const { result } = registrar.announce(server);
+    const result = await registrar.announce(server);
     if (result.isOk()) {
       this.announcements.accepted(server, former);
       return { type: "accepted" };
--- a/packages/control/server_registrar.ts
+++ b/packages/control/server_registrar.ts
@@ -1,3 +1,4 @@
+import type { Result } from "neverthrow";
 import type {
   BackendServer,
   Clock,
@@ -6,10 +7,11 @@
   Randomness,
 } from "#model";
 import {
+  type AnnouncementFault,
+  type Identity,
   type LeaseResponse,
   Presence,
   type PresenceMessages,
-  type ResultWithEffects,
 } from "#presence";
 import { Registrations } from "#registration";
 import type { ControlSettings } from "#settings";
@@ -31,6 +33,8 @@
     clock: Clock;
     randomness: Randomness;
     logger: Logger;
+    /** Finds out which server answers at a server's address. */
+    verify?: ((server: BackendServer) => Promise<Identity>) | undefined;
   }) {
     const { settings, incarnation, network, clock, randomness } = options;
     this.#clock = clock;
@@ -45,6 +49,7 @@
       }),
       clock,
       network,
+      verify: options.verify,
       onServersChanged: () => undefined,
       onServerGone: (server, reason) => {
         const { id, service } = server;
@@ -78,12 +83,26 @@
     this.#registrations.tick();
   }
 
-  /** Registers a server on all entries, or renews its lease. */
-  announce(server: BackendServer): ResultWithEffects<LeaseResponse> {
+  /**
+   * Registers a server on all entries, or renews its lease; waits for checks of its
+   * addresses if another one is known.
+   */
+  async announce(
+    server: BackendServer,
+  ): Promise<Result<LeaseResponse, AnnouncementFault>> {
+    const result = this.#announce(server);
+    const fault = result.isErr() ? result.error : undefined;
+    if (fault?.type !== "unproven_address" || !fault.isPending) return result;
+    await this.#registrations.checked(server.id);
+    return this.#announce(server);
+  }
+
+  #announce(server: BackendServer): Result<LeaseResponse, AnnouncementFault> {
     const now = this.#clock.now();
-    const response = this.#registrations.presence.announce(server, now);
-    this.#registrations.execute(response.effects);
-    return response;
+    const { presence } = this.#registrations;
+    const { result, effects } = presence.announce(server, now);
+    this.#registrations.execute(effects);
+    return result;
   }
 
   /** Tells the connected entries that a server leaves, in all its services. */
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -13,11 +13,12 @@
 } from "#model";
 import {
   type AddressesResponse,
+  type Identity,
   Presence,
   SERVE_AFTER_STOPPING_MS,
   TICK_INTERVAL_MS,
 } from "#presence";
-import { Registrations } from "#registration";
+import { checkIdentity, Registrations } from "#registration";
 import type { EntrySettings } from "#settings";
 import { type Logger, Metrics } from "#telemetry";
 import {
@@ -54,10 +55,11 @@
   /** HTTP conventions of callers and servers; mangobank's own by default. */
   readonly protocol?: CallProtocol;
   /**
-   * True where servers announce themselves at control hosts, and other programs
-   * may do so under their ids.
+   * Header of a health check's answer that names the answering server. Set where
+   * servers announce themselves at control hosts, and other programs may do so
+   * under their ids.
    */
-  readonly untrustedAnnouncements?: boolean;
+  readonly serverIdentityHeader?: string;
 }
 
 /**
@@ -117,10 +119,13 @@
         incarnation: this.#incarnation,
         dataCentre: settings.dataCentre,
         randomness,
-        untrusted: options.untrustedAnnouncements ? clock : undefined,
+        untrusted: options.serverIdentityHeader ? clock : undefined,
       }),
       clock,
       network,
+      verify: options.serverIdentityHeader
+        ? (server) => this.#checkIdentity(server)
+        : undefined,
       onServersChanged: (service, servers) =>
         this.#updateServers(service, servers),
       onServerGone: (server, reason) => {
@@ -400,6 +405,15 @@
     }
   }
 
+  #checkIdentity(server: BackendServer): Promise<Identity> {
+    const { protocol, serverIdentityHeader: header = "" } = this.#options;
+    const { services } = this.#appliedConfiguration.document;
+    const service = services.find(({ name }) => name === server.service);
+    const path = protocol?.healthCheckPath(service) ?? "/";
+    this.#metrics.recordServerRequest(server.service, "identity_check");
+    return checkIdentity(server, { path, header });
+  }
+
   #updateServers(service: string, servers: readonly BackendServer[]): void {
     this.#callPipeline.setServers(service, this.#usableServers.filter(servers));
   }
--- a/packages/presence/announcements.ts
+++ b/packages/presence/announcements.ts
@@ -10,6 +10,13 @@
   | { readonly type: "older_incarnation"; readonly known: number }
   | { readonly type: "older_sequence"; readonly known: number }
   | { readonly type: "implausible_sequence"; readonly known: number }
+  /** The known address has not been shown to be wrong, or this one to be right. */
+  | {
+      readonly type: "unproven_address";
+      readonly known: string;
+      /** Whether checks of the addresses are still running. */
+      readonly isPending: boolean;
+    }
   | { readonly type: "already_leaving"; readonly incarnation: number }
   | { readonly type: "too_many_servers"; readonly limit: number }
   | { readonly type: "not_ready" };
@@ -21,6 +28,7 @@
   older_incarnation: 409,
   older_sequence: 409,
   implausible_sequence: 409,
+  unproven_address: 409,
   already_leaving: 410,
   too_many_servers: 503,
   not_ready: 503,
--- a/packages/presence/effects.ts
+++ b/packages/presence/effects.ts
@@ -27,6 +27,8 @@
       readonly server: BackendServer;
       readonly reason: GoneReason;
     }
+  /** Find out which server answers at this one's address. */
+  | { readonly type: "verify"; readonly server: BackendServer }
   | PresenceSend;
 
 /** Collects the effects of one call, with at most one change per service. */
@@ -46,6 +48,10 @@
     this.#otherEffects.push({ type: "gone", server, reason });
   }
 
+  verify(server: BackendServer): void {
+    this.#otherEffects.push({ type: "verify", server });
+  }
+
   send(to: readonly HostId[], message: Omit<PresenceSend, "type" | "to">) {
     for (const id of to) {
       this.#otherEffects.push({
--- a/packages/presence/local_registrations.ts
+++ b/packages/presence/local_registrations.ts
@@ -1,4 +1,5 @@
 import { type BackendServer, backendServerKey, type HostId } from "#model";
+import { hasSameAddress } from "./address_proofs.ts";
 import type { Effects } from "./effects.ts";
 import {
   decodePut,
@@ -49,7 +50,8 @@
     const current = this.publisher.records.get(key);
     const isRepeated =
       current?.server.incarnation === server.incarnation &&
-      current.server.sequence === server.sequence;
+      current.server.sequence === server.sequence &&
+      hasSameAddress(current.server, server);
     // May be an old duplicate, which must not renew the lease.
     if (current && isRepeated && current.expiresAt > now) return;
     // If another entry has a newer record, only a sent record overrides it: a
--- a/packages/presence/presence.ts
+++ b/packages/presence/presence.ts
@@ -7,6 +7,11 @@
   type Randomness,
   type View,
 } from "#model";
+import {
+  decideAddress,
+  hasSameAddress,
+  type Identity,
+} from "./address_proofs.ts";
 import { AnnouncementChecks } from "./announcement_checks.ts";
 import type {
   AnnouncementFault,
@@ -55,6 +60,13 @@
   readonly untrusted?: Pick<Clock, "wallTime"> | undefined;
 }
 
+/** Faults of an announcement that only another one makes it have. */
+const ORDER_FAULTS: ReadonlySet<AnnouncementFault["type"]> = new Set([
+  "older_incarnation",
+  "older_sequence",
+  "implausible_sequence",
+]);
+
 /** The result of a server's request and the effects to execute. */
 export interface ResultWithEffects<T> {
   readonly result: Result<T, AnnouncementFault>;
@@ -150,8 +162,11 @@
   ): ResultWithEffects<LeaseResponse> {
     const effects = new Effects();
     const key = backendServerKey(server);
-    const fault = this.#checks.check(server, now);
-    if (fault) return { result: err(fault), effects: [] };
+    const fault = this.#checkAddress(server, {
+      fault: this.#checks.check(server, now),
+      context: { now, effects },
+    });
+    if (fault) return { result: err(fault), effects: effects.list() };
     if (server.state === "leaving") {
       const leaveFault = this.#recordLeave(server, { now, effects });
       if (leaveFault) return { result: err(leaveFault), effects: [] };
@@ -168,6 +183,18 @@
     return { result: ok(response), effects: effects.list() };
   }
 
+  /** Records what answered at a server's address; see the effect `verify`. */
+  verified(
+    server: BackendServer,
+    identity: Identity,
+    now: number,
+  ): PresenceEffect[] {
+    const effects = new Effects();
+    this.#table.proofs.record(server, identity, now);
+    this.#table.refresh(backendServerKey(server), { now, effects });
+    return effects.list();
+  }
+
   /** Removes a server that announces that it is leaving. */
   leave(leave: LeaveRequest, now: number): ResultWithEffects<void> {
     const effects = new Effects();
@@ -354,6 +381,42 @@
     return loads.set(this.#options.id, { load, stopping, reachable: true });
   }
 
+  /**
+   * The reason to refuse an announcement with another address than the known one,
+   * or else `fault`. Which of the two is the server's is found out by checks.
+   */
+  #checkAddress(
+    server: BackendServer,
+    options: {
+      fault: AnnouncementFault | undefined;
+      context: { now: number; effects: Effects };
+    },
+  ): AnnouncementFault | undefined {
+    const { fault, context } = options;
+    const { now } = context;
+    const known = this.server(server, now);
+    if (!this.#options.untrusted || !known || hasSameAddress(known, server)) {
+      return fault;
+    }
+    if (fault && !ORDER_FAULTS.has(fault.type)) return fault;
+    const left = this.#table.tombstone(backendServerKey(server));
+    if (left && left.incarnation >= server.incarnation) return fault;
+    const { proofs } = this.#table;
+    for (const claimed of [server, known]) proofs.request(claimed, context);
+    const isAccepted = decideAddress({
+      isNewer: fault === undefined,
+      identity: proofs.fresh(server, now),
+      knownIdentity: proofs.fresh(known, now),
+    });
+    if (isAccepted) return undefined;
+    const { host, port } = known.address;
+    return {
+      type: "unproven_address",
+      known: `${host}:${port}`,
+      isPending: isAccepted === undefined,
+    };
+  }
+
   #recordLeave(
     server: Pick<BackendServer, "service" | "id" | "incarnation">,
     context: { now: number; effects: Effects },
--- a/packages/presence/server_table.ts
+++ b/packages/presence/server_table.ts
@@ -4,6 +4,7 @@
   type Clock,
   type HostId,
 } from "#model";
+import { AddressProofs, hasSameAddress } from "./address_proofs.ts";
 import type { Effects } from "./effects.ts";
 import type { ServerRecord, Tombstone } from "./messages.ts";
 import { isPossibleIncarnation, isPossibleRecord } from "./plausibility.ts";
@@ -28,6 +29,10 @@
   /** Present where records may name no server that can exist. */
   readonly #untrusted: Pick<Clock, "wallTime"> | undefined;
 
+  readonly proofs = new AddressProofs();
+  /** Servers of which several addresses are announced. */
+  readonly #contested = new Set<string>();
+
   constructor(untrusted?: Pick<Clock, "wallTime">) {
     this.#untrusted = untrusted;
   }
@@ -116,6 +121,7 @@
   /** Selects a server's current record again and reports what has changed. */
   refresh(key: string, { now, effects }: { now: number; effects: Effects }) {
     const before = this.#current.get(key);
+    this.#requestProofs(key, { now, effects });
     const record = this.#selectNewest(key, now);
     if (before && record === before.record && record.server === before.server)
       return;
@@ -135,6 +141,7 @@
 
   /** Removes expired records and tombstones. */
   expire(now: number, effects: Effects): void {
+    for (const key of this.#contested) this.refresh(key, { now, effects });
     if (now >= this.#earliestExpiry) this.#expireLeases(now, effects);
     for (const [key, { keptUntil }] of this.#tombstones) {
       if (keptUntil <= now) this.#tombstones.delete(key);
@@ -149,16 +156,51 @@
     }
   }
 
+  /** Checks the addresses of a server that has several of them. */
+  #requestProofs(
+    key: string,
+    context: { now: number; effects: Effects },
+  ): void {
+    if (!this.#untrusted) return;
+    const candidates = this.#candidates(key, context.now);
+    if (!isContested(candidates)) {
+      this.#contested.delete(key);
+      return;
+    }
+    this.#contested.add(key);
+    for (const { server } of candidates) this.proofs.request(server, context);
+  }
+
+  /**
+   * The newest record, of the addresses at which the server answers if several are
+   * announced. Until that is known, the address that is in use stays.
+   */
   #selectNewest(key: string, now: number): ServerRecord | undefined {
-    const left = this.#tombstones.get(key)?.incarnation ?? -1;
-    let newest: ServerRecord | undefined;
-    for (const record of this.#records.get(key)?.values() ?? []) {
-      if (record.expiresAt <= now || record.server.incarnation <= left)
-        continue;
-      if (!this.#isPossible(record.server)) continue;
-      if (!newest || isNewer(record, newest)) newest = record;
+    const candidates = this.#candidates(key, now);
+    if (!this.#untrusted || !isContested(candidates)) return newest(candidates);
+    const identities = candidates.map(({ server }) => this.proofs.last(server));
+    const proven = candidates.filter((_, i) => identities[i] === "same");
+    if (proven.length > 0) return newest(proven);
+    const used = this.#current.get(key)?.record;
+    if (used && identities.includes(undefined)) {
+      const atAddress = candidates.filter(({ server }) =>
+        hasSameAddress(server, used.server),
+      );
+      if (atAddress.length > 0) return newest(atAddress);
     }
-    return newest;
+    const possible = candidates.filter((_, i) => identities[i] !== "other");
+    return newest(possible.length > 0 ? possible : candidates);
+  }
+
+  /** The records that may be the current one. */
+  #candidates(key: string, now: number): ServerRecord[] {
+    const left = this.#tombstones.get(key)?.incarnation ?? -1;
+    return [...(this.#records.get(key)?.values() ?? [])].filter(
+      ({ server, expiresAt }) =>
+        expiresAt > now &&
+        server.incarnation > left &&
+        this.#isPossible(server),
+    );
   }
 
   #isPossible(server: BackendServer): boolean {
@@ -213,6 +255,23 @@
   );
 }
 
+function newest(records: readonly ServerRecord[]): ServerRecord | undefined {
+  let newest: ServerRecord | undefined;
+  for (const record of records) {
+    if (!newest || isNewer(record, newest)) newest = record;
+  }
+  return newest;
+}
+
+/** Whether the records have several addresses. */
+function isContested(records: readonly ServerRecord[]): boolean {
+  const [first, ...others] = records;
+  return (
+    first !== undefined &&
+    others.some(({ server }) => !hasSameAddress(server, first.server))
+  );
+}
+
 function isNewer(a: ServerRecord, b: ServerRecord): boolean {
   if (a.server.incarnation !== b.server.incarnation) {
     return a.server.incarnation > b.server.incarnation;
--- a/packages/registration/index.ts
+++ b/packages/registration/index.ts
@@ -4,4 +4,5 @@
  *
  * @module
  */
+export * from "./identity_check.ts";
 export * from "./registrations.ts";
--- a/packages/registration/registrations.ts
+++ b/packages/registration/registrations.ts
@@ -1,5 +1,6 @@
 import type { BackendServer, Clock, HostId, Service } from "#model";
 import type {
+  Identity,
   Presence,
   PresenceEffect,
   PresenceMessage,
@@ -30,14 +31,21 @@
     server: BackendServer,
     reason: Extract<PresenceEffect, { type: "gone" }>["reason"],
   ) => void;
+  /** Finds out which server answers at a server's address. */
+  readonly verify?: ((server: BackendServer) => Promise<Identity>) | undefined;
 }
 
+/** Checks that run at a time; a server that is not checked keeps its address. */
+const MAX_CHECKS = 20;
+
 /**
  * Executes the effects of service registration: sends its messages and
  * reports changes of servers.
  */
 export class Registrations {
   readonly #options: RegistrationsOptions;
+  /** Running checks of addresses, by the server's id. */
+  readonly #checks = new Set<{ id: string; result: Promise<void> }>();
 
   constructor(options: RegistrationsOptions) {
     this.#options = options;
@@ -70,10 +78,32 @@
           break;
         case "gone":
           onServerGone(effect.server, effect.reason);
+          break;
+        case "verify":
+          this.#verify(effect.server);
       }
     }
   }
 
+  /** Resolves when the running checks of a server's addresses have ended. */
+  async checked(id: string): Promise<void> {
+    const checks = [...this.#checks].filter((check) => check.id === id);
+    await Promise.all(checks.map(({ result }) => result));
+  }
+
+  #verify(server: BackendServer): void {
+    const check = { id: server.id, result: this.#recordIdentity(server) };
+    this.#checks.add(check);
+    void check.result.then(() => this.#checks.delete(check));
+  }
+
+  async #recordIdentity(server: BackendServer): Promise<void> {
+    const { presence, clock, verify } = this.#options;
+    const isPossible = verify && this.#checks.size < MAX_CHECKS;
+    const identity = isPossible ? await verify(server) : "unknown";
+    this.execute(presence.verified(server, identity, clock.now()));
+  }
+
   peerUp(id: HostId): void {
     const { presence, clock } = this.#options;
     this.execute(presence.peerUp(id, clock.now()));
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -21,6 +21,7 @@
   "check",
   "probe",
   "connection_check",
+  "identity_check",
 ];
 
 /** Values by service name. */
@@ -50,7 +51,9 @@
   | "check"
   | "probe"
   /** Only a connection is opened. */
-  | "connection_check";
+  | "connection_check"
+  /** Shows which of several announced addresses is a server's. */
+  | "identity_check";
 
 /**
  * How an entry got a configuration: control published it, answered a heartbeat
