Record a leave only for the server that announces it

What callers saw: one heartbeat with state draining under a sound server's id, with another address, another or no existing service, put the server out of use until it started again.

Cause: a draining heartbeat was recorded without any check, in the agreed state and for all services, since a leave names only an id.

It now needs a configured service, the one that the id is known in, and the known address, or an address that answers with the id. A control host that does not know the id asks an entry for its records first (within 200 ms); at the known address nothing is asked, and a leave that is recorded is acknowledged at once.

--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -17,6 +17,9 @@
  */
 const MAJORITY_TIMEOUT_MS = 850;
 
+/** Longest wait for an entry's list of servers, in milliseconds. */
+const LOOKUP_TIMEOUT_MS = 200;
+
 /** No majority confirmed the request in time; it may take effect later. */
 interface UnavailableReply {
   readonly type: "unavailable";
@@ -137,26 +140,45 @@
   async announce(server: BackendServer): Promise<AnnounceReply> {
     const impossible = this.#refuseFutureStart("heartbeat", server);
     if (impossible) return impossible;
+    const { registrar } = this.#control;
     if (server.state === "leaving") {
+      if (!this.#recordedLeave(server)) {
+        const known = await this.#recordsOf(server.id);
+        const fault = await registrar.checkLeaving(server, known);
+        if (fault) return this.#refuseAnnouncement(server, fault);
+      }
       const leaveReply = await this.leave(server, "heartbeat");
       return leaveReply.type === "recorded" ? { type: "accepted" } : leaveReply;
     }
-    const { registrar } = this.#control;
     const former = registrar.find(server);
     const result = await registrar.announce(server);
     if (result.isOk()) {
       this.announcements.accepted(server, former);
       return { type: "accepted" };
     }
-    const { id, service, incarnation, sequence, address } = server;
-    const fault = result.error;
+    return this.#refuseAnnouncement(server, result.error);
+  }
+
+  /** The records of an id, of an entry if this host knows none. */
+  async #recordsOf(id: string): Promise<readonly BackendServer[]> {
+    const own = this.#control.registrar.recordsOf(id);
+    if (own.length > 0) return own;
+    const all = await withTimeout(this.#control.servers(), LOOKUP_TIMEOUT_MS);
+    return (all ?? []).filter((server) => server.id === id);
+  }
+
+  #refuseAnnouncement(
+    server: BackendServer,
+    fault: AnnouncementFault,
+  ): AnnounceReply {
+    const { id, service, incarnation, sequence, address, state } = server;
     this.announcements.refused({
       call: "heartbeat",
       reason: fault.type,
       message: "announcement not taken",
       server: id,
       incarnation,
-      fields: { service, sequence, address, fault },
+      fields: { service, sequence, address, state, fault },
     });
     return { type: "refused", fault };
   }
@@ -175,7 +197,7 @@
     // If no incarnation is known, the leave applies to all that started so far.
     const incarnation =
       server.incarnation ??
-      this.#control.registrar.incarnationOf(id) ??
+      newestOf(this.#control.registrar.recordsOf(id)) ??
       this.#wallTimeMs();
     const recorded = this.#recordedLeave({ id, incarnation });
     if (recorded && !isPossibleLeave(recorded)) {
@@ -261,10 +283,19 @@
   return result?.error?.type ?? "timeout";
 }
 
-/** Resolves with the result, or with undefined after `MAJORITY_TIMEOUT_MS`. */
-function withTimeout<T>(result: Promise<T>): Promise<T | undefined> {
+/** The newest incarnation of the records; undefined if there is none. */
+function newestOf(records: readonly BackendServer[]): number | undefined {
+  const incarnations = records.map(({ incarnation }) => incarnation);
+  return incarnations.length > 0 ? Math.max(...incarnations) : undefined;
+}
+
+/** Resolves with the result, or with undefined after a time. */
+function withTimeout<T>(
+  result: Promise<T>,
+  timeoutMs = MAJORITY_TIMEOUT_MS,
+): Promise<T | undefined> {
   return new Promise((resolve, reject) => {
-    const timer = setTimeout(() => resolve(undefined), MAJORITY_TIMEOUT_MS);
+    const timer = setTimeout(() => resolve(undefined), timeoutMs);
     result.then((value) => {
       clearTimeout(timer);
       resolve(value);
--- a/packages/control/server_registrar.ts
+++ b/packages/control/server_registrar.ts
@@ -8,6 +8,7 @@
 } from "#model";
 import {
   type AnnouncementFault,
+  hasSameAddress,
   type Identity,
   type LeaseResponse,
   Presence,
@@ -25,6 +26,7 @@
 export class ServerRegistrar {
   readonly #registrations: Registrations;
   readonly #clock: Clock;
+  readonly #verify: ((server: BackendServer) => Promise<Identity>) | undefined;
 
   constructor(options: {
     settings: ControlSettings;
@@ -38,6 +40,7 @@
   }) {
     const { settings, incarnation, network, clock, randomness } = options;
     this.#clock = clock;
+    this.#verify = options.verify;
     this.#registrations = new Registrations({
       presence: new Presence({
         id: settings.id,
@@ -97,6 +100,30 @@
     return this.#announce(server);
   }
 
+  /**
+   * Why a server's announcement that it leaves is not its own; undefined if
+   * nothing speaks against it. `known` are the records of its id. At its known
+   * address it needs no proof, as a leave must not wait.
+   */
+  async checkLeaving(
+    server: BackendServer,
+    known: readonly BackendServer[],
+  ): Promise<AnnouncementFault | undefined> {
+    const { service } = server;
+    if (!this.#registrations.presence.hasService(service)) {
+      return { type: "unknown_service", service };
+    }
+    const record = known.find((record) => record.service === service);
+    if (record && hasSameAddress(record, server)) return undefined;
+    const [other] = known;
+    if (!record && other)
+      return { type: "other_service", known: other.service };
+    const identity = await this.#verify?.(server);
+    if (identity === undefined || identity === "same") return undefined;
+    const address = record && `${record.address.host}:${record.address.port}`;
+    return { type: "unproven_address", known: address, isPending: false };
+  }
+
   #announce(server: BackendServer): Result<LeaseResponse, AnnouncementFault> {
     const now = this.#clock.now();
     const { presence } = this.#registrations;
@@ -129,18 +156,12 @@
     };
   }
 
-  /**
-   * The newest incarnation that a server has announced, in any of its services;
-   * undefined if none.
-   */
-  incarnationOf(id: string): number | undefined {
+  /** The current records of an id, in all services. */
+  recordsOf(id: string): BackendServer[] {
     const { presence } = this.#registrations;
     const now = this.#clock.now();
-    const incarnations = presence
+    return presence
       .servicesOf(id)
-      .flatMap(
-        (service) => presence.server({ service, id }, now)?.incarnation ?? [],
-      );
-    return incarnations.length > 0 ? Math.max(...incarnations) : undefined;
+      .flatMap((service) => presence.server({ service, id }, now) ?? []);
   }
 }
--- a/packages/presence/announcements.ts
+++ b/packages/presence/announcements.ts
@@ -13,10 +13,12 @@
   /** The known address has not been shown to be wrong, or this one to be right. */
   | {
       readonly type: "unproven_address";
-      readonly known: string;
+      readonly known?: string | undefined;
       /** Whether checks of the addresses are still running. */
       readonly isPending: boolean;
     }
+  /** The id is known as a server of another service. */
+  | { readonly type: "other_service"; readonly known: string }
   | { readonly type: "already_leaving"; readonly incarnation: number }
   | { readonly type: "too_many_servers"; readonly limit: number }
   | { readonly type: "not_ready" };
@@ -29,6 +31,7 @@
   older_sequence: 409,
   implausible_sequence: 409,
   unproven_address: 409,
+  other_service: 409,
   already_leaving: 410,
   too_many_servers: 503,
   not_ready: 503,
--- a/packages/presence/presence.ts
+++ b/packages/presence/presence.ts
@@ -354,6 +354,11 @@
     return this.#table.servicesOf(id);
   }
 
+  /** Whether the service is configured. */
+  hasService(service: string): boolean {
+    return this.#checks.services.has(service);
+  }
+
   /** The services with at least one server. */
   services(): string[] {
     return this.#table.services();
