Forget that another server answered, once a server's address is back

What callers would see: a record with a sound server's id and incarnation, but another server's address, made an entry and the service's dispatcher take the server for leaving, since another one answers there. With its own record back the server stayed unused at them until it started again.

Cause: leaving is final within an incarnation, and a change of the address did not count. What was found at one address now says nothing of another.

--- a/packages/control/registration_change.ts
+++ b/packages/control/registration_change.ts
@@ -1,4 +1,4 @@
-import type { BackendServer } from "#model";
+import { type BackendServer, hasSameAddress } from "#model";
 
 /**
  * A renewal is at most this much ahead of the one before. A server sends one
@@ -20,8 +20,7 @@
   if (!former) return "registered";
   if (former.incarnation !== server.incarnation) return "restarted";
   const isRenewal =
-    former.address.host === server.address.host &&
-    former.address.port === server.address.port &&
+    hasSameAddress(former, server) &&
     former.dataCentre === server.dataCentre &&
     former.slots === server.slots &&
     server.sequence - former.sequence <= MAX_RENEWAL_STEP;
--- a/packages/control/server_registrar.ts
+++ b/packages/control/server_registrar.ts
@@ -1,14 +1,14 @@
 import type { Result } from "neverthrow";
-import type {
-  BackendServer,
-  Clock,
-  Configuration,
-  HostId,
-  Randomness,
+import {
+  type BackendServer,
+  type Clock,
+  type Configuration,
+  type HostId,
+  hasSameAddress,
+  type Randomness,
 } from "#model";
 import {
   type AnnouncementFault,
-  hasSameAddress,
   type Identity,
   type LeaseResponse,
   Presence,
--- a/packages/model/backend_servers.ts
+++ b/packages/model/backend_servers.ts
@@ -26,6 +26,14 @@
   readonly startedMsAgo: number;
 }
 
+/** Whether calls to both records go to the same address. */
+export function hasSameAddress(
+  a: Pick<BackendServer, "address">,
+  b: Pick<BackendServer, "address">,
+): boolean {
+  return a.address.host === b.address.host && a.address.port === b.address.port;
+}
+
 /** A key that is unique among the backend servers of all services. */
 export function backendServerKey(
   server: Pick<BackendServer, "service" | "id">,
--- a/packages/presence/address_proofs.ts
+++ b/packages/presence/address_proofs.ts
@@ -98,10 +98,6 @@
   return !isKnownProven && (identity === "same" || isNewer);
 }
 
-export function hasSameAddress(a: BackendServer, b: BackendServer): boolean {
-  return a.address.host === b.address.host && a.address.port === b.address.port;
-}
-
 function isFresh({ identity, checkedAt }: Proof, now: number): boolean {
   if (identity === undefined) return false;
   return now - checkedAt < (identity === "same" ? SAME_TTL_MS : OTHER_TTL_MS);
--- a/packages/presence/index.ts
+++ b/packages/presence/index.ts
@@ -6,7 +6,7 @@
  * @module
  */
 export * from "./address_lookup.ts";
-export { hasSameAddress, type Identity } from "./address_proofs.ts";
+export type { Identity } from "./address_proofs.ts";
 export * from "./announcements.ts";
 export * from "./dissemination.ts";
 export * from "./effects.ts";
--- a/packages/presence/local_registrations.ts
+++ b/packages/presence/local_registrations.ts
@@ -1,5 +1,9 @@
-import { type BackendServer, backendServerKey, type HostId } from "#model";
-import { hasSameAddress } from "./address_proofs.ts";
+import {
+  type BackendServer,
+  backendServerKey,
+  type HostId,
+  hasSameAddress,
+} from "#model";
 import type { Effects } from "./effects.ts";
 import {
   decodePut,
--- a/packages/presence/presence.ts
+++ b/packages/presence/presence.ts
@@ -4,14 +4,11 @@
   backendServerKey,
   type Clock,
   type HostId,
+  hasSameAddress,
   type Randomness,
   type View,
 } from "#model";
-import {
-  decideAddress,
-  hasSameAddress,
-  type Identity,
-} from "./address_proofs.ts";
+import { decideAddress, type Identity } from "./address_proofs.ts";
 import { AnnouncementChecks } from "./announcement_checks.ts";
 import type {
   AnnouncementFault,
--- a/packages/presence/refused_announcements.ts
+++ b/packages/presence/refused_announcements.ts
@@ -1,4 +1,4 @@
-import { type BackendServer, backendServerKey } from "#model";
+import { type BackendServer, backendServerKey, hasSameAddress } from "#model";
 import { MAX_SEQUENCE_STEP } from "./plausibility.ts";
 
 /** Announcements in a row that a server's own sequence needs to be known. */
@@ -33,10 +33,7 @@
     { known, now }: { known: BackendServer; now: number },
   ): boolean {
     const key = backendServerKey(server);
-    const { host, port } = known.address;
-    if (server.address.host !== host || server.address.port !== port) {
-      return false;
-    }
+    if (!hasSameAddress(server, known)) return false;
     const last = this.#rows.get(key);
     if (last && now - last.at < MIN_INTERVAL_MS) return false;
     const count = last && continues(last, server, now) ? last.count + 1 : 1;
--- a/packages/presence/server_table.ts
+++ b/packages/presence/server_table.ts
@@ -3,8 +3,9 @@
   backendServerKey,
   type Clock,
   type HostId,
+  hasSameAddress,
 } from "#model";
-import { AddressProofs, hasSameAddress } from "./address_proofs.ts";
+import { AddressProofs } from "./address_proofs.ts";
 import type { Effects } from "./effects.ts";
 import type { ServerRecord, Tombstone } from "./messages.ts";
 import { isPossibleIncarnation, isPossibleRecord } from "./plausibility.ts";
--- a/packages/routing/fault_cases_test.ts
+++ b/packages/routing/fault_cases_test.ts
@@ -303,6 +303,26 @@
       for (const id of waiting) assert.equal(cluster.serverOf(id), "s2");
     },
   },
+  {
+    name: "another server answers at the address of a wrong record",
+    guards: "a server unused for good once its own address is back",
+    run() {
+      const own = ["s1", "s2"].map((id) => makeServer(id));
+      const address = { host: "127.0.0.1", port: 2 };
+      const wrong = own.map((server) => ({ ...server, address }));
+      const cluster = new TestCluster({ servers: wrong });
+      cluster.joinAll();
+      const { otherEntry } = cluster;
+      const calls = Array.from({ length: 4 }, () => cluster.submit(otherEntry));
+      cluster.advance(20);
+      for (const id of calls) cluster.finish(id, { leaving: true });
+      cluster.advance(20);
+      cluster.setServers(own);
+      const call = cluster.submit(otherEntry);
+      cluster.advance(20);
+      assert.ok(cluster.serverOf(call));
+    },
+  },
   {
     name: "a new dispatcher takes over",
     guards: "it grants slots that calls of the previous one still use",
--- a/packages/routing/server_state.ts
+++ b/packages/routing/server_state.ts
@@ -1,4 +1,4 @@
-import type { BackendServer } from "#model";
+import { type BackendServer, hasSameAddress } from "#model";
 import { NamedRate } from "./named_rate.ts";
 import { SLOWDOWN_THRESHOLD } from "./placement_checks.ts";
 import type { ServerHealth } from "./server_health.ts";
@@ -24,7 +24,10 @@
   limit = 1;
   /** Time until which the server gets no calls after it shed one. */
   pausedUntil = 0;
-  /** The server announced that it is leaving; final within an incarnation. */
+  /**
+   * The server announced that it is leaving, or another one answers at its address;
+   * final within an incarnation at an address.
+   */
   leaving = false;
   /** Time of the last result or probe answer. */
   lastHeard: number;
@@ -55,6 +58,7 @@
 
   /** Applies a newer announcement of the server. */
   updateRecord(record: BackendServer, now: number): void {
+    if (!hasSameAddress(record, this.record)) this.leaving = false;
     if (record.incarnation !== this.record.incarnation) {
       this.leaving = false;
       this.rateLimit = new NamedRate();
--- a/packages/routing/slot_table.ts
+++ b/packages/routing/slot_table.ts
@@ -1,9 +1,10 @@
 import { Heap } from "#admission";
-import type {
-  BackendServer,
-  BackendServerId,
-  DataCentre,
-  Service,
+import {
+  type BackendServer,
+  type BackendServerId,
+  type DataCentre,
+  hasSameAddress,
+  type Service,
 } from "#model";
 import type { ConcurrencyEstimator } from "./concurrency_estimator.ts";
 import { explorationLimit } from "./limit_exploration.ts";
@@ -89,6 +90,8 @@
     for (const record of records) {
       const known = this.#servers.get(record.id);
       if (known && known.record.incarnation === record.incarnation) {
+        // What answered at another address says nothing of this one.
+        if (!hasSameAddress(known.record, record)) known.leaving = false;
         known.record = record;
         continue;
       }
