Take a server's own heartbeats again before a foreign record ends

What callers saw: a heartbeat under a sound server's id, with its address and a start of now, counts as a restart. The server's own heartbeats were then older, until the lease of the foreign record ended 9 s later; the server was missing from there to its next heartbeat, for up to 1.7 s.

Cause: a record has to end before one with an earlier start is taken.

A control host now takes an earlier incarnation at the known address if it goes on, three announcements in a row at least a second apart, while the later one has been silent for 6 s. Late announcements of a crashed incarnation arrive together, or while the present one renews its record, and change nothing.

--- a/packages/presence/announcement_checks.ts
+++ b/packages/presence/announcement_checks.ts
@@ -4,7 +4,7 @@
 import { MAX_SEQUENCE_STEP } from "./plausibility.ts";
 import { RefusedAnnouncements } from "./refused_announcements.ts";
 import type { ServerTable } from "./server_table.ts";
-import type { PresenceLimits } from "./timings.ts";
+import { LEASE_MS, type PresenceLimits } from "./timings.ts";
 
 /** Checks requests of backend servers and gives the reason of a refusal. */
 export class AnnouncementChecks {
@@ -28,7 +28,7 @@
 
   /** The reason to refuse an announcement, or undefined. */
   check(server: BackendServer, now: number): AnnouncementFault | undefined {
-    const { service, incarnation, sequence } = server;
+    const { service, incarnation } = server;
     const key = backendServerKey(server);
     if (!this.ready) return { type: "not_ready" };
     if (!this.services.has(service)) {
@@ -42,25 +42,28 @@
         ? undefined
         : { type: "already_leaving", incarnation };
     }
-    const known = this.#table.current(key)?.server;
-    if (!known) return this.#checkLimits(service);
-    if (known.incarnation > incarnation) {
-      return { type: "older_incarnation", known: known.incarnation };
-    }
-    if (known.incarnation !== incarnation) return undefined;
-    const fault = this.#checkSequence(known.sequence, sequence);
-    return fault && this.#refused?.isOwn(server, { known, now })
-      ? undefined
-      : fault;
+    const record = this.#table.current(key);
+    if (!record) return this.#checkLimits(service);
+    const fault = this.#checkOrder(record.server, server);
+    if (!fault || !this.#refused) return fault;
+    const silentMs = now - (record.expiresAt - LEASE_MS);
+    const about = { known: record.server, silentMs, now };
+    return this.#refused.isOwn(server, about) ? undefined : fault;
   }
 
-  #checkSequence(
-    known: number,
-    sequence: number,
+  #checkOrder(
+    known: BackendServer,
+    { incarnation, sequence }: BackendServer,
   ): AnnouncementFault | undefined {
-    if (known > sequence) return { type: "older_sequence", known };
-    return this.#refused && sequence - known > MAX_SEQUENCE_STEP
-      ? { type: "implausible_sequence", known }
+    if (known.incarnation > incarnation) {
+      return { type: "older_incarnation", known: known.incarnation };
+    }
+    if (known.incarnation < incarnation) return undefined;
+    if (known.sequence > sequence) {
+      return { type: "older_sequence", known: known.sequence };
+    }
+    return this.#refused && sequence - known.sequence > MAX_SEQUENCE_STEP
+      ? { type: "implausible_sequence", known: known.sequence }
       : undefined;
   }
 
--- a/packages/presence/untrusted_test.ts
+++ b/packages/presence/untrusted_test.ts
@@ -73,6 +73,42 @@
   });
 }
 
+// Guards against a server that is out of use between the end of a foreign record and
+// its own next announcement.
+test("a former incarnation that goes on replaces a later one that is silent", () => {
+  const announce = createRegistrar();
+  announce({ incarnation: 2 });
+  const results = [1_500, 3_000, 4_500, 6_000].map((now, index) =>
+    announce({ sequence: 7 + index }, now),
+  );
+  const older = "older_incarnation";
+  assert.deepEqual(results, [older, older, older, "accepted"]);
+});
+
+// Guards against late announcements of a crashed incarnation that end the present
+// one, also where the present one announces itself elsewhere most of the time.
+for (const [name, { present, late }] of Object.entries({
+  "the present one goes on": {
+    present: [1_000, 4_000, 7_000],
+    late: [1_500, 3_000, 4_500, 6_000, 7_500, 9_000],
+  },
+  "they arrive together": { present: [], late: [8_000, 8_001, 8_002, 8_003] },
+})) {
+  test(`announcements of a former incarnation change nothing: ${name}`, () => {
+    const announce = createRegistrar();
+    announce({ incarnation: 2 });
+    for (const [index, now] of late.entries()) {
+      const isRenewed = present.filter((at) => at <= now).length;
+      announce(
+        { incarnation: 2, sequence: 1 + isRenewed },
+        present[isRenewed - 1],
+      );
+      const result = announce({ sequence: 7 + index }, now);
+      assert.equal(result, "older_incarnation");
+    }
+  });
+}
+
 test("a sequence starts anew with a new incarnation", () => {
   const announce = createRegistrar();
   announce({ sequence: 900 });
