Leave out the copy of a server's record in another service

What callers would see: a heartbeat that copies a sound server's, but for another configured service, made the server one of that service too, and calls of it ran there.

Cause: servers are kept by service and id, and nothing compared services. The health check can't tell, since the server itself answers.

A process remembers in which service a server process (id, start and address) was known first, and leaves it out of services in which it is known 10 s later or more. Records that are known for about as long, as after the start of an entry, are all used: leaving out the wrong one would take a sound server out of use. Control hosts refuse nothing for it, for the same reason.

Evidence: the test of a copy failed before and passes now, as does a server whose copy was known first.

--- a/packages/presence/server_table.ts
+++ b/packages/presence/server_table.ts
@@ -7,6 +7,7 @@
 } from "#model";
 import { AddressProofs } from "./address_proofs.ts";
 import type { Effects } from "./effects.ts";
+import { FirstServices } from "./first_services.ts";
 import type { ServerRecord, Tombstone } from "./messages.ts";
 import { isPossibleIncarnation, isPossibleRecord } from "./plausibility.ts";
 
@@ -31,6 +32,7 @@
   readonly #untrusted: Pick<Clock, "wallTime"> | undefined;
 
   readonly proofs = new AddressProofs();
+  readonly #firstServices = new FirstServices();
   /** Servers of which several addresses are announced. */
   readonly #contested = new Set<string>();
 
@@ -81,6 +83,8 @@
     for (const key of this.#keysByService.get(service) ?? []) {
       const record = this.#live(key, now);
       if (!record) continue;
+      if (this.#untrusted && this.#firstServices.isCopy(record.server))
+        continue;
       const startedMsAgo = Math.max(0, Math.round(now - record.startedAt));
       servers.push({ ...record.server, startedMsAgo });
     }
@@ -126,6 +130,7 @@
     const record = this.#selectNewest(key, now);
     if (before && record === before.record && record.server === before.server)
       return;
+    if (this.#untrusted && record) this.#firstServices.note(record.server, now);
     const former = before?.server;
     if (record) this.noteExpiry(record.expiresAt);
     if (before && record)
