Keep a server's address where its check cannot run

Beyond 20 checks at a time an address counted as one that nothing answers at, so that a program which announces other addresses of many servers at once displaced those that were not checked. Without a result the known address stays now, and the check is requested again after 2 s.

--- a/packages/presence/untrusted_test.ts
+++ b/packages/presence/untrusted_test.ts
@@ -129,3 +129,16 @@
     );
   });
 }
+
+// Guards against a server that loses its address because checks have no result, as
+// where too many of them run.
+test("another address is not taken while there is no result of a check", () => {
+  const announce = createRegistrar();
+  const address = { host: "10.0.0.9", port: 80 };
+  announce({});
+  for (const now of [1_500, 3_000, 4_500, 6_000]) {
+    announce({ sequence: 1 + now }, now);
+    const result = announce({ incarnation: 2, address }, now);
+    assert.equal(result, "unproven_address");
+  }
+});
--- a/packages/registration/registrations.ts
+++ b/packages/registration/registrations.ts
@@ -35,7 +35,10 @@
   readonly verify?: ((server: BackendServer) => Promise<Identity>) | undefined;
 }
 
-/** Checks that run at a time; a server that is not checked keeps its address. */
+/**
+ * Checks that run at a time. Without a result a server keeps its address, and the
+ * check is requested again.
+ */
 const MAX_CHECKS = 20;
 
 /**
@@ -92,15 +95,20 @@
   }
 
   #verify(server: BackendServer): void {
-    const check = { id: server.id, result: this.#recordIdentity(server) };
+    const { verify } = this.#options;
+    if (!verify || this.#checks.size >= MAX_CHECKS) return;
+    const result = this.#recordIdentity(server, verify(server));
+    const check = { id: server.id, result };
     this.#checks.add(check);
     void check.result.then(() => this.#checks.delete(check));
   }
 
-  async #recordIdentity(server: BackendServer): Promise<void> {
-    const { presence, clock, verify } = this.#options;
-    const isPossible = verify && this.#checks.size < MAX_CHECKS;
-    const identity = isPossible ? await verify(server) : "unknown";
+  async #recordIdentity(
+    server: BackendServer,
+    answer: Promise<Identity>,
+  ): Promise<void> {
+    const { presence, clock } = this.#options;
+    const identity = await answer;
     this.execute(presence.verified(server, identity, clock.now()));
   }
 
--- /dev/null
+++ b/packages/registration/registrations_test.ts
@@ -0,0 +1,72 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  type BackendServer,
+  EMPTY_VIEW,
+  ManualClock,
+  SeededRandomness,
+} from "#model";
+import { type Identity, Presence, type PresenceMessages } from "#presence";
+import type { Network } from "#wire";
+import { Registrations } from "./registrations.ts";
+
+const NETWORK: Network<PresenceMessages> = {
+  send: () => false,
+  broadcast: () => undefined,
+  handle: () => undefined,
+};
+
+function server(id: number, port: number, incarnation: number): BackendServer {
+  return {
+    id: `w${id}`,
+    service: "alloc",
+    address: { host: "10.0.0.1", port },
+    dataCentre: "riga-a",
+    incarnation,
+    sequence: 1,
+    state: "ready",
+    slots: 1,
+    connections: 1,
+    inFlight: 0,
+    startedMsAgo: 0,
+  };
+}
+
+// Guards against a program that makes control hosts open connections without bound
+// by announcing other addresses of many servers.
+test("at most 20 checks of addresses run at a time", async () => {
+  const clock = new ManualClock();
+  const presence = new Presence({
+    id: "control-1",
+    incarnation: 1,
+    dataCentre: "riga-a",
+    randomness: new SeededRandomness(1),
+    untrusted: clock,
+  });
+  const answers: ((identity: Identity) => void)[] = [];
+  const registrations = new Registrations({
+    presence,
+    clock,
+    network: NETWORK,
+    onServersChanged: () => undefined,
+    onServerGone: () => undefined,
+    verify: () => new Promise((resolve) => answers.push(resolve)),
+  });
+  presence.configure({ services: ["alloc"], view: EMPTY_VIEW }, 0);
+  for (const incarnation of [1, 2]) {
+    for (let id = 0; id < 50; id++) {
+      const announced = server(id, incarnation, incarnation);
+      registrations.execute(presence.announce(announced, clock.now()).effects);
+    }
+  }
+  assert.equal(answers.length, 20);
+  const unchecked = presence.announce(server(49, 2, 2), clock.now());
+  assert.equal(unchecked.result.isErr(), true);
+  for (const answer of answers) answer("same");
+  await registrations.checked("w0");
+  clock.advance(2_000);
+  registrations.execute(
+    presence.announce(server(49, 2, 2), clock.now()).effects,
+  );
+  assert.equal(answers.length, 22);
+});
