Name each field of a change that is refused

A caller of Config.Patch was told "configuration cannot be read in full" and not which field is wrong, and the control host logged nothing at all; of a change that does not fit the other items only the first fault was named. Both list at most 20 problems and count the others; names and values are clipped to 120 characters, since the log held names of 90,000 characters in full.

What is taken and what is refused has not changed.

--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -9,6 +9,10 @@
  * reply before they try another host.
  */
 const MAJORITY_TIMEOUT_MS = 850;
+/** Most items and faults named in a log line or a reply. */
+const MAX_LISTED = 20;
+/** Longest name or value in a log line or a reply, in characters. */
+const MAX_TEXT_LENGTH = 120;
 
 /** No majority confirmed the request in time; it may take effect later. */
 interface UnavailableReply {
@@ -18,7 +22,7 @@
 
 export type PutItemsReply =
   | { readonly type: "held"; readonly version: number }
-  | { readonly type: "invalid"; readonly faults: readonly ItemFault[] }
+  | { readonly type: "invalid"; readonly problems: readonly string[] }
   | UnavailableReply;
 
 export type ItemsReadReply =
@@ -58,14 +62,20 @@
     const at = this.#wallTimeMs();
     const names = [...change.upserts, ...change.removals].slice(0, 8);
     const logFields = {
-      items: names.map(({ kind, name, version }) => [kind, name, version]),
+      items: names.map(({ kind, name, version }) => [
+        kind,
+        clip(name),
+        version,
+      ]),
       count: change.upserts.length + change.removals.length,
     };
+    const refuse = (faults: readonly ItemFault[], count: number) => {
+      const problems = problemsOf(faults, count);
+      this.#logger.info("items refused", { ...logFields, problems });
+      return { type: "invalid", problems } as const;
+    };
     const dropped = await this.#droppedTargets(change);
-    if (dropped.length > 0) {
-      this.#logger.info("items refused", { ...logFields, faults: dropped });
-      return { type: "invalid", faults: dropped };
-    }
+    if (dropped.length > 0) return refuse(dropped, dropped.length);
     const result = await withTimeout(
       this.#control.submit({ type: "put_items", ...change, at }),
     );
@@ -76,9 +86,8 @@
       return { type: "held", version };
     }
     if (reply?.type === "items_invalid") {
-      const { faults } = reply;
-      this.#logger.info("items refused", { ...logFields, faults });
-      return { type: "invalid", faults };
+      const { faults, omitted } = reply;
+      return refuse(faults, faults.length + omitted);
     }
     const fault = faultTypeOf(result);
     this.#logger.warn("items not confirmed", { ...logFields, fault });
@@ -162,6 +171,23 @@
   }
 }
 
+/** Items and what is expected of them, bounded; `count` faults in all. */
+function problemsOf(faults: readonly ItemFault[], count: number): string[] {
+  const named = faults
+    .slice(0, MAX_LISTED)
+    .map(
+      ({ kind, name, expected, found }) =>
+        `${kind} ${clip(name)}: expected ${expected}, found ${clip(String(found))}`,
+    );
+  const omitted = count - named.length;
+  return omitted > 0 ? [...named, `${omitted} further problems`] : named;
+}
+
+function clip(text: string): string {
+  if (text.length <= MAX_TEXT_LENGTH) return text;
+  return `${text.slice(0, MAX_TEXT_LENGTH)}… (${text.length} characters)`;
+}
+
 type LogResult =
   | { isOk(): boolean; isErr(): boolean; error?: { type: string } }
   | undefined;
--- a/packages/control/control_requests_test.ts
+++ b/packages/control/control_requests_test.ts
@@ -3,7 +3,7 @@
 import { ok } from "neverthrow";
 import { SystemClock } from "#model";
 import { type Item, type PutItems, Registry } from "#registry";
-import { SilentLogger } from "#telemetry";
+import { ConsolaLogger, type Logger, SilentLogger } from "#telemetry";
 import type { ControlProcess } from "./control_process.ts";
 import { ControlRequests } from "./control_requests.ts";
 
@@ -57,12 +57,12 @@
   return { type: "put_items", upserts, removals, at: 1 };
 }
 
-function createHost() {
+function createHost(logger: Logger = new SilentLogger()) {
   const control = new LocalControl();
   const requests = new ControlRequests({
     control: control as unknown as ControlProcess,
     clock: new SystemClock(),
-    logger: new SilentLogger(),
+    logger,
   });
   control.registry.apply(put([service("alloc", 1), service("report", 1)]));
   control.registry.apply(put([], [service("report", 9)]));
@@ -76,7 +76,10 @@
 test("a late change with a route to a dropped service is refused whole", async () => {
   const { control, requests } = createHost();
   const reply = await requests.putItems(LATE_CHANGE);
-  assert.equal(reply.type, "invalid");
+  assert.ok(reply.type === "invalid");
+  assert.deepEqual(reply.problems, [
+    "route export: expected a service that is configured, found report",
+  ]);
   const names = control.registry.items().map(({ name }) => name);
   assert.deepEqual(names, ["alloc"]);
 });
@@ -88,3 +91,23 @@
   const reply = await requests.putItems(LATE_CHANGE);
   assert.equal(reply.type, "held");
 });
+
+// An operator's patch named only its first fault, and a log line held names of
+// any length.
+test("a refused change names each fault, bounded in number and length", async () => {
+  const lines: string[] = [];
+  const stream = { write: (line: string) => lines.push(line) > 0 };
+  const { requests } = createHost(new ConsolaLogger({ stream, json: true }));
+  const name = (index: number) => `${index}-${"x".repeat(90_000)}`;
+  const routes = Array.from({ length: 200 }, (_, index) =>
+    route(name(index), 1, "y".repeat(90_000)),
+  );
+  const reply = await requests.putItems(put(routes));
+  assert.ok(reply.type === "invalid");
+  assert.equal(reply.problems.length, 21);
+  assert.match(reply.problems[1] ?? "", /^route 1-x+… \(90002 characters\)/);
+  assert.equal(reply.problems.at(-1), "180 further problems");
+  assert.equal(lines.length, 1);
+  assert.match(lines[0] ?? "", /items refused.*expected a service/);
+  assert.ok((lines[0] ?? "").length < 20_000);
+});
