Tell from logs and metrics that the disk of a control host takes no writes

Operators saw changes refused or unanswered and could not tell which control host had a full disk: the only line was "control log stopped" with the fault, again at each reopening, and no metric showed it.

A DiskMonitor outlives the storage, which is opened again after each failed write; a MonitoredFileSystem reports to it. Metrics: mangobank_disk_writable, mangobank_disk_failed_writes_total{code}. Storage and consensus behave as before; the control roles only wrap their file system.

--- a/packages/cli/roles.ts
+++ b/packages/cli/roles.ts
@@ -37,14 +37,19 @@
 async function runControl(settings: ControlSettings): Promise<number> {
   const { ConsolaLogger } = await import("../telemetry/logger.ts");
   const { ControlHost } = await import("#control");
-  const { FileStorage } = await import("#storage");
+  const { DiskMonitor, FileStorage, MonitoredFileSystem, NodeFileSystem } =
+    await import("#storage");
   const logger = new ConsolaLogger({ fields: { host: settings.id } });
   const stopRequested = stopSignal();
+  const clock = new SystemClock();
+  const disk = new DiskMonitor({ clock, logger });
+  const fileSystem = new MonitoredFileSystem(new NodeFileSystem(), disk);
   const started = await ControlHost.start({
     settings,
     logger,
-    storage: new FileStorage({ folder: settings.dataFolder }),
-    clock: new SystemClock(),
+    storage: new FileStorage({ folder: settings.dataFolder, fileSystem }),
+    disk,
+    clock,
     randomness: new SystemRandomness(),
   });
   if (started.isErr()) {
--- a/packages/control/control_host.ts
+++ b/packages/control/control_host.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Clock } from "#model";
 import { createOperatorServer, OperatorApi } from "#operators";
+import type { DiskMonitor } from "#storage";
 import type { HttpServer } from "#wire";
 import {
   type ControlFault,
@@ -40,12 +41,12 @@
 
   /** Opens the control process and starts the operator API. */
   static async start(
-    options: ControlOptions,
+    options: ControlOptions & { readonly disk: DiskMonitor },
   ): Promise<Result<ControlHost, ControlFault>> {
     const opened = await ControlProcess.open(options);
     if (opened.isErr()) return err(opened.error);
     const control = opened.value;
-    const { settings, clock, logger } = options;
+    const { settings, clock, logger, disk } = options;
     const api = new OperatorApi({
       log: createChangeLog(control),
       registry: control.registry,
@@ -57,7 +58,7 @@
       bodyMaxBytes: settings.limits.bodyMaxBytes,
       onFailure: (cause) => logger.error("operator request failed", { cause }),
     });
-    const metrics = controlMetrics(control, clock);
+    const metrics = controlMetrics(control, { clock, disk });
     const handle = withHealthEndpoints(api.handle, { control, metrics });
     const server = createOperatorServer(handle, settings.limits);
     const listening = await server.listen(settings.http);
--- a/packages/control/health.ts
+++ b/packages/control/health.ts
@@ -1,12 +1,13 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock } from "#model";
+import type { DiskMonitor } from "#storage";
 import { ControlMetrics } from "#telemetry";
 import type { ControlProcess } from "./control_process.ts";
 
 /** The metrics of a control process, read at each scrape. */
 export function controlMetrics(
   control: ControlProcess,
-  clock: Clock,
+  { clock, disk }: { clock: Clock; disk: DiskMonitor },
 ): ControlMetrics {
   return new ControlMetrics({
     configurationVersion: () => control.registry.configuration().version,
@@ -15,6 +16,8 @@
     leading: () => control.status().role === "leader",
     liveEntries: () => control.entryTable.liveEntries(clock.now()).length,
     peerTraffic: () => control.traffic,
+    diskWritable: () => disk.isWritable,
+    failedWrites: () => disk.failedWrites,
   });
 }
 
--- a/packages/telemetry/control_metrics.ts
+++ b/packages/telemetry/control_metrics.ts
@@ -1,4 +1,4 @@
-import { Gauge, Registry } from "prom-client";
+import { Counter, Gauge, Registry } from "prom-client";
 import { type PeerTraffic, registerPeerTraffic } from "./peer_traffic.ts";
 import { registerProcessMetrics } from "./process_metrics.ts";
 
@@ -11,6 +11,10 @@
   /** Number of entries that any control host heard from within their lease. */
   readonly liveEntries: () => number;
   readonly peerTraffic: () => PeerTraffic;
+  /** Whether the disk took the last write. */
+  readonly diskWritable: () => boolean;
+  /** Numbers of failed writes, by error code. */
+  readonly failedWrites: () => ReadonlyMap<string, number>;
 }
 
 /** Prometheus metrics of a control process, in their own registry. */
@@ -39,6 +43,11 @@
       help: "Entries heard from within their lease",
       value: sources.liveEntries,
     });
+    this.#registerGauge("mangobank_disk_writable", {
+      help: "1 if the disk took the last write",
+      value: () => (sources.diskWritable() ? 1 : 0),
+    });
+    this.#registerFailedWrites(sources.failedWrites);
     registerPeerTraffic(this.#registry, sources.peerTraffic);
   }
 
@@ -52,6 +61,19 @@
     return this.#registry.metrics();
   }
 
+  #registerFailedWrites(numbers: () => ReadonlyMap<string, number>): void {
+    new Counter({
+      name: "mangobank_disk_failed_writes_total",
+      help: "Operations on the data folder that failed, by error code",
+      labelNames: ["code"],
+      registers: [this.#registry],
+      collect() {
+        this.reset();
+        for (const [code, number] of numbers()) this.inc({ code }, number);
+      },
+    });
+  }
+
   #registerGauge(
     name: string,
     options: { help: string; value: () => number },
--- a/packages/telemetry/process_metrics_test.ts
+++ b/packages/telemetry/process_metrics_test.ts
@@ -21,6 +21,8 @@
       receivedBytes: 0,
       sentByKind: new Map(),
     }),
+    diskWritable: () => true,
+    failedWrites: () => new Map(),
   });
   const intervalsMs = monitor.mock.calls.map(
     ({ arguments: [options] }) => options?.resolution ?? 10,
@@ -35,3 +37,27 @@
   const text = await new Metrics().text();
   assert.match(text, /^mangobank_build_info\{build="[^"]+"\} 1$/m);
 });
+
+// Guards against a full disk that no metric shows.
+test("the metrics of control show a disk that takes no writes", async () => {
+  const metrics = new ControlMetrics({
+    configurationVersion: () => 0,
+    appliedIndex: () => 0,
+    term: () => 0,
+    leading: () => false,
+    liveEntries: () => 0,
+    peerTraffic: () => ({
+      sentBytes: 0,
+      receivedBytes: 0,
+      sentByKind: new Map(),
+    }),
+    diskWritable: () => false,
+    failedWrites: () => new Map([["ENOSPC", 3]]),
+  });
+  const text = await metrics.text();
+  assert.match(text, /^mangobank_disk_writable 0$/m);
+  assert.match(
+    text,
+    /^mangobank_disk_failed_writes_total\{code="ENOSPC"\} 3$/m,
+  );
+});
