--- a/packages/control/announcement_log_test.ts
+++ b/packages/control/announcement_log_test.ts
@@ -46,6 +46,8 @@
     term: () => 0,
     leading: () => false,
     liveEntries: () => 0,
+    diskWritable: () => true,
+    failedWrites: () => new Map(),
     peerTraffic: () => ({
       sentBytes: 0,
       receivedBytes: 0,
--- a/packages/telemetry/control_metrics.ts
+++ b/packages/telemetry/control_metrics.ts
@@ -11,6 +11,10 @@
   /** Number of entries that any control host heard from within their lease. */
   readonly liveEntries: () => number;
   readonly peerTraffic: () => PeerTraffic;
+  /** Whether the disk took the last write. */
+  readonly diskWritable: () => boolean;
+  /** Numbers of failed writes, by error code. */
+  readonly failedWrites: () => ReadonlyMap<string, number>;
 }
 
 /** A call by which other programs tell a control host something. */
@@ -49,6 +53,11 @@
       help: "Entries heard from within their lease",
       value: sources.liveEntries,
     });
+    this.#registerGauge("mangobank_disk_writable", {
+      help: "1 if the disk took the last write",
+      value: () => (sources.diskWritable() ? 1 : 0),
+    });
+    this.#registerFailedWrites(sources.failedWrites);
     registerPeerTraffic(this.#registry, sources.peerTraffic);
   }
 
@@ -67,6 +76,19 @@
     return this.#registry.metrics();
   }
 
+  #registerFailedWrites(numbers: () => ReadonlyMap<string, number>): void {
+    new Counter({
+      name: "mangobank_disk_failed_writes_total",
+      help: "Operations on the data folder that failed, by error code",
+      labelNames: ["code"],
+      registers: [this.#registry],
+      collect() {
+        this.reset();
+        for (const [code, number] of numbers()) this.inc({ code }, number);
+      },
+    });
+  }
+
   #registerGauge(
     name: string,
     options: { help: string; value: () => number },
