Tell which message of which peer was refused, and why

A message whose handler throws closed the connection with one line that names neither the peer's build nor how often it happened; two processes that reconnect and fail again wrote it without a bound of its own.

The line "message of a peer refused" has the peer, its role and build, the kind and what is wrong, at most one each 10 s for a peer and kind and with the number of times; mangobank_refused_messages_total counts them by kind. What happens to such a message and its connection is not changed.

--- a/packages/telemetry/metrics_test.ts
+++ b/packages/telemetry/metrics_test.ts
@@ -82,11 +82,14 @@
 
 test("peer byte counters report totals regardless of scrapes", async () => {
   const sentByKind = new Map([["confirm", 7]]);
-  const traffic = { sentBytes: 10, receivedBytes: 20, sentByKind };
+  const refusedByKind = new Map([["state", 3]]);
+  const bytes = { sentBytes: 10, receivedBytes: 20 };
+  const traffic = { ...bytes, sentByKind, refusedByKind };
   const metrics = new Metrics({ peerTraffic: () => traffic });
   await metrics.text();
   traffic.sentBytes = 15;
   const text = await metrics.text();
   assert.match(text, /mangobank_peer_bytes_total\{direction="sent"\} 15/);
   assert.match(text, /mangobank_peer_sent_bytes_total\{kind="confirm"\} 7/);
+  assert.match(text, /mangobank_refused_messages_total\{kind="state"\} 3/);
 });
--- a/packages/telemetry/peer_traffic.ts
+++ b/packages/telemetry/peer_traffic.ts
@@ -6,6 +6,8 @@
   readonly receivedBytes: number;
   /** Bytes of the frames sent, by message kind. */
   readonly sentByKind: ReadonlyMap<string, number>;
+  /** Messages of peers that were refused, by message kind. */
+  readonly refusedByKind: ReadonlyMap<string, number>;
 }
 
 /** Registers counters of peer traffic, which are updated at each scrape. */
@@ -37,4 +39,16 @@
       }
     },
   });
+  new Counter({
+    name: "mangobank_refused_messages_total",
+    help: "Messages of other processes that were refused, by message kind",
+    labelNames: ["kind"],
+    registers: [registry],
+    collect() {
+      this.reset();
+      for (const [kind, messages] of traffic().refusedByKind) {
+        this.inc({ kind }, messages);
+      }
+    },
+  });
 }
--- a/packages/telemetry/process_metrics_test.ts
+++ b/packages/telemetry/process_metrics_test.ts
@@ -20,6 +20,7 @@
       sentBytes: 0,
       receivedBytes: 0,
       sentByKind: new Map(),
+      refusedByKind: new Map(),
     }),
   });
   const intervalsMs = monitor.mock.calls.map(
--- a/packages/wire/link.ts
+++ b/packages/wire/link.ts
@@ -8,6 +8,7 @@
 } from "./frames.ts";
 import type { Hello } from "./messages.ts";
 import { commonVersion, describeVersions } from "./protocol_versions.ts";
+import type { MessageRefusal } from "./refused_messages.ts";
 import { SHORT_KEYS } from "./short_keys.ts";
 
 /** Keepalive times of a link. */
@@ -50,6 +51,8 @@
   readonly onOpen: (link: Link) => void;
   readonly onClose: (link: Link, fault: LinkFault) => void;
   readonly onMessage: (link: Link, kind: string, payload: unknown) => void;
+  /** Called for a message whose handler has thrown. */
+  readonly onRefused: (link: Link, refusal: MessageRefusal) => void;
 }
 
 /** Byte counts of all links of a process. */
@@ -58,6 +61,8 @@
   receivedBytes: number;
   /** Bytes of the frames sent, by message kind. */
   readonly sentByKind: Map<string, number>;
+  /** Messages of peers that were refused, by message kind. */
+  readonly refusedByKind: Map<string, number>;
 }
 
 export interface LinkOptions {
@@ -210,8 +215,9 @@
       this.#options.events.onMessage(this, kind, payload);
     } catch (cause) {
       // A malformed payload must not crash the process.
-      const detail = `${kind}: ${cause instanceof Error ? cause.stack : cause}`;
-      this.close({ type: "payload_refused", detail });
+      const detail = String(cause instanceof Error ? cause.stack : cause);
+      this.#options.events.onRefused(this, { kind, detail });
+      this.close({ type: "payload_refused", detail: `${kind}: ${detail}` });
     }
   }
 
--- a/packages/wire/logged_network.ts
+++ b/packages/wire/logged_network.ts
@@ -2,6 +2,7 @@
 import type { Hello, MessageMap, ProcessRole } from "./messages.ts";
 import { type NetworkObserver, TcpNetwork } from "./network.ts";
 import { PROTOCOL_VERSIONS } from "./protocol_versions.ts";
+import { RefusedMessages } from "./refused_messages.ts";
 
 export interface LoggedNetworkOptions {
   readonly settings: { readonly id: string; readonly cluster: string };
@@ -15,7 +16,7 @@
 
 /**
  * Creates the TCP network of a process. It logs each fault that closes a
- * connection; an ordinary close is not logged.
+ * connection, except an ordinary close, and messages that were refused.
  */
 export function createLoggedNetwork<M extends MessageMap>(
   options: LoggedNetworkOptions,
@@ -34,12 +35,15 @@
     const { peer, isOutgoing } = link ?? {};
     logger.warn("connection closed", { peer: peer?.id, isOutgoing, fault });
   };
+  const refused = new RefusedMessages({ clock, logger });
+  const onRefused: NetworkObserver["onRefused"] = (refusal, peer) =>
+    refused.record(refusal, peer);
   const { id, cluster } = settings;
   const { oldest: version, newest: newestVersion } = PROTOCOL_VERSIONS;
   const versions = { version, newestVersion, build: BUILD };
   return new TcpNetwork<M>({
     self: { id, role, incarnation, cluster, ...versions },
     clock,
-    observer: { onConnect, onDisconnect, onFault },
+    observer: { onConnect, onDisconnect, onFault, onRefused },
   });
 }
--- a/packages/wire/network.ts
+++ b/packages/wire/network.ts
@@ -11,6 +11,7 @@
 } from "./link.ts";
 import { type ListenFault, listen } from "./listen.ts";
 import type { Hello, MessageMap } from "./messages.ts";
+import type { MessageRefusal } from "./refused_messages.ts";
 
 const KEEPALIVE_CHECK_INTERVAL_MS = 250;
 const RECONNECT_DELAY_MS = 250;
@@ -34,6 +35,8 @@
   readonly onConnect?: (peer: Hello) => void;
   readonly onDisconnect?: (peer: Hello) => void;
   readonly onFault?: (fault: LinkFault, link: Link | undefined) => void;
+  /** Called for each message of a peer that was refused. */
+  readonly onRefused?: (refusal: MessageRefusal, peer: Hello) => void;
 }
 
 type Handler = (payload: unknown, from: Hello) => void;
@@ -61,6 +64,7 @@
     sentBytes: 0,
     receivedBytes: 0,
     sentByKind: new Map(),
+    refusedByKind: new Map(),
   };
   readonly #self: Hello;
   readonly #clock: Clock;
@@ -219,6 +223,7 @@
         onClose: (closed, fault) => this.#handleClose(closed, fault),
         onMessage: (from, kind, payload) =>
           this.#handleMessage(from, kind, payload),
+        onRefused: (from, refusal) => this.#handleRefusal(from, refusal),
       },
     });
     const closeWithoutHello = () => {
@@ -271,6 +276,13 @@
     this.#handlers.get(kind)?.(payload, peer);
   }
 
+  #handleRefusal({ peer }: Link, refusal: MessageRefusal): void {
+    const { refusedByKind } = this.traffic;
+    const { kind } = refusal;
+    refusedByKind.set(kind, (refusedByKind.get(kind) ?? 0) + 1);
+    if (peer) this.#observer.onRefused?.(refusal, peer);
+  }
+
   #checkLinks(): void {
     for (const link of this.#allLinks()) link.checkKeepalive();
   }
