--- a/packages/control/announcement_log_test.ts
+++ b/packages/control/announcement_log_test.ts
@@ -52,6 +52,7 @@
       sentBytes: 0,
       receivedBytes: 0,
       sentByKind: new Map(),
+      refusedByKind: new Map(),
     }),
   });
   const log = new AnnouncementLog({ clock, logger, metrics });
--- a/packages/telemetry/process_metrics_test.ts
+++ b/packages/telemetry/process_metrics_test.ts
@@ -51,6 +51,7 @@
       sentBytes: 0,
       receivedBytes: 0,
       sentByKind: new Map(),
+      refusedByKind: new Map(),
     }),
     diskWritable: () => false,
     failedWrites: () => new Map([["ENOSPC", 3]]),
