Start no more calls than its share before an entry has joined

Callers saw answers cut at the end of a stop, and waited in servers' own queues: of a burst, each entry that had not joined the service's dispatcher yet chose servers for all its calls, since it counts only its own. Forty calls at four entries put 20 each on two servers of six slots.

The new test of overload_test failed before (20 and 20 instead of 6 and 6).

--- a/packages/routing/open_calls.ts
+++ b/packages/routing/open_calls.ts
@@ -21,6 +21,13 @@
     return this.#calls.size;
   }
 
+  /** Counts the calls that have a server. */
+  countRunning(): number {
+    let running = 0;
+    for (const { server } of this.#calls.values()) if (server) running += 1;
+    return running;
+  }
+
   get(id: string): OpenCall | undefined {
     return this.#calls.get(id);
   }
--- a/packages/routing/overload_test.ts
+++ b/packages/routing/overload_test.ts
@@ -168,3 +168,22 @@
   assert.equal(cluster.slotsInUseByServer().s1, 0);
   assert.ok(dispatcher.waitingCount > 0);
 });
+
+// Guards against servers whose own queues hold calls that cannot begin before their
+// entry stops: a burst reached them from each entry that had not joined yet.
+test("a burst at entries that join their dispatcher fills no server beyond its slots", () => {
+  const servers = ["s1", "s2"].map((id) => makeServer(id, { slots: 6 }));
+  const cluster = new TestCluster({ entries: 4, servers });
+  for (const entry of cluster.routers.keys()) {
+    // An idle service answers without a round trip to the dispatcher.
+    assert.ok(cluster.serverOf(cluster.submit(entry)));
+    for (let call = 1; call < 10; call++) cluster.submit(entry);
+  }
+  cluster.advance(100);
+  const inFlight = servers.map(
+    ({ id }) =>
+      [...cluster.running.values()].filter(({ server }) => server === id)
+        .length,
+  );
+  assert.deepEqual(inFlight, [6, 6]);
+});
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -358,6 +358,18 @@
     return isDue && this.#servers.rateLimitedCount > 0;
   }
 
+  /**
+   * Whether further calls wait until this entry has joined the dispatcher. Until
+   * then it knows nothing of the calls of other entries, so it starts no more than
+   * its share of the slots.
+   */
+  #waitsForDispatcher(now: number): boolean {
+    if (this.link.isUnreachable) return false;
+    if (this.link.state !== "joining" && !this.link.joinDue(now)) return false;
+    const share = this.#servers.readySlots / this.#entryCount;
+    return this.#calls.countRunning() >= Math.max(1, share);
+  }
+
   /** Assigns a call to a server or queues it. */
   #assignOrQueue(call: OpenCall, now: number): RoutingEffect[] {
     const asks = this.#asksForPacedSlot(now);
@@ -370,11 +382,15 @@
       const rejections = this.#enqueue(call, now);
       return [...rejections, ...this.link.flush(now)];
     }
+    const waitsForDispatcher = this.#waitsForDispatcher(now);
     const server =
-      this.#calls.queue.length === 0 && !asks
+      this.#calls.queue.length === 0 && !asks && !waitsForDispatcher
         ? this.#servers.choose(call, now)
         : undefined;
     if (server) return this.#assign(call, server, now);
+    if (waitsForDispatcher) {
+      return [...this.#enqueue(call, now), ...this.link.flush(now)];
+    }
     const waitMs = this.#queuePolicy.estimateWaitMs(
       this.#calls.queue.countAhead(call.priority),
     );
@@ -457,7 +473,11 @@
     const effects = this.#rejections.rejectExpired(now);
     const skipped: OpenCall[] = [];
     this.#calls.queue.moveLateCalls(now);
-    while (this.#servers.anyFree && skipped.length < MAX_SKIPPED_CALLS) {
+    while (
+      this.#servers.anyFree &&
+      skipped.length < MAX_SKIPPED_CALLS &&
+      !this.#waitsForDispatcher(now)
+    ) {
       const call = this.#calls.queue.peek();
       if (!call) break;
       const server = this.#servers.choose(call, now);
