Log why a process ends by an error, and count failures by place

Now the last line of a process that an uncaught exception or an unhandled rejection ends is a log line with host, role, kind, and the error's name, message and clipped stack. Node's monitor of uncaught exceptions calls it, so the exit status (1) and the stack on standard error stay as they were. It is written before the process ends, with the lines that were buffered, past the rate limit; a reader that has not read for 100 ms does not keep the process.

The metrics count failures that are survived, by task and by endpoint; the exceptions that endpoints catch today are counted, no task is yet.

--- a/packages/cli/roles.ts
+++ b/packages/cli/roles.ts
@@ -1,5 +1,6 @@
 import { SystemClock, SystemRandomness } from "#model";
 import type { ControlSettings, EntrySettings } from "#settings";
+import type { Logger } from "../telemetry/logger.ts";
 import { stopSignal } from "../telemetry/stop_signal.ts";
 import { EXIT } from "./exit_codes.ts";
 
@@ -14,9 +15,8 @@
 
 // Each role imports only its own packages, as all together take about 15 MB.
 async function runEntry(settings: EntrySettings): Promise<number> {
-  const { ConsolaLogger } = await import("../telemetry/logger.ts");
+  const logger = await createRoleLogger("entry", settings.id);
   const { EntryProcess } = await import("#entry");
-  const logger = new ConsolaLogger({ fields: { host: settings.id } });
   const stopRequested = stopSignal();
   const entry = new EntryProcess({
     settings,
@@ -35,10 +35,9 @@
 }
 
 async function runControl(settings: ControlSettings): Promise<number> {
-  const { ConsolaLogger } = await import("../telemetry/logger.ts");
+  const logger = await createRoleLogger("control", settings.id);
   const { ControlHost } = await import("#control");
   const { FileStorage } = await import("#storage");
-  const logger = new ConsolaLogger({ fields: { host: settings.id } });
   const stopRequested = stopSignal();
   const started = await ControlHost.start({
     settings,
@@ -63,3 +62,13 @@
   });
   return EXIT.failed;
 }
+
+/** The logger of a role, which also tells why the process ends by an error. */
+async function createRoleLogger(role: string, host: string): Promise<Logger> {
+  const { ConsolaLogger } = await import("../telemetry/logger.ts");
+  const { logUncaughtErrors } = await import("../telemetry/process_end.ts");
+  const logger = new ConsolaLogger({ fields: { host } });
+  // Standard error is written synchronously, as Node does for files and pipes.
+  logUncaughtErrors(() => logger.with({ role }));
+  return logger;
+}
--- a/packages/control/control_host.ts
+++ b/packages/control/control_host.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Clock } from "#model";
 import { createOperatorServer, OperatorApi } from "#operators";
+import { recordEndpointFailure } from "#telemetry";
 import type { HttpServer } from "#wire";
 import {
   type ControlFault,
@@ -55,7 +56,10 @@
       clock,
       systemCredentialSha256: settings.systemCredentialSha256,
       bodyMaxBytes: settings.limits.bodyMaxBytes,
-      onFailure: (cause) => logger.error("operator request failed", { cause }),
+      onFailure: (cause) => {
+        recordEndpointFailure("operators");
+        logger.error("operator request failed", { cause });
+      },
     });
     const metrics = controlMetrics(control, clock);
     const handle = withHealthEndpoints(api.handle, { control, metrics });
--- a/packages/entry/reverse_proxy.ts
+++ b/packages/entry/reverse_proxy.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import type { BackendServer } from "#model";
+import { recordEndpointFailure } from "#telemetry";
 import type { TrackedResponse } from "#wire";
 import type { CallEnvironment } from "./call_environment.ts";
 import { CallExecution, type CallProgress } from "./call_execution.ts";
@@ -40,6 +41,7 @@
       execution.onResponseClosed();
     });
     execution.run().catch((cause: unknown) => {
+      recordEndpointFailure("callers");
       this.#options.logger.error("call failed unexpectedly", {
         requestId: id,
         cause,
--- a/packages/telemetry/bounded_log_stream.ts
+++ b/packages/telemetry/bounded_log_stream.ts
@@ -1,4 +1,4 @@
-import { write } from "node:fs";
+import { write, writeSync } from "node:fs";
 import { setTimeout as delay } from "node:timers/promises";
 import type { Clock } from "#model";
 
@@ -13,6 +13,12 @@
 const FLUSH_TIMEOUT_MS = 200;
 const FLUSH_POLL_MS = 2;
 
+/**
+ * Longest wait in `writeLast` for a write that has begun. A reader that takes
+ * longer may have stopped reading, and writing to it could block for ever.
+ */
+const LAST_WRITE_TIMEOUT_MS = 100;
+
 /**
  * Writes log lines to a file descriptor without blocking the caller. Lines
  * beyond the rate limit, or for which a slow reader leaves no room in the
@@ -25,6 +31,8 @@
   #buffer: string[] = [];
   #bufferedBytes = 0;
   #writing = false;
+  /** When the write in progress began. */
+  #writingSince = 0;
   #tokens = BURST_LINES;
   #refilledAt: number;
   #dropped = 0;
@@ -59,6 +67,22 @@
     return true;
   }
 
+  /**
+   * Writes what is buffered and one more line before it returns, for a process
+   * that ends. The rate limit does not apply. Returns false if it is lost,
+   * since the reader is gone or does not read.
+   */
+  writeLast(line: string): boolean {
+    if (this.#writing && !this.#isWriteRecent()) return false;
+    // The write in progress goes on in another thread, but its callback can't
+    // run before this returns.
+    if (this.#writing) sleep(LAST_WRITE_TIMEOUT_MS);
+    const text = [...this.#buffer, line].join("");
+    this.#buffer = [];
+    this.#bufferedBytes = 0;
+    return this.#writeAllNow(Buffer.from(text));
+  }
+
   /** Resolves when all lines are written, or after a timeout. */
   async flush(): Promise<void> {
     const deadline = this.#clock.now() + FLUSH_TIMEOUT_MS;
@@ -67,6 +91,26 @@
     }
   }
 
+  #isWriteRecent(): boolean {
+    return this.#clock.now() - this.#writingSince < LAST_WRITE_TIMEOUT_MS;
+  }
+
+  #writeAllNow(bytes: Buffer): boolean {
+    const deadline = this.#clock.now() + LAST_WRITE_TIMEOUT_MS;
+    let offset = 0;
+    while (offset < bytes.length) {
+      try {
+        offset += writeSync(this.#descriptor, bytes, offset);
+      } catch (error) {
+        const { code } = error as NodeJS.ErrnoException;
+        const isFull = code === "EAGAIN" && this.#clock.now() < deadline;
+        if (!isFull) return false;
+        sleep(FLUSH_POLL_MS);
+      }
+    }
+    return true;
+  }
+
   #append(line: string): void {
     this.#buffer.push(line);
     this.#bufferedBytes += line.length;
@@ -85,6 +129,7 @@
   #writeBuffer(): void {
     if (this.#writing || this.#buffer.length === 0) return;
     this.#writing = true;
+    this.#writingSince = this.#clock.now();
     const text = this.#buffer.join("");
     this.#buffer = [];
     this.#bufferedBytes = 0;
@@ -104,3 +149,8 @@
     });
   }
 }
+
+/** Blocks this thread, as a process that ends gets no further callback. */
+function sleep(ms: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+}
--- a/packages/telemetry/index.ts
+++ b/packages/telemetry/index.ts
@@ -5,7 +5,9 @@
  */
 export * from "./bounded_log_stream.ts";
 export * from "./control_metrics.ts";
+export * from "./failures.ts";
 export * from "./logger.ts";
 export * from "./metrics.ts";
 export * from "./peer_traffic.ts";
+export * from "./process_end.ts";
 export * from "./stop_signal.ts";
--- a/packages/telemetry/process_metrics.ts
+++ b/packages/telemetry/process_metrics.ts
@@ -1,5 +1,6 @@
 import { collectDefaultMetrics, Gauge, type Registry } from "prom-client";
 import { BUILD } from "#model";
+import { registerFailures } from "./failures.ts";
 
 /**
  * Interval at which the event loop delay is sampled. Each sample wakes the
@@ -8,12 +9,13 @@
  */
 const EVENT_LOOP_SAMPLING_MS = 500;
 
-/** Adds the build, and event loop delay, processor time and memory. */
+/** Adds the build, failures, event loop delay, processor time and memory. */
 export function registerProcessMetrics(registry: Registry): void {
   collectDefaultMetrics({
     register: registry,
     eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLING_MS,
   });
+  registerFailures(registry);
   new Gauge({
     name: "mangobank_build_info",
     help: "1 for the build that this process runs",
