--- a/packages/control/control_host.ts
+++ b/packages/control/control_host.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "#model";
 import { createOperatorServer, OperatorApi } from "#operators";
 import type { DiskMonitor } from "#storage";
+import { recordEndpointFailure } from "#telemetry";
 import type { HttpServer } from "#wire";
 import {
   type ControlFault,
@@ -56,7 +57,10 @@
       clock,
       systemCredentialSha256: settings.systemCredentialSha256,
       bodyMaxBytes: settings.limits.bodyMaxBytes,
-      onFailure: (cause) => logger.error("operator request failed", { cause }),
+      onFailure: (cause) => {
+        recordEndpointFailure("operators");
+        logger.error("operator request failed", { cause });
+      },
     });
     const metrics = controlMetrics(control, { clock, disk });
     const handle = withHealthEndpoints(api.handle, { control, metrics });
