--- a/packages/configuration/change_test.ts
+++ b/packages/configuration/change_test.ts
@@ -8,8 +8,10 @@
   type Service,
   UNSETTLED,
 } from "#model";
+import { encodeFrame, FrameReader } from "#wire";
 import {
   applyChange,
+  type ConfigurationChange,
   diffConfigurations,
   EMPTY_CONFIGURATION,
 } from "./change.ts";
@@ -141,3 +143,50 @@
   const change = diffConfigurations(second, third);
   assert.equal(applyChange(first, change), undefined);
 });
+
+// Items of any build reach entries with these. Failure: one of them hides another
+// one, or the entries disagree about the order.
+test("items with odd names and numbers reach entries as they are", () => {
+  const names = [
+    "__proto__",
+    "constructor",
+    "a\nb",
+    "\u0000",
+    "x".repeat(9_000),
+  ];
+  const hostRoutes = names.map((name) => ({
+    name,
+    host: name,
+    pathPrefix: `/${name}`,
+    repeatable: true,
+    timeoutMs: 0.1,
+    targetMs: 1e300,
+    attempts: 1.5,
+    rank: -1e300,
+    targets: [{ service: name, weight: 1e308 }],
+  }));
+  const to: Configuration = {
+    ...EMPTY_CONFIGURATION,
+    version: 1,
+    document: {
+      ...EMPTY_CONFIGURATION.document,
+      services: names.map((name) => service(name, 1)),
+      hostRoutes,
+    },
+  };
+  const change = diffConfigurations(EMPTY_CONFIGURATION, to);
+  const frame = encodeFrame("state", change)._unsafeUnwrap();
+  const [received] = new FrameReader().push(frame)._unsafeUnwrap();
+  const applied = applyChange(
+    EMPTY_CONFIGURATION,
+    received?.payload as ConfigurationChange,
+  );
+  const sorted = hostRoutes.toSorted((a, b) => (a.name < b.name ? -1 : 1));
+  assert.deepEqual(applied?.document.hostRoutes, sorted);
+  assert.equal(applied?.document.services.length, names.length);
+  const removal = diffConfigurations(to, {
+    ...EMPTY_CONFIGURATION,
+    version: 2,
+  });
+  assert.deepEqual(applyChange(to, removal)?.document.services, []);
+});
--- a/packages/entry/caller_server_test.ts
+++ b/packages/entry/caller_server_test.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage } from "node:http";
 import { connect, type Socket } from "node:net";
 import { after, test } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import { SystemClock } from "#model";
 import type { TrackedResponse } from "#wire";
 import { CallerServer } from "./caller_server.ts";
@@ -284,3 +285,40 @@
     assert.match(await received, /first$/);
   });
 }
+
+/** Idle times that a configuration item of some build may hold. */
+const IDLE_TIMES: Record<string, number | null> = {
+  "below 0": -2_000,
+  "without an end": Number.POSITIVE_INFINITY,
+  // JSON has no infinity, so a snapshot holds null for it.
+  "without an end, after a snapshot": null,
+  "that is no number": Number.NaN,
+  "of a year": 366 * 86_400_000,
+  "beyond all timers": 1e300,
+  "of 0": 0,
+};
+
+for (const [name, ms] of Object.entries(IDLE_TIMES)) {
+  // Failure: the entry ends at its first answer, or writes a warning for each.
+  test(`an idle time ${name} ends neither the process nor a connection`, async () => {
+    const warnings: string[] = [];
+    const collect = (warning: Error) => warnings.push(warning.message);
+    process.on("warning", collect);
+    const { server, port, read } = await openServer();
+    server.setIdleConnectionMs(ms as number);
+    const { socket, received } = openCaller(port);
+    for (let count = 1; count <= 3; count++) {
+      socket.write(get(`/${count}`));
+      answer((await read(count)).at(-1), `answer-${count};`);
+      await delay(20);
+    }
+    socket.end();
+    const text = await received;
+    process.off("warning", collect);
+    for (const count of [1, 2, 3]) {
+      assert.ok(text.includes(`answer-${count};`), `answer ${count}`);
+    }
+    assert.doesNotMatch(text, /timeout=(-|Infinity|NaN|\d+e)/);
+    assert.deepEqual(warnings, []);
+  });
+}
--- a/packages/registry/snapshot_test.ts
+++ b/packages/registry/snapshot_test.ts
@@ -4,6 +4,7 @@
 import { hash32 } from "#model";
 import type { RegistryCommand } from "./commands.ts";
 import { ALLOC_ACTOR, entry, putSection, SYSTEM_ACTOR } from "./fixtures.ts";
+import type { Item } from "./items.ts";
 import { Registry } from "./registry.ts";
 import { decodeSnapshot, SNAPSHOT_FORMAT } from "./snapshot.ts";
 
@@ -139,3 +140,77 @@
   });
   assert.equal(old._unsafeUnwrapErr().type, "snapshot_format_unknown");
 });
+
+const INFINITE_ITEM: Item = {
+  kind: "route",
+  name: "lookup",
+  version: Number.POSITIVE_INFINITY,
+  content: {
+    kind: "route",
+    route: {
+      name: "lookup",
+      host: "a.example",
+      pathPrefix: "/lookup/",
+      repeatable: true,
+      timeoutMs: 2_000,
+      targetMs: Number.POSITIVE_INFINITY,
+      attempts: 2,
+      rank: 1,
+      targets: [{ service: "alloc", weight: 1 }],
+    },
+  },
+  source: "{}",
+};
+const INFINITE_LIMITS: Item = {
+  kind: "limits",
+  name: "limits",
+  version: 1,
+  content: {
+    kind: "limits",
+    limits: {
+      headerMaxBytes: 16_384,
+      bodyMaxBytes: 1e300,
+      headerTimeoutMs: Number.POSITIVE_INFINITY,
+      idleConnectionMs: Number.POSITIVE_INFINITY,
+    },
+  },
+  source: "{}",
+};
+
+// Earlier builds took versions and durations beyond all numbers, for which JSON
+// has null. Failure: a host that restored a snapshot takes a change that the
+// others ignore, and their configurations differ from then on.
+test("what is infinite is the same after a snapshot", () => {
+  const original = new Registry();
+  const alloc: Item = {
+    kind: "service",
+    name: "alloc",
+    version: 1,
+    content: {
+      kind: "service",
+      service: { name: "alloc", healthPath: "/", connectionsPerServer: 1e300 },
+    },
+    source: "{}",
+  };
+  const infinity = Number.POSITIVE_INFINITY;
+  const removed = { kind: "route", name: "gone", version: infinity } as const;
+  const upserts = [alloc, INFINITE_ITEM, INFINITE_LIMITS];
+  const at = 1;
+  original.apply({ type: "put_items", upserts, removals: [removed], at });
+  const restored = new Registry();
+  assert.ok(restored.restore(original.snapshot()).isOk());
+  assert.deepEqual(restored.configuration(), original.configuration());
+  const later = [
+    { ...INFINITE_ITEM, version: 7 },
+    { ...INFINITE_ITEM, name: "gone", version: 7 },
+  ];
+  const change = {
+    type: "put_items",
+    upserts: later,
+    removals: [],
+    at,
+  } as const;
+  assert.deepEqual(restored.apply(change), original.apply(change));
+  assert.deepEqual(restored.items(), original.items());
+  assert.deepEqual(restored.snapshot(), original.snapshot());
+});
--- a/packages/routing/host_routes_test.ts
+++ b/packages/routing/host_routes_test.ts
@@ -61,3 +61,17 @@
   const share = (counts.get("report") ?? 0) / (18 * 17);
   assert.ok(Math.abs(share - 0.3) < 0.03, `${share}`);
 });
+
+// Failure: the sum of such weights is infinite, and the last service got all requests.
+test("weights whose sum is infinite hold as others do", () => {
+  const targets = [
+    { service: "alloc", weight: 1.5e308 },
+    { service: "report", weight: 0.5e308 },
+  ];
+  const hostRoutes = routes({ targets });
+  let alloc = 0;
+  for (let i = 0; i < 400; i++) {
+    if (hostRoutes.choose("a.example", "/")?.service === "alloc") alloc += 1;
+  }
+  assert.ok(alloc > 290 && alloc < 310, `${alloc} of 400`);
+});
--- a/packages/telemetry/metrics_test.ts
+++ b/packages/telemetry/metrics_test.ts
@@ -90,3 +90,27 @@
   assert.match(text, /mangobank_peer_bytes_total\{direction="sent"\} 15/);
   assert.match(text, /mangobank_peer_sent_bytes_total\{kind="confirm"\} 7/);
 });
+
+// Failure: each series of such a service repeats its name, in megabytes a scrape.
+test("a service with a name of any length makes no label", async () => {
+  const metrics = new Metrics();
+  const long = "x".repeat(90_000);
+  const names = [long, "__proto__", "constructor", 'a"\nb'];
+  metrics.configure(names.map((name) => service(name, ["booking"])));
+  for (const name of names) {
+    metrics.recordCall({
+      service: name,
+      class: "booking",
+      ms: 4,
+      outcome: "answered",
+    });
+    metrics.recordProbe(name, 6);
+  }
+  const text = await metrics.text();
+  assert.ok(text.length < 60_000, `${text.length} characters`);
+  for (const label of ["other", "__proto__", "constructor", 'a\\"\\nb']) {
+    assert.ok(text.includes(`mangobank_probes_total{service="${label}"} 1`));
+  }
+  metrics.configure([]);
+  assert.doesNotMatch(await metrics.text(), /constructor/);
+});
