Keep an idle time of an item from ending the entries

Callers saw connections refused or reset at all entries from the moment a limits item with an idle time of -2 s was in force, also after each restart. The control host had acknowledged the item. Node adds a second to the idle time and hands it to a timer when a response ends, in a callback of its own; a negative or infinite time throws there (ERR_OUT_OF_RANGE), which ends the process. A time above 2^31 ms is cut by Node, with a TimeoutOverflowWarning per response.

The time is bounded where it is used, since a former build may hold such an item or a control host of it may send one: a time below 0 is ignored, and a longer one than Node's timers take counts as the longest. A year is what an operator writes for "no limit", so it is no fault.

--- a/packages/wire/http_server.ts
+++ b/packages/wire/http_server.ts
@@ -19,6 +19,11 @@
 const DRAIN_CHECK_INTERVAL_MS = 20;
 /** Longest wait for clients to close idle connections at the end of a stop. */
 const MAX_CLOSE_MS = 200;
+/**
+ * Longest idle time of a connection: the longest time of a Node timer, less the
+ * second that Node adds. With a longer one Node writes a warning per response.
+ */
+const MAX_IDLE_CONNECTION_MS = 2 ** 31 - 1 - 1_000;
 
 export interface HttpServerOptions extends ServerOptions {
   readonly connectionsMax?: number;
@@ -88,9 +93,14 @@
     return this.#internalSockets.has(socket);
   }
 
-  /** Sets the time after which an idle connection is closed. */
+  /**
+   * Sets the time after which an idle connection is closed; 0 sets no bound. A
+   * time below 0, which a configuration of an earlier build may hold, is ignored:
+   * Node throws on it when a response ends, in a callback of its own.
+   */
   setIdleConnectionMs(ms: number): void {
-    this.#server.keepAliveTimeout = ms;
+    if (!(ms >= 0)) return;
+    this.#server.keepAliveTimeout = Math.min(ms, MAX_IDLE_CONNECTION_MS);
   }
 
   /**
