--- a/packages/registry/snapshot.ts
+++ b/packages/registry/snapshot.ts
@@ -59,13 +59,15 @@
     "type" in value &&
     typeof value.type === "string",
 );
-const heldItem = z.custom<StoredItem>(
-  (value) =>
-    typeof value === "object" &&
-    value !== null &&
-    "type" in value &&
-    (value.type === "item" || value.type === "removed"),
-);
+const heldItem = z
+  .custom<StoredItem>(
+    (value) =>
+      typeof value === "object" &&
+      value !== null &&
+      "type" in value &&
+      (value.type === "item" || value.type === "removed"),
+  )
+  .transform(withInfiniteNumbers);
 const STATE_SCHEMA = z.object({
   version: number,
   documentRevision: number,
@@ -102,6 +104,17 @@
   controls: z.array(z.object({ id: z.string(), peer: address })),
 });
 
+/**
+ * Restores the infinite versions and durations that builds up to 74709bf took, for
+ * which JSON has null. Otherwise a host that restored a snapshot compares versions
+ * differently from one that applied the log. No other field of an item is null.
+ */
+function withInfiniteNumbers(held: StoredItem): StoredItem {
+  return JSON.parse(JSON.stringify(held), (_key, value) =>
+    value === null ? Number.POSITIVE_INFINITY : value,
+  );
+}
+
 /** The whole state of the registry, as a snapshot stores it. */
 export type RegistryState = z.infer<typeof STATE_SCHEMA>;
 
