Divide requests by weights whose sum is infinite

A route with two weights of 1e308, which builds up to acknowledge, sent all its requests to the last service: the sum is infinite, and the point in it as well. The weights are scaled down in that case.

Evidence: the test failed before (0 of 400 requests at the service with three quarters of the weight); npm test routing/host_routes: 4 of 4 pass.

--- a/packages/routing/host_routes.ts
+++ b/packages/routing/host_routes.ts
@@ -77,10 +77,13 @@
 
 /** The service at a point in [0, 1) of the cumulative weights. */
 function serviceAt(targets: readonly WeightedService[], point: number): string {
-  const total = targets.reduce((sum, { weight }) => sum + weight, 0);
+  const sum = targets.reduce((sum, { weight }) => sum + weight, 0);
+  // Weights of an earlier build may add up to more than a number can be.
+  const scale = Number.isFinite(sum) ? 1 : 0.5 / targets.length;
+  const total = targets.reduce((sum, { weight }) => sum + weight * scale, 0);
   let rest = point * total;
   for (const { service, weight } of targets) {
-    rest -= weight;
+    rest -= weight * scale;
     if (rest < 0) return service;
   }
   return targets.findLast(({ weight }) => weight > 0)?.service ?? "";
