Bound the names of items in log lines and metrics

A service or a route with a name of 90,000 characters, which builds up to acknowledge, put its name into each line of its calls, and into each of the series of its classes: 2 MB per scrape for one class. The volume of logs is bounded, so that such lines drop those of other calls. Names in the line of a call are clipped to 256 characters, and a service with a longer name counts as "other" in the metrics; it can have no servers, since heartbeats name none that is longer.

--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -29,6 +29,12 @@
 import { settlementOf } from "./settlement.ts";
 import type { StopSchedule } from "./stop_schedule.ts";
 
+/**
+ * Longest name of a service or a route in a log line, in characters. Items of
+ * builds up to 74709bf have names of any length, and the volume of logs is bounded.
+ */
+const MAX_LOGGED_NAME_LENGTH = 256;
+
 /** A call that passed all checks, with its request body. */
 interface AdmittedCall {
   readonly call: Call;
@@ -117,7 +123,7 @@
     return {
       requestId: this.#callerRequestId ?? this.#exchange.id,
       call: this.#exchange.id,
-      service: this.#admission.classified?.service.name ?? "none",
+      service: clip(this.#admission.classified?.service.name ?? "none"),
       class: this.#admission.classified?.class.name ?? "none",
       ageMs: Math.round(now - this.#arrival),
       leftMs: deadline === undefined ? undefined : Math.round(deadline - now),
@@ -405,6 +411,7 @@
     const ms = clock.now() - this.#arrival;
     const service = this.#admission.classified?.service.name ?? "none";
     const className = this.#admission.classified?.class.name ?? "none";
+    const route = this.#admission.classified?.route;
     metrics.recordCall({
       service,
       class: className,
@@ -415,9 +422,9 @@
     logger.info("call", {
       requestId: this.#callerRequestId ?? this.#exchange.id,
       call: this.#exchange.id,
-      service,
+      service: clip(service),
       class: className,
-      route: this.#admission.classified?.route,
+      route: route && clip(route),
       outcome,
       code: fault?.code,
       detail: fault?.detail,
@@ -432,3 +439,7 @@
     });
   }
 }
+
+function clip(name: string): string {
+  return name.slice(0, MAX_LOGGED_NAME_LENGTH);
+}
--- a/packages/telemetry/service_labels.ts
+++ b/packages/telemetry/service_labels.ts
@@ -2,6 +2,11 @@
 
 /** Label value for services and classes that are not in the document. */
 export const OTHER_LABEL = "other";
+/**
+ * Longest name that is a label value; each of the tens of series of a class repeats
+ * it. Configuration items of builds up to 74709bf have names of any length.
+ */
+const MAX_LABEL_LENGTH = 256;
 
 export interface ClassLabels {
   readonly service: string;
@@ -38,8 +43,11 @@
    */
   configure(services: readonly Service[]): RemovedLabels {
     const previous = this.#services;
+    const labelled = services.filter(
+      ({ name }) => name.length <= MAX_LABEL_LENGTH,
+    );
     this.#services = new Map(
-      services.map(({ name, classes }) => [
+      labelled.map(({ name, classes }) => [
         name,
         new Map(
           classes.map((c) => [
