Refuse a change that could never be stored or delivered

A change of more than 768 KiB was answered with 503, which tells the operator to send it again, without end; it is refused with its size now. Changes that fit one by one were acknowledged until the whole configuration was longer than a frame (1 MiB): an entry that starts gets it in one message, which closes the link instead, so that the entry never serves. A change after which that message would take more than 896 KiB is refused, unless it makes the configuration no larger, so that what was taken is taken again and a configuration that is too large already can be made smaller.

The check is at the host that is asked, before the log; ItemTable.check and all messages are as before. It counts field names in full, as an entry of a build with another table of short names gets them. Two hosts that take large changes at the same moment may exceed the bound together; 128 KiB are in reserve.

--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -1,7 +1,12 @@
+import { MAX_COMMAND_BYTES } from "#agreement";
 import type { BackendServer, Clock } from "#model";
 import type { AnnouncementFault } from "#presence";
 import type { Item, ItemFault, PutItems } from "#registry";
 import type { Logger } from "#telemetry";
+import {
+  configurationBytes,
+  MAX_CONFIGURATION_BYTES,
+} from "./configuration_size.ts";
 import type { ControlProcess } from "./control_process.ts";
 
 /**
@@ -69,13 +74,26 @@
       ]),
       count: change.upserts.length + change.removals.length,
     };
-    const refuse = (faults: readonly ItemFault[], count: number) => {
-      const problems = problemsOf(faults, count);
+    const refuse = (problems: readonly string[]) => {
       this.#logger.info("items refused", { ...logFields, problems });
       return { type: "invalid", problems } as const;
     };
+    const unavailable = (fault: string) => {
+      this.#logger.warn("items not confirmed", { ...logFields, fault });
+      return { type: "unavailable", fault } as const;
+    };
     const dropped = await this.#droppedTargets(change);
-    if (dropped.length > 0) return refuse(dropped, dropped.length);
+    if (dropped.length > 0) return refuse(problemsOf(dropped, dropped.length));
+    if (this.#excessBytes(change) !== undefined) {
+      // By the newest state, as one that lags may lack what made room.
+      const confirmed = await withTimeout(this.#control.confirmRead());
+      if (!confirmed?.isOk()) return unavailable(faultTypeOf(confirmed));
+      const found = this.#excessBytes(change);
+      const expected = `at most ${MAX_CONFIGURATION_BYTES} bytes`;
+      if (found !== undefined) {
+        return refuse([`configuration: expected ${expected}, found ${found}`]);
+      }
+    }
     const result = await withTimeout(
       this.#control.submit({ type: "put_items", ...change, at }),
     );
@@ -87,11 +105,16 @@
     }
     if (reply?.type === "items_invalid") {
       const { faults, omitted } = reply;
-      return refuse(faults, faults.length + omitted);
+      return refuse(problemsOf(faults, faults.length + omitted));
     }
-    const fault = faultTypeOf(result);
-    this.#logger.warn("items not confirmed", { ...logFields, fault });
-    return { type: "unavailable", fault };
+    if (result?.isErr() && result.error.type === "command_too_large") {
+      const { bytes } = result.error;
+      const expected = `at most ${MAX_COMMAND_BYTES} bytes`;
+      return refuse([
+        `change: expected ${expected} in the log, found ${bytes}`,
+      ]);
+    }
+    return unavailable(faultTypeOf(result));
   }
 
   /**
@@ -107,6 +130,21 @@
     return confirmed?.isOk() ? registry.droppedTargets(change) : [];
   }
 
+  /**
+   * Size of the configuration that a change leads to; undefined if it fits or the
+   * change makes it no larger. Hosts that take changes at the same time may exceed
+   * the bound together.
+   */
+  #excessBytes(
+    change: Pick<PutItems, "upserts" | "removals">,
+  ): number | undefined {
+    const { registry } = this.#control;
+    const bytes = configurationBytes(registry.configurationWith(change));
+    if (bytes <= MAX_CONFIGURATION_BYTES) return undefined;
+    const grows = bytes > configurationBytes(registry.configuration());
+    return grows ? bytes : undefined;
+  }
+
   /** Returns the current items, by a linearizable read. */
   async items(): Promise<ItemsReadReply> {
     const confirmed = await withTimeout(this.#control.confirmRead());
--- a/packages/registry/items.ts
+++ b/packages/registry/items.ts
@@ -131,6 +131,14 @@
       .flatMap((item) => referenceFaults(item, configured));
   }
 
+  /** The items as they would be after a change that passed the check. */
+  itemsWith(change: Pick<PutItems, "upserts" | "removals">): Item[] {
+    const copy = new ItemTable();
+    copy.restore(this.all());
+    copy.apply({ type: "put_items", ...change, at: 0 });
+    return copy.items();
+  }
+
   /** Applies a command that passed the check; false if nothing changed. */
   apply({ upserts, removals }: PutItems): boolean {
     const changes: StoredItem[] = [
--- a/packages/registry/registry.ts
+++ b/packages/registry/registry.ts
@@ -119,6 +119,15 @@
     };
   }
 
+  /** The configuration as it would be after a change of items. */
+  configurationWith(
+    change: Pick<PutItems, "upserts" | "removals">,
+  ): RegistryConfiguration {
+    const items = this.#items.itemsWith(change);
+    const document = withItems(this.#sectionsDocument, items);
+    return { ...this.configuration(), document };
+  }
+
   /** Routes of a change to services that a newer change has dropped. */
   droppedTargets(change: Pick<PutItems, "upserts">): ItemFault[] {
     return this.#items.droppedTargets(change);
