--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -1,5 +1,11 @@
 import { MAX_COMMAND_BYTES } from "#agreement";
-import type { BackendServer, Clock } from "#model";
+import {
+  type BackendServer,
+  type Clock,
+  isPossibleLeave,
+  isPossibleStart,
+  type LeavingServer,
+} from "#model";
 import type { AnnouncementFault } from "#presence";
 import type { Item, ItemFault, PutItems } from "#registry";
 import type { ControlMetrics, InputCall, Logger } from "#telemetry";
@@ -20,6 +26,9 @@
 /** Longest name or value in a log line or a reply, in characters. */
 const MAX_TEXT_LENGTH = 120;
 
+/** Longest wait for an entry's list of servers, in milliseconds. */
+const LOOKUP_TIMEOUT_MS = 200;
+
 /** No majority confirmed the request in time; it may take effect later. */
 interface UnavailableReply {
   readonly type: "unavailable";
@@ -35,12 +44,23 @@
   | { readonly type: "items"; readonly items: readonly Item[] }
   | UnavailableReply;
 
+/** The input names no server that can exist. */
+interface ImpossibleReply {
+  readonly type: "impossible";
+  /** A field and what is wrong with it, each. */
+  readonly problems: readonly string[];
+}
+
 export type AnnounceReply =
   | { readonly type: "accepted" }
   | { readonly type: "refused"; readonly fault: AnnouncementFault }
+  | ImpossibleReply
   | UnavailableReply;
 
-export type LeaveReply = { readonly type: "recorded" } | UnavailableReply;
+export type LeaveReply =
+  | { readonly type: "recorded" }
+  | ImpossibleReply
+  | UnavailableReply;
 
 /**
  * Handles requests about configuration items and announcements of backend
@@ -165,26 +185,47 @@
 
   /** Handles a backend server's announcement, or records that it is leaving. */
   async announce(server: BackendServer): Promise<AnnounceReply> {
+    const impossible = this.#refuseFutureStart("heartbeat", server);
+    if (impossible) return impossible;
+    const { registrar } = this.#control;
     if (server.state === "leaving") {
+      if (!this.#recordedLeave(server)) {
+        const known = await this.#recordsOf(server.id);
+        const fault = await registrar.checkLeaving(server, known);
+        if (fault) return this.#refuseAnnouncement(server, fault);
+      }
       const leaveReply = await this.leave(server, "heartbeat");
       return leaveReply.type === "recorded" ? { type: "accepted" } : leaveReply;
     }
-    const { registrar } = this.#control;
     const former = registrar.find(server);
-    const { result } = registrar.announce(server);
+    const result = await registrar.announce(server);
     if (result.isOk()) {
       this.announcements.accepted(server, former);
       return { type: "accepted" };
     }
-    const { id, service, incarnation, sequence, address } = server;
-    const fault = result.error;
+    return this.#refuseAnnouncement(server, result.error);
+  }
+
+  /** The records of an id, of an entry if this host knows none. */
+  async #recordsOf(id: string): Promise<readonly BackendServer[]> {
+    const own = this.#control.registrar.recordsOf(id);
+    if (own.length > 0) return own;
+    const all = await withTimeout(this.#control.servers(), LOOKUP_TIMEOUT_MS);
+    return (all ?? []).filter((server) => server.id === id);
+  }
+
+  #refuseAnnouncement(
+    server: BackendServer,
+    fault: AnnouncementFault,
+  ): AnnounceReply {
+    const { id, service, incarnation, sequence, address, state } = server;
     this.announcements.refused({
       call: "heartbeat",
       reason: fault.type,
       message: "announcement not taken",
       server: id,
       incarnation,
-      fields: { service, sequence, address, fault },
+      fields: { service, sequence, address, state, fault },
     });
     return { type: "refused", fault };
   }
@@ -198,12 +239,18 @@
     call: InputCall = "deregistration",
   ): Promise<LeaveReply> {
     const { id } = server;
+    const impossible = this.#refuseFutureStart(call, server);
+    if (impossible) return impossible;
     // If no incarnation is known, the leave applies to all that started so far.
     const incarnation =
       server.incarnation ??
-      this.#control.registrar.incarnationOf(id) ??
+      newestOf(this.#control.registrar.recordsOf(id)) ??
       this.#wallTimeMs();
-    if (this.#control.hasRecordedLeave(id, incarnation)) {
+    const recorded = this.#recordedLeave({ id, incarnation });
+    if (recorded && !isPossibleLeave(recorded)) {
+      return this.#leaveInLists(id, incarnation);
+    }
+    if (recorded) {
       this.announcements.refused({
         call,
         reason: "already_recorded",
@@ -228,6 +275,48 @@
     return { type: "unavailable", fault };
   }
 
+  /** The leave in the replicated state that covers this one. */
+  #recordedLeave(leave: Omit<LeavingServer, "at">): LeavingServer | undefined {
+    const { leaving } = this.#control.registry.configuration();
+    return leaving.find(
+      ({ id, incarnation }) =>
+        id === leave.id && incarnation >= leave.incarnation,
+    );
+  }
+
+  /**
+   * Tells the connected entries of a leave that the replicated state cannot hold:
+   * an earlier build has recorded an impossible one for the id, and replacing it
+   * would make hosts of the two builds differ. It is not acknowledged, as entries
+   * that are not connected do not learn of it.
+   */
+  #leaveInLists(id: string, incarnation: number): UnavailableReply {
+    this.#control.registrar.leave({ id, incarnation });
+    const fault = "impossible_leave_recorded";
+    this.#logger.warn("leave not confirmed", { server: id, fault });
+    return { type: "unavailable", fault };
+  }
+
+  /**
+   * Refuses a start in the future: the server's own heartbeats and later starts
+   * would count as older than it, and a leave would cover them.
+   */
+  #refuseFutureStart(
+    call: InputCall,
+    { id, incarnation }: { id: string; incarnation?: number | undefined },
+  ): ImpossibleReply | undefined {
+    if (incarnation === undefined) return undefined;
+    if (isPossibleStart({ incarnation }, this.#wallTimeMs())) return undefined;
+    this.announcements.refused({
+      call,
+      reason: "future_start",
+      message: `${call} names a start in the future`,
+      server: id,
+      incarnation,
+    });
+    return { type: "impossible", problems: ["born: lies in the future"] };
+  }
+
   #wallTimeMs(): number {
     return Math.floor(this.#clock.wallTime());
   }
@@ -258,10 +347,19 @@
   return result?.error?.type ?? "timeout";
 }
 
-/** Resolves with the result, or with undefined after `MAJORITY_TIMEOUT_MS`. */
-function withTimeout<T>(result: Promise<T>): Promise<T | undefined> {
+/** The newest incarnation of the records; undefined if there is none. */
+function newestOf(records: readonly BackendServer[]): number | undefined {
+  const incarnations = records.map(({ incarnation }) => incarnation);
+  return incarnations.length > 0 ? Math.max(...incarnations) : undefined;
+}
+
+/** Resolves with the result, or with undefined after a time. */
+function withTimeout<T>(
+  result: Promise<T>,
+  timeoutMs = MAJORITY_TIMEOUT_MS,
+): Promise<T | undefined> {
   return new Promise((resolve, reject) => {
-    const timer = setTimeout(() => resolve(undefined), MAJORITY_TIMEOUT_MS);
+    const timer = setTimeout(() => resolve(undefined), timeoutMs);
     result.then((value) => {
       clearTimeout(timer);
       resolve(value);
--- a/packages/control/server_registrar.ts
+++ b/packages/control/server_registrar.ts
@@ -1,15 +1,18 @@
-import type {
-  BackendServer,
-  Clock,
-  Configuration,
-  HostId,
-  Randomness,
+import type { Result } from "neverthrow";
+import {
+  type BackendServer,
+  type Clock,
+  type Configuration,
+  type HostId,
+  hasSameAddress,
+  type Randomness,
 } from "#model";
 import {
+  type AnnouncementFault,
+  type Identity,
   type LeaseResponse,
   Presence,
   type PresenceMessages,
-  type ResultWithEffects,
 } from "#presence";
 import { Registrations } from "#registration";
 import type { ControlSettings } from "#settings";
@@ -23,6 +26,7 @@
 export class ServerRegistrar {
   readonly #registrations: Registrations;
   readonly #clock: Clock;
+  readonly #verify: ((server: BackendServer) => Promise<Identity>) | undefined;
 
   constructor(options: {
     settings: ControlSettings;
@@ -31,9 +35,12 @@
     clock: Clock;
     randomness: Randomness;
     logger: Logger;
+    /** Finds out which server answers at a server's address. */
+    verify?: ((server: BackendServer) => Promise<Identity>) | undefined;
   }) {
     const { settings, incarnation, network, clock, randomness } = options;
     this.#clock = clock;
+    this.#verify = options.verify;
     this.#registrations = new Registrations({
       presence: new Presence({
         id: settings.id,
@@ -41,9 +48,11 @@
         dataCentre: settings.dataCentre,
         randomness,
         registrarOnly: true,
+        untrusted: clock,
       }),
       clock,
       network,
+      verify: options.verify,
       onServersChanged: () => undefined,
       onServerGone: (server, reason) => {
         const { id, service } = server;
@@ -77,12 +86,60 @@
     this.#registrations.tick();
   }
 
-  /** Registers a server on all entries, or renews its lease. */
-  announce(server: BackendServer): ResultWithEffects<LeaseResponse> {
+  /**
+   * Registers a server on all entries, or renews its lease; waits for checks of its
+   * addresses if another one is known.
+   */
+  async announce(
+    server: BackendServer,
+  ): Promise<Result<LeaseResponse, AnnouncementFault>> {
+    const result = this.#announce(server);
+    const fault = result.isErr() ? result.error : undefined;
+    if (fault?.type !== "unproven_address" || !fault.isPending) return result;
+    await this.#registrations.checked(server.id);
+    return this.#announce(server);
+  }
+
+  /**
+   * Why a server's announcement that it leaves is not its own; undefined if
+   * nothing speaks against it. `known` are the records of its id. At its known
+   * address it needs no proof, as a leave must not wait.
+   */
+  async checkLeaving(
+    server: BackendServer,
+    known: readonly BackendServer[],
+  ): Promise<AnnouncementFault | undefined> {
+    const { service } = server;
+    if (!this.#registrations.presence.hasService(service)) {
+      return { type: "unknown_service", service };
+    }
+    const record = known.find((record) => record.service === service);
+    if (record && hasSameAddress(record, server)) return undefined;
+    const [other] = known;
+    if (!record && other)
+      return { type: "other_service", known: other.service };
+    const identity = await this.#verify?.(server);
+    if (identity === undefined || identity === "same") return undefined;
+    const address = record && `${record.address.host}:${record.address.port}`;
+    return { type: "unproven_address", known: address, isPending: false };
+  }
+
+  #announce(server: BackendServer): Result<LeaseResponse, AnnouncementFault> {
+    const now = this.#clock.now();
+    const { presence } = this.#registrations;
+    const { result, effects } = presence.announce(server, now);
+    this.#registrations.execute(effects);
+    return result;
+  }
+
+  /** Tells the connected entries that a server leaves, in all its services. */
+  leave(server: { readonly id: string; readonly incarnation: number }): void {
+    const { presence } = this.#registrations;
     const now = this.#clock.now();
-    const response = this.#registrations.presence.announce(server, now);
-    this.#registrations.execute(response.effects);
-    return response;
+    for (const service of presence.servicesOf(server.id)) {
+      const { effects } = presence.leave({ ...server, service }, now);
+      this.#registrations.execute(effects);
+    }
   }
 
   /** The current record of a server and the services of its id. */
@@ -99,13 +156,12 @@
     };
   }
 
-  /** The newest incarnation that a server has announced; undefined if none. */
-  incarnationOf(id: string): number | undefined {
+  /** The current records of an id, in all services. */
+  recordsOf(id: string): BackendServer[] {
     const { presence } = this.#registrations;
     const now = this.#clock.now();
     return presence
-      .services()
-      .flatMap((service) => presence.servers(service, now))
-      .find((server) => server.id === id)?.incarnation;
+      .servicesOf(id)
+      .flatMap((service) => presence.server({ service, id }, now) ?? []);
   }
 }
--- a/packages/presence/announcement_checks.ts
+++ b/packages/presence/announcement_checks.ts
@@ -1,8 +1,10 @@
 import { err, ok, type Result } from "neverthrow";
 import { type BackendServer, backendServerKey } from "#model";
 import type { AnnouncementFault, LeaveRequest } from "./announcements.ts";
+import { MAX_SEQUENCE_STEP } from "./plausibility.ts";
+import { RefusedAnnouncements } from "./refused_announcements.ts";
 import type { ServerTable } from "./server_table.ts";
-import type { PresenceLimits } from "./timings.ts";
+import { LEASE_MS, type PresenceLimits } from "./timings.ts";
 
 /** Checks requests of backend servers and gives the reason of a refusal. */
 export class AnnouncementChecks {
@@ -12,15 +14,21 @@
   services: ReadonlySet<string> = new Set();
   readonly #table: ServerTable;
   readonly #limits: PresenceLimits;
+  /** Present where other programs may announce servers that are not theirs. */
+  readonly #refused: RefusedAnnouncements | undefined;
 
-  constructor(table: ServerTable, limits: PresenceLimits) {
+  constructor(
+    table: ServerTable,
+    options: { limits: PresenceLimits; untrusted: boolean },
+  ) {
     this.#table = table;
-    this.#limits = limits;
+    this.#limits = options.limits;
+    if (options.untrusted) this.#refused = new RefusedAnnouncements();
   }
 
   /** The reason to refuse an announcement, or undefined. */
-  check(server: BackendServer): AnnouncementFault | undefined {
-    const { service, incarnation, sequence } = server;
+  check(server: BackendServer, now: number): AnnouncementFault | undefined {
+    const { service, incarnation } = server;
     const key = backendServerKey(server);
     if (!this.ready) return { type: "not_ready" };
     if (!this.services.has(service)) {
@@ -34,15 +42,29 @@
         ? undefined
         : { type: "already_leaving", incarnation };
     }
-    const known = this.#table.current(key)?.server;
-    if (!known) return this.#checkLimits(service);
+    const record = this.#table.current(key);
+    if (!record) return this.#checkLimits(service);
+    const fault = this.#checkOrder(record.server, server);
+    if (!fault || !this.#refused) return fault;
+    const silentMs = now - (record.expiresAt - LEASE_MS);
+    const about = { known: record.server, silentMs, now };
+    return this.#refused.isOwn(server, about) ? undefined : fault;
+  }
+
+  #checkOrder(
+    known: BackendServer,
+    { incarnation, sequence }: BackendServer,
+  ): AnnouncementFault | undefined {
     if (known.incarnation > incarnation) {
       return { type: "older_incarnation", known: known.incarnation };
     }
-    if (known.incarnation === incarnation && known.sequence > sequence) {
+    if (known.incarnation < incarnation) return undefined;
+    if (known.sequence > sequence) {
       return { type: "older_sequence", known: known.sequence };
     }
-    return undefined;
+    return this.#refused && sequence - known.sequence > MAX_SEQUENCE_STEP
+      ? { type: "implausible_sequence", known: known.sequence }
+      : undefined;
   }
 
   #checkLimits(service: string): AnnouncementFault | undefined {
--- a/packages/presence/index.ts
+++ b/packages/presence/index.ts
@@ -6,10 +6,12 @@
  * @module
  */
 export * from "./address_lookup.ts";
+export type { Identity } from "./address_proofs.ts";
 export * from "./announcements.ts";
 export * from "./dissemination.ts";
 export * from "./effects.ts";
 export * from "./messages.ts";
+export * from "./plausibility.ts";
 export * from "./presence.ts";
 export * from "./relays.ts";
 export * from "./timings.ts";
--- a/packages/presence/server_table.ts
+++ b/packages/presence/server_table.ts
@@ -1,6 +1,15 @@
-import { type BackendServer, backendServerKey, type HostId } from "#model";
+import {
+  type BackendServer,
+  backendServerKey,
+  type Clock,
+  type HostId,
+  hasSameAddress,
+} from "#model";
+import { AddressProofs } from "./address_proofs.ts";
 import type { Effects } from "./effects.ts";
+import { FirstServices } from "./first_services.ts";
 import type { ServerRecord, Tombstone } from "./messages.ts";
+import { isPossibleIncarnation, isPossibleRecord } from "./plausibility.ts";
 
 /**
  * Merges the owners' lists: a server can have a record in several of them. Its
@@ -19,6 +28,17 @@
   readonly #servicesById = new Map<string, Set<string>>();
   /** No current record expires before this; avoids most expiry scans. */
   #earliestExpiry = Number.POSITIVE_INFINITY;
+  /** Present where records may name no server that can exist. */
+  readonly #untrusted: Pick<Clock, "wallTime"> | undefined;
+
+  readonly proofs = new AddressProofs();
+  readonly #firstServices = new FirstServices();
+  /** Servers of which several addresses are announced. */
+  readonly #contested = new Set<string>();
+
+  constructor(untrusted?: Pick<Clock, "wallTime">) {
+    this.#untrusted = untrusted;
+  }
 
   /** Number of servers with a current record. */
   get size(): number {
@@ -37,6 +57,17 @@
     return this.#current.get(key)?.record;
   }
 
+  /**
+   * The current record with a valid lease. Until the next scan for expired leases
+   * the newest record may have expired, and another list has an older one.
+   */
+  #live(key: string, now: number): ServerRecord | undefined {
+    const record = this.current(key);
+    return record && record.expiresAt <= now
+      ? this.#selectNewest(key, now)
+      : record;
+  }
+
   tombstone(key: string): Tombstone | undefined {
     return this.#tombstones.get(key);
   }
@@ -50,8 +81,10 @@
   servers(service: string, now: number): BackendServer[] {
     const servers: BackendServer[] = [];
     for (const key of this.#keysByService.get(service) ?? []) {
-      const record = this.#current.get(key)?.record;
-      if (!record || record.expiresAt <= now) continue;
+      const record = this.#live(key, now);
+      if (!record) continue;
+      if (this.#untrusted && this.#firstServices.isCopy(record.server))
+        continue;
       const startedMsAgo = Math.max(0, Math.round(now - record.startedAt));
       servers.push({ ...record.server, startedMsAgo });
     }
@@ -79,6 +112,10 @@
 
   /** Stores a tombstone; false if this leave is already known. */
   addTombstone(tombstone: Tombstone): boolean {
+    const wallTime = this.#untrusted?.wallTime();
+    if (wallTime !== undefined && !isPossibleIncarnation(tombstone, wallTime)) {
+      return false;
+    }
     const key = backendServerKey(tombstone);
     const known = this.#tombstones.get(key);
     if (known && known.incarnation >= tombstone.incarnation) return false;
@@ -89,9 +126,11 @@
   /** Selects a server's current record again and reports what has changed. */
   refresh(key: string, { now, effects }: { now: number; effects: Effects }) {
     const before = this.#current.get(key);
+    this.#requestProofs(key, { now, effects });
     const record = this.#selectNewest(key, now);
     if (before && record === before.record && record.server === before.server)
       return;
+    if (this.#untrusted && record) this.#firstServices.note(record.server, now);
     const former = before?.server;
     if (record) this.noteExpiry(record.expiresAt);
     if (before && record)
@@ -108,6 +147,7 @@
 
   /** Removes expired records and tombstones. */
   expire(now: number, effects: Effects): void {
+    for (const key of this.#contested) this.refresh(key, { now, effects });
     if (now >= this.#earliestExpiry) this.#expireLeases(now, effects);
     for (const [key, { keptUntil }] of this.#tombstones) {
       if (keptUntil <= now) this.#tombstones.delete(key);
@@ -122,15 +162,56 @@
     }
   }
 
+  /** Checks the addresses of a server that has several of them. */
+  #requestProofs(
+    key: string,
+    context: { now: number; effects: Effects },
+  ): void {
+    if (!this.#untrusted) return;
+    const candidates = this.#candidates(key, context.now);
+    if (!isContested(candidates)) {
+      this.#contested.delete(key);
+      return;
+    }
+    this.#contested.add(key);
+    for (const { server } of candidates) this.proofs.request(server, context);
+  }
+
+  /**
+   * The newest record, of the addresses at which the server answers if several are
+   * announced. Until that is known, the address that is in use stays.
+   */
   #selectNewest(key: string, now: number): ServerRecord | undefined {
-    const left = this.#tombstones.get(key)?.incarnation ?? -1;
-    let newest: ServerRecord | undefined;
-    for (const record of this.#records.get(key)?.values() ?? []) {
-      if (record.expiresAt <= now || record.server.incarnation <= left)
-        continue;
-      if (!newest || isNewer(record, newest)) newest = record;
+    const candidates = this.#candidates(key, now);
+    if (!this.#untrusted || !isContested(candidates)) return newest(candidates);
+    const identities = candidates.map(({ server }) => this.proofs.last(server));
+    const proven = candidates.filter((_, i) => identities[i] === "same");
+    if (proven.length > 0) return newest(proven);
+    const used = this.#current.get(key)?.record;
+    if (used && identities.includes(undefined)) {
+      const atAddress = candidates.filter(({ server }) =>
+        hasSameAddress(server, used.server),
+      );
+      if (atAddress.length > 0) return newest(atAddress);
     }
-    return newest;
+    const possible = candidates.filter((_, i) => identities[i] !== "other");
+    return newest(possible.length > 0 ? possible : candidates);
+  }
+
+  /** The records that may be the current one. */
+  #candidates(key: string, now: number): ServerRecord[] {
+    const left = this.#tombstones.get(key)?.incarnation ?? -1;
+    return [...(this.#records.get(key)?.values() ?? [])].filter(
+      ({ server, expiresAt }) =>
+        expiresAt > now &&
+        server.incarnation > left &&
+        this.#isPossible(server),
+    );
+  }
+
+  #isPossible(server: BackendServer): boolean {
+    const untrusted = this.#untrusted;
+    return !untrusted || isPossibleRecord(server, untrusted.wallTime());
   }
 
   #set(key: string, record: ServerRecord): void {
@@ -180,6 +261,23 @@
   );
 }
 
+function newest(records: readonly ServerRecord[]): ServerRecord | undefined {
+  let newest: ServerRecord | undefined;
+  for (const record of records) {
+    if (!newest || isNewer(record, newest)) newest = record;
+  }
+  return newest;
+}
+
+/** Whether the records have several addresses. */
+function isContested(records: readonly ServerRecord[]): boolean {
+  const [first, ...others] = records;
+  return (
+    first !== undefined &&
+    others.some(({ server }) => !hasSameAddress(server, first.server))
+  );
+}
+
 function isNewer(a: ServerRecord, b: ServerRecord): boolean {
   if (a.server.incarnation !== b.server.incarnation) {
     return a.server.incarnation > b.server.incarnation;
