--- a/packages/entry/caller_contract_test.ts
+++ b/packages/entry/caller_contract_test.ts
@@ -243,6 +243,29 @@
   });
 }
 
+/** Requests that Node reads from callers and throws on when it is to send them. */
+const UNSENDABLE_REQUESTS = {
+  "a header without a name": "GET /timesheets HTTP/1.1\r\n: odd\r\n",
+  "a header whose name has a space": "GET /timesheets HTTP/1.1\r\na b: odd\r\n",
+  "a tab in its path": "GET /timesheets\todd HTTP/1.1\r\n",
+} as const;
+
+// Guards against servers that are put out of use by what a caller sends: a request
+// that couldn't be created counted as one that the server didn't accept.
+for (const [name, head] of Object.entries(UNSENDABLE_REQUESTS)) {
+  test(`a request with ${name} is refused and blames no server`, async () => {
+    const bytes = `${head}host: alloc\r\nconnection: close\r\n\r\n`;
+    const answers = await Promise.all(
+      Array.from({ length: 20 }, () => sendRaw(bytes)),
+    );
+    for (const answer of answers) {
+      assert.match(answer, /^HTTP\/1.1 400 /);
+      assert.match(answer, /"error":"invalid_request"/);
+    }
+    await assertStillServes();
+  });
+}
+
 const MALFORMED_FRAMES: { name: string; bytes: string }[] = [
   { name: "a frame above the size limit", bytes: "\xff\xff\xff\xff" },
   { name: "garbage in a frame", bytes: "\x00\x00\x00\x02\xff\xff" },
--- a/packages/wire/network_test.ts
+++ b/packages/wire/network_test.ts
@@ -334,3 +334,36 @@
   assert.ok(!network.isConnected("peer"));
   assert.deepEqual(faults, ["hello_refused"]);
 });
+
+// Guards against two processes that reconnect and fail for ever, and lose all other
+// messages between them, because one of their messages can't be handled.
+test("a message that can't be handled has no effect on the ones after it", async (t) => {
+  const { network, socket, faults } = await startNetwork(t);
+  const received: unknown[] = [];
+  network.handle("news", (payload) => {
+    if (payload === "odd") throw new Error("cannot be handled");
+    received.push(payload);
+  });
+  socket.write(frame("hello", hello("peer")));
+  socket.write(frame("news", "odd"));
+  socket.write(frame("news", "sound"));
+  await turns(5);
+  assert.deepEqual(received, ["sound"]);
+  assert.deepEqual(faults, []);
+  assert.equal(network.traffic.refusedByKind.get("news"), 1);
+});
+
+// Guards against processes that end by themselves: Node throws on an address that it
+// can't connect to, and one that an older build has accepted may be in the log.
+for (const address of [
+  { host: "127.0.0.1", port: 70_000 },
+  { host: "127.0.0.1", port: Number.NaN },
+  { host: 7 as unknown as string, port: 1 },
+]) {
+  test(`a peer at ${address.host}:${address.port} stays unconnected`, async (t) => {
+    const { network } = await startNetwork(t);
+    network.setPeers([{ id: "odd", address }]);
+    await turns(5);
+    assert.equal(network.isConnected("odd"), false);
+  });
+}
