Take an answer with a status that HTTP doesn't have for a failure

Callers got no answer, and with them all other callers of the entry: an answer with a status below 100, which Node's parser reads as any three digits, made writeHead throw; the call's promise was rejected without an owner, which ends the process. A status from 600 on was passed on, which no client knows.

An answer with a status outside 200 to 599 now fails the attempt like one in an unknown transfer coding: the outcome is unknown, since the server may have run the request, and the connection is closed. Informational answers never come here, Node hands them on as such.

Evidence: the four tests of odd_answers_test failed before, two with ERR_HTTP_INVALID_STATUS_CODE as an unhandled rejection and two with the status itself at the caller; they pass now.

--- a/packages/entry/backend_exchange.ts
+++ b/packages/entry/backend_exchange.ts
@@ -95,6 +95,11 @@
       this.#outgoing.destroy();
       return;
     }
+    if (!isFinalStatus(head.status)) {
+      this.#fail(`the answer has the status ${head.status}`);
+      this.#outgoing.destroy();
+      return;
+    }
     if (hasUnknownCoding(response)) {
       this.#fail("the answer has an unknown transfer coding");
       this.#outgoing.destroy();
@@ -129,6 +134,14 @@
   }
 }
 
+/**
+ * Whether a caller can be answered with a status: Node reads any three digits, but
+ * writes none below 100, and clients know none from 600 on.
+ */
+function isFinalStatus(status: number): boolean {
+  return status >= 200 && status <= 599;
+}
+
 /**
  * Whether the body is in a coding that callers cannot undo, since the header that
  * names it concerns this connection only. Requests ask for none.
