Pass on an answer without the headers that Node can't write

Callers got no answer, and with them all other callers of the entry: Node's parser reads a header whose name is empty or has a space in it and throws on one that it is to write, in a promise without an owner, which ends the process.

Such headers are left out where the answer is read, reported as "header of a backend server cannot be read" with the name "header name", and counted. The rest of the answer holds. Values need no check: the parser refuses what Node doesn't write.

--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -32,6 +32,7 @@
   type ResponseLimits,
   ResponseMeter,
 } from "./response_bounds.ts";
+import { sendableHeaders } from "./sendable.ts";
 
 /** Shorter than the usual keep-alive timeout of servers (5 s). */
 const IDLE_CONNECTION_TIMEOUT_MS = 4_000;
@@ -149,13 +150,16 @@
     response: IncomingMessage,
     requestId: string | undefined,
   ): ResponseHead {
-    const { headers, rawHeaders, statusCode: status = 502 } = response;
+    const { headers, statusCode: status = 502 } = response;
     const report = this.#protocol.parseReport({ status, headers }, requestId);
     const read = (parsed: ParsedNumber): number | undefined => {
       if (parsed.isOk()) return parsed.value;
       this.#onMalformedHeader?.(server, parsed.error);
       return undefined;
     };
+    const rawHeaders = sendableHeaders(response.rawHeaders, (fault) =>
+      this.#onMalformedHeader?.(server, fault),
+    );
     const rateLimit = read(report.rateLimit);
     const backOffMs = read(report.backOffMs);
     return { ...report, rateLimit, backOffMs, status, headers, rawHeaders };
