Bound the idle time that a server can ask for

Callers got no answer, and with them all other callers of the entry: a header Keep-Alive with a timeout of hundreds of digits is read as Infinity, which Node's agent passes to a timer as soon as the connection is idle; the exception has no owner there and ends the process. Above 2^31 ms Node warns for each connection and keeps it for 25 days; 0 meant that it is kept for ever.

The time is bounded to an hour; 0 is left to Node, which then doesn't reuse the connection.

Evidence: the tests for the infinite time and 10^12 s failed before, with ERR_OUT_OF_RANGE as an uncaught exception and a TimeoutOverflowWarning, and pass now; the one for 0 passed before too.

--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -41,6 +41,11 @@
  * request is not sent while the server is closing the connection.
  */
 const KEEP_ALIVE_TIMEOUT_FRACTION = 0.75;
+/**
+ * Longest time for which an idle connection is kept, whatever its server says. Node
+ * throws on an infinite time and cuts those above 2^31 ms.
+ */
+const MAX_IDLE_CONNECTION_MS = 3_600_000;
 const DEFAULT_LIMITS: ResponseLimits = { bodyMaxBytes: 1024 ** 3 };
 
 /** A request that has been sent to a backend server. */
@@ -174,7 +179,10 @@
     const pooled = this.#agents.get(backendServerKey(server));
     if (!match || !pooled) return;
     const { options } = pooled.agent as Agent & { options: AgentOptions };
-    options.timeout = Number(match[1]) * 1_000 * KEEP_ALIVE_TIMEOUT_FRACTION;
+    const timeoutMs = Number(match[1]) * 1_000 * KEEP_ALIVE_TIMEOUT_FRACTION;
+    // Node reuses no connection after an answer with 0, and takes 0 for no timeout.
+    if (timeoutMs > 0)
+      options.timeout = Math.min(timeoutMs, MAX_IDLE_CONNECTION_MS);
   }
 
   #agent(server: BackendServer): Agent {
