Take a load that is out of range for none

A server that reports a load of hundreds of digits was known with Infinity requests or an infinite slowdown. The figures are compared, multiplied with times and sent to the service's dispatcher, where no later report makes a sum with Infinity finite again; nothing told of the header.

--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -165,6 +165,8 @@
     const rawHeaders = sendableHeaders(response.rawHeaders, (fault) =>
       this.#onMalformedHeader?.(server, fault),
     );
+    const { loadFault } = report;
+    if (loadFault) this.#onMalformedHeader?.(server, loadFault);
     const rateLimit = read(report.rateLimit);
     const backOffMs = read(report.backOffMs);
     return { ...report, rateLimit, backOffMs, status, headers, rawHeaders };
--- a/packages/entry/call_protocol.ts
+++ b/packages/entry/call_protocol.ts
@@ -7,7 +7,10 @@
   type Call,
   type CallFault,
   HEADERS,
+  type HeaderFault,
+  headerFault,
   INTERNAL_PATH_ROOT,
+  MAX_REPORTED_REQUESTS,
   type Outcome,
   type ParsedNumber,
   parseRateLimit,
@@ -31,6 +34,8 @@
   readonly inFlight: number | undefined;
   /** Current processing time at the server, relative to the usual one. */
   readonly slowdown: number | undefined;
+  /** Present if the server reports a load that cannot be read. */
+  readonly loadFault?: HeaderFault | undefined;
   /**
    * Requests a second that the server takes from all entries together, if it
    * names a limit.
@@ -182,9 +187,9 @@
     headers: IncomingHttpHeaders;
   }): ResponseReport {
     const { status, headers } = response;
-    const inFlight = Number(headers[HEADERS.inFlight]);
-    const known =
-      headers[HEADERS.inFlight] !== undefined && Number.isFinite(inFlight);
+    const text = headers[HEADERS.inFlight];
+    const inFlight = Number(text);
+    const known = text !== undefined && isRequestCount(inFlight);
     return {
       notStarted: status === 503 && headers[HEADERS.notStarted] === "true",
       leaving: headers[HEADERS.serverState] === "leaving",
@@ -192,6 +197,8 @@
       foreign: false,
       inFlight: known ? inFlight : undefined,
       slowdown: undefined,
+      ...(text !== undefined &&
+        !known && { loadFault: headerFault("server load", String(text)) }),
       rateLimit: parseRateLimit(headers[HEADERS.rateLimit]),
       backOffMs: parseRetryAfterMs(
         status === 503 ? headers[HEADERS.retryAfter] : undefined,
@@ -250,7 +257,7 @@
   try {
     const json = JSON.parse(body.toString()) as Record<string, unknown>;
     const inFlight = json.in_flight;
-    if (typeof inFlight !== "number" || !Number.isFinite(inFlight)) {
+    if (typeof inFlight !== "number" || !isRequestCount(inFlight)) {
       return undefined;
     }
     return { inFlight, leaving: json.state === "leaving" };
@@ -258,3 +265,8 @@
     return undefined;
   }
 }
+
+/** Whether a server may report this number of requests. */
+function isRequestCount(count: number): boolean {
+  return count >= 0 && count <= MAX_REPORTED_REQUESTS;
+}
--- a/packages/entry/sendable.ts
+++ b/packages/entry/sendable.ts
@@ -1,8 +1,7 @@
-import type { HeaderFault } from "#model";
+import { type HeaderFault, headerFault } from "#model";
 
 /** Characters of a header's name (RFC 9110). */
 const HEADER_NAME = /^[\w!#$%&'*+.^`|~-]+$/;
-const MAX_LOGGED_LENGTH = 40;
 
 /**
  * The headers of a response, in the form of Node's `rawHeaders`, that can be sent
@@ -17,13 +16,11 @@
   return raw.filter((text, i) => {
     const name = raw[i - (i % 2)] ?? "";
     if (HEADER_NAME.test(name)) return true;
-    if (i % 2 === 0) onMalformed({ ...FAULT, text: clipped(text) });
+    if (i % 2 === 0) onMalformed(headerFault("header name", text));
     return false;
   });
 }
 
-const FAULT = { type: "malformed_header", name: "header name" } as const;
-
 /** The first name of a header that cannot be sent; undefined if all can. */
 function unsendableName(raw: readonly string[]): string | undefined {
   for (let i = 0; i < raw.length; i += 2) {
@@ -31,7 +28,3 @@
   }
   return undefined;
 }
-
-function clipped(text: string): string {
-  return text.slice(0, MAX_LOGGED_LENGTH);
-}
--- a/packages/model/server_headers.ts
+++ b/packages/model/server_headers.ts
@@ -15,6 +15,10 @@
 const MAX_RATE_PER_S = 1_000_000;
 /** Longest time that a server may ask to wait, in seconds: a day. */
 const MAX_RETRY_AFTER_S = 86_400;
+/** Most requests that a server may report as running or waiting. */
+export const MAX_REPORTED_REQUESTS = 1_000_000;
+/** Longest duration of work that a server may report, relative to the usual one. */
+export const MAX_SLOWDOWN = 10_000;
 const MAX_LOGGED_LENGTH = 40;
 
 type Header = string | string[] | undefined;
@@ -35,6 +39,12 @@
   }).map((seconds) => seconds && seconds * 1_000);
 }
 
+/** The fault of a header whose text is clipped for the log. */
+export function headerFault(name: string, text: string): HeaderFault {
+  const clipped = text.slice(0, MAX_LOGGED_LENGTH);
+  return { type: "malformed_header", name, text: clipped };
+}
+
 /** Parses a decimal number without a sign. */
 function parseDecimal(
   header: Header,
@@ -44,6 +54,5 @@
   const text = String(header).trim();
   const value = /^\d+(\.\d+)?$/.test(text) ? Number(text) : Number.NaN;
   if (value <= max) return ok(value);
-  const clipped = text.slice(0, MAX_LOGGED_LENGTH);
-  return err({ type: "malformed_header", name, text: clipped });
+  return err(headerFault(name, text));
 }
