Name no length in an answer with the status 204

A caller of a server that answers 204 with a Content-Length waited for a body until it gave up, and would have taken the next answer on its connection for it: the entry passed the length on, and Node writes no body with 204.

The length is left out of such answers. That of 304 stays, as it is the length of the answer that the caller has.

Evidence: the test failed before (no whole answer in 2 s, Node's client) and passes now.

--- a/packages/entry/call_reply.ts
+++ b/packages/entry/call_reply.ts
@@ -18,6 +18,8 @@
 
 /** Statuses whose responses have no body, and so need no content length. */
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+/** Unlike that of 304, its length would not be the one of another answer. */
+const STATUS_WITHOUT_LENGTH = 204;
 
 export interface CallReplyOptions {
   readonly response: TrackedResponse;
@@ -79,7 +81,10 @@
     if (!bodiless && !hasHeader(headers, "content-length")) {
       headers.push("content-length", String(backendResponse.body.length));
     }
-    response.writeHead(backendResponse.status, headers);
+    response.writeHead(
+      backendResponse.status,
+      framing(backendResponse, headers),
+    );
     // Node sends headers and a string body in one write, but a buffer in two.
     response.end(backendResponse.body.toString("latin1"), "latin1");
     this.#end(outcome);
@@ -147,6 +152,17 @@
   }
 }
 
+/**
+ * The headers without a length if the status is 204: a client that believes it takes
+ * what follows on its connection for a body (RFC 9112, 6.3).
+ */
+function framing({ status }: BackendResponse, headers: string[]): string[] {
+  if (status !== STATUS_WITHOUT_LENGTH) return headers;
+  return headers.filter(
+    (_, i) => headers[i - (i % 2)]?.toLowerCase() !== "content-length",
+  );
+}
+
 function hasHeader(headers: readonly string[], name: string): boolean {
   return headers.some((h, i) => i % 2 === 0 && h.toLowerCase() === name);
 }
