Refuse a caller's request that no client can send, and blame no server

Node's server reads a header without a name or with a space in it, and a tab in a path, but its client throws on them. A caller of such a request was told that a server had failed (502), and the attempt counted as one that the server didn't accept, which is evidence against the server and its path for the calls of all others.

Such a request is refused with 400 invalid_request before a server is chosen, and logged as "request cannot be sent on".

--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -36,6 +36,7 @@
 import { replyFault } from "./reply.ts";
 import { RequestClassifier } from "./request_classifier.ts";
 import { ReverseProxy } from "./reverse_proxy.ts";
+import { unsendablePart } from "./sendable.ts";
 import { ServicePolicies } from "./service_policies.ts";
 import type { StopSchedule } from "./stop_schedule.ts";
 
@@ -247,6 +248,16 @@
       this.#refuse(response, { requestId, detail });
       return;
     }
+    const unsendable = unsendablePart(request);
+    if (unsendable !== undefined) {
+      const requestId = protocol.callerRequestId(request.headers) ?? "";
+      logger.info("request cannot be sent on", {
+        requestId,
+        detail: unsendable,
+      });
+      this.#refuse(response, { requestId, detail: unsendable });
+      return;
+    }
     this.#tickTimer.markActive();
     this.#proxy.serve(request, response);
   }
--- a/packages/entry/sendable.ts
+++ b/packages/entry/sendable.ts
@@ -1,8 +1,26 @@
+import type { IncomingMessage } from "node:http";
 import { type HeaderFault, headerFault } from "#model";
 
 /** Characters of a header's name (RFC 9110). */
 const HEADER_NAME = /^[\w!#$%&'*+.^`|~-]+$/;
 
+/** Characters of a path that can be requested. */
+const PATH = /^[\x21-\xff]*$/;
+
+/**
+ * What keeps a caller's request from being sent on: Node's parser reads a path with
+ * a tab or a form feed and a header name that is empty or has a space, and throws on
+ * one that it is to write. Undefined if it can be sent.
+ */
+export function unsendablePart({
+  url = "/",
+  rawHeaders,
+}: Pick<IncomingMessage, "url" | "rawHeaders">): string | undefined {
+  if (!PATH.test(url)) return "the path has characters that need escaping";
+  if (unsendableName(rawHeaders) === undefined) return undefined;
+  return "a header has a malformed name";
+}
+
 /**
  * The headers of a response, in the form of Node's `rawHeaders`, that can be sent
  * on. Node's parser reads a name that is empty or has a space in it, and throws on
