Keep a link whose peer has sent a message that can't be handled

A message whose handler throws closed the connection. Its sender connects again and, for what it repeats (a list's state, an entry's record, a log entry), sends it again, so two processes could reconnect and fail for ever; all other messages between them were lost meanwhile.

The message has no effect, is logged with its kind, peer and build, and the link stays.

--- a/packages/wire/link.ts
+++ b/packages/wire/link.ts
@@ -44,8 +44,7 @@
   | { readonly type: "link_silent"; readonly ms: number }
   | { readonly type: "link_congested"; readonly unsentBytes: number }
   | { readonly type: "hello_missing" }
-  | { readonly type: "hello_refused"; readonly detail: string }
-  | { readonly type: "payload_refused"; readonly detail: string };
+  | { readonly type: "hello_refused"; readonly detail: string };
 
 export interface LinkEvents {
   readonly onOpen: (link: Link) => void;
@@ -214,10 +213,9 @@
     try {
       this.#options.events.onMessage(this, kind, payload);
     } catch (cause) {
-      // A malformed payload must not crash the process.
+      // The link stays: its peer would send the message over the next one too.
       const detail = String(cause instanceof Error ? cause.stack : cause);
       this.#options.events.onRefused(this, { kind, detail });
-      this.close({ type: "payload_refused", detail: `${kind}: ${detail}` });
     }
   }
 
