Treat a peer's address that Node can't connect to as one that nobody answers

A port above 65535, a port that is no number or a host that is no text makes net.connect throw where links are opened: from timers and after a change of the configuration. An entry's record comes from another process, and one that an older build has accepted is in the log, so each process that learns of it ended, also after a restart.

The connection fails like any other and is tried again as often as others.

--- a/packages/wire/network.ts
+++ b/packages/wire/network.ts
@@ -1,4 +1,4 @@
-import { connect, createServer, type Server, type Socket } from "node:net";
+import { connect, createServer, type Server, Socket } from "node:net";
 import type { Result } from "neverthrow";
 import type { Address, Clock, HostId } from "#model";
 import { afterPendingInput } from "./after_input.ts";
@@ -372,8 +372,7 @@
   }
 
   #open(onConnect: () => void): Socket {
-    const { host, port } = this.#address;
-    const socket = connect({ host, port });
+    const socket = openSocket(this.#address);
     const giveUp = () => {
       if (socket.connecting) socket.destroy();
     };
@@ -402,6 +401,18 @@
   }
 }
 
+/**
+ * Opens a connection. Node throws on an address that it can't connect to; it comes
+ * from another process, and the connection fails like any other one.
+ */
+function openSocket({ host, port }: Address): Socket {
+  try {
+    return connect({ host, port });
+  } catch (cause) {
+    return new Socket().destroy(cause as Error);
+  }
+}
+
 /**
  * Whether a process has opened two connections, by its hellos on both, of which it
  * uses one only: those of a channel, and those before its restart.
