Keep the place of a peer's record that names no server to use, and not the server

Entries took each record of another process as it was. A control host of a build before accepts an address with any host, a port above 65535, an id in any characters and any number of slots of another writer, and passes them on: entries of this build then call, check and count on servers that nobody can reach.

A record is decoded where a list is read: an id in visible ASCII, a host, a port, whole numbers up to 2^53, 1 to 100,000 slots, times that are numbers. One that fails keeps its place in the list, since a summary tells of the records by their place, and is passed on as it came, but it names no server. The line "record of a backend server cannot be used" tells the list's owner, from whom it came and each field.

--- a/packages/control/server_registrar.ts
+++ b/packages/control/server_registrar.ts
@@ -35,6 +35,7 @@
     const { settings, incarnation, network, clock, randomness } = options;
     this.#clock = clock;
     this.#registrations = new Registrations({
+      logger: options.logger,
       presence: new Presence({
         id: settings.id,
         incarnation,
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -107,6 +107,7 @@
       peerTraffic: () => network.traffic,
     });
     this.#registrations = new Registrations({
+      logger,
       presence: new Presence({
         id: settings.id,
         incarnation: this.#incarnation,
--- a/packages/presence/effects.ts
+++ b/packages/presence/effects.ts
@@ -27,6 +27,15 @@
       readonly server: BackendServer;
       readonly reason: GoneReason;
     }
+  /** A list of another process has a record that names no server to use. */
+  | {
+      readonly type: "record_unusable";
+      readonly owner: HostId;
+      readonly from: HostId;
+      readonly service: string;
+      readonly id: string;
+      readonly problem: string;
+    }
   | PresenceSend;
 
 /** Collects the effects of one call, with at most one change per service. */
@@ -46,6 +55,12 @@
     this.#otherEffects.push({ type: "gone", server, reason });
   }
 
+  recordUnusable(
+    record: Omit<Extract<PresenceEffect, { type: "record_unusable" }>, "type">,
+  ): void {
+    this.#otherEffects.push({ type: "record_unusable", ...record });
+  }
+
   send(to: readonly HostId[], message: Omit<PresenceSend, "type" | "to">) {
     for (const id of to) {
       this.#otherEffects.push({
--- a/packages/presence/list_replicas.ts
+++ b/packages/presence/list_replicas.ts
@@ -244,18 +244,25 @@
     list: OwnerList,
     options: {
       operations: readonly Operation[];
+      from: HostId;
       now: number;
       receivedAt: number;
       effects: Effects;
     },
   ): void {
-    const { operations, now, receivedAt, effects } = options;
+    const { operations, from, now, receivedAt, effects } = options;
     const id = listId(list.owner, list.incarnation);
     for (const operation of operations) {
       const key = list.apply(operation, receivedAt);
       const record = list.records.get(key);
-      if (record) this.#table.put(id, record);
+      if (record && !record.unusable) this.#table.put(id, record);
       else this.#table.remove(id, key);
+      if (record?.unusable) {
+        const { owner } = list;
+        const { problem } = record.unusable;
+        const [, service, serverId] = operation;
+        effects.recordUnusable({ owner, from, service, id: serverId, problem });
+      }
       const tombstone = list.tombstones.get(key);
       if (operation[0] === 2 && tombstone) this.#table.addTombstone(tombstone);
       this.#table.refresh(key, { now, effects });
@@ -276,6 +283,7 @@
     for (const [key, record] of list.records) {
       const packed = packedRecords[index] ?? 0;
       index++;
+      if (record.unusable) continue;
       const wasExpired = record.expiresAt <= now;
       record.expiresAt = receivedAt + remainingLease(packed);
       this.#table.noteExpiry(record.expiresAt);
--- a/packages/presence/messages.ts
+++ b/packages/presence/messages.ts
@@ -1,3 +1,4 @@
+import * as z from "zod";
 import type { BackendServer, BackendServerState, HostId } from "#model";
 import { LEASE_MS } from "./timings.ts";
 
@@ -94,6 +95,41 @@
   keepMs: number,
 ];
 
+/** Most calls that a server may claim to run at a time. */
+const MAX_SLOTS = 100_000;
+const MAX_PORT = 65_535;
+const COUNT = z.int().nonnegative();
+const NAME = z.string().min(1).max(256);
+
+/** A record with which a server can be called, checked and compared. */
+const PUT = z.tuple(
+  [
+    z.literal(0),
+    NAME,
+    // Calls name their server in a header.
+    z.string().regex(/^[\x21-\x7e]{1,256}$/),
+    z.string().regex(/^[A-Za-z0-9:.-]{1,253}$/),
+    z.int().min(1).max(MAX_PORT),
+    NAME,
+    COUNT,
+    COUNT,
+    z.literal([0, 1]),
+    z.int().min(1).max(MAX_SLOTS),
+    COUNT,
+    z.number().nonnegative(),
+    z.number().nonnegative(),
+    z.number(),
+  ],
+  z.unknown(),
+);
+
+/** Names of the fields of a record in its operation, for log lines. */
+const PUT_FIELDS = [
+  ...["type", "service", "id", "host", "port", "dataCentre"],
+  ...["incarnation", "sequence", "state", "slots", "connections"],
+  ...["inFlight", "startedMsAgo", "ageMs"],
+];
+
 /**
  * Most records in one message. A record with the longest names takes some 700
  * bytes, and a frame of more than 1 MiB closes the connection.
@@ -110,6 +146,11 @@
   expiresAt: number;
   /** Start of the incarnation on this entry's clock, in milliseconds. */
   startedAt: number;
+  /**
+   * Present if the record names no server to use. It keeps its place in the list, as
+   * summaries tell of records by their place.
+   */
+  readonly unusable?: { readonly put: PutOperation; readonly problem: string };
 }
 
 /** Marks a server that has left, so that older records cannot restore it. */
@@ -122,6 +163,7 @@
 }
 
 export function encodePut(record: ServerRecord, now: number): PutOperation {
+  if (record.unusable) return record.unusable.put;
   const { server } = record;
   return [
     0,
@@ -141,8 +183,15 @@
   ];
 }
 
+/**
+ * Decodes a record of another process, which may run a build that accepted more than
+ * this one does.
+ */
 export function decodePut(put: PutOperation, now: number): ServerRecord {
-  const [, service, id, host, port, dataCentre, ...afterDataCentre] = put;
+  const decoded = PUT.safeParse(put);
+  if (!decoded.success) return unusableRecord(put, decoded.error, now);
+  const [, service, id, host, port, dataCentre, ...afterDataCentre] =
+    decoded.data;
   const [
     incarnation,
     sequence,
@@ -173,6 +222,32 @@
   };
 }
 
+function unusableRecord(
+  put: PutOperation,
+  error: z.ZodError,
+  now: number,
+): ServerRecord {
+  const [, service, id] = put;
+  const problem = error.issues
+    .map(({ path, message }) => `${PUT_FIELDS[Number(path[0])]}: ${message}`)
+    .join("; ");
+  const unusable = { put, problem };
+  const server: BackendServer = {
+    id,
+    service,
+    address: { host: "", port: 0 },
+    dataCentre: "",
+    incarnation: 0,
+    sequence: 0,
+    state: "unhealthy",
+    slots: 1,
+    connections: 0,
+    inFlight: 0,
+    startedMsAgo: 0,
+  };
+  return { server, expiresAt: now, startedAt: now, unusable };
+}
+
 export function encodeLeave(tombstone: Tombstone, now: number): LeaveOperation {
   const { service, id, incarnation } = tombstone;
   return [2, service, id, incarnation, Math.ceil(tombstone.keptUntil - now)];
--- a/packages/registration/registrations.ts
+++ b/packages/registration/registrations.ts
@@ -16,6 +16,11 @@
   presence_state: true,
 };
 
+type UnusableRecord = Extract<PresenceEffect, { type: "record_unusable" }>;
+
+/** Longest name of a server in a log line, in characters. */
+const MAX_LOGGED_LENGTH = 256;
+
 export interface RegistrationsOptions {
   readonly presence: Presence;
   readonly clock: Clock;
@@ -30,6 +35,9 @@
     server: BackendServer,
     reason: Extract<PresenceEffect, { type: "gone" }>["reason"],
   ) => void;
+  readonly logger: {
+    warn(message: string, fields: Readonly<Record<string, unknown>>): void;
+  };
 }
 
 /**
@@ -70,10 +78,22 @@
           break;
         case "gone":
           onServerGone(effect.server, effect.reason);
+          break;
+        case "record_unusable":
+          this.#logUnusable(effect);
       }
     }
   }
 
+  #logUnusable({ owner, from, service, id, problem }: UnusableRecord): void {
+    this.#options.logger.warn("record of a backend server cannot be used", {
+      server: `${service}/${id}`.slice(0, MAX_LOGGED_LENGTH),
+      owner,
+      from,
+      problem,
+    });
+  }
+
   peerUp(id: HostId): void {
     const { presence, clock } = this.#options;
     this.execute(presence.peerUp(id, clock.now()));
