Decode each message of another process where it arrives

A message between processes was handled as its type says, whatever was in it. With numbers that are none, or infinite, or with fields of another type, handlers threw, leases and sums became NaN, and a loop over claims didn't end.

Each package that publishes a message map now publishes its decoders, which the network of a process takes with the map; the compiler tells of a kind without one. A payload that cannot be read is refused and logged, the link stays. Fields that a decoder doesn't know are ignored; records that are stored or passed on (log entries, entries, the configuration) keep them. What servers say, which older builds pass on without a bound (a slowdown), counts as not said, so that the rest of the message holds. A tombstone is kept no longer than this build keeps its own.

--- a/packages/agreement/index.ts
+++ b/packages/agreement/index.ts
@@ -15,5 +15,6 @@
   MAX_COMMAND_BYTES,
 } from "./member_state.ts";
 export * from "./members.ts";
+export * from "./message_decoders.ts";
 export * from "./messages.ts";
 export * from "./ports.ts";
--- a/packages/claims/index.ts
+++ b/packages/claims/index.ts
@@ -10,4 +10,5 @@
 export * from "./effects.ts";
 export * from "./holders.ts";
 export * from "./keys.ts";
+export * from "./message_decoders.ts";
 export * from "./messages.ts";
--- a/packages/configuration/index.ts
+++ b/packages/configuration/index.ts
@@ -9,4 +9,5 @@
 export * from "./change.ts";
 export * from "./entry_table.ts";
 export * from "./freshness_tracker.ts";
+export * from "./message_decoders.ts";
 export * from "./messages.ts";
--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import {
+  CONSENSUS_DECODERS,
   type ConsensusMessages,
   type ConsensusStatus,
   type ConsensusStorage,
@@ -11,8 +12,10 @@
 } from "#agreement";
 import {
   AcceptanceTracker,
+  CONFIGURATION_DECODERS,
   type ConfigurationMessages,
   EntryTable,
+  INVENTORY_DECODERS,
   type InventoryMessages,
 } from "#configuration";
 import type {
@@ -20,9 +23,14 @@
   Clock,
   Configuration,
   HostId,
+  MessageDecoders,
   Randomness,
 } from "#model";
-import { type PresenceMessages, TICK_INTERVAL_MS } from "#presence";
+import {
+  PRESENCE_DECODERS,
+  type PresenceMessages,
+  TICK_INTERVAL_MS,
+} from "#presence";
 import { Registry, type RegistryCommand, type RegistryReply } from "#registry";
 import type { ControlSettings, FoundingMember } from "#settings";
 import { openReplicatedLog } from "#storage";
@@ -40,6 +48,13 @@
   InventoryMessages &
   PresenceMessages;
 
+const CONTROL_DECODERS: MessageDecoders<ControlMessages> = {
+  ...CONSENSUS_DECODERS,
+  ...CONFIGURATION_DECODERS,
+  ...INVENTORY_DECODERS,
+  ...PRESENCE_DECODERS,
+};
+
 /**
  * Commands between snapshots. A restart replays the commands after the last
  * snapshot in one turn of the event loop, at about a millisecond each. If that
@@ -133,6 +148,7 @@
     const connectedSince = new Map<HostId, number>();
     const network = createLoggedNetwork<ControlMessages>({
       ...options,
+      decoders: CONTROL_DECODERS,
       role: "control",
       incarnation,
       onConnect: ({ id, role, build }) => {
--- a/packages/entry/entry_network.ts
+++ b/packages/entry/entry_network.ts
@@ -1,22 +1,36 @@
-import type { ClaimMessages } from "#claims";
-import type { ConfigurationMessages, InventoryMessages } from "#configuration";
+import { CLAIM_DECODERS, type ClaimMessages } from "#claims";
+import {
+  CONFIGURATION_DECODERS,
+  type ConfigurationMessages,
+  INVENTORY_DECODERS,
+  type InventoryMessages,
+} from "#configuration";
 import {
   type Address,
   type Configuration,
   type Entry,
   formatAddress,
   type HostId,
+  type MessageDecoders,
   rendezvousOrder,
 } from "#model";
 import {
   isRelay,
+  PRESENCE_DECODERS,
   type PresenceMessages,
   type Relays,
   selectRelays,
 } from "#presence";
-import type { QuarantineMessages } from "#quarantine";
-import type { ReachabilityMessages } from "#reachability";
-import { DispatcherChoice, type DispatchMessages } from "#routing";
+import { QUARANTINE_DECODERS, type QuarantineMessages } from "#quarantine";
+import {
+  REACHABILITY_DECODERS,
+  type ReachabilityMessages,
+} from "#reachability";
+import {
+  DISPATCH_DECODERS,
+  DispatcherChoice,
+  type DispatchMessages,
+} from "#routing";
 import type { Peer } from "#wire";
 import { LINKED_CONTROL_HOSTS } from "./control_links.ts";
 
@@ -29,6 +43,16 @@
   ReachabilityMessages &
   DispatchMessages;
 
+export const ENTRY_DECODERS: MessageDecoders<EntryMessages> = {
+  ...CONFIGURATION_DECODERS,
+  ...INVENTORY_DECODERS,
+  ...QUARANTINE_DECODERS,
+  ...PRESENCE_DECODERS,
+  ...CLAIM_DECODERS,
+  ...REACHABILITY_DECODERS,
+  ...DISPATCH_DECODERS,
+};
+
 /** What the links of an entry depend on. */
 export interface LinkInputs {
   readonly seeds: readonly Address[];
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -39,7 +39,7 @@
 } from "./configuration_follower.ts";
 import { EntryApi } from "./entry_api.ts";
 import { EntryLinks } from "./entry_links.ts";
-import type { EntryMessages } from "./entry_network.ts";
+import { ENTRY_DECODERS, type EntryMessages } from "./entry_network.ts";
 import { KnownServers } from "./known_servers.ts";
 import { UsableServers } from "./usable_servers.ts";
 
@@ -84,6 +84,7 @@
     this.#incarnation = Math.floor(clock.wallTime());
     const protocol = options.protocol ?? new PublishedProtocol();
     const network = createLoggedNetwork<EntryMessages>({
+      decoders: ENTRY_DECODERS,
       settings,
       role: "entry",
       incarnation: this.#incarnation,
--- a/packages/model/server_headers.ts
+++ b/packages/model/server_headers.ts
@@ -12,9 +12,9 @@
 export type ParsedNumber = Result<number | undefined, HeaderFault>;
 
 /** Highest rate that is plausible for one server, in requests a second. */
-const MAX_RATE_PER_S = 1_000_000;
+export const MAX_RATE_PER_S = 1_000_000;
 /** Longest time that a server may ask to wait, in seconds: a day. */
-const MAX_RETRY_AFTER_S = 86_400;
+export const MAX_RETRY_AFTER_S = 86_400;
 /** Most requests that a server may report as running or waiting. */
 export const MAX_REPORTED_REQUESTS = 1_000_000;
 /** Longest duration of work that a server may report, relative to the usual one. */
--- a/packages/presence/index.ts
+++ b/packages/presence/index.ts
@@ -9,6 +9,7 @@
 export * from "./announcements.ts";
 export * from "./dissemination.ts";
 export * from "./effects.ts";
+export * from "./message_decoders.ts";
 export * from "./messages.ts";
 export * from "./presence.ts";
 export * from "./relays.ts";
--- a/packages/presence/owner_list.ts
+++ b/packages/presence/owner_list.ts
@@ -11,6 +11,7 @@
   type Tombstone,
 } from "./messages.ts";
 import { packRecord } from "./packed_records.ts";
+import { TOMBSTONE_TTL_MS } from "./timings.ts";
 
 /**
  * The records and tombstones that one entry owns, at that entry or as a
@@ -64,7 +65,7 @@
       if (record && record.server.incarnation <= incarnation) {
         this.records.delete(key);
       }
-      const keptUntil = at + keepMs;
+      const keptUntil = at + Math.min(keepMs, TOMBSTONE_TTL_MS);
       this.tombstones.set(key, { service, id, incarnation, keptUntil });
     }
     return key;
--- a/packages/presence/presence.ts
+++ b/packages/presence/presence.ts
@@ -220,7 +220,7 @@
             service,
             id,
             incarnation,
-            keptUntil: now + keepMs,
+            keptUntil: now + Math.min(keepMs, TOMBSTONE_TTL_MS),
           };
           if (this.#table.addTombstone(tombstone))
             this.#local.publishLeave(tombstone, context);
--- a/packages/quarantine/index.ts
+++ b/packages/quarantine/index.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./fingerprint.ts";
+export * from "./message_decoders.ts";
 export * from "./messages.ts";
 export * from "./quarantine.ts";
 export * from "./server_losses.ts";
--- a/packages/reachability/index.ts
+++ b/packages/reachability/index.ts
@@ -6,6 +6,7 @@
  */
 
 export * from "./handover_targets.ts";
+export * from "./message_decoders.ts";
 export * from "./messages.ts";
 export * from "./path_effects.ts";
 export * from "./server_paths.ts";
--- a/packages/wire/logged_network.ts
+++ b/packages/wire/logged_network.ts
@@ -1,10 +1,11 @@
-import { BUILD, type Clock } from "#model";
+import { BUILD, type Clock, type MessageDecoders } from "#model";
 import type { Hello, MessageMap, ProcessRole } from "./messages.ts";
 import { type NetworkObserver, TcpNetwork } from "./network.ts";
 import { PROTOCOL_VERSIONS } from "./protocol_versions.ts";
 import { RefusedMessages } from "./refused_messages.ts";
 
-export interface LoggedNetworkOptions {
+export interface LoggedNetworkOptions<M extends MessageMap> {
+  readonly decoders: MessageDecoders<M>;
   readonly settings: { readonly id: string; readonly cluster: string };
   readonly role: ProcessRole;
   readonly incarnation: number;
@@ -19,9 +20,10 @@
  * connection, except an ordinary close, and messages that were refused.
  */
 export function createLoggedNetwork<M extends MessageMap>(
-  options: LoggedNetworkOptions,
+  options: LoggedNetworkOptions<M>,
 ): TcpNetwork<M> {
   const {
+    decoders,
     settings,
     role,
     incarnation,
@@ -44,6 +46,7 @@
   return new TcpNetwork<M>({
     self: { id, role, incarnation, cluster, ...versions },
     clock,
+    decoders,
     observer: { onConnect, onDisconnect, onFault, onRefused },
   });
 }
--- a/packages/wire/network.ts
+++ b/packages/wire/network.ts
@@ -1,6 +1,7 @@
 import { connect, createServer, type Server, Socket } from "node:net";
 import type { Result } from "neverthrow";
-import type { Address, Clock, HostId } from "#model";
+import type * as z from "zod";
+import type { Address, Clock, HostId, MessageDecoders } from "#model";
 import { afterPendingInput } from "./after_input.ts";
 import { encodeFrame } from "./frames.ts";
 import {
@@ -69,6 +70,7 @@
   readonly #self: Hello;
   readonly #clock: Clock;
   readonly #observer: NetworkObserver;
+  readonly #decoders: ReadonlyMap<string, z.ZodType>;
   readonly #handlers = new Map<string, Handler>();
   readonly #links = new Map<HostId, Link[]>();
   readonly #accepted = new Set<Link>();
@@ -81,7 +83,10 @@
     self: Hello;
     clock: Clock;
     observer?: NetworkObserver;
+    /** What a kind's payloads are; those of other kinds are handled as they are. */
+    decoders?: MessageDecoders<M>;
   }) {
+    this.#decoders = new Map(Object.entries(options.decoders ?? {}));
     this.#self = options.self;
     this.#clock = options.clock;
     this.#observer = options.observer ?? {};
@@ -272,8 +277,15 @@
 
   #handleMessage(link: Link, kind: string, payload: unknown): void {
     const peer = link.peer;
-    if (!peer) return;
-    this.#handlers.get(kind)?.(payload, peer);
+    const handle = this.#handlers.get(kind);
+    if (!peer || !handle) return;
+    const decoded = this.#decoders.get(kind)?.safeParse(payload);
+    if (decoded?.success === false) {
+      const detail = describeProblems(decoded.error);
+      this.#handleRefusal(link, { kind, detail });
+      return;
+    }
+    handle(decoded ? decoded.data : payload, peer);
   }
 
   #handleRefusal({ peer }: Link, refusal: MessageRefusal): void {
@@ -292,6 +304,17 @@
   }
 }
 
+/** Most problems of one payload that are told. */
+const MAX_PROBLEMS = 5;
+
+/** The fields that are wrong, each with the reason. */
+function describeProblems({ issues }: z.ZodError): string {
+  return issues
+    .slice(0, MAX_PROBLEMS)
+    .map(({ path, message }) => `${path.join(".") || "payload"}: ${message}`)
+    .join("; ");
+}
+
 /** Creates the link of a connection with its number in its channel. */
 type CreateOutgoingLink = (
   socket: Socket,
