Read each field of a hello before a peer is known by it

A hello was taken if its id, role and cluster were texts and its numbers were numbers: an incarnation that is NaN, or above 2^53, went on into the heartbeats that control hosts pass on, and a connection of another form was compared by its fields.

A hello that cannot be read ends the connection as hello_missing, as one of another form did before. Fields of newer builds are ignored.

Evidence: the five tests failed before and pass now.

--- a/packages/wire/link.ts
+++ b/packages/wire/link.ts
@@ -1,5 +1,6 @@
 import type { Socket } from "node:net";
-import type { Clock } from "#model";
+import * as z from "zod";
+import { type Clock, MESSAGE_VALUES } from "#model";
 import {
   encodeFrame,
   type FrameFault,
@@ -220,37 +221,41 @@
   }
 
   #handleHello(kind: string, payload: unknown): void {
-    if (kind !== "hello" || !isHello(payload)) {
+    const decoded = HELLO.safeParse(payload);
+    if (kind !== "hello" || !decoded.success) {
       this.close({ type: "hello_missing" });
       return;
     }
+    const hello: Hello = decoded.data;
     const { self } = this.#options;
-    if (payload.cluster !== self.cluster) {
-      const detail = `cluster is ${payload.cluster}, expected ${self.cluster}`;
+    if (hello.cluster !== self.cluster) {
+      const detail = `cluster is ${hello.cluster}, expected ${self.cluster}`;
       this.close({ type: "hello_refused", detail });
       return;
     }
-    if (commonVersion(self, payload) === undefined) {
+    if (commonVersion(self, hello) === undefined) {
       const detail =
-        `the peer speaks version ${describeVersions(payload)}, ` +
+        `the peer speaks version ${describeVersions(hello)}, ` +
         `this build ${describeVersions(self)}`;
       this.close({ type: "hello_refused", detail });
       return;
     }
-    this.#peer = payload;
+    this.#peer = hello;
     this.#options.events.onOpen(this);
   }
 }
 
-function isHello(payload: unknown): payload is Hello {
-  if (typeof payload !== "object" || payload === null) return false;
-  const hello = payload as Record<string, unknown>;
-  return (
-    typeof hello.id === "string" &&
-    (hello.role === "entry" || hello.role === "control") &&
-    typeof hello.incarnation === "number" &&
-    typeof hello.cluster === "string" &&
-    typeof hello.version === "number" &&
-    ["number", "undefined"].includes(typeof hello.newestVersion)
-  );
-}
+/** What a hello must say for its sender to be known by it. */
+const HELLO = z.looseObject({
+  id: z.string().min(1),
+  role: z.enum(["entry", "control"]),
+  incarnation: MESSAGE_VALUES.count,
+  cluster: z.string(),
+  version: MESSAGE_VALUES.count,
+  newestVersion: MESSAGE_VALUES.count.optional(),
+  build: z.string().optional(),
+  shortKeys: MESSAGE_VALUES.count.optional(),
+  connection: z
+    .object({ channel: MESSAGE_VALUES.count, number: MESSAGE_VALUES.count })
+    .optional(),
+}) satisfies z.ZodType<Hello>;
--- a/packages/wire/network_test.ts
+++ b/packages/wire/network_test.ts
@@ -367,3 +367,21 @@
     assert.equal(network.isConnected("odd"), false);
   });
 }
+
+// Guards against a process that is known with values that no other one can use: the
+// heartbeats of its incarnation go to all control hosts.
+for (const odd of [
+  { incarnation: Number.NaN },
+  { incarnation: 2 ** 53 },
+  { id: "" },
+  { connection: { channel: "1", number: 1 } },
+  { connection: null },
+]) {
+  test(`a hello with ${JSON.stringify(odd)} opens no link`, async (t) => {
+    const { network, socket, faults } = await startNetwork(t);
+    socket.write(frame("hello", { ...hello("peer"), ...odd }));
+    await turns(5);
+    assert.deepEqual(network.connected(), []);
+    assert.deepEqual(faults, ["hello_missing"]);
+  });
+}
