Let a leave remove the place of an unusable record as its owner does

The place of a record that names no server had the incarnation 0, so a leave of an earlier incarnation removed it at the replica and not in the list of its owner; the next summary then told of one record more, and the whole list was asked for twice a second.

Evidence: the test failed before (the list was asked for) and passes now.

--- a/packages/presence/messages.ts
+++ b/packages/presence/messages.ts
@@ -227,7 +227,7 @@
   error: z.ZodError,
   now: number,
 ): ServerRecord {
-  const [, service, id] = put;
+  const [, service, id, , , , incarnation] = put;
   const problem = error.issues
     .map(({ path, message }) => `${PUT_FIELDS[Number(path[0])]}: ${message}`)
     .join("; ");
@@ -237,7 +237,8 @@
     service,
     address: { host: "", port: 0 },
     dataCentre: "",
-    incarnation: 0,
+    // Decides, as at the list's owner, which leaves remove the record.
+    incarnation,
     sequence: 0,
     state: "unhealthy",
     slots: 1,
--- a/packages/presence/unusable_records_test.ts
+++ b/packages/presence/unusable_records_test.ts
@@ -110,3 +110,21 @@
     }
   });
 }
+
+// Guards against a list that is asked for again and again, since its owner and its
+// replica keep another number of records.
+test("a leave of an earlier incarnation leaves the place of an unusable record", () => {
+  const odd = put(server("odd", { incarnation: 5 })).with(FIELDS.port, 70_000);
+  const leave = [2, "alloc", "odd", 3, 1_000] as const;
+  const operations = [odd, put(server("z")), leave] as Operation[];
+  const presence = createPresence();
+  const changes = [OWNER, 1, 0, operations] as const;
+  presence.receive(OWNER, { kind: "presence_changes", payload: changes }, 0);
+  const fresh = packRecord({ slots: 2, inFlight: 0 }, LEASE_MS);
+  const packed = Uint8Array.of(fresh, fresh);
+  const summary = [OWNER, 1, 3, 2, 0, false, packed, 0] as const;
+  const message = { kind: "presence_summaries", payload: [summary] } as const;
+  const effects = presence.receive(OWNER, message, 2_000);
+  assert.ok(!effects.some(({ type }) => type === "send"), "asks again");
+  assert.deepEqual(usableIds(presence, 2_001), ["z"]);
+});
