--- a/packages/control/server_registrar.ts
+++ b/packages/control/server_registrar.ts
@@ -42,6 +42,7 @@
     this.#clock = clock;
     this.#verify = options.verify;
     this.#registrations = new Registrations({
+      logger: options.logger,
       presence: new Presence({
         id: settings.id,
         incarnation,
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -40,7 +40,7 @@
 } from "./configuration_follower.ts";
 import { EntryApi } from "./entry_api.ts";
 import { EntryLinks } from "./entry_links.ts";
-import type { EntryMessages } from "./entry_network.ts";
+import { ENTRY_DECODERS, type EntryMessages } from "./entry_network.ts";
 import { KnownServers } from "./known_servers.ts";
 import { UsableServers } from "./usable_servers.ts";
 
@@ -91,6 +91,7 @@
     this.#incarnation = Math.floor(clock.wallTime());
     const protocol = options.protocol ?? new PublishedProtocol();
     const network = createLoggedNetwork<EntryMessages>({
+      decoders: ENTRY_DECODERS,
       settings,
       role: "entry",
       incarnation: this.#incarnation,
@@ -114,6 +115,7 @@
       peerTraffic: () => network.traffic,
     });
     this.#registrations = new Registrations({
+      logger,
       presence: new Presence({
         id: settings.id,
         incarnation: this.#incarnation,
