Simulate full disks, and replaced voters beside them

Nothing tested agreement with disks that are full: a failed write was tried once in one member, and whole schedules knew only crashes, which keep any part of what was written.

History checks order, loss, stale reads and one leader a term; once all disks have room, a change has to be acknowledged within 4 s, and the 0.5 s after which a closed host is opened. - replaced_voters_test: hosts that are replaced or lose their disk, driven by the planner of control, beside the same faults. MemoryFileSystem has a capacity for it.

--- /dev/null
+++ b/packages/control/replaced_voters_test.ts
@@ -0,0 +1,255 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { hostOf, type MemberChange } from "#agreement";
+import { describeTimes, timeOfChange } from "../storage/test_operator.ts";
+import {
+  NO_FAULTS,
+  type SimulatedHost,
+  Simulation,
+} from "../storage/test_simulation.ts";
+import { MembershipPlanner } from "./membership_planner.ts";
+
+// MANGOBANK_SCHEDULES sets the number of random schedules of replaced voters,
+// MANGOBANK_FIRST_SEED the first seed; MANGOBANK_SEED runs a single one.
+const SCHEDULES = Number(process.env.MANGOBANK_SCHEDULES ?? 60);
+const FIRST_SEED = Number(process.env.MANGOBANK_FIRST_SEED ?? 1);
+const ONLY_SEED = process.env.MANGOBANK_SEED;
+
+const FAULT_PHASE_MS = 20_000;
+const MANAGER_TICK_MS = 250;
+/** From a stable majority of control hosts to an acknowledged change. */
+const ACKNOWLEDGED_WITHIN_MS = 4_000;
+/** A host closed by a full disk is open again by then. */
+const REOPENED_WITHIN_MS = 550;
+/** Time in which all hosts that run become voters. */
+const ADMITTED_WITHIN_MS = 30_000;
+
+/** Makes the changes that the planner of the leader decides, one at a time. */
+class SimulatedManager {
+  readonly #simulation: Simulation;
+  #planner = new MembershipPlanner();
+  #incarnation = 0;
+  #pending: string | undefined;
+  readonly #host: SimulatedHost;
+
+  constructor(simulation: Simulation, host: SimulatedHost) {
+    this.#simulation = simulation;
+    this.#host = host;
+    this.#tick();
+  }
+
+  #tick(): void {
+    const s = this.#simulation;
+    s.at(MANAGER_TICK_MS, () => this.#tick());
+    if (this.#incarnation !== this.#host.incarnation) {
+      this.#incarnation = this.#host.incarnation;
+      this.#planner = new MembershipPlanner();
+      this.#pending = undefined;
+    }
+    const status = this.#host.core?.status(s.now);
+    if (!status || this.#host.isFrozen) return;
+    const step = this.#planner.nextStep(status, s.now);
+    const { history } = s;
+    const pending = this.#pending;
+    if (pending !== undefined) {
+      const fault = history.faults.get(pending);
+      if (!fault && !history.acknowledged.has(pending)) return;
+      this.#pending = undefined;
+      if (fault?.type === "former_identity_votes") {
+        this.#change({ type: "remove", member: fault.member });
+        return;
+      }
+    }
+    if (step?.type === "remove") this.#change(step);
+    if (step?.type !== "admit") return;
+    const { voters, learners } = status.membership;
+    const announced = status.announced.find((m) => hostOf(m) === step.host);
+    const own = learners.filter((member) => hostOf(member) === step.host);
+    const [stale] = own;
+    const member = own.at(-1);
+    if (announced && ![...voters, ...learners].includes(announced)) {
+      this.#change({ type: "add", host: step.host });
+    } else if (stale !== undefined && stale !== member) {
+      this.#change({ type: "remove", member: stale });
+    } else if (member !== undefined) this.#change({ type: "promote", member });
+  }
+
+  #change(change: MemberChange): void {
+    this.#pending = this.#simulation.change(this.#host, change);
+  }
+}
+
+/** A simulation with the automatic changes of the membership. */
+class ReplacementSimulation {
+  readonly s: Simulation;
+  #added = 0;
+
+  constructor(seed: number) {
+    this.s = new Simulation({ seed, size: 3 + (seed % 5), isFormed: true });
+    for (const host of this.s.hosts) new SimulatedManager(this.s, host);
+  }
+
+  get running(): SimulatedHost[] {
+    return this.s.hosts.filter((host) => !host.isRemoved);
+  }
+
+  pick(): SimulatedHost {
+    const { running } = this;
+    return running[this.s.random.below(running.length)] as SimulatedHost;
+  }
+
+  /** Removes a host for good, and starts another one with an empty disk. */
+  replace(host: SimulatedHost): void {
+    if (!this.#mayLose(host)) return;
+    this.s.crash(host);
+    host.isRemoved = true;
+    const add = () => {
+      const added = this.s.addHost(`n${++this.#added}`);
+      new SimulatedManager(this.s, added);
+    };
+    this.s.at(this.s.random.below(1_000), add);
+  }
+
+  loseDisk(host: SimulatedHost, afterMs: number): void {
+    if (!this.#mayLose(host)) return;
+    this.s.loseDisk(host);
+    this.s.at(afterMs, () => this.s.start(host));
+  }
+
+  /** Whether a majority of the voters keeps its data, in each membership. */
+  #mayLose(host: SimulatedHost): boolean {
+    const { s } = this;
+    const statuses = s.hosts.flatMap(({ core }) => core?.status(s.now) ?? []);
+    const formed = statuses.filter(({ phase }) => phase === "formed");
+    const lost = s.memberKeyOf(host);
+    return (
+      formed.length > 0 &&
+      formed.every(({ membership: { voters } }) => {
+        const kept = voters.filter((member) => {
+          const id = hostOf(member);
+          const isGone = s.host(id)?.isRemoved || s.isDataLost(member);
+          return member !== lost && !isGone;
+        });
+        return kept.length > voters.length / 2;
+      })
+    );
+  }
+}
+
+type Action = (
+  r: ReplacementSimulation,
+  host: SimulatedHost,
+  forMs: number,
+) => void;
+
+const FAULTS: readonly Action[] = [
+  (r, host) => r.replace(host),
+  (r, host) => r.replace(r.s.leader() ?? host),
+  (r, host, ms) => r.loseDisk(host, ms),
+  (r, host) => r.s.partition([host.id]),
+  (r, host) => r.s.partition([host.id], true),
+  (r) => r.s.blocked.clear(),
+  (r) => r.s.blocked.clear(),
+  (r, host, ms) => restart(r.s, host, ms),
+  (r, host, ms) => restart(r.s, r.s.leader() ?? host, ms),
+  (r, host, ms) => r.s.fillDisk(host, "none", ms),
+  (r, host, ms) => r.s.fillDisk(host, "small", ms),
+  (r, host, ms) => r.s.fillDisk(r.s.leader() ?? host, "none", ms),
+  (r, _host, ms) => {
+    const newest = r.s.hosts.at(-1);
+    if (newest) r.s.fillDisk(newest, "closed", ms);
+  },
+];
+
+function restart(s: Simulation, host: SimulatedHost, afterMs: number): void {
+  s.crash(host);
+  s.at(afterMs, () => s.start(host));
+}
+
+/** Runs a schedule; returns its longest time until a change was acknowledged. */
+function runSchedule(seed: number): { acknowledged: number; tookMs: number } {
+  const r = new ReplacementSimulation(seed);
+  const { s } = r;
+  s.faultRates = {
+    loss: s.random.next() * 0.03,
+    duplication: s.random.next() * 0.03,
+    delay: 2 + s.random.below(20),
+    syncDelay: 1 + s.random.below(10),
+  };
+  const gapMs = 500 + s.random.below(5_000);
+  const faults = FAULTS.filter(() => s.random.next() < 0.7);
+  const sendRequests = () => {
+    s.submitCommand(r.pick());
+    if (s.random.next() < 0.3) s.read(r.pick());
+    if (s.now < FAULT_PHASE_MS) s.at(1 + s.random.below(300), sendRequests);
+  };
+  const inject = () => {
+    const left = FAULT_PHASE_MS - s.now;
+    if (left <= 0 || faults.length === 0) return;
+    const forMs = Math.min(left, s.random.below(4_000));
+    faults[s.random.below(faults.length)]?.(r, r.pick(), forMs);
+    s.at(s.random.below(2 * gapMs), inject);
+  };
+  s.at(500, sendRequests);
+  s.at(3_000, inject);
+  s.run(FAULT_PHASE_MS);
+  s.blocked.clear();
+  s.faultRates = NO_FAULTS;
+  for (const host of s.hosts) host.room = "all";
+  const tookMs = timeOfChange(s, 30_000);
+  assert.ok(hasMajority(r), `no majority is left: ${s.describeHosts()}`);
+  assert.ok(
+    tookMs <= ACKNOWLEDGED_WITHIN_MS + REOPENED_WITHIN_MS,
+    `no change is acknowledged for ${tookMs} ms: ${s.describeHosts()}`,
+  );
+  const areVoters = () => {
+    const leader = s.leader()?.core?.status(s.now);
+    return r.running.every(
+      (host) =>
+        host.core && leader?.membership.voters.includes(s.memberKeyOf(host)),
+    );
+  };
+  assert.ok(
+    s.runUntil(areVoters, ADMITTED_WITHIN_MS),
+    `not all hosts are voters: ${s.describeHosts()}`,
+  );
+  s.run(1_000);
+  for (const host of r.running) s.history.checkHasAcknowledged(host);
+  return { acknowledged: s.history.acknowledged.size, tookMs };
+}
+
+/** Whether a majority of the voters of the newest membership is running. */
+function hasMajority({ s, running }: ReplacementSimulation): boolean {
+  const statuses = s.hosts.flatMap(({ core }) => core?.status(s.now) ?? []);
+  const [newest] = statuses.sort((a, b) => b.commit - a.commit);
+  const voters = newest?.membership.voters ?? [];
+  const members = running.map((host) => s.memberKeyOf(host));
+  const present = voters.filter((member) => members.includes(member));
+  return present.length > voters.length / 2;
+}
+
+// Failure: replaced hosts use up the majority, a host is never admitted, or a
+// change that was acknowledged is lost, beside cuts, restarts and full disks.
+test("no schedule of replaced voters stops changes for good", () => {
+  const seeds =
+    ONLY_SEED === undefined
+      ? Array.from({ length: SCHEDULES }, (_, at) => FIRST_SEED + at)
+      : [Number(ONLY_SEED)];
+  const failed: number[] = [];
+  const took: number[] = [];
+  let acknowledged = 0;
+  for (const seed of seeds) {
+    try {
+      const result = runSchedule(seed);
+      acknowledged += result.acknowledged;
+      took.push(result.tookMs);
+    } catch (cause) {
+      failed.push(seed);
+      if (failed.length <= 2) console.error(seed, cause);
+    }
+  }
+  console.log(`recovery of ${describeTimes(took)}`);
+  const repeat = "MANGOBANK_SEED=N node scripts/test.mjs replaced_voters";
+  assert.deepEqual(failed, [], `repeat with: ${repeat}`);
+  assert.ok(acknowledged > 10 * seeds.length, `${acknowledged} acknowledged`);
+});
--- a/packages/storage/test_file_system.ts
+++ b/packages/storage/test_file_system.ts
@@ -36,10 +36,19 @@
 /** An in-memory file system that simulates failures, crashes and damage. */
 export class MemoryFileSystem implements FileSystem {
   failureRule: FailureRule = () => undefined;
+  /** Bytes that all files together may have; a write above it is cut short. */
+  capacity = Number.POSITIVE_INFINITY;
   #files = new Map<string, MemoryFile>();
   /** The files by the names that they keep after a crash. */
   #durableNames = new Map<string, MemoryFile>();
 
+  /** Bytes of all files. */
+  get usedBytes(): number {
+    let used = 0;
+    for (const { data } of new Set(this.#files.values())) used += data.length;
+    return used;
+  }
+
   async createFolder(path: string): Promise<void> {
     this.#check("createFolder", path);
   }
@@ -62,9 +71,12 @@
     this.#files.set(path, file);
     return {
       write: async (bytes) => {
-        const code = this.failureRule("write", path);
+        const free = Math.max(0, this.capacity - this.usedBytes);
+        const failed = this.failureRule("write", path);
+        const code = failed ?? (bytes.length > free ? "ENOSPC" : undefined);
         // A full disk may still write some of the bytes.
-        const taken = code ? bytes.subarray(0, bytes.length >> 1) : bytes;
+        const written = failed ? bytes.length >> 1 : bytes.length;
+        const taken = bytes.subarray(0, Math.min(free, written));
         file.data = Buffer.concat([file.data, taken]);
         if (code) throw failure(code);
       },
--- a/packages/storage/test_simulation.ts
+++ b/packages/storage/test_simulation.ts
@@ -4,12 +4,15 @@
   type Effect,
   hostOf,
   type MemberChange,
+  type StorageWrite,
 } from "#agreement";
 import { SeededRandomness } from "#model";
 import { MemoryDisk } from "./memory_storage.ts";
 import { History } from "./test_history.ts";
 
 const TICK_MS = 100;
+/** As `runControl` does after a failed write or a failed start. */
+const REOPEN_DELAY_MS = 500;
 const LIMITS = {
   snapshotEveryEntries: 20,
   keptEntries: 4,
@@ -33,15 +36,27 @@
 const RELIABLE_NETWORK = { loss: 0, duplication: 0, delay: 2 };
 export const NO_FAULTS: FaultRates = { ...RELIABLE_NETWORK, syncDelay: 3 };
 
+/**
+ * What a disk takes: `small` has room for votes and bindings but not for entries
+ * and snapshots, `none` for nothing, and with `closed` the folder cannot be
+ * opened either.
+ */
+export type DiskRoom = "all" | "small" | "none" | "closed";
+
 /** A simulated control host; it has no core while it is down. */
 export class SimulatedHost {
   readonly id: string;
   disk: MemoryDisk;
+  room: DiskRoom = "all";
+  /** When the disk, which stalls until then, completes a sync again. */
+  stalledUntil = 0;
   core: ConsensusCore | undefined;
   /**
    * Increases with each start and crash; events of an earlier one are dropped.
    */
   incarnation = 0;
+  /** It was replaced by another host and does not start again. */
+  isRemoved = false;
   isFlushing = false;
   isFrozen = false;
   /** Inputs that arrived while the host was frozen. */
@@ -53,6 +68,15 @@
     this.id = id;
     this.disk = disk;
   }
+
+  /** Whether the disk has room for some writes. */
+  takes(writes: readonly StorageWrite[]): boolean {
+    if (this.room === "all") return true;
+    return (
+      this.room === "small" &&
+      writes.every(({ type }) => type === "vote" || type === "founding")
+    );
+  }
 }
 
 interface ScheduledEvent {
@@ -143,7 +167,11 @@
   }
 
   start(host: SimulatedHost): void {
-    if (host.core) return;
+    if (host.core || host.isRemoved) return;
+    if (host.room === "closed") {
+      this.#reopen(host);
+      return;
+    }
     host.incarnation++;
     host.isFlushing = false;
     host.isFrozen = false;
@@ -153,6 +181,7 @@
     host.core = new ConsensusCore({
       host: host.id,
       founders: this.founders,
+      peers: this.hosts.map(({ id }) => id),
       stored: host.disk.state(),
       randomness: this.random,
       limits: LIMITS,
@@ -170,10 +199,28 @@
     host.disk.crash(this.random.below(host.disk.stagedWrites + 1));
   }
 
+  /** Limits what the disk of a host takes, for a time. */
+  fillDisk(host: SimulatedHost, room: DiskRoom, ms: number): void {
+    host.room = room;
+    const { disk } = host;
+    this.at(ms, () => {
+      if (host.disk === disk) host.room = "all";
+    });
+  }
+
   /** Crashes the host and replaces its data folder by an empty one. */
   loseDisk(host: SimulatedHost): void {
     this.crash(host);
     host.disk = this.#emptyDisk();
+    host.room = "all";
+  }
+
+  /** Adds a host with an empty data folder, which is no founder. */
+  addHost(id: string): SimulatedHost {
+    const host = new SimulatedHost(id, this.#emptyDisk());
+    this.hosts.push(host);
+    this.start(host);
+    return host;
   }
 
   /** Pauses the host's process; inputs are processed when it resumes. */
@@ -293,8 +340,14 @@
     }
     host.disk.stage(writes);
     host.isFlushing = true;
-    this.at(1 + this.random.below(this.faultRates.syncDelay), () => {
+    const syncMs = 1 + this.random.below(this.faultRates.syncDelay);
+    const stalledMs = Math.max(0, host.stalledUntil - this.now);
+    this.at(stalledMs + syncMs, () => {
       this.#handleInput(host, incarnation, () => {
+        if (!host.takes(writes)) {
+          this.#failWrite(host);
+          return;
+        }
         host.disk.sync();
         host.isFlushing = false;
         this.#executeEffects(host, effects);
@@ -305,6 +358,26 @@
     });
   }
 
+  /**
+   * Closes a host whose write failed and opens it again. Storage truncates what
+   * was written of the batch, but may fail to.
+   */
+  #failWrite(host: SimulatedHost): void {
+    const { stagedWrites } = host.disk;
+    const isTruncated = this.random.below(4) > 0;
+    host.core = undefined;
+    host.incarnation++;
+    host.disk.crash(isTruncated ? 0 : this.random.below(stagedWrites + 1));
+    this.#reopen(host);
+  }
+
+  #reopen(host: SimulatedHost): void {
+    const { incarnation } = host;
+    this.at(REOPEN_DELAY_MS, () => {
+      if (host.incarnation === incarnation) this.start(host);
+    });
+  }
+
   #executeEffects(host: SimulatedHost, effects: readonly Effect[]): void {
     for (const effect of effects) {
       if (effect.type === "send") this.#send(host, effect);
