Sync the folder before a segment is marked as continued by the next one

A control host whose disk had failed refused its data folder as corrupt after a power cut, at each start, until it was given an empty disk: its vote and its copy of the log were lost, although everything synced was there.

Cause: the start of a new segment was interrupted between its rename and the sync of the folder. Recovery completed it by writing the last seal into the segment before, and synced that file first and the folder after it. If the sync of the folder failed again and power was cut, the seal stayed and the new segment's name did not: "the next segment is missing".

Recovery now syncs the folder before it writes any seal, so a durable seal implies a durable next segment.

--- a/packages/storage/recovery.ts
+++ b/packages/storage/recovery.ts
@@ -121,6 +121,9 @@
   fileSystem: FileSystem,
   { folder, contents }: { folder: string; contents: SegmentContent[] },
 ): Promise<void> {
+  // The seal of a continued segment must not be durable before the name of the
+  // next segment is.
+  await fileSystem.syncFolder(folder);
   for (const content of contents.slice(-2)) {
     const path = `${folder}/${content.name}`;
     const isLast = content === contents.at(-1);
@@ -136,7 +139,6 @@
       await file.close();
     }
   }
-  await fileSystem.syncFolder(folder);
 }
 
 /**
