Hold an election as soon as the connections to the leader are closed

Changes took up to 3.2 s where a leader's disk filled, and 1 to 2 s where a leader was killed, in which operators got no answer from any host.

Cause: the others waited for an election timeout (1 to 2 s) although the leader's connections were closed; and a leader whose write had failed kept its connections open until the requests in progress were answered, up to 1 s more.

A member now learns that the last connection to a host was closed. If that host led, or had its vote and no leader is known, it asks for pre-votes after 50 ms, plus 150 ms for each voter listed before it, so that votes are not split. No message changes. If only one connection was lost, the others still hear from the leader and refuse the pre-vote, which changes no term. Control closes its connections when its log stops with a fault, before it waits for requests.

Evidence: "a leader that ends is replaced within half a second" fails without it (the member waits for its timeout) and "lost connections to a working leader change no term" holds.

The checker of the simulation counts leaders by cluster and term: a cluster that is founded anew, after all folders are lost, begins with term 1 again.

--- a/packages/agreement/consensus_core.ts
+++ b/packages/agreement/consensus_core.ts
@@ -132,6 +132,17 @@
     this.#pendingRequests.retryProposal(message.payload.id, now);
   }
 
+  /** Reports that the last connection to a host was closed by either side. */
+  handleDisconnect(host: HostId, now: number): void {
+    const { leader, vote, self } = this.#state;
+    // A candidate that has won may have stopped before its first message.
+    const lost = leader ?? vote;
+    if (lost === undefined || lost === self || hostOf(lost) !== host) return;
+    this.#state.leader = undefined;
+    this.#pendingRequests.handleLeaderChange();
+    this.#election.handleLeaderLost(lost, now);
+  }
+
   /** Reports that the log is synced up to and including this entry. */
   handlePersisted(index: number, term: number): void {
     // The entry may have been replaced since it was written.
--- a/packages/agreement/election.ts
+++ b/packages/agreement/election.ts
@@ -9,6 +9,15 @@
  */
 const FIRST_TIMEOUT_FACTOR = 0.4;
 
+/**
+ * Wait for an election after the connection to the leader was closed, so that
+ * the other voters have lost it too, and the wait of each voter after the one
+ * before it: longer than a tick (100 ms) and an election, so that the votes are
+ * not split.
+ */
+const LOST_LEADER_DELAY_MS = 50;
+const LOST_LEADER_STEP_MS = 150;
+
 /** An election in which this member is the candidate. */
 interface Candidacy {
   readonly type: "pre_vote" | "vote";
@@ -58,6 +67,20 @@
     this.#timeoutAt = now + ELECTION_TIMEOUT_MS * wait;
   }
 
+  /**
+   * Brings the election forward after the leader's process has closed its
+   * connections. If only this connection was lost, the others refuse the
+   * pre-vote.
+   */
+  handleLeaderLost(leader: MemberKey, now: number): void {
+    const { log, self } = this.#state;
+    const voters = log.membership.voters.filter((m) => m !== leader);
+    const rank = Math.max(0, voters.indexOf(self));
+    const delay = LOST_LEADER_DELAY_MS + rank * LOST_LEADER_STEP_MS;
+    this.#leaderContactAt = Number.NEGATIVE_INFINITY;
+    this.#timeoutAt = Math.min(this.#timeoutAt, now + delay);
+  }
+
   cancel(): void {
     this.#candidacy = undefined;
     this.#isWon = false;
--- a/packages/agreement/ports.ts
+++ b/packages/agreement/ports.ts
@@ -108,6 +108,8 @@
    */
   replaceMember(host: HostId): Promise<Result<number, ChangeFault>>;
   status(): ConsensusStatus;
+  /** Reports that the last connection to another control host was closed. */
+  handleDisconnect(host: HostId): void;
   /** Resolves when the member has stopped, with the fault if there was one. */
   readonly stopped: Promise<StopFault | undefined>;
   close(): Promise<void>;
--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -115,6 +115,11 @@
         clock: options.clock,
         logger: options.logger,
       });
+    // The others hold an election once the connections to the leader are closed;
+    // the requests in progress, which `close` waits for, must not delay that.
+    void this.#log.stopped.then((fault) => {
+      if (fault) this.#network.close();
+    });
     this.#timers = [
       setInterval(() => this.#tick(), CONTROL_TICK_MS),
       setInterval(() => this.registrar.tick(), TICK_INTERVAL_MS),
@@ -145,6 +150,7 @@
         logger.info("peer lost", { peer: id, role });
         publisher.handleDisconnect(id);
         if (role === "entry") registrar.handleEntryDisconnected(id);
+        else log?.handleDisconnect(id);
       },
     });
     const registrar = new ServerRegistrar({
--- a/packages/storage/full_leader_test.ts
+++ b/packages/storage/full_leader_test.ts
@@ -43,3 +43,39 @@
     assert.equal(late.length, 0, describeTimes(took));
   });
 }
+
+// Failure: the others wait for an election timeout although the connections to
+// the leader are closed, as when its process has ended.
+test("a leader that ends is replaced within half a second", () => {
+  for (let seed = 1; seed <= 100; seed++) {
+    const size = 3 + (seed % 5);
+    const s = new Simulation({ seed, size, isFormed: true });
+    s.run(4_000);
+    const former = s.leader();
+    assert.ok(former);
+    s.crash(former);
+    assert.ok(
+      s.runUntil(() => s.leader(), 500),
+      `seed ${seed}: ${s.describeHosts()}`,
+    );
+  }
+});
+
+// Failure: a host that loses connections to a working leader makes it step down.
+test("lost connections to a working leader change no term", () => {
+  for (let seed = 1; seed <= 50; seed++) {
+    const s = new Simulation({ seed, size: 4, isFormed: true });
+    s.run(4_000);
+    const leader = s.leader();
+    assert.ok(leader);
+    const { term } = leader.core?.status(s.now) ?? {};
+    for (let round = 0; round < 20; round++) {
+      const [first, second] = s.hosts.filter((host) => host !== leader);
+      first?.core?.handleDisconnect(leader.id, s.now);
+      if (round % 2) second?.core?.handleDisconnect(leader.id, s.now);
+      s.run(250);
+    }
+    assert.equal(s.leader(), leader);
+    assert.equal(leader.core?.status(s.now).term, term);
+  }
+});
--- a/packages/storage/replicated_log.ts
+++ b/packages/storage/replicated_log.ts
@@ -159,6 +159,11 @@
     return this.#core.status(this.#now());
   }
 
+  handleDisconnect(host: HostId): void {
+    if (this.#isStopped) return;
+    this.#core.handleDisconnect(host, this.#now());
+  }
+
   async close(): Promise<void> {
     this.#stop(undefined);
     await this.#options.storage.close();
--- a/packages/storage/test_history.ts
+++ b/packages/storage/test_history.ts
@@ -11,7 +11,8 @@
   /** The request id applied at each index; null for entries without one. */
   readonly #appliedIds: (string | null)[] = [null];
   readonly #indexOf = new Map<string, number>();
-  readonly #leaderOfTerm = new Map<number, string>();
+  /** By cluster and term; a new cluster begins with the first term again. */
+  readonly #leaderOfTerm = new Map<string, string>();
   readonly #submitterOf = new Map<string, string>();
   /** The highest acknowledged index when each read was started. */
   readonly #readMinimums = new Map<string, number>();
@@ -119,8 +120,9 @@
 
   #checkElected(host: SimulatedHost, term: number): void {
     const leader = `${host.id}#${host.incarnation}`;
-    const other = this.#leaderOfTerm.get(term) ?? leader;
+    const key = `${host.disk.state().founding?.cluster} ${term}`;
+    const other = this.#leaderOfTerm.get(key) ?? leader;
     assert.equal(other, leader, `two leaders in term ${term}`);
-    this.#leaderOfTerm.set(term, leader);
+    this.#leaderOfTerm.set(key, leader);
   }
 }
--- a/packages/storage/test_simulation.ts
+++ b/packages/storage/test_simulation.ts
@@ -194,8 +194,7 @@
    * Stops the host; it loses its memory and a random part of unsynced writes.
    */
   crash(host: SimulatedHost): void {
-    host.core = undefined;
-    host.incarnation++;
+    this.#stop(host);
     host.disk.crash(this.random.below(host.disk.stagedWrites + 1));
   }
 
@@ -365,12 +364,29 @@
   #failWrite(host: SimulatedHost): void {
     const { stagedWrites } = host.disk;
     const isTruncated = this.random.below(4) > 0;
-    host.core = undefined;
-    host.incarnation++;
+    this.#stop(host);
     host.disk.crash(isTruncated ? 0 : this.random.below(stagedWrites + 1));
     this.#reopen(host);
   }
 
+  /** Ends the core; the other hosts see its connections close. */
+  #stop(host: SimulatedHost): void {
+    const wasRunning = host.core !== undefined;
+    host.core = undefined;
+    host.incarnation++;
+    if (!wasRunning) return;
+    for (const other of this.hosts) {
+      if (other === host || this.blocked.has(`${host.id}>${other.id}`))
+        continue;
+      const { incarnation } = other;
+      this.at(this.faultRates.delay, () =>
+        this.#handleInput(other, incarnation, () =>
+          other.core?.handleDisconnect(host.id, this.now),
+        ),
+      );
+    }
+  }
+
   #reopen(host: SimulatedHost): void {
     const { incarnation } = host;
     this.at(REOPEN_DELAY_MS, () => {
