Ask for pre-votes again after 0.3 to 0.6 s

Changes stayed unanswered for up to 2 s longer than no majority was there: a voter whose pre-vote was not granted waited a whole election timeout of 1 to 2 s before the next one, although the host that it lacked, closed by a full disk, was open again after 0.5 s.

A pre-vote changes no term and is refused by all who hear from a leader, so asking more often disturbs nothing; votes keep the wait of 1 to 2 s.

--- a/packages/agreement/election.ts
+++ b/packages/agreement/election.ts
@@ -18,6 +18,12 @@
 const LOST_LEADER_DELAY_MS = 50;
 const LOST_LEADER_STEP_MS = 150;
 
+/**
+ * Shortest wait before the next pre-vote, in election timeouts. Pre-votes change
+ * no term, so a majority that has come back need not wait a whole timeout.
+ */
+const PRE_VOTE_RETRY_FACTOR = 0.3;
+
 /** An election in which this member is the candidate. */
 interface Candidacy {
   readonly type: "pre_vote" | "vote";
@@ -144,6 +150,10 @@
     const candidateTerm = state.term + 1;
     if (type === "vote") state.persistVote(candidateTerm, state.self);
     this.resetTimeout(now);
+    if (type === "pre_vote") {
+      const factor = PRE_VOTE_RETRY_FACTOR * (1 + state.randomness.next());
+      this.#timeoutAt = now + ELECTION_TIMEOUT_MS * factor;
+    }
     const granted = new Set([state.self]);
     this.#candidacy = { type, term: candidateTerm, granted };
     const { lastIndex, lastTerm } = state.log;
