Count the pre-votes of voters with an older term

Control had no leader for 1 to 3 s although a majority was connected and had room, and could stay without one for good.

Cause: a pre-vote raises no term, so a voter that was away while the term rose (closed by a full disk, restarted, cut off) answers it with its older term. The candidate dropped such answers as stale. The voter learns the newer term only from the answers to a pre-vote of its own, after its timeout. A voter that was promoted last and does not know it yet asks for none: if the leader is lost then for good and one vote request of the only other candidate is lost too, its term stays older and no election ever succeeds.

A reply counts for the candidacy of its candidate term; the term of its header says nothing about the pre-vote. Votes are counted as before.

Evidence: "the pre-vote of a voter with an older term counts" failed before (no vote request) and passes now.

--- a/packages/agreement/consensus_core.ts
+++ b/packages/agreement/consensus_core.ts
@@ -261,6 +261,9 @@
         this.#election.handleVoteRequest(message.payload, now);
         return;
       case "agreement.pre_vote_reply":
+        // A voter that was away has an older term, which no pre-vote raises.
+        this.#election.handleVoteReply(message, now);
+        return;
       case "agreement.vote_reply":
         if (!isStale) this.#election.handleVoteReply(message, now);
         return;
--- a/packages/agreement/consensus_core_test.ts
+++ b/packages/agreement/consensus_core_test.ts
@@ -240,3 +240,18 @@
   const matchingReply = { ...reply, round: Number(round) };
   assert.ok(isRead(member.receive("agreement.append_reply", matchingReply)));
 });
+
+// Failure: no leader is elected, although a majority is connected, while one of
+// its voters was away when the term rose; it stays for good if that voter does
+// not know yet that it votes, and so asks for no pre-votes itself.
+test("the pre-vote of a voter with an older term counts", () => {
+  const member = new Member({ term: 3 });
+  member.now += 2_000;
+  member.core.tick(member.now);
+  const effects = member.receive("agreement.pre_vote_reply", {
+    candidateTerm: 4,
+    granted: true,
+    term: 1,
+  });
+  assert.ok(sentPayload(effects, "agreement.vote"));
+});
