Keep control closed until its disk takes writes

A control host whose disk was full was opened again each 0.5 s and closed by its next write: entries and operators were connected and broken off each second, and a host with room for votes but not for entries was elected again and again.

After 0.5 s control now tries each 0.1 s whether the disk takes a file of 64 KiB, or as much as a write that has failed, and is opened once it does: it stays out of elections meanwhile and is back within 0.1 s of the room. Nothing is read again until then. The endpoint of metrics belongs to the process now, so that mangobank_disk_writable shows while control is closed, and a reload of the settings no longer reaches a process that was closed. A voter that can't write for 15 s is now silent for so long and may be removed and admitted again; replaced_voters_test has disks that are full for so long.

--- a/packages/control/control_runs.ts
+++ b/packages/control/control_runs.ts
@@ -6,6 +6,8 @@
 
 /** Wait before the storage is opened again after a failed write. */
 const REOPEN_DELAY_MS = 500;
+/** How often it is tried then whether the disk takes writes again. */
+const PROBE_INTERVAL_MS = 100;
 
 /** A running control process and everything that is closed with it. */
 export interface ControlRun {
@@ -22,11 +24,15 @@
 /**
  * Runs control until it is told to stop, and restarts it after a failed write,
  * for example on a full disk: the state in memory cannot be relied on, so the
- * data folder is read again, as after a restart of the process. This is
- * repeated until the disk accepts writes. Any other fault ends the loop.
+ * data folder is read again, as after a restart of the process. Control stays
+ * closed until the disk takes writes: a member that can be elected but cannot
+ * write its entries would keep the others from a leader that can. Any other fault
+ * ends the loop.
  */
 export async function runControl(options: {
   open: () => Promise<Result<ControlRun, ControlFault>>;
+  /** Tries whether the disk takes writes. */
+  takesWrites: () => Promise<boolean>;
   stopRequested: Promise<void>;
   logger: Logger;
 }): Promise<ControlRunResult> {
@@ -46,9 +52,12 @@
       return { type: "failed", fault: fault ?? closedWithoutFault };
     }
     logger.warn("control opens its storage again", { fault });
-    if ((await Promise.race([stopSignal, delay(REOPEN_DELAY_MS)])) === "told") {
-      return { type: "told" };
-    }
+    let waitMs = REOPEN_DELAY_MS;
+    do {
+      const waited = await Promise.race([stopSignal, delay(waitMs)]);
+      if (waited === "told") return { type: "told" };
+      waitMs = PROBE_INTERVAL_MS;
+    } while (!(await options.takesWrites()));
   }
 }
 
--- a/packages/control/control_runs_test.ts
+++ b/packages/control/control_runs_test.ts
@@ -39,6 +39,7 @@
       requestStop();
       return ok(controlRun(new Promise(() => undefined)));
     },
+    takesWrites: async () => true,
     stopRequested,
     logger,
   });
@@ -49,8 +50,35 @@
 test("control ends with the fault of a damaged data folder", async () => {
   const end = await runControl({
     open: async () => err(DAMAGED_FOLDER),
+    takesWrites: async () => true,
     stopRequested: new Promise(() => undefined),
     logger,
   });
   assert.deepEqual(end, { type: "failed", fault: DAMAGED_FOLDER });
 });
+
+// Failure: a member whose disk takes votes but no entries is opened again and
+// elected, each time in place of one that can write.
+test("control stays closed until the disk takes writes", async () => {
+  let opened = 0;
+  let probes = 0;
+  let requestStop: () => void = () => undefined;
+  const stopRequested = new Promise<void>((resolve) => {
+    requestStop = resolve;
+  });
+  const end = await runControl({
+    open: async () => {
+      opened += 1;
+      if (opened === 1) return ok(controlRun(Promise.resolve(DISK_FULL)));
+      requestStop();
+      return ok(controlRun(new Promise(() => undefined)));
+    },
+    takesWrites: async () => {
+      assert.equal(opened, 1);
+      return ++probes === 4;
+    },
+    stopRequested,
+    logger,
+  });
+  assert.deepEqual([opened, probes, end.type], [2, 4, "told"]);
+});
--- a/packages/control/health.ts
+++ b/packages/control/health.ts
@@ -21,6 +21,14 @@
   });
 }
 
+/** The metrics of a control role that is closed until its disk has room. */
+export function closedControlMetrics(disk: DiskMonitor): ControlMetrics {
+  return new ControlMetrics({
+    diskWritable: () => disk.isWritable,
+    failedWrites: () => disk.failedWrites,
+  });
+}
+
 type RequestHandler = (
   request: IncomingMessage,
   response: ServerResponse,
@@ -29,17 +37,21 @@
 /**
  * Serves `/metrics`, `/healthz` and `/readyz`, and passes all other requests to
  * the operator API. A control host is ready while a majority confirms its
- * state.
+ * state, and never while it is closed, without a process.
  */
 export function withHealthEndpoints(
   operators: RequestHandler,
-  options: { control: ControlProcess; metrics: ControlMetrics },
+  options: { control: ControlProcess | undefined; metrics: ControlMetrics },
 ): RequestHandler {
   const { control, metrics } = options;
   const paths: Readonly<Record<string, (response: ServerResponse) => unknown>> =
     {
       "/healthz": (response) => reply(response, 200, { status: "ok" }),
       "/readyz": async (response) => {
+        if (!control) {
+          reply(response, 503, { ready: false });
+          return;
+        }
         const ready = (await control.confirmRead()).isOk();
         const { role, term, applied } = control.status();
         reply(response, ready ? 200 : 503, { ready, role, term, applied });
--- a/packages/control/index.ts
+++ b/packages/control/index.ts
@@ -8,6 +8,10 @@
 export * from "./control_process.ts";
 export * from "./control_requests.ts";
 export * from "./control_runs.ts";
-export { controlMetrics, withHealthEndpoints } from "./health.ts";
+export {
+  closedControlMetrics,
+  controlMetrics,
+  withHealthEndpoints,
+} from "./health.ts";
 export { LeaderDuties } from "./leader_duties.ts";
 export { ConfigurationPublisher } from "./publisher.ts";
--- a/packages/control/replaced_voters_test.ts
+++ b/packages/control/replaced_voters_test.ts
@@ -99,7 +99,7 @@
   }
 
   /** Removes a host for good, and starts another one with an empty disk. */
-  replace(host: SimulatedHost): void {
+  replace(host: SimulatedHost, afterMs: number): void {
     if (!this.#mayLose(host)) return;
     this.s.crash(host);
     host.isRemoved = true;
@@ -107,7 +107,7 @@
       const added = this.s.addHost(`n${++this.#added}`);
       new SimulatedManager(this.s, added);
     };
-    this.s.at(this.s.random.below(1_000), add);
+    this.s.at(Math.min(afterMs, this.s.random.below(1_000)), add);
   }
 
   loseDisk(host: SimulatedHost, afterMs: number): void {
@@ -143,8 +143,8 @@
 ) => void;
 
 const FAULTS: readonly Action[] = [
-  (r, host) => r.replace(host),
-  (r, host) => r.replace(r.s.leader() ?? host),
+  (r, host, ms) => r.replace(host, ms),
+  (r, host, ms) => r.replace(r.s.leader() ?? host, ms),
   (r, host, ms) => r.loseDisk(host, ms),
   (r, host) => r.s.partition([host.id]),
   (r, host) => r.s.partition([host.id], true),
@@ -155,6 +155,8 @@
   (r, host, ms) => r.s.fillDisk(host, "none", ms),
   (r, host, ms) => r.s.fillDisk(host, "small", ms),
   (r, host, ms) => r.s.fillDisk(r.s.leader() ?? host, "none", ms),
+  // Long enough for the host to be removed as a silent voter.
+  (r, host) => r.s.fillDisk(host, "none", FAULT_PHASE_MS - r.s.now),
   (r, _host, ms) => {
     const newest = r.s.hosts.at(-1);
     if (newest) r.s.fillDisk(newest, "closed", ms);
--- a/packages/storage/disk_monitor.ts
+++ b/packages/storage/disk_monitor.ts
@@ -6,6 +6,12 @@
 import { segmentSequences } from "./segments.ts";
 import { isSnapshotName } from "./snapshot_files.ts";
 
+/**
+ * Least room with which control is opened again: for some hundred changes, so that
+ * it is not closed by one of the next.
+ */
+const MIN_ROOM_BYTES = 64 * 1024;
+
 /** What a file of the data folder holds, for logs. */
 export type FileKind = "identity" | "log" | "snapshot" | "folder";
 
@@ -27,6 +33,7 @@
   readonly #logger: Logger;
   readonly #failedWrites = new Map<string, number>();
   #failedSince: number | undefined;
+  #requiredBytes = MIN_ROOM_BYTES;
 
   constructor(options: { clock: Clock; logger: Logger }) {
     this.#clock = options.clock;
@@ -38,6 +45,11 @@
     return this.#failedSince === undefined;
   }
 
+  /** Room that the disk must have: no less than for a write that failed. */
+  get requiredBytes(): number {
+    return this.#requiredBytes;
+  }
+
   /** Numbers of failed writes since the start, by error code. */
   get failedWrites(): ReadonlyMap<string, number> {
     return this.#failedWrites;
@@ -47,6 +59,7 @@
   recordFailure({ operation, path, bytes, cause }: FailedWrite): void {
     const code = errorCode(cause);
     this.#failedWrites.set(code, (this.#failedWrites.get(code) ?? 0) + 1);
+    this.#requiredBytes = Math.max(this.#requiredBytes, bytes);
     if (this.#failedSince !== undefined) return;
     this.#failedSince = this.#clock.now();
     const file = fileKind(path);
@@ -59,6 +72,7 @@
     if (this.#failedSince === undefined) return;
     const forMs = Math.round(this.#clock.now() - this.#failedSince);
     this.#failedSince = undefined;
+    this.#requiredBytes = MIN_ROOM_BYTES;
     this.#logger.info("disk takes writes again", { forMs });
   }
 }
--- a/packages/storage/index.ts
+++ b/packages/storage/index.ts
@@ -11,3 +11,4 @@
 export * from "./memory_storage.ts";
 export * from "./monitored_file_system.ts";
 export * from "./replicated_log.ts";
+export { hasRoom } from "./room.ts";
--- a/packages/storage/test_simulation.ts
+++ b/packages/storage/test_simulation.ts
@@ -13,6 +13,7 @@
 const TICK_MS = 100;
 /** As `runControl` does after a failed write or a failed start. */
 const REOPEN_DELAY_MS = 500;
+const PROBE_INTERVAL_MS = 100;
 const LIMITS = {
   snapshotEveryEntries: 20,
   keptEntries: 4,
@@ -169,7 +170,7 @@
   start(host: SimulatedHost): void {
     if (host.core || host.isRemoved) return;
     if (host.room === "closed") {
-      this.#reopen(host);
+      this.#reopen(host, REOPEN_DELAY_MS);
       return;
     }
     host.incarnation++;
@@ -366,7 +367,7 @@
     const isTruncated = this.random.below(4) > 0;
     this.#stop(host);
     host.disk.crash(isTruncated ? 0 : this.random.below(stagedWrites + 1));
-    this.#reopen(host);
+    this.#reopen(host, REOPEN_DELAY_MS);
   }
 
   /** Ends the core; the other hosts see its connections close. */
@@ -387,10 +388,13 @@
     }
   }
 
-  #reopen(host: SimulatedHost): void {
+  /** Starts a host after a time, and once its disk has room. */
+  #reopen(host: SimulatedHost, afterMs: number): void {
     const { incarnation } = host;
-    this.at(REOPEN_DELAY_MS, () => {
-      if (host.incarnation === incarnation) this.start(host);
+    this.at(afterMs, () => {
+      if (host.incarnation !== incarnation) return;
+      if (host.room === "all") this.start(host);
+      else this.#reopen(host, PROBE_INTERVAL_MS);
     });
   }
 
--- a/packages/telemetry/control_metrics.ts
+++ b/packages/telemetry/control_metrics.ts
@@ -2,8 +2,16 @@
 import { type PeerTraffic, registerPeerTraffic } from "./peer_traffic.ts";
 import { registerProcessMetrics } from "./process_metrics.ts";
 
+/** Functions that read the state of the disk at each scrape. */
+export interface DiskMetricsSources {
+  /** Whether the disk took the last write. */
+  readonly diskWritable: () => boolean;
+  /** Numbers of failed writes, by error code. */
+  readonly failedWrites: () => ReadonlyMap<string, number>;
+}
+
 /** Functions that read the current values of a control host at each scrape. */
-export interface ControlMetricsSources {
+export interface ControlMetricsSources extends DiskMetricsSources {
   readonly configurationVersion: () => number;
   readonly appliedIndex: () => number;
   readonly term: () => number;
@@ -11,18 +19,36 @@
   /** Number of entries that any control host heard from within their lease. */
   readonly liveEntries: () => number;
   readonly peerTraffic: () => PeerTraffic;
-  /** Whether the disk took the last write. */
-  readonly diskWritable: () => boolean;
-  /** Numbers of failed writes, by error code. */
-  readonly failedWrites: () => ReadonlyMap<string, number>;
 }
 
-/** Prometheus metrics of a control process, in their own registry. */
+/**
+ * Prometheus metrics of a control process, in their own registry. While control
+ * is closed, only those of the disk and of the process have sources.
+ */
 export class ControlMetrics {
   readonly #registry = new Registry();
 
-  constructor(sources: ControlMetricsSources) {
+  constructor(sources: ControlMetricsSources | DiskMetricsSources) {
     registerProcessMetrics(this.#registry);
+    this.#registerGauge("mangobank_disk_writable", {
+      help: "1 if the disk took the last write",
+      value: () => (sources.diskWritable() ? 1 : 0),
+    });
+    this.#registerFailedWrites(sources.failedWrites);
+    if ("term" in sources) this.#registerControl(sources);
+  }
+
+  /** Content type of the result of `text`. */
+  get contentType(): string {
+    return this.#registry.contentType;
+  }
+
+  /** Renders all metrics in the Prometheus text format. */
+  text(): Promise<string> {
+    return this.#registry.metrics();
+  }
+
+  #registerControl(sources: ControlMetricsSources): void {
     this.#registerGauge("mangobank_configuration_version", {
       help: "Configuration version applied here",
       value: sources.configurationVersion,
@@ -43,24 +69,9 @@
       help: "Entries heard from within their lease",
       value: sources.liveEntries,
     });
-    this.#registerGauge("mangobank_disk_writable", {
-      help: "1 if the disk took the last write",
-      value: () => (sources.diskWritable() ? 1 : 0),
-    });
-    this.#registerFailedWrites(sources.failedWrites);
     registerPeerTraffic(this.#registry, sources.peerTraffic);
   }
 
-  /** Content type of the result of `text`. */
-  get contentType(): string {
-    return this.#registry.contentType;
-  }
-
-  /** Renders all metrics in the Prometheus text format. */
-  text(): Promise<string> {
-    return this.#registry.metrics();
-  }
-
   #registerFailedWrites(numbers: () => ReadonlyMap<string, number>): void {
     new Counter({
       name: "mangobank_disk_failed_writes_total",
