Show that a failed sync can cost a control host its data folder

A sync that fails may have lost the written bytes, while reads still return them and a later sync succeeds. MemoryFileSystem simulates this now; the test fails: after a power cut the folder is refused as corrupt.

--- a/packages/storage/file_storage_test.ts
+++ b/packages/storage/file_storage_test.ts
@@ -256,6 +256,27 @@
   }
 });
 
+// Failure: a seal that a failed sync has lost is kept, so that after a power cut
+// the entries behind it count as damaged.
+test("what a failed sync has lost is written again", async () => {
+  const fileSystem = await fillFolder({ entries: 3 });
+  fileSystem.losesFailedSyncs = true;
+  const storage = open(fileSystem);
+  await storage.load();
+  assert.ok((await storage.write([entries(4)])).isOk());
+  fileSystem.failureRule = failOn("sync", "EIO");
+  assert.ok((await storage.write([entries(5)])).isErr());
+  fileSystem.failureRule = () => undefined;
+  await storage.close();
+  const reopened = open(fileSystem);
+  const state = (await reopened.load())._unsafeUnwrap();
+  assert.deepEqual(entryIndices(state), [1, 2, 3, 4]);
+  assert.ok((await reopened.write([entries(5)])).isOk());
+  await reopened.close();
+  fileSystem.crash(new SeededRandomness(1));
+  assert.deepEqual(entryIndices(await load(fileSystem)), [1, 2, 3, 4, 5]);
+});
+
 // Failure: a migration runs twice, or not again after it was interrupted.
 test("migrations run in order, once, and again after a crash", async () => {
   const fileSystem = await fillFolder({ entries: 1 });
--- a/packages/storage/test_file_system.ts
+++ b/packages/storage/test_file_system.ts
@@ -8,6 +8,9 @@
 interface MemoryFile {
   data: Buffer;
   syncedLength: number;
+  /** From here on a failed sync lost bytes, which reads still return. */
+  lostFrom?: number;
+  lostTo?: number;
 }
 
 /** Returns the error code with which an operation fails, if it does. */
@@ -38,6 +41,11 @@
   failureRule: FailureRule = () => undefined;
   /** Bytes that all files together may have; a write above it is cut short. */
   capacity = Number.POSITIVE_INFINITY;
+  /**
+   * Whether the bytes of a failed sync never reach the disk, although the cache
+   * returns them and a later sync succeeds.
+   */
+  losesFailedSyncs = false;
   #files = new Map<string, MemoryFile>();
   /** The files by the names that they keep after a crash. */
   #durableNames = new Map<string, MemoryFile>();
@@ -66,7 +74,7 @@
 
   async openForAppend(path: string): Promise<AppendFile> {
     this.#check("openForAppend", path);
-    const empty = { data: Buffer.alloc(0), syncedLength: 0 };
+    const empty: MemoryFile = { data: Buffer.alloc(0), syncedLength: 0 };
     const file = this.#files.get(path) ?? empty;
     this.#files.set(path, file);
     return {
@@ -81,6 +89,10 @@
         if (code) throw failure(code);
       },
       sync: async () => {
+        if (this.failureRule("sync", path) && this.losesFailedSyncs) {
+          file.lostFrom ??= file.syncedLength;
+          file.lostTo = file.data.length;
+        }
         this.#check("sync", path);
         file.syncedLength = file.data.length;
       },
@@ -93,6 +105,7 @@
     const file = this.#file(path);
     file.data = file.data.subarray(0, length);
     file.syncedLength = Math.min(file.syncedLength, length);
+    file.lostTo = Math.min(file.lostTo ?? 0, length);
   }
 
   async rename(from: string, to: string): Promise<void> {
@@ -121,6 +134,8 @@
       const unsynced = file.data.length - file.syncedLength;
       const kept = file.syncedLength + random.below(unsynced + 1);
       file.data = Buffer.from(file.data.subarray(0, kept));
+      const lostTo = Math.min(file.lostTo ?? 0, kept);
+      file.data.fill(0, file.lostFrom ?? kept, lostTo);
       file.syncedLength = kept;
     }
     this.failureRule = () => undefined;
