Truncate the seal before a batch whose sync failed

A control host whose disk had failed a sync once refused its data folder as corrupt after a later power cut ("record is damaged"), and lost its vote and its copy of the log.

Cause: the seal after a batch is not synced itself. When the sync of the next batch failed, that batch was truncated and the seal kept: reads returned it, later syncs succeeded, and the disk never held it. After the power cut it read as damage before synced records.

The tail is now truncated to what a sync has confirmed, the seal included; the start that follows writes another one.

Evidence: "what a failed sync has lost is written again" failed before and passes now, with the other tests of storage.

--- a/packages/storage/file_storage.ts
+++ b/packages/storage/file_storage.ts
@@ -70,8 +70,8 @@
   #segmentFile: AppendFile | undefined;
   /** Length of the last segment in bytes, including its newest seal. */
   #segmentLength = 0;
-  /** The same, but without a seal whose write has not completed. */
-  #writtenLength = 0;
+  /** The same, but without the newest seal, which is not synced. */
+  #syncedLength = 0;
   #pendingSeal: Promise<void> = Promise.resolve();
   #pendingWrite: Promise<unknown> = Promise.resolve();
   #fault: StorageFault | undefined;
@@ -227,19 +227,14 @@
    * write.
    */
   #startSeal(): void {
-    this.#writtenLength = this.#segmentLength;
+    this.#syncedLength = this.#segmentLength;
     const seal = encodeSeal(this.#segmentLength, false);
     this.#segmentLength += seal.length;
-    this.#pendingSeal = this.#writeSeal(seal);
+    this.#pendingSeal = Promise.resolve(this.#segmentFile?.write(seal));
     // The next write awaits this promise and reports the failure.
     this.#pendingSeal.catch(() => undefined);
   }
 
-  async #writeSeal(seal: Uint8Array): Promise<void> {
-    await this.#segmentFile?.write(seal);
-    this.#writtenLength = this.#segmentLength;
-  }
-
   async #createSegment(
     sequence: number,
     checkpoint: Checkpoint,
@@ -261,7 +256,7 @@
     await this.#segmentFile?.close();
     this.#segments.push({ sequence, maxIndex: 0 });
     this.#segmentLength = length;
-    this.#writtenLength = length;
+    this.#syncedLength = length;
     this.#segmentFile = await this.#fileSystem.openForAppend(this.#segmentPath);
   }
 
@@ -286,14 +281,15 @@
 
   /**
    * Records a fault, after which all writes are refused. If possible, the
-   * unsynced tail is truncated: after a failed sync, the operating system may
-   * return data from its cache that the disk does not hold.
+   * unsynced tail is truncated, the seal before the batch included: after a
+   * failed sync, the operating system may return data from its cache that the
+   * disk does not hold, and a lost seal would count as damage later.
    */
   async #fail(cause: unknown, operation: string): Promise<StorageFault> {
     this.#fault ??= toStorageFault(cause, operation);
     if (operation === "write" && this.#segments.length > 0) {
       await this.#fileSystem
-        .truncate(this.#segmentPath, this.#writtenLength)
+        .truncate(this.#segmentPath, this.#syncedLength)
         .catch(() => undefined);
     }
     await this.#segmentFile?.close().catch(() => undefined);
