Let one of two candidates of a term try again sooner

A candidate that is asked for its vote in its own term now asks for pre-votes again after 0.3 to 0.6 s if its key is the lower one, and after 1 to 2 s, as before, if not. So they do not meet again. Terms and votes are as before.

--- a/packages/agreement/election.ts
+++ b/packages/agreement/election.ts
@@ -22,7 +22,7 @@
  * Shortest wait before the next pre-vote, in election timeouts. Pre-votes change
  * no term, so a majority that has come back need not wait a whole timeout.
  */
-const PRE_VOTE_RETRY_FACTOR = 0.3;
+const RETRY_FACTOR = 0.3;
 
 /** An election in which this member is the candidate. */
 interface Candidacy {
@@ -125,6 +125,7 @@
       this.#isUpToDate(request);
     if (granted && vote === undefined) this.#state.persistVote(term, from);
     if (granted) this.resetTimeout(now);
+    else if (this.#isFirstOfTwoCandidates(request)) this.#retrySoon(now);
     const reply = { candidateTerm, granted };
     this.#state.send(from, "agreement.vote_reply", reply);
   }
@@ -145,15 +146,17 @@
     this.#countVotes(now);
   }
 
+  #retrySoon(now: number): void {
+    const factor = RETRY_FACTOR * (1 + this.#state.randomness.next());
+    this.#timeoutAt = now + ELECTION_TIMEOUT_MS * factor;
+  }
+
   #startRound(type: Candidacy["type"], now: number): void {
     const state = this.#state;
     const candidateTerm = state.term + 1;
     if (type === "vote") state.persistVote(candidateTerm, state.self);
     this.resetTimeout(now);
-    if (type === "pre_vote") {
-      const factor = PRE_VOTE_RETRY_FACTOR * (1 + state.randomness.next());
-      this.#timeoutAt = now + ELECTION_TIMEOUT_MS * factor;
-    }
+    if (type === "pre_vote") this.#retrySoon(now);
     const granted = new Set([state.self]);
     this.#candidacy = { type, term: candidateTerm, granted };
     const { lastIndex, lastTerm } = state.log;
@@ -182,6 +185,17 @@
     this.#isWon = true;
   }
 
+  /**
+   * Whether this member and another one are candidates of the same term, which
+   * splits the votes. The one with the lower key tries again before the other,
+   * so that they do not meet again.
+   */
+  #isFirstOfTwoCandidates({ from, candidateTerm }: VoteRequest): boolean {
+    const { self, term } = this.#state;
+    const isCandidate = this.#candidacy?.type === "vote";
+    return isCandidate && candidateTerm === term && self < from;
+  }
+
   /** Whether the candidate's log is at least as recent as this member's. */
   #isUpToDate({ lastIndex, lastTerm }: VoteRequest): boolean {
     const { log } = this.#state;
