Count a host as lost as soon as its connections are closed

Four voters of which two are lost elect no leader and can't go back to three.

The leader now judges a member whose last connection was closed as not live until it replies again, so such a promotion is refused with quorum_at_risk. When it steps down for lack of a majority is decided by replies alone, as before.

Evidence: "a learner whose connections are closed is not promoted" failed before (the promotion is never settled).

--- a/packages/agreement/consensus_core.ts
+++ b/packages/agreement/consensus_core.ts
@@ -134,6 +134,7 @@
 
   /** Reports that the last connection to a host was closed by either side. */
   handleDisconnect(host: HostId, now: number): void {
+    this.#leadership?.handleDisconnect(host);
     const { leader, vote, self } = this.#state;
     // A candidate that has won may have stopped before its first message.
     const lost = leader ?? vote;
--- a/packages/agreement/leadership.ts
+++ b/packages/agreement/leadership.ts
@@ -6,7 +6,7 @@
   MAX_BATCH_BYTES,
   type MemberState,
 } from "./member_state.ts";
-import { type MemberKey, majorityOf, planChange } from "./members.ts";
+import { hostOf, type MemberKey, majorityOf, planChange } from "./members.ts";
 import type {
   AppendEntriesReply,
   ProposalBody,
@@ -110,6 +110,13 @@
     }
   }
 
+  /** Notes that the last connection to a host was closed. */
+  handleDisconnect(host: HostId): void {
+    for (const [member, peer] of this.#peers) {
+      if (hostOf(member) === host) peer.isDisconnected = true;
+    }
+  }
+
   handleChunkReply(reply: SnapshotChunkReply, now: number): void {
     const peer = this.#peers.get(reply.from);
     if (!peer) return;
@@ -174,8 +181,9 @@
 
   #isLive(member: MemberKey, now: number): boolean {
     if (member === this.#state.self) return true;
-    const repliedAt = this.#peers.get(member)?.repliedAt;
-    return repliedAt !== undefined && now - repliedAt < ELECTION_TIMEOUT_MS;
+    const peer = this.#peers.get(member);
+    if (peer?.repliedAt === undefined || peer.isDisconnected) return false;
+    return now - peer.repliedAt < ELECTION_TIMEOUT_MS;
   }
 
   #updatePeers(now: number): void {
--- a/packages/agreement/peer_progress.ts
+++ b/packages/agreement/peer_progress.ts
@@ -31,6 +31,8 @@
   sentRound = 0;
   /** When the peer last replied, in milliseconds of the core's clock. */
   repliedAt: number | undefined;
+  /** The last connection to it was closed, and it has not replied since. */
+  isDisconnected = false;
   transfer: SnapshotTransfer | undefined;
   /** The last index at which both logs agree is not known yet. */
   #isProbing = true;
@@ -51,6 +53,7 @@
   recordReply(round: number, now: number): void {
     this.repliedRound = Math.max(this.repliedRound, round);
     this.repliedAt = now;
+    this.isDisconnected = false;
   }
 
   recordSent(entries: number, round: number): void {
--- a/packages/storage/members_test.ts
+++ b/packages/storage/members_test.ts
@@ -335,3 +335,24 @@
   const isAnnounced = () => statusOf(s, leader).announced.includes(member);
   assert.ok(s.runUntil(isAnnounced, 3_000));
 });
+
+// Failure: a learner that was lost a moment ago is made a voter while another
+// voter is lost, which leaves no majority for good.
+test("a learner whose connections are closed is not promoted", () => {
+  const s = formCluster(3);
+  const leader = leaderOf(s);
+  const added = s.addHost("d");
+  s.run(1_000);
+  const add = { type: "add", host: added.id } as const;
+  assert.equal(changeAndSettle(s, leader, add), undefined);
+  const [lost] = othersOf(s, leader);
+  assert.ok(lost);
+  s.crash(lost);
+  s.run(2_000);
+  const member = s.memberKeyOf(added);
+  s.crash(added);
+  s.run(20);
+  const fault = changeAndSettle(s, leader, { type: "promote", member });
+  assert.equal(fault?.type, "quorum_at_risk");
+  assert.equal(submitAndSettle(s, leader), undefined);
+});
