--- a/packages/control/replaced_voters_test.ts
+++ b/packages/control/replaced_voters_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { hostOf, type MemberChange } from "#agreement";
+import { hostOf, type MemberChange, type Membership } from "#agreement";
 import { describeTimes, timeOfChange } from "../storage/test_operator.ts";
 import {
   NO_FAULTS,
@@ -121,10 +121,13 @@
     const { s } = this;
     const statuses = s.hosts.flatMap(({ core }) => core?.status(s.now) ?? []);
     const formed = statuses.filter(({ phase }) => phase === "formed");
+    // A host that is closed may have one that no other host has yet.
+    const stored = this.running.flatMap(({ disk }) => storedMembership(disk));
+    const memberships = formed.map(({ membership }) => membership);
     const lost = s.memberKeyOf(host);
     return (
       formed.length > 0 &&
-      formed.every(({ membership: { voters } }) => {
+      [...memberships, ...stored].every(({ voters }) => {
         const kept = voters.filter((member) => {
           const id = hostOf(member);
           const isGone = s.host(id)?.isRemoved || s.isDataLost(member);
@@ -136,6 +139,15 @@
   }
 }
 
+/** The newest membership on a disk, if it has one. */
+function storedMembership(disk: SimulatedHost["disk"]): Membership[] {
+  const { entries, snapshot, founding } = disk.state();
+  const newest = entries.findLast(({ membership }) => membership)?.membership;
+  if (newest) return [newest];
+  if (snapshot) return [snapshot.membership];
+  return founding?.formed ? [{ voters: founding.members, learners: [] }] : [];
+}
+
 type Action = (
   r: ReplacementSimulation,
   host: SimulatedHost,
