--- a/packages/storage/file_storage_test.ts
+++ b/packages/storage/file_storage_test.ts
@@ -236,6 +236,47 @@
   });
 }
 
+// Failure: recovery marks a segment as continued before the name of the next one
+// is durable, so that after a power cut the next one counts as missing.
+test("a new segment whose name is not durable may be lost", async () => {
+  // A crash keeps or loses the name, at random.
+  const random = new SeededRandomness(1);
+  for (let attempt = 1; attempt <= 20; attempt++) {
+    const fileSystem = new MemoryFileSystem();
+    const storage = open(fileSystem);
+    await storage.load();
+    fileSystem.failureRule = failOn("syncFolder", "EIO");
+    let written = 0;
+    while ((await storage.write([entries(written + 1)])).isOk()) written++;
+    await storage.close();
+    assert.ok((await open(fileSystem).load()).isErr());
+    fileSystem.crash(random);
+    const state = await load(fileSystem);
+    assert.equal(state.entries.length, written, `attempt ${attempt}`);
+  }
+});
+
+// Failure: a seal that a failed sync has lost is kept, so that after a power cut
+// the entries behind it count as damaged.
+test("what a failed sync has lost is written again", async () => {
+  const fileSystem = await fillFolder({ entries: 3 });
+  fileSystem.losesFailedSyncs = true;
+  const storage = open(fileSystem);
+  await storage.load();
+  assert.ok((await storage.write([entries(4)])).isOk());
+  fileSystem.failureRule = failOn("sync", "EIO");
+  assert.ok((await storage.write([entries(5)])).isErr());
+  fileSystem.failureRule = () => undefined;
+  await storage.close();
+  const reopened = open(fileSystem);
+  const state = (await reopened.load())._unsafeUnwrap();
+  assert.deepEqual(entryIndices(state), [1, 2, 3, 4]);
+  assert.ok((await reopened.write([entries(5)])).isOk());
+  await reopened.close();
+  fileSystem.crash(new SeededRandomness(1));
+  assert.deepEqual(entryIndices(await load(fileSystem)), [1, 2, 3, 4, 5]);
+});
+
 // Failure: a migration runs twice, or not again after it was interrupted.
 test("migrations run in order, once, and again after a crash", async () => {
   const fileSystem = await fillFolder({ entries: 1 });
