--- a/packages/agreement/consensus_core.ts
+++ b/packages/agreement/consensus_core.ts
@@ -132,6 +132,18 @@
     this.#pendingRequests.retryProposal(message.payload.id, now);
   }
 
+  /** Reports that the last connection to a host was closed by either side. */
+  handleDisconnect(host: HostId, now: number): void {
+    this.#leadership?.handleDisconnect(host);
+    const { leader, vote, self } = this.#state;
+    // A candidate that has won may have stopped before its first message.
+    const lost = leader ?? vote;
+    if (lost === undefined || lost === self || hostOf(lost) !== host) return;
+    this.#state.leader = undefined;
+    this.#pendingRequests.handleLeaderChange();
+    this.#election.handleLeaderLost(lost, now);
+  }
+
   /** Reports that the log is synced up to and including this entry. */
   handlePersisted(index: number, term: number): void {
     // The entry may have been replaced since it was written.
@@ -250,6 +262,9 @@
         this.#election.handleVoteRequest(message.payload, now);
         return;
       case "agreement.pre_vote_reply":
+        // A voter that was away has an older term, which no pre-vote raises.
+        this.#election.handleVoteReply(message, now);
+        return;
       case "agreement.vote_reply":
         if (!isStale) this.#election.handleVoteReply(message, now);
         return;
@@ -306,7 +321,12 @@
     this.#election.recordLeaderContact(now);
     if (message.kind === "agreement.append") {
       this.#logReceiver.handleAppend(message.payload);
-    } else this.#logReceiver.handleChunk(message.payload);
+      return;
+    }
+    const { applied } = this.#state;
+    this.#logReceiver.handleChunk(message.payload);
+    if (this.#state.applied !== applied)
+      this.#pendingRequests.handleSnapshotInstalled();
   }
 
   #handleProposal(
--- a/packages/control/announcement_log_test.ts
+++ b/packages/control/announcement_log_test.ts
@@ -46,10 +46,13 @@
     term: () => 0,
     leading: () => false,
     liveEntries: () => 0,
+    diskWritable: () => true,
+    failedWrites: () => new Map(),
     peerTraffic: () => ({
       sentBytes: 0,
       receivedBytes: 0,
       sentByKind: new Map(),
+      refusedByKind: new Map(),
     }),
   });
   const log = new AnnouncementLog({ clock, logger, metrics });
--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -1,3 +1,4 @@
+import { MAX_COMMAND_BYTES } from "#agreement";
 import {
   type BackendServer,
   type Clock,
@@ -9,6 +10,10 @@
 import type { Item, ItemFault, PutItems } from "#registry";
 import type { ControlMetrics, InputCall, Logger } from "#telemetry";
 import { AnnouncementLog } from "./announcement_log.ts";
+import {
+  configurationBytes,
+  MAX_CONFIGURATION_BYTES,
+} from "./configuration_size.ts";
 import type { ControlProcess } from "./control_process.ts";
 
 /**
@@ -16,6 +21,10 @@
  * reply before they try another host.
  */
 const MAJORITY_TIMEOUT_MS = 850;
+/** Most items and faults named in a log line or a reply. */
+const MAX_LISTED = 20;
+/** Longest name or value in a log line or a reply, in characters. */
+const MAX_TEXT_LENGTH = 120;
 
 /** Longest wait for an entry's list of servers, in milliseconds. */
 const LOOKUP_TIMEOUT_MS = 200;
@@ -28,7 +37,7 @@
 
 export type PutItemsReply =
   | { readonly type: "held"; readonly version: number }
-  | { readonly type: "invalid"; readonly faults: readonly ItemFault[] }
+  | { readonly type: "invalid"; readonly problems: readonly string[] }
   | UnavailableReply;
 
 export type ItemsReadReply =
@@ -85,13 +94,32 @@
     const at = this.#wallTimeMs();
     const names = [...change.upserts, ...change.removals].slice(0, 8);
     const logFields = {
-      items: names.map(({ kind, name, version }) => [kind, name, version]),
+      items: names.map(({ kind, name, version }) => [
+        kind,
+        clip(name),
+        version,
+      ]),
       count: change.upserts.length + change.removals.length,
     };
+    const refuse = (problems: readonly string[]) => {
+      this.#logger.info("items refused", { ...logFields, problems });
+      return { type: "invalid", problems } as const;
+    };
+    const unavailable = (fault: string) => {
+      this.#logger.warn("items not confirmed", { ...logFields, fault });
+      return { type: "unavailable", fault } as const;
+    };
     const dropped = await this.#droppedTargets(change);
-    if (dropped.length > 0) {
-      this.#logger.info("items refused", { ...logFields, faults: dropped });
-      return { type: "invalid", faults: dropped };
+    if (dropped.length > 0) return refuse(problemsOf(dropped, dropped.length));
+    if (this.#excessBytes(change) !== undefined) {
+      // By the newest state, as one that lags may lack what made room.
+      const confirmed = await withTimeout(this.#control.confirmRead());
+      if (!confirmed?.isOk()) return unavailable(faultTypeOf(confirmed));
+      const found = this.#excessBytes(change);
+      const expected = `at most ${MAX_CONFIGURATION_BYTES} bytes`;
+      if (found !== undefined) {
+        return refuse([`configuration: expected ${expected}, found ${found}`]);
+      }
     }
     const result = await withTimeout(
       this.#control.submit({ type: "put_items", ...change, at }),
@@ -103,13 +131,17 @@
       return { type: "held", version };
     }
     if (reply?.type === "items_invalid") {
-      const { faults } = reply;
-      this.#logger.info("items refused", { ...logFields, faults });
-      return { type: "invalid", faults };
+      const { faults, omitted } = reply;
+      return refuse(problemsOf(faults, faults.length + omitted));
     }
-    const fault = faultTypeOf(result);
-    this.#logger.warn("items not confirmed", { ...logFields, fault });
-    return { type: "unavailable", fault };
+    if (result?.isErr() && result.error.type === "command_too_large") {
+      const { bytes } = result.error;
+      const expected = `at most ${MAX_COMMAND_BYTES} bytes`;
+      return refuse([
+        `change: expected ${expected} in the log, found ${bytes}`,
+      ]);
+    }
+    return unavailable(faultTypeOf(result));
   }
 
   /**
@@ -125,6 +157,21 @@
     return confirmed?.isOk() ? registry.droppedTargets(change) : [];
   }
 
+  /**
+   * Size of the configuration that a change leads to; undefined if it fits or the
+   * change makes it no larger. Hosts that take changes at the same time may exceed
+   * the bound together.
+   */
+  #excessBytes(
+    change: Pick<PutItems, "upserts" | "removals">,
+  ): number | undefined {
+    const { registry } = this.#control;
+    const bytes = configurationBytes(registry.configurationWith(change));
+    if (bytes <= MAX_CONFIGURATION_BYTES) return undefined;
+    const grows = bytes > configurationBytes(registry.configuration());
+    return grows ? bytes : undefined;
+  }
+
   /** Returns the current items, by a linearizable read. */
   async items(): Promise<ItemsReadReply> {
     const confirmed = await withTimeout(this.#control.confirmRead());
@@ -275,6 +322,23 @@
   }
 }
 
+/** Items and what is expected of them, bounded; `count` faults in all. */
+function problemsOf(faults: readonly ItemFault[], count: number): string[] {
+  const named = faults
+    .slice(0, MAX_LISTED)
+    .map(
+      ({ kind, name, expected, found }) =>
+        `${kind} ${clip(name)}: expected ${expected}, found ${clip(String(found))}`,
+    );
+  const omitted = count - named.length;
+  return omitted > 0 ? [...named, `${omitted} further problems`] : named;
+}
+
+function clip(text: string): string {
+  if (text.length <= MAX_TEXT_LENGTH) return text;
+  return `${text.slice(0, MAX_TEXT_LENGTH)}… (${text.length} characters)`;
+}
+
 type LogResult =
   | { isOk(): boolean; isErr(): boolean; error?: { type: string } }
   | undefined;
--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -32,6 +32,7 @@
   type ResponseLimits,
   ResponseMeter,
 } from "./response_bounds.ts";
+import { sendableHeaders } from "./sendable.ts";
 
 /** Shorter than the usual keep-alive timeout of servers (5 s). */
 const IDLE_CONNECTION_TIMEOUT_MS = 4_000;
@@ -40,6 +41,11 @@
  * request is not sent while the server is closing the connection.
  */
 const KEEP_ALIVE_TIMEOUT_FRACTION = 0.75;
+/**
+ * Longest time for which an idle connection is kept, whatever its server says. Node
+ * throws on an infinite time and cuts those above 2^31 ms.
+ */
+const MAX_IDLE_CONNECTION_MS = 3_600_000;
 const DEFAULT_LIMITS: ResponseLimits = { bodyMaxBytes: 1024 ** 3 };
 
 /** A request that has been sent to a backend server. */
@@ -149,13 +155,18 @@
     response: IncomingMessage,
     requestId: string | undefined,
   ): ResponseHead {
-    const { headers, rawHeaders, statusCode: status = 502 } = response;
+    const { headers, statusCode: status = 502 } = response;
     const report = this.#protocol.parseReport({ status, headers }, requestId);
     const read = (parsed: ParsedNumber): number | undefined => {
       if (parsed.isOk()) return parsed.value;
       this.#onMalformedHeader?.(server, parsed.error);
       return undefined;
     };
+    const rawHeaders = sendableHeaders(response.rawHeaders, (fault) =>
+      this.#onMalformedHeader?.(server, fault),
+    );
+    const { loadFault } = report;
+    if (loadFault) this.#onMalformedHeader?.(server, loadFault);
     const rateLimit = read(report.rateLimit);
     const backOffMs = read(report.backOffMs);
     return { ...report, rateLimit, backOffMs, status, headers, rawHeaders };
@@ -170,7 +181,10 @@
     const pooled = this.#agents.get(backendServerKey(server));
     if (!match || !pooled) return;
     const { options } = pooled.agent as Agent & { options: AgentOptions };
-    options.timeout = Number(match[1]) * 1_000 * KEEP_ALIVE_TIMEOUT_FRACTION;
+    const timeoutMs = Number(match[1]) * 1_000 * KEEP_ALIVE_TIMEOUT_FRACTION;
+    // Node reuses no connection after an answer with 0, and takes 0 for no timeout.
+    if (timeoutMs > 0)
+      options.timeout = Math.min(timeoutMs, MAX_IDLE_CONNECTION_MS);
   }
 
   #agent(server: BackendServer): Agent {
--- a/packages/presence/index.ts
+++ b/packages/presence/index.ts
@@ -10,6 +10,7 @@
 export * from "./announcements.ts";
 export * from "./dissemination.ts";
 export * from "./effects.ts";
+export * from "./message_decoders.ts";
 export * from "./messages.ts";
 export * from "./plausibility.ts";
 export * from "./presence.ts";
--- a/packages/registration/registrations.ts
+++ b/packages/registration/registrations.ts
@@ -17,6 +17,11 @@
   presence_state: true,
 };
 
+type UnusableRecord = Extract<PresenceEffect, { type: "record_unusable" }>;
+
+/** Longest name of a server in a log line, in characters. */
+const MAX_LOGGED_LENGTH = 256;
+
 export interface RegistrationsOptions {
   readonly presence: Presence;
   readonly clock: Clock;
@@ -33,6 +38,9 @@
   ) => void;
   /** Finds out which server answers at a server's address. */
   readonly verify?: ((server: BackendServer) => Promise<Identity>) | undefined;
+  readonly logger: {
+    warn(message: string, fields: Readonly<Record<string, unknown>>): void;
+  };
 }
 
 /**
@@ -84,6 +92,9 @@
           break;
         case "verify":
           this.#verify(effect.server);
+          break;
+        case "record_unusable":
+          this.#logUnusable(effect);
       }
     }
   }
@@ -112,6 +123,15 @@
     this.execute(presence.verified(server, identity, clock.now()));
   }
 
+  #logUnusable({ owner, from, service, id, problem }: UnusableRecord): void {
+    this.#options.logger.warn("record of a backend server cannot be used", {
+      server: `${service}/${id}`.slice(0, MAX_LOGGED_LENGTH),
+      owner,
+      from,
+      problem,
+    });
+  }
+
   peerUp(id: HostId): void {
     const { presence, clock } = this.#options;
     this.execute(presence.peerUp(id, clock.now()));
--- a/packages/registration/registrations_test.ts
+++ b/packages/registration/registrations_test.ts
@@ -7,6 +7,7 @@
   SeededRandomness,
 } from "#model";
 import { type Identity, Presence, type PresenceMessages } from "#presence";
+import { SilentLogger } from "#telemetry";
 import type { Network } from "#wire";
 import { Registrations } from "./registrations.ts";
 
@@ -48,6 +49,7 @@
     presence,
     clock,
     network: NETWORK,
+    logger: new SilentLogger(),
     onServersChanged: () => undefined,
     onServerGone: () => undefined,
     verify: () => new Promise((resolve) => answers.push(resolve)),
--- a/packages/telemetry/metrics_test.ts
+++ b/packages/telemetry/metrics_test.ts
@@ -82,11 +82,38 @@
 
 test("peer byte counters report totals regardless of scrapes", async () => {
   const sentByKind = new Map([["confirm", 7]]);
-  const traffic = { sentBytes: 10, receivedBytes: 20, sentByKind };
+  const refusedByKind = new Map([["state", 3]]);
+  const bytes = { sentBytes: 10, receivedBytes: 20 };
+  const traffic = { ...bytes, sentByKind, refusedByKind };
   const metrics = new Metrics({ peerTraffic: () => traffic });
   await metrics.text();
   traffic.sentBytes = 15;
   const text = await metrics.text();
   assert.match(text, /mangobank_peer_bytes_total\{direction="sent"\} 15/);
   assert.match(text, /mangobank_peer_sent_bytes_total\{kind="confirm"\} 7/);
+  assert.match(text, /mangobank_refused_messages_total\{kind="state"\} 3/);
+});
+
+// Failure: each series of such a service repeats its name, in megabytes a scrape.
+test("a service with a name of any length makes no label", async () => {
+  const metrics = new Metrics();
+  const long = "x".repeat(90_000);
+  const names = [long, "__proto__", "constructor", 'a"\nb'];
+  metrics.configure(names.map((name) => service(name, ["booking"])));
+  for (const name of names) {
+    metrics.recordCall({
+      service: name,
+      class: "booking",
+      ms: 4,
+      outcome: "answered",
+    });
+    metrics.recordProbe(name, 6);
+  }
+  const text = await metrics.text();
+  assert.ok(text.length < 60_000, `${text.length} characters`);
+  for (const label of ["other", "__proto__", "constructor", 'a\\"\\nb']) {
+    assert.ok(text.includes(`mangobank_probes_total{service="${label}"} 1`));
+  }
+  metrics.configure([]);
+  assert.doesNotMatch(await metrics.text(), /constructor/);
 });
--- a/packages/wire/link.ts
+++ b/packages/wire/link.ts
@@ -1,5 +1,6 @@
 import type { Socket } from "node:net";
-import type { Clock } from "#model";
+import * as z from "zod";
+import { type Clock, MESSAGE_VALUES } from "#model";
 import {
   encodeFrame,
   type FrameFault,
@@ -8,6 +9,7 @@
 } from "./frames.ts";
 import type { Hello } from "./messages.ts";
 import { commonVersion, describeVersions } from "./protocol_versions.ts";
+import type { MessageRefusal } from "./refused_messages.ts";
 import { SHORT_KEYS } from "./short_keys.ts";
 
 /** Keepalive times of a link. */
@@ -43,13 +45,14 @@
   | { readonly type: "link_silent"; readonly ms: number }
   | { readonly type: "link_congested"; readonly unsentBytes: number }
   | { readonly type: "hello_missing" }
-  | { readonly type: "hello_refused"; readonly detail: string }
-  | { readonly type: "payload_refused"; readonly detail: string };
+  | { readonly type: "hello_refused"; readonly detail: string };
 
 export interface LinkEvents {
   readonly onOpen: (link: Link) => void;
   readonly onClose: (link: Link, fault: LinkFault) => void;
   readonly onMessage: (link: Link, kind: string, payload: unknown) => void;
+  /** Called for a message whose handler has thrown. */
+  readonly onRefused: (link: Link, refusal: MessageRefusal) => void;
 }
 
 /** Byte counts of all links of a process. */
@@ -58,6 +61,8 @@
   receivedBytes: number;
   /** Bytes of the frames sent, by message kind. */
   readonly sentByKind: Map<string, number>;
+  /** Messages of peers that were refused, by message kind. */
+  readonly refusedByKind: Map<string, number>;
 }
 
 export interface LinkOptions {
@@ -209,44 +214,48 @@
     try {
       this.#options.events.onMessage(this, kind, payload);
     } catch (cause) {
-      // A malformed payload must not crash the process.
-      const detail = `${kind}: ${cause instanceof Error ? cause.stack : cause}`;
-      this.close({ type: "payload_refused", detail });
+      // The link stays: its peer would send the message over the next one too.
+      const detail = String(cause instanceof Error ? cause.stack : cause);
+      this.#options.events.onRefused(this, { kind, detail });
     }
   }
 
   #handleHello(kind: string, payload: unknown): void {
-    if (kind !== "hello" || !isHello(payload)) {
+    const decoded = HELLO.safeParse(payload);
+    if (kind !== "hello" || !decoded.success) {
       this.close({ type: "hello_missing" });
       return;
     }
+    const hello: Hello = decoded.data;
     const { self } = this.#options;
-    if (payload.cluster !== self.cluster) {
-      const detail = `cluster is ${payload.cluster}, expected ${self.cluster}`;
+    if (hello.cluster !== self.cluster) {
+      const detail = `cluster is ${hello.cluster}, expected ${self.cluster}`;
       this.close({ type: "hello_refused", detail });
       return;
     }
-    if (commonVersion(self, payload) === undefined) {
+    if (commonVersion(self, hello) === undefined) {
       const detail =
-        `the peer speaks version ${describeVersions(payload)}, ` +
+        `the peer speaks version ${describeVersions(hello)}, ` +
         `this build ${describeVersions(self)}`;
       this.close({ type: "hello_refused", detail });
       return;
     }
-    this.#peer = payload;
+    this.#peer = hello;
     this.#options.events.onOpen(this);
   }
 }
 
-function isHello(payload: unknown): payload is Hello {
-  if (typeof payload !== "object" || payload === null) return false;
-  const hello = payload as Record<string, unknown>;
-  return (
-    typeof hello.id === "string" &&
-    (hello.role === "entry" || hello.role === "control") &&
-    typeof hello.incarnation === "number" &&
-    typeof hello.cluster === "string" &&
-    typeof hello.version === "number" &&
-    ["number", "undefined"].includes(typeof hello.newestVersion)
-  );
-}
+/** What a hello must say for its sender to be known by it. */
+const HELLO = z.looseObject({
+  id: z.string().min(1),
+  role: z.enum(["entry", "control"]),
+  incarnation: MESSAGE_VALUES.count,
+  cluster: z.string(),
+  version: MESSAGE_VALUES.count,
+  newestVersion: MESSAGE_VALUES.count.optional(),
+  build: z.string().optional(),
+  shortKeys: MESSAGE_VALUES.count.optional(),
+  connection: z
+    .object({ channel: MESSAGE_VALUES.count, number: MESSAGE_VALUES.count })
+    .optional(),
+}) satisfies z.ZodType<Hello>;
--- a/packages/wire/network.ts
+++ b/packages/wire/network.ts
@@ -1,6 +1,7 @@
-import { connect, createServer, type Server, type Socket } from "node:net";
+import { connect, createServer, type Server, Socket } from "node:net";
 import type { Result } from "neverthrow";
-import type { Address, Clock, HostId } from "#model";
+import type * as z from "zod";
+import type { Address, Clock, HostId, MessageDecoders } from "#model";
 import { afterPendingInput } from "./after_input.ts";
 import { encodeFrame } from "./frames.ts";
 import {
@@ -11,6 +12,7 @@
 } from "./link.ts";
 import { type ListenFault, listen } from "./listen.ts";
 import type { Hello, MessageMap } from "./messages.ts";
+import type { MessageRefusal } from "./refused_messages.ts";
 
 const KEEPALIVE_CHECK_INTERVAL_MS = 250;
 const RECONNECT_DELAY_MS = 250;
@@ -34,6 +36,8 @@
   readonly onConnect?: (peer: Hello) => void;
   readonly onDisconnect?: (peer: Hello) => void;
   readonly onFault?: (fault: LinkFault, link: Link | undefined) => void;
+  /** Called for each message of a peer that was refused. */
+  readonly onRefused?: (refusal: MessageRefusal, peer: Hello) => void;
 }
 
 type Handler = (payload: unknown, from: Hello) => void;
@@ -61,10 +65,12 @@
     sentBytes: 0,
     receivedBytes: 0,
     sentByKind: new Map(),
+    refusedByKind: new Map(),
   };
   readonly #self: Hello;
   readonly #clock: Clock;
   readonly #observer: NetworkObserver;
+  readonly #decoders: ReadonlyMap<string, z.ZodType>;
   readonly #handlers = new Map<string, Handler>();
   readonly #links = new Map<HostId, Link[]>();
   readonly #accepted = new Set<Link>();
@@ -77,7 +83,10 @@
     self: Hello;
     clock: Clock;
     observer?: NetworkObserver;
+    /** What a kind's payloads are; those of other kinds are handled as they are. */
+    decoders?: MessageDecoders<M>;
   }) {
+    this.#decoders = new Map(Object.entries(options.decoders ?? {}));
     this.#self = options.self;
     this.#clock = options.clock;
     this.#observer = options.observer ?? {};
@@ -219,6 +228,7 @@
         onClose: (closed, fault) => this.#handleClose(closed, fault),
         onMessage: (from, kind, payload) =>
           this.#handleMessage(from, kind, payload),
+        onRefused: (from, refusal) => this.#handleRefusal(from, refusal),
       },
     });
     const closeWithoutHello = () => {
@@ -267,8 +277,22 @@
 
   #handleMessage(link: Link, kind: string, payload: unknown): void {
     const peer = link.peer;
-    if (!peer) return;
-    this.#handlers.get(kind)?.(payload, peer);
+    const handle = this.#handlers.get(kind);
+    if (!peer || !handle) return;
+    const decoded = this.#decoders.get(kind)?.safeParse(payload);
+    if (decoded?.success === false) {
+      const detail = describeProblems(decoded.error);
+      this.#handleRefusal(link, { kind, detail });
+      return;
+    }
+    handle(decoded ? decoded.data : payload, peer);
+  }
+
+  #handleRefusal({ peer }: Link, refusal: MessageRefusal): void {
+    const { refusedByKind } = this.traffic;
+    const { kind } = refusal;
+    refusedByKind.set(kind, (refusedByKind.get(kind) ?? 0) + 1);
+    if (peer) this.#observer.onRefused?.(refusal, peer);
   }
 
   #checkLinks(): void {
@@ -280,6 +304,17 @@
   }
 }
 
+/** Most problems of one payload that are told. */
+const MAX_PROBLEMS = 5;
+
+/** The fields that are wrong, each with the reason. */
+function describeProblems({ issues }: z.ZodError): string {
+  return issues
+    .slice(0, MAX_PROBLEMS)
+    .map(({ path, message }) => `${path.join(".") || "payload"}: ${message}`)
+    .join("; ");
+}
+
 /** Creates the link of a connection with its number in its channel. */
 type CreateOutgoingLink = (
   socket: Socket,
@@ -360,8 +395,7 @@
   }
 
   #open(onConnect: () => void): Socket {
-    const { host, port } = this.#address;
-    const socket = connect({ host, port });
+    const socket = openSocket(this.#address);
     const giveUp = () => {
       if (socket.connecting) socket.destroy();
     };
@@ -390,6 +424,18 @@
   }
 }
 
+/**
+ * Opens a connection. Node throws on an address that it can't connect to; it comes
+ * from another process, and the connection fails like any other one.
+ */
+function openSocket({ host, port }: Address): Socket {
+  try {
+    return connect({ host, port });
+  } catch (cause) {
+    return new Socket().destroy(cause as Error);
+  }
+}
+
 /**
  * Whether a process has opened two connections, by its hellos on both, of which it
  * uses one only: those of a channel, and those before its restart.
