Let no failed check of an address end the process

A check of an address that ended with an error was handled by nobody, which ends a process; the checks of today always resolve. It is logged and counts as one without an answer.

The new test needs the promise to be handled; on the code before, Node reports an unhandled rejection.

--- a/packages/registration/registrations.ts
+++ b/packages/registration/registrations.ts
@@ -118,8 +118,11 @@
     server: BackendServer,
     answer: Promise<Identity>,
   ): Promise<void> {
-    const { presence, clock } = this.#options;
-    const identity = await answer;
+    const { presence, clock, logger } = this.#options;
+    const identity = await answer.catch((cause: unknown): Identity => {
+      logger.warn("check of an address failed", { server: server.id, cause });
+      return "unknown";
+    });
     this.execute(presence.verified(server, identity, clock.now()));
   }
 
--- a/packages/registration/registrations_test.ts
+++ b/packages/registration/registrations_test.ts
@@ -33,9 +33,9 @@
   };
 }
 
-// Guards against a program that makes control hosts open connections without bound
-// by announcing other addresses of many servers.
-test("at most 20 checks of addresses run at a time", async () => {
+function createRegistrations(
+  verify: (server: BackendServer) => Promise<Identity>,
+) {
   const clock = new ManualClock();
   const presence = new Presence({
     id: "control-1",
@@ -44,7 +44,6 @@
     randomness: new SeededRandomness(1),
     untrusted: clock,
   });
-  const answers: ((identity: Identity) => void)[] = [];
   const registrations = new Registrations({
     presence,
     clock,
@@ -52,9 +51,19 @@
     logger: new SilentLogger(),
     onServersChanged: () => undefined,
     onServerGone: () => undefined,
-    verify: () => new Promise((resolve) => answers.push(resolve)),
+    verify,
   });
   presence.configure({ services: ["alloc"], view: EMPTY_VIEW }, 0);
+  return { clock, presence, registrations };
+}
+
+// Guards against a program that makes control hosts open connections without bound
+// by announcing other addresses of many servers.
+test("at most 20 checks of addresses run at a time", async () => {
+  const answers: ((identity: Identity) => void)[] = [];
+  const { clock, presence, registrations } = createRegistrations(
+    () => new Promise((resolve) => answers.push(resolve)),
+  );
   for (const incarnation of [1, 2]) {
     for (let id = 0; id < 50; id++) {
       const announced = server(id, incarnation, incarnation);
@@ -72,3 +81,17 @@
   );
   assert.equal(answers.length, 22);
 });
+
+// Guards against a failed check that ends the process, as nobody owns it.
+test("a check that fails counts as one without an answer", async () => {
+  const { clock, presence, registrations } = createRegistrations(() =>
+    Promise.reject(new Error("no check")),
+  );
+  for (const incarnation of [1, 2]) {
+    const announced = server(1, incarnation, incarnation);
+    registrations.execute(presence.announce(announced, clock.now()).effects);
+  }
+  await registrations.checked("w1");
+  const { result } = presence.announce(server(1, 2, 2), clock.now());
+  assert.equal(result.isOk(), true);
+});
