Announce a learner again whose admission was lost with its leader

Cause: the host's folder was bound to the cluster by the leader's first message, so it no longer asked the others as an empty folder does; as a learner it asks for no votes, by which a removed voter is noticed. Nobody knew that it could be added.

--- a/packages/agreement/cluster_bootstrap.ts
+++ b/packages/agreement/cluster_bootstrap.ts
@@ -71,9 +71,14 @@
   }
 
   tick(now: number): void {
-    if (this.#state.phase === "formed" || now < this.#nextInquiryAt) return;
+    if (now < this.#nextInquiryAt) return;
+    const { founding, phase, self, isVoter, leader } = this.#state;
+    if (phase === "formed" && (isVoter || leader !== undefined)) return;
     this.#nextInquiryAt = now + INQUIRY_INTERVAL_MS;
-    const { founding, self } = this.#state;
+    if (phase === "formed") {
+      this.#announceLearner();
+      return;
+    }
     if (founding) {
       this.#sendBindRequests(false);
       // The convener may have bound a former identity of this host, because of
@@ -177,6 +182,19 @@
     });
   }
 
+  /**
+   * Announces a learner that hears from no leader. The entry with its admission
+   * may have been lost with the leader that made it; as no voter, it asks for no
+   * votes, by which the others would notice it.
+   */
+  #announceLearner(): void {
+    const { self } = this.#state;
+    const members = this.#state.otherMembers().map(hostOf);
+    for (const to of new Set([...this.#inquiryHosts, ...members])) {
+      this.#state.sendToHost(to, "agreement.inquiry", { from: self });
+    }
+  }
+
   /**
    * Passes the announcement on to the leader, which alone can add the folder
    * but may not be among the hosts that the folder knows.
--- a/packages/storage/members_test.ts
+++ b/packages/storage/members_test.ts
@@ -356,3 +356,38 @@
   assert.equal(fault?.type, "quorum_at_risk");
   assert.equal(submitAndSettle(s, leader), undefined);
 });
+
+// Failure: a host whose admission was lost with its leader counts itself as a
+// learner, and is never admitted.
+test("a learner whose admission was lost announces itself again", () => {
+  const s = formCluster(3);
+  const former = leaderOf(s);
+  const added = s.addHost("d");
+  s.run(1_000);
+  for (const other of s.hosts) {
+    if (other === former || other === added) continue;
+    s.blocked.add(`${former.id}>${other.id}`);
+    s.blocked.add(`${other.id}>${former.id}`);
+  }
+  s.change(former, { type: "add", host: added.id });
+  assert.ok(
+    s.runUntil(() => statusOf(s, added).phase === "formed", 2_000),
+    "the host is bound",
+  );
+  s.crash(former);
+  s.run(5_000);
+  s.blocked.clear();
+  s.start(former);
+  s.run(5_000);
+  const leader = leaderOf(s);
+  const { membership } = statusOf(s, leader);
+  const member = s.memberKeyOf(added);
+  assert.ok(!membership.learners.includes(member), "its admission was lost");
+  const isAnnounced = () => statusOf(s, leader).announced.includes(member);
+  assert.ok(s.runUntil(isAnnounced, 5_000), "the host is announced");
+  const add = { type: "add", host: added.id } as const;
+  assert.equal(changeAndSettle(s, leader, add), undefined);
+  s.run(1_500);
+  const promote = { type: "promote", member } as const;
+  assert.equal(changeAndSettle(s, leader, promote), undefined);
+});
