Test that a vote that cannot be written is not given

The driver runs no effect of a batch whose write failed; no test showed it for votes. The test opens a member on a full disk, asks for its vote, and again for another candidate of the term once the disk has room: the first is not given and not stored, the second is.

--- a/packages/storage/replicated_log_test.ts
+++ b/packages/storage/replicated_log_test.ts
@@ -225,3 +225,54 @@
   assert.equal(refused._unsafeUnwrapErr().type, "no_quorum");
   await Promise.all(pending);
 });
+
+// Failure: a member gives a vote that could not be written, and another one in the
+// same term once it is opened again.
+test("a vote that cannot be written is not given", async (t) => {
+  const disk = new MemoryDisk("1");
+  const members = ["a/1", "b/1", "c/1"];
+  const binding = { cluster: "k", convener: "a/1", attempt: 1, members };
+  disk.stage([{ type: "founding", founding: { ...binding, formed: true } }]);
+  disk.sync();
+  for (const isFull of [true, false]) {
+    const granted: boolean[] = [];
+    const handlers = new Map<
+      string,
+      (payload: unknown, from: object) => void
+    >();
+    const network = {
+      send: (_to: string, kind: string, payload: object) => {
+        if (kind === "agreement.vote_reply" && "granted" in payload)
+          granted.push(payload.granted === true);
+        return true;
+      },
+      handle: (kind: string, handler: never) => handlers.set(kind, handler),
+    } as unknown as ConsensusNetwork;
+    const storage = new MemoryStorage(disk);
+    if (isFull) {
+      const fault = { operation: "write", code: "ENOSPC", detail: "full" };
+      storage.failure = { type: "write_failed", ...fault };
+    }
+    const founders = FOUNDERS;
+    const { log } = await openTestHost({
+      self: "a",
+      founders,
+      network,
+      storage,
+    });
+    t.after(() => log.close());
+    const from = isFull ? "b" : "c";
+    const header = { cluster: "k", from: `${from}/1`, to: "a/1", term: 7 };
+    const request = { ...header, candidateTerm: 7, lastIndex: 0, lastTerm: 0 };
+    handlers.get("agreement.vote")?.(request, { id: from });
+    if (isFull) {
+      assert.equal((await log.stopped)?.type, "write_failed");
+      assert.deepEqual(granted, []);
+      assert.equal(disk.state().term, 0);
+    } else {
+      await waitUntil(() => granted.length > 0, "vote");
+      assert.deepEqual(granted, [true]);
+      assert.deepEqual([disk.state().term, disk.state().vote], [7, "c/1"]);
+    }
+  }
+});
