Answer a call that fails by an error of the entry

The call now ends as server_failed with the outcome unknown, which is 502; if a part of an answer has been written, or the refusal itself fails, the connection breaks off as before. The log line is the same.

Evidence: the test makes the headers of an answer throw; it failed before (socket hang up) and passes now.

--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -263,10 +263,16 @@
     this.#stop(brokenBy === "server" ? "entry_closed" : "caller_closed");
   }
 
-  /** Ends the call after an internal error. */
+  /** Ends the call after an internal error, with an answer if one is due. */
   abort(): void {
     this.#stop("caller_closed");
-    this.#exchange.response.destroy();
+    const detail = "the entry failed to process the call";
+    const outcome = "unknown";
+    try {
+      this.#reply.fail(callFault("server_failed", { outcome, detail }));
+    } catch {
+      this.#exchange.response.destroy();
+    }
   }
 
   #startDeadline(call: Call): void {
--- a/packages/entry/caller_contract_test.ts
+++ b/packages/entry/caller_contract_test.ts
@@ -7,6 +7,7 @@
 import { exchange } from "../demo/caller.ts";
 import { LocalSite } from "../demo/local_site.ts";
 import { until } from "../demo/until.ts";
+import { PublishedProtocol } from "./call_protocol.ts";
 
 const ALLOC = {
   slots_per_server: 6,
@@ -266,6 +267,18 @@
   });
 }
 
+// Guards against callers that can't tell a fault of the entry from a lost connection.
+test("a call that fails by an error of the entry gets an answer", async (t) => {
+  const headers = t.mock.method(PublishedProtocol.prototype, "responseHeaders");
+  headers.mock.mockImplementation(() => ["a b", "Node throws on this name"]);
+  const answer = await call({});
+  headers.mock.restore();
+  assert.equal(answer.status, 502);
+  assert.equal(answer.headers[HEADERS.error], "server_failed");
+  assert.equal(answer.headers[HEADERS.outcome], "unknown");
+  await assertStillServes();
+});
+
 const MALFORMED_FRAMES: { name: string; bytes: string }[] = [
   { name: "a frame above the size limit", bytes: "\xff\xff\xff\xff" },
   { name: "garbage in a frame", bytes: "\x00\x00\x00\x02\xff\xff" },
