Let entries take up what earlier builds have stored, and bound targets

After an upgrade, entries had no configuration and refused every call if an earlier build had accepted one infinite duration (target_latency_s 1e306): the decoders of messages, new since, refused the whole configuration, while control restores such values. And a held target of 9e12 ms or more made dispatchers refuse requests for slots, with those of other calls in the same message.

Figures of a document may be infinite in messages; the target in the class of a route is at most the longest timeout, as a later answer is never in time.

--- a/packages/configuration/message_decoders.ts
+++ b/packages/configuration/message_decoders.ts
@@ -8,7 +8,15 @@
 } from "./messages.ts";
 
 const { count, text, milliseconds, address } = MESSAGE_VALUES;
-const number = z.number();
+/**
+ * A figure of a document. Infinity is one of them: earlier builds have stored items
+ * with such durations, and a message that is refused would leave the entry without
+ * any configuration.
+ */
+const number = z.custom<number>(
+  (value) => typeof value === "number" && !Number.isNaN(value),
+  { error: "expected a number" },
+);
 
 /** A change of a list; fields of newer builds are kept, since it is passed on. */
 function listChange<T extends z.ZodType>(item: T) {
--- a/packages/registry/item_document.ts
+++ b/packages/registry/item_document.ts
@@ -5,7 +5,7 @@
   RequestLimits,
   Service,
 } from "#model";
-import { requestClassName } from "#model";
+import { MAX_ROUTE_TIMEOUT_MS, requestClassName } from "#model";
 import type { Item, ServiceItem } from "./items.ts";
 
 /** Settings of services that are configured by items only. */
@@ -73,7 +73,8 @@
       name,
       priority: route.rank === highestRank ? "urgent" : "patient",
       deadlineMs: route.timeoutMs,
-      targetMs: route.targetMs,
+      // A later answer is never in time; dispatchers refuse times without bound.
+      targetMs: Math.min(route.targetMs, MAX_ROUTE_TIMEOUT_MS),
       repeatable: route.repeatable,
       identity: "request",
       attempts: route.attempts,
