Bind a leave without a start to all that is known of the server

A server that had left got calls again, or was not used after it had started again: a deregistration without a start ended the newest start that this control host had heard of, which may be an older one; one with a start up to 30 s ahead covered starts that followed; a draining heartbeat was refused where another program had named the id in another service; and a copy that was known first kept a server out for good.

The starts that an entry knows count too, a start ahead of the clock covers only what has started by now, and a copy counts only while it has a record.

--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -190,7 +190,7 @@
     const { registrar } = this.#control;
     if (server.state === "leaving") {
       if (!this.#recordedLeave(server)) {
-        const known = await this.#recordsOf(server.id);
+        const known = await this.#recordsOf(server);
         const fault = await registrar.checkLeaving(server, known);
         if (fault) return this.#refuseAnnouncement(server, fault);
       }
@@ -206,14 +206,50 @@
     return this.#refuseAnnouncement(server, result.error);
   }
 
-  /** The records of an id, of an entry if this host knows none. */
-  async #recordsOf(id: string): Promise<readonly BackendServer[]> {
+  /**
+   * The records of a server's id, also those of an entry unless one of the server's
+   * service was announced to this host.
+   */
+  async #recordsOf({
+    id,
+    service,
+  }: BackendServer): Promise<readonly BackendServer[]> {
     const own = this.#control.registrar.recordsOf(id);
-    if (own.length > 0) return own;
+    if (own.some((record) => record.service === service)) return own;
+    return [...(await this.#recordsAtEntry(id)), ...own];
+  }
+
+  /** The records of an id that an entry knows, of all control hosts. */
+  async #recordsAtEntry(id: string): Promise<readonly BackendServer[]> {
     const all = await withTimeout(this.#control.servers(), LOOKUP_TIMEOUT_MS);
     return (all ?? []).filter((server) => server.id === id);
   }
 
+  /**
+   * The newest start that a leave covers. Without a start, or with one ahead of this
+   * host's clock, these are the starts that are known, as a server that starts again
+   * must be used. This host knows only what was announced to it.
+   */
+  async #coveredStart(leave: {
+    readonly id: string;
+    readonly incarnation?: number | undefined;
+  }): Promise<number> {
+    const { id, incarnation } = leave;
+    const now = this.#wallTimeMs();
+    if (incarnation !== undefined && incarnation <= now) return incarnation;
+    const known = [
+      ...this.#control.registrar.recordsOf(id),
+      ...(await this.#recordsAtEntry(id)),
+    ];
+    if (incarnation !== undefined) {
+      return Math.min(incarnation, Math.max(newestOf(known) ?? now, now));
+    }
+    const { leaving } = this.#control.registry.configuration();
+    const left = leaving.find((server) => server.id === id);
+    const isUsable = left !== undefined && isPossibleLeave(left);
+    return newestOf(known) ?? (isUsable ? left.incarnation : now);
+  }
+
   #refuseAnnouncement(
     server: BackendServer,
     fault: AnnouncementFault,
@@ -241,11 +277,7 @@
     const { id } = server;
     const impossible = this.#refuseFutureStart(call, server);
     if (impossible) return impossible;
-    // If no incarnation is known, the leave applies to all that started so far.
-    const incarnation =
-      server.incarnation ??
-      newestOf(this.#control.registrar.recordsOf(id)) ??
-      this.#wallTimeMs();
+    const incarnation = await this.#coveredStart(server);
     const recorded = this.#recordedLeave({ id, incarnation });
     if (recorded && !isPossibleLeave(recorded)) {
       return this.#leaveInLists(id, incarnation);
--- a/packages/presence/first_services.ts
+++ b/packages/presence/first_services.ts
@@ -29,12 +29,20 @@
     this.#processes.set(key, services);
   }
 
-  /** Whether the process was known before as a server of another service. */
-  isCopy(server: BackendServer): boolean {
+  /**
+   * Whether the process was known before as a server of another service, in which
+   * it still has a record.
+   */
+  isCopy(
+    server: BackendServer,
+    hasRecord: (service: string) => boolean,
+  ): boolean {
     const services = this.#processes.get(processKey(server));
     const firstAt = services?.get(server.service);
     if (!services || services.size === 1 || firstAt === undefined) return false;
-    return [...services.values()].some((at) => firstAt - at >= MIN_LEAD_MS);
+    return [...services].some(
+      ([service, at]) => firstAt - at >= MIN_LEAD_MS && hasRecord(service),
+    );
   }
 }
 
--- a/packages/presence/server_table.ts
+++ b/packages/presence/server_table.ts
@@ -83,14 +83,22 @@
     for (const key of this.#keysByService.get(service) ?? []) {
       const record = this.#live(key, now);
       if (!record) continue;
-      if (this.#untrusted && this.#firstServices.isCopy(record.server))
-        continue;
+      if (this.#isCopy(record.server, now)) continue;
       const startedMsAgo = Math.max(0, Math.round(now - record.startedAt));
       servers.push({ ...record.server, startedMsAgo });
     }
     return servers.sort((a, b) => (a.id < b.id ? -1 : 1));
   }
 
+  #isCopy(server: BackendServer, now: number): boolean {
+    if (!this.#untrusted) return false;
+    const { id } = server;
+    return this.#firstServices.isCopy(server, (service) => {
+      const key = backendServerKey({ service, id });
+      return this.#live(key, now) !== undefined;
+    });
+  }
+
   services(): string[] {
     return [...this.#keysByService.keys()];
   }
@@ -136,7 +144,13 @@
     if (before && record)
       Object.assign(before, { record, server: record.server });
     else if (record) this.#set(key, record);
-    else if (before) this.#delete(key, before.server);
+    else if (before) {
+      this.#delete(key, before.server);
+      // Records that were left out as copies of this one may count now.
+      if (this.#untrusted)
+        for (const service of this.servicesOf(before.server.id))
+          effects.changed(service);
+    }
     this.#reportChange(key, { before: former, effects });
   }
 
