Show which odd requests get no answer, and which tasks end their process

The options that the fixes need (a logger, a callback for failures) are passed already and not used yet.

--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -156,6 +156,7 @@
     const publisher: ConfigurationPublisher = new ConfigurationPublisher({
       network,
       clock,
+      logger,
       table,
       confirmRead: async () => (await log?.confirmRead())?.isOk() ?? false,
       otherControlHosts: () => peers.otherHosts(),
--- a/packages/control/publisher.ts
+++ b/packages/control/publisher.ts
@@ -8,6 +8,7 @@
   withoutCredentials,
 } from "#configuration";
 import type { Clock, Configuration, HostId } from "#model";
+import type { Logger } from "#telemetry";
 import type { Hello, Network } from "#wire";
 
 /** Recent versions kept, so that entries can be sent only the differences. */
@@ -20,6 +21,7 @@
 export interface PublisherOptions {
   readonly network: Network<ConfigurationMessages>;
   readonly clock: Clock;
+  readonly logger: Logger;
   readonly table: EntryTable;
   /** Resolves with true once a majority confirms that this host is current. */
   readonly confirmRead: () => Promise<boolean>;
--- a/packages/entry/activity_timer.ts
+++ b/packages/entry/activity_timer.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "#model";
+import type { Logger } from "#telemetry";
 
 /** Task interval without work; longer, since each wake-up costs CPU time. */
 const IDLE_INTERVAL_MS = 100;
@@ -18,6 +19,7 @@
 
   constructor(options: {
     clock: Clock;
+    logger: Logger;
     task: () => void;
     /** Interval while there is work, such as queues and timeouts to check. */
     busyIntervalMs: () => number;
--- a/packages/entry/activity_timer_test.ts
+++ b/packages/entry/activity_timer_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { mock, type TestContext, test } from "node:test";
 import type { Clock } from "#model";
+import { SilentLogger } from "#telemetry";
 import { ActivityTimer } from "./activity_timer.ts";
 
 /** Counts the runs of the task in a second after a call arrived. */
@@ -12,6 +13,7 @@
   const clock: Clock = { now: () => now, wallTime: () => now };
   const timer = new ActivityTimer({
     clock,
+    logger: new SilentLogger(),
     task: () => {
       runs += 1;
     },
--- a/packages/entry/admin_server.ts
+++ b/packages/entry/admin_server.ts
@@ -2,7 +2,7 @@
 import type { Result } from "neverthrow";
 import type { Address } from "#model";
 import type { Metrics } from "#telemetry";
-import { type ListenFault, listen } from "#wire";
+import { type HttpFailure, type ListenFault, listen } from "#wire";
 import { replyJson } from "./reply.ts";
 
 /** The HTTP server for metrics and health checks, on its own address. */
@@ -10,10 +10,12 @@
   readonly #server: Server;
 
   constructor(options: {
-    metrics: Metrics;
+    metrics: Pick<Metrics, "text" | "contentType">;
     /** Reasons why the process should get no new work; empty if it is ready. */
     notReadyReasons: () => readonly string[];
     status: () => unknown;
+    /** Called for a request whose handling threw or rejected. */
+    onFailure?: (failure: HttpFailure) => void;
   }) {
     const { metrics, notReadyReasons, status } = options;
     this.#server = createServer(async (request, response) => {
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -117,6 +117,7 @@
     });
     this.#tickTimer = new ActivityTimer({
       clock,
+      logger,
       task: () => {
         this.#assignments.tick();
         this.#claims.tick();
--- a/packages/entry/peer_connection_checks.ts
+++ b/packages/entry/peer_connection_checks.ts
@@ -1,5 +1,6 @@
 import type { BackendServer, Clock, HostId } from "#model";
 import type { QuarantineMessages } from "#quarantine";
+import type { Logger } from "#telemetry";
 import type { Network } from "#wire";
 import { tryConnection } from "./connection_check.ts";
 
@@ -18,6 +19,7 @@
   constructor(options: {
     network: Network<QuarantineMessages>;
     clock: Clock;
+    logger: Logger;
   }) {
     const { network, clock } = options;
     this.#network = network;
--- a/packages/entry/quarantine_coordinator.ts
+++ b/packages/entry/quarantine_coordinator.ts
@@ -84,7 +84,7 @@
   }) {
     const { self, clock, logger, network, isCutOff } = options;
     this.#isCutOff = isCutOff;
-    this.#peerChecks = new PeerConnectionChecks({ network, clock });
+    this.#peerChecks = new PeerConnectionChecks({ network, clock, logger });
     this.#self = self;
     this.#clock = clock;
     this.#logger = logger;
--- a/packages/faults/forgotten_links_test.ts
+++ b/packages/faults/forgotten_links_test.ts
@@ -130,6 +130,7 @@
     const publisher: ConfigurationPublisher = new ConfigurationPublisher({
       network,
       clock,
+      logger: new SilentLogger(),
       table: new EntryTable(),
       confirmRead: () => Promise.resolve(true),
       otherControlHosts: () => [],
--- a/packages/operators/server.ts
+++ b/packages/operators/server.ts
@@ -1,5 +1,5 @@
 import type { Duplex } from "node:stream";
-import { type HttpHandler, HttpServer } from "#wire";
+import { type HttpFailure, type HttpHandler, HttpServer } from "#wire";
 import { OPERATOR_ERRORS, type OperatorErrorCode } from "./errors.ts";
 
 /** Limits of the operators' HTTP server. */
@@ -7,6 +7,8 @@
   readonly headerMaxBytes: number;
   readonly requestTimeoutMs: number;
   readonly connectionsMax: number;
+  /** Called for a request whose handling threw or rejected. */
+  readonly onFailure?: (failure: HttpFailure) => void;
 }
 
 /** Interval at which Node checks for requests that exceeded their timeout. */
--- a/packages/slopes/configuration.ts
+++ b/packages/slopes/configuration.ts
@@ -14,6 +14,7 @@
   SeededRandomness,
 } from "#model";
 import { Router } from "#routing";
+import { SilentLogger } from "#telemetry";
 import type { Hello, Network } from "#wire";
 import { measureHeap, medianCpuUs } from "./measure.ts";
 import type { Row } from "./report.ts";
@@ -243,6 +244,7 @@
     network,
     clock: new ManualClock(),
     table: new EntryTable(),
+    logger: new SilentLogger(),
     confirmRead: () => new Promise(() => undefined),
     otherControlHosts: () => [],
   });
--- a/packages/slopes/heartbeats.ts
+++ b/packages/slopes/heartbeats.ts
@@ -5,6 +5,7 @@
 } from "#configuration";
 import { ConfigurationPublisher, LeaderDuties } from "#control";
 import { ManualClock } from "#model";
+import { SilentLogger } from "#telemetry";
 import {
   CountingNetwork,
   makeConfiguration,
@@ -57,6 +58,7 @@
     network,
     clock,
     table,
+    logger: new SilentLogger(),
     confirmRead: () => Promise.resolve(true),
     otherControlHosts: () => [],
   });
--- a/packages/wire/index.ts
+++ b/packages/wire/index.ts
@@ -7,6 +7,7 @@
 export * from "./after_input.ts";
 export * from "./frames.ts";
 export * from "./http_connections.ts";
+export * from "./http_failure.ts";
 export * from "./http_server.ts";
 export type { LinkFault, Traffic } from "./link.ts";
 export * from "./listen.ts";
--- a/packages/wire/network.ts
+++ b/packages/wire/network.ts
@@ -34,6 +34,8 @@
   readonly onConnect?: (peer: Hello) => void;
   readonly onDisconnect?: (peer: Hello) => void;
   readonly onFault?: (fault: LinkFault, link: Link | undefined) => void;
+  /** Called for an exception of a task, such as another callback of these. */
+  readonly onFailure?: (task: string, error: unknown) => void;
 }
 
 type Handler = (payload: unknown, from: Hello) => void;
--- a/packages/wire/network_test.ts
+++ b/packages/wire/network_test.ts
@@ -334,3 +334,48 @@
   assert.ok(!network.isConnected("peer"));
   assert.deepEqual(faults, ["hello_refused"]);
 });
+
+// Guards against an address that another process hands on and that ends this one.
+test("a peer whose port cannot be used ends nothing", async (t) => {
+  const clock = new ManualClock();
+  const network = new TcpNetwork({ self: hello("a"), clock });
+  t.after(() => network.close());
+  const address = { host: "127.0.0.1", port: 70_000 };
+  assert.doesNotThrow(() => network.setPeers([{ id: "b", address }]));
+  await turn();
+});
+
+for (const event of ["onConnect", "onDisconnect"] as const) {
+  // Guards against a peer whose arrival or end throws and ends this process.
+  test(`${event} that throws is reported, and later peers connect`, async (t) => {
+    const failures: string[] = [];
+    const clock = new ManualClock();
+    const network = new TcpNetwork({
+      self: hello("a"),
+      clock,
+      observer: {
+        [event]: () => {
+          throw new TypeError("planted");
+        },
+        onFailure: (task: string) => failures.push(task),
+      },
+    });
+    t.after(() => network.close());
+    const listening = await network.listen({ host: "127.0.0.1", port: 0 });
+    const { port } = listening._unsafeUnwrap();
+    for (const id of ["b", "c"]) {
+      const socket = connect(port, "127.0.0.1");
+      socket.on("error", () => undefined);
+      socket.write(frame("hello", hello(id)));
+      if (event === "onDisconnect") {
+        await once(socket, "data");
+        socket.destroy();
+      }
+      const end = performance.now() + RECEIVE_TIMEOUT_MS;
+      const wanted = id === "b" ? 1 : 2;
+      while (failures.length < wanted && performance.now() < end) await turn();
+      socket.destroy();
+    }
+    assert.deepEqual(failures, [event, event]);
+  });
+}
