Answer a request whose handler fails with 500, and refuse tunnels

A client of an endpoint, of the metrics or of the operators' server whose handler threw got a closed connection, and a metric that could not be read ended the process: the metrics' and health handlers were promises that nobody owned. CONNECT closed the connection, as Node does without a listener.

HttpServer now owns each handler: an exception or a rejection is reported once, with an id, counted by endpoint, and answered with 500 and the same id as JSON. If a part of the answer was written, the connection is closed, as before. The admin server uses HttpServer too. CONNECT gets 405 where a server has no answer of its own.

--- a/packages/control/control_host.ts
+++ b/packages/control/control_host.ts
@@ -1,7 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Clock } from "#model";
 import { createOperatorServer, OperatorApi } from "#operators";
-import { recordEndpointFailure } from "#telemetry";
+import { endpointFailures, recordEndpointFailure } from "#telemetry";
 import type { HttpServer } from "#wire";
 import {
   type ControlFault,
@@ -63,7 +63,10 @@
     });
     const metrics = controlMetrics(control, clock);
     const handle = withHealthEndpoints(api.handle, { control, metrics });
-    const server = createOperatorServer(handle, settings.limits);
+    const server = createOperatorServer(handle, {
+      ...settings.limits,
+      onFailure: endpointFailures("operators", logger),
+    });
     const listening = await server.listen(settings.http);
     if (listening.isErr()) {
       await control.close();
--- a/packages/control/health.ts
+++ b/packages/control/health.ts
@@ -18,10 +18,11 @@
   });
 }
 
+type ServeEndpoint = (response: ServerResponse) => void | Promise<void>;
 type RequestHandler = (
   request: IncomingMessage,
   response: ServerResponse,
-) => void;
+) => void | Promise<void>;
 
 /**
  * Serves `/metrics`, `/healthz` and `/readyz`, and passes all other requests to
@@ -33,29 +34,25 @@
   options: { control: ControlProcess; metrics: ControlMetrics },
 ): RequestHandler {
   const { control, metrics } = options;
-  const paths: Readonly<Record<string, (response: ServerResponse) => unknown>> =
-    {
-      "/healthz": (response) => reply(response, 200, { status: "ok" }),
-      "/readyz": async (response) => {
-        const ready = (await control.confirmRead()).isOk();
-        const { role, term, applied } = control.status();
-        reply(response, ready ? 200 : 503, { ready, role, term, applied });
-      },
-      "/metrics": async (response) => {
-        const text = await metrics.text();
-        response.writeHead(200, { "content-type": metrics.contentType });
-        response.end(text);
-      },
-    };
+  const paths: Readonly<Record<string, ServeEndpoint>> = {
+    "/healthz": (response) => reply(response, 200, { status: "ok" }),
+    "/readyz": async (response) => {
+      const ready = (await control.confirmRead()).isOk();
+      const { role, term, applied } = control.status();
+      reply(response, ready ? 200 : 503, { ready, role, term, applied });
+    },
+    "/metrics": async (response) => {
+      const text = await metrics.text();
+      response.writeHead(200, { "content-type": metrics.contentType });
+      response.end(text);
+    },
+  };
   return (request, response) => {
     const path = request.url?.split("?")[0] ?? "";
     const serveEndpoint = request.method === "GET" ? paths[path] : undefined;
-    if (!serveEndpoint) {
-      operators(request, response);
-      return;
-    }
+    if (!serveEndpoint) return operators(request, response);
     request.resume();
-    serveEndpoint(response);
+    return serveEndpoint(response);
   };
 }
 
--- a/packages/entry/admin_server.ts
+++ b/packages/entry/admin_server.ts
@@ -1,13 +1,12 @@
-import { createServer, type Server } from "node:http";
 import type { Result } from "neverthrow";
 import type { Address } from "#model";
 import type { Metrics } from "#telemetry";
-import { type HttpFailure, type ListenFault, listen } from "#wire";
+import { type HttpFailure, HttpServer, type ListenFault } from "#wire";
 import { replyJson } from "./reply.ts";
 
 /** The HTTP server for metrics and health checks, on its own address. */
 export class AdminServer {
-  readonly #server: Server;
+  readonly #server: HttpServer;
 
   constructor(options: {
     metrics: Pick<Metrics, "text" | "contentType">;
@@ -17,8 +16,9 @@
     /** Called for a request whose handling threw or rejected. */
     onFailure?: (failure: HttpFailure) => void;
   }) {
-    const { metrics, notReadyReasons, status } = options;
-    this.#server = createServer(async (request, response) => {
+    const { metrics, notReadyReasons, status, onFailure } = options;
+    const handlers = { ...(onFailure && { onFailure }) };
+    this.#server = new HttpServer(handlers, async (request, response) => {
       request.resume();
       const path = request.url?.split("?")[0];
       if (path === "/metrics") {
@@ -43,11 +43,10 @@
   }
 
   listen(address: Address): Promise<Result<Address, ListenFault>> {
-    return listen(this.#server, address);
+    return this.#server.listen(address);
   }
 
   close(): void {
-    this.#server.close();
-    this.#server.closeAllConnections();
+    this.#server.destroy();
   }
 }
--- a/packages/entry/caller_server.ts
+++ b/packages/entry/caller_server.ts
@@ -10,7 +10,12 @@
   INTERNAL_PATH_ROOT,
 } from "#model";
 import type { EntryLimits } from "#settings";
-import { type HttpHandler, HttpServer, type ListenFault } from "#wire";
+import {
+  type HttpFailure,
+  type HttpHandler,
+  HttpServer,
+  type ListenFault,
+} from "#wire";
 
 /** How often Node checks for requests that take too long to arrive. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
@@ -28,9 +33,11 @@
     handleHandedOver?: HttpHandler;
     /** Called for a request that came behind the last answer of a connection. */
     onDropped?: (request: IncomingMessage) => void;
+    /** Called for a request whose handling threw or rejected. */
+    onFailure?: (failure: HttpFailure) => void;
   }) {
-    const { limits, handleApi, handleCall, handleHandedOver, onDropped } =
-      options;
+    const { limits, handleApi, handleCall, handleHandedOver } = options;
+    const { onDropped, onFailure } = options;
     this.#server = new HttpServer(
       {
         maxHeaderSize: limits.headerMaxBytes,
@@ -41,13 +48,14 @@
         noDelay: true,
         connectionsMax: limits.connectionsMax,
         ...(onDropped && { onDropped }),
+        ...(onFailure && { onFailure }),
       },
       (request, response) => {
         if (this.#server.isInternal(request.socket))
-          handleHandedOver?.(request, response);
-        else if (handleApi && request.url?.startsWith(INTERNAL_PATH_ROOT))
-          handleApi(request, response);
-        else handleCall(request, response);
+          return handleHandedOver?.(request, response);
+        if (handleApi && request.url?.startsWith(INTERNAL_PATH_ROOT))
+          return handleApi(request, response);
+        return handleCall(request, response);
       },
     );
     this.#server.onMalformed(rejectMalformed);
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -19,7 +19,7 @@
 } from "#presence";
 import { Registrations } from "#registration";
 import type { EntrySettings } from "#settings";
-import { type Logger, Metrics } from "#telemetry";
+import { endpointFailures, type Logger, Metrics } from "#telemetry";
 import {
   createLoggedNetwork,
   type Hello,
@@ -199,10 +199,11 @@
       ready: () => this.#follower.isFresh(),
     });
     this.#callerServer = new CallerServer({
+      onFailure: endpointFailures("callers", logger),
       limits: settings.limits,
       handleApi: options.protocol
         ? undefined
-        : (request, response) => void own.serve(request, response),
+        : (request, response) => own.serve(request, response),
       handleCall: (request, response) =>
         this.#callPipeline.serve(request, response),
       handleHandedOver: (request, response) =>
@@ -218,6 +219,7 @@
       metrics: this.#metrics,
       notReadyReasons: () => this.#notReadyReasons(),
       status: () => this.#status(),
+      onFailure: endpointFailures("metrics", logger),
     });
   }
 
--- a/packages/operators/api.ts
+++ b/packages/operators/api.ts
@@ -69,7 +69,7 @@
   }
 
   /** Request handler for Node's `http` server. */
-  readonly handle = (request: IncomingMessage, response: ServerResponse) => {
+  readonly handle = (request: IncomingMessage, response: ServerResponse) =>
     this.#handleRequest(request)
       .catch((error: unknown) => {
         if (!request.destroyed) this.#options.onFailure?.(error);
@@ -77,7 +77,6 @@
         return err(operatorError("internal_error", message));
       })
       .then((result) => writeResponse(response, result));
-  };
 
   async #handleRequest(request: IncomingMessage): ApiResult {
     const target = readTarget(request.url ?? "");
--- a/packages/operators/odd_requests_test.ts
+++ b/packages/operators/odd_requests_test.ts
@@ -24,7 +24,7 @@
 // Guards against a control host that ends as a metric can't be read.
 test("a control host answers 500 for what it cannot collect", async (t) => {
   const failures: unknown[] = [];
-  const handle = withHealthEndpoints((_, response) => response.end(), {
+  const handle = withHealthEndpoints((_, response) => void response.end(), {
     control: {
       confirmRead: () => Promise.reject(new Error("no read")),
     } as never,
--- a/packages/operators/server.ts
+++ b/packages/operators/server.ts
@@ -28,6 +28,7 @@
       limits.requestTimeoutMs,
     ),
     connectionsMax: limits.connectionsMax,
+    ...(limits.onFailure && { onFailure: limits.onFailure }),
   };
   const server = new HttpServer(options, handle);
   server.onMalformed((error, socket) => {
--- a/packages/telemetry/failures.ts
+++ b/packages/telemetry/failures.ts
@@ -1,8 +1,10 @@
 import { Counter, type Registry } from "prom-client";
+import type { Logger } from "./logger.ts";
+import { errorFields } from "./process_end.ts";
 
 /** Failures since the start of the process, by place. */
 const taskFailures = new Map<string, number>();
-const endpointFailures = new Map<string, number>();
+const failuresByEndpoint = new Map<string, number>();
 
 /** Counts an exception or rejection of a task that no request waits for. */
 export function recordTaskFailure(task: string): void {
@@ -11,7 +13,22 @@
 
 /** Counts a request whose handling threw or rejected. */
 export function recordEndpointFailure(endpoint: string): void {
-  increment(endpointFailures, endpoint);
+  increment(failuresByEndpoint, endpoint);
+}
+
+/**
+ * Returns a callback that logs and counts the failed requests of an endpoint;
+ * the line's `id` is that of the answer.
+ */
+export function endpointFailures(
+  endpoint: string,
+  logger: Logger,
+): (failure: { readonly error: unknown }) => void {
+  return ({ error, ...about }) => {
+    recordEndpointFailure(endpoint);
+    const fields = { endpoint, ...about, error: errorFields(error) };
+    logger.error("request failed", fields);
+  };
 }
 
 /**
@@ -24,7 +41,7 @@
     help: "Unforeseen exceptions and rejections of tasks that run by themselves",
     label: "task",
   });
-  registerCounter(registry, endpointFailures, {
+  registerCounter(registry, failuresByEndpoint, {
     name: "mangobank_endpoint_failures_total",
     help: "Requests whose handling ended with an unforeseen exception",
     label: "endpoint",
--- a/packages/wire/http_server.ts
+++ b/packages/wire/http_server.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from "node:crypto";
 import {
   createServer,
   IncomingMessage,
@@ -13,6 +14,11 @@
 import type { Result } from "neverthrow";
 import type { Address, Clock } from "#model";
 import { HttpConnections, TrackedResponse } from "./http_connections.ts";
+import {
+  answerFailure,
+  type HttpFailure,
+  httpFailure,
+} from "./http_failure.ts";
 import { type ListenFault, listen } from "./listen.ts";
 
 /** How often to check whether all requests that were read are answered. */
@@ -24,12 +30,19 @@
   readonly connectionsMax?: number;
   /** Called for a request that came behind the last answer of a connection. */
   readonly onDropped?: (request: IncomingMessage) => void;
+  /**
+   * Called for a request whose handler threw or rejected; it is answered with
+   * 500 if no part of its answer was written.
+   */
+  readonly onFailure?: (failure: HttpFailure) => void;
 }
 
 export type HttpHandler = (
   request: IncomingMessage,
   response: TrackedResponse,
-) => void;
+) => void | Promise<void>;
+
+const CONNECT_REFUSAL = JSON.stringify({ error: "method_not_allowed" });
 
 /** An HTTP server that can stop without breaking off an answer. */
 export class HttpServer {
@@ -38,9 +51,16 @@
   /** Listens on the internal address; its connections are served as others. */
   #internalServer: TcpServer | undefined;
   readonly #internalSockets = new WeakSet<Socket>();
+  readonly #handle: HttpHandler;
+  readonly #onFailure: HttpServerOptions["onFailure"];
+  /** Tells failures of different servers and processes apart. */
+  readonly #failurePrefix = randomUUID().slice(0, 8);
+  #failureCount = 0;
 
   constructor(options: HttpServerOptions, handle: HttpHandler) {
-    const { connectionsMax, onDropped, ...nodeOptions } = options;
+    const { connectionsMax, onDropped, onFailure, ...nodeOptions } = options;
+    this.#handle = handle;
+    this.#onFailure = onFailure;
     this.#server = createServer(
       {
         ...nodeOptions,
@@ -57,11 +77,13 @@
         // together are read before the first of them is answered.
         if (this.#connections.isClosing)
           setImmediate(() => {
-            if (!response.destroyed) handle(request, response);
+            if (!response.destroyed) this.#serve(request, response);
           });
-        else handle(request, response);
+        else this.#serve(request, response);
       },
     );
+    // Without a listener, Node closes the connection without an answer.
+    this.onConnect(refuseConnect);
     this.#server.on("connection", (socket) => this.#connections.open(socket));
     if (connectionsMax !== undefined)
       this.#server.maxConnections = connectionsMax;
@@ -114,6 +136,7 @@
 
   /** Calls back for requests to open a tunnel. */
   onConnect(reject: (socket: Socket) => void): void {
+    this.#server.removeAllListeners("connect");
     this.#server.on("connect", (_request, socket: Socket) => reject(socket));
   }
 
@@ -164,6 +187,33 @@
     this.#internalServer?.close();
     this.#server.closeAllConnections();
   }
+
+  #serve(request: IncomingMessage, response: TrackedResponse): void {
+    try {
+      const served = this.#handle(request, response);
+      served?.catch((error: unknown) => this.#fail(request, response, error));
+    } catch (error) {
+      this.#fail(request, response, error);
+    }
+  }
+
+  #fail(
+    request: IncomingMessage,
+    response: TrackedResponse,
+    error: unknown,
+  ): void {
+    const id = `${this.#failurePrefix}-${++this.#failureCount}`;
+    this.#onFailure?.(httpFailure(id, request, error));
+    answerFailure(response, id);
+  }
+}
+
+function refuseConnect(socket: Socket): void {
+  socket.end(
+    "HTTP/1.1 405 Method Not Allowed\r\ncontent-type: application/json\r\n" +
+      `content-length: ${Buffer.byteLength(CONNECT_REFUSAL)}\r\n` +
+      `connection: close\r\n\r\n${CONNECT_REFUSAL}`,
+  );
 }
 
 /** Whether the connection failed, and not the parser of its requests. */
