Give each task that runs by itself an owner that logs and counts its failure

An entry ended as a check of a server threw (an address of another writer), and with it the requests that it served: the check was a promise that nobody owned. The same held for probes, connection checks, checks for other entries, all ticks, the leader's commands, steps of the membership and the answers to heartbeats; an exception in the last two would have left a flag set, so that none would have run again.

OwnTasks runs such a task, logs its failure by name at most once a second, counts it, and goes on. The parts of one tick fail on their own. Where a decision module waits for a result, it still gets one: a check or probe that could not be made has failed, a connection check is unknown, another entry is told that the server was not reached. The replicated log's own stop on an exception is unchanged. On the path of a call the check's promise has one handler more; the processor time a call was not measured.

--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -26,7 +26,7 @@
 import { Registry, type RegistryCommand, type RegistryReply } from "#registry";
 import type { ControlSettings, FoundingMember } from "#settings";
 import { openReplicatedLog } from "#storage";
-import type { Logger } from "#telemetry";
+import { type Logger, OwnTasks } from "#telemetry";
 import { createLoggedNetwork, type ListenFault, type TcpNetwork } from "#wire";
 import { ControlPeers } from "./control_peers.ts";
 import { ServerInventory } from "./inventory.ts";
@@ -87,11 +87,13 @@
   readonly registrar: ServerRegistrar;
   readonly #peers: ControlPeers;
   readonly #membershipManager: MembershipManager | undefined;
+  readonly #tasks: OwnTasks;
   readonly #timers: NodeJS.Timeout[];
   #isSubmitting = false;
 
   private constructor(options: ControlOptions, components: Components) {
     this.#options = options;
+    this.#tasks = new OwnTasks(options);
     const { network, registry, log, table, acceptance, publisher } = components;
     this.#connectedSince = components.connectedSince;
     this.#network = network;
@@ -117,7 +119,10 @@
       });
     this.#timers = [
       setInterval(() => this.#tick(), CONTROL_TICK_MS),
-      setInterval(() => this.registrar.tick(), TICK_INTERVAL_MS),
+      setInterval(
+        () => this.#tasks.run("presence", () => this.registrar.tick()),
+        TICK_INTERVAL_MS,
+      ),
     ];
   }
 
@@ -334,10 +339,12 @@
 
   #tick(): void {
     const { clock } = this.#options;
-    this.#publisher.relayHeartbeats();
-    this.#entryTable.removeSilent(ENTRY_RETENTION_MS, clock.now());
-    void this.#submitLeaderCommands();
-    void this.#membershipManager?.tick();
+    this.#tasks.run("heartbeat_relay", () => this.#publisher.relayHeartbeats());
+    this.#tasks.run("silent_entries", () =>
+      this.#entryTable.removeSilent(ENTRY_RETENTION_MS, clock.now()),
+    );
+    this.#tasks.run("leader_commands", () => this.#submitLeaderCommands());
+    this.#membershipManager?.tick();
   }
 
   /** The command that updates the list of control hosts, if members changed. */
@@ -356,6 +363,14 @@
   async #submitLeaderCommands(): Promise<void> {
     if (this.#isSubmitting) return;
     this.#isSubmitting = true;
+    try {
+      await this.#submitDueCommands();
+    } finally {
+      this.#isSubmitting = false;
+    }
+  }
+
+  async #submitDueCommands(): Promise<void> {
     const status = this.#log.status();
     const isLeader = status.role === "leader";
     const configuration = this.#registry.configuration();
@@ -374,7 +389,6 @@
         fault: result.error.type,
       });
     });
-    this.#isSubmitting = false;
   }
 }
 
--- a/packages/control/membership_manager.ts
+++ b/packages/control/membership_manager.ts
@@ -1,6 +1,6 @@
 import type { ReplicatedLog } from "#agreement";
 import type { Clock } from "#model";
-import type { Logger } from "#telemetry";
+import { type Logger, OwnTasks } from "#telemetry";
 import {
   MembershipPlanner,
   type MembershipStep,
@@ -20,15 +20,21 @@
   readonly #clock: Clock;
   readonly #logger: Logger;
   readonly #planner = new MembershipPlanner();
+  readonly #tasks: OwnTasks;
   #isChanging = false;
 
   constructor(options: { log: MemberLog; clock: Clock; logger: Logger }) {
+    this.#tasks = new OwnTasks(options);
     this.#log = options.log;
     this.#clock = options.clock;
     this.#logger = options.logger;
   }
 
-  async tick(): Promise<void> {
+  tick(): void {
+    this.#tasks.run("membership", () => this.#makeNextStep());
+  }
+
+  async #makeNextStep(): Promise<void> {
     const step = this.#planner.nextStep(this.#log.status(), this.#clock.now());
     if (this.#isChanging || !step) return;
     this.#isChanging = true;
--- a/packages/control/publisher.ts
+++ b/packages/control/publisher.ts
@@ -8,7 +8,7 @@
   withoutCredentials,
 } from "#configuration";
 import type { Clock, Configuration, HostId } from "#model";
-import type { Logger } from "#telemetry";
+import { type Logger, OwnTasks } from "#telemetry";
 import type { Hello, Network } from "#wire";
 
 /** Recent versions kept, so that entries can be sent only the differences. */
@@ -39,6 +39,7 @@
  */
 export class ConfigurationPublisher {
   readonly #options: PublisherOptions;
+  readonly #tasks: OwnTasks;
   /** Recent versions without credentials, oldest first. */
   #recentVersions: Configuration[] = [EMPTY_CONFIGURATION];
   /**
@@ -54,6 +55,7 @@
 
   constructor(options: PublisherOptions) {
     this.#options = options;
+    this.#tasks = new OwnTasks(options);
     const { network, clock, table } = options;
     network.handle("confirm", (heartbeat, from) =>
       this.#handleHeartbeat(heartbeat, from),
@@ -145,7 +147,7 @@
   #scheduleRelay(): void {
     this.#relayTimer ??= setTimeout(() => {
       this.#relayTimer = undefined;
-      this.relayHeartbeats();
+      this.#tasks.run("heartbeat_relay", () => this.relayHeartbeats());
     }, RELAY_BATCH_MS);
   }
 
@@ -158,12 +160,20 @@
     this.#entryVersions.set(from.id, heartbeat.version);
     const { sequence } = heartbeat;
     this.#unansweredHeartbeats.push({ entry: from.id, sequence });
-    void this.#answerHeartbeats();
+    this.#tasks.run("heartbeat_answers", () => this.#answerHeartbeats());
   }
 
   async #answerHeartbeats(): Promise<void> {
     if (this.#isAnswering) return;
     this.#isAnswering = true;
+    try {
+      await this.#answerUntilNoneIsLeft();
+    } finally {
+      this.#isAnswering = false;
+    }
+  }
+
+  async #answerUntilNoneIsLeft(): Promise<void> {
     while (this.#unansweredHeartbeats.length > 0) {
       await new Promise((resolve) => setTimeout(resolve, READ_BATCH_MS));
       const batch = this.#unansweredHeartbeats;
@@ -172,7 +182,6 @@
       if (!(await this.#options.confirmRead())) continue;
       for (const { entry, sequence } of batch) this.#answer(entry, sequence);
     }
-    this.#isAnswering = false;
   }
 
   #answer(entry: HostId, sequence: number): void {
--- a/packages/control/self_running_tasks_test.ts
+++ b/packages/control/self_running_tasks_test.ts
@@ -76,7 +76,8 @@
     clock: new SystemClock(),
     logger,
   });
-  await manager.tick();
-  await manager.tick();
+  manager.tick();
+  manager.tick();
+  await delay(1);
   assert.deepEqual(failed, ["membership"]);
 });
--- a/packages/entry/activity_timer.ts
+++ b/packages/entry/activity_timer.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "#model";
-import type { Logger } from "#telemetry";
+import { type Logger, OwnTasks } from "#telemetry";
 
 /** Task interval without work; longer, since each wake-up costs CPU time. */
 const IDLE_INTERVAL_MS = 100;
@@ -9,6 +9,7 @@
 /** Runs a task at a short interval while there is work, else at a long one. */
 export class ActivityTimer {
   readonly #clock: Clock;
+  readonly #tasks: OwnTasks;
   readonly #task: () => void;
   readonly #busyIntervalMs: () => number;
   #timer: NodeJS.Timeout | undefined;
@@ -25,6 +26,7 @@
     busyIntervalMs: () => number;
   }) {
     this.#clock = options.clock;
+    this.#tasks = new OwnTasks(options);
     this.#task = options.task;
     this.#busyIntervalMs = options.busyIntervalMs;
   }
@@ -51,7 +53,7 @@
     const busy = this.#clock.now() < this.#busyUntil;
     this.#intervalMs = busy ? this.#busyIntervalMs() : IDLE_INTERVAL_MS;
     this.#timer = setTimeout(() => {
-      this.#task();
+      this.#tasks.run("tick", this.#task);
       if (!this.#stopped) this.#schedule();
     }, this.#intervalMs);
   }
--- a/packages/entry/assignments.ts
+++ b/packages/entry/assignments.ts
@@ -18,7 +18,7 @@
   RoutingEffect,
   ServiceHealthChange,
 } from "#routing";
-import type { Logger } from "#telemetry";
+import { type Logger, OwnTasks } from "#telemetry";
 import { type Message, messageKinds, type Network } from "#wire";
 
 export interface AssignmentsOptions {
@@ -52,10 +52,12 @@
 /** Executes the router's effects and delivers its decision to each call. */
 export class Assignments {
   readonly #options: AssignmentsOptions;
+  readonly #tasks: OwnTasks;
   readonly #pending = new Map<string, (decision: Decision) => void>();
 
   constructor(options: AssignmentsOptions) {
     this.#options = options;
+    this.#tasks = new OwnTasks(options);
     const { router, clock, network } = options;
     for (const kind of messageKinds(MESSAGE_KINDS)) {
       network.handle(kind, (payload, from) => {
@@ -110,10 +112,12 @@
         this.#resolve(effect.callId, err(effect.fault));
         return;
       case "probe":
-        void this.#probe(effect.server);
+        this.#tasks.run("probe", () => this.#probe(effect.server));
         return;
       case "check":
-        void this.#check(effect.callId, effect.server);
+        this.#tasks.run("check", () =>
+          this.#check(effect.callId, effect.server),
+        );
         return;
       case "rate_limit_changed":
         this.#logRateLimit(effect);
@@ -167,13 +171,20 @@
 
   async #probe(server: BackendServer): Promise<void> {
     const { router, clock, probe } = this.#options;
-    const result = await probe(server);
+    // The router waits for a result, also if the server could not be asked.
+    const result = await probe(server).catch((error): ProbeResult => {
+      this.#tasks.fail("probe", error);
+      return { kind: "failed" };
+    });
     this.execute(router.handleProbeResult(server, result, clock.now()));
   }
 
   async #check(callId: string, server: BackendServer): Promise<void> {
     const { router, clock, check } = this.#options;
-    const result = await check(server);
+    const result = await check(server).catch((error): CheckResult => {
+      this.#tasks.fail("check", error);
+      return { kind: "failed" };
+    });
     this.execute(router.handleCheckResult(callId, result, clock.now()));
   }
 }
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -14,7 +14,7 @@
 import { selectRelays } from "#presence";
 import { HostRoutes, Router } from "#routing";
 import type { EntrySettings } from "#settings";
-import type { Logger, Metrics } from "#telemetry";
+import { type Logger, type Metrics, OwnTasks } from "#telemetry";
 import type { Peer, TcpNetwork, TrackedResponse } from "#wire";
 import { ActivityTimer } from "./activity_timer.ts";
 import { Assignments } from "./assignments.ts";
@@ -231,9 +231,10 @@
 
   start(): void {
     this.#tickTimer.start();
+    const tasks = new OwnTasks(this.#options);
     const tick = () => {
-      this.#quarantine.tick();
-      this.#claimNetwork.tick();
+      tasks.run("quarantine", () => this.#quarantine.tick());
+      tasks.run("claims", () => this.#claimNetwork.tick());
     };
     this.#quarantineTimer = setInterval(tick, QUARANTINE_TICK_MS);
   }
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -19,7 +19,7 @@
 } from "#presence";
 import { Registrations } from "#registration";
 import type { EntrySettings } from "#settings";
-import { endpointFailures, type Logger, Metrics } from "#telemetry";
+import { endpointFailures, type Logger, Metrics, OwnTasks } from "#telemetry";
 import {
   createLoggedNetwork,
   type Hello,
@@ -73,6 +73,7 @@
   readonly #metrics: Metrics;
   readonly #callerServer: CallerServer;
   readonly #adminServer: AdminServer;
+  readonly #tasks: OwnTasks;
   readonly #timers: NodeJS.Timeout[] = [];
   #state: EntryState = "ready";
   #isClosed = false;
@@ -80,6 +81,7 @@
 
   constructor(options: EntryOptions) {
     this.#options = options;
+    this.#tasks = new OwnTasks(options);
     const { settings, clock, randomness, logger } = options;
     this.#incarnation = Math.floor(clock.wallTime());
     const protocol = options.protocol ?? new PublishedProtocol();
@@ -152,7 +154,9 @@
       linkSilenceMs: (id) => network.silenceMs(id),
       renewLink: (id) => network.renewLink(id),
       schedule: (run, ms) => {
-        setTimeout(() => !this.#isClosed && run(), ms).unref();
+        setTimeout(() => {
+          if (!this.#isClosed) this.#tasks.run("configuration", run);
+        }, ms).unref();
       },
       onChange: (configuration) => this.#applyConfiguration(configuration),
       onReceived: (way, ageMs) => this.#metrics.recordConfiguration(way, ageMs),
@@ -240,13 +244,17 @@
       }
     }
     this.#links.connect();
-    this.#runEvery(HEARTBEAT_INTERVAL_MS, () => {
+    this.#runEvery(HEARTBEAT_INTERVAL_MS, "heartbeat", () => {
       this.#follower.sendHeartbeat();
       this.#links.update();
     });
     this.#callPipeline.start();
-    this.#runEvery(TICK_INTERVAL_MS, () => this.#registrations.tick());
-    this.#runEvery(LOAD_REPORT_INTERVAL_MS, () => this.#reportLoad());
+    this.#runEvery(TICK_INTERVAL_MS, "presence", () =>
+      this.#registrations.tick(),
+    );
+    this.#runEvery(LOAD_REPORT_INTERVAL_MS, "load_report", () =>
+      this.#reportLoad(),
+    );
     logger.info("entry started", {
       id: settings.id,
       build: BUILD,
@@ -317,8 +325,9 @@
     this.#network.close();
   }
 
-  #runEvery(ms: number, run: () => void): void {
-    this.#timers.push(setInterval(run, ms));
+  #runEvery(ms: number, name: string, run: () => void): void {
+    const task = () => this.#tasks.run(name, run);
+    this.#timers.push(setInterval(task, ms));
   }
 
   #peerUp(peer: Hello): void {
--- a/packages/entry/path_monitor.ts
+++ b/packages/entry/path_monitor.ts
@@ -7,12 +7,13 @@
   type Randomness,
 } from "#model";
 import {
+  type ConnectionResult,
   type Fault,
   type PathEffect,
   type ReachabilityMessages,
   ServerPaths,
 } from "#reachability";
-import type { Logger, Metrics } from "#telemetry";
+import { type Logger, type Metrics, OwnTasks } from "#telemetry";
 import type { Network } from "#wire";
 import { tryConnection } from "./connection_check.ts";
 
@@ -40,6 +41,7 @@
  */
 export class PathMonitor {
   readonly #options: PathMonitorOptions;
+  readonly #tasks: OwnTasks;
   readonly #paths: ServerPaths;
   readonly #questions = new Map<string, ((fault: Fault) => void)[]>();
   readonly #peers = new Set<HostId>();
@@ -48,6 +50,7 @@
 
   constructor(options: PathMonitorOptions) {
     this.#options = options;
+    this.#tasks = new OwnTasks(options);
     this.#paths = new ServerPaths(options.randomness);
   }
 
@@ -127,7 +130,10 @@
   #execute(effects: readonly PathEffect[]): void {
     for (const effect of effects) this.#executeOne(effect);
     if (this.#paths.isActive && !this.#closed) {
-      this.#timer ??= setInterval(() => this.#tick(), TICK_MS);
+      this.#timer ??= setInterval(
+        () => this.#tasks.run("path_tick", () => this.#tick()),
+        TICK_MS,
+      );
     } else {
       clearInterval(this.#timer);
       this.#timer = undefined;
@@ -142,7 +148,7 @@
     const { logger, onCutOff, onSilent } = this.#options;
     switch (effect.type) {
       case "connect":
-        void this.#connect(effect.server);
+        this.#tasks.run("connection_check", () => this.#connect(effect.server));
         return;
       case "judged":
         this.#answer(effect.server, effect.fault);
@@ -183,16 +189,23 @@
   }
 
   async #connect(server: BackendServer): Promise<void> {
-    const { clock, metrics } = this.#options;
-    metrics.recordServerRequest(server.service, "connection_check");
-    const result = await tryConnection(server.address, {
-      timeoutMs: CONNECT_TIMEOUT_MS,
-      clock,
+    const { clock } = this.#options;
+    // Calls wait for the result, also if no connection could be tried.
+    const result = await this.#try(server).catch((error): ConnectionResult => {
+      this.#tasks.fail("connection_check", error);
+      return "unknown";
     });
     if (this.#closed) return;
     this.#execute(this.#paths.tried(server, result, clock.now()));
   }
 
+  async #try(server: BackendServer): Promise<ConnectionResult> {
+    const { clock, metrics } = this.#options;
+    metrics.recordServerRequest(server.service, "connection_check");
+    const timeoutMs = CONNECT_TIMEOUT_MS;
+    return tryConnection(server.address, { timeoutMs, clock });
+  }
+
   #answer(server: BackendServer, fault: Fault): void {
     const key = backendServerKey(server);
     const questions = this.#questions.get(key) ?? [];
--- a/packages/entry/peer_connection_checks.ts
+++ b/packages/entry/peer_connection_checks.ts
@@ -1,6 +1,6 @@
 import type { BackendServer, Clock, HostId } from "#model";
 import type { QuarantineMessages } from "#quarantine";
-import type { Logger } from "#telemetry";
+import { type Logger, OwnTasks } from "#telemetry";
 import type { Network } from "#wire";
 import { tryConnection } from "./connection_check.ts";
 
@@ -22,15 +22,20 @@
     logger: Logger;
   }) {
     const { network, clock } = options;
+    const tasks = new OwnTasks(options);
     this.#network = network;
     network.handle("quarantine.check", ({ question, host, port }, from) => {
       const timeoutMs = CONNECT_TIMEOUT_MS;
-      void tryConnection({ host, port }, { timeoutMs, clock }).then(
-        (result) => {
-          const isReached = result === "accepted";
+      tasks.run("peer_connection_check", async () => {
+        let isReached = false;
+        try {
+          const address = { host, port };
+          const result = await tryConnection(address, { timeoutMs, clock });
+          isReached = result === "accepted";
+        } finally {
           network.send(from.id, "quarantine.checked", { question, isReached });
-        },
-      );
+        }
+      });
     });
     network.handle("quarantine.checked", ({ question, isReached }) => {
       this.#questions.get(question)?.(isReached);
--- a/packages/telemetry/index.ts
+++ b/packages/telemetry/index.ts
@@ -8,6 +8,7 @@
 export * from "./failures.ts";
 export * from "./logger.ts";
 export * from "./metrics.ts";
+export * from "./own_tasks.ts";
 export * from "./peer_traffic.ts";
 export * from "./process_end.ts";
 export * from "./stop_signal.ts";
