--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -136,8 +136,10 @@
     const acceptance = new AcceptanceTracker();
     const incarnation = Math.floor(clock.wallTime());
     const connectedSince = new Map<HostId, number>();
+    const tasks = new OwnTasks(options);
     const network = createLoggedNetwork<ControlMessages>({
       ...options,
+      onFailure: (task, error) => tasks.fail(task, error),
       role: "control",
       incarnation,
       onConnect: ({ id, role, build }) => {
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -91,6 +91,7 @@
       incarnation: this.#incarnation,
       clock,
       logger,
+      onFailure: (task, error) => this.#tasks.fail(task, error),
       onConnect: (peer) => this.#peerUp(peer),
       onDisconnect: (peer) => this.#peerDown(peer),
     });
--- a/packages/wire/logged_network.ts
+++ b/packages/wire/logged_network.ts
@@ -9,6 +9,8 @@
   readonly incarnation: number;
   readonly clock: Clock;
   readonly logger: { warn(message: string, details?: unknown): void };
+  /** Called for an exception of one of the next two. */
+  readonly onFailure: (task: string, error: unknown) => void;
   readonly onConnect: (peer: Hello) => void;
   readonly onDisconnect: (peer: Hello) => void;
 }
@@ -28,6 +30,7 @@
     logger,
     onConnect,
     onDisconnect,
+    onFailure,
   } = options;
   const onFault: NetworkObserver["onFault"] = (fault, link) => {
     if (fault.type === "link_closed") return;
@@ -40,6 +43,6 @@
   return new TcpNetwork<M>({
     self: { id, role, incarnation, cluster, ...versions },
     clock,
-    observer: { onConnect, onDisconnect, onFault },
+    observer: { onConnect, onDisconnect, onFault, onFailure },
   });
 }
--- a/packages/wire/network.ts
+++ b/packages/wire/network.ts
@@ -1,4 +1,4 @@
-import { connect, createServer, type Server, type Socket } from "node:net";
+import { connect, createServer, type Server, Socket } from "node:net";
 import type { Result } from "neverthrow";
 import type { Address, Clock, HostId } from "#model";
 import { afterPendingInput } from "./after_input.ts";
@@ -248,7 +248,8 @@
     former?.close({ type: "link_replaced" });
     const otherLinks = this.#links.get(peer.id);
     this.#links.set(peer.id, [link, ...(otherLinks ?? [])]);
-    if (!otherLinks) this.#observer.onConnect?.(peer);
+    if (!otherLinks)
+      this.#notify("onConnect", () => this.#observer.onConnect?.(peer));
   }
 
   #handleClose(link: Link, fault: LinkFault): void {
@@ -264,7 +265,16 @@
       return;
     }
     this.#links.delete(peer.id);
-    this.#observer.onDisconnect?.(peer);
+    this.#notify("onDisconnect", () => this.#observer.onDisconnect?.(peer));
+  }
+
+  /** Calls an observer back, whose exception must not end the process. */
+  #notify(event: "onConnect" | "onDisconnect", call: () => void): void {
+    try {
+      call();
+    } catch (error) {
+      this.#observer.onFailure?.(event, error);
+    }
   }
 
   #handleMessage(link: Link, kind: string, payload: unknown): void {
@@ -363,7 +373,7 @@
 
   #open(onConnect: () => void): Socket {
     const { host, port } = this.#address;
-    const socket = connect({ host, port });
+    const socket = openSocket(host, port);
     const giveUp = () => {
       if (socket.connecting) socket.destroy();
     };
@@ -392,6 +402,17 @@
   }
 }
 
+/** Begins to connect; a socket that fails if Node cannot use the address. */
+function openSocket(host: string, port: number): Socket {
+  try {
+    return connect({ host, port });
+  } catch (error) {
+    // It fails later, when its listeners are set.
+    const cause = error instanceof Error ? error : new Error(String(error));
+    return new Socket().destroy(cause);
+  }
+}
+
 /**
  * Whether a process has opened two connections, by its hellos on both, of which it
  * uses one only: those of a channel, and those before its restart.
