Tell a caller what is known when an internal error ends its call

A call that threw inside the entry was ended by closing its connection, so that its caller had to take it for one that may have run. It now gets 503 not-run with Retry-After if it was given to no server and no other entry, and 502 with an unknown outcome otherwise. If answering is what throws, or a part of the answer was written, the connection is closed, as before.

Evidence: the new test failed without the change (no answer) and passes with it. The unknown outcome after an attempt has begun has no test of its own.

--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -60,6 +60,9 @@
   readonly answering: boolean;
 }
 
+/** Time after which a call may be repeated that an internal error refused. */
+const ABORT_RETRY_AFTER_MS = 1_000;
+
 /** Processes one request of a caller from arrival to the final response. */
 export class CallExecution {
   readonly #options: CallEnvironment;
@@ -76,6 +79,8 @@
   /** Whether its duration tells how long calls of its class take. */
   #hasUsualEnd = false;
   #cancelClaim: (() => void) | undefined;
+  /** Whether a server or another entry may have got the call. */
+  #mayHaveRun = false;
 
   constructor(options: CallEnvironment, exchange: HttpExchange) {
     this.#options = options;
@@ -188,7 +193,10 @@
   /** Passes the call on; false if no entry has taken it. */
   async #passOn(input: HandoverInput): Promise<boolean> {
     if (this.#stopReason) return false;
+    const hadRun = this.#mayHaveRun;
+    this.#mayHaveRun = true;
     const result = await this.#handover.run(input);
+    if (result.type === "not_taken") this.#mayHaveRun = hadRun;
     switch (result.type) {
       case "answer":
         this.#reply.forwardHandedOver(result.response, result.outcome);
@@ -257,10 +265,19 @@
     this.#stop(brokenBy === "server" ? "entry_closed" : "caller_closed");
   }
 
-  /** Ends the call after an internal error. */
+  /** Ends the call after an internal error, with what is known of it. */
   abort(): void {
-    this.#stop("caller_closed");
-    this.#exchange.response.destroy();
+    const detail = "internal error of the entry";
+    const fault = this.#mayHaveRun
+      ? callFault("server_failed", { outcome: "unknown", detail })
+      : callFault("not_ready", { detail, retryAfterMs: ABORT_RETRY_AFTER_MS });
+    try {
+      this.#reply.fail(fault);
+    } catch {
+      // The answer itself may be what fails.
+      this.#exchange.response.destroy();
+    }
+    this.#stop("entry_closed");
   }
 
   #startDeadline(call: Call): void {
@@ -285,6 +302,7 @@
     if (this.#stopReason) {
       return { type: "fault", fault: stopFault(this.#stopReason) };
     }
+    this.#mayHaveRun = true;
     return attempts.run();
   }
 
--- a/packages/entry/odd_requests_test.ts
+++ b/packages/entry/odd_requests_test.ts
@@ -5,6 +5,7 @@
 import { reservePorts } from "../demo/ports.ts";
 import { oddRequests, sendOddRequest } from "../wire/testing/odd_requests.ts";
 import { AdminServer } from "./admin_server.ts";
+import { PublishedProtocol } from "./call_protocol.ts";
 import { EntryProcess } from "./index.ts";
 import { TEST_LIMITS } from "./test_limits.ts";
 
@@ -57,6 +58,45 @@
   }
 }
 
+/** Throws in the first answer of a call, and in no later one. */
+class FailingProtocol extends PublishedProtocol {
+  #failed = false;
+
+  override errorResponse(
+    ...about: Parameters<PublishedProtocol["errorResponse"]>
+  ) {
+    if (!this.#failed) {
+      this.#failed = true;
+      throw new TypeError("planted");
+    }
+    return super.errorResponse(...about);
+  }
+}
+
+// Guards against a call that ends with a closed connection as the entry has an
+// internal error, though it was sent to no server.
+test("a call that an internal error ends is told that it has not run", async (t) => {
+  const own = {
+    http: address(),
+    peer: address(),
+    metrics: address(),
+    handover: address(),
+  };
+  const other = new EntryProcess({
+    settings: { ...settings, ...own, id: "entry-2" },
+    logger: new SilentLogger(),
+    clock: new SystemClock(),
+    randomness: new SystemRandomness(),
+    protocol: new FailingProtocol(),
+  });
+  t.after(() => other.close());
+  (await other.start())._unsafeUnwrap();
+  const { status, text } = await sendOddRequest(own.http.port, plain);
+  assert.equal(status, 503);
+  assert.match(text, /mangobank-outcome: not-run/);
+  assert.match(text, /retry-after: 1/);
+});
+
 // Guards against a metric that can't be read and ends the process.
 test("metrics that cannot be collected are answered with 500", async (t) => {
   const failures: unknown[] = [];
