--- a/packages/entry/backend_exchange.ts
+++ b/packages/entry/backend_exchange.ts
@@ -107,7 +107,11 @@
       exceeded: () => this.#exceeded,
       exceed: (excess: ExceededBound) => this.#exceed(excess),
     };
-    void collectResponse(response, head, bounds).then(this.#settle);
+    // The request was sent, so that an exception leaves its outcome unknown.
+    collectResponse(response, head, bounds).then(
+      this.#settle,
+      (error: unknown) => this.#fail(String(error)),
+    );
   }
 
   #fail(detail: string): void {
--- a/packages/registry/items_test.ts
+++ b/packages/registry/items_test.ts
@@ -183,7 +183,7 @@
     version: fc.integer({ min: 2, max: 40 }),
     removes: fc.boolean(),
   });
-  fc.assert(
+  return fc.assert(
     fc.property(
       fc.uniqueArray(change, {
         selector: ({ name, version }) => `${name}/${version}`,
