Refuse a request whose body is malformed, where nothing was done for it

A registration or an operator's request with a malformed chunk got no answer: a request whose body has not been read whole was never answered, since a call may be at a server by then. Operators' requests and those below /.mangobank/ do nothing before their body has been read, so they get 400 now; the response that their handler may still write is taken off the connection first. Calls are as before.

--- a/packages/entry/caller_server.ts
+++ b/packages/entry/caller_server.ts
@@ -46,6 +46,9 @@
         keepAliveTimeout: limits.idleConnectionMs,
         connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
         noDelay: true,
+        // A call may be at a server before its body has been read whole.
+        isUnusedUntilRead: (request) =>
+          handleApi !== undefined && isApiRequest(request),
         connectionsMax: limits.connectionsMax,
         ...(onDropped && { onDropped }),
         ...(onFailure && { onFailure }),
@@ -53,7 +56,7 @@
       (request, response) => {
         if (this.#server.isInternal(request.socket))
           return handleHandedOver?.(request, response);
-        if (handleApi && request.url?.startsWith(INTERNAL_PATH_ROOT))
+        if (handleApi && isApiRequest(request))
           return handleApi(request, response);
         return handleCall(request, response);
       },
@@ -111,6 +114,10 @@
   }
 }
 
+function isApiRequest({ url }: IncomingMessage): boolean {
+  return url?.startsWith(INTERNAL_PATH_ROOT) === true;
+}
+
 /** Responds to malformed HTTP with the reason and closes the connection. */
 export function rejectMalformed(
   error: NodeJS.ErrnoException,
--- a/packages/operators/server.ts
+++ b/packages/operators/server.ts
@@ -28,6 +28,7 @@
       limits.requestTimeoutMs,
     ),
     connectionsMax: limits.connectionsMax,
+    isUnusedUntilRead: () => true,
     ...(limits.onFailure && { onFailure: limits.onFailure }),
   };
   const server = new HttpServer(options, handle);
--- a/packages/wire/http_connections.ts
+++ b/packages/wire/http_connections.ts
@@ -121,16 +121,30 @@
   /**
    * Takes on no further request of a connection and calls `end` when those
    * that were read have their answers. A request whose body has not been read
-   * whole can't be answered; its connection ends after the answers before it.
+   * whole is answered by `end` if nothing was done for it, else its connection
+   * ends after the answers before it.
    */
-  endWith(socket: Socket, end: () => void): void {
+  endWith(
+    socket: Socket,
+    end: () => void,
+    isUnused: (request: IncomingMessage) => boolean = () => false,
+  ): void {
     const connection = this.#connections.get(socket);
     if (!connection || connection.ending) return;
     connection.ending = true;
     const pending = [...connection.pending];
     const isCut = pending.at(-1)?.req.complete === false;
     const last = isCut ? pending.at(-2) : pending.at(-1);
-    const finish = isCut ? () => socket.destroy() : end;
+    const cut = isCut ? pending.at(-1) : undefined;
+    const finish = () => {
+      if (!cut) end();
+      else if (cut.headersSent || !isUnused(cut.req)) socket.destroy();
+      else {
+        // Its handler may still answer, which would mix with this answer.
+        cut.detachSocket(socket);
+        end();
+      }
+    };
     if (last) last.once("close", finish);
     else finish();
   }
--- a/packages/wire/http_server.ts
+++ b/packages/wire/http_server.ts
@@ -35,6 +35,11 @@
    * 500 if no part of its answer was written.
    */
   readonly onFailure?: (failure: HttpFailure) => void;
+  /**
+   * Whether nothing is done for a request before its body has been read whole, so
+   * that it can be refused if its body is malformed; default: no request.
+   */
+  readonly isUnusedUntilRead?: (request: IncomingMessage) => boolean;
 }
 
 export type HttpHandler = (
@@ -52,13 +57,16 @@
   #internalServer: TcpServer | undefined;
   readonly #internalSockets = new WeakSet<Socket>();
   readonly #handle: HttpHandler;
+  readonly #isUnusedUntilRead: HttpServerOptions["isUnusedUntilRead"];
   readonly #onFailure: HttpServerOptions["onFailure"];
   /** Tells failures of different servers and processes apart. */
   readonly #failurePrefix = randomUUID().slice(0, 8);
   #failureCount = 0;
 
   constructor(options: HttpServerOptions, handle: HttpHandler) {
-    const { connectionsMax, onDropped, onFailure, ...nodeOptions } = options;
+    const { connectionsMax, onDropped, onFailure, ...others } = options;
+    const { isUnusedUntilRead, ...nodeOptions } = others;
+    this.#isUnusedUntilRead = isUnusedUntilRead;
     this.#handle = handle;
     this.#onFailure = onFailure;
     this.#server = createServer(
@@ -127,10 +135,14 @@
       if (isConnectionError(error)) socket.destroy();
       // An error response would mix with the response in progress.
       else
-        this.#connections.endWith(socket, () => {
-          reject(error, socket);
-          socket.destroySoon();
-        });
+        this.#connections.endWith(
+          socket,
+          () => {
+            reject(error, socket);
+            socket.destroySoon();
+          },
+          this.#isUnusedUntilRead,
+        );
     });
   }
 
