Show that an internal error after a send leaves the outcome unknown

The rule had no test: a call whose answer cannot be written after a server has answered gets 502 with the outcome unknown, and a booking ran once.

--- a/packages/entry/server_faults_test.ts
+++ b/packages/entry/server_faults_test.ts
@@ -7,6 +7,7 @@
 import { exchange } from "../demo/caller.ts";
 import { LocalSite } from "../demo/local_site.ts";
 import { until } from "../demo/until.ts";
+import { PublishedProtocol } from "./call_protocol.ts";
 
 const CLASSES = {
   booking: { priority: "urgent", deadline_ms: 1500, repeatable: false },
@@ -18,7 +19,7 @@
 ];
 
 /** Each test uses a service of its own, so that it has its own servers. */
-const SERVICES = Array.from({ length: 14 }, (_, index) => `s${index}`);
+const SERVICES = Array.from({ length: 16 }, (_, index) => `s${index}`);
 
 let site: LocalSite;
 let used = 0;
@@ -202,6 +203,22 @@
   });
 }
 
+for (const key of [undefined, uuidv7()]) {
+  const name = key ? "booking" : "lookup";
+  // Guards against a caller that is told "not run" of a request that a server has
+  // answered, as the entry has an internal error after it.
+  test(`an internal error after a ${name} was sent is unknown`, async (t) => {
+    const { service, servers } = await startService(1);
+    t.mock.method(PublishedProtocol.prototype, "responseHeaders", () => {
+      throw new TypeError("planted");
+    });
+    const result = await call(service, key === undefined ? {} : { key });
+    t.mock.restoreAll();
+    assert.deepEqual([result.status, result.outcome], [502, "unknown"]);
+    if (key) assert.equal(executionsOf(servers, key), 1);
+  });
+}
+
 test("a booking that provably did not start can be resent", async () => {
   const { service, servers } = await startService(1);
   const [server] = servers;
