--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -35,7 +35,7 @@
 import { Registry, type RegistryCommand, type RegistryReply } from "#registry";
 import type { ControlSettings, FoundingMember } from "#settings";
 import { openReplicatedLog } from "#storage";
-import type { Logger } from "#telemetry";
+import { type Logger, OwnTasks } from "#telemetry";
 import { createLoggedNetwork, type ListenFault, type TcpNetwork } from "#wire";
 import { ControlPeers } from "./control_peers.ts";
 import { ServerInventory } from "./inventory.ts";
@@ -108,11 +108,13 @@
   readonly registrar: ServerRegistrar;
   readonly #peers: ControlPeers;
   readonly #membershipManager: MembershipManager | undefined;
+  readonly #tasks: OwnTasks;
   readonly #timers: NodeJS.Timeout[];
   #isSubmitting = false;
 
   private constructor(options: ControlOptions, components: Components) {
     this.#options = options;
+    this.#tasks = new OwnTasks(options);
     const { network, registry, log, table, acceptance, publisher } = components;
     this.#connectedSince = components.connectedSince;
     this.#network = network;
@@ -143,7 +145,10 @@
     });
     this.#timers = [
       setInterval(() => this.#tick(), CONTROL_TICK_MS),
-      setInterval(() => this.registrar.tick(), TICK_INTERVAL_MS),
+      setInterval(
+        () => this.#tasks.run("presence", () => this.registrar.tick()),
+        TICK_INTERVAL_MS,
+      ),
     ];
   }
 
@@ -157,9 +162,11 @@
     const acceptance = new AcceptanceTracker();
     const incarnation = Math.floor(clock.wallTime());
     const connectedSince = new Map<HostId, number>();
+    const tasks = new OwnTasks(options);
     const network = createLoggedNetwork<ControlMessages>({
       ...options,
       decoders: CONTROL_DECODERS,
+      onFailure: (task, error) => tasks.fail(task, error),
       role: "control",
       incarnation,
       onConnect: ({ id, role, build }) => {
@@ -194,6 +201,7 @@
     const publisher: ConfigurationPublisher = new ConfigurationPublisher({
       network,
       clock,
+      logger,
       table,
       confirmRead: async () => (await log?.confirmRead())?.isOk() ?? false,
       otherControlHosts: () => peers.otherHosts(),
@@ -364,10 +372,12 @@
 
   #tick(): void {
     const { clock } = this.#options;
-    this.#publisher.relayHeartbeats();
-    this.#entryTable.removeSilent(ENTRY_RETENTION_MS, clock.now());
-    void this.#submitLeaderCommands();
-    void this.#membershipManager?.tick();
+    this.#tasks.run("heartbeat_relay", () => this.#publisher.relayHeartbeats());
+    this.#tasks.run("silent_entries", () =>
+      this.#entryTable.removeSilent(ENTRY_RETENTION_MS, clock.now()),
+    );
+    this.#tasks.run("leader_commands", () => this.#submitLeaderCommands());
+    this.#membershipManager?.tick();
   }
 
   /** The command that updates the list of control hosts, if members changed. */
@@ -386,6 +396,14 @@
   async #submitLeaderCommands(): Promise<void> {
     if (this.#isSubmitting) return;
     this.#isSubmitting = true;
+    try {
+      await this.#submitDueCommands();
+    } finally {
+      this.#isSubmitting = false;
+    }
+  }
+
+  async #submitDueCommands(): Promise<void> {
     const status = this.#log.status();
     const isLeader = status.role === "leader";
     const configuration = this.#registry.configuration();
@@ -404,7 +422,6 @@
         fault: result.error.type,
       });
     });
-    this.#isSubmitting = false;
   }
 }
 
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -20,7 +20,7 @@
 } from "#presence";
 import { checkIdentity, Registrations } from "#registration";
 import type { EntrySettings } from "#settings";
-import { type Logger, Metrics } from "#telemetry";
+import { endpointFailures, type Logger, Metrics, OwnTasks } from "#telemetry";
 import {
   createLoggedNetwork,
   type Hello,
@@ -80,6 +80,7 @@
   readonly #metrics: Metrics;
   readonly #callerServer: CallerServer;
   readonly #adminServer: AdminServer;
+  readonly #tasks: OwnTasks;
   readonly #timers: NodeJS.Timeout[] = [];
   #state: EntryState = "ready";
   #isClosed = false;
@@ -87,6 +88,7 @@
 
   constructor(options: EntryOptions) {
     this.#options = options;
+    this.#tasks = new OwnTasks(options);
     const { settings, clock, randomness, logger } = options;
     this.#incarnation = Math.floor(clock.wallTime());
     const protocol = options.protocol ?? new PublishedProtocol();
@@ -97,6 +99,7 @@
       incarnation: this.#incarnation,
       clock,
       logger,
+      onFailure: (task, error) => this.#tasks.fail(task, error),
       onConnect: (peer) => this.#peerUp(peer),
       onDisconnect: (peer) => this.#peerDown(peer),
     });
@@ -165,7 +168,9 @@
       linkSilenceMs: (id) => network.silenceMs(id),
       renewLink: (id) => network.renewLink(id),
       schedule: (run, ms) => {
-        setTimeout(() => !this.#isClosed && run(), ms).unref();
+        setTimeout(() => {
+          if (!this.#isClosed) this.#tasks.run("configuration", run);
+        }, ms).unref();
       },
       onChange: (configuration) => this.#applyConfiguration(configuration),
       onReceived: (way, ageMs) => this.#metrics.recordConfiguration(way, ageMs),
@@ -212,10 +217,11 @@
       ready: () => this.#follower.isFresh(),
     });
     this.#callerServer = new CallerServer({
+      onFailure: endpointFailures("callers", logger),
       limits: settings.limits,
       handleApi: options.protocol
         ? undefined
-        : (request, response) => void own.serve(request, response),
+        : (request, response) => own.serve(request, response),
       handleCall: (request, response) =>
         this.#callPipeline.serve(request, response),
       handleHandedOver: (request, response) =>
@@ -231,6 +237,7 @@
       metrics: this.#metrics,
       notReadyReasons: () => this.#notReadyReasons(),
       status: () => this.#status(),
+      onFailure: endpointFailures("metrics", logger),
     });
   }
 
@@ -251,13 +258,17 @@
       }
     }
     this.#links.connect();
-    this.#runEvery(HEARTBEAT_INTERVAL_MS, () => {
+    this.#runEvery(HEARTBEAT_INTERVAL_MS, "heartbeat", () => {
       this.#follower.sendHeartbeat();
       this.#links.update();
     });
     this.#callPipeline.start();
-    this.#runEvery(TICK_INTERVAL_MS, () => this.#registrations.tick());
-    this.#runEvery(LOAD_REPORT_INTERVAL_MS, () => this.#reportLoad());
+    this.#runEvery(TICK_INTERVAL_MS, "presence", () =>
+      this.#registrations.tick(),
+    );
+    this.#runEvery(LOAD_REPORT_INTERVAL_MS, "load_report", () =>
+      this.#reportLoad(),
+    );
     logger.info("entry started", {
       id: settings.id,
       build: BUILD,
@@ -328,8 +339,9 @@
     this.#network.close();
   }
 
-  #runEvery(ms: number, run: () => void): void {
-    this.#timers.push(setInterval(run, ms));
+  #runEvery(ms: number, name: string, run: () => void): void {
+    const task = () => this.#tasks.run(name, run);
+    this.#timers.push(setInterval(task, ms));
   }
 
   #peerUp(peer: Hello): void {
--- a/packages/wire/logged_network.ts
+++ b/packages/wire/logged_network.ts
@@ -11,6 +11,8 @@
   readonly incarnation: number;
   readonly clock: Clock;
   readonly logger: { warn(message: string, details?: unknown): void };
+  /** Called for an exception of one of the next two. */
+  readonly onFailure: (task: string, error: unknown) => void;
   readonly onConnect: (peer: Hello) => void;
   readonly onDisconnect: (peer: Hello) => void;
 }
@@ -31,6 +33,7 @@
     logger,
     onConnect,
     onDisconnect,
+    onFailure,
   } = options;
   const onFault: NetworkObserver["onFault"] = (fault, link) => {
     if (fault.type === "link_closed") return;
@@ -47,6 +50,6 @@
     self: { id, role, incarnation, cluster, ...versions },
     clock,
     decoders,
-    observer: { onConnect, onDisconnect, onFault, onRefused },
+    observer: { onConnect, onDisconnect, onFault, onRefused, onFailure },
   });
 }
--- a/packages/wire/network.ts
+++ b/packages/wire/network.ts
@@ -38,6 +38,8 @@
   readonly onFault?: (fault: LinkFault, link: Link | undefined) => void;
   /** Called for each message of a peer that was refused. */
   readonly onRefused?: (refusal: MessageRefusal, peer: Hello) => void;
+  /** Called for an exception of a task, such as another callback of these. */
+  readonly onFailure?: (task: string, error: unknown) => void;
 }
 
 type Handler = (payload: unknown, from: Hello) => void;
@@ -256,7 +258,8 @@
     former?.close({ type: "link_replaced" });
     const otherLinks = this.#links.get(peer.id);
     this.#links.set(peer.id, [link, ...(otherLinks ?? [])]);
-    if (!otherLinks) this.#observer.onConnect?.(peer);
+    if (!otherLinks)
+      this.#notify("onConnect", () => this.#observer.onConnect?.(peer));
   }
 
   #handleClose(link: Link, fault: LinkFault): void {
@@ -272,7 +275,16 @@
       return;
     }
     this.#links.delete(peer.id);
-    this.#observer.onDisconnect?.(peer);
+    this.#notify("onDisconnect", () => this.#observer.onDisconnect?.(peer));
+  }
+
+  /** Calls an observer back, whose exception must not end the process. */
+  #notify(event: "onConnect" | "onDisconnect", call: () => void): void {
+    try {
+      call();
+    } catch (error) {
+      this.#observer.onFailure?.(event, error);
+    }
   }
 
   #handleMessage(link: Link, kind: string, payload: unknown): void {
