Give the checks of addresses and the end of the log an owner

Two promises of the merged parts had none: an exception in the effects of a check, or in closing the network when the log has stopped, would have ended the process.

--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -140,8 +140,8 @@
       });
     // The others hold an election once the connections to the leader are closed;
     // the requests in progress, which `close` waits for, must not delay that.
-    void this.#log.stopped.then((fault) => {
-      if (fault) this.#network.close();
+    this.#tasks.run("log_stopped", async () => {
+      if (await this.#log.stopped) this.#network.close();
     });
     this.#timers = [
       setInterval(() => this.#tick(), CONTROL_TICK_MS),
--- a/packages/registration/registrations.ts
+++ b/packages/registration/registrations.ts
@@ -111,21 +111,28 @@
     const result = this.#recordIdentity(server, verify(server));
     const check = { id: server.id, result };
     this.#checks.add(check);
-    void check.result.then(() => this.#checks.delete(check));
+    check.result
+      .catch((cause: unknown) => this.#logFailedCheck(server, cause))
+      .finally(() => this.#checks.delete(check));
   }
 
   async #recordIdentity(
     server: BackendServer,
     answer: Promise<Identity>,
   ): Promise<void> {
-    const { presence, clock, logger } = this.#options;
+    const { presence, clock } = this.#options;
     const identity = await answer.catch((cause: unknown): Identity => {
-      logger.warn("check of an address failed", { server: server.id, cause });
+      this.#logFailedCheck(server, cause);
       return "unknown";
     });
     this.execute(presence.verified(server, identity, clock.now()));
   }
 
+  #logFailedCheck({ id }: BackendServer, cause: unknown): void {
+    const { logger } = this.#options;
+    logger.warn("check of an address failed", { server: id, cause });
+  }
+
   #logUnusable({ owner, from, service, id, problem }: UnusableRecord): void {
     this.#options.logger.warn("record of a backend server cannot be used", {
       server: `${service}/${id}`.slice(0, MAX_LOGGED_LENGTH),
