Decide once whether a record of another process can be used

The form of a record (id, address, slots) was checked where it is decoded and again where the current record is selected. The second place keeps what needs the clock: an impossible start, and a sequence that no server reaches.

--- a/packages/presence/plausibility.ts
+++ b/packages/presence/plausibility.ts
@@ -16,13 +16,6 @@
  */
 export const MAX_SEQUENCE = 10_000_000_000_000;
 
-/** Names that go into headers, and addresses that can be connected to. */
-const ID = /^[\x21-\x7e]{1,256}$/;
-const HOST = /^[A-Za-z0-9:.-]{1,253}$/;
-const MAX_PORT = 65_535;
-/** Most slots; the search for the best limit takes time for each of them. */
-const MAX_SLOTS = 100_000;
-
 /**
  * Whether an incarnation that another process has taken can be a start. Its clock
  * may be ahead of this one, in addition to the server's.
@@ -35,24 +28,15 @@
 }
 
 /**
- * Whether a record of another process names a server that can exist and be used.
- * That process may run an earlier build, which took what this one refuses.
+ * Whether a record of another process names a server that can exist. That process
+ * may run an earlier build, which took what this one refuses. Whether the server can
+ * be used at all is decided where the record is decoded.
  */
 export function isPossibleRecord(
   server: BackendServer,
   wallTime: number,
 ): boolean {
-  const { id, address, sequence, slots } = server;
   return (
-    isPossibleIncarnation(server, wallTime) &&
-    sequence <= MAX_SEQUENCE &&
-    ID.test(id) &&
-    HOST.test(address.host) &&
-    isWholeNumber(address.port, MAX_PORT) &&
-    isWholeNumber(slots, MAX_SLOTS)
+    isPossibleIncarnation(server, wallTime) && server.sequence <= MAX_SEQUENCE
   );
 }
-
-function isWholeNumber(value: number, max: number): boolean {
-  return Number.isInteger(value) && value >= 1 && value <= max;
-}
