Hold tenants as configuration items and ask for their keys

Cause: a configuration with tenants, public routes or downloads was refused as a whole, so that a deployment whose callers have keys served nothing. Change: tenants as items, of which entries get hashes of the keys; the right to serve requests with keys as a lease on control's confirmation, examined at the arrival and before each send; servers get the tenant and never the key.

--- a/packages/configuration/change.ts
+++ b/packages/configuration/change.ts
@@ -1,6 +1,7 @@
 import {
   type Configuration,
   type ControlPeer,
+  type DataCentre,
   EMPTY_DOCUMENT,
   EMPTY_VIEW,
   type Entry,
@@ -11,6 +12,7 @@
   type RequestLimits,
   type Service,
   type StopProgress,
+  type Tenant,
   UNSETTLED,
   type View,
 } from "#model";
@@ -43,6 +45,10 @@
   readonly hostRoutes: ListChange<HostRoute>;
   /** Absent if unchanged. */
   readonly requestLimits?: RequestLimits;
+  /** Absent if unchanged. */
+  readonly tenants?: ListChange<Tenant>;
+  /** Absent if unchanged. */
+  readonly evacuated?: readonly DataCentre[];
   readonly leaving: ListChange<LeavingServer>;
   readonly controls: ListChange<ControlPeer>;
   /** Ends of former views that are still unsettled at the receiver. */
@@ -115,6 +121,8 @@
     ) && {
       requestLimits: to.document.requestLimits,
     }),
+    ...diffTenants(from.document.tenants, to.document.tenants),
+    ...diffEvacuated(from.document.evacuated, to.document.evacuated),
     leaving: diffList(from.leaving, to.leaving, byId),
     controls: diffList(from.controls, to.controls, byId),
     settled: diffSettledViews(from, to),
@@ -141,6 +149,10 @@
       stops: applyList(document.stops, change.plannedStops, byName),
       hostRoutes: applyList(document.hostRoutes, change.hostRoutes, byName),
       ...(change.requestLimits && { requestLimits: change.requestLimits }),
+      ...(change.tenants && {
+        tenants: applyList(document.tenants ?? [], change.tenants, byName),
+      }),
+      ...(change.evacuated && { evacuated: change.evacuated }),
     },
     stops: applyList(base.stops, change.stops, byStop),
     leaving: applyList(base.leaving, change.leaving, byId),
@@ -149,6 +161,25 @@
   };
 }
 
+function diffTenants(
+  from: readonly Tenant[] | undefined,
+  to: readonly Tenant[] | undefined,
+): Pick<ConfigurationChange, "tenants"> {
+  if (to === undefined || from === to) return {};
+  const tenants = diffList(from ?? [], to, byName);
+  const { changed, removed } = tenants;
+  // An empty list says that requests need keys from now on.
+  const isUnchanged = changed.length === 0 && removed.length === 0;
+  return from !== undefined && isUnchanged ? {} : { tenants };
+}
+
+function diffEvacuated(
+  from: readonly DataCentre[] = [],
+  to: readonly DataCentre[] = [],
+): Pick<ConfigurationChange, "evacuated"> {
+  return isEqualJson(from, to) ? {} : { evacuated: to };
+}
+
 function diffView(from: Configuration, to: Configuration) {
   const { epoch, began } = to.view;
   const entries = diffList(from.view.entries, to.view.entries, byId);
--- a/packages/configuration/freshness_tracker.ts
+++ b/packages/configuration/freshness_tracker.ts
@@ -24,6 +24,7 @@
   #sequence = 0;
   #peerRound: PeerRound | undefined;
   #confirmedAt = Number.NEGATIVE_INFINITY;
+  #controlConfirmedAt: number | undefined;
   readonly #confirmedForMs: number;
 
   constructor(confirmedForMs = CONFIRMED_FOR_MS) {
@@ -50,9 +51,21 @@
     const askedAt = this.#pendingQueries.get(response.sequence);
     this.#pendingQueries.delete(response.sequence);
     if (askedAt === undefined || response.ownVersion < response.version) return;
+    this.#controlConfirmedAt = Math.max(
+      askedAt,
+      this.#controlConfirmedAt ?? askedAt,
+    );
     this.#confirm(askedAt);
   }
 
+  /**
+   * Time of the last question to control that was answered with the version in
+   * force here; undefined without one. Other entries' answers do not count.
+   */
+  get controlConfirmedAt(): number | undefined {
+    return this.#controlConfirmedAt;
+  }
+
   /** Starts a query to the view's entries; returns its round number. */
   startPeerQuery(options: {
     view: View;
--- a/packages/configuration/message_decoders.ts
+++ b/packages/configuration/message_decoders.ts
@@ -46,6 +46,7 @@
   classes: z.array(REQUEST_CLASS),
   routes: z.array(z.looseObject({ path: text, class: text })),
   healthPath: text.optional(),
+  coldRequestsPerS: number.optional(),
 });
 const HOST_ROUTE = z.looseObject({
   name: text,
@@ -57,6 +58,17 @@
   attempts: number,
   rank: number,
   targets: z.array(z.looseObject({ service: text, weight: number })),
+  isPublic: z.boolean().optional(),
+  isDownload: z.boolean().optional(),
+  allowedRegions: z.array(text).optional(),
+});
+const TENANT = z.looseObject({
+  name: text,
+  keyHashes: z.array(text),
+  rank: number.optional(),
+  ratePerS: number.optional(),
+  burst: number.optional(),
+  allowedRegions: z.array(text).optional(),
 });
 const VIEW = { epoch: count, began: number, entries: ENTRIES };
 const CHANGE = z.looseObject({
@@ -77,6 +89,8 @@
       idleConnectionMs: number,
     })
     .optional(),
+  tenants: listChange(TENANT).optional(),
+  evacuated: z.array(text).optional(),
   leaving: listChange(
     z.looseObject({ id: text, incarnation: count, at: number }),
   ),
--- a/packages/entry/address_directory.ts
+++ b/packages/entry/address_directory.ts
@@ -20,6 +20,8 @@
   readonly cutOffEntries: () => ReadonlySet<HostId>;
 }
 
+const FULL_LOAD_PERCENT = 100;
+
 /** Tells callers which entries to use, by the loads that entries report. */
 export class AddressDirectory {
   readonly #options: AddressDirectoryOptions;
@@ -48,9 +50,17 @@
   }
 
   /** Reports this entry's load to the other entries. */
-  reportLoad({ stopping }: { stopping: boolean }): void {
+  reportLoad({
+    stopping,
+    isFull,
+  }: {
+    stopping: boolean;
+    /** Whether callers should use other entries, whatever the load is. */
+    isFull: boolean;
+  }): void {
     const { registrations, clock } = this.#options;
-    const load = this.#eventLoopLoad.percent();
+    const measured = this.#eventLoopLoad.percent();
+    const load = isFull ? FULL_LOAD_PERCENT : measured;
     const { presence } = registrations;
     registrations.execute(presence.reportLoad({ load, stopping }, clock.now()));
   }
--- a/packages/entry/call_admission.ts
+++ b/packages/entry/call_admission.ts
@@ -1,7 +1,13 @@
 import type { IncomingMessage } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import { type CallChain, toCallFault } from "#admission";
-import { type Call, type CallFault, callFault, HEADERS } from "#model";
+import {
+  type Call,
+  type CallAccess,
+  type CallFault,
+  callFault,
+  HEADERS,
+} from "#model";
 import type { CallEnvironment } from "./call_environment.ts";
 import type { ClassifiedRequest } from "./request_classifier.ts";
 import type { StoppableCall } from "./stop_schedule.ts";
@@ -53,7 +59,9 @@
       .classify(this.#request)
       .andThen((classified) => {
         this.#classified = classified;
-        return this.#createCall(classified);
+        return this.#authorize(classified).andThen((caller) =>
+          this.#createCall(classified, caller),
+        );
       })
       .andThen((admitted) => {
         this.#call = admitted.call;
@@ -105,7 +113,22 @@
     return !schedule.accepts(call);
   }
 
-  #createCall({ service, class: requestClass }: ClassifiedRequest) {
+  /** The access of the request, and the rank of its tenant, else of its route. */
+  #authorize({ route }: ClassifiedRequest) {
+    const { keyAccess, clock, protocol } = this.#options;
+    const isPublic = route?.isPublic === true;
+    const key = protocol.callerKey(this.#request.headers);
+    const now = { steady: clock.now(), wall: clock.wallTime() };
+    return keyAccess.authorize({ key, isPublic }, now).map((authorization) => ({
+      access: authorization?.access,
+      rank: authorization?.tenant?.rank ?? route?.rank,
+    }));
+  }
+
+  #createCall(
+    { service, class: requestClass }: ClassifiedRequest,
+    caller: { access: CallAccess | undefined; rank: number | undefined },
+  ) {
     const { headers } = this.#request;
     const classDeadlineMs = requestClass.deadlineMs;
     const now = this.#arrival;
@@ -126,6 +149,8 @@
           retries,
           attempts: requestClass.attempts,
           target: now + (requestClass.targetMs ?? requestClass.deadlineMs),
+          ...(caller.rank !== undefined && { rank: caller.rank }),
+          ...(caller.access && { access: caller.access }),
         };
         return { call, chain };
       });
--- a/packages/entry/call_environment.ts
+++ b/packages/entry/call_environment.ts
@@ -1,5 +1,6 @@
 import type { BackendServer, Clock } from "#model";
 import type { Logger, Metrics } from "#telemetry";
+import type { KeyAccess } from "#tenants";
 import type { Assignments } from "./assignments.ts";
 import type { BackendClient } from "./backend_client.ts";
 import type { CallProtocol } from "./call_protocol.ts";
@@ -26,6 +27,7 @@
   readonly policies: ServicePolicies;
   readonly paths: PathMonitor;
   readonly handovers: HandoverClient;
+  readonly keyAccess: KeyAccess;
   /** Number of calls in progress that other entries have passed on. */
   readonly handedOverCalls: () => number;
   /** Ids of the servers to which a suspected request should not be sent. */
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -429,7 +429,7 @@
     const ms = clock.now() - this.#arrival;
     const service = this.#admission.classified?.service.name ?? "none";
     const className = this.#admission.classified?.class.name ?? "none";
-    const route = this.#admission.classified?.route;
+    const route = this.#admission.classified?.route?.route;
     metrics.recordCall({
       service,
       class: className,
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -43,7 +43,7 @@
 export interface CallPipelineOptions
   extends Pick<
     CallEnvironment,
-    "ready" | "bodyLimits" | "configuration" | "onServerLeaving"
+    "ready" | "bodyLimits" | "configuration" | "onServerLeaving" | "keyAccess"
   > {
   readonly settings: EntrySettings;
   readonly incarnation: number;
@@ -305,6 +305,7 @@
       this.#options.metrics.configure(services);
       this.#policies.configure(services);
     }
+    this.#options.keyAccess.configure(document.tenants);
     this.#claims.configure(configuration);
     const linksAreSparse = selectRelays(view) !== undefined;
     this.#handovers.configure(view);
--- a/packages/entry/call_protocol.ts
+++ b/packages/entry/call_protocol.ts
@@ -82,6 +82,8 @@
   ): Result<CallChain, ChainFault>;
   /** The request id that the caller sent, if the protocol has one. */
   callerRequestId(headers: IncomingHttpHeaders): string | undefined;
+  /** The caller's key, where requests need one. */
+  callerKey(headers: IncomingHttpHeaders): string | undefined;
   /** Headers of the request to a server, in the form of Node's `rawHeaders`. */
   serverHeaders(
     raw: readonly string[],
@@ -128,6 +130,12 @@
   HEADERS.requestId,
   ...HANDOVER_HEADER_NAMES,
 ]);
+/** The same where requests need a key, which servers never get. */
+const REPLACED_WITH_ACCESS: ReadonlySet<string> = new Set([
+  ...REPLACED_HEADERS,
+  HEADERS.apiKey,
+  HEADERS.tenant,
+]);
 /** Request headers that are set anew for another entry. */
 const HANDED_OVER_HEADERS: ReadonlySet<string> = new Set([
   HEADERS.deadline,
@@ -160,11 +168,21 @@
     return undefined;
   }
 
+  callerKey(headers: IncomingHttpHeaders): string | undefined {
+    return singleHeader(headers[HEADERS.apiKey]);
+  }
+
   serverHeaders(
     raw: readonly string[],
     context: { call: Call; chain: CallChain; now: number },
   ): string[] {
-    const headers = endToEndHeaders(raw, REPLACED_HEADERS);
+    const { access } = context.call;
+    const headers = endToEndHeaders(
+      raw,
+      access ? REPLACED_WITH_ACCESS : REPLACED_HEADERS,
+    );
+    if (access?.tenant !== undefined)
+      headers.push(HEADERS.tenant, access.tenant);
     for (const [name, value] of Object.entries(
       context.chain.headers(context.now),
     )) {
@@ -251,6 +269,13 @@
   }
 }
 
+/** The value of a header that must be sent once; undefined without it. */
+export function singleHeader(
+  value: string | string[] | undefined,
+): string | undefined {
+  return typeof value === "string" && value !== "" ? value : undefined;
+}
+
 function parseLoad(
   body: Buffer,
 ): { inFlight: number; leaving: boolean } | undefined {
--- a/packages/entry/configuration_follower.ts
+++ b/packages/entry/configuration_follower.ts
@@ -1,5 +1,6 @@
 import {
   applyChange,
+  CONFIRMED_FOR_MS,
   type ConfigurationChange,
   type ConfigurationMessages,
   diffConfigurations,
@@ -15,6 +16,7 @@
   rendezvousOrder,
 } from "#model";
 import type { ConfigurationWay, Logger } from "#telemetry";
+import type { Moment } from "#tenants";
 import type { Hello, Network } from "#wire";
 
 /** Interval of the heartbeats to control. */
@@ -59,6 +61,8 @@
   readonly onChange: (configuration: Configuration) => void;
   /** Called with the way and the age of each configuration that was received. */
   readonly onReceived?: (way: ConfigurationWay, ageMs: number) => void;
+  /** Called when control has confirmed the version in force here. */
+  readonly onConfirmed?: (askedAt: Moment) => void;
   /** Maximum age of a valid confirmation, if not the default. */
   readonly confirmedForMs?: number | undefined;
 }
@@ -84,6 +88,8 @@
    * because one host is silent. It gets no heartbeats.
    */
   #backup: HostId | undefined;
+  /** Wall-clock times of the questions since the last confirmed one. */
+  readonly #askedAt = new Map<number, number>();
   #requestedFromPeerAt = Number.NEGATIVE_INFINITY;
   /** The control host to which this entry's record was sent, with its state. */
   #sentRecord: { control: HostId; state: Entry["state"] } | undefined;
@@ -108,6 +114,7 @@
         version: state.version,
         ownVersion: this.version,
       });
+      this.#reportConfirmation();
       this.#subscribeToBackup();
     });
     network.handle("version_ask", ({ round }, from) =>
@@ -244,12 +251,28 @@
     if (this.#backup !== undefined) this.#sendVersionTo(this.#backup);
   }
 
+  /** Reports the last confirmed question, by both clocks. */
+  #reportConfirmation(): void {
+    const steady = this.#freshness.controlConfirmedAt;
+    const wall = steady === undefined ? undefined : this.#askedAt.get(steady);
+    if (steady === undefined || wall === undefined) return;
+    for (const askedAt of this.#askedAt.keys()) {
+      if (askedAt < steady) this.#askedAt.delete(askedAt);
+    }
+    this.#options.onConfirmed?.({ steady, wall });
+  }
+
   #sendVersionTo(control: HostId, record: { entry?: Entry } = {}): void {
     const { clock, network, stopReports } = this.#options;
+    const now = clock.now();
+    this.#askedAt.set(now, clock.wallTime());
+    for (const askedAt of this.#askedAt.keys()) {
+      if (now - askedAt > CONFIRMED_FOR_MS) this.#askedAt.delete(askedAt);
+    }
     network.send(control, "confirm", {
       ...record,
       version: this.version,
-      sequence: this.#freshness.startControlQuery(clock.now()),
+      sequence: this.#freshness.startControlQuery(now),
       stops: stopReports(),
     });
   }
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -21,6 +21,7 @@
 import { checkIdentity, Registrations } from "#registration";
 import type { EntrySettings } from "#settings";
 import { endpointFailures, type Logger, Metrics, OwnTasks } from "#telemetry";
+import { KeyAccess } from "#tenants";
 import {
   createLoggedNetwork,
   type Hello,
@@ -41,6 +42,7 @@
 import { EntryApi } from "./entry_api.ts";
 import { EntryLinks } from "./entry_links.ts";
 import { ENTRY_DECODERS, type EntryMessages } from "./entry_network.ts";
+import { hashKey } from "./key_hash.ts";
 import { KnownServers } from "./known_servers.ts";
 import { UsableServers } from "./usable_servers.ts";
 
@@ -81,6 +83,7 @@
   readonly #callerServer: CallerServer;
   readonly #adminServer: AdminServer;
   readonly #tasks: OwnTasks;
+  readonly #keyAccess: KeyAccess;
   readonly #timers: NodeJS.Timeout[] = [];
   #state: EntryState = "ready";
   #isClosed = false;
@@ -92,6 +95,10 @@
     const { settings, clock, randomness, logger } = options;
     this.#incarnation = Math.floor(clock.wallTime());
     const protocol = options.protocol ?? new PublishedProtocol();
+    this.#keyAccess = new KeyAccess({
+      revokeMs: settings.revokeWithinMs,
+      hashKey,
+    });
     const network = createLoggedNetwork<EntryMessages>({
       decoders: ENTRY_DECODERS,
       settings,
@@ -173,6 +180,7 @@
         }, ms).unref();
       },
       onChange: (configuration) => this.#applyConfiguration(configuration),
+      onConfirmed: (askedAt) => this.#keyAccess.confirm(askedAt),
       onReceived: (way, ageMs) => this.#metrics.recordConfiguration(way, ageMs),
       confirmedForMs: settings.confirmedForMs,
     });
@@ -181,6 +189,7 @@
       protocol,
       incarnation: this.#incarnation,
       network,
+      keyAccess: this.#keyAccess,
       metrics: this.#metrics,
       serversToAvoid: (service, criteria) =>
         this.#knownServers.serversToAvoid(service, criteria),
@@ -438,7 +447,10 @@
   }
 
   #reportLoad(): void {
-    this.#directory.reportLoad({ stopping: this.#state === "stopping" });
+    this.#directory.reportLoad({
+      stopping: this.#state === "stopping",
+      isFull: this.#keyLeaseEnds(),
+    });
   }
 
   /** Whether a configuration document is in force and recently confirmed. */
@@ -449,11 +461,19 @@
     );
   }
 
+  /** Whether requests with keys will soon be refused, as control is not reached. */
+  #keyLeaseEnds(): boolean {
+    const { clock } = this.#options;
+    const now = { steady: clock.now(), wall: clock.wallTime() };
+    return this.#keyAccess.isEnding(now);
+  }
+
   #notReadyReasons(): string[] {
     const reasons: string[] = [];
     if (!this.#mayServe()) reasons.push("configuration not confirmed");
     if (!this.#registrations.presence.ready) reasons.push("joining");
     if (this.#state === "stopping") reasons.push("stopping");
+    if (this.#keyLeaseEnds()) reasons.push("lease on keys ends");
     return reasons;
   }
 
--- a/packages/entry/index.ts
+++ b/packages/entry/index.ts
@@ -8,3 +8,4 @@
 export { endToEndHeaders } from "./end_to_end_headers.ts";
 export * from "./entry_process.ts";
 export { HANDOVER_HEADER_NAMES } from "./handover_protocol.ts";
+export { hashKey } from "./key_hash.ts";
--- a/packages/entry/request_classifier.ts
+++ b/packages/entry/request_classifier.ts
@@ -8,14 +8,14 @@
   type Route,
   type Service,
 } from "#model";
-import type { HostRoutes } from "#routing";
+import type { HostRoutes, RoutedRequest } from "#routing";
 
 /** The service and class of a request according to the configuration. */
 export interface ClassifiedRequest {
   readonly service: Service;
   readonly class: RequestClass;
-  /** The name of the host route, if host routes are configured. */
-  readonly route?: string;
+  /** The host route, if host routes are configured. */
+  readonly route?: RoutedRequest;
 }
 
 /** Determines the service and class of requests. */
@@ -68,7 +68,7 @@
       const detail = `no route for ${host.slice(0, 64)}${path.slice(0, 64)}`;
       return err(callFault("unknown_route", { detail }));
     }
-    return ok({ service, class: requestClass, route: target.route });
+    return ok({ service, class: requestClass, route: target });
   }
 }
 
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -148,6 +148,13 @@
       };
     }
     const { server, basis } = assignment.value;
+    const refused = this.#recheckAccess();
+    if (refused) {
+      if (fingerprint !== undefined) quarantine.finished(this.#id, "ended");
+      const unused = { kind: "cancelled", serviceMs: 0 } as const;
+      this.#options.assignments.finish(this.#id, unused);
+      return { type: "rejected", fault: refused, waitedMs: waitedMs() };
+    }
     if (fingerprint !== undefined) quarantine.started(this.#id, server);
     const choice = { basis, waitedMs: waitedMs() };
     const result = this.#send(server, choice);
@@ -155,6 +162,16 @@
     return result;
   }
 
+  /** The fault of a call whose key was removed while it waited. */
+  #recheckAccess(): CallFault | undefined {
+    const { access } = this.#input.call;
+    if (!access) return undefined;
+    const { keyAccess, clock } = this.#options;
+    const now = { steady: clock.now(), wall: clock.wallTime() };
+    const decision = keyAccess.recheck(access, now);
+    return decision.isErr() ? decision.error : undefined;
+  }
+
   /** Isolates a suspected request on a server of its own, or rejects it. */
   async #applyQuarantine(): Promise<Result<void, CallFault>> {
     const { fingerprint } = this.#input;
--- a/packages/model/boundaries_test.ts
+++ b/packages/model/boundaries_test.ts
@@ -16,6 +16,7 @@
   claims: ["model"],
   quarantine: ["model"],
   reachability: ["model"],
+  tenants: ["model"],
 };
 
 const IMPURE_GLOBALS =
--- a/packages/model/document.ts
+++ b/packages/model/document.ts
@@ -1,6 +1,7 @@
 import type { BackendServerId } from "./backend_servers.ts";
 import type { HostRoute, LeavingServer, RequestLimits } from "./host_routes.ts";
 import type { Address, DataCentre, FormerView, HostId, View } from "./hosts.ts";
+import type { Tenant } from "./tenants.ts";
 
 /** Urgent calls are served before patient ones. */
 export type Priority = "urgent" | "patient";
@@ -56,6 +57,8 @@
   readonly routes: readonly Route[];
   /** Path of the servers' health check; a default applies if absent. */
   readonly healthPath?: string;
+  /** Requests a second that a cold server takes from all entries together. */
+  readonly coldRequestsPerS?: number;
 }
 
 /** A stop of backend servers that operators have planned. */
@@ -94,6 +97,13 @@
   readonly hostRoutes: readonly HostRoute[];
   /** If absent, the settings of each entry apply. */
   readonly requestLimits?: RequestLimits | undefined;
+  /**
+   * Present if requests need a tenant's key. It stays, empty, when the last tenant
+   * is removed, which must not open all routes.
+   */
+  readonly tenants?: readonly Tenant[];
+  /** Data centres whose servers get no requests; none if absent. */
+  readonly evacuated?: readonly DataCentre[];
   /**
    * Largest difference to expect between the clocks of callers and hosts, and
    * between those of hosts, in milliseconds. Idempotency keys of requests that
--- a/packages/model/headers.ts
+++ b/packages/model/headers.ts
@@ -14,6 +14,8 @@
   serverState: "mangobank-server-state",
   notStarted: "mangobank-not-started",
   rateLimit: "mangobank-rate-limit",
+  apiKey: "mangobank-api-key",
+  tenant: "mangobank-tenant",
   changeId: "mangobank-change-id",
 } as const;
 
--- a/packages/model/host_routes.ts
+++ b/packages/model/host_routes.ts
@@ -26,6 +26,12 @@
   /** Urgency among the routes of a service; 0 is the most urgent. */
   readonly rank: number;
   readonly targets: readonly WeightedService[];
+  /** Whether requests need no key; false if absent. */
+  readonly isPublic?: boolean;
+  /** Whether responses are large; false if absent. */
+  readonly isDownload?: boolean;
+  /** Regions whose servers may be used; all if absent. */
+  readonly allowedRegions?: readonly string[];
 }
 
 /** Limits on the requests and connections of callers, for all entries. */
--- a/packages/model/index.ts
+++ b/packages/model/index.ts
@@ -19,3 +19,4 @@
 export * from "./response_bounds.ts";
 export * from "./server_headers.ts";
 export * from "./server_start.ts";
+export * from "./tenants.ts";
--- a/packages/model/outcomes.ts
+++ b/packages/model/outcomes.ts
@@ -9,6 +9,8 @@
   unknown_service: { status: 404, outcome: "not-run" },
   unknown_route: { status: 404, outcome: "not-run" },
   invalid_request: { status: 400, outcome: "not-run" },
+  unauthorized: { status: 401, outcome: "not-run" },
+  quota_exceeded: { status: 429, outcome: "not-run" },
   header_too_large: { status: 431, outcome: "not-run" },
   body_too_large: { status: 413, outcome: "not-run" },
   request_timeout: { status: 408, outcome: "not-run" },
--- a/packages/registry/item_document.ts
+++ b/packages/registry/item_document.ts
@@ -4,9 +4,10 @@
   RequestClass,
   RequestLimits,
   Service,
+  Tenant,
 } from "#model";
 import { MAX_ROUTE_TIMEOUT_MS, requestClassName } from "#model";
-import type { Item, ServiceItem } from "./items.ts";
+import type { ItemTable, ServiceItem } from "./items.ts";
 
 /** Settings of services that are configured by items only. */
 const SERVICE_DEFAULTS = {
@@ -21,18 +22,20 @@
 } as const;
 
 /** Adds the items to a document; a service of a section takes precedence. */
-export function withItems(
-  document: Document,
-  items: readonly Item[],
-): Document {
-  if (items.length === 0) return document;
+export function withItems(document: Document, table: ItemTable): Document {
+  const items = table.items();
+  const needsKeys = table.hasHeld("tenant");
+  if (items.length === 0 && !needsKeys) return document;
   const hostRoutes: HostRoute[] = [];
   const services: ServiceItem[] = [];
+  const tenants: VersionedTenant[] = [];
   let requestLimits: RequestLimits | undefined;
-  for (const { content } of items) {
+  for (const { content, version } of items) {
     if (content.kind === "route") hostRoutes.push(content.route);
     else if (content.kind === "service") services.push(content.service);
-    else requestLimits = content.limits;
+    else if (content.kind === "limits") requestLimits = content.limits;
+    else if (content.kind === "tenant")
+      tenants.push({ tenant: content.tenant, version });
   }
   const sectionServices = new Set(document.services.map(({ name }) => name));
   const added = services
@@ -45,11 +48,38 @@
     ),
     hostRoutes,
     requestLimits,
+    ...(needsKeys && { tenants: withOneHolder(tenants) }),
   };
 }
 
+interface VersionedTenant {
+  readonly tenant: Tenant;
+  readonly version: number;
+}
+
+/**
+ * Tenants such that no two hold the same key. An operator who moves a key in two
+ * changes may add it to one tenant before it is removed from the other; the newer
+ * item holds it then.
+ */
+function withOneHolder(tenants: readonly VersionedTenant[]): Tenant[] {
+  const newestFirst = tenants.toSorted((a, b) => b.version - a.version);
+  const holders = new Map<string, string>();
+  for (const { tenant } of newestFirst) {
+    for (const hash of tenant.keyHashes) {
+      if (!holders.has(hash)) holders.set(hash, tenant.name);
+    }
+  }
+  return tenants.map(({ tenant }) => ({
+    ...tenant,
+    keyHashes: tenant.keyHashes.filter(
+      (hash) => holders.get(hash) === tenant.name,
+    ),
+  }));
+}
+
 function toService(item: ServiceItem, routes: readonly HostRoute[]): Service {
-  const { name, healthPath, connectionsPerServer } = item;
+  const { name, healthPath, connectionsPerServer, coldRequestsPerS } = item;
   const serviceRoutes = routes.filter(({ targets }) =>
     targets.some(({ service }) => service === name),
   );
@@ -58,6 +88,7 @@
     name,
     healthPath,
     connectionsPerServer,
+    ...(coldRequestsPerS !== undefined && { coldRequestsPerS }),
     classes: classesOf(serviceRoutes),
     routes: [],
   };
--- a/packages/registry/items.ts
+++ b/packages/registry/items.ts
@@ -2,6 +2,7 @@
   type HostRoute,
   MAX_ROUTE_TIMEOUT_MS,
   type RequestLimits,
+  type Tenant,
 } from "#model";
 
 /** A service as an item configures it. */
@@ -10,12 +11,15 @@
   readonly healthPath: string;
   /** Connections that each server accepts, over all entries. */
   readonly connectionsPerServer: number;
+  /** Requests a second that a cold server takes from all entries together. */
+  readonly coldRequestsPerS?: number;
 }
 
 export type ItemContent =
   | { readonly kind: "route"; readonly route: HostRoute }
   | { readonly kind: "service"; readonly service: ServiceItem }
-  | { readonly kind: "limits"; readonly limits: RequestLimits };
+  | { readonly kind: "limits"; readonly limits: RequestLimits }
+  | { readonly kind: "tenant"; readonly tenant: Tenant };
 
 export type ItemKind = ItemContent["kind"];
 
@@ -76,6 +80,13 @@
       .sort((a, b) => (keyOf(a) < keyOf(b) ? -1 : 1));
   }
 
+  /** Whether an item of this kind was ever set. */
+  hasHeld(kind: ItemKind): boolean {
+    return [...this.#stored.values()].some(
+      (held) => (held.type === "item" ? held.item : held.removal).kind === kind,
+    );
+  }
+
   /** All items and removals for a snapshot, in the order of arrival. */
   all(): StoredItem[] {
     return [...this.#stored.values()];
@@ -132,11 +143,11 @@
   }
 
   /** The items as they would be after a change that passed the check. */
-  itemsWith(change: Pick<PutItems, "upserts" | "removals">): Item[] {
+  with(change: Pick<PutItems, "upserts" | "removals">): ItemTable {
     const copy = new ItemTable();
     copy.restore(this.all());
     copy.apply({ type: "put_items", ...change, at: 0 });
-    return copy.items();
+    return copy;
   }
 
   /** Applies a command that passed the check; false if nothing changed. */
--- a/packages/registry/registry.ts
+++ b/packages/registry/registry.ts
@@ -123,7 +123,7 @@
   configurationWith(
     change: Pick<PutItems, "upserts" | "removals">,
   ): RegistryConfiguration {
-    const items = this.#items.itemsWith(change);
+    const items = this.#items.with(change);
     const document = withItems(this.#sectionsDocument, items);
     return { ...this.configuration(), document };
   }
@@ -319,10 +319,7 @@
   }
 
   #mergeItems(): void {
-    this.#mergedDocument = withItems(
-      this.#sectionsDocument,
-      this.#items.items(),
-    );
+    this.#mergedDocument = withItems(this.#sectionsDocument, this.#items);
   }
 
   /** The section's owner if the actor is that team, else undefined. */
--- a/packages/routing/host_routes.ts
+++ b/packages/routing/host_routes.ts
@@ -11,6 +11,10 @@
   readonly service: string;
   /** Name of the request class at the service. */
   readonly class: string;
+  /** Urgency among the routes; 0 is the most urgent. */
+  readonly rank: number;
+  /** Whether requests need no key. */
+  readonly isPublic: boolean;
 }
 
 /**
@@ -62,6 +66,8 @@
       route: route.name,
       service: this.#pickService(route),
       class: requestClassName(route),
+      rank: route.rank,
+      isPublic: route.isPublic === true,
     };
   }
 
--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -48,6 +48,11 @@
    * milliseconds; default 3 s.
    */
   readonly confirmedForMs?: number;
+  /**
+   * Time after the acknowledgement of a key's removal at which its requests run
+   * nowhere, in milliseconds; no bound if absent.
+   */
+  readonly revokeWithinMs?: number | undefined;
   /** Limit on retries, that is on sends of a call after its first one. */
   readonly resendLimit?: ResendLimit;
   readonly limits: EntryLimits;
