--- a/packages/entry/call_admission.ts
+++ b/packages/entry/call_admission.ts
@@ -43,6 +43,11 @@
     return this.#classified;
   }
 
+  /** The tenant of the request; undefined without one or before `admit`. */
+  get tenant(): string | undefined {
+    return this.#call?.access?.tenant;
+  }
+
   /** Whether the request is identified by its key; true for unknown classes. */
   get usesIdempotencyKey(): boolean {
     const requestClass = this.#classified?.class;
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -443,6 +443,7 @@
       service: clip(service),
       class: className,
       route: route && clip(route),
+      tenant: this.#admission.tenant,
       outcome,
       code: fault?.code,
       detail: fault?.detail,
