Evacuate data centres by orders in the replicated log

Cause: operators had no way to keep all requests from the backend servers of a data centre; planned stops belong to sections and cover services one by one.

Change: an order is a configuration item of the kind evacuation, with a version computed after a confirmed read and acknowledged after a second one. Entries leave the servers out of routing, checks, probes and identity checks, and a call whose server went during its check gets another one. Endpoints, log lines, a gauge and a line in the status show it.

--- a/packages/cli/commands/observe.ts
+++ b/packages/cli/commands/observe.ts
@@ -38,6 +38,8 @@
   readonly leader?: string;
   readonly entries: number;
   readonly in_force_everywhere: boolean;
+  /** Data centres whose servers get no requests; absent if there are none. */
+  readonly evacuated?: readonly string[];
   readonly lagging: readonly HostResponse[];
   readonly silent: readonly string[];
   readonly running_stops: readonly {
@@ -67,7 +69,7 @@
 }
 
 function formatStatus(status: StatusResponse): string {
-  const { lagging, silent, running_stops: stops } = status;
+  const { lagging, silent, evacuated = [], running_stops: stops } = status;
   const lines = [
     `document revision  ${status.document_revision}`,
     `configuration      ${status.version}`,
@@ -76,6 +78,7 @@
     status.in_force_everywhere
       ? `in force           at all ${status.entries} entries`
       : `in force           not everywhere (${status.entries} entries)`,
+    ...evacuated.map((name) => `evacuated          ${name}`),
     ...silent.map((id) => `silent             ${id}`),
     ...stops.map(({ stop, phase, since }) => {
       return `stop               ${stop} ${phase} since ${since}`;
--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -7,7 +7,12 @@
   type LeavingServer,
 } from "#model";
 import type { AnnouncementFault } from "#presence";
-import type { Item, ItemFault, PutItems } from "#registry";
+import {
+  type Item,
+  type ItemFault,
+  isSetByPatch,
+  type PutItems,
+} from "#registry";
 import type { ControlMetrics, InputCall, Logger } from "#telemetry";
 import { AnnouncementLog } from "./announcement_log.ts";
 import {
@@ -15,12 +20,8 @@
   MAX_CONFIGURATION_BYTES,
 } from "./configuration_size.ts";
 import type { ControlProcess } from "./control_process.ts";
+import { faultTypeOf, withTimeout } from "./majority_timeout.ts";
 
-/**
- * Longest wait for a majority, in milliseconds. Callers wait one second for a
- * reply before they try another host.
- */
-const MAJORITY_TIMEOUT_MS = 850;
 /** Most items and faults named in a log line or a reply. */
 const MAX_LISTED = 20;
 /** Longest name or value in a log line or a reply, in characters. */
@@ -176,7 +177,8 @@
   async items(): Promise<ItemsReadReply> {
     const confirmed = await withTimeout(this.#control.confirmRead());
     if (confirmed?.isOk()) {
-      return { type: "items", items: this.#control.registry.items() };
+      const items = this.#control.registry.items().filter(isSetByPatch);
+      return { type: "items", items };
     }
     const fault = faultTypeOf(confirmed);
     this.#logger.warn("items not read", { fault });
@@ -371,30 +373,8 @@
   return `${text.slice(0, MAX_TEXT_LENGTH)}… (${text.length} characters)`;
 }
 
-type LogResult =
-  | { isOk(): boolean; isErr(): boolean; error?: { type: string } }
-  | undefined;
-
-function faultTypeOf(result: LogResult): string {
-  return result?.error?.type ?? "timeout";
-}
-
 /** The newest incarnation of the records; undefined if there is none. */
 function newestOf(records: readonly BackendServer[]): number | undefined {
   const incarnations = records.map(({ incarnation }) => incarnation);
   return incarnations.length > 0 ? Math.max(...incarnations) : undefined;
 }
-
-/** Resolves with the result, or with undefined after a time. */
-function withTimeout<T>(
-  result: Promise<T>,
-  timeoutMs = MAJORITY_TIMEOUT_MS,
-): Promise<T | undefined> {
-  return new Promise((resolve, reject) => {
-    const timer = setTimeout(() => resolve(undefined), timeoutMs);
-    result.then((value) => {
-      clearTimeout(timer);
-      resolve(value);
-    }, reject);
-  });
-}
--- a/packages/control/index.ts
+++ b/packages/control/index.ts
@@ -9,6 +9,7 @@
 export * from "./control_process.ts";
 export * from "./control_requests.ts";
 export * from "./control_runs.ts";
+export * from "./evacuations.ts";
 export {
   closedControlMetrics,
   controlMetrics,
--- /dev/null
+++ b/packages/control/majority_timeout.ts
@@ -0,0 +1,28 @@
+/**
+ * Longest wait for a majority, in milliseconds. Callers wait one second for a
+ * reply before they try another host.
+ */
+export const MAJORITY_TIMEOUT_MS = 850;
+
+type LogResult =
+  | { isOk(): boolean; isErr(): boolean; error?: { type: string } }
+  | undefined;
+
+/** The type of a fault of the log, for a log line. */
+export function faultTypeOf(result: LogResult): string {
+  return result?.error?.type ?? "timeout";
+}
+
+/** Resolves with the result, or with undefined after a time. */
+export function withTimeout<T>(
+  result: Promise<T>,
+  timeoutMs = MAJORITY_TIMEOUT_MS,
+): Promise<T | undefined> {
+  return new Promise((resolve, reject) => {
+    const timer = setTimeout(() => resolve(undefined), timeoutMs);
+    result.then((value) => {
+      clearTimeout(timer);
+      resolve(value);
+    }, reject);
+  });
+}
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -7,6 +7,7 @@
   backendServerKey,
   type Clock,
   type Configuration,
+  type DataCentre,
   type Entry,
   type EntryState,
   type Randomness,
@@ -122,6 +123,8 @@
           this.#appliedConfiguration.document.services,
         ),
       cutOffServices: () => this.#callPipeline.cutOffServices,
+      evacuatedDataCentres: () =>
+        this.#appliedConfiguration.document.evacuated?.length ?? 0,
       peerTraffic: () => network.traffic,
     });
     this.#registrations = new Registrations({
@@ -153,6 +156,7 @@
       presence: this.#registrations.presence,
       clock,
       network,
+      isEvacuated: (server) => this.#usableServers.isEvacuated(server),
     });
     this.#directory = new AddressDirectory({
       registrations: this.#registrations,
@@ -414,6 +418,9 @@
         now,
       ),
     );
+    if (document.evacuated !== previous.document.evacuated) {
+      this.#logEvacuations(document.evacuated, previous.document.evacuated);
+    }
     if (this.#usableServers.configure(configuration)) {
       for (const name of names) {
         this.#updateServers(name, this.#knownServers.forService(name));
@@ -428,7 +435,26 @@
     }
   }
 
+  #logEvacuations(
+    now: readonly DataCentre[] = [],
+    before: readonly DataCentre[] = [],
+  ): void {
+    const begun = now.filter((dataCentre) => !before.includes(dataCentre));
+    const ended = before.filter((dataCentre) => !now.includes(dataCentre));
+    if (begun.length + ended.length === 0) return;
+    this.#options.logger.info("evacuations in force", {
+      evacuated: now,
+      begun,
+      ended,
+      version: this.#appliedConfiguration.version,
+    });
+  }
+
   #checkIdentity(server: BackendServer): Promise<Identity> {
+    // A check is a request; without one the newer address counts.
+    if (this.#usableServers.isEvacuated(server)) {
+      return Promise.resolve("unknown");
+    }
     const { protocol, serverIdentityHeader: header = "" } = this.#options;
     const { services } = this.#appliedConfiguration.document;
     const service = services.find(({ name }) => name === server.service);
--- a/packages/entry/known_servers.ts
+++ b/packages/entry/known_servers.ts
@@ -13,15 +13,19 @@
   readonly #presence: Presence;
   readonly #clock: Clock;
   readonly #network: Network<InventoryMessages>;
+  readonly #isEvacuated: (server: BackendServer) => boolean;
 
   constructor(options: {
     presence: Presence;
     clock: Clock;
     network: Network<InventoryMessages>;
+    /** Whether the server gets no requests. */
+    isEvacuated: (server: BackendServer) => boolean;
   }) {
     this.#presence = options.presence;
     this.#clock = options.clock;
     this.#network = options.network;
+    this.#isEvacuated = options.isEvacuated;
     this.#network.handle("servers_ask", ({ question }, from) =>
       this.#sendInventory(question, from.id),
     );
@@ -53,7 +57,9 @@
     },
   ): string[] {
     const { dataCentres, inFlightAt } = options;
-    const servers = this.forService(service);
+    const servers = this.forService(service).filter(
+      (server) => !this.#isEvacuated(server),
+    );
     const inOtherDataCentres = servers.filter(
       (s) => !dataCentres.includes(s.dataCentre),
     );
--- a/packages/operators/presentation.ts
+++ b/packages/operators/presentation.ts
@@ -95,6 +95,7 @@
     leader: live.leader,
     entries: view.entries.length,
     in_force_everywhere: lagging.length === 0 && silent.length === 0,
+    ...(document.evacuated && { evacuated: document.evacuated }),
     lagging: lagging.map(presentHost),
     silent: silent.map(({ id }) => id),
     running_stops: stops
--- a/packages/registry/index.ts
+++ b/packages/registry/index.ts
@@ -7,6 +7,7 @@
  */
 
 export * from "./commands.ts";
+export * from "./evacuation.ts";
 export * from "./items.ts";
 export { LEAVING_RETENTION_MS } from "./leaving.ts";
 export { FORMER_VIEW_RETENTION_MS } from "./membership.ts";
--- a/packages/registry/item_document.ts
+++ b/packages/registry/item_document.ts
@@ -1,4 +1,5 @@
 import type {
+  DataCentre,
   Document,
   HostRoute,
   RequestClass,
@@ -29,13 +30,15 @@
   const hostRoutes: HostRoute[] = [];
   const services: ServiceItem[] = [];
   const tenants: VersionedTenant[] = [];
+  const evacuated: DataCentre[] = [];
   let requestLimits: RequestLimits | undefined;
-  for (const { content, version } of items) {
+  for (const { name, content, version } of items) {
     if (content.kind === "route") hostRoutes.push(content.route);
     else if (content.kind === "service") services.push(content.service);
     else if (content.kind === "limits") requestLimits = content.limits;
     else if (content.kind === "tenant")
       tenants.push({ tenant: content.tenant, version });
+    else if (content.kind === "evacuation") evacuated.push(name);
   }
   const sectionServices = new Set(document.services.map(({ name }) => name));
   const added = services
@@ -49,6 +52,7 @@
     hostRoutes,
     requestLimits,
     ...(needsKeys && { tenants: withOneHolder(tenants) }),
+    ...(evacuated.length > 0 && { evacuated }),
   };
 }
 
--- a/packages/registry/items.ts
+++ b/packages/registry/items.ts
@@ -19,7 +19,9 @@
   | { readonly kind: "route"; readonly route: HostRoute }
   | { readonly kind: "service"; readonly service: ServiceItem }
   | { readonly kind: "limits"; readonly limits: RequestLimits }
-  | { readonly kind: "tenant"; readonly tenant: Tenant };
+  | { readonly kind: "tenant"; readonly tenant: Tenant }
+  /** No server of the data centre that names the item gets requests. */
+  | { readonly kind: "evacuation" };
 
 export type ItemKind = ItemContent["kind"];
 
@@ -87,6 +89,11 @@
     );
   }
 
+  /** A current item, or what is remembered of a removed one. */
+  stored(key: ItemKey): StoredItem | undefined {
+    return this.#stored.get(keyOf(key));
+  }
+
   /** All items and removals for a snapshot, in the order of arrival. */
   all(): StoredItem[] {
     return [...this.#stored.values()];
--- a/packages/registry/registry.ts
+++ b/packages/registry/registry.ts
@@ -24,8 +24,10 @@
 import {
   type Item,
   type ItemFault,
+  type ItemKey,
   ItemTable,
   type PutItems,
+  type StoredItem,
 } from "./items.ts";
 import { LeavingServers } from "./leaving.ts";
 import { Membership, type MembershipResult } from "./membership.ts";
@@ -138,6 +140,11 @@
     return this.#items.items();
   }
 
+  /** A current item, or what is remembered of a removed one. */
+  storedItem(key: ItemKey): StoredItem | undefined {
+    return this.#items.stored(key);
+  }
+
   /** The current text of a section. */
   section(name: string): SectionRevision | undefined {
     return this.#sections.current(name);
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -230,7 +230,9 @@
       call.failedChecks ??= [];
       call.failedChecks.push(result.failure);
     }
-    if (this.#placementChecks.decide(result, call) === "use") {
+    const decision = this.#placementChecks.decide(result, call);
+    // A server may have been evacuated during the check.
+    if (decision === "use" && !server.removed) {
       this.#servers.recordCheck(server, result, now);
       call.assignedAt = now;
       call.slowdownAtStart = server.slowdown;
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -42,6 +42,8 @@
   readonly backingOffServers?: () => ValuesByService;
   /** Number of services of which the entry reaches no server. */
   readonly cutOffServices?: () => number;
+  /** Number of data centres whose servers get no requests. */
+  readonly evacuatedDataCentres?: () => number;
   readonly peerTraffic?: () => PeerTraffic;
 }
 
@@ -286,6 +288,17 @@
         },
       });
     }
+    const { evacuatedDataCentres } = sources;
+    if (evacuatedDataCentres) {
+      new Gauge({
+        name: "mangobank_evacuated_data_centres",
+        help: "Data centres whose servers get no requests, as ordered",
+        registers: [this.#registry],
+        collect() {
+          this.set(evacuatedDataCentres());
+        },
+      });
+    }
     this.#registerServiceGauge(sources.callsInFlight, {
       name: "mangobank_calls_in_flight",
       help: "Calls at backend servers",
