Rank calls only where two priorities cannot tell them apart

Cause: ranks select another order of waiting calls, and deployments whose routes have two ranks are to be served as before. Change: calls have a rank where the routes name three or more, or with a tenant. Measured: type check and the tests of host routes.

--- a/packages/entry/call_admission.ts
+++ b/packages/entry/call_admission.ts
@@ -118,15 +118,21 @@
     return !schedule.accepts(call);
   }
 
-  /** The access of the request, and the rank of its tenant, else of its route. */
+  /**
+   * The access of the request, and the rank of its tenant, else of its route; no
+   * rank where two priorities tell all calls apart.
+   */
   #authorize({ route }: ClassifiedRequest) {
     const { keyAccess, clock, protocol } = this.#options;
     const isPublic = route?.isPublic === true;
     const key = protocol.callerKey(this.#request.headers);
     const now = { steady: clock.now(), wall: clock.wallTime() };
+    const routeRank = route?.hasManyRanks ? route.rank : undefined;
     return keyAccess.authorize({ key, isPublic }, now).map((authorization) => ({
       access: authorization?.access,
-      rank: authorization?.tenant?.rank ?? route?.rank,
+      rank: authorization
+        ? (authorization.tenant?.rank ?? route?.rank)
+        : routeRank,
     }));
   }
 
