--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -393,6 +393,9 @@
       http: settings.http,
       peer: settings.peer,
       ...(settings.handover && { handover: settings.handover }),
+      ...(settings.processorShare && {
+        processorShare: settings.processorShare,
+      }),
       state: this.#state,
     };
   }
--- a/packages/model/hosts.ts
+++ b/packages/model/hosts.ts
@@ -37,6 +37,8 @@
    * none.
    */
   readonly handover?: Address;
+  /** Processor share of the host, in cores; absent if its settings name none. */
+  readonly processorShare?: number;
   readonly state: EntryState;
 }
 
--- a/packages/model/message_values.ts
+++ b/packages/model/message_values.ts
@@ -32,6 +32,7 @@
   http: address,
   peer: address,
   handover: address.optional(),
+  processorShare: z.number().positive().optional(),
   state: z.enum(["ready", "stopping"]),
 }) satisfies z.ZodType<Entry>;
 
--- a/packages/registry/snapshot.ts
+++ b/packages/registry/snapshot.ts
@@ -45,6 +45,7 @@
   http: address,
   peer: address,
   handover: address.optional(),
+  processorShare: number.optional(),
   state: z.enum(["ready", "stopping"]),
 });
 const view = z.object({
--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -53,6 +53,8 @@
    * nowhere, in milliseconds; no bound if absent.
    */
   readonly revokeWithinMs?: number | undefined;
+  /** Processor share of the host, in cores; absent if it is not known. */
+  readonly processorShare?: number | undefined;
   /** Limit on retries, that is on sends of a call after its first one. */
   readonly resendLimit?: ResendLimit;
   readonly limits: EntryLimits;
