--- a/packages/model/boundaries_test.ts
+++ b/packages/model/boundaries_test.ts
@@ -17,6 +17,7 @@
   quarantine: ["model"],
   reachability: ["model"],
   tenants: ["model"],
+  quotas: ["model"],
 };
 
 const IMPURE_GLOBALS =
