Take tokens of tenants' quotas in entries

Cause: the owners and the entry side of quotas were not used by the entry process.

Change: an entry takes a token after a call is admitted and before its body is read, refuses with 429 or 503, and returns the token of a call that did not run. Messages share the links on demand with claims. Settings quota_overage, quota_slack and quota_window_s; a counter of decisions by tenant, and a bounded log line.

Measured: type check, linter, and the tests of packages/quotas.

--- a/packages/entry/call_environment.ts
+++ b/packages/entry/call_environment.ts
@@ -12,6 +12,7 @@
 import type { RequestClassifier } from "./request_classifier.ts";
 import type { ServicePolicies } from "./service_policies.ts";
 import type { StopSchedule } from "./stop_schedule.ts";
+import type { TenantQuotas } from "./tenant_quotas.ts";
 
 /** What the stages of a call use of the entry that serves it. */
 export interface CallEnvironment {
@@ -28,6 +29,7 @@
   readonly paths: PathMonitor;
   readonly handovers: HandoverClient;
   readonly keyAccess: KeyAccess;
+  readonly quotas: TenantQuotas;
   /** Number of calls in progress that other entries have passed on. */
   readonly handedOverCalls: () => number;
   /** Ids of the servers to which a suspected request should not be sent. */
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -20,6 +20,7 @@
   type HandoverInput,
   handoverRefusal,
 } from "./call_handover.ts";
+import { CallQuota } from "./call_quota.ts";
 import { CallReply } from "./call_reply.ts";
 import { cutOffFault } from "./final_fault.ts";
 import type { HandoverOrigin, HandoverRefusal } from "./handover_protocol.ts";
@@ -77,6 +78,7 @@
   readonly #handover: CallHandover;
   readonly #arrival: number;
   readonly #admission: CallAdmission;
+  #quota: CallQuota | undefined;
   #attempts: CallAttempts | undefined;
   #deadline: number | undefined;
   #deadlineTimer: NodeJS.Timeout | undefined;
@@ -150,6 +152,16 @@
       return;
     }
     const { call, chain } = admitted.value;
+    // The entry that passed the call on has taken its token.
+    if (call.access?.tenant !== undefined && !this.isHandedOver) {
+      this.#quota = new CallQuota(this.#options);
+      const taking = this.#quota.take(call);
+      const fault = taking instanceof Promise ? await taking : taking;
+      if (fault) {
+        this.#failBeforeClaim(fault);
+        return;
+      }
+    }
     const { bodyLimits, stopSchedule } = this.#options;
     const schedule = stopSchedule();
     if (schedule) this.beginStop(schedule);
@@ -262,6 +274,7 @@
   onResponseClosed(): void {
     clearTimeout(this.#deadlineTimer);
     clearTimeout(this.#stopTimer);
+    if (!this.#mayHaveRun) this.#quota?.giveBack();
     const { writableFinished, brokenBy } = this.#exchange.response;
     if (writableFinished) {
       if (this.#hasUsualEnd) this.#admission.recordDuration();
@@ -426,6 +439,7 @@
       outcome === "answered" || fault?.code === "deadline_expired";
     const { metrics, clock, logger, configuration } = this.#options;
     clearTimeout(this.#deadlineTimer);
+    if (outcome === "not-run" || !this.#mayHaveRun) this.#quota?.giveBack();
     const ms = clock.now() - this.#arrival;
     const service = this.#admission.classified?.service.name ?? "none";
     const className = this.#admission.classified?.class.name ?? "none";
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -12,6 +12,7 @@
   type Service,
 } from "#model";
 import { selectRelays } from "#presence";
+import type { QuotaMessages } from "#quotas";
 import { HostRoutes, Router } from "#routing";
 import type { EntrySettings } from "#settings";
 import { type Logger, type Metrics, OwnTasks } from "#telemetry";
@@ -39,6 +40,7 @@
 import { unsendablePart } from "./sendable.ts";
 import { ServicePolicies } from "./service_policies.ts";
 import type { StopSchedule } from "./stop_schedule.ts";
+import { TenantQuotas } from "./tenant_quotas.ts";
 
 export interface CallPipelineOptions
   extends Pick<
@@ -82,7 +84,8 @@
   readonly #proxy: ReverseProxy;
   readonly #tickTimer: ActivityTimer;
   readonly #hostRoutes: HostRoutes;
-  readonly #claimNetwork: OnDemandLinks<ClaimMessages>;
+  readonly #linksOnDemand: OnDemandLinks<ClaimMessages & QuotaMessages>;
+  readonly #quotas: TenantQuotas;
   readonly #paths: PathMonitor;
   readonly #handovers: HandoverClient;
   #classifier: RequestClassifier;
@@ -192,7 +195,7 @@
       resendLimit: settings.resendLimit,
       entries: () => this.#configuration?.view.entries.length ?? 1,
     });
-    this.#claimNetwork = new OnDemandLinks({
+    this.#linksOnDemand = new OnDemandLinks({
       network,
       clock,
       onPeersChanged: options.onPeersChanged,
@@ -202,7 +205,22 @@
       incarnation,
       clock,
       randomness,
-      network: this.#claimNetwork,
+      network: this.#linksOnDemand,
+    });
+    this.#quotas = new TenantQuotas({
+      self,
+      incarnation,
+      clock,
+      randomness,
+      logger,
+      metrics: metrics.quotas,
+      network: this.#linksOnDemand,
+      bounds: settings.quotaBounds,
+      confirmationAgeMs: () =>
+        options.keyAccess.leaseAgeMs({
+          steady: clock.now(),
+          wall: clock.wallTime(),
+        }),
     });
     this.#proxy = new ReverseProxy({
       ...options,
@@ -210,6 +228,7 @@
       assignments: this.#assignments,
       client: this.#client,
       claims: this.#claims,
+      quotas: this.#quotas,
       quarantine: this.#quarantine,
       policies: this.#policies,
       paths: this.#paths,
@@ -235,7 +254,7 @@
     const tasks = new OwnTasks(this.#options);
     const tick = () => {
       tasks.run("quarantine", () => this.#quarantine.tick());
-      tasks.run("claims", () => this.#claimNetwork.tick());
+      tasks.run("claims", () => this.#linksOnDemand.tick());
     };
     this.#quarantineTimer = setInterval(tick, QUARANTINE_TICK_MS);
   }
@@ -309,7 +328,8 @@
     this.#claims.configure(configuration);
     const linksAreSparse = selectRelays(view) !== undefined;
     this.#handovers.configure(view);
-    this.#claimNetwork.setView(linksAreSparse ? view : EMPTY_VIEW);
+    this.#linksOnDemand.setView(linksAreSparse ? view : EMPTY_VIEW);
+    this.#quotas.configure(configuration);
     this.#quarantine.setForwarding(linksAreSparse);
     const now = this.#options.clock.now();
     this.#assignments.execute(this.#router.configure(services, view, now));
@@ -328,15 +348,15 @@
     if (reason === "restarted") this.#quarantine.serverLost(server);
   }
 
-  /** The entries to which claims need a link at present. */
+  /** The entries to which claims and quotas need a link at present. */
   get peersOnDemand(): Peer[] {
-    return this.#claimNetwork.peers;
+    return this.#linksOnDemand.peers;
   }
 
   peerUp(id: HostId): void {
     this.#quarantine.peerUp(id);
     this.#paths.peerUp(id);
-    this.#claimNetwork.peerUp(id);
+    this.#linksOnDemand.peerUp(id);
   }
 
   peerDown(id: HostId): void {
@@ -404,6 +424,7 @@
   /** Stops at once and aborts the calls in progress. */
   close(): void {
     this.#paths.close();
+    this.#quotas.close();
     clearInterval(this.#quarantineTimer);
     this.#tickTimer.stop();
     this.#client.close();
--- a/packages/entry/entry_network.ts
+++ b/packages/entry/entry_network.ts
@@ -22,6 +22,7 @@
   selectRelays,
 } from "#presence";
 import { QUARANTINE_DECODERS, type QuarantineMessages } from "#quarantine";
+import { QUOTA_DECODERS, type QuotaMessages } from "#quotas";
 import {
   REACHABILITY_DECODERS,
   type ReachabilityMessages,
@@ -40,6 +41,7 @@
   QuarantineMessages &
   PresenceMessages &
   ClaimMessages &
+  QuotaMessages &
   ReachabilityMessages &
   DispatchMessages;
 
@@ -49,6 +51,7 @@
   ...QUARANTINE_DECODERS,
   ...PRESENCE_DECODERS,
   ...CLAIM_DECODERS,
+  ...QUOTA_DECODERS,
   ...REACHABILITY_DECODERS,
   ...DISPATCH_DECODERS,
 };
--- a/packages/quotas/limits.ts
+++ b/packages/quotas/limits.ts
@@ -17,6 +17,8 @@
 
 /** Longest time for which a granted token may be used, from the question. */
 const TOKEN_LIFETIME_MS = 250;
+/** A shorter one would end before an owner's answer arrives. */
+const MIN_TOKEN_LIFETIME_MS = 50;
 /**
  * Time for which an owner counts a vote, from its stamp. Until then an entry that
  * lost its owner has none; the votes of idle entries cost a message each
@@ -62,7 +64,8 @@
   const limits = limited.map(({ name, ratePerS = 0, burst = 0 }) => ({
     name,
     ratePerS,
-    capacity: burst + spareTokens(bounds),
+    // Below one token no request would ever run.
+    capacity: Math.max(1, burst + spareTokens(bounds)),
     shard: hash32(name) % shardCount,
   }));
   return {
@@ -95,5 +98,6 @@
  * and are used in it take up at most half of the overage.
  */
 export function tokenLifetimeMs({ overage, windowMs }: QuotaBounds): number {
-  return Math.min(TOKEN_LIFETIME_MS, (overage * windowMs) / 2);
+  const longest = Math.min(TOKEN_LIFETIME_MS, (overage * windowMs) / 2);
+  return Math.max(MIN_TOKEN_LIFETIME_MS, longest);
 }
--- /dev/null
+++ b/packages/quotas/quota_client_test.ts
@@ -0,0 +1,192 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { QuotaDecision } from "./account.ts";
+import { DEFAULT_QUOTA_BOUNDS as bounds, quotaTable } from "./limits.ts";
+import type { AskEffect, QuotaGrant, TenantGrant } from "./messages.ts";
+import { QuotaClient } from "./quota_client.ts";
+import { entryRecord } from "./simulated_entry.ts";
+
+const VIEW = { epoch: 1, began: 0, entries: ["a", "b", "c"].map(entryRecord) };
+const TABLE = quotaTable(
+  [
+    { name: "t", keyHashes: [], ratePerS: 10, burst: 10 },
+    { name: "free", keyHashes: [] },
+  ],
+  bounds,
+);
+/** After the time in which a new process gives no votes. */
+const START = 2_000;
+
+/** A client with decisions of the requests that had to wait. */
+class TestClient {
+  confirmationAgeMs = 0;
+  readonly late: QuotaDecision[] = [];
+  readonly client = new QuotaClient({
+    bounds,
+    startedAt: 0,
+    phase: 0.2,
+    confirmationAgeMs: () => this.confirmationAgeMs,
+  });
+
+  constructor() {
+    this.client.configure(TABLE, VIEW, 0);
+  }
+
+  take(now: number): QuotaDecision | undefined {
+    return this.client.take("t", now, (late) => this.late.push(late));
+  }
+
+  answer(
+    { to, ask }: AskEffect,
+    options: { now: number; grants?: TenantGrant[]; incarnation?: number },
+  ): void {
+    const { now, grants = [], incarnation = 1 } = options;
+    const stamp = { incarnation, ms: now };
+    const grant: QuotaGrant = { sequence: ask.sequence, grants, stamp };
+    this.client.receive(to, grant, now);
+  }
+
+  /** Sends the one message that is due. */
+  flush(now: number): AskEffect {
+    const effects = this.client.flush(now);
+    assert.equal(effects.length, 1, JSON.stringify(effects));
+    return effects[0] as AskEffect;
+  }
+
+  /** Meets its owner and votes for it; returns the owner's id. */
+  settle(): string {
+    this.answer(this.flush(START), { now: START });
+    const vote = this.flush(START);
+    assert.deepEqual(vote.ask.votes?.shards, [0]);
+    this.answer(vote, { now: START });
+    return vote.to;
+  }
+
+  /** Passes the time for an answer, as the ticks of a process do. */
+  tick(from: number, to: number): void {
+    for (let now = from; now <= to; now += 10) this.client.tick(now);
+  }
+}
+
+test("a tenant without a limit costs nothing", () => {
+  const { client } = new TestClient();
+  const decide = () => assert.fail();
+  const decision = client.take("free", START, decide);
+  assert.equal(decision?.type, "admitted");
+  client.configure(quotaTable(undefined, bounds), VIEW, START);
+  assert.deepEqual(client.flush(START + 1_000), []);
+});
+
+test("one question brings the tokens of all requests of a turn", () => {
+  const test = new TestClient();
+  test.settle();
+  for (let i = 0; i < 3; i++) assert.equal(test.take(START + 1), undefined);
+  const question = test.flush(START + 1);
+  assert.deepEqual(question.ask.asks, [["t", 3]]);
+  test.answer(question, { now: START + 2, grants: [["t", 2, 300]] });
+  assert.deepEqual(
+    test.late.map(({ type }) => type),
+    ["admitted", "admitted", "refused"],
+  );
+  // Refused here until the time that the owner gave.
+  assert.equal(test.take(START + 301)?.type, "refused");
+  assert.equal(test.take(START + 303), undefined);
+});
+
+test("tokens end 250 ms after the question, also those given back", () => {
+  const test = new TestClient();
+  test.settle();
+  test.take(START);
+  const question = test.flush(START);
+  test.answer(question, { now: START + 20, grants: [["t", 1, 0]] });
+  const [admitted] = test.late;
+  assert.ok(admitted?.type === "admitted");
+  test.client.giveBack("t", admitted.usableUntil, START + 100);
+  assert.equal(test.take(START + 249)?.type, "admitted");
+  test.client.giveBack("t", admitted.usableUntil, START + 249);
+  assert.equal(test.take(START + 250), undefined);
+});
+
+test("a late or repeated answer brings no tokens", () => {
+  const test = new TestClient();
+  test.settle();
+  test.take(START);
+  const question = test.flush(START);
+  test.answer(question, { now: START + 10, grants: [["t", 1, 0]] });
+  test.answer(question, { now: START + 10, grants: [["t", 1, 0]] });
+  assert.equal(test.take(START + 11), undefined);
+  const second = test.flush(START + 11);
+  test.answer(second, { now: START + 300, grants: [["t", 1, 0]] });
+  assert.equal(test.late.length, 1);
+});
+
+// Guards against one vote that two owners count.
+test("a silent owner is passed over, and its vote waits until it has ended", () => {
+  const test = new TestClient();
+  const owner = test.settle();
+  test.take(START + 100);
+  assert.equal(test.flush(START + 100).to, owner);
+  test.tick(START + 110, START + 150);
+  const [question] = test.client.flush(START + 150);
+  assert.ok(question && question.to !== owner);
+  assert.deepEqual(question.ask.asks, [["t", 1]]);
+  test.answer(question, { now: START + 151, grants: [["t", 1, 0]] });
+  assert.equal(test.late[0]?.type, "admitted");
+  for (let now = START + 151; now < START + 1_000; now += 50) {
+    for (const effect of test.client.flush(now)) {
+      assert.deepEqual(effect.ask.votes?.shards ?? [], []);
+      if (effect.to === question.to) test.answer(effect, { now });
+    }
+  }
+});
+
+test("a vote moves at once when its owner confirms that it is withdrawn", () => {
+  const test = new TestClient();
+  const owner = test.settle();
+  const rest = VIEW.entries.filter(({ id }) => id !== owner);
+  test.client.configure(TABLE, { ...VIEW, epoch: 2, entries: rest }, START + 1);
+  const hello = test.flush(START + 1);
+  test.answer(hello, { now: START + 2 });
+  const withdrawal = test.flush(START + 2);
+  assert.equal(withdrawal.to, owner);
+  assert.deepEqual(withdrawal.ask.votes?.shards, []);
+  test.answer(withdrawal, { now: START + 3 });
+  const vote = test.flush(START + 3);
+  assert.equal(vote.to, hello.to);
+  assert.deepEqual(vote.ask.votes?.shards, [0]);
+});
+
+test("an owner that has restarted gets the vote again", () => {
+  const test = new TestClient();
+  const owner = test.settle();
+  const renewal = test.flush(START + 500);
+  test.answer(renewal, { now: START + 501, incarnation: 2 });
+  const vote = test.flush(START + 501);
+  assert.equal(vote.to, owner);
+  assert.deepEqual(vote.ask.stamp, { incarnation: 2, ms: START + 501 });
+  assert.deepEqual(vote.ask.votes?.shards, [0]);
+});
+
+test("an entry that is cut off from control, or has just started, does not vote", () => {
+  const test = new TestClient();
+  test.answer(test.flush(100), { now: 100 });
+  assert.deepEqual(test.flush(700).ask.votes?.shards, []);
+  test.confirmationAgeMs = 3_001;
+  test.answer(test.flush(START), { now: START });
+  assert.equal(test.flush(START + 500).ask.votes, undefined);
+});
+
+// Guards against requests that wait for owners until their callers give up.
+test("without an owner requests are refused as unavailable", () => {
+  const test = new TestClient();
+  for (const { id } of VIEW.entries) test.client.unreachable(id, START);
+  const decision = test.take(START);
+  assert.ok(decision?.type === "unavailable");
+  assert.ok(decision.retryAfterMs <= 200);
+  const later = new TestClient();
+  later.settle();
+  later.take(START);
+  later.flush(START);
+  later.tick(START, START + 200);
+  assert.equal(later.late[0]?.type, "unavailable");
+});
--- a/packages/quotas/quota_owner.ts
+++ b/packages/quotas/quota_owner.ts
@@ -1,3 +1,4 @@
+import type { View } from "#model";
 import {
   EMPTY_QUOTA_TABLE,
   type QuotaBounds,
@@ -53,6 +54,7 @@
   readonly #shards = new Map<number, OwnedShard>();
   #table: QuotaTable = EMPTY_QUOTA_TABLE;
   #entries = 1;
+  #members: ReadonlySet<string> = new Set();
   #nextCheckAt = 0;
 
   constructor(options: { incarnation: number; bounds: QuotaBounds }) {
@@ -60,8 +62,12 @@
     this.#bounds = options.bounds;
   }
 
-  /** Sets the quotas and the number of entries that may vote. */
-  configure(table: QuotaTable, at: { entries: number; now: number }): void {
+  /** Sets the quotas, the view, and the number of entries that may vote. */
+  configure(
+    table: QuotaTable,
+    at: { view: View; entries: number; now: number },
+  ): void {
+    this.#members = new Set(at.view.entries.map(({ id }) => id));
     const divided = table.shardCount !== this.#table.shardCount;
     this.#table = table;
     this.#entries = at.entries;
@@ -103,9 +109,15 @@
     };
   }
 
-  /** Ends votes that were not renewed; to be called every `VOTE_MARGIN_MS`. */
-  tick(now: number): void {
-    this.#endVotes(now);
+  /**
+   * Ends votes that were not renewed, and takes the number of entries, from which those
+   * that have left drop out later; to be called every `VOTE_MARGIN_MS`.
+   */
+  tick(at: { entries: number; now: number }): void {
+    this.#endVotes(at.now);
+    if (at.entries === this.#entries) return;
+    this.#entries = at.entries;
+    this.#update(at.now);
   }
 
   /** Share of the votes for a shard that this entry has. */
@@ -175,9 +187,11 @@
     let entries = this.#entries;
     for (const [id, { votes }] of this.#voters) {
       if (votes?.shardCount !== this.#table.shardCount) continue;
+      if (!this.#members.has(id)) continue;
       // A voter may know of entries that this one does not.
       entries = Math.max(entries, votes.entries);
       for (const shard of votes.shards) {
+        if (shard >= votes.shardCount) continue;
         const voters = votersOf.get(shard) ?? new Set();
         votersOf.set(shard, voters);
         voters.add(id);
--- a/packages/quotas/simulated_entry.ts
+++ b/packages/quotas/simulated_entry.ts
@@ -89,7 +89,7 @@
     const table = quotaTable(tenants, DEFAULT_QUOTA_BOUNDS);
     this.#client.configure(table, view, now);
     const entries = this.#client.entries(now);
-    this.#owner.configure(table, { entries, now });
+    this.#owner.configure(table, { view, entries, now });
     this.needsFlush = true;
   }
 
@@ -131,7 +131,7 @@
     if (time >= this.#nextTickAt) {
       this.#nextTickAt = time + (this.#client.isWaiting ? 10 : 100);
       this.#client.tick(now);
-      this.#owner.tick(now);
+      this.#owner.tick({ entries: this.#client.entries(now), now });
       this.needsFlush = true;
     } else if (this.#client.isWaiting) {
       this.#nextTickAt = Math.min(this.#nextTickAt, time + 10);
--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -21,6 +21,15 @@
   readonly extra: number;
 }
 
+/** By how much the requests of a tenant may exceed its quota. */
+export interface QuotaTolerance {
+  /** Fraction of what the quota allows within a window. */
+  readonly overage: number;
+  /** Requests within a window. */
+  readonly slack: number;
+  readonly windowMs: number;
+}
+
 /** Settings of an entry process. */
 export interface EntrySettings {
   readonly id: HostId;
@@ -55,6 +64,8 @@
   readonly revokeWithinMs?: number | undefined;
   /** Limit on retries, that is on sends of a call after its first one. */
   readonly resendLimit?: ResendLimit;
+  /** Tolerance of tenants' quotas; the default applies if absent. */
+  readonly quotaBounds?: QuotaTolerance;
   readonly limits: EntryLimits;
 }
 
--- a/packages/telemetry/index.ts
+++ b/packages/telemetry/index.ts
@@ -12,4 +12,5 @@
 export * from "./own_tasks.ts";
 export * from "./peer_traffic.ts";
 export * from "./process_end.ts";
+export { QuotaMetrics, type QuotaOutcome } from "./quota_metrics.ts";
 export * from "./stop_signal.ts";
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -8,6 +8,7 @@
 } from "#model";
 import { type PeerTraffic, registerPeerTraffic } from "./peer_traffic.ts";
 import { registerProcessMetrics } from "./process_metrics.ts";
+import { QuotaMetrics } from "./quota_metrics.ts";
 import { OTHER_LABEL, ServiceLabels } from "./service_labels.ts";
 
 /** Upper bounds; the finest ones resolve mangobank's own latency of 0.36 ms. */
@@ -75,6 +76,7 @@
 /** Prometheus metrics of an entry process, in their own registry. */
 export class Metrics {
   readonly #registry = new Registry();
+  readonly quotas = new QuotaMetrics(this.#registry);
   readonly #labels = new ServiceLabels();
   readonly #latency;
   readonly #waiting;
