--- a/packages/quotas/limits.ts
+++ b/packages/quotas/limits.ts
@@ -83,14 +83,25 @@
   return 2 ** Math.ceil(Math.log2(needed));
 }
 
+/** Part of the slack that a bucket holds beyond the burst. */
+const SPARE_SHARE = 0.6;
+
+/**
+ * Tokens that a bucket holds beyond the burst, so that the irregular requests of a small
+ * tenant find one.
+ */
+function spareTokens({ slack }: QuotaBounds): number {
+  return SPARE_SHARE * slack;
+}
+
 /**
- * Tokens that a bucket holds beyond the burst, and that all votes together bring
- * along to a new owner. An entry can move its vote at most every `VOTE_MS`, so that
- * these tokens stay within the slack of a window.
+ * Tokens that all votes together bring along to a new owner. An entry can move its vote
+ * at most every `VOTE_MS`, so that these and the spare tokens stay within the slack of a
+ * window.
  */
-export function spareTokens({ slack, windowMs }: QuotaBounds): number {
+export function movedTokens({ slack, windowMs }: QuotaBounds): number {
   const moves = Math.floor(windowMs / VOTE_MS) + 1;
-  return slack / (moves + 1);
+  return ((1 - SPARE_SHARE) * slack) / moves;
 }
 
 /**
--- a/packages/quotas/quota_owner.ts
+++ b/packages/quotas/quota_owner.ts
@@ -1,9 +1,9 @@
 import type { View } from "#model";
 import {
   EMPTY_QUOTA_TABLE,
+  movedTokens,
   type QuotaBounds,
   type QuotaTable,
-  spareTokens,
   VOTE_MARGIN_MS,
   VOTE_MS,
 } from "./limits.ts";
@@ -175,7 +175,7 @@
       for (const id of voters) if (!shard.voters.has(id)) added++;
       shard.voters = voters;
       shard.share = voters.size / entries;
-      const tokens = (spareTokens(this.#bounds) * added) / entries;
+      const tokens = (movedTokens(this.#bounds) * added) / entries;
       for (const bucket of shard.buckets.values()) {
         bucket.setShare(shard.share, { tokens, now });
       }
@@ -213,7 +213,7 @@
     for (const limit of this.#table.limits.values()) {
       if (limit.shard !== number || shard.buckets.has(limit.name)) continue;
       const bucket = new TokenBucket(limit, now);
-      const tokens = spareTokens(this.#bounds) * shard.share;
+      const tokens = movedTokens(this.#bounds) * shard.share;
       bucket.setShare(shard.share, { tokens, now });
       shard.buckets.set(limit.name, bucket);
     }
