--- a/packages/wire/short_keys.ts
+++ b/packages/wire/short_keys.ts
@@ -65,6 +65,13 @@
   "limited",
   "unlimited",
   "isComplete",
+  "asks",
+  "votes",
+  "shardCount",
+  "shards",
+  "stamp",
+  "incarnation",
+  "ms",
 ] as const;
 
 /** Number of each field name, as cbor-x expects it. */
