Space the requests to cold servers

Cause: a server that has just started, or became cold again, got its full share of requests at once, and crashes above the rate that it takes while it is cold.

Change: records carry the remaining warm-up, and health answers say it. The dispatcher spaces the requests of a cold server like those of a server that limits its rate, with a burst of 2; entries send there only with such a grant. Without a dispatcher a cold server gets nothing, unless all are cold: then two entries a server share half its rate. A dispatcher that control has not confirmed for 4 s grants half the rate.

--- a/packages/entry/assignments.ts
+++ b/packages/entry/assignments.ts
@@ -11,6 +11,7 @@
   BackOff,
   CallResult,
   CheckResult,
+  ColdServersChange,
   DispatchMessages,
   ProbeResult,
   RateLimitChange,
@@ -125,6 +126,9 @@
       case "server_backs_off":
         this.#logBackOff(effect);
         return;
+      case "cold_servers_changed":
+        this.#logCold(effect);
+        return;
       case "server_health_changed":
         this.#logHealth(effect);
         return;
@@ -148,6 +152,11 @@
     });
   }
 
+  #logCold({ service, servers, coldRequestsPerS }: ColdServersChange): void {
+    const fields = { service, servers, coldRequestsPerS };
+    this.#options.logger.info("cold backend servers", fields);
+  }
+
   #logHealth(change: ServiceHealthChange): void {
     const { service, server, by, from, to, failureEvidence } = change;
     this.#options.logger.info("health of a backend server", {
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -53,6 +53,8 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly protocol: CallProtocol;
+  /** See `RouterOptions`. */
+  readonly isConfirmed: () => boolean;
   /** Called when `peersOnDemand` has changed. */
   readonly onPeersChanged: () => void;
   /** Called with the version that another entry had when it passed a call on. */
@@ -133,6 +135,7 @@
       dataCentre: settings.dataCentre,
       random: randomness,
       serversReportSpeed: protocol.serversReportSpeed,
+      isConfirmed: options.isConfirmed,
     });
     this.#paths = new PathMonitor({
       clock,
@@ -391,6 +394,11 @@
     return this.#router.rateLimitedServers();
   }
 
+  /** Number of cold servers, by service. */
+  coldServers(): [service: string, servers: number][] {
+    return this.#router.coldServers();
+  }
+
   /** Entries that have reached no server of some service for a while. */
   cutOffEntries(): ReadonlySet<HostId> {
     return this.#handovers.lastingCuts();
--- a/packages/entry/call_protocol.ts
+++ b/packages/entry/call_protocol.ts
@@ -59,6 +59,8 @@
   readonly shed: boolean;
   readonly inFlight: number | undefined;
   readonly slowdown: number | undefined;
+  /** Time for which the server stays cold, in milliseconds, if it says so. */
+  readonly warmUpMs?: number | undefined;
 }
 
 /** An error response to a caller. */
--- a/packages/entry/configuration_follower.ts
+++ b/packages/entry/configuration_follower.ts
@@ -159,6 +159,12 @@
     return this.#freshness.confirmationAgeMs(this.#options.clock.now());
   }
 
+  /** Time since the last question that control itself has answered, in milliseconds. */
+  controlConfirmationAge(): number {
+    const askedAt = this.#freshness.controlConfirmedAt;
+    return this.#options.clock.now() - (askedAt ?? Number.NEGATIVE_INFINITY);
+  }
+
   /**
    * Sends a heartbeat to the control host; to be called every
    * `HEARTBEAT_INTERVAL_MS` and when this entry's state changes.
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -47,6 +47,12 @@
 import { KnownServers } from "./known_servers.ts";
 import { UsableServers } from "./usable_servers.ts";
 
+/**
+ * Age of control's confirmation up to which control still has this entry in the view,
+ * so that no other entry dispatches its services: less than the lease of 6 s.
+ */
+const MAX_DISPATCH_CONFIRMATION_MS = 4_000;
+
 /** How often the entry's load is measured and reported to the other entries. */
 const LOAD_REPORT_INTERVAL_MS = 1_000;
 
@@ -116,6 +122,7 @@
       configurationVersion: () => this.#follower.version,
       callsInFlight: () => this.#callPipeline.inFlight(),
       queueLength: () => this.#callPipeline.queueLengths(),
+      coldServers: () => this.#callPipeline.coldServers(),
       backingOffServers: () => this.#callPipeline.backingOffServers(),
       rateLimitedServers: () => this.#callPipeline.rateLimitedServers(),
       probeBudget: () =>
@@ -208,6 +215,8 @@
         version: this.#follower.version,
         confirmedMsAgo: Math.round(this.#follower.confirmationAge()),
       }),
+      isConfirmed: () =>
+        this.#follower.controlConfirmationAge() <= MAX_DISPATCH_CONFIRMATION_MS,
       onServerLeaving: (server) => this.#registrations.observeLeaving(server),
       onPeersChanged: () => this.#links.connect(),
       onPeerVersion: (peer, version) =>
--- a/packages/entry/prober.ts
+++ b/packages/entry/prober.ts
@@ -125,7 +125,12 @@
     const leaving = parsed?.leaving || response.leaving;
     const healthReport = parsed && { ...parsed, leaving };
     if (response.leaving && !parsed?.otherServer) onServerLeaving(server);
-    const statement = parsed?.otherServer ? {} : statementOf(response);
+    if (parsed?.otherServer)
+      return { ms, healthReport, failure, statement: {} };
+    const statement = {
+      ...statementOf(response),
+      ...(parsed?.warmUpMs !== undefined && { warmUpMs: parsed.warmUpMs }),
+    };
     return { ms, healthReport, failure, statement };
   }
 }
--- a/packages/model/backend_servers.ts
+++ b/packages/model/backend_servers.ts
@@ -24,8 +24,16 @@
   readonly inFlight: number;
   /** Time since the server's start at the announcement, in milliseconds. */
   readonly startedMsAgo: number;
+  /**
+   * Time for which the server stays cold at the announcement, in milliseconds;
+   * absent if it is not.
+   */
+  readonly warmUpRemainingMs?: number | undefined;
 }
 
+/** Longest time for which a server may say that it stays cold. */
+export const MAX_WARM_UP_MS = 3_600_000;
+
 /** Whether calls to both records go to the same address. */
 export function hasSameAddress(
   a: Pick<BackendServer, "address">,
--- a/packages/model/server_headers.ts
+++ b/packages/model/server_headers.ts
@@ -1,4 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
+import { MAX_WARM_UP_MS } from "./backend_servers.ts";
 
 /** A header of a backend server's response that could not be read. */
 export interface HeaderFault {
@@ -39,6 +40,14 @@
   }).map((seconds) => seconds && seconds * 1_000);
 }
 
+/** Parses the time for which a server stays cold, in seconds; returns milliseconds. */
+export function parseWarmUpMs(header: Header): ParsedNumber {
+  const max = MAX_WARM_UP_MS / 1_000;
+  return parseDecimal(header, { name: "warm-up", max }).map(
+    (seconds) => seconds && seconds * 1_000,
+  );
+}
+
 /** The fault of a header whose text is clipped for the log. */
 export function headerFault(name: string, text: string): HeaderFault {
   const clipped = text.slice(0, MAX_LOGGED_LENGTH);
--- a/packages/presence/local_registrations.ts
+++ b/packages/presence/local_registrations.ts
@@ -6,6 +6,7 @@
 } from "#model";
 import type { Effects } from "./effects.ts";
 import {
+  coldUntilOf,
   decodePut,
   encodeLeave,
   type LeaveOperation,
@@ -15,7 +16,7 @@
   type Tombstone,
 } from "./messages.ts";
 import type { Publisher } from "./publisher.ts";
-import { type ServerTable, sameContent } from "./server_table.ts";
+import { type ServerTable, sameContent, sameWarmUp } from "./server_table.ts";
 
 interface Context {
   readonly now: number;
@@ -62,7 +63,12 @@
     // summary carries no sequence.
     const isNewest =
       current !== undefined && this.#table.current(key) === current;
-    if (isNewest && sameContent(current.server, server)) {
+    const coldUntil = coldUntilOf(server, now);
+    const isUnchanged =
+      isNewest &&
+      sameContent(current.server, server) &&
+      sameWarmUp(current, { coldUntil }, now);
+    if (isUnchanged) {
       this.publisher.renewLease(current, { server, now });
     } else {
       this.publisher.addRecord(server, now);
@@ -138,8 +144,10 @@
   #reassert(local: ServerRecord, remote: PutOperation, context: Context): void {
     const key = backendServerKey(local.server);
     if (this.#table.current(key) !== local) return;
-    const { server } = decodePut(remote, context.now);
-    if (sameContent(local.server, server)) return;
+    const { now } = context;
+    const { server, coldUntil } = decodePut(remote, now);
+    const isSame = sameWarmUp(local, { coldUntil }, now);
+    if (isSame && sameContent(local.server, server)) return;
     this.publisher.addRecord(local.server, context.now, local);
     this.updateTable(key, context);
   }
--- a/packages/presence/messages.ts
+++ b/packages/presence/messages.ts
@@ -1,5 +1,10 @@
 import * as z from "zod";
-import type { BackendServer, BackendServerState, HostId } from "#model";
+import {
+  type BackendServer,
+  type BackendServerState,
+  type HostId,
+  MAX_WARM_UP_MS,
+} from "#model";
 import { LEASE_MS } from "./timings.ts";
 
 /**
@@ -80,6 +85,8 @@
   startedMsAgo: number,
   /** Time since the announcement, in milliseconds. */
   ageMs: number,
+  /** Time for which the server stays cold, in milliseconds; absent if it is not. */
+  warmUpRemainingMs?: number,
 ];
 
 /** Removes a record whose lease has expired at its owner. */
@@ -146,6 +153,8 @@
   expiresAt: number;
   /** Start of the incarnation on this entry's clock, in milliseconds. */
   startedAt: number;
+  /** Time until which the server is cold, if it is, on this entry's clock. */
+  coldUntil?: number | undefined;
   /**
    * Present if the record names no server to use. It keeps its place in the list, as
    * summaries tell of records by their place.
@@ -165,7 +174,8 @@
 export function encodePut(record: ServerRecord, now: number): PutOperation {
   if (record.unusable) return record.unusable.put;
   const { server } = record;
-  return [
+  const warmUpMs = remainingWarmUpMs(record, now);
+  const put: PutOperation = [
     0,
     server.service,
     server.id,
@@ -181,6 +191,26 @@
     Math.max(0, Math.round(now - record.startedAt)),
     Math.max(0, Math.ceil(LEASE_MS - (record.expiresAt - now))),
   ];
+  return warmUpMs === undefined
+    ? put
+    : ([...put, warmUpMs] as unknown as PutOperation);
+}
+
+/** Time for which a server is still cold, in milliseconds; undefined if it is not. */
+export function remainingWarmUpMs(
+  { coldUntil }: Pick<ServerRecord, "coldUntil">,
+  now: number,
+): number | undefined {
+  const remainingMs = Math.ceil((coldUntil ?? now) - now);
+  return remainingMs > 0 ? remainingMs : undefined;
+}
+
+/** Time until which a server is cold that announces itself now. */
+export function coldUntilOf(
+  { warmUpRemainingMs = 0 }: Pick<BackendServer, "warmUpRemainingMs">,
+  now: number,
+): number | undefined {
+  return warmUpRemainingMs > 0 ? now + warmUpRemainingMs : undefined;
 }
 
 /**
@@ -200,7 +230,8 @@
     connections,
     ...afterConnections
   ] = afterDataCentre;
-  const [inFlight, startedMsAgo, ageMs] = afterConnections;
+  const [inFlight, startedMsAgo, ageMs, ...later] = afterConnections;
+  const warmUpRemainingMs = decodeWarmUp(later[0]);
   const state: BackendServerState = stateCode === 0 ? "ready" : "unhealthy";
   const server: BackendServer = {
     id,
@@ -214,14 +245,22 @@
     connections,
     inFlight,
     startedMsAgo,
+    ...(warmUpRemainingMs > 0 && { warmUpRemainingMs }),
   };
   return {
     server,
+    coldUntil: coldUntilOf(server, now),
     expiresAt: now + LEASE_MS - Math.max(0, ageMs),
     startedAt: now - startedMsAgo,
   };
 }
 
+/** What is not such a time counts as absent: the server is used without it. */
+function decodeWarmUp(value: unknown): number {
+  const isTime = typeof value === "number" && value > 0;
+  return isTime ? Math.min(value, MAX_WARM_UP_MS) : 0;
+}
+
 function unusableRecord(
   put: PutOperation,
   error: z.ZodError,
--- a/packages/presence/publisher.ts
+++ b/packages/presence/publisher.ts
@@ -6,6 +6,7 @@
 } from "#model";
 import type { Effects } from "./effects.ts";
 import {
+  coldUntilOf,
   encodeLeave,
   encodePut,
   MAX_RECORDS_PER_MESSAGE,
@@ -62,6 +63,7 @@
       server,
       expiresAt: replaced?.expiresAt ?? now + LEASE_MS,
       startedAt: replaced?.startedAt ?? now - server.startedMsAgo,
+      coldUntil: replaced ? replaced.coldUntil : coldUntilOf(server, now),
     };
     const key = this.#applyChange(encodePut(record, now), now);
     // Replaces the record decoded from the operation, whose times are rounded.
@@ -76,6 +78,7 @@
     record.server = server;
     record.expiresAt = now + LEASE_MS;
     record.startedAt = now - server.startedMsAgo;
+    record.coldUntil = coldUntilOf(server, now);
   }
 
   addTombstone(tombstone: Tombstone, now: number): void {
@@ -198,9 +201,13 @@
 function withWaitAdded(operation: Operation, waitedMs: number): Operation {
   if (operation[0] !== 0) return operation;
   const [startedMsAgo, ageMs] = [operation[12], operation[13]];
-  return operation
+  const aged = operation
     .with(12, Math.round(startedMsAgo + waitedMs))
-    .with(13, Math.ceil(ageMs + waitedMs)) as unknown as Operation;
+    .with(13, Math.ceil(ageMs + waitedMs));
+  const warmUpMs = operation[14];
+  if (warmUpMs === undefined) return aged as unknown as Operation;
+  const leftMs = Math.max(0, Math.ceil(warmUpMs - waitedMs));
+  return aged.with(14, leftMs) as unknown as Operation;
 }
 
 function withHoldAdded(
--- a/packages/presence/server_table.ts
+++ b/packages/presence/server_table.ts
@@ -8,7 +8,11 @@
 import { AddressProofs } from "./address_proofs.ts";
 import type { Effects } from "./effects.ts";
 import { FirstServices } from "./first_services.ts";
-import type { ServerRecord, Tombstone } from "./messages.ts";
+import {
+  remainingWarmUpMs,
+  type ServerRecord,
+  type Tombstone,
+} from "./messages.ts";
 import { isPossibleIncarnation, isPossibleRecord } from "./plausibility.ts";
 
 /**
@@ -22,7 +26,11 @@
   readonly #tombstones = new Map<string, Tombstone>();
   readonly #current = new Map<
     string,
-    { record: ServerRecord; server: BackendServer }
+    {
+      record: ServerRecord;
+      server: BackendServer;
+      coldUntil: number | undefined;
+    }
   >();
   readonly #keysByService = new Map<string, Set<string>>();
   readonly #servicesById = new Map<string, Set<string>>();
@@ -85,7 +93,15 @@
       if (!record) continue;
       if (this.#isCopy(record.server, now)) continue;
       const startedMsAgo = Math.max(0, Math.round(now - record.startedAt));
-      servers.push({ ...record.server, startedMsAgo });
+      const warmUpRemainingMs = remainingWarmUpMs(record, now);
+      servers.push({
+        ...record.server,
+        startedMsAgo,
+        ...((warmUpRemainingMs !== undefined ||
+          record.server.warmUpRemainingMs !== undefined) && {
+          warmUpRemainingMs,
+        }),
+      });
     }
     return servers.sort((a, b) => (a.id < b.id ? -1 : 1));
   }
@@ -139,10 +155,14 @@
     if (before && record === before.record && record.server === before.server)
       return;
     if (this.#untrusted && record) this.#firstServices.note(record.server, now);
-    const former = before?.server;
+    const former = before && { ...before };
     if (record) this.noteExpiry(record.expiresAt);
     if (before && record)
-      Object.assign(before, { record, server: record.server });
+      Object.assign(before, {
+        record,
+        server: record.server,
+        coldUntil: record.coldUntil,
+      });
     else if (record) this.#set(key, record);
     else if (before) {
       this.#delete(key, before.server);
@@ -151,7 +171,7 @@
         for (const service of this.servicesOf(before.server.id))
           effects.changed(service);
     }
-    this.#reportChange(key, { before: former, effects });
+    this.#reportChange(key, { former, now, effects });
   }
 
   /** Must be called with the expiry time of every record that is renewed. */
@@ -230,7 +250,8 @@
 
   #set(key: string, record: ServerRecord): void {
     const { service, id } = record.server;
-    this.#current.set(key, { record, server: record.server });
+    const { server, coldUntil } = record;
+    this.#current.set(key, { record, server, coldUntil });
     addToSet(this.#keysByService, { name: service, value: key });
     addToSet(this.#servicesById, { name: id, value: service });
   }
@@ -243,13 +264,25 @@
 
   #reportChange(
     key: string,
-    options: { before: BackendServer | undefined; effects: Effects },
+    options: {
+      former:
+        | { server: BackendServer; coldUntil: number | undefined }
+        | undefined;
+      now: number;
+      effects: Effects;
+    },
   ): void {
-    const { before, effects } = options;
-    const after = this.#current.get(key)?.server;
+    const { former, now, effects } = options;
+    const before = former?.server;
+    const current = this.#current.get(key);
+    const after = current?.server;
     const service = (after ?? before)?.service;
     if (service === undefined) return;
-    if (before && after && sameContent(before, after)) {
+    const isSame =
+      before && after && sameContent(before, after) && former && current
+        ? sameWarmUp(former, current, now)
+        : false;
+    if (isSame && before && after) {
       if (before.inFlight !== after.inFlight) effects.loadChanged(service);
       return;
     }
@@ -262,6 +295,24 @@
   }
 }
 
+/**
+ * Difference up to which two ends of a warm-up are the same; announcements arrive
+ * with varying delays.
+ */
+const WARM_UP_TOLERANCE_MS = 500;
+
+/** Whether two statements of how long a server is cold say the same now. */
+export function sameWarmUp(
+  a: Pick<ServerRecord, "coldUntil">,
+  b: Pick<ServerRecord, "coldUntil">,
+  now: number,
+): boolean {
+  const [first, second] = [a, b].map(({ coldUntil = now }) =>
+    Math.max(now, coldUntil),
+  );
+  return Math.abs((first ?? 0) - (second ?? 0)) <= WARM_UP_TOLERANCE_MS;
+}
+
 /** Whether two records are equal apart from sequence, load and age. */
 export function sameContent(a: BackendServer, b: BackendServer): boolean {
   return (
--- a/packages/routing/call_rejections.ts
+++ b/packages/routing/call_rejections.ts
@@ -4,6 +4,7 @@
 import { type OpenCall, rejectEffect } from "./open_call.ts";
 import type { OpenCalls } from "./open_calls.ts";
 import type { QueuePolicy } from "./queue_policy.ts";
+import type { ServerState } from "./server_state.ts";
 
 /** Time after which to retry a call to a service without servers. */
 const NO_SERVER_RETRY_AFTER_MS = 1_000;
@@ -20,13 +21,17 @@
   readonly #servers: LocalServers;
   readonly #link: DispatchLink;
   readonly #queuePolicy: QueuePolicy;
+  readonly #findCold: (now: number) => ServerState | undefined;
 
   constructor(options: {
     calls: OpenCalls;
     servers: LocalServers;
     link: DispatchLink;
     queuePolicy: QueuePolicy;
+    /** A cold server that this entry may use without a dispatcher. */
+    findCold: (now: number) => ServerState | undefined;
   }) {
+    this.#findCold = options.findCold;
     this.#calls = options.calls;
     this.#servers = options.servers;
     this.#link = options.link;
@@ -82,9 +87,13 @@
       const detail = "all servers have asked this entry to back off";
       return { retryAfterMs: Math.ceil(backOffMs), detail };
     }
-    if (this.#link.isUnreachable && this.#servers.allRateLimited) {
+    if (
+      this.#link.isUnreachable &&
+      this.#servers.allPaced &&
+      !this.#findCold(now)
+    ) {
       const detail =
-        "all servers limit their rate, no answer of the dispatcher";
+        "all servers limit their rate or are cold, no answer of the dispatcher";
       return { retryAfterMs: NO_SERVER_RETRY_AFTER_MS, detail };
     }
     return undefined;
--- a/packages/routing/dispatcher.ts
+++ b/packages/routing/dispatcher.ts
@@ -16,6 +16,13 @@
 const ENTRY_LEASE_MS = 700;
 /** The same for long-running calls, on which entries report less often. */
 const ENTRY_LEASE_LONG_RUNNING_MS = 2_000;
+/**
+ * Share of a cold server's rate that a dispatcher grants which control has not
+ * confirmed: the entries that are connected may have another one, which grants the
+ * whole rate, and the bound is one and a half times the rate.
+ */
+const UNCONFIRMED_COLD_SHARE = 0.5;
+
 /** The cluster membership that a dispatcher needs. */
 export interface DispatcherView {
   readonly epoch: number;
@@ -36,13 +43,17 @@
   readonly #waitingCalls: WaitingCalls;
   readonly #scheduler: SlotScheduler;
   readonly #grantsStartAt: number;
+  readonly #isConfirmed: () => boolean;
 
   constructor(options: {
     service: Service;
     view: DispatcherView;
     sequenceNumbers: SequenceNumbers;
     now: number;
+    /** See `RouterOptions`. */
+    isConfirmed?: () => boolean;
   }) {
+    this.#isConfirmed = options.isConfirmed ?? (() => true);
     this.#service = options.service;
     this.#view = options.view;
     this.#sequenceNumbers = options.sequenceNumbers;
@@ -189,6 +200,7 @@
     for (const entry of this.#state.entries.values()) {
       if (now - entry.lastHeard > leaseMs) this.#removeEntry(entry);
     }
+    this.slots.setColdShare(this.#isConfirmed() ? 1 : UNCONFIRMED_COLD_SHARE);
     this.#state.tick(now);
     this.#waitingCalls.tick(now);
     return this.#grantAndNotify(now);
--- a/packages/routing/dispatcher_state.ts
+++ b/packages/routing/dispatcher_state.ts
@@ -55,6 +55,9 @@
 
   setServers(records: readonly BackendServer[], now: number): void {
     this.slots.setServers(records, now);
+    for (const server of this.slots.servers()) {
+      if (server.isPaced) this.revokeCredits(server);
+    }
     for (const entry of this.entries.values()) {
       this.credits.revokeStale(entry);
       this.entriesToNotify.add(entry);
@@ -144,6 +147,8 @@
       server.rateLimit.recordAnswer(answer, now),
     );
     if (kind === "unused" && allocation.paced) server.pacer?.giveBack();
+    const { warmUpMs } = released;
+    if (warmUpMs !== undefined) server.cold.recordAnswer(warmUpMs, now);
     server.recordSlowdown(released.slowdown, now);
     if (released.backOffMs !== undefined) {
       entry.recordBackOff(server, now + released.backOffMs);
@@ -227,7 +232,7 @@
     if (!update()) return;
     const hasLimit = server.rateLimit.perSecond !== undefined;
     if (hasLimit !== hadLimit) this.#rateLimitLog.record(server);
-    server.updatePacer(now);
+    this.slots.updatePacer(server, now);
     this.slots.refresh(server, now);
     this.revokeCredits(server);
   }
--- a/packages/routing/effects.ts
+++ b/packages/routing/effects.ts
@@ -2,6 +2,14 @@
 import type { DispatchMessage } from "./messages.ts";
 import type { HealthChange } from "./server_health.ts";
 
+/** Some servers of a service are cold, or none is any more. */
+export interface ColdServersChange {
+  readonly service: string;
+  /** Number of cold servers. */
+  readonly servers: number;
+  readonly coldRequestsPerS: number | undefined;
+}
+
 /** What a server says in any answer about the requests that it wants. */
 export interface ServerStatement {
   /**
@@ -14,6 +22,8 @@
    * milliseconds, if it refused the request and named one.
    */
   readonly backOffMs?: number | undefined;
+  /** Time for which the server stays cold, in milliseconds, if it says so. */
+  readonly warmUpMs?: number | undefined;
 }
 
 /** The outcome of an assigned call. */
@@ -113,6 +123,8 @@
   readonly ageMs?: number;
   /** The rate limit that the server names, in requests a second. */
   readonly rateLimit?: number;
+  /** Present if the server is cold and the requests to it are spaced. */
+  readonly cold?: true;
 }
 
 /** A change of what an entry knows of a server's rate limit. */
@@ -163,6 +175,7 @@
   /** For the log. */
   | ({ readonly type: "rate_limit_changed" } & RateLimitChange)
   | ({ readonly type: "server_backs_off" } & BackOff)
+  | ({ readonly type: "cold_servers_changed" } & ColdServersChange)
   | ({ readonly type: "server_health_changed" } & ServiceHealthChange)
   | SendEffect;
 
--- a/packages/routing/granted_slots.ts
+++ b/packages/routing/granted_slots.ts
@@ -123,5 +123,9 @@
   now: number,
 ): ServerStatement {
   const backOffMs = server?.backOffMs(now) ?? 0;
-  return backOffMs > 0 ? { backOffMs } : {};
+  const warmUpMs = server?.isCold(now) ? server.cold.remainingMs(now) : 0;
+  return {
+    ...(backOffMs > 0 && { backOffMs }),
+    ...(warmUpMs > 0 && { warmUpMs }),
+  };
 }
--- a/packages/routing/local_servers.ts
+++ b/packages/routing/local_servers.ts
@@ -50,6 +50,8 @@
   #ready = 0;
   #readySlots = 0;
   #rateLimited = 0;
+  #cold = 0;
+  #limitsCold: boolean;
   #rateLimitChanges: RateLimitChange[] = [];
   #backOffs: BackOff[] = [];
   readonly #backingOff = new Set<ServerState>();
@@ -67,6 +69,7 @@
     this.#random = options.random;
     this.#outliers = new OutlierDetector(service);
     this.#warmUp = new WarmUp(service);
+    this.#limitsCold = service.coldRequestsPerS !== undefined;
   }
 
   /** Whether any server accepts calls, now or after a pause. */
@@ -83,7 +86,7 @@
     return this.#outliers.meanMs;
   }
 
-  /** Slots of the servers that accept calls and do not limit their rate. */
+  /** Slots of the servers that accept calls, limit no rate and are not cold. */
   get readySlots(): number {
     return this.#readySlots;
   }
@@ -91,6 +94,10 @@
   configure(service: Service): void {
     this.#outliers.configure(service);
     this.#warmUp.configure(service);
+    this.#limitsCold = service.coldRequestsPerS !== undefined;
+    for (const server of this.#servers.values()) {
+      server.limitsCold = this.#limitsCold;
+    }
   }
 
   get(id: BackendServerId): ServerState | undefined {
@@ -261,11 +268,16 @@
     return ready > 0 && ready >= this.#ready ? least : 0;
   }
 
-  /** Whether each server that accepts calls limits its request rate. */
-  get allRateLimited(): boolean {
+  /** Whether each server that accepts calls limits its request rate or is cold. */
+  get allPaced(): boolean {
     return this.#ready > 0 && this.#readySlots === 0;
   }
 
+  /** Number of cold servers, if the service limits the requests to them. */
+  get coldCount(): number {
+    return this.#cold;
+  }
+
   /** Number of servers that limit their request rate. */
   get rateLimitedCount(): number {
     return this.#rateLimited;
@@ -339,13 +351,15 @@
     this.#ready = 0;
     this.#readySlots = 0;
     this.#rateLimited = 0;
+    this.#cold = 0;
     this.#warmUp.update(this.#servers.values(), now);
     for (const server of this.#servers.values()) {
       this.#refresh(server, now);
       if (server.isRateLimited) this.#rateLimited += 1;
+      if (server.isCold(now)) this.#cold += 1;
       if (!server.ready) continue;
       this.#ready += 1;
-      if (!server.isRateLimited) this.#readySlots += server.record.slots;
+      if (!server.isPaced(now)) this.#readySlots += server.record.slots;
     }
   }
 
@@ -372,6 +386,7 @@
     }
     const health = this.#outliers.add(record.id, record.slots);
     const server = new ServerState(record, health, now);
+    server.limitsCold = this.#limitsCold;
     this.#servers.set(record.id, server);
     this.#restoreBackOff(server);
   }
@@ -402,7 +417,8 @@
     result: CallResult | CheckResult | ProbeResult,
     now: number,
   ): void {
-    const { rateLimit, backOffMs } = result;
+    const { rateLimit, backOffMs, warmUpMs } = result;
+    if (warmUpMs !== undefined) server.cold.recordAnswer(warmUpMs, now);
     if (backOffMs !== undefined) this.#recordBackOff(server, backOffMs, now);
     const complete = result.kind === "answered";
     this.#updateRateLimit(server, now, () =>
--- a/packages/routing/message_decoders.ts
+++ b/packages/routing/message_decoders.ts
@@ -5,6 +5,7 @@
   MAX_RATE_PER_S,
   MAX_RETRY_AFTER_S,
   MAX_SLOWDOWN,
+  MAX_WARM_UP_MS,
   MESSAGE_VALUES,
   type MessageDecoders,
 } from "#model";
@@ -51,6 +52,7 @@
     .max(MAX_RETRY_AFTER_S * 1_000)
     .optional()
     .catch(undefined),
+  warmUpMs: z.number().min(0).max(MAX_WARM_UP_MS).optional().catch(undefined),
 });
 const SERVER_RATE_LIMIT = z.object({
   server: text,
--- a/packages/routing/open_call.ts
+++ b/packages/routing/open_call.ts
@@ -127,7 +127,10 @@
     ageMs: Math.round(ageMs),
   };
   const { perSecond } = server.rateLimit;
-  const limited = perSecond !== undefined && { rateLimit: perSecond };
+  const limited = {
+    ...(perSecond !== undefined && { rateLimit: perSecond }),
+    ...(server.isCold(now) && { cold: true as const }),
+  };
   const checked = failedChecks && { failedChecks };
   const basis = { by: assignedBy, checks: checkCount, ...checked };
   return {
--- a/packages/routing/probing.ts
+++ b/packages/routing/probing.ts
@@ -116,11 +116,13 @@
   }
 }
 
-type ProbeCandidate = Pick<ServerState, "record" | "lastHeard" | "rateLimit">;
+type ProbeCandidate = Pick<ServerState, "record" | "lastHeard"> & {
+  readonly isPaced: boolean | ((now: number) => boolean);
+};
 
 /**
  * The servers that may be probed: a probe is a request, which a server with a
- * rate limit counts and one that backs off does not want.
+ * rate limit or a cold one counts and one that backs off does not want.
  */
 export function* probeCandidates(
   servers: Iterable<ProbeCandidate>,
@@ -128,7 +130,8 @@
 ): Iterable<ProbeCandidate> {
   for (const server of servers) {
     const known = local.get(server.record.id);
-    if (known?.isRateLimited || (known?.backOffMs(now) ?? 0) > 0) continue;
-    if (server.rateLimit.perSecond === undefined) yield server;
+    if (known?.isPaced(now) || (known?.backOffMs(now) ?? 0) > 0) continue;
+    const { isPaced } = server;
+    if (isPaced !== true) yield server;
   }
 }
--- a/packages/routing/rate_pacer.ts
+++ b/packages/routing/rate_pacer.ts
@@ -9,17 +9,21 @@
 const MIN_PER_SECOND = 0.1;
 
 /**
- * Spaces the requests to a server that limits its rate: a token bucket that
- * starts empty, so that a new owner of the limit repeats no burst of the former
- * one.
+ * Spaces the requests to a server that limits its rate or is cold: a token bucket
+ * that starts empty unless a burst is allowed, so that a new owner of the limit
+ * repeats no burst of the former one.
  */
 export class RatePacer {
   #perSecond: number;
-  #tokens = 0;
+  #burst: number;
+  #tokens: number;
   #filledAt: number;
 
-  constructor(perSecond: number, now: number) {
+  /** With a burst, so many requests may be sent at once, also at the start. */
+  constructor(perSecond: number, now: number, { burst = 0 } = {}) {
     this.#perSecond = Math.max(MIN_PER_SECOND, perSecond);
+    this.#burst = burst;
+    this.#tokens = burst;
     this.#filledAt = now;
   }
 
@@ -28,8 +32,9 @@
     return this.#perSecond;
   }
 
-  setRate(perSecond: number, now: number): void {
+  setRate(perSecond: number, now: number, { burst = 0 } = {}): void {
     this.#refill(now);
+    this.#burst = burst;
     this.#perSecond = Math.max(MIN_PER_SECOND, perSecond);
     this.#tokens = Math.min(this.#tokens, this.#capacity);
   }
@@ -59,7 +64,7 @@
   }
 
   get #capacity(): number {
-    return Math.max(1, this.#perSecond * BURST_S);
+    return Math.max(1, this.#burst, this.#perSecond * BURST_S);
   }
 
   #refill(now: number): void {
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -42,6 +42,11 @@
   readonly random: Randomness;
   /** Whether servers may report how fast they are; false if absent. */
   readonly serversReportSpeed?: boolean;
+  /**
+   * Whether control has confirmed so recently that no other entry dispatches this
+   * entry's services; always if absent.
+   */
+  readonly isConfirmed?: () => boolean;
 }
 
 /**
@@ -92,6 +97,14 @@
     ]);
   }
 
+  /** Number of cold servers, by service; none where they are not limited. */
+  coldServers(): [service: string, servers: number][] {
+    return [...this.#services].map(([name, router]) => [
+      name,
+      router.servers.coldCount,
+    ]);
+  }
+
   /** Applies the services of the document and the current view. */
   configure(
     services: readonly Service[],
@@ -311,7 +324,14 @@
     }
     if (known) return known.configure(service, view, now);
     const sequenceNumbers = this.#sequenceNumbers;
-    const created = new Dispatcher({ service, view, sequenceNumbers, now });
+    const { isConfirmed } = this.#options;
+    const created = new Dispatcher({
+      service,
+      view,
+      sequenceNumbers,
+      now,
+      ...(isConfirmed && { isConfirmed }),
+    });
     this.#dispatchers.set(service.name, created);
     return created.setServers(this.#serverRecords.get(service.name) ?? [], now);
   }
--- a/packages/routing/server_faults_test.ts
+++ b/packages/routing/server_faults_test.ts
@@ -191,6 +191,7 @@
 // time and has not read their answers.
 test("a pause of the entry makes no server slow (local)", () => {
   const router = new ServiceRouter(SERVICE, {
+    self: "e0",
     dataCentre: "riga-a",
     random: new SeededRandomness(1),
     sequenceNumbers: new SequenceNumbers(),
--- a/packages/routing/server_slots.ts
+++ b/packages/routing/server_slots.ts
@@ -1,4 +1,5 @@
 import type { BackendServer } from "#model";
+import { ColdPeriod, pacedRate } from "./cold_period.ts";
 import {
   type ConcurrencyEstimator,
   FULL_SPEED_SHARE,
@@ -44,6 +45,7 @@
   limit = 0;
   /** The rate limit that the server names. */
   readonly rateLimit = new NamedRate();
+  readonly cold = new ColdPeriod();
   /**
    * Slots that may be in use while the server limits its rate. Its `limit` is 0
    * then, so that it only gets calls that are paced.
@@ -86,12 +88,25 @@
     return this.#pacer;
   }
 
-  /** Applies a change of the rate limit. */
-  updatePacer(now: number): void {
-    const { perSecond } = this.rateLimit;
-    if (perSecond === undefined) this.#pacer = undefined;
-    else if (this.#pacer) this.#pacer.setRate(perSecond, now);
-    else this.#pacer = new RatePacer(perSecond, now);
+  get isPaced(): boolean {
+    return this.#pacer !== undefined;
+  }
+
+  /** Whether the server's requests are spaced only because it is cold. */
+  get isPacedAsCold(): boolean {
+    return this.isPaced && this.rateLimit.perSecond === undefined;
+  }
+
+  /**
+   * Applies a change of the rate limit, of the warm-up, or of the requests a second
+   * that a cold server gets; these are not limited if undefined.
+   */
+  updatePacer(coldPerSecond: number | undefined, now: number): void {
+    const cold = this.cold.isCold(now) ? coldPerSecond : undefined;
+    const rate = pacedRate({ named: this.rateLimit.perSecond, cold });
+    if (!rate) this.#pacer = undefined;
+    else if (this.#pacer) this.#pacer.setRate(rate.perSecond, now, rate);
+    else this.#pacer = new RatePacer(rate.perSecond, now, rate);
   }
 
   /** Whether one more call is within the server's rate limit and slots. */
--- a/packages/routing/server_state.ts
+++ b/packages/routing/server_state.ts
@@ -1,4 +1,5 @@
 import { type BackendServer, hasSameAddress } from "#model";
+import { ColdPeriod } from "./cold_period.ts";
 import { NamedRate } from "./named_rate.ts";
 import { SLOWDOWN_THRESHOLD } from "./placement_checks.ts";
 import type { ServerHealth } from "./server_health.ts";
@@ -46,6 +47,10 @@
   rateLimit = new NamedRate();
   /** Whether the dispatcher has told this entry of the rate limit. */
   isRateLimitShared = false;
+  /** How long this incarnation of the server is cold. */
+  cold = new ColdPeriod();
+  /** Whether the service limits the requests to cold servers. */
+  limitsCold = false;
   #othersInFlight = 0;
   #reportedAt = Number.NEGATIVE_INFINITY;
 
@@ -54,6 +59,7 @@
     this.health = health;
     this.lastHeard = now;
     this.startedAt = now - record.startedMsAgo;
+    this.cold.recordAnnouncement(record.warmUpRemainingMs, now);
   }
 
   /** Applies a newer announcement of the server. */
@@ -62,6 +68,7 @@
     if (record.incarnation !== this.record.incarnation) {
       this.leaving = false;
       this.rateLimit = new NamedRate();
+      this.cold = new ColdPeriod();
       this.backOffUntil = Number.NEGATIVE_INFINITY;
       this.latencyMs = 0;
       this.startedAt = now - record.startedMsAgo;
@@ -70,6 +77,7 @@
       this.recordInFlight(record.inFlight, now);
     }
     this.record = record;
+    this.cold.recordAnnouncement(record.warmUpRemainingMs, now);
     if (record.state === "leaving") this.leaving = true;
   }
 
@@ -125,6 +133,16 @@
     return this.rateLimit.perSecond !== undefined;
   }
 
+  /** Whether the server is cold, so that only paced calls may go there. */
+  isCold(now: number): boolean {
+    return this.limitsCold && this.cold.isCold(now);
+  }
+
+  /** Whether only paced calls may go to the server. */
+  isPaced(now: number): boolean {
+    return this.isRateLimited || this.isCold(now);
+  }
+
   get ready(): boolean {
     return !this.leaving && this.record.state === "ready";
   }
@@ -136,10 +154,10 @@
 
   /**
    * Whether the server wants a request of this entry: the one place that all
-   * sends ask. `paced` requests are within its rate limit.
+   * sends ask. `paced` requests are within its rate limit, or that of a cold server.
    */
   accepts(now: number, { paced = false } = {}): boolean {
     if (!this.ready || this.backOffMs(now) > 0) return false;
-    return paced || !this.isRateLimited;
+    return paced || !this.isPaced(now);
   }
 }
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -18,6 +18,7 @@
   ServerStatement,
 } from "./effects.ts";
 import { GrantedSlots } from "./granted_slots.ts";
+import { LocalColdChoice } from "./local_cold_choice.ts";
 import { LocalServers } from "./local_servers.ts";
 import { isLongRunning } from "./long_running.ts";
 import type { DispatchGrant } from "./messages.ts";
@@ -45,6 +46,7 @@
 const UNHEALTHY_SLOWDOWN = 8;
 
 export interface ServiceRouterOptions {
+  readonly self: HostId;
   readonly dataCentre: DataCentre;
   readonly random: Randomness;
   readonly sequenceNumbers: SequenceNumbers;
@@ -67,7 +69,10 @@
   readonly #rejections: CallRejections;
   readonly #placementChecks: PlacementChecks;
   readonly #grantedSlots: GrantedSlots;
+  readonly #localCold: LocalColdChoice;
   #refreshAt = 0;
+  /** Whether some server was cold when this was reported last. */
+  #hasCold = false;
   /** Number of entries in the view. */
   #entryCount = 1;
   #slotRequestedAt = Number.NEGATIVE_INFINITY;
@@ -82,7 +87,9 @@
     });
     this.#queuePolicy = new QueuePolicy(this.#calls, this.#servers);
     this.link = new DispatchLink(service.name, options.sequenceNumbers);
+    this.#localCold = new LocalColdChoice(options.self);
     this.#rejections = new CallRejections({
+      findCold: (now) => this.#findCold(now),
       calls: this.#calls,
       servers: this.#servers,
       link: this.link,
@@ -133,6 +140,7 @@
     now: number,
   ): RoutingEffect[] {
     this.#entryCount = view.entries.length;
+    this.#localCold.configure(view);
     const isActive = this.link.sendsUpdates || this.#calls.size > 0;
     this.link.configure(dispatcher, view.epoch);
     return isActive
@@ -210,6 +218,18 @@
     for (const backOff of this.#servers.takeBackOffs()) {
       effects.push({ type: "server_backs_off", ...backOff });
     }
+    const { coldCount } = this.#servers;
+    if (coldCount > 0 !== this.#hasCold) {
+      this.#hasCold = coldCount > 0;
+      const { name: service, coldRequestsPerS } = this.#service;
+      const servers = coldCount;
+      effects.push({
+        type: "cold_servers_changed",
+        service,
+        servers,
+        coldRequestsPerS,
+      });
+    }
     return effects;
   }
 
@@ -232,7 +252,9 @@
     }
     const decision = this.#placementChecks.decide(result, call);
     // A server may have been evacuated during the check.
-    if (decision === "use" && !server.removed) {
+    const saysCold = server.limitsCold && (result.warmUpMs ?? 0) > 0;
+    const isFit = !server.removed && !saysCold && !server.isCold(now);
+    if (decision === "use" && isFit) {
       this.#servers.recordCheck(server, result, now);
       call.assignedAt = now;
       call.slowdownAtStart = server.slowdown;
@@ -324,6 +346,7 @@
   tick(now: number): RoutingEffect[] {
     if (now >= this.#refreshAt) this.#refreshServers(now);
     const effects = this.#rejections.rejectExpired(now);
+    effects.push(...this.statementEffects());
     effects.push(...this.#rejections.rejectUnservable(now));
     const longRunning = isLongRunning(this.#servers.meanMs);
     if (this.link.answerOverdue(now, longRunning)) this.link.giveUp(now);
@@ -353,11 +376,12 @@
 
   /**
    * Whether to ask the dispatcher for a slot although this entry could choose
-   * one: only the dispatcher can use servers that limit their rate.
+   * one: only the dispatcher can use servers that limit their rate or are cold.
    */
   #asksForPacedSlot(now: number): boolean {
     const isDue = now - this.#slotRequestedAt >= PACED_REQUEST_INTERVAL_MS;
-    return isDue && this.#servers.rateLimitedCount > 0;
+    const { rateLimitedCount, coldCount } = this.#servers;
+    return isDue && rateLimitedCount + coldCount > 0;
   }
 
   /**
@@ -387,7 +411,7 @@
     const waitsForDispatcher = this.#waitsForDispatcher(now);
     const server =
       this.#calls.queue.length === 0 && !asks && !waitsForDispatcher
-        ? this.#servers.choose(call, now)
+        ? this.#chooseLocally(call, now)
         : undefined;
     if (server) return this.#assign(call, server, now);
     if (waitsForDispatcher) {
@@ -402,6 +426,29 @@
     return [...this.#enqueue(call, now), ...this.link.flush(now)];
   }
 
+  /** Chooses a server for a call without the dispatcher. */
+  #chooseLocally(call: OpenCall, now: number): ServerState | undefined {
+    const server = this.#servers.choose(call, now);
+    if (server) return server;
+    const cold = this.#findCold(now, call.exclude);
+    if (cold) this.#localCold.take(cold, now);
+    return cold;
+  }
+
+  /** A cold server that may get a request, if no dispatcher and no other server can. */
+  #findCold(
+    now: number,
+    exclude?: ReadonlySet<BackendServerId>,
+  ): ServerState | undefined {
+    const { allPaced, coldCount } = this.#servers;
+    if (coldCount === 0 || !allPaced || !this.link.isUnreachable) {
+      return undefined;
+    }
+    const { coldRequestsPerS } = this.#service;
+    const options = { coldRequestsPerS, now, ...(exclude && { exclude }) };
+    return this.#localCold.find(this.#servers.servers(), options);
+  }
+
   #isUsable(call: OpenCall, id: BackendServerId, now: number): boolean {
     const server = this.#servers.get(id);
     return !call.exclude.has(id) && server?.accepts(now) === true;
@@ -458,7 +505,8 @@
     this.#servers.recordStart(server, now);
     const { readySlots } = this.#servers;
     const context = { slots: readySlots, entries: this.#entryCount, now };
-    if (!skipCheck && this.#placementChecks.isDue(call, server, context)) {
+    const mayCheck = !skipCheck && !server.isPaced(now);
+    if (mayCheck && this.#placementChecks.isDue(call, server, context)) {
       call.checkCount += 1;
       call.awaitingCheck = true;
       return { type: "check", callId: call.id, server: server.record };
@@ -476,13 +524,13 @@
     const skipped: OpenCall[] = [];
     this.#calls.queue.moveLateCalls(now);
     while (
-      this.#servers.anyFree &&
+      (this.#servers.anyFree || this.#findCold(now)) &&
       skipped.length < MAX_SKIPPED_CALLS &&
       !this.#waitsForDispatcher(now)
     ) {
       const call = this.#calls.queue.peek();
       if (!call) break;
-      const server = this.#servers.choose(call, now);
+      const server = this.#chooseLocally(call, now);
       if (server)
         effects.push(
           ...this.#grantedSlots.startWithoutGrant(call, server, now),
@@ -536,8 +584,9 @@
 }
 
 /** What an answer says about requests, without the fields that are absent. */
-function statementOf({ rateLimit, backOffMs }: ServerStatement) {
+function statementOf({ rateLimit, backOffMs, warmUpMs }: ServerStatement) {
   return {
+    ...(warmUpMs !== undefined && { warmUpMs }),
     ...(rateLimit !== undefined && { rateLimit }),
     ...(backOffMs !== undefined && { backOffMs }),
   };
--- a/packages/routing/slot_table.ts
+++ b/packages/routing/slot_table.ts
@@ -40,6 +40,8 @@
   readonly #pacedServers = new Set<ServerSlots>();
   #free = 0;
   #limit = 0;
+  #coldRequestsPerS: number | undefined;
+  #coldShare = 1;
 
   constructor(
     service: Service,
@@ -48,6 +50,7 @@
   ) {
     this.#concurrency = concurrency;
     this.#warmUp = new WarmUp(service);
+    this.#coldRequestsPerS = service.coldRequestsPerS;
     this.#outliers = outliers;
   }
 
@@ -72,6 +75,18 @@
 
   configure(service: Service): void {
     this.#warmUp.configure(service);
+    this.#coldRequestsPerS = service.coldRequestsPerS;
+  }
+
+  /** Sets the share of a cold server's rate that may be granted here. */
+  setColdShare(share: number): void {
+    this.#coldShare = share;
+  }
+
+  /** Applies a change of what is known of the server's rate limit or warm-up. */
+  updatePacer(server: ServerSlots, now: number): void {
+    const rate = this.#coldRequestsPerS;
+    server.updatePacer(rate && rate * this.#coldShare, now);
   }
 
   get(id: BackendServerId): ServerSlots | undefined {
@@ -93,11 +108,13 @@
         // What answered at another address says nothing of this one.
         if (!hasSameAddress(known.record, record)) known.leaving = false;
         known.record = record;
+        known.cold.recordAnnouncement(record.warmUpRemainingMs, now);
         continue;
       }
       if (known) this.#remove(known);
       const health = this.#outliers.add(record.id, record.slots);
       const server = new ServerSlots(record, health, now);
+      server.cold.recordAnnouncement(record.warmUpRemainingMs, now);
       this.#servers.set(record.id, server);
     }
     this.updateWarmUp(now);
@@ -144,6 +161,7 @@
    */
   refresh(server: ServerSlots, now: number): void {
     if (this.#servers.get(server.record.id) !== server) return;
+    if (server.cold.until > 0) this.updatePacer(server, now);
     const exploredLimit = isLongRunning(this.#outliers.meanMs)
       ? explorationLimit(server.record, now)
       : undefined;
@@ -208,9 +226,10 @@
   }
 
   /**
-   * The least loaded server that limits its rate and may get a request now, if
-   * it has no more load than `instead`. It is spared while `instead` works at
-   * full speed, since its speed cannot be checked before a call either.
+   * The least loaded server that limits its rate, or is cold, and may get a request
+   * now, if it has no more load than `instead`. While `instead` works at full speed, a
+   * server that limits its rate is spared, since its speed cannot be checked before a
+   * call either. A cold one is not: it is to take up its share as soon as it may.
    */
   pickPaced(
     nearDataCentre: DataCentre,
@@ -231,7 +250,7 @@
     for (const server of this.#pacedServers) {
       if (exclude?.includes(server.record.id)) continue;
       const isQuiet = now - server.lastHeard >= QUIET_MS;
-      if (isSpared && !isQuiet) continue;
+      if (isSpared && !isQuiet && !server.isPacedAsCold) continue;
       const load = isQuiet
         ? Number.NEGATIVE_INFINITY
         : server.pacedLoad() - marginOf(server);
--- a/packages/routing/statement_run.ts
+++ b/packages/routing/statement_run.ts
@@ -1,5 +1,15 @@
-import { type Priority, SeededRandomness } from "#model";
-import { makeServer, NORMAL_CHECK, TestCluster } from "./test_cluster.ts";
+import {
+  type BackendServer,
+  type Priority,
+  SeededRandomness,
+  type Service,
+} from "#model";
+import {
+  dataCentreOf,
+  makeServer,
+  NORMAL_CHECK,
+  TestCluster,
+} from "./test_cluster.ts";
 
 /** Time from the first answer with a limit in which it need not hold yet. */
 const LEARNING_MS = 3_000;
@@ -19,6 +29,10 @@
   readonly servers: number;
   readonly callsPerS: number;
   readonly serviceMs: number;
+  /** Data centres over which entries and servers are spread; one if absent. */
+  readonly dataCentres?: readonly string[];
+  readonly slots?: number;
+  readonly service?: Partial<Service>;
 }
 
 /** Like a small deployment: 68 calls a second of 300 ms on 72 slots. */
@@ -49,6 +63,7 @@
  */
 export class StatementRun {
   readonly cluster: TestCluster;
+  readonly servers: readonly BackendServer[];
   readonly requests: SentRequest[] = [];
   /** Calls that were refused. */
   readonly refusals: Refusal[] = [];
@@ -82,9 +97,15 @@
     this.callsPerS = options.callsPerS;
     this.#random = new SeededRandomness(options.seed);
     const ids = Array.from({ length: options.servers }, (_, i) => `s${i}`);
+    const { slots = 6, dataCentres = ["riga-a"], service = {} } = options;
+    this.servers = ids.map((id) =>
+      makeServer(id, { slots, dataCentre: dataCentreOf(id, dataCentres) }),
+    );
     this.cluster = new TestCluster({
       entries: options.entries,
-      servers: ids.map((id) => makeServer(id, { slots: 6 })),
+      servers: this.servers,
+      dataCentres,
+      service,
       serversReportSpeed: true,
     });
   }
--- a/packages/routing/test_cluster.ts
+++ b/packages/routing/test_cluster.ts
@@ -75,13 +75,18 @@
   };
 }
 
-export function makeView(ids: readonly string[], epoch = 1): View {
+/** A view of entries, which are spread over the data centres by their number. */
+export function makeView(
+  ids: readonly string[],
+  epoch = 1,
+  dataCentres: readonly string[] = ["riga-a"],
+): View {
   const address = { host: "127.0.0.1", port: 1 };
   const entries = ids.map(
     (id): Entry => ({
       id,
       incarnation: 1,
-      dataCentre: "riga-a",
+      dataCentre: dataCentreOf(id, dataCentres),
       http: address,
       peer: address,
       state: "ready",
@@ -90,6 +95,14 @@
   return { epoch, entries, began: 0 };
 }
 
+/** The data centre of the entry or server with this id, such as `e12`. */
+export function dataCentreOf(
+  id: string,
+  dataCentres: readonly string[],
+): string {
+  return dataCentres[Number(id.slice(1)) % dataCentres.length] ?? "riga-a";
+}
+
 type Decision = Extract<RoutingEffect, { type: "assign" | "reject" }>;
 type Delivery = { at: number; from: string; message: SendEffect };
 
@@ -130,6 +143,8 @@
     "deliver";
   readonly heldMessages: Delivery[] = [];
   readonly frozenEntries = new Set<string>();
+  /** Entries that control has not confirmed for a while. */
+  readonly unconfirmedEntries = new Set<string>();
   #deliveries: Delivery[] = [];
   #calls = 0;
   view: View;
@@ -140,22 +155,25 @@
       servers?: readonly BackendServer[];
       service?: Partial<Service>;
       serversReportSpeed?: boolean;
+      dataCentres?: readonly string[];
     } = {},
   ) {
     const { entries = 3, servers = ["s1", "s2"].map((id) => makeServer(id)) } =
       options;
     const ids = Array.from({ length: entries }, (_, index) => `e${index}`);
-    this.view = makeView(ids);
+    const { dataCentres = ["riga-a"] } = options;
+    this.view = makeView(ids, 1, dataCentres);
     this.service = { ...SERVICE, ...options.service };
     for (const [index, self] of ids.entries()) {
       const random = new SeededRandomness(index + 1);
       const { serversReportSpeed = false } = options;
-      const dataCentre = "riga-a";
+      const dataCentre = dataCentreOf(self, dataCentres);
       const router = new Router({
         self,
         dataCentre,
         random,
         serversReportSpeed,
+        isConfirmed: () => !this.unconfirmedEntries.has(self),
       });
       this.routers.set(self, router);
     }
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -38,6 +38,8 @@
   readonly probeBudget?: () => ValuesByService;
   /** Number of servers that limit their request rate. */
   readonly rateLimitedServers?: () => ValuesByService;
+  /** Number of cold servers whose requests are spaced. */
+  readonly coldServers?: () => ValuesByService;
   /** Number of servers that want no requests of this entry at present. */
   readonly backingOffServers?: () => ValuesByService;
   /** Number of services of which the entry reaches no server. */
@@ -315,6 +317,10 @@
       name: "mangobank_rate_limited_servers",
       help: "Backend servers that limit their request rate, as known here",
     });
+    this.#registerServiceGauge(sources.coldServers, {
+      name: "mangobank_cold_servers",
+      help: "Cold backend servers whose requests are spaced, as known here",
+    });
     this.#registerServiceGauge(sources.backingOffServers, {
       name: "mangobank_backing_off_servers",
       help: "Backend servers that want no requests of this entry at present",
