Replay overloads against orders of waiting calls

Which waiting call starts, waits or is refused could not be compared on equal loads: the bench had no ranks, tenants, objectives or callers that come back after a refusal.

--- a/packages/bench/main.ts
+++ b/packages/bench/main.ts
@@ -1,6 +1,7 @@
 import { measureDecisionTime } from "./decision_time.ts";
 import { comparePolicies } from "./decisions.ts";
 import { checkGoals } from "./goals.ts";
+import { compareOrders } from "./overload.ts";
 import { compareWithRelay } from "./process_bench.ts";
 
 type Part = (args: readonly string[]) => void | Promise<void>;
@@ -10,6 +11,7 @@
   decisions: comparePolicies,
   goals: checkGoals,
   "decision-time": measureDecisionTime,
+  overload: compareOrders,
   process: compareWithRelay,
 };
 
