Order waiting calls by rank, tenant, work and objective

The present queue knows two priorities, and keeps calls that miss their objective until their deadline, although room for them may never come.

The pure package overload holds ranked calls in tenant flows, refuses on arrival or within an eighth of the objective what has no chance, and spreads the returns of refused calls.

--- a/packages/bench/overload.ts
+++ b/packages/bench/overload.ts
@@ -1,5 +1,6 @@
-import { LOADS, type ReplayLoad } from "./overload_loads.ts";
+import { LOADS, type ReplayLoad, SURGING_TENANT } from "./overload_loads.ts";
 import { CodelOrder, SortedOrder, TodaysOrder } from "./overload_orders.ts";
+import { RankedOrder } from "./overload_ranked.ts";
 import {
   type MakeOrder,
   type Outcomes,
@@ -13,8 +14,9 @@
   "strict ranks": (room, refuse) =>
     new SortedOrder(room, refuse, (a, b) => a.class.rank - b.class.rank),
   "earliest objective": (room, refuse) =>
-    new SortedOrder(room, refuse, (a, b) => a.target - b.target),
+    new SortedOrder(room, refuse, (a, b) => a.seenTarget - b.seenTarget),
   "CoDel+LIFO": (room, refuse) => new CodelOrder(room, refuse),
+  overload: (room, refuse) => new RankedOrder(room, refuse),
 };
 
 /** The sums of several seeds. */
@@ -29,13 +31,19 @@
 /** Compares orders of waiting calls on the same seeded overloads. */
 export function compareOrders(args: readonly string[]): void {
   const seeds = args.includes("--full") ? [1, 2, 3, 4, 5] : [1, 2];
+  const prefix = "--orders=";
+  const names = args
+    .find((arg) => arg.startsWith(prefix))
+    ?.slice(prefix.length)
+    .split(",");
   for (const load of LOADS) {
     console.log(`\n${load.name}, seeds ${seeds.length}`);
     console.log(
       "order               on time % by rank     served %  value %  " +
-        "refusals, wait p50/p99 ms   worst tenant on time / mean",
+        "refusals, wait p50/p99 ms   worst other tenant / mean, surging tenant on time %",
     );
     for (const [name, makeOrder] of Object.entries(ORDERS)) {
+      if (names && !names.includes(name)) continue;
       console.log(row(name, replayAll(load, makeOrder, seeds)));
     }
   }
@@ -58,20 +66,32 @@
       27,
     ),
     worstTenantRatio(runs).toFixed(2),
+    (100 * onTimeShare(runs, SURGING_TENANT)).toFixed(1),
   ].join(" ");
 }
 
-/** Least share served on time of a tenant's calls, by the share of all. */
+/**
+ * Least share served on time of the calls of a tenant other than the surging
+ * one, relative to the share of all calls.
+ */
 export function worstTenantRatio(runs: readonly ReplayFigures[]): number {
   const all = sum(runs.map((run) => run.all));
   const tenants = new Set(runs.flatMap((run) => [...run.byTenant.keys()]));
-  const ratios = [...tenants].map((tenant) => {
-    const own = sum(runs.map((run) => run.byTenant.get(tenant)));
-    return own.onTime / own.calls / (all.onTime / all.calls);
-  });
+  const ratios = [...tenants]
+    .filter((tenant) => tenant !== SURGING_TENANT)
+    .map((tenant) => onTimeShare(runs, tenant) / (all.onTime / all.calls));
   return Math.min(...ratios);
 }
 
+/** Share of a tenant's calls that met their objective. */
+export function onTimeShare(
+  runs: readonly ReplayFigures[],
+  tenant: string,
+): number {
+  const own = sum(runs.map((run) => run.byTenant.get(tenant)));
+  return own.onTime / own.calls;
+}
+
 export function sum(groups: readonly (Outcomes | undefined)[]): Outcomes {
   const total = { calls: 0, onTime: 0, late: 0, refused: 0, value: 0 };
   for (const group of groups) {
--- a/packages/bench/overload_loads.ts
+++ b/packages/bench/overload_loads.ts
@@ -83,7 +83,7 @@
     (_, index) => [`small-${index}`, 0.67 / SMALL_TENANTS] as const,
   ),
 ];
-const SURGING_TENANT = "small-0";
+export const SURGING_TENANT = "small-0";
 
 const NO_TENANTS = [["", 1] as const];
 
--- a/packages/bench/overload_orders.ts
+++ b/packages/bench/overload_orders.ts
@@ -33,7 +33,7 @@
       id: call.id,
       priority: call.class.rank === 0 ? "urgent" : "patient",
       latestStart: call.deadline - serviceMs,
-      targetStart: call.target - serviceMs,
+      targetStart: call.seenTarget - serviceMs,
       call,
     };
     if (this.#room.free === 0 && !this.#isWorthWaiting(item, now)) {
--- a/packages/bench/overload_replay.ts
+++ b/packages/bench/overload_replay.ts
@@ -23,6 +23,8 @@
   readonly deadline: number;
   /** End of the objective, counted from the first attempt. */
   readonly target: number;
+  /** The same as an entry sees it, which takes each attempt for a new call. */
+  readonly seenTarget: number;
   readonly attempt: number;
 }
 
@@ -120,6 +122,7 @@
         this.#offer({
           ...{ id: `${this.#ids++}`, class: arrival.class, tenant, since: at },
           ...{ deadline: at + deadlineMs, target: at + targetMs, attempt: 0 },
+          seenTarget: at + targetMs,
         });
       });
     }
@@ -217,7 +220,9 @@
     this.#events.after(Math.max(1, pauseMs), () => {
       const attempt = call.attempt + 1;
       const since = this.#events.now();
-      this.#offer({ ...call, id: `${call.id}r`, since, attempt });
+      const seenTarget = since + call.class.targetMs;
+      const id = `${call.id}r`;
+      this.#offer({ ...call, id, since, attempt, seenTarget });
     });
   }
 
