Use the ranked order at dispatchers and entries

Waiting calls had two priorities also where routes and tenants have ranks, and the dispatcher knew neither the rank nor the tenant of a call.

Slot requests carry both in optional fields. A service whose calls have ranks waits under OverloadControl; all others keep CallQueue.

--- a/packages/model/outcomes.ts
+++ b/packages/model/outcomes.ts
@@ -29,6 +29,20 @@
   depth_exceeded: { status: 508, outcome: "not-run" },
 } as const satisfies Record<string, { status: number; outcome: Outcome }>;
 
+/**
+ * Why a ranked call was refused in an overload: there was no room in time when
+ * it arrived, a call worth more took its place in a full queue, calls of higher
+ * ranks overtook it, or it missed its objective and cannot start in time.
+ */
+export const REFUSAL_REASONS = [
+  "no_room",
+  "displaced",
+  "overtaken",
+  "late",
+] as const;
+
+export type RefusalReason = (typeof REFUSAL_REASONS)[number];
+
 /** The error response to a call that got no response from a server. */
 export interface CallFault {
   readonly type: "call_fault";
@@ -37,6 +51,8 @@
   /** Time after which the caller may retry, in milliseconds. */
   readonly retryAfterMs?: number;
   readonly detail?: string;
+  /** Why a ranked call was refused in an overload. */
+  readonly reason?: RefusalReason;
 }
 
 /**
@@ -59,6 +75,7 @@
     outcome?: Outcome;
     retryAfterMs?: number | undefined;
     detail?: string | undefined;
+    reason?: RefusalReason | undefined;
   } = {},
 ): CallFault {
   const outcome = options.outcome ?? CALL_FAULTS[code].outcome;
@@ -70,5 +87,6 @@
     outcome,
     retryAfterMs: options.retryAfterMs ?? defaultMs,
     detail: options.detail,
+    ...(options.reason && { reason: options.reason }),
   };
 }
--- a/packages/overload/index.ts
+++ b/packages/overload/index.ts
@@ -10,3 +10,4 @@
 export * from "./retry_schedule.ts";
 export * from "./room.ts";
 export * from "./tenant_weights.ts";
+export * from "./waiting_order.ts";
--- a/packages/overload/overload_control.ts
+++ b/packages/overload/overload_control.ts
@@ -1,4 +1,5 @@
 import { Heap, type OfferResult } from "#admission";
+import type { RefusalReason } from "#model";
 import { type RankedCall, rankOf, workOf } from "./call_order.ts";
 import { RankedQueue } from "./ranked_queue.ts";
 import { RetrySchedule } from "./retry_schedule.ts";
@@ -9,11 +10,11 @@
  * any more. A refusal after that costs the caller more than a late answer.
  */
 const REVIEW_SHARE = 1 / 8;
-/** A late answer is worth waiting for up to this share of the time left. */
-const LATE_WAIT_SHARE = 0.0;
-
-/** Why a call is refused. */
-export type RefusalReason = "no_room" | "displaced" | "overtaken" | "late";
+/**
+ * A call whose objective is shorter than its work waits if its expected wait is
+ * below this share of the time until its latest start.
+ */
+const LATE_WAIT_SHARE = 0.25;
 
 /** A call that is refused now. */
 export interface Refusal<T> {
@@ -82,6 +83,11 @@
       this.queue.remove(call.id);
       refused.push(this.#refuse(call, "overtaken", options));
     }
+    for (;;) {
+      const hopeless = this.queue.takeHopeless(capacity, now);
+      if (!hopeless) break;
+      refused.push(this.#refuse(hopeless, "late", options));
+    }
     return refused;
   }
 
@@ -98,6 +104,7 @@
     const { targetStart, latestStart } = call;
     const { waitMs } = this.queue.expectedWait(call, capacity, now);
     if (now + waitMs <= (targetStart ?? latestStart)) return true;
+    // Its objective is too short for its work, however short the queue is.
     if (targetStart === undefined || targetStart > now) return false;
     return waitMs <= LATE_WAIT_SHARE * (latestStart - now);
   }
--- a/packages/overload/ranked_queue.ts
+++ b/packages/overload/ranked_queue.ts
@@ -192,6 +192,15 @@
     return expired;
   }
 
+  /** Removes a late call that cannot start in time behind the others. */
+  takeHopeless(capacity: Capacity, now: number): T | undefined {
+    const node = this.#expiries.peek()?.node;
+    if (!node?.isLate) return undefined;
+    const waitMs = this.onTimeWorkMs / workPerMs(capacity);
+    if (now + waitMs <= node.item.latestStart) return undefined;
+    return this.remove(node.item.id);
+  }
+
   /**
    * Expected wait of a new call: the work ahead of it divided by the room that
    * ranks above and shorter calls of its rank leave, or its guaranteed share if
@@ -221,9 +230,10 @@
     }
     const guaranteed = room * this.#guaranteedShare();
     const left = Math.max(room - usedPerMs, guaranteed);
-    const waitMs = (aheadMs + ownMs) / left;
+    const { soonestMs = 0 } = capacity;
+    const waitMs = Math.max(soonestMs, (aheadMs + ownMs) / left);
     if (rank === this.#groups[0]?.rank) return { waitMs, workPerMs: left };
-    const sharedMs = ownMs / guaranteed;
+    const sharedMs = Math.max(soonestMs, ownMs / guaranteed);
     const isEntitled = this.#servedWorse(rank, now);
     return {
       waitMs: isEntitled ? Math.min(waitMs, sharedMs) : waitMs,
@@ -320,6 +330,7 @@
   #worst(item: T): T | undefined {
     const rank = rankOf(item);
     for (const group of this.#groups.toReversed()) {
+      if (group.rank < rank) break;
       const late = group.late.leaf();
       if (late) return late.item;
     }
--- a/packages/overload/room.ts
+++ b/packages/overload/room.ts
@@ -27,6 +27,28 @@
   readonly concurrency: number;
   /** Recent time of calls on servers, relative to their expected work. */
   readonly slowdown: number;
+  /** Time until servers with a rate limit take a call, if all have one. */
+  readonly soonestMs?: number;
+}
+
+/** Weight of the newest call in the slowdown. */
+const SLOWDOWN_WEIGHT = 0.02;
+
+/**
+ * Ratio of the time of calls on servers to their expected work, which includes
+ * servers that are slow for a moment.
+ */
+export class SlowdownMeter {
+  #value = 1;
+
+  get value(): number {
+    return this.#value;
+  }
+
+  record(serviceMs: number, workMs: number): void {
+    const ratio = serviceMs / Math.max(1, workMs);
+    this.#value += SLOWDOWN_WEIGHT * (ratio - this.#value);
+  }
 }
 
 /** Expected work that starts per millisecond while calls wait. */
--- a/packages/routing/call_rejections.ts
+++ b/packages/routing/call_rejections.ts
@@ -1,3 +1,4 @@
+import type { Refusal } from "#overload";
 import type { DispatchLink } from "./dispatch_link.ts";
 import type { RoutingEffect } from "./effects.ts";
 import type { LocalServers } from "./local_servers.ts";
@@ -68,6 +69,19 @@
     return rejectEffect(call.id, "queue_full", reason);
   }
 
+  /** Rejects ranked calls that an overload leaves no room for. */
+  rejectRefused(refusals: readonly Refusal<OpenCall>[]): RoutingEffect[] {
+    return refusals.map(({ call, reason, retryAfterMs }) => {
+      this.#withdraw(call);
+      const { detail } = this.#queuePolicy.rejectionReason(this.#link.state);
+      return rejectEffect(call.id, "queue_full", {
+        retryAfterMs,
+        detail,
+        reason,
+      });
+    });
+  }
+
   #withdraw(call: OpenCall): void {
     this.#calls.remove(call);
     this.#link.addCancelled(call.ticket);
--- a/packages/routing/dispatch_entry.ts
+++ b/packages/routing/dispatch_entry.ts
@@ -1,4 +1,3 @@
-import type { QueuedCall } from "#admission";
 import type {
   BackendServerId,
   DataCentre,
@@ -6,6 +5,7 @@
   HostId,
   Priority,
 } from "#model";
+import type { RankedCall } from "#overload";
 import type { DispatchGrant, RateLimitChanges } from "./messages.ts";
 import type { SequenceNumbers } from "./sequence_numbers.ts";
 import type { ServerSlots } from "./server_slots.ts";
@@ -19,7 +19,7 @@
 const MAX_CONNECTED_SERVERS = 8;
 
 /** A call of an entry that waits at the dispatcher for a slot. */
-export interface WaitingCall extends QueuedCall {
+export interface WaitingCall extends RankedCall {
   readonly ticket: number;
   readonly priority: Priority;
   readonly class: string;
--- a/packages/routing/dispatcher.ts
+++ b/packages/routing/dispatcher.ts
@@ -87,7 +87,7 @@
   configure(service: Service, view: DispatcherView, now: number): SendEffect[] {
     this.#service = service;
     this.#view = view;
-    this.#waitingCalls.queue.setLimit(service.queueLength);
+    this.#waitingCalls.setLimit(service.queueLength);
     this.#state.configure(service);
     for (const entry of this.#state.entries.values()) {
       const member = view.members.get(entry.id);
--- a/packages/routing/dispatcher_state.ts
+++ b/packages/routing/dispatcher_state.ts
@@ -1,4 +1,5 @@
 import type { BackendServer, Entry, HostId, Service } from "#model";
+import { SlowdownMeter } from "#overload";
 import { ConcurrencyEstimator } from "./concurrency_estimator.ts";
 import { CreditPolicy } from "./credits.ts";
 import { DispatchEntry, type SlotAllocation } from "./dispatch_entry.ts";
@@ -35,6 +36,8 @@
   readonly slots: SlotTable;
   readonly credits: CreditPolicy;
   readonly concurrency = new ConcurrencyEstimator();
+  /** How much longer calls take than their typical time. */
+  readonly slowdown = new SlowdownMeter();
   readonly entries = new Map<HostId, DispatchEntry>();
   /** Entries whose outbox may have to be sent. */
   readonly entriesToNotify = new Set<DispatchEntry>();
@@ -154,6 +157,8 @@
       if (kind === "not_started" && wasFull) server.recordShed(now);
       if (kind === "answered") {
         server.recordAnswer();
+        const workMs = this.concurrency.typicalMs(allocation.class);
+        if (workMs) this.slowdown.record(now - allocation.assignedAt, workMs);
         if (!server.isSlow) this.#recordServiceTime(allocation, serviceMs, now);
       }
       // Without the queue ratio, a long service time says nothing about the
--- a/packages/routing/message_decoders.ts
+++ b/packages/routing/message_decoders.ts
@@ -7,6 +7,7 @@
   MAX_SLOWDOWN,
   MESSAGE_VALUES,
   type MessageDecoders,
+  REFUSAL_REASONS,
 } from "#model";
 import type { DispatchMessages } from "./messages.ts";
 
@@ -25,6 +26,8 @@
   targetMs: milliseconds.optional(),
   waitedMs: milliseconds,
   exclude: z.array(text).optional(),
+  rank: z.number().optional().catch(undefined),
+  tenant: text.optional().catch(undefined),
 });
 const TAKEN_SLOT = z.object({
   ticket: count,
@@ -69,6 +72,8 @@
   code: z.enum(Object.keys(CALL_FAULTS) as [CallFaultCode]),
   retryAfterMs: milliseconds,
   detail: text.optional(),
+  // A newer build may name reasons that this one does not know.
+  reason: z.enum(REFUSAL_REASONS).optional().catch(undefined),
 });
 
 /** Decoders of the messages between an entry and a dispatcher. */
--- a/packages/routing/messages.ts
+++ b/packages/routing/messages.ts
@@ -1,4 +1,9 @@
-import type { BackendServerId, CallFaultCode, Priority } from "#model";
+import type {
+  BackendServerId,
+  CallFaultCode,
+  Priority,
+  RefusalReason,
+} from "#model";
 import type { CallResultKind, ServerStatement } from "./effects.ts";
 import type { RateNotice } from "./named_rate.ts";
 
@@ -43,6 +48,10 @@
   /** Time that the call has waited, in milliseconds. */
   readonly waitedMs: number;
   readonly exclude?: readonly BackendServerId[] | undefined;
+  /** Urgency of the call, if its route or tenant has one; 0 is the highest. */
+  readonly rank?: number | undefined;
+  /** Short hash of the tenant's name. */
+  readonly tenant?: string | undefined;
 }
 
 /**
@@ -147,6 +156,8 @@
     readonly retryAfterMs: number;
     /** The reason for the rejection, for the log. */
     readonly detail?: string;
+    /** Why a ranked call was refused, for the metrics. */
+    readonly reason?: RefusalReason | undefined;
   }[];
   /** Slots that the entry may take without asking, until revoked. */
   readonly credits: readonly BackendServerId[];
--- a/packages/routing/open_call.ts
+++ b/packages/routing/open_call.ts
@@ -1,8 +1,10 @@
+import { xxHash32 } from "js-xxhash";
 import {
   type BackendServerId,
   type Call,
   type CallFaultCode,
   callFault,
+  type RefusalReason,
 } from "#model";
 import type {
   AssignmentBasis,
@@ -24,6 +26,11 @@
   readonly latestStart: number;
   /** Latest start that meets the latency objective. */
   readonly targetStart?: number | undefined;
+  readonly rank?: number | undefined;
+  /** Short hash of the tenant's name. */
+  readonly tenant?: string | undefined;
+  /** Expected service time, in milliseconds. */
+  readonly workMs: number;
   /** Time at which the caller gives up. */
   readonly answerDeadline: number;
   /** Latest time of an answer that meets the latency objective. */
@@ -48,6 +55,11 @@
   assignedBy: AssignmentBasis["by"];
 }
 
+/** Tenants with the same hash share what they get in an overload. */
+function shortHash(name: string): string {
+  return xxHash32(name).toString(36);
+}
+
 /** Creates a call as it is submitted, without a server. */
 export function openCall(
   call: Call,
@@ -67,6 +79,9 @@
     priority,
     latestStart: deadline - expectedServiceMs,
     targetStart: target && target - expectedServiceMs,
+    rank: call.rank,
+    tenant: call.access?.tenant && shortHash(call.access.tenant),
+    workMs: expectedServiceMs,
     answerDeadline: deadline,
     answerTarget: target,
     slowdownAtStart: 1,
@@ -96,6 +111,8 @@
     targetMs: call.answerTarget && Math.floor(call.answerTarget - now),
     waitedMs: now - call.arrival,
     exclude: call.exclude.size > 0 ? [...call.exclude] : undefined,
+    ...(call.rank !== undefined && { rank: call.rank }),
+    ...(call.tenant !== undefined && { tenant: call.tenant }),
   };
 }
 
@@ -142,7 +159,11 @@
 export function rejectEffect(
   callId: string,
   code: CallFaultCode,
-  reason: { retryAfterMs?: number; detail?: string | undefined } = {},
+  reason: {
+    retryAfterMs?: number;
+    detail?: string | undefined;
+    reason?: RefusalReason | undefined;
+  } = {},
 ): RoutingEffect {
   return { type: "reject", callId, fault: callFault(code, reason) };
 }
--- a/packages/routing/open_calls.ts
+++ b/packages/routing/open_calls.ts
@@ -1,4 +1,8 @@
-import { CallQueue } from "#admission";
+import {
+  type OverloadControl,
+  WaitingOrder,
+  type WaitingQueue,
+} from "#overload";
 import type { EntryState } from "./dispatch_link.ts";
 import type { SlotRequest, TakenSlot } from "./messages.ts";
 import { type OpenCall, slotRequest, takenSlot } from "./open_call.ts";
@@ -8,15 +12,34 @@
 export class OpenCalls {
   readonly #calls = new Map<string, OpenCall>();
   readonly #tickets = new Map<number, OpenCall>();
-  /** Calls that wait, for a grant or for a locally chosen server. */
-  readonly queue: CallQueue<OpenCall>;
+  readonly #order: WaitingOrder<OpenCall>;
   readonly #nextTicket: () => number;
 
   constructor(options: { queueLength: number; nextTicket: () => number }) {
-    this.queue = new CallQueue(options.queueLength);
+    this.#order = new WaitingOrder(options.queueLength);
     this.#nextTicket = options.nextTicket;
   }
 
+  /** Calls that wait, for a grant or for a locally chosen server. */
+  get queue(): WaitingQueue<OpenCall> {
+    return this.#order.queue;
+  }
+
+  /** Present once calls have ranks. */
+  get control(): OverloadControl<OpenCall> | undefined {
+    return this.#order.control;
+  }
+
+  /** Selects the order for a call; returns the control if calls have ranks. */
+  selectOrder(call: OpenCall): OverloadControl<OpenCall> | undefined {
+    return this.#order.select(call);
+  }
+
+  /** Sets the maximum number of waiting calls. */
+  setQueueLimit(limit: number): void {
+    this.#order.setLimit(limit);
+  }
+
   get size(): number {
     return this.#calls.size;
   }
--- a/packages/routing/queue_policy.ts
+++ b/packages/routing/queue_policy.ts
@@ -1,3 +1,4 @@
+import type { Capacity } from "#overload";
 import type { LinkState } from "./dispatch_link.ts";
 import type { LocalServers } from "./local_servers.ts";
 import type { OpenCalls } from "./open_calls.ts";
@@ -26,6 +27,11 @@
     return readySlots === 0 ? 0 : (calls * meanMs) / readySlots;
   }
 
+  /** The room that this entry sees; the work of calls is their mean time. */
+  capacity(): Capacity {
+    return { concurrency: this.#servers.readySlots, slowdown: 1 };
+  }
+
   /**
    * Calls that may wait at this entry. With a dispatcher, which holds the
    * service's queue, it can be granted at most the queue length plus all slots
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -9,6 +9,7 @@
   Service,
   View,
 } from "#model";
+import type { OverloadControl } from "#overload";
 import { CallRejections } from "./call_rejections.ts";
 import { DispatchLink, type EntryState } from "./dispatch_link.ts";
 import type {
@@ -323,6 +324,13 @@
     if (now >= this.#refreshAt) this.#refreshServers(now);
     const effects = this.#rejections.rejectExpired(now);
     effects.push(...this.#rejections.rejectUnservable(now));
+    // An attached dispatcher reviews the calls itself.
+    const { control } = this.#calls;
+    if (control && this.link.state !== "attached") {
+      const capacity = this.#queuePolicy.capacity();
+      const refusals = control.review({ now, capacity });
+      effects.push(...this.#rejections.rejectRefused(refusals));
+    }
     const longRunning = isLongRunning(this.#servers.meanMs);
     if (this.link.answerOverdue(now, longRunning)) this.link.giveUp(now);
     if (this.link.joinDue(now) && this.#calls.size > 0) {
@@ -391,6 +399,8 @@
     if (waitsForDispatcher) {
       return [...this.#enqueue(call, now), ...this.link.flush(now)];
     }
+    const control = this.#calls.selectOrder(call);
+    if (control) return this.#enqueueRanked(call, control, now);
     const waitMs = this.#queuePolicy.estimateWaitMs(
       this.#calls.queue.countAhead(call.priority),
     );
@@ -425,7 +435,8 @@
     this.#slotRequestedAt = now;
     const { queueLength } = this.#service;
     const context = { state: this.link.state, entries: this.#entryCount };
-    this.#calls.queue.setLimit(
+    this.#calls.selectOrder(call);
+    this.#calls.setQueueLimit(
       this.#queuePolicy.queueLimit(queueLength, context),
     );
     const offer = this.#calls.queue.offer(call);
@@ -438,6 +449,28 @@
     return [this.#rejections.rejectQueueFull(rejected)];
   }
 
+  /** Queues a ranked call that this entry places itself, or refuses a call. */
+  #enqueueRanked(
+    call: OpenCall,
+    control: OverloadControl<OpenCall>,
+    now: number,
+  ): RoutingEffect[] {
+    this.#slotRequestedAt = now;
+    const context = { state: this.link.state, entries: this.#entryCount };
+    const { queueLength } = this.#service;
+    this.#calls.setQueueLimit(
+      this.#queuePolicy.queueLimit(queueLength, context),
+    );
+    const capacity = this.#queuePolicy.capacity();
+    const options = { now, capacity, mayStart: this.#servers.anyFree };
+    const refusals = control.offer(call, options);
+    if (control.queue.has(call.id) && this.link.sendsUpdates) {
+      this.link.addRequest(slotRequest(call, now));
+    }
+    const effects = this.#rejections.rejectRefused(refusals);
+    return [...effects, ...this.link.flush(now)];
+  }
+
   #assign(call: OpenCall, server: ServerState, now: number): RoutingEffect[] {
     const effect = this.#startCall(call, server, now);
     if (!this.link.sendsUpdates) return [effect];
--- a/packages/routing/slot_scheduler.ts
+++ b/packages/routing/slot_scheduler.ts
@@ -43,7 +43,9 @@
       if (!call) break;
       const server = this.#choose(call, now);
       if (!server && this.#excludedServers(call, now).length === 0) break;
-      queue.take();
+      // A ranked call that is put back has not used its tenant's share.
+      if (server || !this.#waitingCalls.isRanked) queue.take();
+      else queue.remove(call.id);
       if (server) this.#grant(call, server, now);
       else skipped.push(call);
     }
--- a/packages/routing/waiting_calls.ts
+++ b/packages/routing/waiting_calls.ts
@@ -1,5 +1,10 @@
-import { CallQueue } from "#admission";
-import type { Service } from "#model";
+import type { RefusalReason, Service } from "#model";
+import {
+  type Capacity,
+  type Refusal,
+  WaitingOrder,
+  type WaitingQueue,
+} from "#overload";
 import type { DispatchEntry, WaitingCall } from "./dispatch_entry.ts";
 import type { DispatcherState } from "./dispatcher_state.ts";
 import type { SlotRequest } from "./messages.ts";
@@ -26,14 +31,28 @@
  * retry.
  */
 export class WaitingCalls {
-  readonly queue: CallQueue<WaitingCall>;
+  readonly #order: WaitingOrder<WaitingCall>;
   readonly #state: DispatcherState;
 
   constructor(service: Service, state: DispatcherState) {
-    this.queue = new CallQueue(service.queueLength);
+    this.#order = new WaitingOrder(service.queueLength);
     this.#state = state;
   }
 
+  get queue(): WaitingQueue<WaitingCall> {
+    return this.#order.queue;
+  }
+
+  /** Whether calls of the service have ranks. */
+  get isRanked(): boolean {
+    return this.#order.control !== undefined;
+  }
+
+  /** Sets the maximum length of the queue; calls that already wait stay. */
+  setLimit(limit: number): void {
+    this.#order.setLimit(limit);
+  }
+
   /**
    * Removes expired calls and rejects those that can no longer start in time.
    */
@@ -42,7 +61,14 @@
       call.entry.waitingCalls.delete(call.ticket);
     }
     this.queue.moveLateCalls(now);
-    this.#rejectLateCalls(now);
+    const { control } = this.#order;
+    if (!control) {
+      this.#rejectLateCalls(now);
+      return;
+    }
+    const capacity = this.#capacity(now);
+    for (const refusal of control.review({ now, capacity }))
+      this.#refuse(refusal);
   }
 
   /** Queues a call for which an entry requests a slot, or rejects it. */
@@ -58,7 +84,19 @@
       exclude: request.exclude,
       entry,
       since: now - request.waitedMs,
+      rank: request.rank,
+      tenant: request.tenant,
+      workMs: this.#state.concurrency.typicalMs(request.class),
     };
+    const control = this.#order.select(call);
+    if (control) {
+      const capacity = this.#capacity(now);
+      const mayStart = this.#state.slots.free > 0;
+      entry.waitingCalls.set(ticket, call);
+      for (const refusal of control.offer(call, { now, capacity, mayStart }))
+        this.#refuse(refusal);
+      return;
+    }
     if (this.#state.slots.free === 0 && !this.#isWorthWaiting(call, now)) {
       this.#reject(call);
       return;
@@ -93,6 +131,13 @@
     return (calls * meanMs) / (concurrency > 0 ? concurrency : 1);
   }
 
+  #capacity(now: number): Capacity {
+    const { slots, outliers, slowdown } = this.#state;
+    const concurrency = slots.limit + slots.pacedConcurrency(outliers.meanMs);
+    const soonestMs = slots.pacedWaitMs(now);
+    return { concurrency, slowdown: slowdown.value, soonestMs };
+  }
+
   /** As `estimateWaitMs`, and until a rate limit allows a start. */
   #waitMs(calls: number, now: number): number {
     const pacedMs = this.#state.slots.pacedWaitMs(now);
@@ -148,18 +193,29 @@
     };
   }
 
+  #refuse({ call, reason, retryAfterMs }: Refusal<WaitingCall>): void {
+    this.#sendRejection(call, { retryAfterMs, reason });
+  }
+
   #reject(call: WaitingCall): void {
-    const { entry, ticket } = call;
-    entry.waitingCalls.delete(ticket);
     const waitMs = this.estimateWaitMs(this.queue.length + 1);
     const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs));
+    this.#sendRejection(call, { retryAfterMs });
+  }
+
+  #sendRejection(
+    call: WaitingCall,
+    refusal: { retryAfterMs: number; reason?: RefusalReason },
+  ): void {
+    const { entry, ticket } = call;
+    entry.waitingCalls.delete(ticket);
     const { limit, free, pacedCount } = this.#state.slots;
     const limited = `${pacedCount} servers that limit their rate`;
     const detail =
       `${this.queue.length} calls wait for ${limit} usable slots, ${free} free` +
       (pacedCount > 0 ? ` and ${limited}` : "");
     const code = "queue_full";
-    entry.outbox.rejects.push({ ticket, code, retryAfterMs, detail });
+    entry.outbox.rejects.push({ ticket, code, detail, ...refusal });
     this.#state.entriesToNotify.add(entry);
   }
 }
