--- a/packages/entry/call_admission.ts
+++ b/packages/entry/call_admission.ts
@@ -43,6 +43,11 @@
     return this.#classified;
   }
 
+  /** The call's rank; undefined before `admit`, or if it has none. */
+  get rank(): number | undefined {
+    return this.#call?.rank;
+  }
+
   /** Whether the request is identified by its key; true for unknown classes. */
   get usesIdempotencyKey(): boolean {
     const requestClass = this.#classified?.class;
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -435,6 +435,8 @@
       class: className,
       outcome,
       ...(fault && { code: fault.code }),
+      rank: this.#admission.rank,
+      reason: fault?.reason,
       ms,
     });
     logger.info("call", {
@@ -442,10 +444,12 @@
       call: this.#exchange.id,
       service: clip(service),
       class: className,
+      rank: this.#admission.rank,
       route: route && clip(route),
       outcome,
       code: fault?.code,
       detail: fault?.detail,
+      reason: fault?.reason,
       retryAfterMs: fault?.retryAfterMs,
       stopped: this.#stopReason,
       objectiveMs: this.#admission.classified?.class.targetMs,
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -3,6 +3,7 @@
   type CallFaultCode,
   type Outcome,
   RESPONSE_BOUNDS,
+  type RefusalReason,
   type ResponseBound,
   type Service,
 } from "#model";
@@ -68,10 +69,17 @@
   readonly outcome: Outcome;
   /** The error code, if mangobank responded in place of a backend server. */
   readonly code?: CallFaultCode;
+  /** Urgency of the call, if its route or tenant has one. */
+  readonly rank?: number | undefined;
+  /** Why a ranked call was refused in an overload. */
+  readonly reason?: RefusalReason | undefined;
   /** Time from arrival to the end of the response, in milliseconds. */
   readonly ms: number;
 }
 
+/** Ranks with a time series of their own: 0 to one less than this. */
+const LABELLED_RANKS = 8;
+
 /** Prometheus metrics of an entry process, in their own registry. */
 export class Metrics {
   readonly #registry = new Registry();
@@ -79,6 +87,7 @@
   readonly #latency;
   readonly #waiting;
   readonly #calls;
+  readonly #overloadRefusals;
   readonly #probeCost;
   readonly #probes;
   readonly #serverRequests;
@@ -119,6 +128,12 @@
       labelNames: ["service", "class", "outcome", "code"],
       registers,
     });
+    this.#overloadRefusals = new Counter({
+      name: "mangobank_overload_refusals_total",
+      help: "Calls refused because of an overload, by rank and reason",
+      labelNames: ["rank", "reason"],
+      registers,
+    });
     this.#probes = new Counter({
       name: "mangobank_probes_total",
       help: "Probes of backend servers",
@@ -199,6 +214,9 @@
     const labels = this.#labels.classLabels(call.service, call.class);
     this.#latency.observe(labels, call.ms / 1_000);
     this.#calls.inc(this.#labels.outcomeLabels(labels, { outcome, code }));
+    const { rank, reason } = call;
+    if (rank === undefined || !reason) return;
+    this.#overloadRefusals.inc({ rank: rankLabel(rank), reason });
   }
 
   /** Records an answer that was not written whole, and who closed it. */
@@ -330,3 +348,10 @@
     });
   }
 }
+
+/** Operators choose ranks freely, so only the first ones are told apart. */
+function rankLabel(rank: number): string {
+  const isLabelled =
+    Number.isInteger(rank) && rank >= 0 && rank < LABELLED_RANKS;
+  return isLabelled ? String(rank) : OTHER_LABEL;
+}
--- a/packages/telemetry/metrics_test.ts
+++ b/packages/telemetry/metrics_test.ts
@@ -117,3 +117,21 @@
   metrics.configure([]);
   assert.doesNotMatch(await metrics.text(), /constructor/);
 });
+
+// Guards against a time series for each rank that an operator makes up.
+test("refusals in an overload are counted by rank and reason", async () => {
+  const metrics = new Metrics({ configurationVersion: () => 12 });
+  metrics.configure([service("alloc", ["booking"])]);
+  const call = { service: "alloc", class: "booking", ms: 4 };
+  for (const rank of [2, 70, 71, 0.5, undefined]) {
+    const refused = { outcome: "not-run", code: "queue_full" } as const;
+    metrics.recordCall({ ...call, ...refused, rank, reason: "no_room" });
+  }
+  const lines = (await metrics.text())
+    .split("\n")
+    .filter((line) => line.startsWith("mangobank_overload_refusals_total"));
+  assert.deepEqual(lines, [
+    'mangobank_overload_refusals_total{rank="2",reason="no_room"} 1',
+    'mangobank_overload_refusals_total{rank="other",reason="no_room"} 3',
+  ]);
+});
