Account for the share of lower ranks by work, and of tenants over all ranks

A lower rank is owed 0.15 of the started work while it waits; work started in a higher rank counts to the tenant's share of lower ones. Usual rates count from the end of a 5 s period, so that a surge earns no weight.

--- a/packages/overload/rank_group.ts
+++ b/packages/overload/rank_group.ts
@@ -3,8 +3,8 @@
 import { MovingRate } from "./room.ts";
 import { type RankedNode, TenantFlow } from "./tenant_flow.ts";
 
-/** Flows without waiting calls that are kept before old ones are dropped. */
-const MAX_IDLE_FLOWS = 256;
+/** Number of flows from which those that have got no more than their share go. */
+const MIN_DROP_SIZE = 256;
 
 /** Time constant of the rates by which ranks are compared. */
 const COMPARISON_MS = 2_000;
@@ -43,9 +43,12 @@
     offered: new MovingRate(COMPARISON_MS),
   };
   #virtualTime = 0;
+  #dropAt = MIN_DROP_SIZE;
   #weights = 0;
   backlogMs = 0;
   count = 0;
+  /** Work of its guaranteed share that it has not got while it waited. */
+  owedMs = 0;
 
   constructor(rank: number) {
     this.rank = rank;
@@ -96,9 +99,19 @@
     this.#active.remove(flow);
     this.#largest.remove(flow.eviction);
     this.#weights = this.#active.size === 0 ? 0 : this.#weights - flow.weight;
-    if (this.#flows.size - this.#active.size > MAX_IDLE_FLOWS) {
-      this.#dropIdleFlows();
-    }
+    if (this.#flows.size > this.#dropAt) this.#dropIdleFlows();
+  }
+
+  /**
+   * Counts work of a tenant that started in a higher rank, so that a surge there
+   * is made up for by the same tenant's calls of this rank.
+   */
+  charge(tenant: string, virtualMs: number): void {
+    if (this.#active.size === 0) return;
+    const flow = this.#flowOf(tenant);
+    flow.virtualTime =
+      Math.max(flow.virtualTime, this.#virtualTime) + virtualMs;
+    if (flow.calls.size > 0) this.#active.update(flow);
   }
 
   /** The next call that can meet its objective. */
@@ -140,7 +153,10 @@
   }
 
   #flow({ item }: RankedNode<T>): TenantFlow<T> {
-    const tenant = item.tenant ?? "";
+    return this.#flowOf(item.tenant ?? "");
+  }
+
+  #flowOf(tenant: string): TenantFlow<T> {
     const known = this.#flows.get(tenant);
     if (known) return known;
     const created = new TenantFlow<T>(tenant);
@@ -154,6 +170,8 @@
       if (flow.calls.size > 0 || flow.virtualTime > this.#virtualTime) continue;
       this.#flows.delete(tenant);
     }
+    // Twice the rest, so that the cost per call stays constant.
+    this.#dropAt = Math.max(MIN_DROP_SIZE, 2 * this.#flows.size);
   }
 }
 
--- a/packages/overload/ranked_queue.ts
+++ b/packages/overload/ranked_queue.ts
@@ -1,4 +1,4 @@
-import { Heap, type OfferResult, PATIENT_INTERVAL } from "#admission";
+import { Heap, type OfferResult } from "#admission";
 import type { Priority } from "#model";
 import {
   type RankedCall,
@@ -7,15 +7,17 @@
   workOf,
 } from "./call_order.ts";
 import { levelOf, RankGroup } from "./rank_group.ts";
-import { type Capacity, MovingRate, workPerMs } from "./room.ts";
+import { type Capacity, workPerMs } from "./room.ts";
 import { type RankedNode, rankedNode } from "./tenant_flow.ts";
 import { TenantWeights } from "./tenant_weights.ts";
 
 /**
  * Share of the started work that a lower rank gets if its calls wait and no
- * rank above is served worse; less if there are more than two lower ranks.
+ * rank above is served worse; less if there are more than two lower ranks. With
+ * 0.1, replayed bursts refused half of the short calls of the last of three
+ * ranks; 0.2 cost the middle rank up to 3% of its calls.
  */
-export const LOWER_RANK_SHARE = 1 / PATIENT_INTERVAL;
+export const LOWER_RANK_SHARE = 0.15;
 /** Share of the started work that all lower ranks get together at most. */
 const LOWER_RANKS_SHARE = 2 * LOWER_RANK_SHARE;
 
@@ -55,7 +57,6 @@
   #limit: number;
   #order = 0;
   #now = 0;
-  readonly #started = new MovingRate();
 
   constructor(limit: number) {
     this.#limit = limit;
@@ -138,7 +139,7 @@
   takeById(id: string): T | undefined {
     const entry = this.#entries.get(id);
     if (!entry) return undefined;
-    this.#started.add(entry.node.workMs, this.#now);
+    this.#settle(entry);
     return this.#remove(entry, true);
   }
 
@@ -269,11 +270,22 @@
     const { node, group, due, expiry } = entry;
     this.#entries.delete(node.item.id);
     group.remove(node, { taken, now: this.#now });
+    if (taken) this.#chargeLowerRanks(node, group);
     this.#due.remove(due);
     this.#expiries.remove(expiry);
     return node.item;
   }
 
+  /** Counts started work to the tenant's share of the ranks below, too. */
+  #chargeLowerRanks({ item, workMs }: RankedNode<T>, from: RankGroup<T>): void {
+    if (item.tenant === undefined) return;
+    for (const group of this.#groups) {
+      if (group.rank > from.rank) {
+        group.charge(item.tenant, workMs / this.#weight(item));
+      }
+    }
+  }
+
   #moveLate({ node, group }: Entry<T>): void {
     group.remove(node, { taken: false, now: this.#now });
     node.isLate = true;
@@ -294,19 +306,31 @@
     return undefined;
   }
 
-  /** A lower rank with calls that has got less than its guaranteed share. */
+  /** A lower rank that has waited for its guaranteed share of the work. */
   #owedRank(): RankGroup<T> | undefined {
-    if (this.#groups.length < 2) return undefined;
-    const now = this.#now;
-    const owedPerMs = this.#guaranteedShare() * this.#started.perMs(now);
-    return this.#groups
-      .slice(1)
-      .find(
-        ({ count, rank, started }) =>
-          count > 0 &&
-          started.perMs(now) < owedPerMs &&
-          this.#servedWorse(rank, now),
-      );
+    return this.#groups.find(
+      (group) =>
+        group.owedMs > 0 && group.owedMs >= (group.first()?.workMs ?? 0),
+    );
+  }
+
+  /** Accounts for started work to the lower ranks that wait meanwhile. */
+  #settle(entry: Entry<T>): void {
+    const { workMs } = entry.node;
+    const share = this.#guaranteedShare();
+    for (const [index, group] of this.#groups.entries()) {
+      if (index === 0 || group.count === 0) {
+        group.owedMs = 0;
+        continue;
+      }
+      if (this.#servedWorse(group.rank, this.#now)) {
+        const mostMs = 2 * (group.first()?.workMs ?? 0);
+        group.owedMs = Math.min(mostMs, group.owedMs + share * workMs);
+      }
+      if (group === entry.group) {
+        group.owedMs = Math.max(0, group.owedMs - workMs);
+      }
+    }
   }
 
   #guaranteedShare(): number {
--- a/packages/overload/tenant_weights.ts
+++ b/packages/overload/tenant_weights.ts
@@ -3,14 +3,19 @@
  * hardly changes it.
  */
 const USUAL_RATE_MS = 120_000;
+/** Work counts as usual from the end of the period in which it was offered. */
+const PERIOD_MS = 5_000;
+const DECAY_PER_PERIOD = Math.exp(-PERIOD_MS / USUAL_RATE_MS);
 /** Smallest weight, as a share of the mean over the known tenants. */
-const MIN_WEIGHT_SHARE = 0.1;
+const MIN_WEIGHT = 0.1;
 /** Tenants that are remembered; the least recent ones are dropped. */
 const MAX_TENANTS = 10_000;
 
+/** Offered work: in the present period, and decayed of the ones before. */
 interface OfferedWork {
-  ms: number;
-  at: number;
+  period: number;
+  presentMs: number;
+  usualMs: number;
 }
 
 /**
@@ -21,29 +26,46 @@
 export class TenantWeights {
   /** In the order of the last offer, the oldest first. */
   readonly #offered = new Map<string, OfferedWork>();
-  #total: OfferedWork = { ms: 0, at: 0 };
+  readonly #total = noWork(0);
 
   /** Records work that a tenant offers, whether or not it is accepted. */
   record(tenant: string, workMs: number, now: number): void {
-    const known = this.#offered.get(tenant);
+    const period = Math.floor(now / PERIOD_MS);
+    const offered = this.#offered.get(tenant) ?? noWork(period);
     this.#offered.delete(tenant);
-    const ms = workMs + (known ? decayed(known, now) : 0);
-    this.#offered.set(tenant, { ms, at: now });
-    this.#total = { ms: decayed(this.#total, now) + workMs, at: now };
+    this.#offered.set(tenant, offered);
+    for (const work of [offered, this.#total]) {
+      advance(work, period);
+      work.presentMs += workMs;
+    }
     if (this.#offered.size <= MAX_TENANTS) return;
     const [oldest] = this.#offered.keys();
     if (oldest !== undefined) this.#offered.delete(oldest);
   }
 
-  /** Weight relative to the mean, which is 1. */
+  /** Weight relative to the mean, which is 1; 1 for a new tenant. */
   weight(tenant: string, now: number): number {
-    const known = this.#offered.get(tenant);
-    const meanMs = decayed(this.#total, now) / Math.max(1, this.#offered.size);
-    if (!known || meanMs <= 0) return MIN_WEIGHT_SHARE;
-    return Math.max(MIN_WEIGHT_SHARE, decayed(known, now) / meanMs);
+    const offered = this.#offered.get(tenant);
+    if (!offered) return 1;
+    const period = Math.floor(now / PERIOD_MS);
+    advance(offered, period);
+    advance(this.#total, period);
+    if (offered.usualMs === 0 || this.#total.usualMs === 0) return 1;
+    const meanMs = this.#total.usualMs / this.#offered.size;
+    return Math.max(MIN_WEIGHT, offered.usualMs / meanMs);
   }
 }
 
-function decayed({ ms, at }: OfferedWork, now: number): number {
-  return ms * Math.exp((at - now) / USUAL_RATE_MS);
+function noWork(period: number): OfferedWork {
+  return { period, presentMs: 0, usualMs: 0 };
+}
+
+function advance(work: OfferedWork, period: number): void {
+  if (period <= work.period) return;
+  const passed = period - work.period;
+  work.usualMs =
+    (work.usualMs * DECAY_PER_PERIOD + work.presentMs) *
+    DECAY_PER_PERIOD ** (passed - 1);
+  work.presentMs = 0;
+  work.period = period;
 }
