--- a/packages/entry/call_admission.ts
+++ b/packages/entry/call_admission.ts
@@ -46,6 +46,10 @@
   /** The tenant of the request; undefined without one or before `admit`. */
   get tenant(): string | undefined {
     return this.#call?.access?.tenant;
+
+  /** The call's rank; undefined before `admit`, or if it has none. */
+  get rank(): number | undefined {
+    return this.#call?.rank;
   }
 
   /** Whether the request is identified by its key; true for unknown classes. */
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -449,6 +449,8 @@
       class: className,
       outcome,
       ...(fault && { code: fault.code }),
+      rank: this.#admission.rank,
+      reason: fault?.reason,
       ms,
     });
     logger.info("call", {
@@ -456,11 +458,13 @@
       call: this.#exchange.id,
       service: clip(service),
       class: className,
+      rank: this.#admission.rank,
       route: route && clip(route),
       tenant: this.#admission.tenant,
       outcome,
       code: fault?.code,
       detail: fault?.detail,
+      reason: fault?.reason,
       retryAfterMs: fault?.retryAfterMs,
       stopped: this.#stopReason,
       objectiveMs: this.#admission.classified?.class.targetMs,
