--- a/packages/entry/call_admission.ts
+++ b/packages/entry/call_admission.ts
@@ -46,6 +46,7 @@
   /** The tenant of the request; undefined without one or before `admit`. */
   get tenant(): string | undefined {
     return this.#call?.access?.tenant;
+  }
 
   /** The call's rank; undefined before `admit`, or if it has none. */
   get rank(): number | undefined {
