--- a/packages/quotas/index.ts
+++ b/packages/quotas/index.ts
@@ -4,21 +4,12 @@
  *
  * @module
  */
-export {
-  Account,
-  type Decide,
-  type QuotaDecision,
-  type RefusalBasis,
-} from "./account.ts";
-export { EntryCount } from "./entry_count.ts";
+export type { QuotaDecision, RefusalBasis } from "./account.ts";
 export {
   DEFAULT_QUOTA_BOUNDS,
-  EMPTY_QUOTA_TABLE,
   type QuotaBounds,
   type QuotaTable,
   quotaTable,
-  type TenantLimit,
-  VOTE_MARGIN_MS,
 } from "./limits.ts";
 export { QUOTA_DECODERS } from "./message_decoders.ts";
 export type {
