Read answers before requests are refused after a stall

Cause: at a small host the processor is taken from a process for up to 100 ms, after which requests that had waited 150 ms were refused although answers had come.

Change: after a gap between two ticks a request waits for up to 300 ms.

--- a/packages/quotas/quota_client.ts
+++ b/packages/quotas/quota_client.ts
@@ -170,11 +170,13 @@
     const gapMs = now - this.#tickedAt;
     this.#tickedAt = now;
     // Answers that came during a stall of this process are read first.
-    if (gapMs < STALL_MS && this.#links.checkAnswers(now).length > 0) {
+    const isStalled = gapMs >= STALL_MS;
+    if (!isStalled && this.#links.checkAnswers(now).length > 0) {
       this.#askOthers(now);
     }
+    const maxWaitMs = isStalled ? 2 * MAX_WAIT_MS : MAX_WAIT_MS;
     for (const account of this.#waiting) {
-      const overdue = account.waitingSince(now - MAX_WAIT_MS);
+      const overdue = account.waitingSince(now - maxWaitMs);
       for (let i = 0; i < overdue; i++) {
         account.endWaits(1, this.#withoutOwner(account, now));
       }
--- a/packages/quotas/quota_client_test.ts
+++ b/packages/quotas/quota_client_test.ts
@@ -190,3 +190,16 @@
   later.tick(START, START + 200);
   assert.equal(later.late[0]?.type, "unavailable");
 });
+
+// Guards against refusals at a small host whose processor was taken from it.
+test("after a stall of the process the answers that came are read first", () => {
+  const test = new TestClient();
+  test.settle();
+  test.tick(START - 20, START);
+  test.take(START);
+  const question = test.flush(START);
+  test.client.tick(START + 200);
+  assert.equal(test.late.length, 0);
+  test.answer(question, { now: START + 201, grants: [["t", 1, 0]] });
+  assert.equal(test.late[0]?.type, "admitted");
+});
