Test what crowds of untrusted clients do to a process

Clients that nobody controls have ended processes of similar systems. No test starts such a crowd.

Tests start a control host, an entry and two servers on loopback addresses and connect 300 clients of each kind: unfinished and endless bodies, heads with many fields, pipelined requests with unread answers, and slow or silent clients. They check that the process lives, stays under 190 MB (the 202 MB of the smallest host less 6%) and under its descriptors (less the 200 that the platform keeps), and answers an ordinary request. scripts/test.mjs runs them last, one at a time.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -33,6 +33,11 @@
   "platform",
 ];
 const DEPLOYMENTS_AT_A_TIME = 2;
+/**
+ * Files that load a process with crowds of clients. They run one at a time after
+ * all others, so that its memory and answers show the effect of the crowd alone.
+ */
+const CROWD_FILES = /^platform\/clients_\w+_test\.ts$/;
 
 /** Runs test files; returns the exit status and the names of failed tests. */
 function runFiles(testFiles, runnerOptions = []) {
@@ -56,13 +61,16 @@
   return { status: run.status ?? 1, failed };
 }
 
+const isCrowd = (file) => CROWD_FILES.test(file);
 const isDeployment = (file) =>
+  !isCrowd(file) &&
   DEPLOYMENT_FOLDERS.some((folder) => file.startsWith(`${folder}/`));
 const runs = [
-  runFiles(files.filter((file) => !isDeployment(file))),
+  runFiles(files.filter((file) => !isDeployment(file) && !isCrowd(file))),
   runFiles(files.filter(isDeployment), [
     `--test-concurrency=${DEPLOYMENTS_AT_A_TIME}`,
   ]),
+  runFiles(files.filter(isCrowd), ["--test-concurrency=1"]),
 ];
 const failed = runs.flatMap((run) => run.failed);
 const knownFailures = readKnownFailures();
