Bound what clients make a process hold

A read of a client has up to 64 KiB, with thousands of requests or chunks. Node parsed it at once, and nothing bounded what all clients together made a process hold.

Connections are parsed in bounded turns: up to the end of one head, 4 KiB of a chunked body, or the rest of a body of known length; at most 4 unanswered requests.

--- /dev/null
+++ b/packages/client_limits/client_account_test.ts
@@ -0,0 +1,93 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ClientAccount, CONNECTION_BYTES } from "./client_account.ts";
+import { clientBounds } from "./client_bounds.ts";
+
+const BODY_BYTES = 65_536;
+
+function makeAccount(bounds = {}) {
+  return new ClientAccount<string>({
+    heldBytesMax: 33_000_000,
+    connectionsMax: 1_400,
+    ...bounds,
+  });
+}
+
+/** Closes what the account says, and returns it. */
+function evict(account: ClientAccount<string>): string[] {
+  const names = account.evictions().map(({ connection }) => connection);
+  for (const name of names) account.close(name);
+  return names;
+}
+
+// Guards against unfinished bodies that fill the memory of the host.
+test("unfinished bodies stay under the bound and spare whole requests", () => {
+  const account = makeAccount();
+  account.open("ordinary", 0);
+  account.charge("ordinary", BODY_BYTES);
+  account.progress("ordinary", 0);
+  const evicted: string[] = [];
+  for (let index = 0; index < 1_000; index++) {
+    account.open(`crowd-${index}`, index + 1);
+    account.charge(`crowd-${index}`, BODY_BYTES);
+    evicted.push(...evict(account));
+    assert.ok(account.heldBytes <= 33_000_000);
+  }
+  assert.ok(evicted.length > 0);
+  assert.ok(!evicted.includes("ordinary"));
+  assert.equal(evicted[0], "crowd-0");
+});
+
+// Guards against silent connections that take all descriptors.
+test("silent connections make room, and idle ones that served stay", () => {
+  const account = makeAccount({ connectionsMax: 100 });
+  for (let index = 0; index < 50; index++) {
+    account.open(`served-${index}`, index);
+    account.progress(`served-${index}`, index);
+  }
+  for (let index = 0; index < 300; index++) {
+    account.open(`silent-${index}`, 100 + index);
+    for (const name of evict(account)) assert.match(name, /^silent/);
+    assert.ok(account.connections <= 100);
+  }
+});
+
+// Guards against clients that complete one request and then read no answer.
+test("of connections that completed requests the longest stuck goes first", () => {
+  const account = makeAccount({ heldBytesMax: 10 * CONNECTION_BYTES });
+  for (const [name, at] of [
+    ["stuck", 1],
+    ["recent", 5],
+  ] as const) {
+    account.open(name, at);
+    account.progress(name, at);
+    account.charge(name, 5 * CONNECTION_BYTES);
+  }
+  assert.deepEqual(evict(account), ["stuck"]);
+});
+
+test("connections that hold nothing are not closed for memory", () => {
+  const account = makeAccount({ heldBytesMax: 4 * CONNECTION_BYTES });
+  account.open("silent", 0);
+  account.open("full", 1);
+  account.charge("full", 4 * CONNECTION_BYTES);
+  assert.deepEqual(evict(account), ["full"]);
+});
+
+// Guards against a charge that outlives its connection.
+test("a closed connection is charged for nothing", () => {
+  const account = makeAccount();
+  account.open("a", 0);
+  account.charge("a", BODY_BYTES);
+  account.close("a");
+  account.charge("a", BODY_BYTES);
+  assert.equal(account.heldBytes, 0);
+});
+
+test("bounds follow the host and keep descriptors for others", () => {
+  const bounds = clientBounds({ memoryMb: 202, descriptorsMax: 2_069 });
+  assert.equal(bounds.connectionsMax, 1_401);
+  assert.ok(bounds.heldBytesMax < 34_000_000);
+  const unknown = { memoryMb: undefined, descriptorsMax: undefined };
+  assert.equal(clientBounds(unknown).heldBytesMax, Number.POSITIVE_INFINITY);
+});
--- /dev/null
+++ b/packages/client_limits/client_bounds.ts
@@ -0,0 +1,46 @@
+/** Bounds of a process on what all its clients together make it hold. */
+export interface ClientBounds {
+  /** Bytes of bodies, heads, unsent answers and connections. */
+  readonly heldBytesMax: number;
+  /** Open connections of clients. */
+  readonly connectionsMax: number;
+}
+
+/** What a host gives to one process. */
+export interface HostResources {
+  readonly memoryMb: number | undefined;
+  readonly descriptorsMax: number | undefined;
+}
+
+/**
+ * Part of the memory that clients may make a process hold. The program takes 90 to
+ * 120 MB of the smallest host's 202 MB, and garbage up to as much as is held.
+ */
+const CLIENT_MEMORY_SHARE = 1 / 6;
+/** Descriptors that the platform keeps for files. */
+const FILE_DESCRIPTORS = 200;
+/** Part of the other descriptors that clients may use; servers, peers and control use the rest. */
+const CLIENT_DESCRIPTOR_SHARE = 3 / 4;
+const BYTES_PER_MB = 1_000_000;
+
+/** The bounds that follow from a host's resources; unbounded where they are unknown. */
+export function clientBounds({
+  memoryMb,
+  descriptorsMax,
+}: HostResources): ClientBounds {
+  return {
+    heldBytesMax:
+      memoryMb === undefined
+        ? Number.POSITIVE_INFINITY
+        : memoryMb * BYTES_PER_MB * CLIENT_MEMORY_SHARE,
+    connectionsMax:
+      descriptorsMax === undefined
+        ? Number.POSITIVE_INFINITY
+        : Math.max(
+            1,
+            Math.floor(
+              (descriptorsMax - FILE_DESCRIPTORS) * CLIENT_DESCRIPTOR_SHARE,
+            ),
+          ),
+  };
+}
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -24,7 +24,7 @@
 import { cutOffFault } from "./final_fault.ts";
 import type { HandoverOrigin, HandoverRefusal } from "./handover_protocol.ts";
 import type { ClaimDecision } from "./key_claims.ts";
-import { type RequestBody, readBody } from "./request_body.ts";
+import { type RequestBody, readBody, watchBodyLimit } from "./request_body.ts";
 import { type StopReason, stopFault } from "./server_attempt.ts";
 import { settlementOf } from "./settlement.ts";
 import type { StopSchedule } from "./stop_schedule.ts";
@@ -158,6 +158,10 @@
       this.#failBeforeClaim(body.error);
       return;
     }
+    if (body.value.rest)
+      watchBodyLimit(this.#exchange.request, bodyLimits(), (detail) =>
+        this.#refuseBody(detail),
+      );
     this.#startDeadline(call);
     await this.#serve({ call, chain, body: body.value });
   }
@@ -192,6 +196,14 @@
     else this.#failBeforeClaim(cutOffFault());
   }
 
+  /** Ends the call, a part of whose body a server may have. */
+  #refuseBody(detail: string): void {
+    const outcome = this.#mayHaveRun ? "unknown" : "not-run";
+    const fault = callFault("body_too_large", { outcome, detail });
+    this.#reply.fail(this.#admission.faultBeforeClaim(fault));
+    this.#stop("caller_closed");
+  }
+
   #failBeforeClaim(fault: CallFault): void {
     this.#reply.fail(this.#admission.faultBeforeClaim(fault));
   }
--- a/packages/entry/call_reply.ts
+++ b/packages/entry/call_reply.ts
@@ -44,6 +44,10 @@
 
   /** Forwards a server's response. */
   forward(backendResponse: BackendResponse): void {
+    if (this.#ended) {
+      backendResponse.stream?.destroy();
+      return;
+    }
     const { requestId, protocol, isHandedOver } = this.#options;
     const headers = protocol.responseHeaders(backendResponse.rawHeaders, {
       outcome: "answered",
@@ -55,6 +59,10 @@
 
   /** Forwards the response of the entry to which the call was passed on. */
   forwardHandedOver(answer: BackendResponse, outcome: Outcome): void {
+    if (this.#ended) {
+      answer.stream?.destroy();
+      return;
+    }
     const headers = endToEndHeaders(answer.rawHeaders, HANDOVER_HEADER_NAMES);
     this.#write(answer, headers, outcome);
   }
@@ -92,6 +100,7 @@
 
   /** Sends the stored response of an earlier call with the same key. */
   replay({ status, headers, body }: StoredAnswer): void {
+    if (this.#ended) return;
     const { response, requestId, isHandedOver } = this.#options;
     response.writeHead(status, [
       ...headers.flat(),
@@ -106,11 +115,13 @@
   }
 
   fail(fault: CallFault): void {
+    if (this.#ended) return;
     this.#fail(fault, {});
   }
 
   /** Tells the entry that passed the call on to ask another one. */
   refuseHandedOver(reason: HandoverRefusal): void {
+    if (this.#ended) return;
     const detail = `handed-over call refused: ${reason}`;
     const fault = callFault("no_server", { detail });
     this.#fail(fault, { [HANDOVER_HEADERS.refused]: reason });
--- a/packages/entry/caller_server.ts
+++ b/packages/entry/caller_server.ts
@@ -11,6 +11,7 @@
 } from "#model";
 import type { EntryLimits } from "#settings";
 import {
+  type ClientGuard,
   type HttpFailure,
   type HttpHandler,
   HttpServer,
@@ -35,6 +36,8 @@
     onDropped?: (request: IncomingMessage) => void;
     /** Called for a request whose handling threw or rejected. */
     onFailure?: (failure: HttpFailure) => void;
+    /** Bounds what callers make the process hold; default: no bound. */
+    guard?: ClientGuard | undefined;
   }) {
     const { limits, handleApi, handleCall, handleHandedOver } = options;
     const { onDropped, onFailure } = options;
@@ -50,6 +53,7 @@
         isUnusedUntilRead: (request) =>
           handleApi !== undefined && isApiRequest(request),
         connectionsMax: limits.connectionsMax,
+        guard: options.guard,
         ...(onDropped && { onDropped }),
         ...(onFailure && { onFailure }),
       },
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -20,9 +20,16 @@
 } from "#presence";
 import { checkIdentity, Registrations } from "#registration";
 import type { EntrySettings } from "#settings";
-import { endpointFailures, type Logger, Metrics, OwnTasks } from "#telemetry";
+import {
+  closedClients,
+  endpointFailures,
+  type Logger,
+  Metrics,
+  OwnTasks,
+} from "#telemetry";
 import { KeyAccess } from "#tenants";
 import {
+  ClientGuard,
   createLoggedNetwork,
   type Hello,
   type ListenFault,
@@ -81,6 +88,8 @@
   readonly #usableServers = new UsableServers();
   readonly #metrics: Metrics;
   readonly #callerServer: CallerServer;
+  /** Shared with the servers of other ports; undefined if clients are unbounded. */
+  readonly clientGuard: ClientGuard | undefined;
   readonly #adminServer: AdminServer;
   readonly #tasks: OwnTasks;
   readonly #keyAccess: KeyAccess;
@@ -225,7 +234,15 @@
       addresses: (dataCentre) => this.addresses(dataCentre),
       ready: () => this.#follower.isFresh(),
     });
+    this.clientGuard =
+      settings.clients &&
+      new ClientGuard({
+        bounds: settings.clients,
+        clock,
+        onClosed: closedClients(logger, clock),
+      });
     this.#callerServer = new CallerServer({
+      guard: this.clientGuard,
       onFailure: endpointFailures("callers", logger),
       limits: settings.limits,
       handleApi: options.protocol
--- a/packages/entry/request_body.ts
+++ b/packages/entry/request_body.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import { type CallFault, callFault } from "#model";
+import { BodyBuffer, TrackedRequest } from "#wire";
 
 /**
  * Bytes of a body that are buffered, for retries, fingerprints and the
@@ -23,7 +24,7 @@
   readonly timeoutMs: number;
 }
 
-export const EMPTY_BODY: RequestBody = bufferedBody([]);
+export const EMPTY_BODY: RequestBody = bufferedBody(Buffer.alloc(0));
 
 /**
  * Reads the first part of a body. To be called before a slot of a backend
@@ -45,8 +46,7 @@
     return Promise.resolve(ok(EMPTY_BODY));
   }
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let length = 0;
+    const buffer = new BodyBuffer(request);
     const finish = (result: Result<RequestBody, CallFault>) => {
       clearTimeout(timer);
       request.off("data", onData);
@@ -55,20 +55,19 @@
       resolve(result);
     };
     const onData = (chunk: Buffer) => {
-      chunks.push(chunk);
-      length += chunk.length;
-      if (length <= MAX_BUFFERED_BODY_BYTES) return;
+      buffer.append(chunk);
+      if (buffer.length <= MAX_BUFFERED_BODY_BYTES) return;
       request.pause();
       const isDeclared = headers["content-length"] !== undefined;
       finish(
         ok({
-          head: Buffer.concat(chunks),
+          head: buffer.take(),
           rest: request,
           length: isDeclared ? declared : undefined,
         }),
       );
     };
-    const onEnd = () => finish(ok(bufferedBody(chunks)));
+    const onEnd = () => finish(ok(bufferedBody(buffer.take())));
     const onClose = () => {
       const detail = "the caller closed the connection";
       finish(err(callFault("request_timeout", { detail })));
@@ -78,13 +77,31 @@
       const detail = `body did not arrive within ${limits.timeoutMs} ms`;
       finish(err(callFault("request_timeout", { detail })));
     }, limits.timeoutMs);
+    watchBodyLimit(request, limits, (detail) =>
+      finish(err(callFault("body_too_large", { detail }))),
+    );
     request.on("data", onData);
     request.once("end", onEnd);
     request.once("close", onClose);
   });
 }
 
-function bufferedBody(chunks: readonly Buffer[]): RequestBody {
-  const head = Buffer.concat(chunks);
+/**
+ * Calls back with a fault once a body whose length only its end tells exceeds the
+ * limit; the rest of it is discarded.
+ */
+export function watchBodyLimit(
+  request: IncomingMessage,
+  { maxBytes }: BodyLimits,
+  onExcess: (detail: string) => void,
+): void {
+  if (request.headers["content-length"] !== undefined) return;
+  if (!(request instanceof TrackedRequest)) return;
+  request.limitBody(maxBytes, () =>
+    onExcess(`body has more than the ${maxBytes} bytes that are accepted`),
+  );
+}
+
+function bufferedBody(head: Buffer): RequestBody {
   return { head, rest: undefined, length: head.length };
 }
--- a/packages/model/boundaries_test.ts
+++ b/packages/model/boundaries_test.ts
@@ -17,6 +17,7 @@
   quarantine: ["model"],
   reachability: ["model"],
   tenants: ["model"],
+  client_limits: [],
 };
 
 const IMPURE_GLOBALS =
--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -1,3 +1,4 @@
+import type { ClientBounds } from "#client_limits";
 import type { Address, DataCentre, HostId } from "#model";
 
 /** Limits of an entry process. */
@@ -53,6 +54,11 @@
    * nowhere, in milliseconds; no bound if absent.
    */
   readonly revokeWithinMs?: number | undefined;
+  /**
+   * Bounds on what callers and other clients make the process hold; unbounded if
+   * absent.
+   */
+  readonly clients?: ClientBounds | undefined;
   /** Limit on retries, that is on sends of a call after its first one. */
   readonly resendLimit?: ResendLimit;
   readonly limits: EntryLimits;
--- a/packages/telemetry/index.ts
+++ b/packages/telemetry/index.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./bounded_log_stream.ts";
+export * from "./closed_clients.ts";
 export * from "./control_metrics.ts";
 export * from "./failures.ts";
 export * from "./line_limiter.ts";
--- a/packages/telemetry/process_metrics.ts
+++ b/packages/telemetry/process_metrics.ts
@@ -1,5 +1,6 @@
 import { collectDefaultMetrics, Gauge, type Registry } from "prom-client";
 import { BUILD } from "#model";
+import { registerClosedClients } from "./closed_clients.ts";
 import { registerFailures } from "./failures.ts";
 
 /**
@@ -16,6 +17,7 @@
     eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLING_MS,
   });
   registerFailures(registry);
+  registerClosedClients(registry);
   new Gauge({
     name: "mangobank_build_info",
     help: "1 for the build that this process runs",
--- /dev/null
+++ b/packages/wire/client_guard.ts
@@ -0,0 +1,114 @@
+import type { Socket } from "node:net";
+import {
+  ClientAccount,
+  type ClientBounds,
+  type ClientLimit,
+  FIELD_BYTES,
+  REQUEST_BYTES,
+} from "#client_limits";
+import type { Clock } from "#model";
+import type { TrackedResponse } from "./http_connections.ts";
+import type { TrackedRequest } from "./tracked_request.ts";
+
+/** How often the bytes in the buffers of sockets are charged. */
+const BUFFER_CHECK_INTERVAL_MS = 200;
+
+/** A connection that was closed because clients make the process hold too much. */
+export interface ClosedClient {
+  readonly limit: ClientLimit;
+  readonly address: string | undefined;
+  /** Bytes that it was charged for. */
+  readonly heldBytes: number;
+}
+
+/**
+ * Reports what clients make the process hold to the account that all its servers
+ * share, and closes the connections that the account names.
+ */
+export class ClientGuard {
+  readonly #account: ClientAccount<Socket>;
+  readonly #clock: Clock;
+  readonly #onClosed: (closed: ClosedClient) => void;
+  /** Bytes in the buffers of each socket, as they were charged last. */
+  readonly #buffered = new Map<Socket, number>();
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: {
+    readonly bounds: ClientBounds;
+    readonly clock: Clock;
+    readonly onClosed: (closed: ClosedClient) => void;
+  }) {
+    this.#account = new ClientAccount(options.bounds);
+    this.#clock = options.clock;
+    this.#onClosed = options.onClosed;
+  }
+
+  /** Bytes that clients make the process hold. */
+  get heldBytes(): number {
+    return this.#account.heldBytes;
+  }
+
+  /** Follows a connection until it closes. */
+  open(socket: Socket): void {
+    this.#account.open(socket, this.#clock.now());
+    this.#buffered.set(socket, 0);
+    socket.once("close", () => {
+      this.#account.close(socket);
+      this.#buffered.delete(socket);
+      if (this.#buffered.size > 0) return;
+      clearInterval(this.#timer);
+      this.#timer = undefined;
+    });
+    this.#timer ??= setInterval(
+      () => this.#chargeBuffers(),
+      BUFFER_CHECK_INTERVAL_MS,
+    ).unref();
+    this.#evict();
+  }
+
+  /** Charges a request to its connection until it has its whole answer. */
+  add(request: TrackedRequest, response: TrackedResponse): void {
+    const { socket } = request;
+    const fields = request.rawHeaders.length / 2;
+    this.#account.charge(socket, REQUEST_BYTES + fields * FIELD_BYTES);
+    let bodyBytes = 0;
+    request.onHeld = (bytes) => {
+      bodyBytes += bytes;
+      this.#account.charge(socket, bytes);
+      this.#evict();
+    };
+    request.once("end", () => this.#progress(socket));
+    response.once("close", () => {
+      request.onHeld = undefined;
+      const bytes = REQUEST_BYTES + fields * FIELD_BYTES + bodyBytes;
+      this.#account.charge(socket, -bytes);
+      if (response.writableFinished) this.#progress(socket);
+    });
+    this.#evict();
+  }
+
+  #progress(socket: Socket): void {
+    this.#account.progress(socket, this.#clock.now());
+  }
+
+  #chargeBuffers(): void {
+    for (const [socket, charged] of this.#buffered) {
+      const bytes = socket.readableLength + socket.writableLength;
+      if (bytes === charged) continue;
+      this.#account.charge(socket, bytes - charged);
+      this.#buffered.set(socket, bytes);
+    }
+    this.#evict();
+  }
+
+  #evict(): void {
+    if (!this.#account.isExceeded) return;
+    for (const { connection, limit, heldBytes } of this.#account.evictions()) {
+      const { remoteAddress: address } = connection;
+      // It emits `close` later, but must not be named again until then.
+      this.#account.close(connection);
+      connection.destroy();
+      this.#onClosed({ limit, address, heldBytes });
+    }
+  }
+}
--- a/packages/wire/http_connections.ts
+++ b/packages/wire/http_connections.ts
@@ -5,6 +5,9 @@
   ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
+import type { ClientGuard } from "./client_guard.ts";
+import { ConnectionFeed, TurnQueue } from "./connection_feed.ts";
+import type { TrackedRequest } from "./tracked_request.ts";
 
 /**
  * Time for which a connection is still read after the server has ended its
@@ -17,7 +20,7 @@
 export type ConnectionEnd = "client" | "server";
 
 /** A response whose connection is tracked. */
-export class TrackedResponse extends ServerResponse<IncomingMessage> {
+export class TrackedResponse extends ServerResponse<TrackedRequest> {
   /** Who closed the connection before the answer was written; else undefined. */
   brokenBy: ConnectionEnd | undefined;
   /**
@@ -47,21 +50,49 @@
   latest: TrackedResponse | undefined;
   /** Whether an answer has said that the connection ends with it. */
   ending: boolean;
+  /** Requests that have been read. */
+  requests: number;
+  /** The latest request. */
+  latestRequest: TrackedRequest | undefined;
+  /** Requests that came behind the last answer. */
+  dropped: number;
+  feed: ConnectionFeed | undefined;
 }
 
+/** Requests behind the last answer that are read, so that they are counted. */
+const DROPPED_REQUESTS_MAX = 4;
+
 /** The connections of a server, and what each of them still waits for. */
 export class HttpConnections {
   readonly #connections = new Map<Socket, HttpConnection>();
+  readonly #turns = new TurnQueue();
+  readonly #guard: ClientGuard | undefined;
   #closing = false;
 
+  /** With a guard, what clients make the process hold is bounded. */
+  constructor(guard?: ClientGuard) {
+    this.#guard = guard;
+  }
+
   /** Follows a connection until it is closed. */
-  open(socket: Socket): void {
+  open(socket: Socket, { isClient = true } = {}): void {
     const connection: HttpConnection = {
       pending: new Set(),
       latest: undefined,
       ending: false,
+      requests: 0,
+      latestRequest: undefined,
+      dropped: 0,
+      feed: undefined,
     };
     this.#connections.set(socket, connection);
+    if (isClient) {
+      connection.feed = new ConnectionFeed(socket, {
+        state: () => feedState(connection),
+        turns: this.#turns,
+      });
+      this.#guard?.open(socket);
+    }
     // Node calls this after an answer with `Connection: close`.
     socket.destroySoon = () => linger(socket);
     let failed = false;
@@ -80,15 +111,23 @@
    * with an earlier answer, so that the request can't be answered; its client
    * may repeat it.
    */
-  add(socket: Socket, response: TrackedResponse): boolean {
-    const connection = this.#connections.get(socket);
-    if (!connection || connection.ending) return false;
+  add(request: TrackedRequest, response: TrackedResponse): boolean {
+    const connection = this.#connections.get(request.socket);
+    if (!connection) return false;
+    connection.requests += 1;
+    connection.latestRequest = request;
+    if (connection.ending) {
+      connection.dropped += 1;
+      return false;
+    }
     connection.pending.add(response);
     connection.latest = response;
     response.once("close", () => {
       connection.pending.delete(response);
       if (connection.latest === response) connection.latest = undefined;
+      connection.feed?.onAnswered();
     });
+    if (connection.feed) this.#guard?.add(request, response);
     response.onHead = () => {
       if (connection.latest !== response) return;
       if (this.#closing && !response.isStreamed)
@@ -149,6 +188,11 @@
     else finish();
   }
 
+  /** Parses no more of a connection that is a tunnel, or is refused. */
+  endParsing(socket: Socket): void {
+    this.#connections.get(socket)?.feed?.end();
+  }
+
   /** Ends all connections on which nothing is owed. */
   endIdle(): void {
     for (const [socket, connection] of this.#connections) {
@@ -164,6 +208,17 @@
   }
 }
 
+function feedState(connection: HttpConnection) {
+  const { pending, requests, latestRequest, dropped } = connection;
+  const isReading = latestRequest !== undefined && !latestRequest.complete;
+  return {
+    pendingRequests: pending.size,
+    requests,
+    isOver: dropped >= DROPPED_REQUESTS_MAX,
+    incomplete: isReading ? latestRequest : undefined,
+  };
+}
+
 /** Ends the server's side of a connection and discards what still arrives. */
 function linger(socket: Socket): void {
   if (socket.destroyed) return;
--- a/packages/wire/http_server.ts
+++ b/packages/wire/http_server.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from "node:crypto";
 import {
   createServer,
-  IncomingMessage,
+  type IncomingMessage,
   type Server,
   type ServerOptions,
 } from "node:http";
@@ -13,6 +13,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { Result } from "neverthrow";
 import type { Address, Clock } from "#model";
+import type { ClientGuard } from "./client_guard.ts";
 import { HttpConnections, TrackedResponse } from "./http_connections.ts";
 import {
   answerFailure,
@@ -20,6 +21,7 @@
   httpFailure,
 } from "./http_failure.ts";
 import { type ListenFault, listen } from "./listen.ts";
+import { TrackedRequest } from "./tracked_request.ts";
 
 /** How often to check whether all requests that were read are answered. */
 const DRAIN_CHECK_INTERVAL_MS = 20;
@@ -31,8 +33,20 @@
  */
 const MAX_IDLE_CONNECTION_MS = 2 ** 31 - 1 - 1_000;
 
+/**
+ * Fields of a head that are read; a request with more gets 431. Node reads as many
+ * by default and drops the others without a notice.
+ */
+const HEADER_FIELDS_MAX = 2_000;
+const TOO_MANY_FIELDS = JSON.stringify({
+  error: "header_too_large",
+  detail: `at most ${HEADER_FIELDS_MAX} header fields are accepted`,
+});
+
 export interface HttpServerOptions extends ServerOptions {
   readonly connectionsMax?: number;
+  /** Bounds what clients make the process hold; default: no bound. */
+  readonly guard?: ClientGuard | undefined;
   /** Called for a request that came behind the last answer of a connection. */
   readonly onDropped?: (request: IncomingMessage) => void;
   /**
@@ -56,8 +70,8 @@
 
 /** An HTTP server that can stop without breaking off an answer. */
 export class HttpServer {
-  readonly #server: Server<typeof IncomingMessage, typeof TrackedResponse>;
-  readonly #connections = new HttpConnections();
+  readonly #server: Server<typeof TrackedRequest, typeof TrackedResponse>;
+  readonly #connections: HttpConnections;
   /** Listens on the internal address; its connections are served as others. */
   #internalServer: TcpServer | undefined;
   readonly #internalSockets = new WeakSet<Socket>();
@@ -70,20 +84,23 @@
 
   constructor(options: HttpServerOptions, handle: HttpHandler) {
     const { connectionsMax, onDropped, onFailure, ...others } = options;
-    const { isUnusedUntilRead, ...nodeOptions } = others;
+    const { isUnusedUntilRead, guard, ...nodeOptions } = others;
+    this.#connections = new HttpConnections(guard);
     this.#isUnusedUntilRead = isUnusedUntilRead;
     this.#handle = handle;
     this.#onFailure = onFailure;
     this.#server = createServer(
       {
         ...nodeOptions,
-        IncomingMessage,
+        IncomingMessage: TrackedRequest,
         ServerResponse: TrackedResponse,
-      } as ServerOptions<typeof IncomingMessage, typeof TrackedResponse>,
+      } as ServerOptions<typeof TrackedRequest, typeof TrackedResponse>,
       (request, response) => {
-        if (!this.#connections.add(request.socket, response)) {
+        if (!this.#connections.add(request, response)) {
           request.resume();
           onDropped?.(request);
+          // Node keeps the request until the connection closes.
+          request.rawHeaders = [];
           return;
         }
         // While connections close after an answer, all requests that arrived
@@ -97,7 +114,10 @@
     );
     // Without a listener, Node closes the connection without an answer.
     this.onConnect(refuseConnect);
-    this.#server.on("connection", (socket) => this.#connections.open(socket));
+    this.#server.maxHeadersCount = HEADER_FIELDS_MAX + 1;
+    this.#server.on("connection", (socket) =>
+      this.#connections.open(socket, { isClient: !this.isInternal(socket) }),
+    );
     if (connectionsMax !== undefined)
       this.#server.maxConnections = connectionsMax;
   }
@@ -159,7 +179,10 @@
   /** Calls back for requests to open a tunnel. */
   onConnect(reject: (socket: Socket) => void): void {
     this.#server.removeAllListeners("connect");
-    this.#server.on("connect", (_request, socket: Socket) => reject(socket));
+    this.#server.on("connect", (_request, socket: Socket) => {
+      this.#connections.endParsing(socket);
+      reject(socket);
+    });
   }
 
   /** Closes connections after their next responses; clients then reconnect. */
@@ -211,6 +234,11 @@
   }
 
   #serve(request: IncomingMessage, response: TrackedResponse): void {
+    if (request.rawHeaders.length > 2 * HEADER_FIELDS_MAX) {
+      this.#connections.endParsing(request.socket);
+      refuseFields(request, response);
+      return;
+    }
     try {
       const served = this.#handle(request, response);
       served?.catch((error: unknown) => this.#fail(request, response, error));
@@ -230,6 +258,20 @@
   }
 }
 
+function refuseFields(
+  request: IncomingMessage,
+  response: TrackedResponse,
+): void {
+  request.resume();
+  request.rawHeaders = [];
+  response.shouldKeepAlive = false;
+  response.writeHead(431, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(TOO_MANY_FIELDS),
+  });
+  response.end(TOO_MANY_FIELDS);
+}
+
 function refuseConnect(socket: Socket): void {
   socket.end(
     "HTTP/1.1 405 Method Not Allowed\r\ncontent-type: application/json\r\n" +
--- a/packages/wire/index.ts
+++ b/packages/wire/index.ts
@@ -5,6 +5,8 @@
  * @module
  */
 export * from "./after_input.ts";
+export * from "./body_buffer.ts";
+export * from "./client_guard.ts";
 export * from "./frames.ts";
 export * from "./http_connections.ts";
 export * from "./http_failure.ts";
@@ -15,3 +17,4 @@
 export * from "./messages.ts";
 export * from "./network.ts";
 export * from "./protocol_versions.ts";
+export * from "./tracked_request.ts";
--- /dev/null
+++ b/packages/wire/tracked_request.ts
@@ -0,0 +1,108 @@
+import { IncomingMessage } from "node:http";
+
+/**
+ * Body parts below this are gathered. A chunk of one byte arrives as a buffer of
+ * its own, which takes a hundred times its memory.
+ */
+const SMALL_PART_BYTES = 512;
+/** Size of a buffer of gathered parts. */
+const GATHERED_BYTES = 4_096;
+
+/** A request whose small body parts are gathered into larger ones. */
+export class TrackedRequest extends IncomingMessage {
+  /** Called when the memory that the request takes changes, with the difference. */
+  onHeld: ((bytes: number) => void) | undefined;
+  /** Body parts that were parsed. */
+  parts = 0;
+  #bodyBytes = 0;
+  #heldBytes = 0;
+  /** The first small part, or the buffer with several. */
+  #gathered: Buffer | undefined;
+  #gatheredBytes = 0;
+  #maxBytes = Number.POSITIVE_INFINITY;
+  #onExcess: (() => void) | undefined;
+
+  /** Bytes of the body that have not arrived; undefined if only its end will tell. */
+  get remainingBytes(): number | undefined {
+    const length = this.headers["content-length"];
+    return length === undefined ? undefined : Number(length) - this.#bodyBytes;
+  }
+
+  /**
+   * Calls back once when the body exceeds a length; what follows is discarded. To
+   * be called for a body whose length only its end will tell.
+   */
+  limitBody(maxBytes: number, onExcess: () => void): void {
+    this.#maxBytes = maxBytes;
+    this.#onExcess = onExcess;
+  }
+
+  /** Sets the memory that is held for the body. */
+  hold(bytes: number): void {
+    const change = bytes - this.#heldBytes;
+    this.#heldBytes = bytes;
+    if (change !== 0) this.onHeld?.(change);
+  }
+
+  override push(part: Buffer | null, encoding?: BufferEncoding): boolean {
+    if (part === null) {
+      this.#flush();
+      return super.push(null);
+    }
+    this.parts += 1;
+    this.#bodyBytes += part.length;
+    if (this.#bodyBytes > this.#maxBytes) {
+      this.#exceed();
+      return true;
+    }
+    if (part.length >= SMALL_PART_BYTES) {
+      this.#flush();
+      return super.push(part, encoding);
+    }
+    this.#gather(part);
+    return true;
+  }
+
+  /** Passes gathered parts on; to be called when a read has been parsed. */
+  flush(): void {
+    if (!this.#flush()) this.socket.pause();
+  }
+
+  #exceed(): void {
+    this.#gathered = undefined;
+    const onExcess = this.#onExcess;
+    this.#onExcess = undefined;
+    onExcess?.();
+  }
+
+  #gather(part: Buffer): void {
+    const gathered = this.#gathered;
+    if (!gathered) {
+      this.#gathered = part;
+      this.#gatheredBytes = part.length;
+      return;
+    }
+    if (this.#gatheredBytes + part.length > GATHERED_BYTES) {
+      this.#flush();
+      this.#gather(part);
+      return;
+    }
+    // Only a gathering buffer has the full size; a part is smaller.
+    let buffer = gathered;
+    if (buffer.length !== GATHERED_BYTES) {
+      buffer = Buffer.allocUnsafeSlow(GATHERED_BYTES);
+      gathered.copy(buffer);
+      this.#gathered = buffer;
+    }
+    part.copy(buffer, this.#gatheredBytes);
+    this.#gatheredBytes += part.length;
+  }
+
+  /** Returns false if the body is not read fast enough. */
+  #flush(): boolean {
+    const gathered = this.#gathered;
+    if (!gathered) return true;
+    this.#gathered = undefined;
+    return super.push(gathered.subarray(0, this.#gatheredBytes));
+  }
+}
