--- a/packages/client_limits/client_account.ts
+++ b/packages/client_limits/client_account.ts
@@ -12,8 +12,8 @@
  */
 const EVICTION_TARGET = 0.9;
 
-/** The bound that an eviction enforces. */
-export type ClientLimit = "held_bytes" | "connections";
+/** The bound for which a connection is closed; the first two are of the process. */
+export type ClientLimit = "held_bytes" | "connections" | "header_fields";
 
 /** What one connection of a client makes the process hold. */
 export interface ClientCharge {
--- a/packages/entry/reply.ts
+++ b/packages/entry/reply.ts
@@ -17,7 +17,9 @@
     ...errorResponse.headers,
     "content-length": Buffer.byteLength(errorResponse.body),
   };
-  if (fault.code === "request_timeout" || fault.code === "body_too_large") {
+  const isCut =
+    fault.code === "request_timeout" || fault.code === "body_too_large";
+  if (isCut || mayBeEndless(response)) {
     // The rest of the request will not be read.
     response.shouldKeepAlive = false;
   }
@@ -25,6 +27,11 @@
   response.end(errorResponse.body);
 }
 
+/** Whether a body goes on whose length only its end will tell. */
+function mayBeEndless({ req }: ServerResponse): boolean {
+  return !req.complete && req.headers["transfer-encoding"] !== undefined;
+}
+
 /**
  * Breaks a caller's connection in the middle of a response. It is reset, since
  * a normal close ends a response that has no length.
--- a/packages/telemetry/closed_clients.ts
+++ b/packages/telemetry/closed_clients.ts
@@ -11,7 +11,7 @@
 
 /**
  * Returns a callback that counts and logs the client connections that are closed
- * because clients make the process hold too much; at most one line a second.
+ * for a limit; at most one line a second.
  */
 export function closedClients(
   logger: Logger,
@@ -41,7 +41,7 @@
 export function registerClosedClients(registry: Registry): void {
   new Counter({
     name: "mangobank_closed_clients_total",
-    help: "Client connections closed because a bound of the process was reached",
+    help: "Client connections closed because a limit was reached",
     labelNames: ["limit"],
     registers: [registry],
     collect() {
--- a/packages/wire/client_guard.ts
+++ b/packages/wire/client_guard.ts
@@ -13,7 +13,7 @@
 /** How often the bytes in the buffers of sockets are charged. */
 const BUFFER_CHECK_INTERVAL_MS = 200;
 
-/** A connection that was closed because clients make the process hold too much. */
+/** A client's connection that was closed for a limit. */
 export interface ClosedClient {
   readonly limit: ClientLimit;
   readonly address: string | undefined;
@@ -87,6 +87,12 @@
     this.#evict();
   }
 
+  /** Reports a connection that its server closes for a limit of one request. */
+  refused(socket: Socket, limit: ClientLimit): void {
+    const { remoteAddress: address } = socket;
+    this.#onClosed({ limit, address, heldBytes: 0 });
+  }
+
   #progress(socket: Socket): void {
     this.#account.progress(socket, this.#clock.now());
   }
--- a/packages/wire/http_server.ts
+++ b/packages/wire/http_server.ts
@@ -72,6 +72,7 @@
 export class HttpServer {
   readonly #server: Server<typeof TrackedRequest, typeof TrackedResponse>;
   readonly #connections: HttpConnections;
+  readonly #guard: ClientGuard | undefined;
   /** Listens on the internal address; its connections are served as others. */
   #internalServer: TcpServer | undefined;
   readonly #internalSockets = new WeakSet<Socket>();
@@ -86,6 +87,7 @@
     const { connectionsMax, onDropped, onFailure, ...others } = options;
     const { isUnusedUntilRead, guard, ...nodeOptions } = others;
     this.#connections = new HttpConnections(guard);
+    this.#guard = guard;
     this.#isUnusedUntilRead = isUnusedUntilRead;
     this.#handle = handle;
     this.#onFailure = onFailure;
@@ -236,6 +238,7 @@
   #serve(request: IncomingMessage, response: TrackedResponse): void {
     if (request.rawHeaders.length > 2 * HEADER_FIELDS_MAX) {
       this.#connections.endParsing(request.socket);
+      this.#guard?.refused(request.socket, "header_fields");
       refuseFields(request, response);
       return;
     }
--- a/packages/wire/untrusted_clients_test.ts
+++ b/packages/wire/untrusted_clients_test.ts
@@ -97,11 +97,15 @@
 // Guards against fields that are dropped without a notice.
 test("a head with too many fields gets 431", async (context) => {
   const fields = "a:b\r\n".repeat(2_001);
-  const text = await exchange(
-    context,
-    { handle: echo },
-    `${HEAD}${fields}\r\n`,
-  );
+  const limits: string[] = [];
+  const guard = new ClientGuard({
+    bounds: { heldBytesMax: 1_000_000, connectionsMax: 10 },
+    clock: new SystemClock(),
+    onClosed: ({ limit }) => limits.push(limit),
+  });
+  const server = { options: { guard }, handle: echo };
+  const text = await exchange(context, server, `${HEAD}${fields}\r\n`);
+  assert.deepEqual(limits, ["header_fields"]);
   assert.match(text, /^HTTP\/1\.1 431 .*connection: close/is);
 });
 
