--- a/packages/model/boundaries_test.ts
+++ b/packages/model/boundaries_test.ts
@@ -19,6 +19,7 @@
   reachability: ["model"],
   tenants: ["model"],
   quotas: ["model"],
+  client_limits: [],
 };
 
 const IMPURE_GLOBALS =
--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -1,3 +1,4 @@
+import type { ClientBounds } from "#client_limits";
 import type { Address, DataCentre, HostId } from "#model";
 
 /** Limits of an entry process. */
@@ -64,6 +65,11 @@
   readonly revokeWithinMs?: number | undefined;
   /** Processor share of the host, in cores; absent if it is not known. */
   readonly processorShare?: number | undefined;
+  /**
+   * Bounds on what callers and other clients make the process hold; unbounded if
+   * absent.
+   */
+  readonly clients?: ClientBounds | undefined;
   /** Limit on retries, that is on sends of a call after its first one. */
   readonly resendLimit?: ResendLimit;
   /** Tolerance of tenants' quotas; the default applies if absent. */
