Mend what the review of tenants and quotas found

Cause: the removal of a tenant that was never set closed all routes, and 20,000 later removals opened them again; a call that waited since before the first tenants was sent unchecked; a key that was moved got a final 401; a raised quota kept refusing until the old time; answers to a former process could confirm. Change: removals remember whether an item was set; calls without access are checked again too; sequence numbers of questions begin at the incarnation; later fields of quota messages are ignored; a call whose caller left while an owner was asked ends.

--- a/packages/configuration/freshness_tracker.ts
+++ b/packages/configuration/freshness_tracker.ts
@@ -27,8 +27,13 @@
   #controlConfirmedAt: number | undefined;
   readonly #confirmedForMs: number;
 
-  constructor(confirmedForMs = CONFIRMED_FOR_MS) {
+  /**
+   * Sequence numbers begin at `incarnation`, so that no answer to a former process
+   * of this entry counts.
+   */
+  constructor(confirmedForMs = CONFIRMED_FOR_MS, incarnation = 0) {
     this.#confirmedForMs = confirmedForMs;
+    this.#sequence = incarnation;
   }
 
   /** Starts a query to control; returns its sequence number. */
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -161,6 +161,8 @@
         this.#failBeforeClaim(fault);
         return;
       }
+      // The caller may have closed while an owner was asked.
+      if (this.#exchange.response.destroyed) return;
     }
     const { bodyLimits, stopSchedule } = this.#options;
     const schedule = stopSchedule();
@@ -276,6 +278,7 @@
     const call = this.#admission.stoppableCall;
     if (!call) return;
     const ms = schedule.sendBy(call) - this.#options.clock.now();
+    clearTimeout(this.#stopTimer);
     this.#stopTimer = setTimeout(
       () => this.#stopWaiting("entry_stops"),
       Math.max(0, ms),
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -318,6 +318,8 @@
     this.#configuration = configuration;
     const { document, view } = configuration;
     const { services } = document;
+    // First, as confirmations of this version extend the right to act on its keys.
+    this.#options.keyAccess.configure(document.tenants);
     // Configuration changes keep the identity of lists that did not change.
     if (previous?.hostRoutes !== document.hostRoutes) {
       this.#hostRoutes.configure(document.hostRoutes);
@@ -327,7 +329,6 @@
       this.#options.metrics.configure(services);
       this.#policies.configure(services);
     }
-    this.#options.keyAccess.configure(document.tenants);
     this.#claims.configure(configuration);
     const linksAreSparse = selectRelays(view) !== undefined;
     this.#handovers.configure(view);
--- a/packages/entry/configuration_follower.ts
+++ b/packages/entry/configuration_follower.ts
@@ -96,7 +96,10 @@
 
   constructor(options: FollowerOptions) {
     this.#options = options;
-    this.#freshness = new FreshnessTracker(options.confirmedForMs);
+    this.#freshness = new FreshnessTracker(
+      options.confirmedForMs,
+      options.self().incarnation,
+    );
     const { network } = options;
     network.handle("state", (state, from) => {
       const { change, ageMs } = state;
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -165,8 +165,8 @@
   /** The fault of a call whose key was removed while it waited. */
   #recheckAccess(): CallFault | undefined {
     const { access } = this.#input.call;
-    if (!access) return undefined;
     const { keyAccess, clock } = this.#options;
+    if (!access && !keyAccess.isRequired) return undefined;
     const now = { steady: clock.now(), wall: clock.wallTime() };
     const decision = keyAccess.recheck(access, now);
     return decision.isErr() ? decision.error : undefined;
--- a/packages/quotas/message_decoders.ts
+++ b/packages/quotas/message_decoders.ts
@@ -1,16 +1,25 @@
 import * as z from "zod";
 import { MESSAGE_VALUES, type MessageDecoders } from "#model";
-import type { QuotaMessages } from "./messages.ts";
+import type { QuotaMessages, TenantAsk, TenantGrant } from "./messages.ts";
 
 const { count, text } = MESSAGE_VALUES;
 
+// Fields that a newer build has added at the end are ignored.
+const TENANT_ASK = z.tuple(
+  [text, count],
+  z.unknown(),
+) as unknown as z.ZodType<TenantAsk>;
+const TENANT_GRANT = z.tuple(
+  [text, count, z.number().nonnegative()],
+  z.unknown(),
+) as unknown as z.ZodType<TenantGrant>;
 const STAMP = z.object({ incarnation: count, ms: count });
 
 /** Decoders of the messages between entries and owners of quotas. */
 export const QUOTA_DECODERS = {
   quota_ask: z.object({
     sequence: count,
-    asks: z.array(z.tuple([text, count]).readonly()),
+    asks: z.array(TENANT_ASK),
     votes: z
       .object({
         shardCount: count,
@@ -22,9 +31,7 @@
   }),
   quota_grant: z.object({
     sequence: count,
-    grants: z.array(
-      z.tuple([text, count, z.number().nonnegative()]).readonly(),
-    ),
+    grants: z.array(TENANT_GRANT),
     stamp: STAMP,
   }),
 } satisfies MessageDecoders<QuotaMessages>;
--- a/packages/quotas/quota_client.ts
+++ b/packages/quotas/quota_client.ts
@@ -60,6 +60,7 @@
   readonly #lifetimeMs: number;
   #table: QuotaTable = EMPTY_QUOTA_TABLE;
   #tickedAt = 0;
+  #wasStalled = false;
 
   constructor(options: QuotaClientOptions) {
     this.#options = options;
@@ -87,6 +88,8 @@
     for (const [name, account] of this.#accounts) {
       const limit = table.limits.get(name);
       if (limit) {
+        // A time to come back that a lower quota gave may be far ahead.
+        if (account.limit !== limit) account.refusedUntil = 0;
         account.limit = limit;
         continue;
       }
@@ -170,7 +173,9 @@
     const gapMs = now - this.#tickedAt;
     this.#tickedAt = now;
     // Answers that came during a stall of this process are read first.
-    const isStalled = gapMs >= STALL_MS;
+    // On a host that is always late, missing answers are looked for all the same.
+    const isStalled = gapMs >= STALL_MS && !this.#wasStalled;
+    this.#wasStalled = isStalled;
     if (!isStalled && this.#links.checkAnswers(now).length > 0) {
       this.#askOthers(now);
     }
--- a/packages/registry/item_document.ts
+++ b/packages/registry/item_document.ts
@@ -25,7 +25,7 @@
 /** Adds the items to a document; a service of a section takes precedence. */
 export function withItems(document: Document, table: ItemTable): Document {
   const items = table.items();
-  const needsKeys = table.hasHeld("tenant");
+  const needsKeys = table.hasHadTenants;
   if (items.length === 0 && !needsKeys) return document;
   const hostRoutes: HostRoute[] = [];
   const services: ServiceItem[] = [];
--- a/packages/registry/items.ts
+++ b/packages/registry/items.ts
@@ -60,7 +60,12 @@
 /** A current item, or the key and version of a removed one. */
 export type StoredItem =
   | { readonly type: "item"; readonly item: Item }
-  | { readonly type: "removed"; readonly removal: ItemRemoval };
+  | {
+      readonly type: "removed";
+      readonly removal: ItemRemoval;
+      /** Whether an item with this key was set before. */
+      readonly wasSet?: boolean;
+    };
 
 /**
  * Most removals that are remembered, so that a late duplicate of an older
@@ -82,11 +87,9 @@
       .sort((a, b) => (keyOf(a) < keyOf(b) ? -1 : 1));
   }
 
-  /** Whether an item of this kind was ever set. */
-  hasHeld(kind: ItemKind): boolean {
-    return [...this.#stored.values()].some(
-      (held) => (held.type === "item" ? held.item : held.removal).kind === kind,
-    );
+  /** Whether a tenant was ever set, though all may have been removed. */
+  get hasHadTenants(): boolean {
+    return [...this.#stored.values()].some(isFormerOrCurrentTenant);
   }
 
   /** A current item, or what is remembered of a removed one. */
@@ -171,8 +174,11 @@
         continue;
       }
       const key = storedKey(change);
+      const wasSet = wasEverSet(this.#stored.get(key));
       this.#stored.delete(key);
-      this.#stored.set(key, change);
+      const stored =
+        change.type === "removed" && wasSet ? { ...change, wasSet } : change;
+      this.#stored.set(key, stored);
       changed = true;
     }
     this.#dropOldestRemovals();
@@ -187,7 +193,10 @@
   }
 
   #dropOldestRemovals(): void {
-    const removed = [...this.#stored].filter(([, { type }]) => type !== "item");
+    const removed = [...this.#stored].filter(
+      ([, stored]) =>
+        stored.type !== "item" && !isFormerOrCurrentTenant(stored),
+    );
     const excess = removed.length - MAX_REMOVALS;
     for (const [key] of removed.slice(0, Math.max(0, excess))) {
       this.#stored.delete(key);
@@ -195,6 +204,19 @@
   }
 }
 
+function wasEverSet(stored: StoredItem | undefined): boolean {
+  return stored?.type === "item" || stored?.wasSet === true;
+}
+
+/**
+ * Whether requests need keys because of a stored item. The removal of a tenant that
+ * was never set asks for none, and one that was set is never forgotten.
+ */
+function isFormerOrCurrentTenant(stored: StoredItem): boolean {
+  const { kind } = stored.type === "item" ? stored.item : stored.removal;
+  return kind === "tenant" && wasEverSet(stored);
+}
+
 function keyOf({ kind, name }: ItemKey): string {
   return `${kind}/${name}`;
 }
--- a/packages/tenants/key_access.ts
+++ b/packages/tenants/key_access.ts
@@ -91,12 +91,19 @@
   }
 
   /** Whether a call that was authorized may be sent to a server now. */
-  recheck(access: CallAccess, now: Moment): Result<void, CallFault> {
+  recheck(
+    access: CallAccess | undefined,
+    now: Moment,
+  ): Result<void, CallFault> {
+    // The first tenants came while the call waited: it was never authorized.
+    if (!access) return this.isRequired ? err(notCurrent()) : ok(undefined);
     const { keyHash, tenant } = access;
     if (keyHash === undefined) return ok(undefined);
     if (!this.#mayUseKeys(now)) return err(notCurrent());
     const holder = this.#directory.find(keyHash);
     if (holder?.name === tenant) return ok(undefined);
+    // A key that was moved is valid, and its next request has the new tenant.
+    if (holder || this.#lease.ageMs(now) > CURRENT_MS) return err(notCurrent());
     return err(callFault("unauthorized", { detail: "the key was removed" }));
   }
 
