--- a/packages/admission/call_queue.ts
+++ b/packages/admission/call_queue.ts
@@ -102,6 +102,11 @@
     return { type: "queued_instead", evicted: evicted.item };
   }
 
+  /** Queues a call that has waited before, also beyond the limit. */
+  putBack(item: T): void {
+    if (!this.#nodes.has(item.id)) this.#add(item);
+  }
+
   /** The first call of a priority. */
   first(priority: Priority): T | undefined {
     const node = this.#onTime[priority].peek() ?? this.#late[priority].peek();
--- a/packages/overload/overload_control.ts
+++ b/packages/overload/overload_control.ts
@@ -78,8 +78,11 @@
       this.#reviews.remove(next);
       next = this.#reviews.peek();
       if (!this.queue.has(call.id)) continue;
-      const { waitMs } = this.queue.expectedWait(call, capacity, now);
-      if (now + waitMs <= (call.targetStart ?? call.latestStart)) continue;
+      const wait = this.queue.expectedWait(call, capacity, now);
+      if (now + wait.waitMs <= (call.targetStart ?? call.latestStart)) continue;
+      // The backlog of a call that waits includes its own work. Beside others it
+      // stands for those that will overtake the call, as there is no second review.
+      if (wait.waitMs <= workOf(call) / wait.workPerMs) continue;
       this.queue.remove(call.id);
       refused.push(this.#refuse(call, "overtaken", options));
     }
--- a/packages/overload/overload_control_test.ts
+++ b/packages/overload/overload_control_test.ts
@@ -59,3 +59,13 @@
     assert.ok(tenths.size >= 8, `${tenths.size}`);
   }
 });
+
+// Guards against a review that counts a call's own work as work ahead of it.
+test("a call with nobody ahead is not refused in its review", () => {
+  const control = new OverloadControl<RankedCall>(1_000);
+  const capacity = { concurrency: 1, slowdown: 1 };
+  const alone = { ...call("alone", 0, 0), workMs: 500, targetStart: 400 };
+  const options = { now: 0, capacity, mayStart: false };
+  assert.deepEqual(control.offer(alone, options), []);
+  assert.deepEqual(control.review({ now: 200, capacity }), []);
+});
--- a/packages/overload/ranked_queue.ts
+++ b/packages/overload/ranked_queue.ts
@@ -117,6 +117,11 @@
     return { type: "queued_instead", evicted };
   }
 
+  /** Queues a call that has waited before, also beyond the limit. */
+  putBack(item: T): void {
+    if (!this.#entries.has(item.id)) this.#add(item);
+  }
+
   first(priority: Priority): T | undefined {
     const groups =
       priority === "urgent" ? this.#groups.slice(0, 1) : this.#groups.slice(1);
--- a/packages/overload/retry_schedule.ts
+++ b/packages/overload/retry_schedule.ts
@@ -37,7 +37,9 @@
     );
     // Room that no caller waits for cannot be reserved.
     const until = from + workMs / Math.max(call.workPerMs, 1e-6);
-    this.#reservedUntil.set(rank, Math.min(until, now + longestMs));
+    // A caller with little time left gives back nothing that others reserved.
+    const reservedUntil = Math.max(reserved, Math.min(until, now + longestMs));
+    this.#reservedUntil.set(rank, reservedUntil);
     this.#refused += 1;
     const spread = (this.#refused * GOLDEN_RATIO) % 1;
     const wantedMs = Math.min(longestMs, waitMs + from - now);
--- a/packages/overload/waiting_order.ts
+++ b/packages/overload/waiting_order.ts
@@ -56,7 +56,7 @@
     const control = new OverloadControl<T>(this.#limit);
     for (const call of this.#plain.items()) {
       this.#plain.remove(call.id);
-      control.queue.offer(call);
+      control.queue.putBack(call);
     }
     this.#control = control;
     return control;
--- a/packages/routing/cold_servers_test.ts
+++ b/packages/routing/cold_servers_test.ts
@@ -2,7 +2,12 @@
 import { test } from "node:test";
 import { ColdPeriod } from "./cold_period.ts";
 import { StatementRun, type StatementRunOptions } from "./statement_run.ts";
-import { makeView, NORMAL_CHECK } from "./test_cluster.ts";
+import {
+  makeServer,
+  makeView,
+  NORMAL_CHECK,
+  TestCluster,
+} from "./test_cluster.ts";
 
 // Load pattern: three data centres serve a steady load of short calls; one of them has
 // been away and returns with all of its servers cold, or servers become cold again.
@@ -253,3 +258,23 @@
   cold.recordAnnouncement(undefined, 7_000);
   assert.ok(!cold.isCold(7_000));
 });
+
+// Guards against a server that stays at its cold rate for ever, as its records no
+// longer tell of a warm-up shortly before the process takes it to be over.
+test("the pacing of a server ends with its warm-up", () => {
+  const warm = makeServer("s1", { slots: 3 });
+  const cluster = new TestCluster({
+    servers: [{ ...warm, warmUpRemainingMs: 1_000 }],
+    service: { coldRequestsPerS: COLD_PER_S, coldStartMs: 0 },
+  });
+  const slots = () =>
+    cluster.routers.get(cluster.dispatcher)?.dispatcher("alloc")?.slots;
+  cluster.advance(100);
+  cluster.submit(cluster.otherEntry);
+  cluster.advance(20);
+  assert.equal(slots()?.get("s1")?.isPaced, true);
+  cluster.advance(1_000);
+  cluster.setServers([warm]);
+  cluster.advance(2_000);
+  assert.equal(slots()?.get("s1")?.isPaced, false);
+});
--- a/packages/routing/router.ts
+++ b/packages/routing/router.ts
@@ -49,6 +49,12 @@
   readonly isConfirmed?: () => boolean;
 }
 
+/** The servers of a service, and when they were told. */
+interface ServerRecords {
+  readonly servers: readonly BackendServer[];
+  readonly at: number;
+}
+
 /**
  * Selects backend servers for the calls of one entry process, for all services.
  * It does no I/O: its methods return effects for the caller to execute.
@@ -58,7 +64,7 @@
   readonly #options: RouterOptions;
   readonly #sequenceNumbers = new SequenceNumbers();
   readonly #services = new Map<string, ServiceRouter>();
-  readonly #serverRecords = new Map<string, readonly BackendServer[]>();
+  readonly #serverRecords = new Map<string, ServerRecords>();
   readonly #dispatchers = new Map<string, Dispatcher>();
   /** The service of each call that is waiting or assigned. */
   readonly #calls = new Map<string, ServiceRouter>();
@@ -141,7 +147,7 @@
     servers: readonly BackendServer[],
     now: number,
   ): RoutingEffect[] {
-    this.#serverRecords.set(service, servers);
+    this.#serverRecords.set(service, { servers, at: now });
     const effects: RoutingEffect[] = [];
     const dispatcher = this.#dispatchers.get(service);
     if (dispatcher) effects.push(...dispatcher.setServers(servers, now));
@@ -287,6 +293,20 @@
     return this.#dispatchers.get(service);
   }
 
+  /** The servers of a service, as they would be announced now. */
+  #recordsOf(service: string, now: number): readonly BackendServer[] {
+    const { servers = [], at = now } = this.#serverRecords.get(service) ?? {};
+    return servers.map((server) => {
+      const { warmUpRemainingMs } = server;
+      if (warmUpRemainingMs === undefined) return server;
+      const leftMs = warmUpRemainingMs - (now - at);
+      return {
+        ...server,
+        warmUpRemainingMs: leftMs > 0 ? leftMs : undefined,
+      };
+    });
+  }
+
   #serviceRouter(service: Service, now: number): ServiceRouter {
     const known = this.#services.get(service.name);
     if (known) {
@@ -300,7 +320,7 @@
     });
     this.#services.set(service.name, router);
     // Servers may be announced before their service is configured.
-    router.setServers(this.#serverRecords.get(service.name) ?? [], now);
+    router.setServers(this.#recordsOf(service.name, now), now);
     return router;
   }
 
@@ -333,7 +353,7 @@
       ...(isConfirmed && { isConfirmed }),
     });
     this.#dispatchers.set(service.name, created);
-    return created.setServers(this.#serverRecords.get(service.name) ?? [], now);
+    return created.setServers(this.#recordsOf(service.name, now), now);
   }
 
   /**
--- a/packages/routing/service_router.ts
+++ b/packages/routing/service_router.ts
@@ -578,7 +578,7 @@
       else skipped.push(call);
       this.#calls.queue.remove(call.id);
     }
-    for (const call of skipped) this.#calls.queue.offer(call);
+    for (const call of skipped) this.#calls.queue.putBack(call);
     effects.push(...this.link.flush(now));
     return effects;
   }
--- a/packages/routing/slot_scheduler.ts
+++ b/packages/routing/slot_scheduler.ts
@@ -49,7 +49,7 @@
       if (server) this.#grant(call, server, now);
       else skipped.push(call);
     }
-    for (const call of skipped) queue.offer(call);
+    for (const call of skipped) queue.putBack(call);
     this.#grantSlowServers(now);
   }
 
--- a/packages/routing/slot_table.ts
+++ b/packages/routing/slot_table.ts
@@ -161,7 +161,8 @@
    */
   refresh(server: ServerSlots, now: number): void {
     if (this.#servers.get(server.record.id) !== server) return;
-    if (server.cold.until > 0) this.updatePacer(server, now);
+    // The end of a warm-up, which leaves no period behind, ends the pacing too.
+    if (server.isPaced || server.cold.until > 0) this.updatePacer(server, now);
     const exploredLimit = isLongRunning(this.#outliers.meanMs)
       ? explorationLimit(server.record, now)
       : undefined;
