Write the last line of a process that was busy during its last write

Cause: a write was taken for stuck 100 ms after its begin although the process had been busy and could not see its end, so the reason of a process end was lost. Change: a write is stuck if it lasts through a timeout and the events after it.

--- a/packages/telemetry/bounded_log_stream.ts
+++ b/packages/telemetry/bounded_log_stream.ts
@@ -31,8 +31,10 @@
   #buffer: string[] = [];
   #bufferedBytes = 0;
   #writing = false;
-  /** When the write in progress began. */
-  #writingSince = 0;
+  /** Number of writes that have begun. */
+  #writes = 0;
+  /** Whether the write in progress takes too long though the process is free. */
+  #isStuck = false;
   #tokens = BURST_LINES;
   #refilledAt: number;
   #dropped = 0;
@@ -73,7 +75,7 @@
    * since the reader is gone or does not read.
    */
   writeLast(line: string): boolean {
-    if (this.#writing && !this.#isWriteRecent()) return false;
+    if (this.#isStuck) return false;
     // The write in progress goes on in another thread, but its callback can't
     // run before this returns.
     if (this.#writing) this.#block(LAST_WRITE_TIMEOUT_MS);
@@ -91,8 +93,16 @@
     }
   }
 
-  #isWriteRecent(): boolean {
-    return this.#clock.now() - this.#writingSince < LAST_WRITE_TIMEOUT_MS;
+  /**
+   * Marks a write as stuck if it lasts through a timeout and the events after it: a
+   * process that was busy all the time has not read yet that the write has ended.
+   */
+  #watchWrite(): void {
+    const write = ++this.#writes;
+    const check = () => {
+      this.#isStuck = this.#writing && this.#writes === write;
+    };
+    setTimeout(() => setImmediate(check), LAST_WRITE_TIMEOUT_MS).unref();
   }
 
   #writeAllNow(bytes: Buffer): boolean {
@@ -138,7 +148,7 @@
   #writeBuffer(): void {
     if (this.#writing || this.#buffer.length === 0) return;
     this.#writing = true;
-    this.#writingSince = this.#clock.now();
+    this.#watchWrite();
     const text = this.#buffer.join("");
     this.#buffer = [];
     this.#bufferedBytes = 0;
@@ -154,6 +164,7 @@
         return;
       }
       this.#writing = false;
+      this.#isStuck = false;
       this.#writeBuffer();
     });
   }
--- a/packages/telemetry/bounded_log_stream_test.ts
+++ b/packages/telemetry/bounded_log_stream_test.ts
@@ -9,7 +9,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
-import { ManualClock } from "#model";
+import { type Clock, ManualClock } from "#model";
 import { BoundedLogStream } from "./bounded_log_stream.ts";
 
 /** Runs a function on a stream to a file and returns the lines in the file. */
@@ -47,3 +47,25 @@
   });
   assert.deepEqual(lines, ["a", "b", "c"]);
 });
+
+// Guards against the loss of the last line of a process that was busy while its
+// earlier lines were written, and so has not seen the end of that write.
+test("the last line is written after a turn that was busy for long", () => {
+  let now = 0;
+  const clock = {
+    now: () => {
+      now += 60;
+      return now;
+    },
+    wallTime: () => now,
+  } as unknown as Clock;
+  const folder = mkdtempSync(join(tmpdir(), "log-stream-"));
+  const file = join(folder, "log");
+  const descriptor = openSync(file, "w");
+  const stream = new BoundedLogStream({ descriptor, clock });
+  stream.write("first\n");
+  clock.now();
+  clock.now();
+  assert.equal(stream.writeLast("last\n"), true);
+  assert.match(readFileSync(file, "utf8"), /last\n/);
+});
