--- a/packages/wire/client_guard.ts
+++ b/packages/wire/client_guard.ts
@@ -7,8 +7,7 @@
   REQUEST_BYTES,
 } from "#client_limits";
 import type { Clock } from "#model";
-import type { TrackedResponse } from "./http_connections.ts";
-import type { TrackedRequest } from "./tracked_request.ts";
+import type { RequestAccount, TrackedRequest } from "./tracked_request.ts";
 
 /** How often the bytes in the buffers of sockets are charged. */
 const BUFFER_CHECK_INTERVAL_MS = 200;
@@ -25,7 +24,7 @@
  * Reports what clients make the process hold to the account that all its servers
  * share, and closes the connections that the account names.
  */
-export class ClientGuard {
+export class ClientGuard implements RequestAccount {
   readonly #account: ClientAccount<Socket>;
   readonly #clock: Clock;
   readonly #onClosed: (closed: ClosedClient) => void;
@@ -66,37 +65,39 @@
     this.#evict();
   }
 
-  /** Charges a request to its connection until it has its whole answer. */
-  add(request: TrackedRequest, response: TrackedResponse): void {
+  /** Charges a request to its connection. */
+  add(request: TrackedRequest): void {
+    request.account = this;
+    this.#account.charge(request.socket, headBytes(request));
+    this.#evict();
+  }
+
+  /** Returns what a request was charged, when its answer is closed. */
+  remove(
+    request: TrackedRequest,
+    { isAnswered }: { isAnswered: boolean },
+  ): void {
     const { socket } = request;
-    const fields = request.rawHeaders.length / 2;
-    this.#account.charge(socket, REQUEST_BYTES + fields * FIELD_BYTES);
-    let bodyBytes = 0;
-    request.onHeld = (bytes) => {
-      bodyBytes += bytes;
-      this.#account.charge(socket, bytes);
-      this.#evict();
-    };
-    request.once("end", () => this.#progress(socket));
-    response.once("close", () => {
-      request.onHeld = undefined;
-      const bytes = REQUEST_BYTES + fields * FIELD_BYTES + bodyBytes;
-      this.#account.charge(socket, -bytes);
-      if (response.writableFinished) this.#progress(socket);
-    });
+    request.account = undefined;
+    this.#account.charge(socket, -headBytes(request) - request.heldBytes);
+    if (isAnswered) this.#account.progress(socket, this.#clock.now());
+  }
+
+  charge({ socket }: TrackedRequest, bytes: number): void {
+    this.#account.charge(socket, bytes);
     this.#evict();
   }
 
+  complete({ socket }: TrackedRequest): void {
+    this.#account.progress(socket, this.#clock.now());
+  }
+
   /** Reports a connection that its server closes for a limit of one request. */
   refused(socket: Socket, limit: ClientLimit): void {
     const { remoteAddress: address } = socket;
     this.#onClosed({ limit, address, heldBytes: 0 });
   }
 
-  #progress(socket: Socket): void {
-    this.#account.progress(socket, this.#clock.now());
-  }
-
   #chargeBuffers(): void {
     for (const [socket, charged] of this.#buffered) {
       const bytes = socket.readableLength + socket.writableLength;
@@ -118,3 +119,7 @@
     }
   }
 }
+
+function headBytes({ rawHeaders }: TrackedRequest): number {
+  return REQUEST_BYTES + (rawHeaders.length / 2) * FIELD_BYTES;
+}
--- a/packages/wire/connection_feed.ts
+++ b/packages/wire/connection_feed.ts
@@ -69,7 +69,7 @@
 export class ConnectionFeed {
   readonly #socket: Socket;
   readonly #parse: (bytes: Buffer) => void;
-  readonly #state: () => FeedState;
+  readonly #state: FeedState;
   readonly #turns: TurnQueue;
   #isWaitingForTurn = false;
   #isWaitingForAnswer = false;
@@ -77,7 +77,7 @@
 
   constructor(
     socket: Socket,
-    options: { readonly state: () => FeedState; readonly turns: TurnQueue },
+    options: { readonly state: FeedState; readonly turns: TurnQueue },
   ) {
     this.#socket = socket;
     this.#state = options.state;
@@ -110,31 +110,30 @@
       this.#putBack(bytes);
       return;
     }
-    const firstRequest = this.#state().requests;
+    const firstRequest = this.#state.requests;
     let parts = 0;
     let at = 0;
     while (at < bytes.length) {
-      if (this.#state().isOver) return;
+      if (this.#state.isOver) return;
       if (this.#isFull()) {
         this.#isWaitingForAnswer = true;
         break;
       }
-      const { incomplete: reading } = this.#state();
+      const { incomplete: reading } = this.#state;
       const partsBefore = reading?.parts ?? 0;
       const end = Math.min(bytes.length, partEnd(bytes, at, reading));
       this.#parse(
         at === 0 && end === bytes.length ? bytes : bytes.subarray(at, end),
       );
       at = end;
-      const state = this.#state();
-      state.incomplete?.flush();
+      this.#state.incomplete?.flush();
       if (this.#socket.destroyed || this.#isEnded) return;
       parts += 1 + (reading?.parts ?? 0) - partsBefore;
       if (at === bytes.length) return;
       // A body that is not read, or answers that are not: Node resumes the socket.
       if (this.#socket.isPaused()) break;
       if (
-        state.requests - firstRequest >= TURN_REQUESTS ||
+        this.#state.requests - firstRequest >= TURN_REQUESTS ||
         parts >= TURN_PARTS
       ) {
         this.#waitForTurn();
@@ -145,7 +144,7 @@
   }
 
   #isFull(): boolean {
-    return this.#state().pendingRequests >= PENDING_REQUESTS_MAX;
+    return this.#state.pendingRequests >= PENDING_REQUESTS_MAX;
   }
 
   #putBack(bytes: Buffer): void {
--- a/packages/wire/http_connections.ts
+++ b/packages/wire/http_connections.ts
@@ -6,7 +6,11 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { ClientGuard } from "./client_guard.ts";
-import { ConnectionFeed, TurnQueue } from "./connection_feed.ts";
+import {
+  ConnectionFeed,
+  type FeedState,
+  TurnQueue,
+} from "./connection_feed.ts";
 import type { TrackedRequest } from "./tracked_request.ts";
 
 /**
@@ -43,24 +47,34 @@
 
 type ResponseHeaders = OutgoingHttpHeaders | OutgoingHttpHeader[];
 
+/** Requests behind the last answer that are read, so that they are counted. */
+const DROPPED_REQUESTS_MAX = 4;
+
 /** One connection of a client, with the requests that have no whole answer. */
-interface HttpConnection {
-  readonly pending: Set<TrackedResponse>;
+class HttpConnection implements FeedState {
+  readonly pending = new Set<TrackedResponse>();
   /** The response to the latest request. */
   latest: TrackedResponse | undefined;
   /** Whether an answer has said that the connection ends with it. */
-  ending: boolean;
-  /** Requests that have been read. */
-  requests: number;
-  /** The latest request. */
+  ending = false;
+  requests = 0;
   latestRequest: TrackedRequest | undefined;
   /** Requests that came behind the last answer. */
-  dropped: number;
+  dropped = 0;
   feed: ConnectionFeed | undefined;
-}
 
-/** Requests behind the last answer that are read, so that they are counted. */
-const DROPPED_REQUESTS_MAX = 4;
+  get pendingRequests(): number {
+    return this.pending.size;
+  }
+
+  get isOver(): boolean {
+    return this.dropped >= DROPPED_REQUESTS_MAX;
+  }
+
+  get incomplete(): TrackedRequest | undefined {
+    return this.latestRequest?.complete ? undefined : this.latestRequest;
+  }
+}
 
 /** The connections of a server, and what each of them still waits for. */
 export class HttpConnections {
@@ -76,19 +90,11 @@
 
   /** Follows a connection until it is closed. */
   open(socket: Socket, { isClient = true } = {}): void {
-    const connection: HttpConnection = {
-      pending: new Set(),
-      latest: undefined,
-      ending: false,
-      requests: 0,
-      latestRequest: undefined,
-      dropped: 0,
-      feed: undefined,
-    };
+    const connection = new HttpConnection();
     this.#connections.set(socket, connection);
     if (isClient) {
       connection.feed = new ConnectionFeed(socket, {
-        state: () => feedState(connection),
+        state: connection,
         turns: this.#turns,
       });
       this.#guard?.open(socket);
@@ -125,9 +131,12 @@
     response.once("close", () => {
       connection.pending.delete(response);
       if (connection.latest === response) connection.latest = undefined;
-      connection.feed?.onAnswered();
+      if (!connection.feed) return;
+      connection.feed.onAnswered();
+      const isAnswered = response.writableFinished;
+      this.#guard?.remove(request, { isAnswered });
     });
-    if (connection.feed) this.#guard?.add(request, response);
+    if (connection.feed) this.#guard?.add(request);
     response.onHead = () => {
       if (connection.latest !== response) return;
       if (this.#closing && !response.isStreamed)
@@ -208,17 +217,6 @@
   }
 }
 
-function feedState(connection: HttpConnection) {
-  const { pending, requests, latestRequest, dropped } = connection;
-  const isReading = latestRequest !== undefined && !latestRequest.complete;
-  return {
-    pendingRequests: pending.size,
-    requests,
-    isOver: dropped >= DROPPED_REQUESTS_MAX,
-    incomplete: isReading ? latestRequest : undefined,
-  };
-}
-
 /** Ends the server's side of a connection and discards what still arrives. */
 function linger(socket: Socket): void {
   if (socket.destroyed) return;
--- a/packages/wire/tracked_request.ts
+++ b/packages/wire/tracked_request.ts
@@ -8,10 +8,18 @@
 /** Size of a buffer of gathered parts. */
 const GATHERED_BYTES = 4_096;
 
+/** Is told what a request makes the process hold. */
+export interface RequestAccount {
+  /** The memory that is held for the body has changed by so many bytes. */
+  charge(request: TrackedRequest, bytes: number): void;
+  /** The request has arrived whole. */
+  complete(request: TrackedRequest): void;
+}
+
 /** A request whose small body parts are gathered into larger ones. */
 export class TrackedRequest extends IncomingMessage {
-  /** Called when the memory that the request takes changes, with the difference. */
-  onHeld: ((bytes: number) => void) | undefined;
+  /** Told what the request holds, while it has no whole answer. */
+  account: RequestAccount | undefined;
   /** Body parts that were parsed. */
   parts = 0;
   #bodyBytes = 0;
@@ -37,16 +45,22 @@
     this.#onExcess = onExcess;
   }
 
+  /** Bytes that are held for the body. */
+  get heldBytes(): number {
+    return this.#heldBytes;
+  }
+
   /** Sets the memory that is held for the body. */
   hold(bytes: number): void {
     const change = bytes - this.#heldBytes;
     this.#heldBytes = bytes;
-    if (change !== 0) this.onHeld?.(change);
+    if (change !== 0) this.account?.charge(this, change);
   }
 
   override push(part: Buffer | null, encoding?: BufferEncoding): boolean {
     if (part === null) {
       this.#flush();
+      this.account?.complete(this);
       return super.push(null);
     }
     this.parts += 1;
