Mend what the review of the limits on clients found

Cause: a pipelined body was not read while two requests were unanswered; an excess in the same read as the buffered part of a body was lost; small parts on connections of other entries were held back; thousands of connections with little each were never closed. Change: a request that has begun is read on; a second reader learns of the excess; parts are gathered only where they are flushed; only connections that hold nothing are spared.

--- a/packages/client_limits/client_account.ts
+++ b/packages/client_limits/client_account.ts
@@ -115,7 +115,7 @@
       for (const [connection, { heldBytes }] of candidates) {
         if (bytes <= heldBytesMax * EVICTION_TARGET) break;
         // Closing a connection that holds nothing would free next to nothing.
-        if (heldBytes < CONNECTION_BYTES) continue;
+        if (heldBytes === 0) continue;
         bytes -= CONNECTION_BYTES + heldBytes;
         evicted.set(connection, { connection, limit: "held_bytes", heldBytes });
       }
--- a/packages/client_limits/client_account_test.ts
+++ b/packages/client_limits/client_account_test.ts
@@ -91,3 +91,15 @@
   const unknown = { memoryMb: undefined, descriptorsMax: undefined };
   assert.equal(clientBounds(unknown).heldBytesMax, Number.POSITIVE_INFINITY);
 });
+
+// Guards against a bound that many connections exceed together, each with too little
+// to be closed.
+test("many connections that hold little each stay under the bound too", () => {
+  const account = makeAccount({ connectionsMax: 4_000 });
+  for (let index = 0; index < 3_500; index++) {
+    account.open(`client-${index}`, index);
+    account.charge(`client-${index}`, 5_000);
+    evict(account);
+    assert.ok(account.heldBytes <= 33_000_000);
+  }
+});
--- a/packages/wire/connection_feed.ts
+++ b/packages/wire/connection_feed.ts
@@ -143,8 +143,10 @@
     this.#putBack(bytes.subarray(at));
   }
 
+  /** Whether no further request is read; the body of one that has begun is. */
   #isFull(): boolean {
-    return this.#state.pendingRequests >= PENDING_REQUESTS_MAX;
+    const { incomplete, pendingRequests } = this.#state;
+    return incomplete === undefined && pendingRequests >= PENDING_REQUESTS_MAX;
   }
 
   #putBack(bytes: Buffer): void {
--- a/packages/wire/http_connections.ts
+++ b/packages/wire/http_connections.ts
@@ -122,6 +122,7 @@
     if (!connection) return false;
     connection.requests += 1;
     connection.latestRequest = request;
+    request.gathersParts = connection.feed !== undefined;
     if (connection.ending) {
       connection.dropped += 1;
       return false;
--- a/packages/wire/tracked_request.ts
+++ b/packages/wire/tracked_request.ts
@@ -22,6 +22,11 @@
   account: RequestAccount | undefined;
   /** Body parts that were parsed. */
   parts = 0;
+  /**
+   * Whether small parts are gathered, which needs a caller of `flush`; connections
+   * of other processes have none.
+   */
+  gathersParts = true;
   #bodyBytes = 0;
   #heldBytes = 0;
   /** The first small part, or the buffer with several. */
@@ -43,6 +48,8 @@
   limitBody(maxBytes: number, onExcess: () => void): void {
     this.#maxBytes = maxBytes;
     this.#onExcess = onExcess;
+    // Both may be in one read: the end of an earlier reader, and the excess.
+    if (this.#bodyBytes > maxBytes) this.#exceed();
   }
 
   /** Bytes that are held for the body. */
@@ -69,7 +76,7 @@
       this.#exceed();
       return true;
     }
-    if (part.length >= SMALL_PART_BYTES) {
+    if (part.length >= SMALL_PART_BYTES || !this.gathersParts) {
       this.#flush();
       return super.push(part, encoding);
     }
--- a/packages/wire/untrusted_clients_test.ts
+++ b/packages/wire/untrusted_clients_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { connect } from "node:net";
+import { connect, Socket } from "node:net";
 import { type TestContext, test } from "node:test";
 import { SystemClock } from "#model";
 import { BodyBuffer } from "./body_buffer.ts";
@@ -10,6 +10,7 @@
   HttpServer,
   type HttpServerOptions,
 } from "./http_server.ts";
+import { TrackedRequest } from "./tracked_request.ts";
 
 const HEAD = "POST / HTTP/1.1\r\nhost: a\r\n";
 
@@ -148,3 +149,49 @@
   assert.ok(closed.length >= 1);
   for (const socket of others) socket.destroy();
 });
+
+// Guards against a request inside the limits that times out, as its body is not read
+// before an earlier request of its connection is answered.
+test("the body of a pipelined request is read while another one waits", async (context) => {
+  const bodyRead: Promise<void>[] = [];
+  let release: (() => void) | undefined;
+  const released = new Promise<void>((resolve) => {
+    release = resolve;
+  });
+  const handle: HttpHandler = async (request, response) => {
+    bodyRead.push(once(request.resume(), "end").then(() => undefined));
+    if (bodyRead.length === 2) void bodyRead[1]?.then(() => release?.());
+    await released;
+    if (request.url === "/2") response.shouldKeepAlive = false;
+    response.end("done");
+  };
+  const body = "x".repeat(40_000);
+  const requests = [1, 2].map(
+    (n) =>
+      `POST /${n} HTTP/1.1\r\nhost: a\r\ncontent-length: ${body.length}\r\n\r\n${body}`,
+  );
+  const text = await exchange(context, { handle }, requests.join(""));
+  assert.equal(text.match(/done/g)?.length, 2);
+});
+
+// Guards against a body over the limit that looks complete, as its excess came in the
+// same read as the end of the part that is buffered.
+test("a second reader of a body learns that it is over the limit", () => {
+  const request = new TrackedRequest(new Socket());
+  request.limitBody(1_000, () => undefined);
+  request.push(Buffer.alloc(1_500));
+  let isOver = false;
+  request.limitBody(1_000, () => {
+    isOver = true;
+  });
+  assert.ok(isOver);
+});
+
+// Guards against parts that are held back on connections of other entries, which
+// nobody flushes.
+test("parts of a body are not gathered without a feed", () => {
+  const request = new TrackedRequest(new Socket());
+  request.gathersParts = false;
+  request.push(Buffer.from("a"));
+  assert.equal(request.readableLength, 1);
+});
