Rank calls only where the configuration has tenants

Cause: all deployments name three ranks, as routes that test the configuration have one of their own, so the ranked order applied to deployments that were to be served as before. Change: calls have a rank only with tenants.

--- a/packages/entry/call_admission.ts
+++ b/packages/entry/call_admission.ts
@@ -124,20 +124,17 @@
   }
 
   /**
-   * The access of the request, and the rank of its tenant, else of its route; no
-   * rank where two priorities tell all calls apart.
+   * The access of the request, and the rank of its tenant, else of its route. Without
+   * tenants calls have no rank, and wait by the two priorities of their classes.
    */
   #authorize({ route }: ClassifiedRequest) {
     const { keyAccess, clock, protocol } = this.#options;
     const isPublic = route?.isPublic === true;
     const key = protocol.callerKey(this.#request.headers);
     const now = { steady: clock.now(), wall: clock.wallTime() };
-    const routeRank = route?.hasManyRanks ? route.rank : undefined;
     return keyAccess.authorize({ key, isPublic }, now).map((authorization) => ({
       access: authorization?.access,
-      rank: authorization
-        ? (authorization.tenant?.rank ?? route?.rank)
-        : routeRank,
+      rank: authorization && (authorization.tenant?.rank ?? route?.rank),
     }));
   }
 
--- a/packages/routing/host_routes.ts
+++ b/packages/routing/host_routes.ts
@@ -13,15 +13,10 @@
   readonly class: string;
   /** Urgency among the routes; 0 is the most urgent. */
   readonly rank: number;
-  /** Whether the routes have more ranks than two priorities can tell apart. */
-  readonly hasManyRanks: boolean;
   /** Whether requests need no key. */
   readonly isPublic: boolean;
 }
 
-/** Urgent and patient calls are told apart without ranks. */
-const PRIORITY_COUNT = 2;
-
 /**
  * Multiples of it, modulo 1, cover an interval more evenly than random points.
  */
@@ -37,7 +32,6 @@
   readonly #randomness: Randomness;
   #byHost = new Map<string, HostRoute[]>();
   #lastPoints = new Map<string, number>();
-  #hasManyRanks = false;
 
   constructor(randomness: Randomness) {
     this.#randomness = randomness;
@@ -57,8 +51,6 @@
     for (const list of this.#byHost.values()) {
       list.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
     }
-    const ranks = new Set(routes.map(({ rank }) => rank));
-    this.#hasManyRanks = ranks.size > PRIORITY_COUNT;
     const names = new Set(routes.map(({ name }) => name));
     for (const name of this.#lastPoints.keys()) {
       if (!names.has(name)) this.#lastPoints.delete(name);
@@ -75,7 +67,6 @@
       service: this.#pickService(route),
       class: requestClassName(route),
       rank: route.rank,
-      hasManyRanks: this.#hasManyRanks,
       isPublic: route.isPublic === true,
     };
   }
