Move quotas in an entry process to a package of their own

Cause: packages/entry has over eighty files. Change: packages/quota_service holds the wiring of quotas and the token of a call; entry only uses it.

--- a/packages/entry/call_environment.ts
+++ b/packages/entry/call_environment.ts
@@ -1,4 +1,5 @@
 import type { BackendServer, Clock } from "#model";
+import type { TenantQuotas } from "#quota_service";
 import type { Logger, Metrics } from "#telemetry";
 import type { KeyAccess } from "#tenants";
 import type { Assignments } from "./assignments.ts";
@@ -12,7 +13,6 @@
 import type { RequestClassifier } from "./request_classifier.ts";
 import type { ServicePolicies } from "./service_policies.ts";
 import type { StopSchedule } from "./stop_schedule.ts";
-import type { TenantQuotas } from "./tenant_quotas.ts";
 
 /** What the stages of a call use of the entry that serves it. */
 export interface CallEnvironment {
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -11,6 +11,7 @@
   type Outcome,
 } from "#model";
 import { fingerprintOf } from "#quarantine";
+import { CallQuota } from "#quota_service";
 import type { TrackedResponse } from "#wire";
 import { CallAdmission } from "./call_admission.ts";
 import { CallAttempts, type CallAttemptsResult } from "./call_attempts.ts";
@@ -20,7 +21,6 @@
   type HandoverInput,
   handoverRefusal,
 } from "./call_handover.ts";
-import { CallQuota } from "./call_quota.ts";
 import { CallReply } from "./call_reply.ts";
 import { cutOffFault } from "./final_fault.ts";
 import type { HandoverOrigin, HandoverRefusal } from "./handover_protocol.ts";
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -12,6 +12,7 @@
   type Service,
 } from "#model";
 import { selectRelays } from "#presence";
+import { TenantQuotas } from "#quota_service";
 import type { QuotaMessages } from "#quotas";
 import { HostRoutes, Router } from "#routing";
 import type { EntrySettings } from "#settings";
@@ -40,7 +41,6 @@
 import { unsendablePart } from "./sendable.ts";
 import { ServicePolicies } from "./service_policies.ts";
 import type { StopSchedule } from "./stop_schedule.ts";
-import { TenantQuotas } from "./tenant_quotas.ts";
 
 export interface CallPipelineOptions
   extends Pick<
--- a/packages/entry/call_quota.ts
+++ b/packages/quota_service/call_quota.ts
@@ -1,14 +1,16 @@
 import { type Call, type CallFault, callFault } from "#model";
 import type { QuotaDecision } from "#quotas";
-import type { CallEnvironment } from "./call_environment.ts";
+import type { TenantQuotas } from "./tenant_quotas.ts";
 
 /** The token that a call takes from its tenant's quota. */
 export class CallQuota {
-  readonly #quotas: CallEnvironment["quotas"];
+  readonly #quotas: Pick<TenantQuotas, "take" | "giveBack">;
   #tenant: string | undefined;
   #usableUntil = 0;
 
-  constructor({ quotas }: Pick<CallEnvironment, "quotas">) {
+  constructor({
+    quotas,
+  }: { readonly quotas: Pick<TenantQuotas, "take" | "giveBack"> }) {
     this.#quotas = quotas;
   }
 
