Log what an entry waits for after a start, and count messages and links

The logs could not tell the hypotheses on slow returns apart (docs/incidents/ return_of_all_hosts.md). An entry now logs each change of what it serves, with what is missing and the ages of its confirmation and lease, and when the owners of quotas have its votes. Messages to peers are counted by kind, links that were opened, and closed connections by fault. `peer connected` overwrote the line's role by that of the peer; it is peerRole now.

--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -171,12 +171,12 @@
       incarnation,
       onConnect: ({ id, role, build }) => {
         connectedSince.set(id, clock.now());
-        logger.info("peer connected", { peer: id, role, build });
+        logger.info("peer connected", { peer: id, peerRole: role, build });
         if (role === "entry") registrar.handleEntryConnected(id);
       },
       onDisconnect: ({ id, role }) => {
         connectedSince.delete(id);
-        logger.info("peer lost", { peer: id, role });
+        logger.info("peer lost", { peer: id, peerRole: role });
         publisher.handleDisconnect(id);
         if (role === "entry") registrar.handleEntryDisconnected(id);
         else log?.handleDisconnect(id);
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -52,6 +52,7 @@
 import { ENTRY_DECODERS, type EntryMessages } from "./entry_network.ts";
 import { hashKey } from "./key_hash.ts";
 import { KnownServers } from "./known_servers.ts";
+import { Readiness } from "./readiness.ts";
 import { UsableServers } from "./usable_servers.ts";
 
 /**
@@ -60,6 +61,8 @@
  */
 const MAX_DISPATCH_CONFIRMATION_MS = 4_000;
 
+/** How often changes of what the entry serves are looked for. */
+const READINESS_INTERVAL_MS = 250;
 /** How often the entry's load is measured and reported to the other entries. */
 const LOAD_REPORT_INTERVAL_MS = 1_000;
 
@@ -93,6 +96,7 @@
   readonly #follower: ConfigurationFollower;
   readonly #links: EntryLinks;
   readonly #usableServers = new UsableServers();
+  readonly #readiness: Readiness;
   readonly #metrics: Metrics;
   readonly #callerServer: CallerServer;
   /** Shared with the servers of other ports; undefined if clients are unbounded. */
@@ -204,6 +208,17 @@
       onReceived: (way, ageMs) => this.#metrics.recordConfiguration(way, ageMs),
       confirmedForMs: settings.confirmedForMs,
     });
+    this.#readiness = new Readiness({
+      clock,
+      logger,
+      keyAccess: this.#keyAccess,
+      isConfirmed: () => this.#follower.isFresh(),
+      confirmationAgeMs: () => this.#follower.confirmationAge(),
+      hasDocument: () => this.#appliedConfiguration.document.revision > 0,
+      knowsServers: () => this.#registrations.presence.ready,
+      isStopping: () => this.#state === "stopping",
+      linkedControls: () => this.#links.connectedControls().length,
+    });
     this.#callPipeline = new CallPipeline({
       ...options,
       protocol,
@@ -213,7 +228,7 @@
       metrics: this.#metrics,
       serversToAvoid: (service, criteria) =>
         this.#knownServers.serversToAvoid(service, criteria),
-      ready: () => this.#mayServe(),
+      ready: () => this.#readiness.mayServe(),
       bodyLimits: () => ({
         maxBytes:
           this.#appliedConfiguration.document.requestLimits?.bodyMaxBytes ??
@@ -274,7 +289,7 @@
     });
     this.#adminServer = new AdminServer({
       metrics: this.#metrics,
-      notReadyReasons: () => this.#notReadyReasons(),
+      notReadyReasons: () => this.#readiness.missing(),
       status: () => this.#status(),
       onFailure: endpointFailures("metrics", logger),
     });
@@ -308,6 +323,9 @@
     this.#runEvery(LOAD_REPORT_INTERVAL_MS, "load_report", () =>
       this.#reportLoad(),
     );
+    this.#runEvery(READINESS_INTERVAL_MS, "readiness", () =>
+      this.#readiness.logChange(),
+    );
     logger.info("entry started", {
       id: settings.id,
       build: BUILD,
@@ -355,7 +373,7 @@
 
   /** Whether this entry should get new calls. */
   get ready(): boolean {
-    return this.#notReadyReasons().length === 0;
+    return this.#readiness.missing().length === 0;
   }
 
   /** The configuration version in force at this entry. */
@@ -386,7 +404,7 @@
   #peerUp(peer: Hello): void {
     this.#options.logger.info("peer connected", {
       peer: peer.id,
-      role: peer.role,
+      peerRole: peer.role,
       build: peer.build,
     });
     this.#registrations.peerUp(peer.id);
@@ -400,7 +418,7 @@
   #peerDown(peer: Hello): void {
     this.#options.logger.info("peer lost", {
       peer: peer.id,
-      role: peer.role,
+      peerRole: peer.role,
     });
     this.#registrations.peerDown(peer.id);
     if (peer.role === "control") {
@@ -504,34 +522,10 @@
   #reportLoad(): void {
     this.#directory.reportLoad({
       stopping: this.#state === "stopping",
-      isFull: this.#keyLeaseEnds(),
+      isFull: this.#readiness.keyLeaseEnds(),
     });
   }
 
-  /** Whether a configuration document is in force and recently confirmed. */
-  #mayServe(): boolean {
-    return (
-      this.#follower.isFresh() &&
-      this.#appliedConfiguration.document.revision > 0
-    );
-  }
-
-  /** Whether requests with keys will soon be refused, as control is not reached. */
-  #keyLeaseEnds(): boolean {
-    const { clock } = this.#options;
-    const now = { steady: clock.now(), wall: clock.wallTime() };
-    return this.#keyAccess.isEnding(now);
-  }
-
-  #notReadyReasons(): string[] {
-    const reasons: string[] = [];
-    if (!this.#mayServe()) reasons.push("configuration not confirmed");
-    if (!this.#registrations.presence.ready) reasons.push("joining");
-    if (this.#state === "stopping") reasons.push("stopping");
-    if (this.#keyLeaseEnds()) reasons.push("lease on keys ends");
-    return reasons;
-  }
-
   #status() {
     const { configuration } = this.#follower;
     return {
--- a/packages/quota_service/tenant_quotas.ts
+++ b/packages/quota_service/tenant_quotas.ts
@@ -50,7 +50,10 @@
   #table: QuotaTable | undefined;
   #tenants: readonly Tenant[] | undefined;
   #timer: NodeJS.Timeout | undefined;
+  readonly #startedAt: number;
   #tickAt = Number.POSITIVE_INFINITY;
+  /** Whether the owners of all shards had this entry's vote at the last look. */
+  #hasVoted = false;
   #flush: NodeJS.Immediate | undefined;
   #isClosed = false;
 
@@ -60,11 +63,12 @@
     this.#tasks = new OwnTasks(options);
     const { incarnation, clock, randomness, network } = options;
     const { confirmationAgeMs } = options;
+    this.#startedAt = clock.now();
     const bounds = this.#bounds;
     this.#owner = new QuotaOwner({ incarnation, bounds });
     this.#client = new QuotaClient({
       bounds,
-      startedAt: clock.now(),
+      startedAt: this.#startedAt,
       phase: randomness.next(),
       confirmationAgeMs,
     });
@@ -174,6 +178,22 @@
     this.#owner.tick({ entries: this.#client.entries(now), now });
     this.#client.tick(now);
     this.#send();
+    this.#logVotes(now);
+  }
+
+  /** Logs when all owners of quotas have this entry's vote, or no longer have. */
+  #logVotes(now: number): void {
+    const { shards, voted } = this.#client.votes(now);
+    const hasVoted = voted === shards;
+    if (hasVoted === this.#hasVoted) return;
+    this.#hasVoted = hasVoted;
+    this.#options.logger.info("votes for owners of quotas changed", {
+      shards,
+      voted,
+      entries: this.#client.entries(now),
+      sinceStartMs: Math.round(now - this.#startedAt),
+      confirmedMsAgo: Math.round(this.#options.confirmationAgeMs()),
+    });
   }
 
   #record(tenant: string, decision: QuotaDecision): void {
--- a/packages/quotas/owner_links.ts
+++ b/packages/quotas/owner_links.ts
@@ -200,6 +200,15 @@
     return silent;
   }
 
+  /** Number of shards for which an owner may count this entry's vote. */
+  votedShards(now: number): number {
+    let voted = 0;
+    for (let shard = 0; shard < this.shardCount; shard++) {
+      if (this.#holder(shard, now)) voted += 1;
+    }
+    return voted;
+  }
+
   /** Whether an answer is awaited. */
   get isWaiting(): boolean {
     for (const { questions } of this.#links.values()) {
--- a/packages/quotas/quota_client.ts
+++ b/packages/quotas/quota_client.ts
@@ -75,6 +75,12 @@
     return this.#table.limits.size > 0;
   }
 
+  /** Number of shards, and for how many an owner has this entry's vote. */
+  votes(now: number): { readonly shards: number; readonly voted: number } {
+    const { shardCount: shards } = this.#links;
+    return { shards, voted: this.#links.votedShards(now) };
+  }
+
   /** Whether requests wait, or answers, so that `tick` is due soon. */
   get isWaiting(): boolean {
     return this.#waiting.size > 0 || this.#links.isWaiting;
--- a/packages/telemetry/metrics_test.ts
+++ b/packages/telemetry/metrics_test.ts
@@ -84,7 +84,13 @@
   const sentByKind = new Map([["confirm", 7]]);
   const refusedByKind = new Map([["state", 3]]);
   const bytes = { sentBytes: 10, receivedBytes: 20 };
-  const traffic = { ...bytes, sentByKind, refusedByKind };
+  const messagesByKind = new Map([["confirm", 2]]);
+  const closedByFault = new Map([["hello_missing", 4]]);
+  const links = { openedLinks: 5, closedByFault };
+  const traffic = {
+    ...{ ...bytes, sentByKind, refusedByKind },
+    ...{ messagesByKind, ...links },
+  };
   const metrics = new Metrics({ peerTraffic: () => traffic });
   await metrics.text();
   traffic.sentBytes = 15;
@@ -92,6 +98,12 @@
   assert.match(text, /mangobank_peer_bytes_total\{direction="sent"\} 15/);
   assert.match(text, /mangobank_peer_sent_bytes_total\{kind="confirm"\} 7/);
   assert.match(text, /mangobank_refused_messages_total\{kind="state"\} 3/);
+  assert.match(text, /mangobank_peer_sent_messages_total\{kind="confirm"\} 2/);
+  assert.match(text, /mangobank_peer_links_opened_total 5/);
+  assert.match(
+    text,
+    /mangobank_peer_connections_closed_total\{fault="hello_missing"\} 4/,
+  );
 });
 
 // Failure: each series of such a service repeats its name, in megabytes a scrape.
--- a/packages/telemetry/peer_traffic.ts
+++ b/packages/telemetry/peer_traffic.ts
@@ -8,6 +8,12 @@
   readonly sentByKind: ReadonlyMap<string, number>;
   /** Messages of peers that were refused, by message kind. */
   readonly refusedByKind: ReadonlyMap<string, number>;
+  /** Number of messages sent, by message kind. */
+  readonly messagesByKind?: ReadonlyMap<string, number>;
+  /** Links that were opened to peers. */
+  readonly openedLinks?: number;
+  /** Connections to peers that were closed, by the fault that closed them. */
+  readonly closedByFault?: ReadonlyMap<string, number>;
 }
 
 /** Registers counters of peer traffic, which are updated at each scrape. */
@@ -51,4 +57,37 @@
       }
     },
   });
+  new Counter({
+    name: "mangobank_peer_sent_messages_total",
+    help: "Messages sent to other processes of the system, by message kind",
+    labelNames: ["kind"],
+    registers: [registry],
+    collect() {
+      this.reset();
+      for (const [kind, messages] of traffic().messagesByKind ?? []) {
+        this.inc({ kind }, messages);
+      }
+    },
+  });
+  new Counter({
+    name: "mangobank_peer_links_opened_total",
+    help: "Links to other processes of the system that were opened",
+    registers: [registry],
+    collect() {
+      this.reset();
+      this.inc(traffic().openedLinks ?? 0);
+    },
+  });
+  new Counter({
+    name: "mangobank_peer_connections_closed_total",
+    help: "Connections to other processes that were closed, by fault",
+    labelNames: ["fault"],
+    registers: [registry],
+    collect() {
+      this.reset();
+      for (const [fault, connections] of traffic().closedByFault ?? []) {
+        this.inc({ fault }, connections);
+      }
+    },
+  });
 }
--- a/packages/tenants/key_access.ts
+++ b/packages/tenants/key_access.ts
@@ -70,6 +70,11 @@
     return this.isRequired && this.#bindsLease && this.#lease.isEnding(now);
   }
 
+  /** Whether requests with keys may be sent to servers. */
+  mayUseKeys(now: Moment): boolean {
+    return !this.#bindsLease || this.#lease.isValid(now);
+  }
+
   /** Milliseconds since control's last confirmed question. */
   leaseAgeMs(now: Moment): number {
     return this.#lease.ageMs(now);
@@ -82,7 +87,7 @@
   ): Result<Authorization | undefined, CallFault> {
     if (!this.isRequired) return ok(undefined);
     if (request.isPublic) return ok({ access: {} });
-    if (!this.#mayUseKeys(now)) return err(notCurrent());
+    if (!this.mayUseKeys(now)) return err(notCurrent());
     const keyHash =
       request.key === undefined ? undefined : this.#hashKey(request.key);
     const tenant = keyHash && this.#directory.find(keyHash);
@@ -99,7 +104,7 @@
     if (!access) return this.isRequired ? err(notCurrent()) : ok(undefined);
     const { keyHash, tenant } = access;
     if (keyHash === undefined) return ok(undefined);
-    if (!this.#mayUseKeys(now)) return err(notCurrent());
+    if (!this.mayUseKeys(now)) return err(notCurrent());
     const holder = this.#directory.find(keyHash);
     if (holder?.name === tenant) return ok(undefined);
     // A key that was moved is valid, and its next request has the new tenant.
@@ -107,10 +112,6 @@
     return err(callFault("unauthorized", { detail: "the key was removed" }));
   }
 
-  #mayUseKeys(now: Moment): boolean {
-    return !this.#bindsLease || this.#lease.isValid(now);
-  }
-
   #unknownKey(key: string | undefined, now: Moment): CallFault {
     if (this.#lease.ageMs(now) > CURRENT_MS) return notCurrent();
     const detail =
--- a/packages/wire/link.ts
+++ b/packages/wire/link.ts
@@ -61,8 +61,14 @@
   receivedBytes: number;
   /** Bytes of the frames sent, by message kind. */
   readonly sentByKind: Map<string, number>;
+  /** Number of messages sent, by message kind. */
+  readonly messagesByKind: Map<string, number>;
   /** Messages of peers that were refused, by message kind. */
   readonly refusedByKind: Map<string, number>;
+  /** Links that were opened, with the peer's hello. */
+  openedLinks: number;
+  /** Connections to and from peers that were closed, by the fault that closed them. */
+  readonly closedByFault: Map<LinkFault["type"], number>;
 }
 
 export interface LinkOptions {
@@ -145,8 +151,9 @@
   /** Queues an already encoded message, which several links may share. */
   sendFrame(kind: string, frame: Buffer): boolean {
     if (!this.#open) return false;
-    const { sentByKind } = this.#options.traffic;
+    const { sentByKind, messagesByKind } = this.#options.traffic;
     sentByKind.set(kind, (sentByKind.get(kind) ?? 0) + frame.length);
+    messagesByKind.set(kind, (messagesByKind.get(kind) ?? 0) + 1);
     this.#pendingFrames.push(frame);
     if (this.#pendingFrames.length === 1) setImmediate(() => this.#flush());
     return true;
--- a/packages/wire/network.ts
+++ b/packages/wire/network.ts
@@ -67,7 +67,10 @@
     sentBytes: 0,
     receivedBytes: 0,
     sentByKind: new Map(),
+    messagesByKind: new Map(),
     refusedByKind: new Map(),
+    openedLinks: 0,
+    closedByFault: new Map(),
   };
   readonly #self: Hello;
   readonly #clock: Clock;
@@ -246,6 +249,7 @@
   #handleOpen(link: Link): void {
     const peer = link.peer;
     if (!peer) return;
+    this.traffic.openedLinks += 1;
     // A process opens another connection on a channel only after it has given the
     // former one up, which may never be closed at this end.
     const former = this.#links
@@ -264,6 +268,8 @@
 
   #handleClose(link: Link, fault: LinkFault): void {
     this.#observer.onFault?.(fault, link);
+    const { closedByFault } = this.traffic;
+    closedByFault.set(fault.type, (closedByFault.get(fault.type) ?? 0) + 1);
     const peer = link.peer;
     if (!peer) return;
     const links = this.#links.get(peer.id) ?? [];
