--- a/packages/wire/link.ts
+++ b/packages/wire/link.ts
@@ -1,6 +1,7 @@
 import type { Socket } from "node:net";
 import * as z from "zod";
 import { type Clock, MESSAGE_VALUES } from "#model";
+import { afterPendingInput } from "./after_input.ts";
 import {
   encodeFrame,
   type FrameFault,
@@ -91,6 +92,8 @@
   #lastReceived: number;
   #receivedBytes = 0;
   #pendingFrames: Buffer[] = [];
+  /** What has arrived before the link was opened; undefined afterwards. */
+  #greeting: Buffer[] | undefined = [];
 
   constructor(socket: Socket, options: LinkOptions) {
     this.#socket = socket;
@@ -118,6 +121,11 @@
     return this.#open;
   }
 
+  /** Whether something has arrived that is read in a later turn. */
+  get isGreeting(): boolean {
+    return this.#greeting !== undefined && this.#greeting.length > 0;
+  }
+
   get isOutgoing(): boolean {
     return this.#options.connection !== undefined;
   }
@@ -205,6 +213,33 @@
     this.#lastReceived = this.#options.clock.now();
     this.#receivedBytes += chunk.length;
     this.#options.traffic.receivedBytes += chunk.length;
+    if (!this.#greeting) {
+      this.#read(chunk);
+      return;
+    }
+    this.#greeting.push(chunk);
+    if (this.#greeting.length > 1) return;
+    // The end of a connection is read one turn after the bytes before it.
+    afterPendingInput(() => afterPendingInput(() => this.#greet()));
+  }
+
+  /**
+   * Reads what has arrived first, unless the connection has ended since: a process
+   * that is behind with its input reads the hello of a connection that its opener
+   * has given up, and must not do the work for a new peer for it.
+   */
+  #greet(): void {
+    const greeting = Buffer.concat(this.#greeting ?? []);
+    this.#greeting = undefined;
+    if (this.#socket.readableEnded || this.#socket.destroyed) {
+      this.close({ type: "link_closed" });
+      return;
+    }
+    this.#read(greeting);
+  }
+
+  #read(chunk: Buffer): void {
+    if (!this.#open) return;
     const frames = this.#reader.push(chunk);
     if (frames.isErr()) {
       this.close(frames.error);
--- a/packages/wire/network.ts
+++ b/packages/wire/network.ts
@@ -237,7 +237,8 @@
       },
     });
     const closeWithoutHello = () => {
-      if (!link.peer) link.close({ type: "hello_missing" });
+      if (link.isGreeting) afterPendingInput(closeWithoutHello);
+      else if (!link.peer) link.close({ type: "hello_missing" });
     };
     setTimeout(
       () => afterPendingInput(closeWithoutHello),
