Wait longer for the hello of a peer after each connection without one

Each process gave a connection up after 2 s and opened another one 0.25 s later; a peer that needs longer than 2 s to answer was never linked, and its time went into connections that were closed already. The time for a hello now doubles up to 8 s with each connection in a row without one, with jitter; an accepted connection waits 10 s for its opener's. A link that may be dead is renewed once in 3 s, not with each heartbeat that has no answer within 0.6 s. Lines about closed connections are limited.

--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -125,6 +125,7 @@
       role: "entry",
       incarnation: this.#incarnation,
       clock,
+      randomness,
       logger,
       onFailure: (task, error) => this.#tasks.fail(task, error),
       onConnect: (peer) => this.#peerUp(peer),
--- a/packages/wire/logged_network.ts
+++ b/packages/wire/logged_network.ts
@@ -1,4 +1,10 @@
-import { BUILD, type Clock, type MessageDecoders } from "#model";
+import {
+  BUILD,
+  type Clock,
+  type MessageDecoders,
+  type Randomness,
+} from "#model";
+import { LineLimiter } from "#telemetry";
 import type { Hello, MessageMap, ProcessRole } from "./messages.ts";
 import { type NetworkObserver, TcpNetwork } from "./network.ts";
 import { PROTOCOL_VERSIONS } from "./protocol_versions.ts";
@@ -10,6 +16,7 @@
   readonly role: ProcessRole;
   readonly incarnation: number;
   readonly clock: Clock;
+  readonly randomness: Randomness;
   readonly logger: { warn(message: string, details?: unknown): void };
   /** Called for an exception of one of the next two. */
   readonly onFailure: (task: string, error: unknown) => void;
@@ -30,15 +37,25 @@
     role,
     incarnation,
     clock,
+    randomness,
     logger,
     onConnect,
     onDisconnect,
     onFailure,
   } = options;
+  const lines = new LineLimiter();
   const onFault: NetworkObserver["onFault"] = (fault, link) => {
     if (fault.type === "link_closed") return;
     const { peer, isOutgoing } = link ?? {};
-    logger.warn("connection closed", { peer: peer?.id, isOutgoing, fault });
+    const key = `${fault.type} ${peer?.id}`;
+    const omitted = lines.admit(key, clock.now());
+    if (omitted === undefined) return;
+    logger.warn("connection closed", {
+      peer: peer?.id,
+      isOutgoing,
+      fault,
+      ...(omitted > 0 && { omitted }),
+    });
   };
   const refused = new RefusedMessages({ clock, logger });
   const onRefused: NetworkObserver["onRefused"] = (refusal, peer) =>
@@ -49,6 +66,7 @@
   return new TcpNetwork<M>({
     self: { id, role, incarnation, cluster, ...versions },
     clock,
+    randomness,
     decoders,
     observer: { onConnect, onDisconnect, onFault, onRefused, onFailure },
   });
--- a/packages/wire/network.ts
+++ b/packages/wire/network.ts
@@ -1,7 +1,14 @@
-import { connect, createServer, type Server, Socket } from "node:net";
+import { createServer, type Server, type Socket } from "node:net";
 import type { Result } from "neverthrow";
 import type * as z from "zod";
-import type { Address, Clock, HostId, MessageDecoders } from "#model";
+import {
+  type Address,
+  type Clock,
+  type HostId,
+  type MessageDecoders,
+  type Randomness,
+  SystemRandomness,
+} from "#model";
 import { afterPendingInput } from "./after_input.ts";
 import { encodeFrame } from "./frames.ts";
 import {
@@ -12,13 +19,15 @@
 } from "./link.ts";
 import { type ListenFault, listen } from "./listen.ts";
 import type { Hello, MessageMap } from "./messages.ts";
+import { OutgoingConnection } from "./outgoing_connection.ts";
 import type { MessageRefusal } from "./refused_messages.ts";
 
 const KEEPALIVE_CHECK_INTERVAL_MS = 250;
-const RECONNECT_DELAY_MS = 250;
-const CONNECT_TIMEOUT_MS = 2_000;
-/** Time after which a connection without a hello is closed. */
-const HELLO_TIMEOUT_MS = 2_000;
+/**
+ * Time after which an accepted connection without a hello is closed. Its opener
+ * may be too busy to send it, and opens another one if it is closed.
+ */
+const ACCEPTED_HELLO_TIMEOUT_MS = 10_000;
 /** Limit on accepted connections, so that strangers cannot exhaust memory. */
 const MAX_ACCEPTED_CONNECTIONS = 2_048;
 
@@ -74,6 +83,7 @@
   };
   readonly #self: Hello;
   readonly #clock: Clock;
+  readonly #randomness: Randomness;
   readonly #observer: NetworkObserver;
   readonly #decoders: ReadonlyMap<string, z.ZodType>;
   readonly #handlers = new Map<string, Handler>();
@@ -87,6 +97,7 @@
   constructor(options: {
     self: Hello;
     clock: Clock;
+    randomness?: Randomness;
     observer?: NetworkObserver;
     /** What a kind's payloads are; those of other kinds are handled as they are. */
     decoders?: MessageDecoders<M>;
@@ -94,6 +105,7 @@
     this.#decoders = new Map(Object.entries(options.decoders ?? {}));
     this.#self = options.self;
     this.#clock = options.clock;
+    this.#randomness = options.randomness ?? new SystemRandomness();
     this.#observer = options.observer ?? {};
     this.#timer = setInterval(
       () => afterPendingInput(() => this.#checkLinks()),
@@ -121,11 +133,15 @@
     for (const [key, peer] of wanted) {
       if (this.#outgoing.has(key)) continue;
       const channel = ++this.#openedChannels;
-      const connection = new OutgoingConnection(
-        peer.address,
-        (socket, { number, onOpen }) =>
-          this.#createLink(socket, { connection: { channel, number }, onOpen }),
-      );
+      const connection = new OutgoingConnection(peer.address, {
+        createLink: (socket, { number, ...rest }) =>
+          this.#createLink(socket, {
+            connection: { channel, number },
+            ...rest,
+          }),
+        clock: this.#clock,
+        randomness: this.#randomness,
+      });
       this.#outgoing.set(key, connection);
     }
   }
@@ -217,6 +233,7 @@
   #createLink(
     socket: Socket,
     outgoing?: Pick<LinkOptions, "connection"> & {
+      readonly helloTimeoutMs: number;
       readonly onOpen: () => void;
     },
   ): Link {
@@ -242,7 +259,7 @@
     };
     setTimeout(
       () => afterPendingInput(closeWithoutHello),
-      HELLO_TIMEOUT_MS,
+      outgoing?.helloTimeoutMs ?? ACCEPTED_HELLO_TIMEOUT_MS,
     ).unref();
     return link;
   }
@@ -334,127 +351,6 @@
     .join("; ");
 }
 
-/** Creates the link of a connection with its number in its channel. */
-type CreateOutgoingLink = (
-  socket: Socket,
-  options: { readonly number: number; readonly onOpen: () => void },
-) => Link;
-
-/** Keeps one outgoing connection open: connects again whenever it closes. */
-class OutgoingConnection {
-  readonly #address: Address;
-  readonly #createLink: CreateOutgoingLink;
-  #number = 0;
-  #link: Link | undefined;
-  #socket: Socket | undefined;
-  /** A connection that is to replace the present one once it is open. */
-  #renewal: Socket | undefined;
-  #retry: NodeJS.Timeout | undefined;
-  #stopped = false;
-
-  constructor(address: Address, createLink: CreateOutgoingLink) {
-    this.#address = address;
-    this.#createLink = createLink;
-    this.#connect();
-  }
-
-  get link(): Link | undefined {
-    return this.#link;
-  }
-
-  stop(): void {
-    this.#stopped = true;
-    clearTimeout(this.#retry);
-    this.#renewal?.destroy();
-    if (this.#link) this.#link.close({ type: "link_closed" });
-    else this.#socket?.destroy();
-  }
-
-  /**
-   * Opens another connection beside the present one, which may be dead. The
-   * present one is used until the other is open, and stays if data arrives on it
-   * before the other is connected.
-   */
-  renew(): void {
-    if (this.#stopped || this.#renewal) return;
-    const present = this.#link;
-    const receivedBytes = present?.receivedBytes;
-    const socket = this.#open(() => {
-      if (present?.open && present.receivedBytes !== receivedBytes) {
-        socket.destroy();
-        return;
-      }
-      const link = this.#createLink(socket, {
-        number: ++this.#number,
-        onOpen: () => this.#replace(socket, link),
-      });
-    });
-    this.#renewal = socket;
-  }
-
-  #replace(socket: Socket, link: Link): void {
-    clearTimeout(this.#retry);
-    this.#renewal = undefined;
-    const formerLink = this.#link;
-    const formerSocket = this.#socket;
-    this.#socket = socket;
-    this.#link = link;
-    if (formerLink) formerLink.close({ type: "link_replaced" });
-    else formerSocket?.destroy();
-  }
-
-  #connect(): void {
-    const socket = this.#open(() => {
-      this.#link = this.#createLink(socket, {
-        number: ++this.#number,
-        onOpen: () => undefined,
-      });
-    });
-    this.#socket = socket;
-  }
-
-  #open(onConnect: () => void): Socket {
-    const socket = openSocket(this.#address);
-    const giveUp = () => {
-      if (socket.connecting) socket.destroy();
-    };
-    const timeout = setTimeout(
-      () => afterPendingInput(giveUp),
-      CONNECT_TIMEOUT_MS,
-    );
-    socket.once("connect", () => {
-      clearTimeout(timeout);
-      if (!this.#stopped) onConnect();
-    });
-    socket.on("error", () => undefined);
-    socket.once("close", () => {
-      clearTimeout(timeout);
-      this.#handleClose(socket);
-    });
-    return socket;
-  }
-
-  #handleClose(socket: Socket): void {
-    if (this.#renewal === socket) this.#renewal = undefined;
-    if (this.#socket !== socket) return;
-    this.#link = undefined;
-    if (this.#stopped) return;
-    this.#retry = setTimeout(() => this.#connect(), RECONNECT_DELAY_MS);
-  }
-}
-
-/**
- * Opens a connection. Node throws on an address that it can't connect to; it comes
- * from another process, and the connection fails like any other one.
- */
-function openSocket({ host, port }: Address): Socket {
-  try {
-    return connect({ host, port });
-  } catch (cause) {
-    return new Socket().destroy(cause as Error);
-  }
-}
-
 /**
  * Whether a process has opened two connections, by its hellos on both, of which it
  * uses one only: those of a channel, and those before its restart.
