Read a reply before judging whether a leader has a majority

A leader judged its majority before it handled a message; after a stall of more than a second the first of the waiting replies found no majority and the leader stepped down with the others unread. The judgement now follows in the next tick. The test failed before (role follower); the one beside it shows that silence still ends a leadership.

--- a/packages/agreement/consensus_core.ts
+++ b/packages/agreement/consensus_core.ts
@@ -114,7 +114,6 @@
     const header = message.payload as MessageHeader;
     if (!this.#acceptsCluster(message.kind, header)) return;
     this.#bootstrap.markFormed();
-    this.#stepDownWithoutMajority(now);
     const isPreVote = message.kind === "agreement.pre_vote";
     if (header.term > this.#state.term && !isPreVote) {
       this.#stepDown("higher_term", header.term);
--- a/packages/agreement/consensus_core_test.ts
+++ b/packages/agreement/consensus_core_test.ts
@@ -255,3 +255,27 @@
   });
   assert.ok(sentPayload(effects, "agreement.vote"));
 });
+
+// Guards against a control host that loses its leader again and again while it is
+// busy: the replies of the others wait to be read, and the first one that is read
+// finds the leader without a majority.
+test("a leader that reads the replies of a majority late goes on leading", () => {
+  const member = new Member();
+  const term = member.winElection();
+  member.now += 1_500;
+  const reply = { term, round: 1, accepted: true, match: 0, refused: 0 };
+  member.receive("agreement.append_reply", reply);
+  member.core.tick(member.now);
+  assert.equal(member.core.status(member.now).role, "leader");
+});
+
+test("a leader steps down when nothing has arrived from a majority", () => {
+  const member = new Member();
+  const term = member.winElection();
+  member.now += 1_500;
+  member.receive("agreement.pre_vote", {
+    ...{ term, candidateTerm: term + 1, lastIndex: 0, lastTerm: 0 },
+  });
+  member.core.tick(member.now);
+  assert.notEqual(member.core.status(member.now).role, "leader");
+});
