Run elections after the input that waits to be read

The tick of the log now runs after pending input, as the checks of links do. The test failed before (a pre-vote was sent).

--- a/packages/storage/replicated_log.ts
+++ b/packages/storage/replicated_log.ts
@@ -108,7 +108,9 @@
         this.#receive(from.id, { kind, payload } as ConsensusMessage);
       });
     }
-    this.#timer = setInterval(() => this.#tick(), TICK_MS);
+    // Node runs due timers before it reads from sockets: after a stall of this
+    // process, a leader's message may have arrived that has not been read.
+    this.#timer = setInterval(() => setImmediate(() => this.#tick()), TICK_MS);
     this.#tick();
   }
 
--- a/packages/storage/replicated_log_test.ts
+++ b/packages/storage/replicated_log_test.ts
@@ -2,9 +2,10 @@
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { type TestContext, test } from "node:test";
+import { mock, type TestContext, test } from "node:test";
+import { setImmediate as turn } from "node:timers/promises";
 import type { ConsensusMessages, ConsensusNetwork } from "#agreement";
-import { SystemClock } from "#model";
+import { ManualClock, SystemClock } from "#model";
 import { PROTOCOL_VERSIONS, TcpNetwork } from "#wire";
 import { FileStorage } from "./file_storage.ts";
 import { MemoryDisk, MemoryStorage } from "./memory_storage.ts";
@@ -52,6 +53,11 @@
   }
 }
 
+/** Lets deferred work run. */
+async function turns(): Promise<void> {
+  for (let i = 0; i < 10; i++) await turn();
+}
+
 const isLeader = ({ log }: TestHost) => log.status().role === "leader";
 
 function leaderOf(hosts: readonly TestHost[]): TestHost {
@@ -276,3 +282,53 @@
     }
   }
 });
+
+// Failure: after a stall of its process, a follower starts an election before it reads
+// what the leader has sent meanwhile.
+test("a message that waits to be read counts before an election", async (t) => {
+  mock.timers.enable({ apis: ["setInterval"] });
+  t.after(() => mock.timers.reset());
+  const sent: string[] = [];
+  const handlers = new Map<string, (payload: unknown) => void>();
+  const network: ConsensusNetwork = {
+    send: (_, kind) => {
+      sent.push(kind);
+      return true;
+    },
+    handle: (kind, handler) => {
+      const from = { id: "b" };
+      handlers.set(kind, (payload) => handler(payload as never, from));
+    },
+  };
+  const clock = new ManualClock();
+  const cluster = "k";
+  const members = ["a/a1", "b/b1", "c/c1"];
+  const disk = new MemoryDisk("a1");
+  const storage = new MemoryStorage(disk);
+  await storage.load();
+  await storage.write([
+    {
+      type: "founding",
+      founding: {
+        ...{ cluster, convener: "a/a1", attempt: 1, members, formed: true },
+      },
+    },
+  ]);
+  const { log } = await openTestHost({
+    ...{ self: "a", founders: FOUNDERS, network, storage, clock },
+  });
+  t.after(() => log.close());
+  const append = () =>
+    handlers.get("agreement.append")?.({
+      ...{ cluster, from: "b/b1", to: "a/a1", term: 1, round: 1 },
+      ...{ previousIndex: 0, previousTerm: 0, entries: [], commit: 0 },
+    });
+  append();
+  await turns();
+  clock.advance(5_000);
+  mock.timers.tick(100);
+  append();
+  await turns();
+  assert.equal(log.status().leader, "b/b1");
+  assert.equal(sent.includes("agreement.pre_vote"), false);
+});
--- a/packages/storage/test_hosts.ts
+++ b/packages/storage/test_hosts.ts
@@ -5,7 +5,7 @@
   ReplicatedLog,
   StateMachine,
 } from "#agreement";
-import { SystemClock, SystemRandomness } from "#model";
+import { type Clock, SystemClock, SystemRandomness } from "#model";
 import { openReplicatedLog } from "./replicated_log.ts";
 
 type Handler = (payload: unknown, from: { id: string }) => void;
@@ -79,12 +79,13 @@
   founders: readonly string[];
   network: ConsensusNetwork;
   storage: ConsensusStorage;
+  clock?: Clock;
 }): Promise<TestHost> {
   const machine = new ListStateMachine();
   const log = await openReplicatedLog({
+    clock: new SystemClock(),
     ...options,
     machine,
-    clock: new SystemClock(),
     randomness: new SystemRandomness(),
     logger: SILENT_LOGGER,
   });
