--- a/packages/control/publisher.ts
+++ b/packages/control/publisher.ts
@@ -28,11 +28,6 @@
   readonly otherControlHosts: () => readonly HostId[];
 }
 
-interface UnansweredHeartbeat {
-  readonly entry: HostId;
-  readonly sequence: number;
-}
-
 /**
  * Sends entries the configuration, and confirms the current version in answer
  * to their heartbeats.
@@ -49,7 +44,8 @@
   readonly #entryVersions = new Map<HostId, number>();
   /** When this host published each recent version, on its steady clock. */
   readonly #publishedAt = new Map<number, number>();
-  #unansweredHeartbeats: UnansweredHeartbeat[] = [];
+  /** Sequence of the newest unanswered heartbeat of each entry. */
+  #unansweredHeartbeats = new Map<HostId, number>();
   #isAnswering = false;
   #relayTimer: NodeJS.Timeout | undefined;
 
@@ -158,8 +154,9 @@
     // Another control host may wait for this to answer an operator.
     if (heartbeat.version > previousVersion) this.#scheduleRelay();
     this.#entryVersions.set(from.id, heartbeat.version);
-    const { sequence } = heartbeat;
-    this.#unansweredHeartbeats.push({ entry: from.id, sequence });
+    // One answer is enough for an entry that has asked again meanwhile.
+    this.#unansweredHeartbeats.delete(from.id);
+    this.#unansweredHeartbeats.set(from.id, heartbeat.sequence);
     this.#tasks.run("heartbeat_answers", () => this.#answerHeartbeats());
   }
 
@@ -174,13 +171,13 @@
   }
 
   async #answerUntilNoneIsLeft(): Promise<void> {
-    while (this.#unansweredHeartbeats.length > 0) {
+    while (this.#unansweredHeartbeats.size > 0) {
       await new Promise((resolve) => setTimeout(resolve, READ_BATCH_MS));
       const batch = this.#unansweredHeartbeats;
-      this.#unansweredHeartbeats = [];
+      this.#unansweredHeartbeats = new Map();
       // Without a majority, the heartbeats stay unanswered.
       if (!(await this.#options.confirmRead())) continue;
-      for (const { entry, sequence } of batch) this.#answer(entry, sequence);
+      for (const [entry, sequence] of batch) this.#answer(entry, sequence);
     }
   }
 
