Ask control less often while no host answers

After a round of all connected hosts the time for an answer doubles, up to 2.4 s; the first round is as quick as before. The test failed before.

--- a/packages/entry/configuration_follower.ts
+++ b/packages/entry/configuration_follower.ts
@@ -28,6 +28,11 @@
 const CONFIRMATION_OVERDUE_MS = 1_500;
 /** Time for a control host to respond, including a majority's confirmation. */
 const CONTROL_RESPONSE_TIMEOUT_MS = 600;
+/**
+ * How many times that time at most. It doubles each time that no connected host has
+ * answered: they are overloaded or have no majority, and further questions delay both.
+ */
+const MAX_RESPONSE_TIMEOUT_FACTOR = 4;
 
 /** The round of a version that was not asked for; rounds begin with 1. */
 const UNSOLICITED_ROUND = 0;
@@ -83,6 +88,8 @@
   #unansweredSince: number | undefined;
   /** Whether a control host has not answered, and none has answered since. */
   #isSearching = false;
+  /** Heartbeats in a row that were not answered in time. */
+  #misses = 0;
   /**
    * A second control host that pushes changes to this entry, so that none is late
    * because one host is silent. It gets no heartbeats.
@@ -111,6 +118,7 @@
       if (from.id === this.#control) {
         this.#unansweredSince = undefined;
         this.#isSearching = false;
+        this.#misses = 0;
       }
       this.#freshness.handleControlResponse({
         sequence: state.sequence,
@@ -194,10 +202,17 @@
     this.#unansweredSince = now;
     this.#options.schedule(
       () => this.#checkResponse(now),
-      CONTROL_RESPONSE_TIMEOUT_MS,
+      this.#responseTimeoutMs(),
     );
   }
 
+  #responseTimeoutMs(): number {
+    const hosts = Math.max(1, this.#options.connectedControls().length);
+    const rounds = Math.floor(this.#misses / hosts);
+    const factor = Math.min(MAX_RESPONSE_TIMEOUT_FACTOR, 2 ** rounds);
+    return CONTROL_RESPONSE_TIMEOUT_MS * factor;
+  }
+
   /** Switches to the next control host if the current one does not respond. */
   #checkResponse(since: number): void {
     if (this.#unansweredSince !== since) return;
@@ -218,6 +233,7 @@
       this.#options.renewLink(control);
     }
     this.#unansweredSince = undefined;
+    this.#misses += 1;
     this.#isSearching = true;
     this.#control = undefined;
     this.sendHeartbeat();
--- a/packages/entry/configuration_follower_test.ts
+++ b/packages/entry/configuration_follower_test.ts
@@ -263,3 +263,16 @@
     [late],
   );
 });
+
+// Guards against entries that keep overloaded control hosts, or those that have no
+// majority, busy with more questions than at any other time.
+test("questions are not more frequent than heartbeats while no host answers", () => {
+  const network = new FollowerNetwork();
+  network.controls = ["c1", "c2", "c3"];
+  network.followers.get("e1")?.sendHeartbeat();
+  for (let passed = 0; passed < 20_000; passed += 100) network.pass(100);
+  const asked = network.sent.filter(({ kind }) => kind === "confirm");
+  assert.ok(asked.length <= 20, `${asked.length} questions in 20 s`);
+  const firstRound = asked.slice(0, 3).map(({ to }) => to);
+  assert.equal(new Set(firstRound).size, 3);
+});
