Judge silent peers after the input that waits to be read

The cause of the elections elsewhere: an entry judged that control had not answered, and control that an entry had sent no heartbeat, in a timer that Node runs before it reads from sockets. Both judge after that input now. packages/wire, the follower's and the publisher's tests pass.

--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -36,7 +36,12 @@
 import type { ControlSettings, FoundingMember } from "#settings";
 import { openReplicatedLog } from "#storage";
 import { type Logger, OwnTasks } from "#telemetry";
-import { createLoggedNetwork, type ListenFault, type TcpNetwork } from "#wire";
+import {
+  afterPendingInput,
+  createLoggedNetwork,
+  type ListenFault,
+  type TcpNetwork,
+} from "#wire";
 import { ControlPeers } from "./control_peers.ts";
 import { ServerInventory } from "./inventory.ts";
 import { LeaderDuties } from "./leader_duties.ts";
@@ -144,7 +149,8 @@
       if (await this.#log.stopped) this.#network.close();
     });
     this.#timers = [
-      setInterval(() => this.#tick(), CONTROL_TICK_MS),
+      // An entry whose heartbeats wait to be read is not silent.
+      setInterval(() => afterPendingInput(() => this.#tick()), CONTROL_TICK_MS),
       setInterval(
         () => this.#tasks.run("presence", () => this.registrar.tick()),
         TICK_INTERVAL_MS,
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -31,6 +31,7 @@
 import { KeyAccess } from "#tenants";
 import {
   ClientGuard,
+  callAfterInput,
   createLoggedNetwork,
   type Hello,
   type ListenFault,
@@ -200,9 +201,9 @@
       linkSilenceMs: (id) => network.silenceMs(id),
       renewLink: (id) => network.renewLink(id),
       schedule: (run, ms) => {
-        setTimeout(() => {
+        callAfterInput(() => {
           if (!this.#isClosed) this.#tasks.run("configuration", run);
-        }, ms).unref();
+        }, ms);
       },
       onChange: (configuration) => this.#applyConfiguration(configuration),
       onConfirmed: (askedAt) => this.#keyAccess.confirm(askedAt),
--- a/packages/wire/after_input.ts
+++ b/packages/wire/after_input.ts
@@ -6,3 +6,11 @@
 export function afterPendingInput(run: () => void): void {
   setImmediate(run);
 }
+
+/**
+ * Calls back after a time in milliseconds, when the input that arrived by then has
+ * been read. For timeouts that a message ends.
+ */
+export function callAfterInput(run: () => void, ms: number): void {
+  setTimeout(() => afterPendingInput(run), ms).unref();
+}
