Leave consola's reporter for terminals out of the platform's bundle

Each start of a role created an Intl.Segmenter while it loaded consola, for the width of text on a terminal. The roles always log JSON, so the bundle takes consola/basic, which has the same createConsola without that reporter.

--- a/scripts/bundle_platform.mjs
+++ b/scripts/bundle_platform.mjs
@@ -15,8 +15,13 @@
   // A smaller bundle starts faster; names are kept for stack traces.
   minifyWhitespace: true,
   minifySyntax: true,
-  // The optional native add-on cannot be bundled.
-  alias: { "cbor-extract": "./scripts/empty.cjs" },
+  alias: {
+    // The optional native add-on cannot be bundled.
+    "cbor-extract": "./scripts/empty.cjs",
+    // The roles log JSON. The reporter for terminals creates an Intl.Segmenter as
+    // it is loaded, which takes some 20 ms of processor time at each start.
+    consola: "consola/basic",
+  },
   define: { MANGOBANK_BUILD: JSON.stringify(buildId()) },
   logLevel: "warning",
 });
