Answer in a stop the requests that have arrived and were not read

Callers: a request on a kept connection ended without an answer when the entry closed its idle connections, although it had been sent long before. Cause: Node runs due timers before it reads. After a time in which the process got no processor time, the end of a stop's acceptance looked at the requests that had been read, found none, and ended the connections; what the kernel held was read after that and dropped ("request not taken on"). Change: `answered` also reads what has arrived: it waits until two rounds of the event loop bring no request, and answers those that they bring.

--- a/packages/wire/http_server.ts
+++ b/packages/wire/http_server.ts
@@ -13,6 +13,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { Result } from "neverthrow";
 import type { Address, Clock } from "#model";
+import { arrivedInput } from "./arrived_input.ts";
 import type { ClientGuard } from "./client_guard.ts";
 import { HttpConnections, TrackedResponse } from "./http_connections.ts";
 import {
@@ -82,6 +83,8 @@
   /** Tells failures of different servers and processes apart. */
   readonly #failurePrefix = randomUUID().slice(0, 8);
   #failureCount = 0;
+  /** Number of requests that have been read. */
+  #requestCount = 0;
 
   constructor(options: HttpServerOptions, handle: HttpHandler) {
     const { connectionsMax, onDropped, onFailure, ...others } = options;
@@ -98,6 +101,7 @@
         ServerResponse: TrackedResponse,
       } as ServerOptions<typeof TrackedRequest, typeof TrackedResponse>,
       (request, response) => {
+        this.#requestCount += 1;
         if (!this.#connections.add(request, response)) {
           request.resume();
           onDropped?.(request);
@@ -205,10 +209,17 @@
     return this.#connections.pendingRequests;
   }
 
-  /** Resolves when all requests are answered, or at a time of the clock. */
+  /**
+   * Resolves when all requests are answered, also those that have arrived and were
+   * not read yet, or at a time of the clock.
+   */
   async answered(clock: Clock, until: number): Promise<void> {
-    while (this.pendingRequests > 0 && clock.now() < until)
-      await delay(DRAIN_CHECK_INTERVAL_MS);
+    const hasTime = () => clock.now() < until;
+    do {
+      while (this.pendingRequests > 0 && hasTime())
+        await delay(DRAIN_CHECK_INTERVAL_MS);
+      await arrivedInput(() => this.#requestCount, hasTime);
+    } while (this.pendingRequests > 0 && hasTime());
   }
 
   /** Answers the requests that were read, for some time, and then closes. */
--- a/packages/wire/http_server_test.ts
+++ b/packages/wire/http_server_test.ts
@@ -58,3 +58,40 @@
   await server.close(new ManualClock(), 0);
   assert.equal(await received, "");
 });
+
+/** A server that answers all requests, and clients that are connected to it. */
+async function openAnsweringServer(clients: number) {
+  const server = new HttpServer({}, (request, response) => {
+    request.resume();
+    response.end("whole");
+  });
+  const listening = await server.listen({ host: "127.0.0.1", port: 0 });
+  const { port } = listening._unsafeUnwrap();
+  const sockets = Array.from({ length: clients }, () =>
+    connect({ host: "127.0.0.1", port }),
+  );
+  const texts = sockets.map(async (socket) => {
+    let text = "";
+    socket.on("data", (chunk) => {
+      text += chunk.toString("latin1");
+    });
+    socket.on("error", () => undefined);
+    await new Promise((resolve) => socket.once("close", resolve));
+    return text;
+  });
+  await Promise.all(sockets.map((socket) => once(socket, "connect")));
+  return { server, sockets, texts };
+}
+
+// Guards against a stop that ends a kept connection whose next request is in the
+// kernel's buffer, as after a time in which the process did not run.
+test("a close answers a request that has arrived and was not read", async () => {
+  const { server, sockets, texts } = await openAnsweringServer(1);
+  const [socket] = sockets;
+  socket?.write(REQUEST);
+  if (socket) await once(socket, "data");
+  socket?.write(REQUEST);
+  await server.close(new SystemClock(), 60_000);
+  const answers = (await Promise.all(texts)).join("").match(/whole/g);
+  assert.equal(answers?.length, 2);
+});
