Accept the connections in the listen queue before a stop closes it

Cause: closing a socket that listens resets the connections in its queue. Node (libuv 1.46) takes one connection of a queue in each round of the event loop, so that a burst, or a time without the processor, leaves connections there whose requests have long arrived. The same socket takes the calls that other entries pass on. Change: `stopListening` waits until two rounds of the event loop bring no connection, for 0.5 s at most; calls on these connections get 503 from the entry, as all that late in a stop. Tests of wire/http_server, entry/caller_server and entry/call_drain pass (5, 21, 1).

--- a/packages/entry/call_drain.ts
+++ b/packages/entry/call_drain.ts
@@ -48,7 +48,7 @@
   callers.closeAfterResponses();
   options.onSchedule(schedule);
   await delay(schedule.acceptUntil - startedAt);
-  callers.stopListening();
+  await callers.stopListening(clock);
   await callers.answered(clock, schedule.end);
   const calls = callers.pendingRequests;
   if (calls === 0) {
@@ -72,7 +72,7 @@
       wallTime: clock.wallTime(),
     });
   while (!mayExit()) await delay(RELEASE_CHECK_INTERVAL_MS);
-  callers.stopListening();
+  await callers.stopListening(clock);
   await callers.answered(clock, clock.now() + MAX_DRAIN_MS);
   await callers.endIdle(clock);
 }
--- a/packages/entry/caller_server.ts
+++ b/packages/entry/caller_server.ts
@@ -92,9 +92,9 @@
     this.#server.closeAfterResponses();
   }
 
-  /** Stops accepting connections; open ones stay open. */
-  stopListening(): void {
-    this.#server.stopListening();
+  /** Stops accepting connections, after those in the queue; open ones stay open. */
+  stopListening(clock: Clock): Promise<void> {
+    return this.#server.stopListening(clock);
   }
 
   /** Number of requests that have been read and have no whole answer. */
--- a/packages/entry/caller_server_test.ts
+++ b/packages/entry/caller_server_test.ts
@@ -128,7 +128,9 @@
   socket.write(get("/long"));
   const [exchange] = await read(1);
   answer(exchange, "x".repeat(LONG_ANSWER_BYTES));
-  server.stopListening();
+  const stopped = server.stopListening(new SystemClock());
+  assert.equal(server.pendingRequests, 1);
+  await stopped;
   assert.equal(server.pendingRequests, 1);
   socket.resume();
   while (server.pendingRequests > 0) {
--- a/packages/wire/http_server.ts
+++ b/packages/wire/http_server.ts
@@ -26,6 +26,11 @@
 
 /** How often to check whether all requests that were read are answered. */
 const DRAIN_CHECK_INTERVAL_MS = 20;
+/**
+ * Longest time in which the queues of new connections are emptied at the end of a stop.
+ * Node takes one connection of a queue in each round of the event loop.
+ */
+const MAX_QUEUE_MS = 500;
 /** Longest wait for clients to close idle connections at the end of a stop. */
 const MAX_CLOSE_MS = 200;
 /**
@@ -83,6 +88,8 @@
   /** Tells failures of different servers and processes apart. */
   readonly #failurePrefix = randomUUID().slice(0, 8);
   #failureCount = 0;
+  /** Number of connections that were accepted. */
+  #connectionCount = 0;
   /** Number of requests that have been read. */
   #requestCount = 0;
 
@@ -121,9 +128,10 @@
     // Without a listener, Node closes the connection without an answer.
     this.onConnect(refuseConnect);
     this.#server.maxHeadersCount = HEADER_FIELDS_MAX + 1;
-    this.#server.on("connection", (socket) =>
-      this.#connections.open(socket, { isClient: !this.isInternal(socket) }),
-    );
+    this.#server.on("connection", (socket) => {
+      this.#connectionCount += 1;
+      this.#connections.open(socket, { isClient: !this.isInternal(socket) });
+    });
     if (connectionsMax !== undefined)
       this.#server.maxConnections = connectionsMax;
   }
@@ -196,8 +204,16 @@
     this.#connections.closeAfterResponses();
   }
 
-  /** Stops accepting connections; open ones stay open. */
-  stopListening(): void {
+  /**
+   * Stops accepting connections; open ones stay open. Closing a socket that listens
+   * resets the connections in its queue, so these are accepted before.
+   */
+  async stopListening(clock: Clock): Promise<void> {
+    const until = clock.now() + MAX_QUEUE_MS;
+    await arrivedInput(
+      () => this.#connectionCount,
+      () => clock.now() < until,
+    );
     // `http.Server` would also close connections to which the end of an answer
     // is still being written.
     TcpServer.prototype.close.call(this.#server);
@@ -225,7 +241,7 @@
   /** Answers the requests that were read, for some time, and then closes. */
   async close(clock: Clock, drainMs: number): Promise<void> {
     this.closeAfterResponses();
-    this.stopListening();
+    await this.stopListening(clock);
     await this.answered(clock, clock.now() + drainMs);
     if (this.pendingRequests === 0) await this.endIdle(clock);
     this.destroy();
--- a/packages/wire/http_server_test.ts
+++ b/packages/wire/http_server_test.ts
@@ -95,3 +95,13 @@
   const answers = (await Promise.all(texts)).join("").match(/whole/g);
   assert.equal(answers?.length, 2);
 });
+
+// Guards against a stop that resets connections in the listen queue, from which
+// Node takes one in each round of the event loop.
+test("a close answers requests on connections in the listen queue", async () => {
+  const { server, sockets, texts } = await openAnsweringServer(20);
+  for (const socket of sockets) socket.write(REQUEST);
+  await server.close(new SystemClock(), 60_000);
+  const answers = (await Promise.all(texts)).join("").match(/whole/g);
+  assert.equal(answers?.length, sockets.length);
+});
