--- a/packages/wire/http_server.ts
+++ b/packages/wire/http_server.ts
@@ -13,6 +13,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { Result } from "neverthrow";
 import type { Address, Clock } from "#model";
+import { arrivedInput } from "./arrived_input.ts";
 import type { ClientGuard } from "./client_guard.ts";
 import { HttpConnections, TrackedResponse } from "./http_connections.ts";
 import {
@@ -25,6 +26,11 @@
 
 /** How often to check whether all requests that were read are answered. */
 const DRAIN_CHECK_INTERVAL_MS = 20;
+/**
+ * Longest time in which the queues of new connections are emptied at the end of a stop.
+ * Node takes one connection of a queue in each round of the event loop.
+ */
+const MAX_QUEUE_MS = 500;
 /** Longest wait for clients to close idle connections at the end of a stop. */
 const MAX_CLOSE_MS = 200;
 /**
@@ -82,6 +88,10 @@
   /** Tells failures of different servers and processes apart. */
   readonly #failurePrefix = randomUUID().slice(0, 8);
   #failureCount = 0;
+  /** Number of connections that were accepted. */
+  #connectionCount = 0;
+  /** Number of requests that have been read. */
+  #requestCount = 0;
 
   constructor(options: HttpServerOptions, handle: HttpHandler) {
     const { connectionsMax, onDropped, onFailure, ...others } = options;
@@ -98,6 +108,7 @@
         ServerResponse: TrackedResponse,
       } as ServerOptions<typeof TrackedRequest, typeof TrackedResponse>,
       (request, response) => {
+        this.#requestCount += 1;
         if (!this.#connections.add(request, response)) {
           request.resume();
           onDropped?.(request);
@@ -117,9 +128,10 @@
     // Without a listener, Node closes the connection without an answer.
     this.onConnect(refuseConnect);
     this.#server.maxHeadersCount = HEADER_FIELDS_MAX + 1;
-    this.#server.on("connection", (socket) =>
-      this.#connections.open(socket, { isClient: !this.isInternal(socket) }),
-    );
+    this.#server.on("connection", (socket) => {
+      this.#connectionCount += 1;
+      this.#connections.open(socket, { isClient: !this.isInternal(socket) });
+    });
     if (connectionsMax !== undefined)
       this.#server.maxConnections = connectionsMax;
   }
@@ -192,8 +204,16 @@
     this.#connections.closeAfterResponses();
   }
 
-  /** Stops accepting connections; open ones stay open. */
-  stopListening(): void {
+  /**
+   * Stops accepting connections; open ones stay open. Closing a socket that listens
+   * resets the connections in its queue, so these are accepted before.
+   */
+  async stopListening(clock: Clock): Promise<void> {
+    const until = clock.now() + MAX_QUEUE_MS;
+    await arrivedInput(
+      () => this.#connectionCount,
+      () => clock.now() < until,
+    );
     // `http.Server` would also close connections to which the end of an answer
     // is still being written.
     TcpServer.prototype.close.call(this.#server);
@@ -205,16 +225,23 @@
     return this.#connections.pendingRequests;
   }
 
-  /** Resolves when all requests are answered, or at a time of the clock. */
+  /**
+   * Resolves when all requests are answered, also those that have arrived and were
+   * not read yet, or at a time of the clock.
+   */
   async answered(clock: Clock, until: number): Promise<void> {
-    while (this.pendingRequests > 0 && clock.now() < until)
-      await delay(DRAIN_CHECK_INTERVAL_MS);
+    const hasTime = () => clock.now() < until;
+    do {
+      while (this.pendingRequests > 0 && hasTime())
+        await delay(DRAIN_CHECK_INTERVAL_MS);
+      await arrivedInput(() => this.#requestCount, hasTime);
+    } while (this.pendingRequests > 0 && hasTime());
   }
 
   /** Answers the requests that were read, for some time, and then closes. */
   async close(clock: Clock, drainMs: number): Promise<void> {
     this.closeAfterResponses();
-    this.stopListening();
+    await this.stopListening(clock);
     await this.answered(clock, clock.now() + drainMs);
     if (this.pendingRequests === 0) await this.endIdle(clock);
     this.destroy();
