Bound what clients hold by the resident memory of the process

The host then ends the process.

Cause: the account counts what is charged to clients. A process also holds read buffers that V8 has not collected, and memory that the allocator has not returned.

Change: the guard reads the resident memory each 200 ms and after each 2 MB charged. Above seven tenths of the host's memory, connections that hold 16 KiB or more share so much less than a sixth of it, but at least a quarter of that, so that ordinary bodies are still read. Closed connections are counted with the limit resident_bytes.

--- a/packages/client_limits/client_account.ts
+++ b/packages/client_limits/client_account.ts
@@ -11,9 +11,23 @@
  * sorted once for many charges.
  */
 const EVICTION_TARGET = 0.9;
+/**
+ * Held bytes from which a connection counts for the resident memory. Requests without
+ * a body, and answers that are read, stay below it.
+ */
+const LARGE_HOLDING_BYTES = 16_384;
+/**
+ * Part of the bound of held bytes that large holdings keep, whatever the process
+ * takes: 8.4 MB of 202 MB, 64 bodies of the size that is buffered.
+ */
+const LARGE_HOLDINGS_MIN = 1 / 4;
 
-/** The bound for which a connection is closed; the first two are of the process. */
-export type ClientLimit = "held_bytes" | "connections" | "header_fields";
+/** The bound for which a connection is closed; all but the last are of the process. */
+export type ClientLimit =
+  | "held_bytes"
+  | "resident_bytes"
+  | "connections"
+  | "header_fields";
 
 /** What one connection of a client makes the process hold. */
 export interface ClientCharge {
@@ -36,7 +50,8 @@
  * What all clients make a process hold, charged to their connections. When a
  * bound is exceeded, the connections with the least progress are closed: first
  * those that never sent a whole request, then those that completed nothing for
- * the longest time.
+ * the longest time. When the process takes more memory than planned, connections
+ * that hold much share so much less.
  *
  * Load patterns: many bodies or heads that stop before their end; many pipelined
  * requests with unread answers; many silent or slow connections.
@@ -45,9 +60,13 @@
   readonly #bounds: ClientBounds;
   readonly #charges = new Map<Connection, ClientCharge>();
   #heldBytes = 0;
+  /** Bytes of connections that hold much. */
+  #largeBytes = 0;
+  #largeBytesMax: number;
 
   constructor(bounds: ClientBounds) {
     this.#bounds = bounds;
+    this.#largeBytesMax = bounds.heldBytesMax;
   }
 
   /** Bytes that clients make the process hold. */
@@ -75,14 +94,27 @@
     if (!charge) return;
     this.#charges.delete(connection);
     this.#heldBytes -= CONNECTION_BYTES + charge.heldBytes;
+    this.#largeBytes -= largeHolding(charge);
   }
 
   /** Charges a connection with bytes, or returns them if negative. */
   charge(connection: Connection, bytes: number): void {
     const charge = this.#charges.get(connection);
     if (!charge) return;
+    this.#largeBytes -= largeHolding(charge);
     charge.heldBytes += bytes;
     this.#heldBytes += bytes;
+    this.#largeBytes += largeHolding(charge);
+  }
+
+  /** Takes note of the memory that the process takes, garbage included. */
+  setResidentBytes(residentBytes: number): void {
+    const { heldBytesMax, residentBytesMax } = this.#bounds;
+    const excess = Math.max(0, residentBytes - residentBytesMax);
+    this.#largeBytesMax = Math.max(
+      heldBytesMax * LARGE_HOLDINGS_MIN,
+      heldBytesMax - excess,
+    );
   }
 
   /** Records that a connection sent a whole request or took a whole answer. */
@@ -97,6 +129,7 @@
   get isExceeded(): boolean {
     return (
       this.#heldBytes > this.#bounds.heldBytesMax ||
+      this.#largeBytes > this.#largeBytesMax ||
       this.#charges.size > this.#bounds.connectionsMax
     );
   }
@@ -104,35 +137,74 @@
   /** The connections to close now; empty while no bound is exceeded. */
   evictions(): Eviction<Connection>[] {
     if (!this.isExceeded) return [];
-    const evicted = new Map<Connection, Eviction<Connection>>();
+    const evicted = new Map<Connection, ClientLimit>();
+    let candidates: [Connection, ClientCharge][] | undefined;
+    for (const { limit, value, max, weight } of this.#limits()) {
+      let left = value;
+      for (const connection of evicted.keys())
+        left -= weight(this.#charges.get(connection));
+      if (left <= max) continue;
+      candidates ??= this.#leastProgressFirst();
+      for (const [connection, charge] of candidates) {
+        if (left <= max * EVICTION_TARGET) break;
+        const freed = weight(charge);
+        if (freed === 0 || evicted.has(connection)) continue;
+        left -= freed;
+        evicted.set(connection, limit);
+      }
+    }
+    return [...evicted].map(([connection, limit]) => {
+      const heldBytes = this.#charges.get(connection)?.heldBytes ?? 0;
+      return { connection, limit, heldBytes };
+    });
+  }
+
+  #limits(): readonly Limit[] {
     const { heldBytesMax, connectionsMax } = this.#bounds;
-    const candidates = [...this.#charges].sort(([, a], [, b]) => {
+    return [
+      {
+        limit: "held_bytes",
+        value: this.#heldBytes,
+        max: heldBytesMax,
+        weight: held,
+      },
+      {
+        limit: "resident_bytes",
+        value: this.#largeBytes,
+        max: this.#largeBytesMax,
+        weight: largeHolding,
+      },
+      {
+        limit: "connections",
+        value: this.#charges.size,
+        max: connectionsMax,
+        weight: () => 1,
+      },
+    ];
+  }
+
+  #leastProgressFirst(): [Connection, ClientCharge][] {
+    return [...this.#charges].sort(([, a], [, b]) => {
       if (a.hasCompleted !== b.hasCompleted) return a.hasCompleted ? 1 : -1;
       return a.progressAt - b.progressAt;
     });
-    let bytes = this.#heldBytes;
-    if (bytes > heldBytesMax) {
-      for (const [connection, { heldBytes }] of candidates) {
-        if (bytes <= heldBytesMax * EVICTION_TARGET) break;
-        // Closing a connection that holds nothing would free next to nothing.
-        if (heldBytes === 0) continue;
-        bytes -= CONNECTION_BYTES + heldBytes;
-        evicted.set(connection, { connection, limit: "held_bytes", heldBytes });
-      }
-    }
-    let count = this.#charges.size - evicted.size;
-    if (count > connectionsMax) {
-      for (const [connection, { heldBytes }] of candidates) {
-        if (count <= connectionsMax * EVICTION_TARGET) break;
-        if (evicted.has(connection)) continue;
-        count--;
-        evicted.set(connection, {
-          connection,
-          limit: "connections",
-          heldBytes,
-        });
-      }
-    }
-    return [...evicted.values()];
   }
 }
+
+/** What counts for a bound, and how much of it the end of a connection frees. */
+interface Limit {
+  readonly limit: ClientLimit;
+  readonly value: number;
+  readonly max: number;
+  readonly weight: (charge: ClientCharge | undefined) => number;
+}
+
+/** Closing a connection that holds nothing would free next to nothing. */
+function held(charge: ClientCharge | undefined): number {
+  return charge?.heldBytes ? CONNECTION_BYTES + charge.heldBytes : 0;
+}
+
+function largeHolding(charge: ClientCharge | undefined): number {
+  const bytes = charge?.heldBytes ?? 0;
+  return bytes >= LARGE_HOLDING_BYTES ? bytes : 0;
+}
--- a/packages/client_limits/client_account_test.ts
+++ b/packages/client_limits/client_account_test.ts
@@ -8,6 +8,7 @@
 function makeAccount(bounds = {}) {
   return new ClientAccount<string>({
     heldBytesMax: 33_000_000,
+    residentBytesMax: 141_000_000,
     connectionsMax: 1_400,
     ...bounds,
   });
@@ -88,6 +89,7 @@
   const bounds = clientBounds({ memoryMb: 202, descriptorsMax: 2_069 });
   assert.equal(bounds.connectionsMax, 1_401);
   assert.ok(bounds.heldBytesMax < 34_000_000);
+  assert.ok(bounds.residentBytesMax < 142_000_000);
   const unknown = { memoryMb: undefined, descriptorsMax: undefined };
   assert.equal(clientBounds(unknown).heldBytesMax, Number.POSITIVE_INFINITY);
 });
@@ -103,3 +105,36 @@
     assert.ok(account.heldBytes <= 33_000_000);
   }
 });
+
+// Guards against a process that takes more than its host has, by garbage that the
+// account does not count.
+test("a process that takes too much closes connections that hold much", () => {
+  const account = makeAccount();
+  for (let index = 0; index < 200; index++) {
+    account.open(`crowd-${index}`, index);
+    account.charge(`crowd-${index}`, 2 * BODY_BYTES);
+    account.open(`small-${index}`, index);
+    account.charge(`small-${index}`, 5_000);
+  }
+  account.setResidentBytes(141_000_000);
+  assert.deepEqual(evict(account), []);
+  account.setResidentBytes(151_000_000);
+  const evicted = evict(account);
+  assert.equal(evicted[0], "crowd-0");
+  assert.ok(evicted.every((name) => name.startsWith("crowd")));
+  assert.ok(
+    account.heldBytes < 23_000_000 + 400 * CONNECTION_BYTES + 1_000_000,
+  );
+});
+
+// Guards against requests inside the limits that are refused because of memory that
+// the process keeps.
+test("a process that takes too much still reads bodies of ordinary requests", () => {
+  const account = makeAccount();
+  account.setResidentBytes(1_000_000_000);
+  for (let index = 0; index < 60; index++) {
+    account.open(`ordinary-${index}`, index);
+    account.charge(`ordinary-${index}`, 2 * BODY_BYTES);
+  }
+  assert.deepEqual(evict(account), []);
+});
--- a/packages/client_limits/client_bounds.ts
+++ b/packages/client_limits/client_bounds.ts
@@ -2,6 +2,11 @@
 export interface ClientBounds {
   /** Bytes of bodies, heads, unsent answers and connections. */
   readonly heldBytesMax: number;
+  /**
+   * Resident memory of the process from which connections that hold much are
+   * bounded by so much less.
+   */
+  readonly residentBytesMax: number;
   /** Open connections of clients. */
   readonly connectionsMax: number;
 }
@@ -21,6 +26,11 @@
 const FILE_DESCRIPTORS = 200;
 /** Part of the other descriptors that clients may use; servers, peers and control use the rest. */
 const CLIENT_DESCRIPTOR_SHARE = 3 / 4;
+/**
+ * Part of the memory that the process may take before clients may hold less: 141 MB of
+ * 202 MB. It is reached by garbage and by memory that the allocator does not return.
+ */
+const RESIDENT_MEMORY_SHARE = 0.7;
 const BYTES_PER_MB = 1_000_000;
 
 /** The bounds that follow from a host's resources; unbounded where they are unknown. */
@@ -33,6 +43,10 @@
       memoryMb === undefined
         ? Number.POSITIVE_INFINITY
         : memoryMb * BYTES_PER_MB * CLIENT_MEMORY_SHARE,
+    residentBytesMax:
+      memoryMb === undefined
+        ? Number.POSITIVE_INFINITY
+        : memoryMb * BYTES_PER_MB * RESIDENT_MEMORY_SHARE,
     connectionsMax:
       descriptorsMax === undefined
         ? Number.POSITIVE_INFINITY
--- a/packages/wire/client_guard.ts
+++ b/packages/wire/client_guard.ts
@@ -11,6 +11,11 @@
 
 /** How often the bytes in the buffers of sockets are charged. */
 const BUFFER_CHECK_INTERVAL_MS = 200;
+/**
+ * Bytes charged after which the memory of the process is read again. A crowd can
+ * charge tens of megabytes between two checks of the buffers.
+ */
+const RESIDENT_CHECK_BYTES = 2_000_000;
 
 /** A client's connection that was closed for a limit. */
 export interface ClosedClient {
@@ -30,16 +35,22 @@
   readonly #onClosed: (closed: ClosedClient) => void;
   /** Bytes in the buffers of each socket, as they were charged last. */
   readonly #buffered = new Map<Socket, number>();
+  readonly #residentBytes: () => number;
+  /** Bytes charged since the memory of the process was read. */
+  #chargedBytes = 0;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: {
     readonly bounds: ClientBounds;
     readonly clock: Clock;
     readonly onClosed: (closed: ClosedClient) => void;
+    /** Memory that the process takes; default: its resident memory. */
+    readonly residentBytes?: () => number;
   }) {
     this.#account = new ClientAccount(options.bounds);
     this.#clock = options.clock;
     this.#onClosed = options.onClosed;
+    this.#residentBytes = options.residentBytes ?? process.memoryUsage.rss;
   }
 
   /** Bytes that clients make the process hold. */
@@ -85,6 +96,8 @@
 
   charge({ socket }: TrackedRequest, bytes: number): void {
     this.#account.charge(socket, bytes);
+    this.#chargedBytes += Math.max(0, bytes);
+    if (this.#chargedBytes >= RESIDENT_CHECK_BYTES) this.#checkResident();
     this.#evict();
   }
 
@@ -105,9 +118,15 @@
       this.#account.charge(socket, bytes - charged);
       this.#buffered.set(socket, bytes);
     }
+    this.#checkResident();
     this.#evict();
   }
 
+  #checkResident(): void {
+    this.#chargedBytes = 0;
+    this.#account.setResidentBytes(this.#residentBytes());
+  }
+
   #evict(): void {
     if (!this.#account.isExceeded) return;
     for (const { connection, limit, heldBytes } of this.#account.evictions()) {
--- a/packages/wire/untrusted_clients_test.ts
+++ b/packages/wire/untrusted_clients_test.ts
@@ -100,7 +100,11 @@
   const fields = "a:b\r\n".repeat(2_001);
   const limits: string[] = [];
   const guard = new ClientGuard({
-    bounds: { heldBytesMax: 1_000_000, connectionsMax: 10 },
+    bounds: {
+      heldBytesMax: 1_000_000,
+      residentBytesMax: Number.POSITIVE_INFINITY,
+      connectionsMax: 10,
+    },
     clock: new SystemClock(),
     onClosed: ({ limit }) => limits.push(limit),
   });
@@ -114,7 +118,11 @@
 test("a client that holds too much is closed and reported", async (context) => {
   const closed: ClosedClient[] = [];
   const guard = new ClientGuard({
-    bounds: { heldBytesMax: 100_000, connectionsMax: 10 },
+    bounds: {
+      heldBytesMax: 100_000,
+      residentBytesMax: Number.POSITIVE_INFINITY,
+      connectionsMax: 10,
+    },
     clock: new SystemClock(),
     onClosed: (client) => closed.push(client),
   });
@@ -132,7 +140,11 @@
 test("above the bound the longest silent connection is closed", async (context) => {
   const closed: ClosedClient[] = [];
   const guard = new ClientGuard({
-    bounds: { heldBytesMax: 1_000_000, connectionsMax: 2 },
+    bounds: {
+      heldBytesMax: 1_000_000,
+      residentBytesMax: Number.POSITIVE_INFINITY,
+      connectionsMax: 2,
+    },
     clock: new SystemClock(),
     onClosed: (client) => closed.push(client),
   });
