Bound the recorded leaves of servers that no host knows

Callers saw: nothing yet; an entry that starts or falls behind would get no configuration, so that its calls are refused.

Cause: any program can deregister ids that it makes up, and each leave is part of the configuration for ten minutes, without a bound. A message longer than a frame closes the link of the entry that asks for it.

Change: once the recorded leaves take 64 KiB, a leave is recorded only if its control host or an entry knows the server, or if it is a draining heartbeat, and while the configuration leaves 32 KiB of its message free. Others are answered with 503. Leaves that were acknowledged stay recorded. The control host decides before it logs the command, so that hosts of an earlier build keep an equal state.

--- a/packages/control/configuration_size.ts
+++ b/packages/control/configuration_size.ts
@@ -7,7 +7,7 @@
 import { encodeValue, MAX_FRAME_BYTES } from "#wire";
 
 /** Room for what changes without operators: entries, servers that leave. */
-const RESERVED_BYTES = 128 * 1024;
+export const RESERVED_BYTES = 128 * 1024;
 
 /**
  * Largest configuration that items may lead to. An entry that starts gets all of it
--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -1,11 +1,5 @@
 import { MAX_COMMAND_BYTES } from "#agreement";
-import {
-  type BackendServer,
-  type Clock,
-  isPossibleLeave,
-  isPossibleStart,
-  type LeavingServer,
-} from "#model";
+import { type BackendServer, type Clock, isPossibleStart } from "#model";
 import type { AnnouncementFault } from "#presence";
 import {
   type Item,
@@ -20,16 +14,15 @@
   MAX_CONFIGURATION_BYTES,
 } from "./configuration_size.ts";
 import type { ControlProcess } from "./control_process.ts";
+import { recordsAtEntry } from "./known_records.ts";
 import { faultTypeOf, withTimeout } from "./majority_timeout.ts";
+import { type RecordReply, ServerLeaves } from "./server_leaves.ts";
 
 /** Most items and faults named in a log line or a reply. */
 const MAX_LISTED = 20;
 /** Longest name or value in a log line or a reply, in characters. */
 const MAX_TEXT_LENGTH = 120;
 
-/** Longest wait for an entry's list of servers, in milliseconds. */
-const LOOKUP_TIMEOUT_MS = 200;
-
 /** No majority confirmed the request in time; it may take effect later. */
 interface UnavailableReply {
   readonly type: "unavailable";
@@ -58,10 +51,7 @@
   | ImpossibleReply
   | UnavailableReply;
 
-export type LeaveReply =
-  | { readonly type: "recorded" }
-  | ImpossibleReply
-  | UnavailableReply;
+export type LeaveReply = RecordReply | ImpossibleReply;
 
 /**
  * Handles requests about configuration items and announcements of backend
@@ -73,6 +63,7 @@
   readonly #logger: Logger;
   /** Logs and counts announcements, also those that cannot be decoded. */
   readonly announcements: AnnouncementLog;
+  readonly #leaves: ServerLeaves;
 
   constructor(options: {
     control: ControlProcess;
@@ -86,6 +77,8 @@
     this.#logger = options.logger;
     const { metrics = { recordRefusedInput: () => undefined } } = options;
     this.announcements = new AnnouncementLog({ ...options, metrics });
+    const { announcements } = this;
+    this.#leaves = new ServerLeaves({ ...options, announcements });
   }
 
   /** Changes items; accepted once a majority of control hosts has synced it. */
@@ -191,7 +184,7 @@
     if (impossible) return impossible;
     const { registrar } = this.#control;
     if (server.state === "leaving") {
-      if (!this.#recordedLeave(server)) {
+      if (!this.#leaves.covering(server)) {
         const known = await this.#recordsOf(server);
         const fault = await registrar.checkLeaving(server, known);
         if (fault) return this.#refuseAnnouncement(server, fault);
@@ -218,38 +211,7 @@
   }: BackendServer): Promise<readonly BackendServer[]> {
     const own = this.#control.registrar.recordsOf(id);
     if (own.some((record) => record.service === service)) return own;
-    return [...(await this.#recordsAtEntry(id)), ...own];
-  }
-
-  /** The records of an id that an entry knows, of all control hosts. */
-  async #recordsAtEntry(id: string): Promise<readonly BackendServer[]> {
-    const all = await withTimeout(this.#control.servers(), LOOKUP_TIMEOUT_MS);
-    return (all ?? []).filter((server) => server.id === id);
-  }
-
-  /**
-   * The newest start that a leave covers. Without a start, or with one ahead of this
-   * host's clock, these are the starts that are known, as a server that starts again
-   * must be used. This host knows only what was announced to it.
-   */
-  async #coveredStart(leave: {
-    readonly id: string;
-    readonly incarnation?: number | undefined;
-  }): Promise<number> {
-    const { id, incarnation } = leave;
-    const now = this.#wallTimeMs();
-    if (incarnation !== undefined && incarnation <= now) return incarnation;
-    const known = [
-      ...this.#control.registrar.recordsOf(id),
-      ...(await this.#recordsAtEntry(id)),
-    ];
-    if (incarnation !== undefined) {
-      return Math.min(incarnation, Math.max(newestOf(known) ?? now, now));
-    }
-    const { leaving } = this.#control.registry.configuration();
-    const left = leaving.find((server) => server.id === id);
-    const isUsable = left !== undefined && isPossibleLeave(left);
-    return newestOf(known) ?? (isUsable ? left.incarnation : now);
+    return [...(await recordsAtEntry(this.#control, id)), ...own];
   }
 
   #refuseAnnouncement(
@@ -276,59 +238,8 @@
     },
     call: InputCall = "deregistration",
   ): Promise<LeaveReply> {
-    const { id } = server;
     const impossible = this.#refuseFutureStart(call, server);
-    if (impossible) return impossible;
-    const incarnation = await this.#coveredStart(server);
-    const recorded = this.#recordedLeave({ id, incarnation });
-    if (recorded && !isPossibleLeave(recorded)) {
-      return this.#leaveInLists(id, incarnation);
-    }
-    if (recorded) {
-      this.announcements.refused({
-        call,
-        reason: "already_recorded",
-        message: "leave was recorded before",
-        server: id,
-        incarnation,
-      });
-      return { type: "recorded" };
-    }
-    const servers = [{ id, incarnation }];
-    const at = this.#wallTimeMs();
-    const result = await withTimeout(
-      this.#control.submit({ type: "servers_leaving", servers, at }),
-    );
-    if (result?.isOk()) {
-      const isNamed = server.incarnation !== undefined;
-      this.announcements.leaveRecorded({ id, incarnation, isNamed });
-      return { type: "recorded" };
-    }
-    const fault = faultTypeOf(result);
-    this.#logger.warn("leave not confirmed", { server: id, fault });
-    return { type: "unavailable", fault };
-  }
-
-  /** The leave in the replicated state that covers this one. */
-  #recordedLeave(leave: Omit<LeavingServer, "at">): LeavingServer | undefined {
-    const { leaving } = this.#control.registry.configuration();
-    return leaving.find(
-      ({ id, incarnation }) =>
-        id === leave.id && incarnation >= leave.incarnation,
-    );
-  }
-
-  /**
-   * Tells the connected entries of a leave that the replicated state cannot hold:
-   * an earlier build has recorded an impossible one for the id, and replacing it
-   * would make hosts of the two builds differ. It is not acknowledged, as entries
-   * that are not connected do not learn of it.
-   */
-  #leaveInLists(id: string, incarnation: number): UnavailableReply {
-    this.#control.registrar.leave({ id, incarnation });
-    const fault = "impossible_leave_recorded";
-    this.#logger.warn("leave not confirmed", { server: id, fault });
-    return { type: "unavailable", fault };
+    return impossible ?? this.#leaves.record(server, call);
   }
 
   /**
@@ -372,9 +283,3 @@
   if (text.length <= MAX_TEXT_LENGTH) return text;
   return `${text.slice(0, MAX_TEXT_LENGTH)}… (${text.length} characters)`;
 }
-
-/** The newest incarnation of the records; undefined if there is none. */
-function newestOf(records: readonly BackendServer[]): number | undefined {
-  const incarnations = records.map(({ incarnation }) => incarnation);
-  return incarnations.length > 0 ? Math.max(...incarnations) : undefined;
-}
