Split lists of servers by their bytes, too

Callers saw: nothing yet; the link between a control host and an entry would close each time that the entry asks for the list, so that it knows none of the servers of that host.

Cause: lists, changes of lists and leaves that contradict a list were split by number alone, at 1,000 records. Names may have 256 characters of three bytes.

Change: one function splits all three, by number and by the most bytes that the records can have.

--- a/packages/presence/list_replicas.ts
+++ b/packages/presence/list_replicas.ts
@@ -1,12 +1,11 @@
 import type { HostId, Randomness } from "#model";
 import type { Effects } from "./effects.ts";
-import {
-  type ChangesMessage,
-  MAX_RECORDS_PER_MESSAGE,
-  type Operation,
-  type Position,
-  type StateMessage,
-  type SummaryMessage,
+import type {
+  ChangesMessage,
+  Operation,
+  Position,
+  StateMessage,
+  SummaryMessage,
 } from "./messages.ts";
 import { OwnerList } from "./owner_list.ts";
 import { remainingLease, unpackLoad } from "./packed_records.ts";
@@ -122,10 +121,7 @@
       );
       for (const list of known) {
         if (!list.isNewerThan(position)) continue;
-        for (const payload of list.encodeState(
-          context.now,
-          MAX_RECORDS_PER_MESSAGE,
-        )) {
+        for (const payload of list.encodeState(context.now)) {
           const message = { kind: "presence_state", payload } as const;
           context.effects.send([context.from], message);
         }
--- a/packages/presence/local_registrations.ts
+++ b/packages/presence/local_registrations.ts
@@ -5,6 +5,7 @@
   hasSameAddress,
 } from "#model";
 import type { Effects } from "./effects.ts";
+import { splitIntoMessages } from "./message_parts.ts";
 import {
   coldUntilOf,
   decodePut,
@@ -126,15 +127,11 @@
         this.#reassert(local, operation, context);
       }
     }
-    if (
-      contradictingLeaves.length === 0 ||
-      !this.#connected.has(received.owner)
-    )
-      return;
-    context.effects.send([received.owner], {
-      kind: "presence_leaves",
-      payload: contradictingLeaves,
-    });
+    if (!this.#connected.has(received.owner)) return;
+    for (const payload of splitIntoMessages(contradictingLeaves)) {
+      const message = { kind: "presence_leaves", payload } as const;
+      context.effects.send([received.owner], message);
+    }
   }
 
   /**
--- a/packages/presence/messages.ts
+++ b/packages/presence/messages.ts
@@ -137,12 +137,6 @@
   ...["inFlight", "startedMsAgo", "ageMs"],
 ];
 
-/**
- * Most records in one message. A record with the longest names takes some 700
- * bytes, and a frame of more than 1 MiB closes the connection.
- */
-export const MAX_RECORDS_PER_MESSAGE = 1_000;
-
 /**
  * A server's record at one entry. The replicated list and the merged
  * `ServerTable` share the same object.
--- a/packages/presence/owner_list.ts
+++ b/packages/presence/owner_list.ts
@@ -1,4 +1,5 @@
 import { backendServerKey, type HostId } from "#model";
+import { splitIntoMessages } from "./message_parts.ts";
 import {
   decodePut,
   encodeLeave,
@@ -81,8 +82,8 @@
     return [...this.position, this.load, this.stopping, packedRecords, 0];
   }
 
-  /** The whole list in parts of at most `maxRecords` operations. */
-  encodeState(now: number, maxRecords: number): StateMessage[] {
+  /** The whole list in parts that fit into a message each. */
+  encodeState(now: number): StateMessage[] {
     const operations: Operation[] = [];
     for (const tombstone of this.tombstones.values()) {
       if (tombstone.keptUntil > now)
@@ -92,14 +93,16 @@
     for (const record of this.records.values()) {
       operations.push(encodePut(record, now));
     }
-    const parts = Math.max(1, Math.ceil(operations.length / maxRecords));
-    return Array.from({ length: parts }, (_, part) => [
+    const messages = splitIntoMessages(operations);
+    // An empty list is sent, too: the receiver has to remove its records.
+    const parts = messages.length > 0 ? messages : [[]];
+    return parts.map((partOperations, part) => [
       ...this.position,
       this.load,
       this.stopping,
       part,
-      parts,
-      operations.slice(part * maxRecords, (part + 1) * maxRecords),
+      parts.length,
+      partOperations,
     ]);
   }
 
--- a/packages/presence/publisher.ts
+++ b/packages/presence/publisher.ts
@@ -5,11 +5,11 @@
   type Randomness,
 } from "#model";
 import type { Effects } from "./effects.ts";
+import { splitIntoMessages } from "./message_parts.ts";
 import {
   coldUntilOf,
   encodeLeave,
   encodePut,
-  MAX_RECORDS_PER_MESSAGE,
   type Operation,
   type ServerRecord,
   type SummaryMessage,
@@ -101,16 +101,12 @@
     const operations = this.#pendingChanges.map(({ operation, queuedAt }) =>
       withWaitAdded(operation, now - queuedAt),
     );
-    const from = version - operations.length;
+    let from = version - operations.length;
     this.#pendingChanges = [];
-    for (
-      let offset = 0;
-      offset < operations.length;
-      offset += MAX_RECORDS_PER_MESSAGE
-    ) {
-      const batch = operations.slice(offset, offset + MAX_RECORDS_PER_MESSAGE);
-      const payload = [owner, incarnation, from + offset, batch] as const;
+    for (const batch of splitIntoMessages(operations)) {
+      const payload = [owner, incarnation, from, batch] as const;
       effects.send(to, { kind: "presence_changes", payload });
+      from += batch.length;
     }
   }
 
