Use records that were ahead of the clock once the clock is right

Callers saw: an entry whose clock had been more than 60 s behind left servers out as long as they ran, though its clock was right again; their load went to the others.

Cause: whether a record's start is possible was decided when the record changed. A server that goes on only renews its lease, which changes nothing. Leaves that were ahead of the clock were dropped, which had no effect as long as their records were left out.

Change: records ahead of the clock are looked at again with each scan for expired leases. Leaves ahead of it are kept, and count once the clock is right, if by that clock they were possible when they were recorded; others would end servers that start later.

--- a/packages/presence/server_table.ts
+++ b/packages/presence/server_table.ts
@@ -6,6 +6,7 @@
   hasSameAddress,
 } from "#model";
 import { AddressProofs } from "./address_proofs.ts";
+import { AheadOfClock } from "./ahead_of_clock.ts";
 import type { Effects } from "./effects.ts";
 import { FirstServices } from "./first_services.ts";
 import {
@@ -13,7 +14,7 @@
   type ServerRecord,
   type Tombstone,
 } from "./messages.ts";
-import { isPossibleIncarnation, isPossibleRecord } from "./plausibility.ts";
+import { isPossibleRecord } from "./plausibility.ts";
 
 /**
  * Merges the owners' lists: a server can have a record in several of them. Its
@@ -43,9 +44,11 @@
   readonly #firstServices = new FirstServices();
   /** Servers of which several addresses are announced. */
   readonly #contested = new Set<string>();
+  readonly #ahead: AheadOfClock | undefined;
 
   constructor(untrusted?: Pick<Clock, "wallTime">) {
     this.#untrusted = untrusted;
+    this.#ahead = untrusted && new AheadOfClock(untrusted);
   }
 
   /** Number of servers with a current record. */
@@ -134,12 +137,9 @@
     if (records?.size === 0) this.#records.delete(key);
   }
 
-  /** Stores a tombstone; false if this leave is already known. */
+  /** Stores a tombstone; false if this leave is known, or ahead of the clock. */
   addTombstone(tombstone: Tombstone): boolean {
-    const wallTime = this.#untrusted?.wallTime();
-    if (wallTime !== undefined && !isPossibleIncarnation(tombstone, wallTime)) {
-      return false;
-    }
+    if (this.#ahead?.keepLeave(tombstone)) return false;
     const key = backendServerKey(tombstone);
     const known = this.#tombstones.get(key);
     if (known && known.incarnation >= tombstone.incarnation) return false;
@@ -150,6 +150,7 @@
   /** Selects a server's current record again and reports what has changed. */
   refresh(key: string, { now, effects }: { now: number; effects: Effects }) {
     const before = this.#current.get(key);
+    this.#checkStarts(key, now);
     this.#requestProofs(key, { now, effects });
     const record = this.#selectNewest(key, now);
     if (before && record === before.record && record.server === before.server)
@@ -182,6 +183,9 @@
   /** Removes expired records and tombstones. */
   expire(now: number, effects: Effects): void {
     for (const key of this.#contested) this.refresh(key, { now, effects });
+    for (const key of this.#ahead?.due(now) ?? []) {
+      this.refresh(key, { now, effects });
+    }
     if (now >= this.#earliestExpiry) this.#expireLeases(now, effects);
     for (const [key, { keptUntil }] of this.#tombstones) {
       if (keptUntil <= now) this.#tombstones.delete(key);
@@ -196,6 +200,15 @@
     }
   }
 
+  /** Takes the leaves that count by now, and notes the records that do not yet. */
+  #checkStarts(key: string, now: number): void {
+    if (!this.#ahead) return;
+    for (const leave of this.#ahead.takeDueLeaves(key, now)) {
+      this.addTombstone(leave);
+    }
+    this.#ahead.noteRecords(key, this.#records.get(key)?.values() ?? []);
+  }
+
   /** Checks the addresses of a server that has several of them. */
   #requestProofs(
     key: string,
