Keep the address of a running server whose health checks are late

Callers saw: calls that were sent to an address where the server is not, while another program announced it there and the server was overloaded.

Cause: where neither the known address nor the announced one answered a check within 300 ms, the newer announcement counted, as for a server that starts again elsewhere.

Change: this holds for a later start only. An announcement of the known start at another address does not count then, since a server keeps its address for as long as it runs. Entries decide alike where the lists of two control hosts differ.

--- a/packages/presence/address_proofs.ts
+++ b/packages/presence/address_proofs.ts
@@ -91,15 +91,21 @@
 export function decideAddress(announced: {
   /** Whether it is newer than the known record. */
   readonly isNewer: boolean;
+  /**
+   * Whether it names the known start. A server keeps its address for as long as it
+   * runs, so that such an announcement is no restart elsewhere.
+   */
+  readonly isSameStart: boolean;
   readonly identity: Identity | undefined;
   readonly knownIdentity: Identity | undefined;
 }): boolean | undefined {
-  const { isNewer, identity, knownIdentity } = announced;
+  const { isNewer, isSameStart, identity, knownIdentity } = announced;
   if (identity === "other") return false;
   if (identity === "same" && isNewer) return true;
   if (identity === undefined || knownIdentity === undefined) return undefined;
-  const isKnownProven = knownIdentity === "same";
-  return !isKnownProven && (identity === "same" || isNewer);
+  if (knownIdentity === "same") return false;
+  if (identity === "same") return true;
+  return isNewer && !(isSameStart && knownIdentity === "unknown");
 }
 
 function isFresh({ identity, checkedAt }: Proof, now: number): boolean {
--- a/packages/presence/address_proofs_test.ts
+++ b/packages/presence/address_proofs_test.ts
@@ -28,8 +28,17 @@
 ] as const) {
   const age = isNewer ? "newer" : "older";
   const name = `${age}, answers ${identity}, known one ${knownIdentity}`;
+  const about = { isNewer, identity, knownIdentity };
   test(`an address that is ${name}: ${expected}`, () => {
-    assert.equal(decideAddress({ isNewer, identity, knownIdentity }), expected);
+    const announced = { ...about, isSameStart: false };
+    assert.equal(decideAddress(announced), expected);
+  });
+  // Guards against an overloaded server, whose checks are late, that is displaced.
+  const areBothLate = identity === "unknown" && knownIdentity === "unknown";
+  const ofSameStart = areBothLate ? false : expected;
+  test(`an address of the same start that is ${name}: ${ofSameStart}`, () => {
+    const announced = { ...about, isSameStart: true };
+    assert.equal(decideAddress(announced), ofSameStart);
   });
 }
 
--- a/packages/presence/presence.ts
+++ b/packages/presence/presence.ts
@@ -407,6 +407,7 @@
     for (const claimed of [server, known]) proofs.request(claimed, context);
     const isAccepted = decideAddress({
       isNewer: fault === undefined,
+      isSameStart: known.incarnation === server.incarnation,
       identity: proofs.fresh(server, now),
       knownIdentity: proofs.fresh(known, now),
     });
--- a/packages/presence/server_table.ts
+++ b/packages/presence/server_table.ts
@@ -226,7 +226,8 @@
 
   /**
    * The newest record, of the addresses at which the server answers if several are
-   * announced. Until that is known, the address that is in use stays.
+   * announced. Until that is known, the address that is in use stays; also where
+   * neither answers, unless the newest record has a later start.
    */
   #selectNewest(key: string, now: number): ServerRecord | undefined {
     const candidates = this.#candidates(key, now);
@@ -242,7 +243,15 @@
       if (atAddress.length > 0) return newest(atAddress);
     }
     const possible = candidates.filter((_, i) => identities[i] !== "other");
-    return newest(possible.length > 0 ? possible : candidates);
+    const latest = newest(possible.length > 0 ? possible : candidates);
+    // A server keeps its address for as long as it runs.
+    const sameRun = possible.filter(
+      ({ server }) =>
+        used &&
+        server.incarnation === latest?.server.incarnation &&
+        hasSameAddress(server, used.server),
+    );
+    return newest(sameRun) ?? latest;
   }
 
   /** The records that may be the current one. */
