Give connections without a hello their time, and open them less often

Silence counts from the hello on, and connections that the peer closes without one get rarer, up to one in 2 s. Refused ones are repeated as before, so that a peer that starts is found soon. The three tests failed before.

--- a/packages/wire/link.ts
+++ b/packages/wire/link.ts
@@ -88,6 +88,7 @@
   readonly #reader = new FrameReader();
   #peer: Hello | undefined;
   #open = true;
+  #fault: LinkFault["type"] | undefined;
   #lastSent: number;
   #lastReceived: number;
   #receivedBytes = 0;
@@ -130,6 +131,11 @@
     return this.#options.connection !== undefined;
   }
 
+  /** Why it was closed; undefined while it is open. */
+  get fault(): LinkFault["type"] | undefined {
+    return this.#fault;
+  }
+
   get receivedBytes(): number {
     return this.#receivedBytes;
   }
@@ -171,7 +177,8 @@
    * Sends a ping or closes a dead link, if due; called a few times a second.
    */
   checkKeepalive(): void {
-    if (!this.#open) return;
+    // Until the hello, which may be late at a busy peer, its own timeout applies.
+    if (!this.#open || !this.#peer) return;
     const { silenceMs } = this;
     const { pingAfterMs, deadAfterMs } = this.#keepalive;
     if (silenceMs > deadAfterMs) {
@@ -190,6 +197,7 @@
   close(fault: LinkFault): void {
     if (!this.#open) return;
     this.#open = false;
+    this.#fault = fault.type;
     this.#pendingFrames = [];
     this.#socket.destroy();
     this.#options.events.onClose(this, fault);
--- a/packages/wire/outgoing_connection.ts
+++ b/packages/wire/outgoing_connection.ts
@@ -1,11 +1,20 @@
 import { connect, Socket } from "node:net";
 import type { Address, Clock, Randomness } from "#model";
 import { afterPendingInput } from "./after_input.ts";
-import { HelloTimeout } from "./hello_timeout.ts";
+import { Backoff } from "./backoff.ts";
 import type { Link } from "./link.ts";
 
 const RECONNECT_DELAY_MS = 250;
+/** The same after connections that the peer has closed instead of saying hello. */
+const MAX_RECONNECT_DELAY_MS = 2_000;
 const CONNECT_TIMEOUT_MS = 2_000;
+/** Time for the hello of a peer on the first connection. */
+const HELLO_TIMEOUT_MS = 2_000;
+/**
+ * Longest time for a hello. A connection that died without a reset is found after
+ * it at the latest.
+ */
+const MAX_HELLO_TIMEOUT_MS = 8_000;
 /**
  * Shortest time between two renewals of a link. A peer that is only slow gets no
  * further connection with each request that it has not answered in time.
@@ -23,12 +32,21 @@
   },
 ) => Link;
 
-/** Keeps one outgoing connection open: connects again whenever it closes. */
+/**
+ * Keeps one outgoing connection open: connects again whenever it closes. It waits longer
+ * for a hello, and for the next connection, after each connection without one. A peer
+ * that is overloaded answers late; if all connections to it are given up after the same
+ * time, it only ever works on those that are closed already.
+ *
+ * Load pattern: all hosts start at the same moment on machines that are too small for
+ * that, and each opens links to tens of others.
+ */
 export class OutgoingConnection {
   readonly #address: Address;
   readonly #createLink: CreateOutgoingLink;
   readonly #clock: Clock;
-  readonly #helloTimeout: HelloTimeout;
+  readonly #helloTimeout: Backoff;
+  readonly #reconnectDelay: Backoff;
   #number = 0;
   #link: Link | undefined;
   #socket: Socket | undefined;
@@ -49,7 +67,17 @@
     this.#address = address;
     this.#createLink = options.createLink;
     this.#clock = options.clock;
-    this.#helloTimeout = new HelloTimeout(options.randomness);
+    const { randomness } = options;
+    this.#helloTimeout = new Backoff({
+      shortestMs: HELLO_TIMEOUT_MS,
+      longestMs: MAX_HELLO_TIMEOUT_MS,
+      randomness,
+    });
+    this.#reconnectDelay = new Backoff({
+      shortestMs: RECONNECT_DELAY_MS,
+      longestMs: MAX_RECONNECT_DELAY_MS,
+      randomness,
+    });
     this.#connect();
   }
 
@@ -111,6 +139,7 @@
       helloTimeoutMs: this.#helloTimeout.next(),
       onOpen: () => {
         this.#helloTimeout.reset();
+        this.#reconnectDelay.reset();
         onOpen();
       },
     });
@@ -140,9 +169,14 @@
   #handleClose(socket: Socket): void {
     if (this.#renewal === socket) this.#renewal = undefined;
     if (this.#socket !== socket) return;
+    const link = this.#link;
     this.#link = undefined;
     if (this.#stopped) return;
-    this.#retry = setTimeout(() => this.#connect(), RECONNECT_DELAY_MS);
+    const isTurnedAway = link && !link.peer && link.fault !== "hello_missing";
+    const delayMs = isTurnedAway
+      ? this.#reconnectDelay.next()
+      : RECONNECT_DELAY_MS;
+    this.#retry = setTimeout(() => this.#connect(), delayMs);
   }
 }
 
--- a/packages/wire/slow_peers_test.ts
+++ b/packages/wire/slow_peers_test.ts
@@ -4,6 +4,7 @@
 import { mock, type TestContext, test } from "node:test";
 import { setImmediate as turn } from "node:timers/promises";
 import { Worker } from "node:worker_threads";
+import { ManualClock } from "#model";
 import { encodeFrame } from "./frames.ts";
 import type { Hello } from "./messages.ts";
 import { TcpNetwork } from "./network.ts";
@@ -150,3 +151,59 @@
   await until(() => network.isConnected("present"));
   assert.deepEqual(events, ["up present"]);
 });
+
+// Guards against a crowd of new connections to a host that closes them, as it has too
+// many.
+test("connections to a peer that closes each get rarer", async (t) => {
+  let connections = 0;
+  mock.timers.enable({ apis: ["setTimeout"] });
+  const server = createServer((socket) => {
+    connections += 1;
+    socket.on("error", () => undefined);
+    socket.destroy();
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const network = new TcpNetwork<Record<string, unknown>>({
+    self: hello("client"),
+    clock: CLOCK,
+  });
+  t.after(() => {
+    network.close();
+    mock.timers.reset();
+    server.close();
+  });
+  network.setPeers([{ address: { host: "127.0.0.1", port } }]);
+  await pass(60_000);
+  assert.ok(connections <= 45, `${connections} connections in a minute`);
+});
+
+// Guards against a starting process that is never linked, as it says hello later than
+// silence is allowed on a link.
+for (const role of ["control", "entry"] as const) {
+  test(`a hello that is 6 s late opens a link to ${role}`, async (t) => {
+    mock.timers.enable({ apis: ["setInterval", "setTimeout"] });
+    const clock = new ManualClock();
+    const network = new TcpNetwork<Record<string, unknown>>({
+      self: { ...hello("a"), role },
+      clock,
+    });
+    t.after(() => {
+      network.close();
+      mock.timers.reset();
+    });
+    const listening = await network.listen({ host: "127.0.0.1", port: 0 });
+    const socket = connect(listening._unsafeUnwrap());
+    socket.on("error", () => undefined);
+    t.after(() => socket.destroy());
+    await once(socket, "data");
+    for (let passed = 0; passed < 6_000; passed += STEP_MS) {
+      clock.advance(STEP_MS);
+      mock.timers.tick(STEP_MS);
+      await turns(10);
+    }
+    socket.write(frame("hello", hello("late")));
+    await until(() => network.isConnected("late"));
+  });
+}
