Ask only possible owners of recent views at a start

Views that ended 10 s before the start are left out: no vote by them can count any more. Ticks of quotas run after the input that waits, so that an answer that has arrived is not missing.

--- a/packages/quota_service/tenant_quotas.ts
+++ b/packages/quota_service/tenant_quotas.ts
@@ -9,6 +9,7 @@
   QuotaOwner,
   type QuotaTable,
   quotaTable,
+  viewsWithVotes,
 } from "#quotas";
 import {
   LineLimiter,
@@ -16,7 +17,7 @@
   OwnTasks,
   type QuotaMetrics,
 } from "#telemetry";
-import type { Network } from "#wire";
+import { afterPendingInput, type Network } from "#wire";
 
 /** How often missing answers are looked for. */
 const BUSY_TICK_MS = 10;
@@ -51,6 +52,7 @@
   #tenants: readonly Tenant[] | undefined;
   #timer: NodeJS.Timeout | undefined;
   readonly #startedAt: number;
+  readonly #startedAtWall: number;
   #tickAt = Number.POSITIVE_INFINITY;
   /** Whether the owners of all shards had this entry's vote at the last look. */
   #hasVoted = false;
@@ -64,6 +66,7 @@
     const { incarnation, clock, randomness, network } = options;
     const { confirmationAgeMs } = options;
     this.#startedAt = clock.now();
+    this.#startedAtWall = clock.wallTime();
     const bounds = this.#bounds;
     this.#owner = new QuotaOwner({ incarnation, bounds });
     this.#client = new QuotaClient({
@@ -90,7 +93,8 @@
       this.#options.metrics.configure(this.#table.limits.keys());
     }
     const table = this.#table;
-    this.#client.configure(table, { view, formerViews }, now);
+    const former = viewsWithVotes(formerViews, this.#startedAtWall);
+    this.#client.configure(table, { view, formerViews: former }, now);
     const entries = this.#client.entries(now);
     this.#owner.configure(table, { view, entries, now });
     if (!this.#client.isActive) return;
@@ -164,13 +168,20 @@
     if (this.#isClosed || this.#tickAt <= at) return;
     this.#tickAt = at;
     clearTimeout(this.#timer);
-    this.#timer = setTimeout(() => {
-      this.#tickAt = Number.POSITIVE_INFINITY;
-      this.#tasks.run("quotas", () => this.#tick());
-      if (!this.#client.isActive) return;
-      const { isWaiting } = this.#client;
-      this.#scheduleTick(isWaiting ? BUSY_TICK_MS : IDLE_TICK_MS);
-    }, ms);
+    // Answers that wait to be read are not missing.
+    this.#timer = setTimeout(
+      () => afterPendingInput(() => this.#runTick()),
+      ms,
+    );
+  }
+
+  #runTick(): void {
+    if (this.#isClosed) return;
+    this.#tickAt = Number.POSITIVE_INFINITY;
+    this.#tasks.run("quotas", () => this.#tick());
+    if (!this.#client.isActive) return;
+    const { isWaiting } = this.#client;
+    this.#scheduleTick(isWaiting ? BUSY_TICK_MS : IDLE_TICK_MS);
   }
 
   #tick(): void {
--- a/packages/quotas/index.ts
+++ b/packages/quotas/index.ts
@@ -5,6 +5,7 @@
  * @module
  */
 export type { QuotaDecision, RefusalBasis } from "./account.ts";
+export { viewsWithVotes } from "./former_views.ts";
 export {
   DEFAULT_QUOTA_BOUNDS,
   type QuotaBounds,
