--- a/packages/quotas/account.ts
+++ b/packages/quotas/account.ts
@@ -41,6 +41,8 @@
   limit: TenantLimit;
   /** Number of waiting requests, from the first on, that a question is out for. */
   asked = 0;
+  /** The owner that the question went to. */
+  askedOwner: string | undefined;
   /** Earliest time of the next question, after one that gave nothing. */
   askAgainAt = 0;
   /** Until when requests are refused without a question. */
--- a/packages/quotas/quota_client.ts
+++ b/packages/quotas/quota_client.ts
@@ -179,7 +179,7 @@
   /** Passes over an owner to which there is no connection. */
   unreachable(id: string, now: number): void {
     this.#links.skip(id, now);
-    this.#askOthers(now);
+    this.#askOthers([id], now);
   }
 
   /** Looks for missing answers; to be called every 10 ms while `isWaiting`. */
@@ -190,9 +190,7 @@
     // On a host that is always late, missing answers are looked for all the same.
     const isStalled = gapMs >= STALL_MS && !this.#wasStalled;
     this.#wasStalled = isStalled;
-    if (!isStalled && this.#links.checkAnswers(now).length > 0) {
-      this.#askOthers(now);
-    }
+    if (!isStalled) this.#askOthers(this.#links.checkAnswers(now), now);
     const maxWaitMs = isStalled ? 2 * MAX_WAIT_MS : MAX_WAIT_MS;
     for (const account of this.#waiting) {
       const overdue = account.waitingSince(now - maxWaitMs);
@@ -204,9 +202,12 @@
     }
   }
 
-  /** Asks the standbys for the requests that a silent owner was asked for. */
-  #askOthers(now: number): void {
+  /** Asks the standbys for the requests that silent owners were asked for. */
+  #askOthers(silent: readonly string[], now: number): void {
+    if (silent.length === 0) return;
     for (const account of this.#waiting) {
+      const { askedOwner } = account;
+      if (askedOwner !== undefined && !silent.includes(askedOwner)) continue;
       account.asked = 0;
       account.askAgainAt = now;
     }
@@ -232,6 +233,7 @@
     const wanted = account.wanted(now);
     tenants.set(account.limit.name, { wanted, waiting });
     account.asked = account.waiting;
+    account.askedOwner = target;
   }
 
   #settle(
--- a/packages/quotas/quota_client_test.ts
+++ b/packages/quotas/quota_client_test.ts
@@ -238,3 +238,46 @@
   const votes = test.client.flush(1_700).map(({ ask }) => ask.votes?.shards);
   assert.ok(votes.some((shards) => shards?.includes(0)));
 });
+
+// Guards against the requests of all tenants that are sent again to owners that answer,
+// because one other owner is late.
+test("a late owner sends no requests again to the others", () => {
+  const tenants = Array.from({ length: 40 }, (_, i) => {
+    return { name: `t${i}`, keyHashes: [], ratePerS: 60, burst: 10 };
+  });
+  const client = new QuotaClient({
+    ...{ bounds, startedAt: 0, phase: 0, confirmationAgeMs: () => 0 },
+  });
+  const entries = ["a", "b", "c", "d", "e", "f"].map(entryRecord);
+  const view = { epoch: 1, began: 0, entries };
+  client.configure(quotaTable(tenants, bounds), { view }, 0);
+  for (let now = START; now < START + 1_000; now += 10) {
+    client.tick(now);
+    for (const { to, ask } of client.flush(now)) {
+      const stamp = { incarnation: 1, ms: now };
+      client.receive(to, { sequence: ask.sequence, grants: [], stamp }, now);
+    }
+  }
+  const askedAt = START + 1_000;
+  for (const { name } of tenants) client.take(name, askedAt, () => undefined);
+  const [late, ...others] = client
+    .flush(askedAt)
+    .filter(({ ask }) => ask.asks.length > 0);
+  assert.ok(late && others.length > 0);
+  for (const { to, ask } of others) {
+    const stamp = { incarnation: 1, ms: askedAt };
+    const grant = { sequence: ask.sequence, grants: [], stamp };
+    client.receive(to, grant, askedAt + 10);
+  }
+  const again: string[] = [];
+  for (let now = askedAt + 10; now <= askedAt + 300; now += 10) {
+    client.tick(now);
+    for (const { ask } of client.flush(now))
+      again.push(...ask.asks.map(([name]) => name));
+  }
+  const lateNames = late.ask.asks.map(([name]) => name);
+  assert.ok(
+    again.every((name) => lateNames.includes(name)),
+    again.join(),
+  );
+});
