--- a/packages/agreement/consensus_core_test.ts
+++ b/packages/agreement/consensus_core_test.ts
@@ -279,3 +279,32 @@
   member.core.tick(member.now);
   assert.notEqual(member.core.status(member.now).role, "leader");
 });
+
+// Guards against a link to a host with an empty disk that is full of copies of one part
+// of the snapshot, as each read of the configuration starts a round.
+test("a chunk in transit is not sent again for each read", () => {
+  const membership = { voters: MEMBERS, learners: [] };
+  const bytes = new Uint8Array(1_000_000);
+  const snapshot = { index: 10, term: 2, membership, bytes };
+  const member = new Member({ snapshot });
+  const term = member.winElection();
+  member.core.handlePersisted(11, term);
+  const accepted = { accepted: true, match: 11, refused: 0 };
+  member.receive("agreement.append_reply", { term, round: 1, ...accepted });
+  const rejected = { accepted: false, match: 0, refused: 10 };
+  const reply = { term, round: 1, ...rejected };
+  member.receive("agreement.append_reply", reply, "c/1");
+  let chunks = 0;
+  for (let i = 0; i < 20; i++) {
+    member.now += 50;
+    member.core.read(`read-${i}`, member.now);
+    const effects = member.flush();
+    const round = sentPayload(effects, "agreement.append")?.round;
+    chunks += effects.filter(
+      (effect) => effect.type === "send" && effect.kind === "agreement.chunk",
+    ).length;
+    member.receive("agreement.append_reply", { term, round, ...accepted });
+  }
+  assert.equal(member.core.status(member.now).role, "leader");
+  assert.ok(chunks >= 1 && chunks <= 5, `${chunks} chunks in a second`);
+});
--- a/packages/agreement/leadership.ts
+++ b/packages/agreement/leadership.ts
@@ -47,6 +47,8 @@
   #reads: PendingRead[] = [];
   #round = 0;
   #nextHeartbeatAt: number;
+  /** When chunks of snapshots that are on their way may be sent again. */
+  #nextChunksAt = Number.NEGATIVE_INFINITY;
 
   constructor(state: MemberState, now: number) {
     this.#state = state;
@@ -222,6 +224,9 @@
     const reads = this.committedInTerm ? unassigned : [];
     if (reads.length === 0 && now < this.#nextHeartbeatAt) return;
     const isIntervalOver = now >= this.#nextHeartbeatAt;
+    // Chunks are sent again at intervals, and not for each read between them.
+    const areChunksDue = now >= this.#nextChunksAt;
+    if (areChunksDue) this.#nextChunksAt = now + HEARTBEAT_MS;
     this.#nextHeartbeatAt = now + HEARTBEAT_MS;
     this.#round++;
     for (const read of reads) {
@@ -232,8 +237,8 @@
       if (isIntervalOver) peer.probeIfSilent(now);
       this.#sendMissingEntries(member, peer);
       if (peer.sentRound === this.#round) continue;
-      if (peer.transfer) this.#sendChunk(member, peer);
-      else this.#sendAppend(member, peer);
+      if (!peer.transfer) this.#sendAppend(member, peer);
+      else if (areChunksDue) this.#sendChunk(member, peer);
     }
   }
 
