Ask peers and control no more often than they can help

While control did not answer, the interval of heartbeats went on beside the questions to one host after the other (36 in 20 s with the interval, found by the review; the test now includes it), and an entry of a large site asked all its linked peers for a majority that they could not make up: 432 questions and answers in 20 s for one of 100 entries. The interval now waits for the question that is open, and without links to a majority two peers in turn are asked, which is enough to learn of a newer version. Both tests fail on the code before.

--- a/packages/entry/configuration_follower.ts
+++ b/packages/entry/configuration_follower.ts
@@ -14,6 +14,7 @@
   type Entry,
   type HostId,
   rendezvousOrder,
+  type View,
 } from "#model";
 import type { ConfigurationWay, Logger } from "#telemetry";
 import type { Moment } from "#tenants";
@@ -36,6 +37,8 @@
 
 /** The round of a version that was not asked for; rounds begin with 1. */
 const UNSOLICITED_ROUND = 0;
+/** Entries that are asked for their version at a time where no majority is linked. */
+const PEERS_WITHOUT_MAJORITY = 2;
 /** Time for one peer's configuration to arrive before another is asked. */
 const PEER_REQUEST_INTERVAL_MS = 300;
 
@@ -176,14 +179,18 @@
     return this.#options.clock.now() - (askedAt ?? Number.NEGATIVE_INFINITY);
   }
 
-  /**
-   * Sends a heartbeat to the control host; to be called every
-   * `HEARTBEAT_INTERVAL_MS` and when this entry's state changes.
-   */
+  /** Sends the heartbeat that is due; to be called every `HEARTBEAT_INTERVAL_MS`. */
+  tick(): void {
+    // While hosts are asked in turn, the next one is asked as soon as this one is late.
+    const isAsking = this.#isSearching && this.#unansweredSince !== undefined;
+    if (isAsking) this.#askPeersIfOverdue();
+    else this.sendHeartbeat();
+  }
+
+  /** Sends a heartbeat to the control host, as when this entry's state changes. */
   sendHeartbeat(): void {
     const { clock, self } = this.#options;
     const now = clock.now();
-    const age = this.#freshness.confirmationAgeMs(now);
     this.#control = this.#chooseControl();
     if (this.#control !== undefined) {
       this.#lastAsked = this.#control;
@@ -193,6 +200,12 @@
         this.#recordToSend(this.#control, self()),
       );
     }
+    this.#askPeersIfOverdue();
+  }
+
+  #askPeersIfOverdue(): void {
+    const now = this.#options.clock.now();
+    const age = this.#freshness.confirmationAgeMs(now);
     if (age > CONFIRMATION_OVERDUE_MS && this.version > 0)
       this.#askPeerVersions(now);
   }
@@ -250,6 +263,7 @@
 
   /** To be called when a connection to a control host is open. */
   controlUp(id: HostId): void {
+    this.#misses = 0;
     if (this.#isSearching) {
       // The link to this host is known to work, unlike those to silent hosts.
       this.#unansweredSince = undefined;
@@ -339,11 +353,28 @@
       self: own,
       now,
     });
-    for (const { id } of view.entries) {
-      if (id !== own.id) network.send(id, "version_ask", { version, round });
+    for (const id of this.#peersToAsk(view, round)) {
+      network.send(id, "version_ask", { version, round });
     }
   }
 
+  /**
+   * All linked entries if they are a majority of the view, which confirms the version.
+   * Others only tell of a newer one, for which a few of them in turn are enough.
+   */
+  #peersToAsk(view: View, round: number): readonly HostId[] {
+    const { self, linkSilenceMs } = this.#options;
+    const linked = view.entries
+      .map(({ id }) => id)
+      .filter((id) => id !== self().id && linkSilenceMs(id) !== undefined);
+    if ((linked.length + 1) * 2 > view.entries.length) return linked;
+    const first = (round * PEERS_WITHOUT_MAJORITY) % Math.max(1, linked.length);
+    return [...linked, ...linked].slice(
+      first,
+      first + Math.min(PEERS_WITHOUT_MAJORITY, linked.length),
+    );
+  }
+
   #tellVersion(peer: HostId, round: number): void {
     const { version } = this;
     this.#options.network.send(peer, "version_answer", { version, round });
--- a/packages/entry/configuration_follower_test.ts
+++ b/packages/entry/configuration_follower_test.ts
@@ -36,6 +36,8 @@
   readonly clock = new ManualClock();
   /** Milliseconds since anything arrived from control hosts. */
   linkSilenceMs = 0;
+  /** Entries with a link; all if undefined. */
+  linkedPeers: ReadonlySet<string> | undefined;
   readonly renewedLinks: string[] = [];
   readonly #scheduled: { readonly at: number; readonly run: () => void }[] = [];
   readonly sent: { kind: string; from: string; to: string }[] = [];
@@ -51,7 +53,10 @@
         self: () => self,
         connectedControls: () => this.controls,
         stopReports: () => [],
-        linkSilenceMs: () => this.linkSilenceMs,
+        linkSilenceMs: (id) =>
+          id.startsWith("e") && this.linkedPeers?.has(id) === false
+            ? undefined
+            : this.linkSilenceMs,
         renewLink: (id) => this.renewedLinks.push(id),
         schedule: (run, ms) =>
           this.#scheduled.push({ at: this.clock.now() + ms, run }),
@@ -269,10 +274,36 @@
 test("questions are not more frequent than heartbeats while no host answers", () => {
   const network = new FollowerNetwork();
   network.controls = ["c1", "c2", "c3"];
-  network.followers.get("e1")?.sendHeartbeat();
-  for (let passed = 0; passed < 20_000; passed += 100) network.pass(100);
+  for (let passed = 0; passed < 20_000; passed += 100) {
+    if (passed % 1_000 === 0) network.followers.get("e1")?.tick();
+    network.pass(100);
+  }
   const asked = network.sent.filter(({ kind }) => kind === "confirm");
   assert.ok(asked.length <= 20, `${asked.length} questions in 20 s`);
   const firstRound = asked.slice(0, 3).map(({ to }) => to);
   assert.equal(new Set(firstRound).size, 3);
 });
+
+// Guards against entries of a large site that ask all their peers for a majority which
+// these are too few to make up, while control does not answer.
+test("an entry without links to a majority asks a few peers at a time", () => {
+  const network = new FollowerNetwork();
+  const entries = Array.from({ length: 100 }, (_, i) => entry(`e${i + 1}`));
+  const linked = entries.slice(1, 13).map(({ id }) => id);
+  network.linkedPeers = new Set(linked);
+  network.controls = ["c1"];
+  const view = { epoch: 1, entries, began: 0 };
+  const next = { ...EMPTY_CONFIGURATION, version: 5, view };
+  const change = diffConfigurations(EMPTY_CONFIGURATION, next);
+  network.deliver("e0", "e1", "version_push", { change, ageMs: 0 });
+  const asked: string[] = [];
+  for (let passed = 0; passed < 20_000; passed += 1_000) {
+    network.sent.length = 0;
+    network.followers.get("e1")?.tick();
+    network.pass(1_000);
+    const round = network.sent.filter(({ kind }) => kind === "version_ask");
+    assert.ok(round.length <= 4, `${round.length} questions in a second`);
+    asked.push(...round.map(({ to }) => to));
+  }
+  assert.deepEqual(new Set(asked), new Set(linked));
+});
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -315,7 +315,7 @@
     }
     this.#links.connect();
     this.#runEvery(HEARTBEAT_INTERVAL_MS, "heartbeat", () => {
-      this.#follower.sendHeartbeat();
+      this.#follower.tick();
       this.#links.update();
     });
     this.#callPipeline.start();
