Hold no election because a link to the leader was silent

A silent leader is found by the election timeout, as before. packages/wire, agreement and storage's tests of the log pass.

--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -180,12 +180,13 @@
         logger.info("peer connected", { peer: id, peerRole: role, build });
         if (role === "entry") registrar.handleEntryConnected(id);
       },
-      onDisconnect: ({ id, role }) => {
+      onDisconnect: ({ id, role }, fault) => {
         connectedSince.delete(id);
         logger.info("peer lost", { peer: id, peerRole: role });
         publisher.handleDisconnect(id);
         if (role === "entry") registrar.handleEntryDisconnected(id);
-        else log?.handleDisconnect(id);
+        // A link that is only silent doesn't show that the process has ended.
+        else if (fault.type === "link_closed") log?.handleDisconnect(id);
       },
     });
     const header = options.serverIdentityHeader;
--- a/packages/wire/logged_network.ts
+++ b/packages/wire/logged_network.ts
@@ -5,6 +5,7 @@
   type Randomness,
 } from "#model";
 import { LineLimiter } from "#telemetry";
+import type { LinkFault } from "./link.ts";
 import type { Hello, MessageMap, ProcessRole } from "./messages.ts";
 import { type NetworkObserver, TcpNetwork } from "./network.ts";
 import { PROTOCOL_VERSIONS } from "./protocol_versions.ts";
@@ -21,7 +22,7 @@
   /** Called for an exception of one of the next two. */
   readonly onFailure: (task: string, error: unknown) => void;
   readonly onConnect: (peer: Hello) => void;
-  readonly onDisconnect: (peer: Hello) => void;
+  readonly onDisconnect: (peer: Hello, fault: LinkFault) => void;
 }
 
 /**
--- a/packages/wire/network.ts
+++ b/packages/wire/network.ts
@@ -43,7 +43,8 @@
 /** Callbacks for connection events. */
 export interface NetworkObserver {
   readonly onConnect?: (peer: Hello) => void;
-  readonly onDisconnect?: (peer: Hello) => void;
+  /** Called when the last link to a peer was closed, with the fault that closed it. */
+  readonly onDisconnect?: (peer: Hello, fault: LinkFault) => void;
   readonly onFault?: (fault: LinkFault, link: Link | undefined) => void;
   /** Called for each message of a peer that was refused. */
   readonly onRefused?: (refusal: MessageRefusal, peer: Hello) => void;
@@ -299,7 +300,9 @@
       return;
     }
     this.#links.delete(peer.id);
-    this.#notify("onDisconnect", () => this.#observer.onDisconnect?.(peer));
+    this.#notify("onDisconnect", () =>
+      this.#observer.onDisconnect?.(peer, fault),
+    );
   }
 
   /** Calls an observer back, whose exception must not end the process. */
