--- a/packages/agreement/consensus_core.ts
+++ b/packages/agreement/consensus_core.ts
@@ -98,6 +98,11 @@
     this.#pendingRequests.addRead(id, now);
   }
 
+  /** Records how late this member was with its own work, in milliseconds. */
+  recordDelay(delayMs: number, now: number): void {
+    this.#state.delay.record(delayMs, now);
+  }
+
   /** Runs elections and timeouts; to be called about ten times a second. */
   tick(now: number): void {
     this.#bootstrap.tick(now);
--- a/packages/agreement/consensus_core_test.ts
+++ b/packages/agreement/consensus_core_test.ts
@@ -308,3 +308,26 @@
   assert.equal(member.core.status(member.now).role, "leader");
   assert.ok(chunks >= 1 && chunks <= 5, `${chunks} chunks in a second`);
 });
+
+// Guards against a leader that steps down, and followers that start an election, again
+// and again while their own writes and messages take longer than an election timeout.
+test("a member that is late itself waits longer for the others", () => {
+  const leader = new Member();
+  leader.winElection();
+  leader.core.recordDelay(1_000, leader.now);
+  leader.now += 1_500;
+  leader.core.tick(leader.now);
+  assert.equal(leader.core.status(leader.now).role, "leader");
+  leader.now += 2_000;
+  leader.core.tick(leader.now);
+  assert.notEqual(leader.core.status(leader.now).role, "leader");
+  const follower = new Member();
+  follower.core.recordDelay(1_000, follower.now);
+  follower.now += 1_500;
+  follower.core.tick(follower.now);
+  const early = sentPayload(follower.flush(), "agreement.pre_vote");
+  assert.equal(early, undefined);
+  follower.now += 2_000;
+  follower.core.tick(follower.now);
+  assert.ok(sentPayload(follower.flush(), "agreement.pre_vote"));
+});
--- a/packages/agreement/election.ts
+++ b/packages/agreement/election.ts
@@ -55,7 +55,8 @@
   }
 
   tick(now: number): void {
-    if (now < this.#timeoutAt) return;
+    const extraMs = this.#state.electionTimeoutMs(now) - ELECTION_TIMEOUT_MS;
+    if (now < this.#timeoutAt + extraMs) return;
     this.#state.leader = undefined;
     if (!this.#state.canBecomeLeader) return;
     this.#startRound("pre_vote", now);
@@ -104,7 +105,8 @@
     { isLeader, now }: { isLeader: boolean; now: number },
   ): void {
     const hasLeader =
-      isLeader || now - this.#leaderContactAt < ELECTION_TIMEOUT_MS;
+      isLeader ||
+      now - this.#leaderContactAt < this.#state.electionTimeoutMs(now);
     const { candidateTerm } = request;
     const granted =
       !hasLeader &&
--- a/packages/agreement/leadership.ts
+++ b/packages/agreement/leadership.ts
@@ -128,7 +128,7 @@
     }
   }
 
-  /** Whether a majority replied within the last election timeout. */
+  /** Whether a majority replied within the election timeout. */
   hasMajority(now: number): boolean {
     const { membership } = this.#state.log;
     const replyTimes = membership.voters
@@ -140,7 +140,7 @@
       .sort((a, b) => b - a);
     const majorityAt =
       replyTimes[majorityOf(membership) - 1] ?? this.#electedAt;
-    return now - majorityAt < ELECTION_TIMEOUT_MS;
+    return now - majorityAt < this.#state.electionTimeoutMs(now);
   }
 
   /**
--- a/packages/agreement/member_state.ts
+++ b/packages/agreement/member_state.ts
@@ -15,6 +15,7 @@
   OutgoingMessage,
 } from "./messages.ts";
 import type { StoredState } from "./ports.ts";
+import { ProcessingDelay } from "./processing_delay.ts";
 
 /**
  * A leader that no majority replies to for this long steps down; a follower
@@ -32,6 +33,9 @@
 /** Longest command; a frame of 1 MiB must hold it together with its entry. */
 export const MAX_COMMAND_BYTES = 768 * 1024;
 
+/** A message and its reply each wait for as long as the member that is late. */
+const DELAY_FACTOR = 2;
+
 /** Limits of the consensus core; tests use smaller ones than the defaults. */
 export interface ConsensusLimits {
   /** Entries applied since the last snapshot after which the next is taken. */
@@ -69,6 +73,7 @@
   readonly randomness: Randomness;
   readonly limits: ConsensusLimits;
   readonly log: EntryLog;
+  readonly delay = new ProcessingDelay();
   founding: ClusterBinding | undefined;
   term: number;
   vote: MemberKey | undefined;
@@ -112,6 +117,14 @@
     }
   }
 
+  /**
+   * Time without a message after which a leader counts as lost, and a majority as lost
+   * for a leader: longer while this member is late itself.
+   */
+  electionTimeoutMs(now: number): number {
+    return ELECTION_TIMEOUT_MS + DELAY_FACTOR * this.delay.current(now);
+  }
+
   get phase(): BootstrapPhase {
     if (!this.founding) return "empty";
     return this.founding.formed ? "formed" : "founding";
--- a/packages/storage/replicated_log.ts
+++ b/packages/storage/replicated_log.ts
@@ -84,6 +84,7 @@
   readonly #options: ReplicatedLogOptions<Command, Reply>;
   readonly #pending = new Map<string, PendingRequest>();
   readonly #idPrefix: string;
+  #tickedAt: number;
   readonly #timer: NodeJS.Timeout;
   #sequence = 0;
   #isScheduled = false;
@@ -108,6 +109,7 @@
         this.#receive(from.id, { kind, payload } as ConsensusMessage);
       });
     }
+    this.#tickedAt = this.#now();
     // Node runs due timers before it reads from sockets: after a stall of this
     // process, a leader's message may have arrived that has not been read.
     this.#timer = setInterval(() => setImmediate(() => this.#tick()), TICK_MS);
@@ -218,7 +220,10 @@
 
   #tick(): void {
     if (this.#isStopped) return;
-    this.#core.tick(this.#now());
+    const now = this.#now();
+    this.#core.recordDelay(now - this.#tickedAt - TICK_MS, now);
+    this.#tickedAt = now;
+    this.#core.tick(now);
     this.#scheduleProcessing();
   }
 
@@ -239,9 +244,12 @@
     this.#isProcessing = true;
     try {
       while (!this.#isStopped) {
-        const effects = this.#core.flush(this.#now());
+        const startedAt = this.#now();
+        const effects = this.#core.flush(startedAt);
         if (effects.length === 0) break;
         await this.#executeEffects(effects);
+        const now = this.#now();
+        this.#core.recordDelay(now - startedAt, now);
       }
     } catch (cause) {
       const detail = String(cause instanceof Error ? cause.stack : cause);
