Leave out a server's id in another service while its own goes on

Callers saw: calls of one service that ran at a server of another one, while another program announced that server's id and address there with a start of now.

Cause: of two services only a copy with the same start was left out. A later start was taken for a restart in another service, although the server went on in its own.

Change: the service in which an id and address were known 10 s before counts, whatever the start, as long as that record has a lease and its start has not left by agreement. So a restart in another service is used at once after a leave, and otherwise once the former lease has ended. Presence gets the agreed leaves with the configuration for this.

--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -16,6 +16,7 @@
   type AddressesResponse,
   type Identity,
   Presence,
+  presenceConfiguration,
   SERVE_AFTER_STOPPING_MS,
   TICK_INTERVAL_MS,
 } from "#presence";
@@ -457,11 +458,7 @@
     const names = document.services.map(({ name }) => name);
     this.#registrations.execute(
       this.#registrations.presence.configure(
-        {
-          services: names,
-          view,
-          registrars: configuration.controls.map(({ id }) => id),
-        },
+        presenceConfiguration(configuration),
         now,
       ),
     );
--- a/packages/presence/index.ts
+++ b/packages/presence/index.ts
@@ -14,5 +14,6 @@
 export * from "./messages.ts";
 export * from "./plausibility.ts";
 export * from "./presence.ts";
+export * from "./presence_configuration.ts";
 export * from "./relays.ts";
 export * from "./timings.ts";
--- a/packages/presence/presence.ts
+++ b/packages/presence/presence.ts
@@ -6,7 +6,6 @@
   type HostId,
   hasSameAddress,
   type Randomness,
-  type View,
 } from "#model";
 import { decideAddress, type Identity } from "./address_proofs.ts";
 import { AnnouncementChecks } from "./announcement_checks.ts";
@@ -24,6 +23,7 @@
 import { ListReplicas, type MessageContext } from "./list_replicas.ts";
 import { LocalRegistrations } from "./local_registrations.ts";
 import type { PresenceMessages } from "./messages.ts";
+import type { PresenceConfiguration } from "./presence_configuration.ts";
 import { Publisher } from "./publisher.ts";
 import { ServerTable } from "./server_table.ts";
 import { StallDetector } from "./stall_detector.ts";
@@ -137,15 +137,12 @@
 
   /** Sets the configured services and the agreed set of entries. */
   configure(
-    configuration: {
-      services: Iterable<string>;
-      view: View;
-      registrars?: readonly HostId[];
-    },
+    configuration: PresenceConfiguration,
     now: number,
   ): PresenceEffect[] {
     this.#checks.services = new Set(configuration.services);
-    const { view, registrars = [] } = configuration;
+    const { view, registrars = [], leaving = [] } = configuration;
+    this.#table.firstServices.configure(leaving);
     this.#topologyTracker.configure(view, registrars);
     this.#firstConfiguredAt ??= now;
     this.#updateReadiness(now);
--- a/packages/presence/server_table.ts
+++ b/packages/presence/server_table.ts
@@ -41,7 +41,7 @@
   readonly #untrusted: Pick<Clock, "wallTime"> | undefined;
 
   readonly proofs = new AddressProofs();
-  readonly #firstServices = new FirstServices();
+  readonly firstServices = new FirstServices();
   /** Servers of which several addresses are announced. */
   readonly #contested = new Set<string>();
   readonly #ahead: AheadOfClock | undefined;
@@ -112,9 +112,9 @@
   #isCopy(server: BackendServer, now: number): boolean {
     if (!this.#untrusted) return false;
     const { id } = server;
-    return this.#firstServices.isCopy(server, (service) => {
+    return this.firstServices.isCopy(server, (service) => {
       const key = backendServerKey({ service, id });
-      return this.#live(key, now) !== undefined;
+      return this.#live(key, now)?.server;
     });
   }
 
@@ -155,7 +155,7 @@
     const record = this.#selectNewest(key, now);
     if (before && record === before.record && record.server === before.server)
       return;
-    if (this.#untrusted && record) this.#firstServices.note(record.server, now);
+    if (this.#untrusted && record) this.firstServices.note(record.server, now);
     const former = before && { ...before };
     if (record) this.noteExpiry(record.expiresAt);
     if (before && record)
