--- a/packages/entry/backend_response_test.ts
+++ b/packages/entry/backend_response_test.ts
@@ -50,12 +50,16 @@
     connectTimeoutMs: 1_000,
     requestId: undefined,
   };
-  if (isKept) await client.send(record, request).result;
-  const ended = await client.send(record, request).result;
-  assert.equal(connections, 1);
-  client.close();
-  server.close();
-  return ended;
+  try {
+    if (isKept) await client.send(record, request).result;
+    const ended = await client.send(record, request).result;
+    assert.equal(connections, 1);
+    return ended;
+  } finally {
+    // A server that stays open would keep the process of the tests from ending.
+    client.close();
+    server.close();
+  }
 }
 
 const RESETS = {
