--- a/packages/agreement/election.ts
+++ b/packages/agreement/election.ts
@@ -40,8 +40,12 @@
   readonly #state: MemberState;
   #candidacy: Candidacy | undefined;
   #isWon = false;
+  /** Whether this member has waited for another candidate since its own last round. */
+  #gaveWay = false;
   /** When this member starts an election unless it hears from a leader. */
   #timeoutAt = 0;
+  /** Election timeouts of the present wait, by which it grows with this member's delay. */
+  #timeouts = 1;
   #leaderContactAt = Number.NEGATIVE_INFINITY;
 
   constructor(state: MemberState, now: number) {
@@ -55,10 +59,10 @@
   }
 
   tick(now: number): void {
-    const extraMs = this.#state.electionTimeoutMs(now) - ELECTION_TIMEOUT_MS;
-    if (now < this.#timeoutAt + extraMs) return;
+    if (now < this.#dueAt(now)) return;
     this.#state.leader = undefined;
     if (!this.#state.canBecomeLeader) return;
+    this.#gaveWay = false;
     this.#startRound("pre_vote", now);
   }
 
@@ -70,8 +74,7 @@
 
   /** Restarts the wait: one to two timeouts, random to avoid split votes. */
   resetTimeout(now: number): void {
-    const wait = 1 + this.#state.randomness.next();
-    this.#timeoutAt = now + ELECTION_TIMEOUT_MS * wait;
+    this.#wait(1 + this.#state.randomness.next(), now);
   }
 
   /**
@@ -112,6 +115,7 @@
       !hasLeader &&
       candidateTerm > this.#state.term &&
       this.#isUpToDate(request);
+    if (granted) this.#giveWay(request, now);
     this.#state.send(request.from, "agreement.pre_vote_reply", {
       candidateTerm,
       granted,
@@ -148,12 +152,37 @@
     this.#countVotes(now);
   }
 
+  /**
+   * Waits for another candidate once, so that two that need the same votes don't split
+   * them each time: with two of six hosts lost, all four that are left have to agree.
+   */
+  #giveWay({ from }: VoteRequest, now: number): void {
+    if (this.#gaveWay || from > this.#state.self) return;
+    this.#gaveWay = true;
+    this.#candidacy = undefined;
+    this.resetTimeout(now);
+  }
+
   #retrySoon(now: number): void {
-    const factor = RETRY_FACTOR * (1 + this.#state.randomness.next());
-    this.#timeoutAt = now + ELECTION_TIMEOUT_MS * factor;
+    this.#wait(RETRY_FACTOR * (1 + this.#state.randomness.next()), now);
+  }
+
+  #wait(timeouts: number, now: number): void {
+    this.#timeouts = timeouts;
+    this.#timeoutAt = now + ELECTION_TIMEOUT_MS * timeouts;
+  }
+
+  /**
+   * When the wait is over: as many election timeouts as it has, so that members that are
+   * late still begin at different times.
+   */
+  #dueAt(now: number): number {
+    const extraMs = this.#state.electionTimeoutMs(now) - ELECTION_TIMEOUT_MS;
+    return this.#timeoutAt + extraMs * this.#timeouts;
   }
 
   #startRound(type: Candidacy["type"], now: number): void {
+    if (type === "vote") this.#gaveWay = false;
     const state = this.#state;
     const candidateTerm = state.term + 1;
     if (type === "vote") state.persistVote(candidateTerm, state.self);
--- a/packages/agreement/member_state.ts
+++ b/packages/agreement/member_state.ts
@@ -33,8 +33,8 @@
 /** Longest command; a frame of 1 MiB must hold it together with its entry. */
 export const MAX_COMMAND_BYTES = 768 * 1024;
 
-/** A message and its reply each wait for as long as the member that is late. */
-const DELAY_FACTOR = 2;
+/** A request, its reply and what is sent next each wait for the member that is late. */
+const DELAY_FACTOR = 3;
 
 /** Limits of the consensus core; tests use smaller ones than the defaults. */
 export interface ConsensusLimits {
