Encode the whole configuration once for all entries without one

A control host answers each heartbeat of an entry at version 0 with the whole configuration, which it computed and encoded for each of them. When all entries come back at once and ask again, this takes its processor. The publisher now keeps the whole change of the current version only, and the network encodes it once per encoding of field names and copies the bytes into each message. The messages are the same, byte for byte; version, sequence and age are still those of each answer.

--- a/packages/control/publisher.ts
+++ b/packages/control/publisher.ts
@@ -9,7 +9,7 @@
 } from "#configuration";
 import type { Clock, Configuration, HostId } from "#model";
 import { type Logger, OwnTasks } from "#telemetry";
-import type { Hello, Network } from "#wire";
+import { encodedOnce, type Hello, type Network } from "#wire";
 
 /** Recent versions kept, so that entries can be sent only the differences. */
 const MAX_RECENT_VERSIONS = 64;
@@ -42,6 +42,8 @@
    * reported last or was sent since.
    */
   readonly #entryVersions = new Map<HostId, number>();
+  /** The whole current configuration, shared by all entries that need it. */
+  #wholeChange: ConfigurationChange | undefined;
   /** When this host published each recent version, on its steady clock. */
   readonly #publishedAt = new Map<number, number>();
   /** Sequence of the newest unanswered heartbeat of each entry. */
@@ -83,6 +85,7 @@
   publish(configuration: Configuration): void {
     if (configuration.version <= this.configuration.version) return;
     this.#recentVersions.push(withoutCredentials(configuration));
+    this.#wholeChange = undefined;
     this.#publishedAt.set(configuration.version, this.#options.clock.now());
     if (this.#recentVersions.length > MAX_RECENT_VERSIONS) {
       this.#publishedAt.delete(this.#recentVersions.shift()?.version ?? 0);
@@ -118,7 +121,13 @@
     const base = this.#recentVersions.find(
       (candidate) => candidate.version === version,
     );
-    return diffConfigurations(base ?? EMPTY_CONFIGURATION, current);
+    if (base && base.version > 0) return diffConfigurations(base, current);
+    // When all entries come back without memory, computing and encoding this for
+    // each of their heartbeats would take the processor of this host.
+    this.#wholeChange ??= encodedOnce(
+      diffConfigurations(EMPTY_CONFIGURATION, current),
+    );
+    return this.#wholeChange;
   }
 
   /** Stops publishing to an entry whose connection was lost. */
--- a/packages/wire/frames.ts
+++ b/packages/wire/frames.ts
@@ -1,5 +1,6 @@
 import { Decoder, Encoder } from "cbor-x";
 import { err, ok, type Result } from "neverthrow";
+import { findSharedField, type SharedField } from "./shared_values.ts";
 import { KEY_NUMBERS } from "./short_keys.ts";
 
 /** Largest frame sent or accepted, in bytes, not counting the length prefix. */
@@ -59,23 +60,56 @@
  */
 export type KeyEncoding = "full" | "short";
 
+const encoders: Readonly<Record<KeyEncoding, Encoder>> = {
+  full: encoder,
+  short: shortEncoder,
+};
+
 /** Encodes a message as a frame, with its length prefix. */
 export function encodeFrame(
   kind: string,
   payload: unknown,
   options: { keys: KeyEncoding } = { keys: "full" },
 ): Result<Buffer, FrameFault> {
-  const cborEncoder = options.keys === "short" ? shortEncoder : encoder;
-  const body = cborEncoder.encode([kind, payload]);
-  if (body.length > MAX_FRAME_BYTES) {
-    return err({ type: "frame_too_long", bytes: body.length });
-  }
-  const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
-  frame.writeUInt32BE(body.length, 0);
-  body.copy(frame, LENGTH_BYTES);
+  const sharedField = findSharedField(payload);
+  const parts = sharedField
+    ? encodeAroundField([kind, payload as object], sharedField, options)
+    : [encoders[options.keys].encode([kind, payload])];
+  const bytes = parts.reduce((sum, { length }) => sum + length, 0);
+  if (bytes > MAX_FRAME_BYTES) return err({ type: "frame_too_long", bytes });
+  const frame = Buffer.allocUnsafe(LENGTH_BYTES + bytes);
+  let offset = frame.writeUInt32BE(bytes, 0);
+  for (const part of parts) offset += part.copy(frame, offset);
   return ok(frame);
 }
 
+/** The bytes of a message before the value of a field, of the value, and after it. */
+function encodeAroundField(
+  [kind, payload]: readonly [string, object],
+  field: SharedField,
+  { keys }: { keys: KeyEncoding },
+): Buffer[] {
+  const { name, value, encodings } = field;
+  const cborEncoder = encoders[keys];
+  const known = encodings.get(keys);
+  // A copy, as the encoder's result is part of a larger buffer.
+  const encoded = known ?? Buffer.from(cborEncoder.encode(value));
+  encodings.set(keys, encoded);
+  const fields = Object.entries({ ...payload, [name]: null });
+  const end = fields.findIndex(([other]) => other === name) + 1;
+  const encodeFields = (entries: typeof fields) =>
+    cborEncoder.encode([kind, Object.fromEntries(entries)]);
+  const whole = encodeFields(fields);
+  const until = encodeFields(fields.slice(0, end));
+  // The null in place of the value is the last byte of the shorter message. Their
+  // headers have the same length, as cbor-x writes the size of each map in 16 bits.
+  return [
+    whole.subarray(0, until.length - 1),
+    encoded,
+    whole.subarray(until.length),
+  ];
+}
+
 /** Splits a byte stream into frames; buffers at most one partial frame. */
 export class FrameReader {
   #pending: Buffer[] = [];
--- a/packages/wire/frames_test.ts
+++ b/packages/wire/frames_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { encodeFrame, FrameReader, MAX_FRAME_BYTES } from "./frames.ts";
+import { encodedOnce } from "./shared_values.ts";
 import { SHORT_KEYS } from "./short_keys.ts";
 
 test("a frame split at any byte is read once and whole", () => {
@@ -86,3 +87,54 @@
   ]);
   assert.equal(SHORT_KEYS[51], "change");
 });
+
+// Guards against peers that cannot read a message with a value that is encoded once,
+// or get something else than without it.
+for (const keys of ["short", "full"] as const) {
+  for (const [name, value] of [
+    ["a small value", { service: "alloc", list: [1, { sequence: 2 }] }],
+    ["an empty value", {}],
+    ["a list", ["a", 70_000, -1.5]],
+    ["a large value", { text: "ä".repeat(100_000) }],
+  ] as const) {
+    test(`${name} that is encoded once gives the same frames, ${keys} keys`, () => {
+      const shared = encodedOnce(value);
+      const messages = (change: unknown) => [
+        { version: 70_000, sequence: 1, change, ageMs: 12.5 },
+        { version: 1, sequence: 300, change },
+        { change, ageMs: null, [`x${"y".repeat(300)}`]: "z" },
+        { change },
+      ];
+      const expected = messages(structuredClone(value));
+      for (const [index, payload] of messages(shared).entries()) {
+        const frame = encodeFrame("state", payload, { keys });
+        const plain = encodeFrame("state", expected[index], { keys });
+        assert.deepEqual(frame._unsafeUnwrap(), plain._unsafeUnwrap());
+      }
+    });
+  }
+}
+
+// Guards against a large value that is encoded for each peer to which it is sent.
+test("a value that several messages share is encoded once per key encoding", () => {
+  let reads = 0;
+  const value = encodedOnce({
+    get text() {
+      reads += 1;
+      return "a";
+    },
+  });
+  for (const keys of ["short", "short", "full", "full", "short"] as const) {
+    encodeFrame("state", { sequence: reads, change: value }, { keys });
+  }
+  assert.equal(reads, 2);
+});
+
+// Guards against a link on which a frame is sent that the peer refuses.
+test("a message whose shared value is above the size limit is not encoded", () => {
+  const change = encodedOnce({ bytes: Buffer.alloc(MAX_FRAME_BYTES) });
+  for (let i = 0; i < 2; i++) {
+    const result = encodeFrame("state", { version: 1, change });
+    assert.equal(result._unsafeUnwrapErr().type, "frame_too_long");
+  }
+});
--- a/packages/wire/index.ts
+++ b/packages/wire/index.ts
@@ -17,4 +17,5 @@
 export * from "./messages.ts";
 export * from "./network.ts";
 export * from "./protocol_versions.ts";
+export { encodedOnce } from "./shared_values.ts";
 export * from "./tracked_request.ts";
