Request a list less often while nobody answers

An entry that lacks a list asked its owner, and whoever had shown the gap, each 0.5 s until the list came. Where all hosts return at once, a hundred of them repeated this to owners that were late for want of processor time. Each list now has a pace of its own (request_pace.ts) for both kinds of requests: 0.5 s, doubling to 2 s with each request without an answer, up to a fifth shorter at random; the list, a part of it or a summary that fits resets it. Rounds of requests to random peers stay 0.5 s apart, so that a lost request costs at most some 2 s more.

--- a/packages/presence/list_replicas.ts
+++ b/packages/presence/list_replicas.ts
@@ -9,8 +9,9 @@
 } from "./messages.ts";
 import { OwnerList } from "./owner_list.ts";
 import { remainingLease, unpackLoad } from "./packed_records.ts";
+import { RequestPace } from "./request_pace.ts";
 import { listId, type ServerTable } from "./server_table.ts";
-import { STATE_REQUEST_INTERVAL_MS } from "./timings.ts";
+import { REQUEST_ROUND_INTERVAL_MS } from "./timings.ts";
 
 /** Silence after which a list is deleted; its leases expired long before. */
 const FORGET_AFTER_MS = 60_000;
@@ -33,7 +34,9 @@
   readonly #lists = new Map<string, OwnerList>();
   /** The list of each owner's newest known incarnation. */
   readonly #newest = new Map<HostId, OwnerList>();
-  #stateRequestedAt = Number.NEGATIVE_INFINITY;
+  /** Of the requested lists by id; that of an unknown one has incarnation 0. */
+  readonly #paces = new Map<string, RequestPace>();
+  #lastRequestRoundAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: {
     self: HostId;
@@ -87,6 +90,7 @@
     this.#renewLeases(list, { ...context, packedRecords, receivedAt });
     Object.assign(list, { round, load, stopping, lastHeardAt: context.now });
     list.incomplete = false;
+    this.#paces.get(listId(owner, incarnation))?.handleAnswer();
     return true;
   }
 
@@ -97,9 +101,10 @@
       allowFormer: true,
     });
     if (!list || !isAfter([owner, incarnation, version, round], list)) return;
+    const id = listId(owner, incarnation);
+    this.#paces.get(id)?.handleAnswer();
     const operations = list.addStatePart(message);
     if (!operations) return;
-    const id = listId(owner, incarnation);
     const formerKeys = [...list.records.keys()];
     list.records.clear();
     for (const key of formerKeys) this.#table.remove(id, key);
@@ -139,15 +144,18 @@
   }): void {
     const { peers, now, effects } = options;
     if (
-      now - this.#stateRequestedAt < STATE_REQUEST_INTERVAL_MS ||
+      now - this.#lastRequestRoundAt < REQUEST_ROUND_INTERVAL_MS ||
       peers.length === 0
     )
       return;
-    const incomplete = this.#incompletePositions(options);
-    if (incomplete.length === 0) return;
-    this.#stateRequestedAt = now;
+    const due = this.#incompletePositions(options).filter((position) =>
+      this.#paceOf(position).isDue(now),
+    );
+    if (due.length === 0) return;
+    this.#lastRequestRoundAt = now;
     // The owner may be reachable even if the relays to this entry are not.
-    for (const position of incomplete) {
+    for (const position of due) {
+      this.#paceOf(position).handleRequest(now);
       if (!peers.includes(position[0])) continue;
       effects.send([position[0]], {
         kind: "presence_ask",
@@ -155,7 +163,7 @@
       });
     }
     const randomPeer = peers[this.#randomness.below(peers.length)] ?? "";
-    effects.send([randomPeer], { kind: "presence_ask", payload: incomplete });
+    effects.send([randomPeer], { kind: "presence_ask", payload: due });
   }
 
   /** Whether an entry's list is known without gaps. */
@@ -176,6 +184,18 @@
         this.#newest.delete(list.owner);
       }
     }
+    for (const [id, { requestedAt }] of this.#paces) {
+      if (now - requestedAt >= FORGET_AFTER_MS) this.#paces.delete(id);
+    }
+  }
+
+  #paceOf([owner, incarnation]: Position): RequestPace {
+    const id = listId(owner, incarnation);
+    const known = this.#paces.get(id);
+    if (known) return known;
+    const pace = new RequestPace(this.#randomness);
+    this.#paces.set(id, pace);
+    return pace;
   }
 
   #incompletePositions(options: {
@@ -230,8 +250,9 @@
     { from, now, effects }: MessageContext,
   ): void {
     list.incomplete = true;
-    if (now - list.stateRequestedAt < STATE_REQUEST_INTERVAL_MS) return;
-    list.stateRequestedAt = now;
+    const pace = this.#paceOf(list.position);
+    if (!pace.isDue(now)) return;
+    pace.handleRequest(now);
     const payload = [list.position];
     effects.send([from], { kind: "presence_ask", payload });
   }
--- a/packages/presence/owner_list.ts
+++ b/packages/presence/owner_list.ts
@@ -31,8 +31,6 @@
   stopping = false;
   /** Time of the last summary or state with anything new, in milliseconds. */
   lastHeardAt = Number.NEGATIVE_INFINITY;
-  /** Time of the last request for this list, in milliseconds. */
-  stateRequestedAt = Number.NEGATIVE_INFINITY;
   /** True if operations are known to be missing. */
   incomplete = false;
   readonly #receivedParts = new Map<number, readonly Operation[]>();
--- a/packages/presence/timings.ts
+++ b/packages/presence/timings.ts
@@ -35,9 +35,21 @@
 /** An entry without new summaries for this long counts as lost. */
 export const LOST_AFTER_MS = 7_000;
 
-/** Shortest interval between two requests for the same entry's records. */
+/**
+ * Interval between the first two requests for the same list, up to a fifth shorter
+ * at random. It doubles with each request that is not answered.
+ */
 export const STATE_REQUEST_INTERVAL_MS = 500;
 
+/**
+ * Longest interval between two requests for the same list, so that a request that
+ * was lost delays the list by at most some 2 s more than a request after 500 ms.
+ */
+export const MAX_STATE_REQUEST_INTERVAL_MS = 2_000;
+
+/** Shortest interval between two requests to a random peer. */
+export const REQUEST_ROUND_INTERVAL_MS = 500;
+
 /** Time after which a starting entry is ready even if some peer is silent. */
 export const JOIN_TIMEOUT_MS = 3_000;
 
--- a/packages/wire/index.ts
+++ b/packages/wire/index.ts
@@ -5,6 +5,7 @@
  * @module
  */
 export * from "./after_input.ts";
+export * from "./backoff.ts";
 export * from "./body_buffer.ts";
 export * from "./client_guard.ts";
 export * from "./frames.ts";
