Bound the connections to servers by the descriptors of the host

Servers that answer slowly or without end hold one for each request, and pools keep as many idle ones as all servers have slots.

Change: connections to servers get three sixteenths of the descriptors above the 200 for files (350 of the smallest host). An idle one is closed for a further one.

--- a/packages/client_limits/client_account_test.ts
+++ b/packages/client_limits/client_account_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { ClientAccount, CONNECTION_BYTES } from "./client_account.ts";
-import { clientBounds } from "./client_bounds.ts";
+import { clientBounds, serverConnectionsMax } from "./client_bounds.ts";
 
 const BODY_BYTES = 65_536;
 
@@ -88,10 +88,12 @@
 test("bounds follow the host and keep descriptors for others", () => {
   const bounds = clientBounds({ memoryMb: 202, descriptorsMax: 2_069 });
   assert.equal(bounds.connectionsMax, 1_401);
+  assert.equal(serverConnectionsMax(2_069), 350);
   assert.ok(bounds.heldBytesMax < 34_000_000);
   assert.ok(bounds.residentBytesMax < 142_000_000);
   const unknown = { memoryMb: undefined, descriptorsMax: undefined };
   assert.equal(clientBounds(unknown).heldBytesMax, Number.POSITIVE_INFINITY);
+  assert.equal(serverConnectionsMax(undefined), Number.POSITIVE_INFINITY);
 });
 
 // Guards against a bound that many connections exceed together, each with too little
--- a/packages/client_limits/client_bounds.ts
+++ b/packages/client_limits/client_bounds.ts
@@ -24,8 +24,10 @@
 const CLIENT_MEMORY_SHARE = 1 / 6;
 /** Descriptors that the platform keeps for files. */
 const FILE_DESCRIPTORS = 200;
-/** Part of the other descriptors that clients may use; servers, peers and control use the rest. */
+/** Part of the other descriptors that clients may use. */
 const CLIENT_DESCRIPTOR_SHARE = 3 / 4;
+/** Part of them that connections to servers may use; peers and control use the rest. */
+const SERVER_DESCRIPTOR_SHARE = 3 / 16;
 /**
  * Part of the memory that the process may take before clients may hold less: 141 MB of
  * 202 MB. It is reached by garbage and by memory that the allocator does not return.
@@ -47,14 +49,21 @@
       memoryMb === undefined
         ? Number.POSITIVE_INFINITY
         : memoryMb * BYTES_PER_MB * RESIDENT_MEMORY_SHARE,
-    connectionsMax:
-      descriptorsMax === undefined
-        ? Number.POSITIVE_INFINITY
-        : Math.max(
-            1,
-            Math.floor(
-              (descriptorsMax - FILE_DESCRIPTORS) * CLIENT_DESCRIPTOR_SHARE,
-            ),
-          ),
+    connectionsMax: descriptorShare(descriptorsMax, CLIENT_DESCRIPTOR_SHARE),
   };
 }
+
+/** The bound on open connections to servers that follows from a host's descriptors. */
+export function serverConnectionsMax(
+  descriptorsMax: number | undefined,
+): number {
+  return descriptorShare(descriptorsMax, SERVER_DESCRIPTOR_SHARE);
+}
+
+function descriptorShare(
+  descriptorsMax: number | undefined,
+  share: number,
+): number {
+  if (descriptorsMax === undefined) return Number.POSITIVE_INFINITY;
+  return Math.max(1, Math.floor((descriptorsMax - FILE_DESCRIPTORS) * share));
+}
--- a/packages/demo/local_site.ts
+++ b/packages/demo/local_site.ts
@@ -30,6 +30,8 @@
   readonly dataCentres?: readonly string[];
   /** The `limits` in the entries' settings. */
   readonly entryLimits?: Readonly<Record<string, number>>;
+  /** Bound on open connections of each entry to servers; unbounded if absent. */
+  readonly serverConnectionsMax?: number;
   readonly logger?: Logger;
 }
 
@@ -174,7 +176,7 @@
     }
     for (let index = 0; index < entries; index++) {
       const http = { host: HOST, port: nextPort() };
-      const settings = parseEntrySettings(
+      const parsed = parseEntrySettings(
         `entry-${index + 1}`,
         JSON.stringify({
           id: `entry-${index + 1}`,
@@ -188,6 +190,8 @@
           limits: options.entryLimits ?? {},
         }),
       )._unsafeUnwrap();
+      const { serverConnectionsMax } = options;
+      const settings = { ...parsed, serverConnectionsMax };
       const randomness = new SystemRandomness();
       const entry = new EntryProcess({
         ...commonOptions,
--- a/packages/entry/backend_agent.ts
+++ b/packages/entry/backend_agent.ts
@@ -1,4 +1,4 @@
-import { Agent, type ClientRequestArgs } from "node:http";
+import { Agent, type AgentOptions, type ClientRequestArgs } from "node:http";
 import { connect, type NetConnectOpts, type Socket } from "node:net";
 
 /**
@@ -11,6 +11,19 @@
 
 /** A pool of connections to one backend server. */
 export class BackendAgent extends Agent {
+  readonly #onOpen: (socket: Socket) => void;
+
+  constructor(
+    options: AgentOptions & {
+      /** Called with each connection as it is opened. */
+      onOpen?: (socket: Socket) => void;
+    } = {},
+  ) {
+    const { onOpen, ...others } = options;
+    super(others);
+    this.#onOpen = onOpen ?? (() => undefined);
+  }
+
   override createConnection(options: ClientRequestArgs): Socket {
     const pooled: NetConnectOpts & { readableHighWaterMark: number } = {
       ...(options as NetConnectOpts),
@@ -24,6 +37,7 @@
       },
     };
     const socket: Socket = connect(pooled);
+    this.#onOpen(socket);
     return socket;
   }
 }
--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -6,6 +6,7 @@
   type IncomingHttpHeaders,
   type IncomingMessage,
 } from "node:http";
+import type { Socket } from "node:net";
 import { err, ok, type Result } from "neverthrow";
 import {
   type BackendServer,
@@ -25,6 +26,7 @@
 } from "./backend_response.ts";
 import { forwardBody } from "./body_forwarding.ts";
 import type { CallProtocol } from "./call_protocol.ts";
+import { ConnectionBudget } from "./connection_budget.ts";
 import { ReceiveGuard } from "./receive_guard.ts";
 import { framedHeaders } from "./request_framing.ts";
 import {
@@ -66,6 +68,8 @@
 
 export interface BackendClientOptions {
   readonly limits?: ResponseLimits;
+  /** Open connections to all servers; unbounded if absent. */
+  readonly connectionsMax?: number | undefined;
   readonly clock?: Clock;
   /** Called for each response that exceeded a bound. */
   readonly onBoundExceeded?: (excess: ResponseExcess) => void;
@@ -84,23 +88,37 @@
   readonly #clock: Clock;
   readonly #onBoundExceeded: BackendClientOptions["onBoundExceeded"];
   readonly #receiveGuard = new ReceiveGuard();
+  readonly #connectionsMax: number;
+  readonly #budget: ConnectionBudget;
+  #openConnections = 0;
   readonly #onMalformedHeader: BackendClientOptions["onMalformedHeader"];
 
   constructor(protocol: CallProtocol, options: BackendClientOptions = {}) {
     this.#protocol = protocol;
     this.#limits = options.limits ?? DEFAULT_LIMITS;
+    this.#connectionsMax = options.connectionsMax ?? Number.POSITIVE_INFINITY;
+    this.#budget = new ConnectionBudget(this.#connectionsMax);
     this.#clock = options.clock ?? new SystemClock();
     this.#onBoundExceeded = options.onBoundExceeded;
     this.#onMalformedHeader = options.onMalformedHeader;
   }
 
+  /** Whether there is a connection for one more request of a service. */
+  hasRoom(service: string): boolean {
+    return this.#budget.hasRoom(service);
+  }
+
+  /** Sends a request, also when there is no room. */
   send(server: BackendServer, request: BackendRequest): SentRequest {
+    const { service } = server;
     const agent = request.needsNewConnection
-      ? new BackendAgent({ keepAlive: false })
+      ? new BackendAgent({ keepAlive: false, onOpen: this.#onOpen })
       : this.#agent(server);
     const opened = openRequest(server, request, agent);
     if (opened.isErr()) return neverSent(opened.error);
     const outgoing = opened.value;
+    this.#budget.acquire(service);
+    outgoing.once("close", () => this.#budget.release(service));
     const exchange = new BackendExchange(outgoing, {
       request,
       meter: new ResponseMeter(this.#limits),
@@ -198,18 +216,38 @@
       maxFreeSockets: server.slots,
       timeout: IDLE_CONNECTION_TIMEOUT_MS,
       scheduling: "lifo",
+      onOpen: this.#onOpen,
     });
     this.#agents.set(key, { agent, incarnation: server.incarnation });
     return agent;
   }
+
+  /** Counts a connection; closes an idle one if there are too many. */
+  readonly #onOpen = (socket: Socket): void => {
+    this.#openConnections += 1;
+    socket.once("close", () => {
+      this.#openConnections -= 1;
+    });
+    if (this.#openConnections <= this.#connectionsMax) return;
+    for (const { agent } of this.#agents.values()) {
+      const idle = idleConnections(agent)[0];
+      if (!idle) continue;
+      idle.destroy();
+      return;
+    }
+  };
 }
 
 /** Closes idle connections now, and busy ones when their request ends. */
 function closeIdleConnections(agent: Agent): void {
   agent.maxFreeSockets = 0;
-  for (const sockets of Object.values(agent.freeSockets)) {
-    for (const socket of sockets ?? []) socket.destroy();
-  }
+  for (const socket of idleConnections(agent)) socket.destroy();
+}
+
+function idleConnections(agent: Agent): Socket[] {
+  return Object.values(agent.freeSockets)
+    .flatMap((sockets) => sockets ?? [])
+    .filter((socket) => !socket.destroyed);
 }
 
 /**
--- a/packages/entry/backend_client_test.ts
+++ b/packages/entry/backend_client_test.ts
@@ -70,6 +70,34 @@
   client.close();
 });
 
+// Guards against idle connections to many servers that take all descriptors.
+test("an idle connection is closed when a further one would exceed the bound", async () => {
+  const open = new Set<Socket>();
+  let mostOpen = 0;
+  const targets = await Promise.all(
+    Array.from({ length: 12 }, async (_, index) => {
+      const server = createServer((_request, response) => response.end("ok"));
+      server.on("connection", (socket) => {
+        open.add(socket);
+        mostOpen = Math.max(mostOpen, open.size);
+        socket.once("close", () => open.delete(socket));
+      });
+      const id = `w${index}`;
+      return serverRecord(await listenOnFreePort(server), { id });
+    }),
+  );
+  const client = new BackendClient(new PublishedProtocol(), {
+    connectionsMax: 4,
+  });
+  for (const target of targets) {
+    const { type } = await client.send(target, REQUEST).result;
+    assert.equal(type, "answer");
+  }
+  client.close();
+  // A server notices the end of a connection later than the client.
+  assert.ok(mostOpen <= 6, `${mostOpen} were open at once`);
+});
+
 // An exception of Node's client ended the process (review of 4 December 2026).
 for (const { name, ...changes } of [
   { name: "a NUL byte in a header", header: "127.0.0.1\u0000:80" },
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -103,6 +103,7 @@
     this.#classifier = new RequestClassifier([], this.#hostRoutes);
     this.#client = new BackendClient(protocol, {
       limits: { bodyMaxBytes: settings.limits.responseBodyMaxBytes },
+      connectionsMax: settings.serverConnectionsMax,
       clock,
       onBoundExceeded: ({ server, ...excess }) => {
         metrics.recordExceededBound(server.service, excess.bound);
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -26,6 +26,8 @@
 import type { RequestBody } from "./request_body.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
+/** Servers that answer free their connections in less. */
+const NO_CONNECTION_RETRY_AFTER_MS = 1_000;
 
 /** Why an attempt was aborted. */
 export type StopReason =
@@ -148,7 +150,7 @@
       };
     }
     const { server, basis } = assignment.value;
-    const refused = this.#recheckAccess();
+    const refused = this.#recheckAccess() ?? this.#checkConnections();
     if (refused) {
       if (fingerprint !== undefined) quarantine.finished(this.#id, "ended");
       const unused = { kind: "cancelled", serviceMs: 0 } as const;
@@ -172,6 +174,16 @@
     return decision.isErr() ? decision.error : undefined;
   }
 
+  /** The fault of a call for which this entry has no connection to a server. */
+  #checkConnections(): CallFault | undefined {
+    const { service } = this.#input.call;
+    if (this.#options.client.hasRoom(service)) return undefined;
+    return callFault("queue_full", {
+      retryAfterMs: NO_CONNECTION_RETRY_AFTER_MS,
+      detail: "the entry has no connection to a server left",
+    });
+  }
+
   /** Isolates a suspected request on a server of its own, or rejects it. */
   async #applyQuarantine(): Promise<Result<void, CallFault>> {
     const { fingerprint } = this.#input;
--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -70,6 +70,8 @@
    * absent.
    */
   readonly clients?: ClientBounds | undefined;
+  /** Open connections to servers; unbounded if absent. */
+  readonly serverConnectionsMax?: number | undefined;
   /** Limit on retries, that is on sends of a call after its first one. */
   readonly resendLimit?: ResendLimit;
   /** Tolerance of tenants' quotas; the default applies if absent. */
