Bound the young generation of an entry's heap

Cause: V8's young generation grows to three times 16 MB by garbage of crowds, beside buffers outside of the heap that are freed only when it is collected.

The cost in processor time is not measured yet.

--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -15,7 +15,12 @@
 /** `run` of each role in `deploy/system.toml`. */
 const COMMANDS = {
   control: ["--max-old-space-size=96", "target/mangobank.cjs", "control"],
-  entry: ["--max-old-space-size=160", "target/mangobank.cjs", "entry"],
+  entry: [
+    "--max-old-space-size=160",
+    "--max-semi-space-size=4",
+    "target/mangobank.cjs",
+    "entry",
+  ],
 };
 
 /** Whether nothing listens at an address. */
