Let late answers of control confirm from the time of their question

Cause: a question to control was forgotten after 3 s. The follower kept a second list of the same questions by the wall clock.

Change: the last 32 questions are kept, each with both clocks. A confirmation counts from its question as before, so a late answer extends nothing.

Measured: the test of an answer after 4 s fails with the former bound and passes now. packages/configuration, tenants and the follower: 74 tests pass. No run of real processes shows the gain.

--- a/packages/configuration/freshness_tracker.ts
+++ b/packages/configuration/freshness_tracker.ts
@@ -3,6 +3,20 @@
 /** How long a confirmation of the configuration is valid, in milliseconds. */
 export const CONFIRMED_FOR_MS = 3_000;
 
+/**
+ * Queries without a response that are kept, so that memory is bounded. A late response
+ * is used, as it confirms from the time of its query.
+ */
+const MAX_PENDING_QUERIES = 32;
+
+/** When control was asked, by both clocks of the process, in milliseconds. */
+export interface QueryTime {
+  /** `Clock.now()`. */
+  readonly steady: number;
+  /** `Clock.wallTime()`. */
+  readonly wall: number;
+}
+
 /** One round of asking the entries of the view for their versions. */
 interface PeerRound {
   readonly round: number;
@@ -20,11 +34,11 @@
  * slow response never extends it.
  */
 export class FreshnessTracker {
-  #pendingQueries = new Map<number, number>();
+  #pendingQueries = new Map<number, QueryTime>();
   #sequence = 0;
   #peerRound: PeerRound | undefined;
   #confirmedAt = Number.NEGATIVE_INFINITY;
-  #controlConfirmedAt: number | undefined;
+  #controlConfirmedAt: QueryTime | undefined;
   readonly #confirmedForMs: number;
 
   /**
@@ -37,12 +51,12 @@
   }
 
   /** Starts a query to control; returns its sequence number. */
-  startControlQuery(now: number): number {
+  startControlQuery(now: QueryTime): number {
     this.#sequence += 1;
     this.#pendingQueries.set(this.#sequence, now);
-    for (const [sequence, askedAt] of this.#pendingQueries) {
-      if (now - askedAt > CONFIRMED_FOR_MS)
-        this.#pendingQueries.delete(sequence);
+    for (const sequence of this.#pendingQueries.keys()) {
+      if (this.#pendingQueries.size <= MAX_PENDING_QUERIES) break;
+      this.#pendingQueries.delete(sequence);
     }
     return this.#sequence;
   }
@@ -56,18 +70,17 @@
     const askedAt = this.#pendingQueries.get(response.sequence);
     this.#pendingQueries.delete(response.sequence);
     if (askedAt === undefined || response.ownVersion < response.version) return;
-    this.#controlConfirmedAt = Math.max(
-      askedAt,
-      this.#controlConfirmedAt ?? askedAt,
-    );
-    this.#confirm(askedAt);
+    const former = this.#controlConfirmedAt;
+    if (!former || askedAt.steady > former.steady)
+      this.#controlConfirmedAt = askedAt;
+    this.#confirm(askedAt.steady);
   }
 
   /**
    * Time of the last question to control that was answered with the version in
    * force here; undefined without one. Other entries' answers do not count.
    */
-  get controlConfirmedAt(): number | undefined {
+  get controlConfirmedAt(): QueryTime | undefined {
     return this.#controlConfirmedAt;
   }
 
--- a/packages/configuration/freshness_tracker_test.ts
+++ b/packages/configuration/freshness_tracker_test.ts
@@ -23,6 +23,10 @@
 };
 const SELF = entry("a");
 
+function startQuery(freshness: FreshnessTracker, now: number): number {
+  return freshness.startControlQuery({ steady: now, wall: now });
+}
+
 function startPeerQuery(freshness: FreshnessTracker, now: number): number {
   return freshness.startPeerQuery({ view: VIEW, version: 7, self: SELF, now });
 }
@@ -33,16 +37,39 @@
 
 test("a slow response does not extend the confirmation", () => {
   const freshness = new FreshnessTracker();
-  const sequence = freshness.startControlQuery(1_000);
+  const sequence = startQuery(freshness, 1_000);
   // However late the response is, the confirmation counts from the query.
   freshness.handleControlResponse({ sequence, version: 7, ownVersion: 7 });
   assert.equal(freshness.isFresh(1_000 + CONFIRMED_FOR_MS), true);
   assert.equal(freshness.isFresh(1_001 + CONFIRMED_FOR_MS), false);
 });
 
+// Guards against keys that are never served while control takes longer than 3 s for
+// each answer, although the lease on keys lasts longer.
+test("a response after 4 s confirms from its query", () => {
+  const freshness = new FreshnessTracker();
+  const sequence = freshness.startControlQuery({ steady: 1_000, wall: 51_000 });
+  for (let steady = 2_000; steady <= 5_000; steady += 1_000)
+    freshness.startControlQuery({ steady, wall: 50_000 + steady });
+  freshness.handleControlResponse({ sequence, version: 7, ownVersion: 7 });
+  const confirmed = { steady: 1_000, wall: 51_000 };
+  assert.deepEqual(freshness.controlConfirmedAt, confirmed);
+  assert.equal(freshness.isFresh(5_000), false);
+});
+
+// Guards against memory that grows while control does not answer.
+test("of many queries without a response the first are forgotten", () => {
+  const freshness = new FreshnessTracker();
+  const first = startQuery(freshness, 0);
+  for (let now = 1; now <= 1_000; now++) startQuery(freshness, now);
+  const versions = { version: 7, ownVersion: 7 };
+  freshness.handleControlResponse({ sequence: first, ...versions });
+  assert.equal(freshness.controlConfirmedAt, undefined);
+});
+
 test("a response to no query confirms nothing", () => {
   const freshness = new FreshnessTracker();
-  const sequence = freshness.startControlQuery(0);
+  const sequence = startQuery(freshness, 0);
   freshness.handleControlResponse({
     sequence: sequence + 1,
     version: 7,
@@ -53,7 +80,7 @@
 
 test("an entry behind control's version is not confirmed", () => {
   const freshness = new FreshnessTracker();
-  const sequence = freshness.startControlQuery(0);
+  const sequence = startQuery(freshness, 0);
   freshness.handleControlResponse({ sequence, version: 8, ownVersion: 7 });
   assert.equal(freshness.isFresh(0), false);
 });
--- a/packages/configuration/in_force_test.ts
+++ b/packages/configuration/in_force_test.ts
@@ -165,7 +165,10 @@
   }
 
   #confirmWithControl(node: SimulatedEntry, index: number): void {
-    const sequence = node.freshness.startControlQuery(this.#now);
+    const sequence = node.freshness.startControlQuery({
+      steady: this.#now,
+      wall: this.#now,
+    });
     if (this.#random.next() < 0.1) return;
     const { version } = node;
     const entry = this.#entryRecord(index);
--- a/packages/entry/configuration_follower.ts
+++ b/packages/entry/configuration_follower.ts
@@ -1,6 +1,5 @@
 import {
   applyChange,
-  CONFIRMED_FOR_MS,
   type ConfigurationChange,
   type ConfigurationMessages,
   diffConfigurations,
@@ -98,8 +97,6 @@
    * because one host is silent. It gets no heartbeats.
    */
   #backup: HostId | undefined;
-  /** Wall-clock times of the questions since the last confirmed one. */
-  readonly #askedAt = new Map<number, number>();
   #requestedFromPeerAt = Number.NEGATIVE_INFINITY;
   /** The control host to which this entry's record was sent, with its state. */
   #sentRecord: { control: HostId; state: Entry["state"] } | undefined;
@@ -128,7 +125,8 @@
         version: state.version,
         ownVersion: this.version,
       });
-      this.#reportConfirmation();
+      const askedAt = this.#freshness.controlConfirmedAt;
+      if (askedAt) this.#options.onConfirmed?.(askedAt);
       this.#subscribeToBackup();
     });
     network.handle("version_ask", ({ round }, from) =>
@@ -176,7 +174,8 @@
   /** Time since the last question that control itself has answered, in milliseconds. */
   controlConfirmationAge(): number {
     const askedAt = this.#freshness.controlConfirmedAt;
-    return this.#options.clock.now() - (askedAt ?? Number.NEGATIVE_INFINITY);
+    if (!askedAt) return Number.POSITIVE_INFINITY;
+    return this.#options.clock.now() - askedAt.steady;
   }
 
   /** Sends the heartbeat that is due; to be called every `HEARTBEAT_INTERVAL_MS`. */
@@ -290,24 +289,9 @@
     if (this.#backup !== undefined) this.#sendVersionTo(this.#backup);
   }
 
-  /** Reports the last confirmed question, by both clocks. */
-  #reportConfirmation(): void {
-    const steady = this.#freshness.controlConfirmedAt;
-    const wall = steady === undefined ? undefined : this.#askedAt.get(steady);
-    if (steady === undefined || wall === undefined) return;
-    for (const askedAt of this.#askedAt.keys()) {
-      if (askedAt < steady) this.#askedAt.delete(askedAt);
-    }
-    this.#options.onConfirmed?.({ steady, wall });
-  }
-
   #sendVersionTo(control: HostId, record: { entry?: Entry } = {}): void {
     const { clock, network, stopReports } = this.#options;
-    const now = clock.now();
-    this.#askedAt.set(now, clock.wallTime());
-    for (const askedAt of this.#askedAt.keys()) {
-      if (now - askedAt > CONFIRMED_FOR_MS) this.#askedAt.delete(askedAt);
-    }
+    const now = { steady: clock.now(), wall: clock.wallTime() };
     network.send(control, "confirm", {
       ...record,
       version: this.version,
