Judge probes and checks after the input that waits to be read

Cause: the prober cancels a probe after 1 s and a check after 100 ms in a timer. Node runs due timers before it reads from sockets, so that after a stall of the entry a server counted as failed (`no_answer`) although its answer had arrived.

Change: the time is judged with `afterPendingInput`, and a request that has ended meanwhile is not cancelled, as its connection may serve another one. The time that routing charges for a probe or a check stays at most its timeout; the rest is the stall.

Measured: the new tests, in which a server answers and the event loop then stands still for longer than the timeout, fail on the code before (2 of 2: `failed`, `no_answer`) and pass now; a server that does not answer still fails after a stall. All 18 tests of prober_test pass.

--- a/packages/entry/prober.ts
+++ b/packages/entry/prober.ts
@@ -7,6 +7,7 @@
   ServerStatement,
 } from "#routing";
 import type { Metrics } from "#telemetry";
+import { afterPendingInput } from "#wire";
 import type { BackendClient } from "./backend_client.ts";
 import type { RequestResult } from "./backend_response.ts";
 import type { CallProtocol, HealthReport } from "./call_protocol.ts";
@@ -102,14 +103,21 @@
       requestId: undefined,
     });
     let isLate = false;
-    const timer = setTimeout(() => {
+    let isEnded = false;
+    const giveUp = () => {
+      // The connection may serve another request by now.
+      if (isEnded) return;
       isLate = true;
       sentRequest.cancel();
-    }, timeoutMs);
+    };
+    const timer = setTimeout(() => afterPendingInput(giveUp), timeoutMs);
     const result = await sentRequest.result;
+    isEnded = true;
     clearTimeout(timer);
-    const ms = clock.now() - startedAt;
-    metrics.recordProbe(server.service, ms);
+    const elapsedMs = clock.now() - startedAt;
+    metrics.recordProbe(server.service, elapsedMs);
+    // What exceeds the timeout is a stall of this process, not time of the server.
+    const ms = Math.min(elapsedMs, timeoutMs);
     const response = result.type === "answer" ? result.response : undefined;
     if (response) this.#options.onHeard(server);
     response?.stream?.destroy();
--- a/packages/entry/prober_test.ts
+++ b/packages/entry/prober_test.ts
@@ -109,3 +109,36 @@
   await until(() => sockets.size === 0, { what: "the connection is closed" });
   assert.deepEqual(bounds, ["surplus_bytes"]);
 });
+
+/** Keeps the event loop from running, so that timers are due before what arrives. */
+function stall(ms: number): void {
+  const end = performance.now() + ms;
+  while (performance.now() < end);
+}
+
+for (const [kind, timeoutMs] of [
+  ["probe", 1_000],
+  ["check", 100],
+] as const) {
+  // Otherwise a server counts as failed because this entry had no processor time.
+  test(`a ${kind} counts an answer that arrived during a stall`, async (t) => {
+    const { server, prober, close } = await startProber((socket) => {
+      socket.write(LOAD_RESPONSE);
+      stall(timeoutMs + 200);
+    });
+    t.after(close);
+    const result = await prober[kind](server);
+    assert.equal(result.kind, "answered", JSON.stringify(result));
+    // The stall is no time of the server: checks would become rarer after it.
+    assert.equal(result.kind === "answered" && result.ms, timeoutMs);
+  });
+}
+
+// Otherwise a check of a server that never answers holds a call for ever.
+test("a check of a silent server fails after a stall", async (t) => {
+  const { server, prober, close } = await startProber(() => stall(300));
+  t.after(close);
+  const result = await prober.check(server);
+  assert.equal(result.kind, "failed");
+  assert.equal("failure" in result && result.failure, "no_answer");
+});
