Judge connections to servers after the input that waits to be read

Cause: the timeout of a connection to a server is a timer, which Node runs before it learns from the kernel that the connection was accepted. After a stall of the entry the request failed as not connected ("no connection within ..."), and its server was asked about as unreachable.

Change: the timeout gives up only a socket that is still connecting after the pending input.

Measured: the new test, in which the event loop stands still for 200 ms while a connection with a timeout of 50 ms is opened, fails on the code before and passes now; a refusal during a stall is reported as one, before and after.

--- a/packages/entry/backend_client_test.ts
+++ b/packages/entry/backend_client_test.ts
@@ -109,6 +109,51 @@
   client.close();
 });
 
+/** Keeps the event loop from running, so that timers are due before what arrives. */
+function stall(ms: number): void {
+  const end = performance.now() + ms;
+  while (performance.now() < end);
+}
+
+/** Resolves when the queue of the current turn is empty; no input is read before. */
+async function endOfTurn(): Promise<void> {
+  for (let tick = 0; tick < 20; tick += 1) {
+    await new Promise<void>((resolve) => process.nextTick(resolve));
+  }
+}
+
+// Otherwise a server counts as unreachable because this entry had no processor time.
+test("a connection that was accepted during a stall is used", async () => {
+  const server = createServer((_request, response) => response.end("ok"));
+  const target = serverRecord(await listenOnFreePort(server), {
+    incarnation: 1,
+  });
+  const client = new BackendClient(new PublishedProtocol());
+  const request = { ...REQUEST, connectTimeoutMs: 50 };
+  const { result } = client.send(target, request);
+  await endOfTurn();
+  stall(200);
+  const end = await result;
+  client.close();
+  assert.equal(end.type, "answer", JSON.stringify(end));
+});
+
+// Otherwise a connection that the server refused during a stall holds its request.
+test("a connection that was refused during a stall fails", async () => {
+  const server = createServer();
+  const port = await listenOnFreePort(server);
+  await new Promise((resolve) => server.close(resolve));
+  const client = new BackendClient(new PublishedProtocol());
+  const request = { ...REQUEST, connectTimeoutMs: 50 };
+  const { result } = client.send(serverRecord(port), request);
+  await endOfTurn();
+  stall(200);
+  const end = await result;
+  client.close();
+  assert.equal(end.type === "fault" && end.fault.type, "not_connected");
+  assert.match(end.type === "fault" ? end.fault.detail : "", /ECONNREFUSED/);
+});
+
 const COMPLETE = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 /** Requests get `COMPLETE`, and then what `writeMore` writes. */
--- a/packages/entry/backend_exchange.ts
+++ b/packages/entry/backend_exchange.ts
@@ -4,6 +4,7 @@
   InformationEvent,
 } from "node:http";
 import type { Socket } from "node:net";
+import { afterPendingInput } from "#wire";
 import type { BackendRequest } from "./backend_request.ts";
 import {
   boundFailure,
@@ -191,11 +192,13 @@
   socket: Socket,
   options: { timeoutMs: number; request: ClientRequest },
 ): void {
-  const timer = setTimeout(() => {
+  const giveUp = () => {
+    if (!socket.connecting) return;
     options.request.destroy(
       new Error(`no connection within ${options.timeoutMs} ms`),
     );
-  }, options.timeoutMs);
+  };
+  const timer = setTimeout(() => afterPendingInput(giveUp), options.timeoutMs);
   const stop = () => clearTimeout(timer);
   socket.once("connect", stop);
   socket.once("close", stop);
