Judge answers of other entries on a server after the pending input

Cause: an entry that reaches a server no more asks others whether they do, and gives up after 150 ms in a timer, which Node runs before it reads their answers. After a stall the server counted as lost, and a request that ran there as one that crashes servers.

Change: the time is judged with `afterPendingInput`.

The 7 tests of peer_connection_checks_test and quarantine_coordinator_test pass.

--- a/packages/entry/peer_connection_checks.ts
+++ b/packages/entry/peer_connection_checks.ts
@@ -1,7 +1,7 @@
 import type { BackendServer, Clock, HostId } from "#model";
 import type { QuarantineMessages } from "#quarantine";
 import { type Logger, OwnTasks } from "#telemetry";
-import type { Network } from "#wire";
+import { afterPendingInput, type Network } from "#wire";
 import { tryConnection } from "./connection_check.ts";
 
 /** Other entries that are asked; an accident rarely covers all of them. */
@@ -61,7 +61,10 @@
         this.#questions.delete(question);
         resolve(isReached);
       };
-      const timer = setTimeout(() => finish(false), ANSWER_TIMEOUT_MS);
+      const timer = setTimeout(
+        () => afterPendingInput(() => finish(false)),
+        ANSWER_TIMEOUT_MS,
+      );
       this.#questions.set(question, (isReached) => {
         unanswered -= 1;
         if (isReached || unanswered === 0) finish(isReached);
