--- a/packages/wire/backoff.ts
+++ b/packages/model/backoff.ts
@@ -1,4 +1,4 @@
-import type { Randomness } from "#model";
+import type { Randomness } from "./randomness.ts";
 
 const GROWTH = 2;
 /** Largest share by which a time is shorter, so that processes do not act together. */
--- a/packages/model/index.ts
+++ b/packages/model/index.ts
@@ -5,6 +5,7 @@
  * @module
  */
 export * from "./backend_servers.ts";
+export * from "./backoff.ts";
 export * from "./build.ts";
 export * from "./calls.ts";
 export * from "./clock.ts";
--- a/packages/presence/request_pace.ts
+++ b/packages/presence/request_pace.ts
@@ -1,5 +1,4 @@
-import type { Randomness } from "#model";
-import { Backoff } from "#wire";
+import { Backoff, type Randomness } from "#model";
 import {
   MAX_STATE_REQUEST_INTERVAL_MS,
   STATE_REQUEST_INTERVAL_MS,
--- a/packages/wire/index.ts
+++ b/packages/wire/index.ts
@@ -5,7 +5,6 @@
  * @module
  */
 export * from "./after_input.ts";
-export * from "./backoff.ts";
 export * from "./body_buffer.ts";
 export * from "./client_guard.ts";
 export * from "./frames.ts";
--- a/packages/wire/outgoing_connection.ts
+++ b/packages/wire/outgoing_connection.ts
@@ -1,7 +1,6 @@
 import { connect, Socket } from "node:net";
-import type { Address, Clock, Randomness } from "#model";
+import { type Address, Backoff, type Clock, type Randomness } from "#model";
 import { afterPendingInput } from "./after_input.ts";
-import { Backoff } from "./backoff.ts";
 import type { Link } from "./link.ts";
 
 const RECONNECT_DELAY_MS = 250;
