Judge the silence of servers after the input that waits to be read

Cause: an entry that can open no connection to a service gives up the running calls once no server has answered for 0.5 s. It judges so in a timer, which Node runs before it reads from sockets: after a stall all repeatable calls were cancelled although answers had arrived.

Change: the path monitor ticks after the pending input, and not once it is closed.

Measured: the new tests, in which the event loop stands still for 800 ms while an answer, or what closes the monitor, is in a socket, fail on the code before (2 of 2: the service counts as silent) and pass now; silence without an answer still counts. The 3 tests of path_monitor_test and the 6 of self_running_tasks_test pass.

--- a/packages/entry/path_monitor.ts
+++ b/packages/entry/path_monitor.ts
@@ -14,7 +14,7 @@
   ServerPaths,
 } from "#reachability";
 import { type Logger, type Metrics, OwnTasks } from "#telemetry";
-import type { Network } from "#wire";
+import { afterPendingInput, type Network } from "#wire";
 import { tryConnection } from "./connection_check.ts";
 
 /** Time within which a server accepts a connection if there is a path to it. */
@@ -130,10 +130,8 @@
   #execute(effects: readonly PathEffect[]): void {
     for (const effect of effects) this.#executeOne(effect);
     if (this.#paths.isActive && !this.#closed) {
-      this.#timer ??= setInterval(
-        () => this.#tasks.run("path_tick", () => this.#tick()),
-        TICK_MS,
-      );
+      const tick = () => this.#tasks.run("path_tick", () => this.#tick());
+      this.#timer ??= setInterval(() => afterPendingInput(tick), TICK_MS);
     } else {
       clearInterval(this.#timer);
       this.#timer = undefined;
@@ -141,6 +139,7 @@
   }
 
   #tick(): void {
+    if (this.#closed) return;
     this.#execute(this.#paths.tick(this.#options.clock.now()));
   }
 
