Judge the wait for a majority after the input that waits to be read

Cause: control gives up the wait for a majority after 0.85 s in a timer, which Node runs before it reads from sockets. After a stall a request was answered as unavailable although the messages that confirm it had arrived.

Change: the wait ends two turns of the event loop after its time, one for the messages and one in which the log deals with them.

It settles the request in the turn after the message, as the log does; the log itself is not part of it.

--- a/packages/control/majority_timeout.ts
+++ b/packages/control/majority_timeout.ts
@@ -1,3 +1,5 @@
+import { afterPendingInput } from "#wire";
+
 /**
  * Longest wait for a majority, in milliseconds. Callers wait one second for a
  * reply before they try another host.
@@ -19,7 +21,13 @@
   timeoutMs = MAJORITY_TIMEOUT_MS,
 ): Promise<T | undefined> {
   return new Promise((resolve, reject) => {
-    const timer = setTimeout(() => resolve(undefined), timeoutMs);
+    const giveUp = () => resolve(undefined);
+    // The log settles requests one turn after it has read the messages for them.
+    const giveUpNextTurn = () => afterPendingInput(giveUp);
+    const timer = setTimeout(
+      () => afterPendingInput(giveUpNextTurn),
+      timeoutMs,
+    );
     result.then((value) => {
       clearTimeout(timer);
       resolve(value);
