Join a dispatcher only by an answer to the join

Cause: a join is given up after 60 ms and repeated 0.1 s later. Where a dispatcher on a busy host answers later than 0.16 s, the late answer to one join ended the next one: the entry took the dispatcher for one that answers in time. Calls then waited for its grants, and as each late message began their wait anew, the entry did not fall back to its own choice.

Change: a join ends with a message that acknowledges its report, and else is given up. Test clusters can give messages a delay.

--- a/packages/routing/dispatch_link.ts
+++ b/packages/routing/dispatch_link.ts
@@ -70,6 +70,8 @@
   #lastSequence = 0;
   /** Sequence number of the newest message that the dispatcher must answer. */
   #lastQuestion = 0;
+  /** Sequence number of the report that joins the dispatcher. */
+  #joinQuestion = 0;
   #awaitingSince: number | undefined;
   #lastReceived = 0;
   #lastReport = Number.NEGATIVE_INFINITY;
@@ -190,13 +192,16 @@
   /** Sends the whole state of this entry; joins the dispatcher if detached. */
   report(state: EntryState, now: number): SendEffect[] {
     if (this.#dispatcher === undefined) return [];
-    if (this.#state === "detached") this.#state = "joining";
     this.#clearPending();
     this.#lastReport = now;
     this.#lastUsed = now;
     this.#changedSinceReport =
       state.taken.length > 0 || state.wanted.length > 0;
     const sequence = this.#nextQuestion(now);
+    if (this.#state === "detached") {
+      this.#state = "joining";
+      this.#joinQuestion = sequence;
+    }
     const payload: DispatchReport = {
       service: this.#service,
       epoch: this.#epoch,
@@ -295,6 +300,9 @@
     if (grant.sequence <= this.#lastSequence) return false;
     this.#lastSequence = grant.sequence;
     if (this.#state === "detached") return false;
+    // An answer to a join that was given up shows that answers come too late.
+    const answersJoin = grant.acknowledged >= this.#joinQuestion;
+    if (this.#state === "joining" && !answersJoin) return false;
     this.#state = "attached";
     this.#unreachable = false;
     this.#rateLimitVersion =
--- a/packages/routing/test_cluster.ts
+++ b/packages/routing/test_cluster.ts
@@ -141,6 +141,8 @@
   /** Decides what the network does with each message. */
   deliveryMode: (from: string, message: SendEffect) => DeliveryMode = () =>
     "deliver";
+  /** Time that a message takes, in milliseconds. */
+  delayMs: (from: string, message: SendEffect) => number = () => 1;
   readonly heldMessages: Delivery[] = [];
   readonly frozenEntries = new Set<string>();
   /** Entries that control has not confirmed for a while. */
@@ -343,7 +345,11 @@
 
   #send(from: string, message: SendEffect): void {
     const mode = this.deliveryMode(from, message);
-    const delivery = { at: this.now + 1, from, message };
+    const delivery = {
+      at: this.now + this.delayMs(from, message),
+      from,
+      message,
+    };
     if (mode === "hold") this.heldMessages.push(delivery);
     if (mode === "deliver" || mode === "duplicate") {
       this.#deliveries.push(delivery);
