Join a dispatcher less often while it answers too late

Cause: a join whose answer takes more than 60 ms is given up and repeated 0.1 s later, for as long as the dispatcher's host is busy. It gets the whole state of each entry 6 times a second for each service, and works on reports whose answers nobody uses.

Change: the time until the next join doubles with each one in a row that was given up, from 0.1 to 0.8 s. An answer in time and a new dispatcher begin anew. The 60 ms stay: an entry that joins a dispatcher with slower answers would let its calls wait for them, while it chooses servers itself until then.

A dispatcher that answers in time again is joined within 1 s, a new one at once.

--- a/packages/routing/dispatch_link.ts
+++ b/packages/routing/dispatch_link.ts
@@ -17,8 +17,14 @@
 export const FALLBACK_MS = 30;
 /** The same for long-running calls, where waiting costs relatively less. */
 const FALLBACK_LONG_RUNNING_MS = 160;
-/** Interval of attempts to join the dispatcher. */
+/** Time until the next attempt to join the dispatcher. */
 const JOIN_INTERVAL_MS = 100;
+/**
+ * The longest one; it doubles with each attempt in a row without an answer in time.
+ * A dispatcher that answers too late would get a report of each entry 6 times a
+ * second otherwise.
+ */
+const JOIN_INTERVAL_MAX_MS = 800;
 /**
  * Time without an answer after which joining is given up. It is longer than the
  * fallback, since a joining entry chooses servers locally anyway.
@@ -77,6 +83,7 @@
   #lastReport = Number.NEGATIVE_INFINITY;
   #lastUsed = Number.NEGATIVE_INFINITY;
   #joinAt = 0;
+  #joinIntervalMs = JOIN_INTERVAL_MS;
   /** Whether updates were sent since the last report. */
   #changedSinceReport = false;
   #credits: BackendServerId[] = [];
@@ -139,6 +146,7 @@
     this.#incarnation = incarnation;
     this.#epoch = epoch;
     this.#joinAt = 0;
+    this.#joinIntervalMs = JOIN_INTERVAL_MS;
     this.#unreachable = false;
     this.#reset();
   }
@@ -152,7 +160,12 @@
   /** Detaches from a dispatcher that does not answer. */
   giveUp(now: number): void {
     this.#unreachable = true;
+    const intervalMs = this.#joinIntervalMs;
+    if (this.#state === "joining") {
+      this.#joinIntervalMs = Math.min(2 * intervalMs, JOIN_INTERVAL_MAX_MS);
+    }
     this.detach(now);
+    this.#joinAt = now + intervalMs;
   }
 
   detach(now: number): void {
@@ -304,6 +317,7 @@
     const answersJoin = grant.acknowledged >= this.#joinQuestion;
     if (this.#state === "joining" && !answersJoin) return false;
     this.#state = "attached";
+    this.#joinIntervalMs = JOIN_INTERVAL_MS;
     this.#unreachable = false;
     this.#rateLimitVersion =
       grant.rateLimits?.version ?? this.#rateLimitVersion;
--- a/packages/routing/slow_dispatcher_test.ts
+++ b/packages/routing/slow_dispatcher_test.ts
@@ -14,6 +14,7 @@
   readonly cluster: TestCluster;
   readonly #serviceMs: number;
   answerMs: number;
+  reports = 0;
   /** When each call came. */
   readonly #cameAt = new Map<string, number>();
 
@@ -23,7 +24,10 @@
     const servers = ["s1", "s2"].map((id) => makeServer(id, { slots: 6 }));
     this.cluster = new TestCluster({ entries: 2, servers });
     const { dispatcher } = this.cluster;
-    this.cluster.delayMs = (from) => (from === dispatcher ? this.answerMs : 1);
+    this.cluster.delayMs = (from, message) => {
+      if (message.kind === "dispatch_report") this.reports += 1;
+      return from === dispatcher ? this.answerMs : 1;
+    };
   }
 
   /** Lets calls come to the entry for a time, and end. */
@@ -85,6 +89,14 @@
 }
 
 for (const answerMs of LATE_ANSWERS_MS) {
+  // Guards against a dispatcher on a busy host that gets the whole state of each
+  // entry 6 times a second because it answers too late.
+  test(`a dispatcher that answers after ${answerMs} ms is joined less often`, () => {
+    const site = new SlowDispatcher({ answerMs, serviceMs: LONG_MS });
+    site.run(5_000);
+    assert.ok(site.reports <= 10, `${site.reports} reports in 5 s`);
+  });
+
   // Otherwise entries choose servers without each other for longer than they have to.
   test(`a dispatcher that answered after ${answerMs} ms is joined within a second`, () => {
     const site = new SlowDispatcher({ answerMs, serviceMs: LONG_MS });
