--- a/packages/control/control_runs.ts
+++ b/packages/control/control_runs.ts
@@ -9,6 +9,10 @@
 /** How often it is tried then whether the disk takes writes again. */
 const PROBE_INTERVAL_MS = 100;
 
+/** Longer than a replica in another process of the host needs to close. */
+const PORT_WAIT_MS = 3_000;
+const PORT_RETRY_MS = 200;
+
 /** A running control process and everything that is closed with it. */
 export interface ControlRun {
   /** Resolves when it has stopped, with the fault that stopped it if any. */
@@ -61,6 +65,18 @@
   }
 }
 
+/** Opens control, again for a while if one of its ports is in use. */
+export async function openOnFreePort<Run>(
+  open: () => Promise<Result<Run, ControlFault>>,
+): Promise<Result<Run, ControlFault>> {
+  for (let waitedMs = 0; ; waitedMs += PORT_RETRY_MS) {
+    const opened = await open();
+    const isInUse = opened.isErr() && opened.error.type === "listen_failed";
+    if (!isInUse || waitedMs >= PORT_WAIT_MS) return opened;
+    await delay(PORT_RETRY_MS);
+  }
+}
+
 async function runOnce(
   run: ControlRun,
   stopSignal: Promise<"told">,
