--- a/packages/control/control_replica.ts
+++ b/packages/control/control_replica.ts
@@ -9,15 +9,20 @@
  * 4 s.
  */
 const NO_CONTROL_AFTER_MS = 2_500;
-const CHECK_INTERVAL_MS = 250;
+const CHECK_INTERVAL_MS = 400;
 /** Wait before a replica that has failed is opened again. */
 const REOPEN_DELAY_MS = 1_000;
 
 export interface ControlReplicaOptions {
-  /** Whether a control process runs on this host. */
-  readonly isControlHere: () => Promise<boolean>;
+  /** Whether a control process runs on this host; undefined if it cannot be told. */
+  readonly findControl: () => Promise<boolean | undefined>;
   /** Whether the disk has the state of a replica, which is opened at once then. */
   readonly hasState: () => boolean;
+  /**
+   * Puts the state away when a control process was found, whose member replaces that of
+   * the replica; it would be opened before that process at a later start otherwise.
+   */
+  readonly retireState: () => void;
   /** Runs control until it is told to stop. */
   readonly run: (stopRequested: Promise<void>) => Promise<ControlRunResult>;
   readonly stopRequested: Promise<void>;
@@ -33,41 +38,44 @@
 export async function runControlReplica(
   options: ControlReplicaOptions,
 ): Promise<void> {
-  const { isControlHere, run, logger } = options;
-  let isStopping = false;
-  const stopped = options.stopRequested.then(() => {
-    isStopping = true;
-  });
-  const wait = (ms: number) => Promise.race([stopped, delay(ms)]);
-  const untilControlComes = async (isNeeded: () => boolean) => {
-    while (isNeeded() && !(await isControlHere()))
-      await wait(CHECK_INTERVAL_MS);
-  };
-  while (!isStopping) {
-    await untilHostHasNone(options, wait, () => isStopping);
-    if (isStopping) return;
-    let isRunning = true;
-    const controlCame = untilControlComes(() => isRunning && !isStopping);
+  const { findControl, run, logger } = options;
+  const stop = new AbortController();
+  const stopped = options.stopRequested.then(() => stop.abort());
+  while (!stop.signal.aborted) {
+    await untilHostHasNone(options, stop.signal);
+    if (stop.signal.aborted) return;
+    const closed = new AbortController();
+    const signal = AbortSignal.any([stop.signal, closed.signal]);
+    const controlCame = (async () => {
+      while (!signal.aborted && (await findControl()) !== true)
+        await wait(CHECK_INTERVAL_MS, signal);
+    })();
     const end = await run(Promise.race([stopped, controlCame]));
-    isRunning = false;
+    closed.abort();
     logger.info("control replica closed", { end });
-    if (end.type === "failed") await wait(REOPEN_DELAY_MS);
+    if (end.type === "failed") await wait(REOPEN_DELAY_MS, stop.signal);
   }
 }
 
+/** Waits for a time, or until the signal is aborted. */
+async function wait(ms: number, signal: AbortSignal): Promise<void> {
+  await delay(ms, undefined, { signal }).catch(() => undefined);
+}
+
 /** Waits until no control process has been seen for a while. */
 async function untilHostHasNone(
-  { isControlHere, hasState, clock }: ControlReplicaOptions,
-  wait: (ms: number) => Promise<void>,
-  isStopping: () => boolean,
+  { findControl, hasState, retireState, clock }: ControlReplicaOptions,
+  signal: AbortSignal,
 ): Promise<void> {
-  const waitMs = hasState() ? 0 : NO_CONTROL_AFTER_MS;
   let absentSince: number | undefined;
-  while (!isStopping()) {
+  while (!signal.aborted) {
     const now = clock.now();
-    if (await isControlHere()) absentSince = undefined;
+    const isHere = await findControl();
+    if (isHere) retireState();
+    if (isHere !== false) absentSince = undefined;
     else absentSince ??= now;
+    const waitMs = hasState() ? 0 : NO_CONTROL_AFTER_MS;
     if (absentSince !== undefined && now - absentSince >= waitMs) return;
-    await wait(CHECK_INTERVAL_MS);
+    await wait(CHECK_INTERVAL_MS, signal);
   }
 }
