Share the stall of the event loop among tests

Cause: six test files had their own loop that stalls the process, three their own pair of connected sockets.

Change: `packages/demo/stall.ts` has both. The times of the stalls and all assertions are as they were. No product code changes.

--- a/packages/control/majority_timeout_test.ts
+++ b/packages/control/majority_timeout_test.ts
@@ -1,34 +1,10 @@
 import assert from "node:assert/strict";
-import { once } from "node:events";
-import { type AddressInfo, connect, createServer, type Socket } from "node:net";
-import { type TestContext, test } from "node:test";
+import { test } from "node:test";
+import { openConnection, stall } from "../demo/stall.ts";
 import { withTimeout } from "./majority_timeout.ts";
 
 const TIMEOUT_MS = 50;
 
-/** Keeps the event loop from running, so that timers are due before what arrives. */
-function stall(): void {
-  const end = performance.now() + 4 * TIMEOUT_MS;
-  while (performance.now() < end);
-}
-
-/** Both ends of a connection. */
-async function openConnection(t: TestContext) {
-  const listener = createServer();
-  t.after(() => listener.close());
-  listener.listen(0, "127.0.0.1");
-  await once(listener, "listening");
-  const { port } = listener.address() as AddressInfo;
-  const accepted = once(listener, "connection");
-  const own = connect(port, "127.0.0.1");
-  const [[peer]] = await Promise.all([accepted, once(own, "connect")]);
-  t.after(() => {
-    own.destroy();
-    peer.destroy();
-  });
-  return { own, peer: peer as Socket };
-}
-
 // Guards against a change that is answered with "unavailable" although a majority
 // has confirmed it, as this host stalled. The log deals with the messages of a turn
 // after it has read them all.
@@ -39,14 +15,14 @@
   });
   const result = withTimeout(confirmed, TIMEOUT_MS);
   peer.write("confirmed");
-  stall();
+  stall(4 * TIMEOUT_MS);
   assert.equal(await result, "confirmed");
 });
 
 // Otherwise callers wait for ever for a majority that does not answer.
 test("a wait for a majority ends without an answer", async () => {
   const result = withTimeout(new Promise(() => undefined), TIMEOUT_MS);
-  stall();
+  stall(4 * TIMEOUT_MS);
   assert.equal(await result, undefined);
 });
 
--- a/packages/entry/backend_client_test.ts
+++ b/packages/entry/backend_client_test.ts
@@ -7,6 +7,7 @@
 } from "node:net";
 import { after, test } from "node:test";
 import { writeWithoutEnd } from "#standin";
+import { stall } from "../demo/stall.ts";
 import { until } from "../demo/until.ts";
 import { BackendClient } from "./backend_client.ts";
 import { PublishedProtocol } from "./call_protocol.ts";
@@ -137,12 +138,6 @@
   client.close();
 });
 
-/** Keeps the event loop from running, so that timers are due before what arrives. */
-function stall(ms: number): void {
-  const end = performance.now() + ms;
-  while (performance.now() < end);
-}
-
 /** Resolves when the queue of the current turn is empty; no input is read before. */
 async function endOfTurn(): Promise<void> {
   for (let tick = 0; tick < 20; tick += 1) {
--- a/packages/entry/path_monitor_test.ts
+++ b/packages/entry/path_monitor_test.ts
@@ -1,11 +1,10 @@
 import assert from "node:assert/strict";
-import { once } from "node:events";
-import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { type TestContext, test } from "node:test";
 import { SeededRandomness, SystemClock } from "#model";
 import type { ReachabilityMessages } from "#reachability";
 import { type Logger, Metrics } from "#telemetry";
 import type { Network } from "#wire";
+import { openConnection, stall } from "../demo/stall.ts";
 import { until } from "../demo/until.ts";
 import { PathMonitor } from "./path_monitor.ts";
 import { serverRecord } from "./test_server_record.ts";
@@ -23,32 +22,10 @@
   warn: () => undefined,
 } as unknown as Logger;
 
-/** Keeps the event loop from running, so that timers are due before what arrives. */
-function stall(): void {
-  const end = performance.now() + STALL_MS;
-  while (performance.now() < end);
-}
-
-/** A connection to a server that accepts no further one. */
-async function openConnection(t: TestContext) {
-  const listener = createServer();
-  listener.listen(0, "127.0.0.1");
-  await once(listener, "listening");
-  const { port } = listener.address() as AddressInfo;
-  const accepted = once(listener, "connection");
-  const own = connect(port, "127.0.0.1");
-  const [[atServer]] = await Promise.all([accepted, once(own, "connect")]);
-  listener.close();
-  t.after(() => {
-    own.destroy();
-    atServer.destroy();
-  });
-  return { server: serverRecord(port), own, atServer: atServer as Socket };
-}
-
 /** A monitor that has just found out that it reaches no server. */
 async function startCut(t: TestContext) {
-  const { server, own, atServer } = await openConnection(t);
+  const { own, peer: atServer, port } = await openConnection(t);
+  const server = serverRecord(port);
   const silent: string[] = [];
   const monitor = new PathMonitor({
     clock: new SystemClock(),
@@ -77,7 +54,7 @@
     heard += 1;
   });
   atServer.write("answer");
-  stall();
+  stall(STALL_MS);
   await until(() => heard > 0, { what: "the answer" });
   await new Promise(setImmediate);
   assert.deepEqual(silent, []);
@@ -86,7 +63,7 @@
 // Otherwise calls wait for their deadlines at servers that this entry reaches no more.
 test("calls are given up if no server answers during a cut", async (t) => {
   const { server, silent } = await startCut(t);
-  stall();
+  stall(STALL_MS);
   await until(() => silent.length > 0, { what: "the silence" });
   assert.deepEqual(silent, [server.service]);
 });
@@ -100,7 +77,7 @@
     closed = true;
   });
   atServer.write("stop");
-  stall();
+  stall(STALL_MS);
   await until(() => closed, { what: "the end of the monitor" });
   await new Promise(setImmediate);
   assert.deepEqual(silent, []);
--- a/packages/entry/peer_connection_checks_test.ts
+++ b/packages/entry/peer_connection_checks_test.ts
@@ -1,38 +1,20 @@
 import assert from "node:assert/strict";
-import { once } from "node:events";
-import { type AddressInfo, connect, createServer } from "node:net";
 import { test } from "node:test";
 import { SystemClock } from "#model";
 import type { QuarantineMessages } from "#quarantine";
 import type { Logger } from "#telemetry";
 import type { Hello, Network } from "#wire";
+import { openConnection, stall } from "../demo/stall.ts";
 import { PeerConnectionChecks } from "./peer_connection_checks.ts";
 import { serverRecord } from "./test_server_record.ts";
 
 /** Longer than peers have for an answer. */
 const STALL_MS = 300;
 
-/** Keeps the event loop from running, so that timers are due before what arrives. */
-function stall(): void {
-  const end = performance.now() + STALL_MS;
-  while (performance.now() < end);
-}
-
 // Guards against a server that counts as lost, and a request that counts as the
 // cause, because this entry stalled while another one answered that it reaches it.
 test("an answer of a peer that arrived during a stall counts", async (t) => {
-  const listener = createServer();
-  t.after(() => listener.close());
-  listener.listen(0, "127.0.0.1");
-  await once(listener, "listening");
-  const { port } = listener.address() as AddressInfo;
-  const accepted = once(listener, "connection");
-  const own = connect(port, "127.0.0.1");
-  const [[peer]] = await Promise.all([accepted, once(own, "connect")]);
-  t.after(() => {
-    own.destroy();
-    peer.destroy();
-  });
+  const { own, peer } = await openConnection(t);
   const handlers = new Map<string, (payload: never, from: Hello) => void>();
   const network: Network<QuarantineMessages> = {
     handle: (kind, handler) => void handlers.set(kind, handler),
@@ -52,7 +34,7 @@
   const logger = {} as Logger;
   const checks = new PeerConnectionChecks({ network, clock, logger });
   const reached = checks.isReached(serverRecord(9), ["entry-2"]);
-  stall();
+  stall(STALL_MS);
   assert.equal(await reached, true);
 });
 
@@ -67,6 +49,6 @@
   const logger = {} as Logger;
   const checks = new PeerConnectionChecks({ network, clock, logger });
   const reached = checks.isReached(serverRecord(9), ["entry-2"]);
-  stall();
+  stall(STALL_MS);
   assert.equal(await reached, false);
 });
--- a/packages/entry/prober_test.ts
+++ b/packages/entry/prober_test.ts
@@ -5,6 +5,7 @@
 import { writeWithoutEnd } from "#standin";
 import { Metrics } from "#telemetry";
 import { listen } from "#wire";
+import { stall } from "../demo/stall.ts";
 import { until } from "../demo/until.ts";
 import { BackendClient } from "./backend_client.ts";
 import { PublishedProtocol } from "./call_protocol.ts";
@@ -110,12 +111,6 @@
   assert.deepEqual(bounds, ["surplus_bytes"]);
 });
 
-/** Keeps the event loop from running, so that timers are due before what arrives. */
-function stall(ms: number): void {
-  const end = performance.now() + ms;
-  while (performance.now() < end);
-}
-
 for (const [kind, timeoutMs] of [
   ["probe", 1_000],
   ["check", 100],
--- a/packages/entry/quarantine_coordinator_test.ts
+++ b/packages/entry/quarantine_coordinator_test.ts
@@ -6,6 +6,7 @@
 import type { QuarantineMessages } from "#quarantine";
 import type { Logger } from "#telemetry";
 import type { Hello, Network } from "#wire";
+import { stall } from "../demo/stall.ts";
 import { until } from "../demo/until.ts";
 import { QuarantineCoordinator } from "./quarantine_coordinator.ts";
 import { serverRecord } from "./test_server_record.ts";
@@ -62,12 +63,6 @@
   return { port, close, accepted };
 }
 
-/** Keeps the event loop from running, longer than the check of a server takes. */
-function stall(): void {
-  const end = performance.now() + 150;
-  while (performance.now() < end);
-}
-
 async function interruptRun(
   coordinator: QuarantineCoordinator,
   options: { id: string; attemptId: string; stalls?: boolean },
@@ -80,7 +75,8 @@
   const run = { fingerprint: "poison", startedAt: now };
   now += 100;
   const checked = coordinator.connectionLost(server, run);
-  if (stalls) stall();
+  // Longer than the check of a server takes.
+  if (stalls) stall(150);
   await checked;
   coordinator.finished(attemptId, "ended");
   await close();
