Log what changes of the membership are decided from

Cause: a leader logged a change of the membership only once it was complete.

Change: the leader logs the voters, learners, announced data folders and silent members each time these change, and whether it waits for a change.

Result: one line for each such change; no other behaviour changes.

--- a/packages/control/membership_manager.ts
+++ b/packages/control/membership_manager.ts
@@ -1,4 +1,4 @@
-import type { ReplicatedLog } from "#agreement";
+import type { ConsensusStatus, ReplicatedLog } from "#agreement";
 import type { Clock } from "#model";
 import { type Logger, OwnTasks } from "#telemetry";
 import {
@@ -22,6 +22,7 @@
   readonly #planner = new MembershipPlanner();
   readonly #tasks: OwnTasks;
   #isChanging = false;
+  #loggedMembers = "";
 
   constructor(options: { log: MemberLog; clock: Clock; logger: Logger }) {
     this.#tasks = new OwnTasks(options);
@@ -35,7 +36,9 @@
   }
 
   async #makeNextStep(): Promise<void> {
-    const step = this.#planner.nextStep(this.#log.status(), this.#clock.now());
+    const status = this.#log.status();
+    this.#logMembers(status);
+    const step = this.#planner.nextStep(status, this.#clock.now());
     if (this.#isChanging || !step) return;
     this.#isChanging = true;
     try {
@@ -45,6 +48,24 @@
     }
   }
 
+  /**
+   * Logs what changes of the membership are decided from, each time it changes on the
+   * leader: the members, the data folders that may be added, and who replies.
+   */
+  #logMembers({ role, term, membership, announced, peers }: ConsensusStatus) {
+    if (role !== "leader") {
+      this.#loggedMembers = "";
+      return;
+    }
+    const silent = peers.flatMap(({ live, member }) => (live ? [] : [member]));
+    const members = { ...membership, announced, silent };
+    const text = JSON.stringify(members);
+    if (text === this.#loggedMembers) return;
+    this.#loggedMembers = text;
+    const isChanging = this.#isChanging;
+    this.#logger.info("members seen", { term, ...members, isChanging });
+  }
+
   async #makeChange(step: MembershipStep): Promise<void> {
     const outcome =
       step.type === "admit"
