Decide each change of the membership anew, from the present state

What callers saw: a control host that was lost for good while it joined again kept every other host from being admitted for 120 s.

Cause: MembershipManager awaited a whole admission. replaceMember added the host, waited up to 120 s for the learner to catch up, removed the former identity and promoted it; until then nothing else was decided.

Change: the planner decides anew, ten times a second and after each change, on one change that the leader can make at once, and passes over what it would refuse. The manager keeps no plan. A former identity is removed only while it is silent; lost learners are removed. replaceMember, for operators, decides its steps anew too. The simulations drive the real manager.

--- a/packages/agreement/consensus_core.ts
+++ b/packages/agreement/consensus_core.ts
@@ -200,6 +200,8 @@
       lastIndex: state.log.lastIndex,
       snapshotIndex: state.snapshot?.index ?? 0,
       membership: state.log.membership,
+      membershipIndex: state.log.membershipIndex,
+      committedInTerm: this.#leadership?.committedInTerm ?? false,
       announced: [...announced].map(
         ([host, identity]) => `${host}/${identity}`,
       ),
--- a/packages/agreement/effects.ts
+++ b/packages/agreement/effects.ts
@@ -100,6 +100,10 @@
   readonly lastIndex: number;
   readonly snapshotIndex: number;
   readonly membership: Membership;
+  /** Index of the newest membership in the log; may not be committed. */
+  readonly membershipIndex: number;
+  /** Whether this member leads and has committed an entry of its own term. */
+  readonly committedInTerm: boolean;
   /** Data folders that are not members and announced that they can be added. */
   readonly announced: readonly MemberKey[];
   /** The other members; filled on the leader only. */
--- a/packages/agreement/members.ts
+++ b/packages/agreement/members.ts
@@ -1,4 +1,5 @@
 import type { HostId } from "#model";
+import type { ConsensusStatus } from "./effects.ts";
 
 /**
  * Identifies a member: the host id and the random identity of its data folder,
@@ -14,6 +15,10 @@
   return member.slice(0, member.lastIndexOf("/"));
 }
 
+export function identityOf(member: MemberKey): string {
+  return member.slice(member.lastIndexOf("/") + 1);
+}
+
 /**
  * The members that replicate the log. Learners receive it, but neither vote nor
  * count towards a majority.
@@ -78,6 +83,23 @@
   readonly live: (member: MemberKey) => boolean;
 }
 
+/** The context of a change to be made now, from the status of the leader. */
+export function changeContextOf(status: ConsensusStatus): ChangeContext {
+  const { self, peers, commit, membership, membershipIndex } = status;
+  const peerOf = (member: MemberKey) => peers.find((p) => p.member === member);
+  return {
+    membership,
+    membershipIndex,
+    commit,
+    committedInTerm: status.committedInTerm,
+    announced: new Map(
+      status.announced.map((member) => [hostOf(member), identityOf(member)]),
+    ),
+    match: (member) => peerOf(member)?.match ?? (member === self ? commit : 0),
+    live: (member) => member === self || (peerOf(member)?.live ?? false),
+  };
+}
+
 /** Returns the membership after a change, or why the change is refused. */
 export function planChange(
   change: MemberChange,
--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -69,6 +69,8 @@
 const COMMANDS_PER_SNAPSHOT = 250;
 /** How often heartbeats are relayed and the leader submits due commands. */
 const CONTROL_TICK_MS = 250;
+/** How often the leader decides whether the membership has to change. */
+const MEMBERSHIP_TICK_MS = 100;
 /** Time after which an entry without heartbeats is no longer listed. */
 const ENTRY_RETENTION_MS = 3_600_000;
 /** How often to check whether a change is in force on enough entries. */
@@ -151,6 +153,17 @@
     this.#timers = [
       // An entry whose heartbeats wait to be read is not silent.
       setInterval(() => afterPendingInput(() => this.#tick()), CONTROL_TICK_MS),
+      // A learner that has caught up is promoted soon after: its host counts as lost
+      // until then.
+      setInterval(
+        () =>
+          afterPendingInput(() =>
+            this.#tasks.run("membership", () =>
+              this.#membershipManager?.tick(),
+            ),
+          ),
+        MEMBERSHIP_TICK_MS,
+      ),
       setInterval(
         () => this.#tasks.run("presence", () => this.registrar.tick()),
         TICK_INTERVAL_MS,
@@ -384,7 +397,6 @@
       this.#entryTable.removeSilent(ENTRY_RETENTION_MS, clock.now()),
     );
     this.#tasks.run("leader_commands", () => this.#submitLeaderCommands());
-    this.#membershipManager?.tick();
   }
 
   /** The command that updates the list of control hosts, if members changed. */
--- a/packages/control/membership_manager.ts
+++ b/packages/control/membership_manager.ts
@@ -1,19 +1,31 @@
-import type { ConsensusStatus, ReplicatedLog } from "#agreement";
+import type { ConsensusStatus, MemberChange, ReplicatedLog } from "#agreement";
 import type { Clock } from "#model";
 import { type Logger, OwnTasks } from "#telemetry";
-import {
-  MembershipPlanner,
-  type MembershipStep,
-} from "./membership_planner.ts";
+import { MembershipPlanner } from "./membership_planner.ts";
+
+/**
+ * Time after which a change that shows no effect no longer counts as submitted, in
+ * milliseconds. A leader appends or refuses a change within one turn of the event
+ * loop, unless its disk stalls.
+ */
+const SUBMISSION_TIMEOUT_MS = 1_000;
 
 type MemberLog = Pick<
   ReplicatedLog<never, unknown>,
-  "status" | "changeMembers" | "replaceMember"
+  "status" | "changeMembers"
 >;
 
+/** A change that the log may not have handled yet. */
+interface Submission {
+  readonly term: number;
+  readonly membershipIndex: number;
+  readonly at: number;
+}
+
 /**
- * Makes the leader's automatic changes of the membership, one at a time; used
- * where control hosts are discovered at run time.
+ * Makes the leader's automatic changes of the membership, one at a time; used where
+ * control hosts are discovered at run time. It keeps no plan: each change is decided
+ * from the status of the log at that moment.
  */
 export class MembershipManager {
   readonly #log: MemberLog;
@@ -21,7 +33,7 @@
   readonly #logger: Logger;
   readonly #planner = new MembershipPlanner();
   readonly #tasks: OwnTasks;
-  #isChanging = false;
+  #submission: Submission | undefined;
   #loggedMembers = "";
 
   constructor(options: { log: MemberLog; clock: Clock; logger: Logger }) {
@@ -31,21 +43,39 @@
     this.#logger = options.logger;
   }
 
+  /** Makes the change that is due; to be called about ten times a second. */
   tick(): void {
-    this.#tasks.run("membership", () => this.#makeNextStep());
-  }
-
-  async #makeNextStep(): Promise<void> {
     const status = this.#log.status();
     this.#logMembers(status);
-    const step = this.#planner.nextStep(status, this.#clock.now());
-    if (this.#isChanging || !step) return;
-    this.#isChanging = true;
-    try {
-      await this.#makeChange(step);
-    } finally {
-      this.#isChanging = false;
-    }
+    const now = this.#clock.now();
+    const change = this.#planner.nextChange(status, now);
+    if (!change || this.#isSubmitted(status, now)) return;
+    const { term, membershipIndex } = status;
+    const submission = { term, membershipIndex, at: now };
+    this.#submission = submission;
+    this.#tasks.run("membership", () => this.#submit(change, submission));
+  }
+
+  /** Whether the log has yet to handle a change that was submitted before. */
+  #isSubmitted(status: ConsensusStatus, now: number): boolean {
+    const submission = this.#submission;
+    return (
+      submission?.term === status.term &&
+      submission.membershipIndex === status.membershipIndex &&
+      now - submission.at < SUBMISSION_TIMEOUT_MS
+    );
+  }
+
+  async #submit(change: MemberChange, submission: Submission): Promise<void> {
+    const outcome = await this.#log.changeMembers(change);
+    if (this.#submission === submission) this.#submission = undefined;
+    outcome.match(
+      (index) => this.#logger.info("membership changed", { ...change, index }),
+      (fault) =>
+        this.#logger.warn("membership not changed", { ...change, fault }),
+    );
+    // An admission takes several changes; the next one may be due already.
+    if (outcome.isOk()) this.tick();
   }
 
   /**
@@ -62,19 +92,6 @@
     const text = JSON.stringify(members);
     if (text === this.#loggedMembers) return;
     this.#loggedMembers = text;
-    const isChanging = this.#isChanging;
-    this.#logger.info("members seen", { term, ...members, isChanging });
-  }
-
-  async #makeChange(step: MembershipStep): Promise<void> {
-    const outcome =
-      step.type === "admit"
-        ? await this.#log.replaceMember(step.host)
-        : await this.#log.changeMembers(step);
-    outcome.match(
-      (index) => this.#logger.info("membership changed", { ...step, index }),
-      (fault) =>
-        this.#logger.warn("membership not changed", { ...step, fault }),
-    );
+    this.#logger.info("members seen", { term, ...members });
   }
 }
--- a/packages/control/membership_planner.ts
+++ b/packages/control/membership_planner.ts
@@ -1,12 +1,22 @@
-import { type ConsensusStatus, hostOf, type MemberKey } from "#agreement";
-import type { HostId } from "#model";
+import {
+  type ChangeContext,
+  type ChangeRefusal,
+  type ConsensusStatus,
+  changeContextOf,
+  hostOf,
+  type MemberChange,
+  type MemberKey,
+  type Membership,
+  memberKey,
+  planChange,
+} from "#agreement";
 
 /**
- * Time without a reply after which a voter may be removed, in milliseconds.
- * Longer than a restart, a freeze or a short partition, after which the voter
+ * Time without a reply after which a member may be removed, in milliseconds.
+ * Longer than a restart, a freeze or a short partition, after which the member
  * returns with its disk.
  */
-export const VOTER_REMOVAL_DELAY_MS = 15_000;
+export const MEMBER_REMOVAL_DELAY_MS = 15_000;
 
 /**
  * The same for a voter that was silent already when another one was admitted, as
@@ -14,13 +24,16 @@
  */
 export const SUCCEEDED_VOTER_REMOVAL_DELAY_MS = 3_000;
 
-/** A change of the membership that the leader has to make. */
-export type MembershipStep =
-  /** Make the host's current data folder a voter in place of an earlier one. */
-  | { readonly type: "admit"; readonly host: HostId }
-  | { readonly type: "remove"; readonly member: MemberKey };
+/** Below this number, removing a silent voter lets the log survive no more losses. */
+const MIN_VOTERS_FOR_REMOVAL = 4;
 
-/** Decides how the leader changes the membership as hosts come and go. */
+/**
+ * Decides how the leader changes the membership as hosts come and go.
+ *
+ * Each call decides anew, from the present state, on one change that the leader can
+ * make at once. A host that announced itself, caught up or fell silent is therefore
+ * never waited for while a change for another host can be made.
+ */
 export class MembershipPlanner {
   readonly #lastLiveAt = new Map<MemberKey, number>();
   /** The voters at the last call; undefined while it was not the leader. */
@@ -28,27 +41,38 @@
   /** When a voter was last admitted. */
   #admittedAt = Number.NEGATIVE_INFINITY;
 
-  /** Returns the next change; none on a host that is not the leader. */
-  nextStep(status: ConsensusStatus, now: number): MembershipStep | undefined {
+  /**
+   * Returns the next change; none on a host that is not the leader, and none while
+   * the leader would refuse each.
+   */
+  nextChange(status: ConsensusStatus, now: number): MemberChange | undefined {
     if (status.role !== "leader") {
       this.#lastLiveAt.clear();
       this.#knownVoters = undefined;
       this.#admittedAt = Number.NEGATIVE_INFINITY;
       return undefined;
     }
-    for (const { member, live } of status.peers) {
+    this.#noteReplies(status, now);
+    this.#noteAdmissions(status.membership.voters, now);
+    const context = changeContextOf(status);
+    const changes = [
+      ...replacements(context),
+      ...this.#removalsOfSilentVoters(context.membership, now),
+      ...additions(context),
+      ...this.#removalsOfLearners(context, now),
+    ];
+    return changes.find((change) => !isRefused(planChange(change, context)));
+  }
+
+  #noteReplies({ peers }: ConsensusStatus, now: number): void {
+    for (const { member, live } of peers) {
       if (live || !this.#lastLiveAt.has(member))
         this.#lastLiveAt.set(member, now);
     }
-    const { voters, learners } = status.membership;
-    this.#noteAdmissions(voters, now);
-    const memberToAdmit =
-      status.announced.find((member) => !voters.includes(member)) ??
-      learners.find((member) => this.#silentMs(member, now) === 0);
-    if (memberToAdmit !== undefined) {
-      return { type: "admit", host: hostOf(memberToAdmit) };
+    const members = new Set(peers.map(({ member }) => member));
+    for (const member of this.#lastLiveAt.keys()) {
+      if (!members.has(member)) this.#lastLiveAt.delete(member);
     }
-    return this.#removalOfSilentVoter(voters, now);
   }
 
   #noteAdmissions(voters: readonly MemberKey[], now: number): void {
@@ -60,33 +84,94 @@
   }
 
   /**
-   * Removes a silent voter only from an even number of voters: this lowers the
-   * majority, so that the log survives one more loss. With an odd number, the
-   * majority would stay the same. A voter that was only slow loses its vote for
-   * the time until it is admitted again, and an odd number of voters bears as
-   * many losses as the even number above it.
+   * Removes a silent voter if the log then survives one more loss: from an even
+   * number of voters, as this lowers the majority, and if there are two of them. One
+   * voter that is silent among an odd number is kept: the majority would stay the
+   * same, and a voter that was only slow would lose its vote for the time until it
+   * is admitted again.
    */
-  #removalOfSilentVoter(
-    voters: readonly MemberKey[],
-    now: number,
-  ): MembershipStep | undefined {
-    if (voters.length < 4 || voters.length % 2 === 1) return undefined;
-    const silent = voters.find(
+  #removalsOfSilentVoters({ voters }: Membership, now: number): MemberChange[] {
+    if (voters.length < MIN_VOTERS_FOR_REMOVAL) return [];
+    const silent = voters.filter(
       (member) => this.#silentMs(member, now) >= this.#removalDelayMs(member),
     );
-    return silent === undefined
-      ? undefined
-      : { type: "remove", member: silent };
+    if (voters.length % 2 === 1 && silent.length < 2) return [];
+    return silent.map(removalOf);
+  }
+
+  /**
+   * Removes learners that are gone: those whose host has another data folder now,
+   * and those that have been silent for long. They would stay in the list of control
+   * hosts for good otherwise.
+   */
+  #removalsOfLearners(context: ChangeContext, now: number): MemberChange[] {
+    const { learners } = context.membership;
+    const isGone = (learner: MemberKey) =>
+      !context.live(learner) &&
+      (hasOtherLiveFolder(learner, context) ||
+        this.#silentMs(learner, now) >= MEMBER_REMOVAL_DELAY_MS);
+    return learners.filter(isGone).map(removalOf);
   }
 
   #removalDelayMs(member: MemberKey): number {
     const lastLiveAt = this.#lastLiveAt.get(member) ?? this.#admittedAt;
     return lastLiveAt < this.#admittedAt
       ? SUCCEEDED_VOTER_REMOVAL_DELAY_MS
-      : VOTER_REMOVAL_DELAY_MS;
+      : MEMBER_REMOVAL_DELAY_MS;
   }
 
   #silentMs(member: MemberKey, now: number): number {
     return now - (this.#lastLiveAt.get(member) ?? now);
   }
 }
+
+/**
+ * Makes voters of the learners that are live and have caught up. A silent voter with
+ * a former data folder of the same host is removed before that.
+ */
+function replacements(context: ChangeContext): MemberChange[] {
+  return context.membership.learners.filter(context.live).flatMap((member) => {
+    const promotion = { type: "promote", member } as const;
+    const plan = planChange(promotion, context);
+    if (!isRefused(plan)) return [promotion];
+    const isReplacement =
+      plan.type === "former_identity_votes" && !context.live(plan.member);
+    return isReplacement ? [removalOf(plan.member)] : [];
+  });
+}
+
+/** Adds the data folders that were announced, as learners. */
+function additions(context: ChangeContext): MemberChange[] {
+  const { membership, live } = context;
+  const liveHosts = new Set(membersOf(membership).filter(live).map(hostOf));
+  return [...context.announced.keys()]
+    .filter((host) => !liveHosts.has(host))
+    .map((host) => ({ type: "add", host }));
+}
+
+/** Whether the host of a member has another data folder that is live or announced. */
+function hasOtherLiveFolder(
+  member: MemberKey,
+  { membership, announced, live }: ChangeContext,
+): boolean {
+  const host = hostOf(member);
+  const identity = announced.get(host);
+  return (
+    (identity !== undefined && member !== memberKey(host, identity)) ||
+    membersOf(membership).some(
+      (other) => other !== member && hostOf(other) === host && live(other),
+    )
+  );
+}
+
+function membersOf({ voters, learners }: Membership): MemberKey[] {
+  return [...voters, ...learners];
+}
+
+function removalOf(member: MemberKey): MemberChange {
+  return { type: "remove", member };
+}
+
+function isRefused(plan: Membership | ChangeRefusal): plan is ChangeRefusal {
+  return "type" in plan;
+}
--- a/packages/control/replaced_voters_test.ts
+++ b/packages/control/replaced_voters_test.ts
@@ -1,13 +1,13 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { hostOf, type MemberChange, type Membership } from "#agreement";
+import { hostOf, type Membership } from "#agreement";
 import { describeTimes, timeOfChange } from "../storage/test_operator.ts";
 import {
   NO_FAULTS,
   type SimulatedHost,
   Simulation,
 } from "../storage/test_simulation.ts";
-import { MembershipPlanner } from "./membership_planner.ts";
+import { SimulatedManagers } from "./test_simulated_managers.ts";
 
 // MANGOBANK_SCHEDULES sets the number of random schedules of replaced voters,
 // MANGOBANK_FIRST_SEED the first seed; MANGOBANK_SEED runs a single one.
@@ -16,7 +16,6 @@
 const ONLY_SEED = process.env.MANGOBANK_SEED;
 
 const FAULT_PHASE_MS = 20_000;
-const MANAGER_TICK_MS = 250;
 /** From a stable majority of control hosts to an acknowledged change. */
 const ACKNOWLEDGED_WITHIN_MS = 4_000;
 /** A host closed by a full disk is open again by then. */
@@ -24,69 +23,15 @@
 /** Time in which all hosts that run become voters. */
 const ADMITTED_WITHIN_MS = 30_000;
 
-/** Makes the changes that the planner of the leader decides, one at a time. */
-class SimulatedManager {
-  readonly #simulation: Simulation;
-  #planner = new MembershipPlanner();
-  #incarnation = 0;
-  #pending: string | undefined;
-  readonly #host: SimulatedHost;
-
-  constructor(simulation: Simulation, host: SimulatedHost) {
-    this.#simulation = simulation;
-    this.#host = host;
-    this.#tick();
-  }
-
-  #tick(): void {
-    const s = this.#simulation;
-    s.at(MANAGER_TICK_MS, () => this.#tick());
-    if (this.#incarnation !== this.#host.incarnation) {
-      this.#incarnation = this.#host.incarnation;
-      this.#planner = new MembershipPlanner();
-      this.#pending = undefined;
-    }
-    const status = this.#host.core?.status(s.now);
-    if (!status || this.#host.isFrozen) return;
-    const step = this.#planner.nextStep(status, s.now);
-    const { history } = s;
-    const pending = this.#pending;
-    if (pending !== undefined) {
-      const fault = history.faults.get(pending);
-      if (!fault && !history.acknowledged.has(pending)) return;
-      this.#pending = undefined;
-      if (fault?.type === "former_identity_votes") {
-        this.#change({ type: "remove", member: fault.member });
-        return;
-      }
-    }
-    if (step?.type === "remove") this.#change(step);
-    if (step?.type !== "admit") return;
-    const { voters, learners } = status.membership;
-    const announced = status.announced.find((m) => hostOf(m) === step.host);
-    const own = learners.filter((member) => hostOf(member) === step.host);
-    const [stale] = own;
-    const member = own.at(-1);
-    if (announced && ![...voters, ...learners].includes(announced)) {
-      this.#change({ type: "add", host: step.host });
-    } else if (stale !== undefined && stale !== member) {
-      this.#change({ type: "remove", member: stale });
-    } else if (member !== undefined) this.#change({ type: "promote", member });
-  }
-
-  #change(change: MemberChange): void {
-    this.#pending = this.#simulation.change(this.#host, change);
-  }
-}
-
 /** A simulation with the automatic changes of the membership. */
 class ReplacementSimulation {
   readonly s: Simulation;
+  readonly #managers: SimulatedManagers;
   #added = 0;
 
   constructor(seed: number) {
     this.s = new Simulation({ seed, size: 3 + (seed % 5), isFormed: true });
-    for (const host of this.s.hosts) new SimulatedManager(this.s, host);
+    this.#managers = new SimulatedManagers(this.s);
   }
 
   get running(): SimulatedHost[] {
@@ -104,8 +49,7 @@
     this.s.crash(host);
     host.isRemoved = true;
     const add = () => {
-      const added = this.s.addHost(`n${++this.#added}`);
-      new SimulatedManager(this.s, added);
+      this.#managers.add(this.s.addHost(`n${++this.#added}`));
     };
     this.s.at(Math.min(afterMs, this.s.random.below(1_000)), add);
   }
--- a/packages/storage/replicated_log.ts
+++ b/packages/storage/replicated_log.ts
@@ -14,6 +14,7 @@
   type LogEntry,
   type Logger,
   type MemberChange,
+  type MemberKey,
   type ReadFault,
   type ReplicatedLog,
   type StateMachine,
@@ -136,26 +137,13 @@
 
   async replaceMember(host: HostId): Promise<Result<number, ChangeFault>> {
     const deadline = this.#now() + REPLACE_MEMBER_TIMEOUT_MS;
-    const added = await this.#retryChange({ type: "add", host }, deadline);
-    if (added.isErr() && added.error.type !== "already_member") return added;
     for (;;) {
-      const { membership } = this.status();
-      const learners = membership.learners.filter((m) => hostOf(m) === host);
-      const member = learners.at(-1);
-      if (!member) return err({ type: "host_not_announced", host });
-      const [stale] = learners;
-      if (stale !== undefined && stale !== member) {
-        // The disk was lost again before an earlier replacement had completed.
-        await this.#retryChange({ type: "remove", member: stale }, deadline);
-      }
-      const promote = { type: "promote", member } as const;
-      const promoted = await this.#retryChange(promote, deadline);
-      if (promoted.isOk()) return promoted;
-      const fault = promoted.error;
-      if (fault.type !== "former_identity_votes") return promoted;
-      const remove = { type: "remove", member: fault.member } as const;
-      const removed = await this.#retryChange(remove, deadline);
-      if (removed.isErr()) return removed;
+      const step = await this.#makeReplacementStep(host);
+      if (step.isErr()) {
+        const isFinal = !isRetryable(step.error) || this.#now() > deadline;
+        if (isFinal) return err(step.error);
+        await delay(MEMBER_CHANGE_RETRY_MS);
+      } else if (step.value !== undefined) return ok(step.value);
     }
   }
 
@@ -174,18 +162,33 @@
   }
 
   /**
-   * Makes a change, and repeats it until the deadline while it fails for now.
+   * Makes the next change that replaces a host's former identity; returns the index of
+   * its promotion once that is done. Each step begins with the identity that the host
+   * announced last, as its disk may have been lost again since the step before.
    */
-  async #retryChange(
-    change: MemberChange,
-    deadline: number,
-  ): Promise<Result<number, ChangeFault>> {
-    for (;;) {
-      const result = await this.changeMembers(change);
-      if (result.isOk() || !isRetryable(result.error)) return result;
-      if (this.#now() > deadline) return result;
-      await delay(MEMBER_CHANGE_RETRY_MS);
-    }
+  async #makeReplacementStep(
+    host: HostId,
+  ): Promise<Result<number | undefined, ChangeFault>> {
+    const added = await this.changeMembers({ type: "add", host });
+    if (added.isErr() && added.error.type !== "already_member") return added;
+    const { learners } = this.status().membership;
+    const own = learners.filter((member) => hostOf(member) === host);
+    const member = own.at(-1);
+    if (member === undefined) return err({ type: "host_not_announced", host });
+    const [stale] = own;
+    if (stale !== undefined && stale !== member) return this.#remove(stale);
+    const promoted = await this.changeMembers({ type: "promote", member });
+    if (promoted.isOk() || promoted.error.type !== "former_identity_votes")
+      return promoted;
+    return this.#remove(promoted.error.member);
+  }
+
+  /** Removes a member, which another change may have removed meanwhile. */
+  async #remove(member: MemberKey): Promise<Result<undefined, ChangeFault>> {
+    const removed = await this.changeMembers({ type: "remove", member });
+    if (removed.isErr() && removed.error.type !== "unknown_member")
+      return err(removed.error);
+    return ok(undefined);
   }
 
   #now(): number {
--- a/packages/storage/test_simulation.ts
+++ b/packages/storage/test_simulation.ts
@@ -105,7 +105,7 @@
     this.random = new SeededRandomness(options.seed);
     this.founders = [..."abcdefg"].slice(0, options.size);
     this.hosts = this.founders.map((id) => {
-      return new SimulatedHost(id, this.#emptyDisk());
+      return new SimulatedHost(id, this.emptyDisk());
     });
     if (options.isFormed) this.#bindAll();
     for (const host of this.hosts) this.start(host);
@@ -211,18 +211,24 @@
   /** Crashes the host and replaces its data folder by an empty one. */
   loseDisk(host: SimulatedHost): void {
     this.crash(host);
-    host.disk = this.#emptyDisk();
+    host.disk = this.emptyDisk();
     host.room = "all";
   }
 
   /** Adds a host with an empty data folder, which is no founder. */
   addHost(id: string): SimulatedHost {
-    const host = new SimulatedHost(id, this.#emptyDisk());
-    this.hosts.push(host);
+    const host = this.addStoppedHost(id);
     this.start(host);
     return host;
   }
 
+  /** The same, but does not start it yet. */
+  addStoppedHost(id: string): SimulatedHost {
+    const host = new SimulatedHost(id, this.emptyDisk());
+    this.hosts.push(host);
+    return host;
+  }
+
   /** Pauses the host's process; inputs are processed when it resumes. */
   freeze(host: SimulatedHost, ms: number): void {
     if (!host.core || host.isFrozen) return;
@@ -278,7 +284,8 @@
     return id;
   }
 
-  #emptyDisk(): MemoryDisk {
+  /** A disk with an identity that no other has. */
+  emptyDisk(): MemoryDisk {
     return new MemoryDisk(`i${++this.#identityCount}`);
   }
 
