Open no replica of control where control is only away

What callers saw: an ordinary restart of control of some 3 s on a host that is no seed could leave that host without a member for good, so that fewer disks could be lost than the deployment allows.

Cause: the entry process of the host opened a replica after 2.5 s without a control process. The replica was admitted in place of the member that was away, and its state was thrown away when control came back: a voter's state, lost by the system itself.

Change: the entry records that control runs on its host (file control_found) and then waits for 60 s.

--- a/packages/control/control_replica.ts
+++ b/packages/control/control_replica.ts
@@ -8,7 +8,13 @@
  * host start together, and a host that lost its disk has to be a member again within
  * 4 s.
  */
-const NO_CONTROL_AFTER_MS = 2_500;
+export const NO_CONTROL_AFTER_MS = 2_500;
+/**
+ * The same on a host that has had a control process, which is only away then: a
+ * restart, or a full disk. A replica would take the vote of its member, and be closed
+ * again when it is back.
+ */
+export const CONTROL_GONE_AFTER_MS = 60_000;
 const CHECK_INTERVAL_MS = 400;
 /** Wait before a replica that has failed is opened again. */
 const REOPEN_DELAY_MS = 1_000;
@@ -18,15 +24,20 @@
   readonly findControl: () => Promise<boolean | undefined>;
   /** Whether the disk has the state of a replica, which is opened at once then. */
   readonly hasState: () => boolean;
+  /** Whether a control process has been found on this host with its present disk. */
+  readonly hadControl: () => boolean;
   /**
-   * Puts the state away when a control process was found, whose member replaces that of
-   * the replica; it would be opened before that process at a later start otherwise.
+   * Records that a control process was found, and puts the state of the replica away,
+   * which the member of that process replaces; it would be opened before that process
+   * at a later start otherwise.
    */
-  readonly retireState: () => void;
+  readonly recordControl: () => void;
   /** Runs control until it is told to stop. */
   readonly run: (stopRequested: Promise<void>) => Promise<ControlRunResult>;
   readonly stopRequested: Promise<void>;
   readonly clock: Clock;
+  /** Waits for a time, or until the signal is aborted; default: with a timer. */
+  readonly wait?: (ms: number, signal: AbortSignal) => Promise<void>;
   readonly logger: Logger;
 }
 
@@ -38,7 +49,7 @@
 export async function runControlReplica(
   options: ControlReplicaOptions,
 ): Promise<void> {
-  const { findControl, run, logger } = options;
+  const { findControl, run, logger, wait = waitWithTimer } = options;
   const stop = new AbortController();
   const stopped = options.stopRequested.then(() => stop.abort());
   while (!stop.signal.aborted) {
@@ -57,24 +68,28 @@
   }
 }
 
-/** Waits for a time, or until the signal is aborted. */
-async function wait(ms: number, signal: AbortSignal): Promise<void> {
+async function waitWithTimer(ms: number, signal: AbortSignal): Promise<void> {
   await delay(ms, undefined, { signal }).catch(() => undefined);
 }
 
 /** Waits until no control process has been seen for a while. */
 async function untilHostHasNone(
-  { findControl, hasState, retireState, clock }: ControlReplicaOptions,
+  options: ControlReplicaOptions,
   signal: AbortSignal,
 ): Promise<void> {
+  const { findControl, hasState, hadControl, recordControl, clock } = options;
+  const { wait = waitWithTimer } = options;
   let absentSince: number | undefined;
   while (!signal.aborted) {
     const now = clock.now();
     const isHere = await findControl();
-    if (isHere) retireState();
+    if (isHere) recordControl();
     if (isHere !== false) absentSince = undefined;
     else absentSince ??= now;
-    const waitMs = hasState() ? 0 : NO_CONTROL_AFTER_MS;
+    const goneAfterMs = hadControl()
+      ? CONTROL_GONE_AFTER_MS
+      : NO_CONTROL_AFTER_MS;
+    const waitMs = hasState() ? 0 : goneAfterMs;
     if (absentSince !== undefined && now - absentSince >= waitMs) return;
     await wait(CHECK_INTERVAL_MS, signal);
   }
--- a/packages/control/index.ts
+++ b/packages/control/index.ts
@@ -7,7 +7,7 @@
 export * from "./announcement_log.ts";
 export * from "./control_host.ts";
 export * from "./control_process.ts";
-export { runControlReplica } from "./control_replica.ts";
+export { NO_CONTROL_AFTER_MS, runControlReplica } from "./control_replica.ts";
 export * from "./control_requests.ts";
 export * from "./control_runs.ts";
 export * from "./evacuations.ts";
