Give back all that an attempt has taken, at one place

Cause: each thing that an attempt takes was given back by another code path, on the way by which the attempt was expected to end. The slot and the connection of a long response were given back when its stream closed, which only its forwarding brought about; the stream of a rejection was dropped, neither read nor closed. The same held for the response of a parallel attempt that came second, for a long refusal of another entry, and for a stream that broke while its server was judged.

Change: AttemptResources owns the place in the queue, the slot and the connection, and release gives back what is left, whichever way the attempt ended. Attempts whose answer is not passed on are released at once, all others when the call has ended. mangobank_held_resources counts what is held; what is held 1 s after the deadline of its call is logged with the request's id.

--- a/packages/entry/backend_client.ts
+++ b/packages/entry/backend_client.ts
@@ -108,6 +108,11 @@
     return this.#budget.hasRoom(service);
   }
 
+  /** Requests in progress, whose responses may not be read yet. */
+  get requestsInProgress(): number {
+    return this.#budget.total;
+  }
+
   /** Sends a request, also when there is no room. */
   send(server: BackendServer, request: BackendRequest): SentRequest {
     const { service } = server;
@@ -115,10 +120,16 @@
       ? new BackendAgent({ keepAlive: false, onOpen: this.#onOpen })
       : this.#agent(server);
     const opened = openRequest(server, request, agent);
-    if (opened.isErr()) return neverSent(opened.error);
+    if (opened.isErr()) {
+      request.onClosed?.();
+      return neverSent(opened.error);
+    }
     const outgoing = opened.value;
     this.#budget.acquire(service);
-    outgoing.once("close", () => this.#budget.release(service));
+    outgoing.once("close", () => {
+      this.#budget.release(service);
+      request.onClosed?.();
+    });
     const exchange = new BackendExchange(outgoing, {
       request,
       meter: new ResponseMeter(this.#limits),
--- a/packages/entry/backend_request.ts
+++ b/packages/entry/backend_request.ts
@@ -22,4 +22,6 @@
   readonly requestId: string | undefined;
   /** Id of the request in log lines; undefined for probes and checks. */
   readonly logId?: string | undefined;
+  /** Called once the request and its response have ended, whichever way. */
+  readonly onClosed?: () => void;
 }
--- a/packages/entry/call_attempts.ts
+++ b/packages/entry/call_attempts.ts
@@ -32,6 +32,12 @@
   readonly ignoresCut: boolean;
 }
 
+interface EndedAttempt {
+  readonly id: string;
+  readonly attempt: ServerAttempt;
+  readonly result: ServerAttemptResult;
+}
+
 /** Reasons that end only what has not been sent. */
 const WAITING_STOPS: ReadonlySet<StopReason> = new Set([
   "entry_stops",
@@ -62,6 +68,8 @@
   readonly #budget: SendBudget;
   readonly #triedServers = new Set<string>();
   readonly #runningAttempts = new Map<string, ServerAttempt>();
+  /** All attempts, of which some may hold a connection after their result. */
+  readonly #allAttempts: ServerAttempt[] = [];
   #hedgeTimer: NodeJS.Timeout | undefined;
   #stopReason: StopReason | undefined;
   /**
@@ -159,20 +167,28 @@
     }
   }
 
+  /** Gives back all that attempts still hold; to be called once the call has ended. */
+  release(): void {
+    for (const attempt of this.#allAttempts) attempt.release();
+  }
+
   /** Tries servers until one responds or no further attempt is allowed. */
   async run(): Promise<CallAttemptsResult> {
     for (;;) {
-      const result = await this.#runWithHedge();
+      const { attempt, result } = await this.#runWithHedge();
       if (result.type === "rejected") return this.#failure(result.fault);
       const { end, response } = result;
       if (end.type === "answered" && response) {
         if (!this.#mayRetryServerError(response, result.runningMs)) {
           return { type: "answer", response };
         }
+        attempt.release();
         this.#serverError = response;
         this.#triedServers.add(result.server.id);
         continue;
       }
+      // The body of a rejection may be long, or have no end.
+      attempt.release();
       if (this.#endsWhenCutOff)
         return this.#failure(this.#fault(result.detail));
       const { clock } = this.#options;
@@ -191,11 +207,12 @@
   /**
    * Runs an attempt, and a hedge if it takes long; takes the first response.
    */
-  #runWithHedge(): Promise<ServerAttemptResult> {
+  #runWithHedge(): Promise<EndedAttempt> {
     return new Promise((resolve, reject) => {
       const hedgedCall = new HedgedCall();
       const firstId = this.#attemptId();
-      const onResult = (id: string, result: ServerAttemptResult) => {
+      const onResult = (ended: EndedAttempt) => {
+        const { id, attempt, result } = ended;
         this.#runningAttempts.delete(id);
         this.#recordAttempt(result);
         const answered =
@@ -203,9 +220,13 @@
         const { final, cancel } = hedgedCall.end(id, answered);
         for (const other of cancel)
           this.#runningAttempts.get(other)?.stop("superseded");
-        if (!final) return;
+        if (!final) {
+          attempt.release();
+          if (result.type === "ended") this.#triedServers.add(result.server.id);
+          return;
+        }
         clearTimeout(this.#hedgeTimer);
-        resolve(result);
+        resolve(ended);
       };
       const start = (id: string, onSent: () => void) => {
         const attempt = new ServerAttempt(this.#options, {
@@ -215,7 +236,10 @@
           tried: this.#triedServers,
         });
         this.#runningAttempts.set(id, attempt);
-        attempt.run(onSent).then((result) => onResult(id, result), reject);
+        this.#allAttempts.push(attempt);
+        attempt
+          .run(onSent)
+          .then((result) => onResult({ id, attempt, result }), reject);
       };
       const startHedge = () => {
         if (this.#possibleRuns + 2 > (this.#input.call.attempts ?? 2)) return;
--- a/packages/entry/call_environment.ts
+++ b/packages/entry/call_environment.ts
@@ -6,6 +6,7 @@
 import type { BackendClient } from "./backend_client.ts";
 import type { CallProtocol } from "./call_protocol.ts";
 import type { HandoverClient } from "./handover_client.ts";
+import type { HeldResources } from "./held_resources.ts";
 import type { KeyClaims } from "./key_claims.ts";
 import type { PathMonitor } from "./path_monitor.ts";
 import type { QuarantineCoordinator } from "./quarantine_coordinator.ts";
@@ -22,6 +23,7 @@
   readonly metrics: Metrics;
   readonly assignments: Assignments;
   readonly client: BackendClient;
+  readonly resources: HeldResources;
   readonly protocol: CallProtocol;
   readonly claims: KeyClaims;
   readonly quarantine: QuarantineCoordinator;
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -89,6 +89,9 @@
   #cancelClaim: (() => void) | undefined;
   /** Whether a server or another entry may have got the call. */
   #mayHaveRun = false;
+  /** Whether the answer was begun or the call given up. */
+  #isServed = false;
+  #isResponseClosed = false;
 
   constructor(options: CallEnvironment, exchange: HttpExchange) {
     this.#options = options;
@@ -140,6 +143,15 @@
   }
 
   async run(): Promise<void> {
+    try {
+      await this.#run();
+    } finally {
+      this.#isServed = true;
+      this.#releaseIfEnded();
+    }
+  }
+
+  async #run(): Promise<void> {
     const refusal = this.#handoverRefusal();
     if (refusal) {
       this.#exchange.request.resume();
@@ -290,6 +302,8 @@
     clearTimeout(this.#deadlineTimer);
     clearTimeout(this.#stopTimer);
     if (!this.#mayHaveRun) this.#quota?.giveBack();
+    this.#isResponseClosed = true;
+    this.#releaseIfEnded();
     const { writableFinished, brokenBy } = this.#exchange.response;
     if (writableFinished) {
       if (this.#hasUsualEnd) this.#admission.recordDuration();
@@ -299,6 +313,14 @@
     this.#stop(brokenBy === "server" ? "entry_closed" : "caller_closed");
   }
 
+  /**
+   * Gives back what the call still holds. A call may go on after its caller has closed,
+   * and its answer be sent after its attempts have ended.
+   */
+  #releaseIfEnded(): void {
+    if (this.#isServed && this.#isResponseClosed) this.#attempts?.release();
+  }
+
   /** Ends the call after an internal error, with what is known of it. */
   abort(): void {
     const detail = "internal error of the entry";
--- a/packages/entry/call_pipeline.ts
+++ b/packages/entry/call_pipeline.ts
@@ -27,6 +27,7 @@
 import type { EntryMessages } from "./entry_network.ts";
 import { HandoverClient } from "./handover_client.ts";
 import { parseHandoverOrigin, reservedHeader } from "./handover_protocol.ts";
+import { HeldResources } from "./held_resources.ts";
 import { KeyClaims } from "./key_claims.ts";
 import { OnDemandLinks } from "./on_demand_links.ts";
 import { PathMonitor } from "./path_monitor.ts";
@@ -90,6 +91,7 @@
   readonly #quotas: TenantQuotas;
   readonly #paths: PathMonitor;
   readonly #handovers: HandoverClient;
+  readonly #resources: HeldResources;
   #classifier: RequestClassifier;
   #configuration: Configuration | undefined;
   #stopSchedule: StopSchedule | undefined;
@@ -99,6 +101,7 @@
     this.#options = options;
     const { settings, incarnation, network, clock, randomness } = options;
     const { logger, metrics, protocol } = options;
+    this.#resources = new HeldResources({ clock, logger });
     this.#hostRoutes = new HostRoutes(randomness);
     this.#classifier = new RequestClassifier([], this.#hostRoutes);
     this.#client = new BackendClient(protocol, {
@@ -160,6 +163,7 @@
       network,
       metrics,
       client: this.#client,
+      resources: this.#resources,
       protocol,
       version: () => options.configuration().version,
     });
@@ -231,6 +235,7 @@
       entry: self,
       assignments: this.#assignments,
       client: this.#client,
+      resources: this.#resources,
       claims: this.#claims,
       quotas: this.#quotas,
       quarantine: this.#quarantine,
@@ -259,6 +264,7 @@
     const tick = () => {
       tasks.run("quarantine", () => this.#quarantine.tick());
       tasks.run("claims", () => this.#linksOnDemand.tick());
+      tasks.run("held_resources", () => this.#resources.logOverdue());
     };
     this.#quarantineTimer = setInterval(tick, QUARANTINE_TICK_MS);
   }
@@ -381,6 +387,14 @@
     return this.#proxy.activeCalls;
   }
 
+  /** How much of each kind the calls in progress hold. */
+  heldResources(): [kind: string, count: number][] {
+    return [
+      ...this.#resources.counts(),
+      ["client_request", this.#client.requestsInProgress],
+    ];
+  }
+
   /** What is known of each call in progress. */
   progress(): CallProgress[] {
     return this.#proxy.progress();
--- a/packages/entry/connection_budget.ts
+++ b/packages/entry/connection_budget.ts
@@ -21,6 +21,11 @@
     this.#max = max;
   }
 
+  /** Connections that requests use. */
+  get total(): number {
+    return this.#total;
+  }
+
   /** Whether a service may use one more connection. */
   hasRoom(service: string): boolean {
     const free = this.#max - this.#total;
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -149,6 +149,7 @@
       evacuatedDataCentres: () =>
         this.#appliedConfiguration.document.evacuated?.length ?? 0,
       peerTraffic: () => network.traffic,
+      heldResources: () => this.#callPipeline.heldResources(),
     });
     this.#registrations = new Registrations({
       logger,
--- a/packages/entry/handover_client.ts
+++ b/packages/entry/handover_client.ts
@@ -20,6 +20,7 @@
 import type { BackendResponse } from "./backend_response.ts";
 import type { CallProtocol } from "./call_protocol.ts";
 import { HANDOVER_HEADERS, parseHandoverOutcome } from "./handover_protocol.ts";
+import type { HeldResources } from "./held_resources.ts";
 import type { RequestBody } from "./request_body.ts";
 
 /** Stands for a service in log lines and metrics of the client. */
@@ -44,6 +45,7 @@
   readonly network: Network<ReachabilityMessages>;
   readonly metrics: Metrics;
   readonly client: BackendClient;
+  readonly resources: HeldResources;
   readonly protocol: CallProtocol;
   /** The configuration version in force. */
   readonly version: () => number;
@@ -170,6 +172,12 @@
     const startedAt = clock.now();
     const callerRequestId = protocol.callerRequestId(request.headers);
     this.#targets.started(target.id);
+    const { resources } = this.#options;
+    const recordEnd = resources.take("handover_connection", {
+      service: call.service,
+      requestId: callerRequestId ?? call.id,
+      deadline: call.deadline,
+    });
     this.#sent = client.send(serverOf(target), {
       method: request.method ?? "GET",
       path: request.url ?? "/",
@@ -178,6 +186,7 @@
       logId: callerRequestId ?? call.id,
       body,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      onClosed: recordEnd,
     });
     const result = await this.#sent.result;
     const response = result.type === "answer" ? result.response : undefined;
@@ -197,6 +206,8 @@
         : { type: "lost", detail };
     }
     if (refusal !== undefined) {
+      // Nobody reads a refusal whose body is too long to be held.
+      result.response.stream?.destroy();
       end(`refused_${String(refusal)}`);
       return { type: "not_taken" };
     }
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -11,10 +11,12 @@
 import type { Fault } from "#reachability";
 import type {
   AssignmentBasis,
+  CallResult,
   CallResultKind,
   ServerStatement,
 } from "#routing";
 import type { Assignment } from "./assignments.ts";
+import { AttemptResources } from "./attempt_resources.ts";
 import type { SentRequest } from "./backend_client.ts";
 import type {
   BackendResponse,
@@ -29,6 +31,9 @@
 /** Servers that answer free their connections in less. */
 const NO_CONNECTION_RETRY_AFTER_MS = 1_000;
 
+/** The result of a slot that no request used, or whose request goes on without it. */
+const UNUSED_SLOT: CallResult = { kind: "cancelled", serviceMs: 0 };
+
 /** Why an attempt was aborted. */
 export type StopReason =
   | "expired"
@@ -80,12 +85,13 @@
   readonly #chain: CallChain;
   readonly #triedServers: ReadonlySet<string>;
   readonly #excludedServers: Set<string>;
-  #sentRequest: SentRequest | undefined;
+  /** Owns the place in the queue, the slot and the connection. */
+  readonly #resources: AttemptResources;
+  /** What to report of the server when its slot is freed. */
+  #callResult: () => CallResult = () => UNUSED_SLOT;
   #server: BackendServer | undefined;
   #stopReason: StopReason | undefined;
   #stopWaiting: (() => void) | undefined;
-  /** Whether the slot was freed before the request ended. */
-  #isReleased = false;
 
   constructor(
     options: CallEnvironment,
@@ -106,6 +112,13 @@
     const unreached = options.paths.unreached(service);
     this.#triedServers = new Set(attempt.tried);
     this.#excludedServers = new Set([...attempt.tried, ...unreached]);
+    const { protocol, resources } = options;
+    const { call, request } = attempt.input;
+    this.#resources = new AttemptResources(resources, {
+      service,
+      requestId: protocol.callerRequestId(request.headers) ?? call.id,
+      deadline: call.deadline,
+    });
   }
 
   /** The server that is processing the call. */
@@ -117,7 +130,15 @@
   stop(reason: StopReason): void {
     this.#stopReason ??= reason;
     this.#stopWaiting?.();
-    this.#sentRequest?.cancel();
+    this.#resources.giveBack("server_connection");
+  }
+
+  /**
+   * Gives back all that the attempt still holds. To be called for each attempt whose
+   * answer is not passed on, and for all once the call has ended.
+   */
+  release(): void {
+    this.#resources.release();
   }
 
   /** Stops waiting for a server; a request that was sent goes on. */
@@ -153,8 +174,7 @@
     const refused = this.#recheckAccess() ?? this.#checkConnections();
     if (refused) {
       if (fingerprint !== undefined) quarantine.finished(this.#id, "ended");
-      const unused = { kind: "cancelled", serviceMs: 0 } as const;
-      this.#options.assignments.finish(this.#id, unused);
+      this.release();
       return { type: "rejected", fault: refused, waitedMs: waitedMs() };
     }
     if (fingerprint !== undefined) quarantine.started(this.#id, server);
@@ -217,11 +237,18 @@
     }
     return new Promise((resolve) => {
       this.#stopWaiting = () => {
-        assignments.cancel(call.id);
+        this.#resources.giveBack("queue_place");
         resolve(err(stopFault(this.#stopReason)));
       };
+      this.#resources.take("queue_place", () => assignments.cancel(call.id));
       assignments.submit(call, this.#excludedServers, (decision) => {
         this.#stopWaiting = undefined;
+        this.#resources.end("queue_place");
+        if (decision.isOk())
+          this.#resources.take("server_slot", () => {
+            this.#server = undefined;
+            assignments.finish(call.id, this.#callResult());
+          });
         const ms = clock.now() - submittedAt;
         metrics.recordWait({ service: call.service, class: call.class, ms });
         resolve(decision);
@@ -240,7 +267,13 @@
     const callerRequestId = protocol.callerRequestId(request.headers);
     this.#options.metrics.recordServerRequest(server.service, "call");
     this.#server = server;
-    this.#sentRequest = client.send(server, {
+    // The connection of a whole response may serve another request by now.
+    let isWhole = false;
+    let sentRequest: SentRequest | undefined;
+    this.#resources.take("server_connection", () => {
+      if (!isWhole) sentRequest?.cancel();
+    });
+    sentRequest = client.send(server, {
       method: request.method ?? "GET",
       path: request.url ?? "/",
       headers: protocol.serverHeaders(request.rawHeaders, {
@@ -256,20 +289,20 @@
       // A server may write an earlier answer once more where the next one is due,
       // and that of an earlier attempt names this call.
       needsNewConnection: this.#triedServers.has(server.id),
+      onClosed: () => this.#resources.end("server_connection"),
     });
-    const result = await this.#sentRequest.result;
+    const result = await sentRequest.result;
+    isWhole = result.type === "answer" && !result.response.stream;
     const response = result.type === "answer" ? result.response : undefined;
     const fault = await this.#judge(server, result);
     const end = toAttemptEnd(result, this.#stopReason);
     const runningMs = clock.now() - startedAt;
-    if (response?.stream) {
-      // A streamed response occupies the slot until its last byte.
-      response.stream.once("close", () =>
-        this.#releaseSlot(result, { startedAt, fault }),
-      );
-    } else {
-      this.#releaseSlot(result, { startedAt, fault });
-    }
+    this.#callResult = () => this.#resultOf(result, { startedAt, fault });
+    // A streamed response occupies the slot until its last byte.
+    const freeSlot = () => this.#resources.giveBack("server_slot");
+    if (response?.stream && !response.stream.destroyed)
+      response.stream.once("close", freeSlot);
+    else freeSlot();
     if (response?.leaving && !response.wrongServer) onServerLeaving(server);
     // A server that sends more than it may has not crashed.
     const lost =
@@ -312,29 +345,22 @@
    * on its server: other entries can use the slot.
    */
   releaseEarly(): void {
-    if (!this.#server || this.#isReleased) return;
-    this.#isReleased = true;
-    const { assignments } = this.#options;
-    assignments.finish(this.#id, { kind: "cancelled", serviceMs: 0 });
+    if (this.#server) this.#resources.giveBack("server_slot");
   }
 
-  #releaseSlot(
+  #resultOf(
     result: RequestResult,
     { startedAt, fault }: { startedAt: number; fault: Fault },
-  ): void {
-    const { assignments, clock } = this.#options;
-    this.#sentRequest = undefined;
-    this.#server = undefined;
-    if (this.#isReleased) return;
+  ): CallResult {
     const response = result.type === "answer" ? result.response : undefined;
-    assignments.finish(this.#id, {
+    return {
       kind: toResultKind(result, { stopReason: this.#stopReason, fault }),
-      serviceMs: clock.now() - startedAt,
+      serviceMs: this.#options.clock.now() - startedAt,
       inFlight: response?.inFlight,
       slowdown: response?.slowdown,
       leaving: response?.leaving || response?.wrongServer,
       ...(response && !response.wrongServer && statementOf(response)),
-    });
+    };
   }
 }
 
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -49,6 +49,10 @@
   /** Number of data centres whose servers get no requests. */
   readonly evacuatedDataCentres?: () => number;
   readonly peerTraffic?: () => PeerTraffic;
+  /** How much of each kind the calls in progress hold. */
+  readonly heldResources?: () => Iterable<
+    readonly [kind: string, count: number]
+  >;
 }
 
 /** What a request to a backend server is for. */
@@ -321,6 +325,19 @@
         },
       });
     }
+    const { heldResources } = sources;
+    if (heldResources) {
+      new Gauge({
+        name: "mangobank_held_resources",
+        help: "What calls in progress hold: slots, connections, places in queues",
+        labelNames: ["kind"],
+        registers: [this.#registry],
+        collect() {
+          for (const [kind, count] of heldResources())
+            this.set({ kind }, count);
+        },
+      });
+    }
     this.#registerServiceGauge(sources.callsInFlight, {
       name: "mangobank_calls_in_flight",
       help: "Calls at backend servers",
