Let a parallel attempt go on when the other one is rejected

What callers saw: an idempotent call whose second, parallel attempt was rejected by a full server lost the first one, which a server was answering; it was sent again, or ended with 502.

Cause: any response counted as the answer of the call, also one that says that the request was not run, and cancelled the other attempt.

Change: only an answer ends the other attempt.

--- a/packages/entry/call_attempts.ts
+++ b/packages/entry/call_attempts.ts
@@ -205,7 +205,8 @@
   }
 
   /**
-   * Runs an attempt, and a hedge if it takes long; takes the first response.
+   * Runs an attempt, and a hedge if it takes long; takes the first response. A
+   * rejection is none: the other attempt may be at work.
    */
   #runWithHedge(): Promise<EndedAttempt> {
     return new Promise((resolve, reject) => {
@@ -216,7 +217,7 @@
         this.#runningAttempts.delete(id);
         this.#recordAttempt(result);
         const answered =
-          result.type === "ended" && result.response !== undefined;
+          result.type === "ended" && result.end.type === "answered";
         const { final, cancel } = hedgedCall.end(id, answered);
         for (const other of cancel)
           this.#runningAttempts.get(other)?.stop("superseded");
--- a/packages/entry/released_attempts_test.ts
+++ b/packages/entry/released_attempts_test.ts
@@ -2,6 +2,7 @@
 import { request as httpRequest } from "node:http";
 import type { Socket } from "node:net";
 import { after, before, test } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import fc from "fast-check";
 import { HEADERS } from "#model";
 import { RawBackend, writeWithoutEnd } from "#standin";
@@ -256,3 +257,28 @@
     await assertNothingHeld();
   });
 }
+
+// Failure: a rejection of one of two parallel attempts ends the other one, which is at
+// work, and its answer is lost.
+test("a rejection of a parallel attempt leaves the other one at work", async () => {
+  await assertAllSlotsServe();
+  // Enough answers to know how long a call takes, after which a second one is sent.
+  for (let count = 0; count < 60; count++)
+    await call({ afterMs: 0, closesAfterMs: undefined });
+  const served: number[] = [];
+  for (let count = 0; count < 5; count++) {
+    queue = [
+      { head: "answer", body: "short", delayMs: 300 },
+      { head: "rejection", body: "short", delayMs: 0 },
+      { head: "rejection", body: "short", delayMs: 0 },
+      { head: "rejection", body: "short", delayMs: 0 },
+      { head: "rejection", body: "short", delayMs: 0 },
+      { head: "rejection", body: "short", delayMs: 0 },
+    ];
+    served.push(await call({ afterMs: 0, closesAfterMs: undefined }));
+    queue = [];
+    await delay(50);
+  }
+  assert.deepEqual(served, [200, 200, 200, 200, 200]);
+  await assertNothingHeld();
+});
