Log a step of the membership that throws

Cause: moved the owner of the task from the manager to its caller, so that a step that throws was no longer logged by the manager itself. Change: the manager runs its own step as a task again.

--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -156,12 +156,7 @@
       // A learner that has caught up is promoted soon after: its host counts as lost
       // until then.
       setInterval(
-        () =>
-          afterPendingInput(() =>
-            this.#tasks.run("membership", () =>
-              this.#membershipManager?.tick(),
-            ),
-          ),
+        () => afterPendingInput(() => this.#membershipManager?.tick()),
         MEMBERSHIP_TICK_MS,
       ),
       setInterval(
--- a/packages/control/membership_manager.ts
+++ b/packages/control/membership_manager.ts
@@ -45,6 +45,10 @@
 
   /** Makes the change that is due; to be called about ten times a second. */
   tick(): void {
+    this.#tasks.run("membership", () => this.#makeNextChange());
+  }
+
+  #makeNextChange(): void {
     const status = this.#log.status();
     this.#logMembers(status);
     const now = this.#clock.now();
