Hold fields as bytes until their end has come, and charge them as they come

Heads over max_header_bytes were taken up to 64 KiB. A request with Expect: 100-continue that was sent ahead got its 100 Continue between the head and the body of its own answer.

Cause: Node's parser keeps the fields of an unfinished head as strings, ten times the bytes sent, and tells of them at the end; charges and bounds came after that.

Change: the feed of a connection holds the bytes of fields until their empty line has come, of a head and, by following the framing, behind a chunked body; charges them as they come; and refuses what passes 2,000 fields or max_header_bytes as it comes. A request's head is charged with its text. The costliest unfinished client is closed first. A request that was sent ahead is asked for its body in its turn.

--- a/packages/client_limits/client_account.ts
+++ b/packages/client_limits/client_account.ts
@@ -49,8 +49,8 @@
 /**
  * What all clients make a process hold, charged to their connections. When a
  * bound is exceeded, the connections with the least progress are closed: first
- * those that never sent a whole request, then those that completed nothing for
- * the longest time. When the process takes more memory than planned, connections
+ * those that never sent a whole request, the costliest of them before the others,
+ * then those that completed nothing for the longest time. When the process takes more memory than planned, connections
  * that hold much share so much less.
  *
  * Load patterns: many bodies or heads that stop before their end; many pipelined
@@ -138,14 +138,12 @@
   evictions(): Eviction<Connection>[] {
     if (!this.isExceeded) return [];
     const evicted = new Map<Connection, ClientLimit>();
-    let candidates: [Connection, ClientCharge][] | undefined;
     for (const { limit, value, max, weight } of this.#limits()) {
       let left = value;
       for (const connection of evicted.keys())
         left -= weight(this.#charges.get(connection));
       if (left <= max) continue;
-      candidates ??= this.#leastProgressFirst();
-      for (const [connection, charge] of candidates) {
+      for (const [connection, charge] of this.#inOrder(weight)) {
         if (left <= max * EVICTION_TARGET) break;
         const freed = weight(charge);
         if (freed === 0 || evicted.has(connection)) continue;
@@ -183,10 +181,12 @@
     ];
   }
 
-  #leastProgressFirst(): [Connection, ClientCharge][] {
+  /** First those that never sent a whole request, the costliest before the others. */
+  #inOrder(weight: Limit["weight"]): [Connection, ClientCharge][] {
     return [...this.#charges].sort(([, a], [, b]) => {
       if (a.hasCompleted !== b.hasCompleted) return a.hasCompleted ? 1 : -1;
-      return a.progressAt - b.progressAt;
+      const byCost = a.hasCompleted ? 0 : weight(b) - weight(a);
+      return byCost || a.progressAt - b.progressAt;
     });
   }
 }
--- a/packages/client_limits/client_account_test.ts
+++ b/packages/client_limits/client_account_test.ts
@@ -39,6 +39,20 @@
   assert.equal(evicted[0], "crowd-0");
 });
 
+// Guards against slow clients that are closed for what a crowd holds.
+test("of unfinished requests the costliest are closed first", () => {
+  const account = makeAccount({ heldBytesMax: 400_000 });
+  account.open("slow", 0);
+  account.charge("slow", 200);
+  for (let index = 0; index < 20; index++) {
+    account.open(`crowd-${index}`, index + 1);
+    account.charge(`crowd-${index}`, 10_000 + 100 * index);
+  }
+  account.open("last", 100);
+  account.charge("last", BODY_BYTES);
+  assert.deepEqual(evict(account).slice(0, 2), ["last", "crowd-19"]);
+});
+
 // Guards against silent connections that take all descriptors.
 test("silent connections make room, and idle ones that served stay", () => {
   const account = makeAccount({ connectionsMax: 100 });
--- a/packages/entry/caller_server.ts
+++ b/packages/entry/caller_server.ts
@@ -36,11 +36,13 @@
     onDropped?: (request: IncomingMessage) => void;
     /** Called for a request whose handling threw or rejected. */
     onFailure?: (failure: HttpFailure) => void;
+    /** Bytes of a head that the configuration in force allows. */
+    headerBytesMax?: () => number;
     /** Bounds what callers make the process hold; default: no bound. */
     guard?: ClientGuard | undefined;
   }) {
     const { limits, handleApi, handleCall, handleHandedOver } = options;
-    const { onDropped, onFailure } = options;
+    const { onDropped, onFailure, headerBytesMax } = options;
     this.#server = new HttpServer(
       {
         maxHeaderSize: limits.headerMaxBytes,
@@ -54,6 +56,7 @@
           handleApi !== undefined && isApiRequest(request),
         connectionsMax: limits.connectionsMax,
         guard: options.guard,
+        ...(headerBytesMax && { headerBytesMax }),
         ...(onDropped && { onDropped }),
         ...(onFailure && { onFailure }),
       },
--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -277,6 +277,9 @@
       guard: this.clientGuard,
       onFailure: endpointFailures("callers", logger),
       limits: settings.limits,
+      headerBytesMax: () =>
+        this.#appliedConfiguration.document.requestLimits?.headerMaxBytes ??
+        settings.limits.headerMaxBytes,
       handleApi: options.protocol
         ? undefined
         : (request, response) => own.serve(request, response),
--- a/packages/wire/client_guard.ts
+++ b/packages/wire/client_guard.ts
@@ -35,6 +35,8 @@
   readonly #onClosed: (closed: ClosedClient) => void;
   /** Bytes in the buffers of each socket, as they were charged last. */
   readonly #buffered = new Map<Socket, number>();
+  /** Bytes that are held of fields whose end has not come. */
+  readonly #fields = new Map<Socket, number>();
   readonly #residentBytes: () => number;
   /** Bytes charged since the memory of the process was read. */
   #chargedBytes = 0;
@@ -65,6 +67,7 @@
     socket.once("close", () => {
       this.#account.close(socket);
       this.#buffered.delete(socket);
+      this.#fields.delete(socket);
       if (this.#buffered.size > 0) return;
       clearInterval(this.#timer);
       this.#timer = undefined;
@@ -76,11 +79,18 @@
     this.#evict();
   }
 
+  /** Charges a connection with fields whose end has not come. */
+  holdFields(socket: Socket, bytes: number): void {
+    const change = bytes - (this.#fields.get(socket) ?? 0);
+    if (change === 0) return;
+    this.#fields.set(socket, bytes);
+    this.#chargeBytes(socket, change);
+  }
+
   /** Charges a request to its connection. */
   add(request: TrackedRequest): void {
     request.account = this;
-    this.#account.charge(request.socket, headBytes(request));
-    this.#evict();
+    this.#chargeBytes(request.socket, headBytes(request));
   }
 
   /** Returns what a request was charged, when its answer is closed. */
@@ -95,6 +105,10 @@
   }
 
   charge({ socket }: TrackedRequest, bytes: number): void {
+    this.#chargeBytes(socket, bytes);
+  }
+
+  #chargeBytes(socket: Socket, bytes: number): void {
     this.#account.charge(socket, bytes);
     this.#chargedBytes += Math.max(0, bytes);
     if (this.#chargedBytes >= RESIDENT_CHECK_BYTES) this.#checkResident();
@@ -139,6 +153,7 @@
   }
 }
 
-function headBytes({ rawHeaders }: TrackedRequest): number {
-  return REQUEST_BYTES + (rawHeaders.length / 2) * FIELD_BYTES;
+function headBytes({ rawHeaders, headTextBytes }: TrackedRequest): number {
+  const fields = rawHeaders.length / 2;
+  return REQUEST_BYTES + headTextBytes + fields * FIELD_BYTES;
 }
--- a/packages/wire/connection_feed.ts
+++ b/packages/wire/connection_feed.ts
@@ -1,4 +1,11 @@
 import type { Socket } from "node:net";
+import { ChunkScanner } from "./chunk_scanner.ts";
+import {
+  type FieldBounds,
+  type FieldExcess,
+  FieldLines,
+  lineEnd,
+} from "./field_lines.ts";
 
 /**
  * Unanswered requests of a connection with which no more of it is parsed. Clients
@@ -6,10 +13,10 @@
  * call waited behind 1,200 of a crowd of 300 clients for up to 9 s.
  */
 const PENDING_REQUESTS_MAX = 2;
-/** End of a head. Up to it, a read begins one request. */
+/** End of a head, as most clients send it. */
 const HEAD_END = "\r\n\r\n";
-/** Bytes that are parsed at once of a head whose end has not arrived. */
-const HEAD_PART_BYTES = 1_024;
+/** A head without more bytes has fewer fields than the bound. */
+const SHORT_HEAD_BYTES = 4_096;
 /** Bytes of a chunked body that are parsed at once: some 700 chunks of one byte. */
 const CHUNKED_PART_BYTES = 4_096;
 /** Requests that a connection may begin in one turn. */
@@ -37,6 +44,15 @@
     | undefined;
 }
 
+/** Is told of fields that have come without their end. */
+export interface FieldListener {
+  readonly bounds: () => FieldBounds;
+  /** So many bytes of them are held now. */
+  onHeld(bytes: number): void;
+  /** They have passed a bound; no more of the connection is parsed. */
+  onExceeded(excess: FieldExcess): void;
+}
+
 /** Gives connections that have more to parse a turn each, a few at a time. */
 export class TurnQueue {
   readonly #waiting: (() => void)[] = [];
@@ -60,25 +76,50 @@
   }
 }
 
+/** Fields that have come without their end. */
+interface HeldFields {
+  readonly lines: FieldLines;
+  readonly pieces: Buffer[];
+}
+
 /**
  * Passes the bytes of a connection to Node's parser in bounded turns. A read has
  * up to 64 KiB, with thousands of requests or chunks; Node parses it at once and
  * creates all their objects before any is answered. What is not parsed yet stays
  * in the socket's buffer, and the socket is not read meanwhile.
+ *
+ * The fields of a head, and those behind a chunked body, are passed on once they have
+ * come to their end. Until then they are held as the bytes that came: the parser would
+ * hold them as strings, which take ten times as much, and tell of them only at the end.
  */
 export class ConnectionFeed {
   readonly #socket: Socket;
   readonly #parse: (bytes: Buffer) => void;
   readonly #state: FeedState;
   readonly #turns: TurnQueue;
+  readonly #listener: FieldListener;
+  /** Bytes of the first line of a head whose fields have not begun. */
+  #firstLineBytes = 0;
+  #fields: HeldFields | undefined;
+  /** The chunked body that is being read, and where it is. */
+  #body:
+    | { request: FeedState["incomplete"]; scanner: ChunkScanner }
+    | undefined;
+  /** Bytes of the head that ended last. */
+  headBytes = 0;
   #isWaitingForTurn = false;
   #isWaitingForAnswer = false;
   #isEnded = false;
 
   constructor(
     socket: Socket,
-    options: { readonly state: FeedState; readonly turns: TurnQueue },
+    options: {
+      readonly state: FeedState;
+      readonly turns: TurnQueue;
+      readonly fields: FieldListener;
+    },
   ) {
+    this.#listener = options.fields;
     this.#socket = socket;
     this.#state = options.state;
     this.#turns = options.turns;
@@ -100,6 +141,7 @@
   /** Parses no more; what still arrives is discarded. */
   end(): void {
     this.#isEnded = true;
+    this.#forgetFields();
     this.#socket.resume();
   }
 
@@ -119,13 +161,9 @@
         this.#isWaitingForAnswer = true;
         break;
       }
-      const { incomplete: reading } = this.#state;
+      const reading = this.#state.incomplete;
       const partsBefore = reading?.parts ?? 0;
-      const end = Math.min(bytes.length, partEnd(bytes, at, reading));
-      this.#parse(
-        at === 0 && end === bytes.length ? bytes : bytes.subarray(at, end),
-      );
-      at = end;
+      at += this.#takePart(at === 0 ? bytes : bytes.subarray(at));
       this.#state.incomplete?.flush();
       if (this.#socket.destroyed || this.#isEnded) return;
       parts += 1 + (reading?.parts ?? 0) - partsBefore;
@@ -143,6 +181,104 @@
     this.#putBack(bytes.subarray(at));
   }
 
+  /** Takes bytes up to the end of one part of a request; returns how many. */
+  #takePart(bytes: Buffer): number {
+    const { incomplete } = this.#state;
+    if (this.#fields) return this.#takeFields(bytes, this.#fields);
+    if (!incomplete)
+      return this.#takeWholeHead(bytes) || this.#takeFirstLine(bytes);
+    const { remainingBytes } = incomplete;
+    if (remainingBytes === undefined)
+      return this.#takeChunked(bytes, incomplete);
+    const part = bytes.subarray(0, Math.max(1, remainingBytes));
+    this.#parse(part);
+    return part.length;
+  }
+
+  /** Takes a short head that has come whole; returns 0 for any other. */
+  #takeWholeHead(bytes: Buffer): number {
+    if (this.#firstLineBytes > 0) return 0;
+    const end = bytes.indexOf(HEAD_END, 0, "latin1") + HEAD_END.length;
+    const isShort = end <= SHORT_HEAD_BYTES && end <= this.#bytesMax;
+    if (end < HEAD_END.length || !isShort) return 0;
+    this.headBytes = end;
+    this.#parse(end === bytes.length ? bytes : bytes.subarray(0, end));
+    return end;
+  }
+
+  get #bytesMax(): number {
+    return this.#listener.bounds().bytesMax;
+  }
+
+  /** Takes the line before the fields of a head, or an empty line before it. */
+  #takeFirstLine(bytes: Buffer): number {
+    const end = lineEnd(bytes);
+    const line = end < 0 ? bytes : bytes.subarray(0, end);
+    this.#firstLineBytes += line.length;
+    if (this.#firstLineBytes > this.#bytesMax) {
+      this.#exceed("header_bytes");
+      return line.length;
+    }
+    const isEmptyLine =
+      line.length <= 2 && this.#firstLineBytes === line.length;
+    if (end >= 0 && !(isEmptyLine && isBlank(line)))
+      this.#fields = { lines: new FieldLines(), pieces: [] };
+    else if (end >= 0) this.#firstLineBytes = 0;
+    this.#parse(line);
+    return line.length;
+  }
+
+  #takeChunked(
+    bytes: Buffer,
+    request: NonNullable<FeedState["incomplete"]>,
+  ): number {
+    if (this.#body?.request !== request)
+      this.#body = { request, scanner: new ChunkScanner() };
+    const { scanner } = this.#body;
+    const part = bytes.subarray(0, CHUNKED_PART_BYTES);
+    const end = scanner.take(part);
+    if (scanner.isAtFields)
+      this.#fields = { lines: new FieldLines(), pieces: [] };
+    this.#parse(part.subarray(0, end));
+    return end;
+  }
+
+  /** Takes fields, and passes them on if their end has come. */
+  #takeFields(bytes: Buffer, held: HeldFields): number {
+    const { lines, pieces } = held;
+    const end = lines.take(bytes);
+    const excess = lines.excess(this.#listener.bounds());
+    if (excess) {
+      this.#exceed(excess);
+      return bytes.length;
+    }
+    if (end < 0) {
+      // A part of a read would keep all of it.
+      pieces.push(Buffer.from(bytes));
+      this.#listener.onHeld(lines.bytes);
+      return bytes.length;
+    }
+    const last = bytes.subarray(0, end);
+    const fields =
+      pieces.length === 0 ? last : Buffer.concat([...pieces, last]);
+    this.headBytes = this.#firstLineBytes + lines.bytes;
+    this.#forgetFields();
+    this.#parse(fields);
+    return end;
+  }
+
+  #forgetFields(): void {
+    const isHeld = this.#fields !== undefined && this.#fields.pieces.length > 0;
+    this.#fields = undefined;
+    this.#firstLineBytes = 0;
+    if (isHeld) this.#listener.onHeld(0);
+  }
+
+  #exceed(excess: FieldExcess): void {
+    this.end();
+    this.#listener.onExceeded(excess);
+  }
+
   /** Whether no further request is read; the body of one that has begun is. */
   #isFull(): boolean {
     const { incomplete, pendingRequests } = this.#state;
@@ -166,16 +302,7 @@
   }
 }
 
-/** Up to where bytes may be parsed without the start of too many requests or parts. */
-function partEnd(
-  bytes: Buffer,
-  at: number,
-  reading: FeedState["incomplete"],
-): number {
-  if (!reading) {
-    const end = bytes.indexOf(HEAD_END, at, "latin1");
-    return end < 0 ? at + HEAD_PART_BYTES : end + HEAD_END.length;
-  }
-  const { remainingBytes } = reading;
-  return at + Math.max(1, remainingBytes ?? CHUNKED_PART_BYTES);
+/** Whether a line has nothing but its end. */
+function isBlank(line: Buffer): boolean {
+  return line.every((byte) => byte === 10 || byte === 13);
 }
--- a/packages/wire/http_connections.ts
+++ b/packages/wire/http_connections.ts
@@ -11,6 +11,7 @@
   type FeedState,
   TurnQueue,
 } from "./connection_feed.ts";
+import type { FieldBounds, FieldExcess } from "./field_lines.ts";
 import type { TrackedRequest } from "./tracked_request.ts";
 
 /**
@@ -32,9 +33,16 @@
    * answered after it, so it does not close its connection.
    */
   isStreamed = false;
+  /** Whether the client waits to be asked for its body, when its turn has come. */
+  needsContinue = false;
   /** Called before the head is written, which says whether to keep the connection. */
   onHead: (() => void) | undefined;
 
+  override assignSocket(socket: Socket): void {
+    super.assignSocket(socket);
+    if (this.needsContinue && !this.headersSent) this.writeContinue();
+  }
+
   override writeHead(
     status: number,
     reason?: string | ResponseHeaders,
@@ -76,16 +84,25 @@
   }
 }
 
+export interface HttpConnectionsOptions {
+  /** Bounds what clients make the process hold; default: no bound. */
+  readonly guard?: ClientGuard | undefined;
+  readonly fieldBounds: () => FieldBounds;
+  /** Called when fields of a connection pass a bound before their end. */
+  readonly onFieldsExceeded: (socket: Socket, excess: FieldExcess) => void;
+}
+
 /** The connections of a server, and what each of them still waits for. */
 export class HttpConnections {
   readonly #connections = new Map<Socket, HttpConnection>();
   readonly #turns = new TurnQueue();
   readonly #guard: ClientGuard | undefined;
+  readonly #options: HttpConnectionsOptions;
   #closing = false;
 
-  /** With a guard, what clients make the process hold is bounded. */
-  constructor(guard?: ClientGuard) {
-    this.#guard = guard;
+  constructor(options: HttpConnectionsOptions) {
+    this.#options = options;
+    this.#guard = options.guard;
   }
 
   /** Follows a connection until it is closed. */
@@ -96,6 +113,12 @@
       connection.feed = new ConnectionFeed(socket, {
         state: connection,
         turns: this.#turns,
+        fields: {
+          bounds: this.#options.fieldBounds,
+          onHeld: (bytes) => this.#guard?.holdFields(socket, bytes),
+          onExceeded: (excess) =>
+            this.#options.onFieldsExceeded(socket, excess),
+        },
       });
       this.#guard?.open(socket);
     }
@@ -123,6 +146,7 @@
     connection.requests += 1;
     connection.latestRequest = request;
     request.gathersParts = connection.feed !== undefined;
+    request.headTextBytes = connection.feed?.headBytes ?? 0;
     if (connection.ending) {
       connection.dropped += 1;
       return false;
--- a/packages/wire/http_server.ts
+++ b/packages/wire/http_server.ts
@@ -15,6 +15,7 @@
 import type { Address, Clock } from "#model";
 import { arrivedInput } from "./arrived_input.ts";
 import type { ClientGuard } from "./client_guard.ts";
+import type { FieldExcess } from "./field_lines.ts";
 import { HttpConnections, TrackedResponse } from "./http_connections.ts";
 import {
   answerFailure,
@@ -46,8 +47,19 @@
   detail: `at most ${HEADER_FIELDS_MAX} header fields are accepted`,
 });
 
+const TOO_MANY_FIELDS_ANSWER =
+  "HTTP/1.1 431 Request Header Fields Too Large\r\n" +
+  "content-type: application/json\r\n" +
+  `content-length: ${Buffer.byteLength(TOO_MANY_FIELDS)}\r\n` +
+  `connection: close\r\n\r\n${TOO_MANY_FIELDS}`;
+
 export interface HttpServerOptions extends ServerOptions {
   readonly connectionsMax?: number;
+  /**
+   * Bytes that the first line of a head, and its fields together, may have at the
+   * moment; Node's `maxHeaderSize` holds beside it, and is the default.
+   */
+  readonly headerBytesMax?: () => number;
   /** Bounds what clients make the process hold; default: no bound. */
   readonly guard?: ClientGuard | undefined;
   /** Called for a request that came behind the last answer of a connection. */
@@ -92,8 +104,15 @@
 
   constructor(options: HttpServerOptions, handle: HttpHandler) {
     const { connectionsMax, onDropped, onFailure, ...others } = options;
-    const { isUnusedUntilRead, guard, ...nodeOptions } = others;
-    this.#connections = new HttpConnections(guard);
+    const { isUnusedUntilRead, guard, headerBytesMax, ...nodeOptions } = others;
+    this.#connections = new HttpConnections({
+      guard,
+      fieldBounds: () => ({
+        bytesMax: headerBytesMax?.() ?? Number.POSITIVE_INFINITY,
+        fieldsMax: HEADER_FIELDS_MAX,
+      }),
+      onFieldsExceeded: (socket, excess) => this.#refuseHead(socket, excess),
+    });
     this.#guard = guard;
     this.#isUnusedUntilRead = isUnusedUntilRead;
     this.#handle = handle;
@@ -124,6 +143,10 @@
     );
     // Without a listener, Node closes the connection without an answer.
     this.onConnect(refuseConnect);
+    this.#server.on("checkContinue", (request, response) => {
+      continueInTurn(response);
+      this.#server.emit("request", request, response);
+    });
     this.#server.maxHeadersCount = HEADER_FIELDS_MAX + 1;
     this.#server.on("connection", (socket) => {
       this.#connectionCount += 1;
@@ -260,6 +283,20 @@
     this.#server.closeAllConnections();
   }
 
+  /** Refuses a head, or fields behind a body, before their end. */
+  #refuseHead(socket: Socket, excess: FieldExcess): void {
+    if (excess === "header_fields") {
+      this.#guard?.refused(socket, excess);
+      const end = () => socket.end(TOO_MANY_FIELDS_ANSWER);
+      this.#connections.endWith(socket, end, this.#isUnusedUntilRead);
+      return;
+    }
+    const message = "Parse Error: Header overflow";
+    const code = "HPE_HEADER_OVERFLOW";
+    const error = Object.assign(new Error(message), { code });
+    this.#server.emit("clientError", error, socket);
+  }
+
   #serve(request: IncomingMessage, response: TrackedResponse): void {
     if (request.rawHeaders.length > 2 * HEADER_FIELDS_MAX) {
       this.#connections.endParsing(request.socket);
@@ -286,6 +323,15 @@
   }
 }
 
+/**
+ * Asks a client for its body, once the answers before this one are written. Node asks
+ * at once, and writes what it asked behind the head of the answer then.
+ */
+function continueInTurn(response: TrackedResponse): void {
+  if (response.socket) response.writeContinue();
+  else response.needsContinue = true;
+}
+
 function refuseFields(
   request: IncomingMessage,
   response: TrackedResponse,
--- a/packages/wire/tracked_request.ts
+++ b/packages/wire/tracked_request.ts
@@ -20,6 +20,8 @@
 export class TrackedRequest extends IncomingMessage {
   /** Told what the request holds, while it has no whole answer. */
   account: RequestAccount | undefined;
+  /** Bytes of the head as they came; 0 on connections of other processes. */
+  headTextBytes = 0;
   /** Body parts that were parsed. */
   parts = 0;
   /**
--- a/packages/wire/untrusted_clients_test.ts
+++ b/packages/wire/untrusted_clients_test.ts
@@ -3,6 +3,7 @@
 import { connect, Socket } from "node:net";
 import { type TestContext, test } from "node:test";
 import { SystemClock } from "#model";
+import { until } from "../demo/until.ts";
 import { BodyBuffer } from "./body_buffer.ts";
 import { ClientGuard, type ClosedClient } from "./client_guard.ts";
 import {
@@ -207,3 +208,140 @@
   request.push(Buffer.from("a"));
   assert.equal(request.readableLength, 1);
 });
+
+const FIELDS = "xa:1\r\n".repeat(1_900);
+const CHUNKED_HEAD = `${HEAD}transfer-encoding: chunked\r\n\r\n`;
+
+function guardOf(heldBytesMax: number) {
+  const closed: ClosedClient[] = [];
+  const guard = new ClientGuard({
+    bounds: {
+      heldBytesMax,
+      residentBytesMax: Number.POSITIVE_INFINITY,
+      connectionsMax: 10,
+    },
+    clock: new SystemClock(),
+    onClosed: (client) => closed.push(client),
+  });
+  return { guard, closed };
+}
+
+// Guards against a crowd of unfinished fields that ends the process, as nothing counts
+// them before their end (review cases 9 and 10).
+for (const [name, bytes] of [
+  ["a head", `${HEAD}${FIELDS}`],
+  [
+    "a head after another one",
+    `${HEAD}content-length: 0\r\n\r\n${HEAD}${FIELDS}`,
+  ],
+  ["fields behind a body", `${CHUNKED_HEAD}1\r\nx\r\n0\r\n${FIELDS}`],
+  ["fields behind no body", `${CHUNKED_HEAD}0\r\n${FIELDS}`],
+  [
+    "a head behind a body",
+    `${CHUNKED_HEAD}1\r\nx\r\n0\r\n\r\n${HEAD}${FIELDS}`,
+  ],
+] as const) {
+  test(`${name} that stops before its end is charged as it comes`, async (context) => {
+    const { guard, closed } = guardOf(18_000);
+    await exchange(context, { options: { guard }, handle: echo }, bytes);
+    assert.deepEqual(
+      closed.map(({ limit }) => limit),
+      ["held_bytes"],
+    );
+    assert.equal(guard.heldBytes, 0);
+  });
+}
+
+// Guards against heads, and fields behind a body, that are taken beyond the limit until
+// the parser's own bound.
+for (const [name, bytes] of [
+  ["a head of one field", `${HEAD}a: ${"b".repeat(3_000)}`],
+  ["a head of many fields", `${HEAD}${"a: b\r\n".repeat(600)}`],
+  ["a first line", `GET /${"b".repeat(3_000)}`],
+] as const) {
+  test(`${name} over the limit is refused before its end`, async (context) => {
+    const http = new HttpServer({ headerBytesMax: () => 2_048 }, echo);
+    context.after(() => http.destroy());
+    const codes: unknown[] = [];
+    http.onMalformed(({ code }) => codes.push(code));
+    const bound = await http.listen({ host: "127.0.0.1", port: 0 });
+    const socket = connect(bound._unsafeUnwrap());
+    socket.on("error", () => undefined);
+    socket.write(bytes);
+    await new Promise((resolve) => socket.once("close", resolve).resume());
+    assert.deepEqual(codes, ["HPE_HEADER_OVERFLOW"]);
+  });
+}
+
+test("fields behind a body over the limit end the connection", async (context) => {
+  const bytes = `${CHUNKED_HEAD}1\r\nx\r\n0\r\n${"a:b\r\n".repeat(3_500)}`;
+  const server = { options: { maxHeaderSize: 65_536 }, handle: echo };
+  const text = await exchange(context, server, bytes);
+  assert.equal(text, "");
+});
+
+// Guards against a body that is taken for fields.
+test("a body with the bytes of a last chunk and many lines arrives whole", async (context) => {
+  const body = `\r\n0\r\n${"\n".repeat(60_000)}`;
+  const chunks = `${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`;
+  const request = `${HEAD}transfer-encoding: chunked\r\nconnection: close\r\n\r\n${chunks}`;
+  const { guard, closed } = guardOf(10_000_000);
+  const options = { guard, headerBytesMax: () => 2_048 };
+  const text = await exchange(context, { options, handle: echo }, request);
+  assert.ok(text.endsWith(`\r\n\r\n${body}`));
+  assert.deepEqual(closed, []);
+});
+
+// Guards against charges that stay, and requests that are refused, where reads are
+// divided at any byte.
+test("requests in pieces of any size are answered, and leave no charge", async (context) => {
+  const withFields = `${HEAD}transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nx: y\r\nz: 1\r\n\r\n`;
+  const known = `${HEAD}content-length: 5\r\n\r\nhello`;
+  const last = `${HEAD}content-length: 3\r\nconnection: close\r\n\r\nend`;
+  const bytes = Buffer.from(`${withFields}${known}${withFields}\r\n${last}`);
+  for (const size of [1, 2, 3, 7, 16, 50, 64, bytes.length]) {
+    const { guard, closed } = guardOf(1_000_000);
+    const options = { guard, headerBytesMax: () => 120 };
+    const http = new HttpServer(options, echo);
+    context.after(() => http.destroy());
+    const bound = await http.listen({ host: "127.0.0.1", port: 0 });
+    const socket = connect({ ...bound._unsafeUnwrap(), noDelay: true });
+    let text = "";
+    socket.on("data", (part) => {
+      text += part.toString("latin1");
+    });
+    const isClosed = new Promise((resolve) => socket.once("close", resolve));
+    for (let at = 0; at < bytes.length; at += size) {
+      socket.write(bytes.subarray(at, at + size));
+      await new Promise(setImmediate);
+    }
+    await isClosed;
+    const bodies = [...text.matchAll(/\r\n\r\n(abc|hello|end)/g)];
+    assert.deepEqual(
+      bodies.map(([, body]) => body),
+      ["abc", "hello", "abc", "end"],
+      `pieces of ${size}`,
+    );
+    assert.deepEqual(closed, []);
+    await until(() => guard.heldBytes === 0, { what: "nothing is charged" });
+  }
+});
+
+// Guards against a body that is wrong, as its client is asked for the next request's
+// body inside it.
+test("a request that waits for its turn is asked for its body after the answers before it", async (context) => {
+  const handle: HttpHandler = async (request, response) => {
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    await echo(request, response);
+  };
+  const first = `${HEAD}content-length: 5\r\n\r\nfirst`;
+  const expect = "expect: 100-continue\r\ncontent-length: 3\r\n";
+  const second = `${HEAD}${expect}\r\nend`;
+  const third = `${HEAD}${expect}connection: close\r\n\r\nend`;
+  const text = await exchange(context, { handle }, first + second + third);
+  const order = [...text.matchAll(/HTTP\/1\.1 (\d+)|(first|end)/g)];
+  assert.deepEqual(
+    order.map(([, status, body]) => status ?? body),
+    ["200", "first", "100", "200", "end", "100", "200", "end"],
+  );
+});
