Share the runs of schedules among the tests of simulations

Cause: four tests read the same variables and ran, counted and reported their seeds in the same lines; two repeated the check that all hosts become voters. Change: checkSchedules and assertAllAdmitted; the searches over admissions and the founding also check now that commands were acknowledged, as the others do.

--- a/packages/control/admission_search_test.ts
+++ b/packages/control/admission_search_test.ts
@@ -3,18 +3,19 @@
 import type { ConsensusStatus } from "#agreement";
 import { SeededRandomness } from "#model";
 import { makeFault, PASSING_FAULTS } from "../storage/test_faults.ts";
-import { describeTimes, timeOfChange } from "../storage/test_operator.ts";
+import { timeOfChange } from "../storage/test_operator.ts";
+import {
+  assertAllAdmitted,
+  checkSchedules,
+  type ScheduleResult,
+} from "../storage/test_schedules.ts";
 import { type SimulatedHost, Simulation } from "../storage/test_simulation.ts";
 import { SimulatedManagers } from "./test_simulated_managers.ts";
 
-// MANGOBANK_SCHEDULES sets the number of histories, MANGOBANK_FIRST_SEED the first
-// one; MANGOBANK_SEED runs a single one. The first `SINGLE_FAULTS` histories are all
-// those with one further fault; the others have two or three, drawn by their number.
-const SCHEDULES = Number(process.env.MANGOBANK_SCHEDULES ?? 360);
-const FIRST_SEED = Number(process.env.MANGOBANK_FIRST_SEED ?? 0);
-const ONLY_SEED = process.env.MANGOBANK_SEED;
-/** Without a number of histories, the test runs a part of all with one fault. */
-const SEED_STEP = process.env.MANGOBANK_SCHEDULES === undefined ? 17 : 1;
+// The first `SINGLE_FAULTS` histories are all those with one further fault; the others have
+// two or three, drawn by their number. CI runs a part of all.
+const SCHEDULES = 360;
+const SEED_STEP = 17;
 
 /** `sync_s` of the deployments: a host counts as lost for so long after its start. */
 const SYNC_MS = 4_000;
@@ -267,7 +268,8 @@
 }
 
 /** Runs a history; returns how long the last change took. */
-function runHistory(scenario: Scenario): number {
+function runHistory(seed: number): ScheduleResult {
+  const scenario = scenarioOf(seed);
   const history = new AdmissionHistory(scenario);
   const { s } = history;
   history.run(scenario);
@@ -276,22 +278,11 @@
     history.loseDiskInTurn(turn === 1);
   }
   const tookMs = assertChange(history, "after the last disk loss");
-  const areVoters = () => {
-    const leader = s.leader()?.core?.status(s.now);
-    return history.running.every(
-      (host) =>
-        host.core && leader?.membership.voters.includes(s.memberKeyOf(host)),
-    );
-  };
-  assert.ok(
-    s.runUntil(areVoters, ADMITTED_WITHIN_MS),
-    `not all hosts are voters: ${s.describeHosts()}`,
-  );
-  history.stopCommands();
-  // What is acknowledged now reaches the other hosts a little later.
-  s.runUntil(() => history.running.every((h) => s.history.hasAcknowledged(h)));
-  for (const host of history.running) s.history.checkHasAcknowledged(host);
-  return tookMs;
+  assertAllAdmitted(s, () => history.running, {
+    withinMs: ADMITTED_WITHIN_MS,
+    stopCommands: () => history.stopCommands(),
+  });
+  return { acknowledged: s.history.acknowledged.size, tookMs };
 }
 
 function assertChange(history: AdmissionHistory, when: string): number {
@@ -307,28 +298,12 @@
 // admission keeps all others from being admitted, so that the disks that are lost in
 // their turn use up the majority (review case 7).
 test("no fault at a step of an admission holds up the admission of others", () => {
-  const seeds =
-    ONLY_SEED === undefined
-      ? Array.from(
-          { length: SCHEDULES },
-          (_, at) => FIRST_SEED + at * SEED_STEP,
-        )
-      : [Number(ONLY_SEED)];
-  const failed: number[] = [];
-  const took: number[] = [];
-  for (const seed of seeds) {
-    const scenario = scenarioOf(seed);
-    try {
-      took.push(runHistory(scenario));
-    } catch (cause) {
-      failed.push(seed);
-      if (failed.length <= 2) console.error(JSON.stringify(scenario), cause);
-    }
-  }
-  console.log(
-    `${seeds.length} histories (${SINGLE_FAULTS} with one fault), recovery of ` +
-      `${describeTimes(took)}`,
-  );
-  const repeat = "MANGOBANK_SEED=N node scripts/test.mjs admission_search";
-  assert.deepEqual(failed.slice(0, 20), [], `${failed.length}; ${repeat}`);
+  checkSchedules({
+    name: "admission_search",
+    schedules: SCHEDULES,
+    firstSeed: 0,
+    seedStep: SEED_STEP,
+    run: runHistory,
+    describe: (seed) => JSON.stringify(scenarioOf(seed)),
+  });
 });
--- a/packages/control/founding_search_test.ts
+++ b/packages/control/founding_search_test.ts
@@ -7,7 +7,12 @@
   PASSING_FAULTS,
   type PassingFault,
 } from "../storage/test_faults.ts";
-import { describeTimes, timeOfChange } from "../storage/test_operator.ts";
+import { timeOfChange } from "../storage/test_operator.ts";
+import {
+  assertAllAdmitted,
+  checkSchedules,
+  type ScheduleResult,
+} from "../storage/test_schedules.ts";
 import {
   NO_FAULTS,
   type SimulatedHost,
@@ -15,11 +20,7 @@
 } from "../storage/test_simulation.ts";
 import { SimulatedManagers } from "./test_simulated_managers.ts";
 
-// MANGOBANK_SCHEDULES sets the number of histories, MANGOBANK_FIRST_SEED the first
-// one; MANGOBANK_SEED runs a single one.
-const SCHEDULES = Number(process.env.MANGOBANK_SCHEDULES ?? 600);
-const FIRST_SEED = Number(process.env.MANGOBANK_FIRST_SEED ?? 1);
-const ONLY_SEED = process.env.MANGOBANK_SEED;
+const SCHEDULES = 600;
 
 /** All machines start within this time of each other. */
 const START_SPREAD_MS = 300;
@@ -166,51 +167,25 @@
 }
 
 /** Runs a history; returns how long the first change of an operator took. */
-function runHistory(seed: number): number {
+function runHistory(seed: number): ScheduleResult {
   const history = new FoundingHistory(seed);
   const { s } = history;
   history.run();
   const tookMs = timeOfChange(s, FORMED_WITHIN_MS);
   assert.ok(tookMs < FORMED_WITHIN_MS, `not formed: ${s.describeHosts()}`);
-  const areVoters = () => {
-    const leader = s.leader()?.core?.status(s.now);
-    return history.running.every(
-      (host) =>
-        host.core && leader?.membership.voters.includes(s.memberKeyOf(host)),
-    );
-  };
-  assert.ok(
-    s.runUntil(areVoters, ADMITTED_WITHIN_MS),
-    `not all hosts are voters: ${s.describeHosts()}`,
-  );
-  history.stopCommands();
-  // What is acknowledged now reaches the other hosts a little later.
-  s.runUntil(() => history.running.every((h) => s.history.hasAcknowledged(h)));
+  assertAllAdmitted(s, () => history.running, {
+    withinMs: ADMITTED_WITHIN_MS,
+    stopCommands: () => history.stopCommands(),
+  });
   const clusters = s.hosts.map(({ disk }) => disk.state().founding?.cluster);
   const named = new Set(clusters.filter((cluster) => cluster !== undefined));
   assert.equal(named.size, 1, `clusters ${[...named]}`);
-  for (const host of history.running) s.history.checkHasAcknowledged(host);
-  return tookMs;
+  return { acknowledged: s.history.acknowledged.size, tookMs };
 }
 
 // Failure: a system never forms because a process is killed while it starts for the
 // first time (review case 8), or two clusters form from the same seeds.
 test("a majority of the seeds forms one cluster, whatever is lost while it forms", () => {
-  const seeds =
-    ONLY_SEED === undefined
-      ? Array.from({ length: SCHEDULES }, (_, at) => FIRST_SEED + at)
-      : [Number(ONLY_SEED)];
-  const failed: number[] = [];
-  const took: number[] = [];
-  for (const seed of seeds) {
-    try {
-      took.push(runHistory(seed));
-    } catch (cause) {
-      failed.push(seed);
-      if (failed.length <= 2) console.error(seed, cause);
-    }
-  }
-  console.log(`${seeds.length} histories, formed in ${describeTimes(took)}`);
-  const repeat = "MANGOBANK_SEED=N node scripts/test.mjs founding_search";
-  assert.deepEqual(failed.slice(0, 20), [], `${failed.length}; ${repeat}`);
+  const name = "founding_search";
+  checkSchedules({ name, schedules: SCHEDULES, run: runHistory });
 });
--- a/packages/control/replaced_voters_test.ts
+++ b/packages/control/replaced_voters_test.ts
@@ -1,7 +1,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { mayLoseDisk } from "../storage/test_faults.ts";
-import { describeTimes, timeOfChange } from "../storage/test_operator.ts";
+import { timeOfChange } from "../storage/test_operator.ts";
+import {
+  assertAllAdmitted,
+  checkSchedules,
+} from "../storage/test_schedules.ts";
 import {
   NO_FAULTS,
   type SimulatedHost,
@@ -9,12 +13,7 @@
 } from "../storage/test_simulation.ts";
 import { SimulatedManagers } from "./test_simulated_managers.ts";
 
-// MANGOBANK_SCHEDULES sets the number of random schedules of replaced voters,
-// MANGOBANK_FIRST_SEED the first seed; MANGOBANK_SEED runs a single one.
-const SCHEDULES = Number(process.env.MANGOBANK_SCHEDULES ?? 60);
-const FIRST_SEED = Number(process.env.MANGOBANK_FIRST_SEED ?? 1);
-const ONLY_SEED = process.env.MANGOBANK_SEED;
-
+const SCHEDULES = 60;
 const FAULT_PHASE_MS = 20_000;
 /** From a stable majority of control hosts to an acknowledged change. */
 const ACKNOWLEDGED_WITHIN_MS = 4_000;
@@ -129,19 +128,8 @@
     tookMs <= ACKNOWLEDGED_WITHIN_MS + REOPENED_WITHIN_MS,
     `no change is acknowledged for ${tookMs} ms: ${s.describeHosts()}`,
   );
-  const areVoters = () => {
-    const leader = s.leader()?.core?.status(s.now);
-    return r.running.every(
-      (host) =>
-        host.core && leader?.membership.voters.includes(s.memberKeyOf(host)),
-    );
-  };
-  assert.ok(
-    s.runUntil(areVoters, ADMITTED_WITHIN_MS),
-    `not all hosts are voters: ${s.describeHosts()}`,
-  );
-  s.run(1_000);
-  for (const host of r.running) s.history.checkHasAcknowledged(host);
+  const withinMs = ADMITTED_WITHIN_MS;
+  assertAllAdmitted(s, () => r.running, { withinMs });
   return { acknowledged: s.history.acknowledged.size, tookMs };
 }
 
@@ -158,25 +146,6 @@
 // Failure: replaced hosts use up the majority, a host is never admitted, or a
 // change that was acknowledged is lost, beside cuts, restarts and full disks.
 test("no schedule of replaced voters stops changes for good", () => {
-  const seeds =
-    ONLY_SEED === undefined
-      ? Array.from({ length: SCHEDULES }, (_, at) => FIRST_SEED + at)
-      : [Number(ONLY_SEED)];
-  const failed: number[] = [];
-  const took: number[] = [];
-  let acknowledged = 0;
-  for (const seed of seeds) {
-    try {
-      const result = runSchedule(seed);
-      acknowledged += result.acknowledged;
-      took.push(result.tookMs);
-    } catch (cause) {
-      failed.push(seed);
-      if (failed.length <= 2) console.error(seed, cause);
-    }
-  }
-  console.log(`recovery of ${describeTimes(took)}`);
-  const repeat = "MANGOBANK_SEED=N node scripts/test.mjs replaced_voters";
-  assert.deepEqual(failed, [], `repeat with: ${repeat}`);
-  assert.ok(acknowledged > 10 * seeds.length, `${acknowledged} acknowledged`);
+  const name = "replaced_voters";
+  checkSchedules({ name, schedules: SCHEDULES, run: runSchedule });
 });
--- a/packages/storage/full_disks_test.ts
+++ b/packages/storage/full_disks_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { describeTimes, timeOfChange } from "./test_operator.ts";
+import { timeOfChange } from "./test_operator.ts";
+import { checkSchedules } from "./test_schedules.ts";
 import {
   type DiskRoom,
   NO_FAULTS,
@@ -8,12 +9,7 @@
   Simulation,
 } from "./test_simulation.ts";
 
-// MANGOBANK_SCHEDULES sets the number of random schedules of full disks,
-// MANGOBANK_FIRST_SEED the first seed; MANGOBANK_SEED runs a single one.
-const SCHEDULES = Number(process.env.MANGOBANK_SCHEDULES ?? 150);
-const FIRST_SEED = Number(process.env.MANGOBANK_FIRST_SEED ?? 1);
-const ONLY_SEED = process.env.MANGOBANK_SEED;
-
+const SCHEDULES = 150;
 const FAULT_PHASE_MS = 10_000;
 /** From a stable majority of control hosts to an acknowledged change. */
 const ACKNOWLEDGED_WITHIN_MS = 4_000;
@@ -193,26 +189,6 @@
 // or stay unanswered; or an acknowledged change is lost, or a vote given twice,
 // because the write of it had failed.
 test("no schedule of full disks stops changes for good", () => {
-  const seeds =
-    ONLY_SEED === undefined
-      ? Array.from({ length: SCHEDULES }, (_, at) => FIRST_SEED + at)
-      : [Number(ONLY_SEED)];
-  const failed: number[] = [];
-  const took: number[] = [];
-  let acknowledged = 0;
-  for (const seed of seeds) {
-    try {
-      const result = runSchedule(seed);
-      acknowledged += result.acknowledged;
-      if (result.tookMs !== undefined) took.push(result.tookMs);
-    } catch (cause) {
-      failed.push(seed);
-      if (failed.length <= 2) console.error(seed, cause);
-    }
-  }
-  console.log(`recovery of ${describeTimes(took)}`);
-  const repeat = "MANGOBANK_SEED=N node scripts/test.mjs full_disks";
-  assert.deepEqual(failed, [], `repeat with: ${repeat}`);
-  // With almost nothing acknowledged, the schedules would prove nothing.
-  assert.ok(acknowledged > 10 * seeds.length, `${acknowledged} acknowledged`);
+  const name = "full_disks";
+  checkSchedules({ name, schedules: SCHEDULES, run: runSchedule });
 });
