--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -2,7 +2,14 @@
 // Also succeeds if every test that failed is listed in KNOWN-RED.txt; prints
 // the listed tests and those that failed.
 import { spawnSync } from "node:child_process";
-import { mkdtempSync, readdirSync, readFileSync, rmSync } from "node:fs";
+import {
+  copyFileSync,
+  mkdirSync,
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+} from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { failedTests, readKnownFailures } from "./known_red.mjs";
@@ -39,6 +46,8 @@
  */
 const CROWD_FILES = /^platform\/clients_\w+_test\.ts$/;
 
+let reportCount = 0;
+
 /** Runs test files; returns the exit status and the names of failed tests. */
 function runFiles(testFiles, runnerOptions = []) {
   if (testFiles.length === 0) return { status: 0, failed: [] };
@@ -57,10 +66,21 @@
     { stdio: "inherit" },
   );
   const failed = failedTests(readFileSync(reportFile, "utf8"));
+  if (run.status !== 0) keepReport(reportFile);
   rmSync(folder, { recursive: true });
   return { status: run.status ?? 1, failed };
 }
 
+/** Keeps the errors of a run beside the logs of the processes that its tests started. */
+function keepReport(reportFile) {
+  const logFolder = process.env.MANGOBANK_KEEP_LOGS;
+  if (!logFolder) return;
+  mkdirSync(logFolder, { recursive: true });
+  const report = join(logFolder, `report-${++reportCount}.tap`);
+  copyFileSync(reportFile, report);
+  console.log(`evidence of failed tests: ${report}, logs in ${logFolder}`);
+}
+
 const isCrowd = (file) => CROWD_FILES.test(file);
 const isDeployment = (file) =>
   !isCrowd(file) &&
