Connect to the members of the log before a leader is elected

What callers saw: after a loss of all power in which two of three seeds lost their disks, control could stay without a leader for good, although four of six members had what was acknowledged: no configuration was read back (CONFIG, RECOVER).

Cause: a control host connected to the seeds and to the control hosts of the replicated configuration, which is applied only once a leader commits. Members that are no seeds did not reach each other, so that only the seed that had kept its disk could be elected; if it lacked the last entry, nobody could.

Change: a control host connects to the members that its own log names, from its start on and with each change of the membership.

--- a/packages/control/control_peers.ts
+++ b/packages/control/control_peers.ts
@@ -1,3 +1,4 @@
+import { hostOf, type Membership } from "#agreement";
 import type { Configuration, ControlPeer, HostId } from "#model";
 import type { ControlSettings, FoundingMember } from "#settings";
 import type { Peer } from "#wire";
@@ -9,6 +10,8 @@
   #seeds: readonly FoundingMember[];
   /** Discovered control hosts according to the replicated configuration. */
   #replicatedPeers: readonly ControlPeer[] = [];
+  /** The members of the log, also before any of its state can be applied. */
+  #members: readonly HostId[] = [];
 
   constructor(options: {
     settings: ControlSettings;
@@ -58,6 +61,18 @@
     this.connect();
   }
 
+  /**
+   * Connects to the members of the log. After a restart of all, what the log holds is
+   * applied only once a leader was elected, which may need members that know the seeds
+   * alone from their settings.
+   */
+  applyMembership({ voters, learners }: Membership): void {
+    const members = [...new Set([...voters, ...learners].map(hostOf))].sort();
+    if (members.join() === this.#members.join()) return;
+    this.#members = members;
+    this.connect();
+  }
+
   replaceSeeds(seeds: readonly FoundingMember[]): void {
     this.#seeds = seeds;
     this.connect();
@@ -66,7 +81,11 @@
   #others(): FoundingMember[] {
     const { discovery, members, id: self } = this.#settings;
     const candidates = discovery
-      ? [...this.#seeds, ...this.#replicatedPeers]
+      ? [
+          ...this.#seeds,
+          ...this.#replicatedPeers,
+          ...this.addressesOf(this.#members),
+        ]
       : members;
     const byId = new Map(candidates.map((member) => [member.id, member]));
     byId.delete(self);
--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -156,7 +156,7 @@
       // A learner that has caught up is promoted soon after: its host counts as lost
       // until then.
       setInterval(
-        () => afterPendingInput(() => this.#membershipManager?.tick()),
+        () => afterPendingInput(() => this.#tickMembership()),
         MEMBERSHIP_TICK_MS,
       ),
       setInterval(
@@ -265,6 +265,7 @@
       network.close();
       return err(listening.error);
     }
+    peers.applyMembership(log.status().membership);
     peers.connect();
     return ok(
       new ControlProcess(options, {
@@ -395,6 +396,12 @@
     this.#tasks.run("leader_commands", () => this.#submitLeaderCommands());
   }
 
+  #tickMembership(): void {
+    if (!this.#membershipManager) return;
+    this.#peers.applyMembership(this.#log.status().membership);
+    this.#membershipManager.tick();
+  }
+
   /** The command that updates the list of control hosts, if members changed. */
   #dueControlListCommands(
     { membership }: ConsensusStatus,
