Accept heads of 8 KiB, whatever limit the configuration holds

Cause: enforces max_header_bytes; a limit of a few bytes refuses each request. Change: 8 KiB are accepted at least.

--- a/packages/entry/entry_process.ts
+++ b/packages/entry/entry_process.ts
@@ -83,6 +83,12 @@
   readonly serverIdentityHeader?: string;
 }
 
+/**
+ * Bytes of a head that are accepted at least, whatever the configuration says: with a
+ * limit of a few bytes, which it may hold, no request could be sent.
+ */
+const MIN_HEADER_BYTES = 8_192;
+
 /**
  * A process of the entry role. It forwards calls to backend servers, replicates
  * the servers' registrations, and holds claims on idempotency keys.
@@ -278,8 +284,11 @@
       onFailure: endpointFailures("callers", logger),
       limits: settings.limits,
       headerBytesMax: () =>
-        this.#appliedConfiguration.document.requestLimits?.headerMaxBytes ??
-        settings.limits.headerMaxBytes,
+        Math.max(
+          MIN_HEADER_BYTES,
+          this.#appliedConfiguration.document.requestLimits?.headerMaxBytes ??
+            settings.limits.headerMaxBytes,
+        ),
       handleApi: options.protocol
         ? undefined
         : (request, response) => own.serve(request, response),
