Let a request go on whose slot was given back early

What callers saw: nothing yet; found by reading the diff. While an entry is cut off it gives slots of requests that run back to other entries. Such a request would then have been cancelled by the stop of the entry, as one that waits, and a keyed one by the end of its caller's connection. Cause: forgot the server of an attempt together with its slot. Change: the server is known until the request has ended. Result: 'a request goes on when its slot is given back early' failed before and passes.

--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -245,10 +245,9 @@
         this.#stopWaiting = undefined;
         this.#resources.end("queue_place");
         if (decision.isOk())
-          this.#resources.take("server_slot", () => {
-            this.#server = undefined;
-            assignments.finish(call.id, this.#callResult());
-          });
+          this.#resources.take("server_slot", () =>
+            assignments.finish(call.id, this.#callResult()),
+          );
         const ms = clock.now() - submittedAt;
         metrics.recordWait({ service: call.service, class: call.class, ms });
         resolve(decision);
@@ -298,11 +297,14 @@
     const end = toAttemptEnd(result, this.#stopReason);
     const runningMs = clock.now() - startedAt;
     this.#callResult = () => this.#resultOf(result, { startedAt, fault });
+    const endRequest = () => {
+      this.#server = undefined;
+      this.#resources.giveBack("server_slot");
+    };
     // A streamed response occupies the slot until its last byte.
-    const freeSlot = () => this.#resources.giveBack("server_slot");
     if (response?.stream && !response.stream.destroyed)
-      response.stream.once("close", freeSlot);
-    else freeSlot();
+      response.stream.once("close", endRequest);
+    else endRequest();
     if (response?.leaving && !response.wrongServer) onServerLeaving(server);
     // A server that sends more than it may has not crashed.
     const lost =
