Keep no response of an attempt that has ended

Cause: kept each attempt of a call, and with it its response, until the call had ended, to release it then. Change: an attempt whose answer is not passed on is forgotten when it is released, and one that has ended forgets its response.

--- a/packages/entry/call_attempts.ts
+++ b/packages/entry/call_attempts.ts
@@ -68,8 +68,8 @@
   readonly #budget: SendBudget;
   readonly #triedServers = new Set<string>();
   readonly #runningAttempts = new Map<string, ServerAttempt>();
-  /** All attempts, of which some may hold a connection after their result. */
-  readonly #allAttempts: ServerAttempt[] = [];
+  /** Attempts that may hold something, some of them after their result. */
+  readonly #openAttempts = new Set<ServerAttempt>();
   #hedgeTimer: NodeJS.Timeout | undefined;
   #stopReason: StopReason | undefined;
   /**
@@ -169,26 +169,35 @@
 
   /** Gives back all that attempts still hold; to be called once the call has ended. */
   release(): void {
-    for (const attempt of this.#allAttempts) attempt.release();
+    for (const attempt of this.#openAttempts) this.#discard(attempt);
+  }
+
+  /** Gives back what an attempt holds whose answer is not passed on. */
+  #discard(attempt: ServerAttempt): void {
+    this.#openAttempts.delete(attempt);
+    attempt.release();
   }
 
   /** Tries servers until one responds or no further attempt is allowed. */
   async run(): Promise<CallAttemptsResult> {
     for (;;) {
       const { attempt, result } = await this.#runWithHedge();
-      if (result.type === "rejected") return this.#failure(result.fault);
+      if (result.type === "rejected") {
+        this.#discard(attempt);
+        return this.#failure(result.fault);
+      }
       const { end, response } = result;
       if (end.type === "answered" && response) {
         if (!this.#mayRetryServerError(response, result.runningMs)) {
           return { type: "answer", response };
         }
-        attempt.release();
+        this.#discard(attempt);
         this.#serverError = response;
         this.#triedServers.add(result.server.id);
         continue;
       }
       // The body of a rejection may be long, or have no end.
-      attempt.release();
+      this.#discard(attempt);
       if (this.#endsWhenCutOff)
         return this.#failure(this.#fault(result.detail));
       const { clock } = this.#options;
@@ -222,7 +231,7 @@
         for (const other of cancel)
           this.#runningAttempts.get(other)?.stop("superseded");
         if (!final) {
-          attempt.release();
+          this.#discard(attempt);
           if (result.type === "ended") this.#triedServers.add(result.server.id);
           return;
         }
@@ -237,7 +246,7 @@
           tried: this.#triedServers,
         });
         this.#runningAttempts.set(id, attempt);
-        this.#allAttempts.push(attempt);
+        this.#openAttempts.add(attempt);
         attempt
           .run(onSent)
           .then((result) => onResult({ id, attempt, result }), reject);
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -139,6 +139,7 @@
    */
   release(): void {
     this.#resources.release();
+    this.#callResult = () => UNUSED_SLOT;
   }
 
   /** Stops waiting for a server; a request that was sent goes on. */
@@ -300,6 +301,8 @@
     const endRequest = () => {
       this.#server = undefined;
       this.#resources.giveBack("server_slot");
+      // It would keep the body of the response as long as the call lasts.
+      this.#callResult = () => UNUSED_SLOT;
     };
     // A streamed response occupies the slot until its last byte.
     if (response?.stream && !response.stream.destroyed)
