Split what the end of a request means from the attempt that makes it

Change: what a result proves about the call and tells of its server is a module of its own, attempt_result.ts; no behaviour changes.

--- a/packages/entry/call_attempts.ts
+++ b/packages/entry/call_attempts.ts
@@ -8,6 +8,7 @@
 } from "#admission";
 import { type BackendServer, type CallFault, callFault } from "#model";
 import type { AssignmentBasis } from "#routing";
+import type { StopReason } from "./attempt_result.ts";
 import type { BackendResponse } from "./backend_response.ts";
 import type { CallEnvironment } from "./call_environment.ts";
 import { type EarlierRun, finalFault } from "./final_fault.ts";
@@ -15,7 +16,6 @@
   type AttemptInput,
   ServerAttempt,
   type ServerAttemptResult,
-  type StopReason,
 } from "./server_attempt.ts";
 
 /** Lowest HTTP status of a server error. */
--- a/packages/entry/call_execution.ts
+++ b/packages/entry/call_execution.ts
@@ -13,6 +13,7 @@
 import { fingerprintOf } from "#quarantine";
 import { CallQuota } from "#quota_service";
 import type { TrackedResponse } from "#wire";
+import { type StopReason, stopFault } from "./attempt_result.ts";
 import { CallAdmission } from "./call_admission.ts";
 import { CallAttempts, type CallAttemptsResult } from "./call_attempts.ts";
 import type { CallEnvironment } from "./call_environment.ts";
@@ -26,7 +27,6 @@
 import type { HandoverOrigin, HandoverRefusal } from "./handover_protocol.ts";
 import type { ClaimDecision } from "./key_claims.ts";
 import { type RequestBody, readBody, watchBodyLimit } from "./request_body.ts";
-import { type StopReason, stopFault } from "./server_attempt.ts";
 import { settlementOf } from "./settlement.ts";
 import type { StopSchedule } from "./stop_schedule.ts";
 
--- a/packages/entry/prober.ts
+++ b/packages/entry/prober.ts
@@ -8,11 +8,11 @@
 } from "#routing";
 import type { Metrics } from "#telemetry";
 import { afterPendingInput } from "#wire";
+import { statementOf } from "./attempt_result.ts";
 import type { BackendClient } from "./backend_client.ts";
 import type { RequestResult } from "./backend_response.ts";
 import type { CallProtocol, HealthReport } from "./call_protocol.ts";
 import { EMPTY_BODY } from "./request_body.ts";
-import { statementOf } from "./server_attempt.ts";
 
 const PROBE_TIMEOUT_MS = 1_000;
 /** Short, since a call waits for the check. */
--- a/packages/entry/server_attempt.ts
+++ b/packages/entry/server_attempt.ts
@@ -9,22 +9,19 @@
 } from "#model";
 import type { Fingerprint } from "#quarantine";
 import type { Fault } from "#reachability";
-import type {
-  AssignmentBasis,
-  CallResult,
-  CallResultKind,
-  ServerStatement,
-} from "#routing";
+import type { AssignmentBasis, CallResult } from "#routing";
 import type { Assignment } from "./assignments.ts";
 import { AttemptResources } from "./attempt_resources.ts";
+import {
+  type StopReason,
+  statementOf,
+  stopFault,
+  toAttemptEnd,
+  toResultKind,
+} from "./attempt_result.ts";
 import type { SentRequest } from "./backend_client.ts";
-import type {
-  BackendResponse,
-  RequestResult,
-  ResponseHead,
-} from "./backend_response.ts";
+import type { BackendResponse, RequestResult } from "./backend_response.ts";
 import type { CallEnvironment } from "./call_environment.ts";
-import { cutOffFault } from "./final_fault.ts";
 import type { RequestBody } from "./request_body.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -34,18 +31,6 @@
 /** The result of a slot that no request used, or whose request goes on without it. */
 const UNUSED_SLOT: CallResult = { kind: "cancelled", serviceMs: 0 };
 
-/** Why an attempt was aborted. */
-export type StopReason =
-  | "expired"
-  | "caller_closed"
-  /** The entry closed the caller's connection. */
-  | "entry_closed"
-  /** The entry stops before the call could end. */
-  | "entry_stops"
-  | "superseded"
-  /** The entry reaches no server of the service. */
-  | "cut_off";
-
 /** The request that is sent in each attempt of a call. */
 export interface AttemptInput {
   readonly call: Call;
@@ -368,51 +353,3 @@
     };
   }
 }
-
-/** What a response says about the requests that its server wants. */
-export function statementOf(response: ResponseHead): ServerStatement {
-  const { rateLimit, backOffMs } = response;
-  return { rateLimit, backOffMs };
-}
-
-/** The fault of a call that was stopped before it was sent to a server. */
-export function stopFault(reason: StopReason | undefined): CallFault {
-  if (reason === "cut_off") return cutOffFault();
-  const code = reason === "entry_stops" ? "entry_stopping" : "deadline_expired";
-  return callFault(code);
-}
-
-function toAttemptEnd(
-  result: RequestResult,
-  stopReason: StopReason | undefined,
-): AttemptEnd {
-  if (result.type === "answer") {
-    const { notStarted, wrongServer } = result.response;
-    return { type: notStarted || wrongServer ? "not_started" : "answered" };
-  }
-  const written = result.fault.type !== "not_connected";
-  if (stopReason === "expired") return { type: "timeout", written };
-  if (stopReason !== undefined) return { type: "cancelled", written };
-  if (result.fault.type === "answer_cut") {
-    return { type: "reset_in_body", forwarded: false };
-  }
-  return written ? { type: "reset", written } : { type: "never_connected" };
-}
-
-function toResultKind(
-  result: RequestResult,
-  context: { stopReason: StopReason | undefined; fault: Fault },
-): CallResultKind {
-  const { stopReason, fault } = context;
-  if (result.type === "answer") {
-    const { notStarted, wrongServer, exceeded } = result.response;
-    const excess = exceeded?.();
-    if (excess) return excess.bound === "deadline" ? "expired" : "lost";
-    if (notStarted || wrongServer) return "not_started";
-    return result.response.status >= 500 ? "failed" : "answered";
-  }
-  if (stopReason === "expired") return "expired";
-  // A server that this entry does not reach is not to blame.
-  const isLost = stopReason === undefined && fault === "server";
-  return isLost ? "lost" : "cancelled";
-}
