Hold fields that come byte by byte in one buffer

What callers saw: nothing yet; found by reading the diff. A crowd that sends its heads byte by byte would have made an entry hold an object for each byte, a hundred times what it is charged for. Cause: kept the pieces of unfinished fields in a list. Change: they are held in the growing buffer that bodies use, now a class of its own, and its capacity is charged.

--- a/packages/wire/body_buffer.ts
+++ b/packages/wire/body_buffer.ts
@@ -1,73 +1,28 @@
 import type { IncomingMessage } from "node:http";
+import { GrowingBuffer } from "./growing_buffer.ts";
 import { TrackedRequest } from "./tracked_request.ts";
 
-/** Smallest buffer for a body of several parts. */
-const MIN_BUFFER_BYTES = 4_096;
-/** Size up to which a buffer grows; larger bodies take further ones. */
-const MAX_BUFFER_BYTES = 131_072;
-
-/**
- * The parts of a request body in a growing buffer, which is charged to the
- * connection. A list of parts could hold one object for each byte.
- */
+/** The parts of a request body in a growing buffer, charged to the connection. */
 export class BodyBuffer {
   readonly #request: IncomingMessage;
-  /** Full buffers before the last one. */
-  readonly #full: Buffer[] = [];
-  #fullBytes = 0;
-  #last: Buffer | undefined;
-  #lastBytes = 0;
+  readonly #buffer = new GrowingBuffer();
 
   constructor(request: IncomingMessage) {
     this.#request = request;
   }
 
   get length(): number {
-    return this.#fullBytes + this.#lastBytes;
+    return this.#buffer.length;
   }
 
   append(part: Buffer): void {
-    if (!this.#last) {
-      this.#last = part;
-      this.#lastBytes = part.length;
-    } else this.#copy(this.#last, part);
+    this.#buffer.append(part);
     if (this.#request instanceof TrackedRequest)
-      this.#request.hold(this.#fullBytes + this.#last.length);
+      this.#request.hold(this.#buffer.capacity);
   }
 
   /** The bytes so far. */
   take(): Buffer {
-    const last = this.#last?.subarray(0, this.#lastBytes) ?? Buffer.alloc(0);
-    return this.#full.length === 0
-      ? last
-      : Buffer.concat([...this.#full, last]);
-  }
-
-  #copy(last: Buffer, part: Buffer): void {
-    const bytes = this.#lastBytes + part.length;
-    if (bytes <= last.length) {
-      part.copy(last, this.#lastBytes);
-      this.#lastBytes = bytes;
-      return;
-    }
-    if (bytes > MAX_BUFFER_BYTES) {
-      this.#full.push(last.subarray(0, this.#lastBytes));
-      this.#fullBytes += this.#lastBytes;
-      this.#last = Buffer.allocUnsafeSlow(
-        Math.max(MAX_BUFFER_BYTES, part.length),
-      );
-      this.#lastBytes = part.copy(this.#last);
-      return;
-    }
-    const grown = Buffer.allocUnsafeSlow(
-      Math.min(
-        MAX_BUFFER_BYTES,
-        Math.max(MIN_BUFFER_BYTES, 2 * this.#lastBytes, bytes),
-      ),
-    );
-    last.copy(grown, 0, 0, this.#lastBytes);
-    part.copy(grown, this.#lastBytes);
-    this.#last = grown;
-    this.#lastBytes = bytes;
+    return this.#buffer.take();
   }
 }
--- a/packages/wire/connection_feed.ts
+++ b/packages/wire/connection_feed.ts
@@ -6,6 +6,7 @@
   FieldLines,
   lineEnd,
 } from "./field_lines.ts";
+import { GrowingBuffer } from "./growing_buffer.ts";
 
 /**
  * Unanswered requests of a connection with which no more of it is parsed. Clients
@@ -79,7 +80,11 @@
 /** Fields that have come without their end. */
 interface HeldFields {
   readonly lines: FieldLines;
-  readonly pieces: Buffer[];
+  readonly bytes: GrowingBuffer;
+}
+
+function noFields(): HeldFields {
+  return { lines: new FieldLines(), bytes: new GrowingBuffer() };
 }
 
 /**
@@ -219,11 +224,9 @@
       this.#exceed("header_bytes");
       return line.length;
     }
-    const isEmptyLine =
-      line.length <= 2 && this.#firstLineBytes === line.length;
-    if (end >= 0 && !(isEmptyLine && isBlank(line)))
-      this.#fields = { lines: new FieldLines(), pieces: [] };
-    else if (end >= 0) this.#firstLineBytes = 0;
+    const isWhole = this.#firstLineBytes === line.length;
+    if (isWhole && isBlank(line)) this.#firstLineBytes = 0;
+    else if (end >= 0) this.#fields = noFields();
     this.#parse(line);
     return line.length;
   }
@@ -237,15 +240,14 @@
     const { scanner } = this.#body;
     const part = bytes.subarray(0, CHUNKED_PART_BYTES);
     const end = scanner.take(part);
-    if (scanner.isAtFields)
-      this.#fields = { lines: new FieldLines(), pieces: [] };
+    if (scanner.isAtFields) this.#fields = noFields();
     this.#parse(part.subarray(0, end));
     return end;
   }
 
   /** Takes fields, and passes them on if their end has come. */
   #takeFields(bytes: Buffer, held: HeldFields): number {
-    const { lines, pieces } = held;
+    const { lines, bytes: earlier } = held;
     const end = lines.take(bytes);
     const excess = lines.excess(this.#listener.bounds());
     if (excess) {
@@ -253,14 +255,13 @@
       return bytes.length;
     }
     if (end < 0) {
-      // A part of a read would keep all of it.
-      pieces.push(Buffer.from(bytes));
-      this.#listener.onHeld(lines.bytes);
+      earlier.append(copyOf(bytes));
+      this.#listener.onHeld(earlier.capacity);
       return bytes.length;
     }
     const last = bytes.subarray(0, end);
-    const fields =
-      pieces.length === 0 ? last : Buffer.concat([...pieces, last]);
+    const isWhole = earlier.length === 0;
+    const fields = isWhole ? last : Buffer.concat([earlier.take(), last]);
     this.headBytes = this.#firstLineBytes + lines.bytes;
     this.#forgetFields();
     this.#parse(fields);
@@ -268,7 +269,7 @@
   }
 
   #forgetFields(): void {
-    const isHeld = this.#fields !== undefined && this.#fields.pieces.length > 0;
+    const isHeld = this.#fields !== undefined && this.#fields.bytes.length > 0;
     this.#fields = undefined;
     this.#firstLineBytes = 0;
     if (isHeld) this.#listener.onHeld(0);
@@ -302,6 +303,13 @@
   }
 }
 
+/** A part of a read would keep all of it, and a small buffer a shared one. */
+function copyOf(bytes: Buffer): Buffer {
+  const copy = Buffer.allocUnsafeSlow(bytes.length);
+  bytes.copy(copy);
+  return copy;
+}
+
 /** Whether a line has nothing but its end. */
 function isBlank(line: Buffer): boolean {
   return line.every((byte) => byte === 10 || byte === 13);
