Bound unfinished fields where no limit is configured

What callers saw: nothing yet; found by reading the diff. At control's and the platform's endpoints a field without end would have been held until the timeout. Cause: holds fields before they are parsed, so that the parser's own bound (maxHeaderSize) came into force only at their end. Change: maxHeaderSize bounds them as they come, with the parser's answer, 431.

--- a/packages/wire/http_server.ts
+++ b/packages/wire/http_server.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from "node:crypto";
 import {
   createServer,
+  maxHeaderSize as defaultMaxHeaderSize,
   type IncomingMessage,
   type Server,
   type ServerOptions,
@@ -47,6 +48,10 @@
   detail: `at most ${HEADER_FIELDS_MAX} header fields are accepted`,
 });
 
+/** As Node answers where nothing else is said. */
+const HEADER_TOO_LARGE_ANSWER =
+  "HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\n\r\n";
+
 const TOO_MANY_FIELDS_ANSWER =
   "HTTP/1.1 431 Request Header Fields Too Large\r\n" +
   "content-type: application/json\r\n" +
@@ -57,7 +62,7 @@
   readonly connectionsMax?: number;
   /**
    * Bytes that the first line of a head, and its fields together, may have at the
-   * moment; Node's `maxHeaderSize` holds beside it, and is the default.
+   * moment; `maxHeaderSize` at most, which is the default.
    */
   readonly headerBytesMax?: () => number;
   /** Bounds what clients make the process hold; default: no bound. */
@@ -105,10 +110,12 @@
   constructor(options: HttpServerOptions, handle: HttpHandler) {
     const { connectionsMax, onDropped, onFailure, ...others } = options;
     const { isUnusedUntilRead, guard, headerBytesMax, ...nodeOptions } = others;
+    const { maxHeaderSize = defaultMaxHeaderSize } = nodeOptions;
     this.#connections = new HttpConnections({
       guard,
+      // Fields are held before they are parsed, so that the parser does not bound them.
       fieldBounds: () => ({
-        bytesMax: headerBytesMax?.() ?? Number.POSITIVE_INFINITY,
+        bytesMax: Math.min(headerBytesMax?.() ?? maxHeaderSize, maxHeaderSize),
         fieldsMax: HEADER_FIELDS_MAX,
       }),
       onFieldsExceeded: (socket, excess) => this.#refuseHead(socket, excess),
@@ -287,14 +294,23 @@
   #refuseHead(socket: Socket, excess: FieldExcess): void {
     if (excess === "header_fields") {
       this.#guard?.refused(socket, excess);
-      const end = () => socket.end(TOO_MANY_FIELDS_ANSWER);
-      this.#connections.endWith(socket, end, this.#isUnusedUntilRead);
+      this.#refuse(socket, TOO_MANY_FIELDS_ANSWER);
       return;
     }
     const message = "Parse Error: Header overflow";
     const code = "HPE_HEADER_OVERFLOW";
     const error = Object.assign(new Error(message), { code });
-    this.#server.emit("clientError", error, socket);
+    const isHandled = this.#server.emit("clientError", error, socket);
+    if (!isHandled) this.#refuse(socket, HEADER_TOO_LARGE_ANSWER);
+  }
+
+  /** Ends a connection with an answer, behind those that are owed. */
+  #refuse(socket: Socket, answer: string): void {
+    const end = () => {
+      socket.write(answer);
+      socket.destroySoon();
+    };
+    this.#connections.endWith(socket, end, this.#isUnusedUntilRead);
   }
 
   #serve(request: IncomingMessage, response: TrackedResponse): void {
--- a/packages/wire/untrusted_clients_test.ts
+++ b/packages/wire/untrusted_clients_test.ts
@@ -273,6 +273,17 @@
   });
 }
 
+// Guards against a field without end that is held where no limit is configured.
+for (const [name, bytes, answer] of [
+  ["a head", `${HEAD}a: ${"b".repeat(5_000)}`, /^HTTP\/1\.1 431 /],
+  ["fields", `${CHUNKED_HEAD}0\r\na: ${"b".repeat(5_000)}`, /^$/],
+] as const) {
+  test(`${name} without end end at the size that the parser takes`, async (context) => {
+    const server = { options: { maxHeaderSize: 4_096 }, handle: echo };
+    assert.match(await exchange(context, server, bytes), answer);
+  });
+}
+
 test("fields behind a body over the limit end the connection", async (context) => {
   const bytes = `${CHUNKED_HEAD}1\r\nx\r\n0\r\n${"a:b\r\n".repeat(3_500)}`;
   const server = { options: { maxHeaderSize: 65_536 }, handle: echo };
