Undo a circle of imports in the agreement package

Cause: members.ts took the status from effects.ts, which takes its types from there. Change: the context of a change from a status is a module of its own; the identity of an announced folder is read by identityOf.

--- a/packages/agreement/cluster_bootstrap.ts
+++ b/packages/agreement/cluster_bootstrap.ts
@@ -1,7 +1,7 @@
 import type { HostId } from "#model";
 import { foundingBinding } from "./founders.ts";
 import type { MemberState } from "./member_state.ts";
-import { hostOf, type MemberKey } from "./members.ts";
+import { hostOf, identityOf, type MemberKey } from "./members.ts";
 import type {
   BindReply,
   BindRequest,
@@ -124,7 +124,7 @@
   /** Records a data folder that can be added. */
   recordAnnouncement(member: MemberKey, now: number): void {
     const host = hostOf(member);
-    const identity = member.slice(host.length + 1);
+    const identity = identityOf(member);
     this.#announced.set(host, { identity, at: now });
   }
 
--- a/packages/agreement/index.ts
+++ b/packages/agreement/index.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+export * from "./change_context.ts";
 export * from "./consensus_core.ts";
 export * from "./effects.ts";
 export type { LogEntry, Snapshot } from "./entry_log.ts";
--- a/packages/agreement/members.ts
+++ b/packages/agreement/members.ts
@@ -1,5 +1,4 @@
 import type { HostId } from "#model";
-import type { ConsensusStatus } from "./effects.ts";
 
 /**
  * Identifies a member: the host id and the random identity of its data folder,
@@ -83,23 +82,6 @@
   readonly live: (member: MemberKey) => boolean;
 }
 
-/** The context of a change to be made now, from the status of the leader. */
-export function changeContextOf(status: ConsensusStatus): ChangeContext {
-  const { self, peers, commit, membership, membershipIndex } = status;
-  const peerOf = (member: MemberKey) => peers.find((p) => p.member === member);
-  return {
-    membership,
-    membershipIndex,
-    commit,
-    committedInTerm: status.committedInTerm,
-    announced: new Map(
-      status.announced.map((member) => [hostOf(member), identityOf(member)]),
-    ),
-    match: (member) => peerOf(member)?.match ?? (member === self ? commit : 0),
-    live: (member) => member === self || (peerOf(member)?.live ?? false),
-  };
-}
-
 /** Returns the membership after a change, or why the change is refused. */
 export function planChange(
   change: MemberChange,
