Let a replica of control give up its vote before it makes way

What callers saw: with two of six members lost, a control process that started beside a replica left three of six voters, and no change was acknowledged any more.

Cause: a replica closed as soon as control was found on its host, and its state was put away: one more lost disk for the log.

Change: the replica asks the leader for its removal, which is refused while the others have no live majority, and stays until it is made. Control waits 10 s for its ports instead of 3 s, as the removal takes about 2 s.

--- a/packages/control/control_replica.ts
+++ b/packages/control/control_replica.ts
@@ -1,6 +1,6 @@
-import { setTimeout as delay } from "node:timers/promises";
 import type { Clock } from "#model";
 import type { Logger } from "#telemetry";
+import { abortableDelay } from "./abortable_delay.ts";
 import type { ControlRunResult } from "./control_runs.ts";
 
 /**
@@ -34,6 +34,8 @@
   readonly recordControl: () => void;
   /** Runs control until it is told to stop. */
   readonly run: (stopRequested: Promise<void>) => Promise<ControlRunResult>;
+  /** Gives up the vote of the member that runs; returns at once if none does. */
+  readonly leave: (signal: AbortSignal) => Promise<void>;
   readonly stopRequested: Promise<void>;
   readonly clock: Clock;
   /** Waits for a time, or until the signal is aborted; default: with a timer. */
@@ -43,13 +45,14 @@
 
 /**
  * Runs a member of the agreed state in the process of another role, on a host that has
- * a disk but no control process. A control process that is started later replaces it.
- * Returns once a stop was requested and the member is closed.
+ * a disk but no control process. A control process that is started later replaces it,
+ * once the log needs its vote no more: its state is put away then, as if its disk were
+ * lost, and other hosts may be lost at the same time. Returns once a stop was requested and the member is closed.
  */
 export async function runControlReplica(
   options: ControlReplicaOptions,
 ): Promise<void> {
-  const { findControl, run, logger, wait = waitWithTimer } = options;
+  const { findControl, run, logger, wait = abortableDelay } = options;
   const stop = new AbortController();
   const stopped = options.stopRequested.then(() => stop.abort());
   while (!stop.signal.aborted) {
@@ -60,6 +63,7 @@
     const controlCame = (async () => {
       while (!signal.aborted && (await findControl()) !== true)
         await wait(CHECK_INTERVAL_MS, signal);
+      await options.leave(signal);
     })();
     const end = await run(Promise.race([stopped, controlCame]));
     closed.abort();
@@ -68,17 +72,13 @@
   }
 }
 
-async function waitWithTimer(ms: number, signal: AbortSignal): Promise<void> {
-  await delay(ms, undefined, { signal }).catch(() => undefined);
-}
-
 /** Waits until no control process has been seen for a while. */
 async function untilHostHasNone(
   options: ControlReplicaOptions,
   signal: AbortSignal,
 ): Promise<void> {
   const { findControl, hasState, hadControl, recordControl, clock } = options;
-  const { wait = waitWithTimer } = options;
+  const { wait = abortableDelay } = options;
   let absentSince: number | undefined;
   while (!signal.aborted) {
     const now = clock.now();
--- a/packages/control/control_replica_test.ts
+++ b/packages/control/control_replica_test.ts
@@ -37,6 +37,7 @@
       await stopReplica;
       return { type: "told" };
     },
+    leave: async () => undefined,
     stopRequested,
     clock: { now: () => now, wallTime: () => now },
     wait: async (ms) => {
@@ -81,3 +82,38 @@
   const opened = await openings(() => undefined, { untilMs: 100_000 });
   assert.deepEqual(opened, []);
 });
+
+// Failure: a replica is closed for control while its vote is needed, as other hosts are
+// lost, and the log has no leader any more.
+test("a replica stays until it has given up its vote", async () => {
+  const events: string[] = [];
+  let now = 0;
+  let stop: () => void = () => undefined;
+  const stopRequested = new Promise<void>((resolve) => {
+    stop = resolve;
+  });
+  await runControlReplica({
+    findControl: async () => now >= 10_000,
+    hasState: () => false,
+    hadControl: () => false,
+    recordControl: () => stop(),
+    run: async (stopReplica) => {
+      await stopReplica;
+      events.push("closed");
+      return { type: "told" };
+    },
+    leave: async () => {
+      events.push("leaves");
+      await Promise.resolve();
+      events.push("left");
+    },
+    stopRequested,
+    clock: { now: () => now, wallTime: () => now },
+    wait: async (ms) => {
+      now += ms;
+      await Promise.resolve();
+    },
+    logger: new SilentLogger(),
+  });
+  assert.deepEqual(events, ["leaves", "left", "closed"]);
+});
--- a/packages/control/control_runs.ts
+++ b/packages/control/control_runs.ts
@@ -9,8 +9,11 @@
 /** How often it is tried then whether the disk takes writes again. */
 const PROBE_INTERVAL_MS = 100;
 
-/** Longer than a replica in another process of the host needs to close. */
-const PORT_WAIT_MS = 3_000;
+/**
+ * Longer than a replica in another process of the host needs to give up its vote, some
+ * 2 s, and to close.
+ */
+const PORT_WAIT_MS = 10_000;
 const PORT_RETRY_MS = 200;
 
 /** A running control process and everything that is closed with it. */
--- /dev/null
+++ b/packages/control/leave_membership.ts
@@ -0,0 +1,48 @@
+import type { ReplicatedLog } from "#agreement";
+import type { Logger } from "#telemetry";
+import { abortableDelay } from "./abortable_delay.ts";
+
+/** Wait before a refused removal is requested again. */
+const RETRY_MS = 400;
+
+type MemberLog = Pick<
+  ReplicatedLog<never, unknown>,
+  "status" | "changeMembers"
+>;
+
+export interface LeaveOptions {
+  readonly log: MemberLog;
+  /** Waits for a time, or until the signal is aborted; default: with a timer. */
+  readonly wait?: (ms: number, signal: AbortSignal) => Promise<void>;
+  /** Aborted when the member is closed for another reason. */
+  readonly signal: AbortSignal;
+  readonly logger: Logger;
+}
+
+/**
+ * Removes this member from the log, so that closing it costs no vote; returns once it
+ * is no voter. The leader refuses the removal while the voters that would remain have
+ * no live majority, as when other hosts are lost: closed then, this member would leave
+ * the log without a leader for good.
+ */
+export async function leaveMembership(options: LeaveOptions): Promise<void> {
+  const { log, wait = abortableDelay, signal, logger } = options;
+  const member = log.status().self;
+  logger.info("member leaves", { member, isVoter: isVoter(log) });
+  let refusal = "";
+  while (!signal.aborted && isVoter(log)) {
+    const outcome = await log.changeMembers({ type: "remove", member });
+    if (outcome.isOk() || outcome.error.type === "unknown_member") return;
+    const { type } = outcome.error;
+    if (type !== refusal) {
+      refusal = type;
+      logger.warn("member not removed yet", { member, fault: outcome.error });
+    }
+    await wait(RETRY_MS, signal);
+  }
+}
+
+function isVoter(log: MemberLog): boolean {
+  const { self, membership } = log.status();
+  return membership.voters.includes(self);
+}
--- /dev/null
+++ b/packages/control/leave_membership_test.ts
@@ -0,0 +1,52 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { err, ok, type Result } from "neverthrow";
+import type { ChangeFault, ConsensusStatus, MemberChange } from "#agreement";
+import { SilentLogger } from "#telemetry";
+import { leaveMembership } from "./leave_membership.ts";
+
+const SELF = "host-4/aa";
+const AT_RISK = { type: "quorum_at_risk", live: 2, needed: 3 } as const;
+
+/** Leaves a log that answers removals in turn; returns the changes that it was asked for. */
+async function leave(
+  answers: readonly Result<number, ChangeFault>[],
+  { voters = [SELF, "host-1/bb"], signal = new AbortController().signal } = {},
+): Promise<MemberChange[]> {
+  const changes: MemberChange[] = [];
+  const membership = { voters, learners: [] };
+  await leaveMembership({
+    log: {
+      status: () => ({ self: SELF, membership }) as unknown as ConsensusStatus,
+      changeMembers: async (change) => {
+        changes.push(change);
+        return answers[changes.length - 1] ?? ok(1);
+      },
+    },
+    wait: async () => undefined,
+    signal,
+    logger: new SilentLogger(),
+  });
+  return changes;
+}
+
+const REMOVAL: MemberChange = { type: "remove", member: SELF };
+
+// Failure: a member closes although the leader refused to do without its vote.
+test("a member asks for its removal until the leader has made it", async () => {
+  const answers = [err(AT_RISK), err({ type: "closed" } as const), ok(7)];
+  assert.deepEqual(await leave(answers), [REMOVAL, REMOVAL, REMOVAL]);
+});
+
+test("a member that has no vote leaves at once", async () => {
+  assert.deepEqual(await leave([], { voters: ["host-1/bb"] }), []);
+});
+
+test("a member that the leader does not know has left", async () => {
+  const unknown = err({ type: "unknown_member", member: SELF } as const);
+  assert.deepEqual(await leave([unknown]), [REMOVAL]);
+});
+
+test("a member that is closed asks for nothing more", async () => {
+  assert.deepEqual(await leave([], { signal: AbortSignal.abort() }), []);
+});
