Reserve no ports that an interrupted run still holds

Cause: processes of tests that I had ended with a signal half an hour before still ran on 127.1.84.11. reservePorts looked at 127.0.0.1 only, so that another test got the same ports; its control process could not listen and ended. The error was not shown.

--- a/packages/demo/ports.ts
+++ b/packages/demo/ports.ts
@@ -1,6 +1,11 @@
 import { createServer, type Server } from "node:net";
 
 const HOST = "127.0.0.1";
+/**
+ * A listener on it needs the port to be free on each address: processes that an
+ * interrupted run has left may hold it on other loopback addresses only.
+ */
+const ALL_ADDRESSES = "0.0.0.0";
 /** Below the ephemeral range, so that no outgoing connection takes a port. */
 const FIRST_PORT = 24_000;
 const BLOCK_COUNT = 125;
@@ -25,7 +30,7 @@
   for (let attempt = 0; attempt < BLOCK_COUNT; attempt++) {
     const index = (start + attempt) % BLOCK_COUNT;
     const first = FIRST_PORT + index * BLOCK_SIZE;
-    const lock = await bind(first);
+    const lock = await bind(first, ALL_ADDRESSES);
     if (!lock) continue;
     if (await areAllPortsFree(first)) return new LockedBlock(index, lock);
     lock.close();
@@ -61,16 +66,18 @@
 
 async function areAllPortsFree(first: number): Promise<boolean> {
   const rest = Array.from({ length: BLOCK_SIZE - 1 }, (_, i) => first + 1 + i);
-  const servers = await Promise.all(rest.map(bind));
+  const servers = await Promise.all(
+    rest.map((port) => bind(port, ALL_ADDRESSES)),
+  );
   for (const server of servers) server?.close();
   return servers.every((server) => server !== undefined);
 }
 
-function bind(port: number): Promise<Server | undefined> {
+function bind(port: number, host = HOST): Promise<Server | undefined> {
   return new Promise((resolve) => {
     const server = createServer();
     server.once("error", () => resolve(undefined));
-    server.listen(port, HOST, () => resolve(server));
+    server.listen(port, host, () => resolve(server));
   });
 }
 
