Let a replica leave also if it is closed and opened again meanwhile

What callers would see: a replica whose disk fills up while it leaves asks a closed member for its removal for good; it never makes way for the control process of its host.

Cause: the member was taken once, at the start of leaving; runControl opens a new one after a failed write.

Change: leaveMembership asks for the member that is open at present, and waits while there is none. ControlProcess.leave is gone with it. Two comments that were not wrapped are.

--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -45,7 +45,6 @@
 import { ControlPeers } from "./control_peers.ts";
 import { ServerInventory } from "./inventory.ts";
 import { LeaderDuties } from "./leader_duties.ts";
-import { leaveMembership } from "./leave_membership.ts";
 import { MembershipManager } from "./membership_manager.ts";
 import { ConfigurationPublisher } from "./publisher.ts";
 import { ServerRegistrar } from "./server_registrar.ts";
@@ -340,12 +339,6 @@
     return this.#log.replaceMember(host);
   }
 
-  /** Removes this member from the log; returns once it is no voter, or at the signal. */
-  leave(signal: AbortSignal): Promise<void> {
-    const { logger } = this.#options;
-    return leaveMembership({ log: this.#log, signal, logger });
-  }
-
   /** Commits a command on a majority; resolves with the registry's reply. */
   submit(command: RegistryCommand) {
     return this.#log.submit(command);
--- a/packages/control/control_replica.ts
+++ b/packages/control/control_replica.ts
@@ -34,7 +34,7 @@
   readonly recordControl: () => void;
   /** Runs control until it is told to stop. */
   readonly run: (stopRequested: Promise<void>) => Promise<ControlRunResult>;
-  /** Gives up the vote of the member that runs; returns at once if none does. */
+  /** Removes the member from the log; returns once that is made, or at the signal. */
   readonly leave: (signal: AbortSignal) => Promise<void>;
   readonly stopRequested: Promise<void>;
   readonly clock: Clock;
@@ -46,13 +46,14 @@
 /**
  * Runs a member of the agreed state in the process of another role, on a host that has
  * a disk but no control process. A control process that is started later replaces it,
- * once the log needs its vote no more: its state is put away then, as if its disk were
- * lost, and other hosts may be lost at the same time. Returns once a stop was requested and the member is closed.
+ * once the member has left the log: its state is put away then, as if its disk were lost,
+ * and other hosts may be lost at the same time. Returns once a stop was requested and the
+ * member is closed.
  */
 export async function runControlReplica(
   options: ControlReplicaOptions,
 ): Promise<void> {
-  const { findControl, run, logger, wait = abortableDelay } = options;
+  const { findControl, run, leave, logger, wait = abortableDelay } = options;
   const stop = new AbortController();
   const stopped = options.stopRequested.then(() => stop.abort());
   while (!stop.signal.aborted) {
@@ -63,7 +64,7 @@
     const controlCame = (async () => {
       while (!signal.aborted && (await findControl()) !== true)
         await wait(CHECK_INTERVAL_MS, signal);
-      await options.leave(signal);
+      await leave(signal);
     })();
     const end = await run(Promise.race([stopped, controlCame]));
     closed.abort();
--- a/packages/control/control_replica_test.ts
+++ b/packages/control/control_replica_test.ts
@@ -10,13 +10,20 @@
 /** Longest time between two checks for a control process. */
 const CHECK_MS = 400;
 
+interface ReplicaRun {
+  readonly untilMs: number;
+  readonly hadControl?: boolean;
+  readonly leave?: () => Promise<void>;
+  readonly onClosed?: () => void;
+}
+
 /**
  * Runs the loop of a replica for a time on a host where control is found as
  * `isControlAt` tells; returns when replicas were opened.
  */
 async function openings(
   isControlAt: (ms: number) => boolean | undefined,
-  { untilMs, hadControl = false }: { untilMs: number; hadControl?: boolean },
+  { untilMs, hadControl = false, leave, onClosed }: ReplicaRun,
 ): Promise<number[]> {
   const opened: number[] = [];
   let now = 0;
@@ -35,9 +42,10 @@
     run: async (stopReplica) => {
       opened.push(now);
       await stopReplica;
+      onClosed?.();
       return { type: "told" };
     },
-    leave: async () => undefined,
+    leave: async () => leave?.(),
     stopRequested,
     clock: { now: () => now, wallTime: () => now },
     wait: async (ms) => {
@@ -85,35 +93,16 @@
 
 // Failure: a replica is closed for control while its vote is needed, as other hosts are
 // lost, and the log has no leader any more.
-test("a replica stays until it has given up its vote", async () => {
+test("a replica stays until it has left the log", async () => {
   const events: string[] = [];
-  let now = 0;
-  let stop: () => void = () => undefined;
-  const stopRequested = new Promise<void>((resolve) => {
-    stop = resolve;
-  });
-  await runControlReplica({
-    findControl: async () => now >= 10_000,
-    hasState: () => false,
-    hadControl: () => false,
-    recordControl: () => stop(),
-    run: async (stopReplica) => {
-      await stopReplica;
-      events.push("closed");
-      return { type: "told" };
-    },
+  await openings((ms) => ms >= 10_000, {
+    untilMs: 20_000,
     leave: async () => {
       events.push("leaves");
       await Promise.resolve();
       events.push("left");
     },
-    stopRequested,
-    clock: { now: () => now, wallTime: () => now },
-    wait: async (ms) => {
-      now += ms;
-      await Promise.resolve();
-    },
-    logger: new SilentLogger(),
+    onClosed: () => events.push("closed"),
   });
   assert.deepEqual(events, ["leaves", "left", "closed"]);
 });
--- a/packages/control/index.ts
+++ b/packages/control/index.ts
@@ -18,4 +18,5 @@
   withHealthEndpoints,
 } from "./health.ts";
 export { LeaderDuties } from "./leader_duties.ts";
+export { leaveMembership } from "./leave_membership.ts";
 export { ConfigurationPublisher } from "./publisher.ts";
--- a/packages/control/leave_membership.ts
+++ b/packages/control/leave_membership.ts
@@ -11,7 +11,11 @@
 >;
 
 export interface LeaveOptions {
-  readonly log: MemberLog;
+  /**
+   * The member that is open at present; undefined while it is closed, as when its disk
+   * is full, or not open yet. The next one has the same identity.
+   */
+  readonly openLog: () => MemberLog | undefined;
   /** Waits for a time, or until the signal is aborted; default: with a timer. */
   readonly wait?: (ms: number, signal: AbortSignal) => Promise<void>;
   /** Aborted when the member is closed for another reason. */
@@ -21,30 +25,29 @@
 
 /**
  * Removes this member from the log, so that closing it costs no vote; returns once it
- * is none. A member that was added again as a learner must not close either: the leader
- * may make it a voter as long as it counts as live. The leader refuses the removal while the voters that would remain have
+ * is no member. The leader refuses the removal while the voters that would remain have
  * no live majority, as when other hosts are lost: closed then, this member would leave
- * the log without a leader for good.
+ * the log without a leader for good. A member that was added again as a learner must not
+ * close either, as the leader may promote it while it still counts as live.
  */
 export async function leaveMembership(options: LeaveOptions): Promise<void> {
-  const { log, wait = abortableDelay, signal, logger } = options;
-  const member = log.status().self;
-  logger.info("member leaves", { member });
+  const { openLog, wait = abortableDelay, signal, logger } = options;
+  logger.info("member leaves");
   let refusal = "";
-  while (!signal.aborted && isMember(log)) {
-    const outcome = await log.changeMembers({ type: "remove", member });
-    if (outcome.isOk()) continue;
-    const { type } = outcome.error;
-    if (type === "unknown_member") return;
-    if (type !== refusal) {
-      refusal = type;
-      logger.warn("member not removed yet", { member, fault: outcome.error });
+  while (!signal.aborted) {
+    const log = openLog();
+    if (log) {
+      const { self: member, membership } = log.status();
+      const { voters, learners } = membership;
+      if (![...voters, ...learners].includes(member)) return;
+      const outcome = await log.changeMembers({ type: "remove", member });
+      if (outcome.isOk()) continue;
+      const fault = outcome.error;
+      if (fault.type === "unknown_member") return;
+      if (fault.type !== refusal)
+        logger.warn("member not removed yet", { member, fault });
+      refusal = fault.type;
     }
     await wait(RETRY_MS, signal);
   }
 }
-
-function isMember(log: MemberLog): boolean {
-  const { self, membership } = log.status();
-  return [...membership.voters, ...membership.learners].includes(self);
-}
--- a/packages/control/leave_membership_test.ts
+++ b/packages/control/leave_membership_test.ts
@@ -16,25 +16,26 @@
     learners = [] as readonly string[],
     /** Learners after each removal. */
     readded = [] as string[],
+    /** Looks for the member that find it closed, before the first that does not. */
+    closedLooks = 0,
     signal = new AbortController().signal,
   } = {},
 ): Promise<MemberChange[]> {
   const changes: MemberChange[] = [];
   let membership = { voters, learners: [...learners] };
-  await leaveMembership({
-    log: {
-      status: () => ({ self: SELF, membership }) as unknown as ConsensusStatus,
-      changeMembers: async (change) => {
-        changes.push(change);
-        const answer = answers[changes.length - 1] ?? ok(1);
-        if (answer.isOk())
-          membership = {
-            voters: ["host-1/bb"],
-            learners: readded.splice(0, 1),
-          };
-        return answer;
-      },
+  let looks = 0;
+  const log = {
+    status: () => ({ self: SELF, membership }) as unknown as ConsensusStatus,
+    changeMembers: async (change: MemberChange) => {
+      changes.push(change);
+      const answer = answers[changes.length - 1] ?? ok(1);
+      if (answer.isOk())
+        membership = { voters: ["host-1/bb"], learners: readded.splice(0, 1) };
+      return answer;
     },
+  };
+  await leaveMembership({
+    openLog: () => (looks++ < closedLooks ? undefined : log),
     wait: async () => undefined,
     signal,
     logger: new SilentLogger(),
@@ -68,6 +69,11 @@
   assert.deepEqual(await leave([unknown]), [REMOVAL]);
 });
 
-test("a member that is closed asks for nothing more", async () => {
+// Failure: a member that is closed for a full disk, and opened again, closes with its vote.
+test("a member that is opened again asks for its removal", async () => {
+  assert.deepEqual(await leave([], { closedLooks: 3 }), [REMOVAL]);
+});
+
+test("a member that is closed for good asks for nothing more", async () => {
   assert.deepEqual(await leave([], { signal: AbortSignal.abort() }), []);
 });
