--- a/scripts/repeat_tests.mjs
+++ b/scripts/repeat_tests.mjs
@@ -19,6 +19,7 @@
   },
 });
 const times = Number(values.times);
+const results = new Map();
 if (commands.length === 0 || !(times >= 1)) {
   console.error(
     "usage: node scripts/repeat_tests.mjs [--times N] [--folder DIR] COMMAND...",
@@ -55,7 +56,6 @@
   return run.status;
 }
 
-const results = new Map();
 let broken = 0;
 for (const besideLoad of [false, true]) {
   const stopLoad = besideLoad ? startLoad() : undefined;
