--- a/packages/agreement/consensus_core.ts
+++ b/packages/agreement/consensus_core.ts
@@ -2,7 +2,7 @@
 import { ClusterBootstrap } from "./cluster_bootstrap.ts";
 import type { ConsensusStatus, Effect, MemberRole, Notice } from "./effects.ts";
 import { Election } from "./election.ts";
-import { Leadership } from "./leadership.ts";
+import { type CommandCheck, Leadership } from "./leadership.ts";
 import { LogReceiver } from "./log_receiver.ts";
 import {
   type ConsensusLimits,
@@ -43,6 +43,7 @@
   readonly #election: Election;
   readonly #logReceiver: LogReceiver;
   readonly #pendingRequests: PendingRequests;
+  readonly #admits: CommandCheck;
   #leadership: Leadership | undefined;
   /** Forwarded proposals that this member has appended or refused. */
   readonly #handledProposals: RecentIds;
@@ -62,6 +63,8 @@
     stored: StoredState;
     randomness: Randomness;
     limits?: Partial<ConsensusLimits>;
+    /** Whether this member may log a command as the leader; default: always. */
+    admits?: CommandCheck;
     now: number;
   }) {
     const { host, founders, stored, randomness, now } = options;
@@ -76,6 +79,7 @@
     this.#election = new Election(this.#state, now);
     this.#logReceiver = new LogReceiver(this.#state);
     this.#pendingRequests = new PendingRequests(this.#state);
+    this.#admits = options.admits ?? (() => true);
     this.#termAtStart = stored.term;
     this.#handledProposals = new RecentIds(PROPOSAL_DEDUP_MS, now);
   }
@@ -355,7 +359,11 @@
     const fault = isLeader
       ? this.#leadership?.propose(
           { id, body },
-          { announced: this.#bootstrap.announced(now), now },
+          {
+            announced: this.#bootstrap.announced(now),
+            now,
+            admits: this.#admits,
+          },
         )
       : ({ type: "not_leader" } as const);
     if (!fault) return;
@@ -380,7 +388,11 @@
     }
     for (const proposal of proposals) {
       const announced = this.#bootstrap.announced(now);
-      const fault = this.#leadership.propose(proposal, { announced, now });
+      const fault = this.#leadership.propose(proposal, {
+        announced,
+        now,
+        admits: this.#admits,
+      });
       if (!fault) continue;
       const { id } = proposal;
       const proposedTerm = this.#state.term;
--- a/packages/agreement/effects.ts
+++ b/packages/agreement/effects.ts
@@ -41,6 +41,11 @@
   /** A leader was given the command; it may or may not take effect. */
   | { readonly type: "result_unknown" }
   | { readonly type: "command_too_large"; readonly bytes: number }
+  /**
+   * The leader did not log the command, because of the commands before it, which this
+   * host may not have applied yet; it has no effect.
+   */
+  | { readonly type: "not_admitted" }
   | { readonly type: "closed" };
 
 export type ChangeFault = SubmitFault | ChangeRefusal;
--- a/packages/agreement/index.ts
+++ b/packages/agreement/index.ts
@@ -9,6 +9,7 @@
 export * from "./effects.ts";
 export type { LogEntry, Snapshot } from "./entry_log.ts";
 export { founderIdentity } from "./founders.ts";
+export type { CommandCheck } from "./leadership.ts";
 export {
   type ConsensusLimits,
   DEFAULT_CONSENSUS_LIMITS,
--- a/packages/agreement/leadership.ts
+++ b/packages/agreement/leadership.ts
@@ -1,5 +1,6 @@
 import type { HostId } from "#model";
 import type { PeerStatus } from "./effects.ts";
+import type { LogEntry } from "./entry_log.ts";
 import {
   ELECTION_TIMEOUT_MS,
   HEARTBEAT_MS,
@@ -34,6 +35,21 @@
   index?: number;
 }
 
+/**
+ * Whether a command may follow the log of the leader; gives the entries of the log
+ * after an index.
+ */
+export type CommandCheck = (
+  command: Uint8Array,
+  entriesAfter: (index: number) => readonly LogEntry[],
+) => boolean;
+
+interface ProposalContext {
+  readonly announced: ReadonlyMap<HostId, string>;
+  readonly now: number;
+  readonly admits: CommandCheck;
+}
+
 /** The leader role of a member, for one term. */
 export class Leadership {
   readonly #state: MemberState;
@@ -73,13 +89,18 @@
   /** Appends a proposal to the log, or returns why it is refused. */
   propose(
     request: { id: string; body: ProposalBody },
-    context: { announced: ReadonlyMap<HostId, string>; now: number },
+    context: ProposalContext,
   ): ProposalRefusal["fault"] | undefined {
     const { log, term, commit } = this.#state;
     const { id, body } = request;
     const { announced, now } = context;
     const index = log.lastIndex + 1;
     if (body.type === "command") {
+      const entriesAfter = (applied: number) =>
+        log.range(applied + 1, log.lastIndex);
+      if (!context.admits(body.bytes, entriesAfter)) {
+        return { type: "not_admitted" };
+      }
       this.#state.appendEntries([{ index, term, id, command: body.bytes }]);
       return undefined;
     }
--- a/packages/agreement/messages.ts
+++ b/packages/agreement/messages.ts
@@ -88,7 +88,10 @@
   readonly id: string;
   /** The term in the header of the proposal. */
   readonly proposedTerm: number;
-  readonly fault: ChangeRefusal | { readonly type: "not_leader" };
+  readonly fault:
+    | ChangeRefusal
+    | { readonly type: "not_leader" }
+    | { readonly type: "not_admitted" };
 }
 
 /** A member's request to the leader for a linearizable read index. */
--- a/packages/agreement/ports.ts
+++ b/packages/agreement/ports.ts
@@ -16,6 +16,13 @@
 export interface StateMachine<Command, Reply> {
   /** Runs a command; must be deterministic and must not throw. */
   apply(index: number, command: Command): Reply;
+  /**
+   * Whether the leader may log a command behind the state and the commands that are
+   * logged but not applied; default: always. The only place where all commands meet
+   * in one order before they are accepted: a bound that is checked elsewhere holds
+   * for one command at a time. Replicas of earlier builds apply what is logged.
+   */
+  admits?(command: Command, pending: () => readonly Command[]): boolean;
   snapshot(): Uint8Array;
   restore(bytes: Uint8Array): void;
 }
--- a/packages/control/control_process.ts
+++ b/packages/control/control_process.ts
@@ -42,6 +42,7 @@
   type ListenFault,
   type TcpNetwork,
 } from "#wire";
+import { isAdmitted } from "./command_admission.ts";
 import { ControlPeers } from "./control_peers.ts";
 import { ServerInventory } from "./inventory.ts";
 import { LeaderDuties } from "./leader_duties.ts";
@@ -246,6 +247,7 @@
           publish();
           return reply;
         },
+        admits: (command, pending) => isAdmitted(registry, command, pending),
         snapshot: () => registry.snapshot(),
         restore: (bytes) => {
           const restored = registry.restore(bytes);
--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from "node:timers/promises";
 import { MAX_COMMAND_BYTES } from "#agreement";
 import { type BackendServer, type Clock, isPossibleStart } from "#model";
 import type { AnnouncementFault } from "#presence";
@@ -9,13 +10,16 @@
 } from "#registry";
 import type { ControlMetrics, InputCall, Logger } from "#telemetry";
 import { AnnouncementLog } from "./announcement_log.ts";
-import {
-  configurationBytes,
-  MAX_CONFIGURATION_BYTES,
-} from "./configuration_size.ts";
+import { excessBytes } from "./command_admission.ts";
+import { MAX_CONFIGURATION_BYTES } from "./configuration_size.ts";
 import type { ControlProcess } from "./control_process.ts";
 import { recordsAtEntry } from "./known_records.ts";
-import { faultTypeOf, withTimeout } from "./majority_timeout.ts";
+import {
+  faultTypeOf,
+  isNotAdmitted,
+  MAJORITY_TIMEOUT_MS,
+  withTimeout,
+} from "./majority_timeout.ts";
 import { type RecordReply, ServerLeaves } from "./server_leaves.ts";
 
 /** Most items and faults named in a log line or a reply. */
@@ -23,6 +27,9 @@
 /** Longest name or value in a log line or a reply, in characters. */
 const MAX_TEXT_LENGTH = 120;
 
+/** Wait before a change is checked again that the leader did not admit. */
+const ADMISSION_RETRY_MS = 20;
+
 /** No majority confirmed the request in time; it may take effect later. */
 interface UnavailableReply {
   readonly type: "unavailable";
@@ -103,21 +110,29 @@
       this.#logger.warn("items not confirmed", { ...logFields, fault });
       return { type: "unavailable", fault } as const;
     };
-    const dropped = await this.#droppedTargets(change);
-    if (dropped.length > 0) return refuse(problemsOf(dropped, dropped.length));
-    if (this.#excessBytes(change) !== undefined) {
-      // By the newest state, as one that lags may lack what made room.
-      const confirmed = await withTimeout(this.#control.confirmRead());
-      if (!confirmed?.isOk()) return unavailable(faultTypeOf(confirmed));
-      const found = this.#excessBytes(change);
-      const expected = `at most ${MAX_CONFIGURATION_BYTES} bytes`;
-      if (found !== undefined) {
-        return refuse([`configuration: expected ${expected}, found ${found}`]);
+    const until = this.#clock.now() + MAJORITY_TIMEOUT_MS;
+    const leftMs = () => Math.max(0, until - this.#clock.now());
+    const submit = () =>
+      withTimeout(
+        this.#control.submit({ type: "put_items", ...change, at }),
+        leftMs(),
+      );
+    let result: Awaited<ReturnType<typeof submit>>;
+    do {
+      if (this.#problemsOf(change).length > 0) {
+        // By the newest state, as one that lags may lack what made room.
+        const confirmed = await withTimeout(
+          this.#control.confirmRead(),
+          leftMs(),
+        );
+        if (!confirmed?.isOk()) return unavailable(faultTypeOf(confirmed));
+        const problems = this.#problemsOf(change);
+        if (problems.length > 0) return refuse(problems);
       }
-    }
-    const result = await withTimeout(
-      this.#control.submit({ type: "put_items", ...change, at }),
-    );
+      result = await submit();
+      // Commands before this one leave it no room, or drop what it needs; they are
+      // applied here soon, unless they are lost with their leader.
+    } while (isNotAdmitted(result) && (await this.#canRetry(leftMs)));
     const reply = result?.isOk() ? result.value : undefined;
     if (reply?.type === "items_held") {
       const { version } = reply;
@@ -138,32 +153,21 @@
     return unavailable(faultTypeOf(result));
   }
 
-  /**
-   * Routes that would be in force without their service, by the newest state: one
-   * that lags may not know that the service was added again.
-   */
-  async #droppedTargets(
-    change: Pick<PutItems, "upserts">,
-  ): Promise<readonly ItemFault[]> {
-    const { registry } = this.#control;
-    if (registry.droppedTargets(change).length === 0) return [];
-    const confirmed = await withTimeout(this.#control.confirmRead());
-    return confirmed?.isOk() ? registry.droppedTargets(change) : [];
+  /** Why a change can't be taken, by the state that this host has applied. */
+  #problemsOf(change: Pick<PutItems, "upserts" | "removals">): string[] {
+    const state = this.#control.registry.after([]);
+    const dropped = state.droppedTargets(change);
+    if (dropped.length > 0) return problemsOf(dropped, dropped.length);
+    const found = excessBytes(state, change);
+    if (found === undefined) return [];
+    const expected = `at most ${MAX_CONFIGURATION_BYTES} bytes`;
+    return [`configuration: expected ${expected}, found ${found}`];
   }
 
-  /**
-   * Size of the configuration that a change leads to; undefined if it fits or the
-   * change makes it no larger. Hosts that take changes at the same time may exceed
-   * the bound together.
-   */
-  #excessBytes(
-    change: Pick<PutItems, "upserts" | "removals">,
-  ): number | undefined {
-    const { registry } = this.#control;
-    const bytes = configurationBytes(registry.configurationWith(change));
-    if (bytes <= MAX_CONFIGURATION_BYTES) return undefined;
-    const grows = bytes > configurationBytes(registry.configuration());
-    return grows ? bytes : undefined;
+  async #canRetry(leftMs: () => number): Promise<boolean> {
+    if (leftMs() <= ADMISSION_RETRY_MS) return false;
+    await delay(ADMISSION_RETRY_MS);
+    return true;
   }
 
   /** Returns the current items, by a linearizable read. */
--- a/packages/control/leave_room.ts
+++ b/packages/control/leave_room.ts
@@ -19,7 +19,7 @@
  * Whether the recorded leaves have room for another one of any id. One that replaces
  * an earlier leave of its id takes no room.
  */
-export function hasLeaveRoom(
+function hasLeaveRoom(
   leaving: readonly LeavingServer[],
   leave: LeavingServer,
 ): boolean {
@@ -28,8 +28,18 @@
   return bytes <= MAX_LEAVES_BYTES;
 }
 
+/** Whether a leave may be recorded; one of a server that no host knows has less room. */
+export function hasRoomForLeave(
+  configuration: Configuration,
+  leave: LeavingServer,
+  isKnown: boolean,
+): boolean {
+  if (hasLeaveRoom(configuration.leaving, leave)) return true;
+  return isKnown && hasConfigurationRoom(configuration, leave);
+}
+
 /** Whether the configuration has room for a leave of a known server. */
-export function hasConfigurationRoom(
+function hasConfigurationRoom(
   configuration: Configuration,
   leave: LeavingServer,
 ): boolean {
--- a/packages/control/majority_timeout.ts
+++ b/packages/control/majority_timeout.ts
@@ -15,6 +15,11 @@
   return result?.error?.type ?? "timeout";
 }
 
+/** Whether the leader did not log a command; the state decides why. */
+export function isNotAdmitted(result: LogResult): boolean {
+  return result?.error?.type === "not_admitted";
+}
+
 /** Resolves with the result, or with undefined after a time. */
 export function withTimeout<T>(
   result: Promise<T>,
--- a/packages/control/server_leaves.ts
+++ b/packages/control/server_leaves.ts
@@ -1,3 +1,4 @@
+import { err } from "neverthrow";
 import {
   type BackendServer,
   type Clock,
@@ -8,8 +9,8 @@
 import type { AnnouncementLog } from "./announcement_log.ts";
 import type { ControlProcess } from "./control_process.ts";
 import { recordsAtEntry } from "./known_records.ts";
-import { hasConfigurationRoom, hasLeaveRoom } from "./leave_room.ts";
-import { faultTypeOf, withTimeout } from "./majority_timeout.ts";
+import { hasRoomForLeave } from "./leave_room.ts";
+import { faultTypeOf, isNotAdmitted, withTimeout } from "./majority_timeout.ts";
 
 /** What became of a leave; one that is not recorded may take effect later. */
 export type RecordReply =
@@ -62,13 +63,8 @@
     const at = this.#wallTimeMs();
     // A draining heartbeat gets here only with proof that it is its server's.
     const isProven = call === "heartbeat";
-    if (!(await this.#hasRoom({ id, incarnation, at }, isProven))) {
-      return this.#refuse({ id, incarnation }, call);
-    }
-    const servers = [{ id, incarnation }];
-    const result = await withTimeout(
-      this.#control.submit({ type: "servers_leaving", servers, at }),
-    );
+    const result = await this.#submit({ id, incarnation, at }, isProven);
+    if (isNotAdmitted(result)) return this.#refuse({ id, incarnation }, call);
     if (result?.isOk()) {
       const isNamed = server.incarnation !== undefined;
       this.#announcements.leaveRecorded({ id, incarnation, isNamed });
@@ -114,18 +110,28 @@
   }
 
   /**
-   * Whether a leave may be recorded. Decided before it is logged: hosts of an earlier
-   * build record each leave of the log, and all hosts must have equal states.
+   * Submits a leave that has room. The leader decides before it logs the leave: hosts
+   * of an earlier build record each leave of the log, and all hosts must have equal
+   * states. Whether the server is known is asked only if that decides.
    */
-  async #hasRoom(leave: LeavingServer, isProven: boolean): Promise<boolean> {
-    const { registry, registrar } = this.#control;
-    const { leaving } = registry.configuration();
-    if (hasLeaveRoom(leaving, leave)) return true;
-    const isKnown =
-      isProven ||
-      registrar.recordsOf(leave.id).length > 0 ||
-      (await recordsAtEntry(this.#control, leave.id)).length > 0;
-    return isKnown && hasConfigurationRoom(registry.configuration(), leave);
+  async #submit(leave: LeavingServer, isProven: boolean) {
+    const { id, incarnation, at } = leave;
+    const servers = [{ id, incarnation }];
+    for (const isKnown of isProven ? [true] : [false, true]) {
+      if (isKnown && !isProven && !(await this.#isKnown(id))) break;
+      const configuration = this.#control.registry.configuration();
+      if (!hasRoomForLeave(configuration, leave, isKnown)) continue;
+      const result = await withTimeout(
+        this.#control.submit({ type: "servers_leaving", servers, isKnown, at }),
+      );
+      if (!isNotAdmitted(result)) return result;
+    }
+    return err({ type: "not_admitted" } as const);
+  }
+
+  async #isKnown(id: string): Promise<boolean> {
+    if (this.#control.registrar.recordsOf(id).length > 0) return true;
+    return (await recordsAtEntry(this.#control, id)).length > 0;
   }
 
   /** Refuses a leave without room; connected entries learn of it nevertheless. */
--- a/packages/registry/commands.ts
+++ b/packages/registry/commands.ts
@@ -88,6 +88,11 @@
     readonly id: string;
     readonly incarnation: number;
   }[];
+  /**
+   * False if no host knows the servers; only the leader reads it, before it logs the
+   * command. Absent in commands of earlier builds.
+   */
+  readonly isKnown?: boolean;
   readonly at: number;
 }
 
--- a/packages/registry/items.ts
+++ b/packages/registry/items.ts
@@ -154,9 +154,14 @@
 
   /** The items as they would be after a change that passed the check. */
   with(change: Pick<PutItems, "upserts" | "removals">): ItemTable {
+    const copy = this.copy();
+    copy.apply({ type: "put_items", ...change, at: 0 });
+    return copy;
+  }
+
+  copy(): ItemTable {
     const copy = new ItemTable();
     copy.restore(this.all());
-    copy.apply({ type: "put_items", ...change, at: 0 });
     return copy;
   }
 
--- a/packages/registry/items_test.ts
+++ b/packages/registry/items_test.ts
@@ -218,13 +218,13 @@
   registry.apply(putItems([], [dropped]));
   const targets = [{ service: "report", weight: 1 }];
   const older = [service("report", 8), route("export", 8, { targets })];
-  const [fault] = registry.droppedTargets({ upserts: older });
+  const [fault] = registry.after([]).droppedTargets({ upserts: older });
   assert.equal(fault?.name, "export");
   assert.equal(fault?.found, "report");
   const others = [service("report", 8), route("lookup", 8)];
-  assert.deepEqual(registry.droppedTargets({ upserts: others }), []);
+  assert.deepEqual(registry.after([]).droppedTargets({ upserts: others }), []);
   const newer = [service("report", 10), route("export", 8, { targets })];
-  assert.deepEqual(registry.droppedTargets({ upserts: newer }), []);
+  assert.deepEqual(registry.after([]).droppedTargets({ upserts: newer }), []);
 });
 
 // Failure: a change that was accepted is refused when it is sent again.
@@ -239,5 +239,5 @@
   registry.apply(putItems(change));
   const dropped = { kind: "service", name: "report", version: 9 } as const;
   registry.apply(putItems([route("export", 9)], [dropped]));
-  assert.deepEqual(registry.droppedTargets({ upserts: change }), []);
+  assert.deepEqual(registry.after([]).droppedTargets({ upserts: change }), []);
 });
--- a/packages/registry/registry.ts
+++ b/packages/registry/registry.ts
@@ -23,7 +23,6 @@
 import { withItems } from "./item_document.ts";
 import {
   type Item,
-  type ItemFault,
   type ItemKey,
   ItemTable,
   type PutItems,
@@ -31,6 +30,7 @@
 } from "./items.ts";
 import { LeavingServers } from "./leaving.ts";
 import { Membership, type MembershipResult } from "./membership.ts";
+import { PendingState } from "./pending_state.ts";
 import type { RegistryConfiguration } from "./planner.ts";
 import { ReplyCache } from "./reply_cache.ts";
 import { type SectionRevision, SectionTexts } from "./sections.ts";
@@ -121,18 +121,16 @@
     };
   }
 
-  /** The configuration as it would be after a change of items. */
-  configurationWith(
-    change: Pick<PutItems, "upserts" | "removals">,
-  ): RegistryConfiguration {
-    const items = this.#items.with(change);
-    const document = withItems(this.#sectionsDocument, items);
-    return { ...this.configuration(), document };
-  }
-
-  /** Routes of a change to services that a newer change has dropped. */
-  droppedTargets(change: Pick<PutItems, "upserts">): ItemFault[] {
-    return this.#items.droppedTargets(change);
+  /** The state as it will be after some commands that are logged. */
+  after(commands: readonly RegistryCommand[]): PendingState {
+    const state = new PendingState({
+      items: this.#items,
+      leaving: this.#leaving.all(),
+      configuration: this.configuration(),
+      sectionsDocument: this.#sectionsDocument,
+    });
+    for (const command of commands) state.apply(command);
+    return state;
   }
 
   /** The current configuration items. */
--- a/packages/storage/replicated_log.ts
+++ b/packages/storage/replicated_log.ts
@@ -56,6 +56,7 @@
 ): Promise<Result<ReplicatedLog<Command, Reply>, StorageFault>> {
   const stored = await options.storage.load();
   return stored.map((state) => {
+    const commands = new LoggedCommands(options.machine);
     const core = new ConsensusCore({
       host: options.self,
       founders: options.founders,
@@ -64,12 +65,69 @@
       stored: state,
       randomness: options.randomness,
       limits: options.limits,
+      admits: (command, entriesAfter) => commands.admits(command, entriesAfter),
       now: options.clock.now(),
     });
-    return new LogMember(core, options);
+    return new LogMember(core, commands, options);
   });
 }
 
+/**
+ * The commands of the log for the state machine. Those that the leader has decoded to
+ * check what follows them are kept until they are applied.
+ */
+class LoggedCommands<Command, Reply> {
+  readonly #machine: StateMachine<Command, Reply>;
+  readonly #decoded = new WeakMap<Uint8Array, { readonly command: Command }>();
+  #appliedIndex = 0;
+
+  constructor(machine: StateMachine<Command, Reply>) {
+    this.#machine = machine;
+  }
+
+  admits(
+    bytes: Uint8Array,
+    entriesAfter: (index: number) => readonly LogEntry[],
+  ): boolean {
+    if (!this.#machine.admits) return true;
+    const command = this.#decodeFromPeer(bytes);
+    if (command === undefined) return false;
+    return this.#machine.admits(command, () =>
+      entriesAfter(this.#appliedIndex).flatMap(({ command }) =>
+        command ? this.#decode(command) : [],
+      ),
+    );
+  }
+
+  apply(index: number, bytes: Uint8Array): Reply {
+    const command = this.#decode(bytes);
+    this.#decoded.delete(bytes);
+    return this.#machine.apply(index, command);
+  }
+
+  /** Notes that the state includes the entries up to an index. */
+  noteApplied(index: number): void {
+    this.#appliedIndex = index;
+  }
+
+  /** Undefined if a peer has sent bytes that no replica could apply. */
+  #decodeFromPeer(bytes: Uint8Array): Command | undefined {
+    try {
+      return this.#decode(bytes);
+    } catch {
+      return undefined;
+    }
+  }
+
+  #decode(bytes: Uint8Array): Command {
+    const known = this.#decoded.get(bytes);
+    if (known) return known.command;
+    const command = decodeCbor(bytes) as Command;
+    this.#decoded.set(bytes, { command });
+    return command;
+  }
+}
+
 /** A request of a caller that the core has not settled yet. */
 interface PendingRequest {
   readonly settle: (outcome: Result<unknown, ChangeFault>) => void;
@@ -85,6 +143,7 @@
 class LogMember<Command, Reply> implements ReplicatedLog<Command, Reply> {
   readonly stopped: Promise<StopFault | undefined>;
   readonly #core: ConsensusCore;
+  readonly #commands: LoggedCommands<Command, Reply>;
   readonly #options: ReplicatedLogOptions<Command, Reply>;
   readonly #pending = new Map<string, PendingRequest>();
   readonly #idPrefix: string;
@@ -98,9 +157,11 @@
 
   constructor(
     core: ConsensusCore,
+    commands: LoggedCommands<Command, Reply>,
     options: ReplicatedLogOptions<Command, Reply>,
   ) {
     this.#core = core;
+    this.#commands = commands;
     this.#options = options;
     const { randomness, network } = options;
     const part = () => randomness.below(2 ** 32).toString(36);
@@ -295,6 +356,7 @@
         return;
       case "restore":
         machine.restore(effect.snapshot.bytes);
+        this.#commands.noteApplied(effect.snapshot.index);
         return;
       case "apply":
         for (const entry of effect.entries) this.#apply(entry);
@@ -316,10 +378,13 @@
 
   #apply({ index, id, command, membership }: LogEntry): void {
     if (command) {
-      const decoded = decodeCbor(command) as Command;
-      const reply = this.#options.machine.apply(index, decoded);
+      const reply = this.#commands.apply(index, command);
+      this.#commands.noteApplied(index);
       if (id !== undefined) this.#settle(id, ok(reply));
-    } else if (membership && id !== undefined) this.#settle(id, ok(index));
+      return;
+    }
+    this.#commands.noteApplied(index);
+    if (membership && id !== undefined) this.#settle(id, ok(index));
   }
 
   #settle(id: string, outcome: Result<unknown, ChangeFault>): void {
