--- a/packages/wire/frames.ts
+++ b/packages/wire/frames.ts
@@ -1,5 +1,11 @@
 import { Decoder, Encoder } from "cbor-x";
 import { err, ok, type Result } from "neverthrow";
+import {
+  MAX_MESSAGE_BYTES,
+  MessageParts,
+  PART_KIND,
+  splitMessage,
+} from "./message_parts.ts";
 import { findSharedField, type SharedField } from "./shared_values.ts";
 import { KEY_NUMBERS } from "./short_keys.ts";
 
@@ -71,16 +77,64 @@
   payload: unknown,
   options: { keys: KeyEncoding } = { keys: "full" },
 ): Result<Buffer, FrameFault> {
-  const sharedField = findSharedField(payload);
-  const parts = sharedField
-    ? encodeAroundField([kind, payload as object], sharedField, options)
-    : [encoders[options.keys].encode([kind, payload])];
-  const bytes = parts.reduce((sum, { length }) => sum + length, 0);
+  const pieces = encodePieces([kind, payload], options);
+  const bytes = lengthOf(pieces);
   if (bytes > MAX_FRAME_BYTES) return err({ type: "frame_too_long", bytes });
+  return ok(frameOf(pieces, bytes));
+}
+
+/** A message as it is written to a connection, in one frame or several. */
+export interface EncodedMessage {
+  /** Length without prefixes; above `MAX_FRAME_BYTES` if it is sent in parts. */
+  readonly bytes: number;
+  readonly pieces: readonly Buffer[];
+}
+
+/** Encodes a message as one frame, or as several if it is longer than a frame. */
+export function encodeMessage(
+  kind: string,
+  payload: unknown,
+  options: { keys: KeyEncoding },
+): Result<EncodedMessage, FrameFault> {
+  const pieces = encodePieces([kind, payload], options);
+  const bytes = lengthOf(pieces);
+  if (bytes > MAX_MESSAGE_BYTES) return err({ type: "frame_too_long", bytes });
+  if (bytes <= MAX_FRAME_BYTES) {
+    return ok({ bytes, pieces: [frameOf(pieces, bytes)] });
+  }
+  const frames = splitMessage(pieces);
+  return ok({
+    bytes,
+    pieces: frames.flatMap((part) => [lengthPrefix(lengthOf(part)), ...part]),
+  });
+}
+
+function encodePieces(
+  [kind, payload]: readonly [string, unknown],
+  options: { keys: KeyEncoding },
+): Buffer[] {
+  const sharedField = findSharedField(payload);
+  if (sharedField) {
+    return encodeAroundField([kind, payload as object], sharedField, options);
+  }
+  return [encoders[options.keys].encode([kind, payload])];
+}
+
+function lengthOf(pieces: readonly Buffer[]): number {
+  return pieces.reduce((sum, { length }) => sum + length, 0);
+}
+
+function lengthPrefix(bytes: number): Buffer {
+  const prefix = Buffer.allocUnsafe(LENGTH_BYTES);
+  prefix.writeUInt32BE(bytes, 0);
+  return prefix;
+}
+
+function frameOf(pieces: readonly Buffer[], bytes: number): Buffer {
   const frame = Buffer.allocUnsafe(LENGTH_BYTES + bytes);
   let offset = frame.writeUInt32BE(bytes, 0);
-  for (const part of parts) offset += part.copy(frame, offset);
-  return ok(frame);
+  for (const piece of pieces) offset += piece.copy(frame, offset);
+  return frame;
 }
 
 /** The bytes of a message before the value of a field, of the value, and after it. */
@@ -110,10 +164,14 @@
   ];
 }
 
-/** Splits a byte stream into frames; buffers at most one partial frame. */
+/**
+ * Splits a byte stream into messages; buffers at most one partial frame, and the parts
+ * of one message.
+ */
 export class FrameReader {
   #pending: Buffer[] = [];
   #length = 0;
+  readonly #parts = new MessageParts();
 
   /** Adds received bytes and returns the frames that are now complete. */
   push(chunk: Buffer): Result<Frame[], FrameFault> {
@@ -133,14 +191,27 @@
       if (end > bytes.length) break;
       const frame = decodeFrame(bytes.subarray(offset + LENGTH_BYTES, end));
       if (frame.isErr()) return err(frame.error);
-      frames.push(frame.value);
       offset = end;
+      const message = this.#joinParts(frame.value);
+      if (message.isErr()) return err(message.error);
+      if (message.value) frames.push(message.value);
     }
     const rest = bytes.subarray(offset);
     this.#pending = rest.length > 0 ? [rest] : [];
     this.#length = rest.length;
     return ok(frames);
   }
+
+  /** The message of a frame, or of the parts that a frame completes. */
+  #joinParts(frame: Frame): Result<Frame | undefined, FrameFault> {
+    if (frame.kind !== PART_KIND) return ok(frame);
+    const joined = this.#parts.add(frame.payload);
+    if (joined.isErr()) {
+      const detail = "not a part of a message";
+      return err(joined.error ?? { type: "frame_malformed", detail });
+    }
+    return joined.value ? decodeFrame(joined.value) : ok(undefined);
+  }
 }
 
 function decodeFrame(body: Buffer): Result<Frame, FrameFault> {
--- a/packages/wire/link.ts
+++ b/packages/wire/link.ts
@@ -3,11 +3,14 @@
 import { type Clock, MESSAGE_VALUES } from "#model";
 import { afterPendingInput } from "./after_input.ts";
 import {
-  encodeFrame,
+  type EncodedMessage,
+  encodeMessage,
   type FrameFault,
   FrameReader,
   type KeyEncoding,
+  MAX_FRAME_BYTES,
 } from "./frames.ts";
+import { MAX_MESSAGE_BYTES } from "./message_parts.ts";
 import type { Hello } from "./messages.ts";
 import { commonVersion, describeVersions } from "./protocol_versions.ts";
 import type { MessageRefusal } from "./refused_messages.ts";
@@ -38,6 +41,9 @@
 /** Unsent bytes above which a peer that reads too slowly is disconnected. */
 const MAX_UNSENT_BYTES = 8 * 1024 * 1024;
 
+/** Messages of one turn that are joined to one write. */
+const MAX_JOINED_BYTES = 64 * 1024;
+
 /** Why a link was closed. */
 export type LinkFault =
   | FrameFault
@@ -92,7 +98,7 @@
   #lastSent: number;
   #lastReceived: number;
   #receivedBytes = 0;
-  #pendingFrames: Buffer[] = [];
+  #pending: Buffer[] = [];
   /** What has arrived before the link was opened; undefined afterwards. */
   #greeting: Buffer[] | undefined = [];
 
@@ -109,6 +115,7 @@
     this.send("hello", {
       ...self,
       shortKeys: SHORT_KEYS.length,
+      maxMessageBytes: MAX_MESSAGE_BYTES,
       ...(connection !== undefined && { connection }),
     });
   }
@@ -151,25 +158,33 @@
     return peerKeyCount >= SHORT_KEYS.length ? "short" : "full";
   }
 
+  /** Longest message that the peer takes; depends on its hello. */
+  get maxMessageBytes(): number {
+    return this.#peer?.maxMessageBytes ?? MAX_FRAME_BYTES;
+  }
+
   /** Queues a message; messages of one event loop turn are written together. */
   send(kind: string, payload: unknown): boolean {
     if (!this.#open) return false;
-    const frame = encodeFrame(kind, payload, { keys: this.keyEncoding });
-    if (frame.isErr()) {
-      this.close(frame.error);
-      return false;
-    }
-    return this.sendFrame(kind, frame.value);
+    const message = encodeMessage(kind, payload, { keys: this.keyEncoding });
+    if (message.isOk()) return this.sendEncoded(kind, message.value);
+    this.close(message.error);
+    return false;
   }
 
   /** Queues an already encoded message, which several links may share. */
-  sendFrame(kind: string, frame: Buffer): boolean {
+  sendEncoded(kind: string, { bytes, pieces }: EncodedMessage): boolean {
     if (!this.#open) return false;
+    if (bytes > this.maxMessageBytes) {
+      this.close({ type: "frame_too_long", bytes });
+      return false;
+    }
     const { sentByKind, messagesByKind } = this.#options.traffic;
-    sentByKind.set(kind, (sentByKind.get(kind) ?? 0) + frame.length);
+    const sentBytes = pieces.reduce((sum, { length }) => sum + length, 0);
+    sentByKind.set(kind, (sentByKind.get(kind) ?? 0) + sentBytes);
     messagesByKind.set(kind, (messagesByKind.get(kind) ?? 0) + 1);
-    this.#pendingFrames.push(frame);
-    if (this.#pendingFrames.length === 1) setImmediate(() => this.#flush());
+    if (this.#pending.length === 0) setImmediate(() => this.#flush());
+    this.#pending.push(...pieces);
     return true;
   }
 
@@ -198,24 +213,33 @@
     if (!this.#open) return;
     this.#open = false;
     this.#fault = fault.type;
-    this.#pendingFrames = [];
+    this.#pending = [];
     this.#socket.destroy();
     this.#options.events.onClose(this, fault);
   }
 
   #flush(): void {
     if (!this.#open) return;
-    const bytes = Buffer.concat(this.#pendingFrames);
-    this.#pendingFrames = [];
+    const pieces = this.#pending;
+    const bytes = pieces.reduce((sum, { length }) => sum + length, 0);
+    this.#pending = [];
     this.#lastSent = this.#options.clock.now();
-    this.#options.traffic.sentBytes += bytes.length;
-    this.#socket.write(bytes);
+    this.#options.traffic.sentBytes += bytes;
+    if (bytes <= MAX_JOINED_BYTES) this.#socket.write(Buffer.concat(pieces));
+    else this.#writeAll(pieces);
     const unsentBytes = this.#socket.writableLength;
     if (unsentBytes > MAX_UNSENT_BYTES) {
       this.close({ type: "link_congested", unsentBytes });
     }
   }
 
+  /** Writes what may be shared with other links, without a copy for this one. */
+  #writeAll(pieces: readonly Buffer[]): void {
+    this.#socket.cork();
+    for (const piece of pieces) this.#socket.write(piece);
+    this.#socket.uncork();
+  }
+
   #handleData(chunk: Buffer): void {
     if (!this.#open) return;
     this.#lastReceived = this.#options.clock.now();
@@ -305,6 +329,7 @@
   newestVersion: MESSAGE_VALUES.count.optional(),
   build: z.string().optional(),
   shortKeys: MESSAGE_VALUES.count.optional(),
+  maxMessageBytes: MESSAGE_VALUES.count.optional(),
   connection: z
     .object({ channel: MESSAGE_VALUES.count, number: MESSAGE_VALUES.count })
     .optional(),
--- a/packages/wire/messages.ts
+++ b/packages/wire/messages.ts
@@ -33,6 +33,11 @@
   readonly build?: string;
   /** Length of the sender's table of short field names. */
   readonly shortKeys?: number;
+  /**
+   * Longest message that the sender takes, in parts if it is longer than a frame;
+   * absent in builds that take one frame.
+   */
+  readonly maxMessageBytes?: number;
   /**
    * Present if the sender has opened the connection. The connections that it
    * opens one after the other for the same purpose share a channel, and have
--- a/packages/wire/network.ts
+++ b/packages/wire/network.ts
@@ -10,7 +10,7 @@
   SystemRandomness,
 } from "#model";
 import { afterPendingInput } from "./after_input.ts";
-import { encodeFrame } from "./frames.ts";
+import { encodeMessage } from "./frames.ts";
 import {
   Link,
   type LinkFault,
@@ -160,9 +160,9 @@
     for (const keys of ["short", "full"] as const) {
       const matchingLinks = links.filter((link) => link.keyEncoding === keys);
       if (matchingLinks.length === 0) continue;
-      encodeFrame(kind, payload, { keys }).match(
-        (frame) => {
-          for (const link of matchingLinks) link.sendFrame(kind, frame);
+      encodeMessage(kind, payload, { keys }).match(
+        (message) => {
+          for (const link of matchingLinks) link.sendEncoded(kind, message);
         },
         (fault) => this.#observer.onFault?.(fault, undefined),
       );
