--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -110,6 +110,11 @@
       this.#logger.warn("items not confirmed", { ...logFields, fault });
       return { type: "unavailable", fault } as const;
     };
+    const sourceBytes = change.upserts.reduce(
+      (sum, { source }) => sum + source.length,
+      0,
+    );
+    if (sourceBytes > MAX_COMMAND_BYTES) return refuse([tooLong(sourceBytes)]);
     const until = this.#clock.now() + MAJORITY_TIMEOUT_MS;
     const leftMs = () => Math.max(0, until - this.#clock.now());
     const submit = () =>
@@ -144,11 +149,7 @@
       return refuse(problemsOf(faults, faults.length + omitted));
     }
     if (result?.isErr() && result.error.type === "command_too_large") {
-      const { bytes } = result.error;
-      const expected = `at most ${MAX_COMMAND_BYTES} bytes`;
-      return refuse([
-        `change: expected ${expected} in the log, found ${bytes}`,
-      ]);
+      return refuse([tooLong(result.error.bytes)]);
     }
     return unavailable(faultTypeOf(result));
   }
@@ -271,6 +272,11 @@
   }
 }
 
+/** The problem of a change that the log can't take. */
+function tooLong(bytes: number): string {
+  return `change: expected at most ${MAX_COMMAND_BYTES} bytes in the log, found ${bytes}`;
+}
+
 /** Items and what is expected of them, bounded; `count` faults in all. */
 function problemsOf(faults: readonly ItemFault[], count: number): string[] {
   const named = faults
