--- a/packages/agreement/message_decoders.ts
+++ b/packages/agreement/message_decoders.ts
@@ -1,5 +1,5 @@
 import * as z from "zod";
-import { MESSAGE_VALUES, type MessageDecoders } from "#model";
+import { MESSAGE_VALUES, type MessageDecoders, messageList } from "#model";
 import type { ConsensusMessages, ProposalRefusal } from "./messages.ts";
 
 const { count, text, bytes } = MESSAGE_VALUES;
@@ -7,8 +7,8 @@
 
 const HEADER = { cluster: text, from: text, to: text, term: count };
 const MEMBERSHIP = z.looseObject({
-  voters: z.array(text),
-  learners: z.array(text),
+  voters: messageList(text),
+  learners: messageList(text),
 });
 /** Fields of newer builds are kept, since entries are stored. */
 const LOG_ENTRY = z.looseObject({
@@ -48,7 +48,7 @@
     ...HEADER,
     previousIndex: count,
     previousTerm: count,
-    entries: z.array(LOG_ENTRY),
+    entries: messageList(LOG_ENTRY),
     commit: count,
     round: integer,
   }),
@@ -89,10 +89,10 @@
     proposedTerm: count,
     fault: FAULT,
   }),
-  "agreement.read": z.object({ ...HEADER, ids: z.array(text) }),
+  "agreement.read": z.object({ ...HEADER, ids: messageList(text) }),
   "agreement.read_reply": z.object({
     ...HEADER,
-    ids: z.array(text),
+    ids: messageList(text),
     index: count,
   }),
   "agreement.announced": z.object({ ...HEADER, member: text }),
@@ -107,7 +107,7 @@
     to: text,
     cluster: text,
     attempt: count,
-    members: z.array(text),
+    members: messageList(text),
     formed: z.boolean(),
   }),
   "agreement.found_reply": z.object({
--- a/packages/claims/message_decoders.ts
+++ b/packages/claims/message_decoders.ts
@@ -1,5 +1,5 @@
 import * as z from "zod";
-import { MESSAGE_VALUES, type MessageDecoders } from "#model";
+import { MESSAGE_VALUES, type MessageDecoders, messageList } from "#model";
 import type { ClaimMessages } from "./messages.ts";
 
 const { count, text, bytes } = MESSAGE_VALUES;
@@ -13,7 +13,7 @@
 const STORED_ANSWER = z
   .object({
     status: z.int().min(200).max(599),
-    headers: z.array(HEADER),
+    headers: messageList(HEADER),
     body: bytes,
   })
   .optional()
--- a/packages/configuration/message_decoders.ts
+++ b/packages/configuration/message_decoders.ts
@@ -1,5 +1,10 @@
 import * as z from "zod";
-import { ENTRY_VALUE, MESSAGE_VALUES, type MessageDecoders } from "#model";
+import {
+  ENTRY_VALUE,
+  MESSAGE_VALUES,
+  type MessageDecoders,
+  messageList,
+} from "#model";
 import type { ConfigurationChange } from "./change.ts";
 import type {
   ConfigurationMessages,
@@ -20,10 +25,10 @@
 
 /** A change of a list; fields of newer builds are kept, since it is passed on. */
 function listChange<T extends z.ZodType>(item: T) {
-  return z.object({ changed: z.array(item), removed: z.array(text) });
+  return z.object({ changed: messageList(item), removed: messageList(text) });
 }
 
-const STOP_REPORTS = z.array(z.object({ stop: text, inFlight: count }));
+const STOP_REPORTS = messageList(z.object({ stop: text, inFlight: count }));
 const ENTRIES = listChange(ENTRY_VALUE);
 const REQUEST_CLASS = z.looseObject({
   name: text,
@@ -43,8 +48,8 @@
   queueLength: number,
   slotsPerServer: number,
   connectionsPerServer: number,
-  classes: z.array(REQUEST_CLASS),
-  routes: z.array(z.looseObject({ path: text, class: text })),
+  classes: messageList(REQUEST_CLASS),
+  routes: messageList(z.looseObject({ path: text, class: text })),
   healthPath: text.optional(),
   coldRequestsPerS: number.optional(),
 });
@@ -57,18 +62,18 @@
   targetMs: number,
   attempts: number,
   rank: number,
-  targets: z.array(z.looseObject({ service: text, weight: number })),
+  targets: messageList(z.looseObject({ service: text, weight: number })),
   isPublic: z.boolean().optional(),
   isDownload: z.boolean().optional(),
-  allowedRegions: z.array(text).optional(),
+  allowedRegions: messageList(text).optional(),
 });
 const TENANT = z.looseObject({
   name: text,
-  keyHashes: z.array(text),
+  keyHashes: messageList(text),
   rank: number.optional(),
   ratePerS: number.optional(),
   burst: number.optional(),
-  allowedRegions: z.array(text).optional(),
+  allowedRegions: messageList(text).optional(),
 });
 const VIEW = { epoch: count, began: number, entries: ENTRIES };
 const CHANGE = z.looseObject({
@@ -76,7 +81,7 @@
   to: count,
   revision: count,
   clockSkewMs: number,
-  regions: z.record(text, z.array(text)).optional(),
+  regions: z.record(text, messageList(text)).optional(),
   services: listChange(SERVICE),
   plannedStops: listChange(z.looseObject({ name: text })),
   stops: listChange(z.looseObject({ stop: text })),
@@ -90,16 +95,16 @@
     })
     .optional(),
   tenants: listChange(TENANT).optional(),
-  evacuated: z.array(text).optional(),
+  evacuated: messageList(text).optional(),
   leaving: listChange(
     z.looseObject({ id: text, incarnation: count, at: number }),
   ),
   controls: listChange(z.looseObject({ id: text, peer: address })),
-  settled: z.array(z.object({ epoch: count, ended: number })),
+  settled: messageList(z.object({ epoch: count, ended: number })),
   view: z
     .object({
       ...VIEW,
-      former: z.array(z.object({ ...VIEW, ended: number })).optional(),
+      former: messageList(z.object({ ...VIEW, ended: number })).optional(),
     })
     .optional(),
 }) as unknown as z.ZodType<ConfigurationChange>;
@@ -123,7 +128,7 @@
     change: CHANGE.optional(),
     ageMs: milliseconds.optional(),
   }),
-  entries_seen: z.object({ entries: z.array(RELAYED_HEARTBEAT) }),
+  entries_seen: z.object({ entries: messageList(RELAYED_HEARTBEAT) }),
   version_ask: ROUND,
   version_answer: ROUND,
   version_want: z.object({ version: count }),
@@ -149,7 +154,7 @@
   servers_ask: z.object({ question: count }),
   servers_answer: z.object({
     question: count,
-    servers: z.array(BACKEND_SERVER),
+    servers: messageList(BACKEND_SERVER),
     more: z.boolean(),
   }),
 } satisfies MessageDecoders<InventoryMessages>;
--- a/packages/model/message_values.ts
+++ b/packages/model/message_values.ts
@@ -36,6 +36,28 @@
   state: z.enum(["ready", "stopping"]),
 }) satisfies z.ZodType<Entry>;
 
+/**
+ * A list in a message. It is not read behind its first wrong item: zod collects an
+ * issue of about a kilobyte for each, and a frame can hold half a million items.
+ */
+export function messageList<T extends z.ZodType>(item: T) {
+  return z.array(z.unknown()).transform((values, context): z.output<T>[] => {
+    const items: z.output<T>[] = [];
+    for (const [index, value] of values.entries()) {
+      const decoded = item.safeParse(value);
+      if (!decoded.success) {
+        for (const { message, path } of decoded.error.issues) {
+          const itemPath = [index, ...path] as (string | number)[];
+          context.addIssue({ code: "custom", message, path: itemPath });
+        }
+        return z.NEVER;
+      }
+      items.push(decoded.data);
+    }
+    return items;
+  });
+}
+
 /**
  * Decoders of the payloads of a message map. Fields that a decoder doesn't know are
  * ignored.
--- a/packages/presence/message_decoders.ts
+++ b/packages/presence/message_decoders.ts
@@ -1,5 +1,5 @@
 import * as z from "zod";
-import { MESSAGE_VALUES, type MessageDecoders } from "#model";
+import { MESSAGE_VALUES, type MessageDecoders, messageList } from "#model";
 import type {
   ChangesMessage,
   LeaveOperation,
@@ -24,7 +24,7 @@
  * The operations of a list. What a record says is decoded when it is taken into the
  * list (`decodePut`), as one that names no server still has a place there.
  */
-const OPERATIONS = z.array(z.custom<Operation>(isOperation));
+const OPERATIONS = messageList(z.custom<Operation>(isOperation));
 
 /** Decoders of the messages about the lists of servers. */
 export const PRESENCE_DECODERS = {
@@ -32,16 +32,16 @@
     [text, count, count, OPERATIONS],
     LATER_FIELDS,
   ) as unknown as z.ZodType<ChangesMessage>,
-  presence_summaries: z.array(
+  presence_summaries: messageList(
     z.tuple(
       [...POSITION, LOAD, z.boolean(), bytes, milliseconds.min(0)],
       LATER_FIELDS,
     ) as unknown as z.ZodType<SummaryMessage>,
   ),
-  presence_ask: z.array(
+  presence_ask: messageList(
     z.tuple([...POSITION], LATER_FIELDS) as unknown as z.ZodType<Position>,
   ),
-  presence_leaves: z.array(z.custom<LeaveOperation>(isLeave)),
+  presence_leaves: messageList(z.custom<LeaveOperation>(isLeave)),
   presence_state: z
     .tuple(
       [
--- a/packages/quarantine/message_decoders.ts
+++ b/packages/quarantine/message_decoders.ts
@@ -1,5 +1,5 @@
 import * as z from "zod";
-import { MESSAGE_VALUES, type MessageDecoders } from "#model";
+import { MESSAGE_VALUES, type MessageDecoders, messageList } from "#model";
 import type { QuarantineMessages } from "./messages.ts";
 
 const { count, text, milliseconds, address } = MESSAGE_VALUES;
@@ -9,16 +9,16 @@
 /** Decoders of the messages about requests that may crash servers. */
 export const QUARANTINE_DECODERS = {
   "quarantine.evidence": z.object({
-    losses: z.array(
+    losses: messageList(
       z.object({
         server: text,
         incarnation: count,
         dataCentre: text,
         ageMs: milliseconds,
-        runs: z.array(fingerprintAndMs),
+        runs: messageList(fingerprintAndMs),
       }),
     ),
-    cleared: z.array(fingerprintAndMs),
+    cleared: messageList(fingerprintAndMs),
   }),
   "quarantine.sync": round,
   "quarantine.synced": round,
--- a/packages/quotas/message_decoders.ts
+++ b/packages/quotas/message_decoders.ts
@@ -1,5 +1,5 @@
 import * as z from "zod";
-import { MESSAGE_VALUES, type MessageDecoders } from "#model";
+import { MESSAGE_VALUES, type MessageDecoders, messageList } from "#model";
 import type { QuotaMessages, TenantAsk, TenantGrant } from "./messages.ts";
 
 const { count, text } = MESSAGE_VALUES;
@@ -19,11 +19,11 @@
 export const QUOTA_DECODERS = {
   quota_ask: z.object({
     sequence: count,
-    asks: z.array(TENANT_ASK),
+    asks: messageList(TENANT_ASK),
     votes: z
       .object({
         shardCount: count,
-        shards: z.array(count),
+        shards: messageList(count),
         entries: count,
       })
       .optional(),
@@ -31,7 +31,7 @@
   }),
   quota_grant: z.object({
     sequence: count,
-    grants: z.array(TENANT_GRANT),
+    grants: messageList(TENANT_GRANT),
     stamp: STAMP,
   }),
 } satisfies MessageDecoders<QuotaMessages>;
--- a/packages/wire/frames.ts
+++ b/packages/wire/frames.ts
@@ -1,5 +1,6 @@
 import { Decoder, Encoder } from "cbor-x";
 import { err, ok, type Result } from "neverthrow";
+import { findCborFault } from "./cbor_check.ts";
 import {
   MAX_MESSAGE_BYTES,
   MessageParts,
@@ -215,6 +216,8 @@
 }
 
 function decodeFrame(body: Buffer): Result<Frame, FrameFault> {
+  const fault = findCborFault(body);
+  if (fault) return err({ type: "frame_malformed", detail: fault });
   return decodeWith(frameDecoder, body).andThen(
     (item): Result<Frame, FrameFault> => {
       if (!Array.isArray(item) || item.length !== 2) {
