--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -20,6 +20,7 @@
   MAJORITY_TIMEOUT_MS,
   withTimeout,
 } from "./majority_timeout.ts";
+import { isLate, LATE_ORDER } from "./order_lifetime.ts";
 import { type RecordReply, ServerLeaves } from "./server_leaves.ts";
 
 /** Most items and faults named in a log line or a reply. */
@@ -235,6 +236,27 @@
     return { type: "refused", fault };
   }
 
+  /**
+   * Records a deregistration. One that names no start stands for the starts that are
+   * known when it is carried out, so that an old one would end a server that has
+   * started again since.
+   */
+  async deregister(
+    server: {
+      readonly id: string;
+      readonly incarnation?: number | undefined;
+    },
+    sentAfter: number,
+  ): Promise<LeaveReply> {
+    const now = this.#clock.now();
+    if (server.incarnation !== undefined || !isLate(sentAfter, now)) {
+      return this.leave(server);
+    }
+    const ageMs = Math.round(now - sentAfter);
+    this.#logger.warn("late deregistration refused", { id: server.id, ageMs });
+    return { type: "unavailable", fault: LATE_ORDER };
+  }
+
   /** Records a leave; replies once a majority of control hosts synced it. */
   async leave(
     server: {
--- a/packages/control/evacuations.ts
+++ b/packages/control/evacuations.ts
@@ -11,6 +11,7 @@
   MAJORITY_TIMEOUT_MS,
   withTimeout,
 } from "./majority_timeout.ts";
+import { isLate, LATE_ORDER } from "./order_lifetime.ts";
 
 /**
  * Most commands for one order. A further one is needed only if another host took
@@ -49,9 +50,15 @@
 
   /**
    * Carries out an order; accepted once a linearizable read shows the state as
-   * ordered, since another host may take the opposite order at the same time.
+   * ordered, since another host may take the opposite order at the same time. Each
+   * order is logged with a version of its own, also where the state is as ordered: an
+   * opposite one that was given up may still be on its way to the log.
    */
-  async carryOut(order: EvacuationOrder): Promise<EvacuationReply> {
+  async carryOut(
+    order: EvacuationOrder,
+    /** The order was not sent before this time. */
+    sentAfter: number,
+  ): Promise<EvacuationReply> {
     const until = this.#clock.now() + MAJORITY_TIMEOUT_MS;
     const leftMs = () => Math.max(0, until - this.#clock.now());
     for (let attempt = 0; attempt <= MAX_ATTEMPTS; attempt++) {
@@ -62,10 +69,19 @@
       if (!confirmed?.isOk()) {
         return this.#refuse(order, faultTypeOf(confirmed));
       }
-      const change = this.#changeFor(order);
-      if (!change) return this.#accept(order, attempt);
+      if (attempt > 0 && this.#isInForce(order)) {
+        return this.#accept(order, attempt);
+      }
       if (attempt === MAX_ATTEMPTS) break;
+      // The version of a command is that after the state of now. What was sent long
+      // ago may have been resent elsewhere, and overruled since.
+      const now = this.#clock.now();
+      if (isLate(sentAfter, now)) {
+        const ageMs = Math.round(now - sentAfter);
+        return this.#refuse(order, LATE_ORDER, { ageMs });
+      }
       const at = Math.floor(this.#clock.wallTime());
+      const change = this.#changeFor(order);
       const submitted = await withTimeout(
         this.#control.submit({ type: "put_items", ...change, at }),
         leftMs(),
@@ -77,6 +93,12 @@
     return this.#refuse(order, "opposite_orders");
   }
 
+  #isInForce({ dataCentre, isEvacuated }: EvacuationOrder): boolean {
+    const key = evacuationKey(dataCentre);
+    const stored = this.#control.registry.storedItem(key);
+    return (stored?.type === "item") === isEvacuated;
+  }
+
   #changeFor(order: EvacuationOrder) {
     const key = evacuationKey(order.dataCentre);
     const stored = this.#control.registry.storedItem(key);
@@ -96,8 +118,9 @@
   #refuse(
     { dataCentre, isEvacuated }: EvacuationOrder,
     fault: string,
+    details: { readonly ageMs?: number } = {},
   ): EvacuationReply {
-    const fields = { dataCentre, isEvacuated, fault };
+    const fields = { dataCentre, isEvacuated, fault, ...details };
     this.#logger.warn("evacuation not confirmed", fields);
     return { type: "unavailable", fault };
   }
--- a/packages/control/index.ts
+++ b/packages/control/index.ts
@@ -19,4 +19,5 @@
 } from "./health.ts";
 export { LeaderDuties } from "./leader_duties.ts";
 export { leaveMembership } from "./leave_membership.ts";
+export { LATE_ORDER } from "./order_lifetime.ts";
 export { ConfigurationPublisher } from "./publisher.ts";
--- a/packages/registry/evacuation.ts
+++ b/packages/registry/evacuation.ts
@@ -20,13 +20,12 @@
 
 /**
  * The change that carries out an order, with the version after that of the stored
- * item or removal; undefined if the state is as ordered.
+ * item or removal.
  */
 export function evacuationChange(
   { dataCentre, isEvacuated }: EvacuationOrder,
   stored: StoredItem | undefined,
-): Pick<PutItems, "upserts" | "removals"> | undefined {
-  if ((stored?.type === "item") === isEvacuated) return undefined;
+): Pick<PutItems, "upserts" | "removals"> {
   const key = evacuationKey(dataCentre);
   const version = storedVersion(stored) + 1;
   if (!isEvacuated) return { upserts: [], removals: [{ ...key, version }] };
--- a/packages/wire/http_server.ts
+++ b/packages/wire/http_server.ts
@@ -67,6 +67,8 @@
   readonly headerBytesMax?: () => number;
   /** Bounds what clients make the process hold; default: no bound. */
   readonly guard?: ClientGuard | undefined;
+  /** Called for each connection that is accepted. */
+  readonly onConnection?: ((socket: Socket) => void) | undefined;
   /** Called for a request that came behind the last answer of a connection. */
   readonly onDropped?: (request: IncomingMessage) => void;
   /**
@@ -109,7 +111,13 @@
 
   constructor(options: HttpServerOptions, handle: HttpHandler) {
     const { connectionsMax, onDropped, onFailure, ...others } = options;
-    const { isUnusedUntilRead, guard, headerBytesMax, ...nodeOptions } = others;
+    const {
+      isUnusedUntilRead,
+      guard,
+      headerBytesMax,
+      onConnection,
+      ...nodeOptions
+    } = others;
     const { maxHeaderSize = defaultMaxHeaderSize } = nodeOptions;
     this.#connections = new HttpConnections({
       guard,
@@ -157,6 +165,7 @@
     this.#server.maxHeadersCount = HEADER_FIELDS_MAX + 1;
     this.#server.on("connection", (socket) => {
       this.#connectionCount += 1;
+      onConnection?.(socket);
       this.#connections.open(socket, { isClient: !this.isInternal(socket) });
     });
     if (connectionsMax !== undefined)
--- a/packages/wire/index.ts
+++ b/packages/wire/index.ts
@@ -17,5 +17,6 @@
 export * from "./messages.ts";
 export * from "./network.ts";
 export * from "./protocol_versions.ts";
+export * from "./request_ages.ts";
 export { encodedOnce } from "./shared_values.ts";
 export * from "./tracked_request.ts";
