--- a/packages/client_limits/client_account.ts
+++ b/packages/client_limits/client_account.ts
@@ -37,6 +37,8 @@
   hasCompleted: boolean;
   /** When it last completed a request or took an answer; else when it opened. */
   progressAt: number;
+  /** Whether a request of it has arrived whole and no part of its answer was sent. */
+  readonly isWaiting: () => boolean;
 }
 
 /** A connection to close, and why. */
@@ -50,8 +52,11 @@
  * What all clients make a process hold, charged to their connections. When a
  * bound is exceeded, the connections with the least progress are closed: first
  * those that never sent a whole request, the costliest of them before the others,
- * then those that completed nothing for the longest time. When the process takes more memory than planned, connections
- * that hold much share so much less.
+ * then those that completed nothing for the longest time. Those that wait for an answer
+ * come last, the costliest of them before the others: their requests may be at a server
+ * and must not run twice, and an answer that a crowd had gives it no rank above them.
+ * When the process takes more memory than planned, connections that hold much share so
+ * much less.
  *
  * Load patterns: many bodies or heads that stop before their end; many pipelined
  * requests with unread answers; many silent or slow connections.
@@ -78,12 +83,17 @@
     return this.#charges.size;
   }
 
-  /** Adds a connection. */
-  open(connection: Connection, now: number): void {
+  /** Adds a connection; `isWaiting` tells whether it waits for an answer. */
+  open(
+    connection: Connection,
+    now: number,
+    isWaiting: () => boolean = () => false,
+  ): void {
     this.#charges.set(connection, {
       heldBytes: 0,
       hasCompleted: false,
       progressAt: now,
+      isWaiting,
     });
     this.#heldBytes += CONNECTION_BYTES;
   }
@@ -181,16 +191,40 @@
     ];
   }
 
-  /** First those that never sent a whole request, the costliest before the others. */
+  /** In the order in which they are closed; see the class. */
   #inOrder(weight: Limit["weight"]): [Connection, ClientCharge][] {
-    return [...this.#charges].sort(([, a], [, b]) => {
-      if (a.hasCompleted !== b.hasCompleted) return a.hasCompleted ? 1 : -1;
-      const byCost = a.hasCompleted ? 0 : weight(b) - weight(a);
-      return byCost || a.progressAt - b.progressAt;
+    const ranked = [...this.#charges].map(
+      ([connection, charge]) =>
+        ({ connection, charge, rank: rankOf(charge) }) as const,
+    );
+    ranked.sort((a, b) => {
+      if (a.rank !== b.rank) return a.rank - b.rank;
+      const byCost =
+        costOf(b.charge, b.rank, weight) - costOf(a.charge, a.rank, weight);
+      return byCost || a.charge.progressAt - b.charge.progressAt;
     });
+    return ranked.map(({ connection, charge }) => [connection, charge]);
   }
 }
 
+/** Connections of a lower rank are closed before those of a higher one. */
+const RANK = { neverCompleted: 0, completed: 1, waiting: 2 } as const;
+
+function rankOf({ hasCompleted, isWaiting }: ClientCharge): number {
+  if (isWaiting()) return RANK.waiting;
+  return hasCompleted ? RANK.completed : RANK.neverCompleted;
+}
+
+/** What decides between connections of a rank, before the time of their progress. */
+function costOf(
+  charge: ClientCharge,
+  rank: number,
+  weight: Limit["weight"],
+): number {
+  if (rank === RANK.waiting) return charge.heldBytes;
+  return rank === RANK.neverCompleted ? weight(charge) : 0;
+}
+
 /** What counts for a bound, and how much of it the end of a connection frees. */
 interface Limit {
   readonly limit: ClientLimit;
--- a/packages/client_limits/client_account_test.ts
+++ b/packages/client_limits/client_account_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { SeededRandomness } from "#model";
 import { ClientAccount, CONNECTION_BYTES } from "./client_account.ts";
 import { clientBounds, serverConnectionsMax } from "./client_bounds.ts";
 
@@ -39,6 +40,77 @@
   assert.equal(evicted[0], "crowd-0");
 });
 
+/** A kind of client: what it holds, and how it came to it. */
+interface Kind {
+  readonly heldBytes: number;
+  readonly hasCompleted: boolean;
+}
+
+/** What crowds do: bodies that stop, small parts, many fields, answers unread. */
+const CROWD_KINDS: readonly Kind[] = [70_000, 500, 160_000, 20_000].flatMap(
+  (heldBytes) => [
+    { heldBytes, hasCompleted: false },
+    { heldBytes, hasCompleted: true },
+  ],
+);
+/** A caller's request without a body. */
+const CALLER_BYTES = 4_600;
+
+// Failure: a crowd of which each client has had a cheap answer made an entry close the
+// callers whose requests were at servers, as their last progress was older.
+test("no caller that waits for an answer is closed while a crowd is left", () => {
+  for (let seed = 1; seed <= 300; seed++) {
+    const random = new SeededRandomness(seed);
+    const account = makeAccount({ connectionsMax: 500 + random.below(3_000) });
+    const callers = 1 + random.below(60);
+    const kinds = CROWD_KINDS.filter(() => random.next() < 0.4);
+    const crowd = 600 + random.below(2_400);
+    const open = new Set<string>();
+    const add = (name: string, kind: Kind, isWaiting: boolean) => {
+      const now = open.size;
+      account.open(name, now, () => isWaiting);
+      if (kind.hasCompleted) account.progress(name, now);
+      account.charge(name, kind.heldBytes);
+      open.add(name);
+      for (const { connection } of account.evictions()) {
+        account.close(connection);
+        open.delete(connection);
+        const isCaller = connection.startsWith("caller");
+        const isCrowdLeft = [...open].some((other) => other.startsWith("c-"));
+        assert.ok(!isCaller || !isCrowdLeft, `seed ${seed}: ${connection}`);
+      }
+      assert.ok(!account.isExceeded, `seed ${seed}`);
+    };
+    for (let i = 0; i < callers; i++) {
+      const hasCompleted = random.next() < 0.7;
+      add(`caller-${i}`, { heldBytes: CALLER_BYTES, hasCompleted }, true);
+    }
+    for (let i = 0; i < crowd && kinds.length > 0; i++) {
+      add(`c-${i}`, kinds[random.below(kinds.length)] as Kind, false);
+    }
+    const left = [...open].filter((name) => name.startsWith("caller")).length;
+    assert.equal(left, callers, `seed ${seed}`);
+  }
+});
+
+// Failure: clients that hold much wait for an answer too, with a second body behind a
+// whole request, and rank with callers.
+test("of those that wait for an answer the costliest are closed first", () => {
+  const account = makeAccount({ heldBytesMax: 3_000_000 });
+  const isWaiting = () => true;
+  for (let i = 0; i < 40; i++) {
+    account.open(`caller-${i}`, i, isWaiting);
+    account.progress(`caller-${i}`, i);
+    account.charge(`caller-${i}`, CALLER_BYTES);
+  }
+  for (let i = 0; i < 100; i++) {
+    account.open(`c-${i}`, 100 + i, isWaiting);
+    account.progress(`c-${i}`, 100 + i);
+    account.charge(`c-${i}`, BODY_BYTES);
+    assert.ok(evict(account).every((name) => name.startsWith("c-")));
+  }
+});
+
 // Guards against slow clients that are closed for what a crowd holds.
 test("of unfinished requests the costliest are closed first", () => {
   const account = makeAccount({ heldBytesMax: 400_000 });
--- a/packages/wire/client_guard.ts
+++ b/packages/wire/client_guard.ts
@@ -60,9 +60,9 @@
     return this.#account.heldBytes;
   }
 
-  /** Follows a connection until it closes. */
-  open(socket: Socket): void {
-    this.#account.open(socket, this.#clock.now());
+  /** Follows a connection until it closes; see `ClientAccount.open`. */
+  open(socket: Socket, isWaiting?: () => boolean): void {
+    this.#account.open(socket, this.#clock.now(), isWaiting);
     this.#buffered.set(socket, 0);
     socket.once("close", () => {
       this.#account.close(socket);
--- a/packages/wire/http_connections.ts
+++ b/packages/wire/http_connections.ts
@@ -75,6 +75,14 @@
     return this.pending.size;
   }
 
+  /** Whether a request has arrived whole and no part of its answer was sent. */
+  get isWaiting(): boolean {
+    for (const { req, headersSent } of this.pending) {
+      if (req.complete && !headersSent) return true;
+    }
+    return false;
+  }
+
   get isOver(): boolean {
     return this.dropped >= DROPPED_REQUESTS_MAX;
   }
@@ -120,7 +128,7 @@
             this.#options.onFieldsExceeded(socket, excess),
         },
       });
-      this.#guard?.open(socket);
+      this.#guard?.open(socket, () => connection.isWaiting);
     }
     // Node calls this after an answer with `Connection: close`.
     socket.destroySoon = () => linger(socket);
