--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -43,6 +43,7 @@
   | UnavailableReply;
 
 export type ItemsReadReply =
+  /** All who read one version get the same list, which is not changed. */
   | { readonly type: "items"; readonly items: readonly Item[] }
   | UnavailableReply;
 
@@ -72,6 +73,9 @@
   /** Logs and counts announcements, also those that cannot be decoded. */
   readonly announcements: AnnouncementLog;
   readonly #leaves: ServerLeaves;
+  #listedItems:
+    | { readonly version: number; readonly items: readonly Item[] }
+    | undefined;
 
   constructor(options: {
     control: ControlProcess;
@@ -176,14 +180,24 @@
   async items(): Promise<ItemsReadReply> {
     const confirmed = await withTimeout(this.#control.confirmRead());
     if (confirmed?.isOk()) {
-      const items = this.#control.registry.items().filter(isSetByPatch);
-      return { type: "items", items };
+      return { type: "items", items: this.#currentItems() };
     }
     const fault = faultTypeOf(confirmed);
     this.#logger.warn("items not read", { fault });
     return { type: "unavailable", fault };
   }
 
+  /** The items, listed once for all requests that read the same version. */
+  #currentItems(): readonly Item[] {
+    const { registry } = this.#control;
+    const { version } = registry.configuration();
+    if (this.#listedItems?.version !== version) {
+      const items = registry.items().filter(isSetByPatch);
+      this.#listedItems = { version, items };
+    }
+    return this.#listedItems.items;
+  }
+
   /** Handles a backend server's announcement, or records that it is leaving. */
   async announce(server: BackendServer): Promise<AnnounceReply> {
     const impossible = this.#refuseFutureStart("heartbeat", server);
