--- a/packages/control/command_admission.ts
+++ b/packages/control/command_admission.ts
@@ -24,6 +24,13 @@
       if (state.droppedTargets(command).length > 0) return false;
       return excessBytes(state, command) === undefined;
     }
+    case "put_section": {
+      if (registry.wasAnswered(command)) return true;
+      const state = registry.after(pending());
+      const next = state.configurationWithSection(command);
+      if (next === undefined) return true;
+      return excess(state.configuration(), next) === undefined;
+    }
     case "servers_leaving": {
       const configuration = registry.after(pending()).configuration();
       // Hosts of earlier builds decide alone whether they know a server.
@@ -48,10 +55,13 @@
   },
   change: ItemChange,
 ): number | undefined {
-  const bytes = configurationBytes(state.configurationWith(change));
+  return excess(state.configuration(), state.configurationWith(change));
+}
+
+function excess(before: Configuration, after: Configuration) {
+  const bytes = configurationBytes(after);
   if (bytes <= MAX_CONFIGURATION_BYTES) return undefined;
-  const grows = bytes > configurationBytes(state.configuration());
-  return grows ? bytes : undefined;
+  return bytes > configurationBytes(before) ? bytes : undefined;
 }
 
 type ItemChange = Pick<PutItems, "upserts" | "removals">;
--- a/packages/control/command_admission_test.ts
+++ b/packages/control/command_admission_test.ts
@@ -1,6 +1,12 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type Item, Registry, type RegistryCommand } from "#registry";
+import {
+  type Item,
+  type PutSection,
+  Registry,
+  type RegistryCommand,
+} from "#registry";
+import { ALLOC_ACTOR, putSection, SYSTEM_ACTOR } from "../registry/fixtures.ts";
 import { isAdmitted } from "./command_admission.ts";
 
 function service(name: string, version: number): Item {
@@ -101,3 +107,32 @@
   // A host of an earlier build has asked whether the server is known.
   assert.ok(isAdmitted(registry, leaves([id]), () => [logged]));
 });
+
+/** A change of a team's section with so many services, of some 500 bytes each. */
+function section(services: number): PutSection {
+  const service =
+    "{ slots_per_server: 6, connections_per_server: 300, drain_limit_s: 60, classes: { lookup: { priority: patient, deadline_ms: 5000, repeatable: true } }, routes: [{ path: /, class: lookup }] }";
+  const lines = Array.from(
+    { length: services },
+    (_, i) => `  alloc-${i}: ${service}\n`,
+  );
+  const text = `services:\n${lines.join("") || "  {}"}`;
+  return putSection("alloc", { actor: ALLOC_ACTOR, text });
+}
+
+// Failure: sections of half a megabyte each had no bound together with the rest.
+test("a section is admitted if entries can be sent the configuration with it", () => {
+  const registry = new Registry();
+  registry.apply(putSection("system", { actor: SYSTEM_ACTOR }));
+  registry.apply(ALLOC);
+  const large = section(900);
+  const order = put([route("a", 1, 2 * LARGE)]);
+  assert.ok(isAdmitted(registry, large, () => []));
+  assert.ok(!isAdmitted(registry, large, () => [order]));
+  assert.ok(!isAdmitted(registry, order, () => [large]));
+  assert.ok(isAdmitted(registry, section(0), () => [order]));
+  // A change that was answered gets the same answer, however full it is by then.
+  registry.apply(section(900));
+  registry.apply(putSection("alloc", { actor: ALLOC_ACTOR, baseRevision: 1 }));
+  assert.ok(isAdmitted(registry, section(900), () => [order]));
+});
--- a/packages/control/operator_ports.ts
+++ b/packages/control/operator_ports.ts
@@ -46,6 +46,7 @@
 function toLogFault(fault: ChangeFault): LogFault {
   if (fault.type === "result_unknown") return { type: "result_unknown" };
   if (fault.type === "closed") return { type: "closed" };
+  if (fault.type === "not_admitted") return { type: "configuration_too_large" };
   return { type: "no_quorum" };
 }
 
--- a/packages/operators/errors.ts
+++ b/packages/operators/errors.ts
@@ -12,6 +12,7 @@
   body_too_large: 413,
   unsupported_encoding: 415,
   invalid_document: 422,
+  configuration_too_large: 422,
   revision_required: 428,
   header_too_large: 431,
   internal_error: 500,
@@ -53,10 +54,9 @@
 }
 
 /** Creates the error response for a fault of the replicated log. */
-export function logError(
-  code: "no_quorum" | "result_unknown" | "closed",
-): OperatorError {
-  const headers = { "retry-after": "1" };
+export function logError(code: LogErrorCode): OperatorError {
+  const headers: Record<string, string> = {};
+  if (RETRYABLE_ERRORS.has(code)) headers["retry-after"] = "1";
   return operatorError(code, LOG_MESSAGES[code], { headers });
 }
 
@@ -66,4 +66,8 @@
   result_unknown:
     "the change may or may not be applied; send it again with the same change id",
   closed: "this host is stopping; nothing was done, try another host",
+  configuration_too_large:
+    "entries could not be sent the whole configuration; nothing was done, remove something first",
 } as const;
+
+type LogErrorCode = keyof typeof LOG_MESSAGES;
--- a/packages/operators/ports.ts
+++ b/packages/operators/ports.ts
@@ -11,6 +11,8 @@
 export type LogFault =
   /** Nothing was done: this host cannot reach a majority. */
   | { readonly type: "no_quorum" }
+  /** Nothing was done: the configuration would be longer than entries can be sent. */
+  | { readonly type: "configuration_too_large" }
   /** The command may or may not be applied. */
   | { readonly type: "result_unknown" }
   /** Nothing was done: this host is stopping. */
--- a/packages/registry/registry.ts
+++ b/packages/registry/registry.ts
@@ -127,12 +127,18 @@
       items: this.#items,
       leaving: this.#leaving.all(),
       configuration: this.configuration(),
+      sections: this.#parsedSections,
       sectionsDocument: this.#sectionsDocument,
     });
     for (const command of commands) state.apply(command);
     return state;
   }
 
+  /** Whether a change was answered before, and gets the same answer again. */
+  wasAnswered(command: PutSection): boolean {
+    return this.#replyCache.find(command, this.#latestTime) !== undefined;
+  }
+
   /** The current configuration items. */
   items(): Item[] {
     return this.#items.items();
