--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -7,6 +7,7 @@
   type ItemFault,
   isSetByPatch,
   type PutItems,
+  type RegistryReply,
 } from "#registry";
 import type { ControlMetrics, InputCall, Logger } from "#telemetry";
 import { AnnouncementLog } from "./announcement_log.ts";
@@ -42,6 +43,12 @@
   | { readonly type: "invalid"; readonly problems: readonly string[] }
   | UnavailableReply;
 
+/** What became of a command with items. */
+type SubmittedItems =
+  | { readonly type: "applied"; readonly reply: RegistryReply }
+  | { readonly type: "refused"; readonly problems: readonly string[] }
+  | UnavailableReply;
+
 export type ItemsReadReply =
   /** All who read one version get the same list, which is not changed. */
   | { readonly type: "items"; readonly items: readonly Item[] }
@@ -120,43 +127,53 @@
       0,
     );
     if (sourceBytes > MAX_COMMAND_BYTES) return refuse([tooLong(sourceBytes)]);
-    const until = this.#clock.now() + MAJORITY_TIMEOUT_MS;
-    const leftMs = () => Math.max(0, until - this.#clock.now());
-    const submit = () =>
-      withTimeout(
-        this.#control.submit({ type: "put_items", ...change, at }),
-        leftMs(),
-      );
-    let result: Awaited<ReturnType<typeof submit>>;
-    do {
-      if (this.#problemsOf(change).length > 0) {
-        // By the newest state, as one that lags may lack what made room.
-        const confirmed = await withTimeout(
-          this.#control.confirmRead(),
-          leftMs(),
-        );
-        if (!confirmed?.isOk()) return unavailable(faultTypeOf(confirmed));
-        const problems = this.#problemsOf(change);
-        if (problems.length > 0) return refuse(problems);
-      }
-      result = await submit();
-      // Commands before this one leave it no room, or drop what it needs; they are
-      // applied here soon, unless they are lost with their leader.
-    } while (isNotAdmitted(result) && (await this.#canRetry(leftMs)));
-    const reply = result?.isOk() ? result.value : undefined;
-    if (reply?.type === "items_held") {
+    const result = await this.#submitItems({
+      type: "put_items",
+      ...change,
+      at,
+    });
+    if (result.type === "refused") return refuse(result.problems);
+    if (result.type === "unavailable") return unavailable(result.fault);
+    const { reply } = result;
+    if (reply.type === "items_held") {
       const { version } = reply;
       this.#logger.info("items accepted", { ...logFields, version });
       return { type: "held", version };
     }
-    if (reply?.type === "items_invalid") {
+    if (reply.type === "items_invalid") {
       const { faults, omitted } = reply;
       return refuse(problemsOf(faults, faults.length + omitted));
     }
-    if (result?.isErr() && result.error.type === "command_too_large") {
-      return refuse([tooLong(result.error.bytes)]);
+    return unavailable(reply.type);
+  }
+
+  /**
+   * Submits a change that can be taken by the state that this host has applied. The
+   * leader does not admit it if commands before it leave it no room, or drop what it
+   * needs; they are applied here soon, unless they are lost with their leader.
+   */
+  async #submitItems(command: PutItems): Promise<SubmittedItems> {
+    const retriesUntil = this.#clock.now() + MAJORITY_TIMEOUT_MS;
+    for (;;) {
+      if (this.#problemsOf(command).length > 0) {
+        // By the newest state, as one that lags may lack what made room.
+        const confirmed = await withTimeout(this.#control.confirmRead());
+        if (!confirmed?.isOk()) {
+          return { type: "unavailable", fault: faultTypeOf(confirmed) };
+        }
+        const problems = this.#problemsOf(command);
+        if (problems.length > 0) return { type: "refused", problems };
+      }
+      const result = await withTimeout(this.#control.submit(command));
+      if (result?.isOk()) return { type: "applied", reply: result.value };
+      if (result?.isErr() && result.error.type === "command_too_large") {
+        return { type: "refused", problems: [tooLong(result.error.bytes)] };
+      }
+      if (!isNotAdmitted(result) || this.#clock.now() >= retriesUntil) {
+        return { type: "unavailable", fault: faultTypeOf(result) };
+      }
+      await delay(ADMISSION_RETRY_MS);
     }
-    return unavailable(faultTypeOf(result));
   }
 
   /** Why a change can't be taken, by the state that this host has applied. */
@@ -170,12 +187,6 @@
     return [`configuration: expected ${expected}, found ${found}`];
   }
 
-  async #canRetry(leftMs: () => number): Promise<boolean> {
-    if (leftMs() <= ADMISSION_RETRY_MS) return false;
-    await delay(ADMISSION_RETRY_MS);
-    return true;
-  }
-
   /** Returns the current items, by a linearizable read. */
   async items(): Promise<ItemsReadReply> {
     const confirmed = await withTimeout(this.#control.confirmRead());
