--- a/packages/control/control_requests.ts
+++ b/packages/control/control_requests.ts
@@ -264,20 +264,21 @@
   /**
    * Records a deregistration. One that names no start stands for the starts that are
    * known when it is carried out, so that an old one would end a server that has
-   * started again since.
+   * started again since. Servers deregister on connections on which they have been
+   * silent since their last heartbeat, so that only its arrival tells its age.
    */
   async deregister(
     server: {
       readonly id: string;
       readonly incarnation?: number | undefined;
     },
-    sentAfter: number,
+    arrivedAfter: number,
   ): Promise<LeaveReply> {
     const now = this.#clock.now();
-    if (server.incarnation !== undefined || !isLate(sentAfter, now)) {
+    if (server.incarnation !== undefined || !isLate(arrivedAfter, now)) {
       return this.leave(server);
     }
-    const ageMs = Math.round(now - sentAfter);
+    const ageMs = Math.round(now - arrivedAfter);
     this.#logger.warn("late deregistration refused", { id: server.id, ageMs });
     return { type: "unavailable", fault: LATE_ORDER };
   }
--- a/packages/wire/request_ages.ts
+++ b/packages/wire/request_ages.ts
@@ -30,7 +30,7 @@
     if (now - from >= MIN_STALL_MS) this.#recent.push({ from, until: now });
   }
 
-  /** The earliest time at which a connection that is accepted now can have come. */
+  /** The earliest time at which a connection or bytes that are read now can have come. */
   earliestArrival(now: number): number {
     this.noteActivity(now);
     return Math.min(now, ...this.#recent.map(({ from }) => from));
@@ -56,17 +56,29 @@
 
   /** Notes regularly that the process runs, until it ends. */
   start(): this {
-    const note = () => this.#stalls.noteActivity(this.#clock.now());
-    setInterval(note, NOTE_INTERVAL_MS).unref();
+    setInterval(() => this.noteActivity(), NOTE_INTERVAL_MS).unref();
     return this;
   }
 
+  /** Notes that the process runs. */
+  noteActivity(): void {
+    this.#stalls.noteActivity(this.#clock.now());
+  }
+
   /** Notes a connection that was accepted. */
   open(connection: Connection): void {
     const earliest = this.#stalls.earliestArrival(this.#clock.now());
     this.#sentAfter.set(connection, earliest);
   }
 
+  /**
+   * The earliest time at which what is read now can have arrived: later than
+   * `sentAfter` on a connection that was idle, and blind to a cut.
+   */
+  arrivedAfter(): number {
+    return this.#stalls.earliestArrival(this.#clock.now());
+  }
+
   /** Notes that an answer is sent; the next request is sent after it. */
   answer(connection: Connection): void {
     this.#sentAfter.set(connection, this.#clock.now());
--- a/packages/wire/request_ages_test.ts
+++ b/packages/wire/request_ages_test.ts
@@ -48,4 +48,12 @@
   assert.equal(ages.sentAfter(connection), opened);
   ages.answer(connection);
   assert.equal(ages.sentAfter(connection), clock.now());
+  // The process did not note that it ran, so that what is read may have waited.
+  assert.equal(ages.arrivedAfter(), opened);
+  clock.advance(1_000);
+  ages.noteActivity();
+  clock.advance(200);
+  assert.equal(ages.arrivedAfter(), clock.now() - 1_200);
+  clock.advance(200);
+  assert.equal(ages.arrivedAfter(), clock.now());
 });
